Lay out the package, its settings and the interfaces between slices

Cause: an empty repository; five slices are to be written side by side. Ruled out: one module for all interfaces; each slice owns its own.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Each target does its own set-up: a virtual environment in the checkout.
+PYTHON ?= python3
+VENV = .venv
+BIN = $(VENV)/bin
+
+.PHONY: demo test lint format
+
+$(VENV)/ready: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable ".[dev]"
+	touch $@
+
+demo: $(VENV)/ready
+	$(BIN)/sassafrasdoor-demo
+
+test: $(VENV)/ready
+	$(BIN)/python tasks.py test
+
+lint: $(VENV)/ready
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: $(VENV)/ready
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
--- /dev/null
+++ b/sassafrasdoor/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Shares, leased quota, bounded queues and refusal."""
--- /dev/null
+++ b/sassafrasdoor/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to backend servers: model engines and plain services."""
--- /dev/null
+++ b/sassafrasdoor/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: agreed state, membership and orders."""
--- /dev/null
+++ b/sassafrasdoor/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: the callers' HTTP server over all slices."""
--- /dev/null
+++ b/sassafrasdoor/lease/__init__.py
@@ -0,0 +1,1 @@
+"""Leases judged by log order, with fencing numbers."""
--- /dev/null
+++ b/sassafrasdoor/log/__init__.py
@@ -0,0 +1,1 @@
+"""Following and appending to the platform's log; checkpoints."""
--- /dev/null
+++ b/sassafrasdoor/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are alive, suspected or leaving: a hint, never proof."""
--- /dev/null
+++ b/sassafrasdoor/outcomes.py
@@ -0,0 +1,106 @@
+"""Falsy sentinels with a reason, returned in place of raising across slices.
+
+A function that can end otherwise than well returns ``Value | Outcome``; callers
+branch with ``if not result`` or with ``functools.singledispatch`` on the class.
+"""
+
+
+class Outcome:
+    """Something other than the value asked for, and why."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason):
+        self.reason = reason
+
+    def __bool__(self):
+        return False
+
+    def __repr__(self):
+        return f"{type(self).__name__}({self.reason!r})"
+
+    def __eq__(self, other):
+        return type(self) is type(other) and self.reason == other.reason
+
+    def __hash__(self):
+        return hash((type(self), self.reason))
+
+
+class NotRun(Outcome):
+    """The request truly did not run; ``retry_after`` is in seconds.
+
+    Only to be returned if no byte of the request can have reached a backend
+    server.
+    """
+
+    __slots__ = ("retry_after",)
+
+    def __init__(self, reason, retry_after=1.0):
+        super().__init__(reason)
+        self.retry_after = retry_after
+
+
+class Unknown(Outcome):
+    """The request may have run; nothing of ours runs it again."""
+
+    __slots__ = ()
+
+
+class Unavailable(Outcome):
+    """A peer or a platform service gave no answer and took no effect."""
+
+    __slots__ = ()
+
+
+class ReplyLost(Outcome):
+    """The call may have taken effect although its reply never came."""
+
+    __slots__ = ()
+
+
+class Expired(Outcome):
+    """The log no longer keeps this offset; ``first`` is the first it keeps."""
+
+    __slots__ = ("first",)
+
+    def __init__(self, reason, first):
+        super().__init__(reason)
+        self.first = first
+
+
+class Rejected(Outcome):
+    """An input or a proposal was refused; ``findings`` say where and why."""
+
+    __slots__ = ("findings",)
+
+    def __init__(self, reason, findings=()):
+        super().__init__(reason)
+        self.findings = list(findings)
+
+
+class Finding:
+    """One fault of an input: its place (a dotted path) and the reason."""
+
+    __slots__ = ("place", "reason")
+
+    def __init__(self, place, reason):
+        self.place = place
+        self.reason = reason
+
+    def __str__(self):
+        return f"{self.place}: {self.reason}"
+
+    def __repr__(self):
+        return f"Finding({self.place!r}, {self.reason!r})"
+
+    def as_dict(self):
+        """Return the finding as a JSON-ready mapping."""
+        return {"place": self.place, "reason": self.reason}
+
+
+def findings_of(error):
+    """Return the findings of a ``pydantic.ValidationError``, in its order."""
+    return [
+        Finding(".".join(str(part) for part in item["loc"]) or "(root)", item["msg"])
+        for item in error.errors()
+    ]
--- /dev/null
+++ b/sassafrasdoor/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated pycapnp connections between our processes."""
--- /dev/null
+++ b/sassafrasdoor/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Applications' requests: outcomes, keys and at-most-once runs."""
--- /dev/null
+++ b/sassafrasdoor/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing a backend server, and discovery answers for callers."""
--- /dev/null
+++ b/sassafrasdoor/security.py
@@ -0,0 +1,38 @@
+"""Keys: callers' keys against their hashes, peers' keys, and TLS contexts."""
+
+import hashlib
+import hmac
+import ssl
+
+
+def key_hash(key):
+    """Return the SHA-256 of a caller's key in hex, as the table holds it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def key_matches(key, hashes):
+    """Say whether ``key`` belongs to one of ``hashes``."""
+    presented = key_hash(key)
+    return any(hmac.compare_digest(presented, known) for known in hashes)
+
+
+def sign(key, payload):
+    """Return the MAC of ``payload`` (bytes) under a peer key (str), 16 bytes."""
+    return hmac.digest(key.encode(), payload, "sha256")[:16]
+
+
+def signed_by_any(keys, payload, mac):
+    """Say whether ``mac`` is right under one of the peer keys now valid.
+
+    Two keys are valid at once while operators rotate them.
+    """
+    return any(hmac.compare_digest(sign(key, payload), mac) for key in keys)
+
+
+def server_context(tls):
+    """Return the TLS context of a listener, or None where TLS is not set."""
+    if not tls.certificate:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate, tls.private_key)
+    return context
--- /dev/null
+++ b/sassafrasdoor/settings.py
@@ -0,0 +1,228 @@
+"""Settings: one JSON file, one ``DEFAULT`` mapping, checked in one go.
+
+``load`` merges the file over ``DEFAULT`` and returns ``Settings`` or a
+``Rejected`` with every finding and its place. ``docs/SETTINGS.md`` lists all.
+Durations in settings are in seconds; code turns them into deadlines at once.
+"""
+
+import json
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from sassafrasdoor.outcomes import Finding, Rejected, findings_of
+
+DEFAULT = {
+    "instance": {
+        "name": "entry-1",
+        "availability_zone": "zone-a",
+        "region": "region-1",
+        "host": "127.0.0.1",
+        "entry_port": 0,
+        "control_port": 0,
+        "peer_port": 0,
+        "gossip_port": 0,
+    },
+    "platform": {
+        "log_url": "http://127.0.0.1:7400",
+        "instances_url": "http://127.0.0.1:7400",
+        "agreed_stream": "agreed",
+        "poll_interval": 0.5,
+        "call_timeout": 2.0,
+        "checkpoint_every": 200,
+    },
+    "membership": {
+        "seeds": [],
+        "probe_interval": 1.0,
+        "probe_timeout": 0.3,
+        "suspicion_timeout": 4.0,
+        "indirect_probes": 3,
+        "peer_keys": [],
+    },
+    "table": {"unconfirmed_grace": 600.0},
+    "lease": {"duration": 6.0, "renew_interval": 2.0},
+    "weights": {"store_concurrency": 4, "order_timeout": 10.0},
+    "routing": {
+        "load_interval": 0.5,
+        "subset_size": 24,
+        "discovery_valid": 5.0,
+        "discovery_size": 4,
+        "suspect_backend_for": 2.0,
+    },
+    "admission": {"queue_size": 256, "grant_duration": 3.0, "retry_budget": 0.1},
+    "requests": {
+        "body_limit": 4_000_000,
+        "first_byte_timeout": 10.0,
+        "gap_timeout": 5.0,
+        "key_lifetime": 600.0,
+        "default_deadline": 30.0,
+    },
+    "steps": {
+        "fetch_wait": 10.0,
+        "attach_idle": 15.0,
+        "view_confirm": 5.0,
+        "batch_size": 128,
+    },
+    "drain": {"deadline": 60.0},
+    "tls": {"certificate": "", "private_key": ""},
+}
+
+
+class Section(BaseModel):
+    """A part of the settings; unknown keys are findings."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class InstanceSettings(Section):
+    """This instance: its name, place and ports (0: the system picks one)."""
+
+    name: str = Field(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9_.-]+$")
+    availability_zone: str = Field(min_length=1, max_length=64)
+    region: str = Field(min_length=1, max_length=64)
+    host: str
+    entry_port: int = Field(ge=0, le=65535)
+    control_port: int = Field(ge=0, le=65535)
+    peer_port: int = Field(ge=0, le=65535)
+    gossip_port: int = Field(ge=0, le=65535)
+
+
+class PlatformSettings(Section):
+    """Where the platform's services are and how they are called."""
+
+    log_url: str
+    instances_url: str
+    agreed_stream: str = Field(min_length=1)
+    poll_interval: float = Field(gt=0)
+    call_timeout: float = Field(gt=0)
+    checkpoint_every: int = Field(gt=0)
+
+
+class MembershipSettings(Section):
+    """Probing of other instances; ``seeds`` are gossip addresses host:port."""
+
+    seeds: list[str]
+    probe_interval: float = Field(gt=0)
+    probe_timeout: float = Field(gt=0)
+    suspicion_timeout: float = Field(gt=0)
+    indirect_probes: int = Field(ge=0)
+    peer_keys: list[str] = Field(max_length=2)
+
+
+class TableSettings(Section):
+    """How long a table that nobody confirms stays usable."""
+
+    unconfirmed_grace: float = Field(gt=0)
+
+
+class LeaseSettings(Section):
+    """Life of a lease and how often its holder renews it."""
+
+    duration: float = Field(gt=0)
+    renew_interval: float = Field(gt=0)
+
+
+class WeightsSettings(Section):
+    """Rollout of weights: swaps at once and the longest order in flight."""
+
+    store_concurrency: int = Field(gt=0)
+    order_timeout: float = Field(gt=0)
+
+
+class RoutingSettings(Section):
+    """Choice of backend servers and answers to discovery."""
+
+    load_interval: float = Field(gt=0)
+    subset_size: int = Field(gt=0)
+    discovery_valid: float = Field(gt=0)
+    discovery_size: int = Field(gt=0)
+    suspect_backend_for: float = Field(gt=0)
+
+
+class AdmissionSettings(Section):
+    """Queues, leased quota and the retry budget."""
+
+    queue_size: int = Field(gt=0)
+    grant_duration: float = Field(gt=0)
+    retry_budget: float = Field(ge=0)
+
+
+class RequestsSettings(Section):
+    """Applications' requests: bounds, timeouts and lifetime of keys."""
+
+    body_limit: int = Field(gt=0)
+    first_byte_timeout: float = Field(gt=0)
+    gap_timeout: float = Field(gt=0)
+    key_lifetime: float = Field(gt=0)
+    default_deadline: float = Field(gt=0)
+
+
+class StepsSettings(Section):
+    """Training steps: waiting, attachment and batches of samples."""
+
+    fetch_wait: float = Field(gt=0)
+    attach_idle: float = Field(gt=0)
+    view_confirm: float = Field(gt=0)
+    batch_size: int = Field(gt=0)
+
+
+class DrainSettings(Section):
+    """The longest that a planned stop waits for work in progress."""
+
+    deadline: float = Field(gt=0)
+
+
+class TlsSettings(Section):
+    """PEM files of the callers' listener; empty for plain TCP."""
+
+    certificate: str
+    private_key: str
+
+
+class Settings(Section):
+    """All settings of one instance, passed whole."""
+
+    instance: InstanceSettings
+    platform: PlatformSettings
+    membership: MembershipSettings
+    table: TableSettings
+    lease: LeaseSettings
+    weights: WeightsSettings
+    routing: RoutingSettings
+    admission: AdmissionSettings
+    requests: RequestsSettings
+    steps: StepsSettings
+    drain: DrainSettings
+    tls: TlsSettings
+
+
+def load(path):
+    """Return the ``Settings`` in the JSON file at ``path``, or ``Rejected``."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = json.load(file)
+    except OSError as error:
+        return Rejected("settings unreadable", [Finding(str(path), error.strerror)])
+    except ValueError as error:
+        return Rejected("settings are not JSON", [Finding(str(path), str(error))])
+    return from_document(document)
+
+
+def from_document(document):
+    """Return ``Settings`` from a mapping merged over ``DEFAULT``, or ``Rejected``."""
+    if not isinstance(document, dict):
+        return Rejected("settings invalid", [Finding("(root)", "not an object")])
+    try:
+        return Settings.model_validate(_merged(document))
+    except ValidationError as error:
+        return Rejected("settings invalid", findings_of(error))
+
+
+def _merged(document):
+    merged = {name: dict(section) for name, section in DEFAULT.items()}
+    for name, section in document.items():
+        known = merged.get(name)
+        if known is not None and isinstance(section, dict):
+            known.update(section)
+        else:
+            merged[name] = section
+    return merged
--- /dev/null
+++ b/sassafrasdoor/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Training steps: samples, delivery token, staleness, stragglers."""
--- /dev/null
+++ b/sassafrasdoor/table/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' table: rows, validation and the accepted revision."""
--- /dev/null
+++ b/sassafrasdoor/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""The time line of events over all processes."""
--- /dev/null
+++ b/sassafrasdoor/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs, one thin module each."""
--- /dev/null
+++ b/sassafrasdoor/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Weight versions and their rollout to backend servers."""
