--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	$(BIN)/sassafrasdoor-demo
 
 test: $(VENV)/ready
-	$(BIN)/python tasks.py test
+	$(BIN)/invoke test
 
 lint: $(VENV)/ready
 	$(BIN)/ruff check .
