--- /dev/null
+++ b/sassafrasdoor/entry/parts.py
@@ -0,0 +1,118 @@
+"""The parts of an entry process, put together from the slices."""
+
+import asyncio
+import contextlib
+
+from sassafrasdoor.admission.queues import Admission
+from sassafrasdoor.backends.http import HttpEngine, HttpService
+from sassafrasdoor.requests import handlers as request_handlers
+from sassafrasdoor.requests.handlers import RequestsService
+from sassafrasdoor.routing import discovery
+from sassafrasdoor.routing.chooser import Chooser
+from sassafrasdoor.routing.loads import LoadPoller
+from sassafrasdoor.steps import handlers as step_handlers
+from sassafrasdoor.steps.handlers import StepsService
+
+DEMAND_INTERVAL = 0.2
+
+
+class Parts:
+    """Everything the callers' server needs; ``link`` supplies the view."""
+
+    __slots__ = (
+        "_settings",
+        "_tasks",
+        "admission",
+        "chooser",
+        "engine",
+        "leaving",
+        "link",
+        "loads",
+        "requests",
+        "service",
+        "steps",
+    )
+
+    def __init__(self, settings, link):
+        self._settings = settings
+        self._tasks = []
+        self.link = link
+        self.leaving = False
+        self.engine = HttpEngine(settings)
+        self.service = HttpService(settings)
+        self.admission = Admission(settings)
+        self.chooser = Chooser(settings)
+        self.loads = LoadPoller(settings, self.view, self.engine, self.chooser)
+        work = (settings, self.view, self.admission, self.chooser)
+        self.requests = RequestsService(*work, self.engine, self.service)
+        self.steps = StepsService(*work, self.engine)
+
+    def view(self):
+        """Return the newest view."""
+        return self.link.view
+
+    def handlers(self):
+        """Return the handlers of all slices."""
+        return (
+            discovery.handlers(self._settings, self.view, self.requests)
+            + request_handlers.handlers(self.requests)
+            + step_handlers.handlers(self.steps)
+        )
+
+    def start(self):
+        """Start the tasks that run beside the calls."""
+        jobs = [self.link.run(), self.loads.run(), self._send_demand()]
+        self._tasks = [asyncio.ensure_future(job) for job in jobs]
+
+    async def close(self):
+        """End all tasks and the work they hold."""
+        for task in self._tasks:
+            task.cancel()
+        for task in self._tasks:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    def unready(self):
+        """Return why this instance takes no new work, or an empty string."""
+        if self.leaving:
+            return "leaving"
+        return "" if self.view().table else "no table known"
+
+    def status(self):
+        """Return the system as seen from here, JSON-ready."""
+        view = self.view()
+        return {
+            "instance": self._settings.instance.name,
+            "leaving": self.leaving,
+            "revision": view.revision,
+            "unconfirmed_seconds": round(view.age, 3),
+            "weights": view.weights,
+            "members": [_member(member) for member in view.members],
+            "backends": [_backend(backend) for backend in view.backends],
+            "steps": self.steps.status(),
+            "requests": self.requests.status(),
+            "demand": self.admission.demand(),
+        }
+
+    async def _send_demand(self):
+        while True:
+            self.link.set_demand(self.admission.demand())
+            await asyncio.sleep(DEMAND_INTERVAL)
+
+
+def _member(member):
+    return {
+        "name": member.name,
+        "state": str(member.state),
+        "availability_zone": member.availability_zone,
+        "incarnation": member.incarnation,
+    }
+
+
+def _backend(backend):
+    return {
+        "name": backend.name,
+        "service": backend.service,
+        "state": str(backend.state),
+        "availability_zone": backend.availability_zone,
+    }
--- /dev/null
+++ b/sassafrasdoor/entry/process.py
@@ -0,0 +1,98 @@
+"""The life of an entry process: start, serve, drain, end."""
+
+import asyncio
+import json
+import signal
+import sys
+
+import capnp
+
+from sassafrasdoor import logs
+from sassafrasdoor.clock import deadline_in, passed, remaining
+from sassafrasdoor.control.link import ControlLink
+from sassafrasdoor.entry.parts import Parts
+from sassafrasdoor.entry.server import EntryServer
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.peers.server import PeerServer
+from sassafrasdoor.requests.peer import capability
+
+DRAIN_POLL = 0.05
+ENDED_AT_ONCE = 1
+
+
+async def run(settings, control_address):
+    """Serve callers until a planned stop has finished."""
+    EVENTS.process = f"{settings.instance.name}/entry"
+    logs.start(EVENTS.process)
+    async with capnp.kj_loop():
+        await _serve(settings, control_address)
+
+
+async def _serve(settings, control_address):
+    link = ControlLink(settings, control_address)
+    parts = Parts(settings, link)
+    server = EntryServer(settings, parts)
+    address = server.listen()
+    peers = PeerServer(
+        settings,
+        settings.instance.host,
+        settings.instance.peer_port,
+        capability(parts.requests),
+    )
+    await peers.start()
+    link.set_addresses(address, peers.address)
+    parts.start()
+    stop = _planned_stop()
+    _say_ready(settings, address, peers.address)
+    await stop.wait()
+    await _drain(settings, parts)
+    await peers.close()
+    await parts.close()
+    await server.close()
+    logs.changed("entry:stopped")
+
+
+def _say_ready(settings, address, peer_address):
+    ready = {
+        "ready": True,
+        "name": settings.instance.name,
+        "entry": address,
+        "peer": peer_address,
+    }
+    print(json.dumps(ready), flush=True)
+
+
+def _planned_stop():
+    """Return an event set by SIGTERM; a second SIGTERM ends the process at once."""
+    stop = asyncio.Event()
+
+    def asked():
+        if stop.is_set():
+            sys.exit(ENDED_AT_ONCE)
+        stop.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, asked)
+    return stop
+
+
+async def _drain(settings, parts):
+    """Leave without cutting a request off.
+
+    Callers keep a discovery answer for ``discovery_valid`` seconds and connect
+    on it. An instance that refused at once would cut them off although another
+    would have served them; so it is announced as leaving first, serves until
+    the last answer that names it has lapsed, then refuses, then finishes.
+    """
+    parts.leaving = True
+    logs.changed("entry:leaving")
+    EVENTS.add("drain-started")
+    await parts.link.leave()
+    await asyncio.sleep(remaining(deadline_in(settings.routing.discovery_valid)))
+    parts.requests.refuse_new()
+    await parts.steps.drain()
+    limit = deadline_in(settings.drain.deadline)
+    while parts.requests.in_progress() and not passed(limit):  # noqa: ASYNC110
+        await asyncio.sleep(DRAIN_POLL)
+    EVENTS.add("drain-finished", left=parts.requests.in_progress())
--- /dev/null
+++ b/sassafrasdoor/entry/server.py
@@ -0,0 +1,177 @@
+"""The callers' HTTP server: handlers of all slices over one application."""
+
+import json
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from sassafrasdoor import __version__, metrics
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.security import key_matches, server_context
+
+BEARER = "Bearer "
+MAX_HEADER_BYTES = 16_384
+MAX_KEY_LENGTH = 256
+EVENTS_PAGE = 1000
+
+REFUSED_KEYS = metrics.counter(
+    "sassafrasdoor_refused_keys_total", "Calls whose key did not match their row."
+)
+
+
+class EntryServer:
+    """Serves callers; ``parts`` is what ``entry.process`` put together."""
+
+    __slots__ = ("_http", "_settings", "address", "parts")
+
+    def __init__(self, settings, parts):
+        self._settings = settings
+        self.parts = parts
+        self._http = None
+        self.address = ""
+
+    def listen(self):
+        """Bind the callers' port and return ``host:port``."""
+        instance = self._settings.instance
+        sockets = tornado.netutil.bind_sockets(instance.entry_port, instance.host)
+        self._http = tornado.httpserver.HTTPServer(
+            self._application(),
+            ssl_options=server_context(self._settings.tls),
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=self._settings.requests.body_limit,
+        )
+        self._http.add_sockets(sockets)
+        self.address = f"{instance.host}:{sockets[0].getsockname()[1]}"
+        return self.address
+
+    async def close(self):
+        """Close the listener and the idle connections."""
+        self._http.stop()
+        await self._http.close_all_connections()
+
+    def _application(self):
+        own = {"parts": self.parts}
+        pages = [
+            ("/healthz", HealthHandler, own),
+            ("/readyz", ReadyHandler, own),
+            ("/metrics", MetricsHandler, own),
+            ("/v1/status", StatusHandler, own),
+            ("/v1/events", EventsHandler, own),
+        ]
+        return tornado.web.Application(
+            pages + self.parts.handlers(),
+            default_handler_class=NotFoundHandler,
+            authorize=Authorization(self.parts),
+            log_function=count_request,
+        )
+
+
+def count_request(handler):
+    """Count a finished call; Tornado's own line for each call is not logged."""
+    CALLS.inc({"handler": type(handler).__name__, "status": str(handler.get_status())})
+
+
+CALLS = metrics.counter("sassafrasdoor_calls_total", "Finished calls of callers.")
+
+
+class Authorization:
+    """Checks a caller's key against the row; writes the refusal itself.
+
+    A missing row and a wrong key look the same to the caller, so that rows
+    cannot be listed by trying names.
+    """
+
+    __slots__ = ("_parts",)
+
+    def __init__(self, parts):
+        self._parts = parts
+
+    def __call__(self, handler, row_name):
+        """Return the row whose key the caller showed, or None."""
+        view = self._parts.view()
+        if view.table is None:
+            refuse(handler, 503, "not-run", "this instance knows no table yet", retry=1)
+            return None
+        header = handler.request.headers.get("Authorization", "")
+        key = header.removeprefix(BEARER)[:MAX_KEY_LENGTH]
+        row = view.row(row_name)
+        if row is None or not key_matches(key, row.key_hashes):
+            REFUSED_KEYS.inc({})
+            refuse(handler, 401, "rejected", "no such row, or the key is not its own")
+            return None
+        return row
+
+
+def refuse(handler, status, outcome, reason, retry=None):
+    """Finish a call that did not run, with its reason."""
+    handler.set_status(status)
+    handler.set_header("X-Outcome", outcome)
+    if retry is not None:
+        handler.set_header("Retry-After", str(retry))
+    handler.finish({"outcome": outcome, "reason": reason, "findings": []})
+
+
+class PageHandler(tornado.web.RequestHandler):
+    """Base of the pages about the instance itself."""
+
+    def initialize(self, parts):
+        self._parts = parts
+
+    def write_error(self, status_code, **kwargs):
+        """Answer a failure without a traceback."""
+        refuse(self, status_code, "rejected", self._reason)
+
+
+class NotFoundHandler(tornado.web.RequestHandler):
+    """Answers paths that do not exist."""
+
+    def prepare(self):
+        refuse(self, 404, "rejected", "no such path")
+
+
+class HealthHandler(PageHandler):
+    """``GET /healthz``: the process runs."""
+
+    def get(self):
+        self.write({"ok": True, "version": __version__})
+
+
+class ReadyHandler(PageHandler):
+    """``GET /readyz``: a table is known and the instance is not leaving."""
+
+    def get(self):
+        reason = self._parts.unready()
+        if reason:
+            self.set_status(503)
+        self.write({"ready": not reason, "reason": reason})
+
+
+class MetricsHandler(PageHandler):
+    """``GET /metrics``: counters, gauges and histograms."""
+
+    def get(self):
+        body, headers = metrics.exposition(self.request.headers.get_list("Accept"))
+        for name, value in headers.items():
+            self.set_header(name, value)
+        self.write(body)
+
+
+class StatusHandler(PageHandler):
+    """``GET /v1/status``: the whole system as this instance sees it."""
+
+    def get(self):
+        self.set_header("Content-Type", "application/json")
+        self.write(json.dumps(self._parts.status()))
+
+
+class EventsHandler(PageHandler):
+    """``GET /v1/events?since=STAMP``: recent events for the time line."""
+
+    def get(self):
+        text = self.get_query_argument("since", "0")
+        if not text.isdecimal():
+            refuse(self, 400, "rejected", "since: not a whole number")
+            return
+        events = EVENTS.since(int(text))[:EVENTS_PAGE]
+        self.write({"events": [event.as_dict() for event in events]})
--- /dev/null
+++ b/sassafrasdoor/standin/proxy.py
@@ -0,0 +1,188 @@
+"""A small TCP proxy that injects faults between two real processes.
+
+Faults are switched while connections are open: ``delay`` (seconds for each
+chunk), ``freeze`` (nothing moves, connections stay), ``blackhole`` (``up`` or
+``down``: that direction is read and thrown away), ``truncate`` (cut after that
+many bytes towards the client), ``refuse`` (new connections are closed).
+"""
+
+import asyncio
+import contextlib
+import json
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+import typer
+
+CHUNK = 65536
+UP, DOWN = "up", "down"
+
+
+class Faults:
+    """The faults now switched on; the defaults do no harm."""
+
+    __slots__ = ("blackhole", "delay", "freeze", "refuse", "truncate")
+
+    def __init__(self):
+        self.clear()
+
+    def clear(self):
+        """Switch every fault off."""
+        self.blackhole = ""
+        self.delay = 0.0
+        self.freeze = False
+        self.refuse = False
+        self.truncate = None
+
+
+class Proxy:
+    """Listens on a port of its own and passes bytes to ``target`` (host:port)."""
+
+    __slots__ = (
+        "_open",
+        "_server",
+        "_tasks",
+        "_thawed",
+        "accepted",
+        "faults",
+        "target",
+    )
+
+    def __init__(self, target):
+        self.target = target
+        self.faults = Faults()
+        self.accepted = 0
+        self._open = set()
+        self._tasks = set()
+        self._server = None
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+
+    @property
+    def address(self):
+        """The proxy's own ``host:port``."""
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def open(self, port=0):
+        """Start to listen; return the proxy."""
+        self._server = await asyncio.start_server(self._connected, "127.0.0.1", port)
+        return self
+
+    async def close(self):
+        """Stop listening and cut every connection."""
+        self._server.close()
+        self.cut()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def cut(self):
+        """Reset all open connections now."""
+        for writer in list(self._open):
+            writer.transport.abort()
+
+    def freeze(self):
+        """Let nothing pass in either direction; connections stay open."""
+        self.faults.freeze = True
+        self._thawed.clear()
+
+    def thaw(self):
+        """Let bytes pass again, those held back first."""
+        self.faults.freeze = False
+        self._thawed.set()
+
+    def set(self, document):
+        """Apply a mapping of faults, as the command port receives it."""
+        if document.get("clear"):
+            self.faults.clear()
+            self.thaw()
+        for name in ("blackhole", "delay", "refuse", "truncate"):
+            if name in document:
+                setattr(self.faults, name, document[name])
+        if "freeze" in document:
+            self.freeze() if document["freeze"] else self.thaw()
+        if document.get("cut"):
+            self.cut()
+
+    async def _connected(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        self.accepted += 1
+        self._open.add(writer)
+        try:
+            if not self.faults.refuse:
+                await self._join(reader, writer)
+        except OSError:
+            pass  # Either end went away, which is what tests provoke.
+        finally:
+            self._open.discard(writer)
+            writer.transport.abort()
+            self._tasks.discard(asyncio.current_task())
+
+    async def _join(self, reader, writer):
+        host, port = self.target.rsplit(":", 1)
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        self._open.add(far_writer)
+        pumps = [
+            asyncio.ensure_future(self._pump(reader, far_writer, UP)),
+            asyncio.ensure_future(self._pump(far_reader, writer, DOWN)),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_EXCEPTION)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            self._open.discard(far_writer)
+            far_writer.transport.abort()
+
+    async def _pump(self, reader, writer, direction):
+        passed = 0
+        while chunk := await reader.read(CHUNK):
+            if self.faults.delay:
+                await asyncio.sleep(self.faults.delay)
+            await self._thawed.wait()
+            if self.faults.blackhole == direction:
+                continue
+            limit = self.faults.truncate if direction == DOWN else None
+            if limit is not None and passed + len(chunk) > limit:
+                writer.write(chunk[: limit - passed])
+                await writer.drain()
+                raise ConnectionAbortedError("truncated on purpose")
+            passed += len(chunk)
+            writer.write(chunk)
+            await writer.drain()
+        with contextlib.suppress(OSError):
+            writer.write_eof()
+
+
+class FaultsHandler(tornado.web.RequestHandler):
+    """``POST /standin/faults``: switch the proxy's faults."""
+
+    def initialize(self, proxy):
+        self._proxy = proxy
+
+    def post(self):
+        self._proxy.set(json.loads(self.request.body or b"{}"))
+        self.write({"accepted": self._proxy.accepted})
+
+
+async def serve(target, port=0):
+    """Run a proxy and its command port until cancelled."""
+    proxy = await Proxy(target).open(port)
+    sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
+    pattern = ("/standin/faults", FaultsHandler, {"proxy": proxy})
+    application = tornado.web.Application([pattern])
+    server = tornado.httpserver.HTTPServer(application)
+    server.add_sockets(sockets)
+    commands = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+    print(
+        json.dumps({"ready": True, "address": proxy.address, "commands": commands}),
+        flush=True,
+    )
+    await asyncio.Event().wait()
+
+
+def run(target: str = typer.Option(..., help="host:port"), port: int = 0):
+    """Run the fault-injecting proxy in front of a TCP address."""
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(serve(target, port))
--- /dev/null
+++ b/sassafrasdoor/tools/entry.py
@@ -0,0 +1,34 @@
+"""``sassafrasdoor-entry``: serve callers on an entry instance."""
+
+import asyncio
+
+import typer
+
+from sassafrasdoor.entry import process
+from sassafrasdoor.tools.options import CheckOption, SettingsOption, VersionOption, read
+
+app = typer.Typer(add_completion=True)
+
+
+@app.command()
+def run(
+    settings: str = SettingsOption,
+    control: str = typer.Option(
+        "", help="The control process of this instance, host:port."
+    ),
+    check: bool = CheckOption,
+    version: bool = VersionOption,
+):
+    """Serve callers until SIGTERM. Exit codes: 0 ended well, 1 at once, 2 usage."""
+    checked = read(settings, check)
+    own = f"{checked.instance.host}:{checked.instance.control_port}"
+    asyncio.run(process.run(checked, control or own))
+
+
+def main():
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sassafrasdoor/tools/options.py
@@ -0,0 +1,34 @@
+"""Options that every program has: ``--settings``, ``--check``, ``--version``."""
+
+import typer
+
+from sassafrasdoor import __version__, settings
+
+USAGE_ERROR = 2
+
+
+def _print_version(wanted):
+    if wanted:
+        typer.echo(__version__)
+        raise typer.Exit
+
+
+SettingsOption = typer.Option(..., "--settings", help="The JSON settings file.")
+CheckOption = typer.Option(False, "--check", help="Check the settings and end.")
+VersionOption = typer.Option(
+    False, "--version", is_eager=True, callback=_print_version, help="Say the version."
+)
+
+
+def read(path, check):
+    """Return the settings at ``path``; end with all findings if it has any."""
+    loaded = settings.load(path)
+    if not loaded:
+        typer.echo(f"{path}: {loaded.reason}", err=True)
+        for finding in loaded.findings:
+            typer.echo(f"  {finding}", err=True)
+        raise typer.Exit(USAGE_ERROR)
+    if check:
+        typer.echo(f"{path}: settings are valid")
+        raise typer.Exit
+    return loaded
