--- a/sassafrasdoor/standin/proxy.py
+++ b/sassafrasdoor/standin/proxy.py
@@ -74,8 +74,10 @@
         """Stop listening and cut every connection."""
         self._server.close()
         self.cut()
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def cut(self):
         """Reset all open connections now."""
@@ -112,8 +114,8 @@
         try:
             if not self.faults.refuse:
                 await self._join(reader, writer)
-        except OSError:
-            pass  # Either end went away, which is what tests provoke.
+        except (OSError, asyncio.CancelledError):
+            pass  # Either end or the proxy itself went away, as tests provoke.
         finally:
             self._open.discard(writer)
             writer.transport.abort()
--- a/sassafrasdoor/standin/tests/test_proxy.py
+++ b/sassafrasdoor/standin/tests/test_proxy.py
@@ -1,14 +1,16 @@
 """The fault-injecting proxy does what its faults say."""
 
 import asyncio
+import contextlib
 import unittest
 
 from sassafrasdoor.standin.proxy import Proxy
 
 
 async def echo(reader, writer):
-    while chunk := await reader.read(1024):
-        writer.write(chunk)
+    with contextlib.suppress(asyncio.CancelledError, OSError):
+        while chunk := await reader.read(1024):
+            writer.write(chunk)
     writer.close()
 
 
