Add authenticated peer links and the entry's link to control

Cause: processes need to talk to each other with proof of a key, and an entry needs its view from control, also while control restarts. Ruled out: proof with the first key only; while a key is replaced, instances with the old key alone and with both would refuse each other. Change: peers/ (door with nonces, heartbeat, a deadline on each call) and control/link.py, whose view only goes forward in table and weights.

--- /dev/null
+++ b/sassafrasdoor/control/control.capnp
@@ -0,0 +1,91 @@
+@0xb1c55ad0e7f24c31;
+
+# What a control process answers: its own entry's long poll, other control
+# processes that lag behind the log, and the collector of the time line.
+
+struct Member {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  availabilityZone @2 :Text;
+  region @3 :Text;
+  state @4 :Text;
+  gossipAddress @5 :Text;
+  controlAddress @6 :Text;
+  entryAddress @7 :Text;
+  peerAddress @8 :Text;
+}
+
+struct Backend {
+  name @0 :Text;
+  address @1 :Text;
+  kind @2 :Text;
+  service @3 :Text;
+  availabilityZone @4 :Text;
+  region @5 :Text;
+  capacity @6 :UInt32;
+  checksFencing @7 :Bool;
+  models @8 :List(Text);
+  state @9 :Text;
+}
+
+struct Weights {
+  model @0 :Text;
+  version @1 :UInt64;
+}
+
+struct Grant {
+  row @0 :Text;
+  slots @1 :UInt32;
+  remainingMs @2 :UInt32;
+}
+
+struct Demand {
+  row @0 :Text;
+  slots @1 :UInt32;
+}
+
+# What the entry knows already; a part that it knows is not sent again.
+struct Known {
+  session @0 :UInt64;
+  number @1 :UInt64;
+}
+
+struct Update {
+  session @0 :UInt64;
+  number @1 :UInt64;
+  confirmed @2 :Bool;          # whether the log ever confirmed the agreed part
+  confirmedAgeMs @3 :UInt64;
+  revision @4 :UInt64;
+  hasTable @5 :Bool;
+  table @6 :Text;              # JSON, empty: no table known
+  hasWeights @7 :Bool;
+  weights @8 :List(Weights);
+  hasMembers @9 :Bool;
+  members @10 :List(Member);
+  hasBackends @11 :Bool;
+  backends @12 :List(Backend);
+  grants @13 :List(Grant);
+}
+
+struct Addresses {
+  entry @0 :Text;
+  peer @1 :Text;
+}
+
+struct Event {
+  stamp @0 :UInt64;
+  process @1 :Text;
+  kind @2 :Text;
+  fields @3 :Text;             # JSON
+}
+
+interface Control {
+  exchange @0 (known :Known, waitMs :UInt32, stamp :UInt64, addresses :Addresses, demand :List(Demand)) -> (update :Update, stamp :UInt64);
+  # The agreed state as JSON if it goes beyond `asOf`, else empty.
+  fetch @1 (asOf :UInt64, stamp :UInt64) -> (asOf :UInt64, state :Text, confirmed :Bool, confirmedAgeMs :UInt64, stamp :UInt64);
+  events @2 (since :UInt64, stamp :UInt64) -> (events :List(Event), stamp :UInt64);
+  # The entry leaves on purpose: told to all members at once.
+  leave @3 (stamp :UInt64) -> (stamp :UInt64);
+  # Wanted slots of one instance for the holder of the quota lease.
+  claim @4 (instance :Text, demand :List(Demand), stamp :UInt64) -> (grants :List(Grant), stamp :UInt64);
+}
--- /dev/null
+++ b/sassafrasdoor/control/instances.py
@@ -0,0 +1,136 @@
+"""The platform's list of instances over HTTP: read, register, leave."""
+
+import json
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError
+
+from sassafrasdoor import metrics
+from sassafrasdoor.outcomes import Unavailable
+from sassafrasdoor.view import Backend, Member, State
+
+UNREADABLE = metrics.counter(
+    "instances_unreadable_total", "Entries of the instance list that made no sense."
+)
+ENTRY = "entry"
+STATES = {"alive": State.ALIVE, "leaving": State.LEAVING}
+
+
+class Listing:
+    """One answer of the list: entry instances (``Member``) and ``Backend`` servers."""
+
+    __slots__ = ("backends", "members")
+
+    def __init__(self, members=(), backends=()):
+        self.members = tuple(members)
+        self.backends = tuple(backends)
+
+
+class InstanceList:
+    """Client of the instance list; it lags and may be down.
+
+    The list of 400 entries and 600 backend servers is some 200 KB. Each read
+    names the tag of the last one, so that an unchanged list costs 200 bytes.
+    """
+
+    __slots__ = ("_client", "_listing", "_settings", "_tag")
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._client = CurlAsyncHTTPClient(force_instance=True)
+        self._tag = None
+        self._listing = None
+
+    def _url(self, path):
+        return self._settings.platform.instances_url.rstrip("/") + path
+
+    async def fetch(self):
+        """Return the newest ``Listing`` (the same object if unchanged)."""
+        headers = {"If-None-Match": self._tag} if self._tag else {}
+        response = await self._call("GET", "/instances", headers=headers)
+        if not response:
+            return response
+        if response.code == 304:
+            return self._listing
+        try:
+            document = json.loads(response.body)
+            listing = listing_from(document["instances"])
+        except (ValueError, KeyError, TypeError) as error:
+            return Unavailable(f"instance list unreadable: {type(error).__name__}")
+        self._tag = response.headers.get("Etag")
+        self._listing = listing
+        return listing
+
+    async def register(self, document):
+        """Put this instance on the list; may be repeated."""
+        name = self._settings.instance.name
+        return await self._call("PUT", f"/instances/{name}", body=json.dumps(document))
+
+    async def deregister(self):
+        """Take this instance off the list; may be repeated."""
+        return await self._call("DELETE", f"/instances/{self._settings.instance.name}")
+
+    async def _call(self, method, path, headers=None, body=None):
+        timeout = self._settings.platform.call_timeout
+        try:
+            return await self._client.fetch(
+                self._url(path),
+                method=method,
+                headers=headers,
+                body=body,
+                connect_timeout=timeout,
+                request_timeout=timeout,
+                decompress_response=True,
+            )
+        except HTTPError as error:
+            if error.code == 304:
+                return error.response
+            return Unavailable(f"instance list: {error.code}")
+        except OSError as error:
+            return Unavailable(f"instance list: {error}")
+
+    def close(self):
+        """Close the HTTP client."""
+        self._client.close()
+
+
+def listing_from(documents):
+    """Return the ``Listing`` in JSON-ready documents; bad ones are counted."""
+    members, backends = [], []
+    for document in documents:
+        try:
+            if document["kind"] == ENTRY:
+                members.append(_member(document))
+            else:
+                backends.append(_backend(document))
+        except (KeyError, TypeError, ValueError):
+            UNREADABLE.inc({})
+    return Listing(members, backends)
+
+
+def _member(document):
+    return Member(
+        document["name"],
+        availability_zone=document.get("availability_zone", ""),
+        region=document.get("region", ""),
+        state=STATES[document.get("state", "alive")],
+        gossip_address=document.get("gossip_address", ""),
+        control_address=document.get("control_address", ""),
+        entry_address=document.get("address", ""),
+        peer_address=document.get("peer_address", ""),
+    )
+
+
+def _backend(document):
+    return Backend(
+        document["name"],
+        document["address"],
+        document["kind"],
+        document["service"],
+        availability_zone=document.get("availability_zone", ""),
+        region=document.get("region", ""),
+        capacity=max(1, int(document.get("capacity", 1))),
+        checks_fencing=bool(document.get("checks_fencing", False)),
+        models=document.get("models", ()),
+        state=STATES[document.get("state", "alive")],
+    )
--- /dev/null
+++ b/sassafrasdoor/control/link.py
@@ -0,0 +1,165 @@
+"""The entry's end of the link to its own control process."""
+
+import asyncio
+import json
+import random
+
+from sassafrasdoor import logs, metrics
+from sassafrasdoor.control import messages
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.peers.link import PeerLink
+from sassafrasdoor.table.rows import table_from
+from sassafrasdoor.view import View
+
+WAIT = 1.0
+CALL_SLACK = 2.0
+RETRY_DELAY = 0.1
+RETRY_DELAY_MAX = 1.0
+
+UPDATES = metrics.counter("control_updates_total", "Updates from control.")
+LOST = metrics.counter("control_link_losses_total", "Times control went away.")
+
+
+class ControlLink:
+    """Keeps the newest ``view``; while control is away the last one stays.
+
+    A control process that restarts must not take its entry down with it: the
+    last view goes on to serve, its age grows, and the next session's first
+    update replaces all parts.
+    """
+
+    __slots__ = ("_addresses", "_callbacks", "_demand", "_known", "_link", "_lost")
+    __slots__ += ("_view",)
+
+    def __init__(self, settings, address):
+        self._link = PeerLink(settings, address, messages.SCHEMA.Control)
+        self._addresses = {"entry": "", "peer": ""}
+        self._demand = {}
+        self._known = {"session": 0, "number": 0}
+        self._callbacks = []
+        self._lost = True
+        self._view = View(confirmed_at=float("-inf"))
+
+    @property
+    def view(self):
+        """The newest ``View``; its table is None until one is known."""
+        return self._view
+
+    @property
+    def connected(self):
+        """Whether control answered the last exchange."""
+        return not self._lost
+
+    def on_change(self, callback):
+        """Call ``callback(view)`` with each new view."""
+        self._callbacks.append(callback)
+
+    def set_addresses(self, entry_address, peer_address):
+        """Tell where callers and peers reach this entry, as ``host:port``."""
+        self._addresses = {"entry": entry_address, "peer": peer_address}
+
+    def set_demand(self, demand):
+        """Tell the wanted slots by row; sent with the next exchange."""
+        self._demand = dict(demand)
+
+    async def leave(self):
+        """Have control tell all members that this instance is leaving."""
+        return await self._link.call("leave", stamp=EVENTS.clock.stamp())
+
+    async def run(self):
+        """Exchange with control until cancelled."""
+        delay = RETRY_DELAY
+        try:
+            while True:
+                if await self._exchange():
+                    delay = RETRY_DELAY
+                    continue
+                self._note_lost()
+                await asyncio.sleep(delay * random.uniform(0.5, 1.0))
+                delay = min(RETRY_DELAY_MAX, delay * 2)
+        finally:
+            self._link.close()
+
+    async def _exchange(self):
+        if not self._link.connected and await self._link.open() is not None:
+            return False
+        answer = await self._link.call(
+            "exchange",
+            timeout=WAIT + CALL_SLACK,
+            known=self._known,
+            waitMs=int(WAIT * 1000),
+            stamp=EVENTS.clock.stamp(),
+            addresses=self._addresses,
+            demand=messages.demand_messages(self._demand),
+        )
+        if not answer:
+            return False
+        EVENTS.clock.observe(answer.stamp)
+        self._take(answer.update)
+        return True
+
+    def _take(self, update):
+        if self._lost:
+            self._lost = False
+            logs.changed("control:connected", address=self._link.address)
+        UPDATES.inc({})
+        new = update.session != self._known["session"]
+        if not new and update.number == self._known["number"]:
+            self._confirm(update)
+            return
+        self._known = {"session": update.session, "number": update.number}
+        self._view = self._merged(update)
+        for callback in self._callbacks:
+            callback(self._view)
+
+    def _confirm(self, update):
+        # The number stays and only the confirmation is younger. A view is
+        # immutable but for this one hint, which every reader wants newest.
+        confirmed_at = messages.confirmed_at_from(update)
+        if confirmed_at is not None:
+            self._view.confirmed_at = max(self._view.confirmed_at, confirmed_at)
+
+    def _merged(self, update):
+        old = self._view
+        table, revision = self._table(update)
+        confirmed_at = messages.confirmed_at_from(update)
+        if confirmed_at is None or update.revision < old.revision:
+            confirmed_at = old.confirmed_at
+        weights = messages.weights_from(update.weights) if update.hasWeights else {}
+        members = map(messages.member_from, update.members)
+        backends = map(messages.backend_from, update.backends)
+        return View(
+            number=old.number + 1,
+            table=table,
+            revision=revision,
+            weights=_newest(old.weights, weights),
+            members=members if update.hasMembers else old.members,
+            backends=backends if update.hasBackends else old.backends,
+            confirmed_at=confirmed_at,
+            grants=messages.grants_from(update.grants),
+        )
+
+    def _table(self, update):
+        # A control process that just restarted may know an older revision than
+        # the one in force here, or none. Taking it would revert the table for
+        # a while; one would notice the revision fall. So it only goes forward.
+        old = self._view
+        if not update.hasTable or not update.table or update.revision <= old.revision:
+            return old.table, old.revision
+        table = table_from(json.loads(update.table))
+        if not table:
+            logs.changed("control:table-unreadable", reason=table.reason)
+            return old.table, old.revision
+        return table, update.revision
+
+    def _note_lost(self):
+        if not self._lost:
+            self._lost = True
+            LOST.inc({})
+            logs.changed("control:lost", address=self._link.address)
+
+
+def _newest(old, new):
+    return {
+        model: max(old.get(model, 0), new.get(model, 0)) for model in {**old, **new}
+    }
--- /dev/null
+++ b/sassafrasdoor/control/service.py
@@ -0,0 +1,64 @@
+"""The capability that a control process shows to its entry and its peers."""
+
+import json
+
+from sassafrasdoor.control import messages
+from sassafrasdoor.events import EVENTS
+
+MAX_WAIT = 10.0
+EVENTS_AT_ONCE = 1000
+
+
+class ControlService(messages.SCHEMA.Control.Server):
+    """Answers ``control.capnp``; the work is done by the ``ControlProcess``."""
+
+    def __init__(self, process):
+        self._process = process
+
+    async def exchange_context(self, context):
+        asked, results = context.params, context.results
+        EVENTS.clock.observe(asked.stamp)
+        process = self._process
+        process.entry_said(
+            asked.addresses.entry,
+            asked.addresses.peer,
+            messages.demand_from(asked.demand),
+        )
+        number = process.source.known_to(asked.known)
+        await process.source.wait(number, min(MAX_WAIT, asked.waitMs / 1000))
+        results.update = process.source.update(number)
+        results.stamp = EVENTS.clock.stamp()
+
+    async def fetch_context(self, context):
+        asked, results = context.params, context.results
+        EVENTS.clock.observe(asked.stamp)
+        results.asOf, results.state = self._process.agreed_beyond(asked.asOf)
+        age = messages.age_fields(self._process.source.confirmed_at)
+        results.confirmed = age["confirmed"]
+        results.confirmedAgeMs = age["confirmedAgeMs"]
+        results.stamp = EVENTS.clock.stamp()
+
+    async def events(self, since, stamp, _context, **_):
+        EVENTS.clock.observe(stamp)
+        results = _context.results
+        results.events = [
+            {
+                "stamp": event.stamp,
+                "process": event.process,
+                "kind": event.kind,
+                "fields": json.dumps(event.fields),
+            }
+            for event in EVENTS.since(since)[:EVENTS_AT_ONCE]
+        ]
+        results.stamp = EVENTS.clock.stamp()
+
+    async def leave(self, stamp, _context, **_):
+        EVENTS.clock.observe(stamp)
+        self._process.leave()
+        return EVENTS.clock.stamp()
+
+    async def claim(self, instance, demand, stamp, _context, **_):
+        EVENTS.clock.observe(stamp)
+        grants = self._process.claimed(instance, messages.demand_from(demand))
+        _context.results.grants = messages.grant_messages(grants)
+        _context.results.stamp = EVENTS.clock.stamp()
--- /dev/null
+++ b/sassafrasdoor/control/tests/test_link.py
@@ -0,0 +1,123 @@
+import asyncio
+import unittest
+
+from sassafrasdoor import settings
+from sassafrasdoor.clock import deadline_in, now
+from sassafrasdoor.control.link import ControlLink
+from sassafrasdoor.control.service import ControlService
+from sassafrasdoor.control.source import ViewSource
+from sassafrasdoor.peers.server import PeerServer
+from sassafrasdoor.peers.tests.test_link import on_kj_loop
+from sassafrasdoor.support import until
+from sassafrasdoor.view import Backend, Grant, Member
+
+TABLE = '{"rows": []}'
+
+
+class FakeControl:
+    """What ``ControlService`` needs of a control process."""
+
+    def __init__(self):
+        self.source = ViewSource()
+        self.said = None
+        self.left = False
+
+    def entry_said(self, *words):
+        self.said = words
+
+    def leave(self):
+        self.left = True
+
+
+class ControlLinkTests(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, port=0):
+        self.control = FakeControl()
+        server = PeerServer(
+            self.settings, "127.0.0.1", port, ControlService(self.control)
+        )
+        await server.start()
+        return server
+
+    def setUp(self):
+        self.settings = settings.from_document({})
+
+    async def connect(self):
+        server = await self.serve()
+        link = ControlLink(self.settings, server.address)
+        task = asyncio.create_task(link.run())
+        await until(lambda: link.connected, what="the first update")
+        return server, link, task
+
+    async def end(self, server, task):
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await server.stop()
+
+    @on_kj_loop
+    async def test_parts_arrive_and_stay(self):
+        server, link, task = await self.connect()
+        seen = []
+        link.on_change(seen.append)
+        link.set_addresses("127.0.0.1:1", "127.0.0.1:2")
+        link.set_demand({"row": 3})
+        source = self.control.source
+        source.set_members([Member("a", incarnation=2, region="r")])
+        source.set_backends([Backend("e", "127.0.0.1:3", "engine", "llm", models="m")])
+        source.set_table(TABLE, 7)
+        source.confirmed_at = now()
+        await until(lambda: link.view.table, what="the table")
+        source.set_grants({"row": Grant(2, deadline_in(9))})
+        await until(lambda: link.view.grants, what="the grants")
+        view = link.view
+        self.assertEqual(view.revision, 7)
+        self.assertEqual(view.members[0].incarnation, 2)
+        self.assertEqual(view.backends[0].models, ("m",))
+        self.assertLess(view.age, 5)
+        self.assertGreater(view.grants["row"].deadline, now())
+        self.assertIs(seen[-1], view)
+        said = ("127.0.0.1:1", "127.0.0.1:2", {"row": 3})
+        await until(lambda: self.control.said == said, what="addresses and demand")
+        self.assertTrue(await link.leave())
+        self.assertTrue(self.control.left)
+        await self.end(server, task)
+
+    @on_kj_loop
+    async def test_restart_of_control_keeps_the_view(self):
+        """Symptom: while control restarts, the entry refuses for want of a table.
+
+        Sequence: the entry has revision 7; control dies; a new one starts at the
+        same port, first without a table, then with 5, then with 9.
+        Cause: the new session's parts were taken although they were older.
+        """
+        server, link, task = await self.connect()
+        self.control.source.set_table(TABLE, 7)
+        self.control.source.set_weights({"m": 4})
+        await until(lambda: link.view.revision == 7, what="the table")
+        port = int(server.address.rpartition(":")[2])
+        await server.stop()
+        await until(lambda: not link.connected, what="the loss")
+        self.assertEqual(link.view.revision, 7)
+        server = await self.serve(port)
+        numbers = [link.view.number]
+        await until(lambda: link.connected, what="the new session")
+        self.assertIsNotNone(link.view.table)
+        self.assertEqual(link.view.weights, {"m": 4})
+        self.control.source.set_table(TABLE, 5)
+        self.control.source.set_members([Member("b")])
+        await until(lambda: link.view.members, what="the members")
+        numbers.append(link.view.number)
+        self.assertEqual(link.view.revision, 7)
+        self.control.source.set_table(TABLE, 9)
+        await until(lambda: link.view.revision == 9, what="revision 9")
+        self.assertEqual(sorted(numbers), numbers)
+        await self.end(server, task)
+
+    @on_kj_loop
+    async def test_confirmation_without_change(self):
+        server, link, task = await self.connect()
+        self.assertEqual(link.view.age, float("inf"))
+        number = link.view.number
+        self.control.source.confirmed_at = now()
+        await until(lambda: link.view.age < 5, what="the confirmation")
+        self.assertEqual(link.view.number, number)
+        await self.end(server, task)
--- /dev/null
+++ b/sassafrasdoor/peers/server.py
@@ -0,0 +1,109 @@
+"""The accepting end of authenticated connections between our processes."""
+
+import asyncio
+import pathlib
+
+import capnp
+
+from sassafrasdoor import metrics
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.peers import proof
+
+SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
+
+# A frame may claim any size. Above 8 MB (counted in words of 8 bytes) the
+# connection ends, so that a forged header can't claim the process's memory.
+MESSAGE_LIMIT_WORDS = 1 << 20
+
+ACCEPTED = metrics.counter("peer_connections_total", "Connections accepted.")
+REFUSED = metrics.counter("peer_refusals_total", "Peers without a valid key.")
+BROKEN = metrics.counter("peer_broken_total", "Connections ended by a bad frame.")
+
+
+class _Door(SCHEMA.Door.Server):
+    """The door of one connection; opens once the key is proved."""
+
+    def __init__(self, keys, capability):
+        self._keys = keys
+        self._capability = capability
+        self._nonce = proof.nonce()
+
+    async def challenge(self, nonce, _context, **_):
+        results = _context.results
+        results.nonce = self._nonce
+        results.mac = proof.prove_server(self._keys, bytes(nonce), self._nonce)
+
+    async def enter(self, caller, stamp, mac, _context, **_):
+        if not proof.client_proved(self._keys, self._nonce, caller, stamp, mac):
+            REFUSED.inc({})
+            raise PermissionError("no valid peer key")
+        EVENTS.clock.observe(stamp)
+        return self._capability, EVENTS.clock.stamp()
+
+    async def ping(self, stamp, _context, **_):
+        EVENTS.clock.observe(stamp)
+        return EVENTS.clock.stamp()
+
+
+class PeerServer:
+    """Listens for peers and hands ``capability`` to those that prove a key.
+
+    ``capability`` is a pycapnp server object; needs a running ``kj_loop``.
+    """
+
+    __slots__ = ("_capability", "_connections", "_host", "_keys", "_port", "_server")
+
+    def __init__(self, settings, host, port, capability):
+        self._keys = settings.membership.peer_keys
+        self._host = host
+        self._port = port
+        self._capability = capability
+        self._connections = set()
+        self._server = None
+
+    @property
+    def address(self):
+        """The bound ``host:port``."""
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    @property
+    def connections(self):
+        """How many connections are open."""
+        return len(self._connections)
+
+    async def start(self):
+        """Bind and accept; raises OSError if the port is taken."""
+        self._server = await capnp.AsyncIoStream.create_server(
+            self._serve, self._host, self._port
+        )
+
+    async def _serve(self, stream):
+        ACCEPTED.inc({})
+        task = asyncio.current_task()
+        self._connections.add(task)
+        server = capnp.TwoPartyServer(
+            stream,
+            bootstrap=_Door(self._keys, self._capability),
+            traversal_limit_in_words=MESSAGE_LIMIT_WORDS,
+        )
+        try:
+            await server.on_disconnect()
+        except capnp.KjException:
+            # A truncated or garbage frame: it ends this connection and no other.
+            BROKEN.inc({})
+        except asyncio.CancelledError:
+            # Only stop() cancels; pycapnp prints a traceback for a cancelled task.
+            pass
+        finally:
+            self._connections.discard(task)
+            server.close()
+            stream.close()
+
+    async def stop(self):
+        """Close the listener and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._connections):
+            task.cancel()
+        await asyncio.gather(*self._connections, return_exceptions=True)
--- /dev/null
+++ b/sassafrasdoor/peers/tests/test_link.py
@@ -0,0 +1,193 @@
+import asyncio
+import socket
+import unittest
+
+import capnp
+
+from sassafrasdoor import settings
+from sassafrasdoor.control import messages
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.outcomes import Unavailable
+from sassafrasdoor.peers import proof
+from sassafrasdoor.peers.link import PeerLink
+from sassafrasdoor.peers.server import BROKEN, REFUSED, SCHEMA, PeerServer
+from sassafrasdoor.support import until
+
+CONTROL = messages.SCHEMA.Control
+NEVER = asyncio.Event
+
+
+class Echo(CONTROL.Server):
+    """Answers ``leave``; never answers ``events``; fails ``fetch``."""
+
+    async def leave(self, stamp, _context, **_):
+        return stamp + 1
+
+    async def events(self, since, stamp, _context, **_):
+        await NEVER().wait()
+
+    async def fetch_context(self, context):
+        raise ValueError("broken")
+
+
+def count(counter):
+    return counter.values.store.get("__EMPTY__", 0)
+
+
+def settings_with(*keys):
+    return settings.from_document({"membership": {"peer_keys": list(keys)}})
+
+
+def on_kj_loop(test):
+    async def run(self):
+        async with capnp.kj_loop():
+            await test(self)
+
+    run.__doc__ = test.__doc__
+    return run
+
+
+class PeerLinkTests(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, *keys):
+        server = PeerServer(settings_with(*keys), "127.0.0.1", 0, Echo())
+        await server.start()
+        return server
+
+    def link(self, address, *keys):
+        return PeerLink(settings_with(*keys), address, CONTROL)
+
+    @on_kj_loop
+    async def test_keys(self):
+        """Symptom: a stranger calls our processes, or a rotation cuts them apart.
+
+        Sequence: caller and server hold these keys; the caller enters.
+        Cause: the door opened without proof, or knew one key only.
+        """
+        cases = [
+            (("new", "old"), ("old",), True),
+            (("new", "old"), ("new", "old"), True),
+            (("old", "new"), ("new", "old"), True),
+            (("new",), ("other",), False),
+            (("new",), (), False),
+            ((), ("new",), False),
+            ((), (), True),
+        ]
+        for server_keys, caller_keys, welcome in cases:
+            with self.subTest(server=server_keys, caller=caller_keys):
+                server = await self.serve(*server_keys)
+                link = self.link(server.address, *caller_keys)
+                opened = await link.open()
+                self.assertEqual(opened is None, welcome, opened)
+                answer = await link.call("leave", stamp=4)
+                self.assertEqual(bool(answer), welcome)
+                link.close()
+                await server.stop()
+
+    @on_kj_loop
+    async def test_caller_without_key_never_reaches_the_capability(self):
+        """Symptom: a peer without a key runs our calls.
+
+        Sequence: it skips the check of the server and enters with a MAC made
+        for another nonce (a recorded proof).
+        Cause: the server trusted the proof without its own fresh nonce.
+        """
+        server = await self.serve("key")
+        before = count(REFUSED)
+        host, _, port = server.address.rpartition(":")
+        stream = await capnp.AsyncIoStream.create_connection(host, int(port))
+        door = capnp.TwoPartyClient(stream).bootstrap().cast_as(SCHEMA.Door)
+        recorded = proof.prove_client(["key"], b"another nonce 16", "x", 5)
+        with self.assertRaises(capnp.KjException):
+            await door.enter(caller="x", stamp=5, mac=recorded)
+        self.assertEqual(count(REFUSED), before + 1)
+        stream.close()
+        await server.stop()
+
+    @on_kj_loop
+    async def test_silent_peer_ends_the_call_at_its_deadline(self):
+        """Symptom: a caller waits for ever; later calls on the link hang too.
+
+        Sequence: the peer takes the call (or just the connection) and is silent.
+        Cause: a call without a deadline on a connection that nobody closed.
+        """
+        server = await self.serve()
+        link = self.link(server.address)
+        await link.open()
+        self.assertIsInstance(
+            await link.call("events", timeout=0.1, since=0, stamp=0), Unavailable
+        )
+        self.assertFalse(link.connected)
+        self.assertIsNone(await link.open())
+        await server.stop()
+        with socket.create_server(("127.0.0.1", 0)) as deaf:
+            link = self.link(f"127.0.0.1:{deaf.getsockname()[1]}")
+            self.assertIsInstance(await link.open(timeout=0.1), Unavailable)
+
+    @on_kj_loop
+    async def test_failing_method_is_unavailable(self):
+        server = await self.serve()
+        link = self.link(server.address)
+        await link.open()
+        self.assertIsInstance(await link.call("fetch", asOf=0, stamp=0), Unavailable)
+        self.assertFalse(link.connected)
+        await server.stop()
+
+    @on_kj_loop
+    async def test_bad_frames_end_only_their_connection(self):
+        """Symptom: one garbled connection takes the process or its peers down.
+
+        Sequence: a good link is open; another connection sends these bytes.
+        Cause: the frame's error left the connection's own task.
+        """
+        server = await self.serve()
+        link = self.link(server.address)
+        await link.open()
+        frames = {
+            "garbage": b"garbage" * 50,
+            "too many segments": b"\xff" * 64,
+            "truncated": b"\x00\x00\x00\x00\x05\x00\x00\x00abc",
+            "claims 16 GB": b"\x00\x00\x00\x00\xff\xff\xff\x7f" + bytes(64),
+        }
+        host, _, port = server.address.rpartition(":")
+        for name, frame in frames.items():
+            with self.subTest(name):
+                before = count(BROKEN)
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(frame)
+                writer.write_eof()
+                self.assertIsNotNone(await reader.read())
+                writer.close()
+                await until(
+                    lambda: server.connections == 1, what="the bad connection's end"
+                )
+                self.assertGreaterEqual(count(BROKEN), before)
+                self.assertTrue(await link.call("leave", stamp=1))
+        link.close()
+        await server.stop()
+
+    @on_kj_loop
+    async def test_run_reconnects(self):
+        server = await self.serve()
+        link = self.link(server.address)
+        task = asyncio.create_task(link.run())
+        await until(lambda: link.connected, what="connection")
+        await server.stop()
+        await until(lambda: not link.connected, what="heartbeat to fail")
+        port = int(link.address.rpartition(":")[2])
+        server = PeerServer(settings_with(), "127.0.0.1", port, Echo())
+        await server.start()
+        await until(lambda: link.connected, what="reconnection")
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await server.stop()
+
+    @on_kj_loop
+    async def test_stamps_ride_on_messages(self):
+        server = await self.serve()
+        link = self.link(server.address)
+        future = EVENTS.clock.stamp() + (60_000 << 16)
+        await link.open()
+        EVENTS.clock.observe(future)
+        self.assertGreater((await link.ping()).stamp, future)
+        link.close()
+        await server.stop()
