Follow the log, fold the agreed state and stand in for the platform

Cause: the table in force, weight versions and leases have to be the same on all instances, and the platform's log is the only thing that lasts. Change: log interface with HTTP and memory adapters under one contract test, pure folds of proposals and claims, follower with checkpoints, publisher, stand-in of the platform with faults. New setting platform.checkpoint_interval.

--- /dev/null
+++ b/sassafrasdoor/log/follower.py
@@ -0,0 +1,291 @@
+"""Following a stream of the platform's log and folding it into one state."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from sassafrasdoor.clock import deadline_in, now, passed, remaining
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.log import checkpoints
+from sassafrasdoor.log.interface import Batch
+from sassafrasdoor.logs import changed
+from sassafrasdoor.metrics import counter, gauge
+from sassafrasdoor.outcomes import Expired, Unavailable
+
+BATCH = 500
+# A silent connection is found after this and the call timeout.
+LONG_POLL = 2.0
+SCAN_WINDOW = 2
+LOG_START = 1
+
+FOLDED = counter("log_records_folded_total", "Records folded into the agreed state.")
+RECOVERED = counter("log_recoveries_total", "Starts from a checkpoint, by result.")
+WRITTEN = counter("log_checkpoints_total", "Checkpoints appended, by result.")
+AS_OF = gauge("log_as_of_offset", "Next offset to read of the agreed stream.")
+
+
+class Follower:
+    """Holds the state that the log agrees on; only ever moves forward.
+
+    ``initial`` is the state before the first record; its class offers
+    ``as_document()`` and ``from_document(document)``. ``fold(state, record)`` is
+    pure and returns ``state`` itself where nothing changes. ``may_checkpoint()``
+    says whether this instance is the one that writes checkpoints now, and
+    ``may_poll()`` whether it reads the log itself or leaves that to peers.
+    """
+
+    __slots__ = (
+        "_as_of",
+        "_callbacks",
+        "_checkpoint",
+        "_checkpoint_deadline",
+        "_confirmed_at",
+        "_first_offset",
+        "_fold",
+        "_folded_since",
+        "_log",
+        "_notified",
+        "_reachable",
+        "_settings",
+        "_started",
+        "_state",
+        "_usable",
+        "may_checkpoint",
+        "may_poll",
+    )
+
+    def __init__(
+        self,
+        settings,
+        log,
+        fold,
+        initial,
+        may_checkpoint=lambda: False,
+        may_poll=lambda: True,
+    ):
+        self._settings = settings.platform
+        self._log = log
+        self._fold = fold
+        self._state = initial
+        self._as_of = 0
+        self._confirmed_at = None
+        self._callbacks = []
+        self._notified = initial
+        self._usable = False
+        self._started = False
+        self._reachable = True
+        self._first_offset = 0
+        self._folded_since = 0
+        self._checkpoint = None
+        self._checkpoint_deadline = self._next_checkpoint()
+        self.may_checkpoint = may_checkpoint
+        self.may_poll = may_poll
+
+    @property
+    def state(self):
+        """The state with all records below ``as_of`` folded in."""
+        return self._state
+
+    @property
+    def as_of(self):
+        """The next offset to read."""
+        return self._as_of
+
+    @property
+    def confirmed_at(self):
+        """When the log last said that there is nothing newer; None: never yet.
+
+        Monotonic time at which that question was sent, so never too late.
+        """
+        return self._confirmed_at
+
+    def on_change(self, callback):
+        """Call ``callback(state)`` on each new state once it is up to date."""
+        self._callbacks.append(callback)
+
+    def adopt(self, state, as_of, confirmed_at=None):
+        """Take over a peer's state if it is further on; say whether it was.
+
+        ``confirmed_at`` is the peer's, on our clock. A peer hands on only a state
+        that was confirmed to it.
+        """
+        forward = as_of > self._as_of
+        if forward:
+            self._move(state, as_of)
+            self._usable = True
+        if confirmed_at is not None and as_of >= self._as_of:
+            self._confirm(confirmed_at)
+        self._notify()
+        return forward
+
+    async def run(self):
+        """Follow until cancelled."""
+        while True:
+            started = now()
+            progress = self.may_poll() and await self.poll(LONG_POLL)
+            await self._offer_checkpoint()
+            # A log that does not hold a poll open, or is down, answers at once; we
+            # would spin and load it with reads.
+            if not progress:
+                pause = self._settings.poll_interval - (now() - started)
+                await asyncio.sleep(max(0.0, pause))
+
+    async def poll(self, wait):
+        """Read once, waiting up to ``wait`` seconds; say whether anything came."""
+        if not self._started and not await self._start():
+            return False
+        sent_at = now()
+        stream = self._settings.agreed_stream
+        result = await self._log.read(stream, self._as_of, BATCH, wait)
+        self._note_reachable(result)
+        return await self._take(result, sent_at)
+
+    async def catch_up(self, deadline):
+        """Poll until the log confirms the state; ``Unavailable`` after ``deadline``."""
+        asked_at = now()
+        while True:
+            progress = await self.poll(0)
+            if self._confirmed_at is not None and self._confirmed_at >= asked_at:
+                return self._state
+            if passed(deadline):
+                return Unavailable("log did not confirm the state in time")
+            if not progress:
+                await asyncio.sleep(
+                    min(remaining(deadline), self._settings.poll_interval)
+                )
+
+    async def _start(self):
+        # Reading all that is kept would cost a start minutes where the log keeps
+        # days, so a start is made from a checkpoint where there is one.
+        found = await self._recover()
+        self._started = found is None or bool(found)
+        return self._started
+
+    async def _recover(self):
+        found = await checkpoints.newest_usable(
+            self._log,
+            self._settings.agreed_stream,
+            type(self._state),
+            SCAN_WINDOW * self._settings.checkpoint_every,
+        )
+        self._note_reachable(found)
+        if found:
+            self._note_checkpoint(found)
+            # Never back: what we know may be further on than any checkpoint.
+            if found.as_of > self._as_of:
+                self._move(found.state, found.as_of)
+                RECOVERED.inc({"result": "moved"})
+                changed("log.recovered", as_of=found.as_of, at=found.offset)
+        return found
+
+    @singledispatchmethod
+    async def _take(self, result, sent_at):
+        return False
+
+    @_take.register
+    async def _(self, batch: Batch, sent_at):
+        self._first_offset = batch.first_offset
+        for record in batch.records:
+            self._fold_in(record)
+        self._as_of = max(self._as_of, batch.next_offset)
+        AS_OF.set({}, self._as_of)
+        if len(batch.records) < BATCH:
+            self._confirm(sent_at)
+        self._notify()
+        return bool(batch.records)
+
+    @_take.register
+    async def _(self, expired: Expired, sent_at):
+        if not self._as_of and expired.first <= LOG_START:
+            # Nothing has expired: this log begins at its first offset, not at 0.
+            self._as_of = expired.first
+            return True
+        # The log forgot records that we have not read; folding on without them
+        # would let this reader disagree with all others for good.
+        found = await self._recover()
+        if found and found.as_of >= expired.first:
+            return True
+        RECOVERED.inc({"result": "none"})
+        return False
+
+    def _fold_in(self, record):
+        # A batch may begin below what a peer's state has brought meanwhile.
+        if record.offset < self._as_of:
+            return
+        if checkpoints.is_checkpoint(record):
+            self._note_checkpoint(checkpoints.decode(record, type(self._state)))
+        else:
+            self._state = self._fold(self._state, record)
+            self._folded_since += 1
+        self._as_of = record.offset + 1
+        FOLDED.inc({})
+
+    def _move(self, state, as_of):
+        self._state = state
+        self._as_of = as_of
+
+    def _confirm(self, at):
+        self._confirmed_at = max(at, self._confirmed_at or at)
+        self._usable = True
+
+    def _notify(self):
+        # A start folds old revisions one after another; nobody may act on those.
+        if not self._usable or self._state is self._notified:
+            return
+        self._notified = self._state
+        EVENTS.add("agreed", as_of=self._as_of)
+        for callback in self._callbacks:
+            callback(self._state)
+
+    def _note_reachable(self, result):
+        reachable = not isinstance(result, Unavailable)
+        if reachable != self._reachable:
+            reason = "" if reachable else result.reason
+            changed("log.reachable", reachable=reachable, reason=reason)
+        self._reachable = reachable
+
+    def _note_checkpoint(self, checkpoint):
+        if checkpoint is None:
+            return
+        if self._checkpoint and checkpoint.as_of <= self._checkpoint.as_of:
+            return
+        self._checkpoint = checkpoints.Checkpoint(
+            checkpoint.offset, checkpoint.as_of, None
+        )
+        self._folded_since = 0
+        self._checkpoint_deadline = self._next_checkpoint()
+
+    def _next_checkpoint(self):
+        return deadline_in(self._settings.checkpoint_interval)
+
+    @property
+    def checkpoint_due(self):
+        """Whether the newest checkpoint is so old that another is needed."""
+        if not self._as_of or not self._usable:
+            return False
+        return (
+            self._folded_since >= self._settings.checkpoint_every
+            or passed(self._checkpoint_deadline)
+            or self._checkpoint_sinks
+        )
+
+    @property
+    def _checkpoint_sinks(self):
+        # Half of what the log keeps has come after the newest checkpoint: wait
+        # longer and it vanishes, and with it every table whose record has expired.
+        if not self._first_offset or not self._folded_since:
+            return False
+        kept = self._as_of - self._first_offset
+        newest = self._checkpoint.as_of if self._checkpoint else 0
+        return newest - self._first_offset < kept / 2
+
+    async def _offer_checkpoint(self):
+        if not self.checkpoint_due or not self.may_checkpoint():
+            return
+        body = checkpoints.body(self._state, self._as_of)
+        result = await self._log.append(self._settings.agreed_stream, body)
+        WRITTEN.inc({"result": type(result).__name__})
+        # Whether it arrived is seen by reading it back. Until then not again: a
+        # log that answers slowly would be filled with copies.
+        self._folded_since = 0
+        retry = deadline_in(self._settings.call_timeout)
+        self._checkpoint_deadline = retry
--- /dev/null
+++ b/sassafrasdoor/log/http.py
@@ -0,0 +1,141 @@
+"""The platform's log over HTTP, by Tornado's curl client."""
+
+import json
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError, HTTPRequest
+
+from sassafrasdoor.log.interface import Batch, PlatformLog, Record
+from sassafrasdoor.metrics import counter
+from sassafrasdoor.outcomes import Expired, ReplyLost, Unavailable
+
+MAX_CLIENTS = 20
+END = -1
+DOWN = 503
+GONE = 410
+
+CALLS = counter("log_calls_total", "Calls to the platform's log, by kind and result.")
+BYTES = counter("log_bytes_read_total", "Bytes read from the platform's log.")
+
+# Only these prove that no byte of the request reached the log.
+NEVER_SENT = {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
+
+
+class HttpLog(PlatformLog):
+    """Speaks the platform's wire as ``docs/INTERNALS.md`` has it."""
+
+    __slots__ = ("_client", "_settings")
+
+    def __init__(self, settings):
+        self._settings = settings.platform
+        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+
+    async def append(self, stream, body):
+        """Append once; return the offset, ``Unavailable`` or ``ReplyLost``."""
+        result = await self._append(stream, body)
+        CALLS.inc({"call": "append", "result": type(result).__name__})
+        return result
+
+    async def read(self, stream, offset, limit, wait):
+        """Return a ``Batch``, ``Expired`` or ``Unavailable``."""
+        result = await self._read(stream, offset, limit, wait)
+        CALLS.inc({"call": "read", "result": type(result).__name__})
+        return result
+
+    async def end(self, stream):
+        """Return the next offset to be given, or ``Unavailable``."""
+        batch = await self.read(stream, END, 1, 0)
+        return batch.next_offset if batch else Unavailable(batch.reason)
+
+    def close(self):
+        """Close the client and its connections."""
+        self._client.close()
+
+    async def _append(self, stream, body):
+        request = HTTPRequest(
+            self._url(stream),
+            method="POST",
+            body=json.dumps(body),
+            headers={"Content-Type": "application/json"},
+            follow_redirects=False,
+            connect_timeout=self._settings.call_timeout,
+            request_timeout=self._settings.call_timeout,
+            prepare_curl_callback=_fresh,
+        )
+        try:
+            response = await self._client.fetch(request)
+            return int(json.loads(response.body)["offset"])
+        except HTTPError as error:
+            return _append_failed(error)
+        except (ValueError, KeyError, TypeError) as error:
+            return ReplyLost(f"append reply not understood: {error}")
+
+    async def _read(self, stream, offset, limit, wait):
+        query = f"?from={offset}&limit={limit}&wait_ms={int(wait * 1000)}"
+        request = HTTPRequest(
+            self._url(stream) + query,
+            follow_redirects=False,
+            connect_timeout=self._settings.call_timeout,
+            request_timeout=wait + self._settings.call_timeout,
+            prepare_curl_callback=_reusable,
+        )
+        try:
+            response = await self._client.fetch(request)
+            BYTES.add({}, len(response.body))
+            return _batch(json.loads(response.body))
+        except HTTPError as error:
+            return _read_failed(error)
+        except (ValueError, KeyError, TypeError) as error:
+            return Unavailable(f"read reply not understood: {error}")
+
+    def _url(self, stream):
+        return f"{self._settings.log_url}/log/{stream}"
+
+
+def _direct(curl):
+    # A proxy named in the environment would stand between us and the log and
+    # answer in its place (seen as 502s that no log ever sent).
+    curl.setopt(pycurl.NOPROXY, "*")
+
+
+def _fresh(curl):
+    # libcurl sends a POST again by itself when a reused connection closes before
+    # the first reply byte: one append, two records. A fresh connection is never
+    # retried.
+    _direct(curl)
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
+def _reusable(curl):
+    # Handles are pooled with their options; undo what an append has set.
+    _direct(curl)
+    curl.setopt(pycurl.FRESH_CONNECT, 0)
+
+
+def _batch(document):
+    records = [
+        Record(int(item["offset"]), item["body"]) for item in document["records"]
+    ]
+    return Batch(records, int(document["next"]), int(document["first"]))
+
+
+def _append_failed(error):
+    if error.code == DOWN or 400 <= error.code < 500:
+        return Unavailable(f"log answered {error.code}")
+    if getattr(error, "errno", None) in NEVER_SENT:
+        return Unavailable(str(error))
+    return ReplyLost(str(error))
+
+
+def _read_failed(error):
+    if error.code != GONE:
+        return Unavailable(str(error))
+    try:
+        return Expired("offset no longer kept", int(_document(error)["first"]))
+    except (ValueError, KeyError, TypeError):
+        return Unavailable("log said gone without its first offset")
+
+
+def _document(error):
+    return json.loads(error.response.body)
--- /dev/null
+++ b/sassafrasdoor/log/tests/test_follower.py
@@ -0,0 +1,219 @@
+"""The follower: forward only, the same state for every reader, checkpoints."""
+
+import asyncio
+import contextlib
+import unittest
+
+from sassafrasdoor import settings
+from sassafrasdoor.clock import deadline_in, now
+from sassafrasdoor.log import agreed, checkpoints
+from sassafrasdoor.log.follower import Follower
+from sassafrasdoor.log.memory import MemoryLog
+from sassafrasdoor.outcomes import Unavailable
+from sassafrasdoor.support import until
+from sassafrasdoor.table.tests.test_accepted import proposal
+
+PATIENCE = 20
+
+
+def settings_with(**platform):
+    """Return settings with quick polls."""
+    return settings.from_document({"platform": {"poll_interval": 0.01, **platform}})
+
+
+SETTINGS = settings_with()
+STREAM = SETTINGS.platform.agreed_stream
+
+
+class FollowerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.log = MemoryLog(stride=2)
+
+    def follower(self, with_settings=SETTINGS, log=None, **options):
+        log = log or self.log
+        return Follower(with_settings, log, agreed.fold, agreed.Agreed(), **options)
+
+    async def append(self, **body):
+        return await self.log.append(STREAM, body)
+
+    async def propose(self, name, base, **options):
+        return await self.append(kind="proposal", **proposal(name, base, **options))
+
+    async def caught_up(self, follower=None):
+        follower = follower or self.follower()
+        self.assertTrue(await follower.catch_up(deadline_in(PATIENCE)))
+        return follower
+
+    async def checkpoint(self, follower):
+        body = checkpoints.body(follower.state, follower.as_of)
+        return await self.log.append(STREAM, body)
+
+    async def test_it_folds_all_kinds_of_record(self):
+        revision = await self.propose("a", 0)
+        await self.append(kind="weights", model="m", version=4)
+        await self.append(kind="weights", model="m", version=3)
+        await self.append(kind="weights", model="m", version="9")
+        await self.append(kind="lease", name="plan", holder="x", replaces=0, id="1")
+        await self.append(kind="gossip")
+        state = (await self.caught_up()).state
+        self.assertEqual(state.revision, revision)
+        self.assertEqual(state.weights, {"m": 4})
+        self.assertEqual(state.leases["plan"].holder, "x")
+        document = state.as_document()
+        self.assertEqual(agreed.Agreed.from_document(document).as_document(), document)
+
+    async def test_a_delayed_checkpoint_reverts_nobody(self):
+        """
+        Symptom: a starting instance puts a table in force that was replaced.
+        Sequence: an instance is paused between making a checkpoint and appending
+        it; meanwhile tables are accepted and another checkpoint is written; the
+        instance wakes, its old checkpoint becomes the last one; old records expire.
+        Cause: taking the last checkpoint in the log for the newest.
+        """
+        first = await self.propose("a", 0)
+        paused = await self.caught_up()
+        late = checkpoints.body(paused.state, paused.as_of)
+        second = await self.propose("b", first, weight=2.0)
+        awake = await self.caught_up()
+        newest = awake.as_of
+        await self.checkpoint(awake)
+        await self.log.append(STREAM, late)
+        for everything_kept in (True, False):
+            with self.subTest(everything_kept=everything_kept):
+                reader = await self.caught_up()
+                self.assertEqual(reader.state.revision, second)
+                self.assertEqual(awake.state.revision, second)
+                found = await checkpoints.newest_usable(
+                    self.log, STREAM, agreed.Agreed, 1
+                )
+                self.assertEqual(found.as_of, newest)
+            self.log.expire(STREAM, before=newest)
+
+    async def test_a_checkpoint_with_a_gap_behind_it_is_not_used(self):
+        """
+        Symptom: one instance disagrees with all others for good.
+        Sequence: a checkpoint is appended late; records between its as-of and
+        itself have expired. Cause: continuing from it skips those records.
+        """
+        first = await self.propose("a", 0)
+        paused = await self.caught_up()
+        late = checkpoints.body(paused.state, paused.as_of)
+        await self.propose("b", first)
+        end = await self.log.end(STREAM)
+        await self.log.append(STREAM, late)
+        self.log.expire(STREAM, before=end)
+        reader = self.follower()
+        self.assertIsInstance(await reader.catch_up(deadline_in(0)), Unavailable)
+        self.assertIsNone(reader.state.table)
+
+    async def test_records_that_expire_under_a_slow_reader_are_not_skipped(self):
+        """
+        Symptom: a slow instance keeps a table that others have replaced.
+        Sequence: it reads up to one table; the next two records expire before it
+        reads on. Cause: reading on from the first offset still kept.
+        """
+        first = await self.propose("a", 0)
+        slow = await self.caught_up()
+        second = await self.propose("b", first)
+        awake = await self.caught_up()
+        await self.checkpoint(awake)
+        self.log.expire(STREAM, before=awake.as_of)
+        await self.append(kind="weights", model="m", version=1)
+        await self.caught_up(slow)
+        self.assertEqual(slow.state.revision, second)
+        self.assertEqual(slow.state.weights, {"m": 1})
+
+    async def test_a_start_publishes_no_old_revision(self):
+        """
+        Symptom: just after a start decisions name a table replaced long ago.
+        Sequence: the reader folds its first batch of several. Cause: telling each
+        state on the way as if it were in force.
+        """
+        base = 0
+        for number in range(1, 700):
+            base = await self.propose(f"p{number}", base)
+        reader = self.follower(settings_with(checkpoint_every=10_000))
+        seen = []
+        reader.on_change(lambda state: seen.append(state.revision))
+        await self.caught_up(reader)
+        self.assertEqual(seen, [base])
+
+    async def test_a_peers_state_is_adopted_only_forward(self):
+        first = await self.propose("a", 0)
+        behind = await self.caught_up()
+        await self.propose("b", first)
+        ahead = await self.caught_up()
+        self.log.down = True
+        seen = []
+        behind.on_change(lambda state: seen.append(state.revision))
+        old = (behind.state, behind.as_of)
+        self.assertTrue(behind.adopt(ahead.state, ahead.as_of, ahead.confirmed_at))
+        self.assertFalse(behind.adopt(*old, now() + 100))
+        self.assertEqual(seen, [ahead.state.revision])
+        self.assertEqual(behind.confirmed_at, ahead.confirmed_at)
+        self.log.down = False
+        third = await self.propose("c", ahead.state.revision)
+        await self.caught_up(behind)
+        self.assertEqual(behind.state.revision, third)
+
+    async def test_a_start_with_the_log_down_learns_from_a_peer(self):
+        await self.propose("a", 0)
+        peer = await self.caught_up()
+        self.log.down = True
+        starting = self.follower()
+        seen = []
+        starting.on_change(seen.append)
+        self.assertFalse(await starting.poll(0))
+        starting.adopt(peer.state, peer.as_of)
+        self.assertEqual(seen, [peer.state])
+        self.assertIsNone(starting.confirmed_at)
+
+    async def test_an_outage_confirms_nothing(self):
+        reader = await self.caught_up()
+        confirmed = reader.confirmed_at
+        self.log.down = True
+        self.assertFalse(await reader.poll(0))
+        self.assertEqual(reader.confirmed_at, confirmed)
+
+    async def test_when_a_checkpoint_is_due(self):
+        table = [
+            ("enough records", {"checkpoint_every": 3}, 3, 0, True),
+            ("too few records", {"checkpoint_every": 3}, 2, 0, False),
+            ("long ago", {"checkpoint_interval": 1e-6}, 1, 0, True),
+            ("half of retention is past", {}, 8, 3, True),
+        ]
+        for name, platform, records, expired, due in table:
+            with self.subTest(name):
+                self.log = MemoryLog()
+                for version in range(1, records + 1):
+                    await self.append(kind="weights", model="m", version=version)
+                reader = await self.caught_up(self.follower(settings_with(**platform)))
+                self.log.expire(STREAM, expired)
+                await self.caught_up(reader)
+                self.assertEqual(reader.checkpoint_due, due)
+
+    async def test_state_outlives_every_record_of_it(self):
+        """
+        Symptom: all instances forget the table although none was withdrawn.
+        Sequence: a busy stream of announcements pushes the table's record, and
+        every checkpoint but the newest, out of the log again and again.
+        Cause: checkpoints written too rarely for what the log keeps.
+        """
+        revision = await self.propose("a", 0)
+        writer = self.follower(may_checkpoint=lambda: True)
+        running = asyncio.create_task(writer.run())
+        for version in range(1, 120):
+            await self.append(kind="weights", model="m", version=version)
+            await until(
+                lambda v=version: writer.state.weights.get("m") == v, what="folded"
+            )
+            kept = self.log._records[STREAM][-20:]
+            self.log.expire(STREAM, kept[0].offset)
+        running.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await running
+        reader = await self.caught_up()
+        self.assertEqual(reader.state.revision, revision)
+        self.assertEqual(reader.state.as_document(), writer.state.as_document())
+        written = [one for one in self.log._records[STREAM] if one.body.get("as_of")]
+        self.assertLess(len(written), 6)
--- a/sassafrasdoor/settings.py
+++ b/sassafrasdoor/settings.py
@@ -29,6 +29,7 @@
         "poll_interval": 0.5,
         "call_timeout": 2.0,
         "checkpoint_every": 200,
+        "checkpoint_interval": 600.0,
     },
     "membership": {
         "seeds": [],
@@ -87,7 +88,10 @@
 
 
 class PlatformSettings(Section):
-    """Where the platform's services are and how they are called."""
+    """Where the platform's services are and how they are called.
+
+    ``checkpoint_interval`` stays well below half of what the log retains.
+    """
 
     log_url: str
     instances_url: str
@@ -95,6 +99,7 @@
     poll_interval: float = Field(gt=0)
     call_timeout: float = Field(gt=0)
     checkpoint_every: int = Field(gt=0)
+    checkpoint_interval: float = Field(gt=0)
 
 
 class MembershipSettings(Section):
--- /dev/null
+++ b/sassafrasdoor/table/accepted.py
@@ -0,0 +1,185 @@
+"""Which table is in force: the fold over operators' proposals.
+
+A proposal names its own id and the revision that it edits. In offset order, one
+is accepted if it is valid and its base is the revision in force; its own offset
+is the new revision. So of operators who race on one base the lowest offset wins,
+and every reader agrees without a clock or a coordinator.
+"""
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from sassafrasdoor.outcomes import Finding, findings_of
+from sassafrasdoor.table.rows import table_from
+
+NO_REVISION = 0
+KEPT_DECISIONS = 64
+KEPT_FINDINGS = 20
+
+
+class Proposal(BaseModel):
+    """The body of a proposal record; ``table`` is checked apart."""
+
+    model_config = ConfigDict(strict=True, extra="ignore")
+
+    id: str = Field(min_length=1, max_length=64)
+    base: int = Field(ge=0)
+    author: str = Field(default="", max_length=64)
+    table: object
+
+
+class Decision:
+    """What became of one proposal.
+
+    ``winner`` is the revision that was in force when it was rejected and
+    ``winner_author`` who had published that; of no meaning if accepted.
+    """
+
+    __slots__ = (
+        "accepted",
+        "author",
+        "base",
+        "findings",
+        "id",
+        "offset",
+        "winner",
+        "winner_author",
+    )
+
+    def __init__(
+        self,
+        id,
+        offset,
+        base,
+        author,
+        accepted,
+        findings=(),
+        winner=NO_REVISION,
+        winner_author="",
+    ):
+        self.id = id
+        self.offset = offset
+        self.base = base
+        self.author = author
+        self.accepted = accepted
+        self.findings = tuple(findings)
+        self.winner = winner
+        self.winner_author = winner_author
+
+    def as_document(self):
+        """Return the decision as a JSON-ready mapping."""
+        document = {name: getattr(self, name) for name in self.__slots__}
+        document["findings"] = [finding.as_dict() for finding in self.findings]
+        return document
+
+    @classmethod
+    def from_document(cls, document):
+        """Return the decision in a mapping made by ``as_document``."""
+        findings = [Finding(**finding) for finding in document["findings"]]
+        return cls(**{**document, "findings": findings})
+
+
+class Accepted:
+    """The table in force (None: none yet), its revision, and late decisions."""
+
+    __slots__ = ("author", "decisions", "revision", "table")
+
+    def __init__(self, table=None, revision=NO_REVISION, author="", decisions=()):
+        self.table = table
+        self.revision = revision
+        self.author = author
+        self.decisions = tuple(decisions)
+
+    def decision(self, proposal_id):
+        """Return the ``Decision`` on a proposal, or None if not known (any more)."""
+        return next((item for item in self.decisions if item.id == proposal_id), None)
+
+    def as_document(self):
+        """Return the state as a JSON-ready mapping."""
+        return {
+            "table": self.table.model_dump(mode="json") if self.table else None,
+            "revision": self.revision,
+            "author": self.author,
+            "decisions": [decision.as_document() for decision in self.decisions],
+        }
+
+    @classmethod
+    def from_document(cls, document):
+        """Return the state in a mapping made by ``as_document``.
+
+        Raises ``ValueError`` for a table that is not valid.
+        """
+        table = document["table"]
+        if table is not None:
+            table = table_from(table)
+            if not table:
+                raise ValueError(table.reason)
+        decisions = [Decision.from_document(item) for item in document["decisions"]]
+        return cls(table, document["revision"], document["author"], decisions)
+
+
+def fold(accepted, record):
+    """Return the state after a proposal record; total for every body."""
+    try:
+        proposal = Proposal.model_validate(record.body)
+    except ValidationError as error:
+        return _malformed(accepted, record, findings_of(error))
+    # A retried append may stand in the log twice. Deciding the copy again would
+    # reject what was accepted, and its operator would read that rejection.
+    if accepted.decision(proposal.id):
+        return accepted
+    findings = _base_findings(accepted, proposal, record.offset)
+    table = None if findings else table_from(proposal.table)
+    if table:
+        decision = Decision(
+            proposal.id, record.offset, proposal.base, proposal.author, True
+        )
+        return Accepted(
+            table, record.offset, proposal.author, _kept(accepted, decision)
+        )
+    if table is not None:
+        findings = table.findings
+    return _reject(accepted, record, proposal.id, proposal, findings)
+
+
+def _base_findings(accepted, proposal, offset):
+    if offset == NO_REVISION:
+        # A log whose first offset is 0: a revision of that number could not be
+        # told from "no table yet", and a second proposal on base 0 would win too.
+        return [Finding("offset", "0 stands for no revision; propose again")]
+    if proposal.base == accepted.revision:
+        return []
+    reason = f"{proposal.base} is not in force: revision {accepted.revision} is"
+    return [Finding("base", f"{reason}, by {accepted.author or 'nobody'}")]
+
+
+def _malformed(accepted, record, findings):
+    body = record.body if isinstance(record.body, dict) else {}
+    name = body.get("id")
+    if not isinstance(name, str) or not 0 < len(name) <= 64:
+        return accepted
+    if accepted.decision(name):
+        return accepted
+    return _reject(accepted, record, name, None, findings)
+
+
+def _reject(accepted, record, name, proposal, findings):
+    decision = Decision(
+        name,
+        record.offset,
+        proposal.base if proposal else NO_REVISION,
+        proposal.author if proposal else "",
+        False,
+        findings[:KEPT_FINDINGS],
+        accepted.revision,
+        accepted.author,
+    )
+    return Accepted(
+        accepted.table,
+        accepted.revision,
+        accepted.author,
+        _kept(accepted, decision),
+    )
+
+
+def _kept(accepted, decision):
+    return (*accepted.decisions, decision)[-KEPT_DECISIONS:]
--- /dev/null
+++ b/sassafrasdoor/table/publisher.py
@@ -0,0 +1,111 @@
+"""Publishing a table: one append, then the fold decides."""
+
+import asyncio
+import uuid
+
+from sassafrasdoor.clock import passed, remaining
+from sassafrasdoor.log import agreed
+from sassafrasdoor.log.follower import Follower
+from sassafrasdoor.outcomes import Rejected, ReplyLost, Unavailable
+from sassafrasdoor.table.rows import table_from
+
+WAIT = 1.0
+PAUSE = 0.1
+
+
+class LostRace(Rejected):
+    """Another revision is in force than the one edited; says which and whose."""
+
+    __slots__ = ("winner", "winner_author")
+
+    def __init__(self, winner, winner_author, findings=()):
+        author = winner_author or "nobody"
+        super().__init__(f"revision {winner} by {author} is in force", findings)
+        self.winner = winner
+        self.winner_author = winner_author
+
+
+class Publisher:
+    """Proposes a table and follows the log until the fold has decided.
+
+    ``deadline`` bounds everything on the monotonic clock.
+    """
+
+    __slots__ = ("_decision", "_follower", "_id", "_last", "_log", "_settings")
+
+    def __init__(self, settings, log):
+        self._settings = settings
+        self._log = log
+        self._id = uuid.uuid4().hex
+        self._decision = None
+        self._last = None
+        self._follower = Follower(settings, log, self._fold, agreed.Agreed())
+
+    async def propose(self, document, base, author, deadline):
+        """Return the accepted ``Decision`` or an outcome.
+
+        ``Rejected`` (``LostRace`` if another was first) is final and without
+        effect; ``Unavailable``: nothing was published; ``ReplyLost``: it may
+        still be accepted, and the log did not say in time.
+        """
+        table = table_from(document)
+        if not table:
+            return table
+        state = await self._follower.catch_up(deadline)
+        if not state:
+            return state
+        if state.revision != base:
+            return LostRace(state.revision, state.accepted.author)
+        appended = await self._append(table, base, author)
+        if isinstance(appended, Unavailable):
+            return appended
+        # A lost reply is settled by reading for our id. Appending again would
+        # publish a second copy of a proposal that may have been accepted.
+        return await self._decided(base, deadline)
+
+    async def _append(self, table, base, author):
+        body = {
+            "kind": "proposal",
+            "id": self._id,
+            "base": base,
+            "author": author,
+            "table": table.model_dump(mode="json"),
+        }
+        return await self._log.append(self._settings.platform.agreed_stream, body)
+
+    async def _decided(self, base, deadline):
+        while not self._decision:
+            if passed(deadline):
+                return self._undecided(base)
+            # A log that is down answers at once: read it calmly.
+            if not await self._follower.poll(min(WAIT, remaining(deadline))):
+                await asyncio.sleep(min(PAUSE, remaining(deadline)))
+        if self._decision.accepted:
+            return self._decision
+        if self._decision.winner == base:
+            return Rejected("proposal rejected", self._decision.findings)
+        return LostRace(
+            self._decision.winner,
+            self._decision.winner_author,
+            self._decision.findings,
+        )
+
+    def _undecided(self, base):
+        state = self._follower.state
+        if state.revision != base and state is self._last:
+            # Whether or not our record still comes: its base is out of force. Not
+            # so if a checkpoint took us past records that we have not seen.
+            return LostRace(state.revision, state.accepted.author)
+        return ReplyLost(f"proposal {self._id} has not been seen in the log yet")
+
+    def _fold(self, state, record):
+        # Taken record by record: the state keeps only the latest decisions.
+        after = self._last = agreed.fold(state, record)
+        if self._decision is None:
+            self._decision = after.accepted.decision(self._id)
+        return after
+
+
+async def propose(settings, log, document, base, author, deadline):
+    """Propose a table once; see ``Publisher.propose``."""
+    return await Publisher(settings, log).propose(document, base, author, deadline)
--- /dev/null
+++ b/sassafrasdoor/table/tests/test_publisher.py
@@ -0,0 +1,106 @@
+"""Publishing: the fold decides, and a lost reply is settled by reading."""
+
+import asyncio
+import unittest
+
+from sassafrasdoor import settings
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.log.memory import MemoryLog
+from sassafrasdoor.outcomes import Rejected, ReplyLost, Unavailable
+from sassafrasdoor.table.publisher import LostRace, propose
+from sassafrasdoor.table.tests.test_accepted import table
+
+SETTINGS = settings.from_document({"platform": {"poll_interval": 0.01}})
+STREAM = SETTINGS.platform.agreed_stream
+PATIENCE = 20
+
+
+class SwallowingLog(MemoryLog):
+    """Loses the next append, and its reply, altogether."""
+
+    async def append(self, stream, body):
+        return ReplyLost("connection broke")
+
+
+class PublisherTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.log = MemoryLog(stride=2)
+
+    def propose(self, base, weight=1.0, author="anna", log=None, seconds=PATIENCE):
+        deadline = deadline_in(seconds)
+        document = table(weight)
+        return propose(SETTINGS, log or self.log, document, base, author, deadline)
+
+    def proposals(self):
+        return len(self.log._records[STREAM])
+
+    async def test_an_accepted_table_returns_its_revision(self):
+        first = await self.propose(0)
+        second = await self.propose(first.offset, 2.0)
+        self.assertTrue(second.accepted)
+        self.assertGreater(second.offset, first.offset)
+
+    async def test_a_lost_reply_is_settled_by_reading_not_by_a_second_append(self):
+        """
+        Symptom: a table is published twice, or an operator publishes once more.
+        Sequence: the append takes effect; its reply is lost.
+        Cause: taking no reply for no effect.
+        """
+        self.log.lose_replies = 1
+        decision = await self.propose(0)
+        self.assertTrue(decision.accepted)
+        self.assertEqual(self.proposals(), 1)
+
+    async def test_a_doubled_record_is_still_accepted(self):
+        self.log.duplicates = 1
+        self.assertTrue((await self.propose(0)).accepted)
+
+    async def test_eighty_operators_race_and_one_wins(self):
+        """
+        Symptom: the winner of a crowded race is told that the outcome is unknown.
+        Sequence: more proposals than the state keeps decisions on come in one
+        batch. Cause: looking for one's decision only after the whole batch.
+        """
+        racing = [self.propose(0, n + 1.0, f"operator-{n}") for n in range(80)]
+        results = await asyncio.gather(*racing)
+        won = [result for result in results if result]
+        self.assertEqual(len(won), 1)
+        for lost in results:
+            if not lost:
+                self.assertIsInstance(lost, LostRace)
+                self.assertEqual(lost.winner, won[0].offset)
+                self.assertEqual(lost.winner_author, won[0].author)
+
+    async def test_outcomes_without_effect(self):
+        table = [
+            ("a bad table", {"weight": -1.0}, Rejected, 1),
+            ("a stale base", {}, LostRace, 1),
+        ]
+        await self.propose(0)
+        for name, arguments, outcome, records in table:
+            with self.subTest(name):
+                result = await self.propose(0, **arguments)
+                self.assertIsInstance(result, outcome)
+                self.assertEqual(self.proposals(), records)
+        self.log.down = True
+        self.assertIsInstance(await self.propose(0, seconds=0), Unavailable)
+
+    async def test_a_proposal_that_never_shows_up_stays_unknown(self):
+        result = await self.propose(0, log=SwallowingLog(), seconds=0.05)
+        self.assertIsInstance(result, ReplyLost)
+
+    async def test_an_unseen_proposal_whose_base_fell_has_lost(self):
+        """
+        Symptom: an operator waits for a proposal that can no longer be accepted.
+        Sequence: his append's reply is lost and it is not in the log yet; another
+        table is accepted on the same base.
+        Cause: none; whatever comes later names a base that is out of force.
+        """
+        log = SwallowingLog()
+        waiting = asyncio.create_task(self.propose(0, log=log, seconds=0.5))
+        await asyncio.sleep(0)
+        body = {"kind": "proposal", "id": "b", "base": 0, "author": "ben"}
+        await MemoryLog.append(log, STREAM, {**body, "table": table()})
+        lost = await waiting
+        self.assertIsInstance(lost, LostRace)
+        self.assertEqual(lost.winner_author, "ben")
