--- /dev/null
+++ b/sassafrasdoor/lease/holder.py
@@ -0,0 +1,224 @@
+"""Claiming and keeping a fenced lease over the platform's log.
+
+Which claim counts is judged by log order alone (``claims.fold``). Clocks are used
+only to stop early and to start late, each process by its own:
+
+- a holder counts from before it *sent* its last accepted claim;
+- a successor counts from after it first *saw* that claim, so from later on. Once a
+  whole duration has passed there, the old holder has stopped; what it had ordered
+  until then has ended after the longest order more.
+
+A backend server that ignores fencing numbers may still meet an order whose sender
+was frozen between its check and its send; no clock prevents that. So orders are
+idempotent and the new holder reads back what the backend server reports.
+"""
+
+import asyncio
+import contextlib
+import uuid
+
+from sassafrasdoor import clock
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.lease.claims import NO_EPOCH, VACANT
+from sassafrasdoor.logs import changed
+from sassafrasdoor.metrics import counter
+from sassafrasdoor.outcomes import Unavailable
+
+TICKS_IN_RENEWAL = 8
+KEPT_CLAIMS = 16
+LONG_AGO = 0.0
+
+CLAIMS = counter("lease_claims_total", "Claims appended, by result.")
+PAUSES = counter("lease_pauses_total", "Times that a holder found it had not run.")
+
+
+class Holder:
+    """Holds the lease ``name`` while it can; read ``fence`` right before each use.
+
+    ``leases(state)`` finds the leases in the follower's state, and ``may_claim()``
+    says whether this instance is one that ought to claim a free lease.
+    """
+
+    __slots__ = (
+        "_acts_from",
+        "_claiming",
+        "_deadline",
+        "_follower",
+        "_log",
+        "_name",
+        "_next_claim",
+        "_pauses",
+        "_seen",
+        "_seen_at",
+        "_sent",
+        "_settings",
+        "_was_held",
+        "identity",
+        "leases",
+        "may_claim",
+    )
+
+    def __init__(
+        self,
+        settings,
+        log,
+        follower,
+        name,
+        leases=lambda state: state.leases,
+        may_claim=lambda: True,
+    ):
+        self._settings = settings
+        self._log = log
+        self._follower = follower
+        self._name = name
+        self._pauses = clock.PauseDetector(settings.lease.renew_interval)
+        self._seen = VACANT
+        self._seen_at = clock.now()
+        self._sent = {}
+        self._deadline = LONG_AGO
+        self._acts_from = LONG_AGO
+        self._next_claim = LONG_AGO
+        self._claiming = None
+        self._was_held = False
+        # A restarted process is another holder: its predecessor's orders may still
+        # be under way and must be fenced off.
+        self.identity = f"{settings.instance.name}/{uuid.uuid4().hex[:12]}"
+        self.leases = leases
+        self.may_claim = may_claim
+        follower.on_change(lambda state: self._observe())
+
+    @property
+    def fence(self):
+        """The fencing number if this instance may act at this moment, else 0."""
+        self._check_pause()
+        self._observe()
+        if not self._is_mine or clock.passed(self._deadline):
+            return NO_EPOCH
+        return self._seen.epoch if clock.passed(self._acts_from) else NO_EPOCH
+
+    @property
+    def deadline(self):
+        """When the lease runs out unless it is renewed (monotonic)."""
+        return self._deadline
+
+    async def run(self):
+        """Claim and renew until cancelled."""
+        try:
+            while True:
+                self._note_held()
+                if self.claim_due and self._claiming is None:
+                    # Beside the loop: a log that is slow to answer must not look
+                    # like a pause of this process.
+                    self._claiming = asyncio.create_task(self.claim())
+                    self._claiming.add_done_callback(self._claimed)
+                await asyncio.sleep(
+                    self._settings.lease.renew_interval / TICKS_IN_RENEWAL
+                )
+        finally:
+            if self._claiming:
+                self._claiming.cancel()
+
+    @property
+    def claim_due(self):
+        """Whether to append a claim or a renewal now."""
+        self._check_pause()
+        self._observe()
+        if self._follower.confirmed_at is None or not clock.passed(self._next_claim):
+            return False
+        if self._is_mine:
+            return True
+        return self._is_free and self.may_claim()
+
+    async def claim(self):
+        """Append one claim on what was seen last; the fold decides on it."""
+        duration = self._settings.lease.renew_interval
+        self._next_claim = clock.deadline_in(duration)
+        claim_id = uuid.uuid4().hex
+        self._remember(claim_id)
+        result = await self._append(claim_id, release=False)
+        if isinstance(result, Unavailable):
+            self._sent.pop(claim_id, None)
+
+    async def release(self):
+        """Give the lease up, so that another may act at once.
+
+        Only to be called when no order of ours is under way any more.
+        """
+        # Before acts_from an earlier holder's orders may still be under way; a
+        # successor that saw a release would not wait for them.
+        if not self.fence:
+            return
+        self._deadline = LONG_AGO
+        await self._append(uuid.uuid4().hex, release=True)
+
+    @property
+    def _is_mine(self):
+        return self._seen.holder == self.identity and not self._seen.released
+
+    @property
+    def _is_free(self):
+        return self._seen.released or clock.passed(self._lapses_at)
+
+    @property
+    def _lapses_at(self):
+        return self._seen_at + self._settings.lease.duration
+
+    async def _append(self, claim_id, release):
+        body = {
+            "kind": "lease",
+            "name": self._name,
+            "holder": self.identity,
+            "replaces": self._seen.offset,
+            "id": claim_id,
+            "release": release,
+        }
+        stream = self._settings.platform.agreed_stream
+        result = await self._log.append(stream, body)
+        CLAIMS.inc({"result": type(result).__name__})
+        return result
+
+    def _remember(self, claim_id):
+        self._sent[claim_id] = clock.now()
+        while len(self._sent) > KEPT_CLAIMS:
+            self._sent.pop(next(iter(self._sent)))
+
+    def _check_pause(self):
+        # Paused, we have seen neither a successor nor the time go by. Without this
+        # the first order after waking would be sent on a lease of before.
+        if not self._pauses.paused:
+            return
+        PAUSES.inc({})
+        self._sent.clear()
+        self._deadline = LONG_AGO
+        self._next_claim = LONG_AGO
+        self._pauses.refreshed()
+
+    def _observe(self):
+        lease = self.leases(self._follower.state).get(self._name, VACANT)
+        if lease.offset == self._seen.offset:
+            return
+        before, lapses_at = self._seen, self._lapses_at
+        self._seen, self._seen_at = lease, clock.now()
+        if not self._is_mine:
+            self._sent.clear()
+            self._deadline = LONG_AGO
+            return
+        if lease.epoch != before.epoch:
+            self._acts_from = LONG_AGO
+            if not before.released:
+                self._acts_from = lapses_at + self._settings.weights.order_timeout
+        sent_at = self._sent.pop(lease.claim_id, None)
+        if sent_at is not None:
+            self._deadline = sent_at + self._settings.lease.duration
+
+    def _note_held(self):
+        held = bool(self.fence)
+        if held != self._was_held:
+            EVENTS.add("lease", name=self._name, held=held, epoch=self._seen.epoch)
+            changed("lease.held", name=self._name, held=held, epoch=self._seen.epoch)
+        self._was_held = held
+
+    def _claimed(self, task):
+        self._claiming = None
+        with contextlib.suppress(asyncio.CancelledError):
+            task.result()
