Add the control process and the spread of the agreed state by peers

Cause: an entry needs members, backend servers and the agreed state, and an instance that starts while the log is down has only its peers to learn from. Ruled out: each instance fetching whole states at each renewal of a lease; the table is left out when the peer's is the same. Also passing a confirmation on without bound; it would look young for ever while the log is down.

--- a/sassafrasdoor/control/control.capnp
+++ b/sassafrasdoor/control/control.capnp
@@ -82,7 +82,8 @@
 interface Control {
   exchange @0 (known :Known, waitMs :UInt32, stamp :UInt64, addresses :Addresses, demand :List(Demand)) -> (update :Update, stamp :UInt64);
   # The agreed state as JSON if it goes beyond `asOf`, else empty.
-  fetch @1 (asOf :UInt64, stamp :UInt64) -> (asOf :UInt64, state :Text, confirmed :Bool, confirmedAgeMs :UInt64, stamp :UInt64);
+  # `accepted` names what the caller knows of the table: left out if the same.
+  fetch @1 (asOf :UInt64, accepted :UInt64, stamp :UInt64) -> (asOf :UInt64, state :Text, confirmed :Bool, confirmedAgeMs :UInt64, confirmedHops :UInt8, stamp :UInt64);
   events @2 (since :UInt64, stamp :UInt64) -> (events :List(Event), stamp :UInt64);
   # The entry leaves on purpose: told to all members at once.
   leave @3 (stamp :UInt64) -> (stamp :UInt64);
--- a/sassafrasdoor/control/instances.py
+++ b/sassafrasdoor/control/instances.py
@@ -31,15 +31,17 @@
 
     The list of 400 entries and 600 backend servers is some 200 KB. Each read
     names the tag of the last one, so that an unchanged list costs 200 bytes.
+    ``changed_bytes`` is what the last read cost, 0 if nothing had changed.
     """
 
-    __slots__ = ("_client", "_listing", "_settings", "_tag")
+    __slots__ = ("_client", "_listing", "_settings", "_tag", "changed_bytes")
 
     def __init__(self, settings):
         self._settings = settings
         self._client = CurlAsyncHTTPClient(force_instance=True)
         self._tag = None
         self._listing = None
+        self.changed_bytes = 0
 
     def _url(self, path):
         return self._settings.platform.instances_url.rstrip("/") + path
@@ -50,8 +52,11 @@
         response = await self._call("GET", "/instances", headers=headers)
         if not response:
             return response
+        self.changed_bytes = 0
         if response.code == 304:
             return self._listing
+        size = response.headers.get("Content-Length", len(response.body))
+        self.changed_bytes = int(size)
         try:
             document = json.loads(response.body)
             listing = listing_from(document["instances"])
--- /dev/null
+++ b/sassafrasdoor/control/process.py
@@ -0,0 +1,274 @@
+"""The control process of one instance: its parts and its life."""
+
+import asyncio
+import json
+import random
+import signal
+import sys
+
+import capnp
+
+from sassafrasdoor import logs
+from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.control.instances import InstanceList
+from sassafrasdoor.control.service import ControlService
+from sassafrasdoor.control.source import ViewSource
+from sassafrasdoor.control.spread import Spread
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.log.agreed import Agreed, fold
+from sassafrasdoor.log.follower import Follower
+from sassafrasdoor.log.http import HttpLog
+from sassafrasdoor.membership import rendezvous
+from sassafrasdoor.membership.delegate import Delegate
+from sassafrasdoor.membership.node import Membership
+from sassafrasdoor.peers.server import PeerServer
+from sassafrasdoor.view import Member, State
+
+ENDED_AT_ONCE = 1
+# Members change in bursts, and each change sends them all to the entry.
+PUBLISH_DELAY = 0.05
+# How many instances that only the platform's list knows are greeted a read.
+GREETED = 3
+LIST_INTERVAL = 1.0
+# After a changed list the next read waits until its size is spread out to this
+# many bytes a second: the list of 1,000 instances has 200 KB, and the whole
+# process is to stay under 11 KB/s.
+LIST_BYTES_PER_SECOND = 4000
+REGISTER_AGAIN = 5.0
+
+
+class ControlProcess(Delegate):
+    """Follows the log, knows the members, and offers its entry the view."""
+
+    def __init__(self, settings, log=None):
+        self._settings = settings
+        self.source = ViewSource()
+        self.log = log or HttpLog(settings)
+        self.follower = Follower(settings, self.log, fold, Agreed())
+        self.instances = InstanceList(settings)
+        self.membership = None
+        self.spread = Spread(settings, self.follower, self.members)
+        self.demand = {}
+        self._server = PeerServer(
+            settings,
+            settings.instance.host,
+            settings.instance.control_port,
+            ControlService(self),
+        )
+        self._tasks = []
+        self._accepted = None
+        self._told_as_of = 0
+        self._members_changed = asyncio.Event()
+        self._register_after = deadline_in(0)
+        self._registered = None
+        self._registering = asyncio.Lock()
+        self._departing = False
+        self.follower.may_poll = self.spread.may_poll
+        self.follower.may_checkpoint = self._may_checkpoint
+        self.follower.on_change(self._agreed_changed)
+
+    @property
+    def address(self):
+        """The bound control ``host:port``."""
+        return self._server.address
+
+    def members(self):
+        """Return the members that are not dead."""
+        return self.membership.members if self.membership else []
+
+    async def start(self):
+        """Bind, join and begin to follow; raises OSError if a port is taken."""
+        instance = self._settings.instance
+        await self._server.start()
+        own = Member(
+            instance.name,
+            availability_zone=instance.availability_zone,
+            region=instance.region,
+            control_address=self.address,
+        )
+        self.membership = Membership(self._settings, own, self)
+        await self.membership.start(instance.host, instance.gossip_port)
+        jobs = [
+            self.follower.run(),
+            self.spread.run(),
+            self._publish_members(),
+            self._watch_confirmation(),
+            self._read_list(),
+        ]
+        self._tasks = [asyncio.create_task(job) for job in jobs]
+
+    async def close(self):
+        """End all tasks and connections, with nothing said to anybody."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.membership.stop()
+        await self._server.close()
+        self.instances.close()
+
+    async def depart(self):
+        """Tell everybody that this instance is gone, then close."""
+        self.membership.leave()
+        self._departing = True
+        # A registration still under way could reach the platform after the
+        # removal, and the list would name this instance for ever.
+        async with self._registering:
+            await self.instances.deregister()
+        await self.membership.depart()
+        await self.close()
+
+    # Agreed state
+
+    def _may_checkpoint(self):
+        names = [m.name for m in self.members() if m.state is State.ALIVE]
+        own = self._settings.instance.name
+        return self.spread.is_poller and rendezvous.chosen(names, "checkpoint") == [own]
+
+    def _agreed_changed(self, state):
+        if state.accepted is not self._accepted:
+            self._accepted = state.accepted
+            table = state.table.model_dump_json() if state.table else ""
+            self.source.set_table(table, state.revision)
+        self.source.set_weights(state.weights)
+
+    async def _watch_confirmation(self):
+        while True:
+            self.source.confirmed_at = self.follower.confirmed_at
+            if self.follower.as_of > self._told_as_of:
+                self._told_as_of = self.follower.as_of
+                self.membership.spread_news()
+            await asyncio.sleep(PUBLISH_DELAY)
+
+    def news(self):
+        return self.spread.news()
+
+    def heard(self, name, news):
+        self.spread.heard(name, news)
+
+    # Members
+
+    def member_changed(self, member):
+        self._members_changed.set()
+
+    def region_changed(self, region, silent):
+        self._members_changed.set()
+
+    async def _publish_members(self):
+        while True:
+            await self._members_changed.wait()
+            await asyncio.sleep(PUBLISH_DELAY)
+            # After a pause of this process the view would change for reasons
+            # that lie in the pause; the entry keeps the one that it has.
+            if self.membership.trusted:
+                self._members_changed.clear()
+                self.source.set_members(self.membership.members)
+
+    # The platform's list
+
+    async def _read_list(self):
+        while True:
+            listing = await self.instances.fetch()
+            if listing:
+                self._take_list(listing)
+            await self._register()
+            await asyncio.sleep(self._list_pause() * random.uniform(0.8, 1.2))
+
+    def _list_pause(self):
+        spread_out = self.instances.changed_bytes / LIST_BYTES_PER_SECOND
+        return max(LIST_INTERVAL, self._settings.platform.poll_interval, spread_out)
+
+    def _take_list(self, listing):
+        if listing.backends != self.source.backends:
+            self.source.set_backends(listing.backends)
+        known = {member.name for member in self.members()}
+        unknown = [
+            member.gossip_address
+            for member in listing.members
+            if member.name not in known and member.gossip_address
+        ]
+        self.membership.join(random.sample(unknown, min(GREETED, len(unknown))))
+        if self._settings.instance.name not in {m.name for m in listing.members}:
+            # The list lags, or the platform lost the entry.
+            self._registered = None
+
+    async def _register(self):
+        document = self._own_document()
+        if document == self._registered or not passed(self._register_after):
+            return
+        async with self._registering:
+            await self._put(document)
+
+    async def _put(self, document):
+        if not self._departing and await self.instances.register(document):
+            self._registered = document
+            self._register_after = deadline_in(REGISTER_AGAIN)
+
+    def _own_document(self):
+        own = self.membership.own
+        return {
+            "name": own.name,
+            "kind": "entry",
+            "service": "",
+            "address": own.entry_address,
+            "availability_zone": own.availability_zone,
+            "region": own.region,
+            "capacity": 1,
+            "checks_fencing": False,
+            "models": [],
+            "state": "leaving" if own.state is State.LEAVING else "alive",
+            "gossip_address": own.gossip_address,
+            "control_address": own.control_address,
+            "peer_address": own.peer_address,
+        }
+
+    # What the entry says
+
+    def entry_said(self, entry_address, peer_address, demand):
+        """Take the addresses and the wanted slots of the entry."""
+        self.membership.update(entry_address=entry_address, peer_address=peer_address)
+        self.demand = demand
+
+    def leave(self):
+        """The entry begins a planned stop."""
+        self.membership.leave()
+        self._register_after = deadline_in(0)
+
+    def claimed(self, instance, demand):
+        """Return the grants of an instance by row; none without the lease."""
+        return {}
+
+
+async def run(settings):
+    """Run a control process until SIGTERM."""
+    EVENTS.process = f"{settings.instance.name}/control"
+    logs.start(EVENTS.process)
+    async with capnp.kj_loop():
+        process = ControlProcess(settings)
+        await process.start()
+        stop = _planned_stop()
+        ready = {
+            "ready": True,
+            "name": settings.instance.name,
+            "control": process.address,
+            "gossip": process.membership.address,
+        }
+        print(json.dumps(ready), flush=True)
+        await stop.wait()
+        EVENTS.add("leaving")
+        logs.changed("control:leaving")
+        await process.depart()
+
+
+def _planned_stop():
+    """Return an event set by SIGTERM; a second SIGTERM ends the process at once."""
+    stop = asyncio.Event()
+
+    def asked():
+        if stop.is_set():
+            sys.exit(ENDED_AT_ONCE)
+        stop.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, asked)
+    return stop
--- a/sassafrasdoor/control/service.py
+++ b/sassafrasdoor/control/service.py
@@ -32,10 +32,12 @@
     async def fetch_context(self, context):
         asked, results = context.params, context.results
         EVENTS.clock.observe(asked.stamp)
-        results.asOf, results.state = self._process.agreed_beyond(asked.asOf)
+        spread = self._process.spread
+        results.asOf, results.state = spread.beyond(asked.asOf, asked.accepted)
         age = messages.age_fields(self._process.source.confirmed_at)
         results.confirmed = age["confirmed"]
         results.confirmedAgeMs = age["confirmedAgeMs"]
+        results.confirmedHops = spread.hops
         results.stamp = EVENTS.clock.stamp()
 
     async def events(self, since, stamp, _context, **_):
--- /dev/null
+++ b/sassafrasdoor/control/spread.py
@@ -0,0 +1,210 @@
+"""The agreed state from peer to peer, and who reads the log at all.
+
+A few instances of each zone read the log. The others hear from gossip how far it
+goes and fetch the state from whom they heard it, so that each serves about one
+fetch a change. The same path carries the state while the log is down: to
+instances that lag, and to new ones, which have nothing else to learn it from.
+"""
+
+import asyncio
+import hashlib
+import json
+import random
+
+from sassafrasdoor import metrics
+from sassafrasdoor.clock import now
+from sassafrasdoor.control import messages
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.log.agreed import Agreed
+from sassafrasdoor.membership import rendezvous
+from sassafrasdoor.membership.delegate import News
+from sassafrasdoor.outcomes import Unavailable
+from sassafrasdoor.peers.link import PeerLink
+from sassafrasdoor.table.accepted import Accepted
+from sassafrasdoor.view import State
+
+# A confirmation looks younger by the way's time at each member that passes it
+# on. Told round without bound it would stay young for ever while the log is
+# down; so it is passed on a few times only.
+MAX_HOPS = 8
+# Between two fetches: the state changes with each renewal of a lease.
+FETCH_INTERVAL = 0.3
+# An instance that reads the log itself leaves it this time to do so.
+POLLER_PATIENCE = 1.0
+# Without a confirmation for this long an instance tries the log itself.
+FALLBACK_AFTER = 6.0
+
+EMPTY = Accepted().as_document()
+
+FETCHED = metrics.counter("state_fetches_total", "States fetched from peers.")
+FAILED = metrics.counter("state_fetch_failures_total", "Fetches that failed.")
+
+
+class Spread:
+    """Tells and hears ``News``; fetches what peers know beyond the follower."""
+
+    __slots__ = ("_addresses", "_ahead", "_chance", "_confirmed", "_digest")
+    __slots__ += ("_follower", "_members", "_settings", "_woken")
+
+    def __init__(self, settings, follower, members):
+        self._settings = settings
+        self._follower = follower
+        self._members = members
+        self._chance = random.Random()
+        self._ahead = {}
+        self._confirmed = (None, 0)
+        self._digest = AcceptedDigest()
+        self._woken = asyncio.Event()
+
+    @property
+    def is_poller(self):
+        """Whether this instance is one of its zone's that read the log."""
+        own = self._settings.instance
+        names = [
+            member.name
+            for member in self._members()
+            if member.availability_zone == own.availability_zone
+            and (member.state is State.ALIVE or member.name == own.name)
+        ]
+        count = self._settings.membership.pollers_per_zone
+        return own.name in rendezvous.chosen(names, "poller", count)
+
+    def may_poll(self):
+        """Say whether to read the log now.
+
+        With no confirmation for long, the pollers or the log may be gone. Then
+        all try it, but as rarely as there are many: a log that is down must not
+        be met by 400 readers at once when it comes back.
+        """
+        if self.is_poller:
+            return True
+        at = self._follower.confirmed_at
+        if at is not None and now() - at < FALLBACK_AFTER:
+            return False
+        share = self._settings.membership.pollers_per_zone
+        return self._chance.random() < share / max(1, len(self._members()))
+
+    @property
+    def hops(self):
+        """How many members passed on the newest confirmation."""
+        told_at, hops = self._confirmed
+        return hops if told_at == self._follower.confirmed_at else 0
+
+    def news(self):
+        """Return how far this instance is and when that was confirmed."""
+        at, hops = self._follower.confirmed_at, self.hops
+        if at is None:
+            return News()
+        if hops > MAX_HOPS:
+            return News(self._follower.as_of)
+        return News(self._follower.as_of, at, hops)
+
+    def heard(self, name, news):
+        """Take what a member told: a confirmation, or that it knows more."""
+        own = self._follower.as_of
+        if news.as_of > own:
+            self._ahead[name] = news.as_of
+            self._woken.set()
+        elif news.as_of == own and news.confirmed_at is not None and own:
+            self._adopt(self._follower.state, own, news.confirmed_at, news.hops + 1)
+
+    def _adopt(self, state, as_of, confirmed_at, hops):
+        known = self._follower.confirmed_at
+        if confirmed_at is not None and (known is None or confirmed_at > known):
+            self._confirmed = (confirmed_at, hops)
+        return self._follower.adopt(state, as_of, confirmed_at)
+
+    async def run(self):
+        """Fetch from peers that know more until cancelled."""
+        while True:
+            await self._woken.wait()
+            if self.is_poller:
+                await asyncio.sleep(POLLER_PATIENCE)
+            member = self._best()
+            if member is None:
+                self._woken.clear()
+                continue
+            fetched = await self.fetch(member.control_address)
+            if not fetched:
+                FAILED.inc({})
+                self._ahead.pop(member.name, None)
+            await asyncio.sleep(FETCH_INTERVAL)
+
+    def _best(self):
+        own = self._follower.as_of
+        self._ahead = {name: at for name, at in self._ahead.items() if at > own}
+        known = {m.name: m for m in self._members() if m.control_address}
+        names = [name for name in self._ahead if name in known]
+        if not names:
+            return None
+        return known[max(names, key=lambda name: (self._ahead[name], name))]
+
+    async def fetch(self, address):
+        """Adopt the state of the peer at ``address``; True or ``Unavailable``."""
+        link = PeerLink(self._settings, address, messages.SCHEMA.Control)
+        failed = await link.open()
+        if failed is not None:
+            return failed
+        answer = await link.call(
+            "fetch",
+            asOf=self._follower.as_of,
+            accepted=self._digest.of(self._follower.state.accepted),
+            stamp=EVENTS.clock.stamp(),
+        )
+        link.close()
+        return answer and self._take(answer)
+
+    def _take(self, answer):
+        EVENTS.clock.observe(answer.stamp)
+        if not answer.state:
+            return Unavailable("the peer knows no more")
+        try:
+            document = json.loads(answer.state)
+            state = self._state_in(document)
+        except (ValueError, KeyError, TypeError, AttributeError):
+            return Unavailable("the peer's state is unreadable")
+        at = messages.confirmed_at_from(answer)
+        if self._adopt(state, answer.asOf, at, answer.confirmedHops + 1):
+            FETCHED.inc({})
+            EVENTS.add("state-fetched", as_of=answer.asOf)
+        return True
+
+    def _state_in(self, document):
+        own = self._follower.state.accepted
+        if "accepted" in document:
+            return Agreed.from_document(document)
+        state = Agreed.from_document({**document, "accepted": EMPTY})
+        return Agreed(own, state.weights, state.leases)
+
+    def beyond(self, as_of, accepted):
+        """Return ``(as_of, state)`` for a peer at ``as_of``; empty if it has all.
+
+        The table is left out if the peer's is the same: most changes are
+        renewals of leases, and a table of 300 rows has some 60 KB.
+        """
+        own = self._follower.as_of
+        if own <= as_of or self._follower.confirmed_at is None:
+            return own, ""
+        document = self._follower.state.as_document()
+        if accepted == self._digest.of(self._follower.state.accepted):
+            del document["accepted"]
+        return own, json.dumps(document)
+
+
+class AcceptedDigest:
+    """Names what is known of the table by one number; kept while it stays."""
+
+    __slots__ = ("_accepted", "_digest")
+
+    def __init__(self):
+        self._accepted = None
+        self._digest = 0
+
+    def of(self, accepted):
+        """Return the number of an ``Accepted``."""
+        if accepted is not self._accepted:
+            text = json.dumps(accepted.as_document(), sort_keys=True)
+            digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+            self._accepted = accepted
+            self._digest = int.from_bytes(digest, "big")
+        return self._digest
--- a/sassafrasdoor/control/tests/test_link.py
+++ b/sassafrasdoor/control/tests/test_link.py
@@ -51,7 +51,7 @@
     async def end(self, server, task):
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await server.stop()
+        await server.close()
 
     @on_kj_loop
     async def test_parts_arrive_and_stay(self):
@@ -94,7 +94,7 @@
         self.control.source.set_weights({"m": 4})
         await until(lambda: link.view.revision == 7, what="the table")
         port = int(server.address.rpartition(":")[2])
-        await server.stop()
+        await server.close()
         await until(lambda: not link.connected, what="the loss")
         self.assertEqual(link.view.revision, 7)
         server = await self.serve(port)
--- /dev/null
+++ b/sassafrasdoor/control/tests/test_process.py
@@ -0,0 +1,224 @@
+import asyncio
+import unittest
+
+from sassafrasdoor import settings
+from sassafrasdoor.cluster import MODEL, PEER_KEY, TABLE, Cluster
+from sassafrasdoor.control.link import ControlLink
+from sassafrasdoor.peers.tests.test_link import on_kj_loop
+from sassafrasdoor.support import until
+from sassafrasdoor.view import State
+
+OWN = settings.from_document({"membership": {"peer_keys": [PEER_KEY]}})
+
+
+class Controls(Cluster):
+    """Control processes with a ``ControlLink`` each in place of their entry."""
+
+    def __init__(self, settings=None):
+        super().__init__(settings)
+        self.controls = {}
+        self.links = {}
+        self._tasks = {}
+
+    async def __aexit__(self, *exception):
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await super().__aexit__(*exception)
+
+    def _seeds(self):
+        live = [c for c in self.controls.values() if c.returncode is None]
+        return [control.ready["gossip"] for control in live][:2]
+
+    async def begin(self, names, table=True):
+        self.start_platform()
+        if table:
+            await self.announce(MODEL, 1)
+            await self.propose(TABLE)
+        for name in names:
+            await self.start_control(name)
+        await self.agree(names)
+
+    async def start_control(self, name, region="region-1", **instance):
+        document = self.settings_for(name, f"zone-{name[-1]}")
+        document["instance"].update(region=region, **instance)
+        path = self.processes.write_json(f"{name}.json", document)
+        serve = self.processes.serve
+        control = await asyncio.to_thread(serve, "control", "--settings", path)
+        self.controls[name] = control
+        if name not in self.links:
+            self.links[name] = ControlLink(OWN, control.ready["control"])
+            self._tasks[name] = asyncio.create_task(self.links[name].run())
+        return control
+
+    async def stop_control(self, name):
+        code = await asyncio.to_thread(self.controls.pop(name).stop)
+        self._tasks.pop(name).cancel()
+        del self.links[name]
+        return code
+
+    def sees(self, viewer, *names):
+        members = self.links[viewer].view.members
+        alive = {m.name for m in members if m.state is State.ALIVE}
+        return alive == set(names)
+
+    async def agree(self, names, viewers=None):
+        """Wait until all viewers see just these names alive."""
+        await until(
+            lambda: all(self.sees(viewer, *names) for viewer in viewers or names),
+            what=f"{names} to be seen alive",
+        )
+
+    async def know(self, revision, *names):
+        """Wait until the views of these hold the revision."""
+        await until(
+            lambda: all(
+                self.links[name].view.revision == revision
+                and self.links[name].view.table is not None
+                for name in names
+            ),
+            what=f"revision {revision} at {names}",
+        )
+
+
+class ControlProcessTests(unittest.IsolatedAsyncioTestCase):
+    @on_kj_loop
+    async def test_view_follows_table_weights_list_and_planned_stop(self):
+        async with Controls() as cluster:
+            await cluster.begin(["c1", "c2", "c3"])
+            await cluster.know(2, "c1", "c2", "c3")
+            link = cluster.links["c1"]
+            self.assertEqual(link.view.weights, {MODEL: 1})
+            self.assertLess(link.view.age, 30)
+            link.set_addresses("127.0.0.1:1", "127.0.0.1:2")
+            engine = {
+                "name": "engine-1",
+                "kind": "engine",
+                "service": "assistant",
+                "address": "127.0.0.1:9",
+                "models": [MODEL],
+                "state": "alive",
+            }
+            platform = cluster.platform_url.removeprefix("http://")
+            await cluster.call("PUT", platform, "/instances/engine-1", document=engine)
+            await cluster.announce(MODEL, 2)
+            views = [cluster.links[name] for name in ("c2", "c3")]
+            await until(
+                lambda: all(
+                    [b.name for b in one.view.backends] == ["engine-1"]
+                    and one.view.weights == {MODEL: 2}
+                    and any(m.entry_address == "127.0.0.1:1" for m in one.view.members)
+                    for one in views
+                ),
+                what="backends, weights and addresses in all views",
+            )
+            self.assertTrue(await link.leave())
+            await until(
+                lambda: any(m.state is State.LEAVING for m in views[0].view.members),
+                what="the leaving instance",
+            )
+            self.assertEqual(await cluster.stop_control("c1"), 0)
+            await cluster.agree(["c2", "c3"])
+            _, truth = await cluster.get(platform, "/standin/truth")
+            self.assertNotIn("c1", truth["instances"])
+
+    @on_kj_loop
+    async def test_killed_and_frozen_instances_leave_the_view(self):
+        """Symptom: callers are sent to an instance that is gone or stuck.
+
+        Sequence: one instance is killed, another frozen and then thawed.
+        Cause: nobody noticed that it no longer answers; or, thawed, it blamed
+        the others for the time that it slept.
+        """
+        async with Controls() as cluster:
+            names = ["c1", "c2", "c3", "c4"]
+            await cluster.begin(names)
+            cluster.controls["c4"].kill()
+            rest = ["c1", "c2", "c3"]
+            await cluster.agree(rest, rest)
+            cluster.controls["c3"].freeze()
+            await cluster.agree(["c1", "c2"], ["c1", "c2"])
+            cluster.controls["c3"].thaw()
+            await cluster.agree(rest, rest)
+
+    @on_kj_loop
+    async def test_region_that_is_silent_is_suspect_until_it_returns(self):
+        """Symptom: a region out of reach for a while is gone from all views.
+
+        Sequence: all processes of one region stop, for longer than a suspicion
+        lasts, and run on.
+        Cause: its members were declared dead one by one.
+        """
+        async with Controls({"membership": {"remote_share": 0.5}}) as cluster:
+            near, far = ["c1", "c2"], ["f1", "f2"]
+            cluster.start_platform()
+            await cluster.propose(TABLE)
+            for name in near:
+                await cluster.start_control(name)
+            for name in far:
+                await cluster.start_control(name, region="region-2")
+            await cluster.agree([*near, *far])
+            for name in far:
+                cluster.controls[name].freeze()
+            await cluster.agree(near, near)
+            seen = {m.name: m.state for m in cluster.links["c1"].view.members}
+            self.assertEqual([seen.get(name) for name in far], [State.SUSPECT] * 2)
+            for name in far:
+                cluster.controls[name].thaw()
+            await cluster.agree([*near, *far])
+
+    @on_kj_loop
+    async def test_started_while_the_log_is_down_learns_the_table_from_peers(self):
+        """Symptom: instances replaced during an outage of the log refuse all work.
+
+        Sequence: the log goes down; one instance is started, then each older one
+        is stopped and another started in its place, until none is left that
+        ever read the log; the log returns with a new table.
+        Cause: the table was only to be had from the log.
+        """
+        async with Controls() as cluster:
+            await cluster.begin(["a1", "a2", "a3"])
+            await cluster.know(2, "a1", "a2", "a3")
+            await cluster.platform_faults(down=True)
+            names = ["a1", "a2", "a3"]
+            ages = []
+            for old, new in (("a1", "b1"), ("a2", "b2"), ("a3", "b3")):
+                await cluster.start_control(new)
+                await cluster.know(2, new)
+                ages.append(cluster.links[new].view.age)
+                self.assertEqual(await cluster.stop_control(old), 0)
+                names = [name for name in [*names, new] if name != old]
+                await cluster.agree(names)
+            self.assertEqual(sorted(ages), ages, "the confirmation grew younger")
+            await cluster.platform_faults(down=False)
+            await cluster.propose(TABLE, base=2, proposal="second")
+            await cluster.know(3, *names)
+
+    @on_kj_loop
+    async def test_entry_keeps_its_view_while_control_restarts(self):
+        async with Controls() as cluster:
+            await cluster.begin(["c1", "c2"])
+            await cluster.know(2, "c1", "c2")
+            link = cluster.links["c1"]
+            port = int(cluster.controls["c1"].ready["control"].rpartition(":")[2])
+            cluster.controls["c1"].kill()
+            await until(lambda: not link.connected, what="the loss")
+            self.assertEqual(link.view.revision, 2)
+            self.assertIsNotNone(link.view.table)
+            await cluster.start_control("c1", control_port=port)
+            await until(lambda: link.connected, what="the new process")
+            await cluster.agree(["c1", "c2"])
+            self.assertEqual(link.view.revision, 2)
+
+    @on_kj_loop
+    async def test_without_table_or_peers_there_is_none(self):
+        async with Controls() as cluster:
+            cluster.start_platform()
+            await cluster.propose(TABLE)
+            await cluster.platform_faults(down=True)
+            await cluster.start_control("c1")
+            await until(lambda: cluster.links["c1"].connected, what="the link")
+            await until(lambda: cluster.links["c1"].view.members, what="itself")
+            self.assertIsNone(cluster.links["c1"].view.table)
+            await cluster.platform_faults(down=False)
+            await cluster.know(1, "c1")
--- a/sassafrasdoor/membership/delegate.py
+++ b/sassafrasdoor/membership/delegate.py
@@ -7,14 +7,16 @@
     """How far a member has read the agreed stream, and when that was confirmed.
 
     ``as_of`` is the next offset to read; ``confirmed_at`` is on this process's
-    monotonic clock, None if never.
+    monotonic clock, None if never; ``hops`` counts the members that passed it
+    on, 0 at the one that asked the log itself.
     """
 
-    __slots__ = ("as_of", "confirmed_at")
+    __slots__ = ("as_of", "confirmed_at", "hops")
 
-    def __init__(self, as_of=0, confirmed_at=None):
+    def __init__(self, as_of=0, confirmed_at=None, hops=0):
         self.as_of = as_of
         self.confirmed_at = confirmed_at
+        self.hops = hops
 
     @property
     def age(self):
--- a/sassafrasdoor/membership/gossip.capnp
+++ b/sassafrasdoor/membership/gossip.capnp
@@ -42,4 +42,5 @@
   updates @9 :List(Update);
   contacts @10 :List(Contact);
   buckets @11 :List(UInt64);
+  confirmedHops @12 :UInt8;
 }
--- a/sassafrasdoor/membership/node.py
+++ b/sassafrasdoor/membership/node.py
@@ -168,6 +168,7 @@
             digest=self._roster.digest,
             asOf=news.as_of,
             confirmedAgeMs=NEVER_MS if age is None else min(int(age * 1000), NEVER_MS),
+            confirmedHops=news.hops,
             updates=[messages.update_message(member) for member in updates],
             contacts=[
                 {"region": region, "ageMs": min(int(seconds * 1000), NEVER_MS)}
@@ -194,13 +195,19 @@
             self._hear_regions(message)
         for update in message.updates:
             self._take(messages.update_from(update))
-        age = message.confirmedAgeMs
-        confirmed_at = None if age == NEVER_MS else now() - age / 1000
-        self._delegate.heard(message.sender, News(message.asOf, confirmed_at))
+        self._delegate.heard(message.sender, self._news_in(message))
         handler = self._HANDLERS.get(str(message.kind))
         if handler is not None:
             handler(self, message, address)
 
+    def _news_in(self, message):
+        age = message.confirmedAgeMs
+        # A message that waited while this process was paused is older than it
+        # says by an unknown time: its confirmation would look too young.
+        if age == NEVER_MS or self._pause.paused:
+            return News(message.asOf)
+        return News(message.asOf, now() - age / 1000, message.confirmedHops)
+
     def _hear_regions(self, message):
         if message.region != self._own.region:
             self._regions.heard(message.region)
--- a/sassafrasdoor/peers/server.py
+++ b/sassafrasdoor/peers/server.py
@@ -93,14 +93,14 @@
             # A truncated or garbage frame: it ends this connection and no other.
             BROKEN.inc({})
         except asyncio.CancelledError:
-            # Only stop() cancels; pycapnp prints a traceback for a cancelled task.
+            # Only close() cancels; pycapnp prints a traceback for a cancelled task.
             pass
         finally:
             self._connections.discard(task)
             server.close()
             stream.close()
 
-    async def stop(self):
+    async def close(self):
         """Close the listener and every connection."""
         if self._server is not None:
             self._server.close()
--- a/sassafrasdoor/peers/tests/test_link.py
+++ b/sassafrasdoor/peers/tests/test_link.py
@@ -81,7 +81,7 @@
                 answer = await link.call("leave", stamp=4)
                 self.assertEqual(bool(answer), welcome)
                 link.close()
-                await server.stop()
+                await server.close()
 
     @on_kj_loop
     async def test_caller_without_key_never_reaches_the_capability(self):
@@ -101,7 +101,7 @@
             await door.enter(caller="x", stamp=5, mac=recorded)
         self.assertEqual(count(REFUSED), before + 1)
         stream.close()
-        await server.stop()
+        await server.close()
 
     @on_kj_loop
     async def test_silent_peer_ends_the_call_at_its_deadline(self):
@@ -118,7 +118,7 @@
         )
         self.assertFalse(link.connected)
         self.assertIsNone(await link.open())
-        await server.stop()
+        await server.close()
         with socket.create_server(("127.0.0.1", 0)) as deaf:
             link = self.link(f"127.0.0.1:{deaf.getsockname()[1]}")
             self.assertIsInstance(await link.open(timeout=0.1), Unavailable)
@@ -130,7 +130,7 @@
         await link.open()
         self.assertIsInstance(await link.call("fetch", asOf=0, stamp=0), Unavailable)
         self.assertFalse(link.connected)
-        await server.stop()
+        await server.close()
 
     @on_kj_loop
     async def test_bad_frames_end_only_their_connection(self):
@@ -163,7 +163,7 @@
                 self.assertGreaterEqual(count(BROKEN), before)
                 self.assertTrue(await link.call("leave", stamp=1))
         link.close()
-        await server.stop()
+        await server.close()
 
     @on_kj_loop
     async def test_run_reconnects(self):
@@ -171,7 +171,7 @@
         link = self.link(server.address)
         task = asyncio.create_task(link.run())
         await until(lambda: link.connected, what="connection")
-        await server.stop()
+        await server.close()
         await until(lambda: not link.connected, what="heartbeat to fail")
         port = int(link.address.rpartition(":")[2])
         server = PeerServer(settings_with(), "127.0.0.1", port, Echo())
@@ -179,7 +179,7 @@
         await until(lambda: link.connected, what="reconnection")
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        await server.stop()
+        await server.close()
 
     @on_kj_loop
     async def test_stamps_ride_on_messages(self):
@@ -190,4 +190,4 @@
         EVENTS.clock.observe(future)
         self.assertGreater((await link.ping()).stamp, future)
         link.close()
-        await server.stop()
+        await server.close()
