--- /dev/null
+++ b/sassafrasdoor/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load on a running system, and its report."""
--- /dev/null
+++ b/sassafrasdoor/load/callers.py
@@ -0,0 +1,139 @@
+"""Live applications of a load: discovery kept for a while, one task a request."""
+
+import asyncio
+import json
+import random
+import uuid
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+from tornado.httpclient import HTTPRequest
+
+from sassafrasdoor.clock import deadline_in, now, passed, remaining
+from sassafrasdoor.load.arrivals import arrivals
+
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 120_000_000
+DIGITS = 3
+MICROSECONDS = 1_000_000
+NO_REPLY = 599
+OUTCOME_OF_STATUS = {NO_REPLY: "no-reply", 502: "unknown", 503: "not-run"}
+
+
+class CallerResult:
+    """What one row's requests met: outcomes, latency, late answers."""
+
+    __slots__ = ("answered_at", "histogram", "late", "outcomes", "row")
+
+    def __init__(self, row):
+        self.row = row
+        self.outcomes = Counter()
+        self.late = 0
+        self.answered_at = []
+        self.histogram = HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, DIGITS)
+
+    def note(self, outcome, seconds, late_after):
+        """Record one finished request, ``seconds`` after its arrival."""
+        self.outcomes[outcome] += 1
+        if outcome != "answered":
+            return
+        self.histogram.record_value(max(1, int(seconds * MICROSECONDS)))
+        self.answered_at.append(now())
+        self.late += seconds > late_after
+
+
+class Addresses:
+    """The discovery answer of one row, asked again when it lapses.
+
+    An instance that does not reply is left out until the answer lapses, as a
+    caller that was told several addresses would do.
+    """
+
+    __slots__ = ("_deadline", "_generator", "_http", "_known", "_row", "_seeds")
+
+    def __init__(self, http, row, seeds, seed):
+        self._http = http
+        self._row = row
+        self._seeds = list(seeds)
+        self._generator = random.Random(seed)
+        self._known = []
+        self._deadline = 0.0
+
+    async def pick(self):
+        """Return one of the addresses known now."""
+        if not self._known or passed(self._deadline):
+            await self._ask()
+        return self._generator.choice(self._known or self._seeds)
+
+    def drop(self, address):
+        """Leave out an address that gave no reply."""
+        self._known = [known for known in self._known if known != address]
+
+    async def _ask(self):
+        seeds = self._known + self._seeds
+        self._generator.shuffle(seeds)
+        for seed in seeds:
+            url = f"http://{seed}/v1/addresses?row={self._row}"
+            reply = await self._http.fetch(
+                HTTPRequest(url, request_timeout=2.0), raise_error=False
+            )
+            if reply.code == 200:
+                answer = json.loads(reply.body)
+                self._known = [one["address"] for one in answer["addresses"]]
+                self._deadline = deadline_in(answer["valid_for_ms"] / 1000)
+                return
+
+
+class CallerLoad:
+    """Sends one row's arrivals and collects the result."""
+
+    __slots__ = ("_addresses", "_http", "_profile", "_seed", "result")
+
+    def __init__(self, http, profile, seeds, seed):
+        self._http = http
+        self._profile = profile
+        self._seed = seed
+        self._addresses = Addresses(http, profile.row, seeds, seed)
+        self.result = CallerResult(profile.row)
+
+    async def run(self, duration):
+        """Send every arrival at its time; return the ``CallerResult``."""
+        started = now()
+        async with asyncio.TaskGroup() as tasks:
+            for at in arrivals(self._profile.rate, duration, self._seed):
+                await asyncio.sleep(remaining(started + at))
+                tasks.create_task(self._one(started + at))
+        return self.result
+
+    async def _one(self, arrived):
+        address = await self._addresses.pick()
+        reply = await self._http.fetch(self._request(address), raise_error=False)
+        if reply.code == NO_REPLY:
+            self._addresses.drop(address)
+        outcome = reply.headers.get("X-Outcome") or OUTCOME_OF_STATUS.get(
+            reply.code, "rejected"
+        )
+        late_after = self._profile.late_after_ms / 1000
+        self.result.note(outcome, now() - arrived, late_after)
+
+    def _request(self, address):
+        profile = self._profile
+        headers = {
+            "Authorization": f"Bearer {profile.key}",
+            "X-Deadline-Ms": str(profile.deadline_ms),
+            "X-Repeatable": "yes" if profile.repeatable else "no",
+        }
+        body = {"request": uuid.uuid4().hex}
+        if profile.shape == "generate":
+            body = {"prompt": "How full is the car park?", "stream": False}
+            body["max_tokens"] = profile.max_tokens
+        path = f"/v1/{profile.shape}/{profile.row}"
+        if profile.shape == "call":
+            path += f"/{profile.path}"
+        return HTTPRequest(
+            f"http://{address}{path}",
+            method="POST",
+            headers=headers,
+            body=json.dumps(body),
+            request_timeout=profile.deadline_ms / 1000 + 5.0,
+        )
--- /dev/null
+++ b/sassafrasdoor/load/profile.py
@@ -0,0 +1,66 @@
+"""The profile of a load: which rows call how often, and which trainers run."""
+
+import json
+from enum import StrEnum
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from sassafrasdoor.outcomes import Finding, Rejected, findings_of
+
+
+class Shape(StrEnum):
+    """What a caller asks for."""
+
+    CALL = "call"
+    GENERATE = "generate"
+
+
+class Part(BaseModel):
+    """A part of the profile; unknown keys are findings."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class CallerProfile(Part):
+    """One row's open-loop arrivals: ``rate`` a second, late after so many ms."""
+
+    row: str
+    key: str
+    shape: Shape = Shape.CALL
+    path: str = "work"
+    rate: float = Field(gt=0, le=5000)
+    late_after_ms: int = Field(default=1000, gt=0)
+    deadline_ms: int = Field(default=5000, gt=0)
+    repeatable: bool = True
+    max_tokens: int = Field(default=32, gt=0)
+
+
+class TrainerProfile(Part):
+    """One trainer's steps, run one after another."""
+
+    row: str
+    key: str
+    steps: int = Field(default=1, gt=0)
+    groups: int = Field(default=8, gt=0)
+    samples_per_group: int = Field(default=4, gt=0)
+    max_tokens: int = Field(default=64, gt=0)
+
+
+class Profile(Part):
+    """A whole load: a seed, a length in seconds, callers and trainers."""
+
+    seed: int = 1
+    duration: float = Field(gt=0, le=3600)
+    callers: list[CallerProfile] = []
+    trainers: list[TrainerProfile] = []
+
+
+def load(path):
+    """Return the ``Profile`` in the JSON file at ``path``, or ``Rejected``."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            return Profile.model_validate(json.load(file))
+    except ValidationError as error:
+        return Rejected("profile invalid", findings_of(error))
+    except (OSError, ValueError) as error:
+        return Rejected("profile unreadable", [Finding(str(path), str(error))])
