Add the demo and the rest of the load tool

Cause: nobody can see the whole path at work. Change: demo.py runs a cluster, kills the step's owner, announces weights in the middle and judges by the stand-ins' records; load/run joins callers and trainers. Ruled out: a demo that reports what entries claim of themselves.

--- /dev/null
+++ b/sassafrasdoor/demo.py
@@ -0,0 +1,181 @@
+"""The demo: a whole cluster of real processes, one killed, and a judged report.
+
+A table is accepted, applications call an idempotent and a non-repeatable
+service, a trainer runs a step; new weights come in the middle of it, and the
+entry instance that owns the step is killed. The stand-ins' own records judge.
+"""
+
+import asyncio
+import json
+from collections import Counter
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from sassafrasdoor.clock import now
+from sassafrasdoor.cluster import KEYS, MODEL, Cluster
+from sassafrasdoor.load.callers import CallerLoad
+from sassafrasdoor.load.profile import CallerProfile
+from sassafrasdoor.steps.client import Trainer
+from sassafrasdoor.support import ROOT, until
+
+SAMPLES_PER_GROUP = 4
+MAX_TOKENS = 160
+STEP = "demo-step"
+STEP_DEADLINE_MS = 50_000
+ANNOUNCE_AT, KILL_AT = 0.2, 0.3
+CALLS_RATE, CALLS_SECONDS = 20.0, 8.0
+ENGINE_OPTIONS = ("--capacity", "24", "--token-rate", "60", "--swap-seconds", "0.3")
+
+
+class Demo:
+    """One run of the demo; ``say`` receives lines of progress."""
+
+    __slots__ = ("_cluster", "_killed", "_samples", "_say", "_started")
+
+    def __init__(self, say):
+        self._say = say
+        self._cluster = Cluster()
+        self._samples = []
+        self._killed = ""
+        self._started = now()
+
+    async def run(self):
+        """Run all of it; return the report as a JSON-ready mapping."""
+        async with self._cluster as cluster:
+            self._progress("starting the platform, 2 engines, 1 service, 3 instances")
+            await cluster.start(engine_options=ENGINE_OPTIONS)
+            self._progress("table accepted and in force on every instance")
+            calls = asyncio.ensure_future(self._calls())
+            step = await self._train()
+            applications = await calls
+            return await self._report(step, applications)
+
+    def _progress(self, line):
+        self._say(f"{now() - self._started:6.1f} s  {line}")
+
+    def _addresses(self):
+        return [one.address for one in self._cluster.instances]
+
+    async def _calls(self):
+        http = CurlAsyncHTTPClient(force_instance=True, max_clients=200)
+        loads = []
+        for number, row in enumerate(("idempotent", "once")):
+            profile = CallerProfile(
+                row=row, key=KEYS[row], rate=CALLS_RATE, repeatable=row != "once"
+            )
+            loads.append(CallerLoad(http, profile, self._addresses(), seed=number))
+        results = await asyncio.gather(*(load.run(CALLS_SECONDS) for load in loads))
+        http.close()
+        return results
+
+    async def _train(self):
+        prompts = json.loads((ROOT / "samples" / "prompts.json").read_text("utf-8"))
+        trainer = Trainer(
+            self._addresses(), "trainer", KEYS["trainer"], newest_version=1
+        )
+        step = trainer.run(
+            {
+                "step": STEP,
+                "groups": [{"prompt": prompt} for prompt in prompts],
+                "samples_per_group": SAMPLES_PER_GROUP,
+                "max_tokens": MAX_TOKENS,
+                "deadline_ms": STEP_DEADLINE_MS,
+                "seed": 7,
+            }
+        )
+        total = len(prompts) * SAMPLES_PER_GROUP
+        self._progress(f"step of {len(prompts)} groups x {SAMPLES_PER_GROUP} submitted")
+        milestones = [(ANNOUNCE_AT, self._announce), (KILL_AT, self._kill_owner)]
+        async for sample in step.samples():
+            self._samples.append(sample)
+            while milestones and len(self._samples) >= milestones[0][0] * total:
+                await milestones.pop(0)[1](trainer)
+        trainer.close()
+        self._progress(f"step ended: {len(self._samples)} of {total} samples")
+        return step
+
+    async def _announce(self, trainer):
+        await self._cluster.announce(MODEL, 2)
+        trainer.newest_version = 2
+        self._progress("new weights announced: version 2")
+
+    async def _kill_owner(self, trainer):
+        for instance in self._cluster.instances:
+            _, status = await self._cluster.get(instance.address, "/v1/status")
+            if status.get("steps"):
+                instance.kill()
+                self._killed = instance.name
+                self._progress(f"killed {instance.name}, which owns the step")
+                return
+
+    def _live(self):
+        instances = self._cluster.instances
+        return [one for one in instances if one.entry.returncode is None]
+
+    async def _report(self, step, applications):
+        cluster = self._cluster
+        streams = {}
+        for name in ("engine-1", "engine-2"):
+            streams.update((await cluster.truth(name))["streams"])
+        executions = (await cluster.truth("service-1"))["by_request"]
+        revisions = await until(self._one_revision, what="one table revision")
+        delivered = Counter((one["group"], one["index"]) for one in self._samples)
+        expected = len(step.token)
+        return {
+            "requests": {one.row: dict(one.outcomes) for one in applications},
+            "executed_twice": _doubled_keys(executions),
+            "samples": len(self._samples),
+            "versions": _versions(self._samples),
+            "duplicates": sum(delivered.values()) - len(delivered),
+            "missing": expected - len(delivered),
+            "largest_staleness": max(step.report.staleness, default=0),
+            "resumed": step.report.counts.get("resumed", 0),
+            "regenerated": step.report.counts.get("regenerated", 0),
+            "attachments": step.report.attachments,
+            "trainer_idle_seconds": round(step.report.idle, 2),
+            "step_seconds": round(step.report.duration, 2),
+            "killed": self._killed,
+            "revision_in_force": revisions,
+            "failure": str(step.failure or ""),
+        }
+
+    async def _one_revision(self):
+        found = {}
+        for instance in self._live():
+            _, status = await self._cluster.get(instance.address, "/v1/status")
+            found[instance.name] = status["revision"]
+        return found if len(set(found.values())) == 1 else None
+
+
+def _doubled_keys(executions):
+    """Count keyed requests that ran more than once."""
+    return sum(count > 1 for key, count in executions.items() if key)
+
+
+def _versions(samples):
+    labels = Counter(
+        "+".join(str(span[0]) for span in sample["spans"]) for sample in samples
+    )
+    return dict(sorted(labels.items()))
+
+
+def broken_promises(report):
+    """Return the promises that a report shows to be broken, as sentences."""
+    checks = {
+        "a sample was delivered twice": report["duplicates"],
+        "a sample is missing": report["missing"],
+        "a non-repeatable request ran twice": report["executed_twice"],
+        "no instance was killed": not report["killed"],
+        "streams were regenerated although resumable": report["regenerated"]
+        and not report["resumed"],
+        "the step failed": report["failure"],
+        "a request got no typed outcome": any(
+            "no-reply" in outcomes or "rejected" in outcomes
+            for outcomes in report["requests"].values()
+        ),
+        "instances differ in their table": len(
+            set(report["revision_in_force"].values())
+        )
+        != 1,
+    }
+    return [sentence for sentence, broken in checks.items() if broken]
--- a/sassafrasdoor/load/callers.py
+++ b/sassafrasdoor/load/callers.py
@@ -17,6 +17,9 @@
 DIGITS = 3
 MICROSECONDS = 1_000_000
 NO_REPLY = 599
+CONNECT_TIMEOUT = 1.0
+REPLY_SLACK = 5.0
+PAUSE = 0.05
 OUTCOME_OF_STATUS = {NO_REPLY: "no-reply", 502: "unknown", 503: "not-run"}
 
 
@@ -49,7 +52,15 @@
     caller that was told several addresses would do.
     """
 
-    __slots__ = ("_deadline", "_generator", "_http", "_known", "_row", "_seeds")
+    __slots__ = (
+        "_deadline",
+        "_generator",
+        "_http",
+        "_known",
+        "_prefix",
+        "_row",
+        "_seeds",
+    )
 
     def __init__(self, http, row, seeds, seed):
         self._http = http
@@ -57,6 +68,7 @@
         self._seeds = list(seeds)
         self._generator = random.Random(seed)
         self._known = []
+        self._prefix = ""
         self._deadline = 0.0
 
     async def pick(self):
@@ -65,6 +77,10 @@
             await self._ask()
         return self._generator.choice(self._known or self._seeds)
 
+    def key(self, ending):
+        """Return an idempotency key with the issued prefix known now, if any."""
+        return self._prefix + ending
+
     def drop(self, address):
         """Leave out an address that gave no reply."""
         self._known = [known for known in self._known if known != address]
@@ -80,6 +96,7 @@
             if reply.code == 200:
                 answer = json.loads(reply.body)
                 self._known = [one["address"] for one in answer["addresses"]]
+                self._prefix = answer["key_prefix"]
                 self._deadline = deadline_in(answer["valid_for_ms"] / 1000)
                 return
 
@@ -98,6 +115,7 @@
 
     async def run(self, duration):
         """Send every arrival at its time; return the ``CallerResult``."""
+        await self._addresses.pick()  # So that the first arrivals have a key prefix.
         started = now()
         async with asyncio.TaskGroup() as tasks:
             for at in arrivals(self._profile.rate, duration, self._seed):
@@ -106,24 +124,35 @@
         return self.result
 
     async def _one(self, arrived):
-        address = await self._addresses.pick()
-        reply = await self._http.fetch(self._request(address), raise_error=False)
-        if reply.code == NO_REPLY:
-            self._addresses.drop(address)
+        key = self._addresses.key(uuid.uuid4().hex)
+        reply = await self._asked(key, arrived + self._profile.deadline_ms / 1000)
         outcome = reply.headers.get("X-Outcome") or OUTCOME_OF_STATUS.get(
             reply.code, "rejected"
         )
         late_after = self._profile.late_after_ms / 1000
         self.result.note(outcome, now() - arrived, late_after)
 
-    def _request(self, address):
+    async def _asked(self, key, deadline):
+        """Ask until an instance replies; the key lets any of them find the run."""
+        while True:
+            address = await self._addresses.pick()
+            request = self._request(address, key, deadline)
+            reply = await self._http.fetch(request, raise_error=False)
+            if reply.code != NO_REPLY or passed(deadline):
+                return reply
+            self._addresses.drop(address)
+            await asyncio.sleep(PAUSE)
+
+    def _request(self, address, key, deadline):
         profile = self._profile
         headers = {
             "Authorization": f"Bearer {profile.key}",
-            "X-Deadline-Ms": str(profile.deadline_ms),
+            "X-Deadline-Ms": str(max(1, int(remaining(deadline) * 1000))),
             "X-Repeatable": "yes" if profile.repeatable else "no",
         }
-        body = {"request": uuid.uuid4().hex}
+        if not profile.repeatable:
+            headers["Idempotency-Key"] = key
+        body = {"request": key}
         if profile.shape == "generate":
             body = {"prompt": "How full is the car park?", "stream": False}
             body["max_tokens"] = profile.max_tokens
@@ -135,5 +164,6 @@
             method="POST",
             headers=headers,
             body=json.dumps(body),
-            request_timeout=profile.deadline_ms / 1000 + 5.0,
+            connect_timeout=CONNECT_TIMEOUT,
+            request_timeout=profile.deadline_ms / 1000 + REPLY_SLACK,
         )
--- /dev/null
+++ b/sassafrasdoor/load/run.py
@@ -0,0 +1,34 @@
+"""A whole load: all its callers and trainers side by side."""
+
+import asyncio
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from sassafrasdoor.load import report
+from sassafrasdoor.load.callers import CallerLoad
+from sassafrasdoor.load.trainers import TrainerLoad
+
+MAX_CLIENTS = 2000
+
+
+async def run(profile, addresses):
+    """Run a ``Profile``; return ``(caller results, summary)``."""
+    http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+    callers = [
+        CallerLoad(http, caller, addresses, profile.seed + number)
+        for number, caller in enumerate(profile.callers)
+    ]
+    trainers = [
+        TrainerLoad(trainer, addresses, profile.seed + number)
+        for number, trainer in enumerate(profile.trainers)
+    ]
+    try:
+        async with asyncio.TaskGroup() as tasks:
+            for caller in callers:
+                tasks.create_task(caller.run(profile.duration))
+            steps = [tasks.create_task(trainer.run()) for trainer in trainers]
+    finally:
+        http.close()
+    results = [caller.result for caller in callers]
+    finished = [step.result() for step in steps]
+    return results, report.summary(results, finished, profile.duration)
--- /dev/null
+++ b/sassafrasdoor/load/trainers.py
@@ -0,0 +1,72 @@
+"""Trainers of a load: their steps one after another, through the client library."""
+
+import random
+
+from sassafrasdoor.steps.client import Trainer
+
+STEP_DEADLINE_MS = 600_000
+WORDS = ("sign", "board", "level", "spaces", "exit", "shade", "market", "evening")
+
+
+class TrainerLoad:
+    """Runs one trainer's steps and adds up its reports."""
+
+    __slots__ = ("_profile", "_seed", "trainer")
+
+    def __init__(self, profile, seeds, seed):
+        self._profile = profile
+        self._seed = seed
+        self.trainer = Trainer(seeds, profile.row, profile.key)
+
+    async def run(self):
+        """Run all steps; return their summary, JSON-ready."""
+        reports = []
+        try:
+            for number in range(self._profile.steps):
+                run = self.trainer.run(self._document(number))
+                async for _ in run.samples():
+                    pass
+                reports.append((run.complete, run.report))
+        finally:
+            self.trainer.close()
+        return summary(self._profile.row, reports, self._samples_expected())
+
+    def _samples_expected(self):
+        profile = self._profile
+        return profile.steps * profile.groups * profile.samples_per_group
+
+    def _document(self, number):
+        generator = random.Random(f"{self._seed}/{number}")
+        prompts = [
+            " ".join(generator.choices(WORDS, k=24))
+            for _ in range(self._profile.groups)
+        ]
+        return {
+            "step": f"load-{self._seed}-{number}",
+            "groups": [{"prompt": prompt} for prompt in prompts],
+            "samples_per_group": self._profile.samples_per_group,
+            "max_tokens": self._profile.max_tokens,
+            "deadline_ms": STEP_DEADLINE_MS,
+            "seed": self._seed,
+        }
+
+
+def summary(row, reports, expected):
+    """Return what the steps of one trainer came to."""
+    delivered = sum(report.samples for _, report in reports)
+    return {
+        "row": row,
+        "steps": sum(complete for complete, _ in reports),
+        "samples": delivered,
+        "missing": expected - delivered,
+        "duplicates": sum(report.duplicates for _, report in reports),
+        "idle_seconds": round(sum(report.idle for _, report in reports), 3),
+        "step_seconds": [round(report.duration, 3) for _, report in reports],
+        "largest_staleness": max(
+            (max(report.staleness, default=0) for _, report in reports), default=0
+        ),
+        "mean_staleness": [round(report.mean_staleness, 3) for _, report in reports],
+        "regenerated": sum(
+            report.counts.get("regenerated", 0) for _, report in reports
+        ),
+    }
--- /dev/null
+++ b/sassafrasdoor/tools/demo.py
@@ -0,0 +1,50 @@
+"""``sassafrasdoor-demo``: run the demo cluster and print its report."""
+
+import asyncio
+import json
+
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from sassafrasdoor import demo
+from sassafrasdoor.tools.options import VersionOption
+
+app = typer.Typer(add_completion=True)
+
+
+@app.command()
+def run(
+    as_json: bool = typer.Option(False, "--json", help="Print the report as JSON."),
+    version: bool = VersionOption,
+):
+    """Run the demo. Exit codes: 0 all promises held, 1 one was broken."""
+    console = Console(stderr=as_json)
+    report = asyncio.run(demo.Demo(console.print).run())
+    if as_json:
+        typer.echo(json.dumps(report))
+    else:
+        _print(console, report)
+    broken = demo.broken_promises(report)
+    for sentence in broken:
+        console.print(f"[bold red]BROKEN[/]: {sentence}")
+    if not broken:
+        console.print("[bold green]every promise held[/]")
+    raise typer.Exit(1 if broken else 0)
+
+
+def _print(console, report):
+    table = Table("figure", "value", title="sassafrasdoor demo")
+    for name, value in report.items():
+        shown = value if isinstance(value, str) else json.dumps(value)
+        table.add_row(name.replace("_", " "), shown)
+    console.print(table)
+
+
+def main():
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
