Collect the events of all processes into one time line

Cause: what happened to a request or a step spreads over several processes whose wall clocks differ. Change: timeline/ (sources, merge by hybrid stamp, filters, trace-event export) and tools/timeline.py; a process that could not be read is named and sets the exit code. Conclusion: kinds of events that others add need no change here.

--- /dev/null
+++ b/sassafrasdoor/timeline/export.py
@@ -0,0 +1,78 @@
+"""Time lines as text and in the trace-event format that browsers' viewers open."""
+
+from sassafrasdoor.clock import HybridClock
+
+COUNTER = (1 << HybridClock.COUNTER_BITS) - 1
+SPANNING = ("request", "step")
+
+
+def microseconds(stamp):
+    """Return a stamp on the wall clock, in microseconds; its order is kept."""
+    return (stamp >> HybridClock.COUNTER_BITS) * 1000 + min(stamp & COUNTER, 999)
+
+
+def line(event):
+    """Return one event as a line of text."""
+    fields = " ".join(f"{key}={item}" for key, item in event.fields.items())
+    seconds = microseconds(event.stamp) / 1e6
+    return f"{seconds:.6f} {event.process:<24} {event.kind:<20} {fields}".rstrip()
+
+
+def trace(events):
+    """Return the trace-event document of events in the order of their stamps."""
+    numbers = {}
+    for event in events:
+        numbers.setdefault(event.process, len(numbers) + 1)
+    return {
+        "displayTimeUnit": "ms",
+        "traceEvents": [
+            *_names(numbers),
+            *(_instant(event, numbers) for event in events),
+            *_spans(events, numbers),
+        ],
+    }
+
+
+def _names(numbers):
+    for process, number in numbers.items():
+        yield {
+            "name": "process_name",
+            "ph": "M",
+            "pid": number,
+            "tid": 1,
+            "args": {"name": process},
+        }
+
+
+def _instant(event, numbers):
+    return {
+        "name": event.kind,
+        "cat": event.kind.partition("-")[0],
+        "ph": "i",
+        "s": "t",
+        "ts": microseconds(event.stamp),
+        "pid": numbers[event.process],
+        "tid": 1,
+        "args": {**event.fields, "stamp": str(event.stamp)},
+    }
+
+
+def _spans(events, numbers):
+    """Yield one span for each request and step that more than one event names."""
+    spans = {}
+    for event in events:
+        for field in SPANNING:
+            if field in event.fields:
+                spans.setdefault((field, str(event.fields[field])), []).append(event)
+    for (field, name), named in spans.items():
+        if len(named) > 1:
+            for phase, event in (("b", named[0]), ("e", named[-1])):
+                yield {
+                    "name": f"{field} {name}",
+                    "cat": field,
+                    "ph": phase,
+                    "id": name,
+                    "ts": microseconds(event.stamp),
+                    "pid": numbers[named[0].process],
+                    "tid": 1,
+                }
--- /dev/null
+++ b/sassafrasdoor/timeline/tests/test_timeline.py
@@ -0,0 +1,162 @@
+import asyncio
+import json
+import subprocess
+import sys
+import unittest
+
+from sassafrasdoor import settings
+from sassafrasdoor.control.service import ControlService
+from sassafrasdoor.events import EVENTS, Event, EventRing
+from sassafrasdoor.outcomes import Unavailable
+from sassafrasdoor.peers.server import PeerServer
+from sassafrasdoor.peers.tests.test_link import on_kj_loop
+from sassafrasdoor.support import ROOT, until
+from sassafrasdoor.timeline import export
+from sassafrasdoor.timeline.collector import Collector, Filter
+from sassafrasdoor.timeline.sources import ControlSource, event_from
+
+MS = 1 << 16
+
+
+class FakeSource:
+    """Gives pages of two events; ``down`` makes it fail."""
+
+    def __init__(self, name, *events):
+        self.name = name
+        self.events = list(events)
+        self.down = False
+
+    async def read(self, since):
+        if self.down:
+            return Unavailable("down")
+        return [event for event in self.events if event.stamp > since][:2]
+
+    def close(self):
+        pass
+
+
+def event(stamp, process="a/entry", kind="x", **fields):
+    return Event(stamp, process, kind, fields)
+
+
+class CollectorTests(unittest.IsolatedAsyncioTestCase):
+    async def test_merges_pages_in_order_and_names_who_is_missing(self):
+        one = FakeSource("one", *map(event, (1, 4, 5, 9)))
+        two = FakeSource("two", *map(event, (2, 3, 7)))
+        collector = Collector([one, two])
+        stamps = [e.stamp for e in await collector.collect()]
+        self.assertEqual(stamps, [1, 2, 3, 4, 5, 7, 9])
+        self.assertEqual(await collector.collect(), [])
+        two.down = True
+        one.events.append(event(10))
+        self.assertEqual([e.stamp for e in await collector.collect()], [10])
+        self.assertEqual(collector.unavailable, {"two": "down"})
+        two.down = False
+        two.events.append(event(11))
+        self.assertEqual([e.stamp for e in await collector.collect()], [11])
+        self.assertEqual(collector.unavailable, {})
+
+    async def test_following_waits_for_late_older_events(self):
+        """Symptom: a followed time line shows an effect before its cause.
+
+        Sequence: one process is read; an event happens in another, then its
+        effect in a third, and both are read.
+        Cause: each read was printed at once, whatever was still to come.
+        """
+        ring = EventRing()
+        one, two = FakeSource("one"), FakeSource("two")
+        collector = Collector([one, two])
+        seen = []
+
+        async def follow():
+            async for events in collector.follow():
+                seen.extend(e.stamp for e in events)
+
+        task = asyncio.create_task(follow())
+        cause, effect = ring.clock.stamp(), ring.clock.stamp()
+        two.events.append(event(effect))
+        await until(lambda: collector._seen[two] == effect, what="the effect read")
+        one.events.append(event(cause))
+        await until(lambda: len(seen) == 2, what="both events")
+        self.assertEqual(seen, [cause, effect])
+        task.cancel()
+
+    def test_filters(self):
+        events = [
+            event(1, "a/entry", "request-started", request="r1"),
+            event(2, "a/control", "member", member="b"),
+            event(3, "b/entry", "step-started", step="s1"),
+            event(4, "b/entry", "stream-broken", stream="row/s1/0/3"),
+            event(5, "b/entry", "step-started", step="s11"),
+        ]
+        cases = [
+            ({}, [1, 2, 3, 4, 5]),
+            ({"request": "r1"}, [1]),
+            ({"step": "s1"}, [3, 4]),
+            ({"instance": "a"}, [1, 2]),
+            ({"kind": "st"}, [3, 4, 5]),
+            ({"kind": "step", "step": "s11"}, [5]),
+            ({"request": "nobody"}, []),
+        ]
+        for criteria, expected in cases:
+            with self.subTest(criteria):
+                keeps = Filter(**criteria).keeps
+                self.assertEqual([e.stamp for e in events if keeps(e)], expected)
+
+
+class ExportTests(unittest.TestCase):
+    def test_trace_events(self):
+        events = [
+            event(5 * MS, "a/entry", "request-started", request="r"),
+            event(5 * MS + 1, "b/entry", "request-passed", request="r"),
+            event(7 * MS, "a/entry", "request-ended", request="r"),
+        ]
+        document = json.loads(json.dumps(export.trace(events)))
+        records = document["traceEvents"]
+        phases = [record["ph"] for record in records]
+        self.assertEqual(phases, ["M", "M", "i", "i", "i", "b", "e"])
+        self.assertEqual([r["ts"] for r in records[2:5]], [5000, 5001, 7000])
+        self.assertEqual([r["pid"] for r in records[2:5]], [1, 2, 1])
+        self.assertEqual([r["ts"] for r in records[5:]], [5000, 7000])
+
+    def test_events_survive_the_wire(self):
+        original = event(9, "a/entry", "x", request="r", left=0)
+        copy = event_from(json.loads(json.dumps(original.as_dict())))
+        self.assertEqual(copy.as_dict(), original.as_dict())
+        self.assertIn("request=r", export.line(copy))
+
+
+class ProgramTests(unittest.IsolatedAsyncioTestCase):
+    async def run_program(self, *arguments):
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "sassafrasdoor.tools.timeline", *arguments),
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        output, errors = await process.communicate()
+        return process.returncode, output.decode(), errors.decode()
+
+    @on_kj_loop
+    async def test_control_events_through_the_program(self):
+        options = settings.from_document({})
+        server = PeerServer(options, "127.0.0.1", 0, ControlService(None))
+        await server.start()
+        marker = EVENTS.clock.stamp()
+        EVENTS.add("marked", request=str(marker), number=3)
+        source = ControlSource(options, server.address)
+        events = await source.read(marker)
+        self.assertEqual(events[0].fields, {"request": str(marker), "number": 3})
+        source.close()
+        arguments = ["--control", server.address, "--request", str(marker), "--json"]
+        code, output, errors = await self.run_program(*arguments)
+        self.assertEqual((code, errors), (0, ""))
+        self.assertEqual(json.loads(output)["kind"], "marked")
+        code, _, errors = await self.run_program(*arguments, "--entry", "127.0.0.1:1")
+        self.assertEqual(code, 1)
+        self.assertIn("not read: entry 127.0.0.1:1", errors)
+        code, _, errors = await self.run_program()
+        self.assertEqual(code, 2)
+        self.assertIn("--discover", errors)
+        await server.close()
--- /dev/null
+++ b/sassafrasdoor/tools/timeline.py
@@ -0,0 +1,118 @@
+"""``sassafrasdoor-timeline``: one time line of events over all processes."""
+
+import asyncio
+import json
+
+import capnp
+import typer
+
+from sassafrasdoor import settings as settings_module
+from sassafrasdoor.control.instances import InstanceList
+from sassafrasdoor.timeline import export
+from sassafrasdoor.timeline.collector import Collector, Filter
+from sassafrasdoor.timeline.sources import ControlSource, EntrySource
+from sassafrasdoor.tools.options import USAGE_ERROR, VersionOption, read
+
+INCOMPLETE = 1
+
+app = typer.Typer(add_completion=True)
+
+
+@app.command()
+def run(
+    entry: list[str] = typer.Option([], help="An entry process, host:port."),
+    control: list[str] = typer.Option([], help="A control process, host:port."),
+    settings: str = typer.Option("", help="Settings file: peer keys, platform."),
+    discover: bool = typer.Option(
+        False, help="Read all instances that the platform of the settings lists."
+    ),
+    request: str = typer.Option("", help="Only events of this request."),
+    step: str = typer.Option("", help="Only events of this step."),
+    instance: str = typer.Option("", help="Only events of this instance."),
+    kind: str = typer.Option("", help="Only kinds that begin like this."),
+    follow: bool = typer.Option(False, help="Go on until interrupted."),
+    as_json: bool = typer.Option(False, "--json", help="One JSON object a line."),
+    trace: str = typer.Option("", help="Write a trace-event file for a viewer."),
+    version: bool = VersionOption,
+):
+    """Collect the events of all processes and print them in causal order.
+
+    Exit codes: 0 complete, 1 some process could not be read, 2 usage.
+    """
+    checked = read(settings, False) if settings else settings_module.from_document({})
+    if not (entry or control or discover):
+        typer.echo("name --entry, --control or --discover", err=True)
+        raise typer.Exit(USAGE_ERROR)
+    keep = Filter(request, step, instance, kind).keeps
+    write = _print_json if as_json else _print_line
+    job = _run(checked, entry, control, discover, keep, write, follow, trace)
+    try:
+        unavailable = asyncio.run(job)
+    except KeyboardInterrupt:
+        return
+    for name, reason in unavailable.items():
+        typer.echo(f"not read: {name}: {reason}", err=True)
+    if unavailable:
+        raise typer.Exit(INCOMPLETE)
+
+
+async def _run(settings, entries, controls, discover, keep, write, follow, trace):
+    async with capnp.kj_loop():
+        missing = {}
+        if discover:
+            entries, controls, missing = await _discovered(settings, entries, controls)
+        collector = Collector(
+            [EntrySource(address) for address in entries]
+            + [ControlSource(settings, address) for address in controls]
+        )
+        try:
+            await _show(collector, keep, write, follow, trace)
+        finally:
+            collector.close()
+        return {**missing, **collector.unavailable}
+
+
+async def _discovered(settings, entries, controls):
+    instances = InstanceList(settings)
+    listing = await instances.fetch()
+    instances.close()
+    if not listing:
+        return entries, controls, {"instance list": listing.reason}
+    entries = [*entries, *(m.entry_address for m in listing.members if m.entry_address)]
+    found = (m.control_address for m in listing.members if m.control_address)
+    return entries, [*controls, *found], {}
+
+
+async def _show(collector, keep, write, follow, trace):
+    if follow:
+        async for events in collector.follow():
+            for event in filter(keep, events):
+                write(event)
+    events = list(filter(keep, await collector.collect()))
+    if trace:
+        _write_trace(trace, events)
+        return
+    for event in events:
+        write(event)
+
+
+def _write_trace(path, events):
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump(export.trace(events), file)
+
+
+def _print_line(event):
+    typer.echo(export.line(event))
+
+
+def _print_json(event):
+    typer.echo(json.dumps(event.as_dict()))
+
+
+def main():
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
