Choose backend servers by two random draws and answer discovery

Cause: load reports lag; whoever sends all work to the least loaded server in them herds with everybody else, and a server that fails at once looks idle. Change: two draws of the own zone and one of another on (report + own work since) / capacity, failures counted as load, rest after a failure, leavers known from list, refusal or report; polling bounded for each server; discovery by rendezvous hashing. Ruled out: four draws.

--- /dev/null
+++ b/sassafrasdoor/routing/chooser.py
@@ -0,0 +1,203 @@
+"""Choice of a backend server for one call or stream.
+
+Load reports lag. Whoever sends all work to the least loaded server in them
+sends it to the same one as everybody else until the next report (herding). So
+two servers are drawn at random and the less loaded of them is taken, where the
+load is the report plus what this process started since.
+"""
+
+import random
+from functools import singledispatch
+
+from sassafrasdoor import logs, metrics
+from sassafrasdoor.backends.interface import Broken
+from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.routing.backend_state import BackendState
+from sassafrasdoor.routing.rendezvous import ranked
+
+# Shares of a server's capacity by which another may be busier and still be
+# taken: for a nearer zone, for a prefix that is probably cached there.
+ZONE_SLACK = 0.1
+AFFINITY_SLACK = 0.25
+DRAWS = 2
+RETRY_AFTER = 1.0
+LEAVING = "leaving"
+
+CHOSEN = metrics.counter("sassafrasdoor_routing_chosen_total", "Choices made.")
+NONE_LEFT = metrics.counter(
+    "sassafrasdoor_routing_none_total", "Choices for which no server was left."
+)
+FAILURES = metrics.counter(
+    "sassafrasdoor_routing_failures_total", "Failures seen of backend servers."
+)
+
+
+class Chooser:
+    """Chooses backend servers; one for each entry process."""
+
+    __slots__ = ("_random", "_settings", "_states", "_subsets", "_view")
+
+    def __init__(self, settings, source=None):
+        self._settings = settings
+        self._random = source or random.Random()
+        self._states = {}
+        self._subsets = {}
+        self._view = None
+
+    def choose(self, view, service, model="", affinity="", exclude=()):
+        """Return the ``Backend`` to use, or ``NotRun`` if there is none.
+
+        ``affinity`` names a prompt prefix; servers in ``exclude`` (names) were
+        tried already.
+        """
+        usable = [
+            backend
+            for backend in self.subset(view, service, model)
+            if backend.name not in exclude and not self._state(backend).leaving
+        ]
+        healthy = [one for one in usable if not self._state(one).suspect]
+        # With nothing but suspects left, one of them is tried all the same:
+        # a single failure of a lone server must not refuse everybody.
+        candidates = healthy or usable
+        if not candidates:
+            NONE_LEFT.inc({})
+            return NotRun(f"no backend server of {service} is available", RETRY_AFTER)
+        CHOSEN.inc({})
+        return self._pick(candidates, affinity)
+
+    def subset(self, view, service, model=""):
+        """Return the servers that this instance uses, alive by the view.
+
+        Connections and load polling must not grow as instances times servers.
+        """
+        if view is not self._view:
+            self._adopt(view)
+        key = (service, model)
+        if key not in self._subsets:
+            self._subsets[key] = self._make_subset(view, service, model)
+        return self._subsets[key]
+
+    def in_use(self, view):
+        """Return every server of the subsets, each once: those worth polling."""
+        keys = {
+            (one.service, model) for one in view.backends for model in (*one.models, "")
+        }
+        found = {
+            one.name: one
+            for service, model in sorted(keys)
+            for one in self.subset(view, service, model)
+        }
+        return list(found.values())
+
+    def started(self, backend):
+        """Count a call or stream that begins on ``backend``."""
+        self._state(backend).started()
+
+    def finished(self, backend, outcome):
+        """Count one that ended; ``outcome`` is its last word, or None if cancelled."""
+        state = self._state(backend)
+        state.finished()
+        if outcome is not None:
+            _take_note(outcome, state, backend, self._settings)
+
+    def report(self, backend, load):
+        """Take a load report that lags by its own age."""
+        state = self._state(backend)
+        if load.leaving and not state.leaving:
+            logs.changed("routing:leaving", backend=backend.name, by="report")
+        state.reported(load)
+
+    def unreported(self, backend):
+        """Note that a load report did not come."""
+        self._state(backend).unreported()
+
+    def load_of(self, backend):
+        """Return the estimated load as a share of capacity."""
+        return self._state(backend).score
+
+    def in_flight(self, backend):
+        """Return how many calls and streams of this process run there."""
+        return self._state(backend).in_flight
+
+    def leaving(self, backend):
+        """Say whether the server itself said that it is leaving."""
+        return self._state(backend).leaving
+
+    def _pick(self, candidates, affinity):
+        best = min(self._drawn(candidates), key=self._cost)
+        if not affinity:
+            return best
+        preferred = ranked(candidates, affinity)[0]
+        slack = self._cost(preferred) - self._cost(best)
+        return preferred if slack <= AFFINITY_SLACK else best
+
+    def _drawn(self, candidates):
+        """Return two servers of the own zone and one of the others.
+
+        More draws than that come closer to the least loaded server of the
+        reports, and with it to herding, the more the longer reports lag.
+        """
+        near = [one for one in candidates if self._near(one)]
+        far = [one for one in candidates if not self._near(one)]
+        drawn = self._sample(near, DRAWS)
+        return drawn + self._sample(far, max(1, DRAWS - len(drawn)))
+
+    def _sample(self, candidates, count):
+        return self._random.sample(candidates, min(count, len(candidates)))
+
+    def _near(self, backend):
+        return backend.availability_zone == self._settings.instance.availability_zone
+
+    def _cost(self, backend):
+        slack = 0.0 if self._near(backend) else ZONE_SLACK
+        return self._state(backend).score + slack
+
+    def _state(self, backend):
+        # A server that comes back under its name at another address is a new one.
+        key = (backend.name, backend.address)
+        if key not in self._states:
+            self._states[key] = BackendState(backend.capacity)
+        return self._states[key]
+
+    def _adopt(self, view):
+        self._view = view
+        self._subsets = {}
+        known = {(one.name, one.address) for one in view.backends}
+        for key in [key for key in self._states if key not in known]:
+            if not self._states[key].in_flight:
+                del self._states[key]
+
+    def _make_subset(self, view, service, model):
+        serving = [
+            backend
+            for backend in view.serving(service)
+            if not model or model in backend.models
+        ]
+        size = self._settings.routing.subset_size
+        if len(serving) <= size:
+            return serving
+        return ranked(serving, self._settings.instance.name)[:size]
+
+
+@singledispatch
+def _take_note(outcome, state, backend, settings):
+    """Learn from how a call ended; anything whole is an answer."""
+    state.answered()
+
+
+@_take_note.register
+def _(outcome: NotRun, state, backend, settings):
+    if LEAVING in outcome.reason:
+        logs.changed("routing:leaving", backend=backend.name, by="refusal")
+        state.leaving = True
+        return
+    state.full()
+
+
+@_take_note.register(Broken)
+@_take_note.register(Unknown)
+def _(outcome, state, backend, settings):
+    FAILURES.inc({})
+    if not state.failures:
+        logs.changed("routing:suspect", backend=backend.name, reason=outcome.reason)
+    state.failed(settings.routing.suspect_backend_for)
--- /dev/null
+++ b/sassafrasdoor/routing/discovery.py
@@ -0,0 +1,84 @@
+"""Answers to callers who ask which entry instances to use.
+
+An answer holds for ``discovery_valid`` seconds. It is computed by rendezvous
+hashing over caller and members, so that all instances answer alike and the
+connections do not grow as callers times instances.
+"""
+
+import tornado.web
+
+from sassafrasdoor import metrics
+from sassafrasdoor.routing.rendezvous import ranked
+from sassafrasdoor.view import State
+
+MAX_ARGUMENT = 64
+RETRY_AFTER = 1
+
+ANSWERS = metrics.counter("sassafrasdoor_discovery_answers_total", "Answers given.")
+
+
+def addresses_for(settings, view, caller, zone):
+    """Return the members a caller shall use, best first.
+
+    Suspects and leavers are never among them. Those of the caller's zone come
+    first, but the last place goes to another zone: a caller that knew only one
+    zone would be cut off together with it.
+    """
+    alive = [
+        member
+        for member in view.members
+        if member.state is State.ALIVE and member.entry_address
+    ]
+    order = ranked(alive, caller)
+    near = [member for member in order if member.availability_zone == zone]
+    far = [member for member in order if member.availability_zone != zone]
+    size = settings.routing.discovery_size
+    kept = near[: size - 1] if far and size > 1 else near[:size]
+    return kept + far[: size - len(kept)]
+
+
+class AddressesHandler(tornado.web.RequestHandler):
+    """``GET /v1/addresses?row=R&zone=Z``."""
+
+    def initialize(self, settings, view_getter, requests):
+        self._settings = settings
+        self._view_getter = view_getter
+        self._requests = requests
+
+    def get(self):
+        """Answer with addresses, their validity and a prefix for keys."""
+        row = self.get_query_argument("row", "")[:MAX_ARGUMENT]
+        zone = self.get_query_argument("zone", "")[:MAX_ARGUMENT]
+        caller = f"{row}/{self.request.remote_ip}"
+        members = addresses_for(self._settings, self._view_getter(), caller, zone)
+        if not members:
+            self.set_status(503)
+            self.set_header("Retry-After", str(RETRY_AFTER))
+            self.finish({"outcome": "not-run", "reason": "no instance known yet"})
+            return
+        ANSWERS.inc({})
+        self.finish(
+            {
+                "addresses": [_address(member) for member in members],
+                "valid_for_ms": int(self._settings.routing.discovery_valid * 1000),
+                "key_prefix": self._requests.key_prefix(),
+            }
+        )
+
+
+def handlers(settings, view_getter, requests):
+    """Return the handlers of discovery for the application."""
+    parts = {
+        "settings": settings,
+        "view_getter": view_getter,
+        "requests": requests,
+    }
+    return [("/v1/addresses", AddressesHandler, parts)]
+
+
+def _address(member):
+    return {
+        "instance": member.name,
+        "availability_zone": member.availability_zone,
+        "address": member.entry_address,
+    }
--- /dev/null
+++ b/sassafrasdoor/routing/loads.py
@@ -0,0 +1,62 @@
+"""Polling of the load reports of the backend servers that this instance uses."""
+
+import asyncio
+import random
+
+from sassafrasdoor import metrics
+from sassafrasdoor.clock import deadline_in, remaining
+from sassafrasdoor.outcomes import Unavailable
+
+# Polls of all instances must not come at the same moment at one server.
+JITTER = 0.3
+MAX_POLLS_AT_ONCE = 32
+
+POLLS = metrics.counter("sassafrasdoor_load_polls_total", "Load reports asked for.")
+POLL_FAILURES = metrics.counter(
+    "sassafrasdoor_load_poll_failures_total", "Load reports that did not come."
+)
+
+
+class LoadPoller:
+    """Asks each server of the subset for its load and tells the chooser."""
+
+    __slots__ = ("_chooser", "_engine", "_settings", "_view_getter")
+
+    def __init__(self, settings, view_getter, engine, chooser):
+        self._settings = settings
+        self._view_getter = view_getter
+        self._engine = engine
+        self._chooser = chooser
+
+    async def run(self):
+        """Poll until cancelled."""
+        while True:
+            interval = self._settings.routing.load_interval
+            next_round = deadline_in(interval * random.uniform(1 - JITTER, 1 + JITTER))
+            await self.poll_once()
+            await asyncio.sleep(remaining(next_round))
+
+    async def poll_once(self):
+        """Ask every server in use once."""
+        places = asyncio.Semaphore(MAX_POLLS_AT_ONCE)
+        in_use = self._chooser.in_use(self._view_getter())
+        await asyncio.gather(*[self._poll(one, places) for one in in_use])
+
+    async def _poll(self, backend, places):
+        async with places:
+            POLLS.inc({})
+            load = await self._load(backend)
+        if load:
+            self._chooser.report(backend, load)
+        else:
+            POLL_FAILURES.inc({})
+            self._chooser.unreported(backend)
+
+    async def _load(self, backend):
+        # A frozen server takes the connection and never answers. Without this
+        # bound the round would wait for it and every other report would age.
+        try:
+            async with asyncio.timeout(self._settings.routing.load_interval):
+                return await self._engine.load(backend)
+        except TimeoutError:
+            return Unavailable("no load report in time")
--- /dev/null
+++ b/sassafrasdoor/routing/tests/test_discovery.py
@@ -0,0 +1,95 @@
+"""Discovery: who is named to callers, in which order, for how long."""
+
+import json
+import unittest
+
+import tornado.testing
+import tornado.web
+
+from sassafrasdoor.requests.tests.fakes import settings
+from sassafrasdoor.routing import discovery
+from sassafrasdoor.view import Member, State, View
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+
+
+def members(count, **states):
+    """Return members over three zones; ``states`` by name."""
+    return [
+        Member(
+            f"e{number}",
+            availability_zone=ZONES[number % 3],
+            entry_address=f"127.0.0.1:{8000 + number}",
+            state=states.get(f"e{number}", State.ALIVE),
+        )
+        for number in range(count)
+    ]
+
+
+class AddressesForTest(unittest.TestCase):
+    def names(self, seen, caller="caller", zone="zone-a", size=4):
+        """Return the names answered."""
+        made = settings(routing={"discovery_size": size})
+        found = discovery.addresses_for(made, seen, caller, zone)
+        return [member.name for member in found]
+
+    def test_own_zone_first_and_one_of_another(self):
+        seen = View(members=members(12))
+        names = self.names(seen)
+        zones = [ZONES[int(name[1:]) % 3] for name in names]
+        self.assertEqual(zones[:3], ["zone-a"] * 3)
+        self.assertNotEqual(zones[3], "zone-a")
+
+    def test_same_answer_everywhere_and_callers_spread(self):
+        seen = View(members=members(60))
+        mixed = View(members=list(reversed(seen.members)))
+        self.assertEqual(self.names(seen), self.names(mixed))
+        used = {
+            name for number in range(200) for name in self.names(seen, f"c{number}")
+        }
+        self.assertGreater(len(used), 50)
+
+    def test_who_is_never_named(self):
+        for state in (State.SUSPECT, State.LEAVING, State.DEAD):
+            with self.subTest(state=state):
+                seen = View(members=members(3, e0=state))
+                self.assertNotIn("e0", self.names(seen))
+        silent = Member("e9", availability_zone="zone-a")
+        self.assertNotIn("e9", self.names(View(members=[*members(3), silent])))
+
+    def test_no_zone_left_empty_handed(self):
+        seen = View(members=members(2))
+        self.assertEqual(len(self.names(seen, zone="zone-c")), 2)
+
+
+class _Requests:
+    def key_prefix(self):
+        return "sd~e0~0123456789abcdef~0~"
+
+
+class AddressesHandlerTest(tornado.testing.AsyncHTTPTestCase):
+    def get_app(self):
+        self.seen = View(members=members(3))
+        parts = (settings(), lambda: self.seen, _Requests())
+        return tornado.web.Application(discovery.handlers(*parts))
+
+    def test_answer(self):
+        answer = json.loads(self.fetch("/v1/addresses?row=r&zone=zone-b").body)
+        first = {
+            "instance": "e1",
+            "availability_zone": "zone-b",
+            "address": "127.0.0.1:8001",
+        }
+        self.assertEqual(answer["addresses"][0], first)
+        self.assertEqual(answer["valid_for_ms"], 5000)
+        self.assertEqual(answer["key_prefix"], _Requests().key_prefix())
+
+    def test_nobody_known(self):
+        self.seen = View()
+        response = self.fetch("/v1/addresses")
+        self.assertEqual(response.code, 503)
+        self.assertEqual(response.headers["Retry-After"], "1")
+
+
+if __name__ == "__main__":
+    unittest.main()
