--- /dev/null
+++ b/sassafrasdoor/requests/claims.py
@@ -0,0 +1,233 @@
+"""Claims in the log on keys that callers chose: the first offset wins.
+
+A process appends its claim, reads the stream up to it and then knows whether an
+earlier one stands before it. All readers see the same order, so all agree on the
+one process that may run the key. Claims of one moment share an append, because
+all instances share the log's few hundred appends a second.
+
+The log has to keep records for at least ``key_lifetime``: a claim that vanished
+sooner would let its key run a second time.
+"""
+
+import asyncio
+import uuid
+from collections import OrderedDict
+from hashlib import blake2b
+
+from sassafrasdoor import logs, metrics
+from sassafrasdoor.clock import deadline_in, passed, remaining
+from sassafrasdoor.outcomes import Expired, NotRun, ReplyLost
+
+STREAM = "claims-{}"
+KIND = "claims"
+PAGE = 500
+MAX_BATCH = 200
+READ_WAIT = 0.5
+READ_RETRY = 0.05
+# A record whose append lost its reply shows within this time, or we give up.
+FIND_TIMEOUT = 3.0
+NAME_BYTES = 16
+RETRY_AFTER = 2.0
+
+APPENDS = metrics.counter("sassafrasdoor_claim_appends_total", "Appends of claims.")
+CLAIMED = metrics.counter("sassafrasdoor_claims_total", "Keys claimed.")
+LOST = metrics.counter("sassafrasdoor_claim_replies_lost_total", "Replies lost.")
+
+
+class Owner:
+    """The one life of one instance that may run a key."""
+
+    __slots__ = ("incarnation", "instance")
+
+    def __init__(self, instance, incarnation):
+        self.instance = instance
+        self.incarnation = incarnation
+
+
+class Claims:
+    """Claims on keys for one entry process, over several streams of the log."""
+
+    __slots__ = ("_owner", "_streams")
+
+    def __init__(self, settings, log, incarnation):
+        self._owner = Owner(settings.instance.name, incarnation)
+        self._streams = [
+            ClaimStream(settings, log, STREAM.format(number), self._owner)
+            for number in range(settings.requests.claim_streams)
+        ]
+
+    async def claim(self, row_name, key, deadline):
+        """Return the ``Owner`` of a key, or ``NotRun`` if that cannot be told."""
+        name = claim_name(row_name, key)
+        return await self._stream(name).claim(name, deadline)
+
+    def owns(self, owner):
+        """Say whether we are that owner."""
+        return owner.incarnation == self._owner.incarnation
+
+    def owned(self, row_name, key):
+        """Say whether a claim of ours on the key is known to have won."""
+        name = claim_name(row_name, key)
+        owner = self._stream(name).owner(name)
+        return owner is not None and self.owns(owner)
+
+    def _stream(self, name):
+        return self._streams[int(name[:4], 16) % len(self._streams)]
+
+
+class ClaimStream:
+    """One stream of claims: what was read of it, and appends in groups."""
+
+    __slots__ = (
+        "_committer",
+        "_lifetime",
+        "_log",
+        "_me",
+        "_owners",
+        "_pending",
+        "_position",
+        "_seen_ids",
+        "_stream",
+    )
+
+    def __init__(self, settings, log, stream, me):
+        self._lifetime = settings.requests.key_lifetime
+        self._log = log
+        self._stream = stream
+        self._me = me
+        self._position = 0
+        self._owners = OrderedDict()
+        self._pending = {}
+        self._committer = None
+        self._seen_ids = set()
+
+    def owner(self, name):
+        """Return the owner known of a key, or None."""
+        self._forget_expired()
+        found = self._owners.get(name)
+        return found[0] if found else None
+
+    async def claim(self, name, deadline):
+        """Return the key's owner, claiming it if nobody has."""
+        known = self.owner(name)
+        if known is not None:
+            return known
+        future = self._pending.get(name)
+        if future is None:
+            future = asyncio.get_running_loop().create_future()
+            self._pending[name] = future
+        if self._committer is None:
+            self._committer = asyncio.ensure_future(self._commit_all())
+        try:
+            async with asyncio.timeout(remaining(deadline)):
+                return await asyncio.shield(future)
+        except TimeoutError:
+            return NotRun("the claim was not confirmed in time", RETRY_AFTER)
+
+    async def _commit_all(self):
+        try:
+            while self._pending:
+                names = list(self._pending)[:MAX_BATCH]
+                batch = {name: self._pending[name] for name in names}
+                refusal = await self._commit(names)
+                for name, future in batch.items():
+                    del self._pending[name]
+                    future.set_result(refusal or self._won(name))
+        finally:
+            self._committer = None
+            for future in self._pending.values():
+                future.set_result(NotRun("claiming failed", RETRY_AFTER))
+            self._pending.clear()
+
+    def _won(self, name):
+        owner = self.owner(name)
+        return owner or NotRun("the claim was not found", RETRY_AFTER)
+
+    async def _commit(self, names):
+        """Append a claim on all names and read up to it; return None or NotRun."""
+        identity = uuid.uuid4().hex
+        body = {
+            "kind": KIND,
+            "id": identity,
+            "instance": self._me.instance,
+            "incarnation": self._me.incarnation,
+            "names": names,
+        }
+        APPENDS.inc({})
+        CLAIMED.add({}, len(names))
+        outcome = await self._log.append(self._stream, body)
+        if isinstance(outcome, ReplyLost):
+            LOST.inc({})
+            logs.changed("claims:reply-lost", stream=self._stream)
+        elif not isinstance(outcome, int):
+            return NotRun(f"the log takes no claims: {outcome.reason}", RETRY_AFTER)
+        return await self._find(identity)
+
+    async def _find(self, identity):
+        """Read until our record shows; return None, or ``NotRun`` if it does not.
+
+        Whether it was appended or its reply lost makes no difference: it counts
+        where the log has it. If it shows up later it is a claim of ours on keys
+        that did not run; the caller's next try here or by forwarding runs them.
+        """
+        limit = deadline_in(FIND_TIMEOUT)
+        while identity not in self._seen_ids:
+            if passed(limit):
+                return NotRun("the claim did not show in the log", RETRY_AFTER)
+            if not await self._read_page(min(READ_WAIT, remaining(limit))):
+                await asyncio.sleep(READ_RETRY)
+        self._seen_ids.clear()
+        return None
+
+    async def _read_page(self, wait):
+        """Read on; return False if the log could not be read."""
+        batch = await self._log.read(self._stream, self._position, PAGE, wait)
+        if isinstance(batch, Expired):
+            self._position = batch.first
+            return True
+        if not batch:
+            return False
+        for record in batch.records:
+            self._fold(record.body)
+        self._position = max(self._position, batch.next_offset)
+        return True
+
+    def _fold(self, body):
+        if not _well_formed(body):
+            return
+        if body["incarnation"] == self._me.incarnation:
+            self._seen_ids.add(body["id"])
+        owner = Owner(body["instance"], body["incarnation"])
+        # Counted from our reading, which is later than the append: to keep a
+        # claim too long is safe, to forget it early would run its key twice.
+        expires = deadline_in(self._lifetime)
+        self._forget_expired()
+        for name in body["names"]:
+            self._owners.setdefault(name, (owner, expires))
+
+    def _forget_expired(self):
+        while self._owners:
+            name, (_, expires) = next(iter(self._owners.items()))
+            if not passed(expires):
+                return
+            del self._owners[name]
+
+
+def claim_name(row_name, key):
+    """Return the name under which a key of a row is claimed."""
+    text = f"{len(row_name)}:{row_name}{key}"
+    return blake2b(text.encode(), digest_size=NAME_BYTES).hexdigest()
+
+
+def _well_formed(body):
+    """Say whether a record is a claim; the stream may hold anything."""
+    return (
+        isinstance(body, dict)
+        and body.get("kind") == KIND
+        and all(isinstance(body.get(name), str) for name in FIELDS)
+        and isinstance(body.get("names"), list)
+        and all(isinstance(name, str) for name in body["names"])
+    )
+
+
+FIELDS = ("id", "instance", "incarnation")
--- /dev/null
+++ b/sassafrasdoor/requests/executions.py
@@ -0,0 +1,129 @@
+"""Outcomes of keyed requests, kept so that a repeated key never runs twice."""
+
+import asyncio
+from collections import OrderedDict
+
+from sassafrasdoor import metrics
+from sassafrasdoor.backends.interface import Answer
+from sassafrasdoor.clock import deadline_in, passed, remaining
+from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.requests.messages import Conflict
+
+MAX_KEYS = 200_000
+MAX_ANSWER_BYTES = 64_000_000
+RETRY_AFTER = 1.0
+# A run ends at its own deadline; whoever waits for it waits a moment longer, to
+# hear how it ended and not that it still runs.
+SETTLE_TIME = 0.2
+
+REPEATED = metrics.counter(
+    "sassafrasdoor_repeated_keys_total", "Requests whose key was here before."
+)
+DROPPED = metrics.counter(
+    "sassafrasdoor_dropped_answers_total", "Kept answers dropped for want of room."
+)
+
+
+class Execution:
+    """One keyed request: what it asks, its run, and until when it is kept."""
+
+    __slots__ = ("expires", "fingerprint", "outcome", "task")
+
+    def __init__(self, fingerprint, expires, task):
+        self.fingerprint = fingerprint
+        self.expires = expires
+        self.task = task
+        self.outcome = None
+
+
+class Executions:
+    """The keyed requests of this process, oldest first; bounded by their expiry."""
+
+    __slots__ = ("_bytes", "_kept", "_lifetime")
+
+    def __init__(self, settings):
+        self._lifetime = settings.requests.key_lifetime
+        self._kept = OrderedDict()
+        self._bytes = 0
+
+    def __len__(self):
+        return len(self._kept)
+
+    def __contains__(self, scope):
+        self._forget_expired()
+        return scope in self._kept
+
+    async def once(self, scope, request, run):
+        """Return the outcome of the one run under ``scope`` (row name, key).
+
+        ``run()`` is awaited in a task of its own: a caller who leaves does not
+        end it, since it may ask again with the same key.
+        """
+        self._forget_expired()
+        fingerprint = request.fingerprint()
+        execution = self._kept.get(scope)
+        if execution is None:
+            if passed(request.deadline):
+                return NotRun("deadline passed", RETRY_AFTER)
+            if len(self._kept) >= MAX_KEYS:
+                return NotRun("too many keys in use", RETRY_AFTER)
+            execution = self._begin(scope, fingerprint, run)
+        else:
+            REPEATED.inc({})
+        if execution.fingerprint != fingerprint:
+            return Conflict("the key was used before for another request")
+        return await self._outcome(execution, request)
+
+    def _begin(self, scope, fingerprint, run):
+        task = asyncio.ensure_future(self._run(scope, run))
+        execution = Execution(fingerprint, deadline_in(self._lifetime), task)
+        self._kept[scope] = execution
+        return execution
+
+    async def _run(self, scope, run):
+        outcome = Unknown("the run ended without an outcome")
+        try:
+            outcome = await run()
+        finally:
+            self._settle(scope, outcome)
+        return outcome
+
+    def _settle(self, scope, outcome):
+        execution = self._kept[scope]
+        execution.outcome = outcome
+        if isinstance(outcome, NotRun):
+            # It truly did not run, so the same key may try again here.
+            del self._kept[scope]
+        elif isinstance(outcome, Answer):
+            self._bytes += len(outcome.body)
+            self._make_room()
+
+    async def _outcome(self, execution, request):
+        if execution.outcome is not None:
+            return execution.outcome
+        try:
+            async with asyncio.timeout(remaining(request.deadline) + SETTLE_TIME):
+                return await asyncio.shield(execution.task)
+        except TimeoutError:
+            return Unknown("it still runs")
+
+    def _forget_expired(self):
+        while self._kept:
+            scope, oldest = next(iter(self._kept.items()))
+            if not passed(oldest.expires) or oldest.outcome is None:
+                return
+            del self._kept[scope]
+            self._drop_answer(oldest)
+
+    def _make_room(self):
+        for execution in self._kept.values():
+            if self._bytes <= MAX_ANSWER_BYTES:
+                return
+            if isinstance(execution.outcome, Answer):
+                DROPPED.inc({})
+                self._drop_answer(execution)
+
+    def _drop_answer(self, execution):
+        if isinstance(execution.outcome, Answer):
+            self._bytes -= len(execution.outcome.body)
+            execution.outcome = Unknown("it ran; its answer is no longer kept")
--- /dev/null
+++ b/sassafrasdoor/requests/handlers.py
@@ -0,0 +1,242 @@
+"""Callers' HTTP of requests: ``/v1/call`` and ``/v1/generate``."""
+
+import asyncio
+import contextlib
+import json
+from functools import singledispatchmethod
+from math import ceil
+
+import tornado.web
+from tornado.iostream import StreamClosedError
+
+from sassafrasdoor import metrics
+from sassafrasdoor.backends.interface import Answer, Chunk, Finished
+from sassafrasdoor.outcomes import Finding, NotRun, Rejected, Unknown
+from sassafrasdoor.requests import messages, reading
+from sassafrasdoor.requests.messages import Conflict
+from sassafrasdoor.requests.service import (
+    RequestsService,
+    chunk_document,
+    finished_document,
+)
+from sassafrasdoor.requests.streams import Generate
+
+__all__ = ["RequestsService", "handlers"]
+
+# So much of a body that is too large is read and thrown away, so that its
+# sender gets to read the refusal.
+DISCARDED_BODIES = 16
+
+OUTCOMES = metrics.counter("sassafrasdoor_outcomes_total", "Outcomes by their name.")
+LEFT = metrics.counter(
+    "sassafrasdoor_callers_left_total", "Callers gone before their answer."
+)
+
+
+def handlers(requests):
+    """Return the handlers of requests for the application."""
+    parts = {"requests": requests}
+    return [
+        (r"/v1/call/([A-Za-z0-9_.-]+)(/.*)?", CallHandler, parts),
+        (r"/v1/generate/([A-Za-z0-9_.-]+)", GenerateHandler, parts),
+    ]
+
+
+@tornado.web.stream_request_body
+class RowHandler(tornado.web.RequestHandler):
+    """A call of one row: authorised and bounded before its body is read."""
+
+    def initialize(self, requests):
+        self._requests = requests
+        self._row = None
+        self._body = bytearray()
+        self._work = None
+
+    def prepare(self):
+        """Check the key and the length."""
+        limit = self._requests.settings.requests.body_limit
+        self.request.connection.set_max_body_size(limit * DISCARDED_BODIES)
+        self._row = self.application.settings["authorize"](self, self.path_args[0])
+        if self._row is None:
+            return
+        length = self.request.headers.get("Content-Length", "0")
+        if length.isdecimal() and int(length) > limit:
+            self._refuse_body()
+
+    def data_received(self, chunk):
+        """Collect the body up to the limit."""
+        if len(self._body) <= self._requests.settings.requests.body_limit:
+            self._body += chunk
+
+    def on_connection_close(self):
+        """End the work of a caller who left: it would take capacity for nobody."""
+        LEFT.inc({})
+        if self._work is not None:
+            self._work.cancel()
+
+    def write_error(self, status_code, **kwargs):
+        """Answer a failure without a traceback."""
+        name = messages.UNKNOWN if status_code >= 500 else messages.REJECTED
+        self._refuse(status_code, name, self._reason)
+
+    async def serve(self, *_):
+        """Run the request; ``_work`` ends with the connection."""
+        if len(self._body) > self._requests.settings.requests.body_limit:
+            self._refuse_body()
+            return
+        self._work = asyncio.ensure_future(self._run())
+        with contextlib.suppress(asyncio.CancelledError, StreamClosedError):
+            with self._requests.progress():
+                await self._work
+
+    async def _run(self):
+        raise NotImplementedError
+
+    @singledispatchmethod
+    async def reply(self, outcome):
+        """Send an outcome that is whole."""
+        raise TypeError(f"no outcome: {outcome!r}")
+
+    @reply.register
+    async def _(self, outcome: Answer):
+        self._say(outcome.status, messages.ANSWERED)
+        self.clear_header("Content-Type")
+        for name, value in reading.returned_headers(outcome.headers).items():
+            self.set_header(name, value)
+        if outcome.status not in (204, 304):
+            self.write(outcome.body)
+        await self.finish()
+
+    @reply.register
+    async def _(self, outcome: NotRun):
+        self.set_header("Retry-After", str(ceil(outcome.retry_after)))
+        self._refuse(503, messages.NOT_RUN, outcome.reason)
+
+    @reply.register
+    async def _(self, outcome: Unknown):
+        self._refuse(502, messages.UNKNOWN, outcome.reason)
+
+    @reply.register
+    async def _(self, outcome: Rejected):
+        self._refuse(400, messages.REJECTED, outcome.reason, outcome.findings)
+
+    @reply.register
+    async def _(self, outcome: Conflict):
+        self._refuse(409, messages.REJECTED, outcome.reason, outcome.findings)
+
+    def _refuse_body(self):
+        limit = self._requests.settings.requests.body_limit
+        self._refuse(413, messages.REJECTED, f"the body is longer than {limit} bytes")
+
+    def _refuse(self, status, name, reason, findings=()):
+        self._say(status, name)
+        listed = [finding.as_dict() for finding in findings]
+        self.finish({"outcome": name, "reason": reason, "findings": listed})
+
+    def _say(self, status, name):
+        OUTCOMES.inc({"outcome": name})
+        self.set_status(status)
+        self.set_header("X-Outcome", name)
+        self.set_header("X-Table-Revision", str(self._requests.view.revision))
+
+
+class CallHandler(RowHandler):
+    """``ANY /v1/call/{row}/{path}``: passed through to a plain service."""
+
+    async def _run(self):
+        http = self.request
+        path = http.path.split("/", 4)[4:]
+        target = "/" + (path[0] if path else "")
+        if http.query:
+            target += f"?{http.query}"
+        request = reading.request_from(
+            self._requests.settings, self._row, http, bytes(self._body), path=target
+        )
+        if not request:
+            await self.reply(request)
+            return
+        await self.reply(await self._requests.run(self._row, request))
+
+    get = post = put = delete = patch = head = options = RowHandler.serve
+
+
+class GenerateHandler(RowHandler):
+    """``POST /v1/generate/{row}``: whole, or streamed as NDJSON."""
+
+    post = RowHandler.serve
+
+    async def _run(self):
+        body = reading.generate_body(bytes(self._body))
+        if not body:
+            await self.reply(body)
+            return
+        request = reading.request_from(
+            self._requests.settings,
+            self._row,
+            self.request,
+            body.model_dump_json().encode(),
+            path="",
+            kind=messages.GENERATE,
+        )
+        if request and not self._row.model:
+            finding = Finding("row.model", "missing")
+            request = Rejected("the row names no model", [finding])
+        if not request:
+            await self.reply(request)
+        elif body.stream and not request.once:
+            await self._stream(request, body)
+        else:
+            # A keyed answer is kept, so that asking again gives the same one;
+            # it is sent once it is whole.
+            await self.reply(await self._requests.run(self._row, request))
+
+    async def _stream(self, request, body):
+        refusal = self._requests.refusal(request)
+        if refusal is not None:
+            await self.reply(refusal)
+            return
+        generate = Generate(
+            request.request_id,
+            body.prompt,
+            body.max_tokens,
+            repeatable=request.repeatable,
+            restartable=False,
+        )
+        items = self._requests.generate(self._row, generate, request.deadline)
+        async with contextlib.aclosing(items):
+            await self._send(items)
+
+    async def _send(self, items):
+        started = False
+        async for item in items:
+            if isinstance(item, Chunk):
+                started = started or self._start()
+                self._line(chunk_document(item))
+                await self.flush()
+            elif isinstance(item, Finished):
+                started = started or self._start()
+                self._line(finished_document(item))
+                OUTCOMES.inc({"outcome": messages.ANSWERED})
+                await self.finish()
+            elif isinstance(item, NotRun | Unknown):
+                await (self._cut(item) if started else self.reply(item))
+
+    def _start(self):
+        self.set_header("Content-Type", "application/x-ndjson")
+        self.set_header("X-Table-Revision", str(self._requests.view.revision))
+        return True
+
+    def _line(self, document):
+        self.write(json.dumps(document) + "\n")
+
+    async def _cut(self, outcome):
+        """End a streamed answer that is not whole.
+
+        Ended as usual it would look whole to a caller who does not look for the
+        last line. So a line says what happened, and the connection is closed
+        without the end of the chunked body: every client reports that.
+        """
+        OUTCOMES.inc({"outcome": messages.UNKNOWN})
+        self._line({"outcome": messages.UNKNOWN, "reason": outcome.reason})
+        await self.flush()
+        self.detach().close()
--- /dev/null
+++ b/sassafrasdoor/requests/reading.py
@@ -0,0 +1,109 @@
+"""Reading of a caller's request: headers, deadline, body; findings in one go."""
+
+import uuid
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.outcomes import Finding, Rejected, findings_of
+from sassafrasdoor.requests.messages import Request, identity
+
+MAX_KEY_LENGTH = 256
+MAX_DEADLINE_DIGITS = 12
+MAX_TOKENS = 1_000_000
+REPEATABLE = {"": True, "yes": True, "no": False}
+
+# Headers that speak of one connection, or to us, are not for backend servers.
+NOT_FORWARDED = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-deadline-ms",
+        "x-repeatable",
+        "x-request-id",
+    }
+)
+# Of an answer, the length and the encodings are set anew by our own server.
+NOT_RETURNED = NOT_FORWARDED | {"content-encoding", "date", "server"}
+
+
+class GenerateBody(BaseModel):
+    """The body of ``POST /v1/generate/{row}``."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+    prompt: str = Field(min_length=1)
+    max_tokens: int = Field(gt=0, le=MAX_TOKENS)
+    stream: bool = False
+
+
+def generate_body(body):
+    """Return the ``GenerateBody`` in JSON bytes, or ``Rejected``."""
+    try:
+        return GenerateBody.model_validate_json(body)
+    except ValidationError as error:
+        return Rejected("the body is invalid", findings_of(error))
+
+
+def request_from(settings, row, http, body, **fields):
+    """Return the ``Request`` in a Tornado request of ``row``, or ``Rejected``."""
+    findings = []
+    deadline = _deadline(settings, http.headers.get("X-Deadline-Ms", ""), findings)
+    key = http.headers.get("Idempotency-Key", "")
+    if len(key) > MAX_KEY_LENGTH or not key.isascii():
+        findings.append(Finding("Idempotency-Key", "too long, or not ASCII"))
+    word = http.headers.get("X-Repeatable", "").lower()
+    if word not in REPEATABLE:
+        findings.append(Finding("X-Repeatable", "neither yes nor no"))
+    if findings:
+        return Rejected("the headers are invalid", findings)
+    return Request(
+        http.method,
+        headers=_forwarded(http.headers),
+        body=body,
+        key=key,
+        # What the operators call not repeatable no caller can make repeatable.
+        repeatable=row.repeatable and REPEATABLE[word],
+        request_id=identity(row.name, key) if key else f"r-{uuid.uuid4().hex}",
+        deadline=deadline,
+        **fields,
+    )
+
+
+def returned_headers(headers):
+    """Return the headers of a backend server's answer that callers get."""
+    return {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in NOT_RETURNED
+    }
+
+
+def _deadline(settings, text, findings):
+    """Return the deadline; one beyond the life of keys would outlive their record."""
+    requests = settings.requests
+    if not text:
+        return deadline_in(requests.default_deadline)
+    if not text.isdecimal() or len(text) > MAX_DEADLINE_DIGITS:
+        findings.append(Finding("X-Deadline-Ms", "not a number of milliseconds"))
+        return None
+    return deadline_in(min(int(text) / 1000, requests.key_lifetime / 2))
+
+
+def _forwarded(headers):
+    named = {one.strip().lower() for one in headers.get("Connection", "").split(",")}
+    dropped = NOT_FORWARDED | named
+    return {
+        name: value for name, value in headers.items() if name.lower() not in dropped
+    }
--- /dev/null
+++ b/sassafrasdoor/requests/service.py
@@ -0,0 +1,223 @@
+"""Everything that requests need in an entry process, put together."""
+
+import contextlib
+import json
+
+from sassafrasdoor.admission.retries import RetryBudget
+from sassafrasdoor.backends.interface import Answer, Chunk, Finished
+from sassafrasdoor.clock import passed
+from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.requests import messages, peer
+from sassafrasdoor.requests.calls import Calls
+from sassafrasdoor.requests.claims import Claims
+from sassafrasdoor.requests.executions import Executions
+from sassafrasdoor.requests.issued import Issuer, parse
+from sassafrasdoor.requests.streams import Generate, Restart, Streams
+
+REFUSING_RETRY_AFTER = 0.5
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class RequestsService:
+    """Runs applications' requests and keeps the keys of those that run once."""
+
+    __slots__ = (
+        "_calls",
+        "_claims",
+        "_executions",
+        "_in_progress",
+        "_issuer",
+        "_refusing",
+        "_streams",
+        "_view_getter",
+        "settings",
+    )
+
+    def __init__(
+        self, settings, view_getter, admission, chooser, engine, service, log=None
+    ):
+        budget = RetryBudget(settings)
+        work = (settings, view_getter, admission, chooser)
+        self.settings = settings
+        self._view_getter = view_getter
+        self._calls = Calls(*work, service, budget)
+        self._streams = Streams(*work, engine, budget)
+        self._issuer = Issuer(settings)
+        self._claims = Claims(settings, log, self._issuer.incarnation) if log else None
+        self._executions = Executions(settings)
+        self._refusing = False
+        self._in_progress = 0
+
+    @property
+    def view(self):
+        """The newest view."""
+        return self._view_getter()
+
+    def key_prefix(self):
+        """Return the prefix for keys that this process alone will run.
+
+        Empty once it leaves: its keys would soon be answered by nobody.
+        """
+        return "" if self._refusing else self._issuer.prefix()
+
+    def refuse_new(self):
+        """Take no new request from now on; those in progress go on."""
+        self._refusing = True
+
+    def in_progress(self):
+        """Return how many requests are not finished yet."""
+        return self._in_progress
+
+    def status(self):
+        """Return the state of requests, JSON-ready."""
+        return {
+            "in_progress": self._in_progress,
+            "refusing": self._refusing,
+            "keys": len(self._executions),
+        }
+
+    @contextlib.contextmanager
+    def progress(self):
+        """Count one request in progress, up to its last byte to the caller."""
+        self._in_progress += 1
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+
+    def refusal(self, request):
+        """Return ``NotRun`` if the request cannot be taken, else None."""
+        if self._refusing:
+            return NotRun("this instance is leaving", REFUSING_RETRY_AFTER)
+        if passed(request.deadline):
+            return NotRun("deadline passed", REFUSING_RETRY_AFTER)
+        return None
+
+    async def run(self, row, request):
+        """Return the outcome of a request whose answer is whole or nothing."""
+        refusal = self.refusal(request)
+        if refusal is not None:
+            return refusal
+        if not request.once:
+            return await self._run_here(row, request)
+        issued = parse(request.key)
+        if issued is None:
+            return await self._run_claimed(row, request)
+        if self._issuer.owns(issued):
+            return await self._run_issued(row, request, issued)
+        return await self._forward(issued, row, request)
+
+    async def run_for_peer(self, incarnation, row_name, request):
+        """Run a keyed request that another instance forwarded."""
+        row = self.view.row(row_name)
+        if incarnation != self._issuer.incarnation or row is None:
+            return Unknown("the key's owner is gone")
+        issued = parse(request.key)
+        with self.progress():
+            if issued is not None:
+                return await self._run_issued(row, request, issued)
+            if self._claims and self._claims.owned(row_name, request.key):
+                return await self._once(row, request)
+            return Unknown("the key was not claimed here")
+
+    async def generate(self, row, generate, deadline):
+        """Yield the items of ``Streams.run`` for a streamed answer."""
+        async with contextlib.aclosing(
+            self._streams.run(row, generate, deadline)
+        ) as items:
+            async for item in items:
+                yield item
+
+    async def _run_issued(self, row, request, issued):
+        if self._issuer.lapsed(issued):
+            return Unknown("the key has lapsed; whether it ran is not kept")
+        return await self._once(row, request)
+
+    async def _run_claimed(self, row, request):
+        if (row.name, request.key) in self._executions:
+            return await self._once(row, request)
+        if self._claims is None:
+            return NotRun("caller-chosen keys are not taken here", REFUSING_RETRY_AFTER)
+        owner = await self._claims.claim(row.name, request.key, request.deadline)
+        if isinstance(owner, NotRun):
+            return owner
+        if self._claims.owns(owner):
+            return await self._once(row, request)
+        return await self._forward(owner, row, request)
+
+    async def _once(self, row, request):
+        return await self._executions.once(
+            (row.name, request.key), request, lambda: self._counted(row, request)
+        )
+
+    async def _counted(self, row, request):
+        # Its caller may have left: a planned stop must wait for it all the same.
+        with self.progress():
+            return await self._run_here(row, request)
+
+    async def _forward(self, owner, row, request):
+        """Have the key's owner (an ``IssuedKey`` or ``Owner``) run the request."""
+        members = self.view.members
+        member = next((one for one in members if one.name == owner.instance), None)
+        if member is None or not member.peer_address:
+            return Unknown("the key's owner is gone")
+        return await peer.forward(
+            self.settings, member.peer_address, owner.incarnation, row, request
+        )
+
+    async def _run_here(self, row, request):
+        return await self._RUNNERS[request.kind](self, row, request)
+
+    async def _run_call(self, row, request):
+        return await self._calls.run(row, request)
+
+    async def _run_generate(self, row, request):
+        document = json.loads(request.body)
+        generate = Generate(
+            request.request_id,
+            document["prompt"],
+            document["max_tokens"],
+            repeatable=request.repeatable,
+            restartable=True,
+        )
+        chunks, last = [], None
+        async with contextlib.aclosing(
+            self.generate(row, generate, request.deadline)
+        ) as items:
+            async for last in items:
+                if isinstance(last, Chunk):
+                    chunks.append(last)
+                elif isinstance(last, Restart):
+                    chunks.clear()
+        if not isinstance(last, Finished):
+            return last
+        return _whole_answer(chunks, last, document["stream"])
+
+    _RUNNERS = {messages.CALL: _run_call, messages.GENERATE: _run_generate}
+
+
+def chunk_document(chunk):
+    """Return a chunk as callers get it."""
+    return {
+        "offset": chunk.offset,
+        "text": chunk.text,
+        "tokens": chunk.tokens,
+        "version": chunk.version,
+    }
+
+
+def finished_document(finished):
+    """Return the last line of a streamed answer."""
+    spans = [span.as_list() for span in finished.spans]
+    return {"done": True, "length": finished.length, "spans": spans}
+
+
+def _whole_answer(chunks, finished, streamed):
+    if streamed:
+        lines = [chunk_document(chunk) for chunk in chunks]
+        lines.append(finished_document(finished))
+        body = "".join(json.dumps(line) + "\n" for line in lines)
+        return Answer(200, {"Content-Type": "application/x-ndjson"}, body.encode())
+    text = "".join(chunk.text for chunk in chunks)
+    document = {"text": text, "spans": finished_document(finished)["spans"]}
+    return Answer(200, JSON_HEADERS, json.dumps(document).encode())
--- /dev/null
+++ b/sassafrasdoor/requests/tests/test_calls.py
@@ -0,0 +1,144 @@
+"""Calls to services: typed outcomes, and when a try may follow another."""
+
+import asyncio
+import unittest
+
+from sassafrasdoor.admission.queues import Admission
+from sassafrasdoor.admission.retries import RetryBudget
+from sassafrasdoor.backends.interface import Answer, Broken
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.requests.calls import Calls
+from sassafrasdoor.requests.messages import Request
+from sassafrasdoor.requests.tests.fakes import FakeService, settings, view
+from sassafrasdoor.routing.chooser import Chooser
+from sassafrasdoor.support import until
+
+REFUSED = Broken("connection refused", began=False)
+CUT = Broken("cut before any reply", began=True)
+OK = None
+
+
+class CallsTest(unittest.IsolatedAsyncioTestCase):
+    def calls(self, service, seen, **sections):
+        """Return the runner of calls over a fake service."""
+        made = settings(**sections)
+        self.chooser = Chooser(made)
+        self.admission = Admission(made)
+        work = (made, lambda: seen, self.admission, self.chooser, service)
+        return Calls(*work, RetryBudget(made))
+
+    async def run_one(self, service, seen=None, within=10.0, **fields):
+        """Run one request and return its outcome."""
+        seen = seen or view(count=len(service.script))
+        request = Request(
+            "POST", "/x", request_id="id", deadline=deadline_in(within), **fields
+        )
+        return await self.calls(service, seen).run(seen.row("app"), request)
+
+    async def test_table_of_faults(self):
+        """Symptom: a payment is booked twice, or a refusal is a lie.
+
+        Sequence: a server refuses the connection, or takes the call and hangs
+        up. Cause: trying again after a byte may have left, or calling such a
+        call not run.
+        """
+        # (what each server does, repeatable) -> outcome, times run at most
+        cases = [
+            ((OK,), False, Answer, 1),
+            ((REFUSED,), False, NotRun, 0),
+            ((REFUSED, REFUSED, REFUSED), True, NotRun, 0),
+            ((REFUSED, REFUSED, OK), False, Answer, 1),
+            ((CUT,), False, Unknown, 1),
+            ((CUT, CUT), False, Unknown, 1),
+            ((CUT,), True, Unknown, 1),
+            ((CUT, CUT, OK), True, Answer, 3),
+            ((CUT, REFUSED), True, Unknown, 1),
+            ((CUT, CUT, CUT, CUT), True, Unknown, 3),
+        ]
+        for script, repeatable, kind, most in cases:
+            with self.subTest(script=script, repeatable=repeatable):
+                names = {f"b{number}": item for number, item in enumerate(script)}
+                service = FakeService(**names)
+                outcome = await self.run_one(service, repeatable=repeatable)
+                self.assertIsInstance(outcome, kind)
+                self.assertLessEqual(service.ran["id"], most)
+                if kind is NotRun:
+                    self.assertEqual(service.ran["id"], 0)
+                self.assertEqual(self.admission.in_use(), {})
+
+    async def test_not_repeatable_is_not_tried_again_after_any_cut(self):
+        for _ in range(20):
+            service = FakeService(b0=CUT, b1=OK, b2=OK)
+            await self.run_one(service, repeatable=False)
+            self.assertLessEqual(service.ran["id"], 1)
+
+    async def test_expired_request_is_not_run(self):
+        service = FakeService(b0=OK)
+        outcome = await self.run_one(service, within=0)
+        self.assertIsInstance(outcome, NotRun)
+        self.assertEqual(service.calls, [])
+
+    async def test_paused_between_admission_and_dispatch(self):
+        """Symptom: a call runs long after its caller was told unknown.
+
+        Sequence: the instance is stopped after admitting it, the deadline
+        passes, the instance goes on. Cause: the deadline was only looked at on
+        arrival.
+        """
+        service = FakeService(b0=OK)
+        seen = view(count=1)
+        calls = self.calls(service, seen)
+        request = Request("POST", "/x", request_id="id", deadline=deadline_in(60))
+        choose = Chooser.choose
+
+        def slow_choose(*arguments, **fields):
+            request.deadline = deadline_in(0)
+            return choose(*arguments, **fields)
+
+        Chooser.choose = slow_choose
+        self.addCleanup(setattr, Chooser, "choose", choose)
+        outcome = await calls.run(seen.row("app"), request)
+        self.assertIsInstance(outcome, NotRun)
+        self.assertEqual(service.calls, [])
+
+    async def test_caller_that_leaves_frees_slot_and_server(self):
+        service = FakeService(b0=OK)
+        service.gate = asyncio.Event()
+        seen = view(count=1)
+        calls = self.calls(service, seen)
+        request = Request("POST", "/x", request_id="id", deadline=deadline_in(60))
+        task = asyncio.ensure_future(calls.run(seen.row("app"), request))
+        await until(lambda: service.calls)
+        self.assertEqual(self.chooser.in_flight(seen.backends[0]), 1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(self.chooser.in_flight(seen.backends[0]), 0)
+        self.assertEqual(self.admission.in_use(), {})
+
+    async def test_first_try_leaves_time_for_a_second(self):
+        service = FakeService(b0=OK)
+        await self.run_one(service, within=10.0)
+        self.assertLess(service.calls[0][1].deadline, deadline_in(8.0))
+        service = FakeService(b0=OK)
+        await self.run_one(service, within=10.0, repeatable=False)
+        self.assertGreater(service.calls[0][1].deadline, deadline_in(8.0))
+
+    async def test_retries_are_bounded_when_all_fails(self):
+        """Symptom: an outage of the servers triples their load.
+
+        Sequence: every call fails. Cause: each is retried with no regard to how
+        many others are.
+        """
+        service = FakeService(b0=CUT, b1=CUT, b2=CUT)
+        seen = view(count=3)
+        calls = self.calls(service, seen, routing={"suspect_backend_for": 0.001})
+        for number in range(200):
+            request = Request("GET", "/", request_id=str(number))
+            request.deadline = deadline_in(10)
+            await calls.run(seen.row("app"), request)
+        self.assertLess(len(service.calls), 200 * 1.2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sassafrasdoor/requests/tests/test_claims.py
@@ -0,0 +1,217 @@
+"""Caller-chosen keys: one claim wins, whatever the log and the instances do."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+import capnp
+
+from sassafrasdoor.backends.interface import Answer
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.log.memory import MemoryLog
+from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.requests import claims as claims_module
+from sassafrasdoor.requests.claims import ClaimStream, Owner
+from sassafrasdoor.requests.messages import Conflict, identity
+from sassafrasdoor.requests.tests.fakes import (
+    FakeService,
+    row_document,
+    settings,
+    view,
+)
+from sassafrasdoor.requests.tests.test_issued import Instance, request
+from sassafrasdoor.support import until
+
+KEY = "order-7"
+
+
+class LaggingLog(MemoryLog):
+    """Shows a new record only after some reads; may hide appends for ever."""
+
+    def __init__(self, lag=0):
+        super().__init__()
+        self.lag = lag
+        self.appends = 0
+
+    async def append(self, stream, body):
+        """Append and count."""
+        self.appends += 1
+        return await super().append(stream, body)
+
+    async def read(self, stream, offset, limit, wait):
+        """Read what shows already."""
+        if self.lag:
+            self.lag -= 1
+            records = self._batch(stream, offset, [], limit)
+            records.next_offset = offset
+            return records
+        return await super().read(stream, offset, limit, wait)
+
+
+def stream_of(log, name="a", **sections):
+    """Return one instance's side of a claim stream."""
+    return ClaimStream(settings(**sections), log, "claims-0", Owner(name, f"{name}-1"))
+
+
+class ClaimStreamTest(unittest.IsolatedAsyncioTestCase):
+    async def claim(self, stream, name="k", within=5.0):
+        """Claim a name; return the owner's instance or the outcome."""
+        owner = await stream.claim(name, deadline_in(within))
+        return getattr(owner, "instance", owner)
+
+    async def test_first_offset_wins_for_everybody(self):
+        log = MemoryLog(stride=3)
+        streams = [stream_of(log, name) for name in "abc"]
+        owners = await asyncio.gather(*[self.claim(one) for one in streams])
+        self.assertEqual(len(set(owners)), 1)
+        late = stream_of(log, "late")
+        self.assertEqual(await self.claim(late), owners[0])
+
+    async def test_faults_of_the_log(self):
+        """Symptom: a key runs twice, or is refused for ever, after a log fault.
+
+        Sequence: the append's reply is lost, or the record doubled, or the read
+        lags. Cause: appending blindly again, or trusting the append's reply.
+        """
+        cases = [
+            ("reply lost", {"lose_replies": 1}, "a"),
+            ("written twice", {"duplicates": 1}, "a"),
+            ("both", {"lose_replies": 1, "duplicates": 1}, "a"),
+            ("read lags", {"lag": 3}, "a"),
+            ("down", {"down": True}, NotRun),
+        ]
+        for name, faults, expected in cases:
+            with self.subTest(name):
+                log = LaggingLog()
+                for fault, value in faults.items():
+                    setattr(log, fault, value)
+                owner = await self.claim(stream_of(log))
+                if expected is NotRun:
+                    self.assertIsInstance(owner, NotRun)
+                else:
+                    self.assertEqual(owner, expected)
+                    self.assertEqual(await self.claim(stream_of(log, "b")), expected)
+                    self.assertEqual(log.appends, 2)
+
+    async def test_lost_reply_of_a_second_claim_does_not_steal(self):
+        log = MemoryLog()
+        await self.claim(stream_of(log, "a"))
+        log.lose_replies = 1
+        self.assertEqual(await self.claim(stream_of(log, "b")), "a")
+
+    async def test_append_that_never_shows_is_not_run(self):
+        log = LaggingLog(lag=10**9)
+        with mock.patch.object(claims_module, "FIND_TIMEOUT", 0.05):
+            stream = stream_of(log)
+            self.assertIsInstance(await self.claim(stream), NotRun)
+            log.lag = 0
+            self.assertEqual(await self.claim(stream), "a")
+
+    async def test_many_claims_share_appends(self):
+        log = LaggingLog()
+        stream = stream_of(log)
+        names = [f"k{number}" for number in range(300)]
+        await asyncio.gather(*[self.claim(stream, name) for name in names])
+        self.assertLess(log.appends, 10)
+
+    async def test_records_that_are_no_longer_kept_and_garbage(self):
+        log = MemoryLog()
+        for body in (None, [], {"kind": "claims"}, {"kind": "claims", "names": [1]}):
+            await log.append("claims-0", body)
+        log.expire("claims-0", 3)
+        self.assertEqual(await self.claim(stream_of(log)), "a")
+
+    async def test_claims_expire_so_that_memory_is_bounded(self):
+        log = MemoryLog()
+        stream = stream_of(log, requests={"key_lifetime": 0.02})
+        for number in range(50):
+            await self.claim(stream, f"k{number}")
+        await until(lambda: stream.owner("k0") is None and not stream._owners)
+
+
+class ClaimedKeysTest(unittest.IsolatedAsyncioTestCase):
+    async def cluster(self, log=None, **script):
+        """Return two instances that know each other, over one log."""
+        log = log or MemoryLog()
+        service = FakeService(**script)
+        rows = [row_document(name, repeatable=False) for name in ("once", "other")]
+        seen = view(*rows, count=2)
+        made = [Instance(name, service, seen, log) for name in ("a", "b")]
+        seen.members = [await instance.listen() for instance in made]
+        return log, service, made
+
+    async def close(self, made):
+        """End the listeners."""
+        for instance in made:
+            await instance.peers.close()
+
+    async def test_same_key_everywhere_at_once_runs_once(self):
+        async with capnp.kj_loop():
+            _, service, made = await self.cluster()
+            asked = [one.ask(KEY) for one in made * 3]
+            outcomes = await asyncio.gather(*asked)
+            bodies = {outcome.body for outcome in outcomes}
+            self.assertEqual(bodies, {identity("once", KEY).encode()})
+            self.assertEqual(sum(service.ran.values()), 1)
+            await self.close(made)
+
+    async def test_log_down_is_not_run_but_known_answers_are_given(self):
+        async with capnp.kj_loop():
+            log, service, made = await self.cluster()
+            await made[0].ask(KEY)
+            log.down = True
+            self.assertIsInstance(await made[0].ask(KEY), Answer)
+            self.assertIsInstance(await made[1].ask("new"), NotRun)
+            self.assertEqual(sum(service.ran.values()), 1)
+            await self.close(made)
+
+    async def test_claimant_gone_is_unknown(self):
+        async with capnp.kj_loop():
+            _, service, made = await self.cluster()
+            await made[0].ask(KEY)
+            await made[0].peers.close()
+            self.assertIsInstance(await made[1].ask(KEY), Unknown)
+            self.assertEqual(sum(service.ran.values()), 1)
+            await made[1].peers.close()
+
+    async def test_rows_and_bodies_do_not_mix(self):
+        async with capnp.kj_loop():
+            _, service, made = await self.cluster()
+            first = await made[0].ask(KEY, row="once")
+            second = await made[1].ask(KEY, row="other")
+            self.assertNotEqual(first.body, second.body)
+            conflict = await made[1].ask(KEY, row="once", body=b"other")
+            self.assertIsInstance(conflict, Conflict)
+            self.assertEqual(len(service.calls), 2)
+            await self.close(made)
+
+    async def test_frozen_between_claim_and_dispatch(self):
+        """Symptom: a call runs minutes after its caller was told unknown.
+
+        Sequence: a claims a key and is stopped before it dispatches; the caller
+        asks b, which finds the claim and no answer; a goes on. Cause: a did not
+        look at the deadline again. It may run the key only when asked anew.
+        """
+        async with capnp.kj_loop():
+            _, service, made = await self.cluster()
+            first, second = made
+            late = request(KEY, within=60.0)
+            claim = first.requests._claims.claim
+
+            async def frozen(*arguments):
+                owner = await claim(*arguments)
+                late.deadline = deadline_in(0)
+                return owner
+
+            with mock.patch.object(claims_module.Claims, "claim", side_effect=frozen):
+                outcome = await first.requests.run(first.seen.row("once"), late)
+            self.assertIsInstance(outcome, NotRun)
+            self.assertEqual(service.calls, [])
+            self.assertIsInstance(await second.ask(KEY), Answer)
+            self.assertIsInstance(await first.ask(KEY), Answer)
+            self.assertEqual(len(service.calls), 1)
+            await self.close(made)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sassafrasdoor/requests/tests/test_issued.py
@@ -0,0 +1,268 @@
+"""Issued keys: one process alone may run them, whoever is asked."""
+
+import asyncio
+import unittest
+
+import capnp
+
+from sassafrasdoor.admission.queues import Admission
+from sassafrasdoor.backends.interface import Answer, Broken
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.peers.server import PeerServer
+from sassafrasdoor.requests import issued as issued_module
+from sassafrasdoor.requests.executions import Executions
+from sassafrasdoor.requests.issued import Issuer, parse
+from sassafrasdoor.requests.messages import Conflict, Request, identity
+from sassafrasdoor.requests.peer import capability
+from sassafrasdoor.requests.service import RequestsService
+from sassafrasdoor.requests.tests.fakes import (
+    FakeEngine,
+    FakeService,
+    row_document,
+    settings,
+    view,
+)
+from sassafrasdoor.routing.chooser import Chooser
+from sassafrasdoor.support import until
+from sassafrasdoor.view import Member
+
+CUT = Broken("cut")
+REFUSED = Broken("refused", began=False)
+
+
+def request(key, row="once", body=b"", within=10.0, repeatable=False):
+    """Return a keyed request."""
+    return Request(
+        "POST",
+        "/x",
+        body=body,
+        key=key,
+        repeatable=repeatable,
+        request_id=identity(row, key),
+        deadline=deadline_in(within),
+    )
+
+
+class Instance:
+    """The requests of one entry instance, over a service shared by all."""
+
+    def __init__(self, name, service, seen, log=None):
+        self.settings = settings(instance={"name": name})
+        self.service = service
+        self.seen = seen
+        work = (self.settings, lambda: self.seen, Admission(self.settings))
+        parts = (Chooser(self.settings), FakeEngine(), service, log)
+        self.requests = RequestsService(*work, *parts)
+        self.peers = None
+
+    async def listen(self):
+        """Start the peers' listener and return the member's entry."""
+        self.peers = PeerServer(
+            self.settings, "127.0.0.1", 0, capability(self.requests)
+        )
+        await self.peers.start()
+        name = self.settings.instance.name
+        return Member(name, peer_address=self.peers.address)
+
+    async def ask(self, key, row="once", **fields):
+        """Run a keyed request here."""
+        return await self.requests.run(
+            self.seen.row(row), request(key, row=row, **fields)
+        )
+
+
+class IssuedKeysTest(unittest.IsolatedAsyncioTestCase):
+    async def cluster(self, count=2, **script):
+        """Return instances that know each other."""
+        service = FakeService(**script)
+        rows = [row_document(name, repeatable=False) for name in ("once", "other")]
+        seen = view(*rows, count=2)
+        made = [Instance(f"entry-{number}", service, seen) for number in range(count)]
+        seen.members = [await instance.listen() for instance in made]
+        return service, made
+
+    async def test_repeated_key_gets_the_answer_of_the_one_run(self):
+        """Symptom: a payment is booked twice.
+
+        Sequence: the caller gets no reply in time and asks again, here and at
+        another instance, while the first run goes on and after it. Cause: the
+        key was only known where it came first.
+        """
+        async with capnp.kj_loop():
+            service, (first, second) = await self.cluster()
+            service.gate = asyncio.Event()
+            key = first.requests.key_prefix() + "1"
+            asked = [
+                asyncio.ensure_future(one.ask(key))
+                for one in (first, second, second, first)
+            ]
+            await until(lambda: service.calls)
+            service.gate.set()
+            outcomes = [*await asyncio.gather(*asked), await second.ask(key)]
+            bodies = {outcome.body for outcome in outcomes}
+            self.assertEqual(bodies, {identity("once", key).encode()})
+            self.assertEqual(sum(service.ran.values()), 1)
+            for one in (first, second):
+                await one.peers.close()
+
+    async def test_owner_frozen_dead_or_another_life(self):
+        """Symptom: a call runs a second time after an instance went away.
+
+        Sequence: the key's owner is silent, gone, or restarted under its name;
+        the caller asks elsewhere. Cause: running it there for want of an answer.
+        """
+
+        async def silent(first):
+            # Connections open and nothing ever comes: so a frozen process looks.
+            server = await asyncio.start_server(lambda *ends: None, "127.0.0.1", 0)
+            self.addCleanup(server.close)
+            host, port = server.sockets[0].getsockname()
+            first.seen.members[0].peer_address = f"{host}:{port}"
+
+        async def dead(first):
+            await first.peers.close()
+
+        async def forgotten(first):
+            first.seen.members = first.seen.members[1:]
+
+        async def restarted(first):
+            first.requests._issuer.incarnation = "f" * 16
+
+        for fault in (silent, dead, forgotten, restarted):
+            with self.subTest(fault.__name__):
+                async with capnp.kj_loop():
+                    service, (first, second) = await self.cluster()
+                    key = first.requests.key_prefix() + "1"
+                    await fault(first)
+                    outcome = await second.ask(key, within=0.3)
+                    self.assertIsInstance(outcome, Unknown)
+                    self.assertEqual(service.calls, [])
+                    for one in (first, second):
+                        await one.peers.close()
+
+    async def test_outcomes_that_are_kept(self):
+        cases = [
+            ("cut", {"b0": CUT, "b1": CUT}, Unknown, 1),
+            ("refused", {"b0": REFUSED, "b1": REFUSED}, NotRun, 0),
+        ]
+        for name, script, kind, runs in cases:
+            with self.subTest(name):
+                async with capnp.kj_loop():
+                    service, (first, second) = await self.cluster(**script)
+                    key = first.requests.key_prefix() + "1"
+                    for one in (first, second, first):
+                        self.assertIsInstance(await one.ask(key), kind)
+                    self.assertEqual(sum(service.ran.values()), runs)
+                    service.script = {}
+                    again = await second.ask(key)
+                    expected = Answer if kind is NotRun else Unknown
+                    self.assertIsInstance(again, expected)
+                    for one in (first, second):
+                        await one.peers.close()
+
+    async def test_same_key_other_body_is_a_conflict(self):
+        async with capnp.kj_loop():
+            service, (first, second) = await self.cluster()
+            key = first.requests.key_prefix() + "1"
+            await first.ask(key, body=b"one")
+            for one in (first, second):
+                outcome = await one.ask(key, body=b"two")
+                self.assertIsInstance(outcome, Conflict)
+            self.assertEqual(len(service.calls), 1)
+            for one in (first, second):
+                await one.peers.close()
+
+    async def test_rows_with_the_same_key_never_mix(self):
+        """Symptom: a member sees another member's balance.
+
+        Sequence: callers of two rows happen to use one key. Cause: answers were
+        kept by the key alone.
+        """
+        async with capnp.kj_loop():
+            service, (first, second) = await self.cluster()
+            key = first.requests.key_prefix() + "1"
+            bodies = [
+                (await one.ask(key, row=row)).body
+                for one in (first, second)
+                for row in ("once", "other")
+            ]
+            self.assertEqual(len(set(bodies)), 2)
+            self.assertEqual(len(service.calls), 2)
+            for one in (first, second):
+                await one.peers.close()
+
+    async def test_run_goes_on_when_its_caller_leaves(self):
+        service = FakeService()
+        service.gate = asyncio.Event()
+        one = Instance("entry-1", service, view(row_document("once", repeatable=False)))
+        key = one.requests.key_prefix() + "1"
+        asked = asyncio.ensure_future(one.ask(key))
+        await until(lambda: service.calls)
+        asked.cancel()
+        await asyncio.gather(asked, return_exceptions=True)
+        self.assertEqual(one.requests.in_progress(), 1)
+        service.gate.set()
+        self.assertIsInstance(await one.ask(key), Answer)
+        self.assertEqual(len(service.calls), 1)
+
+    async def test_lapsed_key_is_not_run(self):
+        """Symptom: a key of last week runs again.
+
+        Sequence: it ran, its record has expired, the caller asks once more.
+        Cause: an old key looked like one never used.
+        """
+        service = FakeService()
+        one = Instance("entry-1", service, view(row_document("once", repeatable=False)))
+        key = one.requests.key_prefix() + "1"
+        one.requests._issuer._started -= 601
+        self.assertIsInstance(await one.ask(key), Unknown)
+        future = one.requests.key_prefix().replace("~601~", "~9999~") + "1"
+        self.assertIsInstance(await one.ask(future), Unknown)
+        self.assertEqual(service.calls, [])
+
+
+class ExecutionsTest(unittest.IsolatedAsyncioTestCase):
+    async def run_key(self, executions, number, size=0):
+        """Run one key to its answer."""
+
+        async def run():
+            return Answer(200, {}, b"x" * size)
+
+        return await executions.once(("row", number), request(str(number)), run)
+
+    async def test_memory_is_bounded_by_expiry_and_bytes(self):
+        executions = Executions(settings(requests={"key_lifetime": 0.02}))
+        for number in range(50):
+            await self.run_key(executions, number)
+        await until(lambda: self.expired(executions))
+        self.assertLessEqual(len(executions), 1)
+
+    async def expired(self, executions):
+        """Have what expired be forgotten; say whether anything was left."""
+        await self.run_key(executions, "last")
+        return len(executions) <= 1
+
+    async def test_answers_are_dropped_but_never_run_again(self):
+        executions = Executions(settings())
+        size = 40_000_000
+        for number in range(3):
+            self.assertTrue(await self.run_key(executions, number, size))
+        dropped = await self.run_key(executions, 0, size)
+        self.assertIsInstance(dropped, Unknown)
+        self.assertTrue(await self.run_key(executions, 2, size))
+
+
+class ParseTest(unittest.TestCase):
+    def test_only_what_an_instance_issued(self):
+        issuer = Issuer(settings())
+        self.assertTrue(issuer.owns(parse(issuer.prefix() + "order-7")))
+        self.assertFalse(Issuer(settings()).owns(parse(issuer.prefix() + "order-7")))
+        for text in ("", "order-7", issuer.prefix(), "sd~a~b~c~d", issuer.prefix()[1:]):
+            with self.subTest(text):
+                self.assertIsNone(parse(text))
+        self.assertEqual(issued_module.PREFIX, issuer.prefix()[:2])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sassafrasdoor/requests/tests/test_streams.py
@@ -0,0 +1,149 @@
+"""Streams from engines: resumed at their offset, never run anew in secret."""
+
+import asyncio
+import unittest
+
+from sassafrasdoor.admission.queues import Admission
+from sassafrasdoor.admission.retries import RetryBudget
+from sassafrasdoor.backends.interface import Broken, Chunk, Finished
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.requests.streams import Generate, Restart, Streams
+from sassafrasdoor.requests.tests.fakes import FakeEngine, settings, view
+from sassafrasdoor.routing.chooser import Chooser
+from sassafrasdoor.support import until
+
+CUT = Broken("cut")
+REFUSED = Broken("refused", began=False)
+FULL = NotRun("queue full")
+WRONG_END = Finished(7, [])
+
+
+class StreamsTest(unittest.IsolatedAsyncioTestCase):
+    def streams(self, engine, seen):
+        """Return the runner of streams over a fake engine."""
+        made = settings()
+        self.admission, self.chooser = Admission(made), Chooser(made)
+        work = (made, lambda: seen, self.admission, self.chooser, engine)
+        return Streams(*work, RetryBudget(made))
+
+    async def collect(
+        self, engine, count=1, repeatable=False, restartable=False, within=20.0
+    ):
+        """Run a stream of five tokens; return the tokens kept and the last item."""
+        seen = view(count=count)
+        generate = Generate("s", "a prompt", 5, repeatable, restartable)
+        items = self.streams(engine, seen).run(
+            seen.row("app"), generate, deadline_in(within)
+        )
+        tokens, last = [], None
+        async for last in items:
+            if isinstance(last, Chunk):
+                tokens.append(last.text)
+            elif isinstance(last, Restart):
+                tokens.clear()
+        return "".join(tokens), last
+
+    async def test_table_of_faults(self):
+        """Symptom: an answer is cut, doubled in the middle, or mixed of two runs.
+
+        Sequence: the connection to the engine breaks before, between or after
+        the chunks. Cause: running the stream anew, or taking its part as whole.
+        """
+        whole = "w0 w1 w2 w3 w4 "
+        # (faults of the one engine, it forgets) -> text, last item, starts
+        cases = [
+            ([], False, whole, Finished, 1),
+            ([(2, CUT)], False, whole, Finished, 1),
+            ([(2, CUT), (4, CUT)], False, whole, Finished, 1),
+            ([(0, CUT)], False, whole, Finished, 1),
+            ([(2, CUT), (2, REFUSED)], False, whole, Finished, 1),
+            ([(2, CUT)], True, "w0 w1 ", Unknown, 1),
+            ([(0, CUT)], True, "", Unknown, 1),
+            ([(5, WRONG_END)], False, whole, Unknown, 1),
+            ([(3, Finished(5, []))], False, "w0 w1 w2 ", Unknown, 1),
+            ([(0, REFUSED)], False, "", NotRun, 0),
+            ([(0, FULL)], False, "", NotRun, 0),
+        ]
+        for faults, forgets, text, kind, starts in cases:
+            with self.subTest(faults=faults, forgets=forgets):
+                engine = FakeEngine({"b0": faults}, ["b0"] if forgets else [])
+                found, last = await self.collect(engine)
+                self.assertEqual(found, text)
+                self.assertIsInstance(last, kind)
+                self.assertEqual(engine.starts["s"], starts)
+                self.assertEqual(self.admission.in_use(), {})
+
+    async def test_expired_stream_is_not_run(self):
+        engine = FakeEngine()
+        _, last = await self.collect(engine, within=0)
+        self.assertIsInstance(last, NotRun)
+        self.assertEqual(engine.offsets, [])
+
+    async def test_resumes_name_the_offset_received(self):
+        engine = FakeEngine({"b0": [(2, CUT), (4, CUT)]})
+        await self.collect(engine)
+        self.assertEqual(engine.offsets, [0, 2, 4])
+
+    async def test_another_engine_takes_over_when_that_is_safe(self):
+        # (fault of every first try, repeatable, restartable) -> last item
+        cases = [
+            ((0, REFUSED), False, False, Finished),
+            ((0, FULL), False, False, Finished),
+            ((2, CUT), True, True, Finished),
+            ((2, CUT), True, False, Unknown),
+            ((2, CUT), False, True, Unknown),
+            ((0, CUT), True, False, Finished),
+        ]
+        for fault, repeatable, restartable, kind in cases:
+            with self.subTest(fault=fault, repeatable=repeatable, whole=restartable):
+                seen_first = _FirstFails(fault)
+                text, last = await self.collect(seen_first, 2, repeatable, restartable)
+                self.assertIsInstance(last, kind)
+                if kind is Finished:
+                    self.assertEqual(text, "w0 w1 w2 w3 w4 ")
+
+    async def test_caller_that_leaves_ends_the_stream_at_the_engine(self):
+        """Symptom: engines are busy although hardly anybody waits for them.
+
+        Sequence: a caller disconnects in the middle. Cause: only our own end
+        forgot the stream; the engine went on generating for nobody.
+        """
+        engine = FakeEngine()
+        engine.gate = asyncio.Event()
+        seen = view(count=1)
+        streams = self.streams(engine, seen)
+        generate = Generate("s", "a prompt", 5, True, False)
+        got = []
+
+        async def read():
+            async for item in streams.run(seen.row("app"), generate, deadline_in(60)):
+                got.append(item)
+
+        task = asyncio.ensure_future(read())
+        await until(lambda: got)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await until(lambda: engine.cancelled == [("b0", "s")], what="the cancel order")
+        self.assertEqual(engine.closed, 1)
+        self.assertEqual(self.chooser.in_flight(seen.backends[0]), 0)
+        self.assertEqual(self.admission.in_use(), {})
+
+
+class _FirstFails(FakeEngine):
+    """Whichever engine is tried first fails once and forgets the stream."""
+
+    def __init__(self, fault):
+        super().__init__()
+        self.fault = fault
+
+    def stream(self, backend, order):
+        if self.fault is not None:
+            self.faults[backend.name] = [self.fault]
+            self.forgets.add(backend.name)
+            self.fault = None
+        return super().stream(backend, order)
+
+
+if __name__ == "__main__":
+    unittest.main()
