Turn calls without a reply into a status

Ruled out: the killed instance's port answering late; the trace names fetch. Change: fetch.reply_to returns code 599; cluster and load use it.

--- a/sassafrasdoor/cluster.py
+++ b/sassafrasdoor/cluster.py
@@ -9,6 +9,7 @@
 from tornado.httpclient import HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from sassafrasdoor.fetch import reply_to
 from sassafrasdoor.support import ROOT, Processes, until
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -240,4 +241,4 @@
             request_timeout=CALL_TIMEOUT,
             allow_nonstandard_methods=True,
         )
-        return await self._http.fetch(request, raise_error=False)
+        return await reply_to(self._http, request)
--- a/sassafrasdoor/load/callers.py
+++ b/sassafrasdoor/load/callers.py
@@ -10,13 +10,14 @@
 from tornado.httpclient import HTTPRequest
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
+from sassafrasdoor.fetch import NO_REPLY, reply_to
 from sassafrasdoor.load.arrivals import arrivals
 
 LOWEST_MICROSECONDS = 1
 HIGHEST_MICROSECONDS = 120_000_000
 DIGITS = 3
 MICROSECONDS = 1_000_000
-NO_REPLY = 599
+DISCOVERY_TIMEOUT = 2.0
 CONNECT_TIMEOUT = 1.0
 REPLY_SLACK = 5.0
 PAUSE = 0.05
@@ -90,9 +91,8 @@
         self._generator.shuffle(seeds)
         for seed in seeds:
             url = f"http://{seed}/v1/addresses?row={self._row}"
-            reply = await self._http.fetch(
-                HTTPRequest(url, request_timeout=2.0), raise_error=False
-            )
+            asked = HTTPRequest(url, request_timeout=DISCOVERY_TIMEOUT)
+            reply = await reply_to(self._http, asked)
             if reply.code == 200:
                 answer = json.loads(reply.body)
                 self._known = [one["address"] for one in answer["addresses"]]
@@ -137,7 +137,7 @@
         while True:
             address = await self._addresses.pick()
             request = self._request(address, key, deadline)
-            reply = await self._http.fetch(request, raise_error=False)
+            reply = await reply_to(self._http, request)
             if reply.code != NO_REPLY or passed(deadline):
                 return reply
             self._addresses.drop(address)
