--- a/sassafrasdoor/control/process.py
+++ b/sassafrasdoor/control/process.py
@@ -29,7 +29,7 @@
 PUBLISH_DELAY = 0.05
 # How many instances that only the platform's list knows are greeted a read.
 GREETED = 3
-LIST_INTERVAL = 1.0
+LIST_INTERVAL = 2.0
 # After a changed list the next read waits until its size is spread out to this
 # many bytes a second: the list of 1,000 instances has 200 KB, and the whole
 # process is to stay under 11 KB/s.
@@ -134,8 +134,8 @@
     async def _watch_confirmation(self):
         while True:
             self.source.confirmed_at = self.follower.confirmed_at
-            if self.follower.as_of > self._told_as_of:
-                self._told_as_of = self.follower.as_of
+            if self.spread.changed_as_of > self._told_as_of:
+                self._told_as_of = self.spread.changed_as_of
                 self.membership.spread_news()
             await asyncio.sleep(PUBLISH_DELAY)
 
--- a/sassafrasdoor/control/spread.py
+++ b/sassafrasdoor/control/spread.py
@@ -2,8 +2,10 @@
 
 A few instances of each zone read the log. The others hear from gossip how far it
 goes and fetch the state from whom they heard it, so that each serves about one
-fetch a change. The same path carries the state while the log is down: to
-instances that lag, and to new ones, which have nothing else to learn it from.
+fetch a change. Renewals of leases, most of the records, concern only those that
+might claim, and they read the log: the others fetch them lazily. The same path
+carries the state while the log is down: to instances that lag, and to new ones,
+which have nothing else to learn it from.
 """
 
 import asyncio
@@ -12,7 +14,7 @@
 import random
 
 from sassafrasdoor import metrics
-from sassafrasdoor.clock import now
+from sassafrasdoor.clock import deadline_in, now, passed
 from sassafrasdoor.control import messages
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.log.agreed import Agreed
@@ -27,8 +29,8 @@
 # on. Told round without bound it would stay young for ever while the log is
 # down; so it is passed on a few times only.
 MAX_HOPS = 8
-# Between two fetches: the state changes with each renewal of a lease.
 FETCH_INTERVAL = 0.3
+LAZY_INTERVAL = 10.0
 # An instance that reads the log itself leaves it this time to do so.
 POLLER_PATIENCE = 1.0
 # Without a confirmation for this long an instance tries the log itself.
@@ -44,7 +46,15 @@
     """Tells and hears ``News``; fetches what peers know beyond the follower."""
 
     __slots__ = ("_addresses", "_ahead", "_chance", "_confirmed", "_digest")
-    __slots__ += ("_follower", "_members", "_settings", "_woken")
+    __slots__ += (
+        "_follower",
+        "_known",
+        "_lazy_after",
+        "_members",
+        "_settings",
+        "_woken",
+    )
+    __slots__ += ("changed_as_of",)
 
     def __init__(self, settings, follower, members):
         self._settings = settings
@@ -55,6 +65,17 @@
         self._confirmed = (None, 0)
         self._digest = AcceptedDigest()
         self._woken = asyncio.Event()
+        self._lazy_after = deadline_in(0)
+        self._known = None
+        self.changed_as_of = 0
+        follower.on_change(self._note_change)
+
+    def _note_change(self, state):
+        leases = {name: lease.epoch for name, lease in state.leases.items()}
+        known = (state.accepted, state.weights, leases)
+        if known != self._known:
+            self._known = known
+            self.changed_as_of = self._follower.as_of
 
     @property
     def is_poller(self):
@@ -96,16 +117,19 @@
         if at is None:
             return News()
         if hops > MAX_HOPS:
-            return News(self._follower.as_of)
-        return News(self._follower.as_of, at, hops)
+            return News(self._follower.as_of, self.changed_as_of)
+        return News(self._follower.as_of, self.changed_as_of, at, hops)
 
     def heard(self, name, news):
         """Take what a member told: a confirmation, or that it knows more."""
         own = self._follower.as_of
-        if news.as_of > own:
+        behind = news.changed_as_of > own
+        if behind or (news.as_of > own and passed(self._lazy_after)):
             self._ahead[name] = news.as_of
             self._woken.set()
-        elif news.as_of == own and news.confirmed_at is not None and own:
+        # That nothing changed beyond what is known here confirms it, unless the
+        # teller itself has read less.
+        if own and not behind and news.as_of >= own and news.confirmed_at is not None:
             self._adopt(self._follower.state, own, news.confirmed_at, news.hops + 1)
 
     def _adopt(self, state, as_of, confirmed_at, hops):
@@ -124,6 +148,7 @@
             if member is None:
                 self._woken.clear()
                 continue
+            self._lazy_after = deadline_in(LAZY_INTERVAL)
             fetched = await self.fetch(member.control_address)
             if not fetched:
                 FAILED.inc({})
--- a/sassafrasdoor/control/tests/test_spread.py
+++ b/sassafrasdoor/control/tests/test_spread.py
@@ -89,20 +89,28 @@
         for hops, told in ((0, True), (MAX_HOPS - 1, True), (MAX_HOPS, False)):
             with self.subTest(hops=hops):
                 spread = self.spread(as_of=5, confirmed_at=at - 5)
-                spread.heard("other", News(5, at, hops))
+                spread.heard("other", News(5, 5, at, hops))
                 self.assertEqual(spread._follower.confirmed_at, at)
                 news = spread.news()
                 self.assertEqual(news.confirmed_at is not None, told)
                 self.assertEqual(news.hops, hops + 1 if told else 0)
         self.assertEqual(self.spread(as_of=5, confirmed_at=at).news().hops, 0)
 
-    def test_news_of_other_positions_confirms_nothing(self):
-        for as_of in (4, 6):
-            with self.subTest(as_of=as_of):
+    def test_what_news_confirm_and_what_they_make_us_fetch(self):
+        cases = [
+            ("the same", (5, 5), True, False),
+            ("the teller has read less", (4, 4), False, False),
+            ("a change beyond us", (6, 6), False, True),
+            ("only renewals beyond us", (7, 5), True, False),
+        ]
+        for name, (as_of, changed), confirms, fetches in cases:
+            with self.subTest(name):
                 at = now() - 10
                 spread = self.spread(as_of=5, confirmed_at=at)
-                spread.heard("other", News(as_of, now(), 0))
-                self.assertEqual(spread._follower.confirmed_at, at)
+                spread._lazy_after = now() + 60
+                spread.heard("other", News(as_of, changed, now()))
+                self.assertEqual(spread._follower.confirmed_at > at, confirms)
+                self.assertEqual(spread._woken.is_set(), fetches)
 
     def test_what_a_peer_gets(self):
         unconfirmed = self.spread(as_of=0)
--- a/sassafrasdoor/membership/delegate.py
+++ b/sassafrasdoor/membership/delegate.py
@@ -8,13 +8,15 @@
 
     ``as_of`` is the next offset to read; ``confirmed_at`` is on this process's
     monotonic clock, None if never; ``hops`` counts the members that passed it
-    on, 0 at the one that asked the log itself.
+    on, 0 at the one that asked the log itself. Above ``changed_as_of`` nothing
+    changed that others must know at once.
     """
 
-    __slots__ = ("as_of", "confirmed_at", "hops")
+    __slots__ = ("as_of", "changed_as_of", "confirmed_at", "hops")
 
-    def __init__(self, as_of=0, confirmed_at=None, hops=0):
+    def __init__(self, as_of=0, changed_as_of=0, confirmed_at=None, hops=0):
         self.as_of = as_of
+        self.changed_as_of = changed_as_of
         self.confirmed_at = confirmed_at
         self.hops = hops
 
--- a/sassafrasdoor/membership/gossip.capnp
+++ b/sassafrasdoor/membership/gossip.capnp
@@ -43,4 +43,5 @@
   contacts @10 :List(Contact);
   buckets @11 :List(UInt64);
   confirmedHops @12 :UInt8;
+  changedAsOf @13 :UInt64;
 }
--- a/sassafrasdoor/membership/node.py
+++ b/sassafrasdoor/membership/node.py
@@ -22,7 +22,9 @@
 from sassafrasdoor.membership.transport import Transport
 from sassafrasdoor.view import State
 
-NEWS_ROUNDS = 3
+# One round to ``gossip_fanout`` members by each that hears it reaches nearly all;
+# the probes of the next second or two tell the rest.
+NEWS_ROUNDS = 1
 DEPART_ROUNDS = 2
 SILENT_ROUNDS = 3
 NEVER_MS = 0xFFFFFFFF
@@ -169,6 +171,7 @@
             asOf=news.as_of,
             confirmedAgeMs=NEVER_MS if age is None else min(int(age * 1000), NEVER_MS),
             confirmedHops=news.hops,
+            changedAsOf=news.changed_as_of,
             updates=[messages.update_message(member) for member in updates],
             contacts=[
                 {"region": region, "ageMs": min(int(seconds * 1000), NEVER_MS)}
@@ -205,8 +208,10 @@
         # A message that waited while this process was paused is older than it
         # says by an unknown time: its confirmation would look too young.
         if age == NEVER_MS or self._pause.paused:
-            return News(message.asOf)
-        return News(message.asOf, now() - age / 1000, message.confirmedHops)
+            return News(message.asOf, message.changedAsOf)
+        confirmed_at = now() - age / 1000
+        hops = message.confirmedHops
+        return News(message.asOf, message.changedAsOf, confirmed_at, hops)
 
     def _hear_regions(self, message):
         if message.region != self._own.region:
--- a/sassafrasdoor/membership/tests/test_node.py
+++ b/sassafrasdoor/membership/tests/test_node.py
@@ -283,7 +283,7 @@
                 self.told = {}
 
             def news(self):
-                return News(self.as_of, None)
+                return News(self.as_of)
 
             def heard(self, name, news):
                 self.told[name] = news.as_of
