Call engines and plain services without libcurl's second attempts

Cause: an answer may be promised as "not run" or "at most once" only if the adapter knows what truly reached a backend server, and streams that nobody reads steal capacity from engines. Change: transfers with PREREQFUNCTION as the one place where "not run" turns into "may have run", fresh connections for what may not be repeated, abort at once by pausing and continuing; engine and service adapters; engine and service stand-ins.

--- /dev/null
+++ b/sassafrasdoor/backends/http.py
@@ -0,0 +1,233 @@
+"""Adapters to engines and plain services that speak HTTP (``docs/INTERNALS.md``)."""
+
+import json
+import urllib.parse
+
+from sassafrasdoor.backends import interface
+from sassafrasdoor.backends.interface import (
+    Answer,
+    Broken,
+    CacheEvent,
+    Load,
+    Stale,
+    StreamState,
+)
+from sassafrasdoor.backends.stream import StreamReader
+from sassafrasdoor.backends.transfer import Client, Request
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.outcomes import ReplyLost, Unavailable
+
+SHORT_CALL_TIMEOUT = 2.0
+JSON_HEADERS = {"Content-Type": "application/json"}
+OK, REFUSED_FENCE = 200, 409
+
+NOT_FORWARDED = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-http-reason",
+        "x-request-id",
+    )
+)
+
+"""Headers of one hop, and those that the adapter itself sets."""
+
+
+class HttpEngine(interface.Engine):
+    """Engines that speak the wire of ``docs/INTERNALS.md``."""
+
+    __slots__ = ("_client", "_settings")
+
+    def __init__(self, settings, client=None):
+        self._settings = settings
+        self._client = client or Client()
+
+    def close(self):
+        """Close all connections."""
+        self._client.close()
+
+    def stream(self, backend, order):
+        """Yield the chunks of a stream and then its end.
+
+        Use it under ``contextlib.aclosing``: leaving the loop early must end the
+        transfer at once and not when the garbage collector comes by.
+        """
+        return StreamReader(self._client, backend, order).read()
+
+    async def streams(self, backend, prefix):
+        """Return the ``StreamState``s under a prefix, or ``Unavailable``."""
+        query = urllib.parse.urlencode({"prefix": prefix})
+        document = await self._call(backend, "GET", f"/streams?{query}")
+        if not document:
+            return document
+        return [
+            StreamState(one["stream"], one["offset"], one["done"])
+            for one in document["streams"]
+        ]
+
+    async def cancel(self, backend, stream):
+        """Cancel and forget a stream; return None, or ``Unavailable``."""
+        path = "/streams/" + urllib.parse.quote(stream, safe="")
+        document = await self._call(backend, "DELETE", path)
+        return None if isinstance(document, dict) else document
+
+    async def load(self, backend):
+        """Return the engine's ``Load``, or ``Unavailable``."""
+        return await read_load(self._client, backend)
+
+    async def order(self, backend, order):
+        """Return the engine's versions, ``Stale``, ``Unavailable`` or ``ReplyLost``."""
+        body = {
+            "fence": order.fence,
+            "model": order.model,
+            "version": order.version,
+            "role": order.role,
+        }
+        # On a fresh connection: a second attempt that libcurl makes by itself,
+        # perhaps after a pause of this process, would not check the lease.
+        request = Request(
+            "POST",
+            f"http://{backend.address}/orders",
+            json.dumps(body),
+            JSON_HEADERS,
+            order.deadline,
+        )
+        response = await self._client.fetch(backend, request)
+        if isinstance(response, Broken):
+            kind = ReplyLost if response.began else Unavailable
+            return kind(response.reason)
+        document = parsed(response)
+        if response.code == OK and document:
+            return {name: int(v) for name, v in document["versions"].items()}
+        if response.code == REFUSED_FENCE and document:
+            return Stale("stale fencing number", document["fence"])
+        return Unavailable(f"order failed with status {response.code}")
+
+    async def cache_events(self, backend, first):
+        """Return ``(events, next number)``, or ``Unavailable``."""
+        document = await self._call(backend, "GET", f"/cache-events?from={first}")
+        if not document:
+            return document
+        events = [
+            CacheEvent(one["number"], one["prefix"], one["stored"])
+            for one in document["events"]
+        ]
+        return events, document["next"]
+
+    async def export_kv(self, backend, stream):
+        """Return the KV cache of a stream (a string), or ``Unavailable``."""
+        document = await self._call(backend, "POST", "/kv/export", {"stream": stream})
+        return document["kv"] if document else document
+
+    async def import_kv(self, backend, stream, kv):
+        """Give an engine the KV cache of a stream; return None or ``Unavailable``."""
+        body = {"stream": stream, "kv": kv}
+        document = await self._call(backend, "POST", "/kv/import", body)
+        return None if isinstance(document, dict) else document
+
+    async def _call(self, backend, method, path, body=None):
+        return await call_json(self._client, backend, method, path, body)
+
+
+class HttpService(interface.Service):
+    """Plain services: any method and path, passed through."""
+
+    __slots__ = ("_client", "_settings")
+
+    def __init__(self, settings, client=None):
+        self._settings = settings
+        self._client = client or Client()
+
+    def close(self):
+        """Close all connections."""
+        self._client.close()
+
+    async def call(self, backend, call):
+        """Return the whole ``Answer``, or ``Broken``."""
+        headers = {
+            name: value
+            for name, value in call.headers.items()
+            if name.lower() not in NOT_FORWARDED
+        }
+        headers["X-Request-Id"] = call.request_id
+        request = Request(
+            call.method,
+            f"http://{backend.address}{call.path}",
+            call.body or None,
+            headers,
+            call.deadline,
+            fresh=not call.repeatable,
+        )
+        if call.method in ("POST", "PUT", "PATCH"):
+            request.body = call.body
+        response = await self._client.fetch(backend, request)
+        if isinstance(response, Broken):
+            return response
+        return Answer(response.code, forwarded(response.headers), response.body)
+
+    async def load(self, backend):
+        """Return the service's ``Load``, or ``Unavailable``."""
+        return await read_load(self._client, backend)
+
+
+def forwarded(headers):
+    """Return a reply's headers without those of one hop."""
+    kept = headers.copy()
+    for name in headers:
+        if name.lower() in NOT_FORWARDED:
+            del kept[name]
+    return kept
+
+
+async def read_load(client, backend):
+    """Return a backend server's ``Load``, or ``Unavailable``."""
+    document = await call_json(client, backend, "GET", "/load")
+    if not document:
+        return document
+    return Load(
+        document["running"],
+        document["queued"],
+        document["capacity"],
+        document["age_ms"] / 1000,
+        {name: int(version) for name, version in document["versions"].items()},
+        document["role"],
+        document["leaving"],
+    )
+
+
+async def call_json(client, backend, method, path, body=None):
+    """Make a short repeatable call; return its JSON object or ``Unavailable``."""
+    request = Request(
+        method,
+        f"http://{backend.address}{path}",
+        None if body is None else json.dumps(body),
+        JSON_HEADERS,
+        deadline_in(SHORT_CALL_TIMEOUT),
+        fresh=False,
+    )
+    response = await client.fetch(backend, request)
+    if isinstance(response, Broken):
+        return Unavailable(response.reason)
+    document = parsed(response)
+    if response.code != OK or document is None:
+        return Unavailable(f"status {response.code}")
+    return document
+
+
+def parsed(response):
+    """Return the JSON object in a response, or None."""
+    try:
+        document = json.loads(response.body)
+    except ValueError:
+        return None
+    return document if isinstance(document, dict) else None
--- /dev/null
+++ b/sassafrasdoor/backends/stream.py
@@ -0,0 +1,133 @@
+"""Reading one stream of an engine: lines in, chunks and one end out."""
+
+import asyncio
+import json
+
+from sassafrasdoor.backends.interface import Broken, Chunk, Finished, Span
+from sassafrasdoor.backends.transfer import Request
+from sassafrasdoor.clock import deadline_in, passed, remaining
+from sassafrasdoor.outcomes import NotRun
+
+NOT_ADMITTED = 429
+ENDED = b""
+SILENT = None
+RETRY_AFTER = 0.5
+HEADERS = {"Content-Type": "application/json"}
+
+
+class StreamReader:
+    """One connection to a stream. Use it once."""
+
+    __slots__ = ("_backend", "_client", "_data", "_offset", "_order", "_rest")
+
+    def __init__(self, client, backend, order):
+        self._client = client
+        self._backend = backend
+        self._order = order
+        self._data = asyncio.Queue()
+        self._offset = order.offset
+        self._rest = b""
+
+    async def read(self):
+        """Yield ``Chunk``s and then one ``Finished``, ``Broken`` or ``NotRun``."""
+        transfer = self._client.start(
+            self._backend, self._request(), on_data=self._data.put_nowait
+        )
+        transfer.add_done_callback(lambda: self._data.put_nowait(ENDED))
+        try:
+            timeout = self._order.first_byte_timeout
+            while data := await self._next(timeout):
+                timeout = self._order.gap_timeout
+                for line in self._lines(data):
+                    item = self._item(line)
+                    if item is not None:
+                        yield item
+                    if not isinstance(item, Chunk | None):
+                        return
+            yield await self._end(transfer, data)
+        finally:
+            transfer.abort()
+
+    async def _next(self, timeout):
+        """Return the next bytes, ``ENDED``, or ``SILENT`` after the timeout."""
+        limit = deadline_in(timeout)
+        if self._order.deadline is not None:
+            limit = min(limit, self._order.deadline)
+        try:
+            return await asyncio.wait_for(self._data.get(), remaining(limit))
+        except TimeoutError:
+            return SILENT
+
+    async def _end(self, transfer, data):
+        """Say why no further line came."""
+        if data is SILENT:
+            self._client.distrust(self._backend)
+            late = self._order.deadline is not None and passed(self._order.deadline)
+            return Broken("deadline passed" if late else "silent", transfer.began)
+        response = await transfer.response()
+        if isinstance(response, Broken):
+            return response
+        if response.code == NOT_ADMITTED:
+            return NotRun(self._refusal(), RETRY_AFTER)
+        if response.code != 200:
+            return Broken(f"status {response.code}")
+        return Broken("reply ended without its last line")
+
+    def _lines(self, data):
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        return [line for line in lines if line]
+
+    def _item(self, line):
+        """Return what a line says; None if it is neither a chunk nor the end."""
+        try:
+            document = json.loads(line)
+            if document.get("done"):
+                return self._finished(document)
+            if "offset" in document:
+                return self._chunk(document)
+        except (ValueError, TypeError, KeyError, AttributeError):
+            return Broken("line not understood")
+        return None
+
+    def _chunk(self, document):
+        chunk = Chunk(
+            document["offset"],
+            document["text"],
+            document["tokens"],
+            document["version"],
+        )
+        # Tokens left out or sent twice would make an answer that nobody wrote;
+        # one would notice by its length only. Each chunk continues the last.
+        if chunk.offset != self._offset:
+            return Broken("gap in the stream")
+        self._offset += chunk.tokens
+        return chunk
+
+    def _finished(self, document):
+        if document["length"] != self._offset:
+            return Broken("end before the last token")
+        spans = [Span(*span) for span in document["spans"]]
+        return Finished(document["length"], spans)
+
+    def _refusal(self):
+        try:
+            return json.loads(self._rest)["reason"]
+        except (ValueError, TypeError, KeyError):
+            return "not admitted"
+
+    def _request(self):
+        order = self._order
+        body = {
+            "stream": order.stream,
+            "model": order.model,
+            "prompt": order.prompt,
+            "max_tokens": order.max_tokens,
+            "priority": order.priority,
+            "offset": order.offset,
+            "seed": order.seed,
+            "prefix_tokens": order.prefix_tokens,
+        }
+        # A stream is resumable by its id, but for a caller whose request may
+        # run once only the engine must not see it twice: a fresh connection.
+        url = f"http://{self._backend.address}/streams"
+        return Request("POST", url, json.dumps(body), HEADERS, fresh=True)
--- /dev/null
+++ b/sassafrasdoor/backends/tests/test_service.py
@@ -0,0 +1,182 @@
+"""Contract of the adapter to plain services, fault by fault."""
+
+import asyncio
+import os
+import unittest
+from unittest import mock
+
+from sassafrasdoor.backends.http import HttpService
+from sassafrasdoor.backends.interface import Answer, Broken, Call
+from sassafrasdoor.backends.tests.fixtures import BackendsTestCase
+from sassafrasdoor.backends.transfer import Client
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.support import until
+from sassafrasdoor.view import Backend
+
+BEGAN, NOT_BEGUN = True, False
+CONTRACT = (
+    # fault, status or None, began, executions
+    ({}, 200, None, 1),
+    ({"fail": 1}, 500, None, 1),
+    ({"redirect": 1}, 307, None, 1),
+    ({"hang_up": 1}, None, BEGAN, 1),
+    ({"hang_up_before": 1}, None, BEGAN, 0),
+    ({"hang_up_middle": 1}, None, BEGAN, 1),
+    ({"cut_without_length": 1}, None, BEGAN, 1),
+    ({"interim": 1}, None, BEGAN, 1),
+    ({"silent": 1}, None, BEGAN, 1),
+    ({"refuse": True}, None, NOT_BEGUN, 0),
+)
+
+
+def call(request_id="r1", repeatable=False, seconds=20.0, **more):
+    """Return a call with a body."""
+    options = {"body": b"count=1", **more}
+    return Call(
+        "POST",
+        "/boards?level=2",
+        request_id=request_id,
+        repeatable=repeatable,
+        deadline=deadline_in(seconds),
+        **options,
+    )
+
+
+class ServiceContractTest(BackendsTestCase):
+    async def test_each_fault_has_its_outcome(self):
+        """Symptom: a caller is told "not run" although its payment was booked.
+
+        Sequence: the server reads the request and hangs up, cuts its reply, or
+        stays silent; or never gets a byte. Cause: only a connection that was
+        never ready proves that no byte arrived.
+        """
+        for faults, status, began, executions in CONTRACT:
+            with self.subTest(faults=faults):
+                stand_in, backend = self.start_service()
+                stand_in.set_faults(faults)
+                seconds = 0.3 if "silent" in faults else 20.0
+                result = await self.service.call(backend, call(seconds=seconds))
+                self.assertEqual(len(stand_in.executions), executions)
+                if status is None:
+                    self.assertIsInstance(result, Broken)
+                    self.assertEqual(result.began, began)
+                else:
+                    self.assertEqual(result.status, status)
+
+    async def test_a_call_that_may_not_be_repeated_runs_once(self):
+        """Symptom: two calls made, three executions seen by the server.
+
+        Sequence: a first call leaves its connection in the pool; the server reads
+        the second call from it, runs it and hangs up. Cause: libcurl sends again
+        by itself on a connection that was used before.
+        """
+        for repeatable, executions, kind in ((False, 1, Broken), (True, 2, Answer)):
+            with self.subTest(repeatable=repeatable):
+                stand_in, backend = self.start_service()
+                first = call("first", repeatable)
+                self.assertIsInstance(await self.service.call(backend, first), Answer)
+                stand_in.set_faults({"hang_up": 1})
+                result = await self.service.call(backend, call("second", repeatable))
+                self.assertIsInstance(result, kind)
+                self.assertEqual(stand_in.executions.count("second"), executions)
+
+    async def test_only_the_callers_own_headers_reach_the_service(self):
+        """Symptom: large bodies wait a second, or go to somebody's proxy.
+
+        Sequence: a caller sends ``Expect`` and hop headers; the environment names
+        a proxy. Cause: libcurl honours both unless told otherwise.
+        """
+        _, backend = self.start_service()
+        sent = {"Expect": "100-continue", "Connection": "upgrade", "X-Board": "7"}
+        proxy = {"http_proxy": "http://127.0.0.1:9", "ALL_PROXY": "http://127.0.0.1:9"}
+        with mock.patch.dict(os.environ, proxy):
+            answer = await self.service.call(
+                backend, call(headers=sent, body=b"x" * 2_000_000)
+            )
+        self.assertEqual(answer.status, 200)
+        self.assertIn(b'"X-Board": "7"', answer.body)
+        self.assertNotIn(b"Expect", answer.body)
+        self.assertNotIn(b"upgrade", answer.body)
+        self.assertNotIn("Content-Length", answer.headers)
+
+    async def test_each_answer_belongs_to_its_request(self):
+        """Symptom: a member sees another member's balance.
+
+        Sequence: many calls at once over a small pool, answered in any order.
+        Cause: answers matched by order and not by their own connection.
+        """
+        _, backend = self.start_service(delay=0.01)
+        names = [f"request-{number}" for number in range(60)]
+        calls = [
+            self.service.call(backend, call(name, number % 2 == 0, body=name.encode()))
+            for number, name in enumerate(names)
+        ]
+        for name, answer in zip(names, await asyncio.gather(*calls), strict=True):
+            self.assertIn(f'"body": "{name}"'.encode(), answer.body)
+
+    async def test_cancelling_ends_the_transfer(self):
+        """Symptom: capacity of a backend server is gone although nobody calls.
+
+        Sequence: the server is silent, the caller leaves, the task is cancelled.
+        Cause: curl asks whether to go on only when bytes move.
+        """
+        stand_in, backend = self.start_service()
+        stand_in.set_faults({"silent": 1})
+        task = asyncio.create_task(self.service.call(backend, call(seconds=600)))
+        await until(lambda: stand_in.executions, what="the call to arrive")
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        await until(lambda: stand_in.abandoned, timeout=3, what="the close")
+
+    async def test_a_call_cancelled_in_the_clients_queue_never_runs(self):
+        """Symptom: a call runs although its caller left before it was sent.
+
+        Sequence: all handles are busy, a call waits for one, its task is
+        cancelled, a handle comes free. Cause: the queue knows no cancelling.
+        """
+        client = Client(max_transfers=1)
+        self.addCleanup(client.close)
+        service = HttpService(self.settings, client)
+        stand_in, backend = self.start_service(delay=0.1)
+        first = asyncio.create_task(service.call(backend, call("first")))
+        second = asyncio.create_task(service.call(backend, call("second")))
+        await until(lambda: stand_in.running, what="the first call")
+        second.cancel()
+        await first
+        await service.call(backend, call("third"))
+        self.assertEqual(stand_in.executions, ["first", "third"])
+
+    async def test_a_deadline_in_the_past_sends_nothing(self):
+        stand_in, backend = self.start_service()
+        result = await self.service.call(backend, call(seconds=-1))
+        self.assertEqual((result.began, stand_in.executions), (False, []))
+
+    async def test_every_method_passes_and_head_has_no_body(self):
+        _, backend = self.start_service()
+        for method in ("GET", "HEAD", "DELETE", "OPTIONS", "PUT", "PATCH"):
+            with self.subTest(method=method):
+                made = Call(method, "/x", request_id="r", deadline=deadline_in(20))
+                answer = await self.service.call(backend, made)
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(method == "HEAD", not answer.body)
+
+    async def test_after_a_timeout_pooled_connections_are_left_alone(self):
+        """Symptom: every call to a healthy server waits for its whole deadline.
+
+        Sequence: something between the two ends forgets a pooled connection; a
+        call on it times out; the next call takes the next such connection.
+        Cause: an idle connection was trusted without proof.
+        """
+        stand_in, backend = self.start_service()
+        stand_in.set_faults({"silent": 1})
+        broken = await self.service.call(backend, call("lost", True, seconds=0.2))
+        self.assertEqual((broken.reason, broken.began), ("timeout", True))
+        client = self.service._client
+        self.assertTrue(client._is_distrusted(backend))
+        other = Backend("other", "127.0.0.1:9", "service", "service")
+        self.assertFalse(client._is_distrusted(other))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sassafrasdoor/backends/tests/test_stream.py
@@ -0,0 +1,267 @@
+"""Contract of the adapter to engines: streams, labels, orders."""
+
+import asyncio
+import contextlib
+import unittest
+
+from sassafrasdoor.backends.interface import (
+    Broken,
+    Chunk,
+    Finished,
+    Order,
+    Stale,
+    prefix_key,
+)
+from sassafrasdoor.backends.tests.fixtures import (
+    MODEL,
+    BackendsTestCase,
+    stream_order,
+    text_of,
+    versions_of,
+)
+from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.outcomes import NotRun, ReplyLost, Unavailable
+from sassafrasdoor.support import until
+
+WHOLE = Finished
+STREAM_CONTRACT = (
+    # faults, kind of the end, its reason, whether chunks came before it
+    ({}, WHOLE, None, True),
+    ({"fail_before": 1}, Broken, "connection closed without a reply", False),
+    ({"fail_after": 1}, Broken, "reply cut", True),
+    ({"truncate": 1}, Broken, "reply ended without its last line", True),
+    ({"freeze": True}, Broken, "silent", False),
+    ({"leaving": True}, NotRun, "leaving", False),
+)
+ORDER_CONTRACT = (
+    # faults, fencing number, kind of the outcome, version afterwards
+    ({}, 7, dict, 3),
+    ({}, 5, Stale, 2),
+    ({"fail_swaps": 1}, 7, Unavailable, 2),
+    ({"lost_order_replies": 1}, 7, ReplyLost, 3),
+    ({"late_swaps": 1}, 7, ReplyLost, 3),
+    ({"false_swaps": 1}, 7, dict, 2),
+)
+
+
+class StreamContractTest(BackendsTestCase):
+    async def test_each_fault_has_its_end(self):
+        """Symptom: half a sample is taught to the model as a whole one.
+
+        Sequence: the engine crashes before or after the first byte, or its reply
+        ends early but in good form. Cause: a reply was believed whole because
+        its connection ended well, not because its last line came.
+        """
+        for faults, kind, reason, chunks_came in STREAM_CONTRACT:
+            with self.subTest(faults=faults):
+                stand_in, backend = self.start_engine()
+                stand_in.set_faults(faults)
+                order = stream_order(max_tokens=80, first_byte_timeout=0.5)
+                chunks, end = await self.read(backend, order)
+                self.assertIsInstance(end, kind)
+                self.assertEqual(getattr(end, "reason", None), reason)
+                self.assertEqual(bool(chunks), chunks_came)
+                self.assertTrue(getattr(end, "began", True))
+
+    async def test_a_refused_connection_never_began(self):
+        stand_in, backend = self.start_engine()
+        await stand_in.close()
+        _, end = await self.read(backend, stream_order())
+        self.assertEqual((end.reason, end.began), ("connection refused", False))
+
+    async def test_a_full_queue_refuses_and_runs_nothing(self):
+        stand_in, backend = self.start_engine(capacity=1, queue_size=1)
+        stand_in.set_faults({"freeze": True})
+        waiting = [
+            asyncio.create_task(self.read(backend, stream_order(f"s/{number}")))
+            for number in range(2)
+        ]
+        await until(lambda: len(stand_in.batch.streams) == 2)
+        _, end = await self.read(backend, stream_order("s/3"))
+        self.assertEqual(end, NotRun("queue full"))
+        self.assertNotIn("s/3", stand_in.truth()["streams"])
+        stand_in.set_faults({"freeze": False})
+        for _, end in await asyncio.gather(*waiting):
+            self.assertIsInstance(end, Finished)
+
+    async def test_a_stream_resumed_elsewhere_on_the_wire_is_the_same(self):
+        """Symptom: a resumed answer repeats words, or lacks some.
+
+        Sequence: the connection is cut, or goes silent while new ones work; the
+        stream runs on; a second connection asks for the rest. Cause: the rest was
+        counted from the engine's state, not from what the reader has.
+        """
+        for faults in ({"fail_after": 1}, {"silence": True}):
+            with self.subTest(faults=faults):
+                stand_in, backend = self.start_engine()
+                whole, _ = await self.read(backend, stream_order("w/1", 200))
+                stand_in.batch.cancel("w/1")
+                got, end = await self._first_chunk_then(stand_in, backend, faults)
+                self.assertFalse(end)
+                offset = got[-1].offset + got[-1].tokens
+                rest, end = await self.read(
+                    backend, stream_order("w/1", 200, offset=offset)
+                )
+                self.assertEqual(text_of(got + rest), text_of(whole))
+                truth = stand_in.truth()["streams"]["w/1"]
+                self.assertEqual(versions_of(end), truth["spans"])
+                self.assertEqual((truth["starts"], truth["connections"]), (2, 2))
+
+    async def _first_chunk_then(self, stand_in, backend, faults):
+        """Read the first chunk, set the faults, read until the stream breaks."""
+        if "fail_after" in faults:
+            stand_in.set_faults(faults)
+        chunks = []
+        order = stream_order("w/1", 200, gap_timeout=0.3)
+        async with contextlib.aclosing(self.engine.stream(backend, order)) as items:
+            async for item in items:
+                if not isinstance(item, Chunk):
+                    return chunks, item
+                chunks.append(item)
+                if "silence" in faults and len(chunks) == 1:
+                    stand_in.set_faults(faults)
+        return chunks, None
+
+    async def test_a_stream_that_is_done_can_still_be_read(self):
+        _, backend = self.start_engine()
+        whole, _ = await self.read(backend, stream_order("s/1", 200))
+        again, end = await self.read(backend, stream_order("s/1", 200, offset=2))
+        self.assertEqual(text_of(whole).split()[2:], text_of(again).split())
+        self.assertEqual(end.spans[0].first, 0)
+
+    async def test_a_swap_in_the_middle_is_labelled_with_both_versions(self):
+        """Symptom: a sample names the version it started with and no other.
+
+        Sequence: a stream runs, the engine swaps weights, the stream goes on.
+        Cause: the label was taken when the stream was started.
+        """
+        stand_in, backend = self.start_engine(initial_version=1, swap_seconds=0.05)
+        reading = asyncio.create_task(self.read(backend, stream_order("s/1", 400)))
+        await until(lambda: stand_in.batch.streams and stand_in.batch.running)
+        await until(lambda: stand_in.batch.streams["s/1"].offset)
+        await self.engine.order(backend, Order(1, MODEL, 2, "", deadline_in(20)))
+        chunks, end = await reading
+        spans = versions_of(end)
+        self.assertEqual([span[0] for span in spans], [1, 2])
+        self.assertEqual(spans, stand_in.truth()["streams"]["s/1"]["spans"])
+        told = {(chunk.version, chunk.offset) for chunk in chunks}
+        for version, first, last in spans:
+            within = {v for v, offset in told if first <= offset < last}
+            self.assertEqual(within, {version})
+
+    async def test_leaving_the_loop_frees_the_connection(self):
+        """Symptom: engines fill up with streams that nobody reads.
+
+        Sequence: a reader leaves in the middle of a stream that is silent.
+        Cause: closing the iterator did not end the transfer.
+        """
+        stand_in, backend = self.start_engine()
+        items = self.engine.stream(backend, stream_order("s/1", 4000))
+        self.assertIsInstance(await anext(items), Chunk)
+        stand_in.set_faults({"freeze": True})
+        await items.aclose()
+        await until(
+            lambda: not stand_in.batch.streams["s/1"].open, timeout=3, what="close"
+        )
+        self.assertIsNone(await self.engine.cancel(backend, "s/1"))
+        self.assertEqual(await self.engine.streams(backend, "s/"), [])
+
+    async def test_lines_that_do_not_fit_end_the_stream(self):
+        """Symptom: an answer lacks a piece in its middle, or is no text at all.
+
+        Sequence: an engine or something before it loses a line. Cause: chunks
+        were joined without looking at their offsets.
+        """
+        start = b'{"offset":0,"text":"a ","tokens":1,"version":1}\n'
+        for lines, reason in (
+            (b'{"offset":5,"text":"b","tokens":1,"version":1}\n', "gap in the stream"),
+            (b'{"done":true,"length":9,"spans":[]}\n', "end before the last token"),
+            (b'{"done":tr\n', "line not understood"),
+            (b"[1]\n", "line not understood"),
+            (b'{"offset":1}\n', "line not understood"),
+        ):
+            with self.subTest(reason=reason):
+                end = await self._raw_reply(start + lines)
+                self.assertEqual(end.reason, reason)
+
+    async def _raw_reply(self, body):
+        async def reply(reader, writer):
+            await reader.readuntil(b"}")
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(reply, "127.0.0.1", 0)
+        _, backend = self.start_engine()
+        backend.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        _, end = await self.read(backend, stream_order())
+        server.close()
+        return end
+
+
+class OrderContractTest(BackendsTestCase):
+    async def test_each_fault_has_its_outcome(self):
+        """Symptom: an engine is counted as swapped and serves the old weights.
+
+        Sequence: a swap fails, its reply is late or lost, or it claims a success
+        that never was. Cause: the reply was believed; only ``load`` tells.
+        """
+        for faults, fence, kind, version in ORDER_CONTRACT:
+            with self.subTest(faults=faults, fence=fence):
+                stand_in, backend = self.start_engine(swap_seconds=0.01)
+                first = Order(6, MODEL, 2, "", deadline_in(20))
+                self.assertTrue(await self.engine.order(backend, first))
+                stand_in.set_faults(faults)
+                seconds = 0.5 if "late_swaps" in faults else 20
+                order = Order(fence, MODEL, 3, "", deadline_in(seconds))
+                outcome = await self.engine.order(backend, order)
+                self.assertIsInstance(outcome, kind)
+                self.assertEqual(stand_in.batch.versions[MODEL], version)
+                await until(lambda b=backend, v=version: self._reports(b, v))
+
+    async def _reports(self, backend, version):
+        return (await self.engine.load(backend)).versions[MODEL] == version
+
+    async def test_nobody_there(self):
+        stand_in, backend = self.start_engine()
+        await stand_in.close()
+        order = Order(1, MODEL, 3, "", deadline_in(20))
+        self.assertIsInstance(await self.engine.order(backend, order), Unavailable)
+        self.assertIsInstance(await self.engine.load(backend), Unavailable)
+        self.assertIsInstance(await self.engine.cancel(backend, "s"), Unavailable)
+
+    async def test_cache_events_come_late_and_cached_prefixes_start_sooner(self):
+        stand_in, backend = self.start_engine(
+            prefill_per_token=0.05, cache_delay=0.05, cache_loss=0.0
+        )
+        prefix = prefix_key(stream_order().prompt)
+        self.assertEqual(await self.engine.cache_events(backend, 0), ([], 0))
+        order = stream_order()
+        document = {"model": MODEL, "prompt": order.prompt, "max_tokens": 4}
+        for name, cached in (("s/1", False), ("s/2", True)):
+            stream = stand_in.admit({"stream": name, **document})
+            self.assertEqual(passed(stream.prefill_deadline), cached)
+        await until(lambda: stand_in.batch.cache.events(0))
+        events, following = await self.engine.cache_events(backend, 0)
+        told = [(event.number, event.prefix, event.stored) for event in events]
+        self.assertEqual((told, following), ([(1, prefix, True)], 2))
+
+    async def test_a_stream_moves_with_its_kv_cache(self):
+        source, backend = self.start_engine("engine-1")
+        target, other = self.start_engine("engine-2")
+        await self.read(backend, stream_order("s/1"))
+        kv = await self.engine.export_kv(backend, "s/1")
+        self.assertIsNone(await self.engine.import_kv(other, "s/1", kv))
+        self.assertIn("s/1", target.batch.imported)
+        missing = await self.engine.export_kv(backend, "unknown")
+        self.assertEqual(missing, Unavailable("status 404"))
+        whole = text_of((await self.read(backend, stream_order("s/1")))[0])
+        rest, end = await self.read(other, stream_order("s/1", offset=3))
+        self.assertEqual(text_of(rest).split(), whole.split()[3:])
+        self.assertEqual(end.spans[0].first, 3)
+        self.assertEqual(source.truth()["streams"]["s/1"]["starts"], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sassafrasdoor/standin/service.py
@@ -0,0 +1,315 @@
+"""A stand-in for a plain service: it counts every execution, and plays faults."""
+
+import asyncio
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from sassafrasdoor.clock import now
+from sassafrasdoor.standin import serving
+from sassafrasdoor.standin.serving import StandInHandler
+
+HALF_WITH_LENGTH = b'HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n{"half":'
+HALF_WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"half":'
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+DRAIN_POLL = 0.02
+REDIRECT_TO = "/redirected"
+
+
+class ServiceOptions:
+    """All options of a service stand-in; times are in seconds."""
+
+    __slots__ = (
+        "capacity",
+        "delay",
+        "load_lag",
+        "platform",
+        "region",
+        "service",
+        "zone",
+    )
+
+    def __init__(self, **options):
+        self.capacity = 64
+        self.delay = 0.0
+        self.load_lag = 0.2
+        self.platform = ""
+        self.service = "service"
+        self.zone = "zone-a"
+        self.region = "region-1"
+        for name, value in options.items():
+            setattr(self, name, value)
+
+
+class ServiceServer(HTTPServer):
+    """An HTTP server that may close a new connection before it reads from it."""
+
+    stand_in = None
+
+    def handle_stream(self, stream, address):
+        """Serve the connection, or hang up on it."""
+        if self.stand_in is not None and self.stand_in.take("hang_up_before"):
+            stream.close()
+            return
+        super().handle_stream(stream, address)
+
+
+class ServiceStandIn:
+    """One plain service: what it ran and the faults it plays."""
+
+    __slots__ = (
+        "_made",
+        "_options",
+        "_places",
+        "_report",
+        "_server",
+        "_tasks",
+        "abandoned",
+        "address",
+        "counts",
+        "delay",
+        "executions",
+        "leaving",
+        "name",
+        "running",
+    )
+
+    COUNTED_FAULTS = (
+        "hang_up_before",
+        "hang_up",
+        "hang_up_middle",
+        "cut_without_length",
+        "fail",
+        "silent",
+        "redirect",
+        "interim",
+    )
+
+    def __init__(self, options, name):
+        self._options = options
+        self._places = asyncio.Semaphore(options.capacity)
+        self._tasks = []
+        self.name = name
+        self.counts = dict.fromkeys(self.COUNTED_FAULTS, 0)
+        self.delay = options.delay
+        self.executions = []
+        self.abandoned = 0
+        self.running = 0
+        self.leaving = False
+        self._made, self._report = now(), self._current_load()
+        self.address = ""
+        self._listen(0)
+
+    def start(self):
+        """Start reporting and registering."""
+        work = [self._report_load()]
+        if self._options.platform:
+            work.append(serving.stay_registered(self._options.platform, self.describe))
+        self._tasks = [asyncio.ensure_future(coroutine) for coroutine in work]
+
+    async def close(self):
+        """Stop at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    async def leave(self):
+        """Finish the calls that run and leave the instance list."""
+        self.leaving = True
+        if self._options.platform:
+            await serving.put_instance(self._options.platform, self.describe())
+        while self.running:  # noqa: ASYNC110
+            await asyncio.sleep(DRAIN_POLL)
+        if self._options.platform:
+            self._tasks[-1].cancel()
+            await serving.delete_instance(self._options.platform, self.name)
+
+    def describe(self):
+        """Return this service as the instance list holds it."""
+        return {
+            "name": self.name,
+            "kind": "service",
+            "service": self._options.service,
+            "address": self.address,
+            "availability_zone": self._options.zone,
+            "region": self._options.region,
+            "capacity": self._options.capacity,
+            "checks_fencing": False,
+            "models": [],
+            "state": "leaving" if self.leaving else "alive",
+        }
+
+    def load(self):
+        """Return the lagging load report with its age."""
+        return {**self._report, "age_ms": round((now() - self._made) * 1000)}
+
+    def take(self, fault):
+        """Use up one of a counted fault; say whether there was one."""
+        if not self.counts[fault]:
+            return False
+        self.counts[fault] -= 1
+        return True
+
+    def set_faults(self, faults):
+        """Set the faults named; counted ones are numbers of times to come."""
+        for name, value in faults.items():
+            if name in self.counts:
+                self.counts[name] = value
+            else:
+                getattr(self, f"_fault_{name}")(value)
+        return {"faults": faults}
+
+    def truth(self):
+        """Return every execution in order, and how many each request had."""
+        by_request = {}
+        for request_id in self.executions:
+            by_request[request_id] = by_request.get(request_id, 0) + 1
+        return {
+            "total": len(self.executions),
+            "abandoned": self.abandoned,
+            "by_request": by_request,
+            "executions": self.executions,
+        }
+
+    async def execute(self, request):
+        """Run a request once and return the answer."""
+        self.running += 1
+        try:
+            async with self._places:
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+        finally:
+            self.running -= 1
+        request_id = request.headers.get("X-Request-Id", "")
+        self.executions.append(request_id)
+        return {
+            "request_id": request_id,
+            "method": request.method,
+            "path": request.uri,
+            "headers": dict(request.headers),
+            "body": request.body.decode("utf-8", "replace"),
+            "service": self.name,
+        }
+
+    def _listen(self, port):
+        sockets = bind_sockets(port, serving.HOST)
+        self._server = ServiceServer(self._application())
+        self._server.stand_in = self
+        self._server.add_sockets(sockets)
+        self.address = f"{serving.HOST}:{sockets[0].getsockname()[1]}"
+
+    def _application(self):
+        mine = {"server": self}
+        return Application(
+            [
+                ("/standin/faults", serving.FaultsHandler, mine),
+                ("/standin/truth", serving.TruthHandler, mine),
+                ("/load", LoadHandler, mine),
+                ("/.*", CallHandler, mine),
+            ],
+            log_function=lambda handler: None,
+        )
+
+    async def _report_load(self):
+        while True:
+            self._made, self._report = now(), self._current_load()
+            await asyncio.sleep(self._options.load_lag)
+
+    def _current_load(self):
+        return {
+            "running": self.running,
+            "queued": 0,
+            "capacity": self._options.capacity,
+            "versions": {},
+            "role": "",
+            "leaving": self.leaving,
+        }
+
+    def _fault_refuse(self, value):
+        if value:
+            self._server.stop()
+        else:
+            self._listen(int(self.address.rpartition(":")[2]))
+
+    def _fault_delay(self, value):
+        self.delay = float(value)
+
+    def _fault_leaving(self, value):
+        self.leaving = bool(value)
+
+
+class LoadHandler(StandInHandler):
+    """Reports the load of a moment ago."""
+
+    def get(self):
+        """Return the lagging report."""
+        self.answer(self.server.load())
+
+
+class CallHandler(StandInHandler):
+    """Any method and path: runs once, then answers or plays a fault."""
+
+    SUPPORTED_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+
+    def on_connection_close(self):
+        """Count callers that left before the reply."""
+        self.server.abandoned += 1
+
+    async def prepare(self):
+        """Run the request; the method handlers have nothing left to do."""
+        answer = await self.server.execute(self.request)
+        for fault, play in self.FAULTS.items():
+            if self.server.take(fault):
+                await play(self)
+                return
+        self.answer(answer)
+
+    async def _hang_up(self):
+        self.hang_up()
+
+    async def _raw(self, reply):
+        stream = self.detach()
+        await stream.write(reply)
+        stream.close()
+
+    async def _hang_up_middle(self):
+        await self._raw(HALF_WITH_LENGTH)
+
+    async def _cut_without_length(self):
+        await self._raw(HALF_WITHOUT_LENGTH)
+
+    async def _interim(self):
+        await self._raw(INTERIM)
+
+    async def _fail(self):
+        self.answer({"reason": "failed"}, 500)
+
+    async def _redirect(self):
+        self.redirect(REDIRECT_TO, status=307)
+
+    async def _silent(self):
+        self._auto_finish = False
+        await asyncio.Event().wait()
+
+    FAULTS = {
+        "hang_up": _hang_up,
+        "hang_up_middle": _hang_up_middle,
+        "cut_without_length": _cut_without_length,
+        "fail": _fail,
+        "silent": _silent,
+        "redirect": _redirect,
+        "interim": _interim,
+    }
+
+
+async def serve(options, name):
+    """Serve one service in this process until asked to stop."""
+    service = ServiceStandIn(options, name)
+    service.start()
+    serving.print_ready(name, service.address)
+    await serving.until_asked_to_stop()
+    await service.leave()
+    await service.close()
--- a/sassafrasdoor/tools/standin.py
+++ b/sassafrasdoor/tools/standin.py
@@ -3,6 +3,7 @@
 import typer
 
 from sassafrasdoor.standin import platform
+from sassafrasdoor.tools import standin_backends
 
 main = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
 
@@ -13,6 +14,8 @@
 
 
 main.command("platform")(platform.command)
+main.command("engine")(standin_backends.engine)
+main.command("service")(standin_backends.service)
 
 if __name__ == "__main__":
     main()
