Share quota between instances over their control processes

Cause: the holder of a service's quota needs each instance's report, and each entry its grants, also after the holder has died. Ruled out: deadlines counted from the answer; one long under way would let slots last here that the holder has given to another instance. Change: control/quota.py (a holder for each service, reports, grants by view), the entry's report with each exchange in place of its demand, and a departure that can be told from a death: who departs takes its addresses away. Conclusion: what the reports cost the holder at 400 instances is to be measured.

--- a/samples/membership_fakes.py
+++ b/samples/membership_fakes.py
@@ -105,9 +105,6 @@
     async with capnp.kj_loop():
         fakes = Fakes(settings, prefix)
         await fakes.process.start()
-        for _ in range(count - 1):
-            await fakes.add()
-            await asyncio.sleep(JOIN_PAUSE)
         ready = {
             "ready": True,
             "name": prefix,
@@ -115,6 +112,9 @@
             "control": fakes.process.address,
         }
         print(json.dumps(ready), flush=True)
+        for _ in range(count - 1):
+            await fakes.add()
+            await asyncio.sleep(JOIN_PAUSE)
         telling = asyncio.create_task(fakes.tell())
         while not telling.done():
             await asyncio.sleep(churn)
--- a/sassafrasdoor/control/control.capnp
+++ b/sassafrasdoor/control/control.capnp
@@ -33,15 +33,43 @@
   version @1 :UInt64;
 }
 
+# A row's part of a `GrantSet`, as the entry gets it: `deadline` is a point on the
+# monotonic clock that all processes of one machine share, in seconds.
 struct Grant {
   row @0 :Text;
   slots @1 :UInt32;
-  remainingMs @2 :UInt32;
+  fallback @2 :UInt32;
+  number @3 :UInt64;
+  deadline @4 :Float64;
 }
 
-struct Demand {
+struct Usage {
+  row @0 :Text;
+  wanted @1 :UInt32;
+  inUse @2 :UInt32;
+  fallback @3 :UInt32;
+}
+
+# What an instance wants, uses and holds; see admission/grants.py.
+struct Report {
+  instance @0 :Text;
+  life @1 :Text;
+  number @2 :UInt64;
+  rows @3 :List(Usage);
+}
+
+struct RowGrant {
   row @0 :Text;
   slots @1 :UInt32;
+  fallback @2 :UInt32;
+}
+
+# Between control processes a deadline is the time left.
+struct GrantSet {
+  number @0 :UInt64;
+  remainingMs @1 :UInt32;
+  fallbackMs @2 :UInt32;
+  rows @3 :List(RowGrant);
 }
 
 # What the entry knows already; a part that it knows is not sent again.
@@ -65,6 +93,7 @@
   hasBackends @11 :Bool;
   backends @12 :List(Backend);
   grants @13 :List(Grant);
+  hasGrants @14 :Bool;
 }
 
 struct Addresses {
@@ -80,13 +109,14 @@
 }
 
 interface Control {
-  exchange @0 (known :Known, waitMs :UInt32, stamp :UInt64, addresses :Addresses, demand :List(Demand)) -> (update :Update, stamp :UInt64);
+  exchange @0 (known :Known, waitMs :UInt32, stamp :UInt64, addresses :Addresses, report :Report) -> (update :Update, stamp :UInt64);
   # The agreed state as JSON if it goes beyond `asOf`, else empty.
   # `accepted` names what the caller knows of the table: left out if the same.
   fetch @1 (asOf :UInt64, accepted :UInt64, stamp :UInt64) -> (asOf :UInt64, state :Text, confirmed :Bool, confirmedAgeMs :UInt64, confirmedHops :UInt8, stamp :UInt64);
   events @2 (since :UInt64, stamp :UInt64) -> (events :List(Event), stamp :UInt64);
   # The entry leaves on purpose: told to all members at once.
   leave @3 (stamp :UInt64) -> (stamp :UInt64);
-  # Wanted slots of one instance for the holder of the quota lease.
-  claim @4 (instance :Text, demand :List(Demand), stamp :UInt64) -> (grants :List(Grant), stamp :UInt64);
+  # The report of one instance to the holder of `quota/{service}`; without `granted`
+  # the instance keeps what it has.
+  report @4 (service :Text, report :Report, stamp :UInt64) -> (granted :Bool, grants :GrantSet, stamp :UInt64);
 }
--- a/sassafrasdoor/control/link.py
+++ b/sassafrasdoor/control/link.py
@@ -5,13 +5,17 @@
 import random
 
 from sassafrasdoor import logs, metrics
+from sassafrasdoor.admission.grants import Report
 from sassafrasdoor.control import messages
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.peers.link import PeerLink
 from sassafrasdoor.table.rows import table_from
 from sassafrasdoor.view import View
 
-WAIT = 1.0
+# How long control may hold an exchange open, in seconds: an entry that has work
+# reports what it wants more often than one that has none.
+WAIT_IDLE = 1.0
+WAIT_BUSY = 0.3
 CALL_SLACK = 2.0
 RETRY_DELAY = 0.1
 RETRY_DELAY_MAX = 1.0
@@ -28,13 +32,20 @@
     update replaces all parts.
     """
 
-    __slots__ = ("_addresses", "_callbacks", "_demand", "_known", "_link", "_lost")
-    __slots__ += ("_view",)
+    __slots__ = (
+        "_addresses",
+        "_callbacks",
+        "_known",
+        "_link",
+        "_lost",
+        "_report",
+        "_view",
+    )
 
     def __init__(self, settings, address):
         self._link = PeerLink(settings, address, messages.SCHEMA.Control)
         self._addresses = {"entry": "", "peer": ""}
-        self._demand = {}
+        self._report = Report("")
         self._known = {"session": 0, "number": 0}
         self._callbacks = []
         self._lost = True
@@ -58,9 +69,9 @@
         """Tell where callers and peers reach this entry, as ``host:port``."""
         self._addresses = {"entry": entry_address, "peer": peer_address}
 
-    def set_demand(self, demand):
-        """Tell the wanted slots by row; sent with the next exchange."""
-        self._demand = dict(demand)
+    def set_report(self, report):
+        """Tell the ``Report`` of admission; sent with the next exchange."""
+        self._report = report
 
     async def leave(self):
         """Have control tell all members that this instance is leaving."""
@@ -83,14 +94,15 @@
     async def _exchange(self):
         if not self._link.connected and await self._link.open() is not None:
             return False
+        wait = WAIT_BUSY if self._wants_slots() else WAIT_IDLE
         answer = await self._link.call(
             "exchange",
-            timeout=WAIT + CALL_SLACK,
+            timeout=WAIT_IDLE + CALL_SLACK,
             known=self._known,
-            waitMs=int(WAIT * 1000),
+            waitMs=int(wait * 1000),
             stamp=EVENTS.clock.stamp(),
             addresses=self._addresses,
-            demand=messages.demand_messages(self._demand),
+            report=messages.report_message(self._report),
         )
         if not answer:
             return False
@@ -98,6 +110,9 @@
         self._take(answer.update)
         return True
 
+    def _wants_slots(self):
+        return any(usage.wanted for usage in self._report.rows.values())
+
     def _take(self, update):
         if self._lost:
             self._lost = False
@@ -126,6 +141,7 @@
         if confirmed_at is None or update.revision < old.revision:
             confirmed_at = old.confirmed_at
         weights = messages.weights_from(update.weights) if update.hasWeights else {}
+        grants = messages.grants_from(update.grants)
         members = map(messages.member_from, update.members)
         backends = map(messages.backend_from, update.backends)
         return View(
@@ -136,7 +152,7 @@
             members=members if update.hasMembers else old.members,
             backends=backends if update.hasBackends else old.backends,
             confirmed_at=confirmed_at,
-            grants=messages.grants_from(update.grants),
+            grants=grants if update.hasGrants else old.grants,
         )
 
     def _table(self, update):
--- a/sassafrasdoor/control/messages.py
+++ b/sassafrasdoor/control/messages.py
@@ -4,7 +4,8 @@
 
 import capnp
 
-from sassafrasdoor.clock import deadline_in, now, remaining
+from sassafrasdoor.admission.grants import GrantSet, Report, Usage
+from sassafrasdoor.clock import now, remaining
 from sassafrasdoor.view import Backend, Grant, Member, State
 
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("control.capnp")))
@@ -86,33 +87,82 @@
 
 
 def grant_messages(grants):
-    """Return the mappings of grants, with the time that each has left."""
+    """Return the mappings of grants for the entry on this machine."""
     return [
         {
             "row": row,
             "slots": grant.slots,
-            "remainingMs": int(remaining(grant.deadline) * 1000),
+            "fallback": grant.fallback,
+            "number": grant.number,
+            "deadline": grant.deadline,
         }
         for row, grant in sorted(grants.items())
     ]
 
 
 def grants_from(messages):
-    """Return grants by row; each deadline is counted from now."""
+    """Return grants by row."""
     return {
-        message.row: Grant(message.slots, deadline_in(message.remainingMs / 1000))
+        message.row: Grant(
+            message.slots, message.deadline, message.fallback, message.number
+        )
         for message in messages
     }
 
 
-def demand_messages(demand):
-    """Return the mappings of wanted slots by row."""
-    return [{"row": row, "slots": slots} for row, slots in sorted(demand.items())]
+def report_message(report):
+    """Return the mapping of a ``Report``."""
+    return {
+        "instance": report.instance,
+        "life": report.life,
+        "number": report.number,
+        "rows": [
+            {
+                "row": row,
+                "wanted": usage.wanted,
+                "inUse": usage.in_use,
+                "fallback": usage.fallback,
+            }
+            for row, usage in report.rows.items()
+        ],
+    }
+
+
+def report_from(message):
+    """Return the ``Report`` in a message."""
+    rows = {
+        usage.row: Usage(usage.wanted, usage.inUse, usage.fallback)
+        for usage in message.rows
+    }
+    return Report(message.instance, message.life, message.number, rows)
 
 
-def demand_from(messages):
-    """Return wanted slots by row."""
-    return {message.row: message.slots for message in messages}
+def grant_set_message(grants):
+    """Return the mapping of a ``GrantSet`` for another machine."""
+    return {
+        "number": grants.number,
+        "remainingMs": int(remaining(grants.deadline) * 1000),
+        "fallbackMs": int(remaining(grants.fallback_deadline) * 1000),
+        "rows": [
+            {"row": row, "slots": slots, "fallback": grants.fallback.get(row, 0)}
+            for row, slots in grants.slots.items()
+        ],
+    }
+
+
+def grant_set_from(message, sent_at):
+    """Return the ``GrantSet`` in the answer to a report sent at ``sent_at``.
+
+    The deadlines count from the sending, not from the answer: an answer that was
+    long under way must not make slots last here that others are given already.
+    """
+    return GrantSet(
+        message.number,
+        sent_at + message.remainingMs / 1000,
+        sent_at + message.fallbackMs / 1000,
+        {row.row: row.slots for row in message.rows},
+        {row.row: row.fallback for row in message.rows},
+    )
 
 
 def age_fields(confirmed_at):
--- a/sassafrasdoor/control/process.py
+++ b/sassafrasdoor/control/process.py
@@ -11,6 +11,7 @@
 from sassafrasdoor import logs
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.control.instances import InstanceList
+from sassafrasdoor.control.quota import Quota
 from sassafrasdoor.control.service import ControlService
 from sassafrasdoor.control.source import ViewSource
 from sassafrasdoor.control.spread import Spread
@@ -18,7 +19,7 @@
 from sassafrasdoor.log.agreed import Agreed, fold
 from sassafrasdoor.log.follower import Follower
 from sassafrasdoor.log.http import HttpLog
-from sassafrasdoor.membership import rendezvous
+from sassafrasdoor.membership import order
 from sassafrasdoor.membership.delegate import Delegate
 from sassafrasdoor.membership.node import Membership
 from sassafrasdoor.peers.server import PeerServer
@@ -48,7 +49,7 @@
         self.instances = InstanceList(settings)
         self.membership = None
         self.spread = Spread(settings, self.follower, self.members)
-        self.demand = {}
+        self.quota = Quota(settings, self)
         self._server = PeerServer(
             settings,
             settings.instance.host,
@@ -57,6 +58,8 @@
         )
         self._tasks = []
         self._accepted = None
+        self._members = []
+        self._members_stale = True
         self._told_as_of = 0
         self._members_changed = asyncio.Event()
         self._register_after = deadline_in(0)
@@ -73,8 +76,15 @@
         return self._server.address
 
     def members(self):
-        """Return the members that are not dead."""
-        return self.membership.members if self.membership else []
+        """Return the members that are not dead; the same list until one changes."""
+        if self._members_stale and self.membership:
+            self._members = self.membership.members
+            self._members_stale = False
+        return self._members
+
+    def may_hold_grants(self):
+        """Return the names of all instances that may use slots, heard or not."""
+        return self.membership.maybe_living
 
     async def start(self):
         """Bind, join and begin to follow; raises OSError if a port is taken."""
@@ -102,6 +112,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.quota.close()
         await self.membership.stop()
         await self._server.close()
         self.instances.close()
@@ -110,6 +121,7 @@
         """Tell everybody that this instance is gone, then close."""
         self.membership.leave()
         self._departing = True
+        await self.quota.close()
         # A registration still under way could reach the platform after the
         # removal, and the list would name this instance for ever.
         async with self._registering:
@@ -120,15 +132,14 @@
     # Agreed state
 
     def _may_checkpoint(self):
-        names = [m.name for m in self.members() if m.state is State.ALIVE]
-        own = self._settings.instance.name
-        return self.spread.is_poller and rendezvous.chosen(names, "checkpoint") == [own]
+        return self.spread.is_chosen("checkpoint")
 
     def _agreed_changed(self, state):
         if state.accepted is not self._accepted:
             self._accepted = state.accepted
             table = state.table.model_dump_json() if state.table else ""
             self.source.set_table(table, state.revision)
+            self.quota.agreed(state.table)
         self.source.set_weights(state.weights)
 
     async def _watch_confirmation(self):
@@ -148,9 +159,13 @@
     # Members
 
     def member_changed(self, member):
+        self._members_stale = True
         self._members_changed.set()
+        if order.departed(member):
+            self.quota.left(member.name)
 
     def region_changed(self, region, silent):
+        self._members_stale = True
         self._members_changed.set()
 
     async def _publish_members(self):
@@ -161,7 +176,7 @@
             # that lie in the pause; the entry keeps the one that it has.
             if self.membership.trusted:
                 self._members_changed.clear()
-                self.source.set_members(self.membership.members)
+                self.source.set_members(self.members())
 
     # The platform's list
 
@@ -223,20 +238,16 @@
 
     # What the entry says
 
-    def entry_said(self, entry_address, peer_address, demand):
-        """Take the addresses and the wanted slots of the entry."""
+    def entry_said(self, entry_address, peer_address, report, number):
+        """Take the entry's addresses and report; its view has come to ``number``."""
         self.membership.update(entry_address=entry_address, peer_address=peer_address)
-        self.demand = demand
+        self.quota.entry_said(report, number)
 
     def leave(self):
         """The entry begins a planned stop."""
         self.membership.leave()
         self._register_after = deadline_in(0)
 
-    def claimed(self, instance, demand):
-        """Return the grants of an instance by row; none without the lease."""
-        return {}
-
 
 async def run(settings):
     """Run a control process until SIGTERM."""
--- /dev/null
+++ b/sassafrasdoor/control/quota.py
@@ -0,0 +1,273 @@
+"""Leased quota between instances: reports to the holders, grants to the entry.
+
+The lease ``quota/{service}`` has one holder, which shares the service's capacity
+out (``admission.allocator``). This instance reports to the holder of each service
+what its entry wants and uses, and offers the entry the grants that come back.
+"""
+
+import asyncio
+
+from sassafrasdoor import metrics
+from sassafrasdoor.admission.allocator import Allocator
+from sassafrasdoor.admission.grants import Report
+from sassafrasdoor.admission.quota import capacity_of
+from sassafrasdoor.clock import now
+from sassafrasdoor.control import messages
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.lease.holder import Holder
+from sassafrasdoor.outcomes import Unavailable
+from sassafrasdoor.peers.link import PeerLink
+from sassafrasdoor.view import Grant, View
+
+# A third of a grant's life, so that one lost report does not let it lapse.
+REPORTS_IN_GRANT = 3
+# The least time between two reports of which the second wants more.
+HASTE = 0.3
+
+REPORTS = metrics.counter("quota_reports_total", "Reports sent, by result.")
+
+
+def lease_name(service):
+    """Return the name of the lease on a service's quota."""
+    return f"quota/{service}"
+
+
+class ServiceQuota:
+    """The quota of one service, as its holder or as one that reports to it.
+
+    ``offers`` pairs the number of a view with that of the grants first offered
+    in it; ``used_number`` is that of the grants which the entry is known to use.
+    """
+
+    __slots__ = (
+        "_allocator",
+        "_fence",
+        "_link",
+        "_planned",
+        "_process",
+        "_service",
+        "_settings",
+        "_woken",
+        "grants",
+        "holder",
+        "offers",
+        "used_number",
+    )
+
+    def __init__(self, settings, process, service):
+        self._settings = settings
+        self._process = process
+        self._service = service
+        self._allocator = Allocator(settings)
+        self._fence = 0
+        self._planned = None
+        self._link = None
+        self._woken = asyncio.Event()
+        self.grants = None
+        self.offers = []
+        self.used_number = 0
+        self.holder = Holder(
+            settings,
+            process.log,
+            process.follower,
+            lease_name(service),
+            may_claim=lambda: process.spread.is_chosen(lease_name(service)),
+        )
+
+    def entry_knows(self, number):
+        """The entry's view has come to ``number``: it uses what was offered then."""
+        while self.offers and self.offers[0][0] <= number:
+            self.used_number = self.offers.pop(0)[1]
+
+    def wants_more(self, report):
+        """Say whether the entry wants more than it was granted."""
+        slots = self.grants.slots if self.grants else {}
+        return any(
+            usage.wanted > slots.get(row, 0) for row, usage in report.rows.items()
+        )
+
+    def wake(self):
+        """Report soon."""
+        self._woken.set()
+
+    async def run(self):
+        """Report to the holder until cancelled."""
+        interval = self._settings.admission.grant_duration / REPORTS_IN_GRANT
+        claiming = asyncio.create_task(self.holder.run())
+        try:
+            while True:
+                await self._report()
+                await asyncio.sleep(HASTE)
+                await _set_within(self._woken, interval - HASTE)
+                self._woken.clear()
+        finally:
+            claiming.cancel()
+            self._drop_link()
+
+    async def _report(self):
+        report = self._process.quota.report_on(self._service)
+        if not report.life:
+            return
+        sent_at = now()
+        grants = await self._ask(report, sent_at)
+        REPORTS.inc({"result": type(grants).__name__})
+        if grants:
+            self.grants = grants
+            self._process.quota.offer(self)
+
+    async def _ask(self, report, sent_at):
+        if self.holder.fence:
+            return self.granted(report)
+        address = self._address_of_holder()
+        if not address:
+            return Unavailable("nobody holds the quota")
+        if self._link is None or self._link.address != address:
+            self._drop_link()
+            self._link = PeerLink(self._settings, address, messages.SCHEMA.Control)
+        if not self._link.connected:
+            failed = await self._link.open()
+            if failed is not None:
+                return failed
+        answer = await self._link.call(
+            "report",
+            service=self._service,
+            report=messages.report_message(report),
+            stamp=EVENTS.clock.stamp(),
+        )
+        if not answer:
+            return answer
+        EVENTS.clock.observe(answer.stamp)
+        if not answer.granted:
+            return None
+        return messages.grant_set_from(answer.grants, sent_at)
+
+    def _address_of_holder(self):
+        leases = self._process.follower.state.leases
+        lease = leases.get(lease_name(self._service))
+        if lease is None or lease.released:
+            return ""
+        name = lease.holder.partition("/")[0]
+        members = self._process.members()
+        found = (m.control_address for m in members if m.name == name)
+        own = self._settings.instance.name
+        return "" if name == own else next(found, "")
+
+    def _drop_link(self):
+        if self._link is not None:
+            self._link.close()
+        self._link = None
+
+    def granted(self, report):
+        """As the holder: take a report, return a ``GrantSet`` or None."""
+        fence = self.holder.fence
+        if not fence:
+            return None
+        if fence != self._fence:
+            self._fence = fence
+            self._planned = None
+            self._allocator.take_over(fence, self._process.may_hold_grants())
+        self._plan()
+        return self._allocator.report(report, self.holder.deadline)
+
+    def _plan(self):
+        table = self._process.follower.state.table
+        backends = self._process.source.backends
+        if self._planned and self._planned[0] is table and self._planned[1] is backends:
+            return
+        self._planned = (table, backends)
+        rows = [row for row in table.rows if row.service == self._service]
+        view = View(backends=backends)
+        self._allocator.plan(rows, capacity_of(view, self._service))
+
+    def left(self, name):
+        """An instance has ended as planned."""
+        self._allocator.left(name)
+
+
+class Quota:
+    """The quota of all services of the table."""
+
+    __slots__ = ("_process", "_report", "_services", "_settings", "_tasks")
+
+    def __init__(self, settings, process):
+        self._settings = settings
+        self._process = process
+        self._services = {}
+        self._tasks = {}
+        self._report = Report(settings.instance.name)
+
+    def agreed(self, table):
+        """Begin with services that are new in the table, end with those gone."""
+        wanted = {row.service for row in table.rows} if table else set()
+        for service in wanted - set(self._services):
+            quota = ServiceQuota(self._settings, self._process, service)
+            self._services[service] = quota
+            self._tasks[service] = asyncio.create_task(quota.run())
+        for service in set(self._services) - wanted:
+            del self._services[service]
+            self._tasks.pop(service).cancel()
+
+    def entry_said(self, report, number):
+        """Take the entry's report; its view has come to ``number``."""
+        self._report = report
+        for service, quota in self._services.items():
+            quota.entry_knows(number)
+            if quota.wants_more(self.report_on(service)):
+                quota.wake()
+
+    def report_on(self, service):
+        """Return the entry's report, of the rows of one service."""
+        table = self._process.follower.state.table
+        services = {row.name: row.service for row in table.rows} if table else {}
+        rows = {
+            name: usage
+            for name, usage in self._report.rows.items()
+            if services.get(name) == service
+        }
+        quota = self._services.get(service)
+        number = quota.used_number if quota else 0
+        instance = self._settings.instance.name
+        return Report(instance, self._report.life, number, rows)
+
+    def offer(self, changed):
+        """Offer the entry all grants, those of ``changed`` being new."""
+        grants = {}
+        for quota in self._services.values():
+            grants |= _by_row(quota.grants)
+        number = self._process.source.set_grants(grants)
+        changed.offers.append((number, changed.grants.number))
+
+    def reported(self, service, report):
+        """Answer another instance's report; None unless holder of the service."""
+        quota = self._services.get(service)
+        return quota.granted(report) if quota else None
+
+    def left(self, name):
+        """An instance has ended as planned."""
+        for quota in self._services.values():
+            quota.left(name)
+
+    async def close(self):
+        """End all tasks and give up the leases."""
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        holders = [quota.holder for quota in self._services.values()]
+        await asyncio.gather(*(holder.release() for holder in holders))
+
+
+def _by_row(grants):
+    if grants is None:
+        return {}
+    return {
+        row: Grant(slots, grants.deadline, grants.fallback.get(row, 0), grants.number)
+        for row, slots in grants.slots.items()
+    }
+
+
+async def _set_within(event, seconds):
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        pass
--- a/sassafrasdoor/control/service.py
+++ b/sassafrasdoor/control/service.py
@@ -19,12 +19,13 @@
         asked, results = context.params, context.results
         EVENTS.clock.observe(asked.stamp)
         process = self._process
+        number = process.source.known_to(asked.known)
         process.entry_said(
             asked.addresses.entry,
             asked.addresses.peer,
-            messages.demand_from(asked.demand),
+            messages.report_from(asked.report),
+            number,
         )
-        number = process.source.known_to(asked.known)
         await process.source.wait(number, min(MAX_WAIT, asked.waitMs / 1000))
         results.update = process.source.update(number)
         results.stamp = EVENTS.clock.stamp()
@@ -59,8 +60,12 @@
         self._process.leave()
         return EVENTS.clock.stamp()
 
-    async def claim(self, instance, demand, stamp, _context, **_):
-        EVENTS.clock.observe(stamp)
-        grants = self._process.claimed(instance, messages.demand_from(demand))
-        _context.results.grants = messages.grant_messages(grants)
-        _context.results.stamp = EVENTS.clock.stamp()
+    async def report_context(self, context):
+        asked, results = context.params, context.results
+        EVENTS.clock.observe(asked.stamp)
+        report = messages.report_from(asked.report)
+        grants = self._process.quota.reported(asked.service, report)
+        if grants is not None:
+            results.granted = True
+            results.grants = messages.grant_set_message(grants)
+        results.stamp = EVENTS.clock.stamp()
--- a/sassafrasdoor/control/source.py
+++ b/sassafrasdoor/control/source.py
@@ -81,9 +81,9 @@
         self._set(self._backends, tuple(backends))
 
     def set_grants(self, grants):
-        """Offer leased grants; new deadlines count as a change."""
-        if grants or self._grants.value:
-            self._set(self._grants, dict(grants))
+        """Offer leased grants by row; return the number they are offered under."""
+        self._set(self._grants, dict(grants))
+        return self.number
 
     def _set(self, part, value):
         self.number += 1
@@ -111,7 +111,6 @@
             "session": self.session,
             "number": self.number,
             "revision": self.revision,
-            "grants": messages.grant_messages(self._grants.value),
             **messages.age_fields(self.confirmed_at),
         }
         if self._table.number > number or not number:
@@ -125,4 +124,7 @@
         if self._backends.number > number or not number:
             backends = [messages.backend_message(item) for item in self.backends]
             update |= {"hasBackends": True, "backends": backends}
+        if self._grants.number > number or not number:
+            grants = messages.grant_messages(self._grants.value)
+            update |= {"hasGrants": True, "grants": grants}
         return update
--- a/sassafrasdoor/control/spread.py
+++ b/sassafrasdoor/control/spread.py
@@ -45,16 +45,21 @@
 class Spread:
     """Tells and hears ``News``; fetches what peers know beyond the follower."""
 
-    __slots__ = ("_addresses", "_ahead", "_chance", "_confirmed", "_digest")
-    __slots__ += (
+    __slots__ = (
+        "_ahead",
+        "_chance",
+        "_confirmed",
+        "_digest",
         "_follower",
         "_known",
         "_lazy_after",
         "_members",
+        "_pollers",
+        "_pollers_of",
         "_settings",
         "_woken",
+        "changed_as_of",
     )
-    __slots__ += ("changed_as_of",)
 
     def __init__(self, settings, follower, members):
         self._settings = settings
@@ -67,6 +72,8 @@
         self._woken = asyncio.Event()
         self._lazy_after = deadline_in(0)
         self._known = None
+        self._pollers_of = None
+        self._pollers = set()
         self.changed_as_of = 0
         follower.on_change(self._note_change)
 
@@ -77,18 +84,34 @@
             self._known = known
             self.changed_as_of = self._follower.as_of
 
+    @property
+    def pollers(self):
+        """The names of the instances that read the log, of all zones."""
+        members = self._members()
+        if members is not self._pollers_of:
+            zones = {}
+            for member in members:
+                if member.state is State.ALIVE:
+                    zone = zones.setdefault(member.availability_zone, [])
+                    zone.append(member.name)
+            count = self._settings.membership.pollers_per_zone
+            self._pollers_of = members
+            self._pollers = {
+                name
+                for names in zones.values()
+                for name in rendezvous.chosen(names, "poller", count)
+            }
+        return self._pollers
+
     @property
     def is_poller(self):
-        """Whether this instance is one of its zone's that read the log."""
-        own = self._settings.instance
-        names = [
-            member.name
-            for member in self._members()
-            if member.availability_zone == own.availability_zone
-            and (member.state is State.ALIVE or member.name == own.name)
-        ]
-        count = self._settings.membership.pollers_per_zone
-        return own.name in rendezvous.chosen(names, "poller", count)
+        """Whether this instance is one that reads the log."""
+        return self._settings.instance.name in self.pollers
+
+    def is_chosen(self, duty):
+        """Whether, of those that read the log, this instance is the one for a duty."""
+        own = self._settings.instance.name
+        return rendezvous.chosen(self.pollers, duty) == [own]
 
     def may_poll(self):
         """Say whether to read the log now.
--- a/sassafrasdoor/entry/parts.py
+++ b/sassafrasdoor/entry/parts.py
@@ -13,7 +13,7 @@
 from sassafrasdoor.steps import handlers as step_handlers
 from sassafrasdoor.steps.handlers import StepsService
 
-DEMAND_INTERVAL = 0.2
+REPORT_INTERVAL = 0.2
 
 
 class Parts:
@@ -61,7 +61,12 @@
 
     def start(self):
         """Start the tasks that run beside the calls."""
-        jobs = [self.link.run(), self.loads.run(), self._send_demand()]
+        jobs = [
+            self.link.run(),
+            self.loads.run(),
+            self.admission.run(self.view),
+            self._send_report(),
+        ]
         self._tasks = [asyncio.ensure_future(job) for job in jobs]
 
     async def close(self):
@@ -94,10 +99,10 @@
             "demand": self.admission.demand(),
         }
 
-    async def _send_demand(self):
+    async def _send_report(self):
         while True:
-            self.link.set_demand(self.admission.demand())
-            await asyncio.sleep(DEMAND_INTERVAL)
+            self.link.set_report(self.admission.report())
+            await asyncio.sleep(REPORT_INTERVAL)
 
 
 def _member(member):
--- a/sassafrasdoor/membership/node.py
+++ b/sassafrasdoor/membership/node.py
@@ -103,6 +103,11 @@
         seen = (self._seen(member) for member in self._roster.living())
         return [member for member in seen if member.state is not State.DEAD]
 
+    @property
+    def maybe_living(self):
+        """Names of all members remembered but those that departed on purpose."""
+        return [m.name for m in self._roster.all() if not order.departed(m)]
+
     def _seen(self, member):
         since = self._regions.silent_since(member.region) if self._silent else None
         if since is None or member.state is not State.ALIVE:
@@ -138,7 +143,9 @@
 
     async def depart(self):
         """Tell some members that this process is gone now, before ``stop``."""
-        self._declare(state=State.DEAD)
+        gone = dict.fromkeys(order.ADDRESSES, "")
+        incarnation = self._own.incarnation + 1
+        self._declare(state=State.DEAD, incarnation=incarnation, **gone)
         for _ in range(DEPART_ROUNDS):
             self._gossip()
             await asyncio.sleep(self._settings.gossip_interval)
--- a/sassafrasdoor/membership/order.py
+++ b/sassafrasdoor/membership/order.py
@@ -12,6 +12,18 @@
 STATES = {rank: state for state, rank in RANK.items()}
 
 
+ADDRESSES = ("gossip_address", "control_address", "entry_address", "peer_address")
+
+
+def departed(member):
+    """Say whether a member said itself that it has ended.
+
+    Who is declared dead by others keeps its addresses, and may live on
+    somewhere, cut off; who departs takes them away.
+    """
+    return member.state is State.DEAD and not member.gossip_address
+
+
 def key(member):
     """Return what the order compares.
 
--- a/sassafrasdoor/peers/link.py
+++ b/sassafrasdoor/peers/link.py
@@ -29,8 +29,16 @@
     failed call closes the connection; the next one starts anew.
     """
 
-    __slots__ = ("_address", "_capability", "_client", "_door", "_interface", "_keys")
-    __slots__ += ("_name", "_stream")
+    __slots__ = (
+        "_address",
+        "_capability",
+        "_client",
+        "_door",
+        "_interface",
+        "_keys",
+        "_name",
+        "_stream",
+    )
 
     def __init__(self, settings, address, interface):
         self._address = address
