--- a/sassafrasdoor/log/tests/test_follower.py
+++ b/sassafrasdoor/log/tests/test_follower.py
@@ -8,6 +8,7 @@
 from sassafrasdoor.clock import deadline_in, now
 from sassafrasdoor.log import agreed, checkpoints
 from sassafrasdoor.log.follower import Follower
+from sassafrasdoor.log.interface import Record
 from sassafrasdoor.log.memory import MemoryLog
 from sassafrasdoor.outcomes import Unavailable
 from sassafrasdoor.support import until
@@ -106,6 +107,57 @@
         self.assertIsInstance(await reader.catch_up(deadline_in(0)), Unavailable)
         self.assertIsNone(reader.state.table)
 
+    async def test_what_is_no_checkpoint_of_ours_is_not_used(self):
+        await self.propose("a", 0)
+        state = (await self.caught_up()).state.as_document()
+        bodies = [
+            {"as_of": 99, "state": state},
+            {"as_of": -1, "state": state},
+            {"as_of": "1", "state": state},
+            {"as_of": 1},
+            {"as_of": 1, "state": {**state, "accepted": None}},
+            {"as_of": 1, "state": {**state, "leases": {"plan": {"holder": 1}}}},
+        ]
+        for body in bodies:
+            with self.subTest(body):
+                record = Record(7, {"kind": "checkpoint", **body})
+                self.assertIsNone(checkpoints.decode(record, agreed.Agreed))
+
+    async def test_a_log_that_answers_at_once_is_not_read_again_and_again(self):
+        """
+        Symptom: while the log is down or holds no poll open, each instance sends
+        it thousands of reads a second.
+        Sequence: a poll ends at once with nothing; the next one follows.
+        Cause: leaving the pace to the other side.
+        """
+        patient = self.follower(settings_with(poll_interval=1000))
+        reads = 0
+
+        async def down(*arguments):
+            nonlocal reads
+            reads += 1
+            return Unavailable("down")
+
+        self.log.end = self.log.read = down
+        running = asyncio.create_task(patient.run())
+        for _ in range(100):
+            await asyncio.sleep(0)
+        self.assertEqual(reads, 1)
+        running.cancel()
+
+    async def test_a_checkpoint_that_has_not_come_back_is_not_written_again(self):
+        """
+        Symptom: a slow log is filled with copies of one checkpoint.
+        Sequence: a checkpoint is appended; its record is not readable yet.
+        Cause: judging by the newest checkpoint read alone.
+        """
+        await self.append(kind="weights", model="m", version=1)
+        eager = settings_with(checkpoint_every=1)
+        writer = await self.caught_up(self.follower(eager, may_checkpoint=lambda: True))
+        for _ in range(3):
+            await writer._offer_checkpoint()
+        self.assertEqual(len(self.log._records[STREAM]), 2)
+
     async def test_records_that_expire_under_a_slow_reader_are_not_skipped(self):
         """
         Symptom: a slow instance keeps a table that others have replaced.
--- /dev/null
+++ b/sassafrasdoor/table/sheets.py
@@ -0,0 +1,111 @@
+"""The table as a file: a JSON document or a CSV sheet.
+
+A JSON sheet is ``{"revision": n, "rows": [...]}``. A CSV sheet has a header of
+column names, may begin with a line ``# revision n``, and leaves a cell empty for
+the default. ``revision`` is the one that the sheet was made from; None if unsaid.
+"""
+
+import csv
+import io
+import json
+import pathlib
+
+from sassafrasdoor.outcomes import Finding, Rejected
+from sassafrasdoor.table.rows import Row
+
+COLUMNS = list(Row.model_fields)
+LIST_COLUMN = "key_hashes"
+REVISION_MARK = "# revision "
+
+
+class Sheet:
+    """A sheet: its ``document`` (not yet checked) and the ``revision`` it edits."""
+
+    __slots__ = ("document", "revision")
+
+    def __init__(self, document, revision=None):
+        self.document = document
+        self.revision = revision
+
+
+def read(path):
+    """Return the ``Sheet`` in a file, by its suffix, or ``Rejected``."""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Rejected("sheet unreadable", [Finding(str(path), str(error))])
+    return _READERS.get(_suffix(path), from_json)(text)
+
+
+def write(path, table, revision):
+    """Return the text of a table's sheet in the form that the suffix asks for."""
+    return _WRITERS.get(_suffix(path), to_json)(table, revision)
+
+
+def from_json(text):
+    """Return the ``Sheet`` in JSON text, or ``Rejected``."""
+    try:
+        document = json.loads(text)
+    except ValueError as error:
+        return Rejected("sheet is not JSON", [Finding("(root)", str(error))])
+    if not isinstance(document, dict):
+        return Rejected("sheet invalid", [Finding("(root)", "not an object")])
+    revision = document.pop("revision", None)
+    if revision is not None and type(revision) is not int:
+        return Rejected("sheet invalid", [Finding("revision", "not an integer")])
+    return Sheet(document, revision)
+
+
+def from_csv(text):
+    """Return the ``Sheet`` in CSV text, or ``Rejected``."""
+    revision = None
+    if text.startswith(REVISION_MARK):
+        first, _, text = text.partition("\n")
+        digits = first.removeprefix(REVISION_MARK).strip(" ,\r")
+        if not digits.isdecimal():
+            return Rejected("sheet invalid", [Finding("revision", "not an integer")])
+        revision = int(digits)
+    try:
+        lines = list(csv.DictReader(io.StringIO(text), strict=True))
+    except csv.Error as error:
+        return Rejected("sheet is not CSV", [Finding("(root)", str(error))])
+    findings = [
+        Finding(f"rows.{index}", "more cells than columns")
+        for index, line in enumerate(lines)
+        if None in line
+    ]
+    if findings:
+        return Rejected("sheet invalid", findings)
+    return Sheet({"rows": [_row(line) for line in lines]}, revision)
+
+
+def to_json(table, revision):
+    """Return the sheet of a table as JSON text."""
+    document = {"revision": revision, **table.model_dump(mode="json")}
+    return json.dumps(document, indent=2) + "\n"
+
+
+def to_csv(table, revision):
+    """Return the sheet of a table as CSV text."""
+    text = io.StringIO()
+    text.write(f"{REVISION_MARK}{revision}\n")
+    writer = csv.DictWriter(text, COLUMNS, lineterminator="\n")
+    writer.writeheader()
+    for row in table.model_dump(mode="json")["rows"]:
+        writer.writerow({**row, LIST_COLUMN: " ".join(row[LIST_COLUMN])})
+    return text.getvalue()
+
+
+def _suffix(path):
+    return pathlib.Path(path).suffix.lower()
+
+
+def _row(line):
+    row = {name: cell for name, cell in line.items() if cell not in ("", None)}
+    if LIST_COLUMN in row:
+        row[LIST_COLUMN] = row[LIST_COLUMN].split()
+    return row
+
+
+_READERS = {".csv": from_csv, ".json": from_json}
+_WRITERS = {".csv": to_csv, ".json": to_json}
--- /dev/null
+++ b/sassafrasdoor/tools/table_changes.py
@@ -0,0 +1,70 @@
+"""What changes between two tables, row by row, with the change in shares."""
+
+from sassafrasdoor.admission.shares import fractions
+
+IGNORED = {"name"}
+
+
+class Change:
+    """One row that differs.
+
+    ``fields`` maps a column to its ``(old, new)`` values; for a row added or
+    removed one side is None throughout. ``old_share`` and ``new_share`` are parts
+    (0..1) of the service's capacity when every row wants all that it may have.
+    """
+
+    __slots__ = ("fields", "name", "new_share", "old_share")
+
+    def __init__(self, name, fields, old_share, new_share):
+        self.name = name
+        self.fields = fields
+        self.old_share = old_share
+        self.new_share = new_share
+
+    def as_document(self):
+        """Return the change as a JSON-ready mapping."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+def changes(old, new):
+    """Return the ``Change``s from the table ``old`` (or None) to ``new``.
+
+    A row whose cells stay but whose share moves, because others changed, is one.
+    """
+    before, after = _by_name(old), _by_name(new)
+    old_shares, new_shares = (
+        shares_under_full_demand(old),
+        shares_under_full_demand(new),
+    )
+    found = []
+    for name in dict.fromkeys([*before, *after]):
+        fields = _fields(before.get(name), after.get(name))
+        shares = (old_shares.get(name, 0.0), new_shares.get(name, 0.0))
+        if fields or abs(shares[0] - shares[1]) > 1e-9:
+            found.append(Change(name, fields, *shares))
+    return found
+
+
+def shares_under_full_demand(table):
+    """Return ``{row name: share}`` of each service when all rows want their limit."""
+    shares = {}
+    rows = table.rows if table else []
+    for service in {row.service for row in rows}:
+        group = [row for row in rows if row.service == service]
+        limits = {row.name: row.limit for row in group}
+        shares.update(fractions(group, limits, 1.0))
+    return shares
+
+
+def _by_name(table):
+    return {row.name: row for row in table.rows} if table else {}
+
+
+def _fields(old, new):
+    before = old.model_dump(mode="json") if old else {}
+    after = new.model_dump(mode="json") if new else {}
+    return {
+        name: (before.get(name), after.get(name))
+        for name in dict.fromkeys([*before, *after])
+        if name not in IGNORED and before.get(name) != after.get(name)
+    }
--- /dev/null
+++ b/sassafrasdoor/tools/tests/test_table.py
@@ -0,0 +1,199 @@
+"""The operators' tool against a real platform stand-in: output and exit codes."""
+
+import http.server
+import json
+import pathlib
+import threading
+import unittest
+import urllib.request
+
+from typer.testing import CliRunner
+
+from sassafrasdoor.support import Processes
+from sassafrasdoor.table import sheets
+from sassafrasdoor.table.rows import table_from
+from sassafrasdoor.table.tests.test_accepted import table
+from sassafrasdoor.tools.table import app
+from sassafrasdoor.tools.table_changes import changes
+
+SHEET = """name,kind,service,weight,limit,key_hashes
+boards,application,occupancy,1,,{hash}
+wording,application,occupancy,3,0.5,{hash} {hash}
+""".replace("{hash}", "a" * 64)
+
+
+class SheetsTest(unittest.TestCase):
+    def test_both_forms_give_back_the_same_table(self):
+        before = table_from(sheets.from_csv(SHEET).document)
+        self.assertEqual(before.rows[0].limit, 1.0)
+        for parse, text in (
+            (sheets.from_csv, sheets.to_csv(before, 7)),
+            (sheets.from_json, sheets.to_json(before, 7)),
+        ):
+            sheet = parse(text)
+            self.assertEqual(sheet.revision, 7)
+            self.assertEqual(table_from(sheet.document), before)
+
+    def test_bad_sheets_say_where(self):
+        cases = [
+            (sheets.from_json, "{", "(root)"),
+            (sheets.from_json, "[]", "(root)"),
+            (sheets.from_json, '{"revision": "x"}', "revision"),
+            (sheets.from_csv, "# revision x\nname\n", "revision"),
+            (sheets.from_csv, "name\na\nb,c\n", "rows.1"),
+            (sheets.from_csv, 'name\n"a', "(root)"),
+        ]
+        for parse, text, place in cases:
+            with self.subTest(text):
+                self.assertEqual(parse(text).findings[0].place, place)
+
+
+class ChangesTest(unittest.TestCase):
+    def test_a_row_whose_share_moves_is_a_change(self):
+        new = table_from(sheets.from_csv(SHEET).document)
+        old = new.model_copy(update={"rows": new.rows[:1]})
+        found = {change.name: change for change in changes(old, new)}
+        self.assertEqual(found["boards"].fields, {})
+        self.assertEqual(found["boards"].old_share, 1.0)
+        self.assertAlmostEqual(found["boards"].new_share, 0.5)
+        self.assertAlmostEqual(found["wording"].new_share, 0.5)
+        self.assertEqual(found["wording"].fields["weight"], (None, 3.0))
+        self.assertEqual(changes(new, new), [])
+
+
+class Status(http.server.BaseHTTPRequestHandler):
+    """An instance that only says which revision it uses."""
+
+    def do_GET(self):
+        body = json.dumps({"revision": self.server.revision}).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *arguments):
+        """Keep the test's output clean."""
+
+
+class ToolTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.processes = cls.enterClassContext(Processes())
+
+    def setUp(self):
+        self.url = self.processes.serve("standin", "platform").ready["url"]
+        self.sheet = self.write(table())
+
+    def write(self, document, name="sheet.json"):
+        return self.processes.write_json(name, document)
+
+    def tool(self, *arguments):
+        """Run the tool; return its exit code and the JSON that it printed."""
+        command = ["--platform", self.url, "--json", *map(str, arguments)]
+        result = CliRunner().invoke(app, command)
+        if result.exit_code == 2:
+            return 2, None
+        self.assertTrue(result.stdout, result.output)
+        return result.exit_code, json.loads(result.stdout)
+
+    def call(self, method, path, document):
+        data = json.dumps(document).encode()
+        request = urllib.request.Request(self.url + path, data, method=method)
+        with urllib.request.urlopen(request, timeout=20) as response:
+            return json.loads(response.read())
+
+    def instance(self, name, revision):
+        """Serve an instance and register it."""
+        server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Status)
+        server.revision = revision
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        address = f"127.0.0.1:{server.server_address[1]}"
+        self.call("PUT", f"/instances/{name}", {"kind": "entry", "address": address})
+        return server
+
+    def test_an_edit_from_show_to_in_force(self):
+        code, first = self.tool("apply", self.sheet, "--author", "anna")
+        self.assertEqual((code, first["outcome"]), (0, "accepted"))
+        path = pathlib.Path(self.sheet).with_name("edited.csv")
+        result = CliRunner().invoke(
+            app, ["--platform", self.url, "show", "--output", str(path)]
+        )
+        self.assertEqual(result.exit_code, 0)
+        path.write_text(path.read_text().replace(",1.0,", ",2.0,", 1))
+        code, found = self.tool("diff", path)
+        self.assertEqual(found["changes"][0]["fields"], {"weight": [1.0, 2.0]})
+        code, second = self.tool("apply", path)
+        self.assertEqual(code, 0)
+        self.assertGreater(second["revision"], first["revision"])
+        self.assertEqual(self.tool("show")[1]["rows"][0]["weight"], 2.0)
+
+    def test_the_slower_of_two_operators_is_told_who_was_first(self):
+        """
+        Symptom: an operator's change is gone and nobody told him.
+        Sequence: two edit the same revision; both publish.
+        Cause: publishing onto whatever is in force, not what was edited.
+        """
+        first = self.tool("apply", self.sheet)[1]["revision"]
+        mine = self.write({**table(2.0), "revision": first}, "mine.json")
+        theirs = self.write({**table(3.0), "revision": first}, "theirs.json")
+        won = self.tool("apply", theirs, "--author", "ben")[1]
+        code, lost = self.tool("apply", mine, "--author", "anna")
+        self.assertEqual((code, lost["outcome"]), (1, "rejected"))
+        self.assertEqual(lost["winner"], won["revision"])
+        self.assertEqual(lost["winner_author"], "ben")
+        self.assertEqual(self.tool("show")[1]["rows"][0]["weight"], 3.0)
+        unsaid, rejected = self.tool("apply", self.sheet)
+        self.assertEqual((unsaid, rejected["findings"][0]["place"]), (1, "revision"))
+
+    def test_in_force_counts_the_instances_that_say_so(self):
+        self.instance("one", 10**9)
+        self.instance("two", 0)
+        code, done = self.tool("apply", self.sheet, "--timeout", 1)
+        self.assertEqual((code, done["in_force"], done["instances"]), (4, 1, 2))
+        self.assertEqual(done["missing"], ["two"])
+
+    def test_exit_codes(self):
+        bad = self.write(table(-1.0), "bad.json")
+        cases = [
+            (("check", self.sheet), 0, "valid"),
+            (("check", bad), 1, "rejected"),
+            (("apply", bad), 1, "rejected"),
+            (("apply", self.sheet, "--base", 5), 1, "rejected"),
+            (("check",), 2, None),
+            (("announce", "m", 3), 0, "announced"),
+            (("announce", "m", 3), 1, "rejected"),
+            (("show", "--timeout", 0), 3, "unavailable"),
+            (("apply", self.sheet, "--timeout", 0), 3, "unavailable"),
+        ]
+        for arguments, code, outcome in cases:
+            with self.subTest(arguments):
+                down = code == 3
+                self.call("POST", "/standin/faults", {"down": down})
+                found, document = self.tool(*arguments)
+                self.assertEqual(found, code)
+                self.assertEqual(document and document["outcome"], outcome)
+
+    def test_a_lost_reply_publishes_once(self):
+        self.call("POST", "/standin/faults", {"lose_reply": 1})
+        code, done = self.tool("apply", self.sheet)
+        self.assertEqual((code, done["outcome"]), (0, "accepted"))
+        with urllib.request.urlopen(self.url + "/standin/truth") as response:
+            records = json.loads(response.read())["streams"]["agreed"]
+        self.assertEqual(len(records), 1)
+
+    def test_history_names_every_decision(self):
+        self.tool("apply", self.sheet, "--author", "anna")
+        decisions = self.tool("history")[1]["decisions"]
+        self.assertEqual([one["author"] for one in decisions], ["anna"])
+
+    def test_people_get_tables_and_findings_with_places(self):
+        self.tool("apply", self.sheet, "--author", "[anna]")
+        shown = CliRunner().invoke(app, ["--platform", self.url, "show"])
+        self.assertIn("boards", shown.stdout)
+        self.assertIn("by [anna]", shown.stdout)
+        bad = self.write(table(-1.0), "bad.json")
+        refused = CliRunner().invoke(app, ["check", bad])
+        self.assertEqual(refused.exit_code, 1)
+        self.assertIn("rows.0.weight", refused.output)
