--- /dev/null
+++ b/sassafrasdoor/steps/client.py
@@ -0,0 +1,264 @@
+"""The trainer's side: submit a step, iterate its samples, survive instances.
+
+    trainer = Trainer(["127.0.0.1:8000"], row="signs", key="...")
+    run = trainer.run(step_document)
+    async for sample in run.samples():
+        ...
+    print(run.report.as_dict(), run.failure)
+
+A sample is yielded once. ``run.state()`` is what a trainer keeps beside its
+own checkpoint, so that ``trainer.run(document, state)`` goes on after a restart.
+"""
+
+import asyncio
+import json
+import random
+from urllib.parse import urlencode
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+
+from sassafrasdoor.clock import deadline_in, now, passed, remaining
+from sassafrasdoor.outcomes import Finding, Rejected, Unavailable
+from sassafrasdoor.steps.token import DeliveryToken
+
+CONNECT_TIMEOUT = 2.0
+CALL_TIMEOUT = 10.0
+WAIT = 10.0
+PAUSE = 0.1
+LONGEST_PAUSE = 1.0
+NO_REPLY = 599
+MAX_CLIENTS = 64
+
+
+class Report:
+    """What a trainer measures of a step; times in seconds.
+
+    ``idle`` is the time spent waiting for samples while the step was
+    incomplete; ``staleness`` counts delivered samples by how many versions
+    they were behind the newest one known on arrival.
+    """
+
+    __slots__ = (
+        "attachments",
+        "counts",
+        "duplicates",
+        "duration",
+        "idle",
+        "samples",
+        "staleness",
+        "too_old_on_arrival",
+    )
+
+    def __init__(self):
+        self.attachments = 0
+        self.counts = {}
+        self.duplicates = 0
+        self.duration = 0.0
+        self.idle = 0.0
+        self.samples = 0
+        self.staleness = {}
+        self.too_old_on_arrival = 0
+
+    @property
+    def mean_staleness(self):
+        """Mean number of versions behind the newest, 0 without samples."""
+        total = sum(behind * count for behind, count in self.staleness.items())
+        return total / self.samples if self.samples else 0.0
+
+    def as_dict(self):
+        """Return the report JSON-ready."""
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        return {**fields, "mean_staleness": self.mean_staleness}
+
+
+class Trainer:
+    """One row's trainer. ``newest_version`` is what it last published itself."""
+
+    __slots__ = ("_http", "_key", "_seeds", "_zone", "newest_version", "row")
+
+    def __init__(self, addresses, row, key, zone="", newest_version=0):
+        self._seeds = list(addresses)
+        self._key = key
+        self._zone = zone
+        self.row = row
+        self.newest_version = newest_version
+        self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+
+    def close(self):
+        """Close the connections."""
+        self._http.close()
+
+    def run(self, document, state=None):
+        """Return the ``StepRun`` of a step (the JSON of a submit, less ``attach``)."""
+        return StepRun(self, document, state)
+
+    async def addresses(self, known=()):
+        """Ask the instances which of them to use; fall back to those known."""
+        query = urlencode({"row": self.row, "zone": self._zone})
+        asked = [*known, *self._seeds]
+        for address in random.sample(asked, len(asked)):
+            status, answer = await self.call("GET", address, f"/v1/addresses?{query}")
+            if status == 200 and answer.get("addresses"):
+                return [one["address"] for one in answer["addresses"]]
+        return asked
+
+    async def call(self, method, address, path, document=None, timeout=CALL_TIMEOUT):
+        """Call one instance once; return ``(status, document)``, 599 for no reply."""
+        request = HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            headers={"Authorization": f"Bearer {self._key}"},
+            body=None if document is None else json.dumps(document),
+            connect_timeout=CONNECT_TIMEOUT,
+            request_timeout=timeout,
+            follow_redirects=False,
+            allow_nonstandard_methods=True,
+        )
+        response = await self._http.fetch(request, raise_error=False)
+        try:
+            return response.code, json.loads(response.body)
+        except (TypeError, ValueError):
+            # A cut or foreign body is no reply: the token makes asking again safe.
+            return (response.code if response.code >= 400 else NO_REPLY), {}
+
+
+class StepRun:
+    """One step being fetched; ``failure`` says why ``samples`` ended early."""
+
+    __slots__ = (
+        "_address",
+        "_addresses",
+        "_attach",
+        "_deadline",
+        "_document",
+        "_trainer",
+        "failure",
+        "report",
+        "token",
+    )
+
+    def __init__(self, trainer, document, state=None):
+        state = state or {"attach": 0, "token": ""}
+        size = len(document["groups"]) * document["samples_per_group"]
+        self._trainer = trainer
+        self._document = document
+        self._attach = state["attach"]
+        self._address = None
+        self._addresses = []
+        self._deadline = deadline_in(document["deadline_ms"] / 1000)
+        self.token = DeliveryToken.parse(state["token"], size)
+        self.failure = None
+        self.report = Report()
+
+    @property
+    def complete(self):
+        """Whether every sample has arrived."""
+        return self.token.complete
+
+    def state(self):
+        """Return what a restarted trainer goes on with, JSON-ready."""
+        return {"attach": self._attach, "token": self.token.encode()}
+
+    async def samples(self):
+        """Yield each sample once, as it arrives."""
+        started = now()
+        while not self.complete and self.failure is None:
+            asked = now()
+            fresh = await self._more()
+            self.report.idle += now() - asked
+            for sample in fresh:
+                yield sample
+        self.report.duration = now() - started
+        if self.complete and self._address:
+            await self._fetch(wait=0.0)  # lets the instance forget the step
+
+    async def cancel(self):
+        """Give the step up; instances that are away find out by its deadline."""
+        self.failure = Unavailable("cancelled")
+        path = f"/v1/steps/{self._trainer.row}/{self._document['step']}"
+        if self._address:
+            await self._trainer.call("DELETE", self._address, path)
+
+    async def _more(self):
+        if passed(self._deadline):
+            self.failure = Unavailable("the step's deadline has passed")
+            return []
+        if self._address is None and not await self._attached():
+            return []
+        status, reply = await self._fetch(min(WAIT, remaining(self._deadline)))
+        if status != 200:
+            self._move(status, reply)
+            return []
+        if reply["moved"]:
+            self._address = None
+        return self._accepted(reply)
+
+    async def _fetch(self, wait):
+        path = f"/v1/steps/{self._trainer.row}/{self._document['step']}/fetch"
+        fetch = {
+            "attach": self._attach,
+            "token": self.token.encode(),
+            "newest_version": self._trainer.newest_version,
+            "wait_ms": int(wait * 1000),
+        }
+        return await self._trainer.call(
+            "POST", self._address, path, fetch, wait + CALL_TIMEOUT
+        )
+
+    async def _attached(self):
+        """Attach at the next instance; return whether one took the step."""
+        if not self._addresses:
+            self._addresses = await self._trainer.addresses()
+        address = self._addresses.pop(0)
+        self._attach += 1
+        document = {
+            **self._document,
+            "attach": self._attach,
+            "token": self.token.encode(),
+            "deadline_ms": max(1, int(remaining(self._deadline) * 1000)),
+        }
+        path = f"/v1/steps/{self._trainer.row}"
+        status, reply = await self._trainer.call("POST", address, path, document)
+        if status == 202:
+            self._address = address
+            self.report.attachments += 1
+            return True
+        self._move(status, reply)
+        await asyncio.sleep(PAUSE * random.uniform(0.5, 1.0))
+        return False
+
+    def _move(self, status, reply):
+        """Leave this instance after a refusal or no reply, or end the run."""
+        self._address = None
+        if reply.get("attach"):
+            self._attach = max(self._attach, reply["attach"])
+        elif status in (400, 401, 409, 413):
+            findings = [Finding(**one) for one in reply.get("findings", [])]
+            self.failure = Rejected(reply.get("reason", f"status {status}"), findings)
+
+    def _accepted(self, reply):
+        """Return the samples that are new and fresh, and note that we have them.
+
+        A reply may have been on its way while the trainer published newer
+        weights, so the bound is checked once more here; a sample left out of
+        the token is made again.
+        """
+        trainer, report = self._trainer, self.report
+        trainer.newest_version = max(trainer.newest_version, reply["newest_version"])
+        report.counts = reply["counts"]
+        accepted = []
+        for sample in reply["samples"]:
+            behind = trainer.newest_version - sample["oldest_version"]
+            if behind > reply["staleness_bound"]:
+                report.too_old_on_arrival += 1
+                continue
+            group, index = sample["group"], sample["index"]
+            if not self.token.add(group * self._document["samples_per_group"] + index):
+                report.duplicates += 1
+                continue
+            report.samples += 1
+            behind = max(0, behind)
+            report.staleness[behind] = report.staleness.get(behind, 0) + 1
+            accepted.append(sample)
+        return accepted
--- /dev/null
+++ b/sassafrasdoor/steps/handlers.py
@@ -0,0 +1,127 @@
+"""The trainers' HTTP: submit, fetch and cancel steps."""
+
+from functools import singledispatch
+
+import tornado.web
+
+from sassafrasdoor.outcomes import NotRun, Rejected
+from sassafrasdoor.steps.registry import Conflict, NoSuchStep, StepsService
+from sassafrasdoor.steps.spec import FetchSpec, StepSpec, checked
+
+__all__ = ["StepsService", "handlers"]
+
+NAME = r"([A-Za-z0-9_.-]{1,64})"
+
+
+def handlers(steps_service):
+    """Return the handlers of steps for the application."""
+    mine = {"steps": steps_service}
+    return [
+        (f"/v1/steps/{NAME}", SubmitHandler, mine),
+        (f"/v1/steps/{NAME}/{NAME}/fetch", FetchHandler, mine),
+        (f"/v1/steps/{NAME}/{NAME}", StepHandler, mine),
+    ]
+
+
+class StepsHandler(tornado.web.RequestHandler):
+    """Base: the row's authorization and refusals."""
+
+    def initialize(self, steps):
+        self._steps = steps
+
+    def authorized(self, row_name):
+        """Return the caller's row, or None once the refusal is written."""
+        return self.application.settings["authorize"](self, row_name)
+
+    def refuse(self, outcome):
+        """Finish with what did not run, and why."""
+        status, kind = refusal_of(outcome)
+        self.set_status(status)
+        self.set_header("X-Outcome", kind)
+        if isinstance(outcome, NotRun):
+            self.set_header("Retry-After", str(max(1, round(outcome.retry_after))))
+        findings = [one.as_dict() for one in getattr(outcome, "findings", ())]
+        document = {"outcome": kind, "reason": outcome.reason, "findings": findings}
+        if isinstance(outcome, Conflict):
+            document["attach"] = outcome.attach
+        self.finish(document)
+
+    def write_error(self, status_code, **kwargs):
+        """Answer a failure without a traceback."""
+        self.finish({"outcome": "rejected", "reason": self._reason, "findings": []})
+
+
+class SubmitHandler(StepsHandler):
+    """``POST /v1/steps/{row}``."""
+
+    def post(self, row_name):
+        """Own the step here, or attach to it."""
+        row = self.authorized(row_name)
+        if row is None:
+            return
+        spec = checked(StepSpec, self.request.body)
+        result = self._steps.submit(row, spec) if spec else spec
+        if not result:
+            self.refuse(result)
+            return
+        self.set_status(202)
+        self.finish({"samples": result.samples, "resumed": result.resumed})
+
+
+class FetchHandler(StepsHandler):
+    """``POST /v1/steps/{row}/{step}/fetch``."""
+
+    def on_connection_close(self):
+        """Tell the step's owner that its trainer hung up."""
+        self._steps.hung_up(*self.path_args)
+
+    async def post(self, row_name, step):
+        """Answer with samples that the trainer lacks."""
+        row = self.authorized(row_name)
+        if row is None:
+            return
+        fetch = checked(FetchSpec, self.request.body)
+        result = await self._steps.fetch(row, step, fetch) if fetch else fetch
+        # Nothing may be awaited here: staleness was judged a moment ago.
+        if not result:
+            self.refuse(result)
+            return
+        await self.finish(result)
+        self._steps.replied(row, step)
+
+
+class StepHandler(StepsHandler):
+    """``DELETE /v1/steps/{row}/{step}``."""
+
+    async def delete(self, row_name, step):
+        """Cancel the step."""
+        row = self.authorized(row_name)
+        if row is None:
+            return
+        self.finish({"cancelled": await self._steps.cancel(row, step)})
+
+
+@singledispatch
+def refusal_of(outcome):
+    """Return the HTTP status and the outcome's name on the wire."""
+    raise TypeError(f"no status for {outcome!r}")
+
+
+@refusal_of.register
+def _(outcome: Rejected):
+    return 400, "rejected"
+
+
+@refusal_of.register
+def _(outcome: Conflict):
+    return 409, "rejected"
+
+
+@refusal_of.register
+def _(outcome: NoSuchStep):
+    return 404, "rejected"
+
+
+@refusal_of.register
+def _(outcome: NotRun):
+    return 503, "not-run"
--- /dev/null
+++ b/sassafrasdoor/steps/labels.py
@@ -0,0 +1,41 @@
+"""Labels: which weight version produced which tokens of a sample."""
+
+from itertools import groupby
+
+from sassafrasdoor.backends.interface import Span
+
+
+def union(spans):
+    """Return the least list of spans that says the same, in order of tokens.
+
+    Two reports that disagree about a token leave both versions in the label:
+    naming one too many is safe, naming one too few would hide old weights.
+    """
+    merged = []
+    by_version = sorted(spans, key=lambda span: (span.version, span.first))
+    for _, group in groupby(by_version, key=lambda span: span.version):
+        merged += _joined(list(group))
+    return sorted(merged, key=lambda span: (span.first, span.version))
+
+
+def covers(spans, first, last):
+    """Say whether every token from ``first`` up to ``last`` is labelled."""
+    for span in sorted(spans, key=lambda span: span.first):
+        if span.first <= first:
+            first = max(first, span.last)
+    return first >= last
+
+
+def oldest(spans):
+    """Return the oldest version named, or None where nothing is."""
+    return min((span.version for span in spans), default=None)
+
+
+def _joined(spans):
+    joined = []
+    for span in spans:
+        if joined and span.first <= joined[-1].last:
+            last = joined.pop()
+            span = Span(last.version, last.first, max(last.last, span.last))
+        joined.append(span)
+    return joined
--- /dev/null
+++ b/sassafrasdoor/steps/owner.py
@@ -0,0 +1,297 @@
+"""The owner of one step on one instance: makes its samples, hands them out.
+
+Nothing here must last. The trainer knows what it has (the token), the engines
+know their streams; a further instance becomes owner by asking both.
+"""
+
+import asyncio
+
+from sassafrasdoor import logs
+from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.outcomes import Outcome
+from sassafrasdoor.steps.adoption import streams_held
+from sassafrasdoor.steps.order import Pending
+from sassafrasdoor.steps.reader import Reader
+from sassafrasdoor.steps.resources import EVENTS_TOTAL, WASTED, Counts, Signal
+from sassafrasdoor.steps.sample import Attempt, Sample, SampleState
+from sassafrasdoor.steps.spec import Identity
+from sassafrasdoor.steps.token import DeliveryToken
+
+ADMISSIONS_AHEAD = 32
+PAUSE_AFTER_FAULT = 1.0
+
+
+class StepOwner:
+    """One step: its samples, the tasks that make them, and what was taken."""
+
+    __slots__ = (
+        "_pending",
+        "_reader",
+        "_resources",
+        "_tasks",
+        "_waiting",
+        "attach",
+        "attach_deadline",
+        "changes",
+        "closed",
+        "counts",
+        "deadline",
+        "heard",
+        "identity",
+        "ready",
+        "row",
+        "samples",
+        "spec",
+        "stated",
+        "stopping",
+        "taken",
+    )
+
+    def __init__(self, resources, row, spec, token):
+        self._resources = resources
+        self._reader = Reader(resources, self)
+        self._pending = Pending()
+        self._tasks = set()
+        self._waiting = 0
+        self.row = row
+        self.spec = spec
+        self.identity = Identity(row.name, spec)
+        self.deadline = deadline_in(spec.deadline_ms / 1000)
+        self.attach = spec.attach
+        self.counts = Counts()
+        self.changes = Signal()
+        self.ready = {}
+        self.samples = [Sample(position) for position in range(spec.sample_count)]
+        self.stated = 0
+        self.taken = DeliveryToken(spec.sample_count)
+        self.stopping = False
+        self.closed = False
+        self.touch()
+        self.acknowledge(token)
+
+    @property
+    def over(self):
+        """Whether the step's deadline has passed."""
+        return passed(self.deadline)
+
+    @property
+    def abandoned(self):
+        """Whether its trainer has not been heard for too long."""
+        return passed(self.attach_deadline)
+
+    def prompt(self, position):
+        """Return the prompt of a sample."""
+        group, _ = self.identity.place(position)
+        return self.spec.groups[group].prompt
+
+    def newest(self):
+        """Return the newest version known, also from the trainer itself."""
+        return max(self.stated, self._resources.newest_of(self.row.model))
+
+    def oldest_allowed(self):
+        """Return the oldest version that may be delivered now."""
+        return self.newest() - self.row.staleness_bound
+
+    def touch(self):
+        """Note that the trainer was heard."""
+        idle = self._resources.settings.steps.attach_idle
+        self.attach_deadline = deadline_in(idle)
+        self.heard = True
+        self._fill()
+
+    def start(self):
+        """Begin to make what the trainer lacks."""
+        EVENTS.add("step-started", row=self.row.name, attach=self.attach)
+        self._spawn(self._begin())
+
+    def attached(self, attach, token):
+        """Take over for a newer attachment of the trainer.
+
+        A trainer that restarted may have lost samples that it had taken; its
+        new token says so, and they are made again. Under an unchanged
+        attachment a lesser token is only an old message that came late.
+        """
+        self.attach = attach
+        for position in self.taken.beyond(token):
+            sample = self.samples[position]
+            sample.generation += 1
+            self.counts.regenerated += 1
+            self._queue(sample)
+        self.taken = DeliveryToken(self.spec.sample_count)
+        self.acknowledge(token)
+        self._fill()
+        self.changes.changed()
+
+    def acknowledge(self, token):
+        """Forget what the trainer has."""
+        for position in token.beyond(self.taken):
+            sample = self.samples[position]
+            self._stop(sample)
+            self._cancel_streams(sample)
+            self.ready.pop(position, None)
+            sample.attempt = sample.adopted = None
+            sample.state = SampleState.TAKEN
+            self.taken.add(position)
+
+    def drop_too_old(self):
+        """Make those ready samples again that may no longer be delivered."""
+        allowed = self.oldest_allowed()
+        for sample in list(self.ready.values()):
+            if sample.attempt.oldest < allowed:
+                self._drop(sample)
+        self._fill()
+
+    def stop_dispatch(self):
+        """Start no further stream: this instance is leaving."""
+        self.stopping = True
+        self.changes.changed()
+
+    async def close(self, cancel):
+        """Stop all work; ``cancel`` its streams, or leave them to a successor.
+
+        Streams are left until the step's deadline. An owner that believes
+        itself abandoned may only be cut off from a trainer that is attached
+        elsewhere; cancelling at once would destroy that owner's work.
+        """
+        self.closed = True
+        self.changes.changed()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        held = [stream for sample in self.samples for stream in sample.visited]
+        if cancel:
+            self._resources.cleaner.cancel(held)
+        elif held:
+            self._resources.cleaner.cancel_at(held, self.deadline)
+
+    def status(self):
+        """Return what an operator sees of the step."""
+        states = [sample.state for sample in self.samples]
+        return {
+            "row": self.row.name,
+            "step": self.spec.step,
+            "attach": self.attach,
+            **{state.name.lower(): states.count(state) for state in SampleState},
+            "counts": self.counts.as_dict(),
+        }
+
+    async def _begin(self):
+        await self._adopt()
+        for sample in self.samples:
+            if sample.state is SampleState.PENDING:
+                self._pending.add(sample, self.identity.place(sample.position)[0])
+        self._fill()
+
+    async def _adopt(self):
+        """Find the streams that an earlier owner started, to finish them."""
+        if self.spec.attach == 1:
+            return
+        found = await streams_held(self._resources, self.row.service, self.identity)
+        for position, streams in found.items():
+            sample, best = self.samples[position], streams[0]
+            self._resources.cleaner.cancel(held.at for held in streams[1:])
+            if sample.state is SampleState.TAKEN:
+                self._resources.cleaner.cancel([best.at])
+                continue
+            sample.generation = best.generation
+            sample.visited.add(best.at)
+            sample.adopted = Attempt(best.backend, best.stream, best.generation)
+            self.counts.resumed += 1
+            EVENTS_TOTAL.inc({"kind": "adopted", "row": self.row.name})
+        logs.changed("steps:adopted", row=self.row.name, streams=len(found))
+
+    def _queue(self, sample):
+        sample.state = SampleState.PENDING
+        self._pending.add(sample, self.identity.place(sample.position)[0])
+
+    def _fill(self):
+        """Keep admissions waiting while there is work, up to a bound."""
+        while self._waiting < min(ADMISSIONS_AHEAD, len(self._pending)):
+            if self.stopping or self.closed or self.over or not self.heard:
+                return
+            self._waiting += 1
+            self._spawn(self._admit())
+
+    async def _admit(self):
+        try:
+            permit = await self._resources.admission.admit(
+                self._resources.view(), self.row, self.deadline
+            )
+            if isinstance(permit, Outcome):
+                await asyncio.sleep(permit.retry_after)
+        finally:
+            self._waiting -= 1
+        if not isinstance(permit, Outcome):
+            self._dispatch(permit)
+        self._fill()
+
+    def _dispatch(self, permit):
+        sample = None if self.stopping or not self.heard else self._pending.pop()
+        if sample is None:
+            permit.release()
+            return
+        attempt, sample.adopted = sample.adopted, None
+        sample.state = SampleState.RUNNING
+        task = self._spawn(self._make(sample, attempt, permit))
+        sample.tasks.add(task)
+        task.add_done_callback(sample.tasks.discard)
+
+    async def _make(self, sample, attempt, permit):
+        try:
+            whole = await self._reader.read(sample, attempt)
+            if whole is not None:
+                self._finished(sample, whole)
+        except Exception as error:
+            # A fault of ours must neither lose the sample nor spin: it would
+            # show as a step that never completes, or as a busy process.
+            logs.changed("steps:fault", error=repr(error), stream=sample.position)
+            await asyncio.sleep(PAUSE_AFTER_FAULT)
+            if sample.state is SampleState.RUNNING:
+                self._queue(sample)
+        finally:
+            permit.release()
+            self._fill()
+
+    def _finished(self, sample, attempt):
+        if sample.state is not SampleState.RUNNING:
+            return
+        winner = attempt.held
+        self._stop(sample)
+        self._cancel_streams(sample, keep=winner)
+        sample.attempt = attempt
+        sample.state = SampleState.READY
+        self.ready[sample.position] = sample
+        self.changes.changed()
+
+    def _drop(self, sample):
+        self.counts.stale_dropped += 1
+        self.counts.regenerated += 1
+        self.counts.tokens_wasted += sample.attempt.offset
+        WASTED.add({"row": self.row.name}, sample.attempt.offset)
+        EVENTS_TOTAL.inc({"kind": "stale-dropped", "row": self.row.name})
+        del self.ready[sample.position]
+        sample.attempt = None
+        sample.generation += 1
+        self._cancel_streams(sample)
+        self._queue(sample)
+
+    def _stop(self, sample):
+        """End the other attempts at a sample, counting what they made."""
+        current = asyncio.current_task()
+        for task in sample.tasks - {current}:
+            task.cancel()
+        wasted = sum(attempt.offset for attempt in sample.running)
+        self.counts.tokens_wasted += wasted
+        WASTED.add({"row": self.row.name}, wasted)
+
+    def _cancel_streams(self, sample, keep=None):
+        self._resources.cleaner.cancel(sample.visited - {keep})
+        sample.visited.intersection_update({keep})
+
+    def _spawn(self, job):
+        task = asyncio.ensure_future(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- /dev/null
+++ b/sassafrasdoor/steps/registry.py
@@ -0,0 +1,264 @@
+"""The steps that this instance owns, by row and step."""
+
+import asyncio
+import contextlib
+
+from sassafrasdoor import logs
+from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.outcomes import Finding, NotRun, Rejected
+from sassafrasdoor.steps.delivery import Delivery
+from sassafrasdoor.steps.owner import StepOwner
+from sassafrasdoor.steps.resources import Resources, Signal
+from sassafrasdoor.steps.token import DeliveryToken
+
+MAX_STEPS_OF_A_ROW = 64
+SWEEP_INTERVAL = 0.25
+BUSY_RETRY_AFTER = 1.0
+
+
+class Conflict(Rejected):
+    """A newer attachment, or another step under that name, stands against it.
+
+    ``attach`` is the number in force, 0 where the numbers are not at fault.
+    """
+
+    __slots__ = ("attach",)
+
+    def __init__(self, reason, findings, attach=0):
+        super().__init__(reason, findings)
+        self.attach = attach
+
+
+class NoSuchStep(Rejected):
+    """This instance does not own the step; submitting it here attaches it."""
+
+    __slots__ = ()
+
+
+class Submitted:
+    """A step that is owned here now."""
+
+    __slots__ = ("resumed", "samples")
+
+    def __init__(self, samples, resumed):
+        self.samples = samples
+        self.resumed = resumed
+
+
+class OwnedStep:
+    """A step's owner, its delivery and whether its trainer was sent away."""
+
+    __slots__ = ("delivery", "owner", "sent_away")
+
+    def __init__(self, settings, owner):
+        self.owner = owner
+        self.delivery = Delivery(settings, owner)
+        self.sent_away = False
+
+
+class StepsService:
+    """All steps of this instance; needs a running event loop."""
+
+    __slots__ = ("_draining", "_left", "_resources", "_settings", "_steps", "_sweeper")
+
+    def __init__(self, settings, view_getter, admission, chooser, engine):
+        self._settings = settings
+        self._resources = Resources(settings, view_getter, admission, chooser, engine)
+        self._steps = {}
+        self._draining = False
+        self._left = Signal()
+        self._sweeper = None
+
+    def submit(self, row, spec):
+        """Own a step, or attach to it anew; return ``Submitted`` or why not."""
+        token = DeliveryToken.parse(spec.token, spec.sample_count)
+        if isinstance(token, Rejected):
+            return token
+        step = self._steps.get((row.name, spec.step))
+        if step is not None:
+            return self._attach(step.owner, row, spec, token)
+        refusal = self._refusal(row)
+        if refusal is not None:
+            return refusal
+        owner = StepOwner(self._resources, row, spec, token)
+        self._steps[row.name, spec.step] = OwnedStep(self._settings, owner)
+        self._sweeper = self._sweeper or asyncio.ensure_future(self._sweep())
+        owner.start()
+        return Submitted(spec.sample_count, resumed=spec.attach > 1)
+
+    async def fetch(self, row, name, fetch):
+        """Return the reply to a fetch, JSON-ready, or ``Rejected``.
+
+        Nothing is awaited between the choice of the samples and the return:
+        whoever awaits this must write the reply without awaiting anything.
+        """
+        arrived_at = now()
+        step = self._steps.get((row.name, name))
+        if step is None:
+            return _no_such_step()
+        owner = step.owner
+        token = DeliveryToken.parse(fetch.token, owner.spec.sample_count)
+        refusal = self._take_note(owner, row, fetch, token)
+        if refusal is not None:
+            return refusal
+        if token.complete:
+            await self._forget(step, cancel=True)
+            return step.delivery.batch(token, [])
+        await self._something_to_say(step, fetch, token)
+        if owner.attach != fetch.attach:
+            return _superseded(owner)
+        if owner.closed:
+            return _no_such_step()
+        return self._reply(step, fetch, token, arrived_at)
+
+    def replied(self, row, name):
+        """Note that a reply to the step's trainer went out whole.
+
+        Counting it earlier would let a drain end the process under a reply
+        that is half written; one would notice a cut reply at a planned stop.
+        """
+        step = self._steps.get((row.name, name))
+        if step is not None and step.owner.stopping:
+            step.sent_away = True
+        self._left.changed()
+
+    def hung_up(self, row_name, name):
+        """Note that a trainer closed its connection while it waited for samples.
+
+        It is probably attaching elsewhere; streams that were started here now
+        would be made twice.
+        """
+        step = self._steps.get((row_name, name))
+        if step is not None:
+            step.owner.heard = False
+
+    async def cancel(self, row, name):
+        """Stop a step for good; return whether it was owned here."""
+        step = self._steps.get((row.name, name))
+        if step is not None:
+            await self._forget(step, cancel=True)
+        return step is not None
+
+    def status(self):
+        """Return what an operator sees, JSON-ready."""
+        return [step.owner.status() for step in self._steps.values()]
+
+    async def drain(self):
+        """Own no new step, send the trainers elsewhere, wait until they left.
+
+        Streams are not cut: engines keep them, the next owner resumes them.
+        """
+        self._draining = True
+        EVENTS.add("steps-draining", steps=len(self._steps))
+        for step in self._steps.values():
+            step.owner.stop_dispatch()
+        limit = deadline_in(self._settings.drain.deadline)
+        while self._waiting_for_trainers() and not passed(limit):
+            await self._left.wait(limit)
+        await self.close()
+
+    async def close(self):
+        """End all tasks; streams are left to whoever owns the steps next."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._sweeper
+            self._sweeper = None
+        for step in list(self._steps.values()):
+            await self._forget(step, cancel=False)
+        await self._resources.cleaner.close()
+
+    def _attach(self, owner, row, spec, token):
+        if spec.attach < owner.attach:
+            return _superseded(owner)
+        if spec.digest() != owner.spec.digest():
+            return Conflict(
+                "another step stands under that name",
+                [Finding("step", f"{spec.step!r} was submitted with other content")],
+            )
+        owner.row = row
+        owner.touch()
+        if spec.attach > owner.attach:
+            owner.attached(spec.attach, token)
+        return Submitted(spec.sample_count, resumed=True)
+
+    def _refusal(self, row):
+        if self._draining:
+            return NotRun("this instance is leaving", BUSY_RETRY_AFTER)
+        owned = sum(name == row.name for name, _ in self._steps)
+        if owned >= MAX_STEPS_OF_A_ROW:
+            return NotRun(f"row has {owned} steps here already", BUSY_RETRY_AFTER)
+        return None
+
+    def _take_note(self, owner, row, fetch, token):
+        if isinstance(token, Rejected):
+            return token
+        if fetch.attach < owner.attach:
+            return _superseded(owner)
+        owner.row = row
+        owner.touch()
+        owner.stated = max(owner.stated, fetch.newest_version or 0)
+        if fetch.attach > owner.attach:
+            owner.attached(fetch.attach, token)
+        else:
+            owner.acknowledge(token)
+        return None
+
+    async def _something_to_say(self, step, fetch, token):
+        owner, attach = step.owner, step.owner.attach
+        deadline = deadline_in(fetch.wait_ms / 1000)
+        heard_again = self._settings.steps.attach_idle / 2
+        while not (
+            self._deliverable(step, fetch, token)
+            or owner.over
+            or owner.stopping
+            or owner.closed
+            or owner.attach != attach
+            or passed(deadline)
+        ):
+            await owner.changes.wait(min(deadline, deadline_in(heard_again)))
+            owner.touch()
+
+    def _deliverable(self, step, fetch, token):
+        # A trainer that states its version and waited too long is answered at
+        # once, so that it states it again; another one can only wait.
+        known = fetch.newest_version is not None
+        known = known or step.delivery.confirmed(self._resources.view(), fetch, now())
+        return known and step.delivery.positions(token)
+
+    def _reply(self, step, fetch, token, arrived_at):
+        confirmed = step.delivery.confirmed(self._resources.view(), fetch, arrived_at)
+        positions = step.delivery.positions(token) if confirmed else []
+        return {**step.delivery.batch(token, positions), "confirmed": confirmed}
+
+    def _waiting_for_trainers(self):
+        return any(
+            not (step.sent_away or step.owner.abandoned)
+            for step in self._steps.values()
+        )
+
+    async def _forget(self, step, cancel):
+        owner = step.owner
+        self._steps.pop((owner.row.name, owner.spec.step), None)
+        await owner.close(cancel)
+        self._left.changed()
+        EVENTS.add("step-forgotten", row=owner.row.name, cancel=int(cancel))
+
+    async def _sweep(self):
+        """Forget steps whose trainer left, and make stale samples anew early."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL)
+            for step in list(self._steps.values()):
+                if step.owner.abandoned:
+                    logs.changed("steps:abandoned", row=step.owner.row.name)
+                    await self._forget(step, cancel=step.owner.over)
+
+
+def _superseded(owner):
+    reason = f"attachment {owner.attach} is newer"
+    return Conflict(reason, [Finding("attach", reason)], owner.attach)
+
+
+def _no_such_step():
+    return NoSuchStep("this instance does not own that step")
--- /dev/null
+++ b/sassafrasdoor/steps/sample.py
@@ -0,0 +1,145 @@
+"""A sample of a step, and the attempts to make it."""
+
+from enum import Enum, auto
+
+from sassafrasdoor.backends.interface import Broken, Finished, Span
+from sassafrasdoor.clock import now
+from sassafrasdoor.outcomes import Outcome
+from sassafrasdoor.steps import labels
+from sassafrasdoor.steps.resources import StreamAt
+
+
+class SampleState(Enum):
+    """Life of a sample at its owner."""
+
+    PENDING = auto()  # nobody reads a stream of it
+    RUNNING = auto()  # at least one attempt reads its stream
+    READY = auto()  # whole, kept until the trainer has it
+    TAKEN = auto()  # named by the trainer's token; nothing kept
+
+
+class Sample:
+    """One sample; ``attempt`` is its whole attempt once READY.
+
+    ``adopted`` is an attempt to start from, found on an engine; ``running``
+    are the attempts in progress, each read by one of ``tasks``; ``visited``
+    are the streams that engines may still hold, as ``StreamAt``.
+    """
+
+    __slots__ = (
+        "adopted",
+        "attempt",
+        "generation",
+        "position",
+        "running",
+        "state",
+        "tasks",
+        "visited",
+    )
+
+    def __init__(self, position):
+        self.position = position
+        self.state = SampleState.PENDING
+        self.generation = 0
+        self.adopted = None
+        self.attempt = None
+        self.running = set()
+        self.tasks = set()
+        self.visited = set()
+
+    @property
+    def tokens(self):
+        """The tokens of its furthest attempt."""
+        return max((attempt.offset for attempt in self.running), default=0)
+
+
+class Spoiled(Outcome):
+    """What was received is no version's work and must not be joined."""
+
+    __slots__ = ()
+
+
+class Attempt:
+    """What was received of one stream from one engine, and its labels.
+
+    ``base`` counts the tokens that came from another engine, with its KV cache.
+    """
+
+    __slots__ = (
+        "_spans",
+        "_texts",
+        "backend",
+        "base",
+        "breaks",
+        "generation",
+        "offset",
+        "oldest",
+        "started_at",
+        "stream",
+    )
+
+    def __init__(self, backend, stream, generation):
+        self.backend = backend
+        self.stream = stream
+        self.generation = generation
+        self.started_at = now()
+        self.breaks = 0
+        self.restart()
+
+    @property
+    def held(self):
+        """The stream with its engine."""
+        return StreamAt(self.backend, self.stream)
+
+    @property
+    def text(self):
+        """The text received."""
+        return "".join(self._texts)
+
+    @property
+    def spans(self):
+        """The label of what was received."""
+        return labels.union(self._spans)
+
+    def restart(self):
+        """Forget what was received: the engine makes the stream anew."""
+        self.base = self.offset = 0
+        self.oldest = None
+        self._spans = []
+        self._texts = []
+
+    def take(self, chunk):
+        """Add a chunk; return False if it does not continue what we have.
+
+        A restarted engine may begin the stream again under its old id. Its
+        tokens differ from those received; joining both would make a sample
+        that no weights ever produced. One would notice a chunk at offset 0.
+        """
+        if chunk.offset == 0 and self.offset:
+            self.restart()
+        if chunk.offset != self.offset:
+            return False
+        self._texts.append(chunk.text)
+        self.offset += chunk.tokens
+        self.label([Span(chunk.version, chunk.offset, self.offset)])
+        return True
+
+    def label(self, spans):
+        """Add spans to the label."""
+        self._spans = labels.union([*self._spans, *spans])
+        self.oldest = labels.oldest(self._spans)
+
+    def whole(self, finished):
+        """Return ``finished`` if every token arrived and is labelled, or why not.
+
+        The engine itself must vouch for every token made there. An engine that
+        lost the stream and got the order to resume it makes up a new one from
+        our offset on; joined to what came before, the sample would be no
+        version's work. One would notice a report that begins at our offset.
+        """
+        if finished.length != self.offset:
+            return Broken(f"{self.offset} of {finished.length} tokens arrived")
+        if not labels.covers(finished.spans, self.base, finished.length):
+            return Spoiled("the engine does not vouch for every token")
+        self.label(finished.spans)
+        return Finished(finished.length, self.spans)
--- /dev/null
+++ b/sassafrasdoor/steps/spec.py
@@ -0,0 +1,126 @@
+"""What trainers submit and fetch, checked with all findings at once."""
+
+import hashlib
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from sassafrasdoor.outcomes import Rejected, findings_of
+from sassafrasdoor.steps.token import MAX_SAMPLES
+
+MAX_GROUPS = 4096
+MAX_PROMPT = 65_536
+MAX_TOKENS = 1_000_000
+MAX_DEADLINE_MS = 24 * 3600 * 1000
+MAX_WAIT_MS = 60_000
+MAX_VERSION = 2**53
+MAX_TOKEN_TEXT = 4096
+SAFE_INTEGER = 2**53
+DIGEST_LENGTH = 12
+
+
+class Input(BaseModel):
+    """Input of a trainer; unknown fields are findings."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+class Group(Input):
+    """Samples of one group share their prompt."""
+
+    prompt: str = Field(min_length=1, max_length=MAX_PROMPT)
+
+
+class StepSpec(Input):
+    """A training step. ``attach`` grows with each attachment of its trainer.
+
+    ``token`` tells a further instance what the trainer has already, so that
+    it starts none of that again.
+    """
+
+    step: str = Field(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9_.-]+$")
+    attach: int = Field(ge=1, le=SAFE_INTEGER)
+    groups: list[Group] = Field(min_length=1, max_length=MAX_GROUPS)
+    samples_per_group: int = Field(ge=1, le=MAX_SAMPLES)
+    max_tokens: int = Field(ge=1, le=MAX_TOKENS)
+    deadline_ms: int = Field(ge=1, le=MAX_DEADLINE_MS)
+    seed: int = Field(default=0, ge=0, le=SAFE_INTEGER)
+    token: str = Field(default="", max_length=MAX_TOKEN_TEXT)
+
+    @model_validator(mode="after")
+    def _samples_are_bounded(self):
+        if self.sample_count > MAX_SAMPLES:
+            raise ValueError(f"{self.sample_count} samples, above {MAX_SAMPLES}")
+        return self
+
+    @property
+    def sample_count(self):
+        """How many samples the step has."""
+        return len(self.groups) * self.samples_per_group
+
+    def digest(self):
+        """Return what tells apart two steps that carry one name."""
+        digest = hashlib.sha256()
+        head = f"{self.samples_per_group} {self.max_tokens} {self.seed}"
+        for text in (head, *(group.prompt for group in self.groups)):
+            digest.update(f"{len(text)}:{text}".encode())
+        return digest.hexdigest()[:DIGEST_LENGTH]
+
+
+class FetchSpec(Input):
+    """A trainer's request for the samples that it lacks."""
+
+    attach: int = Field(ge=1, le=SAFE_INTEGER)
+    token: str = Field(default="", max_length=MAX_TOKEN_TEXT)
+    newest_version: int | None = Field(default=None, ge=0, le=MAX_VERSION)
+    wait_ms: int = Field(default=0, ge=0, le=MAX_WAIT_MS)
+
+
+def checked(model, body):
+    """Return ``model`` read from the JSON bytes ``body``, or ``Rejected``."""
+    try:
+        return model.model_validate_json(body)
+    except ValidationError as error:
+        return Rejected("input invalid", findings_of(error))
+
+
+class Identity:
+    """Names of a step's samples and streams, the same on every instance.
+
+    A sample is (row, step, group, index). Its stream adds the step's digest,
+    so that a step submitted anew under an old name finds no streams of the
+    old one, and a generation: a sample dropped as too old is made again under
+    the next one.
+    """
+
+    __slots__ = ("_samples_per_group", "_seed", "_size", "prefix")
+
+    def __init__(self, row_name, spec):
+        self.prefix = f"{row_name}:{spec.step}:{spec.digest()}:"
+        self._samples_per_group = spec.samples_per_group
+        self._size = spec.sample_count
+        self._seed = spec.seed
+
+    def place(self, position):
+        """Return ``(group, index)`` of a sample."""
+        return divmod(position, self._samples_per_group)
+
+    def stream(self, position, generation):
+        """Return the id of a sample's stream."""
+        return f"{self.prefix}{position}.{generation}"
+
+    def seed(self, position, generation):
+        """Return the seed of a stream, equal wherever it is started."""
+        text = f"{self._seed}:{position}:{generation}"
+        raw = hashlib.sha256(text.encode()).digest()[:6]
+        return int.from_bytes(raw, "little")
+
+    def parse(self, stream):
+        """Return ``(position, generation)`` of a stream id, or None if foreign."""
+        if not stream.startswith(self.prefix):
+            return None
+        position, dot, generation = stream[len(self.prefix) :].partition(".")
+        if not (dot and position.isdecimal() and generation.isdecimal()):
+            return None
+        if int(position) >= self._size:
+            return None
+        return int(position), int(generation)
--- /dev/null
+++ b/sassafrasdoor/steps/tests/fakes.py
@@ -0,0 +1,333 @@
+"""Small fakes at the interfaces of steps: engines, admission and chooser.
+
+The engines' truth says which version made which token of which stream, and
+every sample's text spells out its stream and token numbers.
+"""
+
+import asyncio
+import itertools
+
+from sassafrasdoor import settings
+from sassafrasdoor.backends.interface import (
+    Broken,
+    Chunk,
+    Engine,
+    Finished,
+    Span,
+    StreamState,
+)
+from sassafrasdoor.outcomes import NotRun, Unavailable
+from sassafrasdoor.security import key_hash
+from sassafrasdoor.steps import labels
+from sassafrasdoor.steps.registry import StepsService
+from sassafrasdoor.steps.spec import FetchSpec, StepSpec
+from sassafrasdoor.support import until
+from sassafrasdoor.table.rows import table_from
+from sassafrasdoor.view import Backend, View
+
+MODEL = "signs"
+SERVICE = "engines"
+KEY = "secret"
+
+
+class FakeStream:
+    """A stream of a fake engine; ``run`` tells two makings of one id apart."""
+
+    def __init__(self, order, length, run):
+        self.order = order
+        self.length = length
+        self.run = run
+        self.first = order.offset
+        self.versions = []
+        self.cancelled = False
+
+    @property
+    def offset(self):
+        return self.first + len(self.versions)
+
+    @property
+    def done(self):
+        return self.offset >= self.length
+
+    def spans(self):
+        return labels.union(
+            Span(version, self.first + index, self.first + index + 1)
+            for index, version in enumerate(self.versions)
+        )
+
+
+class FakeMachine:
+    """One engine. It makes tokens only in ``tick``, unless it is frozen."""
+
+    def __init__(self, name, version=1):
+        self.name = name
+        self.version = version
+        self.streams = {}
+        self.frozen = False
+        self.dead = False
+        self.refuses = False
+        self.cut_next = 0
+        self.starts = 0
+        self.cancels = []
+
+
+class FakeEngines(Engine):
+    """The engines of a test; ``length_of(stream id)`` gives lengths."""
+
+    def __init__(self, names, length_of=lambda stream: 4):
+        self.machines = {name: FakeMachine(name) for name in names}
+        self.length_of = length_of
+        self.backends = [
+            Backend(name, f"{name}:1", "engine", SERVICE, capacity=64, models=[MODEL])
+            for name in names
+        ]
+        self.made = {}
+        self._runs = itertools.count()
+
+    def __getitem__(self, name):
+        return self.machines[name]
+
+    def set_version(self, version):
+        for machine in self.machines.values():
+            machine.version = version
+
+    def tick(self, tokens=1):
+        """Let every engine make tokens."""
+        for machine in self.machines.values():
+            for stream in machine.streams.values():
+                if machine.frozen or machine.dead:
+                    continue
+                for _ in range(min(tokens, stream.length - stream.offset)):
+                    stream.versions.append(machine.version)
+
+    async def stream(self, backend, order):
+        machine = self.machines[backend.name]
+        if machine.dead:
+            yield Broken("refused connection", began=False)
+            return
+        if machine.refuses:
+            yield NotRun("queue full", 0.01)
+            return
+        if order.stream not in machine.streams:
+            run = next(self._runs)
+            length = self.length_of(order.stream)
+            machine.streams[order.stream] = FakeStream(order, length, run)
+            machine.starts += 1
+        async for item in self._items(machine, order):
+            yield item
+
+    async def _items(self, machine, order):
+        stream, sent = machine.streams[order.stream], order.offset
+        while True:
+            if machine.dead or machine.streams.get(order.stream) is not stream:
+                yield Broken("cut")
+                return
+            if not machine.frozen and sent < stream.offset:
+                if machine.cut_next:
+                    machine.cut_next -= 1
+                    yield Broken("cut")
+                    return
+                version = stream.versions[sent - stream.first]
+                text = self.word(order.stream, stream.run, sent)
+                self.made[text] = version
+                sent += 1
+                yield Chunk(sent - 1, text, 1, version)
+            elif not machine.frozen and stream.done:
+                yield Finished(stream.length, stream.spans())
+                return
+            else:
+                await asyncio.sleep(0.001)
+
+    @staticmethod
+    def word(stream, run, number):
+        return f"{stream}/{run}/{number} "
+
+    async def streams(self, backend, prefix):
+        machine = self.machines[backend.name]
+        if machine.dead or machine.frozen:
+            return Unavailable("no answer")
+        return [
+            StreamState(name, stream.offset, stream.done)
+            for name, stream in machine.streams.items()
+            if name.startswith(prefix)
+        ]
+
+    async def cancel(self, backend, stream):
+        machine = self.machines[backend.name]
+        if machine.dead or machine.frozen:
+            return Unavailable("no answer")
+        machine.streams.pop(stream, None)
+        machine.cancels.append(stream)
+        return None
+
+    async def export_kv(self, backend, stream):
+        machine = self.machines[backend.name]
+        held = machine.streams.get(stream)
+        return f"kv:{held.offset}" if held else Unavailable("no such stream")
+
+    async def import_kv(self, backend, stream, kv):
+        return None
+
+    async def load(self, backend):
+        raise NotImplementedError
+
+    async def order(self, backend, order):
+        raise NotImplementedError
+
+    async def cache_events(self, backend, first):
+        raise NotImplementedError
+
+    def lose(self, name):
+        """Restart an engine: it forgets its streams."""
+        self.machines[name].streams.clear()
+
+
+class FakePermit:
+    def __init__(self, admission):
+        self._admission = admission
+
+    def release(self):
+        self._admission.used -= 1
+
+
+class FakeAdmission:
+    """Gives ``slots`` at once."""
+
+    def __init__(self, slots=1000):
+        self.slots = slots
+        self.used = 0
+
+    async def admit(self, view, row, deadline):
+        await until(lambda: self.used < self.slots, what="a free slot")
+        self.used += 1
+        return FakePermit(self)
+
+
+class FakeChooser:
+    """Takes the engine with the least in flight, the first named on a tie."""
+
+    def __init__(self):
+        self.in_flight_by = {}
+        self.seen = []
+
+    def choose(self, view, service, model="", affinity="", exclude=()):
+        usable = [one for one in view.serving(service) if one.name not in exclude]
+        if not usable:
+            return NotRun("none", 0.01)
+        return min(usable, key=self.in_flight)
+
+    def in_flight(self, backend):
+        return self.in_flight_by.get(backend.name, 0)
+
+    def load_of(self, backend):
+        return self.in_flight(backend) / backend.capacity
+
+    def started(self, backend):
+        self.in_flight_by[backend.name] = self.in_flight(backend) + 1
+
+    def finished(self, backend, outcome):
+        self.in_flight_by[backend.name] -= 1
+        self.seen.append(outcome)
+
+
+def table(**changes):
+    row = {
+        "name": "trainer",
+        "kind": "trainer",
+        "service": SERVICE,
+        "model": MODEL,
+        "staleness_bound": 1,
+        "key_hashes": [key_hash(KEY)],
+        **changes,
+    }
+    return table_from({"rows": [row]})
+
+
+class Bench:
+    """Several instances' steps over the same fake engines."""
+
+    def __init__(self, engines=("e1", "e2"), length_of=lambda stream: 4, **row):
+        self.engines = FakeEngines(engines, length_of)
+        self.table = table(**row)
+        self.settings = settings.from_document({"steps": {"attach_idle": 60}})
+        self.announced = 1
+        self.confirmed_at = None
+        self.services = []
+
+    @property
+    def row(self):
+        return self.table.rows[0]
+
+    def view(self):
+        return View(
+            table=self.table,
+            weights={MODEL: self.announced},
+            backends=self.engines.backends,
+            confirmed_at=self.confirmed_at,
+        )
+
+    def instance(self, **steps):
+        """Return the steps of one more instance."""
+        if steps:
+            self.settings = settings.from_document({"steps": steps})
+        service = StepsService(
+            self.settings, self.view, FakeAdmission(), FakeChooser(), self.engines
+        )
+        self.services.append(service)
+        return service
+
+    async def close(self):
+        for service in self.services:
+            await service.close()
+
+    def spec(self, **changes):
+        document = {
+            "step": "s1",
+            "attach": 1,
+            "groups": [{"prompt": "one"}, {"prompt": "two"}],
+            "samples_per_group": 2,
+            "max_tokens": 16,
+            "deadline_ms": 60_000,
+            **changes,
+        }
+        return StepSpec.model_validate(document)
+
+    async def fetch(self, service, token="", attach=1, wait_ms=0, **fields):
+        fetch = FetchSpec(token=token, attach=attach, wait_ms=wait_ms, **fields)
+        return await service.fetch(self.row, "s1", fetch)
+
+    def owner(self, service):
+        return service._steps["trainer", "s1"].owner
+
+    async def running(self, service, count):
+        """Wait until that many streams of a step are read."""
+        owner = self.owner(service)
+        await until(
+            lambda: sum(len(sample.running) for sample in owner.samples) >= count
+        )
+        return owner
+
+    async def ready(self, service, count):
+        """Let the engines work until that many samples are ready."""
+        owner = self.owner(service)
+
+        def enough():
+            self.engines.tick()
+            return len(owner.ready) >= count
+
+        await until(enough, what=f"{count} ready samples")
+        return owner
+
+    async def collect(self, service, attach=1, token="", **fields):
+        """Fetch until the step is complete; return ``{(group, index): sample}``."""
+        have = {}
+        while True:
+            self.engines.tick()
+            reply = await self.fetch(service, token, attach, wait_ms=5, **fields)
+            for sample in reply["samples"]:
+                key = (sample["group"], sample["index"])
+                assert key not in have, f"{key} came twice"
+                have[key] = sample
+            token = reply["token"]
+            if not reply["remaining"]:
+                return have
--- /dev/null
+++ b/sassafrasdoor/steps/tests/test_delivery.py
@@ -0,0 +1,203 @@
+import unittest
+
+from sassafrasdoor.clock import now
+from sassafrasdoor.steps.registry import Conflict, NoSuchStep, Submitted
+from sassafrasdoor.steps.tests.fakes import Bench
+from sassafrasdoor.support import until
+
+
+def versions(reply):
+    return {sample["oldest_version"] for sample in reply["samples"]}
+
+
+def places(reply):
+    return sorted((sample["group"], sample["index"]) for sample in reply["samples"])
+
+
+class DeliveryTest(unittest.IsolatedAsyncioTestCase):
+    def bench(self, *arguments, **options):
+        bench = Bench(*arguments, **options)
+        self.addAsyncCleanup(bench.close)
+        return bench
+
+    async def ready(self, **steps):
+        bench = self.bench()
+        service = bench.instance(attach_idle=60, **steps)
+        service.submit(bench.row, bench.spec())
+        await bench.ready(service, 4)
+        return bench, service
+
+    async def test_staleness_is_judged_when_the_bytes_leave(self):
+        """
+        Symptom: a trainer gets samples older than its bound.
+        Sequence: samples are ready; newer weights become known in one of the
+        ways of the table; the trainer fetches.
+        Cause: staleness was judged when the sample was finished, or against
+        one source of versions alone.
+        """
+
+        async def announced(bench, service):
+            bench.announced = 3
+            return {}
+
+        async def stated(bench, service):
+            return {"newest_version": 3}
+
+        async def reported(bench, service):
+            service._resources.reported("signs", 3)
+            return {}
+
+        async def nothing(bench, service):
+            return {}
+
+        async def within(bench, service):
+            return {"newest_version": 2}
+
+        table = [
+            (announced, 0, 4),
+            (stated, 0, 4),
+            (reported, 0, 4),
+            (within, 4, 0),
+            (nothing, 4, 0),
+        ]
+        for source, delivered, dropped in table:
+            with self.subTest(source.__name__):
+                bench, service = await self.ready()
+                reply = await bench.fetch(service, **await source(bench, service))
+                self.assertEqual(len(reply["samples"]), delivered)
+                self.assertEqual(reply["counts"]["stale_dropped"], dropped)
+                if dropped:
+                    bench.engines.set_version(3)
+                    have = await bench.collect(service, newest_version=3)
+                    self.assertEqual(
+                        {one["oldest_version"] for one in have.values()}, {3}
+                    )
+
+    async def test_weights_announced_while_a_fetch_waits(self):
+        bench = self.bench(length_of=lambda stream: 1)
+        service = bench.instance()
+        service.submit(bench.row, bench.spec())
+        owner = await bench.running(service, 4)
+        bench.announced = 3
+        bench.engines.tick()
+        await until(lambda: owner.counts.cut_early >= 4)
+        reply = await bench.fetch(service)
+        self.assertEqual(reply["samples"], [])
+
+    async def test_unconfirmed_view_delivers_only_against_a_stated_version(self):
+        """
+        Symptom: an instance cut off from the log delivers old samples.
+        Sequence: its view is unconfirmed for long; new weights are announced.
+        Cause: it took the newest version it had seen for the newest there is.
+        """
+        bench, service = await self.ready()
+        bench.confirmed_at = now() - 60
+        reply = await bench.fetch(service)
+        self.assertEqual((reply["samples"], reply["confirmed"]), ([], False))
+        self.assertEqual(
+            len((await bench.fetch(service, newest_version=1))["samples"]), 4
+        )
+
+    async def test_a_version_stated_before_a_pause_does_not_count(self):
+        """
+        Symptom: a thawed instance delivers samples that are too old.
+        Sequence: a fetch states version 1 and waits; the process is frozen;
+        weights move on; it thaws and answers the waiting fetch.
+        Cause: a version stated long ago was taken for a current one.
+        """
+        bench, service = await self.ready()
+        bench.confirmed_at = now() - 60
+        step = service._steps["trainer", "s1"]
+        fetch = type("Stated", (), {"newest_version": 1})
+        self.assertTrue(step.delivery.confirmed(bench.view(), fetch, now() - 1))
+        self.assertFalse(step.delivery.confirmed(bench.view(), fetch, now() - 60))
+
+    async def test_a_lost_reply_is_repaired_by_the_old_token(self):
+        """
+        Symptom: samples lost, or others sent in their place.
+        Sequence: a reply is lost; more samples finish; the trainer presents
+        its old token again.
+        Cause: what was sent was taken for delivered.
+        """
+        bench = self.bench()
+        service = bench.instance(attach_idle=60, batch_size=2)
+        service.submit(bench.row, bench.spec())
+        await bench.ready(service, 4)
+        lost = await bench.fetch(service)
+        again = await bench.fetch(service)
+        self.assertEqual(again["samples"], lost["samples"])
+        self.assertEqual(again["counts"]["redelivered"], 2)
+        rest = await bench.fetch(service, again["token"])
+        self.assertEqual(
+            sorted(places(again) + places(rest)), [(0, 0), (0, 1), (1, 0), (1, 1)]
+        )
+
+    async def test_an_old_fetch_that_comes_late_makes_nothing_anew(self):
+        bench, service = await self.ready()
+        reply = await bench.fetch(service)
+        half = bench.owner(service).taken.union([0, 1]).encode()
+        await bench.fetch(service, half)
+        late = await bench.fetch(service)
+        self.assertEqual(late["counts"]["regenerated"], 0)
+        self.assertEqual(places(late), [(1, 0), (1, 1)])
+        self.assertEqual(reply["remaining"], 0)
+
+    async def test_a_restarted_trainer_that_lost_samples_gets_them_again(self):
+        bench, service = await self.ready()
+        half = bench.owner(service).taken.union([0, 1]).encode()
+        await bench.fetch(service, half)
+        have = await bench.collect(service, attach=2)
+        self.assertEqual(len(have), 4)
+
+    async def test_attachments(self):
+        bench, service = await self.ready()
+        self.assertIsInstance(
+            service.submit(bench.row, bench.spec(attach=3)), Submitted
+        )
+        table = [
+            (bench.spec(attach=2), Conflict),
+            (bench.spec(attach=3), Submitted),
+            (bench.spec(attach=4, seed=9), Conflict),
+        ]
+        for spec, expected in table:
+            self.assertIsInstance(service.submit(bench.row, spec), expected)
+        self.assertIsInstance(await bench.fetch(service, attach=2), Conflict)
+        self.assertEqual(len((await bench.fetch(service, attach=3))["samples"]), 4)
+
+    async def test_a_waiting_fetch_ends_when_a_newer_attachment_comes(self):
+        bench = self.bench()
+        service = bench.instance()
+        service.submit(bench.row, bench.spec())
+        import asyncio
+
+        waiting = asyncio.ensure_future(bench.fetch(service, wait_ms=30_000))
+        await bench.running(service, 4)
+        service.submit(bench.row, bench.spec(attach=2))
+        self.assertIsInstance(await waiting, Conflict)
+
+    async def test_a_trainer_that_leaves_is_forgotten_and_its_streams_are_left(self):
+        """
+        Symptom: an owner destroys its successor's work.
+        Sequence: a trainer attaches elsewhere; the old owner gives up and
+        cancels the streams, which the new owner reads.
+        Cause: being abandoned was taken for the step being unwanted.
+        """
+        bench = self.bench(length_of=lambda stream: 8)
+        service = bench.instance(attach_idle=0.3)
+        service.submit(bench.row, bench.spec())
+        await bench.running(service, 4)
+        await until(lambda: not service.status())
+        held = sum(len(one.streams) for one in bench.engines.machines.values())
+        self.assertEqual(held, 4)
+        self.assertIsInstance(await bench.fetch(service), NoSuchStep)
+
+    async def test_cancel_cancels_the_streams(self):
+        bench = self.bench(length_of=lambda stream: 8)
+        service = bench.instance()
+        service.submit(bench.row, bench.spec())
+        await bench.running(service, 4)
+        self.assertTrue(await service.cancel(bench.row, "s1"))
+        await until(
+            lambda: not any(one.streams for one in bench.engines.machines.values())
+        )
+        self.assertFalse(await service.cancel(bench.row, "s1"))
--- /dev/null
+++ b/sassafrasdoor/steps/tests/test_owner.py
@@ -0,0 +1,160 @@
+import unittest
+
+from sassafrasdoor.steps.sample import SampleState
+from sassafrasdoor.steps.tests.fakes import Bench
+from sassafrasdoor.support import until
+
+
+class OwnerTest(unittest.IsolatedAsyncioTestCase):
+    def bench(self, *arguments, **options):
+        bench = Bench(*arguments, **options)
+        self.addAsyncCleanup(bench.close)
+        return bench
+
+    def assert_true_labels(self, bench, samples):
+        """Each token's label is the version that made it; one run a sample."""
+        for sample in samples.values():
+            words = [f"{word} " for word in sample["text"].split()]
+            named = {}
+            for version, first, last in sample["spans"]:
+                for number in range(first, last):
+                    named.setdefault(number, set()).add(version)
+            truth = {
+                number: {bench.engines.made[word]} for number, word in enumerate(words)
+            }
+            self.assertEqual(named, truth)
+            numbers = [int(word.rsplit("/", 1)[1]) for word in words]
+            self.assertEqual(numbers, list(range(len(words))))
+            self.assertEqual(len({word.split("/")[1] for word in words}), 1)
+            self.assertEqual(
+                sample["oldest_version"], min(bench.engines.made[w] for w in words)
+            )
+
+    async def received(self, owner, tokens):
+        await until(lambda: all(one.tokens == tokens for one in owner.samples))
+
+    async def test_every_sample_comes_once_with_its_true_label(self):
+        bench = self.bench()
+        steps = bench.instance()
+        steps.submit(bench.row, bench.spec())
+        have = await bench.collect(steps)
+        self.assertEqual(set(have), {(0, 0), (0, 1), (1, 0), (1, 1)})
+        self.assert_true_labels(bench, have)
+
+    async def test_faults_of_engines(self):
+        """
+        Symptom: a sample whose text or label is none that an engine made.
+        Sequence: an engine fails in a way of the table while a stream is read.
+        Cause: what came before the fault was joined to what came after it.
+        """
+
+        def cut(bench):
+            bench.engines["e1"].cut_next = 2
+
+        def restart(bench):
+            bench.engines.lose("e1")
+            bench.engines["e1"].version = 2
+
+        def die(bench):
+            bench.engines["e1"].dead = True
+
+        def swap(bench):
+            bench.engines.set_version(2)
+
+        table = [
+            (cut, {"resumed": 2, "regenerated": 0}),
+            (restart, {"resumed": 0, "regenerated": 2}),
+            (die, {"resumed": 0, "regenerated": 2}),
+            (swap, {"resumed": 0, "regenerated": 0}),
+        ]
+        for fault, expected in table:
+            with self.subTest(fault.__name__):
+                bench = self.bench(length_of=lambda stream: 8)
+                steps = bench.instance()
+                steps.submit(bench.row, bench.spec())
+                owner = await bench.running(steps, 4)
+                bench.engines.tick(3)
+                await self.received(owner, 3)
+                fault(bench)
+                have = await bench.collect(steps)
+                self.assert_true_labels(bench, have)
+                counts = owner.counts.as_dict()
+                self.assertEqual({name: counts[name] for name in expected}, expected)
+
+    async def test_a_stream_lost_between_listing_and_resuming_is_made_anew(self):
+        """
+        Symptom: a sample that is half of one run and half of another.
+        Sequence: a stream breaks; the engine still lists it; it restarts; the
+        resume reaches it and it makes up a stream from our offset on.
+        Cause: a listing is no promise. The engine's own closing report shows it.
+        """
+        bench = self.bench(engines=("e1",), length_of=lambda stream: 8)
+        steps = bench.instance()
+        spec = bench.spec(groups=[{"prompt": "one"}], samples_per_group=1)
+        steps.submit(bench.row, spec)
+        owner = await bench.running(steps, 1)
+        bench.engines.tick(3)
+        await until(lambda: owner.samples[0].tokens == 3)
+        listed = bench.engines.streams
+
+        async def listed_then_lost(backend, prefix):
+            states = await listed(backend, prefix)
+            bench.engines.lose("e1")
+            bench.engines.streams = listed
+            return states
+
+        bench.engines.streams = listed_then_lost
+        bench.engines["e1"].cut_next = 1
+        bench.engines.tick()
+        self.assert_true_labels(bench, await bench.collect(steps))
+
+    async def test_a_second_instance_finishes_what_a_dead_one_started(self):
+        """
+        Symptom: tokens made twice each time an instance dies.
+        Sequence: an instance dies in the middle of a step; the trainer
+        attaches at another one.
+        Cause: the successor started anew what the engines still held.
+        """
+        bench = self.bench(length_of=lambda stream: 8)
+        first, second = bench.instance(), bench.instance()
+        first.submit(bench.row, bench.spec())
+        owner = await bench.running(first, 4)
+        bench.engines.tick(3)
+        await self.received(owner, 3)
+        await first.close()
+        second.submit(bench.row, bench.spec(attach=2))
+        have = await bench.collect(second, attach=2)
+        self.assert_true_labels(bench, have)
+        self.assertEqual(sum(one.starts for one in bench.engines.machines.values()), 4)
+        counts = second.status() or [bench]
+        self.assertEqual(counts[0]["counts"]["resumed"], 4)
+        self.assertEqual(counts[0]["counts"]["regenerated"], 0)
+
+    async def test_a_successor_starts_nothing_that_the_trainer_has(self):
+        bench = self.bench()
+        first, second = bench.instance(), bench.instance()
+        first.submit(bench.row, bench.spec())
+        await bench.ready(first, 4)
+        reply = await bench.fetch(first)
+        await first.close()
+        self.assertEqual(reply["remaining"], 0)
+        half = await bench.fetch(second) if second.status() else None
+        self.assertIsNone(half)
+        second.submit(bench.row, bench.spec(attach=2, token=reply["token"]))
+        states = {sample.state for sample in bench.owner(second).samples}
+        self.assertEqual(states, {SampleState.TAKEN})
+
+    async def test_engines_are_cleared_of_what_the_trainer_has(self):
+        bench = self.bench()
+        steps = bench.instance()
+        steps.submit(bench.row, bench.spec())
+        await bench.ready(steps, 4)
+        self.assertEqual(
+            sum(len(one.streams) for one in bench.engines.machines.values()), 4
+        )
+        reply = await bench.fetch(steps)
+        await bench.fetch(steps, reply["token"])
+        await until(
+            lambda: not any(one.streams for one in bench.engines.machines.values())
+        )
+        self.assertEqual(steps.status(), [])
--- /dev/null
+++ b/sassafrasdoor/tools/trainer.py
@@ -0,0 +1,97 @@
+"""``sassafrasdoor-trainer``: submit a training step and print what came of it."""
+
+import asyncio
+import json
+import pathlib
+from typing import Annotated
+
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from sassafrasdoor.steps.client import Trainer
+
+MAX_PROMPTS_FILE = 64_000_000
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def run(
+    prompts: Annotated[str, typer.Argument(help="JSON file: a list of prompts.")],
+    address: Annotated[list[str], typer.Option(help="Any instance, host:port.")],
+    row: Annotated[str, typer.Option(help="The trainer's row.")],
+    key: Annotated[str, typer.Option(envvar="SASSAFRASDOOR_KEY", help="Its key.")],
+    step: Annotated[str, typer.Option(help="Name of the step.")] = "step-1",
+    samples: Annotated[int, typer.Option(help="Samples a group.")] = 8,
+    max_tokens: Annotated[int, typer.Option(help="Longest sample.")] = 256,
+    deadline: Annotated[float, typer.Option(help="Seconds for the step.")] = 600.0,
+    newest_version: Annotated[int, typer.Option(help="Newest weights.")] = 0,
+    zone: Annotated[str, typer.Option(help="Availability zone.")] = "",
+    seed: Annotated[int, typer.Option()] = 0,
+    output: Annotated[str, typer.Option(help="Write samples, a line each.")] = "",
+    as_json: Annotated[bool, typer.Option("--json", help="Report as JSON.")] = False,
+):
+    """Submit the prompts as one step, iterate its samples, print the report."""
+    document = {
+        "step": step,
+        "groups": [{"prompt": prompt} for prompt in _read(prompts)],
+        "samples_per_group": samples,
+        "max_tokens": max_tokens,
+        "deadline_ms": int(deadline * 1000),
+        "seed": seed,
+    }
+    identity = (address, row, key, zone, newest_version)
+    done, lines = asyncio.run(_collect(identity, document))
+    if output:
+        pathlib.Path(output).write_text("".join(lines), "utf-8")
+    _print(done, as_json)
+    raise typer.Exit(0 if done.complete else 1)
+
+
+def _read(path):
+    try:
+        with open(path, encoding="utf-8") as file:
+            found = json.loads(file.read(MAX_PROMPTS_FILE))
+    except (OSError, ValueError) as error:
+        raise typer.BadParameter(f"{path}: {error}") from error
+    if not isinstance(found, list) or not all(isinstance(one, str) for one in found):
+        raise typer.BadParameter(f"{path}: not a list of strings")
+    return found
+
+
+async def _collect(identity, document):
+    trainer = Trainer(*identity)
+    lines = []
+    try:
+        step = trainer.run(document)
+        async for sample in step.samples():
+            lines.append(json.dumps(sample) + "\n")
+    finally:
+        trainer.close()
+    return step, lines
+
+
+def _print(step, as_json):
+    report = {"complete": step.complete, **step.report.as_dict()}
+    if step.failure is not None:
+        report["failure"] = step.failure.reason
+        report["findings"] = [
+            str(finding) for finding in getattr(step.failure, "findings", ())
+        ]
+    if as_json:
+        print(json.dumps(report))
+        return
+    table = Table("figure", "value")
+    for name, value in report.items():
+        table.add_row(name, json.dumps(value))
+    Console().print(table)
+
+
+def main():
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
