Bring engines to announced weights in a sliding window of fenced orders

Cause: an announced version has to reach every engine through a rate-limited store while enough engines go on serving, and orders fail, lie, arrive late, and may be sent by a holder that has lost its lease.

--- a/sassafrasdoor/backends/http.py
+++ b/sassafrasdoor/backends/http.py
@@ -15,7 +15,7 @@
 from sassafrasdoor.backends.stream import StreamReader
 from sassafrasdoor.backends.transfer import Client, Request
 from sassafrasdoor.clock import deadline_in
-from sassafrasdoor.outcomes import ReplyLost, Unavailable
+from sassafrasdoor.outcomes import Outcome, ReplyLost, Unavailable
 
 SHORT_CALL_TIMEOUT = 2.0
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -68,12 +68,7 @@
         """Return the ``StreamState``s under a prefix, or ``Unavailable``."""
         query = urllib.parse.urlencode({"prefix": prefix})
         document = await self._call(backend, "GET", f"/streams?{query}")
-        if not document:
-            return document
-        return [
-            StreamState(one["stream"], one["offset"], one["done"])
-            for one in document["streams"]
-        ]
+        return understood(_streams_from, document)
 
     async def cancel(self, backend, stream):
         """Cancel and forget a stream; return None, or ``Unavailable``."""
@@ -106,28 +101,20 @@
         if isinstance(response, Broken):
             kind = ReplyLost if response.began else Unavailable
             return kind(response.reason)
-        document = parsed(response)
-        if response.code == OK and document:
-            return {name: int(v) for name, v in document["versions"].items()}
-        if response.code == REFUSED_FENCE and document:
-            return Stale("stale fencing number", document["fence"])
-        return Unavailable(f"order failed with status {response.code}")
+        read = ORDER_REPLIES.get(response.code)
+        if read is None:
+            return Unavailable(f"order failed with status {response.code}")
+        return understood(read, parsed(response))
 
     async def cache_events(self, backend, first):
         """Return ``(events, next number)``, or ``Unavailable``."""
         document = await self._call(backend, "GET", f"/cache-events?from={first}")
-        if not document:
-            return document
-        events = [
-            CacheEvent(one["number"], one["prefix"], one["stored"])
-            for one in document["events"]
-        ]
-        return events, document["next"]
+        return understood(_cache_events_from, document)
 
     async def export_kv(self, backend, stream):
         """Return the KV cache of a stream (a string), or ``Unavailable``."""
         document = await self._call(backend, "POST", "/kv/export", {"stream": stream})
-        return document["kv"] if document else document
+        return understood(lambda found: found["kv"], document)
 
     async def import_kv(self, backend, stream, kv):
         """Give an engine the KV cache of a stream; return None or ``Unavailable``."""
@@ -192,19 +179,62 @@
 async def read_load(client, backend):
     """Return a backend server's ``Load``, or ``Unavailable``."""
     document = await call_json(client, backend, "GET", "/load")
-    if not document:
+    return understood(_load_from, document)
+
+
+def understood(read, document):
+    """Return ``read(document)``; ``Unavailable`` for none and for one of bad form.
+
+    A backend server that answers in another form must look like one that does
+    not answer: an exception would end the task that follows it, and nobody
+    would look at that server again.
+    """
+    if isinstance(document, Outcome):
         return document
+    try:
+        return read(document)
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return Unavailable("reply not understood")
+
+
+def _load_from(document):
     return Load(
         document["running"],
         document["queued"],
         document["capacity"],
         document["age_ms"] / 1000,
-        {name: int(version) for name, version in document["versions"].items()},
+        _versions_from(document),
         document["role"],
         document["leaving"],
     )
 
 
+def _versions_from(document):
+    return {name: int(version) for name, version in document["versions"].items()}
+
+
+def _stale_from(document):
+    return Stale("stale fencing number", document["fence"])
+
+
+def _streams_from(document):
+    return [
+        StreamState(one["stream"], one["offset"], one["done"])
+        for one in document["streams"]
+    ]
+
+
+def _cache_events_from(document):
+    events = [
+        CacheEvent(one["number"], one["prefix"], one["stored"])
+        for one in document["events"]
+    ]
+    return events, document["next"]
+
+
+ORDER_REPLIES = {OK: _versions_from, REFUSED_FENCE: _stale_from}
+
+
 async def call_json(client, backend, method, path, body=None):
     """Make a short repeatable call; return its JSON object or ``Unavailable``."""
     request = Request(
--- a/sassafrasdoor/backends/stream.py
+++ b/sassafrasdoor/backends/stream.py
@@ -53,8 +53,11 @@
         limit = deadline_in(timeout)
         if self._order.deadline is not None:
             limit = min(limit, self._order.deadline)
+        # Not ``wait_for``: on Python 3.11 it swallows a cancellation that comes in
+        # the moment of a chunk, and the stream would go on without its reader.
         try:
-            return await asyncio.wait_for(self._data.get(), remaining(limit))
+            async with asyncio.timeout(remaining(limit)):
+                return await self._data.get()
         except TimeoutError:
             return SILENT
 
--- /dev/null
+++ b/sassafrasdoor/backends/tests/test_affinity.py
@@ -0,0 +1,68 @@
+"""The hint which engine holds a prefix."""
+
+import unittest
+
+from sassafrasdoor.backends.affinity import Affinity
+from sassafrasdoor.backends.interface import CacheEvent, prefix_key
+from sassafrasdoor.backends.tests.fixtures import BackendsTestCase, stream_order
+from sassafrasdoor.outcomes import Unavailable
+from sassafrasdoor.support import until
+from sassafrasdoor.view import Backend, View
+
+
+class ScriptedEvents:
+    """Answers ``cache_events`` by script and records the numbers asked for."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def cache_events(self, backend, first):
+        self.asked.append(first)
+        return self.answers.pop(0)
+
+
+class AffinityTest(BackendsTestCase):
+    async def test_a_late_event_reaches_the_hint(self):
+        _, backend = self.start_engine(cache_delay=0.05, cache_loss=0.0)
+        affinity = Affinity(self.engine, lambda: View(backends=[backend]))
+        prefix = prefix_key(stream_order().prompt)
+        await affinity.poll()
+        self.assertEqual(affinity.affinity(prefix), [])
+        await self.read(backend, stream_order())
+
+        async def known():
+            await affinity.poll()
+            return affinity.affinity(prefix) == [backend.name]
+
+        await until(known, what="the event")
+
+    async def test_gaps_silence_and_restarts(self):
+        """Symptom: streams keep going to an engine that dropped their prefix.
+
+        Sequence: events are lost or the engine does not answer; later it starts
+        over with its numbers. Cause: the list of events was taken for whole.
+        """
+        script = ScriptedEvents(
+            ([CacheEvent(1, "a", True)], 2),
+            Unavailable("down"),
+            ([CacheEvent(4, "b", True), CacheEvent(5, "a", False)], 6),
+            ([], 6),
+            ([CacheEvent(1, "c", True)], 2),
+        )
+        backend = Backend("e", "127.0.0.1:9", "engine", "engines")
+        affinity = Affinity(script, lambda: View(backends=[backend]))
+        for prefix, holders in (("a", ["e"]), ("a", ["e"]), ("a", []), ("b", ["e"])):
+            await affinity.poll()
+            self.assertEqual(affinity.affinity(prefix), holders)
+        affinity._engines["e"].start_over_deadline = 0.0
+        await affinity.poll()
+        self.assertEqual(affinity.affinity("c"), ["e"])
+        self.assertEqual(script.asked, [0, 2, 2, 6, 0])
+        affinity.used("e", "d")
+        affinity.used("unknown", "d")
+        self.assertEqual(affinity.affinity("d"), ["e"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sassafrasdoor/backends/tests/test_stream.py
+++ b/sassafrasdoor/backends/tests/test_stream.py
@@ -12,6 +12,7 @@
     Stale,
     prefix_key,
 )
+from sassafrasdoor.backends.stream import StreamReader
 from sassafrasdoor.backends.tests.fixtures import (
     MODEL,
     BackendsTestCase,
@@ -166,6 +167,25 @@
         self.assertIsNone(await self.engine.cancel(backend, "s/1"))
         self.assertEqual(await self.engine.streams(backend, "s/"), [])
 
+    async def test_a_cancelled_reader_stays_cancelled(self):
+        """Symptom: streams go on although their readers were cancelled.
+
+        Sequence: a chunk arrives, and before the reader runs it is cancelled.
+        Cause: ``asyncio.wait_for`` of Python 3.11 then returns the chunk and
+        drops the cancellation.
+        """
+        for turns in range(5):
+            with self.subTest(turns=turns):
+                reader = StreamReader(None, None, stream_order())
+                task = asyncio.create_task(reader._next(20))
+                await asyncio.sleep(0)
+                reader._data.put_nowait(b"chunk")
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                if task.cancel():
+                    with self.assertRaises(asyncio.CancelledError):
+                        await task
+
     async def test_lines_that_do_not_fit_end_the_stream(self):
         """Symptom: an answer lacks a piece in its middle, or is no text at all.
 
--- a/sassafrasdoor/clock.py
+++ b/sassafrasdoor/clock.py
@@ -3,6 +3,7 @@
 import time
 
 now = time.monotonic
+LONG_AGO = float("-inf")
 
 
 def deadline_in(seconds):
--- a/sassafrasdoor/settings.py
+++ b/sassafrasdoor/settings.py
@@ -48,7 +48,15 @@
     },
     "table": {"unconfirmed_grace": 600.0},
     "lease": {"duration": 6.0, "renew_interval": 2.0},
-    "weights": {"store_concurrency": 4, "order_timeout": 10.0},
+    "weights": {
+        "store_concurrency": 4,
+        "order_timeout": 10.0,
+        "confirm_timeout": 3.0,
+        "check_interval": 15.0,
+        "retry_interval": 0.5,
+        "retry_limit": 8.0,
+        "serving_share": {"staleness": 0.5, "idle": 0.8},
+    },
     "routing": {
         "load_interval": 0.5,
         "subset_size": 24,
@@ -161,11 +169,28 @@
     renew_interval: float = Field(gt=0)
 
 
+class ServingShare(Section):
+    """Share of a model's engines that serve while others swap, by preference."""
+
+    staleness: float = Field(ge=0, lt=1)
+    idle: float = Field(ge=0, lt=1)
+
+
 class WeightsSettings(Section):
-    """Rollout of weights: swaps at once and the longest order in flight."""
+    """Rollout of weights: swaps at once, the longest order, checks and retries.
+
+    A finished order has ``confirm_timeout`` to show in the engine's own report;
+    every engine is read again after ``check_interval``; failed orders wait from
+    ``retry_interval`` to ``retry_limit``, doubling, with jitter.
+    """
 
     store_concurrency: int = Field(gt=0)
     order_timeout: float = Field(gt=0)
+    confirm_timeout: float = Field(gt=0)
+    check_interval: float = Field(gt=0)
+    retry_interval: float = Field(gt=0)
+    retry_limit: float = Field(gt=0)
+    serving_share: ServingShare
 
 
 class RoutingSettings(Section):
--- a/sassafrasdoor/standin/engine.py
+++ b/sassafrasdoor/standin/engine.py
@@ -29,6 +29,7 @@
         "capacity",
         "checks_fencing",
         "initial_version",
+        "install_seconds",
         "keep_done",
         "late",
         "load_lag",
@@ -59,6 +60,7 @@
         self.cache_loss = 0.1
         self.keep_done = 60.0
         self.swap_seconds = 0.5
+        self.install_seconds = 0.0
         self.late = 2.0
         self.weights_url = ""
         self.checks_fencing = True
@@ -245,7 +247,14 @@
             return
         url = f"{self._options.weights_url}/weights/{model}/{version}"
         request = HTTPRequest(url, connect_timeout=5.0, request_timeout=WEIGHTS_TIMEOUT)
-        await SimpleAsyncHTTPClient(max_clients=64).fetch(request)
+        # An instance of its own: the shared one fetches ten at once at most, for
+        # all the engines of this process together.
+        client = SimpleAsyncHTTPClient(force_instance=True)
+        try:
+            await client.fetch(request)
+        finally:
+            client.close()
+        await asyncio.sleep(self._options.install_seconds)
 
     async def _report_load(self):
         while True:
@@ -369,7 +378,8 @@
 
     async def _wait(self, wake):
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(wake.wait(), WAKE_AT_LEAST_EVERY)
+            async with asyncio.timeout(WAKE_AT_LEAST_EVERY):
+                await wake.wait()
 
     def _cut(self, fault):
         if fault == TRUNCATE:
--- /dev/null
+++ b/sassafrasdoor/weights/plan.py
@@ -0,0 +1,122 @@
+"""Which engines are to swap next: decisions without any I/O.
+
+Swaps follow each other in a sliding window and not in waves with a barrier: a
+swap that hangs holds one place of the window and delays nobody else.
+"""
+
+import math
+from enum import StrEnum
+
+from sassafrasdoor.clock import LONG_AGO, passed
+from sassafrasdoor.table.rows import Kind, Preference
+
+
+class Phase(StrEnum):
+    """What an engine is doing for the rollout."""
+
+    IDLE = "idle"
+    SWAPPING = "swapping"
+    CONFIRMING = "confirming"
+
+
+class EngineState:
+    """An engine as its own reports tell it; ``versions`` is None until one came.
+
+    Nothing is sent to it before ``retry_deadline``; a report is wanted again
+    after ``check_deadline``.
+    """
+
+    __slots__ = (
+        "attempts",
+        "backend",
+        "check_deadline",
+        "failed_reads",
+        "in_flight",
+        "phase",
+        "reading",
+        "retry_deadline",
+        "versions",
+    )
+
+    def __init__(self, backend):
+        self.backend = backend
+        self.versions = None
+        self.in_flight = 0
+        self.phase = Phase.IDLE
+        self.reading = False
+        self.attempts = 0
+        self.failed_reads = 0
+        self.check_deadline = LONG_AGO
+        self.retry_deadline = LONG_AGO
+
+    def is_behind(self, model, version):
+        """Say whether its report shows an older version than that.
+
+        A newer one is left alone: our own view may be the old one, and undoing
+        a swap would serve older weights for nothing.
+        """
+        return self.versions is not None and self.versions.get(model, 0) < version
+
+    @property
+    def is_ready(self):
+        """Whether an order may be sent to it now."""
+        return self.phase is Phase.IDLE and passed(self.retry_deadline)
+
+
+class Swap:
+    """An engine to be brought to a version of a model."""
+
+    __slots__ = ("engine", "model", "version")
+
+    def __init__(self, engine, model, version):
+        self.engine = engine
+        self.model = model
+        self.version = version
+
+
+def preference(table, model):
+    """Return what the trainers of a model prefer, by the sum of their weights."""
+    sums = dict.fromkeys(Preference, 0.0)
+    for row in table.rows if table else ():
+        if row.kind is Kind.TRAINER and row.model == model:
+            sums[row.prefers] += row.weight
+    return max(sums, key=sums.get)
+
+
+def most_at_once(settings, wanted, engines):
+    """Return how many of a model's engines may be out of service for swaps.
+
+    Engines without a report count as out of service already. One swap is always
+    allowed: with few engines, or with most of them dead, the share alone would
+    keep the rest on old weights for ever.
+    """
+    share = getattr(settings.weights.serving_share, wanted)
+    reachable = sum(engine.versions is not None for engine in engines)
+    return max(1, reachable - math.ceil(share * len(engines)))
+
+
+def next_swaps(settings, view, engines):
+    """Return the ``Swap``s to begin now, the least busy engines first.
+
+    Bounded by the store's concurrency over all models, and for each model by
+    the share of its engines that has to go on serving.
+    """
+    swapping = sum(engine.phase is Phase.SWAPPING for engine in engines)
+    free = settings.weights.store_concurrency - swapping
+    chosen = {}
+    for model, version in sorted(view.weights.items()):
+        mine = [engine for engine in engines if model in engine.backend.models]
+        out = sum(e.phase is not Phase.IDLE or e in chosen for e in mine)
+        allowed = most_at_once(settings, preference(view.table, model), mine) - out
+        ready = [
+            engine
+            for engine in mine
+            if engine.is_ready
+            and engine not in chosen
+            and engine.is_behind(model, version)
+        ]
+        ready.sort(key=lambda engine: (engine.in_flight, engine.backend.name))
+        for engine in ready[: max(0, min(free, allowed))]:
+            chosen[engine] = Swap(engine, model, version)
+            free -= 1
+    return list(chosen.values())
--- /dev/null
+++ b/sassafrasdoor/weights/rollout.py
@@ -0,0 +1,275 @@
+"""Bringing all engines to the newest announced weights, by their own reports.
+
+The plan is recomputed all the time from what the engines report, so it needs no
+memory: a new holder of the lease starts from the same picture. Orders are
+idempotent ("be at version v") and carry the fencing number. Neither a reply nor
+its absence changes what is believed of an engine; only ``load`` does.
+
+Two kinds of engine: one refuses an order with an old fencing number. The other
+takes it; an order that a frozen holder sends when it wakes is found by the next
+report, which shows an older version, and ordered right again.
+"""
+
+import asyncio
+import contextlib
+import random
+
+from sassafrasdoor import clock
+from sassafrasdoor.backends.interface import Order, Stale
+from sassafrasdoor.events import EVENTS
+from sassafrasdoor.logs import changed
+from sassafrasdoor.metrics import counter, gauge
+from sassafrasdoor.outcomes import ReplyLost, Unavailable
+from sassafrasdoor.view import BackendKind, State
+from sassafrasdoor.weights.plan import EngineState, Phase, next_swaps
+
+TICK = 0.1
+CONFIRM_INTERVAL = 0.25
+"""Reports lag, so one asked for at once would show the old version."""
+READS_AT_ONCE = 32
+ORDERS_IN_A_ROW = 3
+MOST_DOUBLINGS = 16
+SHORTER_CHECKS = 3
+"""Engines that ignore fencing numbers are read that many times as often."""
+
+ORDERS = counter("weights_orders_total", "Orders to engines, by result.")
+BEHIND = gauge("weights_engines_behind", "Engines reported behind, by model.")
+
+
+def backoff(weights, failures):
+    """Return the seconds to wait after so many failures in a row, with jitter."""
+    doublings = min(failures - 1, MOST_DOUBLINGS)
+    longest = min(weights.retry_limit, weights.retry_interval * 2**doublings)
+    return longest * random.uniform(0.5, 1.0)
+
+
+class Rollout:
+    """Orders swaps while ``holder.fence`` is set; ``view_getter()`` gives the view."""
+
+    __slots__ = (
+        "_behind",
+        "_client",
+        "_engines",
+        "_fence",
+        "_holder",
+        "_reads",
+        "_settings",
+        "_stale_fence",
+        "_targets",
+        "_tasks",
+        "_view",
+        "_wake",
+    )
+
+    def __init__(self, settings, engine_client, holder, view_getter):
+        self._settings = settings
+        self._client = engine_client
+        self._holder = holder
+        self._view = view_getter
+        self._engines = {}
+        self._targets = {}
+        self._behind = {}
+        self._fence = 0
+        self._stale_fence = 0
+        self._tasks = set()
+        self._reads = asyncio.Semaphore(READS_AT_ONCE)
+        self._wake = asyncio.Event()
+
+    @property
+    def behind(self):
+        """How many engines report an older version, by model."""
+        return dict(self._behind)
+
+    async def run(self):
+        """Bring engines to the announced versions until cancelled."""
+        try:
+            while True:
+                if self._may_act():
+                    self._step()
+                await self._pause()
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _may_act(self):
+        """Say whether the lease is ours, and start afresh if it is newly ours."""
+        fence = self._holder.fence
+        if not fence or fence <= self._stale_fence:
+            return False
+        if fence != self._fence:
+            # Since our last term another may have ordered anything, and with
+            # engines that ignore the fence an old order may still land. Only
+            # fresh reports count.
+            self._fence = fence
+            self._check_all()
+        return True
+
+    def _step(self):
+        view = self._view()
+        self._follow(view)
+        engines = list(self._engines.values())
+        for engine in engines:
+            if clock.passed(engine.check_deadline) and not engine.reading:
+                self._start(self._read(engine))
+        for swap in next_swaps(self._settings, view, engines):
+            self._begin(swap)
+        self._count(view, engines)
+
+    def _follow(self, view):
+        """Take over the view's engines and its newest versions."""
+        present = {}
+        for backend in view.backends:
+            if backend.kind is BackendKind.ENGINE and backend.state is State.ALIVE:
+                known = self._engines.get(backend.name)
+                if known is None or known.backend.address != backend.address:
+                    known = EngineState(backend)
+                known.backend = backend
+                present[backend.name] = known
+        self._engines = present
+        if self._targets != view.weights:
+            self._targets = dict(view.weights)
+            # Swaps begin with the least busy, which needs reports of now.
+            self._check_all()
+
+    def _check_all(self):
+        for engine in self._engines.values():
+            engine.check_deadline = clock.LONG_AGO
+
+    async def _read(self, engine):
+        """Take the engine's own report."""
+        weights = self._settings.weights
+        engine.reading = True
+        try:
+            async with self._reads:
+                load = await self._client.load(engine.backend)
+        finally:
+            engine.reading = False
+        if not load:
+            engine.versions = None
+            engine.failed_reads += 1
+            wait = backoff(weights, engine.failed_reads)
+            engine.check_deadline = clock.deadline_in(wait)
+            return
+        engine.versions = load.versions
+        engine.failed_reads = 0
+        engine.in_flight = load.running + load.queued
+        interval = weights.check_interval * random.uniform(0.8, 1.2)
+        if not engine.backend.checks_fencing:
+            interval /= SHORTER_CHECKS
+        engine.check_deadline = clock.deadline_in(interval)
+        self._wake.set()
+
+    def _begin(self, swap):
+        swap.engine.phase = Phase.SWAPPING
+        self._start(self._swap(swap))
+
+    async def _swap(self, swap):
+        """Order one swap and see it through; the engine is idle again after it."""
+        engine = swap.engine
+        confirmed = False
+        try:
+            outcome = await self._order(swap)
+            if outcome:
+                engine.phase = Phase.CONFIRMING
+                self._wake.set()
+                limit = clock.deadline_in(self._settings.weights.confirm_timeout)
+                confirmed = await self._confirm(swap, limit)
+            elif isinstance(outcome, ReplyLost):
+                confirmed = await self._confirm(swap, clock.LONG_AGO)
+            self._judge(swap, confirmed)
+        finally:
+            engine.phase = Phase.IDLE
+            self._wake.set()
+
+    async def _order(self, swap):
+        """Send the order, again while replies are lost and the engine is behind.
+
+        With a slow store the engine may still be fetching when the order's time
+        is over. Were its place in the window given away, the next engines would
+        share the store with it and be slower yet. The same order sent again
+        waits for the swap that runs.
+        """
+        for _ in range(ORDERS_IN_A_ROW):
+            # Checked here and not where the swap was planned: the lease may
+            # have lapsed in between, and a successor may order otherwise.
+            if not self._may_act():
+                return Unavailable("no lease")
+            limit = clock.deadline_in(self._settings.weights.order_timeout)
+            order = Order(self._fence, swap.model, swap.version, "", limit)
+            outcome = await self._client.order(swap.engine.backend, order)
+            self._note(swap, order, outcome)
+            if not isinstance(outcome, ReplyLost):
+                return outcome
+            if await self._confirm(swap, clock.LONG_AGO):
+                return outcome
+            if swap.engine.versions is None:
+                return outcome
+        return outcome
+
+    async def _confirm(self, swap, limit):
+        """Read reports, one at least, until one shows the version or ``limit``."""
+        while True:
+            await asyncio.sleep(CONFIRM_INTERVAL)
+            if not swap.engine.reading:
+                await self._read(swap.engine)
+            if swap.engine.versions and not swap.engine.is_behind(
+                swap.model, swap.version
+            ):
+                return True
+            if clock.passed(limit):
+                return False
+
+    def _judge(self, swap, confirmed):
+        engine, weights = swap.engine, self._settings.weights
+        if confirmed:
+            engine.attempts = 0
+            return
+        ORDERS.inc({"result": "unconfirmed"})
+        engine.attempts += 1
+        wait = backoff(weights, engine.attempts)
+        engine.retry_deadline = clock.deadline_in(wait)
+        engine.check_deadline = clock.LONG_AGO
+
+    def _note(self, swap, order, outcome):
+        result = "done" if outcome else type(outcome).__name__
+        ORDERS.inc({"result": result})
+        EVENTS.add(
+            "weights-order",
+            engine=swap.engine.backend.name,
+            model=swap.model,
+            version=swap.version,
+            fence=order.fence,
+            result=result,
+        )
+        if isinstance(outcome, Stale):
+            # Somebody holds a newer number: our lease is gone although our own
+            # clock does not know it yet.
+            self._stale_fence = max(self._stale_fence, order.fence)
+            changed("weights.fenced_off", fence=order.fence, newest=outcome.fence)
+
+    def _count(self, view, engines):
+        for model, version in view.weights.items():
+            behind = sum(
+                model in engine.backend.models
+                and (engine.versions is None or engine.is_behind(model, version))
+                for engine in engines
+            )
+            if bool(behind) != bool(self._behind.get(model)):
+                changed("weights.rollout", model=model, version=version, behind=behind)
+            self._behind[model] = behind
+            BEHIND.set({"model": model}, behind)
+
+    def _start(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _pause(self):
+        """Wait a tick, or less if an engine changed."""
+        self._wake.clear()
+        # Not ``wait_for``: on Python 3.11 it swallows a cancellation that comes in
+        # the moment of the wake-up, and the task would run on for ever.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TICK):
+                await self._wake.wait()
--- /dev/null
+++ b/sassafrasdoor/weights/tests/test_plan.py
@@ -0,0 +1,130 @@
+"""Which engines swap next."""
+
+import unittest
+
+from hypothesis import given, settings as hypothesis_settings, strategies as st
+
+from sassafrasdoor import settings
+from sassafrasdoor.table.rows import Preference, table_from
+from sassafrasdoor.view import Backend, View
+from sassafrasdoor.weights.plan import (
+    EngineState,
+    Phase,
+    most_at_once,
+    next_swaps,
+    preference,
+)
+
+KEY = "0" * 64
+
+
+def engine(name, version=1, in_flight=0, model="model", phase=Phase.IDLE):
+    """Return an engine with its report; ``version`` None for one without."""
+    made = EngineState(Backend(name, "", "engine", "engines", models=[model]))
+    made.versions = None if version is None else {model: version}
+    made.in_flight = in_flight
+    made.phase = phase
+    return made
+
+
+def table(*prefers):
+    """Return a table of trainers, ``(preference, weight)`` each."""
+    rows = [
+        {
+            "name": f"row-{index}",
+            "kind": "trainer",
+            "service": "engines",
+            "model": "model",
+            "prefers": wanted,
+            "weight": weight,
+            "key_hashes": [KEY],
+        }
+        for index, (wanted, weight) in enumerate(prefers)
+    ]
+    return table_from({"rows": rows})
+
+
+def configured(**weights):
+    """Return settings with that ``weights`` section."""
+    return settings.from_document({"weights": weights})
+
+
+class PlanTest(unittest.TestCase):
+    def test_least_busy_first_within_the_stores_limit(self):
+        engines = [engine(f"e{n}", in_flight=9 - n) for n in range(10)]
+        view = View(weights={"model": 2})
+        swaps = next_swaps(configured(store_concurrency=3), view, engines)
+        self.assertEqual([s.engine.backend.name for s in swaps], ["e9", "e8", "e7"])
+
+    def test_who_is_not_ordered(self):
+        for reason, made in (
+            ("at the version", engine("e", 2)),
+            ("ahead of our view", engine("e", 3)),
+            ("without a report", engine("e", None)),
+            ("of another model", engine("e", model="other")),
+            ("busy swapping", engine("e", phase=Phase.SWAPPING)),
+            ("not confirmed yet", engine("e", phase=Phase.CONFIRMING)),
+        ):
+            with self.subTest(reason):
+                view = View(weights={"model": 2})
+                self.assertEqual(next_swaps(configured(), view, [made]), [])
+
+    def test_the_share_that_serves_follows_the_tables_preference(self):
+        engines = [engine(f"e{n}") for n in range(10)]
+        for rows, wanted, allowed in (
+            ([("staleness", 1.0)], Preference.STALENESS, 5),
+            ([("idle", 1.0)], Preference.IDLE, 2),
+            ([("staleness", 1.0), ("idle", 3.0)], Preference.IDLE, 2),
+            ([], Preference.STALENESS, 5),
+        ):
+            with self.subTest(rows=rows):
+                known = table(*rows)
+                self.assertEqual(preference(known, "model"), wanted)
+                view = View(table=known, weights={"model": 2})
+                swaps = next_swaps(configured(store_concurrency=99), view, engines)
+                self.assertEqual(len(swaps), allowed)
+
+    def test_one_swap_is_allowed_however_few_engines_answer(self):
+        """Symptom: after a crash of most engines the rest keeps old weights.
+
+        Sequence: more engines are down than the share allows. Cause: the share
+        that has to serve can't be reached any more, so nothing was ever allowed.
+        """
+        engines = [engine(f"e{n}", None) for n in range(9)] + [engine("e9")]
+        self.assertEqual(most_at_once(configured(), Preference.IDLE, engines), 1)
+        view = View(weights={"model": 2})
+        self.assertEqual(len(next_swaps(configured(), view, engines)), 1)
+
+    @hypothesis_settings(derandomize=True, max_examples=200)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from([None, 1, 2]),
+                st.sampled_from(list(Phase)),
+                st.sampled_from(["model", "other"]),
+            ),
+            max_size=40,
+        ),
+        st.integers(1, 8),
+    )
+    def test_limits_hold_in_every_state(self, described, concurrency):
+        configuration = configured(store_concurrency=concurrency)
+        engines = [
+            engine(f"e{index}", version, model=model, phase=phase)
+            for index, (version, phase, model) in enumerate(described)
+        ]
+        view = View(weights={"model": 2, "other": 2})
+        swaps = next_swaps(configuration, view, engines)
+        swapping = sum(one.phase is Phase.SWAPPING for one in engines)
+        self.assertLessEqual(len(swaps), max(0, concurrency - swapping))
+        self.assertEqual(len({id(swap.engine) for swap in swaps}), len(swaps))
+        for model in ("model", "other"):
+            mine = [one for one in engines if model in one.backend.models]
+            begun = sum(swap.model == model for swap in swaps)
+            out = sum(one.phase is not Phase.IDLE for one in mine)
+            allowed = most_at_once(configuration, Preference.STALENESS, mine)
+            self.assertLessEqual(begun, max(0, allowed - out))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sassafrasdoor/weights/tests/test_rollout.py
@@ -0,0 +1,345 @@
+"""Rollout of weights to engine stand-ins, with everything that goes wrong."""
+
+import asyncio
+import unittest
+
+from tornado.web import Application, RequestHandler
+
+from sassafrasdoor import settings
+from sassafrasdoor.backends.http import HttpEngine
+from sassafrasdoor.backends.tests.fixtures import MODEL, BackendsTestCase
+from sassafrasdoor.log.agreed import Agreed, fold
+from sassafrasdoor.log.interface import Record
+from sassafrasdoor.standin import serving
+from sassafrasdoor.support import until
+from sassafrasdoor.view import View
+from sassafrasdoor.weights import versions
+from sassafrasdoor.weights.rollout import Rollout
+
+QUICK = {
+    "store_concurrency": 4,
+    "order_timeout": 1.0,
+    "confirm_timeout": 0.5,
+    "check_interval": 0.3,
+    "retry_interval": 0.05,
+    "retry_limit": 0.2,
+}
+FAULTS = (
+    # faults of the engine, orders that it takes until it truly swapped
+    ({}, 1),
+    ({"fail_swaps": 2}, 3),
+    ({"late_swaps": 1}, 1),
+    ({"false_swaps": 2}, 3),
+    ({"lost_order_replies": 1}, 1),
+)
+
+
+class FakeHolder:
+    """A lease that the test gives and takes."""
+
+    def __init__(self, fence=1):
+        self.fence = fence
+
+
+class FrozenClient(HttpEngine):
+    """Freezes between the check of the lease and the order that follows it."""
+
+    def __init__(self, configuration):
+        super().__init__(configuration)
+        self.frozen_at = []
+        self.thawed = asyncio.Event()
+
+    async def order(self, backend, order):
+        self.frozen_at.append(order)
+        await self.thawed.wait()
+        return await super().order(backend, order)
+
+
+class WeightStore(RequestHandler):
+    """Counts who reads at once; ``broken`` refuses all."""
+
+    broken = False
+    reading = most = 0
+
+    async def get(self):
+        store = type(self)
+        if store.broken:
+            self.send_error(503)
+            return
+        store.reading += 1
+        store.most = max(store.most, store.reading)
+        await asyncio.sleep(0.05)
+        store.reading -= 1
+        self.finish(b"weights")
+
+
+class RolloutTestCase(BackendsTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.settings = settings.from_document({"weights": QUICK})
+        self.view = View()
+        self.engines = []
+        self.holder = FakeHolder()
+
+    def add(self, count=1, **options):
+        """Start engines that the view lists."""
+        backends = list(self.view.backends)
+        for _ in range(count):
+            name = f"engine-{len(self.engines)}"
+            stand_in, backend = self.start_engine(
+                name, **{"swap_seconds": 0.01, **options}
+            )
+            backend.models = (MODEL,)
+            self.engines.append(stand_in)
+            backends.append(backend)
+        self.view = View(backends=backends, weights=self.view.weights)
+
+    def announce(self, version):
+        """Let the view name a newer version."""
+        self.view = View(backends=self.view.backends, weights={MODEL: version})
+
+    def run_rollout(self, holder=None, client=None, view=None):
+        """Start a rollout that ends with the test."""
+        rollout = Rollout(
+            self.settings,
+            client or self.engine,
+            holder or self.holder,
+            view or (lambda: self.view),
+        )
+        task = asyncio.create_task(rollout.run())
+
+        async def end():
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        self.addAsyncCleanup(end)
+        return rollout
+
+    async def all_at(self, version):
+        """Wait until every engine truly has that version."""
+        await until(
+            lambda: all(one.batch.versions[MODEL] == version for one in self.engines),
+            what=f"version {version} on all engines",
+        )
+
+
+class RolloutTest(RolloutTestCase):
+    async def test_engines_reach_the_version_whatever_the_reply_said(self):
+        """Symptom: one engine serves old weights for ever, counted as swapped.
+
+        Sequence: its swap fails, is reported late, is reported and never done,
+        or the reply is lost. Cause: the reply was believed and not the report.
+        """
+        for version, (faults, orders) in enumerate(FAULTS, 1):
+            with self.subTest(faults=faults):
+                self.view, self.engines = View(), []
+                self.add(late=0.2)
+                self.engines[0].set_faults(faults)
+                self.announce(version)
+                rollout = self.run_rollout(view=lambda v=self.view: v)
+                await self.all_at(version)
+                await until(lambda r=rollout: r.behind == {MODEL: 0})
+                truth = self.engines[0].truth()["orders"]
+                self.assertEqual(len(truth), orders)
+                self.assertEqual(sum(order["applied"] for order in truth), 1)
+
+    async def test_an_order_is_waited_for_and_not_forgotten(self):
+        """Symptom: a slow store gets slower and slower during a rollout.
+
+        Sequence: swaps take longer than an order waits; their places in the
+        window are given away; more engines fetch at once. Cause: an order without
+        a reply was taken for one that ended.
+        """
+        self.settings = settings.from_document(
+            {"weights": {**QUICK, "store_concurrency": 1, "order_timeout": 0.3}}
+        )
+        self.add(2, swap_seconds=0.5)
+        self.announce(1)
+        self.run_rollout()
+        together = []
+
+        def done():
+            together.append(sum(one.batch.swapping for one in self.engines))
+            return all(one.batch.versions[MODEL] == 1 for one in self.engines)
+
+        await until(done)
+        self.assertEqual(max(together), 1)
+        for one in self.engines:
+            self.assertEqual(sum(o["applied"] for o in one.orders), 1)
+
+    async def test_no_order_without_the_lease(self):
+        """Symptom: two holders order two versions in turn.
+
+        Sequence: the lease is lost, or lapses between planning and sending.
+        Cause: the lease was checked when the swap was planned.
+        """
+        self.holder.fence = 0
+        self.add()
+        self.announce(1)
+        self.run_rollout()
+        other = self.run_rollout(FakeHolder(2), view=lambda: self.seen_by_other)
+        self.seen_by_other = self.view
+        await self.all_at(1)
+        await until(lambda: other.behind == {MODEL: 0})
+        self.assertEqual({order["fence"] for order in self.engines[0].orders}, {2})
+
+    async def test_the_lease_is_checked_right_before_each_order(self):
+        """Symptom, sequence and cause as above, at the second order of a swap."""
+        self.add()
+        self.engines[0].set_faults({"fail_swaps": 1})
+        self.announce(1)
+        holder = FakeHolder()
+        swaps = self.run_rollout(holder)
+        await until(lambda: self.engines[0].orders)
+        holder.fence = 0
+        await until(lambda: not swaps._tasks)
+        self.assertEqual(len(self.engines[0].orders), 1)
+        holder.fence = 3
+        await self.all_at(1)
+        self.assertEqual(self.engines[0].orders[-1]["fence"], 3)
+
+    async def test_a_holder_frozen_between_check_and_order(self):
+        """Symptom: engines go back to an older version long after a rollout.
+
+        Sequence: a holder checks its lease, freezes, loses it; its successor
+        rolls a newer version out; the first one wakes and sends. Cause: no clock
+        of the holder's own can see that; a fencing number can, and where the
+        engine ignores it, reading back does.
+        """
+        for checks, reverted in ((True, False), (False, True)):
+            with self.subTest(checks_fencing=checks):
+                self.view, self.engines = View(), []
+                self.add(checks_fencing=checks)
+                self.announce(1)
+                frozen_view, frozen = self.view, FrozenClient(self.settings)
+                self.addCleanup(frozen.close)
+                first = self.run_rollout(FakeHolder(5), frozen, lambda v=frozen_view: v)
+                await until(lambda c=frozen: c.frozen_at)
+                self.announce(2)
+                self.run_rollout(FakeHolder(9), view=lambda v=self.view: v)
+                await self.all_at(2)
+                frozen.thawed.set()
+                engine = self.engines[0]
+                await until(lambda e=engine: any(o["fence"] == 5 for o in e.orders))
+                await until(lambda r=first: not r._tasks)
+                await self.all_at(2)
+                applied = [o["version"] for o in engine.orders if o["applied"]]
+                self.assertEqual(applied, [2, 1, 2] if reverted else [2])
+                self.assertEqual(first._stale_fence, 0 if reverted else 5)
+
+    async def test_a_holder_that_was_fenced_off_stops(self):
+        """Symptom: an outdated holder floods engines with orders they refuse.
+
+        Sequence: its own clock still grants the lease, an engine names a newer
+        number. Cause: the refusal was retried like a failed swap.
+        """
+        self.add()
+        await self.engines[0].order(9, MODEL, 0, "")
+        self.engines[0].orders.clear()
+        self.announce(1)
+        holder = FakeHolder(5)
+        rollout = self.run_rollout(holder)
+        await until(lambda: rollout._stale_fence == 5)
+        await until(lambda: not rollout._tasks)
+        self.assertEqual(len(self.engines[0].orders), 1)
+        holder.fence = 10
+        await self.all_at(1)
+
+    async def test_no_engine_goes_back_for_an_older_view(self):
+        """Symptom: fresh weights are swapped out and in again after a takeover.
+
+        Sequence: the new holder's view lags behind what the engines were told.
+        Cause: "another version" was taken for "an older version".
+        """
+        self.add(initial_version=5)
+        self.announce(4)
+        rollout = self.run_rollout()
+        await until(lambda: rollout.behind == {MODEL: 0})
+        self.assertEqual(self.engines[0].orders, [])
+
+    async def test_a_dead_engine_delays_nobody(self):
+        """Symptom: a rollout stands still for the time of a crash.
+
+        Sequence: engines die before and come back during the rollout. Cause: the
+        next wave waited for the whole last one.
+        """
+        self.add(4)
+        lost = self.engines.pop()
+        await lost.close()
+        self.announce(1)
+        rollout = self.run_rollout()
+        await self.all_at(1)
+        await until(lambda: rollout.behind == {MODEL: 1})
+        self.view = View(backends=self.view.backends[:3], weights={MODEL: 1})
+        await until(lambda: rollout.behind == {MODEL: 0})
+
+    async def test_an_engine_that_restarts_is_brought_up_again(self):
+        """Symptom: an engine serves the weights it started with.
+
+        Sequence: it crashes after the rollout and comes back at its address.
+        Cause: what was confirmed once was never looked at again.
+        """
+        self.add()
+        self.announce(1)
+        self.run_rollout()
+        await self.all_at(1)
+        self.engines[0].batch.versions[MODEL] = 0
+        await self.all_at(1)
+
+    async def test_a_cancelled_rollout_ends(self):
+        """Symptom: a control process never ends its planned stop.
+
+        Sequence: an engine's report wakes the rollout; before it runs it is
+        cancelled. Cause: ``asyncio.wait_for`` drops such a cancellation.
+        """
+        for turns in range(5):
+            with self.subTest(turns=turns):
+                rollout = Rollout(self.settings, self.engine, self.holder, View)
+                task = asyncio.create_task(rollout._pause())
+                await asyncio.sleep(0)
+                rollout._wake.set()
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                if task.cancel():
+                    with self.assertRaises(asyncio.CancelledError):
+                        await task
+
+    async def test_the_store_is_down_and_then_slow(self):
+        """Symptom: a rollout that met an outage of the store never ends.
+
+        Sequence: the store refuses, every swap fails; later it works. Cause:
+        retries gave up, or all came at once and overran it.
+        """
+        store = type("Store", (WeightStore,), {"broken": True})
+        server, address = serving.listen(Application([("/weights/.*", store)]))
+        self.addCleanup(server.stop)
+        self.add(8, weights_url=f"http://{address}")
+        self.announce(1)
+        self.run_rollout()
+        await until(lambda: sum(len(one.orders) for one in self.engines) > 8)
+        store.broken = False
+        await self.all_at(1)
+        self.assertLessEqual(store.most, QUICK["store_concurrency"])
+
+
+class VersionsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_announcement_repeated_or_late_changes_nothing(self):
+        class Log:
+            bodies = []
+
+            async def append(self, stream, body):
+                self.bodies.append((stream, body))
+                return len(self.bodies)
+
+        log, state = Log(), Agreed()
+        configuration = settings.from_document({})
+        for version in (1, 2, 2, 1):
+            await versions.announce(configuration, log, MODEL, version)
+        for offset, (stream, body) in enumerate(log.bodies, 1):
+            self.assertEqual(stream, configuration.platform.agreed_stream)
+            state = fold(state, Record(offset, body))
+        self.assertEqual(state.weights, {MODEL: 2})
+
+
+if __name__ == "__main__":
+    unittest.main()
