Keep to leased quota strictly and refuse what can't end in time

Cause: an instance without a grant used an equal slice, above the hard limit while others held grants; under overload queues served calls just before their deadline, so that hardly any answer was in time; a report cost the holder 1.3 ms. Change: no grant, no slots; who waits is served only if a usual call still ends in time; sums kept as integers, rows without a target skipped; grants live longer from 18 instances on, so that a holder gets 30 reports a second. Keys that callers choose work in the entry process: it has the log now.

--- a/sassafrasdoor/admission/allocator.py
+++ b/sassafrasdoor/admission/allocator.py
@@ -10,11 +10,17 @@
 from collections import Counter
 
 from sassafrasdoor import metrics
-from sassafrasdoor.admission.grants import GrantSet, InstanceRecord
+from sassafrasdoor.admission.grants import (
+    REPORTS_FOR_EACH_GRANT,
+    GrantSet,
+    InstanceRecord,
+)
 from sassafrasdoor.admission.shares import hard_limit, shares, split, within
 from sassafrasdoor.clock import deadline_in, passed
 
-REBALANCE_INTERVAL = 0.1
+REBALANCES_FOR_EACH_GRANT = 15
+# What one holder may be asked, so that it keeps within its processor and bytes.
+REPORTS_PER_SECOND = 30
 NUMBERS_FOR_EACH_HOLDER = 1 << 32
 
 GRANTED = metrics.counter("sassafrasdoor_grants_total", "Sets of grants made.")
@@ -31,6 +37,7 @@
         "_grants_from",
         "_heard",
         "_inherited_until",
+        "_limits",
         "_number",
         "_records",
         "_rebalance_at",
@@ -44,6 +51,7 @@
     def __init__(self, settings):
         self._settings = settings
         self._rows = []
+        self._limits = {}
         self._capacity = 0
         self._turn = 0
         self.take_over(0, ())
@@ -55,24 +63,24 @@
         before, all but those known to have left. Its grants lapse while we
         wait; what the silent among them may fall back on is kept aside.
         """
-        admission = self._settings.admission
-        self._grants_from = deadline_in(admission.grant_duration)
-        self._inherited_until = deadline_in(
-            admission.grant_duration + admission.fallback_duration
-        )
+        lifetime = self._lifetime(len(set(expected)))
+        fallback_duration = self._settings.admission.fallback_duration
+        self._grants_from = deadline_in(lifetime)
+        self._inherited_until = deadline_in(lifetime + fallback_duration)
         self._number = fence * NUMBERS_FOR_EACH_HOLDER
         self._expected = set(expected)
         self._heard = Counter()
         self._records = {}
         self._targets = {}
         self._rebalance_at = self._rotate_at = deadline_in(0)
-        self._committed = Counter()
-        self._fallback = Counter()
+        self._committed = Sums()
+        self._fallback = Sums()
 
     def plan(self, rows, capacity):
         """Use these rows of the table and this many slots from now on."""
         self._rows = list(rows)
         self._capacity = capacity
+        self._limits = {row.name: hard_limit(row, capacity) for row in self._rows}
 
     def left(self, instance):
         """Forget an instance that has ended as planned: it uses nothing more."""
@@ -89,8 +97,8 @@
         self._hear(report)
         record = self._record(report.instance)
         self._count(record, -1)
-        admission = self._settings.admission
-        record.take(report, admission.grant_duration, admission.overhang)
+        lifetime = self._lifetime(len(self._records))
+        record.take(report, lifetime, self._settings.admission.overhang)
         self._count(record, +1)
         if not passed(self._grants_from):
             return None
@@ -98,6 +106,14 @@
             self._rebalance()
         return self._grant(report.instance, record, lease_deadline)
 
+    def _lifetime(self, instances):
+        """Return how long grants live, so that reports stay few enough.
+
+        An instance reports ``REPORTS_FOR_EACH_GRANT`` times in a grant's life.
+        """
+        longest = REPORTS_FOR_EACH_GRANT * instances / REPORTS_PER_SECOND
+        return max(self._settings.admission.grant_duration, longest)
+
     def _hear(self, report):
         if report.instance in self._expected:
             self._expected.discard(report.instance)
@@ -110,22 +126,18 @@
         return self._records[instance]
 
     def _count(self, record, sign):
-        if record is None:
-            return
-        for total, part in (
-            (self._committed, record.committed),
-            (self._fallback, record.fallback),
-        ):
-            for name, slots in part.items():
-                total[name] += sign * slots
+        if record is not None:
+            self._committed.add(record.committed, sign)
+            self._fallback.add(record.fallback, sign)
 
     def _rebalance(self):
         """Compute every instance's target anew, and let what lapsed go."""
-        self._rebalance_at = deadline_in(REBALANCE_INTERVAL)
+        lifetime = self._lifetime(len(self._records))
+        self._rebalance_at = deadline_in(lifetime / REBALANCES_FOR_EACH_GRANT)
         if passed(self._rotate_at):
             # Slots on their way from one instance to another serve nobody, so
             # odd slots change hands no more often than grants lapse.
-            self._rotate_at = deadline_in(self._settings.admission.grant_duration)
+            self._rotate_at = deadline_in(lifetime)
             self._turn += 1
         self._recount()
         wanted = {row.name: {} for row in self._rows}
@@ -142,8 +154,7 @@
 
     def _lend_rest(self, given, wanted):
         """Spread what nobody wants, so that new work need not wait for a grant."""
-        limits = {row.name: hard_limit(row, self._capacity) for row in self._rows}
-        room = {name: limits[name] - given[name] for name in given}
+        room = {name: self._limits[name] - given[name] for name in given}
         rest = self._capacity - sum(given.values())
         for row, slots in within(self._rows, room, rest, self._turn).items():
             takers = wanted[row] or self._targets
@@ -156,7 +167,7 @@
                 target[row] = target.get(row, 0) + slots
 
     def _recount(self):
-        self._committed, self._fallback = Counter(), Counter()
+        self._committed, self._fallback = Sums(), Sums()
         for name, record in list(self._records.items()):
             record.recount()
             if record.empty:
@@ -166,7 +177,7 @@
 
     def _grant(self, instance, record, lease_deadline):
         slots = self._within(self._targets.get(instance, {}), record)
-        deadline = deadline_in(self._settings.admission.grant_duration)
+        deadline = deadline_in(self._lifetime(len(self._records)))
         if lease_deadline is not None:
             deadline = min(deadline, lease_deadline)
         self._number += 1
@@ -185,52 +196,81 @@
 
     def _within(self, target, record):
         """Return as much of ``target`` as nobody else may be using."""
-        others = self._committed - record.committed
-        kept = {row.name: self._kept(self._half(row), row.name) for row in self._rows}
-        kept_of_all = self._kept(self._capacity // 2, *self._heard)
-        rest = self._capacity - others.total() - min(sum(kept.values()), kept_of_all)
+        kept = self._kept_by_row() if self._keeps else {}
+        rest = self._capacity - self._committed.total + sum(record.committed.values())
+        if kept:
+            kept_of_all = self._kept(self._capacity // 2, *self._heard)
+            rest -= min(sum(kept.values()), kept_of_all)
         free = {}
-        for row in self._rows:
-            name = row.name
-            room = hard_limit(row, self._capacity) - others[name] - kept[name]
-            free[name] = max(0, min(target.get(name, 0), room))
-        given = within(self._rows, free, max(0, rest), self._turn)
+        for name, slots in target.items():
+            if name in self._limits:
+                room = self._limits[name] - kept.get(name, 0)
+                room -= self._committed.of(name) - record.committed.get(name, 0)
+                free[name] = max(0, min(slots, room))
+        if sum(free.values()) > rest:
+            rows = [row for row in self._rows if row.name in free]
+            free = within(rows, free, max(0, rest), self._turn)
         # A row that got nothing is named too if it may hold something: only
         # grants in use carry the number by which we learn what is not any more.
-        return {
-            name: slots
-            for name, slots in given.items()
-            if slots or record.committed[name] or name in record.wanted
-        }
+        held = dict.fromkeys([*record.committed, *record.wanted], 0)
+        return {**held, **free}
 
     def _fallbacks(self, slots, record):
         """Return what may still be used once ``slots`` have lapsed.
 
         While the log is down nobody can hold the lease and all grants lapse;
-        without a fallback every call would be refused for as long. It is half,
-        and of all instances together at most half of the limit, so that a later
+        without a fallback every call would be refused for as long. It is half
+        (rounded up), and of all instances together at most half of the limit, so that a later
         holder knows how much those that it cannot hear may be using.
         """
-        others = self._fallback - record.fallback
-        rest = self._capacity // 2 - others.total()
+        kept = self._kept_by_row() if self._keeps else {}
+        rest = self._capacity // 2 - self._fallback.total
+        rest += sum(record.fallback.values())
         rest -= self._kept(self._capacity // 2, *self._heard)
         fallback = {}
-        for row in self._rows:
-            half = self._half(row)
-            room = half - others[row.name] - self._kept(half, row.name)
-            part = max(0, min(slots.get(row.name, 0) // 2, room, rest))
-            fallback[row.name] = part
-            rest -= part
-        return {name: part for name, part in fallback.items() if part}
+        for name, granted in slots.items():
+            others = self._fallback.of(name) - record.fallback.get(name, 0)
+            room = self._limits.get(name, 0) // 2 - others - kept.get(name, 0)
+            part = max(0, min((granted + 1) // 2, room, rest))
+            if part:
+                fallback[name] = part
+                rest -= part
+        return fallback
+
+    @property
+    def _keeps(self):
+        """Whether something is set aside for those not heard of since we took over."""
+        return bool(self._expected) and not passed(self._inherited_until)
 
-    def _half(self, row):
-        return hard_limit(row, self._capacity) // 2
+    def _kept_by_row(self):
+        limits = self._limits.items()
+        return {name: self._kept(limit // 2, name) for name, limit in limits}
 
     def _kept(self, half, *names):
         """Return what those not heard of since we took over may fall back on.
 
         All together had at most ``half``; those heard of have told their part.
         """
-        if not self._expected or passed(self._inherited_until):
+        if not self._keeps:
             return 0
         return max(0, half - sum(self._heard[name] for name in names))
+
+
+class Sums:
+    """Slots by row, and their total."""
+
+    __slots__ = ("_by_row", "total")
+
+    def __init__(self):
+        self._by_row = Counter()
+        self.total = 0
+
+    def of(self, name):
+        """Return the sum of a row."""
+        return self._by_row[name]
+
+    def add(self, part, sign):
+        """Add the slots of ``part``, or take them away."""
+        for name, slots in part.items():
+            self._by_row[name] += sign * slots
+            self.total += sign * slots
--- a/sassafrasdoor/admission/grants.py
+++ b/sassafrasdoor/admission/grants.py
@@ -1,9 +1,11 @@
 """What instances and the holder of the quota tell each other, and its record."""
 
-from collections import Counter
-
 from sassafrasdoor.clock import deadline_in, now, passed
 
+# An instance reports again after this part of its grants' life, or sooner when it
+# wants more than it was granted.
+REPORTS_FOR_EACH_GRANT = 5
+
 
 class Usage:
     """One row at one instance: slots wanted, in use, and held as fallback."""
@@ -80,13 +82,13 @@
         self.heard_until = now()
         self.wanted = {}
         self.in_use = {}
-        self.committed = Counter()
-        self.fallback = Counter()
+        self.committed = {}
+        self.fallback = {}
 
     @property
     def empty(self):
         """Whether it was not heard of lately and holds nothing."""
-        return passed(self.heard_until) and not +self.committed
+        return passed(self.heard_until) and not any(self.committed.values())
 
     def take(self, report, lifetime, overhang):
         """Take a report; the grants before the one in use are not used again.
@@ -119,8 +121,16 @@
         self._sets = [one for one in self._sets if not passed(one.fallback_deadline)]
         inherited = {} if passed(self._inherited_until) else self._inherited
         in_use = {} if passed(self._in_use_until) else self.in_use
-        self.committed, self.fallback = Counter(), Counter()
-        for used in (inherited, in_use, *(one.usable() for one in self._sets)):
-            self.committed |= Counter(used)
-        for kept in (inherited, *(one.fallback for one in self._sets)):
-            self.fallback |= Counter(kept)
+        used = [one.usable() for one in self._sets]
+        self.committed = _most(inherited, in_use, *used)
+        self.fallback = _most(inherited, *[one.fallback for one in self._sets])
+
+
+def _most(*parts):
+    """Return by row the most that any of the mappings names."""
+    most = {}
+    for part in parts:
+        for name, slots in part.items():
+            if slots > most.get(name, 0):
+                most[name] = slots
+    return most
--- a/sassafrasdoor/admission/queues.py
+++ b/sassafrasdoor/admission/queues.py
@@ -105,7 +105,7 @@
         if refusal is not None:
             return refusal
         future = asyncio.get_running_loop().create_future()
-        self._waiting.append(future)
+        self._waiting.append((future, deadline))
         self.wanted()
         return await self._wait(future, deadline)
 
@@ -114,21 +114,20 @@
             async with asyncio.timeout(remaining(deadline)):
                 return await future
         except TimeoutError:
-            return self._took_or(future, NotRun("no slot in time", self.retry_after()))
+            return self._took_or(future, self._too_late())
         except asyncio.CancelledError:
             # The slot may have been given in the very moment in which the call
             # was cancelled. Nobody would release it: it would be lost for good
             # and the row would shrink by one each time.
             permit = self._took_or(future, None)
-            if permit is not None:
+            if permit:
                 permit.release()
             raise
 
     def _took_or(self, future, otherwise):
         if future.done() and not future.cancelled():
             return future.result()
-        if future in self._waiting:
-            self._waiting.remove(future)
+        self._waiting = deque(one for one in self._waiting if one[0] is not future)
         return otherwise
 
     def released(self, held):
@@ -138,11 +137,22 @@
         self.pump()
 
     def pump(self):
-        """Hand free slots to those that wait longest."""
+        """Hand free slots to those that wait longest and can still end in time.
+
+        Under overload those at the head have waited until just before their
+        deadline. Served, all of them would end too late, and so would everybody
+        behind them: full use and hardly an answer in time.
+        """
         while self._waiting and self.in_use < self.allowed():
-            future = self._waiting.popleft()
-            if not future.done():
-                future.set_result(self._permit())
+            future, deadline = self._waiting.popleft()
+            if future.done():
+                continue
+            late = remaining(deadline) < self._hold
+            future.set_result(self._too_late() if late else self._permit())
+
+    def _too_late(self):
+        REFUSED.inc({"row": self.row.name, "reason": "no time left"})
+        return NotRun("no slot in time", self.retry_after())
 
     def retry_after(self):
         """Return the seconds after which a slot is probably free, with jitter."""
@@ -158,7 +168,7 @@
         reasons = {
             "deadline passed": passed(deadline),
             "queue full": self.waiting >= self._settings.admission.queue_size,
-            "queue too long for the deadline": self._expected_wait()
+            "queue too long for the deadline": self._expected_wait() + self._hold
             > remaining(deadline),
         }
         for reason, holds in reasons.items():
@@ -168,6 +178,7 @@
         return None
 
     def _expected_wait(self):
+        """Return the likely seconds until a call that comes now would begin."""
         return self._hold * (self.waiting + 1) / max(1, self.allowed())
 
 
@@ -223,7 +234,7 @@
 
     def report(self):
         """Return the ``Report`` of this instance for the holder of the quota."""
-        grants = self._view.grants if self._view else {}
+        grants = (self._view.grants if self._view else None) or {}
         wanted, in_use = self.demand(), self.in_use()
         rows = {
             name: Usage(
--- a/sassafrasdoor/admission/quota.py
+++ b/sassafrasdoor/admission/quota.py
@@ -18,10 +18,10 @@
     row may use, for a bounded time, because the holder of the quota may have given the rest to
     others. A process that counted on a lapsed grant would show as more calls in
     flight than the hard limit allows. With no grant at all it is nothing.
-    Empty ``view.grants`` say that nobody distributes quota: then each instance
+    ``view.grants`` of None say that nobody distributes quota: then each instance
     keeps to an equal slice.
     """
-    if not view.grants:
+    if view.grants is None:
         return equal_slice(view, row)
     grant = view.grants.get(row.name)
     if grant is None:
--- a/sassafrasdoor/control/link.py
+++ b/sassafrasdoor/control/link.py
@@ -49,7 +49,7 @@
         self._known = {"session": 0, "number": 0}
         self._callbacks = []
         self._lost = True
-        self._view = View(confirmed_at=float("-inf"))
+        self._view = View(confirmed_at=float("-inf"), grants={})
 
     @property
     def view(self):
--- a/sassafrasdoor/entry/parts.py
+++ b/sassafrasdoor/entry/parts.py
@@ -5,6 +5,7 @@
 
 from sassafrasdoor.admission.queues import Admission
 from sassafrasdoor.backends.http import HttpEngine, HttpService
+from sassafrasdoor.log.http import HttpLog
 from sassafrasdoor.requests import handlers as request_handlers
 from sassafrasdoor.requests.handlers import RequestsService
 from sassafrasdoor.routing import discovery
@@ -28,6 +29,7 @@
         "leaving",
         "link",
         "loads",
+        "log",
         "requests",
         "service",
         "steps",
@@ -44,7 +46,8 @@
         self.chooser = Chooser(settings)
         self.loads = LoadPoller(settings, self.view, self.engine, self.chooser)
         work = (settings, self.view, self.admission, self.chooser)
-        self.requests = RequestsService(*work, self.engine, self.service)
+        self.log = HttpLog(settings)
+        self.requests = RequestsService(*work, self.engine, self.service, self.log)
         self.steps = StepsService(*work, self.engine)
 
     def view(self):
@@ -76,6 +79,7 @@
         for task in self._tasks:
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+        self.log.close()
 
     def unready(self):
         """Return why this instance takes no new work, or an empty string."""
--- a/sassafrasdoor/view.py
+++ b/sassafrasdoor/view.py
@@ -115,7 +115,8 @@
     ``table`` is None until a table is known; ``revision`` is the log offset of
     the table in force; ``weights`` maps a model to its newest announced version
     (an integer); ``confirmed_at`` is the monotonic time at which the log last
-    confirmed the agreed part; ``grants`` maps a row to its leased ``Grant``.
+    confirmed the agreed part; ``grants`` maps a row to its leased ``Grant``, and is
+    None where nobody distributes quota.
     """
 
     __slots__ = (
@@ -147,7 +148,7 @@
         self.members = tuple(members)
         self.backends = tuple(backends)
         self.confirmed_at = now() if confirmed_at is None else confirmed_at
-        self.grants = dict(grants or {})
+        self.grants = None if grants is None else dict(grants)
 
     @property
     def age(self):
