Roll weights out from the control process that holds their lease

Cause: the rollout existed but no process ran it; a holder that restarts must not leave an order of its own under way when it hands the lease over.

--- a/sassafrasdoor/control/process.py
+++ b/sassafrasdoor/control/process.py
@@ -15,6 +15,7 @@
 from sassafrasdoor.control.service import ControlService
 from sassafrasdoor.control.source import ViewSource
 from sassafrasdoor.control.spread import Spread
+from sassafrasdoor.control.weights import WeightsRollout
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.log.agreed import Agreed, fold
 from sassafrasdoor.log.follower import Follower
@@ -50,6 +51,7 @@
         self.membership = None
         self.spread = Spread(settings, self.follower, self.members)
         self.quota = Quota(settings, self)
+        self.weights = WeightsRollout(settings, self)
         self._server = PeerServer(
             settings,
             settings.instance.host,
@@ -106,6 +108,7 @@
             self._read_list(),
         ]
         self._tasks = [asyncio.create_task(job) for job in jobs]
+        self.weights.start()
 
     async def close(self):
         """End all tasks and connections, with nothing said to anybody."""
@@ -113,6 +116,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.quota.close()
+        await self.weights.close()
         await self.membership.stop()
         await self._server.close()
         self.instances.close()
@@ -122,6 +126,7 @@
         self.membership.leave()
         self._departing = True
         await self.quota.close()
+        await self.weights.depart()
         # A registration still under way could reach the platform after the
         # removal, and the list would name this instance for ever.
         async with self._registering:
--- /dev/null
+++ b/sassafrasdoor/control/weights.py
@@ -0,0 +1,57 @@
+"""This instance's part in the rollout of weights: the lease and what it allows."""
+
+import asyncio
+
+from sassafrasdoor.backends.http import HttpEngine
+from sassafrasdoor.backends.transfer import Client
+from sassafrasdoor.lease.holder import Holder
+from sassafrasdoor.view import View
+from sassafrasdoor.weights.rollout import Rollout
+
+LEASE = "weights"
+MAX_TRANSFERS = 256
+
+
+class WeightsRollout:
+    """Orders engines to the announced versions while it holds the lease."""
+
+    __slots__ = ("_engine", "_process", "_tasks", "holder", "rollout")
+
+    def __init__(self, settings, process):
+        self._process = process
+        self._engine = HttpEngine(settings, Client(MAX_TRANSFERS))
+        self._tasks = []
+        self.holder = Holder(
+            settings,
+            process.log,
+            process.follower,
+            LEASE,
+            may_claim=self._may_claim,
+        )
+        self.rollout = Rollout(settings, self._engine, self.holder, self._view)
+
+    def start(self):
+        """Claim the lease when it is free, and roll out under it."""
+        jobs = [self.holder.run(), self.rollout.run()]
+        self._tasks = [asyncio.create_task(job) for job in jobs]
+
+    async def depart(self):
+        """Finish the orders under way and hand the lease over."""
+        if await self.rollout.drain():
+            await self.holder.release()
+
+    async def close(self):
+        """End all tasks and connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._engine.close()
+
+    def _may_claim(self):
+        wanted = bool(self._process.follower.state.weights)
+        return wanted and self._process.spread.is_chosen(LEASE)
+
+    def _view(self):
+        state = self._process.follower.state
+        backends = self._process.source.backends
+        return View(table=state.table, weights=state.weights, backends=backends)
--- a/sassafrasdoor/weights/rollout.py
+++ b/sassafrasdoor/weights/rollout.py
@@ -49,6 +49,7 @@
     __slots__ = (
         "_behind",
         "_client",
+        "_draining",
         "_engines",
         "_fence",
         "_holder",
@@ -69,6 +70,7 @@
         self._engines = {}
         self._targets = {}
         self._behind = {}
+        self._draining = False
         self._fence = 0
         self._stale_fence = 0
         self._tasks = set()
@@ -92,10 +94,26 @@
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def drain(self):
+        """Order nothing more; say whether no order is under way any more.
+
+        A lease handed over with an order under way would let the successor's
+        orders and ours meet at an engine that ignores fencing numbers.
+        """
+        self._draining = True
+        limit = clock.deadline_in(self._settings.weights.order_timeout)
+        while self._swapping and not clock.passed(limit):  # noqa: ASYNC110
+            await asyncio.sleep(TICK)
+        return not self._swapping
+
+    @property
+    def _swapping(self):
+        return any(one.phase is Phase.SWAPPING for one in self._engines.values())
+
     def _may_act(self):
         """Say whether the lease is ours, and start afresh if it is newly ours."""
         fence = self._holder.fence
-        if not fence or fence <= self._stale_fence:
+        if self._draining or not fence or fence <= self._stale_fence:
             return False
         if fence != self._fence:
             # Since our last term another may have ordered anything, and with
--- a/sassafrasdoor/weights/tests/test_rollout.py
+++ b/sassafrasdoor/weights/tests/test_rollout.py
@@ -286,6 +286,25 @@
         self.engines[0].batch.versions[MODEL] = 0
         await self.all_at(1)
 
+    async def test_a_planned_stop_waits_for_the_order_under_way(self):
+        """Symptom: after each restart of the holder one engine swaps twice.
+
+        Sequence: the holder leaves while an engine swaps; its successor orders
+        the next version; the first order ends late. Cause: the lease was given
+        up with an order under way.
+        """
+        self.add(2, swap_seconds=0.2)
+        self.settings = settings.from_document(
+            {"weights": {**QUICK, "store_concurrency": 1}}
+        )
+        self.announce(1)
+        rollout = self.run_rollout()
+        await until(lambda: any(one.batch.swapping for one in self.engines))
+        self.assertTrue(await rollout.drain())
+        swapped = [one.batch.versions[MODEL] for one in self.engines]
+        self.assertEqual(sorted(swapped), [0, 1])
+        self.assertEqual(sum(len(one.orders) for one in self.engines), 1)
+
     async def test_a_cancelled_rollout_ends(self):
         """Symptom: a control process never ends its planned stop.
 
