Give the last samples of a step a second attempt at an idle engine

Cause: a step waits for a few streams that run on full, slow or frozen engines. Ruled out: racing copies with other seeds (the first to finish favours short samples); second attempts without a permit (they would break the row's quota); learning rates only between two looks (a short step hung on a slow engine). Change: stragglers.py with modes off, duplicate, move (KV cache); streams that hold too old tokens are cut at once; one number by the row's preference says when a young stream is made again on new weights.

--- a/sassafrasdoor/settings.py
+++ b/sassafrasdoor/settings.py
@@ -6,6 +6,7 @@
 """
 
 import json
+from enum import StrEnum
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -84,6 +85,7 @@
         "attach_idle": 15.0,
         "view_confirm": 5.0,
         "batch_size": 128,
+        "stragglers": "move",
     },
     "drain": {"deadline": 60.0},
     "tls": {"certificate": "", "private_key": ""},
@@ -233,13 +235,22 @@
     default_deadline: float = Field(gt=0)
 
 
+class Stragglers(StrEnum):
+    """What is done about the last few samples of a step."""
+
+    OFF = "off"
+    DUPLICATE = "duplicate"
+    MOVE = "move"
+
+
 class StepsSettings(Section):
-    """Training steps: waiting, attachment and batches of samples."""
+    """Training steps: waiting, attachment, batches of samples, the last few."""
 
     fetch_wait: float = Field(gt=0)
     attach_idle: float = Field(gt=0)
     view_confirm: float = Field(gt=0)
     batch_size: int = Field(gt=0)
+    stragglers: Stragglers
 
 
 class DrainSettings(Section):
--- a/sassafrasdoor/steps/adoption.py
+++ b/sassafrasdoor/steps/adoption.py
@@ -3,14 +3,33 @@
 import asyncio
 from collections import defaultdict
 
+from sassafrasdoor import logs
 from sassafrasdoor.outcomes import Outcome
-from sassafrasdoor.steps.resources import StreamAt
+from sassafrasdoor.steps.resources import EVENTS_TOTAL, StreamAt
+from sassafrasdoor.steps.sample import Attempt, SampleState
 from sassafrasdoor.view import State
 
 ASKED_AT_ONCE = 32
 ASK_TIMEOUT = 2.0
 
 
+async def adopt(resources, owner):
+    """Give the owner's samples the streams of an earlier owner, to finish them."""
+    found = await streams_held(resources, owner.row.service, owner.identity)
+    for position, streams in found.items():
+        sample, best = owner.samples[position], streams[0]
+        resources.cleaner.cancel(held.at for held in streams[1:])
+        if sample.state is SampleState.TAKEN:
+            resources.cleaner.cancel([best.at])
+            continue
+        sample.generation = best.generation
+        sample.visited.add(best.at)
+        sample.adopted = Attempt(best.backend, best.stream, best.generation)
+        owner.counts.resumed += 1
+        EVENTS_TOTAL.inc({"kind": "adopted", "row": owner.row.name})
+    logs.changed("steps:adopted", row=owner.row.name, streams=len(found))
+
+
 class Held:
     """A stream that an engine holds."""
 
--- a/sassafrasdoor/steps/owner.py
+++ b/sassafrasdoor/steps/owner.py
@@ -10,16 +10,21 @@
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.outcomes import Outcome
-from sassafrasdoor.steps.adoption import streams_held
+from sassafrasdoor.steps.adoption import adopt
 from sassafrasdoor.steps.order import Pending
 from sassafrasdoor.steps.reader import Reader
 from sassafrasdoor.steps.resources import EVENTS_TOTAL, WASTED, Counts, Signal
-from sassafrasdoor.steps.sample import Attempt, Sample, SampleState
+from sassafrasdoor.steps.sample import Sample, SampleState
 from sassafrasdoor.steps.spec import Identity
+from sassafrasdoor.steps.stragglers import Lengths, Stragglers
 from sassafrasdoor.steps.token import DeliveryToken
+from sassafrasdoor.table.rows import Preference
 
 ADMISSIONS_AHEAD = 32
 PAUSE_AFTER_FAULT = 1.0
+# Rows differ in this one number: a running stream that crosses a swap is made
+# again if it has less than this share of an expected sample.
+RESTART_SHARE = {Preference.STALENESS: 0.25, Preference.IDLE: 0.0}
 
 
 class StepOwner:
@@ -30,6 +35,7 @@
         "_reader",
         "_resources",
         "_tasks",
+        "_stragglers",
         "_waiting",
         "attach",
         "attach_deadline",
@@ -39,6 +45,7 @@
         "deadline",
         "heard",
         "identity",
+        "lengths",
         "ready",
         "row",
         "samples",
@@ -54,6 +61,7 @@
         self._pending = Pending()
         self._tasks = set()
         self._waiting = 0
+        self._stragglers = Stragglers(resources, self)
         self.row = row
         self.spec = spec
         self.identity = Identity(row.name, spec)
@@ -61,6 +69,7 @@
         self.attach = spec.attach
         self.counts = Counts()
         self.changes = Signal()
+        self.lengths = Lengths(spec.max_tokens)
         self.ready = {}
         self.samples = [Sample(position) for position in range(spec.sample_count)]
         self.stated = 0
@@ -70,6 +79,11 @@
         self.touch()
         self.acknowledge(token)
 
+    @property
+    def waiting(self):
+        """How many samples wait to be started."""
+        return len(self._pending)
+
     @property
     def over(self):
         """Whether the step's deadline has passed."""
@@ -103,7 +117,7 @@
     def start(self):
         """Begin to make what the trainer lacks."""
         EVENTS.add("step-started", row=self.row.name, attach=self.attach)
-        self._spawn(self._begin())
+        self.spawn(self._begin())
 
     def attached(self, attach, token):
         """Take over for a newer attachment of the trainer.
@@ -142,6 +156,36 @@
                 self._drop(sample)
         self._fill()
 
+    def worth_restarting(self, attempt, version):
+        """Say whether a stream that now got tokens of ``version`` starts over.
+
+        It must if it holds tokens too old to be delivered. It may, the sooner
+        the more its row weighs staleness, if it has little and its engine is
+        at newer weights by now.
+        """
+        if attempt.oldest < self.oldest_allowed():
+            return True
+        little = RESTART_SHARE[self.row.prefers] * self.lengths.expected()
+        return attempt.oldest < version == self.newest() and attempt.offset < little
+
+    def look_for_stragglers(self):
+        """Start second attempts at the last few samples where they pay."""
+        if not (self.stopping or self.over) and self.heard:
+            self._stragglers.look()
+
+    def make(self, sample, attempt, permit, once=False):
+        """Make a sample, from ``attempt`` if given; the task owns the permit."""
+        task = self.spawn(self._make(sample, attempt, permit, once))
+        sample.tasks.add(task)
+        task.add_done_callback(sample.tasks.discard)
+
+    def spawn(self, job):
+        """Run a task of the step; closing the step cancels it."""
+        task = asyncio.ensure_future(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
     def stop_dispatch(self):
         """Start no further stream: this instance is leaving."""
         self.stopping = True
@@ -178,30 +222,13 @@
         }
 
     async def _begin(self):
-        await self._adopt()
+        if self.spec.attach > 1:
+            await adopt(self._resources, self)
         for sample in self.samples:
             if sample.state is SampleState.PENDING:
                 self._pending.add(sample, self.identity.place(sample.position)[0])
         self._fill()
 
-    async def _adopt(self):
-        """Find the streams that an earlier owner started, to finish them."""
-        if self.spec.attach == 1:
-            return
-        found = await streams_held(self._resources, self.row.service, self.identity)
-        for position, streams in found.items():
-            sample, best = self.samples[position], streams[0]
-            self._resources.cleaner.cancel(held.at for held in streams[1:])
-            if sample.state is SampleState.TAKEN:
-                self._resources.cleaner.cancel([best.at])
-                continue
-            sample.generation = best.generation
-            sample.visited.add(best.at)
-            sample.adopted = Attempt(best.backend, best.stream, best.generation)
-            self.counts.resumed += 1
-            EVENTS_TOTAL.inc({"kind": "adopted", "row": self.row.name})
-        logs.changed("steps:adopted", row=self.row.name, streams=len(found))
-
     def _queue(self, sample):
         sample.state = SampleState.PENDING
         self._pending.add(sample, self.identity.place(sample.position)[0])
@@ -212,7 +239,7 @@
             if self.stopping or self.closed or self.over or not self.heard:
                 return
             self._waiting += 1
-            self._spawn(self._admit())
+            self.spawn(self._admit())
 
     async def _admit(self):
         try:
@@ -234,13 +261,11 @@
             return
         attempt, sample.adopted = sample.adopted, None
         sample.state = SampleState.RUNNING
-        task = self._spawn(self._make(sample, attempt, permit))
-        sample.tasks.add(task)
-        task.add_done_callback(sample.tasks.discard)
+        self.make(sample, attempt, permit)
 
-    async def _make(self, sample, attempt, permit):
+    async def _make(self, sample, attempt, permit, once):
         try:
-            whole = await self._reader.read(sample, attempt)
+            whole = await self._reader.read(sample, attempt, once)
             if whole is not None:
                 self._finished(sample, whole)
         except Exception as error:
@@ -258,8 +283,10 @@
         if sample.state is not SampleState.RUNNING:
             return
         winner = attempt.held
-        self._stop(sample)
+        self._stop(sample, attempt.base)
         self._cancel_streams(sample, keep=winner)
+        self.lengths.add(attempt.offset)
+        self._stragglers.finished(attempt)
         sample.attempt = attempt
         sample.state = SampleState.READY
         self.ready[sample.position] = sample
@@ -277,21 +304,18 @@
         self._cancel_streams(sample)
         self._queue(sample)
 
-    def _stop(self, sample):
-        """End the other attempts at a sample, counting what they made."""
+    def _stop(self, sample, kept=0):
+        """End the other attempts at a sample; all but ``kept`` tokens are wasted."""
         current = asyncio.current_task()
         for task in sample.tasks - {current}:
             task.cancel()
-        wasted = sum(attempt.offset for attempt in sample.running)
+        wasted = sum(
+            max(0, attempt.offset - max(kept, attempt.base))
+            for attempt in sample.running
+        )
         self.counts.tokens_wasted += wasted
         WASTED.add({"row": self.row.name}, wasted)
 
     def _cancel_streams(self, sample, keep=None):
         self._resources.cleaner.cancel(sample.visited - {keep})
         sample.visited.intersection_update({keep})
-
-    def _spawn(self, job):
-        task = asyncio.ensure_future(job)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
--- a/sassafrasdoor/steps/reader.py
+++ b/sassafrasdoor/steps/reader.py
@@ -24,7 +24,7 @@
 
 
 class TooOld(Outcome):
-    """The attempt holds tokens that the staleness bound would refuse."""
+    """The attempt holds tokens older than the bound, or worth making anew."""
 
     __slots__ = ()
 
@@ -38,11 +38,11 @@
         self._resources = resources
         self._step = step
 
-    async def read(self, sample, attempt=None):
+    async def read(self, sample, attempt=None, once=False):
         """Return a whole ``Attempt``, or None once the step's deadline passed.
 
         Starts from ``attempt`` where one is given, else at an engine that the
-        chooser names.
+        chooser names. With ``once``, a lost attempt is given up for good.
         """
         excluded = set()
         while not passed(self._step.deadline):
@@ -52,6 +52,9 @@
             result = await self._follow(sample, attempt)
             if isinstance(result, Finished):
                 return attempt
+            if once:
+                self._release(sample, attempt)
+                return None
             backend = attempt.backend
             attempt = await self._after(result, sample, attempt)
             if attempt is None:
@@ -98,7 +101,7 @@
                 if not attempt.take(item):
                     return Spoiled("chunks out of order")
                 self._note_resumed(attempt)
-                if attempt.oldest < self._step.oldest_allowed():
+                if self._step.worth_restarting(attempt, item.version):
                     return TooOld("tokens older than the bound")
         return Broken("ended without its last line")
 
@@ -182,14 +185,17 @@
         that can neither be mistaken for the new one nor be joined to it.
         """
         sample.generation = max(sample.generation, attempt.generation + 1)
-        sample.visited.discard(attempt.held)
-        self._resources.cleaner.cancel([attempt.held])
+        self._release(sample, attempt)
         counts, row = self._step.counts, self._step.row.name
         counts.regenerated += 1
         counts.tokens_wasted += attempt.offset
         WASTED.add({"row": row}, attempt.offset)
         EVENTS_TOTAL.inc({"kind": kind, "row": row})
 
+    def _release(self, sample, attempt):
+        sample.visited.discard(attempt.held)
+        self._resources.cleaner.cancel([attempt.held])
+
 
 async def _pause(seconds):
     """Wait up to ``seconds``, spread out so that retries do not come together."""
--- a/sassafrasdoor/steps/registry.py
+++ b/sassafrasdoor/steps/registry.py
@@ -13,7 +13,7 @@
 from sassafrasdoor.steps.token import DeliveryToken
 
 MAX_STEPS_OF_A_ROW = 64
-SWEEP_INTERVAL = 0.25
+SWEEP_INTERVAL = 0.1
 BUSY_RETRY_AFTER = 1.0
 
 
@@ -246,10 +246,11 @@
         EVENTS.add("step-forgotten", row=owner.row.name, cancel=int(cancel))
 
     async def _sweep(self):
-        """Forget steps whose trainer left, and make stale samples anew early."""
+        """Forget steps whose trainer left; look after the last samples."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL)
             for step in list(self._steps.values()):
+                step.owner.look_for_stragglers()
                 if step.owner.abandoned:
                     logs.changed("steps:abandoned", row=step.owner.row.name)
                     await self._forget(step, cancel=step.owner.over)
--- a/sassafrasdoor/steps/sample.py
+++ b/sassafrasdoor/steps/sample.py
@@ -108,6 +108,14 @@
         self._spans = []
         self._texts = []
 
+    def continued_at(self, backend):
+        """Return an attempt that goes on at another engine with our KV cache."""
+        other = Attempt(backend, self.stream, self.generation)
+        other.base = other.offset = self.offset
+        other.oldest = self.oldest
+        other._spans, other._texts = list(self._spans), list(self._texts)
+        return other
+
     def take(self, chunk):
         """Add a chunk; return False if it does not continue what we have.
 
--- /dev/null
+++ b/sassafrasdoor/steps/stragglers.py
@@ -0,0 +1,177 @@
+"""The last few samples of a step: a second attempt at an idle engine.
+
+A few streams run far longer than the rest, some of them on engines that are
+full of others' work or slow. When only they are left, each whose engine lags
+gets a second attempt elsewhere: continued there with its KV cache ("move"), or
+made again from the start ("duplicate"). The first to finish wins. Both carry
+the same stream id and seed, so that racing them does not favour short samples.
+"""
+
+from statistics import fmean
+
+from sassafrasdoor.clock import deadline_in, now
+from sassafrasdoor.outcomes import Outcome
+from sassafrasdoor.settings import Stragglers as Mode
+from sassafrasdoor.steps.resources import EVENTS_TOTAL
+from sassafrasdoor.steps.sample import Attempt, SampleState
+
+LAST_SHARE = 0.15
+LAST_AT_LEAST = 4
+LOOK_INTERVAL = 0.2
+IDLE_LOAD = 0.5
+WORTH = 0.67
+MOVE_SECONDS = 0.1
+PERMIT_TIMEOUT = 0.05
+SLOWEST = 0.1
+SHORTEST = 0.02
+
+
+class Lengths:
+    """Lengths of finished samples: what to expect of an unfinished one."""
+
+    __slots__ = ("_lengths", "_limit")
+
+    def __init__(self, limit):
+        self._limit = limit
+        self._lengths = []
+
+    def add(self, length):
+        """Note a finished sample."""
+        self._lengths.append(length)
+
+    def expected(self):
+        """Return the expected length of a new sample, in tokens."""
+        return fmean(self._lengths) if self._lengths else self._limit / 2
+
+    def remaining(self, offset):
+        """Return how many tokens a sample that has ``offset`` still takes.
+
+        Of a long-tailed length the rest grows with what is there already, so
+        it is taken from those finished that were longer; beyond all of them,
+        half of what the limit leaves.
+        """
+        longer = [length - offset for length in self._lengths if length > offset]
+        return fmean(longer) if longer else max(1.0, (self._limit - offset) / 2)
+
+
+class Stragglers:
+    """Looks at running samples and starts second attempts; one for each step."""
+
+    __slots__ = (
+        "_best_rate",
+        "_looked_at",
+        "_offsets",
+        "_owner",
+        "_preparing",
+        "_resources",
+    )
+
+    def __init__(self, resources, owner):
+        self._resources = resources
+        self._owner = owner
+        self._best_rate = 0.0
+        self._looked_at = now()
+        self._offsets = {}
+        self._preparing = set()
+
+    def finished(self, attempt):
+        """Learn from a finished attempt how fast an engine may be.
+
+        In a short step the others may all be done before two looks lie
+        between their first and last token.
+        """
+        lasted = max(now() - attempt.started_at, SHORTEST)
+        rate = (attempt.offset - attempt.base) / lasted
+        self._best_rate = max(self._best_rate, rate)
+
+    def look(self):
+        """Start second attempts where they pay; call it often."""
+        elapsed = now() - self._looked_at
+        if self._mode is Mode.OFF or elapsed < LOOK_INTERVAL:
+            return
+        rates = self._rates(elapsed)
+        alone = [
+            sample
+            for sample in self._owner.samples
+            if sample.state is SampleState.RUNNING
+            and len(sample.tasks) == 1
+            and sample.position not in self._preparing
+        ]
+        for sample in alone if self._few_left(alone) else []:
+            for attempt in sample.running & rates.keys():
+                self._consider(sample, attempt, rates[attempt])
+
+    @property
+    def _mode(self):
+        return self._resources.settings.steps.stragglers
+
+    def _few_left(self, alone):
+        owner = self._owner
+        few = max(LAST_AT_LEAST, LAST_SHARE * len(owner.samples))
+        return not owner.waiting and len(alone) <= few
+
+    def _rates(self, elapsed):
+        """Return tokens a second of each attempt since the last look."""
+        running = {one for sample in self._owner.samples for one in sample.running}
+        rates = {
+            attempt: max(0, attempt.offset - self._offsets[attempt]) / elapsed
+            for attempt in running & self._offsets.keys()
+        }
+        self._offsets = {attempt: attempt.offset for attempt in running}
+        self._looked_at = now()
+        self._best_rate = max([self._best_rate, *rates.values()])
+        return rates
+
+    def _consider(self, sample, attempt, rate):
+        left = self._owner.lengths.remaining(attempt.offset)
+        here = left / max(rate, SLOWEST)
+        tokens = {Mode.MOVE: left, Mode.DUPLICATE: left + attempt.offset}[self._mode]
+        there = MOVE_SECONDS + tokens / max(self._best_rate, SLOWEST)
+        backend = self._idle(attempt) if there < WORTH * here else None
+        if backend is not None:
+            self._preparing.add(sample.position)
+            self._owner.spawn(self._second(sample, attempt, backend))
+
+    def _idle(self, attempt):
+        chooser, row = self._resources.chooser, self._owner.row
+        idle = [
+            backend
+            for backend in self._resources.view().serving(row.service)
+            if backend.address != attempt.backend.address
+            and (not backend.models or row.model in backend.models)
+            and chooser.load_of(backend) <= IDLE_LOAD
+        ]
+        return min(idle, key=chooser.load_of, default=None)
+
+    async def _second(self, sample, attempt, backend):
+        permit = await self._resources.admission.admit(
+            self._resources.view(), self._owner.row, deadline_in(PERMIT_TIMEOUT)
+        )
+        if isinstance(permit, Outcome):
+            self._preparing.discard(sample.position)
+            return
+        try:
+            second = await self._prepared(attempt, backend)
+            if sample.state is SampleState.RUNNING and attempt in sample.running:
+                kind = "moved" if second.base else "duplicated"
+                counts = self._owner.counts
+                setattr(counts, kind, getattr(counts, kind) + 1)
+                EVENTS_TOTAL.inc({"kind": kind, "row": self._owner.row.name})
+                self._owner.make(sample, second, permit, once=True)
+                permit = None
+        finally:
+            self._preparing.discard(sample.position)
+            if permit is not None:
+                permit.release()
+
+    async def _prepared(self, attempt, backend):
+        """Return the attempt at ``backend``; with the KV cache where that works."""
+        if self._mode is Mode.MOVE and attempt.offset:
+            moved = attempt.continued_at(backend)
+            engine = self._resources.engine
+            kv = await engine.export_kv(attempt.backend, attempt.stream)
+            if not isinstance(kv, Outcome):
+                result = await engine.import_kv(backend, attempt.stream, kv)
+                if not isinstance(result, Outcome):
+                    return moved
+        return Attempt(backend, attempt.stream, attempt.generation)
--- a/sassafrasdoor/steps/tests/fakes.py
+++ b/sassafrasdoor/steps/tests/fakes.py
@@ -67,6 +67,7 @@
         self.dead = False
         self.refuses = False
         self.cut_next = 0
+        self.speed = 1
         self.starts = 0
         self.cancels = []
 
@@ -97,7 +98,8 @@
             for stream in machine.streams.values():
                 if machine.frozen or machine.dead:
                     continue
-                for _ in range(min(tokens, stream.length - stream.offset)):
+                made = min(tokens * machine.speed, stream.length - stream.offset)
+                for _ in range(made):
                     stream.versions.append(machine.version)
 
     async def stream(self, backend, order):
@@ -162,7 +164,7 @@
 
     async def export_kv(self, backend, stream):
         machine = self.machines[backend.name]
-        held = machine.streams.get(stream)
+        held = None if machine.frozen else machine.streams.get(stream)
         return f"kv:{held.offset}" if held else Unavailable("no such stream")
 
     async def import_kv(self, backend, stream, kv):
@@ -269,6 +271,7 @@
     def instance(self, **steps):
         """Return the steps of one more instance."""
         if steps:
+            steps = {"attach_idle": 60, **steps}
             self.settings = settings.from_document({"steps": steps})
         service = StepsService(
             self.settings, self.view, FakeAdmission(), FakeChooser(), self.engines
@@ -318,6 +321,11 @@
         await until(enough, what=f"{count} ready samples")
         return owner
 
+    def all_streams(self):
+        """Return the ids of the streams that engines hold."""
+        machines = self.engines.machines.values()
+        return [stream for machine in machines for stream in machine.streams]
+
     async def collect(self, service, attach=1, token="", **fields):
         """Fetch until the step is complete; return ``{(group, index): sample}``."""
         have = {}
--- a/sassafrasdoor/steps/tests/test_delivery.py
+++ b/sassafrasdoor/steps/tests/test_delivery.py
@@ -22,7 +22,7 @@
 
     async def ready(self, **steps):
         bench = self.bench()
-        service = bench.instance(attach_idle=60, **steps)
+        service = bench.instance(**steps)
         service.submit(bench.row, bench.spec())
         await bench.ready(service, 4)
         return bench, service
@@ -120,7 +120,7 @@
         Cause: what was sent was taken for delivered.
         """
         bench = self.bench()
-        service = bench.instance(attach_idle=60, batch_size=2)
+        service = bench.instance(batch_size=2)
         service.submit(bench.row, bench.spec())
         await bench.ready(service, 4)
         lost = await bench.fetch(service)
@@ -187,7 +187,7 @@
         service.submit(bench.row, bench.spec())
         await bench.running(service, 4)
         await until(lambda: not service.status())
-        held = sum(len(one.streams) for one in bench.engines.machines.values())
+        held = len(bench.all_streams())
         self.assertEqual(held, 4)
         self.assertIsInstance(await bench.fetch(service), NoSuchStep)
 
@@ -197,7 +197,5 @@
         service.submit(bench.row, bench.spec())
         await bench.running(service, 4)
         self.assertTrue(await service.cancel(bench.row, "s1"))
-        await until(
-            lambda: not any(one.streams for one in bench.engines.machines.values())
-        )
+        await until(lambda: not bench.all_streams())
         self.assertFalse(await service.cancel(bench.row, "s1"))
--- a/sassafrasdoor/steps/tests/test_owner.py
+++ b/sassafrasdoor/steps/tests/test_owner.py
@@ -149,12 +149,8 @@
         steps = bench.instance()
         steps.submit(bench.row, bench.spec())
         await bench.ready(steps, 4)
-        self.assertEqual(
-            sum(len(one.streams) for one in bench.engines.machines.values()), 4
-        )
+        self.assertEqual(len(bench.all_streams()), 4)
         reply = await bench.fetch(steps)
         await bench.fetch(steps, reply["token"])
-        await until(
-            lambda: not any(one.streams for one in bench.engines.machines.values())
-        )
+        await until(lambda: not bench.all_streams())
         self.assertEqual(steps.status(), [])
