Prove the lease against frozen holders and the table against racing operators

Cause: hand mutations of recovery, adoption, the lease's count and its identity had stayed green in the state machines. Ruled out: only widening the machines; a fixed sequence says more about each. Change: tests for an engine of both kinds whose holder froze between check and order, racing operators' tools as processes, a lost reply followed by an outage (new stand-in fault then_down), expiry under a slow reader, late claims, restarts.

--- a/sassafrasdoor/lease/tests/test_holder.py
+++ b/sassafrasdoor/lease/tests/test_holder.py
@@ -3,10 +3,18 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from sassafrasdoor import settings
 from sassafrasdoor.lease.holder import Holder
-from sassafrasdoor.lease.tests.bench import DURATION, ORDER, RENEWAL, STREAM, Bench
+from sassafrasdoor.lease.tests.bench import (
+    DURATION,
+    ORDER,
+    RENEWAL,
+    STREAM,
+    Bench,
+    Node,
+)
 from sassafrasdoor.log import agreed
 from sassafrasdoor.log.follower import Follower
 from sassafrasdoor.log.memory import MemoryLog
@@ -69,6 +77,37 @@
         self.assertEqual(self.a.holder.fence, 0)
         self.assertEqual(await self.a.turn(), fence)
 
+    async def test_the_lease_counts_from_when_its_claim_was_sent(self):
+        """
+        Symptom: the old holder acts for seconds beside its successor.
+        Sequence: a renewal lies in the network for most of the lease, then
+        arrives. Cause: counting from when the holder saw it accepted.
+        """
+        await self.a.turn()
+        await self.bench.run(RENEWAL, self.a)
+        self.bench.clock.advance(RENEWAL)
+        append, self.bench.log.append = self.bench.log.append, mock.AsyncMock()
+        await self.a.holder.claim()
+        late = self.bench.log.append.await_args.args
+        self.bench.log.append = append
+        await self.bench.run(DURATION - 1.0, step=0.5)
+        await append(*late)
+        await self.a.follower.poll(0)
+        self.assertEqual(self.a.holder.deadline, self.bench.clock.time + 1.0)
+
+    async def test_a_restarted_process_is_another_holder(self):
+        """
+        Symptom: an order of a process that is gone undoes a newer one.
+        Sequence: the holder dies with an order under way and is started again
+        under the same name. Cause: carrying on the lease of its predecessor.
+        """
+        old = await self.a.turn()
+        again = Node("a", self.bench.log)
+        await self.bench.run(DURATION + ORDER - 0.5, again, step=0.5)
+        self.assertEqual(again.holder.fence, 0)
+        await self.bench.run(1.0, again, step=0.5)
+        self.assertGreater(again.holder.fence, old)
+
     async def test_it_holds_through_faults_of_one_append(self):
         for fault in ("lose_replies", "duplicates"):
             with self.subTest(fault):
--- a/sassafrasdoor/log/tests/test_follower.py
+++ b/sassafrasdoor/log/tests/test_follower.py
@@ -208,6 +208,39 @@
         await self.caught_up(behind)
         self.assertEqual(behind.state.revision, third)
 
+    async def test_a_peers_newer_state_outlives_a_start_from_a_checkpoint(self):
+        """
+        Symptom: a starting instance falls back to an earlier table for a moment.
+        Sequence: it learns the state from a peer first; then the log answers and
+        its newest checkpoint is older. Cause: recovery that always moves.
+        """
+        first = await self.propose("a", 0)
+        await self.checkpoint(await self.caught_up())
+        await self.propose("b", first)
+        peer = await self.caught_up()
+        starting = self.follower()
+        starting.adopt(peer.state, peer.as_of)
+        await starting._start()
+        self.assertEqual(starting.as_of, peer.as_of)
+        self.assertIs(starting.state, peer.state)
+
+    async def test_a_batch_asked_for_before_a_peers_state_came_is_not_folded(self):
+        """
+        Symptom: an instance reads the same records for ever, or twice.
+        Sequence: a read is under way; a peer's state, further on, is adopted; the
+        read's answer comes. Cause: taking the batch for what follows the state.
+        """
+        first = await self.propose("a", 0)
+        reader = await self.caught_up()
+        await self.propose("b", first)
+        batch = await self.log.read(STREAM, reader.as_of, 1, 0)
+        await self.append(kind="weights", model="m", version=1)
+        peer = await self.caught_up()
+        reader.adopt(peer.state, peer.as_of)
+        await reader._take(batch, now())
+        self.assertEqual(reader.as_of, peer.as_of)
+        self.assertIs(reader.state, peer.state)
+
     async def test_a_start_with_the_log_down_learns_from_a_peer(self):
         await self.propose("a", 0)
         peer = await self.caught_up()
--- a/sassafrasdoor/standin/platform.py
+++ b/sassafrasdoor/standin/platform.py
@@ -27,7 +27,8 @@
 class Faults(BaseModel):
     """What goes wrong now; counts are of the next appends, times in their unit.
 
-    ``lose_reply``: takes effect, the connection closes without a reply.
+    ``lose_reply``: takes effect, the connection closes without a reply;
+    ``then_down``: and with that the platform goes down.
     ``refuse``: closes likewise but without effect, so a client can't tell.
     ``duplicate``: written twice. ``retain``: records kept (0: all).
     ``retain_seconds``: age kept (0: any).
@@ -38,6 +39,7 @@
     down: bool = False
     slow_ms: float = Field(default=0, ge=0)
     lose_reply: int = Field(default=0, ge=0)
+    then_down: bool = False
     refuse: int = Field(default=0, ge=0)
     duplicate: int = Field(default=0, ge=0)
     retain: int = Field(default=0, ge=0)
@@ -132,6 +134,7 @@
         if faults.take("duplicate"):
             stream.append(body)
         if faults.take("lose_reply"):
+            faults.down = faults.then_down
             return self.hang_up()
         return self.finish({"offset": offset})
 
--- /dev/null
+++ b/sassafrasdoor/tools/tests/test_race.py
@@ -0,0 +1,132 @@
+"""Operators' tools as real processes: races, a lost reply, an outage, expiry."""
+
+import json
+import unittest
+import urllib.request
+
+from sassafrasdoor import settings
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.log import agreed, checkpoints
+from sassafrasdoor.log.follower import Follower
+from sassafrasdoor.log.http import HttpLog
+from sassafrasdoor.support import Processes, until
+from sassafrasdoor.table.publisher import propose
+from sassafrasdoor.table.tests.test_accepted import table
+
+OPERATORS = 5
+PATIENCE = 30
+
+
+class PlatformCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.processes = self.enterContext(Processes())
+        self.url = self.processes.serve("standin", "platform").ready["url"]
+        section = {"log_url": self.url, "poll_interval": 0.05}
+        self.settings = settings.from_document({"platform": section})
+        self.stream = self.settings.platform.agreed_stream
+        self.log = HttpLog(self.settings)
+        self.addCleanup(self.log.close)
+
+    def faults(self, **faults):
+        data = json.dumps(faults).encode()
+        with urllib.request.urlopen(self.url + "/standin/faults", data, 20):
+            pass
+
+    def records(self, kind):
+        with urllib.request.urlopen(self.url + "/standin/truth", timeout=20) as reply:
+            streams = json.loads(reply.read())["streams"]
+        return [
+            record
+            for record in streams.get(self.stream, ())
+            if record["body"]["kind"] == kind
+        ]
+
+    def operator(self, name, weight, base):
+        """Start one who publishes; return its process."""
+        document = {**table(weight), "revision": base}
+        sheet = self.processes.write_json(f"{name}.json", document)
+        options = ("--platform", self.url, "--json")
+        return self.processes.start("table", *options, "apply", sheet, "--author", name)
+
+    async def ended(self, process):
+        """Wait for a tool; return its exit code and what it printed."""
+        await until(lambda: process.returncode is not None, what="tool to end")
+        await until(lambda: process.output, what="its output")
+        return process.returncode, json.loads(process.output[-1])
+
+
+class OperatorsTest(PlatformCase):
+    async def test_one_of_many_on_one_base_wins_and_the_rest_learn_whose(self):
+        """
+        Symptom: two operators are told "accepted", or one is told nothing.
+        Sequence: several publish onto one revision at once, one reply is lost.
+        Cause: deciding anywhere but in the fold.
+        """
+        self.faults(lose_reply=1)
+        tools = [self.operator(f"op-{n}", n + 1.0, 0) for n in range(OPERATORS)]
+        results = [await self.ended(tool) for tool in tools]
+        won = [document for code, document in results if code == 0]
+        self.assertEqual(len(won), 1, results)
+        winner = min(one["offset"] for one in self.records("proposal"))
+        self.assertEqual(won[0]["revision"], winner)
+        for code, document in results:
+            if code:
+                self.assertEqual((code, document["winner"]), (1, winner))
+                self.assertTrue(document["winner_author"].startswith("op-"))
+
+    async def test_an_outage_right_after_an_append_whose_reply_was_lost(self):
+        """
+        Symptom: a table is published twice or its operator is told "not done".
+        Sequence: the append takes effect, its reply is lost, the log goes down
+        before its writer could look, and comes back.
+        Cause: taking an unreachable log for a proposal that failed.
+        """
+        self.faults(lose_reply=1, then_down=True)
+        tool = self.operator("anna", 1.0, 0)
+        await until(lambda: self.records("proposal"), what="the append")
+        self.assertIsNone(tool.returncode)
+        self.faults(down=False)
+        code, document = await self.ended(tool)
+        self.assertEqual((code, document["outcome"]), (0, "accepted"))
+        self.assertEqual(len(self.records("proposal")), 1)
+
+
+class RetentionTest(PlatformCase):
+    def follower(self):
+        return Follower(self.settings, self.log, agreed.fold, agreed.Agreed())
+
+    async def caught_up(self, follower):
+        self.assertTrue(await follower.catch_up(deadline_in(PATIENCE)))
+        return follower
+
+    async def publish(self, base, weight):
+        decision = await propose(
+            self.settings, self.log, table(weight), base, "anna", deadline_in(PATIENCE)
+        )
+        self.assertTrue(decision)
+        return decision.offset
+
+    async def test_expiry_under_a_slow_reader_and_a_checkpoint_that_comes_late(self):
+        """
+        Symptom: after a busy hour one instance, or every new one, uses a table
+        of before. Sequence: a reader stops after the first table; a checkpoint
+        is made and held up; two tables follow, and a newer checkpoint; the held
+        one is appended; everything before the newer one's as-of expires.
+        Cause: reading on across a gap; starting from the last checkpoint.
+        """
+        first = await self.publish(0, 1.0)
+        slow = await self.caught_up(self.follower())
+        held = checkpoints.body(slow.state, slow.as_of)
+        third = await self.publish(await self.publish(first, 2.0), 3.0)
+        awake = await self.caught_up(self.follower())
+        newer = checkpoints.body(awake.state, awake.as_of)
+        await self.log.append(self.stream, newer)
+        await self.log.append(self.stream, held)
+        self.faults(retain=2)
+        self.assertFalse(await self.log.read(self.stream, slow.as_of, 1, 0))
+        for name, reader in (("slow", slow), ("new", self.follower())):
+            with self.subTest(name):
+                await self.caught_up(reader)
+                self.assertEqual(reader.state.revision, third)
+                document = awake.state.as_document()
+                self.assertEqual(reader.state.as_document(), document)
