Try requests in real processes against faults, and pass doubled headers on

Cause: outcomes and keys were only tried with fakes; two Set-Cookie headers of an answer became one; Content-Encoding was lost although the body stays encoded. Change: tests with two and three instances and stand-ins that count what truly ran: cuts before, in and after the reply, answers late and out of order, overload, keys whose owner is busy, frozen, back or dead, chosen keys with a lost append reply and without the log, a leaving server with a lagging list and an instance cut off from it, a planned stop under load. Header pairs are kept. Ruled out: playing "refuse" before other faults: its stand-in can't be told to listen again on new connections, so it comes last.

--- a/sassafrasdoor/requests/handlers.py
+++ b/sassafrasdoor/requests/handlers.py
@@ -101,8 +101,8 @@
     async def _(self, outcome: Answer):
         self._say(outcome.status, messages.ANSWERED)
         self.clear_header("Content-Type")
-        for name, value in reading.returned_headers(outcome.headers).items():
-            self.set_header(name, value)
+        for name, value in reading.returned_headers(outcome.headers):
+            self.add_header(name, value)
         if outcome.status not in (204, 304):
             self.write(outcome.body)
         await self.finish()
--- a/sassafrasdoor/requests/messages.py
+++ b/sassafrasdoor/requests/messages.py
@@ -3,6 +3,8 @@
 import hashlib
 from functools import singledispatch
 
+from tornado.httputil import HTTPHeaders
+
 from sassafrasdoor.backends.interface import Answer
 from sassafrasdoor.outcomes import NotRun, Rejected, Unknown
 
@@ -112,6 +114,13 @@
     return REJECTED
 
 
+def header_pairs(headers):
+    """Return names and values; a name may stand more than once (``Set-Cookie``)."""
+    if isinstance(headers, HTTPHeaders):
+        return list(headers.get_all())
+    return list(headers.items())
+
+
 def graver(last, outcome):
     """Return the outcome of all tries so far, ``last`` being None before the first.
 
--- a/sassafrasdoor/requests/peer.py
+++ b/sassafrasdoor/requests/peer.py
@@ -3,6 +3,7 @@
 import pathlib
 
 import capnp
+from tornado.httputil import HTTPHeaders
 
 from sassafrasdoor import metrics
 from sassafrasdoor.backends.interface import Answer
@@ -128,8 +129,12 @@
 
 
 def _headers(headers):
-    return [{"name": name, "value": value} for name, value in headers.items()]
+    pairs = messages.header_pairs(headers)
+    return [{"name": name, "value": value} for name, value in pairs]
 
 
-def _headers_from(headers):
-    return {header.name: header.value for header in headers}
+def _headers_from(listed):
+    headers = HTTPHeaders()
+    for header in listed:
+        headers.add(header.name, header.value)
+    return headers
--- a/sassafrasdoor/requests/reading.py
+++ b/sassafrasdoor/requests/reading.py
@@ -6,6 +6,7 @@
 
 from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.outcomes import Finding, Rejected, findings_of
+from sassafrasdoor.requests import messages
 from sassafrasdoor.requests.messages import Request, identity
 
 MAX_KEY_LENGTH = 256
@@ -34,8 +35,8 @@
         "x-request-id",
     }
 )
-# Of an answer, the length and the encodings are set anew by our own server.
-NOT_RETURNED = NOT_FORWARDED | {"content-encoding", "date", "server"}
+# Of an answer, the length and these are set anew by our own server.
+NOT_RETURNED = NOT_FORWARDED | {"date", "server"}
 
 
 class GenerateBody(BaseModel):
@@ -82,12 +83,9 @@
 
 
 def returned_headers(headers):
-    """Return the headers of a backend server's answer that callers get."""
-    return {
-        name: value
-        for name, value in headers.items()
-        if name.lower() not in NOT_RETURNED
-    }
+    """Return the headers of a backend server's answer that callers get, as pairs."""
+    pairs = messages.header_pairs(headers)
+    return [pair for pair in pairs if pair[0].lower() not in NOT_RETURNED]
 
 
 def _deadline(settings, text, findings):
--- a/sassafrasdoor/requests/tests/test_handlers.py
+++ b/sassafrasdoor/requests/tests/test_handlers.py
@@ -8,6 +8,7 @@
 import tornado.httpserver
 import tornado.netutil
 import tornado.web
+from tornado.httputil import HTTPHeaders
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from sassafrasdoor.admission.queues import Admission
@@ -87,7 +88,10 @@
         )
 
     async def test_call_is_passed_through(self):
-        answer = Answer(201, {"X-Mine": "1", "Connection": "close"}, b"body")
+        headers = HTTPHeaders({"X-Mine": "1", "Connection": "close"})
+        headers.add("Set-Cookie", "a=1")
+        headers.add("Set-Cookie", "b=2")
+        answer = Answer(201, headers, b"body")
         self.service.script = {"b0": answer, "b1": answer}
         response = await self.fetch(
             "/v1/call/app/some/path?q=1%202",
@@ -100,6 +104,7 @@
         )
         self.assertEqual((response.code, response.body), (201, b"body"))
         self.assertEqual(response.headers["X-Mine"], "1")
+        self.assertEqual(response.headers.get_list("Set-Cookie"), ["a=1", "b=2"])
         self.assertEqual(response.headers["X-Outcome"], "answered")
         self.assertEqual(response.headers["X-Table-Revision"], "7")
         _, call = self.service.calls[0]
--- /dev/null
+++ b/sassafrasdoor/requests/tests/test_requests_processes.py
@@ -0,0 +1,369 @@
+"""Requests through real processes; the stand-ins count what truly ran."""
+
+import asyncio
+import json
+import unittest
+
+from sassafrasdoor.cluster import KEYS, Cluster
+from sassafrasdoor.requests.messages import identity
+from sassafrasdoor.standin.proxy import Proxy
+from sassafrasdoor.support import until
+
+QUICK = {
+    "requests": {"first_byte_timeout": 1.5, "gap_timeout": 0.7},
+    "admission": {"grant_duration": 1.5},
+}
+ASK = {"prompt": "how many spaces are free", "max_tokens": 40}
+
+
+class ProcessCase(unittest.IsolatedAsyncioTestCase):
+    """A cluster for each test, with what all tests ask of it."""
+
+    async def cluster(self, settings=QUICK, **counts):
+        """Start a cluster whose instances have slots to give."""
+        cluster = await self.enterAsyncContext(Cluster(settings))
+        await cluster.start(**counts)
+        self.cluster = cluster
+        for instance in cluster.instances:
+            for row in ("idempotent", "chat"):
+                await until(lambda one=instance, row=row: self.served(one, row))
+        return cluster
+
+    async def served(self, instance, row):
+        """Say whether an instance has slots for a row's service."""
+        if row == "chat":
+            status, _ = await self.generate(instance)
+            return status == 200
+        return (await self.ask(instance, "idempotent")).code == 200
+
+    async def ask(self, instance, row, key="", body=None, **headers):
+        """Call a row's service at one instance."""
+        sent = {name.replace("_", "-"): value for name, value in headers.items()}
+        if key:
+            sent["Idempotency-Key"] = key
+        path = f"/v1/call/{row}/do"
+        return await self.cluster.raw(
+            "POST", instance.address, path, KEYS[row], body or {}, sent
+        )
+
+    async def generate(self, instance, headers=None, **fields):
+        """Have an engine write; return status and document."""
+        return await self.cluster.post(
+            instance.address,
+            "/v1/generate/chat",
+            {**ASK, **fields},
+            KEYS["chat"],
+            headers,
+        )
+
+    async def prefix(self, instance):
+        """Return a prefix for keys that this instance alone runs."""
+        _, found = await self.cluster.get(instance.address, "/v1/addresses?row=once")
+        return found["key_prefix"]
+
+    async def runs(self, request_id):
+        """Return how often the services ran a request."""
+        total = 0
+        for name in self.cluster.backends:
+            truth = await self.cluster.truth(name)
+            total += truth.get("by_request", {}).get(request_id, 0)
+        return total
+
+    async def service_faults(self, **faults):
+        """Set faults at every plain service."""
+        for name in self.cluster.backends:
+            if name.startswith("service"):
+                await self.cluster.faults(name, **faults)
+
+
+class OutcomesTest(ProcessCase):
+    async def test_outcomes_are_true(self):
+        """Symptom: a refusal is a lie, or a payment is booked twice.
+
+        Sequence: the service refuses connections, hangs up before, in the
+        middle of or after its reply, answers late or without framing. Cause:
+        saying not run of what may have run, trying it again, or passing a half
+        answer as whole.
+        """
+        cluster = await self.cluster(instances=2, engines=1, services=1)
+        first, second = cluster.instances
+        # fault, played once after the one run -> status
+        cases = [
+            ({"hang_up": 1}, 502),
+            ({"hang_up_middle": 1}, 502),
+            ({"cut_without_length": 1}, 502),
+            ({"interim": 1}, 502),
+            ({"silent": 1}, 502),
+            ({"fail": 1}, 500),
+        ]
+        for number, (fault, status) in enumerate(cases):
+            for row in ("once", "idempotent"):
+                with self.subTest(fault=fault, row=row):
+                    key = await self.prefix(first) + str(number)
+                    await self.service_faults(**fault)
+                    reply = await self.ask(first, row, key, X_Deadline_Ms="1500")
+                    runs = await self.runs(identity(row, key))
+                    if row == "idempotent" and reply.code == 200:
+                        # On a connection used before, curl itself sends it again.
+                        self.assertEqual(runs, 2)
+                        continue
+                    self.assertEqual(reply.code, status, reply.body)
+                    outcome = "unknown" if status == 502 else "answered"
+                    self.assertEqual(reply.headers["X-Outcome"], outcome)
+                    self.assertEqual(runs, 1)
+                    if row == "once":
+                        again = await self.ask(second, row, key, X_Deadline_Ms="1500")
+                        self.assertEqual(again.code, status, again.body)
+                        self.assertEqual(await self.runs(identity(row, key)), 1)
+        with self.subTest("closed before it was read"):
+            key = await self.prefix(first) + "before"
+            await self.service_faults(hang_up_before=1)
+            reply = await self.ask(first, "once", key)
+            self.assertEqual(reply.code, 502, reply.body)
+            self.assertEqual(await self.runs(identity("once", key)), 0)
+        with self.subTest("connection refused"):
+            key = await self.prefix(first) + "refused"
+            await self.service_faults(refuse=True)
+            for instance in (first, second):
+                reply = await self.ask(instance, "once", key)
+                self.assertEqual(reply.code, 503, reply.body)
+                self.assertEqual(reply.headers["X-Outcome"], "not-run")
+            address = self.cluster.backends["service-1"].ready["address"]
+            self.assertEqual((await cluster.get(address, "/load"))[0], 599)
+
+    async def test_everybody_gets_their_own_answer(self):
+        """Symptom: a member sees another's balance.
+
+        Sequence: many calls at once, some answers late, some connections hung
+        up, so that answers come out of order. Cause: matching by order.
+        """
+        cluster = await self.cluster(instances=2, engines=1, services=2)
+        await self.service_faults(delay=0.2, hang_up=5, hang_up_middle=5)
+        keys = [await self.prefix(one) + "k" for one in cluster.instances]
+
+        async def one(number):
+            instance = cluster.instances[number % 2]
+            row = ("once", "idempotent")[number % 3 == 0]
+            key = f"{keys[number % 2]}{number}"
+            reply = await self.ask(instance, row, key, {"mine": number})
+            return number, row, key, reply
+
+        replies = await asyncio.gather(*[one(number) for number in range(60)])
+        answered = 0
+        for number, row, key, reply in replies:
+            self.assertIn(reply.code, (200, 502))
+            if reply.code == 200:
+                answered += 1
+                body = json.loads(json.loads(reply.body)["body"])
+                self.assertEqual(body, {"mine": number})
+            if row == "once":
+                self.assertLessEqual(await self.runs(identity(row, key)), 1)
+        self.assertGreaterEqual(answered, 40)
+
+    async def test_streams_through_faults(self):
+        """Symptom: a sign shows half a sentence, or two runs mixed.
+
+        Sequence: the engine cuts, truncates or silences the connection in the
+        middle. Cause: running the stream anew, or taking the part as whole.
+        """
+        cluster = await self.cluster(instances=1, engines=1, services=1)
+        instance = cluster.instances[0]
+        never = {"X-Repeatable": "no"}
+        for fault in ({"fail_after": 1}, {"truncate": 1}, {"fail_after": 3}):
+            with self.subTest(fault=fault):
+                await cluster.faults("engine-1", **fault)
+                status, document = await self.generate(instance, never, max_tokens=60)
+                self.assertEqual(status, 200, document)
+                length = document["spans"][-1][2]
+                self.assertEqual(len(document["text"].split()), length)
+        with self.subTest("silent connection"):
+            await cluster.faults("engine-1", slow=8)
+            task = asyncio.ensure_future(
+                self.generate(instance, never, prompt="a long one", max_tokens=60)
+            )
+            await until(lambda: self.streams_running("engine-1"))
+            await cluster.faults("engine-1", silence=1)
+            await cluster.faults("engine-1", slow=1)
+            status, document = await task
+            self.assertEqual(status, 200, document)
+        truth = await cluster.truth("engine-1")
+        starts = [stream["starts"] for stream in truth["streams"].values()]
+        self.assertEqual(set(starts), {1})
+
+    async def streams_running(self, engine):
+        """Say whether the engine writes a stream now."""
+        truth = await self.cluster.truth(engine)
+        return [one for one in truth["streams"].values() if not one["done"]]
+
+    async def test_overload_refuses_early_and_truly(self):
+        """Symptom: refused calls ran all the same, or all are late.
+
+        Sequence: many more calls come than the service has slots. Cause:
+        queueing without a bound, or refusing after the call was sent.
+        """
+        cluster = await self.cluster(instances=2, engines=1, services=1)
+        await self.service_faults(delay=0.3)
+        keys = [await self.prefix(one) + "o" for one in cluster.instances]
+        numbers = range(400)
+        asked = [
+            self.ask(
+                cluster.instances[number % 2],
+                "once",
+                f"{keys[number % 2]}{number}",
+                X_Deadline_Ms="1000",
+            )
+            for number in numbers
+        ]
+        replies = await asyncio.gather(*asked)
+        truth = (await cluster.truth("service-1"))["by_request"]
+        refused = 0
+        for number, reply in zip(numbers, replies, strict=True):
+            runs = truth.get(identity("once", f"{keys[number % 2]}{number}"), 0)
+            self.assertIn(reply.code, (200, 502, 503))
+            if reply.code == 503:
+                refused += 1
+                self.assertEqual(runs, 0)
+                self.assertGreaterEqual(int(reply.headers["Retry-After"]), 1)
+            if reply.code == 200:
+                self.assertEqual(runs, 1)
+        self.assertGreater(refused, 0)
+        self.assertGreater(len(replies) - refused, 64)
+
+
+class KeysTest(ProcessCase):
+    async def test_issued_key_while_its_owner_is_alive_frozen_back_dead(self):
+        """Symptom: a call runs a second time at another instance.
+
+        Sequence: the key's owner is busy with it, then frozen, back from its
+        pause, killed; each time the caller asks another instance. Cause:
+        running it there for want of an answer.
+        """
+        cluster = await self.cluster(instances=3, engines=1, services=1)
+        owner, other, third = cluster.instances
+        await self.service_faults(delay=0.5)
+        key = await self.prefix(owner) + "alive"
+        asked = [self.ask(one, "once", key) for one in (owner, other, third, other)]
+        replies = await asyncio.gather(*asked)
+        self.assertEqual({reply.code for reply in replies}, {200})
+        self.assertEqual(len({reply.body for reply in replies}), 1)
+        self.assertEqual(await self.runs(identity("once", key)), 1)
+
+        prefix = await self.prefix(owner)
+        key, unused = prefix + "frozen", prefix + "unused"
+        asked = asyncio.ensure_future(self.ask(owner, "once", key))
+        await until(lambda: self.busy("service-1"))
+        owner.entry.freeze()
+        reply = await self.ask(other, "once", key, X_Deadline_Ms="800")
+        self.assertEqual(reply.code, 502)
+        owner.entry.thaw()
+        await asked
+        reply = await self.ask(other, "once", key)
+        self.assertIn(reply.code, (200, 502))
+        self.assertEqual(await self.runs(identity("once", key)), 1)
+
+        owner.kill()
+        for gone in (key, unused):
+            reply = await self.ask(other, "once", gone, X_Deadline_Ms="800")
+            self.assertEqual(reply.code, 502)
+        self.assertEqual(await self.runs(identity("once", key)), 1)
+        self.assertEqual(await self.runs(identity("once", unused)), 0)
+
+    async def busy(self, name):
+        """Say whether a service runs something now, by its load report."""
+        address = self.cluster.backends[name].ready["address"]
+        _, load = await self.cluster.get(address, "/load")
+        return load["running"]
+
+    async def test_chosen_key_everywhere_and_in_an_outage_of_the_log(self):
+        """Symptom: one key runs at two instances.
+
+        Sequence: the caller sends its own key to three instances at once, then
+        again while the log is down. Cause: no common record decides whose run
+        it is, or an instance does without it.
+        """
+        cluster = await self.cluster(instances=3, engines=1, services=1)
+        everywhere = cluster.instances * 2
+        await cluster.platform_faults(lose_reply=1)
+        replies = await asyncio.gather(
+            *[self.ask(one, "once", "order-7") for one in everywhere]
+        )
+        self.assertEqual({reply.code for reply in replies}, {200})
+        self.assertEqual(len({reply.body for reply in replies}), 1)
+        self.assertEqual(await self.runs(identity("once", "order-7")), 1)
+        await cluster.platform_faults(down=True)
+        for instance in cluster.instances:
+            reply = await self.ask(instance, "once", "order-8", X_Deadline_Ms="2000")
+            self.assertEqual(reply.code, 503, reply.body)
+            issued = await self.prefix(instance) + "issued"
+            reply = await self.ask(instance, "once", issued)
+            self.assertEqual(reply.code, 200, reply.body)
+        self.assertEqual(await self.runs(identity("once", "order-8")), 0)
+        await cluster.platform_faults(down=False)
+        reply = await self.ask(everywhere[0], "once", "order-8")
+        self.assertEqual(reply.code, 200, reply.body)
+        self.assertEqual(await self.runs(identity("once", "order-8")), 1)
+
+
+class LeavingTest(ProcessCase):
+    async def test_leaving_server_gets_no_work_with_a_lagging_list(self):
+        """Symptom: a server that is leaving gets work until it is gone.
+
+        Sequence: it begins to leave; the instance list lags by far and one
+        instance cannot read it at all. Cause: waiting for the list, where the
+        server's own load report tells it.
+        """
+        cluster = await self.cluster(instances=1, engines=1, services=2)
+        proxy = await Proxy(cluster.platform_url.removeprefix("http://")).open()
+        self.addAsyncCleanup(proxy.close)
+        cut = cluster.start_instance(
+            "entry-cut", "zone-b", instances_url=f"http://{proxy.address}"
+        )
+        await cluster.ready()
+        await until(lambda: self.served(cut, "idempotent"))
+        proxy.freeze()
+        await cluster.platform_faults(list_lag=60)
+        await cluster.faults("service-1", leaving=True)
+        await until(lambda: self.left_alone("service-1", 20))
+        before = (await cluster.truth("service-1"))["total"]
+        for instance in cluster.instances * 20:
+            self.assertEqual((await self.ask(instance, "idempotent")).code, 200)
+        self.assertEqual((await cluster.truth("service-1"))["total"], before)
+
+    async def left_alone(self, name, calls):
+        """Say whether a number of calls at every instance pass the server by."""
+        before = (await self.cluster.truth(name))["total"]
+        for instance in self.cluster.instances * calls:
+            await self.ask(instance, "idempotent")
+        return (await self.cluster.truth(name))["total"] == before
+
+    async def test_planned_stop_cuts_nobody_off(self):
+        """Symptom: calls fail at every restart.
+
+        Sequence: an instance is stopped as planned while calls and streams run
+        and come. Cause: refusing at once, or ending before the last byte.
+        """
+        cluster = await self.cluster(instances=2, engines=1, services=1)
+        await self.service_faults(delay=0.4)
+        leaving = cluster.instances[0]
+        running = [
+            asyncio.ensure_future(work)
+            for work in (
+                *[self.ask(leaving, "once") for _ in range(10)],
+                *[self.generate(leaving, max_tokens=200) for _ in range(3)],
+            )
+        ]
+        await until(lambda: self.busy_with(leaving, 13))
+        leaving.entry.signal(15)
+        replies = await asyncio.gather(*running)
+        self.assertEqual({reply.code for reply in replies[:10]}, {200})
+        self.assertEqual({status for status, _ in replies[10:]}, {200})
+        await until(lambda: leaving.entry.returncode == 0)
+
+    async def busy_with(self, instance, count):
+        """Say whether so many requests are in progress at an instance."""
+        _, status = await self.cluster.get(instance.address, "/v1/status")
+        return status["requests"]["in_progress"] >= count
+
+
+if __name__ == "__main__":
+    unittest.main()
