Renew a checkpoint that expires while the log is idle

Cause: a log that keeps records for less than the checkpoint interval forgot the last checkpoint of an idle night; whoever started then found nothing to start from. Ruled out: a shorter interval by default, which only moves the limit. Change: a checkpoint is due at once when the newest one's as-of is no longer kept; one that was just offered is not offered again until it was read back or a call timed out. Conclusion: state is lost only if every instance is down for longer than the log keeps.

--- a/sassafrasdoor/log/follower.py
+++ b/sassafrasdoor/log/follower.py
@@ -44,6 +44,7 @@
         "_folded_since",
         "_log",
         "_notified",
+        "_offer_not_before",
         "_reachable",
         "_settings",
         "_started",
@@ -77,6 +78,7 @@
         self._folded_since = 0
         self._checkpoint = None
         self._checkpoint_deadline = self._next_checkpoint()
+        self._offer_not_before = now()
         self.may_checkpoint = may_checkpoint
         self.may_poll = may_poll
 
@@ -253,6 +255,7 @@
         )
         self._folded_since = 0
         self._checkpoint_deadline = self._next_checkpoint()
+        self._offer_not_before = now()
 
     def _next_checkpoint(self):
         return deadline_in(self._settings.checkpoint_interval)
@@ -260,7 +263,7 @@
     @property
     def checkpoint_due(self):
         """Whether the newest checkpoint is so old that another is needed."""
-        if not self._as_of or not self._usable:
+        if not self._as_of or not self._usable or not passed(self._offer_not_before):
             return False
         return (
             self._folded_since >= self._settings.checkpoint_every
@@ -270,13 +273,16 @@
 
     @property
     def _checkpoint_sinks(self):
-        # Half of what the log keeps has come after the newest checkpoint: wait
-        # longer and it vanishes, and with it every table whose record has expired.
-        if not self._first_offset or not self._folded_since:
+        # The newest checkpoint is gone, or half of what the log keeps has come
+        # after it: wait longer and it vanishes, and with it every table whose
+        # record has expired.
+        if not self._first_offset:
             return False
-        kept = self._as_of - self._first_offset
         newest = self._checkpoint.as_of if self._checkpoint else 0
-        return newest - self._first_offset < kept / 2
+        if newest < self._first_offset:
+            return True
+        kept = self._as_of - self._first_offset
+        return self._folded_since > 0 and newest - self._first_offset < kept / 2
 
     async def _offer_checkpoint(self):
         if not self.checkpoint_due or not self.may_checkpoint():
@@ -286,6 +292,4 @@
         WRITTEN.inc({"result": type(result).__name__})
         # Whether it arrived is seen by reading it back. Until then not again: a
         # log that answers slowly would be filled with copies.
-        self._folded_since = 0
-        retry = deadline_in(self._settings.call_timeout)
-        self._checkpoint_deadline = retry
+        self._offer_not_before = deadline_in(self._settings.call_timeout)
--- a/sassafrasdoor/log/tests/test_follower.py
+++ b/sassafrasdoor/log/tests/test_follower.py
@@ -277,6 +277,24 @@
                 await self.caught_up(reader)
                 self.assertEqual(reader.checkpoint_due, due)
 
+    async def test_a_checkpoint_that_expires_in_an_idle_log_is_renewed(self):
+        """
+        Symptom: after a quiet night every instance that starts knows no table.
+        Sequence: nothing is appended for longer than the log keeps records.
+        Cause: counting only records that came since the newest checkpoint.
+        """
+        await self.propose("a", 0)
+        writer = await self.caught_up(self.follower(may_checkpoint=lambda: True))
+        await self.checkpoint(writer)
+        await self.caught_up(writer)
+        self.assertFalse(writer.checkpoint_due)
+        self.log.expire(STREAM, await self.log.end(STREAM))
+        await self.caught_up(writer)
+        await writer._offer_checkpoint()
+        self.assertTrue((await self.caught_up()).state.table)
+        await self.caught_up(writer)
+        self.assertFalse(writer.checkpoint_due)
+
     async def test_state_outlives_every_record_of_it(self):
         """
         Symptom: all instances forget the table although none was withdrawn.
