--- a/sassafrasdoor/steps/client.py
+++ b/sassafrasdoor/steps/client.py
@@ -23,8 +23,8 @@
 from sassafrasdoor.steps.token import DeliveryToken
 
 CONNECT_TIMEOUT = 2.0
-CALL_TIMEOUT = 10.0
-WAIT = 10.0
+CALL_TIMEOUT = 5.0
+WAIT = 2.0
 PAUSE = 0.1
 LONGEST_PAUSE = 1.0
 NO_REPLY = 599
@@ -73,16 +73,32 @@
 
 
 class Trainer:
-    """One row's trainer. ``newest_version`` is what it last published itself."""
+    """One row's trainer. ``newest_version`` is what it last published itself.
 
-    __slots__ = ("_http", "_key", "_seeds", "_zone", "newest_version", "row")
+    A fetch waits up to ``wait`` seconds for samples; an instance that is
+    ``patience`` seconds later than that is taken for gone.
+    """
 
-    def __init__(self, addresses, row, key, zone="", newest_version=0):
+    __slots__ = ("_http", "_key", "_seeds", "_zone", "newest_version", "row")
+    __slots__ += ("patience", "wait")
+
+    def __init__(
+        self,
+        addresses,
+        row,
+        key,
+        zone="",
+        newest_version=0,
+        wait=WAIT,
+        patience=CALL_TIMEOUT,
+    ):
         self._seeds = list(addresses)
         self._key = key
         self._zone = zone
         self.row = row
         self.newest_version = newest_version
+        self.wait = wait
+        self.patience = patience
         self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
 
     def close(self):
@@ -103,7 +119,7 @@
                 return [one["address"] for one in answer["addresses"]]
         return asked
 
-    async def call(self, method, address, path, document=None, timeout=CALL_TIMEOUT):
+    async def call(self, method, address, path, document=None, wait=0.0):
         """Call one instance once; return ``(status, document)``, 599 for no reply."""
         request = HTTPRequest(
             f"http://{address}{path}",
@@ -111,7 +127,7 @@
             headers={"Authorization": f"Bearer {self._key}"},
             body=None if document is None else json.dumps(document),
             connect_timeout=CONNECT_TIMEOUT,
-            request_timeout=timeout,
+            request_timeout=wait + self.patience,
             follow_redirects=False,
             allow_nonstandard_methods=True,
         )
@@ -189,7 +205,9 @@
             return []
         if self._address is None and not await self._attached():
             return []
-        status, reply = await self._fetch(min(WAIT, remaining(self._deadline)))
+        status, reply = await self._fetch(
+            min(self._trainer.wait, remaining(self._deadline))
+        )
         if status != 200:
             self._move(status, reply)
             return []
@@ -205,9 +223,7 @@
             "newest_version": self._trainer.newest_version,
             "wait_ms": int(wait * 1000),
         }
-        return await self._trainer.call(
-            "POST", self._address, path, fetch, wait + CALL_TIMEOUT
-        )
+        return await self._trainer.call("POST", self._address, path, fetch, wait)
 
     async def _attached(self):
         """Attach at the next instance; return whether one took the step."""
--- /dev/null
+++ b/sassafrasdoor/steps/tests/test_steps_processes.py
@@ -0,0 +1,271 @@
+"""Steps through real processes, judged by what the engines truly did."""
+
+import asyncio
+import unittest
+
+from sassafrasdoor.cluster import KEYS, MODEL, Cluster
+from sassafrasdoor.standin.batch import word_at
+from sassafrasdoor.standin.proxy import Proxy
+from sassafrasdoor.steps.client import Trainer
+from sassafrasdoor.steps.spec import Identity, StepSpec
+from sassafrasdoor.support import until
+
+ROW = "trainer"
+BOUND = 2
+GENERATIONS = 30
+PLACES = {(group, index) for group in range(4) for index in range(4)}
+SETTINGS = {"steps": {"view_confirm": 1.0, "attach_idle": 8.0}}
+ENGINE = ("--token-rate", "60", "--swap-seconds", "0.1")
+
+
+def document(step, **changes):
+    return {
+        "step": step,
+        "groups": [{"prompt": f"tell the truth about level {n}"} for n in range(4)],
+        "samples_per_group": 4,
+        "max_tokens": 160,
+        "deadline_ms": 60_000,
+        "seed": 11,
+        **changes,
+    }
+
+
+class FixedTrainer(Trainer):
+    """Uses the addresses it was given, in their order, and no discovery."""
+
+    async def addresses(self, known=()):
+        return list(self._seeds)
+
+
+class Truth:
+    """Which version made which token, by every engine, also those gone since."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._records = {}
+
+    async def note(self, *names):
+        """Read the engines' truth, before one of them goes."""
+        for name in names:
+            truth = await self._cluster.truth(name)
+            for stream, record in truth["streams"].items():
+                for number, made in enumerate(record["executions"]):
+                    self._records[name, stream, number] = made["spans"]
+
+    def made(self, stream):
+        """Return ``{token number: versions}`` of a stream over all engines."""
+        versions = {}
+        for (_, name, _), spans in self._records.items():
+            for version, first, last in spans if name == stream else []:
+                for token in range(first, last):
+                    versions.setdefault(token, set()).add(version)
+        return versions
+
+
+class StepsProcessesTest(unittest.IsolatedAsyncioTestCase):
+    async def cluster(self, instances=2, engines=2):
+        cluster = Cluster(SETTINGS)
+        self.addAsyncCleanup(cluster.__aexit__)
+        await cluster.start(instances, engines, services=0, engine_options=ENGINE)
+        self.truth = Truth(cluster)
+        return cluster
+
+    def trainer(self, *addresses):
+        trainer = FixedTrainer(addresses, ROW, KEYS[ROW], newest_version=1, patience=2)
+        self.addCleanup(trainer.close)
+        return trainer
+
+    async def read(self, run, after=1, strike=None):
+        """Read a run to its end; ``strike`` once ``after`` samples are in."""
+        samples = {}
+        async for sample in run.samples():
+            place = sample["group"], sample["index"]
+            self.assertNotIn(place, samples, "a sample came twice")
+            samples[place] = sample
+            if len(samples) == after and strike is not None:
+                await strike()
+        return samples
+
+    def judge(self, run, samples, step, **changes):
+        """All samples, each with the very versions that made its tokens."""
+        self.assertIsNone(run.failure)
+        self.assertEqual(set(samples), PLACES)
+        spec = StepSpec.model_validate({**document(step, **changes), "attach": 1})
+        identity = Identity(ROW, spec)
+        for (group, index), sample in samples.items():
+            named = {}
+            for version, first, last in sample["spans"]:
+                for token in range(first, last):
+                    self.assertNotIn(token, named)
+                    named[token] = version
+            stream = self._stream_of(identity, group * 4 + index, sample, len(named))
+            made = self.truth.made(stream)
+            for token, version in named.items():
+                self.assertIn(version, made[token], (stream, token))
+            self.assertEqual(sample["oldest_version"], min(named.values()))
+
+    def _stream_of(self, identity, position, sample, length):
+        """Return the stream whose text the sample is."""
+        for generation in range(GENERATIONS):
+            stream = identity.stream(position, generation)
+            seed = identity.seed(position, generation)
+            text = "".join(word_at(seed, stream, token) for token in range(length))
+            if text == sample["text"]:
+                return stream
+        raise AssertionError(f"no engine ever made {sample}")
+
+    async def test_instance_goes_in_the_middle_of_a_step(self):
+        """
+        Symptom: samples lost, doubled or wrongly labelled after an instance
+        went; tokens made twice.
+        Sequence: the instance that owns a step is killed, or frozen and thawed
+        after another took over.
+        Cause: the step's state was only in the instance that owned it.
+        """
+        cluster = await self.cluster(instances=3)
+        one, two, three = cluster.instances
+
+        async def frozen():
+            one.freeze()
+
+        async def killed():
+            two.kill()
+
+        for fault, owner, other in ((frozen, one, two), (killed, two, three)):
+            with self.subTest(fault.__name__):
+                run = self.trainer(owner.address, other.address).run(
+                    document(fault.__name__, deadline_ms=90_000)
+                )
+                samples = await self.read(run, 3, fault)
+                one.thaw()
+                await self.truth.note("engine-1", "engine-2")
+                self.judge(run, samples, fault.__name__)
+                self.assertEqual(run.report.attachments, 2)
+                self.assertGreater(run.report.counts["resumed"], 0)
+
+    async def test_replies_are_lost(self):
+        """
+        Symptom: the samples of a batch are lost, or come twice.
+        Sequence: the proxy between trainer and instance cuts replies midway.
+        Cause: what was sent was taken for delivered.
+        """
+        cluster = await self.cluster(instances=1)
+        proxy = await Proxy(cluster.instances[0].address).open()
+        self.addAsyncCleanup(proxy.close)
+
+        async def cut():
+            proxy.faults.truncate = 700
+            proxy.cut()
+            asyncio.get_running_loop().call_later(1.0, proxy.faults.clear)
+
+        run = self.trainer(proxy.address).run(document("lost"))
+        samples = await self.read(run, 2, cut)
+        await self.truth.note("engine-1", "engine-2")
+        self.judge(run, samples, "lost")
+        self.assertGreater(run.report.attachments, 1)
+
+    async def test_two_attachments_at_once(self):
+        """
+        Symptom: two instances make one step twice, or one cuts the other's work.
+        Sequence: a trainer's old process still fetches at one instance while
+        its new one attaches at another.
+        Cause: owners shared no stream identities.
+        """
+        cluster = await self.cluster()
+        old = self.trainer(cluster.instances[0].address).run(document("twice"))
+        new = self.trainer(cluster.instances[1].address).run(
+            document("twice"), {"attach": 1, "token": ""}
+        )
+        reads = await asyncio.gather(self.read(old), self.read(new))
+        await self.truth.note("engine-1", "engine-2")
+        for run, samples in zip((old, new), reads, strict=True):
+            self.judge(run, samples, "twice")
+
+    async def test_engine_crashes(self):
+        """
+        Symptom: a sample joined from two runs, or a step that never ends.
+        Sequence: an engine ends in the middle of its streams.
+        Cause: a resume was believed without the engine's own report.
+        """
+        cluster = await self.cluster()
+
+        async def crash():
+            await cluster.faults("engine-1", freeze=True)
+            await self.truth.note("engine-1")
+            cluster.backends["engine-1"].kill()
+
+        run = self.trainer(cluster.instances[0].address).run(document("crash"))
+        samples = await self.read(run, 2, crash)
+        await self.truth.note("engine-2")
+        self.judge(run, samples, "crash")
+        self.assertGreater(run.report.counts["regenerated"], 0)
+
+    async def test_swap_in_the_middle_of_a_step(self):
+        """
+        Symptom: a sample that crossed a swap names one version.
+        Sequence: new weights are announced; engines swap while they generate.
+        Cause: the label came from a plan, not from the engine's own spans.
+        """
+        cluster = await self.cluster()
+
+        async def swap():
+            await cluster.announce(MODEL, 2)
+            await until(self._swapped(cluster, 2), what="engines at version 2")
+
+        run = self.trainer(cluster.instances[0].address).run(document("swap"))
+        samples = await self.read(run, 1, swap)
+        await self.truth.note("engine-1", "engine-2")
+        self.judge(run, samples, "swap")
+        named = {span[0] for one in samples.values() for span in one["spans"]}
+        self.assertIn(2, named)
+
+    def _swapped(self, cluster, version):
+        async def swapped():
+            truths = [await cluster.truth(name) for name in cluster.backends]
+            return all(one["versions"].get(MODEL) == version for one in truths)
+
+        return swapped
+
+    async def test_weights_announced_between_last_token_and_delivery(self):
+        """
+        Symptom: a trainer gets samples older than its bound.
+        Sequence: samples are ready; an instance that lags behind the log, or
+        has lost it, answers a fetch; only the trainer knows the newest weights.
+        Cause: staleness was judged when a sample was finished, or by the
+        instance's own view alone.
+        """
+        cluster = await self.cluster(instances=1)
+        address = cluster.instances[0].address
+        path = f"/v1/steps/{ROW}"
+        body = {**document("late"), "attach": 1}
+        status, _ = await cluster.post(address, path, body, KEYS[ROW])
+        self.assertEqual(status, 202)
+        await until(lambda: self._ready(cluster, address), what="ready samples")
+        await cluster.platform_faults(down=True)
+        await until(lambda: self._unconfirmed(cluster, address), what="a lagging view")
+        fetch = {"attach": 1, "wait_ms": 0}
+        table = [({}, 0), ({"newest_version": BOUND + 2}, 0)]
+        for stated, delivered in table:
+            with self.subTest(stated):
+                _, reply = await cluster.post(
+                    address, f"{path}/late/fetch", {**fetch, **stated}, KEYS[ROW]
+                )
+                self.assertEqual(len(reply["samples"]), delivered)
+        self.assertEqual(reply["counts"]["stale_dropped"], len(PLACES))
+        await cluster.platform_faults(down=False)
+        await cluster.announce(MODEL, BOUND + 2)
+        trainer = self.trainer(address)
+        trainer.newest_version = BOUND + 2
+        run = trainer.run(document("late"), {"attach": 1, "token": ""})
+        samples = await self.read(run)
+        await self.truth.note("engine-1", "engine-2")
+        self.judge(run, samples, "late")
+        self.assertGreaterEqual(min(s["oldest_version"] for s in samples.values()), 2)
+
+    async def _ready(self, cluster, address):
+        _, status = await cluster.get(address, "/v1/status")
+        return status["steps"][0]["ready"] == len(PLACES)
+
+    async def _unconfirmed(self, cluster, address):
+        _, status = await cluster.get(address, "/v1/status")
+        return status["unconfirmed_seconds"] > SETTINGS["steps"]["view_confirm"]
