--- a/sassafrasdoor/steps/client.py
+++ b/sassafrasdoor/steps/client.py
@@ -20,6 +20,7 @@
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.outcomes import Finding, Rejected, Unavailable
+from sassafrasdoor.steps.spec import DEFAULT_DEADLINE_MS
 from sassafrasdoor.steps.token import DeliveryToken
 
 CONNECT_TIMEOUT = 2.0
@@ -165,7 +166,9 @@
         self._attach = state["attach"]
         self._address = None
         self._addresses = []
-        self._deadline = deadline_in(document["deadline_ms"] / 1000)
+        self._deadline = deadline_in(
+            document.get("deadline_ms", DEFAULT_DEADLINE_MS) / 1000
+        )
         self.token = DeliveryToken.parse(state["token"], size)
         self.failure = None
         self.report = Report()
--- /dev/null
+++ b/sassafrasdoor/steps/dispatch.py
@@ -0,0 +1,94 @@
+"""Starting a step's samples: in which order, and with a permit each."""
+
+import asyncio
+from heapq import heappop, heappush
+from itertools import count
+
+from sassafrasdoor.outcomes import Outcome
+from sassafrasdoor.steps.sample import SampleState
+
+ADMISSIONS_AHEAD = 32
+
+
+class Pending:
+    """Samples that wait to be started; the first to start is popped first.
+
+    Streams found on an engine come first: they hold its memory already. Then
+    whole groups, one after another, so that a group's prompt is read while it
+    is still cached.
+    """
+
+    __slots__ = ("_heap", "_tie")
+
+    def __init__(self):
+        self._heap = []
+        self._tie = count()
+
+    def __len__(self):
+        return len(self._heap)
+
+    def add(self, sample, group):
+        """Add a sample of ``group``."""
+        rank = (sample.adopted is None, group, next(self._tie))
+        heappush(self._heap, (rank, sample))
+
+    def pop(self):
+        """Return the next sample that still waits, or None."""
+        while self._heap:
+            _, sample = heappop(self._heap)
+            if sample.state is SampleState.PENDING:
+                return sample
+        return None
+
+
+class Dispatcher:
+    """Keeps admissions waiting while its step has samples to start."""
+
+    __slots__ = ("_owner", "_resources", "_waiting", "pending")
+
+    def __init__(self, resources, owner):
+        self._resources = resources
+        self._owner = owner
+        self._waiting = 0
+        self.pending = Pending()
+
+    @property
+    def idle(self):
+        """Whether no admission is waited for."""
+        return not self._waiting
+
+    def add(self, sample):
+        """Start a sample as soon as there is a permit; ``fill`` asks for one."""
+        sample.state = SampleState.PENDING
+        self.pending.add(sample, self._owner.identity.place(sample.position)[0])
+
+    def fill(self):
+        """Ask for as many permits as there is work for, up to a bound."""
+        while self._waiting < min(ADMISSIONS_AHEAD, len(self.pending)):
+            if not self._owner.dispatching:
+                return
+            self._waiting += 1
+            self._owner.spawn(self._admit())
+
+    async def _admit(self):
+        owner = self._owner
+        try:
+            permit = await self._resources.admission.admit(
+                self._resources.view(), owner.row, owner.deadline
+            )
+            if isinstance(permit, Outcome):
+                await asyncio.sleep(permit.retry_after)
+        finally:
+            self._waiting -= 1
+        if not isinstance(permit, Outcome):
+            self._start(permit)
+        self.fill()
+
+    def _start(self, permit):
+        sample = self.pending.pop() if self._owner.dispatching else None
+        if sample is None:
+            permit.release()
+            return
+        attempt, sample.adopted = sample.adopted, None
+        sample.state = SampleState.RUNNING
+        self._owner.make(sample, attempt, permit)
--- a/sassafrasdoor/steps/handlers.py
+++ b/sassafrasdoor/steps/handlers.py
@@ -5,7 +5,12 @@
 import tornado.web
 
 from sassafrasdoor.outcomes import NotRun, Rejected
-from sassafrasdoor.steps.registry import Conflict, NoSuchStep, StepsService
+from sassafrasdoor.steps.registry import (
+    Conflict,
+    NoSuchStep,
+    StepsService,
+    no_such_step,
+)
 from sassafrasdoor.steps.spec import FetchSpec, StepSpec, checked
 
 __all__ = ["StepsService", "handlers"]
@@ -98,7 +103,10 @@
         row = self.authorized(row_name)
         if row is None:
             return
-        self.finish({"cancelled": await self._steps.cancel(row, step)})
+        if await self._steps.cancel(row, step):
+            self.finish({"cancelled": True})
+        else:
+            self.refuse(no_such_step())
 
 
 @singledispatch
--- a/sassafrasdoor/steps/owner.py
+++ b/sassafrasdoor/steps/owner.py
@@ -9,9 +9,8 @@
 from sassafrasdoor import logs
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.events import EVENTS
-from sassafrasdoor.outcomes import Outcome
 from sassafrasdoor.steps.adoption import adopt
-from sassafrasdoor.steps.order import Pending
+from sassafrasdoor.steps.dispatch import Dispatcher
 from sassafrasdoor.steps.reader import Reader
 from sassafrasdoor.steps.resources import EVENTS_TOTAL, WASTED, Counts, Signal
 from sassafrasdoor.steps.sample import Sample, SampleState
@@ -20,7 +19,6 @@
 from sassafrasdoor.steps.token import DeliveryToken
 from sassafrasdoor.table.rows import Preference
 
-ADMISSIONS_AHEAD = 32
 PAUSE_AFTER_FAULT = 1.0
 # Rows differ in this one number: a running stream that crosses a swap is made
 # again if it has less than this share of an expected sample.
@@ -31,18 +29,17 @@
     """One step: its samples, the tasks that make them, and what was taken."""
 
     __slots__ = (
-        "_pending",
         "_reader",
         "_resources",
         "_tasks",
         "_stragglers",
-        "_waiting",
         "attach",
         "attach_deadline",
         "changes",
         "closed",
         "counts",
         "deadline",
+        "dispatcher",
         "heard",
         "identity",
         "lengths",
@@ -58,10 +55,9 @@
     def __init__(self, resources, row, spec, token):
         self._resources = resources
         self._reader = Reader(resources, self)
-        self._pending = Pending()
         self._tasks = set()
-        self._waiting = 0
         self._stragglers = Stragglers(resources, self)
+        self.dispatcher = Dispatcher(resources, self)
         self.row = row
         self.spec = spec
         self.identity = Identity(row.name, spec)
@@ -80,9 +76,9 @@
         self.acknowledge(token)
 
     @property
-    def waiting(self):
-        """How many samples wait to be started."""
-        return len(self._pending)
+    def dispatching(self):
+        """Whether streams may be started now."""
+        return self.heard and not (self.stopping or self.closed or self.over)
 
     @property
     def over(self):
@@ -112,7 +108,7 @@
         idle = self._resources.settings.steps.attach_idle
         self.attach_deadline = deadline_in(idle)
         self.heard = True
-        self._fill()
+        self.dispatcher.fill()
 
     def start(self):
         """Begin to make what the trainer lacks."""
@@ -131,10 +127,10 @@
             sample = self.samples[position]
             sample.generation += 1
             self.counts.regenerated += 1
-            self._queue(sample)
+            self.dispatcher.add(sample)
         self.taken = DeliveryToken(self.spec.sample_count)
         self.acknowledge(token)
-        self._fill()
+        self.dispatcher.fill()
         self.changes.changed()
 
     def acknowledge(self, token):
@@ -154,7 +150,7 @@
         for sample in list(self.ready.values()):
             if sample.attempt.oldest < allowed:
                 self._drop(sample)
-        self._fill()
+        self.dispatcher.fill()
 
     def worth_restarting(self, attempt, version):
         """Say whether a stream that now got tokens of ``version`` starts over.
@@ -170,7 +166,7 @@
 
     def look_for_stragglers(self):
         """Start second attempts at the last few samples where they pay."""
-        if not (self.stopping or self.over) and self.heard:
+        if self.dispatching:
             self._stragglers.look()
 
     def make(self, sample, attempt, permit, once=False):
@@ -226,42 +222,8 @@
             await adopt(self._resources, self)
         for sample in self.samples:
             if sample.state is SampleState.PENDING:
-                self._pending.add(sample, self.identity.place(sample.position)[0])
-        self._fill()
-
-    def _queue(self, sample):
-        sample.state = SampleState.PENDING
-        self._pending.add(sample, self.identity.place(sample.position)[0])
-
-    def _fill(self):
-        """Keep admissions waiting while there is work, up to a bound."""
-        while self._waiting < min(ADMISSIONS_AHEAD, len(self._pending)):
-            if self.stopping or self.closed or self.over or not self.heard:
-                return
-            self._waiting += 1
-            self.spawn(self._admit())
-
-    async def _admit(self):
-        try:
-            permit = await self._resources.admission.admit(
-                self._resources.view(), self.row, self.deadline
-            )
-            if isinstance(permit, Outcome):
-                await asyncio.sleep(permit.retry_after)
-        finally:
-            self._waiting -= 1
-        if not isinstance(permit, Outcome):
-            self._dispatch(permit)
-        self._fill()
-
-    def _dispatch(self, permit):
-        sample = None if self.stopping or not self.heard else self._pending.pop()
-        if sample is None:
-            permit.release()
-            return
-        attempt, sample.adopted = sample.adopted, None
-        sample.state = SampleState.RUNNING
-        self.make(sample, attempt, permit)
+                self.dispatcher.add(sample)
+        self.dispatcher.fill()
 
     async def _make(self, sample, attempt, permit, once):
         try:
@@ -274,10 +236,10 @@
             logs.changed("steps:fault", error=repr(error), stream=sample.position)
             await asyncio.sleep(PAUSE_AFTER_FAULT)
             if sample.state is SampleState.RUNNING:
-                self._queue(sample)
+                self.dispatcher.add(sample)
         finally:
             permit.release()
-            self._fill()
+            self.dispatcher.fill()
 
     def _finished(self, sample, attempt):
         if sample.state is not SampleState.RUNNING:
@@ -302,7 +264,7 @@
         sample.attempt = None
         sample.generation += 1
         self._cancel_streams(sample)
-        self._queue(sample)
+        self.dispatcher.add(sample)
 
     def _stop(self, sample, kept=0):
         """End the other attempts at a sample; all but ``kept`` tokens are wasted."""
--- a/sassafrasdoor/steps/registry.py
+++ b/sassafrasdoor/steps/registry.py
@@ -96,7 +96,7 @@
         arrived_at = now()
         step = self._steps.get((row.name, name))
         if step is None:
-            return _no_such_step()
+            return no_such_step()
         owner = step.owner
         token = DeliveryToken.parse(fetch.token, owner.spec.sample_count)
         refusal = self._take_note(owner, row, fetch, token)
@@ -109,7 +109,7 @@
         if owner.attach != fetch.attach:
             return _superseded(owner)
         if owner.closed:
-            return _no_such_step()
+            return no_such_step()
         return self._reply(step, fetch, token, arrived_at)
 
     def replied(self, row, name):
@@ -261,5 +261,6 @@
     return Conflict(reason, [Finding("attach", reason)], owner.attach)
 
 
-def _no_such_step():
+def no_such_step():
+    """Return the refusal of what is not owned here."""
     return NoSuchStep("this instance does not own that step")
--- a/sassafrasdoor/steps/spec.py
+++ b/sassafrasdoor/steps/spec.py
@@ -11,6 +11,7 @@
 MAX_PROMPT = 65_536
 MAX_TOKENS = 1_000_000
 MAX_DEADLINE_MS = 24 * 3600 * 1000
+DEFAULT_DEADLINE_MS = 600_000
 MAX_WAIT_MS = 60_000
 MAX_VERSION = 2**53
 MAX_TOKEN_TEXT = 4096
@@ -42,7 +43,7 @@
     groups: list[Group] = Field(min_length=1, max_length=MAX_GROUPS)
     samples_per_group: int = Field(ge=1, le=MAX_SAMPLES)
     max_tokens: int = Field(ge=1, le=MAX_TOKENS)
-    deadline_ms: int = Field(ge=1, le=MAX_DEADLINE_MS)
+    deadline_ms: int = Field(default=DEFAULT_DEADLINE_MS, ge=1, le=MAX_DEADLINE_MS)
     seed: int = Field(default=0, ge=0, le=SAFE_INTEGER)
     token: str = Field(default="", max_length=MAX_TOKEN_TEXT)
 
--- a/sassafrasdoor/steps/stragglers.py
+++ b/sassafrasdoor/steps/stragglers.py
@@ -108,7 +108,7 @@
     def _few_left(self, alone):
         owner = self._owner
         few = max(LAST_AT_LEAST, LAST_SHARE * len(owner.samples))
-        return not owner.waiting and len(alone) <= few
+        return not len(owner.dispatcher.pending) and len(alone) <= few
 
     def _rates(self, elapsed):
         """Return tokens a second of each attempt since the last look."""
--- a/sassafrasdoor/steps/tests/test_delivery.py
+++ b/sassafrasdoor/steps/tests/test_delivery.py
@@ -1,6 +1,8 @@
+import asyncio
 import unittest
 
 from sassafrasdoor.clock import now
+from sassafrasdoor.outcomes import NotRun
 from sassafrasdoor.steps.registry import Conflict, NoSuchStep, Submitted
 from sassafrasdoor.steps.tests.fakes import Bench
 from sassafrasdoor.support import until
@@ -122,8 +124,12 @@
         bench = self.bench()
         service = bench.instance(batch_size=2)
         service.submit(bench.row, bench.spec())
-        await bench.ready(service, 4)
+        await bench.running(service, 4)
+        bench.engines["e1"].frozen = True
+        await bench.ready(service, 2)
         lost = await bench.fetch(service)
+        bench.engines["e1"].frozen = False
+        await bench.ready(service, 4)
         again = await bench.fetch(service)
         self.assertEqual(again["samples"], lost["samples"])
         self.assertEqual(again["counts"]["redelivered"], 2)
@@ -142,6 +148,62 @@
         self.assertEqual(places(late), [(1, 0), (1, 1)])
         self.assertEqual(reply["remaining"], 0)
 
+    async def test_an_older_attachment_acknowledges_nothing(self):
+        """
+        Symptom: a restarted trainer never gets some samples.
+        Sequence: it lost samples and attached anew; a fetch of its old process,
+        whose token names them, comes late.
+        Cause: an older attachment's token was taken for the trainer's.
+        """
+        bench, service = await self.ready()
+        reply = await bench.fetch(service)
+        service.submit(bench.row, bench.spec(attach=2))
+        half = bench.owner(service).taken.union([0, 1]).encode()
+        self.assertIsInstance(await bench.fetch(service, half), Conflict)
+        self.assertEqual(len((await bench.fetch(service, attach=2))["samples"]), 4)
+        self.assertEqual(reply["remaining"], 0)
+
+    async def test_a_drain_answers_waiting_fetches_whole_before_it_ends(self):
+        """
+        Symptom: a planned stop cuts a trainer's fetch.
+        Sequence: a fetch waits; the instance drains; its reply is being written.
+        Cause: a reply was taken for sent once it was composed.
+        """
+        bench = self.bench(length_of=lambda stream: 8)
+        service = bench.instance()
+        service.submit(bench.row, bench.spec())
+        await bench.running(service, 4)
+        waiting = asyncio.ensure_future(bench.fetch(service, wait_ms=30_000))
+        await asyncio.sleep(0)
+        drain = asyncio.ensure_future(service.drain())
+        reply = await waiting
+        self.assertEqual((reply["moved"], reply["samples"]), (True, []))
+        self.assertIsInstance(service.submit(bench.row, bench.spec(step="s2")), NotRun)
+        self.assertFalse(drain.done())
+        service.replied(bench.row, "s1")
+        await drain
+        self.assertEqual(len(bench.all_streams()), 4)
+
+    async def test_nothing_is_started_for_a_trainer_that_hung_up(self):
+        """
+        Symptom: samples made twice after a trainer moved to another instance.
+        Sequence: its fetch times out; it attaches elsewhere; the old owner goes
+        on to start what still waits.
+        Cause: only long silence counted as absence, a closed connection did not.
+        """
+        bench = self.bench(length_of=lambda stream: 2)
+        service = bench.instance()
+        service._resources.admission.slots = 1
+        service.submit(bench.row, bench.spec())
+        owner = await bench.running(service, 1)
+        service.hung_up("trainer", "s1")
+        await bench.ready(service, 1)
+        await until(
+            lambda: owner.dispatcher.idle and not any(s.tasks for s in owner.samples)
+        )
+        self.assertEqual(len(bench.all_streams()), 1)
+        self.assertEqual(len(await bench.collect(service)), 4)
+
     async def test_a_restarted_trainer_that_lost_samples_gets_them_again(self):
         bench, service = await self.ready()
         half = bench.owner(service).taken.union([0, 1]).encode()
@@ -168,8 +230,6 @@
         bench = self.bench()
         service = bench.instance()
         service.submit(bench.row, bench.spec())
-        import asyncio
-
         waiting = asyncio.ensure_future(bench.fetch(service, wait_ms=30_000))
         await bench.running(service, 4)
         service.submit(bench.row, bench.spec(attach=2))
--- a/sassafrasdoor/steps/tests/test_owner.py
+++ b/sassafrasdoor/steps/tests/test_owner.py
@@ -107,6 +107,7 @@
         bench.engines["e1"].cut_next = 1
         bench.engines.tick()
         self.assert_true_labels(bench, await bench.collect(steps))
+        self.assertEqual(owner.samples[0].generation, 1)
 
     async def test_a_second_instance_finishes_what_a_dead_one_started(self):
         """
@@ -151,6 +152,8 @@
         await bench.ready(steps, 4)
         self.assertEqual(len(bench.all_streams()), 4)
         reply = await bench.fetch(steps)
+        await bench.fetch(steps, bench.owner(steps).taken.union([2]).encode())
+        await until(lambda: len(bench.all_streams()) == 3)
         await bench.fetch(steps, reply["token"])
         await until(lambda: not bench.all_streams())
         self.assertEqual(steps.status(), [])
