Read a slow log at all, and say why a state is not confirmed

Cause: a log whose every answer takes longer than the call timeout was never read, as if it were down, and no accepted table came into force for as long as that lasted. Ruled out: a longer timeout at all times, which finds silent connections late. Change: a read that times out doubles the next one's patience, up to 16 times, a good one halves it; appends keep theirs. Outcomes of catch_up name the trouble. Conclusion: slow and down are told apart by what arrives, not by the first timeout.

--- a/sassafrasdoor/log/follower.py
+++ b/sassafrasdoor/log/follower.py
@@ -49,6 +49,7 @@
         "_settings",
         "_started",
         "_state",
+        "_trouble",
         "_usable",
         "may_checkpoint",
         "may_poll",
@@ -72,6 +73,7 @@
         self._callbacks = []
         self._notified = initial
         self._usable = False
+        self._trouble = "too slow"
         self._started = False
         self._reachable = True
         self._first_offset = 0
@@ -149,7 +151,7 @@
             if self._confirmed_at is not None and self._confirmed_at >= asked_at:
                 return self._state
             if passed(deadline):
-                return Unavailable("log did not confirm the state in time")
+                return Unavailable(f"log did not confirm the state: {self._trouble}")
             if not progress:
                 await asyncio.sleep(
                     min(remaining(deadline), self._settings.poll_interval)
@@ -207,6 +209,7 @@
         if found and found.as_of >= expired.first:
             return True
         RECOVERED.inc({"result": "none"})
+        self._trouble = "records have expired and no checkpoint of them is kept"
         return False
 
     def _fold_in(self, record):
@@ -243,6 +246,8 @@
         if reachable != self._reachable:
             reason = "" if reachable else result.reason
             changed("log.reachable", reachable=reachable, reason=reason)
+        if not reachable:
+            self._trouble = result.reason
         self._reachable = reachable
 
     def _note_checkpoint(self, checkpoint):
--- a/sassafrasdoor/log/http.py
+++ b/sassafrasdoor/log/http.py
@@ -11,6 +11,7 @@
 from sassafrasdoor.outcomes import Expired, ReplyLost, Unavailable
 
 MAX_CLIENTS = 20
+LONGEST_PATIENCE = 16
 END = -1
 DOWN = 503
 GONE = 410
@@ -40,10 +41,11 @@
 class HttpLog(PlatformLog):
     """Speaks the platform's wire as ``docs/INTERNALS.md`` has it."""
 
-    __slots__ = ("_client", "_settings")
+    __slots__ = ("_client", "_patience", "_settings")
 
     def __init__(self, settings):
         self._settings = settings.platform
+        self._patience = 1
         self._client = Client(force_instance=True, max_clients=MAX_CLIENTS)
 
     async def append(self, stream, body):
@@ -96,14 +98,19 @@
             self._url(stream) + query,
             follow_redirects=False,
             connect_timeout=self._settings.call_timeout,
-            request_timeout=wait + self._settings.call_timeout,
+            request_timeout=wait + self._patience * self._settings.call_timeout,
             prepare_curl_callback=_reusable,
         )
         try:
             response = await self._client.fetch(request)
+            self._patience = max(1, self._patience // 2)
             BYTES.add({}, len(response.body))
             return _batch(json.loads(response.body))
         except HTTPError as error:
+            if _timed_out(error):
+                # A log that needs longer than the timeout for each answer would
+                # never be read at all, as if it were down. Reading is harmless.
+                self._patience = min(LONGEST_PATIENCE, 2 * self._patience)
             return _read_failed(error)
         except (ValueError, KeyError, TypeError) as error:
             return Unavailable(f"read reply not understood: {error}")
@@ -147,6 +154,10 @@
     return ReplyLost(str(error))
 
 
+def _timed_out(error):
+    return getattr(error, "errno", None) == pycurl.E_OPERATION_TIMEDOUT
+
+
 def _read_failed(error):
     if error.code != GONE:
         return Unavailable(str(error))
--- a/sassafrasdoor/log/tests/test_contract.py
+++ b/sassafrasdoor/log/tests/test_contract.py
@@ -148,6 +148,28 @@
         self.fixture.fault(slow_ms=900)
         self.assertIsInstance(await self.log.append(STREAM, {}), ReplyLost)
 
+    async def test_a_slow_log_is_still_read(self):
+        """
+        Symptom: while the log is slow, no accepted table comes into force.
+        Sequence: each answer takes longer than the timeout, for an hour.
+        Cause: giving up each read at the same point.
+        """
+        offset = await self.log.append(STREAM, {})
+        self.fixture.fault(slow_ms=1200)
+
+        async def found():
+            batch = await self.log.read(STREAM, 1, 5, 0)
+            return batch and batch.records[0].offset == offset
+
+        await until(found, what="an answer")
+
+    async def test_a_log_that_cannot_say_its_end_says_where_it_begins(self):
+        await self.fill(5)
+        self.fixture.fault(retain=2)
+        with mock.patch.object(platform, "NEWEST", None):
+            end = await self.log.end(STREAM)
+        self.assertTrue(await self.log.read(STREAM, end, 5, 0))
+
     async def test_a_proxy_of_the_environment_is_not_used(self):
         with mock.patch.dict(os.environ, {"http_proxy": "http://127.0.0.1:9"}):
             self.assertIsInstance(await self.log.append(STREAM, {}), int)
