--- a/sassafrasdoor/entry/process.py
+++ b/sassafrasdoor/entry/process.py
@@ -84,12 +84,16 @@
     on it. An instance that refused at once would cut them off although another
     would have served them; so it is announced as leaving first, serves until
     the last answer that names it has lapsed, then refuses, then finishes.
+    Other instances go on naming it until the news has reached them, which is
+    what ``drain.spread`` allows for: without it, calls were cut within 20 ms of
+    the end.
     """
     parts.leaving = True
     logs.changed("entry:leaving")
     EVENTS.add("drain-started")
     await parts.link.leave()
-    await asyncio.sleep(remaining(deadline_in(settings.routing.discovery_valid)))
+    lapsed = deadline_in(settings.routing.discovery_valid + settings.drain.spread)
+    await asyncio.sleep(remaining(lapsed))
     parts.requests.refuse_new()
     await parts.steps.drain()
     limit = deadline_in(settings.drain.deadline)
--- a/sassafrasdoor/settings.py
+++ b/sassafrasdoor/settings.py
@@ -87,7 +87,7 @@
         "batch_size": 128,
         "stragglers": "move",
     },
-    "drain": {"deadline": 60.0},
+    "drain": {"deadline": 60.0, "spread": 3.0},
     "tls": {"certificate": "", "private_key": ""},
 }
 
@@ -254,9 +254,10 @@
 
 
 class DrainSettings(Section):
-    """The longest that a planned stop waits for work in progress."""
+    """Planned stops: the longest wait for work, and for the news to spread."""
 
     deadline: float = Field(gt=0)
+    spread: float = Field(ge=0)
 
 
 class TlsSettings(Section):
