--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV = .venv
 BIN = $(VENV)/bin
 
-.PHONY: demo test lint format
+.PHONY: demo test lint format trinacria nkwanta
 
 $(VENV)/ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -13,6 +13,9 @@
 demo: $(VENV)/ready
 	$(BIN)/sassafrasdoor-demo
 
+trinacria nkwanta: $(VENV)/ready
+	$(BIN)/sassafrasdoor-load --deployment samples/$@ --out out/$@
+
 test: $(VENV)/ready
 	$(BIN)/invoke test
 
--- a/sassafrasdoor/cluster.py
+++ b/sassafrasdoor/cluster.py
@@ -99,9 +99,9 @@
 
     def start_engine(self, name, *options, service="assistant", zone=ZONES[0]):
         """Start an engine stand-in that registers itself."""
-        return self._start_backend(
-            "engine", name, service, zone, "--model", MODEL, *options
-        )
+        if "--model" not in options:
+            options = ("--model", MODEL, *options)
+        return self._start_backend("engine", name, service, zone, *options)
 
     def start_service(self, name, *options, service="occupancy", zone=ZONES[0]):
         """Start a plain service stand-in that registers itself."""
--- a/sassafrasdoor/tools/load.py
+++ b/sassafrasdoor/tools/load.py
@@ -6,6 +6,7 @@
 import typer
 from rich.console import Console
 
+from sassafrasdoor import deployments
 from sassafrasdoor.load import profile as profiles, report, run as runs
 from sassafrasdoor.tools.options import USAGE_ERROR, VersionOption
 
@@ -14,33 +15,44 @@
 
 @app.command()
 def run(
-    profile: str = typer.Option(..., help="The JSON profile of the load."),
-    address: list[str] = typer.Option(..., help="An entry instance, host:port."),
+    profile: str = typer.Option("", help="The JSON profile of the load."),
+    address: list[str] = typer.Option([], help="An entry instance, host:port."),
+    deployment: str = typer.Option(
+        "", help="A folder of samples: start its stand-ins and run its load."
+    ),
     out: str = typer.Option("", help="A folder for report.json and the plots."),
     as_json: bool = typer.Option(False, "--json", help="Print the summary as JSON."),
     check: bool = typer.Option(False, "--check", help="Check the profile and end."),
     version: bool = VersionOption,
 ):
     """Run a load. Exit codes: 0 done, 2 usage or an invalid profile."""
-    checked = profiles.load(profile)
-    if not checked:
-        for finding in checked.findings:
-            typer.echo(f"{profile}: {finding}", err=True)
-        raise typer.Exit(USAGE_ERROR)
-    if check:
-        typer.echo(f"{profile}: profile is valid")
-        raise typer.Exit
-    callers, document = asyncio.run(runs.run(checked, address))
+    console = Console(stderr=as_json)
+    if deployment:
+        checked = _valid(deployment, deployments.read(deployment), check)
+        callers, document = asyncio.run(deployments.run(checked, console.print))
+    else:
+        checked = _valid(profile, profiles.load(profile), check)
+        callers, document = asyncio.run(runs.run(checked, address))
     if out:
         report.write(document, callers, out)
     if as_json:
         typer.echo(json.dumps(document))
         return
-    console = Console()
     console.print(report.caller_table(document))
     console.print(report.trainer_table(document))
 
 
+def _valid(path, loaded, check):
+    if not loaded:
+        for finding in loaded.findings:
+            typer.echo(f"{path}: {finding}", err=True)
+        raise typer.Exit(USAGE_ERROR)
+    if check:
+        typer.echo(f"{path}: valid")
+        raise typer.Exit
+    return loaded
+
+
 def main():
     """Run the program."""
     app()
--- a/sassafrasdoor/tools/standin.py
+++ b/sassafrasdoor/tools/standin.py
@@ -2,7 +2,7 @@
 
 import typer
 
-from sassafrasdoor.standin import platform
+from sassafrasdoor.standin import platform, proxy
 from sassafrasdoor.tools import standin_backends
 
 main = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
@@ -16,6 +16,7 @@
 main.command("platform")(platform.command)
 main.command("engine")(standin_backends.engine)
 main.command("service")(standin_backends.service)
+main.command("proxy")(proxy.run)
 
 if __name__ == "__main__":
     main()
