--- a/sassafrasdoor/support.py
+++ b/sassafrasdoor/support.py
@@ -97,6 +97,10 @@
         """Ask for a planned stop (SIGTERM) and return the exit code."""
         self.thaw()
         self.signal(signal.SIGTERM)
+        return self.wait(timeout)
+
+    def wait(self, timeout):
+        """Wait until it has ended by itself and return the exit code."""
         return self._popen.wait(timeout)
 
     def close(self):
