Let a successor to the quota act without waiting for orders

Change: Holder takes settle; the quota passes 0, orders to engines keep theirs. Tests run with a lease of 3 s.

--- a/sassafrasdoor/cluster.py
+++ b/sassafrasdoor/cluster.py
@@ -27,6 +27,7 @@
 
 # Short periods, so that tests wait for conditions and not for production timers.
 QUICK = {
+    "lease": {"duration": 3.0, "renew_interval": 1.0},
     "drain": {"spread": 1.0},
     "membership": {"probe_interval": 0.3, "suspicion_timeout": 1.0},
     "platform": {"poll_interval": 0.2},
--- a/sassafrasdoor/control/quota.py
+++ b/sassafrasdoor/control/quota.py
@@ -72,6 +72,9 @@
             process.follower,
             lease_name(service),
             may_claim=lambda: process.spread.is_chosen(lease_name(service)),
+            # No grant outlives the lease under which it was made, so nothing of
+            # a lapsed holder is under way; the allocator waits for the rest.
+            settle=0.0,
         )
 
     def entry_knows(self, number):
--- a/sassafrasdoor/lease/holder.py
+++ b/sassafrasdoor/lease/holder.py
@@ -36,7 +36,9 @@
     """Holds the lease ``name`` while it can; read ``fence`` right before each use.
 
     ``leases(state)`` finds the leases in the follower's state, and ``may_claim()``
-    says whether this instance is one that ought to claim a free lease.
+    says whether this instance is one that ought to claim a free lease. ``settle``
+    is how many seconds an order of a lapsed holder may still be under way: a
+    successor acts only after them (default: the longest order to an engine).
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "_seen_at",
         "_sent",
         "_settings",
+        "_settle",
         "_was_held",
         "identity",
         "leases",
@@ -66,8 +69,10 @@
         name,
         leases=lambda state: state.leases,
         may_claim=lambda: True,
+        settle=None,
     ):
         self._settings = settings
+        self._settle = settings.weights.order_timeout if settle is None else settle
         self._log = log
         self._follower = follower
         self._name = name
@@ -206,7 +211,7 @@
         if lease.epoch != before.epoch:
             self._acts_from = LONG_AGO
             if not before.released:
-                self._acts_from = lapses_at + self._settings.weights.order_timeout
+                self._acts_from = lapses_at + self._settle
         sent_at = self._sent.pop(lease.claim_id, None)
         if sent_at is not None:
             self._deadline = sent_at + self._settings.lease.duration
