--- /dev/null
+++ b/sassafrasdoor/lease/tests/test_frozen_process.py
@@ -0,0 +1,77 @@
+"""A whole cluster: the process that holds the rollout's lease is stopped and wakes."""
+
+import unittest
+
+from sassafrasdoor import settings
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.cluster import MODEL, Cluster
+from sassafrasdoor.log import agreed
+from sassafrasdoor.log.follower import Follower
+from sassafrasdoor.log.http import HttpLog
+from sassafrasdoor.support import until
+
+LEASE = "weights"
+PATIENCE = 60
+QUICK = {
+    "lease": {"duration": 1.5, "renew_interval": 0.3},
+    "weights": {"order_timeout": 1.0},
+}
+
+
+class FrozenHolderProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = await self.enterAsyncContext(Cluster(QUICK))
+        self.cluster.start_platform()
+        section = {"log_url": self.cluster.platform_url}
+        self.settings = settings.from_document({"platform": section})
+        self.log = HttpLog(self.settings)
+        self.addCleanup(self.log.close)
+        self.reader = Follower(self.settings, self.log, agreed.fold, agreed.Agreed())
+
+    async def lease(self):
+        """Return the rollout's lease as the log has it now, or None."""
+        state = await self.reader.catch_up(deadline_in(PATIENCE))
+        return state.leases.get(LEASE)
+
+    async def at_version(self, version):
+        """Wait until every engine truly runs a version."""
+        for name in self.cluster.backends:
+
+            async def reached(name=name):
+                truth = await self.cluster.truth(name)
+                return truth["versions"].get(MODEL) == version
+
+            await until(reached, PATIENCE, f"{name} at version {version}")
+
+    async def test_engines_of_both_kinds_never_go_back(self):
+        """
+        Symptom: after a rollout an engine runs the version of before.
+        Sequence: the holder's control process is stopped; another takes the
+        lease over and rolls the next version out; the first one wakes.
+        Cause: a holder that acts on what it knew before it was stopped.
+        """
+        cluster = self.cluster
+        cluster.start_engine("checks", "--checks-fencing")
+        cluster.start_engine("ignores", "--no-checks-fencing")
+        await cluster.announce(MODEL, 1)
+        for name in ("entry-1", "entry-2", "entry-3"):
+            cluster.start_instance(name)
+        await self.at_version(1)
+        first = await self.lease()
+        holder = first.holder.partition("/")[0]
+        frozen = next(one for one in cluster.instances if one.name == holder)
+        frozen.control.freeze()
+        await cluster.announce(MODEL, 2)
+        await self.at_version(2)
+        second = await self.lease()
+        self.assertGreater(second.epoch, first.epoch)
+        frozen.control.thaw()
+        await cluster.announce(MODEL, 3)
+        await self.at_version(3)
+        for name in cluster.backends:
+            with self.subTest(name):
+                orders = (await cluster.truth(name))["orders"]
+                applied = [order for order in orders if order["applied"]]
+                for what in ("fence", "version"):
+                    given = [order[what] for order in applied]
+                    self.assertEqual(given, sorted(given))
