Claim no lease again after releasing it

Cause: an instance that stops as planned released its lease, and its loop, still running for the rest of the drain, claimed the free lease at once; its successor then waited for the lease and the longest order. Ruled out: leaving it to callers to stop the loop first; two of them do it differently. Change: release ends claiming and waits for a renewal under way. Measured: the test of a released lease, run on for two renewals, is red without it. Conclusion: a planned stop hands its leases on at once.

--- a/sassafrasdoor/lease/holder.py
+++ b/sassafrasdoor/lease/holder.py
@@ -46,6 +46,7 @@
         "_claiming",
         "_deadline",
         "_follower",
+        "_leaving",
         "_log",
         "_name",
         "_next_claim",
@@ -84,6 +85,7 @@
         self._acts_from = LONG_AGO
         self._next_claim = LONG_AGO
         self._claiming = None
+        self._leaving = False
         self._was_held = False
         # A restarted process is another holder: its predecessor's orders may still
         # be under way and must be fenced off.
@@ -128,7 +130,9 @@
         """Whether to append a claim or a renewal now."""
         self._check_pause()
         self._observe()
-        if self._follower.confirmed_at is None or not clock.passed(self._next_claim):
+        if self._leaving or self._follower.confirmed_at is None:
+            return False
+        if not clock.passed(self._next_claim):
             return False
         if self._is_mine:
             return True
@@ -145,10 +149,16 @@
             self._sent.pop(claim_id, None)
 
     async def release(self):
-        """Give the lease up, so that another may act at once.
+        """Claim no more, and give the lease up so that another may act at once.
 
         Only to be called when no order of ours is under way any more.
         """
+        # Else we would claim what we have just released, and end holding it.
+        self._leaving = True
+        # A renewal under way and the release replace the same claim; the renewal
+        # would come first and the release be rejected.
+        if self._claiming:
+            await asyncio.wait([self._claiming])
         # Before acts_from an earlier holder's orders may still be under way; a
         # successor that saw a release would not wait for them.
         if not self.fence:
--- a/sassafrasdoor/lease/tests/test_holder.py
+++ b/sassafrasdoor/lease/tests/test_holder.py
@@ -128,6 +128,7 @@
     async def test_a_released_lease_passes_on_at_once(self):
         await self.a.turn()
         await self.a.holder.release()
+        await self.bench.run(2 * RENEWAL, self.a)
         self.assertEqual(self.a.holder.fence, 0)
         self.assertGreater(await self.b.turn(), 0)
 
