--- a/sassafrasdoor/admission/tests/test_queues.py
+++ b/sassafrasdoor/admission/tests/test_queues.py
@@ -117,6 +117,22 @@
         self.assertEqual(outcome.reason, "queue too long for the deadline")
         self.assertGreater(outcome.retry_after, 5)
 
+    async def test_who_cannot_end_in_time_is_not_served(self):
+        """Symptom: all slots are busy and hardly any answer comes in time.
+
+        Sequence: a call waits nearly to its deadline, then gets a slot. Cause:
+        the time that the call itself takes was forgotten.
+        """
+        seen = granted(1)
+        permit = (await self.fill(seen, 1))[0]
+        waiting = self.admit(seen, within=5.0)
+        await asyncio.sleep(0)
+        permit._since -= 100.0
+        permit.release()
+        self.assertIsInstance(await waiting, NotRun)
+        self.assertEqual(self.admission.in_use(), {})
+        self.assertTrue(await self.admit(seen, within=5.0))
+
     async def test_waiting_call_that_is_cancelled_loses_no_slot(self):
         """Symptom: a row's throughput falls by one slot now and then, for good.
 
--- a/sassafrasdoor/requests/tests/test_claims.py
+++ b/sassafrasdoor/requests/tests/test_claims.py
@@ -129,6 +129,13 @@
         await until(lambda: stream.owner("k0") is None and not stream._owners)
 
 
+class ClaimNameTest(unittest.TestCase):
+    def test_row_and_key_both_count(self):
+        pairs = [("a", "bc"), ("ab", "c"), ("a", "c"), ("b", "bc")]
+        names = {claims_module.claim_name(*pair) for pair in pairs}
+        self.assertEqual(len(names), len(pairs))
+
+
 class ClaimedKeysTest(unittest.IsolatedAsyncioTestCase):
     async def cluster(self, log=None, **script):
         """Return two instances that know each other, over one log."""
--- a/sassafrasdoor/requests/tests/test_handlers.py
+++ b/sassafrasdoor/requests/tests/test_handlers.py
@@ -73,11 +73,11 @@
             raise_error=False,
         )
 
-    async def send(self, path, body):
+    async def send(self, path, body, length=None):
         """Send a request on a socket of our own; return its two streams."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         head = f"POST /v1/{path} HTTP/1.1\r\nHost: x\r\n"
-        head += f"Content-Length: {len(body)}\r\n\r\n"
+        head += f"Content-Length: {length or len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
         return reader, writer
 
@@ -149,6 +149,11 @@
         self.assertEqual(self.service.calls, [])
         self.assertEqual(self.engine.offsets, [])
 
+    async def test_body_too_long_is_refused_before_it_is_sent(self):
+        reader, writer = await self.send("call/app/", b"", length=LIMIT + 1)
+        self.assertIn(b" 413 ", await reader.readline())
+        writer.close()
+
     async def test_body_without_length_is_bounded_too(self):
         async def produce(write):
             for _ in range(4):
--- a/sassafrasdoor/routing/tests/test_chooser.py
+++ b/sassafrasdoor/routing/tests/test_chooser.py
@@ -4,10 +4,12 @@
 import random
 import unittest
 from collections import Counter
+from unittest import mock
 
 from sassafrasdoor.backends.interface import Answer, Broken, Load
 from sassafrasdoor.outcomes import NotRun, Unavailable
 from sassafrasdoor.requests.tests.fakes import backends, settings, view
+from sassafrasdoor.routing import backend_state
 from sassafrasdoor.routing.chooser import Chooser
 from sassafrasdoor.routing.loads import LoadPoller
 from sassafrasdoor.support import until
@@ -65,6 +67,18 @@
         chooser.finished(backend, DONE)
         self.assertEqual(chooser.load_of(backend), 6 / 8)
 
+    def test_report_forgets_only_what_it_has_seen(self):
+        seen = view(count=1)
+        chooser = chooser_of()
+        backend = seen.backends[0]
+        chooser.report(backend, Load(0, capacity=8))
+        with mock.patch.object(backend_state, "now") as now:
+            for now.return_value in (1000.0, 1010.0):
+                chooser.started(backend)
+            now.return_value = 1011.0
+            chooser.report(backend, Load(4, capacity=8, age=5.0))
+        self.assertEqual(chooser.load_of(backend), 5 / 8)
+
     def test_server_that_fails_fast_attracts_nothing(self):
         """Symptom: most calls fail although one server of three is broken.
 
@@ -73,7 +87,8 @@
         the best. Failures have to count as load.
         """
         seen = view(count=3)
-        chooser = chooser_of(routing={"suspect_backend_for": 0.001})
+        # So short that no rest after a failure hides what failures count as load.
+        chooser = chooser_of(routing={"suspect_backend_for": 1e-9})
         tries = Counter()
         for _ in range(300):
             backend = chooser.choose(seen, "desk")
