--- a/sassafrasdoor/settings.py
+++ b/sassafrasdoor/settings.py
@@ -50,7 +50,7 @@
     "table": {"unconfirmed_grace": 600.0},
     "lease": {"duration": 6.0, "renew_interval": 2.0},
     "weights": {
-        "store_concurrency": 4,
+        "store_concurrency": 32,
         "order_timeout": 10.0,
         "confirm_timeout": 3.0,
         "check_interval": 15.0,
--- a/sassafrasdoor/standin/service.py
+++ b/sassafrasdoor/standin/service.py
@@ -17,28 +17,24 @@
 REDIRECT_TO = "/redirected"
 
 
+OPTIONS = {
+    "capacity": 64,
+    "delay": 0.0,
+    "load_lag": 0.2,
+    "platform": "",
+    "region": "region-1",
+    "service": "service",
+    "zone": "zone-a",
+}
+
+
 class ServiceOptions:
-    """All options of a service stand-in; times are in seconds."""
+    """All options of a service stand-in with their defaults; times in seconds."""
 
-    __slots__ = (
-        "capacity",
-        "delay",
-        "load_lag",
-        "platform",
-        "region",
-        "service",
-        "zone",
-    )
+    __slots__ = tuple(OPTIONS)
 
     def __init__(self, **options):
-        self.capacity = 64
-        self.delay = 0.0
-        self.load_lag = 0.2
-        self.platform = ""
-        self.service = "service"
-        self.zone = "zone-a"
-        self.region = "region-1"
-        for name, value in options.items():
+        for name, value in {**OPTIONS, **options}.items():
             setattr(self, name, value)
 
 
--- a/sassafrasdoor/tools/standin_backends.py
+++ b/sassafrasdoor/tools/standin_backends.py
@@ -31,6 +31,7 @@
     cache_loss: float = typer.Option(0.1, help="Share of cache events lost."),
     keep_done: float = 60.0,
     late: float = 2.0,
+    tick: float = typer.Option(0.02, help="Time between two steps of the batch."),
 ):
     """Stand in for a model engine."""
     options = engine_standin.EngineOptions(
@@ -55,6 +56,7 @@
         cache_loss=cache_loss,
         keep_done=keep_done,
         late=late,
+        tick=tick,
     )
     asyncio.run(engine_standin.serve(options, name, count))
 
--- a/sassafrasdoor/weights/plan.py
+++ b/sassafrasdoor/weights/plan.py
@@ -104,6 +104,8 @@
     swapping = sum(engine.phase is Phase.SWAPPING for engine in engines)
     free = settings.weights.store_concurrency - swapping
     chosen = {}
+    if free <= 0:
+        return []
     for model, version in sorted(view.weights.items()):
         mine = [engine for engine in engines if model in engine.backend.models]
         out = sum(e.phase is not Phase.IDLE or e in chosen for e in mine)
--- a/sassafrasdoor/weights/rollout.py
+++ b/sassafrasdoor/weights/rollout.py
@@ -24,11 +24,14 @@
 from sassafrasdoor.weights.plan import EngineState, Phase, next_swaps
 
 TICK = 0.1
+SHORTEST_TICK = 0.05
 CONFIRM_INTERVAL = 0.25
 """Reports lag, so one asked for at once would show the old version."""
 READS_AT_ONCE = 32
 ORDERS_IN_A_ROW = 3
 MOST_DOUBLINGS = 16
+CHECKS_A_SECOND = 20
+"""Bounds the processor time of checks however many engines there are."""
 SHORTER_CHECKS = 3
 """Engines that ignore fencing numbers are read that many times as often."""
 
@@ -47,6 +50,7 @@
     """Orders swaps while ``holder.fence`` is set; ``view_getter()`` gives the view."""
 
     __slots__ = (
+        "_backends",
         "_behind",
         "_client",
         "_draining",
@@ -69,6 +73,7 @@
         self._view = view_getter
         self._engines = {}
         self._targets = {}
+        self._backends = None
         self._behind = {}
         self._draining = False
         self._fence = 0
@@ -136,6 +141,15 @@
 
     def _follow(self, view):
         """Take over the view's engines and its newest versions."""
+        if view.backends is not self._backends:
+            self._backends = view.backends
+            self._take_engines(view)
+        if self._targets != view.weights:
+            self._targets = dict(view.weights)
+            # Swaps begin with the least busy, which needs reports of now.
+            self._check_all()
+
+    def _take_engines(self, view):
         present = {}
         for backend in view.backends:
             if backend.kind is BackendKind.ENGINE and backend.state is State.ALIVE:
@@ -145,10 +159,6 @@
                 known.backend = backend
                 present[backend.name] = known
         self._engines = present
-        if self._targets != view.weights:
-            self._targets = dict(view.weights)
-            # Swaps begin with the least busy, which needs reports of now.
-            self._check_all()
 
     def _check_all(self):
         for engine in self._engines.values():
@@ -172,11 +182,16 @@
         engine.versions = load.versions
         engine.failed_reads = 0
         engine.in_flight = load.running + load.queued
-        interval = weights.check_interval * random.uniform(0.8, 1.2)
+        engine.check_deadline = clock.deadline_in(self._check_interval(engine))
+        self._wake.set()
+
+    def _check_interval(self, engine):
+        """Return the seconds to the engine's next report when nothing happens."""
+        interval = self._settings.weights.check_interval
         if not engine.backend.checks_fencing:
             interval /= SHORTER_CHECKS
-        engine.check_deadline = clock.deadline_in(interval)
-        self._wake.set()
+        interval = max(interval, len(self._engines) / CHECKS_A_SECOND)
+        return interval * random.uniform(0.8, 1.2)
 
     def _begin(self, swap):
         swap.engine.phase = Phase.SWAPPING
@@ -285,9 +300,10 @@
 
     async def _pause(self):
         """Wait a tick, or less if an engine changed."""
-        self._wake.clear()
         # Not ``wait_for``: on Python 3.11 it swallows a cancellation that comes in
         # the moment of the wake-up, and the task would run on for ever.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(TICK):
                 await self._wake.wait()
+        await asyncio.sleep(SHORTEST_TICK)
+        self._wake.clear()
