List every setting with unit, default and reason

Cause: settings had defaults but no page. Change: docs/SETTINGS.md; a test compares it with DEFAULT, key by key. Ruled out: a generated page without reasons.

--- a/sassafrasdoor/tests/test_settings.py
+++ b/sassafrasdoor/tests/test_settings.py
@@ -1,8 +1,11 @@
 """Settings: defaults hold, and every mistake is reported with its place."""
 
+import json
 import unittest
 
 from sassafrasdoor import settings
+from sassafrasdoor.clock import PauseDetector
+from sassafrasdoor.support import ROOT
 
 
 class SettingsTest(unittest.TestCase):
@@ -29,11 +32,24 @@
             ],
         )
 
+    def test_the_page_lists_every_setting_with_its_default(self):
+        page = (ROOT / "docs" / "SETTINGS.md").read_text("utf-8")
+        for section, values in settings.DEFAULT.items():
+            for key, value in values.items():
+                with self.subTest(setting=f"{section}.{key}"):
+                    line = next(
+                        (
+                            one
+                            for one in page.splitlines()
+                            if f"`{section}.{key}`" in one
+                        ),
+                        "",
+                    )
+                    self.assertIn(f"`{json.dumps(value)}`", line)
+
 
 class PauseDetectorTest(unittest.TestCase):
     def test_a_gap_is_a_pause_until_refreshed(self):
-        from sassafrasdoor.clock import PauseDetector
-
         detector = PauseDetector(limit=0.0)
         self.assertTrue(detector.paused)
         patient = PauseDetector(limit=60.0)
