Try an outage of the log and a caller that leaves in real processes

Cause: that calls go on while nobody can hold the quota's lease was tried with a virtual clock only; reports kept their pace however long grants lived, so a holder of 400 instances would get 400 to 1,333 reports a second. Ruled out: a fixed slower pace: ten instances would wait longer for nothing.

--- a/sassafrasdoor/admission/queues.py
+++ b/sassafrasdoor/admission/queues.py
@@ -232,6 +232,10 @@
         used = {name: queue.in_use for name, queue in self._queues.items()}
         return {name: slots for name, slots in used.items() if slots}
 
+    def allowed(self):
+        """Return ``{row: slots}`` that may be used here now, of the rows in use."""
+        return {name: queue.allowed() for name, queue in self._queues.items()}
+
     def report(self):
         """Return the ``Report`` of this instance for the holder of the quota."""
         grants = (self._view.grants if self._view else None) or {}
--- a/sassafrasdoor/control/quota.py
+++ b/sassafrasdoor/control/quota.py
@@ -19,10 +19,11 @@
 from sassafrasdoor.peers.link import PeerLink
 from sassafrasdoor.view import Grant, View
 
-# A third of a grant's life, so that one lost report does not let it lapse.
+# A third of a grant's life, so that one lost report does not let it lapse. The holder
+# gives longer lives when many report to it, and with them fewer reports.
 REPORTS_IN_GRANT = 3
-# The least time between two reports of which the second wants more.
-HASTE = 0.3
+# The least time between two reports of which the second wants more, as such a part.
+HASTY_REPORTS_IN_GRANT = 10
 
 REPORTS = metrics.counter("quota_reports_total", "Reports sent, by result.")
 
@@ -42,6 +43,7 @@
     __slots__ = (
         "_allocator",
         "_fence",
+        "_life",
         "_link",
         "_planned",
         "_process",
@@ -62,6 +64,7 @@
         self._fence = 0
         self._planned = None
         self._link = None
+        self._life = settings.admission.grant_duration
         self._woken = asyncio.Event()
         self.grants = None
         self.offers = []
@@ -95,13 +98,13 @@
 
     async def run(self):
         """Report to the holder until cancelled."""
-        interval = self._settings.admission.grant_duration / REPORTS_IN_GRANT
         claiming = asyncio.create_task(self.holder.run())
         try:
             while True:
                 await self._report()
-                await asyncio.sleep(HASTE)
-                await _set_within(self._woken, interval - HASTE)
+                haste = self._life / HASTY_REPORTS_IN_GRANT
+                await asyncio.sleep(haste)
+                await _set_within(self._woken, self._life / REPORTS_IN_GRANT - haste)
                 self._woken.clear()
         finally:
             claiming.cancel()
@@ -116,6 +119,9 @@
         REPORTS.inc({"result": type(grants).__name__})
         if grants:
             self.grants = grants
+            # A lease about to end cuts a grant short; reports need not hurry then.
+            shortest = self._settings.admission.grant_duration
+            self._life = max(shortest, grants.deadline - sent_at)
             self._process.quota.offer(self)
 
     async def _ask(self, report, sent_at):
--- a/sassafrasdoor/requests/service.py
+++ b/sassafrasdoor/requests/service.py
@@ -22,6 +22,7 @@
     """Runs applications' requests and keeps the keys of those that run once."""
 
     __slots__ = (
+        "_admission",
         "_calls",
         "_claims",
         "_executions",
@@ -40,6 +41,7 @@
         work = (settings, view_getter, admission, chooser)
         self.settings = settings
         self._view_getter = view_getter
+        self._admission = admission
         self._calls = Calls(*work, service, budget)
         self._streams = Streams(*work, engine, budget)
         self._issuer = Issuer(settings)
@@ -74,6 +76,7 @@
             "in_progress": self._in_progress,
             "refusing": self._refusing,
             "keys": len(self._executions),
+            "slots": self._admission.allowed(),
         }
 
     @contextlib.contextmanager
--- a/sassafrasdoor/requests/tests/test_requests_processes.py
+++ b/sassafrasdoor/requests/tests/test_requests_processes.py
@@ -186,6 +186,19 @@
             await cluster.faults("engine-1", slow=1)
             status, document = await task
             self.assertEqual(status, 200, document)
+        with self.subTest("caller that leaves"):
+            await cluster.faults("engine-1", slow=200)
+            host, port = instance.address.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            body = json.dumps({**ASK, "prompt": "nobody waits for it"})
+            writer.write(
+                f"POST /v1/generate/chat HTTP/1.1\r\nHost: {host}\r\n"
+                f"Authorization: Bearer {KEYS['chat']}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+            )
+            await until(lambda: self.streams_running("engine-1"))
+            writer.close()
+            await until(lambda: self.no_stream_runs("engine-1"))
         truth = await cluster.truth("engine-1")
         starts = [stream["starts"] for stream in truth["streams"].values()]
         self.assertEqual(set(starts), {1})
@@ -195,6 +208,10 @@
         truth = await self.cluster.truth(engine)
         return [one for one in truth["streams"].values() if not one["done"]]
 
+    async def no_stream_runs(self, engine):
+        """Say whether the engine writes nothing any more."""
+        return not await self.streams_running(engine)
+
     async def test_overload_refuses_early_and_truly(self):
         """Symptom: refused calls ran all the same, or all are late.
 
@@ -304,6 +321,40 @@
         self.assertEqual(await self.runs(identity("once", "order-8")), 1)
 
 
+class OutageTest(ProcessCase):
+    async def test_calls_go_on_when_nobody_can_hold_the_quota(self):
+        """Symptom: every call is refused as long as the log is down.
+
+        Sequence: the log is down for longer than the lease of the quota and the
+        grants under it. Cause: grants lapse everywhere and nobody may renew.
+        """
+        cluster = await self.cluster(instances=2, engines=1, services=1)
+        before = await self.slots("idempotent")
+        await cluster.platform_faults(down=True)
+        await until(lambda: self.fallen_back(before))
+        for instance in cluster.instances * 5:
+            reply = await self.ask(instance, "idempotent")
+            self.assertEqual(reply.code, 200, reply.body)
+        await cluster.platform_faults(down=False)
+        await until(lambda: self.recovered(before))
+
+    async def slots(self, row):
+        """Return what the row may use at all instances together."""
+        total = 0
+        for instance in self.cluster.instances:
+            _, status = await self.cluster.get(instance.address, "/v1/status")
+            total += status["requests"]["slots"][row]
+        return total
+
+    async def fallen_back(self, before):
+        """Say whether the grants have lapsed: about half is left."""
+        return await self.slots("idempotent") <= 0.6 * before
+
+    async def recovered(self, before):
+        """Say whether grants are made again."""
+        return await self.slots("idempotent") >= 0.8 * before
+
+
 class LeavingTest(ProcessCase):
     async def test_leaving_server_gets_no_work_with_a_lagging_list(self):
         """Symptom: a server that is leaving gets work until it is gone.
