Take replayed tokens for no speed; measure steps

Ruled out: the largest rate of any window (bursts after a pause feign the same). Change: rates over whole lives and without replay; samples/measure_steps.py; a process test of a planned stop in mid-step. Conclusion: tokens must be counted where they are made, not where they arrive.

--- a/samples/measure_steps.py
+++ b/samples/measure_steps.py
@@ -51,6 +51,7 @@
 LOAD_INTERVAL = 0.2
 SWAP_EVERY = 0.5
 BOUND = 4
+TIGHT_SWAP, TIGHT_BOUND = 0.8, 1
 BACKGROUND = "background"
 
 
@@ -243,12 +244,14 @@
 class World:
     """Engines and instances of one repeat."""
 
-    def __init__(self, seed, chooser=Chooser, mode="off", prefers="staleness"):
+    def __init__(
+        self, seed, chooser=Chooser, mode="off", prefers="staleness", bound=BOUND
+    ):
         self.seed = seed
         self.version = 1
         self.engines = LocalEngines(seed)
         row = {"name": ROW, "kind": "trainer", "service": SERVICE, "model": MODEL}
-        row |= {"staleness_bound": BOUND, "prefers": prefers}
+        row |= {"staleness_bound": bound, "prefers": prefers}
         self.table = table_from({"rows": [{**row, "key_hashes": [key_hash("k")]}]})
         self.row = self.table.rows[0]
         self.settings = settings.from_document({"steps": {"stragglers": mode}})
@@ -284,10 +287,10 @@
                 chooser.report(backend, await self.engines.load(backend))
             await asyncio.sleep(LOAD_INTERVAL)
 
-    async def swap(self):
-        """Announce new weights again and again; engines swap one by one."""
+    async def swap(self, seconds):
+        """Announce new weights again and again; all engines swap at once."""
         while True:
-            await asyncio.sleep(SWAP_EVERY)
+            await asyncio.sleep(seconds)
             self.version += 1
             for batch in self.engines.batches.values():
                 batch.versions[MODEL] = self.version
@@ -370,12 +373,12 @@
     world.engines.batches["e1"].slow = 3.0
 
 
-async def one(seed, arrange, swap=False, order=None, die_at=None, **options):
+async def one(seed, arrange, swap=None, order=None, die_at=None, **options):
     """Make one step in a fresh world; return its ``Result``."""
     world = World(seed, **options)
     arrange(world)
     if swap:
-        world.start(world.swap())
+        world.start(world.swap(swap))
     try:
         return await world.step(order, die_at)
     finally:
@@ -446,11 +449,26 @@
         with patched(owner_module, "RESTART_SHARE", shares):
             name = f"restart below {share} of a sample"
             variants = {name: {"mode": "move"}}
-            results |= await gather(repeats, variants, arrange=even, swap=True)
+            results |= await gather(repeats, variants, arrange=even, swap=SWAP_EVERY)
     show("Weights every half second", results)
 
 
-PARTS = {"stragglers": stragglers, "handover": handover, "preference": preference}
+async def early(repeats):
+    """Streams that hold too old tokens are cut at once, or dropped when done."""
+    common = {"mode": "move", "arrange": even, "swap": TIGHT_SWAP, "bound": TIGHT_BOUND}
+    common["prefers"] = "idle"
+    cut = await gather(repeats, {"cut early (new)": {}}, **common)
+    with patched(owner_module.StepOwner, "worth_restarting", lambda *_: False):
+        late = await gather(repeats, {"drop when done (old)": {}}, **common)
+    show(f"Bound {TIGHT_BOUND}, weights every {TIGHT_SWAP} s", {**late, **cut})
+
+
+PARTS = {
+    "stragglers": stragglers,
+    "handover": handover,
+    "preference": preference,
+    "early": early,
+}
 
 
 async def main(parts, repeats):
--- a/sassafrasdoor/steps/adoption.py
+++ b/sassafrasdoor/steps/adoption.py
@@ -24,7 +24,7 @@
             continue
         sample.generation = best.generation
         sample.visited.add(best.at)
-        sample.adopted = Attempt(best.backend, best.stream, best.generation)
+        sample.adopted = best.attempt()
         owner.counts.resumed += 1
         EVENTS_TOTAL.inc({"kind": "adopted", "row": owner.row.name})
     logs.changed("steps:adopted", row=owner.row.name, streams=len(found))
@@ -47,6 +47,10 @@
         """The stream with its engine."""
         return StreamAt(self.backend, self.stream)
 
+    def attempt(self):
+        """Return an attempt that reads it from its start."""
+        return Attempt(self.backend, self.stream, self.generation, self.offset)
+
     @property
     def merit(self):
         """What makes a stream better than another of the same sample."""
--- a/sassafrasdoor/steps/sample.py
+++ b/sassafrasdoor/steps/sample.py
@@ -8,6 +8,8 @@
 from sassafrasdoor.steps import labels
 from sassafrasdoor.steps.resources import StreamAt
 
+SHORTEST = 0.02
+
 
 class SampleState(Enum):
     """Life of a sample at its owner."""
@@ -62,7 +64,8 @@
 class Attempt:
     """What was received of one stream from one engine, and its labels.
 
-    ``base`` counts the tokens that came from another engine, with its KV cache.
+    ``base`` counts the tokens that came from another engine, with its KV cache;
+    ``found_at`` those that the engine had made before this attempt began.
     """
 
     __slots__ = (
@@ -71,6 +74,7 @@
         "backend",
         "base",
         "breaks",
+        "found_at",
         "generation",
         "offset",
         "oldest",
@@ -78,12 +82,13 @@
         "stream",
     )
 
-    def __init__(self, backend, stream, generation):
+    def __init__(self, backend, stream, generation, found_at=0):
         self.backend = backend
         self.stream = stream
         self.generation = generation
         self.started_at = now()
         self.breaks = 0
+        self.found_at = found_at
         self.restart()
 
     @property
@@ -101,6 +106,16 @@
         """The label of what was received."""
         return labels.union(self._spans)
 
+    @property
+    def progress(self):
+        """Tokens made while this attempt lasts; what is replayed is none."""
+        return max(0, self.offset - max(self.base, self.found_at))
+
+    @property
+    def rate(self):
+        """Tokens a second over its whole life."""
+        return self.progress / max(now() - self.started_at, SHORTEST)
+
     def restart(self):
         """Forget what was received: the engine makes the stream anew."""
         self.base = self.offset = 0
--- a/sassafrasdoor/steps/stragglers.py
+++ b/sassafrasdoor/steps/stragglers.py
@@ -23,7 +23,6 @@
 MOVE_SECONDS = 0.1
 PERMIT_TIMEOUT = 0.05
 SLOWEST = 0.1
-SHORTEST = 0.02
 
 
 class Lengths:
@@ -77,12 +76,11 @@
     def finished(self, attempt):
         """Learn from a finished attempt how fast an engine may be.
 
-        In a short step the others may all be done before two looks lie
-        between their first and last token.
+        Rates are taken over whole lives: a burst after a pause, or the replay
+        of a stream that another owner started, would feign an engine that is
+        faster than any, and everything would be moved there.
         """
-        lasted = max(now() - attempt.started_at, SHORTEST)
-        rate = (attempt.offset - attempt.base) / lasted
-        self._best_rate = max(self._best_rate, rate)
+        self._best_rate = max(self._best_rate, attempt.rate)
 
     def look(self):
         """Start second attempts where they pay; call it often."""
@@ -114,12 +112,12 @@
         """Return tokens a second of each attempt since the last look."""
         running = {one for sample in self._owner.samples for one in sample.running}
         rates = {
-            attempt: max(0, attempt.offset - self._offsets[attempt]) / elapsed
+            attempt: max(0, attempt.progress - self._offsets[attempt]) / elapsed
             for attempt in running & self._offsets.keys()
         }
-        self._offsets = {attempt: attempt.offset for attempt in running}
+        self._offsets = {attempt: attempt.progress for attempt in running}
         self._looked_at = now()
-        self._best_rate = max([self._best_rate, *rates.values()])
+        self._best_rate = max([self._best_rate, *(one.rate for one in running)])
         return rates
 
     def _consider(self, sample, attempt, rate):
--- a/sassafrasdoor/steps/tests/test_steps_processes.py
+++ b/sassafrasdoor/steps/tests/test_steps_processes.py
@@ -33,6 +33,13 @@
 class FixedTrainer(Trainer):
     """Uses the addresses it was given, in their order, and no discovery."""
 
+    __slots__ = ("statuses",)
+
+    async def call(self, *arguments, **options):
+        status, reply = await super().call(*arguments, **options)
+        self.statuses = {*getattr(self, "statuses", ()), status}
+        return status, reply
+
     async def addresses(self, known=()):
         return list(self._seeds)
 
@@ -143,6 +150,31 @@
                 self.assertEqual(run.report.attachments, 2)
                 self.assertGreater(run.report.counts["resumed"], 0)
 
+    async def test_planned_stop_in_the_middle_of_a_step(self):
+        """
+        Symptom: a planned stop cuts a fetch, or samples are made anew.
+        Sequence: the instance that owns a step gets SIGTERM.
+        Cause: it ended before its trainer was sent away, or cut the streams.
+        """
+        cluster = await self.cluster()
+        one, two = cluster.instances
+        stops = []
+
+        async def stop():
+            stops.append(asyncio.ensure_future(asyncio.to_thread(one.stop)))
+
+        trainer = self.trainer(one.address, two.address)
+        long = {"max_tokens": 400}
+        run = trainer.run(document("stop", **long))
+        samples = await self.read(run, 1, stop)
+        await self.truth.note("engine-1", "engine-2")
+        self.judge(run, samples, "stop", **long)
+        self.assertEqual(run.report.attachments, 2)
+        self.assertEqual(run.report.counts["regenerated"], 0)
+        self.assertGreater(run.report.counts["resumed"], 0)
+        self.assertLessEqual(trainer.statuses, {200, 202})
+        self.assertEqual(await stops[0], (0, 0))
+
     async def test_replies_are_lost(self):
         """
         Symptom: the samples of a batch are lost, or come twice.
--- a/sassafrasdoor/steps/tests/test_stragglers.py
+++ b/sassafrasdoor/steps/tests/test_stragglers.py
@@ -86,6 +86,28 @@
         self.assertIn(attempt, first.running)
         self.assertEqual(first.generation, 0)
 
+    async def test_a_replay_is_no_speed(self):
+        """
+        Symptom: after an instance died, the rest of a step is made twice.
+        Sequence: its successor reads the streams from their start, at once.
+        Cause: replayed tokens were taken for tokens made.
+        """
+        bench, steps, owner = await self.started("duplicate")
+        await steps.close()
+        after = bench.instance(stragglers="duplicate")
+        after.submit(
+            bench.row,
+            bench.spec(attach=2, groups=[{"prompt": "one"}], max_tokens=2 * LENGTH),
+        )
+        owner = await bench.running(after, 2)
+        await until(lambda: all(one.tokens == 10 for one in owner.samples))
+        self.assertEqual([one.rate for s in owner.samples for one in s.running], [0, 0])
+        bench.engines.tick(5)
+        await until(lambda: all(one.tokens == 15 for one in owner.samples))
+        self.assertEqual(
+            [one.progress for s in owner.samples for one in s.running], [5, 5]
+        )
+
     async def test_little_done_on_old_weights_is_made_again_by_preference(self):
         """A row that weighs staleness restarts a young stream at a swap."""
         table = [(Preference.STALENESS, {2}), (Preference.IDLE, {1})]
