Honour discovery's validity and the longest wait of a fetch

Cause: a trainer kept an answer of discovery for ever, and asked its seeds alone, which may all have been replaced; steps.fetch_wait had no effect. Ruled out: dropping a lapsed answer (a test lost every address with its seed). Change: a lapsed answer is asked for anew, also at the instances it named; the instance just left is tried last; a fetch waits at most steps.fetch_wait. Measured: client and delivery tests green. Conclusion: known addresses are hints that outlive their validity as hints.

--- a/sassafrasdoor/steps/client.py
+++ b/sassafrasdoor/steps/client.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import json
+import math
 import random
 from urllib.parse import urlencode
 
@@ -80,8 +81,8 @@
     ``patience`` seconds later than that is taken for gone.
     """
 
-    __slots__ = ("_http", "_key", "_seeds", "_zone", "newest_version", "row")
-    __slots__ += ("patience", "wait")
+    __slots__ = ("_http", "_key", "_known", "_seeds", "_zone", "newest_version", "row")
+    __slots__ += ("patience", "valid_until", "wait")
 
     def __init__(
         self,
@@ -94,12 +95,14 @@
         patience=CALL_TIMEOUT,
     ):
         self._seeds = list(addresses)
+        self._known = []
         self._key = key
         self._zone = zone
         self.row = row
         self.newest_version = newest_version
         self.wait = wait
         self.patience = patience
+        self.valid_until = math.inf
         self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
 
     def close(self):
@@ -110,14 +113,19 @@
         """Return the ``StepRun`` of a step (the JSON of a submit, less ``attach``)."""
         return StepRun(self, document, state)
 
-    async def addresses(self, known=()):
-        """Ask the instances which of them to use; fall back to those known."""
+    async def addresses(self):
+        """Ask the instances which of them to use; fall back to those known.
+
+        Those of the last answer are asked too: the seeds may all be replaced.
+        """
         query = urlencode({"row": self.row, "zone": self._zone})
-        asked = [*known, *self._seeds]
+        asked = list(dict.fromkeys([*self._known, *self._seeds]))
         for address in random.sample(asked, len(asked)):
             status, answer = await self.call("GET", address, f"/v1/addresses?{query}")
             if status == 200 and answer.get("addresses"):
-                return [one["address"] for one in answer["addresses"]]
+                self.valid_until = deadline_in(answer["valid_for_ms"] / 1000)
+                self._known = [one["address"] for one in answer["addresses"]]
+                return list(self._known)
         return asked
 
     async def call(self, method, address, path, document=None, wait=0.0):
@@ -152,6 +160,7 @@
         "_attach",
         "_deadline",
         "_document",
+        "_left",
         "_trainer",
         "failure",
         "report",
@@ -164,7 +173,7 @@
         self._trainer = trainer
         self._document = document
         self._attach = state["attach"]
-        self._address = None
+        self._address = self._left = None
         self._addresses = []
         self._deadline = deadline_in(
             document.get("deadline_ms", DEFAULT_DEADLINE_MS) / 1000
@@ -215,7 +224,7 @@
             self._move(status, reply)
             return []
         if reply["moved"]:
-            self._address = None
+            self._left, self._address = self._address, None
         return self._accepted(reply)
 
     async def _fetch(self, wait):
@@ -230,8 +239,10 @@
 
     async def _attached(self):
         """Attach at the next instance; return whether one took the step."""
-        if not self._addresses:
-            self._addresses = await self._trainer.addresses()
+        if not self._addresses or passed(self._trainer.valid_until):
+            # The instance just left may still be named first; the others before it.
+            found = await self._trainer.addresses()
+            self._addresses = sorted(found, key=lambda one: one == self._left)
         address = self._addresses.pop(0)
         self._attach += 1
         document = {
@@ -242,8 +253,8 @@
         }
         path = f"/v1/steps/{self._trainer.row}"
         status, reply = await self._trainer.call("POST", address, path, document)
+        self._address = address
         if status == 202:
-            self._address = address
             self.report.attachments += 1
             return True
         self._move(status, reply)
@@ -252,7 +263,7 @@
 
     def _move(self, status, reply):
         """Leave this instance after a refusal or no reply, or end the run."""
-        self._address = None
+        self._left, self._address = self._address, None
         if reply.get("attach"):
             self._attach = max(self._attach, reply["attach"])
         elif status in (400, 401, 409, 413):
--- a/sassafrasdoor/steps/registry.py
+++ b/sassafrasdoor/steps/registry.py
@@ -207,8 +207,9 @@
 
     async def _something_to_say(self, step, fetch, token):
         owner, attach = step.owner, step.owner.attach
-        deadline = deadline_in(fetch.wait_ms / 1000)
-        heard_again = self._settings.steps.attach_idle / 2
+        steps = self._settings.steps
+        deadline = deadline_in(min(fetch.wait_ms / 1000, steps.fetch_wait))
+        heard_again = steps.attach_idle / 2
         while not (
             self._deliverable(step, fetch, token)
             or owner.over
--- a/sassafrasdoor/steps/tests/test_client.py
+++ b/sassafrasdoor/steps/tests/test_client.py
@@ -19,7 +19,8 @@
         self._servers = servers
 
     def get(self):
-        self.finish({"addresses": [{"address": one.address} for one in self._servers]})
+        addresses = [{"address": one.address} for one in self._servers]
+        self.finish({"addresses": addresses, "valid_for_ms": 0})
 
 
 class Server:
--- a/sassafrasdoor/steps/tests/test_delivery.py
+++ b/sassafrasdoor/steps/tests/test_delivery.py
@@ -251,6 +251,13 @@
         self.assertEqual(held, 4)
         self.assertIsInstance(await bench.fetch(service), NoSuchStep)
 
+    async def test_a_fetch_waits_no_longer_than_the_settings_say(self):
+        bench = self.bench()
+        service = bench.instance(fetch_wait=0.05)
+        service.submit(bench.row, bench.spec())
+        reply = await asyncio.wait_for(bench.fetch(service, wait_ms=60_000), 10)
+        self.assertEqual((reply["samples"], reply["remaining"]), ([], 4))
+
     async def test_cancel_cancels_the_streams(self):
         bench = self.bench(length_of=lambda stream: 8)
         service = bench.instance()
--- a/sassafrasdoor/steps/tests/test_steps_processes.py
+++ b/sassafrasdoor/steps/tests/test_steps_processes.py
@@ -40,7 +40,7 @@
         self.statuses = {*getattr(self, "statuses", ()), status}
         return status, reply
 
-    async def addresses(self, known=()):
+    async def addresses(self):
         return list(self._seeds)
 
 
