Keep a checkpoint in the upper half of the log from its first records on

Cause: a trial that killed every instance soon after a short retention set in found no table afterwards: while nothing had expired the follower did not know how much the log keeps, and wrote its first checkpoint after 200 records. Ruled out: a setting for the retention, which operators would have to keep right. Conclusion: a table is lost only if all instances are down for longer than the log keeps.

--- a/sassafrasdoor/log/follower.py
+++ b/sassafrasdoor/log/follower.py
@@ -280,9 +280,9 @@
     def _checkpoint_sinks(self):
         # The newest checkpoint is gone, or half of what the log keeps has come
         # after it: wait longer and it vanishes, and with it every table whose
-        # record has expired.
-        if not self._first_offset:
-            return False
+        # record has expired. While nothing has expired what the log keeps is not
+        # known, and all that there is counts: had we waited to see the first
+        # record go, the table's might be that record.
         newest = self._checkpoint.as_of if self._checkpoint else 0
         if newest < self._first_offset:
             return True
--- a/sassafrasdoor/log/tests/test_follower.py
+++ b/sassafrasdoor/log/tests/test_follower.py
@@ -262,16 +262,22 @@
 
     async def test_when_a_checkpoint_is_due(self):
         table = [
-            ("enough records", {"checkpoint_every": 3}, 3, 0, True),
-            ("too few records", {"checkpoint_every": 3}, 2, 0, False),
-            ("long ago", {"checkpoint_interval": 1e-6}, 1, 0, True),
-            ("half of retention is past", {}, 8, 3, True),
+            ("enough records", {"checkpoint_every": 3}, 20, 3, 0, True),
+            ("too few records", {"checkpoint_every": 3}, 20, 2, 0, False),
+            ("long ago", {"checkpoint_interval": 1e-6}, 20, 0, 0, True),
+            ("in the upper half of all", {}, 20, 10, 0, False),
+            ("in the lower half of all", {}, 4, 6, 0, True),
+            ("in the lower half of what is kept", {}, 20, 10, 15, True),
+            ("no longer kept", {}, 20, 10, 25, True),
         ]
-        for name, platform, records, expired, due in table:
+        for name, platform, before, after, expired, due in table:
             with self.subTest(name):
                 self.log = MemoryLog()
-                for version in range(1, records + 1):
+                for version in range(before):
                     await self.append(kind="weights", model="m", version=version)
+                await self.checkpoint(await self.caught_up())
+                for version in range(after):
+                    await self.append(kind="weights", model="n", version=version)
                 reader = await self.caught_up(self.follower(settings_with(**platform)))
                 self.log.expire(STREAM, expired)
                 await self.caught_up(reader)
