Keep what arrived apart from what the trainer took

Cause: a trainer's saved state named the whole batch that had arrived; samples not yielded yet were lost at its restart, or when it left the loop midway. Ruled out: batches of one sample (a round trip each). Change: state() names yielded samples; the rest is yielded first on the next loop; cancels have their slots by engine, so that a frozen one holds up no other; a group's prefix is hashed once; process test of silent connections. Measured: the new test is red without the change; program test added. Conclusion: the token on the wire and the state kept are two different things.

--- a/sassafrasdoor/steps/client.py
+++ b/sassafrasdoor/steps/client.py
@@ -14,6 +14,7 @@
 import json
 import math
 import random
+from collections import deque
 from urllib.parse import urlencode
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -21,6 +22,7 @@
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.outcomes import Finding, Rejected, Unavailable
+from sassafrasdoor.steps.report import Report
 from sassafrasdoor.steps.spec import DEFAULT_DEADLINE_MS
 from sassafrasdoor.steps.token import DeliveryToken
 
@@ -33,47 +35,6 @@
 MAX_CLIENTS = 64
 
 
-class Report:
-    """What a trainer measures of a step; times in seconds.
-
-    ``idle`` is the time spent waiting for samples while the step was
-    incomplete; ``staleness`` counts delivered samples by how many versions
-    they were behind the newest one known on arrival.
-    """
-
-    __slots__ = (
-        "attachments",
-        "counts",
-        "duplicates",
-        "duration",
-        "idle",
-        "samples",
-        "staleness",
-        "too_old_on_arrival",
-    )
-
-    def __init__(self):
-        self.attachments = 0
-        self.counts = {}
-        self.duplicates = 0
-        self.duration = 0.0
-        self.idle = 0.0
-        self.samples = 0
-        self.staleness = {}
-        self.too_old_on_arrival = 0
-
-    @property
-    def mean_staleness(self):
-        """Mean number of versions behind the newest, 0 without samples."""
-        total = sum(behind * count for behind, count in self.staleness.items())
-        return total / self.samples if self.samples else 0.0
-
-    def as_dict(self):
-        """Return the report JSON-ready."""
-        fields = {name: getattr(self, name) for name in self.__slots__}
-        return {**fields, "mean_staleness": self.mean_staleness}
-
-
 class Trainer:
     """One row's trainer. ``newest_version`` is what it last published itself.
 
@@ -157,11 +118,13 @@
     __slots__ = (
         "_address",
         "_addresses",
+        "_arrived",
         "_attach",
         "_deadline",
         "_document",
         "_left",
         "_trainer",
+        "_yielded",
         "failure",
         "report",
         "token",
@@ -179,6 +142,8 @@
             document.get("deadline_ms", DEFAULT_DEADLINE_MS) / 1000
         )
         self.token = DeliveryToken.parse(state["token"], size)
+        self._arrived = deque()
+        self._yielded = self.token.union([])
         self.failure = None
         self.report = Report()
 
@@ -188,17 +153,24 @@
         return self.token.complete
 
     def state(self):
-        """Return what a restarted trainer goes on with, JSON-ready."""
-        return {"attach": self._attach, "token": self.token.encode()}
+        """Return what a restarted trainer goes on with, JSON-ready.
+
+        It names the samples that were yielded. Those of a batch that arrived
+        but were not yielded yet would be lost with the process; they come again.
+        """
+        return {"attach": self._attach, "token": self._yielded.encode()}
 
     async def samples(self):
         """Yield each sample once, as it arrives."""
         started = now()
-        while not self.complete and self.failure is None:
+        while self._arrived or not (self.complete or self.failure is not None):
             asked = now()
-            fresh = await self._more()
+            if not self._arrived:
+                self._arrived += await self._more()
             self.report.idle += now() - asked
-            for sample in fresh:
+            while self._arrived:
+                sample = self._arrived.popleft()
+                self._yielded.add(self._position(sample))
                 yield sample
         self.report.duration = now() - started
         if self.complete and self._address:
@@ -286,8 +258,7 @@
             if behind > reply["staleness_bound"]:
                 report.too_old_on_arrival += 1
                 continue
-            group, index = sample["group"], sample["index"]
-            if not self.token.add(group * self._document["samples_per_group"] + index):
+            if not self.token.add(self._position(sample)):
                 report.duplicates += 1
                 continue
             report.samples += 1
@@ -295,3 +266,6 @@
             report.staleness[behind] = report.staleness.get(behind, 0) + 1
             accepted.append(sample)
         return accepted
+
+    def _position(self, sample):
+        return sample["group"] * self._document["samples_per_group"] + sample["index"]
--- a/sassafrasdoor/steps/owner.py
+++ b/sassafrasdoor/steps/owner.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from sassafrasdoor import logs
+from sassafrasdoor.backends.interface import prefix_key
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.steps.adoption import adopt
@@ -29,6 +30,7 @@
     """One step: its samples, the tasks that make them, and what was taken."""
 
     __slots__ = (
+        "_affinities",
         "_reader",
         "_resources",
         "_tasks",
@@ -55,6 +57,7 @@
     def __init__(self, resources, row, spec, token):
         self._resources = resources
         self._reader = Reader(resources, self)
+        self._affinities = {}
         self._tasks = set()
         self._stragglers = Stragglers(resources, self)
         self.dispatcher = Dispatcher(resources, self)
@@ -95,6 +98,13 @@
         group, _ = self.identity.place(position)
         return self.spec.groups[group].prompt
 
+    def affinity(self, position):
+        """Return the name of a sample's prompt prefix; a group shares it."""
+        group, _ = self.identity.place(position)
+        if group not in self._affinities:
+            self._affinities[group] = prefix_key(self.prompt(position))
+        return self._affinities[group]
+
     def newest(self):
         """Return the newest version known, also from the trainer itself."""
         return max(self.stated, self._resources.newest_of(self.row.model))
--- a/sassafrasdoor/steps/reader.py
+++ b/sassafrasdoor/steps/reader.py
@@ -10,7 +10,6 @@
     Chunk,
     Finished,
     StreamOrder,
-    prefix_key,
 )
 from sassafrasdoor.clock import passed
 from sassafrasdoor.outcomes import NotRun, Outcome, Unavailable
@@ -63,7 +62,7 @@
 
     async def _placed(self, sample, excluded):
         row, view = self._step.row, self._resources.view()
-        affinity = prefix_key(self._step.prompt(sample.position))
+        affinity = self._step.affinity(sample.position)
         backend = self._resources.chooser.choose(
             view, row.service, row.model, affinity, exclude=tuple(excluded)
         )
--- a/sassafrasdoor/steps/resources.py
+++ b/sassafrasdoor/steps/resources.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
+from collections import defaultdict
 
 from sassafrasdoor import metrics
 from sassafrasdoor.clock import remaining
 from sassafrasdoor.outcomes import Outcome
 
 CANCEL_RETRY = 1.0
-CANCELS_AT_ONCE = 16
+CANCELS_AT_ONCE = 4
 CANCEL_TRIES = 5
 
 EVENTS_TOTAL = metrics.counter(
@@ -114,7 +115,8 @@
 
     def __init__(self, engine):
         self._engine = engine
-        self._permits = asyncio.Semaphore(CANCELS_AT_ONCE)
+        # For each engine its own: a frozen one must not hold up the others.
+        self._permits = defaultdict(lambda: asyncio.Semaphore(CANCELS_AT_ONCE))
         self._tasks = set()
 
     def cancel(self, streams):
@@ -144,7 +146,7 @@
 
     async def _cancel(self, held):
         for _ in range(CANCEL_TRIES):
-            async with self._permits:
+            async with self._permits[held.backend.address]:
                 result = await self._engine.cancel(held.backend, held.stream)
             if not isinstance(result, Outcome):
                 return
--- a/sassafrasdoor/steps/tests/test_client.py
+++ b/sassafrasdoor/steps/tests/test_client.py
@@ -1,5 +1,8 @@
 import asyncio
+import sys
+import tempfile
 import unittest
+from asyncio.subprocess import PIPE
 
 import tornado.httpserver
 import tornado.netutil
@@ -183,10 +186,19 @@
         self.assertEqual(run.report.counts["regenerated"], 0)
 
     async def test_a_restarted_trainer_goes_on_from_its_state(self):
-        self.serve(batch_size=1)
+        """
+        Symptom: a restarted trainer never gets some samples.
+        Sequence: a batch arrives; the trainer takes two of it, saves its state
+        and restarts.
+        Cause: the state named what had arrived, not what was taken.
+        """
+        server = self.serve()
+        server.steps.submit(self.bench.row, self.bench.spec())
+        await self.bench.ready(server.steps, 4)
         run = self.trainer().run(self.document())
         first = [await anext(run.samples()) for _ in range(2)]
         again = self.trainer().run(self.document(), run.state())
+        self.assertEqual(len(await self.samples_of(run)), 2)
         rest = await self.samples_of(again)
         self.assertEqual(rest, PLACES - {(s["group"], s["index"]) for s in first})
 
@@ -230,6 +242,34 @@
                 self.assertEqual(run.failure.reason, reason)
         self.assertEqual([one.place for one in run.failure.findings], ["more"])
 
+    async def program(self, prompts, *options):
+        """Run the trainer's program; return its exit code and output."""
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write(prompts)
+            file.flush()
+            address = ("--address", self.servers[0].address, "--row", "trainer")
+            module = ("-m", "sassafrasdoor.tools.trainer", file.name)
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, *module, *address, *options, stdout=PIPE, stderr=PIPE
+            )
+            output, _ = await process.communicate()
+        return process.returncode, output.decode()
+
+    async def test_the_program(self):
+        self.serve()
+        good, bad = '["one", "two"]', '{"one": 2}'
+        table = [
+            (good, (), 0, '"complete": true'),
+            (good, ("--key", "wrong"), 1, '"failure": "key"'),
+            (bad, (), 2, ""),
+        ]
+        for prompts, options, code, text in table:
+            with self.subTest(code=code):
+                more = ("--key", KEY, "--samples", "2", "--json", *options)
+                got, output = await self.program(prompts, *more)
+                self.assertEqual(got, code)
+                self.assertIn(text, output)
+
     async def test_statuses_of_refusals(self):
         server = self.serve()
         trainer = self.trainer()
--- a/sassafrasdoor/steps/tests/test_steps_processes.py
+++ b/sassafrasdoor/steps/tests/test_steps_processes.py
@@ -14,7 +14,10 @@
 BOUND = 2
 GENERATIONS = 30
 PLACES = {(group, index) for group in range(4) for index in range(4)}
-SETTINGS = {"steps": {"view_confirm": 1.0, "attach_idle": 8.0}}
+SETTINGS = {
+    "steps": {"view_confirm": 1.0, "attach_idle": 8.0},
+    "requests": {"gap_timeout": 1.0},
+}
 ENGINE = ("--token-rate", "60", "--swap-seconds", "0.1")
 
 
@@ -232,6 +235,24 @@
         self.judge(run, samples, "crash")
         self.assertGreater(run.report.counts["regenerated"], 0)
 
+    async def test_connections_to_an_engine_go_silent(self):
+        """
+        Symptom: a step waits for ever, or makes anew what the engine has.
+        Sequence: open connections to an engine go silent; new ones work.
+        Cause: only a closed connection was taken for a broken one.
+        """
+        cluster = await self.cluster(engines=1)
+
+        async def silence():
+            await cluster.faults("engine-1", silence=True)
+
+        run = self.trainer(cluster.instances[0].address).run(document("silence"))
+        samples = await self.read(run, 1, silence)
+        await self.truth.note("engine-1")
+        self.judge(run, samples, "silence")
+        self.assertGreater(run.report.counts["resumed"], 0)
+        self.assertEqual(run.report.counts["regenerated"], 0)
+
     async def test_swap_in_the_middle_of_a_step(self):
         """
         Symptom: a sample that crossed a swap names one version.
