Read engines before ordering them and tighten the tests that stayed green

Ruled out: forgetting all reports at a new version (the share of serving engines would be counted wrong); two guards of which one never acts (NotSentError, the check for an interim reply: curl reports that itself). Change: an engine whose report is due gets no order before it is read; tests for lagging reports, a new term, dead engines, strange replies, aborts with no timer near, the lease between two orders; both superfluous guards are gone.

--- a/sassafrasdoor/backends/tests/test_service.py
+++ b/sassafrasdoor/backends/tests/test_service.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from sassafrasdoor.backends import transfer
 from sassafrasdoor.backends.http import HttpService
 from sassafrasdoor.backends.interface import Answer, Broken, Call
 from sassafrasdoor.backends.tests.fixtures import BackendsTestCase
@@ -73,7 +74,7 @@
         for repeatable, executions, kind in ((False, 1, Broken), (True, 2, Answer)):
             with self.subTest(repeatable=repeatable):
                 stand_in, backend = self.start_service()
-                first = call("first", repeatable)
+                first = call("first", repeatable=True)
                 self.assertIsInstance(await self.service.call(backend, first), Answer)
                 stand_in.set_faults({"hang_up": 1})
                 result = await self.service.call(backend, call("second", repeatable))
@@ -118,8 +119,12 @@
         """Symptom: capacity of a backend server is gone although nobody calls.
 
         Sequence: the server is silent, the caller leaves, the task is cancelled.
-        Cause: curl asks whether to go on only when bytes move.
+        Cause: curl asks whether to go on only when bytes move or a timer ends;
+        here the only timer, that of the connection, is far away.
         """
+        far = mock.patch.object(transfer, "CONNECT_TIMEOUT", 600.0)
+        far.start()
+        self.addCleanup(far.stop)
         stand_in, backend = self.start_service()
         stand_in.set_faults({"silent": 1})
         task = asyncio.create_task(self.service.call(backend, call(seconds=600)))
--- a/sassafrasdoor/backends/tests/test_stream.py
+++ b/sassafrasdoor/backends/tests/test_stream.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
+from sassafrasdoor.backends import transfer
 from sassafrasdoor.backends.interface import (
     Broken,
     Chunk,
@@ -23,6 +25,7 @@
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.outcomes import NotRun, ReplyLost, Unavailable
 from sassafrasdoor.support import until
+from sassafrasdoor.view import Backend
 
 WHOLE = Finished
 STREAM_CONTRACT = (
@@ -154,8 +157,12 @@
         """Symptom: engines fill up with streams that nobody reads.
 
         Sequence: a reader leaves in the middle of a stream that is silent.
-        Cause: closing the iterator did not end the transfer.
+        Cause: closing the iterator did not end the transfer, or only once a
+        timer of curl's ended; here the only one is far away.
         """
+        far = mock.patch.object(transfer, "CONNECT_TIMEOUT", 600.0)
+        far.start()
+        self.addCleanup(far.stop)
         stand_in, backend = self.start_engine()
         items = self.engine.stream(backend, stream_order("s/1", 4000))
         self.assertIsInstance(await anext(items), Chunk)
@@ -205,21 +212,27 @@
                 self.assertEqual(end.reason, reason)
 
     async def _raw_reply(self, body):
-        async def reply(reader, writer):
-            await reader.readuntil(b"}")
-            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-            writer.write(head.encode() + body)
-            await writer.drain()
-            writer.close()
-
-        server = await asyncio.start_server(reply, "127.0.0.1", 0)
-        _, backend = self.start_engine()
-        backend.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        server, backend = await raw_server(body)
         _, end = await self.read(backend, stream_order())
         server.close()
         return end
 
 
+async def raw_server(body):
+    """Start a server that answers any request with ``body``."""
+
+    async def reply(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(reply, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    return server, Backend("raw", address, "engine", "engines")
+
+
 class OrderContractTest(BackendsTestCase):
     async def test_each_fault_has_its_outcome(self):
         """Symptom: an engine is counted as swapped and serves the old weights.
@@ -243,6 +256,26 @@
     async def _reports(self, backend, version):
         return (await self.engine.load(backend)).versions[MODEL] == version
 
+    async def test_replies_of_another_form_are_no_replies(self):
+        """Symptom: an engine is never looked at again after a strange reply.
+
+        Sequence: its report lacks a field or has another type. Cause: the error
+        ended the task that follows the engine.
+        """
+        for body in (b'{"versions": 7}', b"[]", b"{}", b"not JSON"):
+            with self.subTest(body=body):
+                server, backend = await raw_server(body)
+                order = Order(1, MODEL, 3, "", deadline_in(20))
+                for outcome in (
+                    await self.engine.load(backend),
+                    await self.engine.streams(backend, ""),
+                    await self.engine.cache_events(backend, 0),
+                    await self.engine.export_kv(backend, "s"),
+                    await self.engine.order(backend, order),
+                ):
+                    self.assertIsInstance(outcome, Unavailable)
+                server.close()
+
     async def test_nobody_there(self):
         stand_in, backend = self.start_engine()
         await stand_in.close()
--- a/sassafrasdoor/backends/transfer.py
+++ b/sassafrasdoor/backends/transfer.py
@@ -35,10 +35,6 @@
 }
 
 
-class NotSentError(Exception):
-    """The caller left while the request waited for a handle of the client."""
-
-
 class Request:
     """What to send; ``fresh`` forbids a connection that was used before."""
 
@@ -78,8 +74,6 @@
 
     def prepare(self, curl):
         """Set the options of the handle; called by the client before it sends."""
-        if self._aborted:
-            raise NotSentError
         self._curl = curl
         curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         # Proxies named in the environment would get our callers' requests, and
@@ -104,9 +98,9 @@
 
         Cancelling a task that awaits ``fetch`` leaves the transfer running: the
         server goes on sending and its stream stays open, which steals capacity.
-        curl asks ``_progress`` whether to go on, but on a connection without
-        traffic it does not ask for seconds (five and more were measured).
-        Pausing and continuing makes it ask at once.
+        curl asks ``_progress`` whether to go on, but only when bytes move or one
+        of its timers ends; on a silent connection without a deadline that may be
+        never. Pausing and continuing makes it ask at once.
         """
         self._aborted = True
         if self._curl is None or self.finished:
@@ -118,18 +112,15 @@
     async def response(self):
         """Wait for the end; return the response or ``Broken``. Abort if cancelled."""
         try:
-            response = await asyncio.shield(self._future)
+            return await asyncio.shield(self._future)
         except CurlError as error:
             reason = REASONS.get(error.errno, f"curl error {error.errno}")
             return Broken(reason, self.began)
-        except (ValueError, NotSentError) as error:
+        except ValueError as error:
             return Broken(f"not sent: {error}", self.began)
         except asyncio.CancelledError:
             self.abort()
             raise
-        if response.code < 200:
-            return Broken("no final reply", self.began)
-        return response
 
     def add_done_callback(self, callback):
         """Call ``callback()`` once the transfer has ended."""
@@ -140,7 +131,8 @@
 
     def _connected(self, *ends):
         # Called between the connection's readiness and the first byte of the
-        # request: the one place where "not run" turns into "may have run".
+        # request: the one place where "not run" turns into "may have run". A call
+        # cancelled while it waited for a handle or a connection ends here.
         if self._aborted:
             return pycurl.PREREQFUNC_ABORT
         self.began = True
--- a/sassafrasdoor/weights/plan.py
+++ b/sassafrasdoor/weights/plan.py
@@ -59,8 +59,12 @@
 
     @property
     def is_ready(self):
-        """Whether an order may be sent to it now."""
-        return self.phase is Phase.IDLE and passed(self.retry_deadline)
+        """Whether an order may be sent to it now: idle, with a report of late."""
+        return (
+            self.phase is Phase.IDLE
+            and passed(self.retry_deadline)
+            and not passed(self.check_deadline)
+        )
 
 
 class Swap:
--- a/sassafrasdoor/weights/tests/test_plan.py
+++ b/sassafrasdoor/weights/tests/test_plan.py
@@ -1,5 +1,6 @@
 """Which engines swap next."""
 
+import math
 import unittest
 
 from hypothesis import given, settings as hypothesis_settings, strategies as st
@@ -24,6 +25,7 @@
     made.versions = None if version is None else {model: version}
     made.in_flight = in_flight
     made.phase = phase
+    made.check_deadline = math.inf
     return made
 
 
--- a/sassafrasdoor/weights/tests/test_rollout.py
+++ b/sassafrasdoor/weights/tests/test_rollout.py
@@ -12,8 +12,9 @@
 from sassafrasdoor.log.interface import Record
 from sassafrasdoor.standin import serving
 from sassafrasdoor.support import until
-from sassafrasdoor.view import View
+from sassafrasdoor.view import Backend, View
 from sassafrasdoor.weights import versions
+from sassafrasdoor.weights.plan import EngineState
 from sassafrasdoor.weights.rollout import Rollout
 
 QUICK = {
@@ -76,11 +77,16 @@
 class RolloutTestCase(BackendsTestCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.settings = settings.from_document({"weights": QUICK})
+        self.configure()
         self.view = View()
         self.engines = []
         self.holder = FakeHolder()
 
+    def configure(self, **weights):
+        """Change settings of the rollout."""
+        document = {"weights": {**QUICK, **weights}}
+        self.settings = settings.from_document(document)
+
     def add(self, count=1, **options):
         """Start engines that the view lists."""
         backends = list(self.view.backends)
@@ -130,6 +136,7 @@
         Sequence: its swap fails, is reported late, is reported and never done,
         or the reply is lost. Cause: the reply was believed and not the report.
         """
+        self.configure(check_interval=600.0)
         for version, (faults, orders) in enumerate(FAULTS, 1):
             with self.subTest(faults=faults):
                 self.view, self.engines = View(), []
@@ -150,10 +157,8 @@
         window are given away; more engines fetch at once. Cause: an order without
         a reply was taken for one that ended.
         """
-        self.settings = settings.from_document(
-            {"weights": {**QUICK, "store_concurrency": 1, "order_timeout": 0.3}}
-        )
-        self.add(2, swap_seconds=0.5)
+        self.configure(store_concurrency=1, order_timeout=0.2)
+        self.add(2, swap_seconds=1.0)
         self.announce(1)
         self.run_rollout()
         together = []
@@ -176,27 +181,28 @@
         self.holder.fence = 0
         self.add()
         self.announce(1)
-        self.run_rollout()
-        other = self.run_rollout(FakeHolder(2), view=lambda: self.seen_by_other)
-        self.seen_by_other = self.view
+        idle = self.run_rollout()
+        other = self.run_rollout(FakeHolder(2))
         await self.all_at(1)
         await until(lambda: other.behind == {MODEL: 0})
+        self.assertEqual(idle.behind, {})
         self.assertEqual({order["fence"] for order in self.engines[0].orders}, {2})
 
     async def test_the_lease_is_checked_right_before_each_order(self):
-        """Symptom, sequence and cause as above, at the second order of a swap."""
-        self.add()
-        self.engines[0].set_faults({"fail_swaps": 1})
+        """Symptom: an engine is ordered by a holder whose lease has lapsed.
+
+        Sequence: the reply to an order is lost; the lease lapses; the order is
+        sent again. Cause: the lease was checked before the first order only.
+        """
+        self.configure(order_timeout=0.2)
+        self.add(swap_seconds=600)
         self.announce(1)
         holder = FakeHolder()
-        swaps = self.run_rollout(holder)
+        rollout = self.run_rollout(holder)
         await until(lambda: self.engines[0].orders)
         holder.fence = 0
-        await until(lambda: not swaps._tasks)
+        await until(lambda: not rollout._swapping)
         self.assertEqual(len(self.engines[0].orders), 1)
-        holder.fence = 3
-        await self.all_at(1)
-        self.assertEqual(self.engines[0].orders[-1]["fence"], 3)
 
     async def test_a_holder_frozen_between_check_and_order(self):
         """Symptom: engines go back to an older version long after a rollout.
@@ -216,8 +222,8 @@
                 first = self.run_rollout(FakeHolder(5), frozen, lambda v=frozen_view: v)
                 await until(lambda c=frozen: c.frozen_at)
                 self.announce(2)
-                self.run_rollout(FakeHolder(9), view=lambda v=self.view: v)
-                await self.all_at(2)
+                second = self.run_rollout(FakeHolder(9), view=lambda v=self.view: v)
+                await until(lambda r=second: r.behind == {MODEL: 0})
                 frozen.thawed.set()
                 engine = self.engines[0]
                 await until(lambda e=engine: any(o["fence"] == 5 for o in e.orders))
@@ -270,7 +276,9 @@
         rollout = self.run_rollout()
         await self.all_at(1)
         await until(lambda: rollout.behind == {MODEL: 1})
-        self.view = View(backends=self.view.backends[:3], weights={MODEL: 1})
+        await self.engines.pop().close()
+        await until(lambda: rollout.behind == {MODEL: 2})
+        self.view = View(backends=self.view.backends[:2], weights={MODEL: 1})
         await until(lambda: rollout.behind == {MODEL: 0})
 
     async def test_an_engine_that_restarts_is_brought_up_again(self):
@@ -281,8 +289,8 @@
         """
         self.add()
         self.announce(1)
-        self.run_rollout()
-        await self.all_at(1)
+        rollout = self.run_rollout()
+        await until(lambda: rollout.behind == {MODEL: 0})
         self.engines[0].batch.versions[MODEL] = 0
         await self.all_at(1)
 
@@ -294,9 +302,7 @@
         up with an order under way.
         """
         self.add(2, swap_seconds=0.2)
-        self.settings = settings.from_document(
-            {"weights": {**QUICK, "store_concurrency": 1}}
-        )
+        self.configure(store_concurrency=1)
         self.announce(1)
         rollout = self.run_rollout()
         await until(lambda: any(one.batch.swapping for one in self.engines))
@@ -304,6 +310,7 @@
         swapped = [one.batch.versions[MODEL] for one in self.engines]
         self.assertEqual(sorted(swapped), [0, 1])
         self.assertEqual(sum(len(one.orders) for one in self.engines), 1)
+        self.assertFalse(rollout._may_act())
 
     async def test_a_cancelled_rollout_ends(self):
         """Symptom: a control process never ends its planned stop.
@@ -323,6 +330,73 @@
                     with self.assertRaises(asyncio.CancelledError):
                         await task
 
+    async def test_a_report_that_lags_is_waited_for(self):
+        """Symptom: each engine is ordered several times for each version.
+
+        Sequence: a swap is done; the report still shows the old version. Cause:
+        a report of before was taken for a swap that never was.
+        """
+        self.configure(confirm_timeout=20.0)
+        self.add(load_lag=0.8)
+        self.announce(1)
+        rollout = self.run_rollout()
+        await until(lambda: rollout.behind == {MODEL: 0})
+        self.assertEqual(len(self.engines[0].orders), 1)
+
+    async def test_a_new_term_starts_from_fresh_reports(self):
+        """Symptom: after a takeover engines stay at what another holder ordered.
+
+        Sequence: a holder loses the lease, an engine changes, the holder gets the
+        lease again. Cause: it went on from its reports of before.
+        """
+        self.configure(check_interval=600.0)
+        self.add()
+        self.announce(1)
+        rollout = self.run_rollout()
+        await until(lambda: rollout.behind == {MODEL: 0})
+        self.engines[0].batch.versions[MODEL] = 0
+        self.holder.fence = 2
+        await self.all_at(1)
+
+    async def test_the_least_busy_by_reports_of_now_go_first(self):
+        """Symptom: a rollout stalls streams although other engines are idle.
+
+        Sequence: engines are read while idle; one fills up; a version comes.
+        Cause: the order of swaps was chosen by reports of before.
+        """
+        self.configure(check_interval=600.0, store_concurrency=1)
+        self.add(2)
+        self.announce(1)
+        rollout = self.run_rollout()
+        await until(lambda: rollout.behind == {MODEL: 0})
+        busy, idle = self.engines
+        busy.set_faults({"freeze": True})
+        busy.admit({"stream": "s", "model": MODEL, "prompt": "", "max_tokens": 9})
+        await until(lambda: busy.load()["running"])
+        self.announce(2)
+        await until(lambda: idle.orders[-1]["version"] == 2)
+        self.assertNotEqual(busy.batch.versions[MODEL], 2)
+        await self.all_at(2)
+
+    async def test_checks_between_rollouts_are_bounded(self):
+        """Symptom: the control process grows dear with the number of engines.
+
+        Sequence: nothing happens, all engines are read in turn. Cause: a fixed
+        interval, whatever their number and kind.
+        """
+        self.configure(check_interval=15.0)
+        rollout = Rollout(self.settings, self.engine, self.holder, View)
+        for checks, known, least, most in (
+            (True, 1, 12.0, 18.0),
+            (False, 1, 4.0, 6.0),
+            (False, 600, 24.0, 36.0),
+        ):
+            with self.subTest(checks=checks, known=known):
+                backend = Backend("e", "", "engine", "", checks_fencing=checks)
+                rollout._engines = dict.fromkeys(range(known))
+                interval = rollout._check_interval(EngineState(backend))
+                self.assertTrue(least <= interval <= most, interval)
+
     async def test_the_store_is_down_and_then_slow(self):
         """Symptom: a rollout that met an outage of the store never ends.
 
@@ -330,7 +404,10 @@
         retries gave up, or all came at once and overran it.
         """
         store = type("Store", (WeightStore,), {"broken": True})
-        server, address = serving.listen(Application([("/weights/.*", store)]))
+        application = Application(
+            [("/weights/.*", store)], log_function=lambda handler: None
+        )
+        server, address = serving.listen(application)
         self.addCleanup(server.stop)
         self.add(8, weights_url=f"http://{address}")
         self.announce(1)
