Show load reports, quota and queues on the status page

Cause: an operator who asks why a row starves, or which server still runs old weights, found neither grants nor reported versions on GET /v1/status; and an instance that no log ever confirmed answered with Infinity, which is no JSON. Ruled out: a program of its own for it; the operators' tool has the settings, the client and the tables already. Measured: the tests in entry/tests/test_status.py fail when the versions are not kept and when the age stays infinite. Conclusion: one page answers both questions, also while the log is down.

--- a/sassafrasdoor/admission/queues.py
+++ b/sassafrasdoor/admission/queues.py
@@ -236,6 +236,15 @@
         """Return ``{row: slots}`` that may be used here now, of the rows in use."""
         return {name: queue.allowed() for name, queue in self._queues.items()}
 
+    def status(self):
+        """Return quota and queue of each row used or granted here, JSON-ready."""
+        grants = (self._view.grants if self._view else None) or {}
+        return {
+            name: _grant_status(grants.get(name))
+            | _queue_status(self._queues.get(name))
+            for name in sorted({*grants, *self._queues})
+        }
+
     def report(self):
         """Return the ``Report`` of this instance for the holder of the quota."""
         grants = (self._view.grants if self._view else None) or {}
@@ -250,3 +259,21 @@
         }
         number = max((grant.number for grant in grants.values()), default=0)
         return Report(self._settings.instance.name, self._life, number, rows)
+
+
+def _grant_status(grant):
+    """A grant that nobody distributes shows as ``None``, a lapsed one below 0 s."""
+    return {
+        "granted": grant.slots if grant else None,
+        "fallback": grant.fallback if grant else None,
+        "lapses_in_seconds": round(grant.deadline - now(), 3) if grant else None,
+    }
+
+
+def _queue_status(queue):
+    return {
+        "allowed": queue.allowed() if queue else None,
+        "in_use": queue.in_use if queue else 0,
+        "waiting": queue.waiting if queue else 0,
+        "wanted": queue.wanted() if queue else 0,
+    }
--- a/sassafrasdoor/entry/parts.py
+++ b/sassafrasdoor/entry/parts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 
 from sassafrasdoor.admission.queues import Admission
 from sassafrasdoor.backends.http import HttpEngine, HttpService
@@ -94,13 +95,17 @@
             "instance": self._settings.instance.name,
             "leaving": self.leaving,
             "revision": view.revision,
-            "unconfirmed_seconds": round(view.age, 3),
+            "unconfirmed_seconds": _age(view),
             "weights": view.weights,
             "members": [_member(member) for member in view.members],
-            "backends": [_backend(backend) for backend in view.backends],
+            "backends": [
+                _backend(backend) | self.chooser.status(backend)
+                for backend in view.backends
+            ],
             "steps": self.steps.status(),
             "requests": self.requests.status(),
             "demand": self.admission.demand(),
+            "quota": self.admission.status(),
         }
 
     async def _send_report(self):
@@ -109,6 +114,15 @@
             await asyncio.sleep(REPORT_INTERVAL)
 
 
+def _age(view):
+    """Return seconds since the log confirmed the view; None: it never did.
+
+    Infinity is no JSON: strict readers failed on the page of an instance that
+    started while the log was down, just when an operator looked at it.
+    """
+    return round(view.age, 3) if math.isfinite(view.age) else None
+
+
 def _member(member):
     return {
         "name": member.name,
--- /dev/null
+++ b/sassafrasdoor/entry/tests/test_status.py
@@ -0,0 +1,93 @@
+"""The status page: members, weights by backend server, quota, queues."""
+
+import asyncio
+import json
+import unittest
+
+from sassafrasdoor.backends.interface import Load
+from sassafrasdoor.clock import LONG_AGO, deadline_in
+from sassafrasdoor.entry.parts import Parts
+from sassafrasdoor.requests.tests.fakes import row_document, settings, view
+from sassafrasdoor.support import until
+from sassafrasdoor.tools.status_view import status_grids
+from sassafrasdoor.view import Grant, View
+
+
+class Link:
+    """A link to the control process that has one view."""
+
+    def __init__(self, seen):
+        self.view = seen
+
+
+class StatusTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        grants = {"app": Grant(1, deadline_in(60.0), fallback=1, number=7)}
+        self.seen = view(
+            row_document("app"), grants=grants, weights={"m": 3}, revision=5
+        )
+        self.parts = Parts(settings(), Link(self.seen))
+        self.addAsyncCleanup(self.parts.close)
+
+    async def test_it_names_what_an_operator_asks_for(self):
+        """
+        Symptom: a row starves, or a server runs old weights, and the page does
+        not say where. Sequence: a server reports an old version, another none;
+        one call holds the only slot, one waits. Cause: knowledge that is used
+        for decisions but not shown.
+        """
+        first, second = self.seen.backends
+        self.parts.chooser.report(first, Load(4, capacity=8, versions={"m": 2}))
+        row, admission = self.seen.row("app"), self.parts.admission
+        await admission.admit(self.seen, row, deadline_in(60.0))
+        waiting = asyncio.ensure_future(
+            admission.admit(self.seen, row, deadline_in(60.0))
+        )
+        await until(lambda: admission.demand().get("app") == 2)
+        seen = json.loads(json.dumps(self.parts.status(), allow_nan=False))
+        waiting.cancel()
+        self.assertEqual((seen["revision"], seen["weights"]), (5, {"m": 3}))
+        self.assertEqual([one["name"] for one in seen["members"]], ["entry-1"])
+        servers = {one["name"]: one for one in seen["backends"]}
+        self.assertEqual(servers[first.name]["versions"], {"m": 2})
+        self.assertEqual(servers[first.name]["load"], 0.5)
+        self.assertIsNone(servers[second.name]["report_age_seconds"])
+        quota = seen["quota"]["app"]
+        self.assertGreater(quota.pop("lapses_in_seconds"), 0)
+        self.assertEqual(
+            quota,
+            {
+                "granted": 1,
+                "fallback": 1,
+                "allowed": 1,
+                "in_use": 1,
+                "waiting": 1,
+                "wanted": 2,
+            },
+        )
+        for title, heads, rows in status_grids(seen):
+            with self.subTest(title):
+                self.assertTrue(rows)
+                self.assertEqual({len(one) for one in rows}, {len(heads)})
+
+    async def test_an_instance_that_knows_nothing_yet(self):
+        """
+        Symptom: the page of an instance that started while the log was down is
+        no JSON for strict readers. Sequence: nothing was ever confirmed.
+        Cause: an age of infinity, which JSON has no word for.
+        """
+        self.parts.link.view = View(confirmed_at=LONG_AGO, grants={})
+        seen = json.loads(json.dumps(self.parts.status(), allow_nan=False))
+        self.assertIsNone(seen["unconfirmed_seconds"])
+        self.assertIn("never confirmed", status_grids(seen)[0][0])
+
+    async def test_rows_without_grants_and_without_calls(self):
+        cases = [
+            ("nobody distributes", None, {}),
+            ("granted, no calls yet", self.seen.grants, {"app"}),
+        ]
+        for name, grants, rows in cases:
+            with self.subTest(name):
+                seen = view(row_document("app"), grants=grants)
+                self.parts.admission.renew(seen)
+                self.assertEqual(set(self.parts.admission.status()), set(rows))
--- a/sassafrasdoor/routing/backend_state.py
+++ b/sassafrasdoor/routing/backend_state.py
@@ -22,8 +22,10 @@
         "_reported",
         "_started",
         "_suspect_until",
+        "_taken_at",
         "failures",
         "leaving",
+        "versions",
     )
 
     def __init__(self, capacity):
@@ -34,8 +36,10 @@
         self._missed = 0
         self._reported = None
         self._suspect_until = 0.0
+        self._taken_at = None
         self.failures = 0
         self.leaving = False
+        self.versions = {}
 
     @property
     def in_flight(self):
@@ -57,6 +61,19 @@
         """
         return (self._estimate() + self.failures) / self._capacity
 
+    def status(self):
+        """Return what is known of the server, JSON-ready; ``None``: no report yet."""
+        age = None if self._taken_at is None else round(now() - self._taken_at, 3)
+        return {
+            "versions": self.versions,
+            "report_age_seconds": age,
+            "load": round(self.score, 3),
+            "in_flight": self._in_flight,
+            "failures": self.failures,
+            "suspect": self.suspect,
+            "says_leaving": self.leaving,
+        }
+
     def _estimate(self):
         # A report is true for a moment in the past. What this process started
         # since is missing from it, what it finished since is still in it.
@@ -84,6 +101,8 @@
             while moments and moments[0] <= taken_at:
                 moments.popleft()
         self._missed = 0
+        self._taken_at = taken_at
+        self.versions = load.versions
         self._reported = load.running + load.queued
         self._capacity = max(1, load.capacity)
         self.leaving = load.leaving
--- a/sassafrasdoor/routing/chooser.py
+++ b/sassafrasdoor/routing/chooser.py
@@ -123,6 +123,10 @@
         """Say whether the server itself said that it is leaving."""
         return self._state(backend).leaving
 
+    def status(self, backend):
+        """Return what this process knows of a server, JSON-ready."""
+        return self._state(backend).status()
+
     def _pick(self, candidates, affinity):
         best = min(self._drawn(candidates), key=self._cost)
         if not affinity:
--- a/sassafrasdoor/tools/in_force.py
+++ b/sassafrasdoor/tools/in_force.py
@@ -80,11 +80,17 @@
         used = await asyncio.gather(*map(self._revision, entries.values()))
         return InForce(revision, dict(zip(entries, used, strict=True)))
 
-    async def _revision(self, address):
+    async def status(self, address):
+        """Return the status page of an instance, or ``Unavailable``."""
         scheme = "https" if self._settings.tls.certificate else "http"
         try:
-            status = await self._get(f"{scheme}://{address}/v1/status")
-            return int(status["revision"])
+            return await self._get(f"{scheme}://{address}/v1/status")
+        except NO_ANSWER as error:
+            return Unavailable(f"no status from {address}: {error}")
+
+    async def _revision(self, address):
+        try:
+            return int((await self.status(address))["revision"])
         except NO_ANSWER:
             return None
 
--- a/sassafrasdoor/tools/table.py
+++ b/sassafrasdoor/tools/table.py
@@ -190,6 +190,24 @@
     tool.report.history(state.accepted.decisions)
 
 
+@app.command()
+def status(
+    context: typer.Context,
+    address: str = typer.Option(..., help="An entry instance, host:port."),
+):
+    """Show the system as one instance sees it: members, weights, quota, queues."""
+    tool = context.obj
+    tool.report.status(tool.demand(asyncio.run(_status(tool.settings, address))))
+
+
+async def _status(settings, address):
+    survey = Survey(settings)
+    try:
+        return await survey.status(address)
+    finally:
+        survey.close()
+
+
 @app.command()
 def announce(
     context: typer.Context,
--- a/sassafrasdoor/tools/table_report.py
+++ b/sassafrasdoor/tools/table_report.py
@@ -5,12 +5,13 @@
 from functools import singledispatchmethod
 
 from rich import box
-from rich.console import Console
+from rich.console import Console, Group
 from rich.table import Table as Grid
 from rich.text import Text
 
 from sassafrasdoor.outcomes import Outcome, Rejected, ReplyLost
 from sassafrasdoor.table.publisher import LostRace
+from sassafrasdoor.tools.status_view import status_grids
 
 DONE, REJECTED, NO_ANSWER, NOT_EVERYWHERE = 0, 1, 3, 4
 PIPE_WIDTH = 200
@@ -93,6 +94,10 @@
         heads = ("offset", "author", "base", "decision", "findings")
         self._show(document, _grid("proposals", heads, rows))
 
+    def status(self, seen):
+        """Show an instance's status page."""
+        self._show(seen, Group(*[_grid(*one) for one in status_grids(seen)]))
+
     def announced(self, model, version):
         """Say which version is the newest announced one."""
         document = {"outcome": "announced", "model": model, "version": version}
--- a/sassafrasdoor/tools/tests/test_table.py
+++ b/sassafrasdoor/tools/tests/test_table.py
@@ -166,6 +166,7 @@
             (("announce", "m", 3), 1, "rejected"),
             (("show", "--timeout", 0), 3, "unavailable"),
             (("apply", self.sheet, "--timeout", 0), 3, "unavailable"),
+            (("status", "--address", "127.0.0.1:1"), 3, "unavailable"),
         ]
         for arguments, code, outcome in cases:
             with self.subTest(arguments):
