Refuse bad input at every port with a reason

Cause: a table of bad requests against a real instance found bodies refused with a bare 400 (steps, pages), HTML error pages (discovery, unknown paths with an unknown method), a 500 with a traceback in the process's output for /v1/events?since= with 5,000 digits, refusals of steps without X-Outcome. At the peer ports a stranger could set the hybrid clock by ping before proving a key, stay connected for ever, and peer_broken_total never rose: Cap'n Proto tells a bad frame and a hang-up alike. Ruled out: counting by the exception of on_disconnect (none is raised). Conclusion: bytes that are no HTTP, and a header above 16 KB, still get a bare 400 or a closed connection from the HTTP library.

--- a/sassafrasdoor/clock.py
+++ b/sassafrasdoor/clock.py
@@ -67,6 +67,7 @@
     __slots__ = ("_last", "_wall")
 
     COUNTER_BITS = 16
+    MAX_AHEAD_MS = 24 * 3600 * 1000
 
     def __init__(self, wall=time.time):
         self._wall = wall
@@ -79,5 +80,11 @@
         return self._last
 
     def observe(self, stamp):
-        """Take note of a stamp that came with a message."""
-        self._last = max(self._last, stamp)
+        """Take note of a stamp that came with a message.
+
+        One from far in the future would carry all processes there with it; at
+        the end of 64 bits no message could be sent any more. So it is ignored.
+        """
+        limit = int(self._wall() * 1000) + self.MAX_AHEAD_MS
+        if stamp <= limit << self.COUNTER_BITS:
+            self._last = max(self._last, stamp)
--- a/sassafrasdoor/entry/server.py
+++ b/sassafrasdoor/entry/server.py
@@ -8,12 +8,17 @@
 
 from sassafrasdoor import __version__, metrics
 from sassafrasdoor.events import EVENTS
+from sassafrasdoor.outcomes import Finding
 from sassafrasdoor.security import key_matches, server_context
 
 BEARER = "Bearer "
 MAX_HEADER_BYTES = 16_384
 MAX_KEY_LENGTH = 256
 EVENTS_PAGE = 1000
+MAX_STAMP_DIGITS = 20
+# So much of a body that is too large is read and thrown away, so that its sender
+# gets to read the refusal.
+DISCARDED_BODIES = 16
 
 REFUSED_KEYS = metrics.counter(
     "sassafrasdoor_refused_keys_total", "Calls whose key did not match their row."
@@ -59,14 +64,30 @@
             ("/v1/status", StatusHandler, own),
             ("/v1/events", EventsHandler, own),
         ]
-        return tornado.web.Application(
+        return BoundedApplication(
             pages + self.parts.handlers(),
+            body_limit=self._settings.requests.body_limit,
             default_handler_class=NotFoundHandler,
             authorize=Authorization(self.parts),
             log_function=count_request,
         )
 
 
+class BoundedApplication(tornado.web.Application):
+    """Refuses a body that says itself to be too long, whatever its path.
+
+    Tornado would answer it with a bare 400: the sender would not learn why, and
+    might send it again.
+    """
+
+    def find_handler(self, request, **kwargs):
+        """Return the delegate that serves the request."""
+        length = request.headers.get("Content-Length", "0")
+        if length.isdecimal() and int(length) > self.settings["body_limit"]:
+            return self.get_handler_delegate(request, TooLargeHandler)
+        return super().find_handler(request, **kwargs)
+
+
 def count_request(handler):
     """Count a finished call; Tornado's own line for each call is not logged."""
     CALLS.inc({"handler": type(handler).__name__, "status": str(handler.get_status())})
@@ -103,13 +124,14 @@
         return row
 
 
-def refuse(handler, status, outcome, reason, retry=None):
+def refuse(handler, status, outcome, reason, retry=None, findings=()):
     """Finish a call that did not run, with its reason."""
     handler.set_status(status)
     handler.set_header("X-Outcome", outcome)
     if retry is not None:
         handler.set_header("Retry-After", str(retry))
-    handler.finish({"outcome": outcome, "reason": reason, "findings": []})
+    listed = [finding.as_dict() for finding in findings]
+    handler.finish({"outcome": outcome, "reason": reason, "findings": listed})
 
 
 class PageHandler(tornado.web.RequestHandler):
@@ -123,13 +145,29 @@
         refuse(self, status_code, "rejected", self._reason)
 
 
-class NotFoundHandler(tornado.web.RequestHandler):
+class NotFoundHandler(PageHandler):
     """Answers paths that do not exist."""
 
+    def initialize(self):
+        """There is nothing to be told."""
+
     def prepare(self):
         refuse(self, 404, "rejected", "no such path")
 
 
+@tornado.web.stream_request_body
+class TooLargeHandler(NotFoundHandler):
+    """Refuses a body that is longer than ``requests.body_limit``."""
+
+    def prepare(self):
+        limit = self.application.settings["body_limit"]
+        self.request.connection.set_max_body_size(limit * DISCARDED_BODIES)
+        refuse(self, 413, "rejected", f"the body is longer than {limit} bytes")
+
+    def data_received(self, chunk):
+        """Throw it away."""
+
+
 class HealthHandler(PageHandler):
     """``GET /healthz``: the process runs."""
 
@@ -170,8 +208,9 @@
 
     def get(self):
         text = self.get_query_argument("since", "0")
-        if not text.isdecimal():
-            refuse(self, 400, "rejected", "since: not a whole number")
+        if not text.isdecimal() or len(text) > MAX_STAMP_DIGITS:
+            found = [Finding("since", "not a stamp")]
+            refuse(self, 400, "rejected", "the query is invalid", findings=found)
             return
         events = EVENTS.since(int(text))[:EVENTS_PAGE]
         self.write({"events": [event.as_dict() for event in events]})
--- /dev/null
+++ b/sassafrasdoor/entry/tests/test_bad_input.py
@@ -0,0 +1,305 @@
+"""Bad input at every port of an instance: refused with a reason, and served on."""
+
+import asyncio
+import copy
+import json
+import os
+import unittest
+
+import capnp
+
+from sassafrasdoor import settings as settings_module
+from sassafrasdoor.cluster import KEYS, TABLE, Cluster
+from sassafrasdoor.control import messages
+from sassafrasdoor.outcomes import Unavailable
+from sassafrasdoor.peers.link import PeerLink
+from sassafrasdoor.security import key_hash
+from sassafrasdoor.support import until
+
+BODY_LIMIT = 20_000
+CALL, GENERATE = "/v1/call/idempotent/work", "/v1/generate/chat"
+STEPS, FETCH = "/v1/steps/trainer", "/v1/steps/trainer/step-1/fetch"
+PROMPT = {"prompt": "p", "max_tokens": 2}
+STEP = {
+    "step": "step-1",
+    "attach": 1,
+    "groups": [{"prompt": "p"}],
+    "samples_per_group": 2,
+    "max_tokens": 4,
+}
+OK, WRONG_KEY = KEYS["idempotent"], "wrong-key"
+TRAINER = KEYS["trainer"]
+MANY_DIGITS = "9" * 5000
+LONE_SURROGATE = b'{"prompt": "\\ud800", "max_tokens": 2}'
+DEEP = b"[" * 9000
+
+
+def with_(document, **changes):
+    return {**document, **changes}
+
+
+# method, path, key, headers, body, status, a place among the findings (or none)
+CASES = [
+    ("GET", "/no/such/path", OK, {}, None, 404, ""),
+    ("BREW", "/no/such/path", OK, {}, None, 405, ""),
+    ("POST", "/healthz", "", {}, b"", 405, ""),
+    ("BREW", "/v1/status", "", {}, None, 405, ""),
+    ("POST", "/v1/addresses", "", {}, b"", 405, ""),
+    ("GET", "/v1/addresses?row=%ff", "", {}, None, 400, ""),
+    ("GET", GENERATE, OK, {}, None, 405, ""),
+    ("GET", STEPS, TRAINER, {}, None, 405, ""),
+    ("BREW", CALL, OK, {}, None, 405, ""),
+    ("GET", "/v1/events?since=soon", "", {}, None, 400, "since"),
+    ("GET", "/v1/events?since=-1", "", {}, None, 400, "since"),
+    ("GET", f"/v1/events?since={MANY_DIGITS}", "", {}, None, 400, "since"),
+    ("POST", "/v1/call/nobody/work", OK, {}, b"", 401, ""),
+    ("POST", CALL, WRONG_KEY, {}, b"", 401, ""),
+    ("POST", CALL, TRAINER, {}, b"", 401, ""),
+    ("POST", CALL, "", {}, b"", 401, ""),
+    ("POST", CALL, "", {"Authorization": "Basic eA=="}, b"", 401, ""),
+    ("POST", CALL, "k" * 9000, {}, b"", 401, ""),
+    ("POST", STEPS, OK, {}, STEP, 401, ""),
+    ("DELETE", "/v1/steps/trainer/step-1", OK, {}, None, 401, ""),
+    ("DELETE", "/v1/steps/trainer/step-9", TRAINER, {}, None, 404, ""),
+    ("POST", "/v1/steps/other/step-1/fetch", TRAINER, {}, {"attach": 1}, 401, ""),
+    ("POST", CALL, OK, {"X-Deadline-Ms": "soon"}, b"", 400, "X-Deadline-Ms"),
+    ("POST", CALL, OK, {"X-Deadline-Ms": "-1"}, b"", 400, "X-Deadline-Ms"),
+    ("POST", CALL, OK, {"X-Deadline-Ms": MANY_DIGITS}, b"", 400, "X-Deadline-Ms"),
+    ("POST", CALL, OK, {"X-Deadline-Ms": "0"}, b"", 503, ""),
+    ("POST", CALL, OK, {"X-Repeatable": "maybe"}, b"", 400, "X-Repeatable"),
+    ("POST", CALL, OK, {"Idempotency-Key": "k" * 300}, b"", 400, "Idempotency-Key"),
+    ("POST", CALL, OK, {"Idempotency-Key": "schlüssel"}, b"", 400, "Idempotency-Key"),
+    ("POST", CALL, OK, {}, b"x" * (BODY_LIMIT + 1), 413, ""),
+    ("POST", STEPS, TRAINER, {}, b"x" * (BODY_LIMIT + 1), 413, ""),
+    ("POST", FETCH, TRAINER, {}, b"x" * (BODY_LIMIT + 1), 413, ""),
+    ("GET", "/healthz", "", {}, b"x" * (BODY_LIMIT + 1), 413, ""),
+    ("POST", GENERATE, OK, {}, b"", 400, "(root)"),
+    ("POST", GENERATE, OK, {}, b"{", 400, "(root)"),
+    ("POST", GENERATE, OK, {}, b"\xff\xfe", 400, "(root)"),
+    ("POST", GENERATE, OK, {}, DEEP, 400, "(root)"),
+    ("POST", GENERATE, OK, {}, LONE_SURROGATE, 400, "(root)"),
+    ("POST", GENERATE, OK, {}, [], 400, "(root)"),
+    ("POST", GENERATE, OK, {}, with_(PROMPT, prompt=1), 400, "prompt"),
+    ("POST", GENERATE, OK, {}, with_(PROMPT, max_tokens="2"), 400, "max_tokens"),
+    ("POST", GENERATE, OK, {}, with_(PROMPT, max_tokens=10**30), 400, "max_tokens"),
+    ("POST", GENERATE, OK, {}, with_(PROMPT, colour=1), 400, "colour"),
+    ("POST", STEPS, TRAINER, {}, b"{", 400, "(root)"),
+    ("POST", STEPS, TRAINER, {}, DEEP, 400, "(root)"),
+    ("POST", STEPS, TRAINER, {}, with_(STEP, step="a/b"), 400, "step"),
+    ("POST", STEPS, TRAINER, {}, with_(STEP, attach=0), 400, "attach"),
+    ("POST", STEPS, TRAINER, {}, with_(STEP, attach="1"), 400, "attach"),
+    ("POST", STEPS, TRAINER, {}, with_(STEP, groups=[]), 400, "groups"),
+    ("POST", STEPS, TRAINER, {}, with_(STEP, groups=[{}]), 400, "groups.0.prompt"),
+    ("POST", STEPS, TRAINER, {}, with_(STEP, token="*"), 400, "token"),
+    ("POST", STEPS, TRAINER, {}, with_(STEP, token="AAAA"), 400, "token"),
+    ("POST", STEPS, TRAINER, {}, with_(STEP, token="/w=="), 400, "token"),
+    ("POST", STEPS, TRAINER, {}, with_(STEP, seed=-1), 400, "seed"),
+    (
+        "POST",
+        STEPS,
+        TRAINER,
+        {},
+        with_(STEP, samples_per_group=10**6),
+        400,
+        "samples_per_group",
+    ),
+    ("POST", FETCH, TRAINER, {}, {"attach": 1, "token": "*"}, 400, "token"),
+    ("POST", FETCH, TRAINER, {}, {"attach": 1, "wait_ms": -1}, 400, "wait_ms"),
+    ("POST", "/v1/steps/trainer/step-9/fetch", TRAINER, {}, {"attach": 1}, 404, ""),
+]
+
+# Bytes that are no request Tornado would hand to a handler.
+GARBAGE = {
+    "no HTTP at all": b"\x00\xff\x16\x03\x01 garbage\r\n\r\n",
+    "a request line cut short": b"GET\r\n\r\n",
+    "no version": b"GET / FTP/9.9\r\nHost: x\r\n\r\n",
+    "a header without a colon": b"GET / HTTP/1.1\r\nHost: x\r\nnonsense\r\n\r\n",
+    "two lengths": b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+    b"Content-Length: 2\r\n\r\nxx",
+    "a negative length": b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+    "a length and chunks": b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "a bad chunk": b"POST /v1/generate/chat HTTP/1.1\r\nHost: x\r\n"
+    b"Authorization: Bearer " + OK.encode() + b"\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+    "an oversize header": b"GET /healthz HTTP/1.1\r\nX: " + b"x" * 70_000 + b"\r\n\r\n",
+}
+
+FRAMES = {
+    "garbage": os.urandom(64),
+    "HTTP": b"GET / HTTP/1.1\r\n\r\n",
+    "a claim of 4 GB": b"\x00\x00\x00\x00\xff\xff\xff\x1f" + b"x" * 64,
+    "half a million segments": b"\xff\xff\x07\x00" + b"\x01" * 64,
+    "a frame cut short": b"\x00\x00\x00\x00\x10\x00\x00\x00\x00",
+}
+DATAGRAMS = [b"", b"\x00", b"\xff", b"\x10" + b"x" * 40, os.urandom(1200), b"x" * 9000]
+TRACES = ("Traceback", "Exception", "Error:", 'File "')
+
+
+class OneInstance:
+    """A cluster of one instance, one engine and one service."""
+
+    async def start(self, **settings):
+        self.cluster = await self.enterAsyncContext(Cluster(settings))
+        await self.cluster.start(instances=1, engines=1)
+        self.instance = self.cluster.instances[0]
+        self.address = self.instance.address
+
+    async def answered(self):
+        """Whether a good call is answered, so that the instance serves on."""
+        status, _ = await self.cluster.post(self.address, CALL, {}, OK)
+        return status == 200
+
+    def assert_quiet(self):
+        for process in (self.instance.entry, self.instance.control):
+            self.assertIsNone(process.returncode)
+            for line in process.output:
+                self.assertFalse([t for t in TRACES if t in line], line)
+
+    async def counted(self, name):
+        """The sum of a counter on the entry's page."""
+        page = await self.cluster.raw("GET", self.address, "/metrics")
+        lines = page.body.decode().splitlines()
+        return sum(float(x.split()[-1]) for x in lines if x.startswith(name))
+
+
+async def sent(address, data, half_close=True):
+    """Send raw bytes; return all that comes back until the other end closes."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    received = b""
+    try:
+        writer.write(data)
+        if half_close:
+            writer.write_eof()
+        async with asyncio.timeout(10):
+            received = await reader.read()
+    except ConnectionError:
+        pass
+    finally:
+        writer.close()
+    return received
+
+
+class BadInputTest(OneInstance, unittest.IsolatedAsyncioTestCase):
+    async def test_callers_port(self):
+        """Symptom: a bad request kills a process, or its sender reads a traceback.
+
+        Sequence: each bad request once, then a good one.
+        Cause: input used before it was checked, or checked without a reason.
+        """
+        await self.start(requests={"body_limit": BODY_LIMIT})
+        status, _ = await self.cluster.post(self.address, STEPS, STEP, TRAINER)
+        self.assertEqual(status, 202)
+        for method, path, key, headers, body, status, place in CASES:
+            with self.subTest(f"{method} {path[:40]}", sent=str((headers, body))[:60]):
+                await self.refused(method, path, key, headers, body, status, place)
+        for name, data in GARBAGE.items():
+            with self.subTest(name):
+                answer = await sent(self.address, data)
+                self.assertNotIn(b"Traceback", answer)
+                self.assertIn(answer[:12], (b"", b"HTTP/1.1 400"), answer)
+        self.assertTrue(await self.answered())
+        self.assert_quiet()
+
+    async def refused(self, method, path, key, headers, body, status, place):
+        document = body if isinstance(body, dict | list) else None
+        raw = json.dumps(body).encode() if document is not None else body
+        reply = await self.request(method, path, key, headers, raw)
+        self.assertEqual(reply.code, status, reply.body)
+        answer = json.loads(reply.body)
+        self.assertIn("json", reply.headers["Content-Type"])
+        expected = "not-run" if status == 503 else "rejected"
+        self.assertEqual(answer["outcome"], expected)
+        self.assertEqual(reply.headers["X-Outcome"], expected)
+        self.assertTrue(answer["reason"])
+        self.assertNotIn("Traceback", reply.body.decode())
+        places = [finding["place"] for finding in answer["findings"]]
+        self.assertTrue(place in places if place else not places, places)
+
+    async def request(self, method, path, key, headers, body):
+        lines = [f"{method} {path} HTTP/1.1", "Host: x", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if key:
+            lines.append(f"Authorization: Bearer {key}")
+        if body is not None:
+            lines.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        answer = await sent(self.address, head.encode() + (body or b""), False)
+        return Reply(answer)
+
+
+class Reply:
+    """The parts of a raw HTTP answer."""
+
+    def __init__(self, data):
+        head, _, self.body = data.partition(b"\r\n\r\n")
+        first, *lines = head.decode("latin-1").split("\r\n")
+        self.code = int(first.split()[1]) if first else 0
+        self.headers = dict(line.split(": ", 1) for line in lines)
+
+
+class KeyRotationTest(OneInstance, unittest.IsolatedAsyncioTestCase):
+    async def test_old_key_ends_with_the_table(self):
+        """Symptom: a key that was taken away still opens, or rotation cuts callers.
+
+        Sequence: a table with both hashes, then one with the new hash alone.
+        Cause: a row whose keys outlive the table that named them.
+        """
+        await self.start()
+        status, seen = await self.cluster.get(self.address, "/v1/status")
+        self.assertEqual(status, 200)
+        base = seen["revision"]
+        steps = [
+            ([OK, "new-key"], {OK: 200, "new-key": 200}),
+            (["new-key"], {OK: 401, "new-key": 200}),
+        ]
+        for number, (keys, expected) in enumerate(steps):
+            table = copy.deepcopy(TABLE)
+            table["rows"][1]["key_hashes"] = [key_hash(key) for key in keys]
+            base = await self.cluster.propose(table, base, f"rotation-{number}")
+            await until(lambda base=base: self.in_force(base), what="the new table")
+            for key, code in expected.items():
+                status, _ = await self.cluster.post(self.address, CALL, {}, key)
+                self.assertEqual(status, code, (keys, key))
+
+    async def in_force(self, revision):
+        _, seen = await self.cluster.get(self.address, "/v1/status")
+        return seen["revision"] == revision
+
+
+class PeerPortsTest(OneInstance, unittest.IsolatedAsyncioTestCase):
+    async def test_garbage_ends_its_connection_only(self):
+        """Symptom: a port scan of the instances ends their processes.
+
+        Sequence: bad frames at the peer and the control port, bad datagrams at
+        the gossip port, then a good call.
+        Cause: a frame trusted for its own length, or an error left to spread.
+        """
+        await self.start()
+        ready = self.instance.control.ready
+        peer = self.instance.entry.ready["peer"]
+        for port in (peer, ready["control"]):
+            for name, frame in FRAMES.items():
+                with self.subTest(name, port=port):
+                    self.assertNotIn(b"Traceback", await sent(port, frame))
+        self.assertGreater(await self.counted("peer_broken_total"), 0)
+        loop = asyncio.get_running_loop()
+        host, port = ready["gossip"].split(":")
+        transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=(host, int(port))
+        )
+        for datagram in DATAGRAMS:
+            transport.sendto(datagram)
+        transport.close()
+        for keys in ([], ["another-key-for-peers"]):
+            document = {"membership": {"peer_keys": keys}}
+            link = PeerLink(
+                settings_module.from_document(document),
+                ready["control"],
+                messages.SCHEMA.Control,
+            )
+            async with capnp.kj_loop():
+                self.assertIsInstance(await link.open(), Unavailable)
+        self.assertTrue(await self.answered())
+        self.assert_quiet()
--- a/sassafrasdoor/peers/server.py
+++ b/sassafrasdoor/peers/server.py
@@ -14,10 +14,15 @@
 # A frame may claim any size. Above 8 MB (counted in words of 8 bytes) the
 # connection ends, so that a forged header can't claim the process's memory.
 MESSAGE_LIMIT_WORDS = 1 << 20
+# Whoever connects and proves no key within this time is cut off: idle strangers
+# would otherwise take all file descriptors, and peers could not connect.
+PROOF_TIMEOUT = 5.0
 
 ACCEPTED = metrics.counter("peer_connections_total", "Connections accepted.")
 REFUSED = metrics.counter("peer_refusals_total", "Peers without a valid key.")
-BROKEN = metrics.counter("peer_broken_total", "Connections ended by a bad frame.")
+BROKEN = metrics.counter(
+    "peer_broken_total", "Connections that ended before a key was proved."
+)
 
 
 class _Door(SCHEMA.Door.Server):
@@ -27,6 +32,7 @@
         self._keys = keys
         self._capability = capability
         self._nonce = proof.nonce()
+        self.passed = False
 
     async def challenge(self, nonce, _context, **_):
         results = _context.results
@@ -37,10 +43,13 @@
         if not proof.client_proved(self._keys, self._nonce, caller, stamp, mac):
             REFUSED.inc({})
             raise PermissionError("no valid peer key")
+        self.passed = True
         EVENTS.clock.observe(stamp)
         return self._capability, EVENTS.clock.stamp()
 
     async def ping(self, stamp, _context, **_):
+        if not self.passed:
+            raise PermissionError("no valid peer key")
         EVENTS.clock.observe(stamp)
         return EVENTS.clock.stamp()
 
@@ -82,20 +91,29 @@
         ACCEPTED.inc({})
         task = asyncio.current_task()
         self._connections.add(task)
+        door = _Door(self._keys, self._capability)
         server = capnp.TwoPartyServer(
             stream,
-            bootstrap=_Door(self._keys, self._capability),
+            bootstrap=door,
             traversal_limit_in_words=MESSAGE_LIMIT_WORDS,
         )
+        timer = asyncio.get_running_loop().call_later(
+            PROOF_TIMEOUT, _cut_off, door, stream
+        )
         try:
             await server.on_disconnect()
         except capnp.KjException:
             # A truncated or garbage frame: it ends this connection and no other.
-            BROKEN.inc({})
+            pass
         except asyncio.CancelledError:
             # Only close() cancels; pycapnp prints a traceback for a cancelled task.
             pass
         finally:
+            timer.cancel()
+            # Cap'n Proto tells a bad frame and a hang-up alike; a stranger's bytes
+            # show by the proof that never came.
+            if not door.passed:
+                BROKEN.inc({})
             self._connections.discard(task)
             server.close()
             stream.close()
@@ -107,3 +125,8 @@
         for task in list(self._connections):
             task.cancel()
         await asyncio.gather(*self._connections, return_exceptions=True)
+
+
+def _cut_off(door, stream):
+    if not door.passed:
+        stream.close()
--- a/sassafrasdoor/peers/tests/test_link.py
+++ b/sassafrasdoor/peers/tests/test_link.py
@@ -1,6 +1,7 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 import capnp
 
@@ -100,6 +101,9 @@
         with self.assertRaises(capnp.KjException):
             await door.enter(caller="x", stamp=5, mac=recorded)
         self.assertEqual(count(REFUSED), before + 1)
+        with self.assertRaises(capnp.KjException):
+            await door.ping(stamp=1 << 60)
+        self.assertLess(EVENTS.clock.stamp(), 1 << 60)
         stream.close()
         await server.close()
 
@@ -160,11 +164,33 @@
                 await until(
                     lambda: server.connections == 1, what="the bad connection's end"
                 )
-                self.assertGreaterEqual(count(BROKEN), before)
+                self.assertGreater(count(BROKEN), before)
                 self.assertTrue(await link.call("leave", stamp=1))
         link.close()
         await server.close()
 
+    @on_kj_loop
+    async def test_stranger_who_proves_nothing_is_cut_off(self):
+        """Symptom: peers cannot connect, for the process is out of descriptors.
+
+        Sequence: strangers connect and say nothing; a peer with a key is idle.
+        Cause: a connection may stay without proof for as long as it likes.
+        """
+        server = await self.serve("key")
+        link = self.link(server.address, "key")
+        before = count(BROKEN)
+        with mock.patch("sassafrasdoor.peers.server.PROOF_TIMEOUT", 0.2):
+            await link.open()
+            host, _, port = server.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            self.assertEqual(await reader.read(), b"")
+        await until(lambda: server.connections == 1, what="only the peer left")
+        self.assertEqual(count(BROKEN), before + 1)
+        self.assertTrue(await link.ping())
+        writer.close()
+        link.close()
+        await server.close()
+
     @on_kj_loop
     async def test_run_reconnects(self):
         server = await self.serve()
--- a/sassafrasdoor/routing/discovery.py
+++ b/sassafrasdoor/routing/discovery.py
@@ -45,6 +45,14 @@
         self._view_getter = view_getter
         self._requests = requests
 
+    def write_error(self, status_code, **kwargs):
+        """Answer a failure without a traceback."""
+        self._refuse("rejected", self._reason)
+
+    def _refuse(self, outcome, reason):
+        self.set_header("X-Outcome", outcome)
+        self.finish({"outcome": outcome, "reason": reason, "findings": []})
+
     def get(self):
         """Answer with addresses, their validity and a prefix for keys."""
         row = self.get_query_argument("row", "")[:MAX_ARGUMENT]
@@ -54,7 +62,7 @@
         if not members:
             self.set_status(503)
             self.set_header("Retry-After", str(RETRY_AFTER))
-            self.finish({"outcome": "not-run", "reason": "no instance known yet"})
+            self._refuse("not-run", "no instance known yet")
             return
         ANSWERS.inc({})
         self.finish(
--- a/sassafrasdoor/steps/handlers.py
+++ b/sassafrasdoor/steps/handlers.py
@@ -53,6 +53,7 @@
 
     def write_error(self, status_code, **kwargs):
         """Answer a failure without a traceback."""
+        self.set_header("X-Outcome", "rejected")
         self.finish({"outcome": "rejected", "reason": self._reason, "findings": []})
 
 
