Say what a new or removed row holds in a diff

Cause: the diff of a first table read 'kind: None -> application; model: None ->' for each cell, with whole key hashes: a newcomer's first look was at eight lines of None and 64 hexadecimal digits. Ruled out: leaving cells out; an operator checks a new row by seeing all of them. Change: 'new row: kind application, ...' and 'removed row: ...'; hashes by their first eight characters. The JSON form is as before. Conclusion: read at a glance; the test asks for no None in it.

--- a/sassafrasdoor/tools/table_report.py
+++ b/sassafrasdoor/tools/table_report.py
@@ -15,6 +15,7 @@
 
 DONE, REJECTED, NO_ANSWER, NOT_EVERYWHERE = 0, 1, 3, 4
 PIPE_WIDTH = 200
+HASH_SHOWN = 8
 SHOWN = (
     "name",
     "kind",
@@ -177,7 +178,22 @@
 
 
 def _cells(fields):
-    return "; ".join(f"{name}: {old} -> {new}" for name, (old, new) in fields.items())
+    """Say what changes; of a row added or removed only what it holds."""
+    added = all(old is None for old, _ in fields.values())
+    removed = all(new is None for _, new in fields.values())
+    if fields and (added or removed):
+        cells = (f"{name} {_short(pair[added])}" for name, pair in fields.items())
+        return f"{'new' if added else 'removed'} row: {', '.join(cells)}"
+    return "; ".join(
+        f"{name}: {_short(old)} -> {_short(new)}" for name, (old, new) in fields.items()
+    )
+
+
+def _short(value):
+    """Return a cell's text; a key's hash by its first characters."""
+    if isinstance(value, list):
+        return " ".join(f"{one[:HASH_SHOWN]}.." for one in value)
+    return str(value) or "-"
 
 
 def _shares(change):
--- a/sassafrasdoor/tools/tests/test_table.py
+++ b/sassafrasdoor/tools/tests/test_table.py
@@ -194,6 +194,13 @@
         shown = CliRunner().invoke(app, ["--platform", self.url, "show"])
         self.assertIn("boards", shown.stdout)
         self.assertIn("by [anna]", shown.stdout)
+        edited = table(5.0)
+        edited["rows"] += [{**edited["rows"][0], "name": "wording", "model": ""}]
+        path = self.write(edited, "more.json")
+        compared = CliRunner().invoke(app, ["--platform", self.url, "diff", path])
+        self.assertIn("weight: 1.0 -> 5.0", compared.stdout)
+        self.assertIn("new row: kind application", compared.stdout)
+        self.assertNotIn("None", compared.stdout)
         bad = self.write(table(-1.0), "bad.json")
         refused = CliRunner().invoke(app, ["check", bad])
         self.assertEqual(refused.exit_code, 1)
