--- a/sassafrasdoor/entry/tests/test_status.py
+++ b/sassafrasdoor/entry/tests/test_status.py
@@ -9,7 +9,7 @@
 from sassafrasdoor.entry.parts import Parts
 from sassafrasdoor.requests.tests.fakes import row_document, settings, view
 from sassafrasdoor.support import until
-from sassafrasdoor.tools.status_view import status_grids
+from sassafrasdoor.tools.status_view import status_grids, status_line
 from sassafrasdoor.view import Grant, View
 
 
@@ -79,7 +79,7 @@
         self.parts.link.view = View(confirmed_at=LONG_AGO, grants={})
         seen = json.loads(json.dumps(self.parts.status(), allow_nan=False))
         self.assertIsNone(seen["unconfirmed_seconds"])
-        self.assertIn("never confirmed", status_grids(seen)[0][0])
+        self.assertIn("never confirmed", status_line(seen))
 
     async def test_rows_without_grants_and_without_calls(self):
         cases = [
--- a/sassafrasdoor/tools/status_view.py
+++ b/sassafrasdoor/tools/status_view.py
@@ -17,17 +17,8 @@
 QUOTA = ("granted", "lapses_in_seconds", "fallback", "in_use", "waiting", "wanted")
 
 
-def status_grids(seen):
-    """Return ``(title, heads, rows)`` of each table of the status page ``seen``."""
-    return [
-        (_title(seen), ("model", "newest version"), list(seen["weights"].items())),
-        ("members", MEMBER, _cells(seen["members"], MEMBER)),
-        ("backend servers", BACKEND, _cells(seen["backends"], BACKEND)),
-        ("quota and queues", ("row", *QUOTA), _quota(seen["quota"])),
-    ]
-
-
-def _title(seen):
+def status_line(seen):
+    """Return the status page ``seen`` in one line."""
     leaving = ", leaving" if seen["leaving"] else ""
     age = seen["unconfirmed_seconds"]
     confirmed = "never confirmed" if age is None else f"confirmed {age} s ago"
@@ -38,6 +29,16 @@
     )
 
 
+def status_grids(seen):
+    """Return ``(title, heads, rows)`` of each table of the status page ``seen``."""
+    return [
+        ("newest weights", ("model", "newest version"), list(seen["weights"].items())),
+        ("members", MEMBER, _cells(seen["members"], MEMBER)),
+        ("backend servers", BACKEND, _cells(seen["backends"], BACKEND)),
+        ("quota and queues", ("row", *QUOTA), _quota(seen["quota"])),
+    ]
+
+
 def _quota(rows):
     cells = _cells(rows.values(), QUOTA)
     return [[name, *one] for name, one in zip(rows, cells, strict=True)]
--- a/sassafrasdoor/tools/table_report.py
+++ b/sassafrasdoor/tools/table_report.py
@@ -11,7 +11,7 @@
 
 from sassafrasdoor.outcomes import Outcome, Rejected, ReplyLost
 from sassafrasdoor.table.publisher import LostRace
-from sassafrasdoor.tools.status_view import status_grids
+from sassafrasdoor.tools.status_view import status_grids, status_line
 
 DONE, REJECTED, NO_ANSWER, NOT_EVERYWHERE = 0, 1, 3, 4
 PIPE_WIDTH = 200
@@ -97,7 +97,9 @@
 
     def status(self, seen):
         """Show an instance's status page."""
-        self._show(seen, Group(*[_grid(*one) for one in status_grids(seen)]))
+        self._show(
+            seen, Group(status_line(seen), *[_grid(*one) for one in status_grids(seen)])
+        )
 
     def announced(self, model, version):
         """Say which version is the newest announced one."""
