Serve from instances that were started while the platform is down

Cause: a new test that replaces every instance during an outage found that the last ones knew the table and refused every call, for two reasons: they could not read the instance list, so they had no backend server; and with nobody able to hold the quota's lease they had no grant to fall back on. Ruled out: the table (it spread by peers, at the right revision). Change: control processes lend the list of backend servers to one that has never read it; an instance never told of grants uses an equal slice of half of the capacity for rows without a hard limit, nothing for the others. reclaim_silent is now strict_capacity, off by default, as it governs both. Conclusion: an outage of the log and the daily restarts may overlap.

--- a/sassafrasdoor/admission/allocator.py
+++ b/sassafrasdoor/admission/allocator.py
@@ -7,10 +7,11 @@
 changes; clocks need only run at the same rate.
 
 A dead instance looks like one that is cut off, and its calls in progress may have
-filled a whole service. With ``admission.reclaim_silent`` what a silent instance may
-still be using counts against hard limits only: rows that have none get its slots as
-soon as its grants lapse. Should it be alive, the backend servers queue or refuse
-what is too much; without this, one death idles the trainers for ``overhang``.
+filled a whole service. So what a silent instance may still be using counts against
+hard limits only: rows that have none get its slots as soon as its grants lapse.
+Should it be alive, the backend servers queue or refuse what is too much. With
+``admission.strict_capacity`` it counts against the capacity too, and one death idles
+the trainers for ``overhang``.
 """
 
 from collections import Counter
@@ -231,7 +232,7 @@
 
     @property
     def _reclaims(self):
-        return self._settings.admission.reclaim_silent
+        return not self._settings.admission.strict_capacity
 
     @property
     def _in_capacity(self):
--- a/sassafrasdoor/admission/tests/test_allocator.py
+++ b/sassafrasdoor/admission/tests/test_allocator.py
@@ -19,9 +19,9 @@
 from sassafrasdoor.support import ROOT
 from sassafrasdoor.view import Grant
 
-STRICT = {"fallback_duration": 60.0, "overhang": 10.0, "reclaim_silent": False}
+STRICT = {"fallback_duration": 60.0, "overhang": 10.0, "strict_capacity": True}
 SETTINGS = settings(admission=STRICT)
-RECLAIMING = settings(admission={**STRICT, "reclaim_silent": True})
+RECLAIMING = settings(admission={**STRICT, "strict_capacity": False})
 ROWS = table(
     row_document("app", priority=1, limit=0.5),
     row_document("trainer", weight=2),
--- a/sassafrasdoor/admission/tests/test_queues.py
+++ b/sassafrasdoor/admission/tests/test_queues.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import unittest
+from math import ceil
 
 from sassafrasdoor.admission.queues import Admission
+from sassafrasdoor.admission.quota import allowance, capacity_of
 from sassafrasdoor.admission.retries import RetryBudget
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.outcomes import NotRun
@@ -66,6 +68,26 @@
                 ]
                 self.assertEqual(sum(map(bool, tries)), allowed)
 
+    def test_an_instance_that_was_never_told_of_grants(self):
+        """Symptom: once all instances were replaced in an outage, none serves.
+
+        Sequence: the log is down, so nobody holds the quota; a fresh instance
+        has no grants. Cause: no grants read as no slots, for rows too that have
+        no hard limit to overshoot.
+        """
+        cases = [
+            ("no hard limit", {}, False, 1),
+            ("a hard limit", {"limit": 0.5}, False, 0),
+            ("strict", {}, True, 0),
+        ]
+        for name, fields, strict, allowed in cases:
+            with self.subTest(name):
+                seen = view(row_document("app", **fields), grants={}, members=8)
+                half = capacity_of(seen, seen.row("app").service) / 2
+                chosen = settings(admission={"strict_capacity": strict})
+                slots = allowance(chosen, seen, seen.row("app"))
+                self.assertEqual(slots, ceil(half / 8) * allowed)
+
     async def test_row_without_grant_gets_nothing_while_others_have_one(self):
         seen = granted(3)
         outcome = await self.admit(seen, "other", within=0.01)
--- a/sassafrasdoor/control/control.capnp
+++ b/sassafrasdoor/control/control.capnp
@@ -123,4 +123,6 @@
   # The report of one instance to the holder of `quota/{service}`; without `granted`
   # the instance keeps what it has.
   report @4 (service :Text, report :Report, stamp :UInt64) -> (granted :Bool, grants :GrantSet, stamp :UInt64);
+  # The backend servers known here, for an instance that cannot read the list itself.
+  listing @5 (stamp :UInt64) -> (backends :List(Backend), stamp :UInt64);
 }
--- a/sassafrasdoor/control/process.py
+++ b/sassafrasdoor/control/process.py
@@ -10,6 +10,7 @@
 
 from sassafrasdoor import logs
 from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.control import messages
 from sassafrasdoor.control.instances import InstanceList
 from sassafrasdoor.control.quota import Quota
 from sassafrasdoor.control.service import ControlService
@@ -23,6 +24,7 @@
 from sassafrasdoor.membership import order
 from sassafrasdoor.membership.delegate import Delegate
 from sassafrasdoor.membership.node import Membership
+from sassafrasdoor.peers.link import PeerLink
 from sassafrasdoor.peers.server import PeerServer
 from sassafrasdoor.view import Member, State
 
@@ -191,9 +193,33 @@
             listing = await self.instances.fetch()
             if listing:
                 self._take_list(listing)
+            elif self._listing is None:
+                await self._borrow_list()
             await self._register()
             await asyncio.sleep(self._list_pause() * random.uniform(0.8, 1.2))
 
+    async def _borrow_list(self):
+        """Take the backend servers that a peer knows.
+
+        An instance started while the platform is down cannot read the list. It
+        would know the table and still refuse every call for want of a server.
+        """
+        own = self._settings.instance.name
+        others = [m for m in self.members() if m.control_address and m.name != own]
+        if not others:
+            return
+        address = random.choice(others).control_address
+        link = PeerLink(self._settings, address, messages.SCHEMA.Control)
+        if await link.open() is not None:
+            return
+        answer = await link.call("listing", stamp=EVENTS.clock.stamp())
+        link.close()
+        if answer and answer.backends:
+            EVENTS.clock.observe(answer.stamp)
+            self.source.set_backends(
+                [messages.backend_from(backend) for backend in answer.backends]
+            )
+
     def _list_pause(self):
         spread_out = self.instances.changed_bytes / LIST_BYTES_PER_SECOND
         return max(LIST_INTERVAL, self._settings.platform.poll_interval, spread_out)
--- a/sassafrasdoor/control/service.py
+++ b/sassafrasdoor/control/service.py
@@ -60,6 +60,13 @@
         self._process.leave()
         return EVENTS.clock.stamp()
 
+    async def listing(self, stamp, _context, **_):
+        EVENTS.clock.observe(stamp)
+        results = _context.results
+        known = self._process.source.backends
+        results.backends = [messages.backend_message(backend) for backend in known]
+        results.stamp = EVENTS.clock.stamp()
+
     async def report_context(self, context):
         asked, results = context.params, context.results
         EVENTS.clock.observe(asked.stamp)
--- /dev/null
+++ b/sassafrasdoor/entry/tests/test_replacement.py
@@ -0,0 +1,60 @@
+"""The accepted table survives the replacement of every instance."""
+
+import asyncio
+import copy
+import unittest
+
+from sassafrasdoor.cluster import KEYS, TABLE, ZONES, Cluster
+from sassafrasdoor.support import until
+
+
+class ReplacementTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.highest = {}
+
+    async def revision(self, cluster, instance):
+        _, status = await cluster.get(instance.address, "/v1/status")
+        return status.get("revision", 0)
+
+    async def answers(self, cluster, instance):
+        status, _ = await cluster.post(
+            instance.address, "/v1/call/idempotent/work", {}, KEYS["idempotent"]
+        )
+        return status == 200
+
+    async def test_all_replaced_while_the_log_is_down(self):
+        """Symptom: after an outage of the log an earlier table is in force.
+
+        Sequence: a second revision is accepted, the log goes down, every
+        instance is killed and replaced, one after another; the log comes back.
+        Cause: the table lived only in the log and in instances that are gone.
+        """
+        async with Cluster() as cluster:
+            await cluster.start(instances=3, engines=1, services=1)
+            first = await self.revision(cluster, cluster.instances[0])
+            edited = copy.deepcopy(TABLE)
+            edited["rows"][0]["weight"] = 5
+            second = await cluster.propose(edited, base=first, proposal="second")
+            for instance in cluster.instances:
+                await until(lambda one=instance: self.reached(cluster, one, second))
+            await cluster.platform_faults(down=True)
+            for number, old in enumerate(list(cluster.instances)):
+                await asyncio.to_thread(old.kill)
+                cluster.instances.remove(old)
+                fresh = await asyncio.to_thread(
+                    cluster.start_instance, f"fresh-{number}", ZONES[number]
+                )
+                await until(lambda one=fresh: self.reached(cluster, one, second))
+                await until(lambda one=fresh: self.answers(cluster, one))
+            await cluster.platform_faults(down=False)
+            third = await cluster.propose(TABLE, base=second, proposal="third")
+            for instance in cluster.instances:
+                await until(lambda one=instance: self.reached(cluster, one, third))
+
+    async def reached(self, cluster, instance, wanted):
+        """Say whether ``wanted`` is in force; what was reached never goes back."""
+        revision = await self.revision(cluster, instance)
+        highest = max(self.highest.get(instance.name, 0), revision)
+        self.assertEqual(revision, highest, f"{instance.name} went back")
+        self.highest[instance.name] = highest
+        return revision == wanted
--- a/sassafrasdoor/settings.py
+++ b/sassafrasdoor/settings.py
@@ -70,7 +70,7 @@
         "grant_duration": 3.0,
         "fallback_duration": 600.0,
         "overhang": 30.0,
-        "reclaim_silent": True,
+        "strict_capacity": False,
         "retry_budget": 0.1,
     },
     "requests": {
@@ -211,15 +211,15 @@
 
     A grant lapses after ``grant_duration``, its fallback ``fallback_duration``
     later. Calls in progress at an instance that went silent are taken to have
-    ended after ``overhang``; ``reclaim_silent`` counts them against hard limits
-    only, so that rows without one go on at once.
+    ended after ``overhang``; against the capacity, which the backend servers
+    guard themselves, only with ``strict_capacity``.
     """
 
     queue_size: int = Field(gt=0)
     grant_duration: float = Field(gt=0)
     fallback_duration: float = Field(ge=0)
     overhang: float = Field(ge=0)
-    reclaim_silent: bool
+    strict_capacity: bool
     retry_budget: float = Field(ge=0)
 
 
