Name the step in its events and add those that a walk needs

Ruled out: an event a sample; the ring holds 4096 and a step has 1,024 samples. Change: step-started, step-attached, step-adopted and step-forgotten carry row, step and attach; stream-resumed, table-accepted (control) and table-in-force (entry) are new. Conclusion: the time line answers where a step went on.

--- a/sassafrasdoor/control/link.py
+++ b/sassafrasdoor/control/link.py
@@ -174,6 +174,7 @@
         if not table:
             logs.changed("control:table-unreadable", reason=table.reason)
             return old.table, old.revision
+        EVENTS.add("table-in-force", revision=update.revision)
         return table, update.revision
 
     def _note_lost(self):
--- a/sassafrasdoor/control/process.py
+++ b/sassafrasdoor/control/process.py
@@ -144,6 +144,9 @@
 
     def _agreed_changed(self, state):
         if state.accepted is not self._accepted:
+            known = self._accepted.revision if self._accepted else 0
+            if state.revision != known:
+                EVENTS.add("table-accepted", revision=state.revision)
             self._accepted = state.accepted
             table = state.table.model_dump_json() if state.table else ""
             self.source.set_table(table, state.revision)
--- a/sassafrasdoor/requests/streams.py
+++ b/sassafrasdoor/requests/streams.py
@@ -12,6 +12,7 @@
     prefix_key,
 )
 from sassafrasdoor.clock import passed
+from sassafrasdoor.events import EVENTS
 from sassafrasdoor.outcomes import NotRun, Unavailable, Unknown
 from sassafrasdoor.requests.messages import graver
 
@@ -249,6 +250,9 @@
             found = await self._streams.has(self._backend, self._generate.stream)
             if found is True:
                 RESUMES.inc({})
+                EVENTS.add(
+                    "stream-resumed", row=self._row.name, backend=self._backend.name
+                )
                 return True
             if found is False:
                 return False
--- a/sassafrasdoor/steps/adoption.py
+++ b/sassafrasdoor/steps/adoption.py
@@ -28,6 +28,7 @@
         owner.counts.resumed += 1
         EVENTS_TOTAL.inc({"kind": "adopted", "row": owner.row.name})
     logs.changed("steps:adopted", row=owner.row.name, streams=len(found))
+    owner.event("step-adopted", streams=len(found))
 
 
 class Held:
--- a/sassafrasdoor/steps/owner.py
+++ b/sassafrasdoor/steps/owner.py
@@ -122,9 +122,14 @@
 
     def start(self):
         """Begin to make what the trainer lacks."""
-        EVENTS.add("step-started", row=self.row.name, attach=self.attach)
+        self.event("step-started")
         self.spawn(self._begin())
 
+    def event(self, kind, **fields):
+        """Put an event of this step on the time line."""
+        named = {"row": self.row.name, "step": self.spec.step, "attach": self.attach}
+        EVENTS.add(kind, **named, **fields)
+
     def attached(self, attach, token):
         """Take over for a newer attachment of the trainer.
 
@@ -133,6 +138,7 @@
         attachment a lesser token is only an old message that came late.
         """
         self.attach = attach
+        self.event("step-attached")
         for position in self.taken.beyond(token):
             sample = self.samples[position]
             sample.generation += 1
--- a/sassafrasdoor/steps/reader.py
+++ b/sassafrasdoor/steps/reader.py
@@ -109,6 +109,7 @@
             attempt.breaks = 0
             self._step.counts.resumed += 1
             EVENTS_TOTAL.inc({"kind": "resumed", "row": self._step.row.name})
+            self._step.event("stream-resumed", backend=attempt.backend.name)
 
     def _order(self, attempt):
         step, requests = self._step, self._resources.settings.requests
--- a/sassafrasdoor/steps/registry.py
+++ b/sassafrasdoor/steps/registry.py
@@ -244,7 +244,7 @@
         self._steps.pop((owner.row.name, owner.spec.step), None)
         await owner.close(cancel)
         self._left.changed()
-        EVENTS.add("step-forgotten", row=owner.row.name, cancel=int(cancel))
+        owner.event("step-forgotten", cancel=int(cancel))
 
     async def _sweep(self):
         """Forget steps whose trainer left; look after the last samples."""
