Measure what a sample costs the entry

Cause: no figure said how many samples an instance hands out. Ruled out: counting the first step (it waits for its first grant of quota).

--- a/samples/measure_steps.py
+++ b/samples/measure_steps.py
@@ -11,6 +11,8 @@
 
 import argparse
 import asyncio
+import os
+import pathlib
 import random
 import statistics
 from contextlib import contextmanager
@@ -26,6 +28,7 @@
     StreamState,
 )
 from sassafrasdoor.clock import now
+from sassafrasdoor.cluster import KEYS, Cluster
 from sassafrasdoor.outcomes import Unavailable
 from sassafrasdoor.routing.chooser import Chooser
 from sassafrasdoor.security import key_hash
@@ -33,6 +36,7 @@
 from sassafrasdoor.standin.engine import EngineOptions
 from sassafrasdoor.steps import owner as owner_module
 from sassafrasdoor.steps.adoption import streams_held
+from sassafrasdoor.steps.client import Trainer
 from sassafrasdoor.steps.dispatch import Pending
 from sassafrasdoor.steps.registry import StepsService
 from sassafrasdoor.steps.spec import FetchSpec, StepSpec
@@ -51,6 +55,7 @@
 LOAD_INTERVAL = 0.2
 SWAP_EVERY = 0.5
 BOUND = 4
+FAST = ("--token-rate", "2000", "--capacity", "64")
 TIGHT_SWAP, TIGHT_BOUND = 0.8, 1
 BACKGROUND = "background"
 
@@ -463,7 +468,43 @@
     show(f"Bound {TIGHT_BOUND}, weights every {TIGHT_SWAP} s", {**late, **cut})
 
 
+async def cost(repeats):
+    """Processor time of an entry process for a sample, through real processes."""
+    async with Cluster() as cluster:
+        await cluster.start(instances=1, engines=3, services=0, engine_options=FAST)
+        entry = cluster.instances[0]
+        trainer = Trainer([entry.address], ROW, KEYS[ROW])
+        print("\nCost at the entry, streams of 16 tokens at the median\n")
+        print("| samples | samples a second | processor ms a sample |")
+        print("|---|---|---|")
+        for groups in (64, 256):
+            runs = [
+                await _cost_of(entry, trainer, f"{groups}-{repeat}", groups)
+                for repeat in range(repeats + 1)
+            ][1:]  # the first waits for its first grant of quota
+            speed, time = (spread(column, ".2f") for column in zip(*runs, strict=True))
+            print(f"| {groups * PER_GROUP} | {speed} | {time} |")
+        trainer.close()
+
+
+async def _cost_of(entry, trainer, name, groups):
+    prompts = [{"prompt": f"write the sign of level {n}"} for n in range(groups)]
+    document = {"step": name, "groups": prompts, "samples_per_group": PER_GROUP}
+    run = trainer.run({**document, "max_tokens": 64})
+    before, started = processor_time(entry.entry.pid), now()
+    count = len([sample async for sample in run.samples()])
+    elapsed, spent = now() - started, processor_time(entry.entry.pid) - before
+    return count / elapsed, 1000 * spent / count
+
+
+def processor_time(pid):
+    """Return the seconds of processor time a process has used."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 PARTS = {
+    "cost": cost,
     "stragglers": stragglers,
     "handover": handover,
     "preference": preference,
