Let every program call instances over TLS

Cause: with tls.certificate set only the table tool spoke https; the trainer, load and timeline programs did not, and a missing certificate file ended the daemon with a traceback when it bound its port. Ruled out: trusting the listener's certificate only, as the table tool did: its operators hold the CA, not each instance's file; so tls.ca_certificate is new. Change: fetch.entry_request builds all calls to instances; --ca-file for trainer, load and timeline, Trainer(ca_file=); daemons open the TLS files when they read their settings and report findings with their place. Infinite numbers in settings are findings. A page of events that makes no sense, or repeats itself, ends the reading of that source. Conclusion: callers' side only; traffic between our own processes stays authenticated but not encrypted.

--- a/sassafrasdoor/cluster.py
+++ b/sassafrasdoor/cluster.py
@@ -6,10 +6,9 @@
 
 import json
 
-from tornado.httpclient import HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from sassafrasdoor.fetch import reply_to
+from sassafrasdoor.fetch import entry_request, reply_to
 from sassafrasdoor.support import ROOT, Processes, until
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -74,8 +73,9 @@
 class Cluster:
     """Processes of one run; use as an async context manager."""
 
-    def __init__(self, settings=None):
+    def __init__(self, settings=None, ca_file=""):
         self.processes = Processes()
+        self._ca_file = ca_file
         self.platform = None
         self.backends = {}
         self.instances = []
@@ -235,8 +235,11 @@
         sent = dict(headers or {})
         if key:
             sent["Authorization"] = f"Bearer {key}"
-        request = HTTPRequest(
-            f"http://{address}{path}",
+        entries = {one.address for one in self.instances}
+        request = entry_request(
+            address,
+            path,
+            self._ca_file if address in entries else "",
             method=method,
             headers=sent,
             body=None if document is None else json.dumps(document),
--- a/sassafrasdoor/fetch.py
+++ b/sassafrasdoor/fetch.py
@@ -1,10 +1,22 @@
 """One HTTP call whose failure is a reply, not an exception."""
 
-from tornado.httpclient import HTTPError, HTTPResponse
+from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
 NO_REPLY = 599
 
 
+def entry_request(address, path, ca_file="", **options):
+    """Return the ``HTTPRequest`` of a call to an entry instance.
+
+    ``ca_file`` is the PEM file of the CA that signs the instances' certificates;
+    with it the call goes over TLS, without it over plain TCP.
+    """
+    scheme = "https" if ca_file else "http"
+    return HTTPRequest(
+        f"{scheme}://{address}{path}", ca_certs=ca_file or None, **options
+    )
+
+
 async def reply_to(client, request):
     """Return the response to ``request``; code 599 stands for no whole reply.
 
--- a/sassafrasdoor/load/callers.py
+++ b/sassafrasdoor/load/callers.py
@@ -7,10 +7,9 @@
 from collections import Counter
 
 from hdrh.histogram import HdrHistogram
-from tornado.httpclient import HTTPRequest
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
-from sassafrasdoor.fetch import NO_REPLY, reply_to
+from sassafrasdoor.fetch import NO_REPLY, entry_request, reply_to
 from sassafrasdoor.load.arrivals import arrivals
 
 LOWEST_MICROSECONDS = 1
@@ -54,6 +53,7 @@
     """
 
     __slots__ = (
+        "_ca_file",
         "_deadline",
         "_generator",
         "_http",
@@ -63,8 +63,9 @@
         "_seeds",
     )
 
-    def __init__(self, http, row, seeds, seed):
+    def __init__(self, http, row, seeds, seed, ca_file=""):
         self._http = http
+        self._ca_file = ca_file
         self._row = row
         self._seeds = list(seeds)
         self._generator = random.Random(seed)
@@ -90,8 +91,12 @@
         seeds = self._known + self._seeds
         self._generator.shuffle(seeds)
         for seed in seeds:
-            url = f"http://{seed}/v1/addresses?row={self._row}"
-            asked = HTTPRequest(url, request_timeout=DISCOVERY_TIMEOUT)
+            asked = entry_request(
+                seed,
+                f"/v1/addresses?row={self._row}",
+                self._ca_file,
+                request_timeout=DISCOVERY_TIMEOUT,
+            )
             reply = await reply_to(self._http, asked)
             if reply.code == 200:
                 answer = json.loads(reply.body)
@@ -104,13 +109,14 @@
 class CallerLoad:
     """Sends one row's arrivals and collects the result."""
 
-    __slots__ = ("_addresses", "_http", "_profile", "_seed", "result")
+    __slots__ = ("_addresses", "_ca_file", "_http", "_profile", "_seed", "result")
 
-    def __init__(self, http, profile, seeds, seed):
+    def __init__(self, http, profile, seeds, seed, ca_file=""):
         self._http = http
+        self._ca_file = ca_file
         self._profile = profile
         self._seed = seed
-        self._addresses = Addresses(http, profile.row, seeds, seed)
+        self._addresses = Addresses(http, profile.row, seeds, seed, ca_file)
         self.result = CallerResult(profile.row)
 
     async def run(self, duration):
@@ -159,8 +165,10 @@
         path = f"/v1/{profile.shape}/{profile.row}"
         if profile.shape == "call":
             path += f"/{profile.path}"
-        return HTTPRequest(
-            f"http://{address}{path}",
+        return entry_request(
+            address,
+            path,
+            self._ca_file,
             method="POST",
             headers=headers,
             body=json.dumps(body),
--- a/sassafrasdoor/load/run.py
+++ b/sassafrasdoor/load/run.py
@@ -11,15 +11,15 @@
 MAX_CLIENTS = 2000
 
 
-async def run(profile, addresses):
-    """Run a ``Profile``; return ``(caller results, summary)``."""
+async def run(profile, addresses, ca_file=""):
+    """Run a ``Profile``, over TLS with a CA file; return ``(caller results, summary)``."""
     http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
     callers = [
-        CallerLoad(http, caller, addresses, profile.seed + number)
+        CallerLoad(http, caller, addresses, profile.seed + number, ca_file)
         for number, caller in enumerate(profile.callers)
     ]
     trainers = [
-        TrainerLoad(trainer, addresses, profile.seed + number)
+        TrainerLoad(trainer, addresses, profile.seed + number, ca_file)
         for number, trainer in enumerate(profile.trainers)
     ]
     try:
--- a/sassafrasdoor/load/trainers.py
+++ b/sassafrasdoor/load/trainers.py
@@ -13,10 +13,10 @@
 
     __slots__ = ("_profile", "_seed", "trainer")
 
-    def __init__(self, profile, seeds, seed):
+    def __init__(self, profile, seeds, seed, ca_file=""):
         self._profile = profile
         self._seed = seed
-        self.trainer = Trainer(seeds, profile.row, profile.key)
+        self.trainer = Trainer(seeds, profile.row, profile.key, ca_file=ca_file)
 
     async def run(self):
         """Run all steps; return their summary, JSON-ready."""
--- a/sassafrasdoor/security.py
+++ b/sassafrasdoor/security.py
@@ -4,6 +4,8 @@
 import hmac
 import ssl
 
+from sassafrasdoor.outcomes import Finding
+
 
 def key_hash(key):
     """Return the SHA-256 of a caller's key in hex, as the table holds it."""
@@ -36,3 +38,33 @@
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
     context.load_cert_chain(tls.certificate, tls.private_key)
     return context
+
+
+def tls_findings(tls):
+    """Return the findings on the files of the ``tls`` settings."""
+    paths = {
+        "tls.certificate": tls.certificate,
+        "tls.private_key": tls.private_key,
+        "tls.ca_certificate": tls.ca_certificate,
+    }
+    findings = [Finding(at, _unreadable(path)) for at, path in paths.items() if path]
+    findings = [finding for finding in findings if finding.reason]
+    if bool(tls.certificate) != bool(tls.private_key):
+        missing = "private_key" if tls.certificate else "certificate"
+        findings.append(Finding(f"tls.{missing}", "missing: the other one is set"))
+    if findings:
+        return findings
+    try:
+        server_context(tls)
+    except (ssl.SSLError, ValueError) as error:
+        reason = getattr(error, "reason", None) or "not usable"
+        findings.append(Finding("tls.private_key", f"with its certificate: {reason}"))
+    return findings
+
+
+def _unreadable(path):
+    try:
+        with open(path, "rb"):
+            return ""
+    except (OSError, ValueError) as error:
+        return getattr(error, "strerror", None) or "no path"
--- a/sassafrasdoor/settings.py
+++ b/sassafrasdoor/settings.py
@@ -11,6 +11,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from sassafrasdoor.outcomes import Finding, Rejected, findings_of
+from sassafrasdoor.security import tls_findings
 
 DEFAULT = {
     "instance": {
@@ -89,14 +90,15 @@
         "stragglers": "move",
     },
     "drain": {"deadline": 60.0, "spread": 3.0},
-    "tls": {"certificate": "", "private_key": ""},
+    "tls": {"certificate": "", "private_key": "", "ca_certificate": ""},
 }
 
 
 class Section(BaseModel):
     """A part of the settings; unknown keys are findings."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    # 1e999 is JSON and reads as infinity, of which no deadline can be made.
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
 class InstanceSettings(Section):
@@ -264,10 +266,19 @@
 
 
 class TlsSettings(Section):
-    """PEM files of the callers' listener; empty for plain TCP."""
+    """PEM files of the callers' listener; empty for plain TCP.
+
+    ``ca_certificate`` is what the operators' tools trust; empty: the certificate.
+    """
 
     certificate: str
     private_key: str
+    ca_certificate: str
+
+    @property
+    def trusted(self):
+        """The file to trust when calling instances; empty for plain TCP."""
+        return self.ca_certificate or self.certificate
 
 
 class Settings(Section):
@@ -287,8 +298,11 @@
     tls: TlsSettings
 
 
-def load(path):
-    """Return the ``Settings`` in the JSON file at ``path``, or ``Rejected``."""
+def load(path, listens=False):
+    """Return the ``Settings`` in the JSON file at ``path``, or ``Rejected``.
+
+    With ``listens`` the files that a listener needs are checked too.
+    """
     try:
         with open(path, encoding="utf-8") as file:
             document = json.load(file)
@@ -296,7 +310,22 @@
         return Rejected("settings unreadable", [Finding(str(path), error.strerror)])
     except ValueError as error:
         return Rejected("settings are not JSON", [Finding(str(path), str(error))])
-    return from_document(document)
+    except RecursionError:
+        return Rejected("settings are not JSON", [Finding(str(path), "too deep")])
+    loaded = from_document(document)
+    faults = _file_findings(document) if listens else []
+    if faults:
+        return Rejected("settings invalid", [*getattr(loaded, "findings", ()), *faults])
+    return loaded
+
+
+def _file_findings(document):
+    """Return what is wrong with the files that the settings name."""
+    try:
+        tls = TlsSettings.model_validate(_merged(document)["tls"])
+    except (ValidationError, AttributeError):
+        return []  # ``from_document`` says so.
+    return tls_findings(tls)
 
 
 def from_document(document):
--- a/sassafrasdoor/steps/client.py
+++ b/sassafrasdoor/steps/client.py
@@ -18,9 +18,10 @@
 from urllib.parse import urlencode
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPError, HTTPRequest
+from tornado.httpclient import HTTPError
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
+from sassafrasdoor.fetch import entry_request
 from sassafrasdoor.outcomes import Finding, Rejected, Unavailable
 from sassafrasdoor.steps.report import Report
 from sassafrasdoor.steps.spec import DEFAULT_DEADLINE_MS
@@ -39,10 +40,20 @@
     """One row's trainer. ``newest_version`` is what it last published itself.
 
     A fetch waits up to ``wait`` seconds for samples; an instance that is
-    ``patience`` seconds later than that is taken for gone.
+    ``patience`` seconds later than that is taken for gone. With ``ca_file`` (PEM)
+    the instances are called over TLS.
     """
 
-    __slots__ = ("_http", "_key", "_known", "_seeds", "_zone", "newest_version", "row")
+    __slots__ = (
+        "_ca_file",
+        "_http",
+        "_key",
+        "_known",
+        "_seeds",
+        "_zone",
+        "newest_version",
+        "row",
+    )
     __slots__ += ("patience", "valid_until", "wait")
 
     def __init__(
@@ -54,11 +65,13 @@
         newest_version=0,
         wait=WAIT,
         patience=CALL_TIMEOUT,
+        ca_file="",
     ):
         self._seeds = list(addresses)
         self._known = []
         self._key = key
         self._zone = zone
+        self._ca_file = ca_file
         self.row = row
         self.newest_version = newest_version
         self.wait = wait
@@ -91,8 +104,10 @@
 
     async def call(self, method, address, path, document=None, wait=0.0):
         """Call one instance once; return ``(status, document)``, 599 for no reply."""
-        request = HTTPRequest(
-            f"http://{address}{path}",
+        request = entry_request(
+            address,
+            path,
+            self._ca_file,
             method=method,
             headers={"Authorization": f"Bearer {self._key}"},
             body=None if document is None else json.dumps(document),
--- a/sassafrasdoor/timeline/collector.py
+++ b/sassafrasdoor/timeline/collector.py
@@ -77,7 +77,12 @@
                 self.unavailable[source.name] = page.reason
             if not page:
                 return events
-            self._seen[source] = max(event.stamp for event in page)
+            newest = max(event.stamp for event in page)
+            # A source that goes on sending what was read already would keep us
+            # here for ever, with a list that grows.
+            if newest <= self._seen[source]:
+                return events
+            self._seen[source] = newest
             events += page
 
     async def follow(self):
--- a/sassafrasdoor/timeline/sources.py
+++ b/sassafrasdoor/timeline/sources.py
@@ -7,20 +7,23 @@
 
 from sassafrasdoor.control import messages
 from sassafrasdoor.events import EVENTS, Event
+from sassafrasdoor.fetch import entry_request
 from sassafrasdoor.outcomes import Unavailable
 from sassafrasdoor.peers.link import PeerLink
 
 READ_TIMEOUT = 5.0
 OWN_FIELDS = ("stamp", "process", "kind")
+UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
 
 
 class EntrySource:
     """The ring of an entry process, over HTTP."""
 
-    __slots__ = ("_address", "_client")
+    __slots__ = ("_address", "_ca_file", "_client")
 
-    def __init__(self, address, client=None):
+    def __init__(self, address, client=None, ca_file=""):
         self._address = address
+        self._ca_file = ca_file
         self._client = client or SimpleAsyncHTTPClient(force_instance=True)
 
     @property
@@ -30,14 +33,19 @@
 
     async def read(self, since):
         """Return a page of events above a stamp, or ``Unavailable``."""
-        url = f"http://{self._address}/v1/events?since={since}"
+        request = entry_request(
+            self._address,
+            f"/v1/events?since={since}",
+            self._ca_file,
+            request_timeout=READ_TIMEOUT,
+        )
         try:
-            response = await self._client.fetch(url, request_timeout=READ_TIMEOUT)
+            response = await self._client.fetch(request)
             documents = json.loads(response.body)["events"]
             return [event_from(document) for document in documents]
         except (HTTPError, OSError) as error:
             return Unavailable(str(error))
-        except (ValueError, KeyError, TypeError) as error:
+        except UNREADABLE as error:
             return Unavailable(f"unreadable: {type(error).__name__}")
 
     def close(self):
@@ -68,10 +76,20 @@
         answer = await self._link.call("events", since=since, stamp=stamp)
         if not answer:
             return answer
-        return [
-            Event(event.stamp, event.process, event.kind, json.loads(event.fields))
-            for event in answer.events
-        ]
+        try:
+            return [
+                event_from(
+                    {
+                        **json.loads(event.fields),
+                        "stamp": event.stamp,
+                        "process": event.process,
+                        "kind": event.kind,
+                    }
+                )
+                for event in answer.events
+            ]
+        except UNREADABLE as error:
+            return Unavailable(f"unreadable: {type(error).__name__}")
 
     def close(self):
         """Close the connection."""
@@ -79,6 +97,14 @@
 
 
 def event_from(document):
-    """Return the ``Event`` in a mapping made by its ``as_dict``."""
+    """Return the ``Event`` in a mapping made by its ``as_dict``.
+
+    Raises one of ``UNREADABLE`` if it is none: a stamp that is no number could
+    not be put in order with the others.
+    """
+    if type(document["stamp"]) is not int:
+        raise TypeError("stamp")
     fields = {key: item for key, item in document.items() if key not in OWN_FIELDS}
-    return Event(document["stamp"], document["process"], document["kind"], fields)
+    return Event(
+        document["stamp"], str(document["process"]), str(document["kind"]), fields
+    )
--- a/sassafrasdoor/tools/control.py
+++ b/sassafrasdoor/tools/control.py
@@ -20,7 +20,7 @@
 
     Exit codes: 0 ended well, 1 at once, 2 usage.
     """
-    asyncio.run(process.run(read(settings, check)))
+    asyncio.run(process.run(read(settings, check, listens=True)))
 
 
 def main():
--- a/sassafrasdoor/tools/entry.py
+++ b/sassafrasdoor/tools/entry.py
@@ -20,7 +20,7 @@
     version: bool = VersionOption,
 ):
     """Serve callers until SIGTERM. Exit codes: 0 ended well, 1 at once, 2 usage."""
-    checked = read(settings, check)
+    checked = read(settings, check, listens=True)
     own = f"{checked.instance.host}:{checked.instance.control_port}"
     asyncio.run(process.run(checked, control or own))
 
--- a/sassafrasdoor/tools/in_force.py
+++ b/sassafrasdoor/tools/in_force.py
@@ -82,7 +82,7 @@
 
     async def status(self, address):
         """Return the status page of an instance, or ``Unavailable``."""
-        scheme = "https" if self._settings.tls.certificate else "http"
+        scheme = "https" if self._settings.tls.trusted else "http"
         try:
             return await self._get(f"{scheme}://{address}/v1/status")
         except NO_ANSWER as error:
@@ -100,7 +100,7 @@
             follow_redirects=False,
             connect_timeout=CALL_TIMEOUT,
             request_timeout=CALL_TIMEOUT,
-            ca_certs=self._settings.tls.certificate or None,
+            ca_certs=self._settings.tls.trusted or None,
             prepare_curl_callback=lambda curl: curl.setopt(pycurl.NOPROXY, "*"),
         )
         return json.loads((await self._client.fetch(request)).body)
--- a/sassafrasdoor/tools/load.py
+++ b/sassafrasdoor/tools/load.py
@@ -8,7 +8,7 @@
 
 from sassafrasdoor import deployments
 from sassafrasdoor.load import profile as profiles, report, run as runs
-from sassafrasdoor.tools.options import USAGE_ERROR, VersionOption
+from sassafrasdoor.tools.options import USAGE_ERROR, CaFileOption, VersionOption
 
 app = typer.Typer(add_completion=True)
 
@@ -20,6 +20,7 @@
     deployment: str = typer.Option(
         "", help="A folder of samples: start its stand-ins and run its load."
     ),
+    ca_file: str = CaFileOption,
     out: str = typer.Option("", help="A folder for report.json and the plots."),
     as_json: bool = typer.Option(False, "--json", help="Print the summary as JSON."),
     check: bool = typer.Option(False, "--check", help="Check the profile and end."),
@@ -32,7 +33,7 @@
         callers, document = asyncio.run(deployments.run(checked, console.print))
     else:
         checked = _valid(profile, profiles.load(profile), check)
-        callers, document = asyncio.run(runs.run(checked, address))
+        callers, document = asyncio.run(runs.run(checked, address, ca_file))
     if out:
         report.write(document, callers, out)
     if as_json:
--- a/sassafrasdoor/tools/options.py
+++ b/sassafrasdoor/tools/options.py
@@ -15,14 +15,20 @@
 
 SettingsOption = typer.Option(..., "--settings", help="The JSON settings file.")
 CheckOption = typer.Option(False, "--check", help="Check the settings and end.")
+CaFileOption = typer.Option(
+    "", "--ca-file", help="PEM file of the instances' CA: call them over TLS."
+)
 VersionOption = typer.Option(
     False, "--version", is_eager=True, callback=_print_version, help="Say the version."
 )
 
 
-def read(path, check):
-    """Return the settings at ``path``; end with all findings if it has any."""
-    loaded = settings.load(path)
+def read(path, check, listens=False):
+    """Return the settings at ``path``; end with all findings if it has any.
+
+    A daemon ``listens``: the files that its listener needs must be there.
+    """
+    loaded = settings.load(path, listens)
     if not loaded:
         typer.echo(f"{path}: {loaded.reason}", err=True)
         for finding in loaded.findings:
--- a/sassafrasdoor/tools/timeline.py
+++ b/sassafrasdoor/tools/timeline.py
@@ -11,7 +11,7 @@
 from sassafrasdoor.timeline import export
 from sassafrasdoor.timeline.collector import Collector, Filter
 from sassafrasdoor.timeline.sources import ControlSource, EntrySource
-from sassafrasdoor.tools.options import USAGE_ERROR, VersionOption, read
+from sassafrasdoor.tools.options import USAGE_ERROR, CaFileOption, VersionOption, read
 
 INCOMPLETE = 1
 
@@ -31,6 +31,7 @@
     instance: str = typer.Option("", help="Only events of this instance."),
     kind: str = typer.Option("", help="Only kinds that begin like this."),
     follow: bool = typer.Option(False, help="Go on until interrupted."),
+    ca_file: str = CaFileOption,
     as_json: bool = typer.Option(False, "--json", help="One JSON object a line."),
     trace: str = typer.Option("", help="Write a trace-event file for a viewer."),
     version: bool = VersionOption,
@@ -40,6 +41,9 @@
     Exit codes: 0 complete, 1 some process could not be read, 2 usage.
     """
     checked = read(settings, False) if settings else settings_module.from_document({})
+    if ca_file:
+        tls = checked.tls.model_copy(update={"ca_certificate": ca_file})
+        checked = checked.model_copy(update={"tls": tls})
     if not (entry or control or discover):
         typer.echo("name --entry, --control or --discover", err=True)
         raise typer.Exit(USAGE_ERROR)
@@ -62,7 +66,7 @@
         if discover:
             entries, controls, missing = await _discovered(settings, entries, controls)
         collector = Collector(
-            [EntrySource(address) for address in entries]
+            [EntrySource(one, ca_file=settings.tls.trusted) for one in entries]
             + [ControlSource(settings, address) for address in controls]
         )
         try:
--- a/sassafrasdoor/tools/trainer.py
+++ b/sassafrasdoor/tools/trainer.py
@@ -10,8 +10,11 @@
 from rich.table import Table
 
 from sassafrasdoor.steps.client import Trainer
+from sassafrasdoor.steps.spec import StepSpec, checked
+from sassafrasdoor.tools.options import USAGE_ERROR, CaFileOption, VersionOption
 
 MAX_PROMPTS_FILE = 64_000_000
+LONGEST_DEADLINE = 24 * 3600
 
 app = typer.Typer(add_completion=False)
 
@@ -31,8 +34,15 @@
     seed: Annotated[int, typer.Option()] = 0,
     output: Annotated[str, typer.Option(help="Write samples, a line each.")] = "",
     as_json: Annotated[bool, typer.Option("--json", help="Report as JSON.")] = False,
+    ca_file: str = CaFileOption,
+    version: bool = VersionOption,
 ):
-    """Submit the prompts as one step, iterate its samples, print the report."""
+    """Submit the prompts as one step, iterate its samples, print the report.
+
+    Exit codes: 0 all samples came, 1 the step ended early, 2 usage.
+    """
+    if not 0 < deadline <= LONGEST_DEADLINE:
+        raise typer.BadParameter(f"--deadline: not within 0..{LONGEST_DEADLINE}")
     document = {
         "step": step,
         "groups": [{"prompt": prompt} for prompt in _read(prompts)],
@@ -41,8 +51,10 @@
         "deadline_ms": int(deadline * 1000),
         "seed": seed,
     }
-    identity = (address, row, key, zone, newest_version)
-    done, lines = asyncio.run(_collect(identity, document))
+    _check(document)
+    trainer = {"row": row, "key": key, "zone": zone, "ca_file": ca_file}
+    trainer["newest_version"] = newest_version
+    done, lines = asyncio.run(_collect(address, trainer, document))
     if output:
         pathlib.Path(output).write_text("".join(lines), "utf-8")
     _print(done, as_json)
@@ -53,15 +65,23 @@
     try:
         with open(path, encoding="utf-8") as file:
             found = json.loads(file.read(MAX_PROMPTS_FILE))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise typer.BadParameter(f"{path}: {error}") from error
     if not isinstance(found, list) or not all(isinstance(one, str) for one in found):
         raise typer.BadParameter(f"{path}: not a list of strings")
     return found
 
 
-async def _collect(identity, document):
-    trainer = Trainer(*identity)
+def _check(document):
+    found = checked(StepSpec, json.dumps({**document, "attach": 1}))
+    if not found:
+        for finding in found.findings:
+            typer.echo(str(finding), err=True)
+        raise typer.Exit(USAGE_ERROR)
+
+
+async def _collect(addresses, options, document):
+    trainer = Trainer(addresses, **options)
     lines = []
     try:
         step = trainer.run(document)
