Try steps against faults that meet, and several trainers at once

Ruled out: a longer state machine (it has no processes that end). Change: a process test in which an engine crashes, the owner is killed, weights are announced and the next owner is stopped; steps of two rows and two names.

--- a/sassafrasdoor/steps/tests/fakes.py
+++ b/sassafrasdoor/steps/tests/fakes.py
@@ -295,9 +295,11 @@
         }
         return StepSpec.model_validate(document)
 
-    async def fetch(self, service, token="", attach=1, wait_ms=0, **fields):
+    async def fetch(
+        self, service, token="", attach=1, wait_ms=0, step="s1", row=None, **fields
+    ):
         fetch = FetchSpec(token=token, attach=attach, wait_ms=wait_ms, **fields)
-        return await service.fetch(self.row, "s1", fetch)
+        return await service.fetch(row or self.row, step, fetch)
 
     def owner(self, service):
         return service._steps["trainer", "s1"].owner
--- a/sassafrasdoor/steps/tests/test_delivery.py
+++ b/sassafrasdoor/steps/tests/test_delivery.py
@@ -251,6 +251,22 @@
         self.assertEqual(held, 4)
         self.assertIsInstance(await bench.fetch(service), NoSuchStep)
 
+    async def test_several_trainers_at_once(self):
+        """Two rows and two steps under one name each get their own samples."""
+        bench = self.bench()
+        service = bench.instance()
+        other = bench.row.model_copy(update={"name": "other"})
+        runs = [(bench.row, "s1"), (bench.row, "s2"), (other, "s1")]
+        for row, step in runs:
+            service.submit(row, bench.spec(step=step))
+        collected = await asyncio.gather(
+            *(bench.collect(service, row=row, step=step) for row, step in runs)
+        )
+        for (row, step), have in zip(runs, collected, strict=True):
+            self.assertEqual(len(have), 4)
+            for sample in have.values():
+                self.assertTrue(sample["text"].startswith(f"{row.name}:{step}:"))
+
     async def test_a_fetch_waits_no_longer_than_the_settings_say(self):
         bench = self.bench()
         service = bench.instance(fetch_wait=0.05)
--- a/sassafrasdoor/steps/tests/test_steps_processes.py
+++ b/sassafrasdoor/steps/tests/test_steps_processes.py
@@ -235,6 +235,41 @@
         self.judge(run, samples, "crash")
         self.assertGreater(run.report.counts["regenerated"], 0)
 
+    async def test_many_faults_together(self):
+        """
+        Symptom: what each fault alone leaves whole breaks when they meet.
+        Sequence: an engine crashes, the owner is killed and weights are
+        announced at once; then the next owner is stopped as planned.
+        Cause: a repair relied on a part that may fail as well.
+        """
+        cluster = await self.cluster(instances=3, engines=3)
+        one, two, three = cluster.instances
+        stops = []
+
+        async def strike():
+            await cluster.faults("engine-1", freeze=True)
+            await self.truth.note("engine-1")
+            cluster.backends["engine-1"].kill()
+            one.kill()
+            await cluster.announce(MODEL, 2)
+
+        async def stop():
+            stops.append(asyncio.ensure_future(asyncio.to_thread(two.stop)))
+
+        trainer = self.trainer(one.address, two.address, three.address)
+        long = {"max_tokens": 400}
+        run = trainer.run(document("many", **long))
+        samples = {}
+        async for sample in run.samples():
+            place = sample["group"], sample["index"]
+            self.assertNotIn(place, samples)
+            samples[place] = sample
+            if len(samples) in (2, 4):
+                await {2: strike, 4: stop}[len(samples)]()
+        await self.truth.note("engine-2", "engine-3")
+        self.judge(run, samples, "many", **long)
+        self.assertEqual(await stops[0], (0, 0))
+
     async def test_connections_to_an_engine_go_silent(self):
         """
         Symptom: a step waits for ever, or makes anew what the engine has.
