Hold a hard limit in real processes, and issue no keys while leaving

Cause: the limit was held with a virtual clock only; a leaving instance issued keys until it refused, and those used after its end were answered unknown although they never ran. Change: three instances under pressure, one loses its control process and goes on serving on its fallback: never more than the 16 slots of the limit run at the service. No key prefix once the instance is announced as leaving. Ruled out: killing the instance in that test: its calls end with it, and the test stayed green with the check of what others use switched off; with the control process frozen it is red (19 of 16). Two forms before it failed on the busy machine: one wanted 12 calls seen at once, one cut the instance off before the shares were even, when it had no fallback yet.

--- a/sassafrasdoor/admission/allocator.py
+++ b/sassafrasdoor/admission/allocator.py
@@ -21,6 +21,7 @@
     REPORTS_FOR_EACH_GRANT,
     GrantSet,
     InstanceRecord,
+    Sums,
 )
 from sassafrasdoor.admission.shares import hard_limit, shares, split, within
 from sassafrasdoor.clock import deadline_in, passed
@@ -289,23 +290,3 @@
         if not self._keeps:
             return 0
         return max(0, half - sum(self._heard[name] for name in names))
-
-
-class Sums:
-    """Slots by row, and their total."""
-
-    __slots__ = ("_by_row", "total")
-
-    def __init__(self):
-        self._by_row = Counter()
-        self.total = 0
-
-    def of(self, name):
-        """Return the sum of a row."""
-        return self._by_row[name]
-
-    def add(self, part, sign):
-        """Add the slots of ``part``, or take them away."""
-        for name, slots in part.items():
-            self._by_row[name] += sign * slots
-            self.total += sign * slots
--- a/sassafrasdoor/admission/grants.py
+++ b/sassafrasdoor/admission/grants.py
@@ -1,5 +1,7 @@
 """What instances and the holder of the quota tell each other, and its record."""
 
+from collections import Counter
+
 from sassafrasdoor.clock import deadline_in, now, passed
 
 # An instance reports again after this part of its grants' life, or sooner when it
@@ -139,3 +141,23 @@
             if slots > most.get(name, 0):
                 most[name] = slots
     return most
+
+
+class Sums:
+    """Slots by row, and their total."""
+
+    __slots__ = ("_by_row", "total")
+
+    def __init__(self):
+        self._by_row = Counter()
+        self.total = 0
+
+    def of(self, name):
+        """Return the sum of a row."""
+        return self._by_row[name]
+
+    def add(self, part, sign):
+        """Add the slots of ``part``, or take them away."""
+        for name, slots in part.items():
+            self._by_row[name] += sign * slots
+            self.total += sign * slots
--- a/sassafrasdoor/requests/service.py
+++ b/sassafrasdoor/requests/service.py
@@ -13,6 +13,7 @@
 from sassafrasdoor.requests.executions import Executions
 from sassafrasdoor.requests.issued import Issuer, parse
 from sassafrasdoor.requests.streams import Generate, Restart, Streams
+from sassafrasdoor.view import State
 
 REFUSING_RETRY_AFTER = 0.5
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -58,9 +59,18 @@
     def key_prefix(self):
         """Return the prefix for keys that this process alone will run.
 
-        Empty once it leaves: its keys would soon be answered by nobody.
+        Empty from the moment it announces that it leaves. A key issued then may
+        reach another instance after this one has ended, and would be answered
+        unknown although it never ran.
         """
-        return "" if self._refusing else self._issuer.prefix()
+        return "" if self._refusing or self._leaving() else self._issuer.prefix()
+
+    def _leaving(self):
+        name = self.settings.instance.name
+        return any(
+            member.name == name and member.state is State.LEAVING
+            for member in self.view.members
+        )
 
     def refuse_new(self):
         """Take no new request from now on; those in progress go on."""
--- a/sassafrasdoor/requests/tests/test_issued.py
+++ b/sassafrasdoor/requests/tests/test_issued.py
@@ -25,7 +25,7 @@
 )
 from sassafrasdoor.routing.chooser import Chooser
 from sassafrasdoor.support import until
-from sassafrasdoor.view import Member
+from sassafrasdoor.view import Member, State
 
 CUT = Broken("cut")
 REFUSED = Broken("refused", began=False)
@@ -206,6 +206,17 @@
         self.assertIsInstance(await one.ask(key), Answer)
         self.assertEqual(len(service.calls), 1)
 
+    async def test_leaving_instance_issues_no_keys(self):
+        """Symptom: calls end as unknown at each restart although they never ran.
+
+        Sequence: an instance announces its leaving, still answers discovery, and
+        ends; its last keys reach others. Cause: it issued keys to the end.
+        """
+        one = Instance("entry-1", FakeService(), view(row_document("once")))
+        self.assertTrue(one.requests.key_prefix())
+        one.seen.members[0].state = State.LEAVING
+        self.assertEqual(one.requests.key_prefix(), "")
+
     async def test_lapsed_key_is_not_run(self):
         """Symptom: a key of last week runs again.
 
--- a/sassafrasdoor/requests/tests/test_requests_processes.py
+++ b/sassafrasdoor/requests/tests/test_requests_processes.py
@@ -4,7 +4,7 @@
 import json
 import unittest
 
-from sassafrasdoor.cluster import KEYS, Cluster
+from sassafrasdoor.cluster import KEYS, TABLE, Cluster
 from sassafrasdoor.requests.messages import identity
 from sassafrasdoor.standin.proxy import Proxy
 from sassafrasdoor.support import until
@@ -75,6 +75,20 @@
             if name.startswith("service"):
                 await self.cluster.faults(name, **faults)
 
+    async def busy(self, name):
+        """Say whether a service runs something now, by its load report."""
+        address = self.cluster.backends[name].ready["address"]
+        _, load = await self.cluster.get(address, "/load")
+        return load["running"]
+
+    async def slots(self, row, instances):
+        """Return what a row may use at some instances together."""
+        total = 0
+        for instance in instances:
+            _, status = await self.cluster.get(instance.address, "/v1/status")
+            total += status["requests"]["slots"].get(row, 0)
+        return total
+
 
 class OutcomesTest(ProcessCase):
     async def test_outcomes_are_true(self):
@@ -285,12 +299,6 @@
         self.assertEqual(await self.runs(identity("once", key)), 1)
         self.assertEqual(await self.runs(identity("once", unused)), 0)
 
-    async def busy(self, name):
-        """Say whether a service runs something now, by its load report."""
-        address = self.cluster.backends[name].ready["address"]
-        _, load = await self.cluster.get(address, "/load")
-        return load["running"]
-
     async def test_chosen_key_everywhere_and_in_an_outage_of_the_log(self):
         """Symptom: one key runs at two instances.
 
@@ -329,7 +337,7 @@
         grants under it. Cause: grants lapse everywhere and nobody may renew.
         """
         cluster = await self.cluster(instances=2, engines=1, services=1)
-        before = await self.slots("idempotent")
+        before = await self.slots("idempotent", self.cluster.instances)
         await cluster.platform_faults(down=True)
         await until(lambda: self.fallen_back(before))
         for instance in cluster.instances * 5:
@@ -338,21 +346,95 @@
         await cluster.platform_faults(down=False)
         await until(lambda: self.recovered(before))
 
-    async def slots(self, row):
-        """Return what the row may use at all instances together."""
-        total = 0
-        for instance in self.cluster.instances:
-            _, status = await self.cluster.get(instance.address, "/v1/status")
-            total += status["requests"]["slots"][row]
-        return total
-
     async def fallen_back(self, before):
         """Say whether the grants have lapsed: about half is left."""
-        return await self.slots("idempotent") <= 0.6 * before
+        return await self.slots("idempotent", self.cluster.instances) <= 0.6 * before
 
     async def recovered(self, before):
         """Say whether grants are made again."""
-        return await self.slots("idempotent") >= 0.8 * before
+        return await self.slots("idempotent", self.cluster.instances) >= 0.8 * before
+
+
+class HardLimitTest(ProcessCase):
+    async def test_limit_holds_while_an_instance_is_cut_off(self):
+        """Symptom: a row uses more than its hard limit after a failure.
+
+        Sequence: callers press at three instances; one loses its control
+        process, perhaps the holder of the quota, and goes on serving. Cause:
+        its slots were given away although it may still use some of them.
+        """
+        quick = {**QUICK, "admission": {"grant_duration": 1.5, "overhang": 2.0}}
+        cluster = await self.cluster(quick, instances=3, engines=1, services=1)
+        limited = [
+            {**row, "limit": 0.25} if row["name"] == "once" else row
+            for row in TABLE["rows"]
+        ]
+        _, status = await cluster.get(cluster.instances[0].address, "/v1/status")
+        await cluster.propose({"rows": limited}, status["revision"], "limited")
+        await self.service_faults(delay=0.3)
+        self.most = 0
+        pressing = [
+            asyncio.ensure_future(self.press(instance))
+            for instance in cluster.instances
+            for _ in range(12)
+        ]
+        watching = asyncio.ensure_future(self.watch())
+        try:
+            await until(lambda: self.limit_known(status["revision"]))
+            self.most = 0
+            await until(lambda: self.most >= 10, what="use of the limit")
+            await until(self.shares_are_even, what="a share for everybody")
+            cut, *living = cluster.instances
+            before = await self.slots("once", living)
+            cut.control.freeze()
+            await until(lambda: self.buried(cut, living), what="news of it")
+            await until(lambda: self.took_over(living, before), what="its slots")
+            self.now = 0
+            await until(lambda: self.now >= 8, what="use of what is left")
+            self.assertGreater(await self.slots("once", [cut]), 0)
+        finally:
+            for task in (*pressing, watching):
+                task.cancel()
+        self.assertLessEqual(self.most, 16)
+
+    async def shares_are_even(self):
+        """Say whether each instance has about a third of the limit."""
+        shares = [await self.slots("once", [one]) for one in self.cluster.instances]
+        return min(shares) >= 4
+
+    async def buried(self, cut, living):
+        """Say whether the others take the one cut off for dead."""
+        for instance in living:
+            _, status = await self.cluster.get(instance.address, "/v1/status")
+            states = {one["name"]: one["state"] for one in status["members"]}
+            if states.get(cut.name, "dead") != "dead":
+                return False
+        return True
+
+    async def took_over(self, living, before):
+        """Say whether the living were granted more than they had."""
+        return await self.slots("once", living) > before
+
+    async def press(self, instance):
+        """Call as often as possible, one call at a time."""
+        while True:
+            await self.ask(instance, "once", X_Deadline_Ms="5000")
+
+    async def watch(self):
+        """Follow how many calls run at the service."""
+        while True:
+            self.now = await self.busy("service-1")
+            self.most = max(self.most, self.now)
+            await asyncio.sleep(0.05)
+
+    async def limit_known(self, revision):
+        """Say whether nothing is granted under the table before any more."""
+        for instance in self.cluster.instances:
+            _, status = await self.cluster.get(instance.address, "/v1/status")
+            if status["revision"] <= revision:
+                return False
+        within = await self.slots("once", self.cluster.instances) <= 16
+        return within and await self.busy("service-1") <= 16
 
 
 class LeavingTest(ProcessCase):
