Keep looking after all steps when one has a fault

Cause: an exception in the look at one step's stragglers ended the sweeper; no abandoned step of the instance would have been forgotten any more. Ruled out: letting the task end loudly (nobody awaits it). Change: the fault is logged and the next step looked after. Measured: the new test waits in vain without the change. Conclusion: a task for all steps must outlive a fault of one.

--- a/sassafrasdoor/steps/registry.py
+++ b/sassafrasdoor/steps/registry.py
@@ -251,10 +251,19 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL)
             for step in list(self._steps.values()):
-                step.owner.look_for_stragglers()
-                if step.owner.abandoned:
-                    logs.changed("steps:abandoned", row=step.owner.row.name)
-                    await self._forget(step, cancel=step.owner.over)
+                try:
+                    await self._look_after(step)
+                except Exception as error:
+                    # A fault with one step must not end the care for all: it
+                    # would show as abandoned steps that are never forgotten.
+                    logs.changed("steps:fault", error=repr(error))
+
+    async def _look_after(self, step):
+        if step.owner.abandoned:
+            logs.changed("steps:abandoned", row=step.owner.row.name)
+            await self._forget(step, cancel=step.owner.over)
+        else:
+            step.owner.look_for_stragglers()
 
 
 def _superseded(owner):
--- a/sassafrasdoor/steps/tests/test_delivery.py
+++ b/sassafrasdoor/steps/tests/test_delivery.py
@@ -1,8 +1,10 @@
 import asyncio
 import unittest
+from unittest import mock
 
 from sassafrasdoor.clock import now
 from sassafrasdoor.outcomes import NotRun
+from sassafrasdoor.steps.owner import StepOwner
 from sassafrasdoor.steps.registry import Conflict, NoSuchStep, Submitted
 from sassafrasdoor.steps.tests.fakes import Bench
 from sassafrasdoor.support import until
@@ -267,6 +269,16 @@
             for sample in have.values():
                 self.assertTrue(sample["text"].startswith(f"{row.name}:{step}:"))
 
+    async def test_a_fault_with_one_step_does_not_end_the_care_for_others(self):
+        bench = self.bench()
+        service = bench.instance(attach_idle=0.3)
+        for step in ("s1", "s2"):
+            service.submit(bench.row, bench.spec(step=step))
+        with mock.patch.object(
+            StepOwner, "look_for_stragglers", side_effect=ValueError
+        ):
+            await until(lambda: not service.status(), what="both to be forgotten")
+
     async def test_a_fetch_waits_no_longer_than_the_settings_say(self):
         bench = self.bench()
         service = bench.instance(fetch_wait=0.05)
