Say once how daemons stop and which headers stay on one hop

Cause: duplicates showed the stop handler in both daemons and the list of one-hop headers in two slices. Change: stopping.py and headers.py. Ruled out: a base class for daemons; two functions are enough.

--- a/sassafrasdoor/backends/http.py
+++ b/sassafrasdoor/backends/http.py
@@ -15,32 +15,15 @@
 from sassafrasdoor.backends.stream import StreamReader
 from sassafrasdoor.backends.transfer import Client, Request
 from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.headers import ONE_HOP
 from sassafrasdoor.outcomes import Outcome, ReplyLost, Unavailable
 
 SHORT_CALL_TIMEOUT = 2.0
 JSON_HEADERS = {"Content-Type": "application/json"}
 OK, REFUSED_FENCE = 200, 409
 
-NOT_FORWARDED = frozenset(
-    (
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-http-reason",
-        "x-request-id",
-    )
-)
-
-"""Headers of one hop, and those that the adapter itself sets."""
+# What Tornado's curl client adds of itself is no header of the answer.
+NOT_FORWARDED = ONE_HOP | {"x-http-reason"}
 
 
 class HttpEngine(interface.Engine):
--- a/sassafrasdoor/control/process.py
+++ b/sassafrasdoor/control/process.py
@@ -1,10 +1,7 @@
 """The control process of one instance: its parts and its life."""
 
 import asyncio
-import json
 import random
-import signal
-import sys
 
 import capnp
 
@@ -26,9 +23,9 @@
 from sassafrasdoor.membership.node import Membership
 from sassafrasdoor.peers.link import PeerLink
 from sassafrasdoor.peers.server import PeerServer
+from sassafrasdoor.stopping import planned_stop, say_ready
 from sassafrasdoor.view import Member, State
 
-ENDED_AT_ONCE = 1
 # Members change in bursts, and each change sends them all to the entry.
 PUBLISH_DELAY = 0.05
 # How many instances that only the platform's list knows are greeted a read.
@@ -292,30 +289,13 @@
     async with capnp.kj_loop():
         process = ControlProcess(settings)
         await process.start()
-        stop = _planned_stop()
-        ready = {
-            "ready": True,
-            "name": settings.instance.name,
-            "control": process.address,
-            "gossip": process.membership.address,
-        }
-        print(json.dumps(ready), flush=True)
+        stop = planned_stop()
+        say_ready(
+            settings.instance.name,
+            control=process.address,
+            gossip=process.membership.address,
+        )
         await stop.wait()
         EVENTS.add("leaving")
         logs.changed("control:leaving")
         await process.depart()
-
-
-def _planned_stop():
-    """Return an event set by SIGTERM; a second SIGTERM ends the process at once."""
-    stop = asyncio.Event()
-
-    def asked():
-        if stop.is_set():
-            sys.exit(ENDED_AT_ONCE)
-        stop.set()
-
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, asked)
-    return stop
--- a/sassafrasdoor/entry/process.py
+++ b/sassafrasdoor/entry/process.py
@@ -1,9 +1,6 @@
 """The life of an entry process: start, serve, drain, end."""
 
 import asyncio
-import json
-import signal
-import sys
 
 import capnp
 
@@ -15,9 +12,9 @@
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.peers.server import PeerServer
 from sassafrasdoor.requests.peer import capability
+from sassafrasdoor.stopping import planned_stop, say_ready
 
 DRAIN_POLL = 0.05
-ENDED_AT_ONCE = 1
 
 
 async def run(settings, control_address):
@@ -42,8 +39,8 @@
     await peers.start()
     link.set_addresses(address, peers.address)
     parts.start()
-    stop = _planned_stop()
-    _say_ready(settings, address, peers.address)
+    stop = planned_stop()
+    say_ready(settings.instance.name, entry=address, peer=peers.address)
     await stop.wait()
     await _drain(settings, parts)
     await peers.close()
@@ -52,31 +49,6 @@
     logs.changed("entry:stopped")
 
 
-def _say_ready(settings, address, peer_address):
-    ready = {
-        "ready": True,
-        "name": settings.instance.name,
-        "entry": address,
-        "peer": peer_address,
-    }
-    print(json.dumps(ready), flush=True)
-
-
-def _planned_stop():
-    """Return an event set by SIGTERM; a second SIGTERM ends the process at once."""
-    stop = asyncio.Event()
-
-    def asked():
-        if stop.is_set():
-            sys.exit(ENDED_AT_ONCE)
-        stop.set()
-
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, asked)
-    return stop
-
-
 async def _drain(settings, parts):
     """Leave without cutting a request off.
 
--- a/sassafrasdoor/requests/reading.py
+++ b/sassafrasdoor/requests/reading.py
@@ -5,6 +5,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.headers import ONE_HOP
 from sassafrasdoor.outcomes import Finding, Rejected, findings_of
 from sassafrasdoor.requests import messages
 from sassafrasdoor.requests.messages import Request, identity
@@ -15,26 +16,7 @@
 REPEATABLE = {"": True, "yes": True, "no": False}
 
 # Headers that speak of one connection, or to us, are not for backend servers.
-NOT_FORWARDED = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-deadline-ms",
-        "x-repeatable",
-        "x-request-id",
-    }
-)
+NOT_FORWARDED = ONE_HOP | {"authorization", "x-deadline-ms", "x-repeatable"}
 # Of an answer, the length and these are set anew by our own server.
 NOT_RETURNED = NOT_FORWARDED | {"date", "server"}
 
