--- a/sassafrasdoor/backends/tests/test_service.py
+++ b/sassafrasdoor/backends/tests/test_service.py
@@ -155,7 +155,8 @@
     async def test_a_deadline_in_the_past_sends_nothing(self):
         stand_in, backend = self.start_service()
         result = await self.service.call(backend, call(seconds=-1))
-        self.assertEqual((result.began, stand_in.executions), (False, []))
+        self.assertEqual((result.reason, result.began), ("deadline passed", False))
+        self.assertEqual(stand_in.executions, [])
 
     async def test_every_method_passes_and_head_has_no_body(self):
         _, backend = self.start_service()
--- a/sassafrasdoor/standin/engine.py
+++ b/sassafrasdoor/standin/engine.py
@@ -1,4 +1,11 @@
-"""A stand-in for a model engine: the wire of ``docs/INTERNALS.md``, with faults."""
+"""A stand-in for a model engine: the wire of ``docs/INTERNALS.md``, with faults.
+
+``POST /standin/faults`` takes numbers of times to come for ``fail_before`` and
+``fail_after`` (the first byte of a stream), ``truncate``, ``fail_swaps``,
+``late_swaps``, ``false_swaps`` (success reported, nothing done) and
+``lost_order_replies``; and values for ``freeze``, ``slow`` (a factor), ``leaving``,
+``silence`` (connections open now say nothing more) and ``crash``.
+"""
 
 import asyncio
 import os
@@ -56,26 +63,10 @@
             setattr(self, name, value)
 
 
-class EngineStandIn:
+class EngineStandIn(serving.StandIn):
     """One engine: its batch, the orders it was given and the faults it plays."""
 
-    __slots__ = (
-        "_options",
-        "_report",
-        "_swap",
-        "_tasks",
-        "address",
-        "batch",
-        "counts",
-        "fence",
-        "leaving",
-        "name",
-        "orders",
-        "role",
-        "server",
-        "silent_before",
-    )
-
+    KIND = "engine"
     COUNTED_FAULTS = (
         HANG_UP_BEFORE,
         HANG_UP_AFTER,
@@ -87,66 +78,35 @@
     )
 
     def __init__(self, options, name):
-        self._options = options
+        super().__init__(options, name)
         self._swap = asyncio.Lock()
-        self._tasks = []
-        self.name = name
         self.batch = Batch(options, name)
-        self.counts = dict.fromkeys(self.COUNTED_FAULTS, 0)
         self.fence = 0
         self.role = ""
-        self.leaving = False
         self.orders = []
         self.silent_before = 0.0
         self.server, self.address = serving.listen(self._application())
-        self._report = (now(), self._current_load())
+        self._report = (now(), self.current_load())
 
     def start(self):
         """Start generating, reporting and registering."""
-        work = [self.batch.run(), self._report_load()]
-        if self._options.platform:
-            work.append(serving.stay_registered(self._options.platform, self.describe))
-        self._tasks = [asyncio.ensure_future(coroutine) for coroutine in work]
-
-    async def close(self):
-        """Stop at once."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        self.server.stop()
-        await self.server.close_all_connections()
+        super().start(self.batch.run())
 
-    async def leave(self):
-        """Take no new stream, finish those that run, leave the instance list."""
-        self.leaving = True
-        if self._options.platform:
-            await serving.put_instance(self._options.platform, self.describe())
-        while self.batch.running or self.batch.queued:  # noqa: ASYNC110
-            await asyncio.sleep(self._options.tick)
-        if self._options.platform:
-            self._tasks[-1].cancel()
-            await serving.delete_instance(self._options.platform, self.name)
+    def models(self):
+        """Return the names of the models that it holds."""
+        return list(self.batch.versions)
 
-    def describe(self):
-        """Return this engine as the instance list holds it."""
+    def current_load(self):
+        """Return the load of this moment, JSON-ready."""
         return {
-            "name": self.name,
-            "kind": "engine",
-            "service": self._options.service,
-            "address": self.address,
-            "availability_zone": self._options.zone,
-            "region": self._options.region,
+            "running": len(self.batch.running),
+            "queued": self.batch.queued,
             "capacity": self._options.capacity,
-            "checks_fencing": self._options.checks_fencing,
-            "models": list(self.batch.versions),
-            "state": "leaving" if self.leaving else "alive",
+            "versions": dict(self.batch.versions),
+            "role": self.role,
+            "leaving": self.leaving,
         }
 
-    def load(self):
-        """Return the lagging load report with its age."""
-        made, report = self._report
-        return {**report, "age_ms": round((now() - made) * 1000)}
-
     def admit(self, document):
         """Return the stream of that id, a new one, or the reason for a refusal."""
         stream = self.batch.streams.get(document["stream"])
@@ -162,22 +122,6 @@
                 return reason
         return self.batch.start(document)
 
-    def take(self, fault):
-        """Use up one of a counted fault; say whether there was one."""
-        if not self.counts[fault]:
-            return False
-        self.counts[fault] -= 1
-        return True
-
-    def set_faults(self, faults):
-        """Set the faults named; counted ones are numbers of times to come."""
-        for name, value in faults.items():
-            if name in self.counts:
-                self.counts[name] = value
-            else:
-                getattr(self, f"_fault_{name}")(value)
-        return {"faults": faults}
-
     def truth(self):
         """Return which versions made which tokens, and how often streams started."""
         streams = {
@@ -240,21 +184,6 @@
             client.close()
         await asyncio.sleep(self._options.install_seconds)
 
-    async def _report_load(self):
-        while True:
-            self._report = (now(), self._current_load())
-            await asyncio.sleep(self._options.load_lag)
-
-    def _current_load(self):
-        return {
-            "running": len(self.batch.running),
-            "queued": self.batch.queued,
-            "capacity": self._options.capacity,
-            "versions": dict(self.batch.versions),
-            "role": self.role,
-            "leaving": self.leaving,
-        }
-
     def _application(self):
         return Application(handlers(self), log_function=lambda handler: None)
 
@@ -267,9 +196,6 @@
     def _fault_slow(self, value):
         self.batch.slow = float(value)
 
-    def _fault_leaving(self, value):
-        self.leaving = bool(value)
-
     def _fault_silence(self, value):
         """Connections open now go silent for good; new ones work."""
         self.silent_before = now()
--- a/sassafrasdoor/standin/engine_handlers.py
+++ b/sassafrasdoor/standin/engine_handlers.py
@@ -19,7 +19,7 @@
     return [
         ("/streams", StreamsHandler, mine),
         ("/streams/(.+)", StreamHandler, mine),
-        ("/load", LoadHandler, mine),
+        ("/load", serving.LoadHandler, mine),
         ("/orders", OrdersHandler, mine),
         ("/cache-events", CacheEventsHandler, mine),
         ("/kv/(export|import)", KvHandler, mine),
@@ -139,14 +139,6 @@
         self.answer({})
 
 
-class LoadHandler(StandInHandler):
-    """Reports the load of a moment ago."""
-
-    def get(self):
-        """Return the lagging report."""
-        self.answer(self.server.load())
-
-
 class OrdersHandler(StandInHandler):
     """Takes orders to be at a version and in a role."""
 
--- a/sassafrasdoor/standin/service.py
+++ b/sassafrasdoor/standin/service.py
@@ -1,4 +1,10 @@
-"""A stand-in for a plain service: it counts every execution, and plays faults."""
+"""A stand-in for a plain service: it counts every execution, and plays faults.
+
+``POST /standin/faults`` takes numbers of times to come for ``hang_up_before`` (it
+reads), ``hang_up`` (having run), ``hang_up_middle`` and ``cut_without_length`` (of
+the reply), ``fail``, ``silent``, ``redirect`` and ``interim``; and values for
+``refuse``, ``delay`` (seconds) and ``leaving``.
+"""
 
 import asyncio
 
@@ -13,7 +19,6 @@
 HALF_WITH_LENGTH = b'HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n{"half":'
 HALF_WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"half":'
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
-DRAIN_POLL = 0.02
 REDIRECT_TO = "/redirected"
 
 
@@ -51,26 +56,10 @@
         super().handle_stream(stream, address)
 
 
-class ServiceStandIn:
+class ServiceStandIn(serving.StandIn):
     """One plain service: what it ran and the faults it plays."""
 
-    __slots__ = (
-        "_made",
-        "_options",
-        "_places",
-        "_report",
-        "_server",
-        "_tasks",
-        "abandoned",
-        "address",
-        "counts",
-        "delay",
-        "executions",
-        "leaving",
-        "name",
-        "running",
-    )
-
+    KIND = "service"
     COUNTED_FAULTS = (
         "hang_up_before",
         "hang_up",
@@ -83,81 +72,26 @@
     )
 
     def __init__(self, options, name):
-        self._options = options
+        super().__init__(options, name)
         self._places = asyncio.Semaphore(options.capacity)
-        self._tasks = []
-        self.name = name
-        self.counts = dict.fromkeys(self.COUNTED_FAULTS, 0)
         self.delay = options.delay
         self.executions = []
         self.abandoned = 0
         self.running = 0
-        self.leaving = False
-        self._made, self._report = now(), self._current_load()
-        self.address = ""
+        self._report = (now(), self.current_load())
         self._listen(0)
 
-    def start(self):
-        """Start reporting and registering."""
-        work = [self._report_load()]
-        if self._options.platform:
-            work.append(serving.stay_registered(self._options.platform, self.describe))
-        self._tasks = [asyncio.ensure_future(coroutine) for coroutine in work]
-
-    async def close(self):
-        """Stop at once."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._server.stop()
-        await self._server.close_all_connections()
-
-    async def leave(self):
-        """Finish the calls that run and leave the instance list."""
-        self.leaving = True
-        if self._options.platform:
-            await serving.put_instance(self._options.platform, self.describe())
-        while self.running:  # noqa: ASYNC110
-            await asyncio.sleep(DRAIN_POLL)
-        if self._options.platform:
-            self._tasks[-1].cancel()
-            await serving.delete_instance(self._options.platform, self.name)
-
-    def describe(self):
-        """Return this service as the instance list holds it."""
+    def current_load(self):
+        """Return the load of this moment, JSON-ready."""
         return {
-            "name": self.name,
-            "kind": "service",
-            "service": self._options.service,
-            "address": self.address,
-            "availability_zone": self._options.zone,
-            "region": self._options.region,
+            "running": self.running,
+            "queued": 0,
             "capacity": self._options.capacity,
-            "checks_fencing": False,
-            "models": [],
-            "state": "leaving" if self.leaving else "alive",
+            "versions": {},
+            "role": "",
+            "leaving": self.leaving,
         }
 
-    def load(self):
-        """Return the lagging load report with its age."""
-        return {**self._report, "age_ms": round((now() - self._made) * 1000)}
-
-    def take(self, fault):
-        """Use up one of a counted fault; say whether there was one."""
-        if not self.counts[fault]:
-            return False
-        self.counts[fault] -= 1
-        return True
-
-    def set_faults(self, faults):
-        """Set the faults named; counted ones are numbers of times to come."""
-        for name, value in faults.items():
-            if name in self.counts:
-                self.counts[name] = value
-            else:
-                getattr(self, f"_fault_{name}")(value)
-        return {"faults": faults}
-
     def truth(self):
         """Return every execution in order, and how many each request had."""
         by_request = {}
@@ -192,9 +126,9 @@
 
     def _listen(self, port):
         sockets = bind_sockets(port, serving.HOST)
-        self._server = ServiceServer(self._application())
-        self._server.stand_in = self
-        self._server.add_sockets(sockets)
+        self.server = ServiceServer(self._application())
+        self.server.stand_in = self
+        self.server.add_sockets(sockets)
         self.address = f"{serving.HOST}:{sockets[0].getsockname()[1]}"
 
     def _application(self):
@@ -203,47 +137,21 @@
             [
                 ("/standin/faults", serving.FaultsHandler, mine),
                 ("/standin/truth", serving.TruthHandler, mine),
-                ("/load", LoadHandler, mine),
+                ("/load", serving.LoadHandler, mine),
                 ("/.*", CallHandler, mine),
             ],
             log_function=lambda handler: None,
         )
 
-    async def _report_load(self):
-        while True:
-            self._made, self._report = now(), self._current_load()
-            await asyncio.sleep(self._options.load_lag)
-
-    def _current_load(self):
-        return {
-            "running": self.running,
-            "queued": 0,
-            "capacity": self._options.capacity,
-            "versions": {},
-            "role": "",
-            "leaving": self.leaving,
-        }
-
     def _fault_refuse(self, value):
         if value:
-            self._server.stop()
+            self.server.stop()
         else:
             self._listen(int(self.address.rpartition(":")[2]))
 
     def _fault_delay(self, value):
         self.delay = float(value)
 
-    def _fault_leaving(self, value):
-        self.leaving = bool(value)
-
-
-class LoadHandler(StandInHandler):
-    """Reports the load of a moment ago."""
-
-    def get(self):
-        """Return the lagging report."""
-        self.answer(self.server.load())
-
 
 class CallHandler(StandInHandler):
     """Any method and path: runs once, then answers or plays a fault."""
--- a/sassafrasdoor/standin/serving.py
+++ b/sassafrasdoor/standin/serving.py
@@ -12,9 +12,12 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 from tornado.web import RequestHandler
 
+from sassafrasdoor.clock import now
+
 HOST = "127.0.0.1"
 REGISTER_RETRY = 0.2
 REGISTER_EVERY = 2.0
+DRAIN_POLL = 0.02
 
 
 class StandInHandler(RequestHandler):
@@ -39,6 +42,14 @@
             self.detach().close()
 
 
+class LoadHandler(StandInHandler):
+    """``GET /load``: the load of a moment ago."""
+
+    def get(self):
+        """Return the lagging report."""
+        self.answer(self.server.load())
+
+
 class FaultsHandler(StandInHandler):
     """``POST /standin/faults`` sets the faults named in its body."""
 
@@ -55,6 +66,110 @@
         self.answer(self.server.truth())
 
 
+class StandIn:
+    """A backend server that registers, reports its load and plays faults.
+
+    ``counts`` holds how many times to come each of ``COUNTED_FAULTS`` is played;
+    any other fault ``x`` is handed to ``_fault_x``.
+    """
+
+    KIND = ""
+    COUNTED_FAULTS = ()
+
+    def __init__(self, options, name):
+        self._options = options
+        self._tasks = []
+        self._report = (now(), {})
+        self.name = name
+        self.address = ""
+        self.server = None
+        self.leaving = False
+        self.counts = dict.fromkeys(self.COUNTED_FAULTS, 0)
+
+    def start(self, *work):
+        """Start reporting, registering and ``work`` (coroutines)."""
+        jobs = [*work, self._report_load()]
+        if self._options.platform:
+            jobs.append(stay_registered(self._options.platform, self.describe))
+        self._tasks = [asyncio.ensure_future(job) for job in jobs]
+
+    async def close(self):
+        """Stop at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.server.stop()
+        await self.server.close_all_connections()
+
+    async def leave(self):
+        """Take no new work, finish what runs, leave the instance list."""
+        self.leaving = True
+        if self._options.platform:
+            await put_instance(self._options.platform, self.describe())
+        while self.is_busy():  # noqa: ASYNC110
+            await asyncio.sleep(DRAIN_POLL)
+        if self._options.platform:
+            self._tasks[-1].cancel()
+            await delete_instance(self._options.platform, self.name)
+
+    def describe(self):
+        """Return this server as the instance list holds it."""
+        return {
+            "name": self.name,
+            "kind": self.KIND,
+            "service": self._options.service,
+            "address": self.address,
+            "availability_zone": self._options.zone,
+            "region": self._options.region,
+            "capacity": self._options.capacity,
+            "checks_fencing": getattr(self._options, "checks_fencing", False),
+            "models": self.models(),
+            "state": "leaving" if self.leaving else "alive",
+        }
+
+    def is_busy(self):
+        """Whether work runs or waits."""
+        load = self.current_load()
+        return bool(load["running"] or load["queued"])
+
+    def models(self):
+        """Return the names of the models that it holds."""
+        return []
+
+    def current_load(self):
+        """Return the load of this moment, JSON-ready."""
+        raise NotImplementedError
+
+    def load(self):
+        """Return the lagging load report with its age."""
+        made, report = self._report
+        return {**report, "age_ms": round((now() - made) * 1000)}
+
+    def take(self, fault):
+        """Use up one of a counted fault; say whether there was one."""
+        if not self.counts[fault]:
+            return False
+        self.counts[fault] -= 1
+        return True
+
+    def set_faults(self, faults):
+        """Set the faults named; counted ones are numbers of times to come."""
+        for name, value in faults.items():
+            if name in self.counts:
+                self.counts[name] = value
+            else:
+                getattr(self, f"_fault_{name}")(value)
+        return {"faults": faults}
+
+    async def _report_load(self):
+        while True:
+            self._report = (now(), self.current_load())
+            await asyncio.sleep(self._options.load_lag)
+
+    def _fault_leaving(self, value):
+        self.leaving = bool(value)
+
+
 def json_line(document):
     """Return a document as a line of NDJSON."""
     return json.dumps(document, separators=(",", ":")) + "\n"
