Split choosing targets and judging suspects from the member's loop

Ruled out: mixins; who chooses, who judges and who sends have state of their own. Change: membership/targets.py and membership/suspicions.py; no change of behaviour. Conclusion: sending and receiving could still part.

--- a/sassafrasdoor/membership/node.py
+++ b/sassafrasdoor/membership/node.py
@@ -19,6 +19,8 @@
 from sassafrasdoor.membership.delegate import Delegate, News
 from sassafrasdoor.membership.regions import Regions
 from sassafrasdoor.membership.roster import Roster
+from sassafrasdoor.membership.suspicions import Suspicions
+from sassafrasdoor.membership.targets import Targets
 from sassafrasdoor.membership.transport import Transport
 from sassafrasdoor.view import State
 
@@ -29,20 +31,10 @@
 # A probe ends within one interval; one that took longer ended late by our fault.
 LATE = 1.2
 FEW_UPDATES = 3
-SILENT_ROUNDS = 3
 NEVER_MS = 0xFFFFFFFF
 SEQUENCES = 1 << 32
 
 
-class _Suspicion:
-    __slots__ = ("deadline", "first", "since")
-
-    def __init__(self, timeout, first=None):
-        self.since = now()
-        self.first = first or self.since
-        self.deadline = deadline_in(timeout)
-
-
 class Membership:
     """One member's part: ``await start(...)``, then read ``members``.
 
@@ -59,14 +51,15 @@
         self._broadcasts = Broadcasts()
         self._regions = Regions(self._settings)
         self._silent = set()
-        self._suspicions = {}
+        self._suspicions = Suspicions(self._settings, own.region, self._regions)
+        self._targets = Targets(
+            self._settings, own, self._roster, self._regions, self._chance
+        )
         self._pending = {}
         self._relays = {}
-        self._round = []
         self._sequence = self._chance.randrange(SEQUENCES)
         self._compare_after = now()
         self._reconnect_after = now()
-        self._last_heard = now()
         self._distrust_until = None
         self._news_left = 0
         self._pause = PauseDetector(2 * self._settings.probe_interval)
@@ -204,7 +197,7 @@
         if not self._pause.tick():
             # Right after a pause, messages as old as the pause are read: they
             # say nothing about who can be reached now.
-            self._last_heard = now()
+            self._suspicions.last_heard = now()
             self._hear_regions(message)
         spread = _worth_spreading(message)
         for update in message.updates:
@@ -314,15 +307,12 @@
             return
         if spread:
             self._broadcasts.add(update)
-        if is_new and update is not self._own and update.region == self._own.region:
-            # Waiting for the next round could leave it unprobed for minutes.
-            at = self._chance.randrange(len(self._round) + 1)
-            self._round.insert(at, update.name)
-        self._suspicions.pop(update.name, None)
+        if is_new:
+            self._targets.joined(update)
         if update.state is State.SUSPECT:
-            timeout = self._settings.suspicion_timeout
-            self._suspicions[update.name] = _Suspicion(timeout)
+            self._suspicions.begin(update.name)
         else:
+            self._suspicions.end(update.name)
             self._regions.clear(update.name)
         EVENTS.add("member", member=update.name, state=update.state.value)
         logs.changed("member:changed", member=update.name, state=update.state.value)
@@ -335,45 +325,12 @@
             next_round = deadline_in(self._settings.probe_interval)
             if self._pause.tick():
                 self._recover()
-            member = self._next_target()
+            member = self._targets.next()
             if member is not None:
                 await self._probe(member, next_round)
             self._judge()
             await asyncio.sleep(remaining(next_round))
 
-    def _others(self):
-        return [m for m in self._roster.living() if m.name != self._own.name]
-
-    def _next_target(self):
-        for name in self._regions.to_ask_again():
-            member = self._roster.get(name)
-            if member is not None and member.state is not State.DEAD:
-                return member
-        remote = [m for m in self._others() if m.region != self._own.region]
-        silent = self._regions.silent()
-        if remote and silent and self._chance.random() < 0.5:
-            in_silence = [m for m in remote if m.region in silent]
-            return self._chance.choice(in_silence or remote)
-        if remote and self._chance.random() < self._settings.remote_share:
-            return self._chance.choice(remote)
-        return self._next_of_region() or (
-            self._chance.choice(remote) if remote else None
-        )
-
-    def _next_of_region(self):
-        # In random order, but each once a round: no member waits for long.
-        while True:
-            if not self._round:
-                self._round = [
-                    m.name for m in self._others() if m.region == self._own.region
-                ]
-                self._chance.shuffle(self._round)
-                if not self._round:
-                    return None
-            member = self._roster.get(self._round.pop())
-            if member is not None and member.state is not State.DEAD:
-                return member
-
     def _next_sequence(self):
         self._sequence = (self._sequence + 1) % SEQUENCES
         return self._sequence
@@ -388,7 +345,7 @@
             self._send(member.gossip_address, "ping", **words)
             if await _within(answer, self._settings.probe_timeout):
                 return self._answered(member)
-            for helper in self._helpers(member):
+            for helper in self._targets.helpers(member):
                 self._send(helper.gossip_address, "probe", **words)
             if await _within(answer, remaining(limit)):
                 return self._answered(member)
@@ -396,22 +353,6 @@
             del self._pending[sequence]
         return self._unanswered(member, began)
 
-    def _helpers(self, member):
-        # One of each zone first: a cut between two zones must not look like
-        # the death of the member behind it.
-        helpers = [
-            m
-            for m in self._others()
-            if m.name != member.name and m.region == self._own.region
-        ]
-        self._chance.shuffle(helpers)
-        seen = {}
-        for helper in helpers:
-            zone = helper.availability_zone
-            seen.setdefault(zone, []).append(helper)
-        helpers.sort(key=lambda m: seen[m.availability_zone].index(m))
-        return helpers[: self._settings.indirect_probes]
-
     def _answered(self, member):
         self._regions.clear(member.name)
         if member.region != self._own.region:
@@ -441,41 +382,13 @@
     def _judge(self):
         if self._pause.tick():
             return
-        for name, suspicion in list(self._suspicions.items()):
-            self._judge_suspect(self._roster.get(name), suspicion)
+        others = len(self._targets.others())
+        for member in self._suspicions.expired(self._roster, others):
+            self._take(order.changed(member, state=State.DEAD))
         self._note_silence()
         self._roster.forget()
         self._reconnect()
 
-    def _judge_suspect(self, member, suspicion):
-        held_for = now() - suspicion.first
-        if held_for < self._settings.silence_timeout and self._cut_off(
-            member, suspicion
-        ):
-            # Begin anew: once the way is back, the member gets its full time
-            # to refute.
-            timeout = self._settings.suspicion_timeout
-            self._suspicions[member.name] = _Suspicion(timeout, suspicion.first)
-        elif passed(suspicion.deadline):
-            del self._suspicions[member.name]
-            self._take(order.changed(member, state=State.DEAD))
-
-    def _cut_off(self, member, suspicion):
-        """Say whether the way to the member, not the member, may be at fault.
-
-        If this process hears nobody at all, it is the one that is cut off. To
-        declare all others dead would flood them with updates to refute when
-        it is back; one would see a storm of incarnations.
-        """
-        if member.region != self._own.region:
-            unheard = self._regions.heard_at(member.region) < suspicion.since
-            return unheard and passed(suspicion.deadline)
-        silence = min(
-            SILENT_ROUNDS * self._settings.probe_interval,
-            self._settings.suspicion_timeout / 2,
-        )
-        return now() - self._last_heard > silence and len(self._others()) > 1
-
     def _note_silence(self):
         regions = {m.region for m in self._roster.living()} - {self._own.region}
         silent = {r for r in regions if self._regions.silent_since(r) is not None}
@@ -499,11 +412,12 @@
     def _recover(self):
         logs.changed("member:paused", member=self._own.name)
         EVENTS.add("paused", member=self._own.name)
-        timeout = self._settings.suspicion_timeout
-        self._suspicions = {name: _Suspicion(timeout) for name in self._suspicions}
+        self._suspicions.restart()
         self._regions.restart()
-        others = self._others()
-        self._distrust_until = self._distrust_until or deadline_in(timeout)
+        others = self._targets.others()
+        self._distrust_until = self._distrust_until or deadline_in(
+            self._settings.suspicion_timeout
+        )
         if not others or passed(self._distrust_until):
             # Nobody there to refresh from: as good as a member that was not
             # paused and hears nobody.
@@ -521,14 +435,7 @@
 
     def _gossip(self):
         self._news_left = max(0, self._news_left - 1)
-        others = self._others()
-        near = [m for m in others if m.region == self._own.region]
-        far = [m for m in others if m.region != self._own.region]
-        fanout = min(self._settings.gossip_fanout, len(near))
-        chosen = self._chance.sample(near, fanout)
-        if far and (not near or self._chance.random() < self._settings.remote_share):
-            chosen.append(self._chance.choice(far))
-        for member in chosen:
+        for member in self._targets.for_gossip():
             self._send(member.gossip_address, "gossip")
 
 
