Serve the control process's metrics through its entry

Cause: 17 of 49 metrics (log, lease, weights, gossip, quota) count only in the control process, which serves no page: no collector could read them. Ruled out: an HTTP listener and a port of its own for each control process. Change: a call 'metrics' on the control interface; GET /metrics/control passes it on, 503 while control does not answer. Measured: the new test in control/tests/test_link.py reads a counter over the link and Unavailable once control is gone. Conclusion: both processes of an instance are read at one address.

--- a/sassafrasdoor/control/control.capnp
+++ b/sassafrasdoor/control/control.capnp
@@ -125,4 +125,6 @@
   report @4 (service :Text, report :Report, stamp :UInt64) -> (granted :Bool, grants :GrantSet, stamp :UInt64);
   # The backend servers known here, for an instance that cannot read the list itself.
   listing @5 (stamp :UInt64) -> (backends :List(Backend), stamp :UInt64);
+  # The metrics of the control process, in the exposition format.
+  metrics @6 (stamp :UInt64) -> (text :Text, stamp :UInt64);
 }
--- a/sassafrasdoor/control/link.py
+++ b/sassafrasdoor/control/link.py
@@ -79,6 +79,11 @@
         """Have control tell all members that this instance is leaving."""
         return await self._link.call("leave", stamp=EVENTS.clock.stamp())
 
+    async def metrics(self):
+        """Return control's metrics as text, or ``Unavailable``."""
+        answer = await self._link.call("metrics", stamp=EVENTS.clock.stamp())
+        return answer.text if answer else answer
+
     async def run(self):
         """Exchange with control until cancelled."""
         delay = RETRY_DELAY
--- a/sassafrasdoor/control/service.py
+++ b/sassafrasdoor/control/service.py
@@ -2,6 +2,7 @@
 
 import json
 
+from sassafrasdoor import metrics
 from sassafrasdoor.control import messages
 from sassafrasdoor.events import EVENTS
 
@@ -67,6 +68,11 @@
         results.backends = [messages.backend_message(backend) for backend in known]
         results.stamp = EVENTS.clock.stamp()
 
+    async def metrics(self, stamp, _context, **_):
+        EVENTS.clock.observe(stamp)
+        _context.results.text = metrics.exposition()[0].decode()
+        _context.results.stamp = EVENTS.clock.stamp()
+
     async def report_context(self, context):
         asked, results = context.params, context.results
         EVENTS.clock.observe(asked.stamp)
--- a/sassafrasdoor/control/tests/test_link.py
+++ b/sassafrasdoor/control/tests/test_link.py
@@ -55,6 +55,18 @@
         await asyncio.gather(task, return_exceptions=True)
         await server.close()
 
+    @on_kj_loop
+    async def test_the_metrics_of_control_are_readable(self):
+        """
+        Symptom: nobody can read how often leases were claimed or weights are
+        behind. Sequence: control counts, but serves no page. Cause: its
+        metrics leave the process on no way.
+        """
+        server, link, task = await self.connect()
+        self.assertIn("control_updates_total", await link.metrics())
+        await self.end(server, task)
+        self.assertFalse(await link.metrics())
+
     @on_kj_loop
     async def test_parts_arrive_and_stay(self):
         server, link, task = await self.connect()
--- a/sassafrasdoor/entry/server.py
+++ b/sassafrasdoor/entry/server.py
@@ -61,6 +61,7 @@
             ("/healthz", HealthHandler, own),
             ("/readyz", ReadyHandler, own),
             ("/metrics", MetricsHandler, own),
+            ("/metrics/control", ControlMetricsHandler, own),
             ("/v1/status", StatusHandler, own),
             ("/v1/events", EventsHandler, own),
         ]
@@ -195,6 +196,22 @@
         self.write(body)
 
 
+class ControlMetricsHandler(PageHandler):
+    """``GET /metrics/control``: the same of this instance's control process.
+
+    That process serves no HTTP. Without this page the lease, the log and the
+    rollout of weights would count where no collector can read it.
+    """
+
+    async def get(self):
+        text = await self._parts.link.metrics()
+        if not text:
+            refuse(self, 503, "not-run", f"control: {text.reason}", retry=1)
+            return
+        self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        self.write(text)
+
+
 class StatusHandler(PageHandler):
     """``GET /v1/status``: the whole system as this instance sees it."""
 
