Keep a cancellation that meets a record, and test settling at once

Cause: a run of test_holder hung in its stop: the log in memory waited by wait_for, which until Python 3.12 returns the result and loses a cancellation that comes in the same turn, so the follower's loop went on and the stop waited for it for ever. Ruled out: a timeout around the stop, which would hide it; asyncio.timeout has no such fault. The HTTP log does not wait that way. Change: asyncio.timeout in log/memory.py with a test of that very turn; a test that a successor with nothing to settle acts when the lease lapses, not before. Conclusion: two more wait_for calls, in steps/, deserve the same look.

--- a/sassafrasdoor/lease/tests/bench.py
+++ b/sassafrasdoor/lease/tests/bench.py
@@ -27,12 +27,12 @@
 class Node:
     """One instance: a follower and a holder, run turn by turn."""
 
-    def __init__(self, name, log):
+    def __init__(self, name, log, settle=None):
         document = {"instance": {"name": name}}
         self.settings = settings.from_document(document)
         self.log = log
         self.follower = Follower(self.settings, log, agreed.fold, agreed.Agreed())
-        self.holder = Holder(self.settings, log, self.follower, "plan")
+        self.holder = Holder(self.settings, log, self.follower, "plan", settle=settle)
 
     async def turn(self):
         """Read the log, claim if due, read again; return the fencing number."""
--- a/sassafrasdoor/lease/tests/test_holder.py
+++ b/sassafrasdoor/lease/tests/test_holder.py
@@ -49,6 +49,15 @@
         await self.bench.run(1.0, self.b, step=0.5)
         self.assertGreater(self.b.holder.fence, old)
 
+    async def test_where_nothing_outlives_the_lease_a_successor_acts_at_once(self):
+        await self.a.turn()
+        successor = Node("c", self.bench.log, settle=0)
+        await successor.turn()
+        await self.bench.run(DURATION - 0.5, successor, step=0.5)
+        self.assertEqual(successor.holder.fence, 0)
+        await self.bench.run(0.5, successor, step=0.5)
+        self.assertGreater(successor.holder.fence, 0)
+
     async def test_a_holder_that_slept_holds_nothing_and_cannot_renew(self):
         """
         Symptom: two instances send orders, each sure of its lease.
--- a/sassafrasdoor/log/memory.py
+++ b/sassafrasdoor/log/memory.py
@@ -1,6 +1,7 @@
 """A small log in memory, for tests and embedders, with faults to switch on."""
 
 import asyncio
+import contextlib
 from collections import defaultdict
 
 from sassafrasdoor.clock import deadline_in, remaining
@@ -92,7 +93,8 @@
         return Batch(records, max(offset, following), self._first[stream])
 
     async def _wait(self, seconds):
-        try:
-            await asyncio.wait_for(self._appended.wait(), seconds)
-        except TimeoutError:
-            pass
+        # Not by wait_for: until Python 3.12 it loses a cancellation that comes
+        # together with the record, and a follower's task never ends.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._appended.wait()
--- a/sassafrasdoor/log/tests/test_contract.py
+++ b/sassafrasdoor/log/tests/test_contract.py
@@ -135,6 +135,21 @@
 class MemoryContractTest(ContractTests, unittest.IsolatedAsyncioTestCase):
     fixture_class = MemoryFixture
 
+    async def test_a_read_cancelled_as_its_record_comes_is_cancelled(self):
+        """
+        Symptom: now and then a stop hangs for ever (seen once in a test's stop).
+        Sequence: a reader is cancelled in the same turn as a record is appended.
+        Cause: asyncio.wait_for, until 3.12, returns the result and forgets the
+        cancellation; the reader's loop goes on.
+        """
+        reading = asyncio.create_task(self.log.read(STREAM, 1, 5, 20))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        await self.log.append(STREAM, {})
+        reading.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await reading
+
 
 class HttpContractTest(ContractTests, unittest.IsolatedAsyncioTestCase):
     fixture_class = HttpFixture
