--- /dev/null
+++ b/sassafrasdoor/tests/test_pages.py
@@ -0,0 +1,72 @@
+"""Pages say what the code holds: quoted samples, metrics, events, settings files."""
+
+import re
+import subprocess
+import sys
+import unittest
+
+from sassafrasdoor import settings
+from sassafrasdoor.support import ROOT
+
+SOURCE = ROOT / "sassafrasdoor"
+METRIC = re.compile(r'\b(?:counter|gauge|histogram)\(\s*"(\w+)"')
+EVENT = re.compile(r'\b(?:EVENTS\.add|\.event)\(\s*"([\w-]+)"')
+LINE = re.compile(r'\b(?<!order\.)changed\(\s*"([\w.:-]+)"')
+FENCED = re.compile(r"```python\n(.*?)```", re.DOTALL)
+
+
+def page(name):
+    """Return the text of a page."""
+    return (ROOT / "docs" / name).read_text("utf-8")
+
+
+def sources():
+    """Return the text of all modules but the tests."""
+    paths = [path for path in SOURCE.rglob("*.py") if "tests" not in path.parts]
+    return "\n".join(path.read_text("utf-8") for path in sorted(paths))
+
+
+class PagesTest(unittest.TestCase):
+    def test_the_library_page_quotes_the_samples(self):
+        samples = sorted((ROOT / "samples").glob("library_*.py"))
+        self.assertTrue(samples)
+        quoted = FENCED.findall(page("LIBRARY.md"))
+        self.assertCountEqual(quoted, [one.read_text("utf-8") for one in samples])
+
+    def test_the_operating_page_lists_what_the_code_has(self):
+        """
+        Symptom: an operator meets a metric, an event or a log line that no page
+        explains, or looks for one that is gone. Sequence: the code changes.
+        Cause: a list kept by hand.
+        """
+        text = page("OPERATING.md")
+        code = sources()
+        cases = [
+            ("metrics", METRIC, r"^\| `(\w+)`"),
+            ("events", EVENT, r"^\| event `([\w-]+)`"),
+            ("log lines", LINE, r"^\| line `([\w.:-]+)`"),
+        ]
+        for name, made, listed in cases:
+            with self.subTest(name):
+                found = re.findall(listed, text, re.MULTILINE)
+                self.assertEqual(sorted(found), sorted(set(made.findall(code))))
+
+    def test_the_settings_files_of_the_quick_start_are_valid(self):
+        for path in sorted((ROOT / "samples" / "quickstart").glob("*.json")):
+            with self.subTest(path.name):
+                loaded = settings.load(path)
+                self.assertTrue(loaded, getattr(loaded, "findings", ""))
+
+    def test_the_samples_of_the_library_run(self):
+        for path in sorted((ROOT / "samples").glob("library_*.py")):
+            with self.subTest(path.name):
+                done = subprocess.run(
+                    [sys.executable, path],
+                    cwd=ROOT,
+                    env={"PYTHONPATH": str(ROOT)},
+                    capture_output=True,
+                    text=True,
+                    timeout=60,
+                )
+                self.assertEqual((done.returncode, done.stderr), (0, ""))
+                self.assertTrue(done.stdout)
