Bound the fallback of quota by row, not over all rows

The test's first form stayed green with the change taken out and was made sharper; it is red without it now (1 slot in place of 2).

--- a/sassafrasdoor/admission/allocator.py
+++ b/sassafrasdoor/admission/allocator.py
@@ -256,13 +256,11 @@
 
         While the log is down nobody can hold the lease and all grants lapse;
         without a fallback every call would be refused for as long. It is half
-        (rounded up), and of all instances together at most half of the limit, so that a later
-        holder knows how much those that it cannot hear may be using.
+        (rounded up), and of all instances together at most half of the limit, so
+        that a later holder knows how much those that it cannot hear may be using.
         """
         kept = self._kept_by_row() if self._keeps else {}
-        rest = self._capacity // 2 - self._fallback.total
-        rest += sum(record.fallback.values())
-        rest -= self._kept(self._capacity // 2, *self._heard)
+        rest = self._fallback_rest(record)
         fallback = {}
         for name, granted in slots.items():
             others = self._fallback.of(name) - record.fallback.get(name, 0)
@@ -273,6 +271,19 @@
                 rest -= part
         return fallback
 
+    def _fallback_rest(self, record):
+        """Return what half of the capacity leaves to this instance's fallback.
+
+        Unless the capacity is strict there is no such bound: trainers that fill
+        the engines would take all of it, and applications would be refused for
+        as long as the log is down.
+        """
+        if self._reclaims:
+            return sum(self._limits.values())
+        half = self._capacity // 2
+        rest = half - self._fallback.total + sum(record.fallback.values())
+        return rest - self._kept(half, *self._heard)
+
     @property
     def _keeps(self):
         """Whether something is set aside for those not heard of since we took over."""
--- a/sassafrasdoor/admission/tests/test_allocator.py
+++ b/sassafrasdoor/admission/tests/test_allocator.py
@@ -341,6 +341,25 @@
         self.settle(allocator, sites[1:], rounds=4)
         self.assertEqual(heir.allowed("trainer"), CAPACITY)
 
+    def test_an_application_keeps_a_fallback_beside_busy_trainers(self):
+        """Symptom: while the log is down applications are refused, trainers not.
+
+        Sequence: a trainer fills the engines from every instance, the log goes
+        down, all grants lapse. Cause: one bound on everybody's fallback, which
+        the trainer's large grants had used up.
+        """
+        allocator, sites = self.started(trainer=40)
+        self.settle(allocator, sites, rounds=20)
+        for site in sites:
+            site.wanted["small"] = 1
+        self.settle(allocator, sites, rounds=20)
+        self.assertEqual(self.total(sites, "small"), 3)
+        self.clock.time += self.settings.admission.grant_duration + 0.1
+        half = hard_limit(ROWS.row("small"), CAPACITY) // 2
+        self.assertEqual(self.total(sites, "small"), half)
+        self.assertGreaterEqual(self.total(sites, "trainer"), 1)
+        self.check(sites)
+
     def test_limited_rows_wait_for_the_silent(self):
         allocator, sites = self.started(app=40)
         cut, *others = sites
--- a/sassafrasdoor/deployments.py
+++ b/sassafrasdoor/deployments.py
@@ -58,7 +58,7 @@
     Returns ``(caller results, summary)`` as ``load.run.run`` does.
     """
     async with Cluster(deployment.settings) as cluster:
-        await _start(cluster, deployment, say)
+        await start(cluster, deployment, say)
         announcing = asyncio.ensure_future(_announce(cluster, deployment.models, say))
         try:
             addresses = [one.address for one in cluster.instances]
@@ -67,7 +67,8 @@
             announcing.cancel()
 
 
-async def _start(cluster, deployment, say):
+async def start(cluster, deployment, say):
+    """Start every process of the deployment and wait until all are ready."""
     cluster.start_platform()
     zones = deployment.zones
     for backend in deployment.backends:
