End a daemon when one of its lasting tasks fails

Cause: nobody awaited the follower, the spread, the list reader or the entry's link; had one died, the instance would have served an old view and looked well. Ruled out: restarting the task in place; what it half did is unknown. Change: stopping.lasting starts them and ends the process, exit code 3, when one fails; the reason is logged.

--- a/sassafrasdoor/control/process.py
+++ b/sassafrasdoor/control/process.py
@@ -23,7 +23,7 @@
 from sassafrasdoor.membership.node import Membership
 from sassafrasdoor.peers.link import PeerLink
 from sassafrasdoor.peers.server import PeerServer
-from sassafrasdoor.stopping import planned_stop, say_ready
+from sassafrasdoor.stopping import lasting, planned_stop, say_ready
 from sassafrasdoor.view import Member, State
 
 # Members change in bursts, and each change sends them all to the entry.
@@ -108,7 +108,7 @@
             self._watch_confirmation(),
             self._read_list(),
         ]
-        self._tasks = [asyncio.create_task(job) for job in jobs]
+        self._tasks = lasting(jobs)
         self.weights.start()
 
     async def close(self):
--- a/sassafrasdoor/entry/parts.py
+++ b/sassafrasdoor/entry/parts.py
@@ -14,6 +14,7 @@
 from sassafrasdoor.routing.loads import LoadPoller
 from sassafrasdoor.steps import handlers as step_handlers
 from sassafrasdoor.steps.handlers import StepsService
+from sassafrasdoor.stopping import lasting
 
 REPORT_INTERVAL = 0.2
 
@@ -71,7 +72,7 @@
             self.admission.run(self.view),
             self._send_report(),
         ]
-        self._tasks = [asyncio.ensure_future(job) for job in jobs]
+        self._tasks = lasting(jobs)
 
     async def close(self):
         """End all tasks and the work they hold."""
--- /dev/null
+++ b/sassafrasdoor/tests/test_stopping.py
@@ -0,0 +1,38 @@
+"""A daemon ends when one of its lasting tasks fails."""
+
+import subprocess
+import sys
+import unittest
+
+from sassafrasdoor.stopping import TASK_FAILED
+from sassafrasdoor.support import ROOT
+
+DAEMON = """
+import asyncio
+from sassafrasdoor import logs
+from sassafrasdoor.stopping import lasting
+
+async def follower():
+    raise ValueError("a record of a newer version")
+
+async def main():
+    logs.start("daemon")
+    lasting([follower(), asyncio.sleep(0)])
+    await asyncio.sleep(60)
+
+asyncio.run(main())
+"""
+
+
+class LastingTest(unittest.TestCase):
+    def test_a_dead_task_ends_the_process(self):
+        """Symptom: an instance serves an old table for ever and looks well.
+
+        Sequence: its follower's task meets something unforeseen and ends.
+        Cause: nobody awaits a task that is meant to run for ever.
+        """
+        done = subprocess.run(
+            [sys.executable, "-c", DAEMON], cwd=ROOT, capture_output=True, text=True
+        )
+        self.assertEqual(done.returncode, TASK_FAILED, done.stderr)
+        self.assertIn("a record of a newer version", done.stdout)
--- a/sassafrasdoor/tools/control.py
+++ b/sassafrasdoor/tools/control.py
@@ -18,7 +18,7 @@
 ):
     """Serve the entry and its peers until SIGTERM.
 
-    Exit codes: 0 ended well, 1 at once, 2 usage.
+    Exit codes: 0 ended well, 1 ended at once, 2 usage, 3 a task of its own failed.
     """
     asyncio.run(process.run(read(settings, check, listens=True)))
 
--- a/sassafrasdoor/tools/entry.py
+++ b/sassafrasdoor/tools/entry.py
@@ -19,7 +19,10 @@
     check: bool = CheckOption,
     version: bool = VersionOption,
 ):
-    """Serve callers until SIGTERM. Exit codes: 0 ended well, 1 at once, 2 usage."""
+    """Serve callers until SIGTERM.
+
+    Exit codes: 0 ended well, 1 ended at once, 2 usage, 3 a task of its own failed.
+    """
     checked = read(settings, check, listens=True)
     own = f"{checked.instance.host}:{checked.instance.control_port}"
     asyncio.run(process.run(checked, control or own))
