Withdraw the addresses of an entry process that died alone

Cause: while writing OPERATING: after 'kill -9' of one entry process, discovery at the others went on naming it, for its control process lives on and answers probes. Ruled out: having members probe the entry as well: twice the datagrams for 400 members. Change: control withdraws the addresses when its entry has not spoken for 4 s (it speaks at least once a second) and tells them again when it does; event and line. Conclusion: each of the two processes may die alone.

--- a/sassafrasdoor/control/process.py
+++ b/sassafrasdoor/control/process.py
@@ -36,6 +36,8 @@
 # process is to stay under 11 KB/s.
 LIST_BYTES_PER_SECOND = 4000
 REGISTER_AGAIN = 5.0
+# An entry speaks at least once a second; one that pauses for less is not withdrawn.
+ENTRY_SILENCE = 4.0
 
 
 class ControlProcess(Delegate):
@@ -69,6 +71,7 @@
         self._registered = None
         self._registering = asyncio.Lock()
         self._departing = False
+        self._entry_deadline = None
         self.follower.may_poll = self.spread.may_poll
         self.follower.may_checkpoint = self._may_checkpoint
         self.follower.on_change(self._agreed_changed)
@@ -107,6 +110,7 @@
             self._publish_members(),
             self._watch_confirmation(),
             self._read_list(),
+            self._watch_entry(),
         ]
         self._tasks = lasting(jobs)
         self.weights.start()
@@ -278,9 +282,25 @@
 
     def entry_said(self, entry_address, peer_address, report, number):
         """Take the entry's addresses and report; its view has come to ``number``."""
+        self._entry_deadline = deadline_in(ENTRY_SILENCE)
         self.membership.update(entry_address=entry_address, peer_address=peer_address)
         self.quota.entry_said(report, number)
 
+    async def _watch_entry(self):
+        """Withdraw the addresses of an entry that says nothing any more.
+
+        Members judge this process, which goes on to answer probes when its entry
+        dies. Discovery everywhere would name the dead entry for good; one would
+        notice callers whose first connection is refused every time.
+        """
+        while True:
+            await asyncio.sleep(ENTRY_SILENCE / 4)
+            if self._entry_deadline is not None and passed(self._entry_deadline):
+                self._entry_deadline = None
+                logs.changed("control:entry-silent")
+                EVENTS.add("entry-silent")
+                self.membership.update(entry_address="", peer_address="")
+
     def leave(self):
         """The entry begins a planned stop."""
         self.membership.leave()
--- a/sassafrasdoor/tools/status_view.py
+++ b/sassafrasdoor/tools/status_view.py
@@ -14,7 +14,15 @@
     "suspect",
     "report_age_seconds",
 )
-QUOTA = ("granted", "lapses_in_seconds", "fallback", "in_use", "waiting", "wanted")
+QUOTA = (
+    "granted",
+    "lapses_in_seconds",
+    "fallback",
+    "allowed",
+    "in_use",
+    "waiting",
+    "wanted",
+)
 
 
 def status_line(seen):
