Drop datagrams that would abort the control process

Cause: a packed message that announces a second segment and lacks it decodes well; its reader raises from its destructor, which ends the process by SIGABRT (seen with a datagram of 20 bytes where no peer keys are set; with keys only a holder could send it). An update about this member with an incarnation near 2^64 made the next number unsendable, so that the member fell silent for good. Ruled out: catching it (a destructor's exception cannot be caught from Python); unpacked datagrams (they would not fit 1,400 bytes). Change: messages of more than one segment are refused unread, ours have one; incarnations above 2^62 are refused.

--- a/sassafrasdoor/entry/tests/test_bad_input.py
+++ b/sassafrasdoor/entry/tests/test_bad_input.py
@@ -130,6 +130,7 @@
     "HTTP": b"GET / HTTP/1.1\r\n\r\n",
     "a claim of 4 GB": b"\x00\x00\x00\x00\xff\xff\xff\x1f" + b"x" * 64,
     "half a million segments": b"\xff\xff\x07\x00" + b"\x01" * 64,
+    "a segment too few": b"\1\0\0\0\1\0\0\0\xe8\3\0\0\0\0\0\0" + b"\1" * 8,
     "a frame cut short": b"\x00\x00\x00\x00\x10\x00\x00\x00\x00",
 }
 DATAGRAMS = [b"", b"\x00", b"\xff", b"\x10" + b"x" * 40, os.urandom(1200), b"x" * 9000]
--- a/sassafrasdoor/membership/messages.py
+++ b/sassafrasdoor/membership/messages.py
@@ -17,8 +17,12 @@
 # What updates may take of it; the rest is for the head and two MACs.
 UPDATES_SIZE = 1000
 UPDATE_OVERHEAD = 50
+SEGMENT_COUNT = 0x0F
 # An update passes through a member some ten times; encoding one takes 75 µs.
 CACHED_UPDATES = 2048
+# Milliseconds of the wall clock, far above any: who is told of a later life of its
+# own takes the next number, and beyond 64 bits could send nothing any more.
+MAX_INCARNATION = 1 << 62
 
 
 class Malformed(ValueError):
@@ -44,6 +48,12 @@
     body = datagram[at:]
     if not proof.sealed(keys, body, datagram[1:at]):
         raise Forged("no valid MAC")
+    # A message starts with the number of its segments less one; packed, the low
+    # bits of the first byte say which bytes of that are not 0. If a segment after
+    # the first is missing, the reader raises from its destructor, which aborts
+    # the process. Ours have one segment, so others are refused unread.
+    if not body or body[0] & SEGMENT_COUNT:
+        raise Malformed("several segments")
     try:
         return SCHEMA.Message.from_bytes_packed(body)
     except (capnp.KjException, ValueError) as error:
@@ -70,6 +80,8 @@
 def decode_update(data):
     """Return the ``Member`` in an update; raises as ``decode`` or KeyError."""
     with SCHEMA.Update.from_bytes(data) as message:
+        if message.incarnation > MAX_INCARNATION:
+            raise Malformed("incarnation")
         return _member_in(message)
 
 
