Fuzz every reader of input and mend what it found

Cause: hypothesis over settings, tables, sheets, steps, tokens, bodies, headers, events, the instance list, the agreed stream and checkpoints. Found: a weights record with a version above 64 bits, or half a surrogate pair for its model, was folded in and could then be told to no entry; an entry of the instance list with a number for a name (or an infinite capacity) stopped the reading of the list or kept the view from the entry; a checkpoint with a revision or fencing number that is no number stopped its reader at the next record; a deeply nested JSON sheet, a CSV revision of 5,000 digits: tracebacks; findings as long as the input. Ruled out: catching all exceptions in the follower, which would hide them. Change: announcements are checked as proposals are; models and leases are bounded; documents of checkpoints are checked by type; listed instances by type and length; at most 100 findings with places of 120 characters. Conclusion: never an exception where a value or a reason is due.

--- a/sassafrasdoor/control/instances.py
+++ b/sassafrasdoor/control/instances.py
@@ -13,6 +13,9 @@
     "instances_unreadable_total", "Entries of the instance list that made no sense."
 )
 ENTRY = "entry"
+MAX_TEXT = 256
+MAX_MODELS = 64
+MAX_CAPACITY = 1_000_000
 STATES = {"alive": State.ALIVE, "leaving": State.LEAVING}
 
 
@@ -108,34 +111,49 @@
                 members.append(_member(document))
             else:
                 backends.append(_backend(document))
-        except (KeyError, TypeError, ValueError):
+        except (KeyError, TypeError, ValueError, OverflowError):
             UNREADABLE.inc({})
     return Listing(members, backends)
 
 
+def _text(document, name, default=None):
+    """Return a text; raises ValueError for what the entry could not be told.
+
+    One entry that cannot be encoded would keep the whole view from the entry.
+    """
+    value = document.get(name, default)
+    if not isinstance(value, str) or len(value.encode()) > MAX_TEXT:
+        raise ValueError(name)
+    return value
+
+
 def _member(document):
     return Member(
-        document["name"],
-        availability_zone=document.get("availability_zone", ""),
-        region=document.get("region", ""),
+        _text(document, "name"),
+        availability_zone=_text(document, "availability_zone", ""),
+        region=_text(document, "region", ""),
         state=STATES[document.get("state", "alive")],
-        gossip_address=document.get("gossip_address", ""),
-        control_address=document.get("control_address", ""),
-        entry_address=document.get("address", ""),
-        peer_address=document.get("peer_address", ""),
+        gossip_address=_text(document, "gossip_address", ""),
+        control_address=_text(document, "control_address", ""),
+        entry_address=_text(document, "address", ""),
+        peer_address=_text(document, "peer_address", ""),
     )
 
 
 def _backend(document):
+    models = [
+        _text({"model": model}, "model")
+        for model in document.get("models", ())[:MAX_MODELS]
+    ]
     return Backend(
-        document["name"],
-        document["address"],
+        _text(document, "name"),
+        _text(document, "address"),
         document["kind"],
-        document["service"],
-        availability_zone=document.get("availability_zone", ""),
-        region=document.get("region", ""),
-        capacity=max(1, int(document.get("capacity", 1))),
+        _text(document, "service"),
+        availability_zone=_text(document, "availability_zone", ""),
+        region=_text(document, "region", ""),
+        capacity=min(MAX_CAPACITY, max(1, int(document.get("capacity", 1)))),
         checks_fencing=bool(document.get("checks_fencing", False)),
-        models=document.get("models", ()),
+        models=models,
         state=STATES[document.get("state", "alive")],
     )
--- a/sassafrasdoor/lease/claims.py
+++ b/sassafrasdoor/lease/claims.py
@@ -9,6 +9,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 NO_EPOCH = 0
+MAX_LEASES = 4096
 
 
 class Claim(BaseModel):
@@ -45,10 +46,23 @@
 
     @classmethod
     def from_document(cls, document):
-        """Return the lease in a mapping made by ``as_document``."""
+        """Return the lease in a mapping made by ``as_document``.
+
+        Raises ``ValueError``, ``KeyError`` or ``TypeError`` if it is none.
+        """
+        for name, kind in _TYPES.items():
+            if type(document[name]) is not kind:
+                raise ValueError(name)
         return cls(**document)
 
 
+_TYPES = {
+    "holder": str,
+    "epoch": int,
+    "offset": int,
+    "claim_id": str,
+    "released": bool,
+}
 VACANT = Lease("", NO_EPOCH, NO_EPOCH, "", released=True)
 
 
@@ -58,6 +72,8 @@
         claim = Claim.model_validate(record.body)
     except ValidationError:
         return leases
+    if claim.name not in leases and len(leases) >= MAX_LEASES:
+        return leases
     current = leases.get(claim.name, VACANT)
     if claim.replaces != current.offset or record.offset == NO_EPOCH:
         return leases
--- a/sassafrasdoor/log/agreed.py
+++ b/sassafrasdoor/log/agreed.py
@@ -4,9 +4,23 @@
 wherever it reads them.
 """
 
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
 from sassafrasdoor.lease import claims
 from sassafrasdoor.table import accepted as tables
 
+MAX_MODELS = 2000
+MAX_VERSION = 2**53
+
+
+class Announcement(BaseModel):
+    """The body of a weights record."""
+
+    model_config = ConfigDict(strict=True, extra="ignore")
+
+    model: str = Field(min_length=1, max_length=64)
+    version: int = Field(gt=0, le=MAX_VERSION)
+
 
 class Agreed:
     """The table in force, the newest weight versions and the leases.
@@ -52,7 +66,11 @@
             str(name): claims.Lease.from_document(lease)
             for name, lease in document["leases"].items()
         }
-        weights = {str(key): int(item) for key, item in document["weights"].items()}
+        told = [
+            Announcement(model=model, version=version)
+            for model, version in document["weights"].items()
+        ]
+        weights = {one.model: one.version for one in told}
         accepted = tables.Accepted.from_document(document["accepted"])
         return cls(accepted, weights, leases)
 
@@ -73,12 +91,19 @@
 
 
 def _fold_weights(state, record):
-    model, version = record.body.get("model"), record.body.get("version")
-    if not isinstance(model, str) or type(version) is not int:
+    try:
+        told = Announcement.model_validate(record.body)
+    except ValidationError:
+        # A version beyond 64 bits, once folded in, could be told to no entry any
+        # more: all of them would keep the view that they have.
+        return state
+    known = state.weights
+    if told.version <= known.get(told.model, 0):
         return state
-    if version <= state.weights.get(model, 0):
+    if told.model not in known and len(known) >= MAX_MODELS:
         return state
-    return Agreed(state.accepted, {**state.weights, model: version}, state.leases)
+    weights = {**known, told.model: told.version}
+    return Agreed(state.accepted, weights, state.leases)
 
 
 def _fold_lease(state, record):
--- a/sassafrasdoor/outcomes.py
+++ b/sassafrasdoor/outcomes.py
@@ -4,6 +4,9 @@
 branch with ``if not result`` or with ``functools.singledispatch`` on the class.
 """
 
+MAX_FINDINGS = 100
+MAX_PLACE = 120
+
 
 class Outcome:
     """Something other than the value asked for, and why."""
@@ -99,8 +102,16 @@
 
 
 def findings_of(error):
-    """Return the findings of a ``pydantic.ValidationError``, in its order."""
+    """Return the first findings of a ``pydantic.ValidationError``, in its order.
+
+    Places hold names that the sender chose: they are cut, and there are at most
+    ``MAX_FINDINGS``, so that a refusal is never longer than what it refuses.
+    """
     return [
-        Finding(".".join(str(part) for part in item["loc"]) or "(root)", item["msg"])
-        for item in error.errors()
+        Finding(_place(item["loc"]), item["msg"])
+        for item in error.errors(include_url=False, include_input=False)[:MAX_FINDINGS]
     ]
+
+
+def _place(parts):
+    return ".".join(str(part) for part in parts)[:MAX_PLACE] or "(root)"
--- a/sassafrasdoor/table/accepted.py
+++ b/sassafrasdoor/table/accepted.py
@@ -73,11 +73,35 @@
 
     @classmethod
     def from_document(cls, document):
-        """Return the decision in a mapping made by ``as_document``."""
+        """Return the decision in a mapping made by ``as_document``.
+
+        Raises ``ValueError``, ``KeyError`` or ``TypeError`` if it is none.
+        """
+        _check(document, _DECISION)
         findings = [Finding(**finding) for finding in document["findings"]]
         return cls(**{**document, "findings": findings})
 
 
+# Types of the members of documents. A revision that is no number would be folded
+# in without a word, and the next record compared with it would stop the follower.
+_DECISION = {
+    "id": str,
+    "offset": int,
+    "base": int,
+    "author": str,
+    "accepted": bool,
+    "winner": int,
+    "winner_author": str,
+}
+_ACCEPTED = {"revision": int, "author": str}
+
+
+def _check(document, types):
+    for name, kind in types.items():
+        if type(document[name]) is not kind:
+            raise ValueError(name)
+
+
 class Accepted:
     """The table in force (None: none yet), its revision, and late decisions."""
 
@@ -106,8 +130,9 @@
     def from_document(cls, document):
         """Return the state in a mapping made by ``as_document``.
 
-        Raises ``ValueError`` for a table that is not valid.
+        Raises ``ValueError``, ``KeyError`` or ``TypeError`` if it is none.
         """
+        _check(document, _ACCEPTED)
         table = document["table"]
         if table is not None:
             table = table_from(table)
--- a/sassafrasdoor/table/sheets.py
+++ b/sassafrasdoor/table/sheets.py
@@ -16,6 +16,7 @@
 COLUMNS = list(Row.model_fields)
 LIST_COLUMN = "key_hashes"
 REVISION_MARK = "# revision "
+MAX_DIGITS = 18
 
 
 class Sheet:
@@ -48,6 +49,8 @@
         document = json.loads(text)
     except ValueError as error:
         return Rejected("sheet is not JSON", [Finding("(root)", str(error))])
+    except RecursionError:
+        return Rejected("sheet is not JSON", [Finding("(root)", "too deep")])
     if not isinstance(document, dict):
         return Rejected("sheet invalid", [Finding("(root)", "not an object")])
     revision = document.pop("revision", None)
@@ -62,7 +65,7 @@
     if text.startswith(REVISION_MARK):
         first, _, text = text.partition("\n")
         digits = first.removeprefix(REVISION_MARK).strip(" ,\r")
-        if not digits.isdecimal():
+        if not digits.isdecimal() or len(digits) > MAX_DIGITS:
             return Rejected("sheet invalid", [Finding("revision", "not an integer")])
         revision = int(digits)
     try:
