--- a/sassafrasdoor/standin/platform.py
+++ b/sassafrasdoor/standin/platform.py
@@ -168,7 +168,8 @@
     async def appended(self, stream, seconds):
         """Wait until something is appended, at most that many seconds."""
         try:
-            await asyncio.wait_for(stream.appended.wait(), seconds)
+            async with asyncio.timeout(seconds):
+                await stream.appended.wait()
         except TimeoutError:
             pass
 
--- a/sassafrasdoor/steps/adoption.py
+++ b/sassafrasdoor/steps/adoption.py
@@ -85,9 +85,8 @@
 async def _ask(engine, backend, identity, permits):
     async with permits:
         try:
-            states = await asyncio.wait_for(
-                engine.streams(backend, identity.prefix), ASK_TIMEOUT
-            )
+            async with asyncio.timeout(ASK_TIMEOUT):
+                states = await engine.streams(backend, identity.prefix)
         except TimeoutError:
             return []
     if isinstance(states, Outcome):
--- a/sassafrasdoor/steps/resources.py
+++ b/sassafrasdoor/steps/resources.py
@@ -168,5 +168,8 @@
 
     async def wait(self, deadline):
         """Wait for the next change, at most until ``deadline``."""
+        # Not ``wait_for``: on Python 3.11 it swallows a cancellation that comes in
+        # the same turn as the event, and the task goes on for ever.
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._event.wait(), remaining(deadline))
+            async with asyncio.timeout(remaining(deadline)):
+                await self._event.wait()
