Ask engines for a sample's tokens in chunks of half a second

Ruled out: a faster reader (the cost is spread over curl's callback, the line and the task's turn); fewer tokens. Change: flush_ms on the engine's wire, steps.flush_interval (0.5 s); streams that a caller watches are sent as made. The stand-in honours it.

--- a/sassafrasdoor/backends/interface.py
+++ b/sassafrasdoor/backends/interface.py
@@ -51,11 +51,14 @@
 
     ``first_byte_timeout`` and ``gap_timeout`` are seconds without a chunk,
     before the first and between two; ``deadline`` ends all, None for never.
+    ``flush_interval`` asks for a chunk in so many seconds at most, 0 for each
+    token as it is made: chunks are what a stream costs us, its tokens are not.
     """
 
     __slots__ = (
         "deadline",
         "first_byte_timeout",
+        "flush_interval",
         "gap_timeout",
         "max_tokens",
         "model",
@@ -80,6 +83,7 @@
         gap_timeout=5.0,
         deadline=None,
         prefix_tokens=0,
+        flush_interval=0.0,
     ):
         self.stream = stream
         self.model = model
@@ -92,6 +96,7 @@
         self.gap_timeout = gap_timeout
         self.deadline = deadline
         self.prefix_tokens = prefix_tokens
+        self.flush_interval = flush_interval
 
 
 class Chunk:
--- a/sassafrasdoor/backends/stream.py
+++ b/sassafrasdoor/backends/stream.py
@@ -129,6 +129,7 @@
             "offset": order.offset,
             "seed": order.seed,
             "prefix_tokens": order.prefix_tokens,
+            "flush_ms": int(order.flush_interval * 1000),
         }
         # A stream is resumable by its id, but for a caller whose request may
         # run once only the engine must not see it twice: a fresh connection.
--- a/sassafrasdoor/settings.py
+++ b/sassafrasdoor/settings.py
@@ -87,6 +87,7 @@
         "attach_idle": 15.0,
         "view_confirm": 5.0,
         "batch_size": 128,
+        "flush_interval": 0.5,
         "stragglers": "move",
     },
     "drain": {"deadline": 60.0, "spread": 3.0},
@@ -254,6 +255,7 @@
     fetch_wait: float = Field(gt=0)
     attach_idle: float = Field(gt=0)
     view_confirm: float = Field(gt=0)
+    flush_interval: float = Field(ge=0)
     batch_size: int = Field(gt=0)
     stragglers: Stragglers
 
--- a/sassafrasdoor/standin/engine_handlers.py
+++ b/sassafrasdoor/standin/engine_handlers.py
@@ -5,7 +5,7 @@
 
 from tornado.iostream import StreamClosedError
 
-from sassafrasdoor.clock import now
+from sassafrasdoor.clock import deadline_in, now
 from sassafrasdoor.standin import serving
 from sassafrasdoor.standin.serving import StandInHandler
 
@@ -62,23 +62,27 @@
         self.set_header("Content-Type", "application/x-ndjson")
         try:
             await self.flush()
-            await self._send(stream, document.get("offset", 0))
+            flush = document.get("flush_ms", 0) / 1000
+            await self._send(stream, document.get("offset", 0), flush)
         except StreamClosedError:
             return
         finally:
             stream.open -= 1
 
-    async def _send(self, stream, offset):
+    async def _send(self, stream, offset, flush):
         fault = next(
             (name for name in (HANG_UP_AFTER, TRUNCATE) if self.server.take(name)), ""
         )
         opened, sent = now(), 0
+        due = opened
         while not self._gone:
             wake = stream.wake
-            fresh = stream.chunks[sent:]
             silent = opened <= self.server.silent_before
-            for chunk in [] if silent else fresh:
-                sent += 1
+            held = silent or (now() < due and not stream.done)
+            fresh = [] if held else stream.chunks[sent:]
+            sent += len(fresh)
+            due = deadline_in(flush) if fresh else due
+            for chunk in joined(fresh) if flush else fresh:
                 line = chunk_line(chunk, offset)
                 if line:
                     self.write(line)
@@ -107,6 +111,18 @@
             self.hang_up()
 
 
+def joined(chunks):
+    """Join neighbouring chunks of one version into one."""
+    whole = []
+    for first, text, tokens, version in chunks:
+        if whole and whole[-1][3] == version:
+            start, before, count, _ = whole[-1]
+            whole[-1] = (start, f"{before} {text}", count + tokens, version)
+        else:
+            whole.append((first, text, tokens, version))
+    return whole
+
+
 def chunk_line(chunk, offset):
     """Return the wire line of a chunk from ``offset`` on, empty if all before."""
     first, text, tokens, version = chunk
--- a/sassafrasdoor/steps/reader.py
+++ b/sassafrasdoor/steps/reader.py
@@ -125,6 +125,7 @@
             first_byte_timeout=requests.first_byte_timeout,
             gap_timeout=requests.gap_timeout,
             deadline=step.deadline,
+            flush_interval=self._resources.settings.steps.flush_interval,
         )
 
     @singledispatchmethod
