List every row of the table on the status page

Cause: a row without a grant and without calls was left out, and 'allowed' was unknown for a row without a queue: an instance started in an outage showed no quota at all. Ruled out: showing only rows in trouble; what is missing looks like nothing. Conclusion: 'granted -, allowed 8' tells an instance that lives on its slice.

--- a/sassafrasdoor/admission/queues.py
+++ b/sassafrasdoor/admission/queues.py
@@ -237,12 +237,15 @@
         return {name: queue.allowed() for name, queue in self._queues.items()}
 
     def status(self):
-        """Return quota and queue of each row used or granted here, JSON-ready."""
-        grants = (self._view.grants if self._view else None) or {}
+        """Return quota and queue of every row of the table, JSON-ready."""
+        view = self._view
+        if view is None or view.table is None:
+            return {}
         return {
-            name: _grant_status(grants.get(name))
-            | _queue_status(self._queues.get(name))
-            for name in sorted({*grants, *self._queues})
+            row.name: _grant_status((view.grants or {}).get(row.name))
+            | {"allowed": allowance(self._settings, view, row)}
+            | _queue_status(self._queues.get(row.name))
+            for row in view.table.rows
         }
 
     def report(self):
@@ -272,7 +275,6 @@
 
 def _queue_status(queue):
     return {
-        "allowed": queue.allowed() if queue else None,
         "in_use": queue.in_use if queue else 0,
         "waiting": queue.waiting if queue else 0,
         "wanted": queue.wanted() if queue else 0,
--- a/sassafrasdoor/tests/test_pages.py
+++ b/sassafrasdoor/tests/test_pages.py
@@ -12,6 +12,7 @@
 METRIC = re.compile(r'\b(?:counter|gauge|histogram)\(\s*"(\w+)"')
 EVENT = re.compile(r'\b(?:EVENTS\.add|\.event)\(\s*"([\w-]+)"')
 LINE = re.compile(r'\b(?<!order\.)changed\(\s*"([\w.:-]+)"')
+SETTING = re.compile(r"`([a-z]+)\.([a-z_]+)`")
 FENCED = re.compile(r"```python\n(.*?)```", re.DOTALL)
 
 
@@ -51,6 +52,15 @@
                 found = re.findall(listed, text, re.MULTILINE)
                 self.assertEqual(sorted(found), sorted(set(made.findall(code))))
 
+    def test_the_pages_name_settings_that_exist(self):
+        lines = set(LINE.findall(sources()))
+        for name in ("OPERATING.md", "LIBRARY.md", "USING.md"):
+            for section, setting in SETTING.findall(page(name)):
+                known = section in settings.DEFAULT
+                if known and f"{section}.{setting}" not in lines:
+                    with self.subTest(page=name, setting=f"{section}.{setting}"):
+                        self.assertIn(setting, settings.DEFAULT[section])
+
     def test_the_settings_files_of_the_quick_start_are_valid(self):
         for path in sorted((ROOT / "samples" / "quickstart").glob("*.json")):
             with self.subTest(path.name):
