--- a/sassafrasdoor/load/profile.py
+++ b/sassafrasdoor/load/profile.py
@@ -18,7 +18,7 @@
 class Part(BaseModel):
     """A part of the profile; unknown keys are findings."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
 class CallerProfile(Part):
@@ -62,5 +62,5 @@
             return Profile.model_validate(json.load(file))
     except ValidationError as error:
         return Rejected("profile invalid", findings_of(error))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         return Rejected("profile unreadable", [Finding(str(path), str(error))])
--- a/sassafrasdoor/settings.py
+++ b/sassafrasdoor/settings.py
@@ -7,6 +7,7 @@
 
 import json
 from enum import StrEnum
+from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -130,6 +131,10 @@
     checkpoint_interval: float = Field(gt=0)
 
 
+# An empty key would prove nothing, and look like one in a settings file.
+PeerKey = Annotated[str, Field(min_length=1, max_length=256)]
+
+
 class MembershipSettings(Section):
     """Probing of other instances; ``seeds`` are gossip addresses host:port.
 
@@ -159,7 +164,7 @@
     reconnect_interval: float = Field(gt=0)
     silence_timeout: float = Field(gt=0)
     pollers_per_zone: int = Field(gt=0)
-    peer_keys: list[str] = Field(max_length=2)
+    peer_keys: list[PeerKey] = Field(max_length=2, repr=False)
 
 
 class TableSettings(Section):
--- a/sassafrasdoor/tools/load.py
+++ b/sassafrasdoor/tools/load.py
@@ -33,6 +33,8 @@
         callers, document = asyncio.run(deployments.run(checked, console.print))
     else:
         checked = _valid(profile, profiles.load(profile), check)
+        if not address:
+            raise typer.BadParameter("name --address or --deployment")
         callers, document = asyncio.run(runs.run(checked, address, ca_file))
     if out:
         report.write(document, callers, out)
--- a/sassafrasdoor/tools/standin.py
+++ b/sassafrasdoor/tools/standin.py
@@ -1,15 +1,19 @@
-"""Stand-ins for the platform and backend servers, for tests and the demo."""
+"""Stand-ins for the platform and backend servers, for tests and the demo.
+
+Exit codes: 0 ended as asked, 1 at once, 2 usage.
+"""
 
 import typer
 
 from sassafrasdoor.standin import platform, proxy
 from sassafrasdoor.tools import standin_backends
+from sassafrasdoor.tools.options import VersionOption
 
 main = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
 
 
 @main.callback()
-def _group():
+def _group(version: bool = VersionOption):
     """Keep the subcommand's name necessary, however few there are."""
 
 
--- /dev/null
+++ b/sassafrasdoor/tools/tests/test_programs.py
@@ -0,0 +1,160 @@
+"""Every program's command line: help, version, exit codes, findings with places."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import tomllib
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from sassafrasdoor import __version__
+from sassafrasdoor.support import ROOT
+
+TIMEOUT = 60
+USAGE = 2
+PROJECT = tomllib.loads((ROOT / "pyproject.toml").read_text("utf-8"))["project"]
+PROGRAMS = sorted(
+    entry.partition(":")[0].rpartition(".")[2] for entry in PROJECT["scripts"].values()
+)
+DAEMONS = ("control", "entry")
+
+MISTAKES = {
+    "instance": {"entry_port": 70_000, "nick": "x"},
+    "lease": {"duration": -1},
+    "membership": {"peer_keys": [""]},
+    "tls": {"certificate": "/no/such/file", "private_key": "/no/such/file"},
+}
+PLACES = (
+    "instance.entry_port",
+    "instance.nick",
+    "lease.duration",
+    "membership.peer_keys.0",
+    "tls.certificate",
+    "tls.private_key",
+)
+DEEP = "[" * 100_000
+
+# program, arguments ({name}: a file of FILES), what it says about the mistake.
+PROFILE = '{"duration": 1, "callers": [{"row": "r", "key": "k", "rate": 1}]}'
+FILES = {
+    "profile": PROFILE,
+    "empty": "[]",
+    "broken": "{",
+    "deep": DEEP,
+    "step": '["a prompt"]',
+}
+TRAINER = ("--address", "127.0.0.1:9", "--row", "trainer", "--key", "a-key")
+WRONG = [
+    *((name, ("--no-such-option",), "--no-such-option") for name in PROGRAMS),
+    *((name, (), "--settings") for name in DAEMONS),
+    *(
+        (name, ("--check", "--settings", "{" + file + "}"), place)
+        for name in DAEMONS
+        for file, place in (("empty", "not an object"), ("broken", "Expecting"))
+    ),
+    ("entry", ("--settings", "/no/such/file"), "No such file"),
+    ("entry", ("--settings", "{deep}"), "too deep"),
+    ("load", ("--profile", "{broken}"), "Expecting"),
+    ("load", ("--profile", "{deep}"), "recursion"),
+    ("load", ("--profile", "{profile}"), "--address"),
+    ("load", ("--profile", "/no/such/file"), "No such file"),
+    ("load", ("--deployment", "/no/such/folder"), "No such file"),
+    ("timeline", (), "--entry"),
+    ("timeline", ("--settings", "{broken}", "--discover"), "Expecting"),
+    ("trainer", ("{broken}", *TRAINER), "Expecting"),
+    ("trainer", ("{deep}", *TRAINER), "recursion"),
+    ("trainer", ("{empty}", *TRAINER), "groups"),
+    ("trainer", ("{step}", *TRAINER, "--samples", "0"), "samples_per_group"),
+    ("trainer", ("{step}", *TRAINER, "--deadline", "nan"), "--deadline"),
+    ("trainer", ("{step}", *TRAINER, "--step", "a/b"), "step"),
+]
+
+
+def run(program, *arguments):
+    """Run a program to its end; return ``(exit code, all output)``."""
+    done = subprocess.run(
+        [sys.executable, "-m", f"sassafrasdoor.tools.{program}", *arguments],
+        cwd=ROOT,
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        timeout=TIMEOUT,
+        env={"PATH": "", "TERM": "dumb", "COLUMNS": "200"},
+    )
+    return done.returncode, done.stdout
+
+
+def run_all(calls):
+    """Run all calls, three at a time; return their results in order."""
+    with ThreadPoolExecutor(3) as pool:
+        return list(pool.map(lambda call: run(*call), calls))
+
+
+class ProgramsTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory(prefix="sassafrasdoor-programs-")
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def write(self, name, text):
+        path = self.folder / f"{name}.json"
+        path.write_text(text, "utf-8")
+        return str(path)
+
+    def test_help_and_version(self):
+        asked = [
+            (name, option) for name in PROGRAMS for option in ("--help", "--version")
+        ]
+        for (name, option), (code, output) in zip(asked, run_all(asked), strict=True):
+            with self.subTest(program=name, option=option):
+                self.assertEqual(code, 0, output)
+                if option == "--version":
+                    self.assertEqual(output.strip(), __version__)
+                    continue
+                self.assertIn("Exit codes:", output)
+                if name in DAEMONS:
+                    self.assertIn("--settings", output)
+                    self.assertIn("--check", output)
+
+    def test_all_mistakes_of_a_settings_file_at_once(self):
+        """Symptom: an operator mends one mistake a start, or reads a traceback.
+
+        Sequence: a settings file with several mistakes, one of them a file that
+        does not exist; then one without.
+        Cause: a check that stops at its first finding, or comes after the start.
+        """
+        wrong = self.write("wrong", json.dumps(MISTAKES))
+        right = self.write("right", "{}")
+        asked = [
+            (name, "--settings", path, *check)
+            for name in DAEMONS
+            for path in (wrong, right)
+            for check in (("--check",), ())
+            if check or path == wrong
+        ]
+        for call, (code, output) in zip(asked, run_all(asked), strict=True):
+            with self.subTest(call=call):
+                self.assertNotIn("Traceback", output)
+                self.assertEqual(code, USAGE if wrong in call else 0, output)
+                for place in PLACES if wrong in call else ():
+                    self.assertIn(f"{place}:", output)
+
+    def test_wrong_usage(self):
+        """Symptom: a traceback, or exit code 1, for a mistake on the command line.
+
+        Sequence: wrong options, files that are missing or no good.
+        Cause: input used before it was checked.
+        """
+        paths = {name: self.write(name, text) for name, text in FILES.items()}
+        asked = [
+            (name, *(paths.get(one.strip("{}"), one) for one in arguments))
+            for name, arguments, _ in WRONG
+        ]
+        for case, (code, output) in zip(WRONG, run_all(asked), strict=True):
+            with self.subTest(program=case[0], arguments=case[1]):
+                self.assertNotIn("Traceback", output)
+                self.assertEqual(code, USAGE, output)
+                self.assertIn(case[2], output)
