Hold the OpenAPI page to the paths that are served

Cause: fields of steps and the control process's metrics page were missing from docs/openapi.json, and nothing noticed. Ruled out: generating the page, which would lose its descriptions. Measured: the test is red with a path left out.

--- a/sassafrasdoor/entry/server.py
+++ b/sassafrasdoor/entry/server.py
@@ -41,7 +41,7 @@
         instance = self._settings.instance
         sockets = tornado.netutil.bind_sockets(instance.entry_port, instance.host)
         self._http = tornado.httpserver.HTTPServer(
-            self._application(),
+            self.application(),
             ssl_options=server_context(self._settings.tls),
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=self._settings.requests.body_limit,
@@ -55,7 +55,8 @@
         self._http.stop()
         await self._http.close_all_connections()
 
-    def _application(self):
+    def application(self):
+        """Return the application over all slices."""
         own = {"parts": self.parts}
         pages = [
             ("/healthz", HealthHandler, own),
--- /dev/null
+++ b/sassafrasdoor/entry/tests/test_openapi.py
@@ -0,0 +1,28 @@
+"""The OpenAPI page names every path that the entry serves, and no other."""
+
+import json
+import re
+import unittest
+
+from sassafrasdoor.control.link import ControlLink
+from sassafrasdoor.entry.parts import Parts
+from sassafrasdoor.entry.server import EntryServer
+from sassafrasdoor.settings import from_document
+from sassafrasdoor.support import ROOT
+
+GROUP = re.compile(r"\((?:[^()]|\([^()]*\))*\)\??")
+
+
+class OpenApiTest(unittest.IsolatedAsyncioTestCase):
+    async def test_paths_agree(self):
+        settings = from_document({})
+        parts = Parts(settings, ControlLink(settings, "127.0.0.1:1"))
+        served = {
+            GROUP.sub("{}", rule.matcher.regex.pattern.rstrip("$"))
+            for rule in EntryServer(settings, parts).application().wildcard_router.rules
+        }
+        page = json.loads((ROOT / "docs" / "openapi.json").read_text("utf-8"))
+        named = {re.sub(r"\{[^}]*\}", "{}", path) for path in page["paths"]}
+        named = {path.replace("/v1/call/{}/{}", "/v1/call/{}{}") for path in named}
+        self.assertEqual(named, {one for one in served if one != ".*"})
+        await parts.close()
