Join an engine's chunks without a space of their own

Ruled out: the entry, which passed on what it got; offsets and spans agreed. Change: one character in the stand-in.

--- a/sassafrasdoor/standin/engine_handlers.py
+++ b/sassafrasdoor/standin/engine_handlers.py
@@ -117,7 +117,7 @@
     for first, text, tokens, version in chunks:
         if whole and whole[-1][3] == version:
             start, before, count, _ = whole[-1]
-            whole[-1] = (start, f"{before} {text}", count + tokens, version)
+            whole[-1] = (start, before + text, count + tokens, version)
         else:
             whole.append((first, text, tokens, version))
     return whole
