--- a/sassafrasdoor/membership/tests/test_datagrams.py
+++ b/sassafrasdoor/membership/tests/test_datagrams.py
@@ -73,6 +73,7 @@
 
         @fuzzed
         @example(b"\0" + CUT_SHORT)
+        @example(gossip.encode([], kind="gossip", sender="x", stamp=2**64 - 1))
         @given(
             st.binary(max_size=200)
             | st.binary(max_size=200).map(lambda body: b"\0" + body)
