Stop an instance alone with an old table, and go on past the fallback

Cause: table.unconfirmed_grace was read nowhere, so an instance cut off from log and peers served by a replaced table for ever; and ten minutes into an outage of the log every row got nothing, also those without a hard limit, although an instance started then would have served them. Ruled out: stopping every instance after the grace: an outage of the log would end all service; with a living peer the newest revision spreads. Change: no living peer and a table unconfirmed for longer than the grace refuse new work as not run; past the fallback rows without a hard limit get the slice of an instance without grants.

--- a/sassafrasdoor/admission/quota.py
+++ b/sassafrasdoor/admission/quota.py
@@ -30,11 +30,11 @@
     if not passed(grant.deadline):
         return grant.slots
     lapses = grant.deadline + settings.admission.fallback_duration
-    return 0 if passed(lapses) else grant.fallback
+    return untold(settings, view, row) if passed(lapses) else grant.fallback
 
 
 def untold(settings, view, row):
-    """Return the slots of a row at an instance that knows of no grants at all.
+    """Return the slots of a row at an instance that holds no grants any more, or yet.
 
     While the log is down nobody can hold the quota's lease, and an instance that
     started since has no grants to fall back on: once all were replaced, every
--- a/sassafrasdoor/admission/tests/test_queues.py
+++ b/sassafrasdoor/admission/tests/test_queues.py
@@ -88,6 +88,20 @@
                 slots = allowance(chosen, seen, seen.row("app"))
                 self.assertEqual(slots, ceil(half / 8) * allowed)
 
+    def test_an_outage_that_outlasts_the_fallback(self):
+        """Symptom: ten minutes into an outage of the log every call is refused.
+
+        Sequence: grants lapse, then what they fall back on. Cause: an instance
+        with lapsed grants was worse off than one that never had any.
+        """
+        for name, limit, allowed in (("no limit", 1.0, True), ("limit", 0.5, False)):
+            with self.subTest(name):
+                lapsed = {"app": Grant(3, deadline_in(-601), fallback=1, number=1)}
+                seen = view(row_document("app", limit=limit), grants=lapsed)
+                chosen = settings(admission={"fallback_duration": 600.0})
+                slots = allowance(chosen, seen, seen.row("app"))
+                self.assertEqual(slots > 0, allowed)
+
     async def test_row_without_grant_gets_nothing_while_others_have_one(self):
         seen = granted(3)
         outcome = await self.admit(seen, "other", within=0.01)
--- a/sassafrasdoor/entry/parts.py
+++ b/sassafrasdoor/entry/parts.py
@@ -15,6 +15,7 @@
 from sassafrasdoor.steps import handlers as step_handlers
 from sassafrasdoor.steps.handlers import StepsService
 from sassafrasdoor.stopping import lasting
+from sassafrasdoor.view import State
 
 REPORT_INTERVAL = 0.2
 
@@ -85,9 +86,25 @@
 
     def unready(self):
         """Return why this instance takes no new work, or an empty string."""
-        if self.leaving:
-            return "leaving"
-        return "" if self.view().table else "no table known"
+        return "leaving" if self.leaving else self.without_table()
+
+    def without_table(self):
+        """Return why no table can be gone by here, or an empty string.
+
+        An instance that reaches neither the log nor a peer may be the only one
+        that still goes by a table which operators replaced long ago. While any
+        peer is alive it goes on: the newest revision spreads by peers.
+        """
+        view = self.view()
+        if view.table is None:
+            return "no table known"
+        if view.age <= self._settings.table.unconfirmed_grace:
+            return ""
+        own = self._settings.instance.name
+        others = [one for one in view.members if one.name != own]
+        if any(one.state is State.ALIVE for one in others):
+            return ""
+        return "alone with a table that nobody has confirmed for long"
 
     def status(self):
         """Return the system as seen from here, JSON-ready."""
--- a/sassafrasdoor/entry/server.py
+++ b/sassafrasdoor/entry/server.py
@@ -112,9 +112,9 @@
 
     def __call__(self, handler, row_name):
         """Return the row whose key the caller showed, or None."""
-        view = self._parts.view()
-        if view.table is None:
-            refuse(handler, 503, "not-run", "this instance knows no table yet", retry=1)
+        view, reason = self._parts.view(), self._parts.without_table()
+        if reason:
+            refuse(handler, 503, "not-run", reason, retry=1)
             return None
         header = handler.request.headers.get("Authorization", "")
         key = header.removeprefix(BEARER)[:MAX_KEY_LENGTH]
--- /dev/null
+++ b/sassafrasdoor/entry/tests/test_isolated.py
@@ -0,0 +1,41 @@
+"""An instance alone with a table that nobody confirms stops taking work."""
+
+import unittest
+
+from sassafrasdoor.clock import now
+from sassafrasdoor.entry.parts import Parts
+from sassafrasdoor.requests.tests.fakes import settings, view
+from sassafrasdoor.view import State
+
+
+class SeenLink:
+    """A link to control that has delivered one view."""
+
+    def __init__(self, seen):
+        self.view = seen
+
+
+class IsolatedTest(unittest.IsolatedAsyncioTestCase):
+    async def test_who_goes_on_with_an_unconfirmed_table(self):
+        """Symptom: an instance cut off for an hour serves by a table long replaced.
+
+        Sequence: its network is cut on the inner side only; callers still reach
+        it; operators lower a limit. Cause: an unconfirmed table never ends.
+        """
+        chosen = settings(
+            instance={"name": "entry-1"}, table={"unconfirmed_grace": 60.0}
+        )
+        cases = [
+            ("confirmed lately, alone", 10, 1, True),
+            ("unconfirmed for long, with a living peer", 600, 2, True),
+            ("unconfirmed for long, alone", 600, 1, False),
+            ("unconfirmed for long, the peer is suspected", 600, -2, False),
+        ]
+        for name, age, members, serves in cases:
+            with self.subTest(name):
+                seen = view(members=abs(members), confirmed_at=now() - age)
+                for member in seen.members[1:] if members < 0 else ():
+                    member.state = State.SUSPECT
+                parts = Parts(chosen, SeenLink(seen))
+                self.assertEqual(parts.unready() == "", serves)
+                await parts.close()
