Send seeded frames to the peer port

Cause: the table of bad frames held four, none with a good head and bad contents. Ruled out: hypothesis over sockets: each example needs a connection of its own and a wait for its end, which shrinking would repeat hundreds of times. Change: 30 seeded frames, half of them with the head of a whole message.

--- a/sassafrasdoor/peers/tests/test_link.py
+++ b/sassafrasdoor/peers/tests/test_link.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 import socket
 import unittest
 from unittest import mock
@@ -152,6 +153,12 @@
             "truncated": b"\x00\x00\x00\x00\x05\x00\x00\x00abc",
             "claims 16 GB": b"\x00\x00\x00\x00\xff\xff\xff\x7f" + bytes(64),
         }
+        chance = random.Random(11)
+        for number in range(30):
+            # One segment of 8 words: a message by its frame, of any contents.
+            head = b"\0\0\0\0\x08\0\0\0" if number % 2 else b""
+            words = chance.choices((0, 1, 2, 4, 0xFF, chance.randrange(256)), k=64)
+            frames[f"seeded {number}"] = head + bytes(words)
         host, _, port = server.address.rpartition(":")
         for name, frame in frames.items():
             with self.subTest(name):
