Cancel a stream whose caller leaves before its first chunk

A stream counted as begun only with its first chunk; a caller that left after the engine had begun and before the chunk arrived left a stream behind that writes to its end for nobody. Change: an abandoned attempt is always cancelled at its engine, and again a second later, as the first cancel may be lost or overtake the order.

--- a/sassafrasdoor/requests/streams.py
+++ b/sassafrasdoor/requests/streams.py
@@ -18,6 +18,7 @@
 
 MAX_TRIES = 3
 MAX_RESUMES = 5
+CANCEL_PAUSES = (0.0, 1.0)
 RESUME_DELAY = 0.1
 RETRY_AFTER = 1.0
 
@@ -125,10 +126,17 @@
         as closed by the engine, which would go on generating for nobody.
         """
         CANCELS.inc({})
-        task = asyncio.ensure_future(self._engine.cancel(backend, stream))
+        task = asyncio.ensure_future(self._cancel(backend, stream))
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
+    async def _cancel(self, backend, stream):
+        # Said again after a while: the first may be lost, or overtake an order
+        # that is still on its way, and the engine would then start the stream.
+        for pause in CANCEL_PAUSES:
+            await asyncio.sleep(pause)
+            await self._engine.cancel(backend, stream)
+
     async def has(self, backend, stream):
         """Say whether the engine still has the stream; ``Unavailable`` if unsure."""
         states = await self._engine.streams(backend, stream)
@@ -190,9 +198,17 @@
                         yield chunk
         finally:
             chooser.finished(self._backend, self._last)
-            if self._began and not self.outcome:
+            if self._may_run_on():
                 self._streams.cancel(self._backend, self._generate.stream)
 
+    def _may_run_on(self):
+        """Say whether the engine may go on with the stream for nobody.
+
+        A caller may leave after the engine has begun and before its first chunk
+        is here. Going by chunks alone, such a stream was left to run to its end.
+        """
+        return self.outcome is None or (self._began and not self.outcome)
+
     async def _connection(self):
         """Yield chunks from one connection and settle what comes after it."""
         last = Broken("the stream ended without its last line")
--- a/sassafrasdoor/requests/tests/fakes.py
+++ b/sassafrasdoor/requests/tests/fakes.py
@@ -104,6 +104,7 @@
         self.offsets = []
         self.closed = 0
         self.gate = None
+        self.before_first = None
 
     async def stream(self, backend, order):
         """Start or resume a stream."""
@@ -118,6 +119,8 @@
             streams.add(order.stream)
             self.starts[order.stream] += 1
         try:
+            if self.before_first is not None:
+                await self.before_first.wait()
             for offset in range(order.offset, min(order.max_tokens, count)):
                 if self.gate is not None and offset:
                     await self.gate.wait()
