Judge a caller's leaving by the engine's cancel

Ruled out: a stream that really ran on (the engine's load was 0). Change: the stand-in records cancelled streams; the test waits for the cancel itself and that nothing runs, which is stricter.

--- a/sassafrasdoor/requests/tests/test_requests_processes.py
+++ b/sassafrasdoor/requests/tests/test_requests_processes.py
@@ -212,7 +212,8 @@
             )
             await until(lambda: self.streams_running("engine-1"))
             writer.close()
-            await until(lambda: self.no_stream_runs("engine-1"))
+            await until(lambda: self.stream_cancelled("engine-1"))
+            self.assertEqual(await self.streams_running("engine-1"), [])
         truth = await cluster.truth("engine-1")
         starts = [stream["starts"] for stream in truth["streams"].values()]
         self.assertEqual(set(starts), {1})
@@ -220,11 +221,13 @@
     async def streams_running(self, engine):
         """Say whether the engine writes a stream now."""
         truth = await self.cluster.truth(engine)
-        return [one for one in truth["streams"].values() if not one["done"]]
+        streams = truth["streams"].values()
+        return [one for one in streams if not one["done"] and not one["cancelled"]]
 
-    async def no_stream_runs(self, engine):
-        """Say whether the engine writes nothing any more."""
-        return not await self.streams_running(engine)
+    async def stream_cancelled(self, engine):
+        """Say whether the engine was told to stop a stream before its end."""
+        truth = await self.cluster.truth(engine)
+        return any(one["cancelled"] for one in truth["streams"].values())
 
     async def test_overload_refuses_early_and_truly(self):
         """Symptom: refused calls ran all the same, or all are late.
--- a/sassafrasdoor/standin/batch.py
+++ b/sassafrasdoor/standin/batch.py
@@ -41,6 +41,7 @@
     """A stream of the engine; it lives on without a connection."""
 
     __slots__ = (
+        "cancelled",
         "chunks",
         "connections",
         "credit",
@@ -74,6 +75,7 @@
         self.length = max(self.length, self.start)
         self.chunks = []
         self.spans = []
+        self.cancelled = False
         self.credit = 0.0
         self.prefill_deadline = None
         self.expires = None
@@ -109,6 +111,7 @@
             "offset": self.offset,
             "length": self.length,
             "done": self.done,
+            "cancelled": self.cancelled,
         }
 
     def notify(self):
@@ -215,6 +218,7 @@
         stream = self.streams.pop(name, None)
         if stream is None:
             return
+        stream.cancelled = not stream.done
         self.running = [other for other in self.running if other is not stream]
         self._queue = [entry for entry in self._queue if entry[2] is not stream]
         heapq.heapify(self._queue)
