--- a/sassafrasdoor/backends/http.py
+++ b/sassafrasdoor/backends/http.py
@@ -26,8 +26,8 @@
 NOT_FORWARDED = ONE_HOP | {"x-http-reason"}
 
 
-class HttpEngine(interface.Engine):
-    """Engines that speak the wire of ``docs/INTERNALS.md``."""
+class _Adapter:
+    """What both adapters have: the settings and a client of their own."""
 
     __slots__ = ("_client", "_settings")
 
@@ -39,6 +39,12 @@
         """Close all connections."""
         self._client.close()
 
+
+class HttpEngine(_Adapter, interface.Engine):
+    """Engines that speak the wire of ``docs/INTERNALS.md``."""
+
+    __slots__ = ()
+
     def stream(self, backend, order):
         """Yield the chunks of a stream and then its end.
 
@@ -109,18 +115,10 @@
         return await call_json(self._client, backend, method, path, body)
 
 
-class HttpService(interface.Service):
+class HttpService(_Adapter, interface.Service):
     """Plain services: any method and path, passed through."""
 
-    __slots__ = ("_client", "_settings")
-
-    def __init__(self, settings, client=None):
-        self._settings = settings
-        self._client = client or Client()
-
-    def close(self):
-        """Close all connections."""
-        self._client.close()
+    __slots__ = ()
 
     async def call(self, backend, call):
         """Return the whole ``Answer``, or ``Broken``."""
