--- /dev/null
+++ b/sassafrasdoor/backends/replicas.py
@@ -0,0 +1,104 @@
+"""What the system asks of one replica, whatever protocol the replica speaks."""
+
+from abc import ABC, abstractmethod
+
+from sassafrasdoor.outcomes import NotRun, Outcome
+
+
+class WrongReplica(NotRun):
+    """Another replica has the address by now; the request did not run there."""
+
+    __slots__ = ()
+
+
+class SampleFailed(Outcome):
+    """A replica's own failure of a sample; ``final`` if no other try can help."""
+
+    __slots__ = ("final",)
+
+    def __init__(self, reason, final):
+        super().__init__(reason)
+        self.final = final
+
+
+class OrderRefused(Outcome):
+    """A replica refused an order for now, for instance because one is under way."""
+
+    __slots__ = ()
+
+
+class DirectCall:
+    """A caller's request as it goes to a replica; ``headers`` is a list of pairs."""
+
+    __slots__ = ("body", "deadline", "fresh", "headers", "method", "path", "request_id")
+
+    def __init__(self, method, path, headers, body, request_id, deadline, fresh=False):
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.request_id = request_id
+        self.deadline = deadline
+        self.fresh = fresh
+
+
+class SampleOrder:
+    """A sample to generate: what the step says of it and where to go on.
+
+    ``after`` is the number of the last event already received, -1 for none.
+    """
+
+    __slots__ = ("after", "body", "deadline", "headers", "host", "item_id", "path")
+
+    def __init__(self, item, host, deadline, after):
+        self.item_id = item.item_id
+        self.path = item.path
+        self.headers = item.headers
+        self.body = item.body
+        self.host = host
+        self.deadline = deadline
+        self.after = after
+
+
+class Event:
+    """One event of a sample's stream; ``version`` generated it (0: not told)."""
+
+    __slots__ = ("data", "number", "version")
+
+    def __init__(self, number, data, version):
+        self.number = number
+        self.data = data
+        self.version = version
+
+
+class VersionOrder:
+    """To be at a version of a model, with the fencing number of the sender."""
+
+    __slots__ = ("deadline", "fence", "finish_first", "holder", "model", "version")
+
+    def __init__(self, model, version, holder, fence, finish_first, deadline):
+        self.model = model
+        self.version = version
+        self.holder = holder
+        self.fence = fence
+        self.finish_first = finish_first
+        self.deadline = deadline
+
+
+class ReplicaClient(ABC):
+    """Calls to replicas. Cancelling a call ends it at the replica."""
+
+    @abstractmethod
+    async def call(self, replica, call):
+        """Return the ``Answer``, ``NotRun``, ``WrongReplica`` or ``Broken``."""
+
+    @abstractmethod
+    async def generate(self, replica, order, on_event):
+        """Hand on events; return the version, ``SampleFailed``, ``NotRun``, ``Broken``.
+
+        ``on_event(event)`` returns False to end the stream.
+        """
+
+    @abstractmethod
+    async def order(self, replica, order):
+        """Return True, ``Stale``, ``OrderRefused``, ``Unavailable`` or ``ReplyLost``."""
--- /dev/null
+++ b/sassafrasdoor/decisions.py
@@ -0,0 +1,102 @@
+"""Lines that explain a decision afterwards: bounded in number, never blocking.
+
+``note("request.refused", request="…", reason="…")`` writes one JSON line through
+``eliot``. A process under load would spend its time on lines, and a reader of
+standard output that stopped would stop the process with it: so there is a budget of
+lines a second, and what cannot be written at once is kept in a bounded buffer. What
+was left out is counted and said. Bodies and secrets never go in.
+"""
+
+import os
+
+import eliot
+
+from sassafrasdoor.clock import now
+from sassafrasdoor.metrics import counter
+
+LINES_A_SECOND = 60.0
+"""Budget; a line costs about 0.1 ms of processor time, so under 1 % of a core."""
+BURST = 240.0
+"""Lines that may come at once: the items of one step and their results."""
+BUFFER_BYTES = 512 * 1024
+"""What waits for a slow reader of standard output; beyond it lines are dropped."""
+
+DROPPED = counter("log_lines_dropped_total", "Log lines left out, by reason.")
+
+
+class _Budget:
+    """A token bucket of log lines."""
+
+    __slots__ = ("_dropped", "_last", "_tokens")
+
+    def __init__(self):
+        self._tokens = BURST
+        self._last = now()
+        self._dropped = 0
+
+    def take(self):
+        """Return how many lines were left out before this one; None: leave it out."""
+        current = now()
+        grown = (current - self._last) * LINES_A_SECOND
+        self._tokens = min(BURST, self._tokens + grown)
+        self._last = current
+        if self._tokens < 1:
+            self._dropped += 1
+            DROPPED.inc({"reason": "budget"})
+            return None
+        self._tokens -= 1
+        dropped, self._dropped = self._dropped, 0
+        return dropped
+
+
+class NonBlockingOutput:
+    """A file for ``eliot`` that writes to a descriptor without ever waiting."""
+
+    __slots__ = ("_descriptor", "_waiting")
+
+    def __init__(self, descriptor):
+        self._descriptor = descriptor
+        self._waiting = bytearray()
+        os.set_blocking(descriptor, False)
+
+    def write(self, text):
+        """Take one line; drop it where too much waits already."""
+        data = text.encode() if isinstance(text, str) else text
+        if len(self._waiting) + len(data) > BUFFER_BYTES:
+            DROPPED.inc({"reason": "reader"})
+            return
+        self._waiting += data
+        self.flush()
+
+    def flush(self):
+        """Write what the reader takes now."""
+        while self._waiting:
+            try:
+                written = os.write(self._descriptor, self._waiting)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; the process serves on without its log.
+                DROPPED.inc({"reason": "closed"})
+                self._waiting.clear()
+                return
+            del self._waiting[:written]
+
+
+_BUDGET = _Budget()
+
+
+def note(what, **fields):
+    """Write one line on a decision, if the budget allows it."""
+    dropped = _BUDGET.take()
+    if dropped is None:
+        return
+    if dropped:
+        fields["lines_left_out_before"] = dropped
+    eliot.log_message(message_type=what, **fields)
+
+
+def start(process):
+    """Send the lines of this process to standard output."""
+    eliot.add_destinations(eliot.FileDestination(file=NonBlockingOutput(1)))
+    eliot.add_global_fields(process=process)
--- /dev/null
+++ b/sassafrasdoor/log/partitioned.py
@@ -0,0 +1,102 @@
+"""A platform log with topics, partitions, raw records and keyed topics.
+
+What the system needs of such a log, whatever protocol it speaks. Offsets count the
+records of one partition from 0 without gaps. In a keyed topic the newest record of
+each key is kept for good.
+"""
+
+from abc import ABC, abstractmethod
+
+from sassafrasdoor.outcomes import Outcome
+
+
+class Appended:
+    """An acknowledged append: ``first`` offset of it and ``end`` of the partition."""
+
+    __slots__ = ("end", "first")
+
+    def __init__(self, first, end):
+        self.first = first
+        self.end = end
+
+
+class RawBatch:
+    """``records`` (bytes) from offset ``first`` on, and the partition's ``end``."""
+
+    __slots__ = ("end", "first", "records")
+
+    def __init__(self, records, first, end):
+        self.records = records
+        self.first = first
+        self.end = end
+
+    @property
+    def next_offset(self):
+        """Where to read on."""
+        return self.first + len(self.records)
+
+
+class NewestKeys:
+    """``values``: the newest value (bytes) by key; ``end`` as of the first page."""
+
+    __slots__ = ("end", "values")
+
+    def __init__(self, values, end):
+        self.values = values
+        self.end = end
+
+
+class GroupShare:
+    """The partitions that a group's member holds as of ``generation``."""
+
+    __slots__ = ("generation", "partitions")
+
+    def __init__(self, generation, partitions):
+        self.generation = generation
+        self.partitions = partitions
+
+
+class Conflict(Outcome):
+    """A conditional append found the partition at another ``end``."""
+
+    __slots__ = ("end",)
+
+    def __init__(self, reason, end):
+        super().__init__(reason)
+        self.end = end
+
+
+class PartitionedLog(ABC):
+    """The log. Every call may return ``Unavailable``: then it took no effect."""
+
+    @abstractmethod
+    async def append(self, topic, part, records, deadline):
+        """Append all records or none: ``Appended``, ``Unavailable``, ``ReplyLost``."""
+
+    @abstractmethod
+    async def read(self, topic, part, offset, wait):
+        """Return a ``RawBatch`` or ``Expired``; wait up to ``wait`` seconds."""
+
+    @abstractmethod
+    async def newest(self, topic):
+        """Return the ``NewestKeys`` of a keyed topic's only partition."""
+
+    @abstractmethod
+    async def join(self, group, member, topic, ttl, generation):
+        """Join a group or stay in it; return a ``GroupShare``."""
+
+    @abstractmethod
+    async def leave(self, group, member):
+        """Leave a group."""
+
+
+def keyed_record(key, value=b""):
+    """Return the record that sets ``key``; without a value it drops the key."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
+def split_keyed(record):
+    """Return ``(key, value)`` of a record of a keyed topic."""
+    length = record[0]
+    return record[1 : 1 + length].decode(), record[1 + length :]
--- /dev/null
+++ b/sassafrasdoor/log/tail.py
@@ -0,0 +1,166 @@
+"""Following one partition of a partitioned log, or the newest values of its keys."""
+
+import asyncio
+
+from sassafrasdoor.clock import now, passed
+from sassafrasdoor.decisions import note
+from sassafrasdoor.log.partitioned import split_keyed
+from sassafrasdoor.metrics import counter
+from sassafrasdoor.outcomes import Expired, Unavailable
+
+LONG_POLL = 3.0
+"""Seconds that a read waits; a silent connection is found one timeout later."""
+RETRY_PAUSE = 0.15
+"""Seconds between tries while the log is away: back well within a second."""
+CONFIRM_PAUSE = 0.05
+"""Seconds between the reads of a caller who waits for a confirmation."""
+
+RESTARTS = counter("log_tail_restarts_total", "Reads that met expired records.")
+
+
+class Tail:
+    """Hands each record of a partition to ``fold(offset, record)``, in order.
+
+    ``pause`` (seconds) after each read bounds the reads of a busy partition.
+    ``confirmed_at`` is the monotonic time at which a read was sent that found
+    nothing newer; ``failing_since`` is None while reads succeed; ``restored_at`` is
+    when they last began to succeed again.
+    """
+
+    def __init__(self, log, topic, part, fold, pause=0.0):
+        self._log = log
+        self._topic = topic
+        self._part = part
+        self._fold = fold
+        self._pause = pause
+        self.offset = 0
+        self.confirmed_at = None
+        self.failing_since = None
+        self.restored_at = None
+
+    async def run(self):
+        """Follow until cancelled."""
+        while True:
+            if not await self.poll(LONG_POLL):
+                await asyncio.sleep(RETRY_PAUSE)
+            elif self._pause:
+                await asyncio.sleep(self._pause)
+
+    async def poll(self, wait):
+        """Read once; say whether the log answered."""
+        sent_at = now()
+        result = await self._log.read(self._topic, self._part, self.offset, wait)
+        if isinstance(result, Unavailable):
+            self._note_failed(result)
+            return False
+        self._note_restored()
+        if isinstance(result, Expired):
+            RESTARTS.inc({})
+            note(
+                "log.records_expired",
+                topic=self._topic,
+                part=self._part,
+                read_to=self.offset,
+                first_kept=result.first,
+            )
+            self._expired(result)
+            return True
+        self._fold_batch(result)
+        if self.offset >= result.end:
+            self.confirmed_at = sent_at
+        return True
+
+    async def confirm(self, deadline):
+        """Read until all that was acknowledged before this call is folded in.
+
+        Return True, or False after ``deadline``.
+        """
+        asked_at = now()
+        while not passed(deadline):
+            if self.confirmed_at is not None and self.confirmed_at >= asked_at:
+                return True
+            if not await self.poll(0):
+                await asyncio.sleep(CONFIRM_PAUSE)
+        return self.confirmed_at is not None and self.confirmed_at >= asked_at
+
+    def _expired(self, expired):
+        self.offset = max(self.offset, expired.first)
+
+    def _fold_batch(self, batch):
+        offset = batch.first
+        for record in batch.records:
+            # Two reads may overlap, a long one and one that confirms.
+            if offset >= self.offset:
+                self._fold(offset, record)
+                self.offset = offset + 1
+            offset += 1
+
+    def _note_failed(self, result):
+        if self.failing_since is None:
+            self.failing_since = now()
+            note("log.lost", topic=self._topic, part=self._part, reason=result.reason)
+
+    def _note_restored(self):
+        if self.failing_since is None:
+            return
+        away = round(now() - self.failing_since, 3)
+        note("log.regained", topic=self._topic, part=self._part, away_seconds=away)
+        self.failing_since = None
+        self.restored_at = now()
+
+
+class KeyedTail(Tail):
+    """Keeps the newest value of each key of a keyed topic's only partition.
+
+    ``on_value(key, value)`` is called for each change, with an empty value where
+    the key was dropped.
+    """
+
+    def __init__(self, log, topic, on_value, pause=0.0):
+        super().__init__(log, topic, 0, self._fold_record, pause)
+        self._on_value = on_value
+        self._known = set()
+        self.loaded = False
+
+    async def poll(self, wait):
+        """Load the newest values, or read on; say whether the log answered."""
+        if self.loaded:
+            return await super().poll(wait)
+        return await self._load()
+
+    def _expired(self, expired):
+        # Records that were never read are gone; only the newest values, read anew,
+        # tell what changed and which keys were dropped meanwhile.
+        self.loaded = False
+
+    async def _load(self):
+        sent_at = now()
+        newest = await self._log.newest(self._topic)
+        if isinstance(newest, Unavailable):
+            self._note_failed(newest)
+            return False
+        self._note_restored()
+        for key in self._known - set(newest.values):
+            self._on_value(key, b"")
+        for key, value in newest.values.items():
+            self._on_value(key, value)
+        self._known = set(newest.values)
+        self.offset = max(self.offset, newest.end)
+        self.confirmed_at = sent_at
+        self.loaded = True
+        return True
+
+    def _fold_record(self, offset, record):
+        try:
+            key, value = split_keyed(record)
+        except (IndexError, UnicodeDecodeError) as error:
+            reason = str(error)
+            note(
+                "log.record_unreadable",
+                topic=self._topic,
+                offset=offset,
+                reason=reason,
+            )
+            return
+        (self._known.add if value else self._known.discard)(key)
+        self._on_value(key, value)
--- /dev/null
+++ b/sassafrasdoor/platform/configuration.py
@@ -0,0 +1,118 @@
+"""What operators, trainers and replicas write to the store, as product types."""
+
+import json
+
+from sassafrasdoor.decisions import note
+from sassafrasdoor.routing.replicas import Listing
+from sassafrasdoor.table.routes import Configuration, Limits, Repeat, Route
+
+OPERATOR_TOPIC = "keyed.op"
+SERVERS_TOPIC = "keyed.servers"
+CONFIGURATION_KEY = "config"
+VERSION_KEYS = "version/"
+DEFAULT_TIMEOUT_MS = 10_000
+DEFAULT_KEEP_S = 40.0
+REPEATS = {"safe": Repeat.SAFE, "rollout": Repeat.STEP}
+"""Every other kind of route may run once at most."""
+
+
+def configuration_from(document):
+    """Return the ``Configuration``; raises ``KeyError``, ``TypeError``, ``ValueError``."""
+    models = {
+        one["Name"]: [model["Name"] for model in one["Engine"].get("Models", ())]
+        for one in document["Services"]
+        if one.get("Engine")
+    }
+    limits = document.get("Limits") or {}
+    return Configuration(
+        int(document["Version"]),
+        [_route(one) for one in document["Routes"]],
+        models,
+        Limits(
+            int(limits.get("MaxHeaderBytes", 16384)),
+            int(limits.get("MaxBodyBytes", 33554432)),
+            limits.get("IdleTimeoutMs", 15000) / 1000,
+        ),
+    )
+
+
+def _route(one):
+    services = [(one["Service"], 1)] if one.get("Service") else []
+    services += [
+        (part["Service"], part["Weight"]) for part in one.get("TrafficSplit") or ()
+    ]
+    timeout = (one.get("TimeoutMs") or DEFAULT_TIMEOUT_MS) / 1000
+    return Route(
+        name=one["Name"],
+        host=one["Host"].lower(),
+        prefix=one["PathPrefix"],
+        repeat=REPEATS.get(one["Kind"], Repeat.ONCE),
+        services=services,
+        timeout=timeout,
+        target=(one.get("TargetLatencyMs") or timeout * 1000) / 1000,
+        priority=one.get("Priority", 0),
+        attempts=max(1, one.get("MaxAttempts") or 1),
+        keep_for=float(one.get("RetentionS") or DEFAULT_KEEP_S),
+        run_for=(one.get("RunDeadlineMs") or 0) / 1000,
+        one_version=bool(one.get("SingleVersion")),
+        streaming=bool(one.get("Streaming")) or one["Kind"] == "streaming",
+        resumable=bool(one.get("Resumable")),
+    )
+
+
+def listing_from(document):
+    """Return the ``Listing`` in a replica's entry; raises as above."""
+    return Listing(
+        document["Service"],
+        document["Address"],
+        document.get("Zone", ""),
+        int(document.get("Slots") or 1),
+        document.get("State") != "ready",
+        {one["Name"]: int(one["Version"]) for one in document.get("Models") or ()},
+    )
+
+
+class OperatorKeys:
+    """Hands configurations and named versions on to the product."""
+
+    __slots__ = ("_named", "_routes")
+
+    def __init__(self, routes, named):
+        self._routes = routes
+        self._named = named
+
+    def take(self, key, value):
+        """Take the newest value of a key; bad ones are noted and change nothing."""
+        key = key.removeprefix("op/")
+        if not value:
+            return
+        try:
+            document = json.loads(value)
+            if key == CONFIGURATION_KEY:
+                self._routes.take(configuration_from(document))
+            elif key.startswith(VERSION_KEYS):
+                self._named(document["Model"], int(document["Version"]))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            note("operator.record_unreadable", key=key, reason=repr(error))
+
+
+class ServerKeys:
+    """Hands the list of replicas on to the product."""
+
+    __slots__ = ("_replicas",)
+
+    def __init__(self, replicas):
+        self._replicas = replicas
+
+    def take(self, key, value):
+        """Take the newest entry of a replica."""
+        identity = key.removeprefix("servers/")
+        if not value:
+            self._replicas.unlisted(identity)
+            return
+        try:
+            listing = listing_from(json.loads(value))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            note("replica.entry_unreadable", replica=identity, reason=repr(error))
+            return
+        self._replicas.listed(identity, listing)
--- /dev/null
+++ b/sassafrasdoor/platform/front.py
@@ -0,0 +1,297 @@
+"""Callers on the platform's wire: requests, steps, readiness and the directory."""
+
+import asyncio
+import json
+import re
+from functools import singledispatch
+
+from tornado.httputil import parse_qs_bytes
+from tornado.web import Application, RequestHandler
+
+from sassafrasdoor.backends.interface import Answer
+from sassafrasdoor.clock import deadline_in, now
+from sassafrasdoor.decisions import note
+from sassafrasdoor.metrics import counter, exposition, histogram
+from sassafrasdoor.outcomes import NotRun, Rejected, Unknown
+from sassafrasdoor.platform import steps as documents, wire
+from sassafrasdoor.requests.direct import DirectRequest
+from sassafrasdoor.steps.durable.service import NotFound, Page
+from sassafrasdoor.table.routes import Repeat
+
+LONGEST_WAIT = 60.0
+"""Seconds taken for a caller that states no deadline."""
+LONGEST_POLL = 1.0
+"""Seconds that a reader may be kept waiting for a further sample."""
+NO_CONFIGURATION_RETRY_AFTER = 0.5
+DIRECTORY_VALID = 2
+"""Seconds that a directory answer holds. Some callers keep it three times as long,
+and a stopping instance serves on for that time within its eight seconds."""
+LOT = re.compile(r"^/-/lots/([^/?]+)$")
+ITEM = re.compile(r"^/-/items/([^/?]+)$")
+
+ANSWERS = counter("front_answers_total", "Answers to callers, by kind and status.")
+SECONDS = histogram(
+    "front_seconds",
+    "Seconds from a request's head to its answer.",
+    buckets=[0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12],
+)
+
+
+class Parts:
+    """What the handlers use: services, routes, instances and the process's state."""
+
+    __slots__ = ("direct", "instances", "process", "routes", "steps")
+
+    def __init__(self, direct, instances, process, routes, steps):
+        self.direct = direct
+        self.instances = instances
+        self.process = process
+        self.routes = routes
+        self.steps = steps
+
+
+class _Handler(RequestHandler):
+    """Adds nothing to an answer, and ends its work when the caller leaves."""
+
+    SUPPORTED_METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS")
+
+    def initialize(self, parts):
+        self._parts = parts
+        self._work = None
+        self._began = now()
+
+    def set_default_headers(self):
+        self.clear_header("Server")
+        self.clear_header("Content-Type")
+        self.clear_header("Date")
+
+    def compute_etag(self):
+        return None
+
+    def on_connection_close(self):
+        if self._work is not None:
+            self._work.cancel()
+
+    async def _while_present(self, coroutine):
+        """Return the coroutine's result; None if the caller has left meanwhile."""
+        self._work = asyncio.ensure_future(coroutine)
+        try:
+            return await self._work
+        except asyncio.CancelledError:
+            note("request.caller_left", request=self._request_id)
+            return None
+
+    @property
+    def _request_id(self):
+        return self.request.headers.get(wire.REQUEST_ID, "")
+
+    def _reply(self, status, headers=(), body=b""):
+        self.set_status(status)
+        for name, value in headers:
+            self.add_header(name, value)
+        if self._parts.process.closing:
+            self.set_header("Connection", "close")
+        ANSWERS.inc({"kind": type(self).__name__, "status": str(status)})
+        SECONDS.observe({"kind": type(self).__name__}, now() - self._began)
+        self.finish(body)
+
+    def _reply_json(self, status, document):
+        body = (
+            document if isinstance(document, bytes) else json.dumps(document).encode()
+        )
+        self._reply(status, [("Content-Type", wire.JSON_TYPE)], body)
+
+    def _own_failure(self, outcome):
+        status, headers = failure(outcome)
+        self._reply(status, headers, (outcome.reason + "\n").encode())
+
+    def log_exception(self, kind, value, trace):
+        note("request.failed", request=self._request_id, reason=repr(value))
+        super().log_exception(kind, value, trace)
+
+    def write_error(self, status_code, **kwargs):
+        self._reply(status_code)
+
+
+class FrontHandler(_Handler):
+    """Everything that reaches the callers' address."""
+
+    async def _serve(self):
+        path = self.request.path
+        for pattern, method, call in _STEP_CALLS:
+            found = pattern.match(path)
+            if found and self.request.method == method:
+                await call(self, found.group(1))
+                return
+        await self._route(path)
+
+    get = head = post = put = delete = patch = options = _serve
+
+    async def _route(self, path):
+        configuration = self._parts.routes.current
+        if configuration is None:
+            refused = NotRun("no configuration yet", NO_CONFIGURATION_RETRY_AFTER)
+            self._own_failure(refused)
+            return
+        host = self.request.headers.get("Host", "").partition(":")[0]
+        route = configuration.match(host, path)
+        if route is None:
+            note(
+                "request.no_route",
+                request=self._request_id,
+                host=host,
+                routes_version=configuration.version,
+            )
+            self._own_failure(NotFound("no such route"))
+        elif route.repeat is Repeat.STEP:
+            await self._submit(route, host, path)
+        else:
+            await self._direct(route, configuration)
+
+    async def _direct(self, route, configuration):
+        request = DirectRequest(
+            route=route,
+            method=self.request.method,
+            path=self.request.uri,
+            headers=wire.header_pairs(self.request.headers, wire.NOT_SENT_ON),
+            body=self.request.body,
+            request_id=self._request_id,
+            deadline=min(self._deadline(), self._began + route.timeout),
+            version=configuration.version,
+        )
+        answer = await self._while_present(self._parts.direct.answer(request))
+        if answer is None:
+            return
+        if isinstance(answer, Answer):
+            self._reply(answer.status, answer.headers, answer.body)
+        else:
+            self._own_failure(answer)
+
+    async def _submit(self, route, host, path):
+        spec = documents.spec_from(self._request_id, host, path, self.request.body)
+        if isinstance(spec, Rejected):
+            note(
+                "step.invalid",
+                request=self._request_id,
+                findings=[str(one) for one in spec.findings[:5]],
+            )
+            self._reply_json(
+                400, {"findings": [one.as_dict() for one in spec.findings]}
+            )
+            return
+        result = await self._while_present(self._parts.steps.submit(spec, self._deadline()))
+        if result is True:
+            self._reply(202)
+        elif result is not None:
+            self._own_failure(result)
+
+    async def _read(self, step_id):
+        query = parse_qs_bytes(self.request.query.encode())
+        first = max(0, _whole(query.get("After", [b"0"])[0], 0))
+        wait = _whole(self.request.headers.get(wire.WAIT), 0) / 1000
+        until = deadline_in(min(wait, LONGEST_POLL))
+        page = await self._while_present(self._parts.steps.read(step_id, first, until))
+        if isinstance(page, Page):
+            self._reply_json(200, documents.page_document(page))
+        elif page is not None:
+            self._own_failure(page)
+
+    async def _body(self, step_id):
+        query = parse_qs_bytes(self.request.query.encode())
+        item_id = query.get("Id", [b""])[0].decode("utf-8", "replace")
+        body = await self._while_present(self._parts.steps.body(step_id, item_id))
+        if isinstance(body, bytes):
+            self._reply(200, [("Content-Type", "application/octet-stream")], body)
+        elif body is not None:
+            self._own_failure(body)
+
+    async def _end(self, step_id):
+        deadline = min(self._deadline(), deadline_in(LONGEST_WAIT))
+        result = await self._while_present(self._parts.steps.end(step_id, deadline))
+        if result is True:
+            self._reply(200)
+        elif result is not None:
+            self._own_failure(result)
+
+    def _deadline(self):
+        stated = _whole(self.request.headers.get(wire.DEADLINE), 0)
+        return self._began + (stated / 1000 if stated > 0 else LONGEST_WAIT)
+
+
+_STEP_CALLS = (
+    (LOT, "GET", FrontHandler._read),
+    (LOT, "DELETE", FrontHandler._end),
+    (ITEM, "GET", FrontHandler._body),
+)
+
+
+class ReadyHandler(_Handler):
+    """Whether this instance serves, and its metrics."""
+
+    def get(self):
+        if self.request.path == "/metrics":
+            body, headers = exposition()
+            self._reply(200, list(headers.items()), body)
+        else:
+            self._reply(200 if self._parts.process.ready else 503)
+
+
+class DirectoryHandler(_Handler):
+    """Which addresses a caller should use."""
+
+    def get(self):
+        zone = self.get_query_argument("Zone", "")
+        addresses = self._parts.instances.addresses(zone)
+        if not addresses:
+            self._own_failure(NotRun("no instance known", 1.0))
+            return
+        self._reply_json(200, {"Addresses": addresses, "TtlS": DIRECTORY_VALID})
+
+
+def front_application(parts):
+    """Return the application of the callers' address."""
+    return _application([(r".*", FrontHandler, {"parts": parts})])
+
+
+def ready_application(parts):
+    """Return the application of the readiness and metrics address."""
+    return _application([(r".*", ReadyHandler, {"parts": parts})])
+
+
+def directory_application(parts):
+    """Return the application of the directory's address."""
+    return _application([(r".*", DirectoryHandler, {"parts": parts})])
+
+
+def _application(handlers):
+    # Tornado would write a line for each answer of 400 and above; decisions are
+    # logged where they are made, within a budget.
+    return Application(handlers, log_function=lambda handler: None)
+
+
+@singledispatch
+def failure(outcome):
+    """Return ``(status, headers)`` that say to a caller what became of it."""
+    raise TypeError(f"no answer for {type(outcome).__name__}")
+
+
+@failure.register
+def _(outcome: NotRun):
+    return 503, [("Retry-After", f"{outcome.retry_after:g}")]
+
+
+@failure.register
+def _(outcome: Unknown):
+    return 504, []
+
+
+@failure.register
+def _(outcome: NotFound):
+    return 404, []
+
+
+def _whole(text, default):
+    try:
+        return int(text)
+    except (TypeError, ValueError):
+        return default
--- /dev/null
+++ b/sassafrasdoor/platform/process.py
@@ -0,0 +1,210 @@
+"""One instance's process: its parts put together, its start and its planned stop."""
+
+import asyncio
+import contextlib
+import signal
+import uuid
+
+from tornado.httpserver import HTTPServer
+
+from sassafrasdoor.clock import deadline_in, now, remaining
+from sassafrasdoor.decisions import note
+from sassafrasdoor.lease.holder import Holder
+from sassafrasdoor.log.agreed import Agreed, fold
+from sassafrasdoor.log.follower import Follower
+from sassafrasdoor.log.tail import KeyedTail, Tail
+from sassafrasdoor.platform import configuration, front, settings as platform_settings
+from sassafrasdoor.platform.servers import WireReplicas
+from sassafrasdoor.platform.store import AgreedLog, Store
+from sassafrasdoor.requests.direct import DirectService
+from sassafrasdoor.routing.instances import Instances
+from sassafrasdoor.routing.replicas import Replicas
+from sassafrasdoor.steps.durable.outbox import Outbox
+from sassafrasdoor.steps.durable.ownership import Ownership
+from sassafrasdoor.steps.durable.runner import Runner
+from sassafrasdoor.steps.durable.service import SHARDS, TOPIC, StepService
+from sassafrasdoor.steps.durable.state import Steps
+from sassafrasdoor.stopping import lasting
+from sassafrasdoor.table.routes import RoutesInForce
+from sassafrasdoor.weights.named import Mover
+
+WEIGHTS_LEASE = "weights"
+LIST_PAUSE = 0.35
+"""Seconds between reads of the replicas' list: a leaving replica is known well
+within its two seconds, and heartbeats of all replicas come in one answer."""
+SERVE_ON_SHARE = 0.86
+"""Part of the planned stop for which open and remembered connections are served."""
+CLEANUP_INTERVAL = 10.0
+KEEP_MARGIN = 60.0
+"""Seconds beyond the promised time that finished steps stay readable."""
+BACKLOG = 512
+
+
+class Process:
+    """All parts of one instance; ``ready`` and ``closing`` say where it is."""
+
+    def __init__(self, settings, path):
+        self._settings = settings
+        self._path = path
+        self._stop = asyncio.Event()
+        self._servers = []
+        self.closing = False
+        self._build()
+
+    def _build(self):
+        settings = self._settings
+        self._store = Store(settings.store)
+        self._client = WireReplicas()
+        self._routes = RoutesInForce()
+        self._replicas = Replicas(settings.zone)
+        self._steps = Steps()
+        member = f"{settings.front}/{uuid.uuid4().hex[:8]}"
+        self._instances = Instances(
+            settings.product, self._store, settings.front, settings.front
+        )
+        self._tails = [
+            Tail(self._store, TOPIC, shard, self._fold_of(shard))
+            for shard in range(SHARDS)
+        ]
+        self._outboxes = [Outbox(self._store, TOPIC, shard) for shard in range(SHARDS)]
+        self._runner = Runner(
+            self._client, self._replicas, self._routes, self._steps, self._outboxes
+        )
+        self._ownership = Ownership(
+            self._store, member, TOPIC, SHARDS, self._shards_changed
+        )
+        self._build_weights()
+        keys = configuration.OperatorKeys(self._routes, self._mover.named)
+        self._operator = KeyedTail(self._store, configuration.OPERATOR_TOPIC, keys.take)
+        listed = configuration.ServerKeys(self._replicas)
+        self._list = KeyedTail(
+            self._store, configuration.SERVERS_TOPIC, listed.take, LIST_PAUSE
+        )
+        self._replicas.list_tail = self._list
+
+    def _build_weights(self):
+        agreed = AgreedLog(self._store)
+        self._follower = Follower(self._settings.product, agreed, fold, Agreed())
+        self._holder = Holder(
+            self._settings.product,
+            agreed,
+            self._follower,
+            WEIGHTS_LEASE,
+            settle=self._settings.lease,
+        )
+        self._mover = Mover(
+            self._client,
+            self._holder,
+            self._replicas,
+            self._routes,
+            self._settings.lease + 0.2,
+        )
+        self._steps.on_change(self._mover.step_seen)
+
+    @property
+    def ready(self):
+        """Whether callers should be sent here."""
+        return (
+            self._routes.current is not None
+            and self._list.loaded
+            and not self._stop.is_set()
+        )
+
+    async def run(self):
+        """Serve until SIGTERM, then until callers have gone elsewhere."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        note("process.started", front=self._settings.front, zone=self._settings.zone)
+        self._listen()
+        tasks = lasting(self._jobs())
+        await self._stop.wait()
+        await self._leave()
+        for task in tasks:
+            task.cancel()
+        self._store.close()
+        self._client.close()
+        note("process.stopped")
+
+    def _jobs(self):
+        return [
+            self._operator.run(),
+            self._list.run(),
+            self._instances.tail.run(),
+            self._instances.renew(lambda: self.ready),
+            self._follower.run(),
+            self._holder.run(),
+            self._mover.run(),
+            self._runner.run(),
+            self._ownership.run(),
+            self._forget_old(),
+            *(tail.run() for tail in self._tails),
+            *(outbox.run() for outbox in self._outboxes),
+        ]
+
+    def _listen(self):
+        parts = front.Parts(
+            DirectService(self._client, self._replicas),
+            self._instances,
+            self,
+            self._routes,
+            StepService(
+                self._store, self._steps, self._tails, self._settings.record_bytes
+            ),
+        )
+        applications = [
+            (self._settings.front, front.front_application(parts)),
+            (self._settings.ready, front.ready_application(parts)),
+        ]
+        if self._settings.directory:
+            application = front.directory_application(parts)
+            applications.append((self._settings.directory, application))
+        for address, application in applications:
+            host, _, port = address.rpartition(":")
+            server = HTTPServer(application, idle_connection_timeout=15)
+            server.listen(int(port), host, backlog=BACKLOG)
+            self._servers.append(server)
+
+    def _fold_of(self, shard):
+        return lambda offset, data: self._steps.fold(shard, offset, data)
+
+    def _shards_changed(self, gained, lost):
+        for shard in lost:
+            self._runner.disown(shard)
+        for shard in gained:
+            task = asyncio.ensure_future(self._own(shard))
+            task.add_done_callback(lambda done: done.exception())
+
+    async def _own(self, shard):
+        """Run a shard once all that its former runner has listed is known."""
+        sure = False
+        while not sure and shard in self._ownership.owned:
+            sure = await self._tails[shard].confirm(deadline_in(1.0))
+        if shard in self._ownership.owned:
+            self._runner.own(shard)
+
+    async def _forget_old(self):
+        while True:
+            await asyncio.sleep(CLEANUP_INTERVAL)
+            self._steps.forget(now() - self._settings.results_kept - KEEP_MARGIN)
+
+    def _reload(self):
+        found = platform_settings.load(self._path)
+        note("process.reloaded", valid=bool(found))
+
+    async def _leave(self):
+        """Send callers elsewhere, hand the duties over, and serve on meanwhile."""
+        limit = deadline_in(self._settings.stop_within * SERVE_ON_SHARE)
+        note("process.stopping", seconds=round(remaining(limit), 2))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(limit):
+                await asyncio.gather(
+                    self._instances.leave(),
+                    self._ownership.leave(),
+                    self._holder.release(),
+                )
+        await asyncio.sleep(max(0.0, remaining(limit) - 1.0))
+        self.closing = True
+        await asyncio.sleep(remaining(limit))
+        for server in self._servers:
+            server.stop()
--- /dev/null
+++ b/sassafrasdoor/platform/settings.py
@@ -0,0 +1,118 @@
+"""The platform's settings file, turned into the product's own settings."""
+
+from sassafrasdoor import settings as product
+from sassafrasdoor.outcomes import Finding, Rejected
+
+PATH_VARIABLE = "SASSAFRASDOOR_BOOT"
+REQUIRED = (
+    "NodeName",
+    "Zone",
+    "Region",
+    "Ip",
+    "Listen.Front",
+    "Listen.Ready",
+    "Platform.Address",
+)
+NUMBERS = {
+    "Bounds.GraceS": 8.0,
+    "Bounds.LeaseMs": 3000.0,
+    "Bounds.StatusS": 120.0,
+    "Bounds.ttl_max_s": 5.0,
+    "Platform.RecordBytes": 262144.0,
+    "Platform.parts": 12.0,
+    "Platform.TtlMinMs": 1000.0,
+}
+"""Defaults where a platform leaves a figure out: those of its pages."""
+
+
+class PlatformSettings:
+    """Where to listen, the platform's store and its bounds (seconds, bytes).
+
+    ``stop_within`` is how long a planned stop may take, ``lease`` the time that two
+    holders of a duty must lie apart, ``results_kept`` how long a step's samples are
+    read after its submission, ``answers_kept`` the longest that callers keep a
+    directory answer, ``product`` the product's own ``Settings``.
+    """
+
+    __slots__ = (
+        "answers_kept",
+        "directory",
+        "front",
+        "group_ttl_least",
+        "lease",
+        "name",
+        "partitions",
+        "product",
+        "ready",
+        "record_bytes",
+        "results_kept",
+        "stop_within",
+        "store",
+        "zone",
+    )
+
+
+def read_lines(text):
+    """Return the mapping in lines ``a.b=value``; other lines are left out."""
+    pairs = (line.partition("=") for line in text.splitlines())
+    return {key.strip(): value.strip() for key, sep, value in pairs if sep}
+
+
+def load(path):
+    """Return ``PlatformSettings`` from the file at ``path``, or ``Rejected``."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            fields = read_lines(file.read())
+    except OSError as error:
+        return Rejected("settings unreadable", [Finding(str(path), error.strerror)])
+    return from_fields(fields)
+
+
+def from_fields(fields):
+    """Return ``PlatformSettings``, or ``Rejected`` with all findings."""
+    findings = [Finding(key, "missing") for key in REQUIRED if not fields.get(key)]
+    numbers = {}
+    for key, default in NUMBERS.items():
+        try:
+            numbers[key] = float(fields.get(key) or default)
+        except ValueError:
+            findings.append(Finding(key, "not a number"))
+    for key in ("Listen.Front", "Listen.Ready", "Listen.Directory", "Platform.Address"):
+        value = fields.get(key)
+        if value and not value.rpartition(":")[2].isdigit():
+            findings.append(Finding(key, "not an address host:port"))
+    if findings:
+        return Rejected("settings invalid", findings)
+    return _translated(fields, numbers)
+
+
+def _translated(fields, numbers):
+    found = PlatformSettings()
+    found.name = fields["NodeName"]
+    found.zone = fields["Zone"]
+    found.front = fields["Listen.Front"]
+    found.ready = fields["Listen.Ready"]
+    found.directory = fields.get("Listen.Directory", "")
+    found.store = fields["Platform.Address"]
+    found.stop_within = numbers["Bounds.GraceS"]
+    found.lease = numbers["Bounds.LeaseMs"] / 1000
+    found.results_kept = numbers["Bounds.StatusS"]
+    found.answers_kept = numbers["Bounds.ttl_max_s"]
+    found.record_bytes = int(numbers["Platform.RecordBytes"])
+    found.partitions = int(numbers["Platform.parts"])
+    found.group_ttl_least = numbers["Platform.TtlMinMs"] / 1000
+    found.product = product.from_document(_document(fields, found))
+    return found if found.product else found.product
+
+
+def _document(fields, found):
+    return {
+        "instance": {
+            "name": fields["NodeName"],
+            "availability_zone": fields["Zone"],
+            "region": fields["Region"],
+            "host": fields["Ip"],
+        },
+        "platform": {"log_url": f"http://{found.store}"},
+        "lease": {"duration": found.lease, "renew_interval": found.lease / 3},
+    }
--- /dev/null
+++ b/sassafrasdoor/routing/instances.py
@@ -0,0 +1,107 @@
+"""The entry instances that callers may use, kept in a keyed topic of the log.
+
+Each instance writes its own record again and again, and drops it when it leaves. A
+record that is no longer renewed is left out of answers; while the log cannot be read
+nothing lapses, since nobody could have renewed it.
+"""
+
+import asyncio
+import json
+
+from sassafrasdoor.clock import deadline_in, now
+from sassafrasdoor.decisions import note
+from sassafrasdoor.log.partitioned import keyed_record
+from sassafrasdoor.log.tail import KeyedTail
+from sassafrasdoor.outcomes import Outcome
+
+TOPIC = "keyed.instances"
+RENEW_INTERVAL = 1.0
+"""Seconds between renewals."""
+LAPSE_AFTER = 3.2
+"""Seconds without renewal after which callers are not sent there: three missed."""
+READ_PAUSE = 0.7
+"""Seconds between reads of the list: renewals are gathered in one answer."""
+WRITE_TIMEOUT = 1.5
+MOST_ADDRESSES = 64
+FEWEST_IN_ZONE = 2
+"""With fewer instances in the caller's zone it is sent to all zones."""
+
+
+class _Seen:
+    __slots__ = ("address", "at", "region", "zone")
+
+    def __init__(self, document):
+        self.address = document["address"]
+        self.zone = document["zone"]
+        self.region = document["region"]
+        self.at = now()
+
+
+class Instances:
+    """Knows the instances that serve, and says that this one does."""
+
+    __slots__ = ("_address", "_key", "_leaving", "_log", "_seen", "_settings", "tail")
+
+    def __init__(self, settings, log, address, key):
+        self._settings = settings.instance
+        self._log = log
+        self._address = address
+        self._key = key
+        self._leaving = False
+        self._seen = {}
+        self.tail = KeyedTail(log, TOPIC, self._take, READ_PAUSE)
+
+    async def renew(self, is_ready):
+        """Write the own record for as long as the process serves."""
+        while True:
+            if is_ready() and not self._leaving:
+                await self._write(self._document())
+            await asyncio.sleep(RENEW_INTERVAL)
+
+    async def leave(self):
+        """Drop the own record: callers get other addresses from now on."""
+        self._leaving = True
+        self._seen.pop(self._key, None)
+        await self._write(b"")
+
+    def addresses(self, zone):
+        """Return the addresses for a caller in ``zone``, its own zone's first."""
+        alive = [one for one in self._seen.values() if self._is_alive(one)]
+        near = [one.address for one in alive if one.zone == zone]
+        if len(near) >= FEWEST_IN_ZONE:
+            return near[:MOST_ADDRESSES]
+        found = near + [one.address for one in alive if one.zone != zone]
+        if not found and not self._leaving:
+            found = [self._address]
+        return found[:MOST_ADDRESSES]
+
+    def _is_alive(self, one):
+        failing_since = self.tail.failing_since
+        reference = now() if failing_since is None else failing_since
+        restored = self.tail.restored_at
+        if restored is not None and now() - restored < LAPSE_AFTER:
+            return True
+        return reference - one.at < LAPSE_AFTER
+
+    def _document(self):
+        document = {
+            "address": self._address,
+            "zone": self._settings.availability_zone,
+            "region": self._settings.region,
+        }
+        return json.dumps(document).encode()
+
+    async def _write(self, value):
+        record = keyed_record(self._key, value)
+        result = await self._log.append(TOPIC, 0, [record], deadline_in(WRITE_TIMEOUT))
+        if isinstance(result, Outcome):
+            note("instance.not_renewed", reason=result.reason)
+
+    def _take(self, key, value):
+        if not value:
+            self._seen.pop(key, None)
+            return
+        try:
+            self._seen[key] = _Seen(json.loads(value))
+        except (ValueError, KeyError, TypeError) as error:
+            note("instance.record_unreadable", key=key, reason=str(error))
--- /dev/null
+++ b/sassafrasdoor/routing/replicas.py
@@ -0,0 +1,195 @@
+"""The replicas of every service, as the platform's list and own calls show them."""
+
+from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.decisions import note
+from sassafrasdoor.metrics import counter
+from sassafrasdoor.routing.backend_state import BackendState
+
+SUSPECT_FOR = 1.0
+"""Seconds without work after a failure, doubled with each in a row: a restarted
+replica is tried again soon, a dark one costs one call in eight seconds."""
+OUTAGE_GRACE = 2.6
+"""Seconds after the list's return that a lapsed entry may need to come back: the
+platform names about two; a replica is tried meanwhile, its calls name its identity."""
+ZONE_PENALTY = 0.25
+"""Load, as a share of capacity, that a replica in another zone must be better by:
+a call of 1 KB across zones costs little, but a second kept connection does not pay."""
+LOAD_TRUSTED_FOR = 1.0
+"""Seconds that the load told beside an answer counts; calls last under a second."""
+
+LISTED = counter("replicas_listed_total", "Changes of the platform's list, by kind.")
+
+
+class Listing:
+    """What the platform's list says of a replica."""
+
+    __slots__ = ("address", "leaving", "service", "slots", "versions", "zone")
+
+    def __init__(self, service, address, zone, slots, leaving, versions):
+        self.service = service
+        self.address = address
+        self.zone = zone
+        self.slots = slots
+        self.leaving = leaving
+        self.versions = versions
+
+
+class Replica:
+    """One incarnation of a replica; ``identity`` appears nowhere else."""
+
+    __slots__ = (
+        "_others",
+        "_others_until",
+        "absent_until",
+        "identity",
+        "listing",
+        "state",
+        "versions",
+    )
+
+    def __init__(self, identity, listing):
+        self.identity = identity
+        self.listing = listing
+        self.state = BackendState(listing.slots)
+        self.versions = dict(listing.versions)
+        self.absent_until = None
+        self._others = 0
+        self._others_until = 0.0
+
+    @property
+    def usable(self):
+        """Whether it may get new work."""
+        return not self.listing.leaving and (
+            self.absent_until is None or not passed(self.absent_until)
+        )
+
+    @property
+    def load(self):
+        """Estimated places taken: own calls, and others' where told of late."""
+        others = 0 if passed(self._others_until) else self._others
+        return self.state.in_flight + others
+
+    @property
+    def room(self):
+        """Estimated free places."""
+        return self.listing.slots - self.load
+
+    def told_load(self, running, waiting):
+        """Take the load told beside an answer; own calls are part of it."""
+        self._others = max(0, running + waiting - self.state.in_flight)
+        self._others_until = deadline_in(LOAD_TRUSTED_FOR)
+
+    def told_version(self, model, version):
+        """Take the weight version told beside an answer or by an order's reply."""
+        self.versions[model] = version
+
+
+class Replicas:
+    """All known replicas by identity; ``list_failing`` says if the list is away."""
+
+    __slots__ = ("_callbacks", "_known", "_zone", "list_tail")
+
+    def __init__(self, zone):
+        self._zone = zone
+        self._known = {}
+        self._callbacks = []
+        self.list_tail = None
+
+    def on_change(self, callback):
+        """Call ``callback()`` when a replica comes, goes or changes."""
+        self._callbacks.append(callback)
+
+    def of_service(self, service):
+        """Return the replicas of a service that may get work."""
+        return [
+            one
+            for one in self._known.values()
+            if one.listing.service == service and one.usable
+        ]
+
+    def all_usable(self):
+        """Return every replica that may get work."""
+        return [one for one in self._known.values() if one.usable]
+
+    def get(self, identity):
+        """Return the replica, or None."""
+        return self._known.get(identity)
+
+    def listed(self, identity, listing):
+        """Take an entry of the platform's list."""
+        known = self._known.get(identity)
+        if known is None:
+            known = self._known[identity] = Replica(identity, listing)
+            self._note("listed", known)
+        elif known.listing.leaving != listing.leaving:
+            self._note("leaving", known)
+        for model, version in listing.versions.items():
+            if listing.versions != known.listing.versions:
+                known.versions[model] = version
+        known.listing = listing
+        known.absent_until = None
+        self._changed()
+
+    def unlisted(self, identity):
+        """Take the end of an entry.
+
+        Entries also lapse while the list itself is away, and come back within
+        seconds if the replica lives: dropping all of them at once would refuse
+        every request after each outage of the platform.
+        """
+        known = self._known.get(identity)
+        if known is None:
+            return
+        if self._lapsed_in_outage:
+            known.absent_until = deadline_in(OUTAGE_GRACE)
+            self._note("absent", known)
+        else:
+            del self._known[identity]
+            self._note("gone", known)
+        self._changed()
+
+    def sweep(self):
+        """Forget replicas whose entry did not come back."""
+        for identity, one in list(self._known.items()):
+            if one.absent_until is not None and passed(one.absent_until):
+                del self._known[identity]
+                self._note("gone", one)
+
+    @property
+    def _lapsed_in_outage(self):
+        tail = self.list_tail
+        if tail is None:
+            return False
+        if tail.failing_since is not None:
+            return True
+        restored = tail.restored_at
+        return restored is not None and now() - restored < OUTAGE_GRACE
+
+    def choose(self, service, avoid=()):
+        """Return the least loaded replica of a service, or None.
+
+        One in this zone is preferred while its load is close to the best: its
+        kept connections are used again and no bytes cross zones.
+        """
+        found = [one for one in self.of_service(service) if one.identity not in avoid]
+        sound = [one for one in found if not one.state.suspect] or found
+        return min(sound, key=self._cost, default=None)
+
+    def _cost(self, one):
+        share = (one.load + one.state.failures) / max(1, one.listing.slots)
+        away = 0.0 if one.listing.zone == self._zone else ZONE_PENALTY
+        return (share + away, one.identity)
+
+    def _note(self, kind, one):
+        LISTED.inc({"kind": kind})
+        note(
+            f"replica.{kind}",
+            replica=one.identity,
+            service=one.listing.service,
+            address=one.listing.address,
+            zone=one.listing.zone,
+        )
+
+    def _changed(self):
+        for callback in self._callbacks:
+            callback()
--- /dev/null
+++ b/sassafrasdoor/steps/durable/__init__.py
@@ -0,0 +1,1 @@
+"""Durable steps: accepted, run and listed through records of the platform's log."""
--- /dev/null
+++ b/sassafrasdoor/steps/durable/outbox.py
@@ -0,0 +1,75 @@
+"""Appending a shard's records in batches until the log acknowledges them."""
+
+import asyncio
+
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.decisions import note
+from sassafrasdoor.metrics import counter
+from sassafrasdoor.outcomes import Outcome
+
+GATHER = 0.05
+"""Seconds in which records are gathered for one append: short against the half
+second between a trainer's reads, long against the 4 ms of an append."""
+RETRY_PAUSE = 0.25
+APPEND_TIMEOUT = 2.0
+MOST_BYTES = 1_000_000
+
+APPENDED = counter("steps_records_appended_total", "Step records, by append's result.")
+
+
+class Outbox:
+    """Records of one shard on their way into the log.
+
+    A record may be appended twice when a reply was lost: the fold takes the first.
+    """
+
+    __slots__ = ("_log", "_shard", "_topic", "_waiting", "_wake")
+
+    def __init__(self, log, topic, shard):
+        self._log = log
+        self._topic = topic
+        self._shard = shard
+        self._waiting = []
+        self._wake = asyncio.Event()
+
+    def put(self, data):
+        """Queue one record (bytes)."""
+        self._waiting.append(data)
+        self._wake.set()
+
+    @property
+    def empty(self):
+        """Whether everything was acknowledged."""
+        return not self._waiting
+
+    async def run(self):
+        """Append until cancelled."""
+        while True:
+            await self._wake.wait()
+            await asyncio.sleep(GATHER)
+            batch = self._batch()
+            result = await self._log.append(
+                self._topic, self._shard, batch, deadline_in(APPEND_TIMEOUT)
+            )
+            APPENDED.add({"result": type(result).__name__}, len(batch))
+            if isinstance(result, Outcome):
+                note(
+                    "steps.append_failed",
+                    shard=self._shard,
+                    records=len(batch),
+                    reason=result.reason,
+                )
+                await asyncio.sleep(RETRY_PAUSE)
+                continue
+            del self._waiting[: len(batch)]
+            if not self._waiting:
+                self._wake.clear()
+
+    def _batch(self):
+        batch, size = [], 0
+        for data in self._waiting:
+            size += len(data) + 4
+            if batch and size > MOST_BYTES:
+                break
+            batch.append(data)
+        return batch
--- /dev/null
+++ b/sassafrasdoor/steps/durable/records.py
@@ -0,0 +1,183 @@
+"""The records of a shard: a step, a listed sample, a failed attempt, an end.
+
+Each record is one kind byte and a payload. Decoding is total: a record that is none
+of ours is reported as ``Unreadable`` and changes nothing.
+"""
+
+import base64
+import json
+import zlib
+
+from sassafrasdoor.outcomes import Outcome
+
+STEP, SAMPLE, FAILURE, END = b"S", b"R", b"A", b"E"
+COMPLETED, ERRORED = "completed", "errored"
+
+
+class Unreadable(Outcome):
+    """A record that is none of ours."""
+
+    __slots__ = ()
+
+
+class Item:
+    """One sample that a step asks for; ``tokens`` is the most it may take."""
+
+    __slots__ = ("body", "group", "headers", "item_id", "model", "path", "tokens")
+
+    def __init__(self, item_id, path, headers, body, tokens, group, model):
+        self.item_id = item_id
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.tokens = tokens
+        self.group = group
+        self.model = model
+
+
+class StepSpec:
+    """A step as it was submitted; ``min_version`` is the oldest weights allowed."""
+
+    __slots__ = (
+        "host",
+        "items",
+        "min_version",
+        "model",
+        "number",
+        "path",
+        "step_id",
+        "wanted",
+    )
+
+    def __init__(self, step_id, host, path, number, model, min_version, wanted, items):
+        self.step_id = step_id
+        self.host = host
+        self.path = path
+        self.number = number
+        self.model = model
+        self.min_version = min_version
+        self.wanted = wanted
+        self.items = items
+
+
+class StepPart:
+    """One piece of an encoded step: ``piece`` is number ``part`` of ``parts``."""
+
+    __slots__ = ("part", "parts", "piece", "step_id")
+
+    def __init__(self, step_id, part, parts, piece):
+        self.step_id = step_id
+        self.part = part
+        self.parts = parts
+        self.piece = piece
+
+
+class Sample:
+    """A listed sample: its final state, text and the versions that made it."""
+
+    __slots__ = ("item_id", "state", "step_id", "text", "versions")
+
+    def __init__(self, step_id, item_id, state, text, versions):
+        self.step_id = step_id
+        self.item_id = item_id
+        self.state = state
+        self.text = text
+        self.versions = versions
+
+
+class Failure:
+    """A replica's own failure of an item: it counts across runners."""
+
+    __slots__ = ("item_id", "step_id")
+
+    def __init__(self, step_id, item_id):
+        self.step_id = step_id
+        self.item_id = item_id
+
+
+class End:
+    """The end of a step."""
+
+    __slots__ = ("step_id",)
+
+    def __init__(self, step_id):
+        self.step_id = step_id
+
+
+def encode_step(spec, record_limit):
+    """Return the records of a step, each at most ``record_limit`` bytes."""
+    packed = zlib.compress(json.dumps(_step_document(spec)).encode(), 1)
+    room = record_limit - 256
+    pieces = [packed[at : at + room] for at in range(0, len(packed), room)]
+    return [
+        STEP + _line(spec.step_id, part, len(pieces)) + piece
+        for part, piece in enumerate(pieces)
+    ]
+
+
+def encode(record):
+    """Return the bytes of a ``Sample``, ``Failure`` or ``End``."""
+    kind = _KINDS[type(record)]
+    fields = {name: getattr(record, name) for name in record.__slots__}
+    return kind + json.dumps(fields).encode()
+
+
+def decode(data):
+    """Return a ``StepPart``, ``Sample``, ``Failure``, ``End`` or ``Unreadable``."""
+    read = _DECODERS.get(data[:1])
+    if read is None:
+        return Unreadable("unknown kind of record")
+    try:
+        return read(data[1:])
+    except (ValueError, KeyError, TypeError) as error:
+        return Unreadable(f"record not understood: {error}")
+
+
+def unpack_step(pieces):
+    """Return the ``StepSpec`` in the joined pieces, or ``Unreadable``."""
+    try:
+        document = json.loads(zlib.decompress(b"".join(pieces)))
+        items = [_item(one, document["model"]) for one in document.pop("items")]
+        return StepSpec(items=items, **document)
+    except (ValueError, KeyError, TypeError, zlib.error) as error:
+        return Unreadable(f"step not understood: {error}")
+
+
+def _line(step_id, part, parts):
+    return json.dumps([step_id, part, parts]).encode() + b"\n"
+
+
+def _step_document(spec):
+    document = {name: getattr(spec, name) for name in spec.__slots__}
+    document["items"] = [
+        [
+            item.item_id,
+            item.path,
+            item.headers,
+            base64.b64encode(item.body).decode(),
+            item.tokens,
+            item.group,
+        ]
+        for item in spec.items
+    ]
+    return document
+
+
+def _item(row, model):
+    item_id, path, headers, body, tokens, group = row
+    return Item(item_id, path, headers, base64.b64decode(body), tokens, group, model)
+
+
+def _decode_part(data):
+    line, _, piece = data.partition(b"\n")
+    step_id, part, parts = json.loads(line)
+    return StepPart(step_id, part, parts, piece)
+
+
+_KINDS = {Sample: SAMPLE, Failure: FAILURE, End: END}
+_DECODERS = {
+    STEP: _decode_part,
+    SAMPLE: lambda data: Sample(**json.loads(data)),
+    FAILURE: lambda data: Failure(**json.loads(data)),
+    END: lambda data: End(**json.loads(data)),
+}
--- /dev/null
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -0,0 +1,354 @@
+"""Running the items of the shards that this process owns.
+
+An item waits in the queue until a replica with the right weights has room, then one
+attempt runs it. What an attempt received is kept: the next one goes on after the
+last whole event, at any replica.
+"""
+
+import asyncio
+
+from sassafrasdoor.backends.interface import Broken
+from sassafrasdoor.backends.replicas import SampleFailed, SampleOrder, WrongReplica
+from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.decisions import note
+from sassafrasdoor.metrics import counter, histogram
+from sassafrasdoor.outcomes import NotRun
+from sassafrasdoor.routing.replicas import SUSPECT_FOR
+from sassafrasdoor.steps.durable.records import (
+    COMPLETED,
+    ERRORED,
+    Failure,
+    Sample,
+    encode,
+)
+
+TICK = 0.1
+"""Seconds between looks at the queue when nothing wakes the runner."""
+FIRST_EVENT_TIMEOUT = 4.0
+"""Seconds without a first event after which an item goes elsewhere: a load of
+weights takes 0.9 s, a full queue some seconds."""
+GAP_TIMEOUT = 1.5
+"""Seconds without a further event: ten times the usual pause of 150 ms."""
+REFUSED_PAUSE = 0.15
+"""Seconds that a replica which refused an item gets no other one of that model."""
+
+SAMPLES = counter("steps_samples_total", "Samples made by this process, by result.")
+ATTEMPTS = counter("steps_attempts_total", "Attempts at items, by result.")
+SECONDS = histogram(
+    "steps_item_seconds",
+    "Seconds from the step's acceptance to an item's sample.",
+    buckets=[0.25, 0.5, 1, 2, 3, 4, 5, 7.5, 10, 15, 30],
+)
+
+
+class Job:
+    """An item on its way: what was received of it and its running attempt."""
+
+    __slots__ = (
+        "attempts",
+        "failures",
+        "item",
+        "last_event_at",
+        "last_number",
+        "replica",
+        "step",
+        "task",
+        "texts",
+        "versions",
+        "why",
+    )
+
+    def __init__(self, step, item):
+        self.step = step
+        self.item = item
+        self.task = None
+        self.replica = None
+        self.attempts = 0
+        self.failures = step.failures.get(item.item_id, 0)
+        self.restart()
+
+    @property
+    def key(self):
+        """What names the job: the same item may stand in several steps."""
+        return (self.step.spec.step_id, self.item.item_id)
+
+    def restart(self):
+        """Forget what was received."""
+        self.texts = []
+        self.versions = []
+        self.last_number = None
+        self.last_event_at = None
+        self.why = ""
+
+    def take(self, event):
+        """Append one event's text and the version that made it."""
+        self.texts.append(event.data)
+        self.last_number = event.number
+        self.last_event_at = now()
+        if event.version not in self.versions:
+            self.versions.append(event.version)
+
+
+class Runner:
+    """Runs the open items of owned shards; results go to the shards' outboxes."""
+
+    __slots__ = (
+        "_client",
+        "_jobs",
+        "_outboxes",
+        "_owned",
+        "_queue",
+        "_refused_until",
+        "_replicas",
+        "_routes",
+        "_steps",
+        "_stopping",
+        "_wake",
+    )
+
+    def __init__(self, client, replicas, routes, steps, outboxes):
+        self._client = client
+        self._replicas = replicas
+        self._routes = routes
+        self._steps = steps
+        self._outboxes = outboxes
+        self._owned = set()
+        self._jobs = {}
+        self._queue = []
+        self._refused_until = {}
+        self._stopping = False
+        self._wake = asyncio.Event()
+        steps.on_change(self._step_changed)
+        replicas.on_change(self._wake.set)
+
+    async def run(self):
+        """Hand out items until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(TICK if self._jobs else 10 * TICK):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            self._replicas.sweep()
+            self._end_silent()
+            self._hand_out()
+
+    def own(self, shard):
+        """Run the open steps of a shard from now on."""
+        self._owned.add(shard)
+        for step in self._steps.by_id.values():
+            if step.shard == shard:
+                self._add(step)
+
+    def disown(self, shard):
+        """Run nothing of a shard any more."""
+        self._owned.discard(shard)
+        for job in list(self._jobs.values()):
+            if job.step.shard == shard:
+                self._drop(job)
+
+    def _step_changed(self, step):
+        if step.shard not in self._owned:
+            return
+        if not step.ended and not step.listed_ids:
+            self._add(step)
+        for job in [one for one in self._jobs.values() if one.step is step]:
+            if not step.is_open(job.item.item_id):
+                self._drop(job)
+
+    def _add(self, step):
+        for item in step.spec.items:
+            job = Job(step, item)
+            if step.is_open(item.item_id) and job.key not in self._jobs:
+                self._jobs[job.key] = job
+                self._queue.append(job)
+        self._wake.set()
+
+    def _drop(self, job):
+        self._jobs.pop(job.key, None)
+        if job in self._queue:
+            self._queue.remove(job)
+        if job.task is not None:
+            job.task.cancel()
+
+    def _hand_out(self):
+        waiting, self._queue = self._queue, []
+        full = set()
+        for job in waiting:
+            if job.key not in self._jobs:
+                continue
+            if self._gave_up(job):
+                continue
+            kind = (job.step.spec.model, job.step.spec.min_version)
+            replica = None if kind in full else self._place(job)
+            if replica is None:
+                full.add(kind)
+                self._queue.append(job)
+                continue
+            self._start(job, replica)
+
+    def _gave_up(self, job):
+        route = self._route(job)
+        configuration = self._routes.current
+        if route is None:
+            if configuration is None:
+                return False
+            self._list(job, ERRORED, "route removed")
+            return True
+        # Counted from when this process learned of the step, so never too early,
+        # whatever the clocks of the instance that accepted it say.
+        if passed(job.step.seen_at + route.keep_for):
+            self._list(job, ERRORED, "kept long enough")
+            return True
+        return False
+
+    def _route(self, job):
+        configuration = self._routes.current
+        if configuration is None:
+            return None
+        return configuration.match(job.step.spec.host, job.item.path)
+
+    def _place(self, job):
+        """Return a replica that may run the item now, or None."""
+        service = self._route(job).pick_service()
+        model, oldest = job.step.spec.model, job.step.spec.min_version
+        best, best_cost = None, None
+        for one in self._replicas.of_service(service):
+            if one.state.suspect or one.room <= 0:
+                continue
+            if model and one.versions.get(model, 0) < oldest:
+                continue
+            if not passed(self._refused_until.get((one.identity, model), 0.0)):
+                continue
+            cost = (one.load / max(1, one.listing.slots), one.identity)
+            if best is None or cost < best_cost:
+                best, best_cost = one, cost
+        return best
+
+    def _start(self, job, replica):
+        job.attempts += 1
+        job.replica = replica
+        job.last_event_at = None
+        replica.state.started()
+        job.task = asyncio.ensure_future(self._attempt(job, replica))
+
+    def _end_silent(self):
+        for job in self._jobs.values():
+            if job.task is None or job.why:
+                continue
+            if job.last_event_at is None:
+                continue
+            if passed(job.last_event_at + GAP_TIMEOUT):
+                job.why = "silent"
+                job.task.cancel()
+
+    async def _attempt(self, job, replica):
+        route = self._route(job)
+        order = SampleOrder(job.item, job.step.spec.host, None, job.last_number)
+        job.why = ""
+        try:
+            async with asyncio.timeout(FIRST_EVENT_TIMEOUT) as timeout:
+                result = await self._client.generate(
+                    replica, order, lambda event: self._event(job, event, timeout)
+                )
+        except TimeoutError:
+            result = Broken("no first event", began=True)
+        except asyncio.CancelledError:
+            # Ended from here: the item is listed, its step ended, or the stream
+            # went silent. Only in the last case is there something left to do.
+            if job.why != "silent":
+                raise
+            result = Broken("stream went silent", began=True)
+        finally:
+            replica.state.finished()
+            self._wake.set()
+        if self._jobs.get(job.key) is not job:
+            return
+        job.task = None
+        self._judge(job, replica, route, result)
+
+    def _event(self, job, event, timeout):
+        """Take one event; return whether the stream is to go on."""
+        if event.version and event.version < job.step.spec.min_version:
+            job.why = "old version"
+            job.replica.told_version(job.step.spec.model, event.version)
+            return False
+        timeout.reschedule(None)
+        job.take(event)
+        return True
+
+    def _judge(self, job, replica, route, result):
+        """Act on what became of an attempt."""
+        ATTEMPTS.inc({"result": type(result).__name__})
+        if job.why == "old version":
+            self._again(job, replica, "weights older than the step allows")
+        elif result is True:
+            replica.state.answered()
+            self._completed(job, replica, route)
+        elif isinstance(result, SampleFailed):
+            self._failed(job, replica, route, result)
+        elif isinstance(result, NotRun):
+            self._refused(job, replica, result)
+        else:
+            replica.state.failed(SUSPECT_FOR)
+            self._again(job, replica, result.reason)
+
+    def _completed(self, job, replica, route):
+        if route is not None and route.one_version and len(job.versions) > 1:
+            job.restart()
+            self._again(job, replica, "several versions where one is asked for")
+            return
+        SECONDS.observe({}, now() - job.step.seen_at)
+        self._list(job, COMPLETED, "")
+
+    def _failed(self, job, replica, route, result):
+        job.failures += 1
+        allowed = route.attempts if route is not None else 1
+        if result.final or job.failures >= allowed:
+            self._list(job, ERRORED, result.reason)
+            return
+        record = Failure(job.step.spec.step_id, job.item.item_id)
+        self._outboxes[job.step.shard].put(encode(record))
+        job.restart()
+        self._again(job, replica, result.reason)
+
+    def _refused(self, job, replica, result):
+        model = job.step.spec.model
+        until = deadline_in(REFUSED_PAUSE)
+        self._refused_until[replica.identity, model] = until
+        if isinstance(result, WrongReplica):
+            replica.state.failed(SUSPECT_FOR)
+        self._again(job, replica, result.reason)
+
+    def _again(self, job, replica, reason):
+        note(
+            "item.try_failed",
+            step=job.step.spec.step_id,
+            item=job.item.item_id,
+            replica=replica.identity,
+            attempts=job.attempts,
+            events=len(job.texts),
+            reason=reason,
+        )
+        self._queue.insert(0, job)
+        self._wake.set()
+
+    def _list(self, job, state, reason):
+        spec = job.step.spec
+        text = "\n".join(job.texts) if state == COMPLETED else ""
+        versions = sorted(job.versions) if state == COMPLETED else []
+        sample = Sample(spec.step_id, job.item.item_id, state, text, versions)
+        self._jobs.pop(job.key, None)
+        self._outboxes[job.step.shard].put(encode(sample))
+        SAMPLES.inc({"result": state})
+        note(
+            "item.made",
+            step=spec.step_id,
+            item=job.item.item_id,
+            replica=job.replica.identity if job.replica else "",
+            attempts=job.attempts,
+            versions=versions,
+            state=state,
+            reason=reason,
+        )
--- /dev/null
+++ b/sassafrasdoor/steps/durable/service.py
@@ -0,0 +1,188 @@
+"""What trainers ask of durable steps, at any instance: submit, read, body, end."""
+
+import asyncio
+import zlib
+
+from sassafrasdoor.clock import deadline_in, now, passed, remaining
+from sassafrasdoor.decisions import note
+from sassafrasdoor.metrics import counter, histogram
+from sassafrasdoor.outcomes import NotRun, Outcome, ReplyLost, Unknown
+from sassafrasdoor.steps.durable import records
+
+TOPIC = "steps"
+SHARDS = 6
+"""Partitions of the steps' topic: each model's steps share one, and one runner."""
+APPEND_TIMEOUT = 1.5
+"""Seconds that one append may take; a slow log answers within 60 times 4 ms."""
+APPEND_PATIENCE = 3.0
+"""Seconds that a submission is tried for: a caller has 12 s and one more try."""
+RETRY_PAUSE = 0.2
+RETRY_AFTER = 1.5
+"""Seconds a trainer should wait with a step that was refused: outages take seconds."""
+CONFIRM_TIMEOUT = 0.9
+"""Seconds to find out whether an unknown step exists."""
+PAGE_BYTES = 900_000
+"""Text in one page of samples; readers are promised at most 1 MB."""
+
+CALLS = counter("steps_calls_total", "Trainers' calls, by call and outcome.")
+ACCEPTED_IN = histogram(
+    "steps_accept_seconds",
+    "Seconds from a submission to its acknowledged append.",
+    buckets=[0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4],
+)
+
+
+class NotFound(Outcome):
+    """No such step or item exists; certain."""
+
+    __slots__ = ()
+
+
+class Page:
+    """Samples of a step from ``first`` on; ``total`` items belong to the step."""
+
+    __slots__ = ("first", "samples", "total")
+
+    def __init__(self, first, samples, total):
+        self.first = first
+        self.samples = samples
+        self.total = total
+
+
+def shard_of(name):
+    """Return the shard of a model's steps, the same on every instance."""
+    return zlib.crc32(name.encode()) % SHARDS
+
+
+class StepService:
+    """Answers trainers from the fold; writes only by appends to the log."""
+
+    __slots__ = ("_log", "_record_limit", "_steps", "_tails")
+
+    def __init__(self, log, steps, tails, record_limit):
+        self._log = log
+        self._steps = steps
+        self._tails = tails
+        self._record_limit = record_limit
+
+    async def submit(self, spec, deadline):
+        """Return True once the step is kept, ``NotRun``, or ``Unknown``."""
+        started = now()
+        result = await self._submit(spec, deadline)
+        outcome = "accepted" if result is True else type(result).__name__
+        CALLS.inc({"call": "submit", "outcome": outcome})
+        ACCEPTED_IN.observe({}, now() - started)
+        note(
+            "step.submitted",
+            step=spec.step_id,
+            model=spec.model,
+            number=spec.number,
+            min_version=spec.min_version,
+            items=len(spec.items),
+            shard=self._shard(spec),
+            seconds=round(now() - started, 3),
+            outcome=outcome,
+            reason="" if result is True else result.reason,
+        )
+        return result
+
+    async def _submit(self, spec, deadline):
+        if spec.step_id in self._steps.by_id:
+            return True
+        packed = records.encode_step(spec, self._record_limit)
+        limit = min(deadline, deadline_in(APPEND_PATIENCE))
+        lost = False
+        while True:
+            until = min(limit, deadline_in(APPEND_TIMEOUT))
+            result = await self._log.append(TOPIC, self._shard(spec), packed, until)
+            if not isinstance(result, Outcome):
+                return True
+            # An append whose reply was lost may land seconds later. Appending the
+            # step again is harmless, its first record counts; but from here on
+            # nobody may say that it will not run.
+            lost = lost or isinstance(result, ReplyLost)
+            if passed(limit):
+                break
+            await asyncio.sleep(min(RETRY_PAUSE, remaining(limit)))
+        if lost:
+            return Unknown(f"append without reply: {result.reason}")
+        return NotRun(f"log away: {result.reason}", RETRY_AFTER)
+
+    def _shard(self, spec):
+        return shard_of(spec.model or spec.path)
+
+    async def read(self, step_id, first, wait_deadline):
+        """Return a ``Page`` from position ``first``, ``NotFound`` or ``NotRun``."""
+        step = await self._find(step_id)
+        if isinstance(step, Outcome):
+            return step
+        while len(step.listed) <= first and not step.is_done:
+            if passed(wait_deadline):
+                break
+            await self._wait(step, wait_deadline)
+        return Page(first, self._fitting(step.listed[first:]), len(step.items))
+
+    async def body(self, step_id, item_id):
+        """Return the body of an item, ``NotFound`` or ``NotRun``."""
+        step = await self._find(step_id)
+        if isinstance(step, Outcome):
+            return step
+        item = step.items.get(item_id)
+        return NotFound("no such item") if item is None else item.body
+
+    async def end(self, step_id, deadline):
+        """End a step; return True once that is kept, ``NotFound``, or ``Unknown``."""
+        step = await self._find(step_id)
+        if isinstance(step, Outcome):
+            return step
+        record = records.encode(records.End(step_id))
+        while not step.ended:
+            until = min(deadline, deadline_in(APPEND_TIMEOUT))
+            result = await self._log.append(TOPIC, step.shard, [record], until)
+            if not isinstance(result, Outcome):
+                break
+            if passed(deadline):
+                note("step.not_ended", step=step_id, reason=result.reason)
+                return Unknown(f"end not kept: {result.reason}")
+            await asyncio.sleep(RETRY_PAUSE)
+        note("step.ended", step=step_id, listed=len(step.listed), of=len(step.items))
+        CALLS.inc({"call": "end", "outcome": "kept"})
+        return True
+
+    async def _find(self, step_id):
+        step = self._steps.by_id.get(step_id)
+        if step is not None:
+            return step
+        # A step may have been accepted elsewhere a moment ago. Only a read that
+        # finds the end of every shard makes "no such step" true.
+        limit = deadline_in(CONFIRM_TIMEOUT)
+        sure = await asyncio.gather(*(tail.confirm(limit) for tail in self._tails))
+        step = self._steps.by_id.get(step_id)
+        if step is not None:
+            return step
+        outcome = NotFound("no such step")
+        if not all(sure):
+            outcome = NotRun("the log cannot be read to its end", RETRY_PAUSE)
+        CALLS.inc({"call": "find", "outcome": type(outcome).__name__})
+        note("step.not_found", step=step_id, sure=all(sure))
+        return outcome
+
+    async def _wait(self, step, deadline):
+        waiter = asyncio.get_running_loop().create_future()
+        step.waiters.add(waiter)
+        try:
+            async with asyncio.timeout_at(deadline):
+                await waiter
+        except TimeoutError:
+            pass
+        finally:
+            step.waiters.discard(waiter)
+
+    def _fitting(self, samples):
+        fitting, size = [], 0
+        for sample in samples:
+            size += len(sample.text) + len(sample.item_id) + 64
+            if fitting and size > PAGE_BYTES:
+                break
+            fitting.append(sample)
+        return fitting
--- /dev/null
+++ b/sassafrasdoor/table/routes.py
@@ -0,0 +1,124 @@
+"""Routes: which service answers a request, within which time and how many tries.
+
+An operator's configuration names hosts and path prefixes beside the rows of the
+table. ``RoutesInForce`` holds the newest version seen and never goes back.
+"""
+
+import random
+from enum import StrEnum
+
+from sassafrasdoor.clock import now
+from sassafrasdoor.decisions import note
+
+
+class Repeat(StrEnum):
+    """What may be done again with the requests of a route."""
+
+    SAFE = "safe"
+    ONCE = "once"
+    STEP = "step"
+
+
+class Route:
+    """One route; times are in seconds.
+
+    ``services`` are ``(service, weight)`` pairs. ``timeout`` bounds how long a
+    caller is kept waiting, ``target`` is the latency the operator wants.
+    ``keep_for`` is how long a step's sample may go on before it may be given up,
+    ``one_version`` forbids samples of several weight versions.
+    """
+
+    __slots__ = (
+        "attempts",
+        "host",
+        "keep_for",
+        "name",
+        "one_version",
+        "prefix",
+        "priority",
+        "repeat",
+        "resumable",
+        "run_for",
+        "services",
+        "streaming",
+        "target",
+        "timeout",
+    )
+
+    def __init__(self, **fields):
+        for name in self.__slots__:
+            setattr(self, name, fields[name])
+
+    def pick_service(self):
+        """Return one of the services, by weight."""
+        names = [name for name, _ in self.services]
+        if len(names) == 1:
+            return names[0]
+        weights = [weight for _, weight in self.services]
+        return random.choices(names, weights)[0]
+
+
+class Limits:
+    """What a caller may send: bytes, and seconds that a connection may idle."""
+
+    __slots__ = ("body_bytes", "header_bytes", "idle_timeout")
+
+    def __init__(self, header_bytes, body_bytes, idle_timeout):
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.idle_timeout = idle_timeout
+
+
+class Configuration:
+    """One version of the operator's configuration."""
+
+    __slots__ = ("_by_host", "limits", "routes", "service_models", "version")
+
+    def __init__(self, version, routes, service_models, limits):
+        self.version = version
+        self.routes = routes
+        self.service_models = service_models
+        self.limits = limits
+        self._by_host = {}
+        for route in routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for found in self._by_host.values():
+            found.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def match(self, host, path):
+        """Return the route with the longest prefix of ``path``, or None."""
+        for route in self._by_host.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+class RoutesInForce:
+    """The newest configuration seen; ``current`` is None before the first."""
+
+    __slots__ = ("_callbacks", "current", "taken_at")
+
+    def __init__(self):
+        self.current = None
+        self.taken_at = None
+        self._callbacks = []
+
+    def on_change(self, callback):
+        """Call ``callback(configuration)`` for each new version."""
+        self._callbacks.append(callback)
+
+    def take(self, configuration):
+        """Put a version in force unless a newer one is; say whether it is now.
+
+        A record read late, or a page that is no snapshot, may show an older
+        version: going back would run requests that the operator has forbidden.
+        """
+        before = self.current.version if self.current else 0
+        if configuration.version <= before:
+            return False
+        self.current = configuration
+        self.taken_at = now()
+        note("routes.in_force", version=configuration.version, before=before)
+        for callback in self._callbacks:
+            callback(configuration)
+        return True
