Pass on only answers that bear the replica's stamp

Ruled out: answers of other requests (the echoed id was checked already).

Change: an answer without a stamp is a broken call, tried again where the request may be repeated.

--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -49,6 +49,10 @@
         refused = _refusal(reply)
         if refused is not None:
             return refused
+        if wire.STAMP not in reply.headers:
+            # A head cut short still reads as one. Passed on, the caller would take
+            # half an answer for its own; only the stamp shows whose answer it is.
+            return Broken("answer without the replica's stamp", began=True)
         pairs = wire.header_pairs(reply.headers, wire.NOT_SENT_BACK)
         return Answer(reply.status, pairs, reply.body)
 
