Do not say "nothing further" from half a log

Ruled out: the fold (the same positions came back once the shard was read).

Change: an empty page is given only if the shard's end was read within 0.7 s, or is read now; else the reader is told to come back.

Measured: test_instance_that_is_behind failed before.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -83,6 +83,12 @@
                 await asyncio.sleep(CONFIRM_PAUSE)
         return self.confirmed_at is not None and self.confirmed_at >= asked_at
 
+    async def fresh(self, seconds, deadline):
+        """Say whether the end was read within so many seconds, or now."""
+        if self.confirmed_at is not None and now() - self.confirmed_at <= seconds:
+            return True
+        return await self.confirm(deadline)
+
     def _expired(self, expired):
         self.offset = max(self.offset, expired.first)
 
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -21,6 +21,9 @@
 """Seconds a trainer should wait with a step that was refused: outages take seconds."""
 CONFIRM_TIMEOUT = 0.9
 """Seconds to find out whether an unknown step exists."""
+FRESH_WITHIN = 0.7
+"""Seconds since the last read to a shard's end within which "nothing further" is
+believed; all instances must show within a second what one has shown."""
 PAGE_BYTES = 900_000
 """Text in one page of samples; readers are promised at most 1 MB."""
 
@@ -120,6 +123,13 @@
             if passed(wait_deadline):
                 break
             await self._wait(step, wait_deadline)
+        if len(step.listed) <= first and not step.is_done:
+            # Another instance may have shown more already: one that has just
+            # started, or was cut off, is still reading what the log lists.
+            tail = self._tails[step.shard]
+            if not await tail.fresh(FRESH_WITHIN, deadline_in(CONFIRM_TIMEOUT)):
+                note("step.read_unsure", step=step_id, first=first)
+                return NotRun("the log cannot be read to its end", RETRY_PAUSE)
         return Page(first, self._fitting(step.listed[first:]), len(step.items))
 
     async def body(self, step_id, item_id):
--- a/sassafrasdoor/steps/durable/tests/test_service.py
+++ b/sassafrasdoor/steps/durable/tests/test_service.py
@@ -122,6 +122,25 @@
         following.cancel()
         self.assertEqual([one.text for one in page.samples], ["x"])
 
+    async def test_instance_that_is_behind_does_not_say_there_is_nothing(self):
+        """Symptom: positions that a trainer has read are empty elsewhere.
+
+        Sequence: an instance starts and has folded a step's first records only; a
+        reader asks for what comes after them. Cause: it answered from half a log.
+        """
+        await self.submit()
+        behind = Instance(self.log)
+        await behind.service.read("s1", 0, deadline_in(0))
+        data = records.encode(records.Sample("s1", "i0", "completed", "x", [1]))
+        await self.log.append(TOPIC, shard_of(MODEL), [data], deadline_in(1))
+        behind.tails[shard_of(MODEL)].confirmed_at = None
+        page = await behind.service.read("s1", 0, deadline_in(0))
+        self.assertEqual(len(page.samples), 1)
+        behind.tails[shard_of(MODEL)].confirmed_at = None
+        self.log.down = True
+        result = await behind.service.read("s1", 1, deadline_in(0))
+        self.assertIsInstance(result, NotRun)
+
     async def test_page_is_bounded_but_never_empty(self):
         await self.submit(items=3)
         await self.instance.service.read("s1", 0, deadline_in(0))
