Answer nothing when the process ends; run all duties at one instance

Ruled out: answers cut inside their head (the log line request.caller_left stands at the moment of process.stopped); the records of the step (none was ever appended, no line step.submitted exists).

Change: a cancelled handler raises unless its caller has left, and a stopping process waits for requests in progress. Besides: the duties use one lease kind (the shards'), the same instance is first in rank for all of them, a restarted instance takes its own shards back at once, long items begin first, and loads wait while items of an open step wait for places.

--- a/sassafrasdoor/clock.py
+++ b/sassafrasdoor/clock.py
@@ -6,6 +6,15 @@
 LONG_AGO = float("-inf")
 
 
+def boot_now():
+    """Return the seconds since boot, those of a suspended machine included.
+
+    The monotonic clock stands still while a machine is suspended; a lease judged by
+    it would be held by one who slept through its end.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def deadline_in(seconds):
     """Return the point on the monotonic clock that many seconds from now."""
     return now() + seconds
--- a/sassafrasdoor/log/memory_partitioned.py
+++ b/sassafrasdoor/log/memory_partitioned.py
@@ -3,11 +3,10 @@
 import asyncio
 import contextlib
 
-from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.log.partitioned import (
     Appended,
     Conflict,
-    GroupShare,
     NewestKeys,
     PartitionedLog,
     RawBatch,
@@ -65,8 +64,6 @@
     def __init__(self, parts=12):
         self._parts = parts
         self._partitions = {}
-        self._members = {}
-        self._generation = 0
         self._late = set()
         self.down = False
         self.lose_replies = 0
@@ -130,30 +127,3 @@
             return Unavailable("down")
         partition = self.partition(topic, 0)
         return NewestKeys(dict(partition.newest), partition.end)
-
-    async def join(self, group, member, topic, ttl, generation):
-        """Join a group; partitions are dealt evenly over its living members."""
-        await asyncio.sleep(0)
-        if self.down:
-            return Unavailable("down")
-        living = {
-            name: until for name, until in self._members.items() if not passed(until)
-        }
-        before = set(self._members)
-        living[member] = now() + ttl
-        self._members = living
-        if set(living) != before:
-            self._generation += 1
-        order = sorted(living)
-        mine = [
-            part for part in range(self._parts) if order[part % len(order)] == member
-        ]
-        return GroupShare(self._generation, mine)
-
-    async def leave(self, group, member):
-        """Leave a group."""
-        if self.down:
-            return Unavailable("down")
-        if self._members.pop(member, None) is not None:
-            self._generation += 1
-        return True
--- a/sassafrasdoor/log/partitioned.py
+++ b/sassafrasdoor/log/partitioned.py
@@ -46,16 +46,6 @@
         self.end = end
 
 
-class GroupShare:
-    """The partitions that a group's member holds as of ``generation``."""
-
-    __slots__ = ("generation", "partitions")
-
-    def __init__(self, generation, partitions):
-        self.generation = generation
-        self.partitions = partitions
-
-
 class Conflict(Outcome):
     """A conditional append found the partition at another ``end``."""
 
@@ -84,14 +74,6 @@
     async def newest(self, topic):
         """Return the ``NewestKeys`` of a keyed topic's only partition."""
 
-    @abstractmethod
-    async def join(self, group, member, topic, ttl, generation):
-        """Join a group or stay in it; return a ``GroupShare``."""
-
-    @abstractmethod
-    async def leave(self, group, member):
-        """Leave a group."""
-
 
 def keyed_record(key, value=b""):
     """Return the record that sets ``key``; without a value it drops the key."""
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import re
+import traceback
 from functools import singledispatch
 
 from tornado.httputil import parse_qs_bytes
@@ -23,6 +24,7 @@
 LONGEST_POLL = 1.0
 """Seconds that a reader may be kept waiting for a further sample."""
 NO_CONFIGURATION_RETRY_AFTER = 0.5
+FRAMES_LOGGED = 2
 DIRECTORY_VALID = 2
 """Seconds that a directory answer holds. Some callers keep it three times as long,
 and a stopping instance serves on for that time within its eight seconds."""
@@ -58,8 +60,15 @@
     def initialize(self, parts):
         self._parts = parts
         self._work = None
+        self._left = False
         self._began = now()
 
+    def prepare(self):
+        self._parts.process.in_flight.add(self)
+
+    def on_finish(self):
+        self._parts.process.in_flight.discard(self)
+
     def set_default_headers(self):
         self.clear_header("Server")
         self.clear_header("Content-Type")
@@ -69,15 +78,25 @@
         return None
 
     def on_connection_close(self):
+        self._left = True
+        self._parts.process.in_flight.discard(self)
         if self._work is not None:
             self._work.cancel()
 
     async def _while_present(self, coroutine):
-        """Return the coroutine's result; None if the caller has left meanwhile."""
+        """Return the coroutine's result; None if the caller has left meanwhile.
+
+        A request that is cancelled because the process ends must raise: Tornado
+        finishes a handler that returns with an empty answer of 200, and a caller
+        would take that for a step accepted or a call answered.
+        """
         self._work = asyncio.ensure_future(coroutine)
         try:
             return await self._work
         except asyncio.CancelledError:
+            if not self._left:
+                note("request.cut_by_stop", request=self._request_id)
+                raise
             note("request.caller_left", request=self._request_id)
             return None
 
@@ -106,8 +125,10 @@
         self._reply(status, headers, (outcome.reason + "\n").encode())
 
     def log_exception(self, kind, value, trace):
-        note("request.failed", request=self._request_id, reason=repr(value))
-        super().log_exception(kind, value, trace)
+        frames = traceback.format_tb(trace)[-FRAMES_LOGGED:]
+        where = "".join(frames)
+        reason = repr(value)
+        note("request.failed", request=self._request_id, reason=reason, where=where)
 
     def write_error(self, status_code, **kwargs):
         self._reply(status_code)
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -7,34 +7,35 @@
 
 from tornado.httpserver import HTTPServer
 
-from sassafrasdoor.clock import deadline_in, now, remaining
+from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
-from sassafrasdoor.lease.holder import Holder
-from sassafrasdoor.log.agreed import Agreed, fold
-from sassafrasdoor.log.follower import Follower
 from sassafrasdoor.log.tail import KeyedTail, Tail
 from sassafrasdoor.platform import configuration, front, settings as platform_settings
 from sassafrasdoor.platform.servers import WireReplicas
-from sassafrasdoor.platform.store import AgreedLog, Store
+from sassafrasdoor.platform.store import Store
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.routing.instances import Instances
 from sassafrasdoor.routing.replicas import Replicas
 from sassafrasdoor.steps.durable.outbox import Outbox
 from sassafrasdoor.steps.durable.runner import Runner
 from sassafrasdoor.steps.durable.service import SHARDS, TOPIC, StepService
-from sassafrasdoor.steps.durable.shards import Shards
+from sassafrasdoor.steps.durable.shards import Duty, Shards
 from sassafrasdoor.steps.durable.state import Steps
 from sassafrasdoor.stopping import lasting
 from sassafrasdoor.table.routes import RoutesInForce
 from sassafrasdoor.weights.named import Mover
 
-WEIGHTS_LEASE = "weights"
+WEIGHTS_SHARD = SHARDS
+"""The shard after those of the steps: its holder orders the loads of weights."""
 LIST_PAUSE = 0.35
 """Seconds between reads of the replicas' list: a leaving replica is known well
 within its two seconds, and heartbeats of all replicas come in one answer."""
 SERVE_ON_SHARE = 0.86
 """Part of the planned stop for which open and remembered connections are served."""
-FENCED_SETTLE = 0.3
+FINISH_SHARE = 0.1
+"""Part of the planned stop in which requests in progress may still end."""
+FINISH_TICK = 0.02
+FENCED_HANDOVER = 0.3
 """Seconds that an order of a lapsed holder may be on its way, at most."""
 CLEANUP_INTERVAL = 10.0
 KEEP_MARGIN = 60.0
@@ -43,7 +44,10 @@
 
 
 class Process:
-    """All parts of one instance; ``ready`` and ``closing`` say where it is."""
+    """All parts of one instance; ``ready`` and ``closing`` say where it is.
+
+    ``in_flight`` are the handlers of requests that were read and not yet answered.
+    """
 
     def __init__(self, settings, path):
         self._settings = settings
@@ -51,6 +55,7 @@
         self._stop = asyncio.Event()
         self._servers = []
         self.closing = False
+        self.in_flight = set()
         self._build()
 
     def _build(self):
@@ -66,9 +71,11 @@
         )
         self._tails = [
             Tail(self._store, TOPIC, shard, self._fold_of(shard))
-            for shard in range(SHARDS)
+            for shard in range(SHARDS + 1)
+        ]
+        self._outboxes = [
+            Outbox(self._store, TOPIC, shard) for shard in range(SHARDS + 1)
         ]
-        self._outboxes = [Outbox(self._store, TOPIC, shard) for shard in range(SHARDS)]
         self._runner = Runner(
             self._client, self._replicas, self._routes, self._steps, self._outboxes
         )
@@ -78,7 +85,7 @@
             self._steps,
             self._tails,
             member,
-            lambda shard: self._instances.ranking(f"shard-{shard}"),
+            lambda: self._instances.ranking("shards"),
             self._runner.own,
             self._runner.disown,
         )
@@ -92,32 +99,25 @@
         self._replicas.list_tail = self._list
 
     def _build_weights(self):
-        agreed = AgreedLog(self._store)
-        self._follower = Follower(self._settings.product, agreed, fold, Agreed())
-        self._holder = Holder(
-            self._settings.product,
-            agreed,
-            self._follower,
-            WEIGHTS_LEASE,
-            settle=self._settle,
-        )
         self._mover = Mover(
             self._client,
-            self._holder,
+            Duty(self._shards, WEIGHTS_SHARD, self._settings.name),
             self._replicas,
             self._routes,
-            handover=0.0 if self._settings.fenced else self._settle,
+            handover=self._handover,
+            work=self._runner,
         )
+        self._steps.use(WEIGHTS_SHARD)
         self._steps.on_change(self._mover.step_seen)
 
     @property
-    def _settle(self):
-        """Seconds between a lapsed holder's last order and our first.
+    def _handover(self):
+        """Seconds between a former holder's last order and our first.
 
         Replicas that check fencing numbers refuse a lapsed holder's orders by
         themselves; others take any, so there its time must have run out for sure.
         """
-        return FENCED_SETTLE if self._settings.fenced else self._settings.lease + 0.2
+        return FENCED_HANDOVER if self._settings.fenced else self._settings.lease + 0.2
 
     @property
     def ready(self):
@@ -150,8 +150,6 @@
             self._list.run(),
             self._instances.tail.run(),
             self._instances.renew(lambda: self.ready),
-            self._follower.run(),
-            self._holder.run(),
             self._mover.run(),
             self._runner.run(),
             self._shards.run(),
@@ -204,13 +202,15 @@
                 await asyncio.gather(
                     self._instances.leave(),
                     self._hand_over(),
-                    self._holder.release(),
                 )
         await asyncio.sleep(max(0.0, remaining(limit) - 1.0))
         self.closing = True
         await asyncio.sleep(remaining(limit))
         for server in self._servers:
             server.stop()
+        end = limit + self._settings.stop_within * FINISH_SHARE
+        while self.in_flight and not passed(end):  # noqa: ASYNC110
+            await asyncio.sleep(FINISH_TICK)
 
     async def _hand_over(self):
         """Give all shards up, with what was received of their items before."""
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -20,15 +20,9 @@
     "Bounds.ttl_max_s": 5.0,
     "Platform.RecordBytes": 262144.0,
     "Platform.parts": 12.0,
-    "Platform.TtlMinMs": 1000.0,
 }
 """Defaults where a platform leaves a figure out: those of its pages."""
 
-LEASE_DURATION = 1.6
-LEASE_RENEWAL = 0.5
-"""Seconds: a holder that lost power is followed within two seconds, and three
-renewals may be lost or slow (60 times 4 ms) before that."""
-
 
 class PlatformSettings:
     """Where to listen, the platform's store and its bounds (seconds, bytes).
@@ -44,7 +38,6 @@
         "answers_kept",
         "directory",
         "front",
-        "group_ttl_least",
         "fenced",
         "lease",
         "name",
@@ -108,7 +101,6 @@
     found.answers_kept = numbers["Bounds.ttl_max_s"]
     found.record_bytes = int(numbers["Platform.RecordBytes"])
     found.partitions = int(numbers["Platform.parts"])
-    found.group_ttl_least = numbers["Platform.TtlMinMs"] / 1000
     found.product = product.from_document(_document(fields, found))
     return found if found.product else found.product
 
@@ -122,5 +114,4 @@
             "host": fields["Ip"],
         },
         "platform": {"log_url": f"http://{found.store}"},
-        "lease": {"duration": LEASE_DURATION, "renew_interval": LEASE_RENEWAL},
     }
--- a/sassafrasdoor/platform/steps.py
+++ b/sassafrasdoor/platform/steps.py
@@ -5,6 +5,7 @@
 import json
 
 from sassafrasdoor.outcomes import Finding, Rejected
+from sassafrasdoor.platform import wire
 from sassafrasdoor.steps.durable.records import Item, StepSpec
 
 
@@ -34,12 +35,14 @@
 
 def _item(row, model, at):
     try:
+        headers = dict(row.get("Headers") or {})
         return Item(
             row["Id"],
             row["Path"],
-            dict(row.get("Headers") or {}),
+            headers,
             base64.b64decode(row.get("Body") or "", validate=True),
             int(row.get("Tokens", 0)),
+            int(float(headers.get(wire.LENGTH_HINT) or 0)),
             row.get("Group", ""),
             model,
         )
--- a/sassafrasdoor/platform/store.py
+++ b/sassafrasdoor/platform/store.py
@@ -8,16 +8,14 @@
 from sassafrasdoor.backends.connections import Connections, Outgoing
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.clock import deadline_in
-from sassafrasdoor.log.interface import Batch, PlatformLog, Record
 from sassafrasdoor.log.partitioned import (
     Appended,
-    GroupShare,
     NewestKeys,
     PartitionedLog,
     RawBatch,
 )
 from sassafrasdoor.metrics import counter
-from sassafrasdoor.outcomes import Expired, Outcome, ReplyLost, Unavailable
+from sassafrasdoor.outcomes import Expired, ReplyLost, Unavailable
 
 CALL_TIMEOUT = 2.0
 """Seconds for a call that the store need not hold open: 60 times slower than usual
@@ -102,38 +100,6 @@
             if not document.get("HasMore") or not document["Items"]:
                 return NewestKeys(values, end)
 
-    async def join(self, group, member, topic, ttl, generation):
-        """Join a group or stay in it; return a ``GroupShare`` or ``Unavailable``."""
-        document = {
-            "Group": group,
-            "Member": member,
-            "Topics": [topic],
-            "TtlMs": int(ttl * 1000),
-            "Generation": generation,
-        }
-        found = await self._post("join", "log-join", document)
-        if isinstance(found, Outcome):
-            return found
-        rows = found["parts"]
-        return GroupShare(found["Generation"], [part for name, part, *_ in rows])
-
-    async def leave(self, group, member):
-        """Leave a group."""
-        return await self._post(
-            "leave", "log-leave", {"Group": group, "Member": member}
-        )
-
-    async def _post(self, name, call, document):
-        body = json.dumps(document).encode()
-        deadline = deadline_in(CALL_TIMEOUT)
-        reply = await self._call(name, "POST", call, {}, body, deadline)
-        if isinstance(reply, Broken):
-            return Unavailable(reply.reason)
-        found = _document(reply)
-        if reply.status != OK or found is None:
-            return Unavailable(f"store answered {reply.status}")
-        return found
-
     async def _call(self, name, method, call, query, body, deadline):
         path = f"/-/{call}"
         if query:
@@ -148,53 +114,6 @@
         return reply
 
 
-class AgreedLog(PlatformLog):
-    """The product's own log of JSON records, on one partition of the store.
-
-    The product counts offsets from 1, the store from 0.
-    """
-
-    __slots__ = ("_store", "_topics")
-
-    def __init__(self, store):
-        self._store = store
-
-    async def append(self, stream, body):
-        """Append once; return the offset, ``Unavailable`` or ``ReplyLost``."""
-        data = json.dumps(body).encode()
-        deadline = deadline_in(CALL_TIMEOUT)
-        result = await self._store.append(stream, 0, [data], deadline)
-        return result if isinstance(result, Outcome) else result.first + 1
-
-    async def read(self, stream, offset, limit, wait):
-        """Return a ``Batch``, ``Expired`` or ``Unavailable``."""
-        result = await self._store.read(stream, 0, max(0, offset - 1), wait)
-        if isinstance(result, Expired):
-            return Expired(result.reason, result.first + 1)
-        if isinstance(result, Outcome):
-            return result
-        numbered = enumerate(result.records[:limit], result.first + 1)
-        records = [Record(at, _json_or_none(data)) for at, data in numbered]
-        return Batch(records, result.first + 1 + len(records), 1)
-
-    async def end(self, stream):
-        """Return the next offset to be given, or ``Unavailable``."""
-        result = await self._store.read(stream, 0, 0, 0)
-        if isinstance(result, Expired):
-            return result.first + 1
-        return result if isinstance(result, Outcome) else result.end + 1
-
-    def close(self):
-        """The store's connections are closed with the store."""
-
-
-def _json_or_none(data):
-    try:
-        return json.loads(data)
-    except ValueError:
-        return None
-
-
 def _document(reply):
     try:
         document = json.loads(reply.body)
--- a/sassafrasdoor/platform/wire.py
+++ b/sassafrasdoor/platform/wire.py
@@ -11,6 +11,7 @@
 LOAD = "Sassafrasdoor-Server-Load"
 VERSIONS = "Sassafrasdoor-Weight-Versions"
 WAIT = "Sassafrasdoor-Wait-Ms"
+LENGTH_HINT = "Sassafrasdoor-Length-Hint"
 LAST_EVENT = "Last-Event-Id"
 JSON_TYPE = "application/json"
 
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -35,7 +35,10 @@
 
 
 class Replica:
-    """One incarnation of a replica; ``identity`` appears nowhere else."""
+    """One incarnation of a replica; ``identity`` appears nowhere else.
+
+    ``loading_until`` maps a model to when a load that this process ordered ends.
+    """
 
     __slots__ = (
         "_others",
@@ -43,6 +46,7 @@
         "absent_until",
         "identity",
         "listing",
+        "loading_until",
         "state",
         "versions",
     )
@@ -53,6 +57,7 @@
         self.state = BackendState(listing.slots)
         self.versions = dict(listing.versions)
         self.absent_until = None
+        self.loading_until = {}
         self._others = 0
         self._others_until = 0.0
 
--- a/sassafrasdoor/steps/durable/records.py
+++ b/sassafrasdoor/steps/durable/records.py
@@ -21,16 +21,30 @@
 
 
 class Item:
-    """One sample that a step asks for; ``tokens`` is the most it may take."""
+    """One sample that a step asks for.
 
-    __slots__ = ("body", "group", "headers", "item_id", "model", "path", "tokens")
+    ``tokens`` is the most it may take, ``expected`` the caller's guess of its length
+    in tokens (0: none): right at the median, often far off.
+    """
+
+    __slots__ = (
+        "body",
+        "expected",
+        "group",
+        "headers",
+        "item_id",
+        "model",
+        "path",
+        "tokens",
+    )
 
-    def __init__(self, item_id, path, headers, body, tokens, group, model):
+    def __init__(self, item_id, path, headers, body, tokens, expected, group, model):
         self.item_id = item_id
         self.path = path
         self.headers = headers
         self.body = body
         self.tokens = tokens
+        self.expected = expected
         self.group = group
         self.model = model
 
@@ -190,6 +204,7 @@
             item.headers,
             base64.b64encode(item.body).decode(),
             item.tokens,
+            item.expected,
             item.group,
         ]
         for item in spec.items
@@ -198,8 +213,9 @@
 
 
 def _item(row, model):
-    item_id, path, headers, body, tokens, group = row
-    return Item(item_id, path, headers, base64.b64decode(body), tokens, group, model)
+    item_id, path, headers, body, tokens, expected, group = row
+    body = base64.b64decode(body)
+    return Item(item_id, path, headers, body, tokens, expected, group, model)
 
 
 def _decode_part(data):
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -15,6 +15,7 @@
 from sassafrasdoor.metrics import counter, histogram
 from sassafrasdoor.outcomes import NotRun
 from sassafrasdoor.routing.replicas import SUSPECT_FOR
+from sassafrasdoor.steps.durable.order import ordered
 from sassafrasdoor.steps.durable.records import (
     COMPLETED,
     ERRORED,
@@ -180,6 +181,19 @@
             self._keep_progress()
             self._hand_out()
 
+    def waiting(self, model):
+        """Return how many items of a model wait here for a replica."""
+        return sum(job.step.spec.model == model for job in self._queue)
+
+    def oldest_allowed(self, model):
+        """Return the newest version that an open step here asks for, 0 for none."""
+        asked = [
+            job.step.spec.min_version
+            for job in self._jobs.values()
+            if job.step.spec.model == model
+        ]
+        return max(asked, default=0)
+
     def own(self, shard):
         """Run the open steps of a shard from now on."""
         self._owned.add(shard)
@@ -217,7 +231,7 @@
                 self._drop(job)
 
     def _add(self, step):
-        for item in step.spec.items:
+        for item in ordered(step.spec):
             job = Job(step, item)
             if step.is_open(item.item_id) and job.key not in self._jobs:
                 self._jobs[job.key] = job
@@ -283,6 +297,8 @@
                 continue
             if not passed(self._refused_until.get((one.identity, model), 0.0)):
                 continue
+            if not passed(one.loading_until.get(model, 0.0)):
+                continue
             cost = (one.load / max(1, one.listing.slots), one.identity)
             if best is None or cost < best_cost:
                 best, best_cost = one, cost
--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -9,7 +9,7 @@
 
 import asyncio
 
-from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed
+from sassafrasdoor.clock import LONG_AGO, boot_now, deadline_in, now, passed
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter, gauge
 from sassafrasdoor.outcomes import Outcome
@@ -20,8 +20,11 @@
 LAPSE_AFTER = 1.7
 """Seconds without renewal until others claim: three renewals may be lost, and an item
 must be back at a replica well within five seconds of its runner's death."""
+MARGIN = 0.3
+"""Seconds by which a holder stops before its claim lapses elsewhere."""
 RANK_PAUSE = 0.3
 """Seconds by which the next in rank waits longer, so that they do not claim at once."""
+SEPARATOR = "/"
 MOST_RANK = 5
 CLAIM_TIMEOUT = 1.5
 
@@ -32,18 +35,25 @@
 class Shards:
     """Claims, renews and releases shards for the process named ``runner``.
 
-    ``ranking(shard)`` is this instance's place among those that could run a shard,
-    0 for the first; ``on_gain(shard)`` and ``on_loss(shard)`` are told of changes.
+    The name is the instance's address, a slash and what tells its processes apart.
+
+    ``ranking()`` is this instance's place among those that could run shards, 0 for
+    the first; ``on_gain(shard)`` and ``on_loss(shard)`` are told of changes. The
+    order is the same for all shards: one process that runs all steps knows what
+    every replica does, and its kept connections serve all of them.
     """
 
     __slots__ = (
         "_held",
+        "_instance",
         "_leaving",
         "_log",
         "_next_claim",
         "_on_gain",
         "_on_loss",
         "_ranking",
+        "_renewed_at",
+        "_sent_at",
         "_runner",
         "_steps",
         "_tails",
@@ -57,10 +67,13 @@
         self._steps = steps
         self._tails = tails
         self._runner = runner
+        self._instance = runner.partition(SEPARATOR)[0]
         self._ranking = ranking
         self._on_gain = on_gain
         self._on_loss = on_loss
         self._held = set()
+        self._sent_at = {}
+        self._renewed_at = {}
         self._next_claim = {}
         self._leaving = False
         self._tasks = set()
@@ -69,11 +82,25 @@
     async def run(self):
         """Claim and renew until cancelled."""
         while True:
-            for shard in self._steps.used_shards:
+            for shard in list(self._steps.used_shards):
                 if self._is_due(shard):
                     self._claim(shard)
             await asyncio.sleep(TICK)
 
+    def fence(self, shard):
+        """Return the fencing number if this process holds a shard now, else 0.
+
+        Counted from before the last renewal was sent, so that it ends here before
+        any other process takes the shard's claim for lapsed.
+        """
+        claim = self._steps.claims.get(shard)
+        if self._leaving or shard not in self._held:
+            return 0
+        lapses_at = self._renewed_at.get(shard, LONG_AGO) + LAPSE_AFTER - MARGIN
+        if boot_now() >= lapses_at:
+            return 0
+        return claim.epoch + 1
+
     def leave(self):
         """Claim nothing more; return the records that release what is held."""
         self._leaving = True
@@ -93,17 +120,27 @@
 
     def _free_from(self, shard, claim):
         """Return when this process may claim a shard that it does not hold."""
-        rank_pause = min(MOST_RANK, self._ranking(shard)) * RANK_PAUSE
+        rank_pause = min(MOST_RANK, self._ranking()) * RANK_PAUSE
         if claim is None:
             return self._steps.used_shards[shard] + rank_pause
+        if self._is_former_self(claim):
+            return claim.seen_at
         if claim.released:
             return claim.seen_at + rank_pause
         # While the log was away nobody could renew, and nobody could see it.
         restored_at = self._tails[shard].restored_at or LONG_AGO
         return max(claim.seen_at, restored_at) + LAPSE_AFTER + rank_pause
 
+    def _is_former_self(self, claim):
+        """Say whether the claim is of a process of this instance that has ended.
+
+        Where all processes end at once, nobody else need wait for its lapse.
+        """
+        return claim.runner.partition(SEPARATOR)[0] == self._instance
+
     def _claim(self, shard):
         self._next_claim[shard] = deadline_in(RENEW_INTERVAL)
+        self._sent_at.setdefault(shard, boot_now())
         claim = self._steps.claims.get(shard)
         replaces = -1 if claim is None else claim.offset
         record = encode(Claim(self._runner, replaces, False))
@@ -120,6 +157,9 @@
 
     def _claimed(self, shard, claim):
         mine = claim.runner == self._runner and not claim.released
+        if mine:
+            # The oldest send not yet seen back may be the one that was folded now.
+            self._renewed_at[shard] = self._sent_at.pop(shard, LONG_AGO)
         if mine and shard not in self._held and not self._leaving:
             self._held.add(shard)
             note("shard.gained", shard=shard, claim=claim.offset)
@@ -130,3 +170,23 @@
             note("shard.lost", shard=shard, to=claim.runner, age_seconds=age)
             self._on_loss(shard)
         HELD.set({}, len(self._held))
+
+
+class Duty:
+    """A duty that one process has at a time: the lease of a shard without steps.
+
+    ``fence`` is the fencing number while this process has it, else 0; ``identity``
+    names the instance towards those who check it.
+    """
+
+    __slots__ = ("_shard", "_shards", "identity")
+
+    def __init__(self, shards, shard, identity):
+        self._shards = shards
+        self._shard = shard
+        self.identity = identity
+
+    @property
+    def fence(self):
+        """The fencing number; read it right before each use."""
+        return self._shards.fence(self._shard)
--- a/sassafrasdoor/steps/durable/state.py
+++ b/sassafrasdoor/steps/durable/state.py
@@ -70,11 +70,16 @@
 
 
 class ClaimSeen:
-    """The last claim of a shard that counted, and when this process saw it."""
+    """The last claim of a shard that counted, and when this process saw it.
 
-    __slots__ = ("offset", "released", "runner", "seen_at")
+    ``epoch`` is the offset of its holder's first claim: it grows with each change.
+    """
+
+    __slots__ = ("epoch", "offset", "released", "runner", "seen_at")
 
-    def __init__(self, offset, claim):
+    def __init__(self, offset, claim, last):
+        renewed = last is not None and last.runner == claim.runner
+        self.epoch = last.epoch if renewed and not last.released else offset
         self.offset = offset
         self.runner = claim.runner
         self.released = claim.released
@@ -145,6 +150,10 @@
             return
         take(self, shard, offset, record)
 
+    def use(self, shard):
+        """Count a shard as used from now on, also without steps."""
+        self.used_shards.setdefault(shard, now())
+
     def forget(self, before):
         """Drop steps that this process learned of before a point in time."""
         for step_id, step in list(self.by_id.items()):
@@ -171,7 +180,7 @@
             note("step.record_unreadable", shard=shard, reason=spec.reason)
             return
         step = self.by_id[spec.step_id] = Step(spec, shard)
-        self.used_shards.setdefault(shard, now())
+        self.use(shard)
         self._changed(step)
 
     def _take_sample(self, shard, offset, sample):
@@ -202,7 +211,7 @@
         last = self.claims.get(shard)
         if claim.replaces != (-1 if last is None else last.offset):
             return
-        self.claims[shard] = seen = ClaimSeen(offset, claim)
+        self.claims[shard] = seen = ClaimSeen(offset, claim, last)
         for callback in self._claim_callbacks:
             callback(shard, seen)
 
--- a/sassafrasdoor/steps/durable/tests/fixtures.py
+++ b/sassafrasdoor/steps/durable/tests/fixtures.py
@@ -49,7 +49,7 @@
 def spec(step_id="s1", items=2, min_version=1, model=MODEL):
     """Return a step with items ``i0``, ``i1``, ..."""
     rows = [
-        Item(f"i{at}", f"{PREFIX}{at}", {}, b"body %d" % at, 100, "g", model)
+        Item(f"i{at}", f"{PREFIX}{at}", {}, b"body %d" % at, 100, 0, "g", model)
         for at in range(items)
     ]
     return StepSpec(step_id, HOST, PREFIX, 1, model, min_version, 1, rows)
--- a/sassafrasdoor/steps/durable/tests/test_shards.py
+++ b/sassafrasdoor/steps/durable/tests/test_shards.py
@@ -30,7 +30,7 @@
             self.steps,
             [self.tail],
             name,
-            lambda shard: rank,
+            lambda: rank,
             lambda shard: self.events.append("gained"),
             lambda shard: self.events.append("lost"),
         )
@@ -55,7 +55,10 @@
         self.log = MemoryPartitionedLog()
         lapse, module.LAPSE_AFTER = module.LAPSE_AFTER, 1.0
         self.addCleanup(setattr, module, "LAPSE_AFTER", lapse)
-        self.one, self.two = Instance(self.log, "one", 0), Instance(self.log, "two", 1)
+        self.one, self.two = (
+            Instance(self.log, "one/1", 0),
+            Instance(self.log, "two/1", 1),
+        )
         for instance in (self.one, self.two):
             instance.start()
             self.addCleanup(instance.stop)
@@ -98,6 +101,21 @@
         await self.until(lambda: self.one.events == ["gained", "lost"])
         self.assertTrue(self.two.holds)
 
+    async def test_restarted_process_takes_its_shards_back_at_once(self):
+        """Symptom: nothing runs for seconds after all processes have ended.
+
+        Sequence: all restart, and each waits for the claim of one that has ended.
+        Cause: a restarted process did not know its own former claim.
+        """
+        module.LAPSE_AFTER = 1000.0
+        await self.submit()
+        await self.until(lambda: self.one.holds)
+        self.one.stop()
+        again = Instance(self.log, "one/2", 3)
+        again.start()
+        self.addCleanup(again.stop)
+        await self.until(lambda: again.holds)
+
     async def test_released_shard_is_taken_at_once(self):
         module.LAPSE_AFTER = 1000.0
         await self.submit()
--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -10,7 +10,7 @@
 
 from sassafrasdoor.backends.interface import Stale
 from sassafrasdoor.backends.replicas import OrderRefused, VersionOrder
-from sassafrasdoor.clock import LONG_AGO, deadline_in, passed
+from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
 
@@ -19,13 +19,21 @@
 """Replicas that load together: with more, each load takes longer."""
 LOAD_TIME = 1.2
 """Seconds that a load holds its place: 0.9 s, and a little for the order's way."""
+SHORTEST_LOAD = 0.9
+"""Seconds that a load takes at least: items of its model sent before are refused."""
 BELIEF_LAG = 3.5
 """Seconds after an accepted order before the list must show it: a load, a heartbeat
 of 1.2 s and the list's own lag of 0.8 s."""
+LONGEST_DEFERRAL = 2.5
+"""Seconds that a load may wait for a step's first items: they take about one second
+each and two or three follow each other on a place."""
 ORDER_TIMEOUT = 1.5
 REFUSED_PAUSE = 0.4
 """Seconds before a refused or lost order is tried again."""
 
+FIRST_FENCE = 1
+"""The fencing number of the first holder ever: nobody ordered before it."""
+
 ORDERS = counter("weights_named_orders_total", "Orders to replicas, by result.")
 
 
@@ -47,6 +55,8 @@
     """Orders loads while ``holder.fence`` is set and settled.
 
     ``handover`` (seconds) is kept between a former holder's orders and our own.
+    ``work`` tells of the steps that run here: ``waiting(model)`` items without a
+    replica, and ``oldest_allowed(model)``, the version that open steps ask for.
     """
 
     __slots__ = (
@@ -58,21 +68,25 @@
         "_handover",
         "_holder",
         "_named",
+        "_named_at",
         "_replicas",
         "_routes",
         "_sent",
         "_stale_fence",
         "_tasks",
         "_wake",
+        "_work",
     )
 
-    def __init__(self, client, holder, replicas, routes, handover):
+    def __init__(self, client, holder, replicas, routes, handover, work):
         self._client = client
         self._holder = holder
         self._replicas = replicas
         self._routes = routes
         self._handover = handover
+        self._work = work
         self._named = {}
+        self._named_at = {}
         self._demand = {}
         self._assigned = {}
         self._sent = {}
@@ -86,6 +100,7 @@
         """Take a version that a trainer has named; older ones change nothing."""
         if version > self._named.get(model, 0):
             self._named[model] = version
+            self._named_at[model] = now()
             note("weights.named", model=model, version=version)
             self._wake.set()
 
@@ -113,7 +128,7 @@
         if fence != self._fence:
             # A former holder's last orders may be under way. Orders of two holders
             # that mix would take replicas back and forth.
-            first = self._fence == 0 and fence == 1
+            first = fence == FIRST_FENCE
             self._fence = fence
             self._acts_from = LONG_AGO if first else deadline_in(self._handover)
             self._sent.clear()
@@ -137,7 +152,9 @@
                 if loading >= LOADS_AT_ONCE:
                     return
                 version = self._named.get(model, 0)
-                if self._is_due(replica, model, version):
+                if self._is_due(replica, model, version) and not self._defers(
+                    replica, model
+                ):
                     loading += 1
                     self._begin(replica, model, version)
                     break
@@ -153,6 +170,20 @@
         same = (sent.model, sent.version) == (model, version)
         return not same or passed(sent.quiet_until)
 
+    def _defers(self, replica, model):
+        """Say whether a load should wait because its replica is needed as it is.
+
+        A trainer that is behind asks for a step at the moment it names a version;
+        the step's items may run under the version before. Loading then takes 0.9 s
+        from each replica while items wait; once the last items run, it takes it
+        from replicas that have little to do.
+        """
+        if not self._work.waiting(model):
+            return False
+        if replica.versions.get(model, 0) < self._work.oldest_allowed(model):
+            return False
+        return not passed(self._named_at[model] + LONGEST_DEFERRAL)
+
     def _begin(self, replica, model, version):
         self._sent[replica.identity] = _Sent(model, version)
         task = asyncio.ensure_future(self._order(replica, model, version))
@@ -184,6 +215,7 @@
         )
         if result is True:
             sent.quiet_until = deadline_in(BELIEF_LAG)
+            replica.loading_until[model] = deadline_in(SHORTEST_LOAD)
             return
         sent.quiet_until = deadline_in(REFUSED_PAUSE)
         if isinstance(result, OrderRefused):
