Test the new features table by table; give every model a replica

Cause: shares() took the only replica of a model away where another's demand was far larger (found by its new test: {a: 1, b: 1, c: 100} on 3 gave b none).

Change: each model has one, further ones go where most is missing.

--- /dev/null
+++ b/sassafrasdoor/platform/tests/test_translation.py
@@ -0,0 +1,149 @@
+"""Settings, configurations and entries: what is read of them, and what is refused."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from sassafrasdoor.outcomes import Rejected
+from sassafrasdoor.platform import configuration, settings
+from sassafrasdoor.routing.replicas import Replicas
+from sassafrasdoor.table.routes import Repeat, RoutesInForce
+
+LINES = """
+NodeName=front-1
+Zone=palermo
+Region=sicilia
+Ip=10.1.0.10
+Listen.Front=10.1.0.10:8161
+Listen.Ready=10.1.0.10:8167
+Listen.Directory=10.1.0.10:8164
+Platform.Address=10.200.1.7:8169
+Bounds.RequireFencing=true
+Bounds.LeaseMs=3000
+Something.New=1
+not a line
+"""
+ROUTE = {
+    "Name": "r",
+    "Host": "H.example",
+    "PathPrefix": "/a/",
+    "Kind": "safe",
+    "TimeoutMs": 800,
+    "TargetLatencyMs": 191,
+    "TrafficSplit": [{"Service": "x", "Weight": 9}, {"Service": "y", "Weight": 1}],
+    "MaxAttempts": 2,
+}
+DOCUMENT = {
+    "Version": 7,
+    "Routes": [ROUTE],
+    "Services": [{"Name": "x", "Engine": {"Models": [{"Name": "m"}]}}, {"Name": "y"}],
+    "Limits": {"MaxBodyBytes": 5, "IdleTimeoutMs": 1500},
+}
+ENTRY = {
+    "Service": "x",
+    "Address": "10.0.0.1:80",
+    "Zone": "palermo",
+    "Slots": 12,
+    "State": "ready",
+    "Models": [{"Name": "m", "Version": 3}],
+}
+
+
+class SettingsTest(unittest.TestCase):
+    def fields(self, **changes):
+        return {**settings.read_lines(LINES), **changes}
+
+    def test_figures_are_translated(self):
+        found = settings.from_fields(self.fields())
+        self.assertEqual((found.lease, found.fenced), (3.0, True))
+        self.assertEqual(found.product.instance.availability_zone, "palermo")
+
+    def test_every_finding_is_reported_with_its_place(self):
+        broken = {"Zone": "", "Listen.Front": "nowhere", "Bounds.GraceS": "soon"}
+        found = settings.from_fields(self.fields(**broken))
+        self.assertIsInstance(found, Rejected)
+        places = {finding.place for finding in found.findings}
+        self.assertEqual(places, set(broken))
+
+    def test_unreadable_file_is_refused(self):
+        missing = pathlib.Path(tempfile.gettempdir()) / "no-such-file"
+        self.assertIsInstance(settings.load(missing), Rejected)
+
+
+class ConfigurationTest(unittest.TestCase):
+    def setUp(self):
+        self.routes = RoutesInForce()
+        self.named = []
+        self.keys = configuration.OperatorKeys(
+            self.routes, lambda *pair: self.named.append(pair)
+        )
+
+    def take(self, document, key="config"):
+        self.keys.take(key, json.dumps(document).encode())
+
+    def test_route_is_translated(self):
+        self.take(DOCUMENT)
+        route = self.routes.current.match("h.example", "/a/b")
+        self.assertEqual((route.repeat, route.attempts), (Repeat.SAFE, 2))
+        self.assertEqual((route.timeout, route.target), (0.8, 0.191))
+        self.assertEqual(route.services, [("x", 9), ("y", 1)])
+        self.assertEqual(self.routes.current.service_models, {"x": ["m"]})
+        self.assertEqual(self.routes.current.limits.idle_timeout, 1.5)
+
+    def test_unknown_kind_runs_once_at_most(self):
+        self.take({**DOCUMENT, "Routes": [{**ROUTE, "Kind": "new"}]})
+        self.assertIs(self.routes.current.routes[0].repeat, Repeat.ONCE)
+
+    def test_longest_prefix_answers(self):
+        longer = {**ROUTE, "Name": "longer", "PathPrefix": "/a/b/"}
+        self.take({**DOCUMENT, "Routes": [ROUTE, longer]})
+        current = self.routes.current
+        self.assertEqual(current.match("h.example", "/a/b/c").name, "longer")
+        self.assertEqual(current.match("h.example", "/a/x").name, "r")
+        self.assertIsNone(current.match("other", "/a/x"))
+        self.assertIsNone(current.match("h.example", "/x"))
+
+    def test_older_version_changes_nothing(self):
+        """Symptom: a dropped route is served again.
+
+        Sequence: a read that began before the change ends after it. Cause: what
+        was read last was put in force, not what is newest.
+        """
+        self.take(DOCUMENT)
+        self.take({**DOCUMENT, "Version": 6, "Routes": []})
+        self.assertEqual(self.routes.current.version, 7)
+
+    def test_malformed_records_lose_nothing(self):
+        self.take(DOCUMENT)
+        for bad in (b"{", b"[]", b"null", b'{"Version": 9}', b'{"Version": "x"}'):
+            self.keys.take("config", bad)
+            self.keys.take("version/m", bad)
+        self.keys.take("config", b"")
+        self.assertEqual((self.routes.current.version, self.named), (7, []))
+
+    def test_named_version_is_handed_on(self):
+        self.take({"Model": "m", "Version": 4}, "version/m")
+        self.assertEqual(self.named, [("m", 4)])
+
+
+class EntryTest(unittest.TestCase):
+    def setUp(self):
+        self.replicas = Replicas("palermo")
+        self.keys = configuration.ServerKeys(self.replicas)
+
+    def test_entry_is_translated(self):
+        self.keys.take("i-1", json.dumps(ENTRY).encode())
+        (replica,) = self.replicas.of_service("x")
+        self.assertEqual(replica.versions, {"m": 3})
+        self.assertEqual((replica.identity, replica.room), ("i-1", 12))
+
+    def test_leaving_replica_gets_nothing(self):
+        self.keys.take("i-1", json.dumps({**ENTRY, "State": "draining"}).encode())
+        self.assertEqual(self.replicas.of_service("x"), [])
+
+    def test_malformed_entry_changes_nothing(self):
+        self.keys.take("i-1", json.dumps(ENTRY).encode())
+        for bad in (b"{", b"[]", b"{}"):
+            self.keys.take("i-1", bad)
+        self.assertEqual(len(self.replicas.of_service("x")), 1)
--- /dev/null
+++ b/sassafrasdoor/requests/tests/test_direct.py
@@ -0,0 +1,142 @@
+"""Callers' requests: every way in which a send may end, as a table, and hedges."""
+
+import asyncio
+import unittest
+
+from sassafrasdoor.backends.interface import Answer, Broken
+from sassafrasdoor.backends.replicas import WrongReplica
+from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.requests.direct import DirectRequest, DirectService
+from sassafrasdoor.steps.durable.tests.fixtures import replicas, route
+from sassafrasdoor.table.routes import Repeat
+
+OK = Answer(200, [], b"ok")
+ERROR = Answer(500, [], b"no")
+FULL = NotRun("full")
+GONE = WrongReplica("gone")
+NOT_SENT = Broken("refused", began=False)
+LOST = Broken("lost", began=True)
+HANG = object()
+
+
+class Client:
+    """Plays a script of outcomes and records the calls."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.calls = []
+        self.cancelled = 0
+
+    async def call(self, replica, call):
+        self.calls.append((replica.identity, call))
+        outcome = self.script.pop(0)
+        if outcome is HANG:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                self.cancelled += 1
+        return outcome
+
+
+class DirectTest(unittest.IsolatedAsyncioTestCase):
+    async def answer(
+        self, *script, repeat=Repeat.SAFE, count=3, seconds=20.0, **fields
+    ):
+        self.client = Client(*script)
+        service = DirectService(self.client, replicas(count))
+        request = DirectRequest(
+            route=route(repeat=repeat, **fields),
+            method="POST",
+            path="/p",
+            headers=[],
+            body=b"b",
+            request_id="r1",
+            deadline=deadline_in(seconds),
+            version=1,
+        )
+        return await service.answer(request)
+
+    async def until(self, condition):
+        limit = deadline_in(20)
+        while not condition():
+            self.assertFalse(passed(limit), "condition never came true")
+            await asyncio.sleep(0.005)
+
+    async def test_ends_of_repeatable_requests(self):
+        cases = [
+            ([OK], Answer, 1),
+            ([ERROR, OK], Answer, 2),
+            ([LOST, OK], Answer, 2),
+            ([NOT_SENT, OK], Answer, 2),
+            ([FULL, GONE, OK], Answer, 3),
+            ([FULL, FULL, FULL], NotRun, 3),
+            ([NOT_SENT] * 3, NotRun, 3),
+            ([LOST, LOST, LOST], Unknown, 3),
+            ([FULL, LOST, NOT_SENT], Unknown, 3),
+        ]
+        for script, outcome, sends in cases:
+            with self.subTest(script=script):
+                result = await self.answer(*script)
+                self.assertIsInstance(result, outcome)
+                self.assertEqual(len(self.client.calls), sends)
+
+    async def test_ends_of_requests_that_may_run_once(self):
+        """Symptom: a payment runs twice, or runs although it was refused.
+
+        Sequence: the connection breaks after the request was sent. Cause: a lost
+        answer was taken for "not run".
+        """
+        cases = [
+            ([OK], Answer, 1),
+            ([ERROR], Answer, 1),
+            ([LOST], Unknown, 1),
+            ([FULL, OK], Answer, 2),
+            ([NOT_SENT, OK], Answer, 2),
+            ([GONE, LOST], Unknown, 2),
+        ]
+        for script, outcome, sends in cases:
+            with self.subTest(script=script):
+                result = await self.answer(*script, repeat=Repeat.ONCE)
+                self.assertIsInstance(result, outcome)
+                self.assertEqual(len(self.client.calls), sends)
+                self.assertTrue(all(call.fresh for _, call in self.client.calls))
+
+    async def test_attempts_are_bounded(self):
+        result = await self.answer(ERROR, ERROR, OK, attempts=2)
+        self.assertEqual(result.status, 500)
+        self.assertEqual(len(self.client.calls), 2)
+
+    async def test_each_try_goes_to_another_replica(self):
+        await self.answer(LOST, LOST, LOST)
+        self.assertEqual(len({name for name, _ in self.client.calls}), 3)
+
+    async def test_slow_answer_is_asked_for_once_more(self):
+        result = await self.answer(HANG, OK, target=0.1)
+        self.assertIs(result, OK)
+        await self.until(lambda: self.client.cancelled == 1)
+
+    async def test_request_that_may_run_once_is_never_hedged(self):
+        result = await self.answer(
+            HANG, OK, target=0.01, seconds=0.2, repeat=Repeat.ONCE
+        )
+        self.assertIsInstance(result, Unknown)
+        self.assertEqual(len(self.client.calls), 1)
+
+    async def test_hedges_are_bounded_by_the_attempts(self):
+        result = await self.answer(HANG, HANG, OK, target=0.05, seconds=0.5, attempts=2)
+        self.assertIsInstance(result, Unknown)
+        self.assertEqual(len(self.client.calls), 2)
+        await self.until(lambda: self.client.cancelled == 2)
+
+    async def test_no_replica_is_a_refusal(self):
+        result = await self.answer(count=0)
+        self.assertIsInstance(result, NotRun)
+        self.assertGreater(result.retry_after, 0)
+
+    async def test_caller_who_leaves_ends_every_send(self):
+        task = asyncio.ensure_future(self.answer(HANG, HANG, target=0.01))
+        self.client = Client()
+        await self.until(lambda: len(self.client.calls) == 2)
+        task.cancel()
+        await self.until(lambda: self.client.cancelled == 2)
--- /dev/null
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -0,0 +1,69 @@
+"""Which instances callers are sent to."""
+
+import asyncio
+import unittest
+
+from sassafrasdoor import settings
+from sassafrasdoor.clock import LONG_AGO, now
+from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
+from sassafrasdoor.routing import instances as module
+from sassafrasdoor.routing.instances import Instances
+
+
+def instance(log, name, zone):
+    place = {"name": name, "availability_zone": zone}
+    found = settings.from_document({"instance": place})
+    return Instances(found, log, f"{name}:80", f"{name}:80")
+
+
+class InstancesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.log = MemoryPartitionedLog()
+        self.all = [instance(self.log, f"i{at}", "ab"[at % 2]) for at in range(5)]
+        for one in self.all:
+            await one._write(one._document())
+        await self.read()
+
+    async def read(self):
+        for one in self.all:
+            await one.tail.poll(0)
+            await one.tail.poll(0)
+
+    async def test_callers_stay_in_their_zone_where_it_has_enough(self):
+        self.assertEqual(set(self.all[0].addresses("b")), {"i1:80", "i3:80"})
+
+    async def test_callers_of_a_thin_zone_are_sent_everywhere(self):
+        self.assertEqual(len(self.all[0].addresses("c")), 5)
+
+    async def test_leaving_instance_is_named_no_more(self):
+        await self.all[1].leave()
+        await self.read()
+        self.assertNotIn("i1:80", self.all[0].addresses("c"))
+
+    async def test_instance_that_stopped_renewing_is_left_out(self):
+        self.all[0]._seen["i1:80"].at = LONG_AGO
+        self.assertNotIn("i1:80", self.all[0].addresses("c"))
+
+    async def test_nobody_lapses_while_the_log_is_away(self):
+        """Symptom: callers are sent to one instance only, or to none.
+
+        Sequence: the log is away for longer than a record lives. Cause: records
+        were taken for lapsed although nobody could renew them.
+        """
+        tail = self.all[0].tail
+        for one in self.all[0]._seen.values():
+            one.at = now() - module.LAPSE_AFTER + 0.5
+        tail.failing_since = now()
+        await asyncio.sleep(0.6)
+        self.assertEqual(len(self.all[0].addresses("c")), 5)
+        tail.failing_since, tail.restored_at = None, now()
+        self.assertEqual(len(self.all[0].addresses("c")), 5)
+
+    async def test_all_agree_on_one_ranking(self):
+        ranks = sorted(one.ranking("x") for one in self.all)
+        self.assertEqual(ranks, [0, 1, 2, 3, 4])
+
+    async def test_lonely_instance_names_itself(self):
+        alone = instance(MemoryPartitionedLog(), "x", "a")
+        self.assertEqual(alone.addresses("a"), ["x:80"])
+        self.assertEqual(alone.ranking("x"), 0)
--- /dev/null
+++ b/sassafrasdoor/routing/tests/test_replicas.py
@@ -0,0 +1,87 @@
+"""What is believed of replicas: the list, its outages, loads and zones."""
+
+import unittest
+
+from sassafrasdoor.clock import LONG_AGO, now
+from sassafrasdoor.routing import replicas as module
+from sassafrasdoor.routing.replicas import Listing, Replicas
+
+
+class Tail:
+    """The state of the list's reader."""
+
+    failing_since = None
+    restored_at = None
+
+
+class ReplicasTest(unittest.TestCase):
+    def setUp(self):
+        self.replicas = Replicas("a")
+        self.replicas.list_tail = self.tail = Tail()
+
+    def listed(self, identity, zone="a", leaving=False, versions=None):
+        listing = Listing("s", f"{identity}:80", zone, 4, leaving, versions or {})
+        self.replicas.listed(identity, listing)
+        return self.replicas.get(identity)
+
+    def names(self):
+        return sorted(one.identity for one in self.replicas.of_service("s"))
+
+    def test_leaving_and_gone_replicas_get_nothing(self):
+        for name in "xyz":
+            self.listed(name)
+        self.listed("x", leaving=True)
+        self.replicas.unlisted("y")
+        self.assertEqual(self.names(), ["z"])
+
+    def test_entries_that_lapse_in_an_outage_are_tried_on(self):
+        """Symptom: every request is refused after each outage of the platform.
+
+        Sequence: the list is away, all entries lapse, it returns, and the replicas
+        write theirs again. Cause: a lapsed entry was taken for a replica gone.
+        """
+        self.listed("x")
+        self.tail.failing_since = now()
+        self.replicas.unlisted("x")
+        self.assertEqual(self.names(), ["x"])
+        self.replicas.get("x").absent_until = LONG_AGO
+        self.replicas.sweep()
+        self.assertEqual(self.names(), [])
+
+    def test_entry_that_comes_back_is_whole_again(self):
+        self.listed("x")
+        self.tail.restored_at = now()
+        self.replicas.unlisted("x")
+        self.listed("x")
+        self.assertIsNone(self.replicas.get("x").absent_until)
+
+    def test_own_zone_is_preferred_until_it_is_busier(self):
+        near, far = self.listed("near"), self.listed("far", zone="b")
+        self.assertIs(self.replicas.choose("s"), near)
+        for _ in range(2):
+            near.state.started()
+        self.assertIs(self.replicas.choose("s"), far)
+
+    def test_failed_replica_is_avoided_but_used_alone(self):
+        bad = self.listed("bad")
+        bad.state.failed(module.SUSPECT_FOR)
+        self.assertIs(self.replicas.choose("s"), bad)
+        good = self.listed("good", zone="b")
+        self.assertIs(self.replicas.choose("s"), good)
+        self.assertIsNone(self.replicas.choose("s", {"good", "bad"}))
+
+    def test_load_told_beside_answers_counts_others(self):
+        one = self.listed("x")
+        one.state.started()
+        one.told_load(3, 1)
+        self.assertEqual((one.load, one.room), (4, 0))
+        one._others_until = LONG_AGO
+        self.assertEqual(one.load, 1)
+
+    def test_versions_told_are_kept_while_the_list_says_nothing_new(self):
+        one = self.listed("x", versions={"m": 1})
+        one.told_version("m", 2)
+        self.listed("x", versions={"m": 1})
+        self.assertEqual(one.versions, {"m": 2})
+        self.listed("x", versions={"m": 3})
+        self.assertEqual(one.versions, {"m": 3})
--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -278,7 +278,7 @@
 def shares(count, models, demand):
     """Return how many of ``count`` replicas each model gets, by its demand.
 
-    Every model gets one if there are enough; the rest goes by largest remainder.
+    Every model gets one; each further one goes where most is missing.
     """
     if count < len(models):
         return dict.fromkeys(models, 1)
@@ -287,10 +287,7 @@
         weights = dict.fromkeys(models, 1)
     total = sum(weights.values())
     exact = {model: count * weight / total for model, weight in weights.items()}
-    found = {model: max(1, int(exact[model])) for model in models}
-    while sum(found.values()) > count:
-        most = max(found, key=lambda model: (found[model] - exact[model], model))
-        found[most] -= 1
+    found = dict.fromkeys(models, 1)
     while sum(found.values()) < count:
         least = max(exact, key=lambda model: (exact[model] - found[model], model))
         found[least] += 1
--- /dev/null
+++ b/sassafrasdoor/weights/tests/test_named.py
@@ -0,0 +1,206 @@
+"""Which replica is ordered to which version, by whom and when."""
+
+import asyncio
+import unittest
+
+from sassafrasdoor.backends.interface import Stale
+from sassafrasdoor.backends.replicas import OrderRefused
+from sassafrasdoor.clock import LONG_AGO, deadline_in, passed
+from sassafrasdoor.outcomes import ReplyLost
+from sassafrasdoor.routing.replicas import Listing, Replicas
+from sassafrasdoor.steps.durable.tests.fixtures import SERVICE, route
+from sassafrasdoor.table.routes import Configuration, Limits, RoutesInForce
+from sassafrasdoor.weights import named as module
+from sassafrasdoor.weights.named import Mover, shares
+
+
+class Holder:
+    identity = "me"
+    fence = 1
+
+
+class Work:
+    """No items wait, unless said so."""
+
+    def __init__(self):
+        self.queue = 0
+        self.oldest = 0
+
+    def waiting(self, model):
+        return self.queue
+
+    def oldest_allowed(self, model):
+        return self.oldest
+
+
+class Client:
+    """Carries orders out at once, unless told to answer otherwise."""
+
+    def __init__(self):
+        self.orders = []
+        self.answers = []
+
+    async def order(self, replica, order):
+        self.orders.append((replica.identity, order.model, order.version))
+        self.fences = [order.fence]
+        answer = self.answers.pop(0) if self.answers else True
+        if answer is True:
+            replica.told_version(order.model, order.version)
+        return answer
+
+
+class MoverTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.models = ["a", "b"]
+        self.replicas = Replicas("z")
+        for at in range(5):
+            versions = dict.fromkeys(self.models, 1)
+            listing = Listing(SERVICE, f"h{at}:1", "z", 4, False, versions)
+            self.replicas.listed(f"e{at}", listing)
+        self.routes = RoutesInForce()
+        self.configure()
+        self.client, self.holder, self.work = Client(), Holder(), Work()
+        self.mover = self.make(0.0)
+        load, module.LOAD_TIME = module.LOAD_TIME, 0.05
+        self.addCleanup(setattr, module, "LOAD_TIME", load)
+        pause, module.REFUSED_PAUSE = module.REFUSED_PAUSE, 0.05
+        self.addCleanup(setattr, module, "REFUSED_PAUSE", pause)
+
+    def configure(self, version=1, **fields):
+        limits = Limits(1, 1, 1)
+        rows = [route(**fields)]
+        found = Configuration(version, rows, {SERVICE: self.models}, limits)
+        self.routes.take(found)
+
+    def make(self, handover):
+        return Mover(
+            self.client, self.holder, self.replicas, self.routes, handover, self.work
+        )
+
+    def run_mover(self):
+        task = asyncio.ensure_future(self.mover.run())
+        self.addCleanup(task.cancel)
+
+    async def until(self, condition):
+        limit = deadline_in(20)
+        while not condition():
+            self.assertFalse(passed(limit), "condition never came true")
+            await asyncio.sleep(0.01)
+
+    def at(self, model, version):
+        return [
+            one.identity
+            for one in self.replicas.all_usable()
+            if one.versions.get(model) == version
+        ]
+
+    async def test_only_a_models_own_replicas_follow_it(self):
+        """Symptom: each named version costs a load at every replica.
+
+        Sequence: two trainers name versions in turn. Cause: all replicas were
+        brought to all models, although half of the loads serve nobody.
+        """
+        self.run_mover()
+        self.mover.named("a", 2)
+        self.mover.named("b", 2)
+        await self.until(lambda: len(self.client.orders) == 5)
+        await asyncio.sleep(0.3)
+        self.assertEqual(len(self.client.orders), 5)
+        self.assertFalse(set(self.at("a", 2)) & set(self.at("b", 2)))
+
+    async def test_replicas_keep_their_model(self):
+        self.run_mover()
+        self.mover.named("a", 2)
+        await self.until(lambda: len(self.at("a", 2)) >= 2)
+        before = self.at("a", 2)
+        self.mover.named("a", 3)
+        await self.until(lambda: self.at("a", 3) == before)
+
+    async def test_without_the_duty_nothing_is_ordered(self):
+        self.holder.fence = 0
+        self.run_mover()
+        self.mover.named("a", 2)
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.client.orders, [])
+
+    async def test_new_holder_waits_for_the_former_ones_orders(self):
+        self.holder.fence = 7
+        self.mover = self.make(1000.0)
+        self.run_mover()
+        self.mover.named("a", 2)
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.client.orders, [])
+
+    async def test_fenced_off_holder_orders_nothing_more(self):
+        """Symptom: refused orders are sent again and again.
+
+        Sequence: a holder is cut off, another orders, the first comes back. Cause:
+        a refusal for a lower fencing number was taken for a busy replica.
+        """
+        self.client.answers = [Stale("old", 9)] * 2
+        self.run_mover()
+        self.mover.named("a", 2)
+        await self.until(lambda: len(self.client.orders) == 2)
+        await asyncio.sleep(0.4)
+        self.assertEqual(len(self.client.orders), 2)
+        self.holder.fence = 10
+        await self.until(lambda: len(self.client.orders) > 2)
+
+    async def test_refused_and_lost_orders_are_sent_again(self):
+        self.client.answers = [OrderRefused("busy"), ReplyLost("lost")]
+        self.run_mover()
+        self.mover.named("a", 2)
+        await self.until(lambda: len(self.at("a", 2)) >= 2)
+
+    async def test_replica_that_went_back_is_ordered_again(self):
+        """Symptom: items of a model wait for ever for new enough weights.
+
+        Sequence: an order without reply is carried out after a newer one. Cause:
+        the newer order was believed for good.
+        """
+        self.run_mover()
+        self.mover.named("a", 2)
+        await self.until(lambda: self.at("a", 2))
+        (replica, *_) = self.at("a", 2)
+        for sent in self.mover._sent.values():
+            sent.quiet_until = sent.loads_until = LONG_AGO
+        self.replicas.get(replica).told_version("a", 1)
+        await self.until(lambda: replica in self.at("a", 2))
+
+    async def test_load_waits_while_items_need_the_version_before(self):
+        self.work.queue, self.work.oldest = 3, 1
+        self.run_mover()
+        self.mover.named("a", 2)
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.client.orders, [])
+        self.work.queue = 0
+        await self.until(lambda: self.client.orders)
+
+    async def test_load_does_not_wait_where_items_need_it(self):
+        self.work.queue, self.work.oldest = 3, 2
+        self.run_mover()
+        self.mover.named("a", 2)
+        await self.until(lambda: self.client.orders)
+
+    async def test_few_load_at_once(self):
+        module.LOAD_TIME = 1000.0
+        self.run_mover()
+        self.mover.named("a", 2)
+        self.mover.named("b", 2)
+        await self.until(lambda: len(self.client.orders) == module.LOADS_AT_ONCE)
+        await asyncio.sleep(0.3)
+        self.assertEqual(len(self.client.orders), module.LOADS_AT_ONCE)
+
+
+class SharesTest(unittest.TestCase):
+    def test_shares_follow_demand_and_leave_nobody_out(self):
+        cases = [
+            (5, {"a": 60, "b": 40}, {"a": 3, "b": 2}),
+            (5, {"a": 100, "b": 1, "c": 1}, {"a": 3, "b": 1, "c": 1}),
+            (3, {"a": 1, "b": 1, "c": 100}, {"a": 1, "b": 1, "c": 1}),
+            (2, {"a": 1, "b": 1, "c": 1}, {"a": 1, "b": 1, "c": 1}),
+            (4, {}, {"a": 2, "b": 2}),
+        ]
+        for count, demand, expected in cases:
+            with self.subTest(count=count, demand=demand):
+                self.assertEqual(shares(count, list(expected), demand), expected)
