--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -39,6 +39,7 @@
         self._fold = fold
         self._pause = pause
         self._failures = 0
+        self._started_at = now()
         self.offset = 0
         self.confirmed_at = None
         self.failing_since = None
@@ -74,6 +75,7 @@
             return True
         self._fold_batch(result)
         if self.offset >= result.end:
+            self._note_caught_up()
             self.confirmed_at = sent_at
         return True
 
@@ -108,6 +110,17 @@
                 self.offset = offset + 1
             offset += 1
 
+    def _note_caught_up(self):
+        if self.confirmed_at is None:
+            seconds = round(now() - self._started_at, 3)
+            note(
+                "log.caught_up",
+                topic=self._topic,
+                part=self._part,
+                records=self.offset,
+                seconds=seconds,
+            )
+
     def _note_failed(self, result):
         self._failures += 1
         if self.failing_since is None:
--- a/sassafrasdoor/steps/durable/records.py
+++ b/sassafrasdoor/steps/durable/records.py
@@ -11,6 +11,10 @@
 from sassafrasdoor.outcomes import Outcome
 
 STEP, SAMPLE, FAILURE, END, CLAIM, PROGRESS = b"S", b"R", b"A", b"E", b"C", b"P"
+PACKED = b"Z"
+PACK_FROM = 1024
+"""Bytes; shorter records gain less than the packing costs."""
+PACK_LEVEL = 1
 COMPLETED, ERRORED = "completed", "errored"
 
 
@@ -154,7 +158,7 @@
 
 def encode_step(spec, record_limit):
     """Return the records of a step, each at most ``record_limit`` bytes."""
-    packed = zlib.compress(json.dumps(_step_document(spec)).encode(), 1)
+    packed = zlib.compress(json.dumps(_step_document(spec)).encode(), PACK_LEVEL)
     room = record_limit - 256
     pieces = [packed[at : at + room] for at in range(0, len(packed), room)]
     return [
@@ -164,20 +168,29 @@
 
 
 def encode(record):
-    """Return the bytes of any record but a step."""
+    """Return the bytes of any record but a step.
+
+    Long ones are packed: after a power failure all instances read all records at
+    once, and share what the log can send.
+    """
     kind = _KINDS[type(record)]
     fields = {name: getattr(record, name) for name in record.__slots__}
-    return kind + json.dumps(fields).encode()
+    payload = json.dumps(fields).encode()
+    if len(payload) < PACK_FROM:
+        return kind + payload
+    return PACKED + kind + zlib.compress(payload, PACK_LEVEL)
 
 
 def decode(data):
     """Return the record in the bytes (a step's ``StepPart``), or ``Unreadable``."""
+    packed = data[:1] == PACKED
+    data = data[packed:]
     read = _DECODERS.get(data[:1])
     if read is None:
         return Unreadable("unknown kind of record")
     try:
-        return read(data[1:])
-    except (ValueError, KeyError, TypeError) as error:
+        return read(zlib.decompress(data[1:]) if packed else data[1:])
+    except (ValueError, KeyError, TypeError, zlib.error) as error:
         return Unreadable(f"record not understood: {error}")
 
 
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -32,9 +32,10 @@
 weights takes 0.9 s, a full queue some seconds."""
 GAP_TIMEOUT = 1.5
 """Seconds without a further event: ten times the usual pause of 150 ms."""
-KEEP_INTERVAL = 1.0
-"""Seconds between records of unfinished samples. Long samples run for six seconds; one
-that began anew with the next runner would come after its step's deadline."""
+KEEP_INTERVAL = 1.2
+"""Seconds between records of an unfinished sample, and before its first: most samples
+end sooner and need none. Long ones run for six seconds; one that began anew with the
+next runner would come after its step's deadline."""
 REFUSED_PAUSE = 0.15
 """Seconds that a replica which refused an item gets no other one of that model."""
 
@@ -57,6 +58,7 @@
         "attempts",
         "failures",
         "item",
+        "keep_at",
         "kept",
         "last_event_at",
         "numbers",
@@ -93,6 +95,7 @@
         self.why = ""
         self.run = uuid.uuid4().hex[:12]
         self.kept = 0
+        self.keep_at = None
 
     @property
     def last_number(self):
@@ -141,7 +144,6 @@
     __slots__ = (
         "_client",
         "_jobs",
-        "_keep_at",
         "_outboxes",
         "_owned",
         "_queue",
@@ -162,7 +164,6 @@
         self._jobs = {}
         self._queue = []
         self._refused_until = {}
-        self._keep_at = deadline_in(KEEP_INTERVAL)
         self._wake = asyncio.Event()
         steps.on_change(self._step_changed)
         replicas.on_change(self._wake.set)
@@ -210,13 +211,12 @@
                 self._drop(job)
 
     def _keep_progress(self):
-        if not passed(self._keep_at):
-            return
-        self._keep_at = deadline_in(KEEP_INTERVAL)
         for job in self._jobs.values():
-            self._keep(job)
+            if job.keep_at is not None and passed(job.keep_at):
+                self._keep(job)
 
     def _keep(self, job):
+        job.keep_at = deadline_in(KEEP_INTERVAL)
         progress = job.progress()
         if progress is not None:
             self._outboxes[job.step.shard].put(encode(progress))
@@ -308,6 +308,8 @@
         job.attempts += 1
         job.replica = replica
         job.last_event_at = None
+        if job.keep_at is None:
+            job.keep_at = deadline_in(KEEP_INTERVAL)
         replica.state.started()
         job.task = asyncio.ensure_future(self._attempt(job, replica))
 
--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -113,6 +113,9 @@
     def _is_due(self, shard):
         if self._leaving or not passed(self._next_claim.get(shard, LONG_AGO)):
             return False
+        if self._tails[shard].confirmed_at is None:
+            # Before the shard was read to its end an old claim looks like the last.
+            return False
         claim = self._steps.claims.get(shard)
         if shard in self._held:
             return passed(claim.seen_at + RENEW_INTERVAL)
