Share the reads that confirm a shard's end

Ruled out: folding (0.07 s of processor time for 1944 records of 8.4 MB), reading 20 MB from a local server (0.01 s).

Change: callers who wait for a confirmation share one read, and none is sent while the start still reads. test_many_who_ask_share_one_read failed before.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -39,6 +39,8 @@
         self._fold = fold
         self._pause = pause
         self._failures = 0
+        self._running = False
+        self._confirming = None
         self._started_at = now()
         self.offset = 0
         self.confirmed_at = None
@@ -47,6 +49,7 @@
 
     async def run(self):
         """Follow until cancelled."""
+        self._running = True
         while True:
             if not await self.poll(LONG_POLL):
                 await asyncio.sleep(RETRY_PAUSE)
@@ -88,10 +91,28 @@
         while not passed(deadline):
             if self.confirmed_at is not None and self.confirmed_at >= asked_at:
                 return True
-            if not await self.poll(0):
+            if not await self._confirm_once():
                 await asyncio.sleep(CONFIRM_PAUSE)
         return self.confirmed_at is not None and self.confirmed_at >= asked_at
 
+    async def _confirm_once(self):
+        """Read once, together with all others who ask; say whether the log answered.
+
+        While a start still reads what the log holds, a second read would bring the
+        same megabytes again: instances that start together share what the log sends.
+        """
+        if self._running and self.confirmed_at is None:
+            return False
+        if self._confirming is None:
+            self._confirming = asyncio.ensure_future(self.poll(0))
+            self._confirming.add_done_callback(self._confirmed)
+        return await asyncio.shield(self._confirming)
+
+    def _confirmed(self, task):
+        self._confirming = None
+        # Everybody who asked may have left; a failed read is noted where it failed.
+        task.cancelled() or task.exception()
+
     async def fresh(self, seconds, deadline):
         """Say whether the end was read within so many seconds, or now."""
         if self.confirmed_at is not None and now() - self.confirmed_at <= seconds:
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -57,6 +57,17 @@
         self.assertTrue(await self.tail.fresh(1000, deadline_in(0)))
         self.assertFalse(await self.tail.fresh(0, deadline_in(0)))
 
+    async def test_many_who_ask_share_one_read(self):
+        """Symptom: after a start of all instances the log is read for seconds.
+
+        Sequence: readers ask for steps while the shards are read. Cause: each of
+        them read the shard's megabytes again.
+        """
+        await self.append(b"a")
+        limit = deadline_in(5)
+        await asyncio.gather(*(self.tail.confirm(limit) for _ in range(20)))
+        self.assertLessEqual(self.log.calls.count(("read", "t", 0)), 2)
+
     async def test_outage_is_remembered_with_its_end(self):
         self.log.down = True
         await self.tail.poll(0)
