Explain failures afterwards: lines, one id over all processes, OPERATIONS

Cause: an on-call engineer could not get from a request's id to its cause; the lines of the platform's process had no page and no reader.

The page test holds lines and metrics to the code.

--- a/sassafrasdoor/decisions.py
+++ b/sassafrasdoor/decisions.py
@@ -1,6 +1,6 @@
 """Lines that explain a decision afterwards: bounded in number, never blocking.
 
-``note("request.refused", request="…", reason="…")`` writes one JSON line through
+``note("request.given_up", request="…", reason="…")`` writes one JSON line through
 ``eliot``. A process under load would spend its time on lines, and a reader of
 standard output that stopped would stop the process with it: so there is a budget of
 lines a second, and what cannot be written at once is kept in a bounded buffer. What
@@ -34,13 +34,16 @@
         self._last = now()
         self._dropped = 0
 
-    def take(self):
-        """Return how many lines were left out before this one; None: leave it out."""
+    def take(self, spare=0.0):
+        """Return how many lines were left out before this one; None: leave it out.
+
+        ``spare`` lines are kept for others.
+        """
         current = now()
         grown = (current - self._last) * LINES_A_SECOND
         self._tokens = min(BURST, self._tokens + grown)
         self._last = current
-        if self._tokens < 1:
+        if self._tokens < 1 + spare:
             self._dropped += 1
             DROPPED.inc({"reason": "budget"})
             return None
@@ -88,7 +91,15 @@
 
 def note(what, **fields):
     """Write one line on a decision, if the budget allows it."""
-    dropped = _BUDGET.take()
+    _write(_BUDGET.take(), what, fields)
+
+
+def note_routine(what, **fields):
+    """Write one line on what went well; half of the budget is kept for troubles."""
+    _write(_BUDGET.take(BURST / 2), what, fields)
+
+
+def _write(dropped, what, fields):
     if dropped is None:
         return
     if dropped:
--- a/sassafrasdoor/platform/__main__.py
+++ b/sassafrasdoor/platform/__main__.py
@@ -16,7 +16,10 @@
 INVALID_SETTINGS = 2
 
 
-def main(check: bool = typer.Option(False, help="Validate the settings only.")):
+def main(
+    check: bool = typer.Option(False, help="Validate the settings only."),
+    metrics_port: int = typer.Option(0, help="Port of the metrics page; 0: none."),
+):
     """Serve callers, trainers and the directory until SIGTERM."""
     path = os.environ.get(settings.PATH_VARIABLE, "")
     found = settings.load(path)
@@ -27,7 +30,7 @@
     if check:
         return
     decisions.start(found.name)
-    asyncio.run(Process(found, path).run())
+    asyncio.run(Process(found, path, metrics_port).run())
 
 
 if __name__ == "__main__":
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -25,6 +25,8 @@
 """Seconds that a reader may be kept waiting for a further sample."""
 NO_CONFIGURATION_RETRY_AFTER = 0.5
 FRAMES_LOGGED = 2
+LOGGED_PATH = 120
+"""Characters of a caller's path in a log line."""
 DIRECTORY_VALID = 2
 """Seconds that a directory answer holds. Some callers keep it three times as long,
 and a stopping instance serves on for that time within its eight seconds."""
@@ -122,6 +124,14 @@
 
     def _own_failure(self, outcome):
         status, headers = failure(outcome)
+        note(
+            "request.not_served",
+            request=self._request_id,
+            path=self.request.path[:LOGGED_PATH],
+            status=status,
+            reason=outcome.reason,
+            seconds=round(now() - self._began, 3),
+        )
         self._reply(status, headers, (outcome.reason + "\n").encode())
 
     def log_exception(self, kind, value, trace):
@@ -281,6 +291,11 @@
     return _application([(r".*", ReadyHandler, {"parts": parts})])
 
 
+def metrics_application(parts):
+    """Return the application of the metrics address."""
+    return _application([(r"/metrics", ReadyHandler, {"parts": parts})])
+
+
 def directory_application(parts):
     """Return the application of the directory's address."""
     return _application([(r".*", DirectoryHandler, {"parts": parts})])
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -49,9 +49,10 @@
     ``in_flight`` are the handlers of requests that were read and not yet answered.
     """
 
-    def __init__(self, settings, path):
+    def __init__(self, settings, path, metrics_port=0):
         self._settings = settings
         self._path = path
+        self._metrics_port = metrics_port
         self._stop = asyncio.Event()
         self._servers = []
         self.closing = False
@@ -175,6 +176,10 @@
         if self._settings.directory:
             application = front.directory_application(parts)
             applications.append((self._settings.directory, application))
+        if self._metrics_port:
+            host = self._settings.product.instance.host
+            application = front.metrics_application(parts)
+            applications.append((f"{host}:{self._metrics_port}", application))
         for address, application in applications:
             host, _, port = address.rpartition(":")
             server = HTTPServer(application, idle_connection_timeout=15)
--- a/sassafrasdoor/requests/direct.py
+++ b/sassafrasdoor/requests/direct.py
@@ -4,8 +4,8 @@
 
 from sassafrasdoor.backends.interface import Answer, Broken
 from sassafrasdoor.backends.replicas import DirectCall, WrongReplica
-from sassafrasdoor.clock import passed
-from sassafrasdoor.decisions import note
+from sassafrasdoor.clock import passed, remaining
+from sassafrasdoor.decisions import note, note_routine
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import NotRun, Unknown
 from sassafrasdoor.routing.replicas import SUSPECT_FOR
@@ -98,6 +98,8 @@
             for task in attempts.running:
                 task.cancel()
         OUTCOMES.inc({"outcome": type(result).__name__})
+        if isinstance(result, Answer):
+            self._log_answer(attempts, result)
         return result
 
     async def _run(self, attempts):
@@ -205,6 +207,17 @@
             return self._log(attempts, Unknown("out of time"))
         return self._log(attempts, NotRun("out of time", RETRY_AFTER))
 
+    def _log_answer(self, attempts, answer):
+        note_routine(
+            "request.answered",
+            request=attempts.request.request_id,
+            service=attempts.service,
+            replicas=sorted(attempts.tried),
+            routes_version=attempts.request.version,
+            status=answer.status,
+            seconds_left=round(remaining(attempts.request.deadline), 3),
+        )
+
     def _log(self, attempts, result):
         note(
             "request.given_up",
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -11,7 +11,7 @@
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.backends.replicas import SampleFailed, SampleOrder, WrongReplica
 from sassafrasdoor.clock import deadline_in, now, passed
-from sassafrasdoor.decisions import note
+from sassafrasdoor.decisions import note, note_routine
 from sassafrasdoor.metrics import counter, histogram
 from sassafrasdoor.outcomes import NotRun
 from sassafrasdoor.routing.replicas import SUSPECT_FOR
@@ -422,7 +422,8 @@
         self._jobs.pop(job.key, None)
         self._outboxes[job.step.shard].put(encode(sample))
         SAMPLES.inc({"result": state})
-        note(
+        write = note_routine if state == COMPLETED else note
+        write(
             "item.made",
             step=spec.step_id,
             item=job.item.item_id,
--- a/sassafrasdoor/tests/test_pages.py
+++ b/sassafrasdoor/tests/test_pages.py
@@ -11,7 +11,21 @@
 SOURCE = ROOT / "sassafrasdoor"
 METRIC = re.compile(r'\b(?:counter|gauge|histogram)\(\s*"(\w+)"')
 EVENT = re.compile(r'\b(?:EVENTS\.add|\.event)\(\s*"([\w-]+)"')
+DECISION = re.compile(r'\b(?:note|note_routine|write)\(\s*"([\w.:-]+)"')
+REPLICA_LINES = ("absent", "gone", "leaving", "listed")
 LINE = re.compile(r'\b(?<!order\.)changed\(\s*"([\w.:-]+)"')
+
+
+class LINES:
+    """Finds the names of all log lines, of both kinds, in the sources."""
+
+    @staticmethod
+    def findall(code):
+        decisions = [one for one in DECISION.findall(code) if "." in one]
+        replicas = [f"replica.{kind}" for kind in REPLICA_LINES]
+        return [*LINE.findall(code), *decisions, *replicas]
+
+
 SETTING = re.compile(r"`([a-z]+)\.([a-z_]+)`")
 FENCED = re.compile(r"```python\n(.*?)```", re.DOTALL)
 
@@ -40,12 +54,12 @@
         explains, or looks for one that is gone. Sequence: the code changes.
         Cause: a list kept by hand.
         """
-        text = page("OPERATING.md")
+        text = page("OPERATING.md") + page("OPERATIONS.md")
         code = sources()
         cases = [
             ("metrics", METRIC, r"^\| `(\w+)`"),
             ("events", EVENT, r"^\| event `([\w-]+)`"),
-            ("log lines", LINE, r"^\| line `([\w.:-]+)`"),
+            ("log lines", LINES, r"^\| line `([\w.:-]+)`"),
         ]
         for name, made, listed in cases:
             with self.subTest(name):
--- a/sassafrasdoor/tools/timeline.py
+++ b/sassafrasdoor/tools/timeline.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import pathlib
+import sys
 
 import capnp
 import typer
@@ -10,10 +12,12 @@
 from sassafrasdoor.control.instances import InstanceList
 from sassafrasdoor.timeline import export
 from sassafrasdoor.timeline.collector import Collector, Filter
+from sassafrasdoor.timeline.lines import select
 from sassafrasdoor.timeline.sources import ControlSource, EntrySource
 from sassafrasdoor.tools.options import USAGE_ERROR, CaFileOption, VersionOption, read
 
 INCOMPLETE = 1
+STANDARD_INPUT = "-"
 
 app = typer.Typer(add_completion=True)
 
@@ -34,12 +38,18 @@
     ca_file: str = CaFileOption,
     as_json: bool = typer.Option(False, "--json", help="One JSON object a line."),
     trace: str = typer.Option("", help="Write a trace-event file for a viewer."),
+    lines: list[str] = typer.Option(
+        [], help="Read log lines of these files instead; - for standard input."
+    ),
     version: bool = VersionOption,
 ):
     """Collect the events of all processes and print them in causal order.
 
     Exit codes: 0 complete, 1 some process could not be read, 2 usage.
     """
+    if lines:
+        _show_lines(lines, request or step or instance, kind)
+        return
     checked = read(settings, False) if settings else settings_module.from_document({})
     if ca_file:
         tls = checked.tls.model_copy(update={"ca_certificate": ca_file})
@@ -60,6 +70,19 @@
         raise typer.Exit(INCOMPLETE)
 
 
+def _show_lines(paths, wanted, kind):
+    """Print the log lines that name an id, over all files, in order of time."""
+    texts = []
+    for path in paths:
+        if path == STANDARD_INPUT:
+            texts.extend(sys.stdin)
+        else:
+            text = pathlib.Path(path).read_text("utf-8", errors="replace")
+            texts.extend(text.splitlines())
+    for line in select(texts, wanted, kind):
+        typer.echo(str(line))
+
+
 async def _run(settings, entries, controls, discover, keep, write, follow, trace):
     async with capnp.kj_loop():
         missing = {}
