Move samples from slow replicas; do not hold trainers at an instance cut off

Change: replicas have a pace (smoothed gap between events); items go by load and pace, and running samples move, with what they have reached, from one 1.8 times slower than one with room. An end is tried for 1.3 s.

--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -8,7 +8,7 @@
 import asyncio
 import json
 
-from sassafrasdoor.clock import deadline_in, now
+from sassafrasdoor.clock import deadline_in, now, passed
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.partitioned import keyed_record
 from sassafrasdoor.log.tail import KeyedTail
@@ -20,6 +20,8 @@
 """Seconds between renewals."""
 LAPSE_AFTER = 3.2
 """Seconds without renewal after which callers are not sent there: three missed."""
+CUT_OFF_AFTER = 0.6
+"""Seconds of failing reads, after the first was waited for in vain for 1.5."""
 READ_PAUSE = 0.7
 """Seconds between reads of the list: renewals are gathered in one answer."""
 WRITE_TIMEOUT = 1.5
@@ -68,6 +70,8 @@
     def addresses(self, zone):
         """Return the addresses for a caller in ``zone``, its own zone's first."""
         alive = [one for one in self._seen.values() if self._is_alive(one)]
+        if self._is_cut_off and len(alive) > 1:
+            alive = [one for one in alive if one.address != self._address]
         near = [one.address for one in alive if one.zone == zone]
         if len(near) >= FEWEST_IN_ZONE:
             return near[:MOST_ADDRESSES]
@@ -76,6 +80,16 @@
             found = [self._address]
         return found[:MOST_ADDRESSES]
 
+    @property
+    def _is_cut_off(self):
+        """Whether this instance cannot read the log.
+
+        If it alone cannot, callers are better served elsewhere: it can neither keep
+        a step nor say what is new. If nobody can, all others are named just as well.
+        """
+        failing_since = self.tail.failing_since
+        return failing_since is not None and passed(failing_since + CUT_OFF_AFTER)
+
     def ranking(self, key):
         """Return this instance's place among the living for ``key``, 0 for the first.
 
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -17,6 +17,10 @@
 LOAD_TRUSTED_FOR = 1.0
 """Seconds that the load told beside an answer counts; calls last under a second."""
 
+PACE_WEIGHT = 0.03
+"""Weight of one gap in the pace: a full replica makes some 250 events a second, so a
+change shows within a fifth of a second, and one late packet does not."""
+
 LISTED = counter("replicas_listed_total", "Changes of the platform's list, by kind.")
 
 
@@ -37,7 +41,9 @@
 class Replica:
     """One incarnation of a replica; ``identity`` appears nowhere else.
 
-    ``loading_until`` maps a model to when a load that this process ordered ends.
+    ``loading_until`` maps a model to when a load that this process ordered ends;
+    ``pace`` is the smoothed time between two events of its streams in seconds, None
+    before the first.
     """
 
     __slots__ = (
@@ -47,6 +53,7 @@
         "identity",
         "listing",
         "loading_until",
+        "pace",
         "state",
         "versions",
     )
@@ -58,6 +65,7 @@
         self.versions = dict(listing.versions)
         self.absent_until = None
         self.loading_until = {}
+        self.pace = None
         self._others = 0
         self._others_until = 0.0
 
@@ -84,6 +92,12 @@
         self._others = max(0, running + waiting - self.state.in_flight)
         self._others_until = deadline_in(LOAD_TRUSTED_FOR)
 
+    def told_gap(self, seconds):
+        """Take the time between two events of one of its streams."""
+        if self.pace is None:
+            self.pace = seconds
+        self.pace += PACE_WEIGHT * (seconds - self.pace)
+
     def told_version(self, model, version):
         """Take the weight version told beside an answer or by an order's reply."""
         self.versions[model] = version
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -32,6 +32,12 @@
 weights takes 0.9 s, a full queue some seconds."""
 GAP_TIMEOUT = 1.5
 """Seconds without a further event: ten times the usual pause of 150 ms."""
+SLOWER = 1.8
+"""How many times slower than another a replica is before its samples move: replicas
+differ by 1.3, a full one is 1.4 times slower than an idle one; a slow one 2.4 to 4."""
+MOST_MOVES = 2
+SILENT, MOVED = "silent", "moved"
+ENDED_HERE = {SILENT: "stream went silent", MOVED: "moved from a slow replica"}
 KEEP_INTERVAL = 1.2
 """Seconds between records of an unfinished sample, and before its first: most samples
 end sooner and need none. Long ones run for six seconds; one that began anew with the
@@ -61,6 +67,7 @@
         "keep_at",
         "kept",
         "last_event_at",
+        "moves",
         "numbers",
         "replica",
         "run",
@@ -77,6 +84,7 @@
         self.task = None
         self.replica = None
         self.attempts = 0
+        self.moves = 0
         self.failures = step.failures.get(item.item_id, 0)
         self.restart()
         self._resume(step)
@@ -181,6 +189,7 @@
             self._end_silent()
             self._keep_progress()
             self._hand_out()
+            self._move_slow()
 
     def waiting(self, model):
         """Return how many items of a model wait here for a replica."""
@@ -288,6 +297,7 @@
         if route is None:
             return None
         service = route.pick_service()
+        usual = self._usual_pace(service)
         model, oldest = job.step.spec.model, job.step.spec.min_version
         best, best_cost = None, None
         for one in self._replicas.of_service(service):
@@ -299,11 +309,44 @@
                 continue
             if not passed(one.loading_until.get(model, 0.0)):
                 continue
-            cost = (one.load / max(1, one.listing.slots), one.identity)
+            pace = one.pace or usual
+            cost = ((one.load + 1) * pace / max(1, one.listing.slots), one.identity)
             if best is None or cost < best_cost:
                 best, best_cost = one, cost
         return best
 
+    def _usual_pace(self, service):
+        """Return the middle pace of a service's replicas; 1 where none is known."""
+        known = sorted(
+            one.pace for one in self._replicas.of_service(service) if one.pace
+        )
+        return known[len(known) // 2] if known else 1.0
+
+    def _move_slow(self):
+        """Move samples away from replicas that are much slower than one with room.
+
+        A step waits for its last samples. One that is left on a replica that turned
+        slow takes several times as long; going on elsewhere costs reading what it
+        has reached, some ten milliseconds.
+        """
+        waiting = {job.step.spec.model for job in self._queue}
+        rooms = {}
+        for job in list(self._jobs.values()):
+            if job.task is None or job.why or job.moves >= MOST_MOVES:
+                continue
+            if job.replica.pace is None or job.step.spec.model in waiting:
+                continue
+            better = self._place(job)
+            if better is None or better is job.replica or better.pace is None:
+                continue
+            rooms.setdefault(better.identity, better.room)
+            if job.replica.pace < SLOWER * better.pace or not rooms[better.identity]:
+                continue
+            rooms[better.identity] -= 1
+            job.moves += 1
+            job.why = MOVED
+            job.task.cancel()
+
     def _start(self, job, replica):
         job.attempts += 1
         job.replica = replica
@@ -320,7 +363,7 @@
             if job.last_event_at is None:
                 continue
             if passed(job.last_event_at + GAP_TIMEOUT):
-                job.why = "silent"
+                job.why = SILENT
                 job.task.cancel()
 
     async def _attempt(self, job, replica):
@@ -335,11 +378,11 @@
         except TimeoutError:
             result = Broken("no first event", began=True)
         except asyncio.CancelledError:
-            # Ended from here: the item is listed, its step ended, or the stream
-            # went silent. Only in the last case is there something left to do.
-            if job.why != "silent":
+            # Ended from here: the item is listed, its step ended, or the attempt is
+            # given up. Only in the last case is there something left to do.
+            if job.why not in ENDED_HERE:
                 raise
-            result = Broken("stream went silent", began=True)
+            result = Broken(ENDED_HERE[job.why], began=True)
         finally:
             replica.state.finished()
             self._wake.set()
@@ -355,6 +398,8 @@
             job.replica.told_version(job.step.spec.model, event.version)
             return False
         timeout.reschedule(None)
+        if job.last_event_at is not None:
+            job.replica.told_gap(now() - job.last_event_at)
         job.take(event)
         return True
 
@@ -371,7 +416,8 @@
         elif isinstance(result, NotRun):
             self._refused(job, replica, result)
         else:
-            replica.state.failed(SUSPECT_FOR)
+            if job.why != MOVED:
+                replica.state.failed(SUSPECT_FOR)
             self._again(job, replica, result.reason)
 
     def _completed(self, job, replica, route):
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -16,6 +16,9 @@
 """Seconds that one append may take; a slow log answers within 60 times 4 ms."""
 APPEND_PATIENCE = 3.0
 """Seconds that a submission is tried for: a caller has 12 s and one more try."""
+END_PATIENCE = 1.3
+"""Seconds that an end is tried for: its trainer asks again, at another instance, and
+names no version before."""
 RETRY_PAUSE = 0.2
 RETRY_AFTER = 1.5
 """Seconds a trainer should wait with a step that was refused: outages take seconds."""
@@ -145,6 +148,7 @@
         step = await self._find(step_id)
         if isinstance(step, Outcome):
             return step
+        deadline = min(deadline, deadline_in(END_PATIENCE))
         record = records.encode(records.End(step_id))
         while not step.ended:
             until = min(deadline, deadline_in(APPEND_TIMEOUT))
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -223,6 +223,25 @@
         (sample,) = await self.samples(1)
         self.assertEqual(sample.text, "a\nb")
 
+    async def test_sample_moves_away_from_a_slow_replica(self):
+        """Symptom: steps are late by seconds while one replica is slow.
+
+        Sequence: a replica turns slow with long samples on it; others are idle.
+        Cause: a sample stayed where it had begun.
+        """
+        slow = ([(0, "a", 1)], ScriptedClient.HANG)
+        found = replicas(2)
+        await self.start(ScriptedClient(slow, [(1, "b", 1)]), found, items=1)
+        await self.until(lambda: self.client.sent)
+        begun, other = self.client.sent[0][0], {"e0": "e1", "e1": "e0"}
+        found.get(begun).pace = 0.2
+        found.get(other[begun]).pace = 0.05
+        (sample,) = await self.samples(1)
+        self.assertEqual(sample.text, "a\nb")
+        sent = [(name, after) for name, _, after in self.client.sent]
+        self.assertEqual(sent, [(begun, None), (other[begun], 0)])
+        self.assertFalse(found.get(begun).state.suspect)
+
     async def test_items_wait_for_places(self):
         hang = ScriptedClient.HANG
         script = [([], hang)] * 3
