--- /dev/null
+++ b/sassafrasdoor/platform/standin.py
@@ -0,0 +1,268 @@
+"""Small stand-ins for the users' store and replicas, with faults by attribute.
+
+They speak the platform's wire over the product's own in-memory log. For tests and the
+fault soak only: they check nothing but what those need.
+"""
+
+import asyncio
+import base64
+import json
+
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
+from sassafrasdoor.log.partitioned import keyed_record
+from sassafrasdoor.outcomes import Expired, Outcome, ReplyLost
+from sassafrasdoor.platform import configuration, wire
+from sassafrasdoor.platform.store import ENDS, LENGTH
+
+LOCAL = "127.0.0.1"
+READ_SLACK = 1.0
+
+
+def serve(application):
+    """Serve on a port of its own; return ``(server, "host:port")``."""
+    server = HTTPServer(application)
+    sockets = bind_sockets(0, LOCAL)
+    server.add_sockets(sockets)
+    return server, f"{LOCAL}:{sockets[0].getsockname()[1]}"
+
+
+class StoreStandin:
+    """The store; ``log`` has the faults, nothing is answered without ``answering``."""
+
+    def __init__(self):
+        self.log = MemoryPartitionedLog()
+        self.answering = asyncio.Event()
+        self.answering.set()
+        routes = [
+            (r"/-/log-append", _Append, {"store": self}),
+            (r"/-/log-read", _Read, {"store": self}),
+            (r"/-/log-newest", _Newest, {"store": self}),
+        ]
+        self._server, self.address = serve(Application(routes, log_function=_quiet))
+
+    async def put(self, topic, key, document):
+        """Write one key of a keyed topic; None drops it."""
+        value = b"" if document is None else json.dumps(document).encode()
+        record = keyed_record(key, value)
+        await self.log.append(topic, 0, [record], deadline_in(1))
+
+    async def configure(self, document):
+        """Write the operator's configuration."""
+        key = configuration.CONFIGURATION_KEY
+        await self.put(configuration.OPERATOR_TOPIC, key, document)
+
+    def stop(self):
+        """Stop serving."""
+        self._server.stop()
+
+
+def _quiet(handler):
+    """Write no line for an answer."""
+
+
+class _StoreHandler(RequestHandler):
+    def initialize(self, store):
+        self._store = store
+
+    async def prepare(self):
+        await self._store.answering.wait()
+
+    def _partition(self):
+        return self.get_query_argument("Topic"), int(self.get_query_argument("part"))
+
+    def _failed(self, outcome):
+        if isinstance(outcome, ReplyLost):
+            self.request.connection.stream.close()
+            return
+        if isinstance(outcome, Expired):
+            self.set_status(410)
+            self.finish({"First": outcome.first})
+            return
+        self.set_status(503)
+        self.finish({})
+
+
+class _Append(_StoreHandler):
+    async def post(self):
+        records, at, data = [], 0, self.request.body
+        while at < len(data):
+            (length,) = LENGTH.unpack_from(data, at)
+            at += LENGTH.size + length
+            records.append(data[at - length : at])
+        result = await self._store.log.append(*self._partition(), records, None)
+        if isinstance(result, Outcome):
+            self._failed(result)
+        else:
+            self.finish({"Offset": result.first, "End": result.end})
+
+
+class _Read(_StoreHandler):
+    async def get(self):
+        wait = int(self.get_query_argument("WaitMs", "0")) / 1000
+        offset = int(self.get_query_argument("From"))
+        partition = self._partition()
+        result = await self._store.log.read(*partition, offset, wait, READ_SLACK)
+        if isinstance(result, Outcome):
+            self._failed(result)
+            return
+        first = self._store.log.partition(*partition).first
+        packed = b"".join(LENGTH.pack(len(one)) + one for one in result.records)
+        self.finish(ENDS.pack(result.end, first) + packed)
+
+
+class _Newest(_StoreHandler):
+    async def get(self):
+        result = await self._store.log.newest(self.get_query_argument("Topic"))
+        if isinstance(result, Outcome):
+            self._failed(result)
+            return
+        items = [
+            {"Key": key, "Value": base64.b64encode(value).decode(), "Offset": 0}
+            for key, value in result.values.items()
+        ]
+        self.finish({"Items": items, "HasMore": False, "End": result.end})
+
+
+class Run:
+    """One request that a replica began to work on; ``ended`` is None while it does."""
+
+    def __init__(self, request_id, path, body, after):
+        self.request_id = request_id
+        self.path = path
+        self.body = body
+        self.after = after
+        self.at = asyncio.get_running_loop().time()
+        self.ended = None
+
+
+class ReplicaStandin:
+    """One replica: ``events`` a sample, ``pause`` seconds between them.
+
+    ``break_after`` closes a stream after so many events (once for each entry of the
+    list), ``failures`` are statuses to answer with, ``full`` refuses everything.
+    """
+
+    def __init__(self, identity, slots=8, events=4, pause=0.02):
+        self.identity = identity
+        self.slots = slots
+        self.events = events
+        self.pause = pause
+        self.version = 1
+        self.runs = []
+        self.orders = []
+        self.break_after = []
+        self.failures = []
+        self.full = False
+        routes = [
+            (r"/-/order", _Order, {"replica": self}),
+            (r"/.*", _Work, {"replica": self}),
+        ]
+        self._server, self.address = serve(Application(routes, log_function=_quiet))
+
+    @property
+    def running(self):
+        """Runs at work now."""
+        return [run for run in self.runs if run.ended is None]
+
+    def entry(self, service, models, state="ready"):
+        """Return its entry of the list."""
+        found = [{"Name": name, "Version": self.version} for name in models]
+        return {
+            "Service": service,
+            "Address": self.address,
+            "Zone": "z",
+            "Slots": self.slots,
+            "State": state,
+            "Models": found,
+        }
+
+    def stop(self):
+        """Stop serving."""
+        self._server.stop()
+
+
+class _ReplicaHandler(RequestHandler):
+    def initialize(self, replica):
+        self._replica = replica
+        self._run = None
+        self._gone = False
+
+    def on_connection_close(self):
+        self._gone = True
+
+    def _begin(self):
+        """Begin a run; return whether the request is one for this replica."""
+        headers = self.request.headers
+        replica = self._replica
+        self.set_header(wire.REQUEST_ID, headers.get(wire.REQUEST_ID, ""))
+        if headers.get(wire.EXPECT_INSTANCE) != replica.identity:
+            self.set_status(wire.MISDIRECTED)
+            return False
+        if replica.full or len(replica.running) >= replica.slots:
+            self.set_status(503)
+            self.set_header(wire.NOT_RUN, "1")
+            return False
+        after = headers.get(wire.LAST_EVENT)
+        self._run = Run(
+            headers[wire.REQUEST_ID],
+            self.request.path,
+            self.request.body,
+            None if after is None else int(after),
+        )
+        replica.runs.append(self._run)
+        self.set_header(wire.STAMP, f"{replica.identity}.{len(replica.runs)}")
+        return True
+
+    def on_finish(self):
+        self._end()
+
+    def _end(self):
+        if self._run is not None and self._run.ended is None:
+            self._run.ended = asyncio.get_running_loop().time()
+
+
+class _Work(_ReplicaHandler):
+    async def post(self):
+        if not self._begin():
+            return
+        if self._replica.failures:
+            self.set_status(self._replica.failures.pop(0))
+        elif self.request.path.startswith("/plain"):
+            await asyncio.sleep(self._replica.pause)
+            self.finish(b"answer to " + self._run.request_id.encode())
+        else:
+            await self._stream()
+
+    async def _stream(self):
+        replica = self._replica
+        self.set_header(wire.VERSIONS, str(replica.version))
+        first = 0 if self._run.after is None else self._run.after + 1
+        broken = replica.break_after.pop(0) if replica.break_after else None
+        try:
+            for number in range(first, replica.events):
+                await asyncio.sleep(replica.pause)
+                if self._gone or number - first == broken:
+                    self._end()
+                    self.request.connection.stream.close()
+                    return
+                self.write(f"id: {number}\ndata: {self._run.request_id}.{number}\n\n")
+                await self.flush()
+        except StreamClosedError:
+            self._end()
+
+
+class _Order(RequestHandler):
+    def initialize(self, replica):
+        self._replica = replica
+
+    def post(self):
+        document = json.loads(self.request.body)
+        self._replica.orders.append(document)
+        self._replica.version = document["Version"]
+        self.set_status(202)
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -14,6 +14,8 @@
 """Partitions of the steps' topic: each model's steps share one, and one runner."""
 APPEND_TIMEOUT = 0.8
 """Seconds that one append may take; a slow log answers within 60 times 4 ms."""
+APPEND_LEAST = 0.4
+"""Seconds that an append is given at least; a slow log answers within 0.25 s."""
 APPEND_PATIENCE = 3.0
 """Seconds that a submission is tried for: a caller has 12 s and one more try."""
 END_PATIENCE = 1.3
@@ -107,9 +109,11 @@
             # step again is harmless, its first record counts; but from here on
             # nobody may say that it will not run.
             lost = lost or isinstance(result, ReplyLost)
-            if passed(limit):
+            # One that has hardly any time left would end without a reply, and turn
+            # a true refusal into an unknown fate.
+            if remaining(limit) < RETRY_PAUSE + APPEND_LEAST:
                 break
-            await asyncio.sleep(min(RETRY_PAUSE, remaining(limit)))
+            await asyncio.sleep(RETRY_PAUSE)
         if lost:
             return Unknown(f"append without reply: {result.reason}")
         return NotRun(f"log away: {result.reason}", RETRY_AFTER)
