Hand steps' calls to another instance while the store is away here alone

Ruled out: moving samples (the step's own samples were on time), the claims.

Change: after its first failed append an instance asks another one to keep the step or its end; reads and bodies that it cannot answer for sure are fetched the same way. A call that was handed on is tried once and never handed on.

The new test with a frozen proxy before one instance failed before.

--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -9,7 +9,8 @@
 from tornado.httputil import parse_qs_bytes
 from tornado.web import Application, RequestHandler
 
-from sassafrasdoor.backends.interface import Answer
+from sassafrasdoor.backends.connections import Connections, Outgoing, Reply
+from sassafrasdoor.backends.interface import Answer, Broken
 from sassafrasdoor.clock import deadline_in, now
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter, exposition, histogram
@@ -24,6 +25,10 @@
 LONGEST_POLL = 1.0
 """Seconds that a reader may be kept waiting for a further sample."""
 NO_CONFIGURATION_RETRY_AFTER = 0.5
+HANDED_ON = "X-Handed-On"
+"""Header of a call that one of our instances hands to another."""
+PEER_TIMEOUT = 1.0
+"""Seconds for the other instance: one append, which has 0.8."""
 FRAMES_LOGGED = 2
 LOGGED_PATH = 120
 """Characters of a caller's path in a log line."""
@@ -34,6 +39,9 @@
 ITEM = re.compile(r"^/-/items/([^/?]+)$")
 
 ANSWERS = counter("front_answers_total", "Answers to callers, by kind and status.")
+HANDED = counter(
+    "front_handed_on_total", "Calls handed to another instance, by result."
+)
 SECONDS = histogram(
     "front_seconds",
     "Seconds from a request's head to its answer.",
@@ -44,9 +52,10 @@
 class Parts:
     """What the handlers use: services, routes, instances and the process's state."""
 
-    __slots__ = ("direct", "instances", "process", "routes", "steps")
+    __slots__ = ("connections", "direct", "instances", "process", "routes", "steps")
 
     def __init__(self, direct, instances, process, routes, steps):
+        self.connections = Connections()
         self.direct = direct
         self.instances = instances
         self.process = process
@@ -210,9 +219,8 @@
                 400, {"findings": [one.as_dict() for one in spec.findings]}
             )
             return
-        result = await self._while_present(
-            self._parts.steps.submit(spec, self._deadline())
-        )
+        submission = self._parts.steps.submit(spec, self._deadline(), self._elsewhere)
+        result = await self._while_present(submission)
         if result is True:
             self._reply(202)
         elif result is not None:
@@ -227,7 +235,7 @@
         if isinstance(page, Page):
             self._reply_json(200, documents.page_document(page))
         elif page is not None:
-            self._own_failure(page)
+            await self._from_peer_or_failure(page)
 
     async def _body(self, step_id):
         query = parse_qs_bytes(self.request.query.encode())
@@ -236,15 +244,61 @@
         if isinstance(body, bytes):
             self._reply(200, [("Content-Type", "application/octet-stream")], body)
         elif body is not None:
-            self._own_failure(body)
+            await self._from_peer_or_failure(body)
 
     async def _end(self, step_id):
         deadline = min(self._deadline(), deadline_in(LONGEST_WAIT))
-        result = await self._while_present(self._parts.steps.end(step_id, deadline))
+        ending = self._parts.steps.end(step_id, deadline, self._elsewhere)
+        result = await self._while_present(ending)
         if result is True:
             self._reply(200)
         elif result is not None:
-            self._own_failure(result)
+            await self._from_peer_or_failure(result)
+
+    @property
+    def _elsewhere(self):
+        """What hands this call to another instance; None for one handed on already."""
+        return None if HANDED_ON in self.request.headers else self._kept_by_peer
+
+    async def _kept_by_peer(self):
+        reply = await self._ask_peer()
+        if reply is None:
+            return False
+        if isinstance(reply, Broken):
+            return None if reply.began else False
+        return {200: True, 202: True, 503: False}.get(reply.status)
+
+    async def _from_peer_or_failure(self, outcome):
+        """Answer as another instance does if it can, else with the own failure."""
+        if isinstance(outcome, NotRun) and self._elsewhere is not None:
+            reply = await self._while_present(self._ask_peer())
+            if isinstance(reply, Reply) and reply.status == 200:
+                kind = reply.headers.get("Content-Type", wire.JSON_TYPE)
+                self._reply(200, [("Content-Type", kind)], reply.body)
+                return
+        self._own_failure(outcome)
+
+    async def _ask_peer(self):
+        """Send this call to another instance; None where none is known."""
+        peers = self._parts.instances.peers()
+        if not peers:
+            return None
+        pairs = wire.header_pairs(self.request.headers, wire.NOT_SENT_ON)
+        headers = {**dict(pairs), HANDED_ON: "1"}
+        reply = await self._parts.connections.send(
+            peers[0],
+            Outgoing(
+                self.request.method,
+                self.request.uri,
+                headers,
+                self.request.body,
+                deadline_in(PEER_TIMEOUT),
+            ),
+        )
+        outcome = "broken" if isinstance(reply, Broken) else str(reply.status)
+        HANDED.inc({"result": outcome})
+        note("request.handed_on", request=self._request_id, to=peers[0], result=outcome)
+        return reply
 
     def _deadline(self):
         stated = _whole(self.request.headers.get(wire.DEADLINE), 0)
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -63,6 +63,9 @@
     def addresses(self, zone):
         return [f"address-in-{zone}"]
 
+    def peers(self):
+        return []
+
 
 class Process:
     ready = True
--- a/sassafrasdoor/platform/tests/test_processes.py
+++ b/sassafrasdoor/platform/tests/test_processes.py
@@ -19,6 +19,7 @@
 from sassafrasdoor.fetch import reply_to
 from sassafrasdoor.platform import configuration, wire
 from sassafrasdoor.platform.standin import ReplicaStandin, StoreStandin
+from sassafrasdoor.standin.proxy import Proxy
 from sassafrasdoor.steps.durable.records import CLAIM
 from sassafrasdoor.steps.durable.service import TOPIC, shard_of
 from sassafrasdoor.support import ROOT
@@ -121,8 +122,12 @@
         await self.configure(1)
         await self.list_replicas()
         self.instances = []
-        for name in "abc":
-            instance = Instance(folder.name, name, self.store.address)
+        # The first instance reaches the store through a proxy with faults.
+        self.proxy = await Proxy(self.store.address).open()
+        self.addAsyncCleanup(self.proxy.close)
+        stores = [self.proxy.address, self.store.address, self.store.address]
+        for name, store in zip("abc", stores, strict=True):
+            instance = Instance(folder.name, name, store)
             self.addCleanup(instance.close)
             self.instances.append(instance)
         await self.until_ready()
@@ -332,6 +337,32 @@
     async def accepted(self, step_id):
         return (await self.submit(step_id)).code == 202
 
+    async def test_instance_that_alone_is_cut_off_serves_through_another(self):
+        """Symptom: a trainer is seconds late, whenever it meets one instance.
+
+        Sequence: the path of one instance to the store falls silent; steps are
+        submitted, read and ended there. Cause: each call waited for the store.
+        """
+        await self.until(lambda: self.knows_peers(0))
+        self.proxy.freeze()
+        self.assertEqual((await self.submit("s")).code, 202)
+        results = await self.until(lambda: self.whole("s"))
+        self.check_texts(results)
+        front = self.instances[0].front
+        body = await self.fetch(front, "/-/items/s?Id=s-1")
+        self.assertEqual(body.body, b"body")
+        reply = await self.fetch(front, "/-/lots/s", "DELETE")
+        self.assertEqual(reply.code, 200)
+        named = await self.fetch(self.instances[0].directory, "/-/resolve?Zone=z")
+        addresses = json.loads(named.body)["Addresses"]
+        self.assertEqual(set(addresses), {one.front for one in self.instances[1:]})
+        self.proxy.thaw()
+        self.assertEqual(await self.until(lambda: self.whole("s")), results)
+
+    async def knows_peers(self, at):
+        named = await self.fetch(self.instances[at].directory, "/-/resolve?Zone=z")
+        return len(json.loads(named.body)["Addresses"]) == len(self.instances)
+
     async def test_append_that_lands_late_is_no_refusal(self):
         self.store.log.lose_replies, self.store.log.land_late = 50, 1.0
         reply = await self.submit("s")
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import random
 
 from sassafrasdoor.clock import deadline_in, now, passed
 from sassafrasdoor.decisions import note
@@ -80,6 +81,15 @@
             found = [self._address]
         return found[:MOST_ADDRESSES]
 
+    def peers(self):
+        """Return the addresses of other instances, those of this zone first."""
+        zone = self._settings.availability_zone
+        others = [one for one in self._seen.values() if one.address != self._address]
+        alive = [one for one in others if self._is_alive(one)]
+        random.shuffle(alive)
+        alive.sort(key=lambda one: one.zone != zone)
+        return [one.address for one in alive]
+
     @property
     def _is_cut_off(self):
         """Whether this instance cannot read the log.
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -73,10 +73,15 @@
         self._tails = tails
         self._record_limit = record_limit
 
-    async def submit(self, spec, deadline):
-        """Return True once the step is kept, ``NotRun``, or ``Unknown``."""
+    async def submit(self, spec, deadline, elsewhere=None):
+        """Return True once the step is kept, ``NotRun``, or ``Unknown``.
+
+        ``elsewhere()`` hands the step to another instance: True if that has kept it,
+        False if that has surely not, None if nobody knows. Without it one append is
+        tried only.
+        """
         started = now()
-        result = await self._submit(spec, deadline)
+        result = await self._submit(spec, deadline, elsewhere)
         outcome = "accepted" if result is True else type(result).__name__
         CALLS.inc({"call": "submit", "outcome": outcome})
         ACCEPTED_IN.observe({}, now() - started)
@@ -94,7 +99,7 @@
         )
         return result
 
-    async def _submit(self, spec, deadline):
+    async def _submit(self, spec, deadline, elsewhere):
         if spec.step_id in self._steps.by_id:
             return True
         packed = records.encode_step(spec, self._record_limit)
@@ -109,6 +114,14 @@
             # step again is harmless, its first record counts; but from here on
             # nobody may say that it will not run.
             lost = lost or isinstance(result, ReplyLost)
+            if elsewhere is None:
+                break
+            # The log may be away for this instance only. Then a step that waited
+            # here would be late by seconds, and its trainer behind for the day.
+            kept = await elsewhere()
+            if kept:
+                return True
+            lost = lost or kept is None
             # One that has hardly any time left would end without a reply, and turn
             # a true refusal into an unknown fate.
             if remaining(limit) < RETRY_PAUSE + APPEND_LEAST:
@@ -147,8 +160,11 @@
         item = step.items.get(item_id)
         return NotFound("no such item") if item is None else item.body
 
-    async def end(self, step_id, deadline):
-        """End a step; return True once that is kept, ``NotFound``, or ``Unknown``."""
+    async def end(self, step_id, deadline, elsewhere=None):
+        """End a step; return True once that is kept, ``NotFound``, or ``Unknown``.
+
+        ``elsewhere()`` asks another instance to; True if that has kept the end.
+        """
         step = await self._find(step_id)
         if isinstance(step, Outcome):
             return step
@@ -159,7 +175,9 @@
             result = await self._log.append(TOPIC, step.shard, [record], until)
             if not isinstance(result, Outcome):
                 break
-            if passed(deadline):
+            if elsewhere is not None and await elsewhere():
+                break
+            if elsewhere is None or passed(deadline):
                 note("step.not_ended", step=step_id, reason=result.reason)
                 return Unknown(f"end not kept: {result.reason}")
             await asyncio.sleep(RETRY_PAUSE)
--- a/sassafrasdoor/steps/durable/tests/test_service.py
+++ b/sassafrasdoor/steps/durable/tests/test_service.py
@@ -43,8 +43,12 @@
     def tearDown(self):
         module.APPEND_PATIENCE = self.patience
 
-    async def submit(self, **fields):
-        return await self.instance.service.submit(spec(**fields), deadline_in(5))
+    async def submit(self, elsewhere=None, **fields):
+        async def nowhere():
+            return False
+
+        step, limit = spec(**fields), deadline_in(5)
+        return await self.instance.service.submit(step, limit, elsewhere or nowhere)
 
     async def test_accepted_step_is_read_at_another_instance(self):
         self.assertIs(await self.submit(), True)
@@ -81,6 +85,33 @@
         self.assertGreater(len(given), 2)
         self.assertGreater(min(given), module.APPEND_LEAST / 2)
 
+    async def test_step_goes_elsewhere_when_the_log_is_away_here(self):
+        """Symptom: a trainer is late by seconds, now and then.
+
+        Sequence: one instance is cut off the log and a step is submitted there.
+        Cause: it was held in the hope that the log comes back.
+        """
+        self.log.down = True
+        for answer, expected in ((True, True), (None, Unknown), (False, NotRun)):
+            calls = []
+
+            async def elsewhere(answer=answer, calls=calls):
+                calls.append(1)
+                return answer
+
+            result = await self.submit(elsewhere)
+            self.assertTrue(calls)
+            if expected is True:
+                self.assertIs(result, True)
+            else:
+                self.assertIsInstance(result, expected)
+
+    async def test_step_that_was_handed_on_is_tried_once(self):
+        self.log.down = True
+        result = await self.instance.service.submit(spec(), deadline_in(5))
+        self.assertIsInstance(result, NotRun)
+        self.assertEqual(len(self.log.calls), 1)
+
     async def test_append_without_reply_is_never_refused(self):
         """Symptom: a step runs although its trainer was told that it does not.
 
