Soak real processes with seeded faults on the users' wire

Change: soak/ draws a schedule from a seed and checks the promises from what callers and replicas saw; platform/soak.py plays it on real processes before the stand-ins and loopback proxies (16 kinds of fault).

--- /dev/null
+++ b/sassafrasdoor/platform/local.py
@@ -0,0 +1,89 @@
+"""Processes of ours on this machine, before the stand-ins: for tests and the soak."""
+
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+from sassafrasdoor.platform import settings
+from sassafrasdoor.support import ROOT
+
+LOCAL = "127.0.0.1"
+FIRST_PORT, LAST_PORT, BLOCK, PORT_BLOCKS = 15000, 32000, 100, 150
+TEXT = """
+NodeName={name}
+Zone=z
+Region=r
+Ip=127.0.0.1
+Listen.Front={front}
+Listen.Ready={ready}
+Listen.Directory={directory}
+Platform.Address={store}
+Bounds.GraceS=5
+Bounds.RequireFencing=true
+"""
+
+
+def free_ports():
+    """Yield ports that nobody uses, below those that the system hands out.
+
+    A process keeps its addresses over a restart, so it cannot pick them itself.
+    """
+    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK
+    for port in range(first, LAST_PORT):
+        with contextlib.closing(socket.socket()) as sock:
+            if sock.connect_ex((LOCAL, port)):
+                yield port
+
+
+PORTS = free_ports()
+
+
+class LocalInstance:
+    """One process of ours with addresses that it keeps over restarts."""
+
+    def __init__(self, folder, name, store):
+        self.name = name
+        ports = [f"{LOCAL}:{next(PORTS)}" for _ in range(3)]
+        self.front, self.ready, self.directory = ports
+        self._path = pathlib.Path(folder) / f"{name}.conf"
+        fields = {"name": name, "store": store, "front": self.front}
+        text = TEXT.format(ready=self.ready, directory=self.directory, **fields)
+        self._path.write_text(text, "utf-8")
+        self.log_path = pathlib.Path(folder) / f"{name}.log"
+        self._log = self.log_path.open("ab")
+        self.start()
+
+    def start(self):
+        """Start the process."""
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "sassafrasdoor.platform"],
+            cwd=ROOT,
+            env={settings.PATH_VARIABLE: str(self._path), "PATH": ""},
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+        )
+
+    @property
+    def running(self):
+        """Whether the process has not ended."""
+        return self.process.poll() is None
+
+    def signal(self, number):
+        """Send a signal; a process that has ended is no error."""
+        if self.running:
+            self.process.send_signal(number)
+
+    def kill(self):
+        """End the process at once, also a stopped one."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    def close(self):
+        """End the process and close its log."""
+        self.kill()
+        self._log.close()
--- /dev/null
+++ b/sassafrasdoor/platform/soak.py
@@ -0,0 +1,511 @@
+"""The fault soak on the users' wire: real processes, stand-ins, seeded faults.
+
+    python3 -m sassafrasdoor.platform.soak --seed 1 --seconds 20 --instances 3
+
+Ends only processes that it started. Exit code 1 if a promise was broken.
+"""
+
+import asyncio
+import base64
+import json
+import pathlib
+import random
+import signal
+import tempfile
+
+import typer
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.fetch import NO_REPLY, reply_to
+from sassafrasdoor.platform import configuration, wire
+from sassafrasdoor.platform.local import LocalInstance
+from sassafrasdoor.platform.standin import ReplicaStandin, StoreStandin
+from sassafrasdoor.soak import checks
+from sassafrasdoor.soak.checks import Call, StepSeen, Violations
+from sassafrasdoor.soak.schedule import Kind, schedule
+from sassafrasdoor.standin.proxy import Proxy
+
+HOST, MODEL, ENGINES, PLAIN = "h.example", "m", "engines", "plain"
+EVENTS, ITEMS = 6, 6
+REPLICAS = 3
+CALL_EVERY, STEP_EVERY, READ_EVERY = 0.05, 1.0, 0.4
+CALL_TIMEOUT = 4.0
+SETTLE = 45.0
+"""Seconds for everything to come back once the last fault has ended."""
+BROKEN = 1
+
+ROUTE = {
+    "Host": HOST,
+    "TimeoutMs": 3000,
+    "TargetLatencyMs": 500,
+    "MaxAttempts": 3,
+    "RetentionS": 300,
+}
+
+
+def routes(number):
+    """Return the routes of a configuration; one prefix belongs to it alone."""
+    return [
+        {
+            **ROUTE,
+            "Name": "p",
+            "PathPrefix": "/plain/",
+            "Kind": "safe",
+            "Service": PLAIN,
+        },
+        {
+            **ROUTE,
+            "Name": "o",
+            "PathPrefix": "/plain/once/",
+            "Kind": "unsafe",
+            "Service": PLAIN,
+        },
+        {
+            **ROUTE,
+            "Name": "s",
+            "PathPrefix": "/s/",
+            "Kind": "rollout",
+            "Service": ENGINES,
+        },
+        {
+            **ROUTE,
+            "Name": "n",
+            "PathPrefix": f"/plain/only-{number}/",
+            "Kind": "safe",
+            "Service": PLAIN,
+        },
+    ]
+
+
+def answer_to(request_id):
+    """Return the whole answer that a plain replica gives."""
+    return b"answer to " + request_id.encode()
+
+
+def text_of(item_id):
+    """Return the whole text of an item."""
+    return "\n".join(f"{item_id}.{number}" for number in range(EVENTS))
+
+
+class Soak:
+    """One run: a cluster, its callers, its faults and what was seen."""
+
+    def __init__(self, seed, seconds, instances, folder):
+        self._seed = seed
+        self._seconds = seconds
+        self._draw = random.Random(seed)
+        self._folder = pathlib.Path(folder)
+        self._count = instances
+        self._client = AsyncHTTPClient(force_instance=True, max_clients=500)
+        self._calls, self._steps = [], []
+        self._version = 1
+        self._newest_seen = {}
+        self._tasks = set()
+        self.violations = Violations()
+        self.faults = schedule(seed, seconds, instances, REPLICAS)
+
+    async def run(self):
+        """Play the schedule; return the counts."""
+        await self._start()
+        jobs = [self._spawn(job) for job in (self._call_on(), self._submit_on())]
+        try:
+            started = asyncio.get_running_loop().time()
+            for fault in self.faults:
+                until = started + fault.at
+                await asyncio.sleep(max(0, until - asyncio.get_running_loop().time()))
+                self._spawn(self._inject(fault))
+            left = started + self._seconds - asyncio.get_running_loop().time()
+            await asyncio.sleep(max(0, left))
+            for job in jobs:
+                job.cancel()
+            await self._settle()
+            await self._check()
+        finally:
+            await self._stop()
+        return self._counts()
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _start(self):
+        self._store = StoreStandin()
+        self._engines = [
+            ReplicaStandin(f"e{at}", events=EVENTS, pause=0.05)
+            for at in range(REPLICAS)
+        ]
+        self._plain = [ReplicaStandin(f"p{at}") for at in range(REPLICAS)]
+        await self._configure()
+        await self._list()
+        self._proxies, self._instances = [], []
+        for at in range(self._count):
+            proxy = await Proxy(self._store.address).open()
+            self._proxies.append(proxy)
+            name = f"i{at}"
+            instance = LocalInstance(self._folder, name, proxy.address)
+            self._instances.append(instance)
+        await self._until_ready()
+
+    async def _stop(self):
+        for task in list(self._tasks):
+            task.cancel()
+        for instance in self._instances:
+            instance.close()
+        for proxy in self._proxies:
+            await proxy.close()
+        for replica in self._engines + self._plain:
+            replica.stop()
+        self._store.stop()
+        self._client.close()
+
+    async def _configure(self):
+        services = [
+            {"Name": PLAIN},
+            {"Name": ENGINES, "Engine": {"Models": [{"Name": MODEL}]}},
+        ]
+        number = self._version
+        document = {"Version": number, "Routes": routes(number), "Services": services}
+        await self._store.configure(document)
+
+    async def _list(self):
+        for replica in self._engines:
+            entry = replica.entry(ENGINES, [MODEL])
+            await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+        for replica in self._plain:
+            entry = replica.entry(PLAIN, [])
+            await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+
+    async def _until_ready(self):
+        limit = deadline_in(SETTLE)
+        for instance in self._instances:
+            while not passed(limit):
+                if not instance.running:
+                    instance.start()
+                reply = await self._fetch(instance.ready, "/-/ready")
+                if reply.code == checks.OK:
+                    break
+                await asyncio.sleep(0.1)
+            else:
+                self.violations.add("comes back", instance.name)
+
+    async def _fetch(self, address, path, method="GET", body=None, **headers):
+        request = HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            body=body,
+            headers={"Host": HOST, **headers},
+            request_timeout=CALL_TIMEOUT,
+            connect_timeout=1.0,
+        )
+        return await reply_to(self._client, request)
+
+    def _any(self):
+        return self._draw.choice(self._instances)
+
+    # Callers.
+
+    async def _call_on(self):
+        number = 0
+        while True:
+            number += 1
+            self._spawn(self._call(f"r{number}", number % 3 == 0))
+            if number % 10 == 0:
+                self._spawn(self._probe())
+            await asyncio.sleep(CALL_EVERY)
+
+    async def _call(self, request_id, once):
+        path = "/plain/once/x" if once else "/plain/x"
+        sent_at = asyncio.get_running_loop().time()
+        headers = {wire.REQUEST_ID: request_id, wire.DEADLINE: "3000"}
+        reply = await self._fetch(self._any().front, path, "POST", "b", **headers)
+        status = None if reply.code == NO_REPLY else reply.code
+        self._calls.append(Call(request_id, once, sent_at, status, reply.body))
+
+    async def _probe(self):
+        """Ask one instance for the route that the newest version alone has."""
+        instance, number = self._any(), self._version
+        life = (instance.name, instance.process.pid)
+        headers = {wire.REQUEST_ID: f"probe-{life}-{self._draw.random()}"}
+        path = f"/plain/only-{number}/x"
+        before = self._newest_seen.get(life, 0)
+        reply = await self._fetch(instance.front, path, "POST", "b", **headers)
+        if reply.code == checks.OK:
+            self._newest_seen[life] = max(number, self._newest_seen.get(life, 0))
+        if reply.code == 404 and before >= number and number == self._version:
+            self.violations.add("configuration never back", f"{life} before {number}")
+
+    async def _submit_on(self):
+        number = 0
+        while True:
+            number += 1
+            self._spawn(self._train(f"s{number}"))
+            await asyncio.sleep(STEP_EVERY)
+
+    async def _train(self, step_id):
+        step = StepSeen(step_id, [f"{step_id}-{at}" for at in range(ITEMS)])
+        self._steps.append(step)
+        body = json.dumps(
+            {
+                "Step": 1,
+                "Model": MODEL,
+                "MinVersion": 1,
+                "Desired": 2,
+                "Items": [self._row(item, at) for at, item in enumerate(step.items)],
+            }
+        )
+        headers = {wire.REQUEST_ID: step_id}
+        for _ in range(3):
+            reply = await self._fetch(self._any().front, "/s/", "POST", body, **headers)
+            if reply.code == 202:
+                step.accepted = True
+                break
+            if reply.code != checks.REFUSED:
+                step.refusals -= 1000
+            step.refusals += 1
+        if step.accepted:
+            await self._read(step)
+
+    def _row(self, item, at):
+        return {
+            "Id": item,
+            "Path": f"/s/{at}",
+            "Headers": {},
+            "Body": base64.b64encode(item.encode()).decode(),
+            "Tokens": 10,
+            "Group": f"g{at // 2}",
+        }
+
+    async def _read(self, step):
+        ends = self._draw.random() < 0.3
+        limit = deadline_in(self._seconds)
+        while not passed(limit):
+            page = await self._page(step.step_id, self._any())
+            if page is not None:
+                step.pages.append(page)
+                if len(page) == ITEMS or (ends and len(page) >= 2):
+                    break
+            await asyncio.sleep(READ_EVERY)
+        if ends:
+            path = f"/-/lots/{step.step_id}"
+            reply = await self._fetch(self._any().front, path, "DELETE")
+            if reply.code == checks.OK:
+                step.ended_at = asyncio.get_running_loop().time()
+
+    async def _page(self, step_id, instance):
+        reply = await self._fetch(instance.front, f"/-/lots/{step_id}?After=0")
+        if reply.code == 404:
+            return None
+        try:
+            return json.loads(reply.body)["Results"] if reply.code == 200 else None
+        except ValueError:
+            self.violations.add("whole pages", step_id)
+            return None
+
+    # Faults.
+
+    async def _inject(self, fault):
+        print(f"seed {self._seed}: {fault}", flush=True)
+        await _INJECT[fault.kind](self, fault)
+
+    async def _kill(self, fault):
+        self._instances[fault.target].kill()
+        await asyncio.sleep(fault.lasts)
+        self._again(fault.target)
+
+    async def _kill_all(self, fault):
+        for instance in self._instances:
+            instance.kill()
+        await asyncio.sleep(fault.lasts)
+        for at in range(self._count):
+            self._again(at)
+
+    def _again(self, at):
+        if not self._instances[at].running:
+            self._instances[at].start()
+
+    async def _terminate(self, fault):
+        instance = self._instances[fault.target]
+        instance.signal(signal.SIGTERM)
+        limit = deadline_in(SETTLE)
+        while instance.running and not passed(limit):  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+        if instance.running:
+            self.violations.add("planned stop ends", instance.name)
+            instance.kill()
+        self._again(fault.target)
+
+    async def _pause(self, fault):
+        instance = self._instances[fault.target]
+        instance.signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.lasts)
+        instance.signal(signal.SIGCONT)
+
+    async def _cut_off(self, fault):
+        await self._path_fault(fault, {"freeze": True})
+
+    async def _delay(self, fault):
+        await self._path_fault(fault, {"delay": 0.2})
+
+    async def _one_way(self, fault):
+        await self._path_fault(fault, {"blackhole": "down"})
+
+    async def _path_fault(self, fault, document):
+        proxy = self._proxies[fault.target]
+        proxy.set(document)
+        await asyncio.sleep(fault.lasts)
+        proxy.set({"clear": True, "cut": "blackhole" in document})
+
+    async def _reset(self, fault):
+        self._proxies[fault.target].cut()
+
+    async def _log_down(self, fault):
+        self._store.log.down = True
+        await asyncio.sleep(fault.lasts)
+        self._store.log.down = False
+
+    async def _log_loses(self, fault):
+        self._store.log.lose_replies, self._store.log.land_late = 3, None
+
+    async def _log_late(self, fault):
+        self._store.log.lose_replies, self._store.log.land_late = 3, fault.lasts
+
+    async def _full(self, fault):
+        replica = self._replica(fault)
+        replica.full = True
+        await asyncio.sleep(fault.lasts)
+        replica.full = False
+
+    async def _break(self, fault):
+        self._engines[fault.target].break_after += [0, 2, 4]
+
+    async def _fail(self, fault):
+        self._plain[fault.target].failures += [500, 503, 500]
+
+    async def _leave(self, fault):
+        """A replica says that it leaves, and is listed anew later."""
+        replica = self._engines[fault.target]
+        entry = replica.entry(ENGINES, [MODEL], state="draining")
+        await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+        await asyncio.sleep(fault.lasts)
+        entry = replica.entry(ENGINES, [MODEL])
+        await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+
+    async def _reconfigure(self, fault):
+        if not self._store.log.down:
+            self._version += 1
+            await self._configure()
+
+    def _replica(self, fault):
+        return (self._engines + self._plain)[fault.target]
+
+    # The end.
+
+    async def _settle(self):
+        for instance in self._instances:
+            instance.signal(signal.SIGCONT)
+        for proxy in self._proxies:
+            proxy.set({"clear": True, "cut": True})
+        self._store.log.down, self._store.log.lose_replies = False, 0
+        for replica in self._engines + self._plain:
+            replica.full = False
+        await asyncio.sleep(1.0)
+        await self._until_ready()
+        await self._list()
+        limit = deadline_in(SETTLE)
+        for step in self._steps:
+            while step.accepted and step.ended_at is None and not passed(limit):
+                page = await self._page(step.step_id, self._any())
+                if page is not None:
+                    step.pages.append(page)
+                if page is not None and len(page) == ITEMS:
+                    break
+                await asyncio.sleep(0.1)
+            else:
+                if step.accepted and step.ended_at is None:
+                    self.violations.add("accepted steps are run", step.step_id)
+
+    async def _check(self):
+        runs = {}
+        for replica in self._engines + self._plain:
+            for run in replica.runs:
+                runs.setdefault(run.request_id, []).append(run)
+        checks.check_calls(self._calls, runs, answer_to, self.violations)
+        readable = set()
+        for step in self._steps:
+            pages = [
+                await self._page(step.step_id, one)
+                for one in self._instances
+                if step.accepted
+            ]
+            if pages and all(page is not None for page in pages):
+                readable.add(step.step_id)
+                step.pages += pages
+        checks.check_kept(self._steps, readable.__contains__, self.violations)
+        checks.check_steps(self._steps, runs, text_of, self.violations)
+
+    def _counts(self):
+        answered = sum(call.status == checks.OK for call in self._calls)
+        refused = sum(call.status == checks.REFUSED for call in self._calls)
+        accepted = sum(step.accepted for step in self._steps)
+        return (
+            f"{len(self.faults)} faults, {len(self._calls)} calls ({answered} answered, "
+            f"{refused} refused), {len(self._steps)} steps ({accepted} accepted), "
+            f"{len(self.violations.found)} violations"
+        )
+
+
+_INJECT = {
+    Kind.KILL: Soak._kill,
+    Kind.KILL_ALL: Soak._kill_all,
+    Kind.STOP: Soak._terminate,
+    Kind.PAUSE: Soak._pause,
+    Kind.CUT_OFF: Soak._cut_off,
+    Kind.DELAY: Soak._delay,
+    Kind.RESET: Soak._reset,
+    Kind.ONE_WAY: Soak._one_way,
+    Kind.LOG_DOWN: Soak._log_down,
+    Kind.LOG_LOSES: Soak._log_loses,
+    Kind.LOG_LATE: Soak._log_late,
+    Kind.FULL: Soak._full,
+    Kind.BREAK: Soak._break,
+    Kind.FAIL: Soak._fail,
+    Kind.LEAVE: Soak._leave,
+    Kind.CONFIGURE: Soak._reconfigure,
+}
+
+
+def main(
+    seed: int = typer.Option(1, help="First seed."),
+    seeds: int = typer.Option(1, help="How many seeds, one after the other."),
+    seconds: float = typer.Option(20.0, help="Seconds of faults for each seed."),
+    instances: int = typer.Option(3, help="Processes of ours."),
+    keep: str = typer.Option("", help="Folder for the logs of seeds that fail."),
+):
+    """Play seeded faults on real processes and check the promises."""
+    broken = False
+    for one in range(seed, seed + seeds):
+        broken |= bool(_play(one, seconds, instances, keep))
+    raise typer.Exit(BROKEN if broken else 0)
+
+
+def _play(seed, seconds, instances, keep):
+    """Play one seed and report it; return its violations."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(seed, seconds, instances, folder)
+        counts = asyncio.run(soak.run())
+        print(f"seed {seed}: {counts}", flush=True)
+        for text in dict.fromkeys(soak.violations.found):
+            print(f"seed {seed}: BROKEN {text}", flush=True)
+        if soak.violations.found and keep:
+            for path in pathlib.Path(folder).glob("*.log"):
+                target = pathlib.Path(keep) / f"{seed}-{path.name}"
+                target.parent.mkdir(parents=True, exist_ok=True)
+                target.write_bytes(path.read_bytes())
+        return soak.violations.found
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/sassafrasdoor/platform/tests/test_processes.py
+++ b/sassafrasdoor/platform/tests/test_processes.py
@@ -2,14 +2,8 @@
 
 import asyncio
 import base64
-import contextlib
 import json
-import os
-import pathlib
 import signal
-import socket
-import subprocess
-import sys
 import tempfile
 import unittest
 
@@ -18,27 +12,14 @@
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.fetch import reply_to
 from sassafrasdoor.platform import configuration, wire
+from sassafrasdoor.platform.local import LocalInstance
 from sassafrasdoor.platform.standin import ReplicaStandin, StoreStandin
 from sassafrasdoor.standin.proxy import Proxy
 from sassafrasdoor.steps.durable.records import CLAIM
 from sassafrasdoor.steps.durable.service import TOPIC, shard_of
-from sassafrasdoor.support import ROOT
 
 HOST, MODEL, ENGINES, PLAIN = "h.example", "m", "engines", "plain"
 PATIENCE = 60.0
-FIRST_PORT, LAST_PORT, BLOCK, PORT_BLOCKS = 15000, 32000, 100, 150
-SETTINGS = """
-NodeName={name}
-Zone=z
-Region=r
-Ip=127.0.0.1
-Listen.Front={front}
-Listen.Ready={ready}
-Listen.Directory={directory}
-Platform.Address={store}
-Bounds.GraceS=5
-Bounds.RequireFencing=true
-"""
 ROUTE = {
     "Host": HOST,
     "TimeoutMs": 8000,
@@ -56,57 +37,6 @@
 ]
 
 
-def free_ports():
-    """Yield ports that nobody uses, below those that the system hands out.
-
-    A process keeps its addresses over a restart, so it cannot pick them itself.
-    """
-    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK
-    for port in range(first, LAST_PORT):
-        with contextlib.closing(socket.socket()) as sock:
-            if sock.connect_ex(("127.0.0.1", port)):
-                yield port
-
-
-PORTS = free_ports()
-
-
-class Instance:
-    """One process of ours with addresses that it keeps over restarts."""
-
-    def __init__(self, folder, name, store):
-        ports = [f"127.0.0.1:{next(PORTS)}" for _ in range(3)]
-        self.front, self.ready, self.directory = ports
-        self._path = pathlib.Path(folder) / f"{name}.conf"
-        fields = {"name": name, "store": store, "front": ports[0]}
-        text = SETTINGS.format(ready=ports[1], directory=ports[2], **fields)
-        self._path.write_text(text, "utf-8")
-        self._log = (pathlib.Path(folder) / f"{name}.log").open("ab")
-        self.start()
-
-    def start(self):
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "sassafrasdoor.platform"],
-            cwd=ROOT,
-            env={"SASSAFRASDOOR_BOOT": str(self._path), "PATH": ""},
-            stdout=self._log,
-            stderr=subprocess.STDOUT,
-        )
-
-    def signal(self, number):
-        self.process.send_signal(number)
-
-    def kill(self):
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-        self.process.wait()
-
-    def close(self):
-        self.kill()
-        self._log.close()
-
-
 class ProcessesTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -127,7 +57,7 @@
         self.addAsyncCleanup(self.proxy.close)
         stores = [self.proxy.address, self.store.address, self.store.address]
         for name, store in zip("abc", stores, strict=True):
-            instance = Instance(folder.name, name, store)
+            instance = LocalInstance(folder.name, name, store)
             self.addCleanup(instance.close)
             self.instances.append(instance)
         await self.until_ready()
--- /dev/null
+++ b/sassafrasdoor/soak/checks.py
@@ -0,0 +1,97 @@
+"""The promises, checked from what callers and replicas saw."""
+
+CANCEL_WITHIN = 3.0
+"""Seconds after an end's acknowledgement from which nothing of the step may begin."""
+LEAVE_WITHIN = 2.0
+"""Seconds after a replica said that it leaves from which it may get nothing new."""
+REFUSED, OK = 503, 200
+
+
+class Call:
+    """One request as its caller saw it; ``status`` is None without an answer."""
+
+    __slots__ = ("body", "once", "request_id", "sent_at", "status")
+
+    def __init__(self, request_id, once, sent_at, status, body):
+        self.request_id = request_id
+        self.once = once
+        self.sent_at = sent_at
+        self.status = status
+        self.body = body
+
+
+class StepSeen:
+    """One step as its trainer saw it; ``pages`` are the listings that were read."""
+
+    __slots__ = ("accepted", "ended_at", "items", "pages", "refusals", "step_id")
+
+    def __init__(self, step_id, items):
+        self.step_id = step_id
+        self.items = items
+        self.accepted = False
+        self.refusals = 0
+        self.ended_at = None
+        self.pages = []
+
+
+class Violations:
+    """What was broken, with the ids; empty if every promise was kept."""
+
+    def __init__(self):
+        self.found = []
+
+    def add(self, promise, text):
+        """Note one broken promise."""
+        self.found.append(f"{promise}: {text}")
+
+
+def check_calls(calls, runs, expected, violations):
+    """Own whole answers, true refusals, and at most once.
+
+    ``runs`` are the replicas' runs by request id; ``expected(id)`` is the answer.
+    """
+    for call in calls:
+        ran = runs.get(call.request_id, [])
+        if call.status == OK and call.body != expected(call.request_id):
+            violations.add("own whole answer", f"{call.request_id}: {call.body!r}")
+        if call.status == OK and not ran:
+            violations.add("answers come from replicas", call.request_id)
+        if call.once and len(ran) > 1:
+            violations.add("at most once", f"{call.request_id} ran {len(ran)} times")
+        if call.once and call.status == REFUSED and ran:
+            violations.add("not run is true", call.request_id)
+
+
+def check_steps(steps, runs, text, violations):
+    """Whole samples, stable positions, kept steps, ended and refused ones at rest."""
+    for step in steps:
+        _check_pages(step, text, violations)
+        starts = [run.at for item in step.items for run in runs.get(item, [])]
+        if not step.accepted and step.refusals and starts:
+            violations.add("not run is true", f"step {step.step_id}")
+        if step.ended_at is not None:
+            late = [at for at in starts if at > step.ended_at + CANCEL_WITHIN]
+            if late:
+                violations.add("ended means ended", f"step {step.step_id}")
+
+
+def _check_pages(step, text, violations):
+    longest = max(step.pages, key=len, default=[])
+    names = [sample["Id"] for sample in longest]
+    if len(names) != len(set(names)):
+        violations.add("samples exactly once", f"step {step.step_id}")
+    for page in step.pages:
+        if page != longest[: len(page)]:
+            violations.add("positions stay", f"step {step.step_id}")
+    for sample in longest:
+        if sample["State"] == "completed" and sample["Output"] != text(sample["Id"]):
+            violations.add("whole samples", f"{step.step_id} {sample['Id']}")
+        if sample["State"] == "completed" and sample["Versions"] != [1]:
+            violations.add("right labels", f"{step.step_id} {sample['Id']}")
+
+
+def check_kept(steps, readable, violations):
+    """Every accepted step is read at every instance in the end."""
+    for step in steps:
+        if step.accepted and not readable(step.step_id):
+            violations.add("accepted is kept", f"step {step.step_id}")
--- /dev/null
+++ b/sassafrasdoor/soak/tests/test_soak.py
@@ -0,0 +1,86 @@
+"""The schedule is the seed's alone, and each check can fail."""
+
+import unittest
+
+from sassafrasdoor.soak import checks
+from sassafrasdoor.soak.checks import Call, StepSeen, Violations
+from sassafrasdoor.soak.schedule import LAST_SHARE, Kind, schedule
+
+
+class Run:
+    def __init__(self, at):
+        self.at = at
+
+
+def sample(name, text="text", versions=(1,)):
+    return {
+        "Id": name,
+        "State": "completed",
+        "Output": text,
+        "Versions": list(versions),
+    }
+
+
+class ScheduleTest(unittest.TestCase):
+    def test_same_seed_same_faults(self):
+        first, second = ([str(one) for one in schedule(7, 30, 3, 4)] for _ in range(2))
+        self.assertEqual(first, second)
+        self.assertNotEqual(first, [str(one) for one in schedule(8, 30, 3, 4)])
+
+    def test_faults_leave_time_to_recover(self):
+        for seed in range(20):
+            faults = schedule(seed, 30, 3, 4)
+            self.assertLess(max(one.at for one in faults), LAST_SHARE * 30)
+
+    def test_every_kind_is_drawn(self):
+        drawn = {one.kind for seed in range(20) for one in schedule(seed, 60, 3, 4)}
+        self.assertEqual(drawn, set(Kind))
+
+
+class ChecksTest(unittest.TestCase):
+    def calls(self, call, runs):
+        violations = Violations()
+        checks.check_calls([call], {"r": runs}, lambda name: b"own", violations)
+        return [one.partition(":")[0] for one in violations.found]
+
+    def test_each_promise_of_calls_can_fail(self):
+        run = Run(0)
+        cases = [
+            (Call("r", False, 0, 200, b"own"), [run], []),
+            (Call("r", False, 0, 200, b"other"), [run], ["own whole answer"]),
+            (Call("r", False, 0, 200, b"own"), [], ["answers come from replicas"]),
+            (Call("r", True, 0, None, b""), [run, run], ["at most once"]),
+            (Call("r", True, 0, 503, b""), [run], ["not run is true"]),
+            (Call("r", False, 0, 503, b""), [run], []),
+        ]
+        for call, runs, expected in cases:
+            self.assertEqual(self.calls(call, runs), expected)
+
+    def steps(self, pages, runs=(), accepted=True, refusals=0, ended_at=None):
+        step = StepSeen("s", ["i"])
+        step.pages, step.accepted = pages, accepted
+        step.refusals, step.ended_at = refusals, ended_at
+        violations = Violations()
+        checks.check_steps([step], {"i": list(runs)}, lambda name: "text", violations)
+        checks.check_kept([step], lambda name: name != "s", violations)
+        return [one.partition(":")[0] for one in violations.found]
+
+    def test_each_promise_of_steps_can_fail(self):
+        kept = "accepted is kept"
+        cases = [
+            ([[sample("i")]], {}, [kept]),
+            ([[sample("i"), sample("i")]], {}, ["samples exactly once", kept]),
+            ([[sample("i")], [sample("j")]], {}, ["positions stay", kept]),
+            ([[sample("i", "tex")]], {}, ["whole samples", kept]),
+            ([[sample("i", versions=(2,))]], {}, ["right labels", kept]),
+            ([], {"runs": [Run(9)], "ended_at": 1}, ["ended means ended", kept]),
+            ([], {"runs": [Run(3)], "ended_at": 1}, [kept]),
+            ([], {"accepted": False, "refusals": 1}, []),
+            (
+                [],
+                {"accepted": False, "refusals": 1, "runs": [Run(1)]},
+                ["not run is true"],
+            ),
+        ]
+        for pages, fields, expected in cases:
+            self.assertEqual(self.steps(pages, **fields), expected)
