One copy of rendezvous hashing; shards within the store's partitions

Cause: two modules ranked names by the same hash with other separators, and a store with fewer than seven partitions would have refused every step.

Change: sassafrasdoor/rendezvous.py in place of both; the number of shards follows the partitions that the settings name, and fewer than two are refused with their place. Routing's order among equals changes by the separator only.

Measured: nothing; tests of routing, control and the settings.

--- a/samples/measure_membership.py
+++ b/samples/measure_membership.py
@@ -21,14 +21,13 @@
 import typer
 from membership_fakes import ZONES
 
-from sassafrasdoor import settings as settings_module
+from sassafrasdoor import rendezvous, settings as settings_module
 from sassafrasdoor.admission.grants import Report, Usage
 from sassafrasdoor.clock import now
 from sassafrasdoor.cluster import PEER_KEY, Cluster
 from sassafrasdoor.control import messages
 from sassafrasdoor.control.link import ControlLink
 from sassafrasdoor.events import EVENTS
-from sassafrasdoor.membership import rendezvous
 from sassafrasdoor.peers.link import PeerLink
 from sassafrasdoor.security import key_hash
 from sassafrasdoor.support import ROOT, Process, until
--- a/sassafrasdoor/control/spread.py
+++ b/sassafrasdoor/control/spread.py
@@ -13,12 +13,11 @@
 import json
 import random
 
-from sassafrasdoor import metrics
+from sassafrasdoor import metrics, rendezvous
 from sassafrasdoor.clock import deadline_in, now, passed
 from sassafrasdoor.control import messages
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.log.agreed import Agreed
-from sassafrasdoor.membership import rendezvous
 from sassafrasdoor.membership.delegate import News
 from sassafrasdoor.outcomes import Unavailable
 from sassafrasdoor.peers.link import PeerLink
--- a/sassafrasdoor/control/tests/test_spread.py
+++ b/sassafrasdoor/control/tests/test_spread.py
@@ -1,12 +1,11 @@
 import unittest
 
-from sassafrasdoor import settings
+from sassafrasdoor import rendezvous, settings
 from sassafrasdoor.clock import now
 from sassafrasdoor.cluster import TABLE
 from sassafrasdoor.control.spread import FALLBACK_AFTER, MAX_HOPS, Spread
 from sassafrasdoor.log.agreed import Agreed
 from sassafrasdoor.log.follower import Follower
-from sassafrasdoor.membership import rendezvous
 from sassafrasdoor.membership.delegate import News
 from sassafrasdoor.table.accepted import Accepted
 from sassafrasdoor.table.rows import table_from
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -25,8 +25,6 @@
 from sassafrasdoor.table.routes import RoutesInForce
 from sassafrasdoor.weights.named import Mover
 
-WEIGHTS_SHARD = SHARDS
-"""The shard after those of the steps: its holder orders the loads of weights."""
 LIST_PAUSE = 0.35
 """Seconds between reads of the replicas' list: a leaving replica is known well
 within its two seconds, and heartbeats of all replicas come in one answer."""
@@ -66,16 +64,19 @@
         self._routes = RoutesInForce()
         self._replicas = Replicas(settings.zone)
         self._steps = Steps()
+        # The shard after those of the steps is no step's: its holder orders the loads.
+        shards = min(SHARDS, settings.partitions - 1)
+        self._weights_shard = shards
         member = f"{settings.front}/{uuid.uuid4().hex[:8]}"
         self._instances = Instances(
             settings.product, self._store, settings.front, settings.front
         )
         self._tails = [
             Tail(self._store, TOPIC, shard, self._fold_of(shard))
-            for shard in range(SHARDS + 1)
+            for shard in range(shards + 1)
         ]
         self._outboxes = [
-            Outbox(self._store, TOPIC, shard) for shard in range(SHARDS + 1)
+            Outbox(self._store, TOPIC, shard) for shard in range(shards + 1)
         ]
         self._runner = Runner(
             self._client, self._replicas, self._routes, self._steps, self._outboxes
@@ -102,13 +103,13 @@
     def _build_weights(self):
         self._mover = Mover(
             self._client,
-            Duty(self._shards, WEIGHTS_SHARD, self._settings.name),
+            Duty(self._shards, self._weights_shard, self._settings.name),
             self._replicas,
             self._routes,
             handover=self._handover,
             work=self._runner,
         )
-        self._steps.use(WEIGHTS_SHARD)
+        self._steps.use(self._weights_shard)
         self._steps.on_change(self._mover.step_seen)
 
     @property
@@ -166,7 +167,10 @@
             self,
             self._routes,
             StepService(
-                self._store, self._steps, self._tails, self._settings.record_bytes
+                self._store,
+                self._steps,
+                self._tails[: self._weights_shard],
+                self._settings.record_bytes,
             ),
         )
         applications = [
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -24,6 +24,10 @@
 """Defaults where a platform leaves a figure out: those of its pages."""
 
 
+FEWEST_PARTITIONS = 2
+"""One for the steps, one for the duty of ordering loads."""
+
+
 class PlatformSettings:
     """Where to listen, the platform's store and its bounds (seconds, bytes).
 
@@ -77,6 +81,8 @@
             numbers[key] = float(fields.get(key) or default)
         except ValueError:
             findings.append(Finding(key, "not a number"))
+    if numbers.get("Platform.parts", FEWEST_PARTITIONS) < FEWEST_PARTITIONS:
+        findings.append(Finding("Platform.parts", f"below {FEWEST_PARTITIONS}"))
     for key in ("Listen.Front", "Listen.Ready", "Listen.Directory", "Platform.Address"):
         value = fields.get(key)
         if value and not value.rpartition(":")[2].isdigit():
--- a/sassafrasdoor/platform/tests/test_translation.py
+++ b/sassafrasdoor/platform/tests/test_translation.py
@@ -60,7 +60,12 @@
         self.assertEqual(found.product.instance.availability_zone, "palermo")
 
     def test_every_finding_is_reported_with_its_place(self):
-        broken = {"Zone": "", "Listen.Front": "nowhere", "Bounds.GraceS": "soon"}
+        broken = {
+            "Zone": "",
+            "Listen.Front": "nowhere",
+            "Bounds.GraceS": "soon",
+            "Platform.parts": "1",
+        }
         found = settings.from_fields(self.fields(**broken))
         self.assertIsInstance(found, Rejected)
         places = {finding.place for finding in found.findings}
--- a/sassafrasdoor/routing/chooser.py
+++ b/sassafrasdoor/routing/chooser.py
@@ -8,12 +8,15 @@
 
 import random
 from functools import singledispatch
+from operator import attrgetter
 
 from sassafrasdoor import logs, metrics
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.rendezvous import ranked
 from sassafrasdoor.routing.backend_state import BackendState
-from sassafrasdoor.routing.rendezvous import ranked
+
+name_of = attrgetter("name")
 
 # Shares of a server's capacity by which another may be busier and still be
 # taken: for a nearer zone, for a prefix that is probably cached there.
@@ -131,7 +134,7 @@
         best = min(self._drawn(candidates), key=self._cost)
         if not affinity:
             return best
-        preferred = ranked(candidates, affinity)[0]
+        preferred = ranked(candidates, affinity, name_of)[0]
         slack = self._cost(preferred) - self._cost(best)
         return preferred if slack <= AFFINITY_SLACK else best
 
@@ -180,7 +183,7 @@
         size = self._settings.routing.subset_size
         if len(serving) <= size:
             return serving
-        return ranked(serving, self._settings.instance.name)[:size]
+        return ranked(serving, self._settings.instance.name, name_of)[:size]
 
 
 @singledispatch
--- a/sassafrasdoor/routing/discovery.py
+++ b/sassafrasdoor/routing/discovery.py
@@ -5,12 +5,16 @@
 connections do not grow as callers times instances.
 """
 
+from operator import attrgetter
+
 import tornado.web
 
 from sassafrasdoor import metrics
-from sassafrasdoor.routing.rendezvous import ranked
+from sassafrasdoor.rendezvous import ranked
 from sassafrasdoor.view import State
 
+name_of = attrgetter("name")
+
 MAX_ARGUMENT = 64
 RETRY_AFTER = 1
 
@@ -29,7 +33,7 @@
         for member in view.members
         if member.state is State.ALIVE and member.entry_address
     ]
-    order = ranked(alive, caller)
+    order = ranked(alive, caller, name_of)
     near = [member for member in order if member.availability_zone == zone]
     far = [member for member in order if member.availability_zone != zone]
     size = settings.routing.discovery_size
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -14,7 +14,7 @@
 from sassafrasdoor.log.partitioned import keyed_record
 from sassafrasdoor.log.tail import KeyedTail
 from sassafrasdoor.outcomes import Outcome
-from sassafrasdoor.routing.rendezvous import ranked
+from sassafrasdoor.rendezvous import ranked
 
 TOPIC = "keyed.instances"
 RENEW_INTERVAL = 1.0
@@ -106,7 +106,7 @@
         All instances agree on the order as far as they agree on who lives.
         """
         alive = {one.address for one in self._seen.values() if self._is_alive(one)}
-        order = ranked(alive | {self._address}, key, name=str)
+        order = ranked(alive | {self._address}, key)
         return order.index(self._address)
 
     def _is_alive(self, one):
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -57,9 +57,9 @@
         self.total = total
 
 
-def shard_of(name):
+def shard_of(name, shards=SHARDS):
     """Return the shard of a model's steps, the same on every instance."""
-    return zlib.crc32(name.encode()) % SHARDS
+    return zlib.crc32(name.encode()) % shards
 
 
 class StepService:
@@ -132,7 +132,7 @@
         return NotRun(f"log away: {result.reason}", RETRY_AFTER)
 
     def _shard(self, spec):
-        return shard_of(spec.model or spec.path)
+        return shard_of(spec.model or spec.path, len(self._tails))
 
     async def read(self, step_id, first, wait_deadline):
         """Return a ``Page`` from position ``first``, ``NotFound`` or ``NotRun``."""
