Keep the operator's limits on what callers send and how long they idle

Cause: idle connections were closed after a constant 15 s, whatever the configuration says; a caller that may reuse one for longer would have met a closed one, and bodies were bounded by the library's default only.

Change: header size, body size and idle time follow the configuration in force, on connections that are open too; before it is known one minute.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -35,6 +35,8 @@
 FINISH_TICK = 0.02
 FENCED_HANDOVER = 0.3
 """Seconds that an order of a lapsed holder may be on its way, at most."""
+FIRST_IDLE_LIMIT = 60.0
+"""Seconds that a connection may idle before the operator's limit is known."""
 CLEANUP_INTERVAL = 10.0
 KEEP_MARGIN = 60.0
 """Seconds beyond the promised time that finished steps stay readable."""
@@ -137,6 +139,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         note("process.started", front=self._settings.front, zone=self._settings.zone)
         self._listen()
+        self._routes.on_change(self._apply_limits)
         tasks = lasting(self._jobs())
         await self._stop.wait()
         await self._leave()
@@ -186,10 +189,21 @@
             applications.append((f"{host}:{self._metrics_port}", application))
         for address, application in applications:
             host, _, port = address.rpartition(":")
-            server = HTTPServer(application, idle_connection_timeout=15)
+            server = HTTPServer(application, idle_connection_timeout=FIRST_IDLE_LIMIT)
             server.listen(int(port), host, backlog=BACKLOG)
             self._servers.append(server)
 
+    def _apply_limits(self, configuration):
+        """Bound what callers send, and how long they idle, as the operator says.
+
+        A connection closed sooner than callers expect would meet their next request.
+        """
+        limits = configuration.limits
+        for server in self._servers:
+            server.conn_params.header_timeout = limits.idle_timeout
+            server.conn_params.max_header_size = limits.header_bytes
+            server.conn_params.max_body_size = limits.body_bytes
+
     def _fold_of(self, shard):
         return lambda offset, data: self._steps.fold(shard, offset, data)
 
--- a/sassafrasdoor/platform/tests/test_processes.py
+++ b/sassafrasdoor/platform/tests/test_processes.py
@@ -330,6 +330,23 @@
         for instance in self.instances:
             await self.until(lambda one=instance: self.plain_is(one, 200))
 
+    async def test_limits_of_the_configuration_are_kept(self):
+        limits = {"MaxBodyBytes": 10, "IdleTimeoutMs": 400}
+        document = {"Version": 2, "Routes": ROUTES, "Services": SERVICES}
+        await self.store.configure({**document, "Limits": limits})
+        front = self.instances[0].front
+        await self.until(lambda: self.refuses_body(front))
+        host, _, port = front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        async with asyncio.timeout(PATIENCE):
+            self.assertEqual(await reader.read(), b"")
+        writer.close()
+
+    async def refuses_body(self, front):
+        headers = {wire.REQUEST_ID: "r"}
+        reply = await self.fetch(front, "/plain/x", "POST", "b" * 11, **headers)
+        return reply.code in (400, 413, 599)
+
     async def plain_is(self, instance, status):
         headers = {wire.REQUEST_ID: "r"}
         reply = await self.fetch(instance.front, "/plain/x", "POST", "b", **headers)
