Fit the grown sites: loads at once by size, fewer entry points, largest first

And the instance that runs the steps could be one of half a core.

Change: as many loads at once as 0.4 of a service's replicas, two at least (the sheets name 2 of 5, 9 of 22 and 23); a zone's callers are sent to four instances, or a fifth of many; instances with the most processor come first in rank.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -71,7 +71,11 @@
         self._weights_shard = shards
         member = f"{settings.front}/{uuid.uuid4().hex[:8]}"
         self._instances = Instances(
-            settings.product, self._store, settings.front, settings.front
+            settings.product,
+            self._store,
+            settings.front,
+            settings.front,
+            settings.cores,
         )
         self._tails = [
             Tail(self._store, TOPIC, shard, self._fold_of(shard))
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -20,6 +20,8 @@
     "Bounds.ttl_max_s": 5.0,
     "Platform.RecordBytes": 262144.0,
     "Platform.parts": 12.0,
+    "Limits.CpuShare": 1.0,
+    "Limits.Cores": 1.0,
 }
 """Defaults where a platform leaves a figure out: those of its pages."""
 
@@ -35,11 +37,12 @@
     holders of a duty must lie apart where replicas do not check fencing numbers,
     ``fenced`` whether they do, ``results_kept`` how long a step's samples are
     read after its submission, ``answers_kept`` the longest that callers keep a
-    directory answer, ``product`` the product's own ``Settings``.
+    directory answer, ``cores`` how much processor the instance has, ``product`` the product's own ``Settings``.
     """
 
     __slots__ = (
         "answers_kept",
+        "cores",
         "directory",
         "front",
         "fenced",
@@ -106,6 +109,7 @@
     found.results_kept = numbers["Bounds.StatusS"]
     found.answers_kept = numbers["Bounds.ttl_max_s"]
     found.record_bytes = int(numbers["Platform.RecordBytes"])
+    found.cores = numbers["Limits.CpuShare"] * numbers["Limits.Cores"]
     found.partitions = int(numbers["Platform.parts"])
     found.product = product.from_document(_document(fields, found))
     return found if found.product else found.product
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -27,27 +27,42 @@
 """Seconds between reads of the list: renewals are gathered in one answer."""
 WRITE_TIMEOUT = 1.5
 MOST_ADDRESSES = 64
+USUAL_IN_ZONE, ZONE_PARTS = 4, 5
+"""Callers of a zone are sent to four instances, or a fifth of many: each instance that
+serves a service keeps connections of its own to its replicas, and they cost most when
+they are seldom used."""
 FEWEST_IN_ZONE = 2
 """With fewer instances in the caller's zone it is sent to all zones."""
 
 
 class _Seen:
-    __slots__ = ("address", "at", "region", "zone")
+    __slots__ = ("address", "at", "cores", "region", "zone")
 
     def __init__(self, document):
         self.address = document["address"]
         self.zone = document["zone"]
         self.region = document["region"]
+        self.cores = float(document["cores"])
         self.at = now()
 
 
 class Instances:
     """Knows the instances that serve, and says that this one does."""
 
-    __slots__ = ("_address", "_key", "_leaving", "_log", "_seen", "_settings", "tail")
-
-    def __init__(self, settings, log, address, key):
+    __slots__ = (
+        "_address",
+        "_cores",
+        "_key",
+        "_leaving",
+        "_log",
+        "_seen",
+        "_settings",
+        "tail",
+    )
+
+    def __init__(self, settings, log, address, key, cores=1.0):
         self._settings = settings.instance
+        self._cores = cores
         self._log = log
         self._address = address
         self._key = key
@@ -75,7 +90,8 @@
             alive = [one for one in alive if one.address != self._address]
         near = [one.address for one in alive if one.zone == zone]
         if len(near) >= FEWEST_IN_ZONE:
-            return near[:MOST_ADDRESSES]
+            most = max(USUAL_IN_ZONE, len(near) // ZONE_PARTS)
+            return ranked(near, zone)[: min(most, MOST_ADDRESSES)]
         found = near + [one.address for one in alive if one.zone != zone]
         if not found and not self._leaving:
             found = [self._address]
@@ -103,10 +119,15 @@
     def ranking(self, key):
         """Return this instance's place among the living for ``key``, 0 for the first.
 
-        All instances agree on the order as far as they agree on who lives.
+        Those with the most processor come first: what ``key`` stands for is done by
+        one of them. All agree on the order as far as they agree on who lives.
         """
-        alive = {one.address for one in self._seen.values() if self._is_alive(one)}
-        order = ranked(alive | {self._address}, key)
+        cores = {
+            one.address: one.cores for one in self._seen.values() if self._is_alive(one)
+        }
+        cores[self._address] = self._cores
+        order = ranked(cores, key)
+        order.sort(key=lambda address: -cores[address])
         return order.index(self._address)
 
     def _is_alive(self, one):
@@ -122,6 +143,7 @@
             "address": self._address,
             "zone": self._settings.availability_zone,
             "region": self._settings.region,
+            "cores": self._cores,
         }
         return json.dumps(document).encode()
 
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -74,6 +74,27 @@
         ranks = sorted(one.ranking("x") for one in self.all)
         self.assertEqual(ranks, [0, 1, 2, 3, 4])
 
+    async def test_largest_instances_come_first(self):
+        self.all[3]._cores = 2.0
+        await self.all[3]._write(self.all[3]._document())
+        await self.read()
+        self.assertEqual(self.all[3].ranking("x"), 0)
+        self.assertEqual(sorted(one.ranking("x") for one in self.all), [0, 1, 2, 3, 4])
+
+    async def test_callers_of_a_large_zone_share_some_instances(self):
+        """Symptom: each call opens a connection to a replica.
+
+        Sequence: a zone has twenty instances, and callers spread over all. Cause:
+        each was named, and none met the same replica twice in its idle time.
+        """
+        for at in range(10, 30):
+            one = instance(self.log, f"i{at}", "d")
+            await one._write(one._document())
+        await self.read()
+        named = [tuple(one.addresses("d")) for one in self.all]
+        self.assertEqual(len(named[0]), module.USUAL_IN_ZONE)
+        self.assertEqual(len(set(named)), 1)
+
     async def test_lonely_instance_names_itself(self):
         alone = instance(MemoryPartitionedLog(), "x", "a")
         self.assertEqual(alone.addresses("a"), ["x:80"])
--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -16,7 +16,9 @@
 
 TICK = 0.1
 LOADS_AT_ONCE = 2
-"""Replicas that load together: with more, each load takes longer."""
+LOADS_SHARE = 0.4
+"""Replicas that load together, at least, and as a share of a service's: with more, each
+load takes longer (more than 2 of 5 and 9 of 22 or 23 on the users' sheets)."""
 LOAD_TIME = 1.2
 """Seconds that a load holds its place: 0.9 s, and a little for the order's way."""
 SHORTEST_LOAD = 0.9
@@ -147,9 +149,10 @@
 
     def _order_due(self, replicas):
         loading = sum(not passed(one.loads_until) for one in self._sent.values())
+        most = max(LOADS_AT_ONCE, int(LOADS_SHARE * len(replicas)))
         for replica in sorted(replicas, key=lambda one: one.state.in_flight):
             for model in self._assigned.get(replica.identity, ()):
-                if loading >= LOADS_AT_ONCE:
+                if loading >= most:
                     return
                 version = self._named.get(model, 0)
                 if self._is_due(replica, model, version) and not self._defers(
--- a/sassafrasdoor/weights/tests/test_named.py
+++ b/sassafrasdoor/weights/tests/test_named.py
@@ -191,6 +191,23 @@
         await asyncio.sleep(0.3)
         self.assertEqual(len(self.client.orders), module.LOADS_AT_ONCE)
 
+    async def test_more_load_at_once_where_there_are_more(self):
+        """Symptom: a named version needs four seconds to reach a model's replicas.
+
+        Sequence: twenty replicas follow their models, two at a time. Cause: the
+        number was that of the smallest service.
+        """
+        for at in range(5, 20):
+            listing = Listing(SERVICE, f"h{at}:1", "z", 4, False, {"a": 1, "b": 1})
+            self.replicas.listed(f"e{at}", listing)
+        module.LOAD_TIME = 1000.0
+        self.run_mover()
+        self.mover.named("a", 2)
+        self.mover.named("b", 2)
+        await self.until(lambda: len(self.client.orders) == 8)
+        await asyncio.sleep(0.3)
+        self.assertEqual(len(self.client.orders), 8)
+
 
 class SharesTest(unittest.TestCase):
     def test_shares_follow_demand_and_leave_nobody_out(self):
