--- a/sassafrasdoor/requests/direct.py
+++ b/sassafrasdoor/requests/direct.py
@@ -21,6 +21,8 @@
 MOST_REFUSALS = 4
 """Replicas asked in a row that say they are full, before the caller is refused."""
 SERVER_ERROR = 500
+NOT_RUN_STATUSES = {408, 421, 429, 503}
+"""Statuses that callers take for the promise that a request has not run."""
 
 OUTCOMES = counter("direct_requests_total", "Callers' requests, by outcome.")
 TRIES = counter("direct_tries_total", "Sends to replicas, by why.")
@@ -116,7 +118,7 @@
                 replica = attempts.running.pop(task)
                 last = self._judge(attempts, replica, task.result())
                 if isinstance(last, Answer) and last.status < SERVER_ERROR:
-                    return last
+                    return self._final(attempts, last)
             if done:
                 self._send(attempts, "failed")
         return self._final(attempts, last)
@@ -192,7 +194,13 @@
 
     def _final(self, attempts, last):
         if isinstance(last, Answer):
-            return last
+            repeatable = attempts.request.route.repeat is Repeat.SAFE
+            if repeatable or last.status not in NOT_RUN_STATUSES:
+                return last
+            # A replica may run a request and answer with a status that callers take
+            # for "not run". Passed on, they would send it again, and it runs twice.
+            reason = f"replica answered {last.status} and may have run it"
+            return self._log(attempts, Unknown(reason))
         if attempts.may_have_run:
             reason = last.reason if isinstance(last, Broken) else "no answer"
             return self._log(attempts, Unknown(reason))
--- a/sassafrasdoor/requests/tests/test_direct.py
+++ b/sassafrasdoor/requests/tests/test_direct.py
@@ -102,6 +102,20 @@
                 self.assertEqual(len(self.client.calls), sends)
                 self.assertTrue(all(call.fresh for _, call in self.client.calls))
 
+    async def test_run_that_ends_in_a_refusal_is_no_refusal(self):
+        """Symptom: a payment runs twice.
+
+        Sequence: a replica runs a request and answers 503 without saying that it
+        did not; the caller takes that for "not run" and sends it again. Cause: the
+        replica's status was passed on.
+        """
+        for status in (408, 429, 503):
+            result = await self.answer(Answer(status, [], b""), repeat=Repeat.ONCE)
+            self.assertIsInstance(result, Unknown)
+            self.assertEqual(len(self.client.calls), 1)
+        result = await self.answer(Answer(404, [], b""), repeat=Repeat.ONCE)
+        self.assertEqual(result.status, 404)
+
     async def test_attempts_are_bounded(self):
         result = await self.answer(ERROR, ERROR, OK, attempts=2)
         self.assertEqual(result.status, 500)
