Split the long modules; sharpen a test that a timeout let pass

And a mutation (the end of a step drops waiting items only) stayed green: the stream that should have been ended ended by its own first-event timeout.

Change: jobs.py, handlers.py and soak_faults.py hold what is a job of its own; runner tests run with that timeout out of reach, the mutation is red now.

--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -1,21 +1,22 @@
-"""Callers on the platform's wire: requests, steps, readiness and the directory."""
+"""Callers on the platform's wire: requests and steps."""
 
-import asyncio
-import json
 import re
-import traceback
-from functools import singledispatch
 
 from tornado.httputil import parse_qs_bytes
-from tornado.web import Application, RequestHandler
+from tornado.web import Application
 
-from sassafrasdoor.backends.connections import Connections, Outgoing, Reply
+from sassafrasdoor.backends.connections import Outgoing, Reply
 from sassafrasdoor.backends.interface import Answer, Broken
-from sassafrasdoor.clock import deadline_in, now
+from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.decisions import note
-from sassafrasdoor.metrics import counter, exposition, histogram
-from sassafrasdoor.outcomes import NotRun, Rejected, Unknown
+from sassafrasdoor.metrics import counter
+from sassafrasdoor.outcomes import NotRun, Rejected
 from sassafrasdoor.platform import steps as documents, wire
+from sassafrasdoor.platform.handlers import (
+    DirectoryHandler,
+    ReadyHandler,
+    WireHandler,
+)
 from sassafrasdoor.requests.direct import DirectRequest
 from sassafrasdoor.steps.durable.service import NotFound, Page
 from sassafrasdoor.table.routes import Repeat
@@ -29,131 +30,15 @@
 """Header of a call that one of our instances hands to another."""
 PEER_TIMEOUT = 1.0
 """Seconds for the other instance: one append, which has 0.8."""
-FRAMES_LOGGED = 2
-LOGGED_PATH = 120
-"""Characters of a caller's path in a log line."""
-DIRECTORY_VALID = 2
-"""Seconds that a directory answer holds. Some callers keep it three times as long,
-and a stopping instance serves on for that time within its eight seconds."""
 LOT = re.compile(r"^/-/lots/([^/?]+)$")
 ITEM = re.compile(r"^/-/items/([^/?]+)$")
 
-ANSWERS = counter("front_answers_total", "Answers to callers, by kind and status.")
 HANDED = counter(
     "front_handed_on_total", "Calls handed to another instance, by result."
 )
-SECONDS = histogram(
-    "front_seconds",
-    "Seconds from a request's head to its answer.",
-    buckets=[0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12],
-)
-
-
-class Parts:
-    """What the handlers use: services, routes, instances and the process's state."""
-
-    __slots__ = ("connections", "direct", "instances", "process", "routes", "steps")
-
-    def __init__(self, direct, instances, process, routes, steps):
-        self.connections = Connections()
-        self.direct = direct
-        self.instances = instances
-        self.process = process
-        self.routes = routes
-        self.steps = steps
-
-
-class _Handler(RequestHandler):
-    """Adds nothing to an answer, and ends its work when the caller leaves."""
-
-    SUPPORTED_METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS")
-
-    def initialize(self, parts):
-        self._parts = parts
-        self._work = None
-        self._left = False
-        self._began = now()
-
-    def prepare(self):
-        self._parts.process.in_flight.add(self)
-
-    def on_finish(self):
-        self._parts.process.in_flight.discard(self)
-
-    def set_default_headers(self):
-        self.clear_header("Server")
-        self.clear_header("Content-Type")
-        self.clear_header("Date")
-
-    def compute_etag(self):
-        return None
-
-    def on_connection_close(self):
-        self._left = True
-        self._parts.process.in_flight.discard(self)
-        if self._work is not None:
-            self._work.cancel()
-
-    async def _while_present(self, coroutine):
-        """Return the coroutine's result; None if the caller has left meanwhile.
-
-        A request that is cancelled because the process ends must raise: Tornado
-        finishes a handler that returns with an empty answer of 200, and a caller
-        would take that for a step accepted or a call answered.
-        """
-        self._work = asyncio.ensure_future(coroutine)
-        try:
-            return await self._work
-        except asyncio.CancelledError:
-            if not self._left:
-                note("request.cut_by_stop", request=self._request_id)
-                raise
-            note("request.caller_left", request=self._request_id)
-            return None
-
-    @property
-    def _request_id(self):
-        return self.request.headers.get(wire.REQUEST_ID, "")
-
-    def _reply(self, status, headers=(), body=b""):
-        self.set_status(status)
-        for name, value in headers:
-            self.add_header(name, value)
-        if self._parts.process.closing:
-            self.set_header("Connection", "close")
-        ANSWERS.inc({"kind": type(self).__name__, "status": str(status)})
-        SECONDS.observe({"kind": type(self).__name__}, now() - self._began)
-        self.finish(body)
-
-    def _reply_json(self, status, document):
-        body = (
-            document if isinstance(document, bytes) else json.dumps(document).encode()
-        )
-        self._reply(status, [("Content-Type", wire.JSON_TYPE)], body)
-
-    def _own_failure(self, outcome):
-        status, headers = failure(outcome)
-        note(
-            "request.not_served",
-            request=self._request_id,
-            path=self.request.path[:LOGGED_PATH],
-            status=status,
-            reason=outcome.reason,
-            seconds=round(now() - self._began, 3),
-        )
-        self._reply(status, headers, (outcome.reason + "\n").encode())
-
-    def log_exception(self, kind, value, trace):
-        frames = traceback.format_tb(trace)[-FRAMES_LOGGED:]
-        where = "".join(frames)
-        reason = repr(value)
-        note("request.failed", request=self._request_id, reason=reason, where=where)
 
-    def write_error(self, status_code, **kwargs):
-        self._reply(status_code)
 
-
-class FrontHandler(_Handler):
+class FrontHandler(WireHandler):
     """Everything that reaches the callers' address."""
 
     async def _serve(self):
@@ -312,29 +197,6 @@
 )
 
 
-class ReadyHandler(_Handler):
-    """Whether this instance serves, and its metrics."""
-
-    def get(self):
-        if self.request.path == "/metrics":
-            body, headers = exposition()
-            self._reply(200, list(headers.items()), body)
-        else:
-            self._reply(200 if self._parts.process.ready else 503)
-
-
-class DirectoryHandler(_Handler):
-    """Which addresses a caller should use."""
-
-    def get(self):
-        zone = self.get_query_argument("Zone", "")
-        addresses = self._parts.instances.addresses(zone)
-        if not addresses:
-            self._own_failure(NotRun("no instance known", 1.0))
-            return
-        self._reply_json(200, {"Addresses": addresses, "TtlS": DIRECTORY_VALID})
-
-
 def front_application(parts):
     """Return the application of the callers' address."""
     return _application([(r".*", FrontHandler, {"parts": parts})])
@@ -361,27 +223,6 @@
     return Application(handlers, log_function=lambda handler: None)
 
 
-@singledispatch
-def failure(outcome):
-    """Return ``(status, headers)`` that say to a caller what became of it."""
-    raise TypeError(f"no answer for {type(outcome).__name__}")
-
-
-@failure.register
-def _(outcome: NotRun):
-    return 503, [("Retry-After", f"{outcome.retry_after:g}")]
-
-
-@failure.register
-def _(outcome: Unknown):
-    return 504, []
-
-
-@failure.register
-def _(outcome: NotFound):
-    return 404, []
-
-
 def _whole(text, default):
     try:
         return int(text)
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -10,7 +10,12 @@
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.tail import KeyedTail, Tail
-from sassafrasdoor.platform import configuration, front, settings as platform_settings
+from sassafrasdoor.platform import (
+    configuration,
+    front,
+    handlers,
+    settings as platform_settings,
+)
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
 from sassafrasdoor.requests.direct import DirectService
@@ -168,7 +173,7 @@
         ]
 
     def _listen(self):
-        parts = front.Parts(
+        parts = handlers.Parts(
             DirectService(self._client, self._replicas),
             self._instances,
             self,
--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -20,19 +20,18 @@
 from sassafrasdoor.fetch import NO_REPLY, reply_to
 from sassafrasdoor.platform import configuration, wire
 from sassafrasdoor.platform.local import LocalInstance
+from sassafrasdoor.platform.soak_faults import ENGINES, MODEL, SETTLE, Faults
 from sassafrasdoor.platform.standin import ReplicaStandin, StoreStandin
 from sassafrasdoor.soak import checks
 from sassafrasdoor.soak.checks import Call, StepSeen, Violations
-from sassafrasdoor.soak.schedule import Kind, schedule
+from sassafrasdoor.soak.schedule import schedule
 from sassafrasdoor.standin.proxy import Proxy
 
-HOST, MODEL, ENGINES, PLAIN = "h.example", "m", "engines", "plain"
+HOST, PLAIN = "h.example", "plain"
 EVENTS, ITEMS = 6, 6
 REPLICAS = 3
 CALL_EVERY, STEP_EVERY, READ_EVERY = 0.05, 1.0, 0.4
 CALL_TIMEOUT = 4.0
-SETTLE = 45.0
-"""Seconds for everything to come back once the last fault has ended."""
 BROKEN = 1
 
 ROUTE = {
@@ -88,7 +87,7 @@
     return "\n".join(f"{item_id}.{number}" for number in range(EVENTS))
 
 
-class Soak:
+class Soak(Faults):
     """One run: a cluster, its callers, its faults and what was seen."""
 
     def __init__(self, seed, seconds, instances, folder):
@@ -305,103 +304,6 @@
             self.violations.add("whole pages", step_id)
             return None
 
-    # Faults.
-
-    async def _inject(self, fault):
-        print(f"seed {self._seed}: {fault}", flush=True)
-        await _INJECT[fault.kind](self, fault)
-
-    async def _kill(self, fault):
-        self._instances[fault.target].kill()
-        await asyncio.sleep(fault.lasts)
-        self._again(fault.target)
-
-    async def _kill_all(self, fault):
-        for instance in self._instances:
-            instance.kill()
-        await asyncio.sleep(fault.lasts)
-        for at in range(self._count):
-            self._again(at)
-
-    def _again(self, at):
-        if not self._instances[at].running:
-            self._instances[at].start()
-
-    async def _terminate(self, fault):
-        instance = self._instances[fault.target]
-        instance.signal(signal.SIGTERM)
-        limit = deadline_in(SETTLE)
-        while instance.running and not passed(limit):  # noqa: ASYNC110
-            await asyncio.sleep(0.1)
-        if instance.running:
-            self.violations.add("planned stop ends", instance.name)
-            instance.kill()
-        self._again(fault.target)
-
-    async def _pause(self, fault):
-        instance = self._instances[fault.target]
-        instance.signal(signal.SIGSTOP)
-        await asyncio.sleep(fault.lasts)
-        instance.signal(signal.SIGCONT)
-
-    async def _cut_off(self, fault):
-        await self._path_fault(fault, {"freeze": True})
-
-    async def _delay(self, fault):
-        await self._path_fault(fault, {"delay": 0.2})
-
-    async def _one_way(self, fault):
-        await self._path_fault(fault, {"blackhole": "down"})
-
-    async def _path_fault(self, fault, document):
-        proxy = self._proxies[fault.target]
-        proxy.set(document)
-        await asyncio.sleep(fault.lasts)
-        proxy.set({"clear": True, "cut": "blackhole" in document})
-
-    async def _reset(self, fault):
-        self._proxies[fault.target].cut()
-
-    async def _log_down(self, fault):
-        self._store.log.down = True
-        await asyncio.sleep(fault.lasts)
-        self._store.log.down = False
-
-    async def _log_loses(self, fault):
-        self._store.log.lose_replies, self._store.log.land_late = 3, None
-
-    async def _log_late(self, fault):
-        self._store.log.lose_replies, self._store.log.land_late = 3, fault.lasts
-
-    async def _full(self, fault):
-        replica = self._replica(fault)
-        replica.full = True
-        await asyncio.sleep(fault.lasts)
-        replica.full = False
-
-    async def _break(self, fault):
-        self._engines[fault.target].break_after += [0, 2, 4]
-
-    async def _fail(self, fault):
-        self._plain[fault.target].failures += [500, 503, 500]
-
-    async def _leave(self, fault):
-        """A replica says that it leaves, and is listed anew later."""
-        replica = self._engines[fault.target]
-        entry = replica.entry(ENGINES, [MODEL], state="draining")
-        await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
-        await asyncio.sleep(fault.lasts)
-        entry = replica.entry(ENGINES, [MODEL])
-        await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
-
-    async def _reconfigure(self, fault):
-        if not self._store.log.down:
-            self._version += 1
-            await self._configure()
-
-    def _replica(self, fault):
-        return (self._engines + self._plain)[fault.target]
-
     # The end.
 
     async def _settle(self):
@@ -458,26 +360,6 @@
         )
 
 
-_INJECT = {
-    Kind.KILL: Soak._kill,
-    Kind.KILL_ALL: Soak._kill_all,
-    Kind.STOP: Soak._terminate,
-    Kind.PAUSE: Soak._pause,
-    Kind.CUT_OFF: Soak._cut_off,
-    Kind.DELAY: Soak._delay,
-    Kind.RESET: Soak._reset,
-    Kind.ONE_WAY: Soak._one_way,
-    Kind.LOG_DOWN: Soak._log_down,
-    Kind.LOG_LOSES: Soak._log_loses,
-    Kind.LOG_LATE: Soak._log_late,
-    Kind.FULL: Soak._full,
-    Kind.BREAK: Soak._break,
-    Kind.FAIL: Soak._fail,
-    Kind.LEAVE: Soak._leave,
-    Kind.CONFIGURE: Soak._reconfigure,
-}
-
-
 def main(
     seed: int = typer.Option(1, help="First seed."),
     seeds: int = typer.Option(1, help="How many seeds, one after the other."),
--- /dev/null
+++ b/sassafrasdoor/platform/soak_faults.py
@@ -0,0 +1,131 @@
+"""What each kind of fault does to the soak's processes, paths and stand-ins."""
+
+import asyncio
+import signal
+
+from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.platform import configuration
+from sassafrasdoor.soak.schedule import Kind
+
+MODEL, ENGINES = "m", "engines"
+SETTLE = 45.0
+"""Seconds for everything to come back once the last fault has ended."""
+
+
+class Faults:
+    """The part of a soak that does harm; ``Soak`` has the rest."""
+
+    async def _inject(self, fault):
+        print(f"seed {self._seed}: {fault}", flush=True)
+        await _INJECT[fault.kind](self, fault)
+
+    async def _kill(self, fault):
+        self._instances[fault.target].kill()
+        await asyncio.sleep(fault.lasts)
+        self._again(fault.target)
+
+    async def _kill_all(self, fault):
+        for instance in self._instances:
+            instance.kill()
+        await asyncio.sleep(fault.lasts)
+        for at in range(self._count):
+            self._again(at)
+
+    def _again(self, at):
+        if not self._instances[at].running:
+            self._instances[at].start()
+
+    async def _terminate(self, fault):
+        instance = self._instances[fault.target]
+        instance.signal(signal.SIGTERM)
+        limit = deadline_in(SETTLE)
+        while instance.running and not passed(limit):  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+        if instance.running:
+            self.violations.add("planned stop ends", instance.name)
+            instance.kill()
+        self._again(fault.target)
+
+    async def _pause(self, fault):
+        instance = self._instances[fault.target]
+        instance.signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.lasts)
+        instance.signal(signal.SIGCONT)
+
+    async def _cut_off(self, fault):
+        await self._path_fault(fault, {"freeze": True})
+
+    async def _delay(self, fault):
+        await self._path_fault(fault, {"delay": 0.2})
+
+    async def _one_way(self, fault):
+        await self._path_fault(fault, {"blackhole": "down"})
+
+    async def _path_fault(self, fault, document):
+        proxy = self._proxies[fault.target]
+        proxy.set(document)
+        await asyncio.sleep(fault.lasts)
+        proxy.set({"clear": True, "cut": "blackhole" in document})
+
+    async def _reset(self, fault):
+        self._proxies[fault.target].cut()
+
+    async def _log_down(self, fault):
+        self._store.log.down = True
+        await asyncio.sleep(fault.lasts)
+        self._store.log.down = False
+
+    async def _log_loses(self, fault):
+        self._store.log.lose_replies, self._store.log.land_late = 3, None
+
+    async def _log_late(self, fault):
+        self._store.log.lose_replies, self._store.log.land_late = 3, fault.lasts
+
+    async def _full(self, fault):
+        replica = self._replica(fault)
+        replica.full = True
+        await asyncio.sleep(fault.lasts)
+        replica.full = False
+
+    async def _break(self, fault):
+        self._engines[fault.target].break_after += [0, 2, 4]
+
+    async def _fail(self, fault):
+        self._plain[fault.target].failures += [500, 503, 500]
+
+    async def _leave(self, fault):
+        """A replica says that it leaves, and is listed anew later."""
+        replica = self._engines[fault.target]
+        entry = replica.entry(ENGINES, [MODEL], state="draining")
+        await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+        await asyncio.sleep(fault.lasts)
+        entry = replica.entry(ENGINES, [MODEL])
+        await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+
+    async def _reconfigure(self, fault):
+        if not self._store.log.down:
+            self._version += 1
+            await self._configure()
+
+    def _replica(self, fault):
+        return (self._engines + self._plain)[fault.target]
+
+
+_INJECT = {
+    Kind.KILL: Faults._kill,
+    Kind.KILL_ALL: Faults._kill_all,
+    Kind.STOP: Faults._terminate,
+    Kind.PAUSE: Faults._pause,
+    Kind.CUT_OFF: Faults._cut_off,
+    Kind.DELAY: Faults._delay,
+    Kind.RESET: Faults._reset,
+    Kind.ONE_WAY: Faults._one_way,
+    Kind.LOG_DOWN: Faults._log_down,
+    Kind.LOG_LOSES: Faults._log_loses,
+    Kind.LOG_LATE: Faults._log_late,
+    Kind.FULL: Faults._full,
+    Kind.BREAK: Faults._break,
+    Kind.FAIL: Faults._fail,
+    Kind.LEAVE: Faults._leave,
+    Kind.CONFIGURE: Faults._reconfigure,
+}
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -10,7 +10,7 @@
 
 from sassafrasdoor.backends.interface import Answer
 from sassafrasdoor.outcomes import NotRun, Unknown
-from sassafrasdoor.platform import front, wire
+from sassafrasdoor.platform import front, handlers, wire
 from sassafrasdoor.steps.durable.service import NotFound, Page
 from sassafrasdoor.steps.durable.tests.fixtures import (
     HOST,
@@ -81,7 +81,7 @@
         plain = route(prefix=PLAIN, repeat=Repeat.SAFE)
         self.routes = routes_in_force(route(), plain)
         self.process = Process()
-        self.parts = front.Parts(
+        self.parts = handlers.Parts(
             self.service, Instances(), self.process, self.routes, self.service
         )
         self.address = self.serve(front.front_application(self.parts))
--- /dev/null
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -0,0 +1,98 @@
+"""One item on its way to its sample: what was received, and what is kept of it."""
+
+import uuid
+
+from sassafrasdoor.clock import now
+from sassafrasdoor.steps.durable.records import Progress
+
+
+class Job:
+    """An item on its way: what was received of it and its running attempt.
+
+    ``kept`` is how many of its events are in the log, under the name ``run``.
+    """
+
+    __slots__ = (
+        "attempts",
+        "failures",
+        "item",
+        "keep_at",
+        "kept",
+        "last_event_at",
+        "moves",
+        "numbers",
+        "replica",
+        "run",
+        "step",
+        "task",
+        "texts",
+        "versions",
+        "why",
+    )
+
+    def __init__(self, step, item):
+        self.step = step
+        self.item = item
+        self.task = None
+        self.replica = None
+        self.attempts = 0
+        self.moves = 0
+        self.failures = step.failures.get(item.item_id, 0)
+        self.restart()
+        self._resume(step)
+
+    @property
+    def key(self):
+        """What names the job: the same item may stand in several steps."""
+        return (self.step.spec.step_id, self.item.item_id)
+
+    def restart(self):
+        """Forget what was received."""
+        self.texts = []
+        self.versions = []
+        self.numbers = []
+        self.last_event_at = None
+        self.why = ""
+        self.run = uuid.uuid4().hex[:12]
+        self.kept = 0
+        self.keep_at = None
+
+    @property
+    def last_number(self):
+        """The number of the last event received, or None."""
+        return self.numbers[-1] if self.numbers else None
+
+    def _resume(self, step):
+        """Go on from what a former runner kept, if its weights are new enough.
+
+        The events are kept anew under the name of this run: the former runner may
+        still add to its own.
+        """
+        beginning = step.beginning(self.item.item_id)
+        if beginning is None or min(beginning.versions) < step.spec.min_version:
+            return
+        self.texts = list(beginning.texts)
+        self.versions = list(beginning.versions)
+        self.numbers = list(beginning.numbers)
+
+    def progress(self):
+        """Return the ``Progress`` of the events not yet kept, or None."""
+        if self.kept >= len(self.numbers):
+            return None
+        first, self.kept = self.kept, len(self.numbers)
+        return Progress(
+            self.step.spec.step_id,
+            self.item.item_id,
+            self.run,
+            first,
+            self.numbers[first:],
+            self.texts[first:],
+            self.versions[first:],
+        )
+
+    def take(self, event):
+        """Append one event's text and the version that made it."""
+        self.texts.append(event.data)
+        self.numbers.append(event.number)
+        self.versions.append(event.version)
+        self.last_event_at = now()
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -39,6 +39,11 @@
 
 
 class RunnerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        # A stream that nobody ends must not end by itself while a test waits.
+        first, module.FIRST_EVENT_TIMEOUT = module.FIRST_EVENT_TIMEOUT, 1000.0
+        self.addCleanup(setattr, module, "FIRST_EVENT_TIMEOUT", first)
+
     async def start(self, client, found=None, routes=None, **step):
         self.client = client
         self.outbox = Outbox()
--- a/sassafrasdoor/steps/durable/tests/test_shards.py
+++ b/sassafrasdoor/steps/durable/tests/test_shards.py
@@ -7,8 +7,8 @@
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.tail import Tail
 from sassafrasdoor.steps.durable import records, shards as module
+from sassafrasdoor.steps.durable.jobs import Job
 from sassafrasdoor.steps.durable.records import Claim, Progress, encode, encode_step
-from sassafrasdoor.steps.durable.runner import Job
 from sassafrasdoor.steps.durable.service import TOPIC
 from sassafrasdoor.steps.durable.shards import Shards
 from sassafrasdoor.steps.durable.state import Steps
