Follow the steps at entry points only

Some 80 appends a second wake 89 readers each, more than the store's 6,000 reads a second, so that the configuration came late too; and after all lost power each read every step.

Ruled out: memory, the processor (0.106 of a core at most).

Change: only the instances that callers are sent to (four a zone, or a fifth of many, the largest first) and holders of shards follow the steps; the others hand reads, bodies and ends on to these. Entry points come first in rank.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -17,6 +17,8 @@
 where the log is slow; every third try waits for a log that is slower still."""
 RETRY_PAUSE = 0.15
 """Seconds between tries while the log is away: back well within a second."""
+UNWANTED_PAUSE = 0.5
+"""Seconds until a partition that is not followed may be wanted."""
 CONFIRM_PAUSE = 0.05
 """Seconds between the reads of a caller who waits for a confirmation."""
 
@@ -26,13 +28,15 @@
 class Tail:
     """Hands each record of a partition to ``fold(offset, record)``, in order.
 
-    ``pause`` (seconds) after each read bounds the reads of a busy partition.
+    ``pause`` (seconds) after each read bounds the reads of a busy partition;
+    ``wanted()`` says whether the partition is to be followed at all at this moment.
     ``confirmed_at`` is the monotonic time at which a read was sent that found
     nothing newer; ``failing_since`` is None while reads succeed; ``restored_at`` is
     when they last began to succeed again.
     """
 
-    def __init__(self, log, topic, part, fold, pause=0.0):
+    def __init__(self, log, topic, part, fold, pause=0.0, wanted=lambda: True):
+        self.wanted = wanted
         self._log = log
         self._topic = topic
         self._part = part
@@ -51,7 +55,10 @@
         """Follow until cancelled."""
         self._running = True
         while True:
-            if not await self.poll(LONG_POLL):
+            if not self.wanted():
+                self.confirmed_at = None
+                await asyncio.sleep(UNWANTED_PAUSE)
+            elif not await self.poll(LONG_POLL):
                 await asyncio.sleep(RETRY_PAUSE)
             elif self._pause:
                 await asyncio.sleep(self._pause)
@@ -88,7 +95,7 @@
         Return True, or False after ``deadline``.
         """
         asked_at = now()
-        while not passed(deadline):
+        while not passed(deadline) and self.wanted():
             if self.confirmed_at is not None and self.confirmed_at >= asked_at:
                 return True
             if not await self._confirm_once():
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -68,6 +68,24 @@
         await asyncio.gather(*(self.tail.confirm(limit) for _ in range(20)))
         self.assertLessEqual(self.log.calls.count(("read", "t", 0)), 2)
 
+    async def test_unwanted_partition_is_not_read(self):
+        """Symptom: every instance of many reads every record, and the log is too slow.
+
+        Sequence: 89 instances start together. Cause: each followed all shards,
+        though callers are sent to sixteen.
+        """
+        wanted = False
+        self.tail.wanted = lambda: wanted
+        task = asyncio.ensure_future(self.tail.run())
+        self.addCleanup(task.cancel)
+        await self.append(b"a")
+        self.assertFalse(await self.tail.confirm(deadline_in(0.2)))
+        self.assertEqual(self.folded, [])
+        wanted = True
+        async with asyncio.timeout(20):
+            while not self.folded:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
     async def test_outage_is_remembered_with_its_end(self):
         self.log.down = True
         await self.tail.poll(0)
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -28,8 +28,9 @@
 NO_CONFIGURATION_RETRY_AFTER = 0.5
 HANDED_ON = "X-Handed-On"
 """Header of a call that one of our instances hands to another."""
-PEER_TIMEOUT = 1.0
-"""Seconds for the other instance: one append, which has 0.8."""
+PEER_TIMEOUT = 1.8
+"""Seconds for the other instance: an append, which has 0.8, or a reader's wait of one
+second."""
 LOT = re.compile(r"^/-/lots/([^/?]+)$")
 ITEM = re.compile(r"^/-/items/([^/?]+)$")
 
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -83,7 +83,13 @@
             settings.cores,
         )
         self._tails = [
-            Tail(self._store, TOPIC, shard, self._fold_of(shard))
+            Tail(
+                self._store,
+                TOPIC,
+                shard,
+                self._fold_of(shard),
+                wanted=self._follows_steps,
+            )
             for shard in range(shards + 1)
         ]
         self._outboxes = [
@@ -213,6 +219,16 @@
             server.conn_params.max_header_size = limits.header_bytes
             server.conn_params.max_body_size = limits.body_bytes
 
+    def _follows_steps(self):
+        """Say whether this instance reads the steps' records itself.
+
+        A process that runs a shard does so also when callers are sent elsewhere: it
+        must learn of ended steps.
+        """
+        if not self._instances.tail.loaded:
+            return False
+        return self._instances.is_entry_point or self._shards.holding
+
     def _fold_of(self, shard):
         return lambda offset, data: self._steps.fold(shard, offset, data)
 
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -31,6 +31,7 @@
 """Callers of a zone are sent to four instances, or a fifth of many: each instance that
 serves a service keeps connections of its own to its replicas, and they cost most when
 they are seldom used."""
+ENTRY_KEY = "entry"
 FEWEST_IN_ZONE = 2
 """With fewer instances in the caller's zone it is sent to all zones."""
 
@@ -88,23 +89,42 @@
         alive = [one for one in self._seen.values() if self._is_alive(one)]
         if self._is_cut_off and len(alive) > 1:
             alive = [one for one in alive if one.address != self._address]
-        near = [one.address for one in alive if one.zone == zone]
+        near = [one for one in alive if one.zone == zone]
         if len(near) >= FEWEST_IN_ZONE:
-            most = max(USUAL_IN_ZONE, len(near) // ZONE_PARTS)
-            return ranked(near, zone)[: min(most, MOST_ADDRESSES)]
-        found = near + [one.address for one in alive if one.zone != zone]
+            return _entry_points(near)[:MOST_ADDRESSES]
+        zones = sorted({one.zone for one in alive}, key=lambda name: name != zone)
+        found = []
+        for name in zones:
+            found += _entry_points([one for one in alive if one.zone == name])
         if not found and not self._leaving:
             found = [self._address]
         return found[:MOST_ADDRESSES]
 
     def peers(self):
-        """Return the addresses of other instances, those of this zone first."""
+        """Return the addresses of other entry points, those of this zone first."""
         zone = self._settings.availability_zone
-        others = [one for one in self._seen.values() if one.address != self._address]
-        alive = [one for one in others if self._is_alive(one)]
-        random.shuffle(alive)
-        alive.sort(key=lambda one: one.zone != zone)
-        return [one.address for one in alive]
+        alive = [one for one in self._seen.values() if self._is_alive(one)]
+        zones = {one.address: one.zone for one in alive if one.address != self._address}
+        found = [one for one in self._all_entry_points(alive) if one in zones]
+        random.shuffle(found)
+        found.sort(key=lambda address: zones[address] != zone)
+        return found
+
+    @property
+    def is_entry_point(self):
+        """Whether callers are sent here; also while no other instance is known.
+
+        Only entry points follow the steps: where many instances would, the log
+        could not send every record to all of them.
+        """
+        alive = [one for one in self._seen.values() if self._is_alive(one)]
+        known = any(one.address == self._address for one in alive)
+        return not known or self._address in self._all_entry_points(alive)
+
+    def _all_entry_points(self, alive):
+        zones = {one.zone for one in alive}
+        parts = [[one for one in alive if one.zone == zone] for zone in zones]
+        return {address for part in parts for address in _entry_points(part)}
 
     @property
     def _is_cut_off(self):
@@ -119,15 +139,15 @@
     def ranking(self, key):
         """Return this instance's place among the living for ``key``, 0 for the first.
 
-        Those with the most processor come first: what ``key`` stands for is done by
-        one of them. All agree on the order as far as they agree on who lives.
+        Entry points come first, and of these the ones with the most processor: what
+        ``key`` stands for is done by one of them. All agree on the order as far as they agree on who lives.
         """
-        cores = {
-            one.address: one.cores for one in self._seen.values() if self._is_alive(one)
-        }
+        alive = [one for one in self._seen.values() if self._is_alive(one)]
+        cores = {one.address: one.cores for one in alive}
         cores[self._address] = self._cores
+        entry_points = self._all_entry_points(alive)
         order = ranked(cores, key)
-        order.sort(key=lambda address: -cores[address])
+        order.sort(key=lambda address: (address not in entry_points, -cores[address]))
         return order.index(self._address)
 
     def _is_alive(self, one):
@@ -161,3 +181,12 @@
             self._seen[key] = _Seen(json.loads(value))
         except (ValueError, KeyError, TypeError) as error:
             note("instance.record_unreadable", key=key, reason=str(error))
+
+
+def _entry_points(near):
+    """Return the addresses in one zone that callers are sent to, the largest first."""
+    most = max(USUAL_IN_ZONE, len(near) // ZONE_PARTS)
+    cores = {one.address: one.cores for one in near}
+    order = ranked(cores, ENTRY_KEY)
+    order.sort(key=lambda address: -cores[address])
+    return order[:most]
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -94,6 +94,16 @@
         named = [tuple(one.addresses("d")) for one in self.all]
         self.assertEqual(len(named[0]), module.USUAL_IN_ZONE)
         self.assertEqual(len(set(named)), 1)
+        self.assertLessEqual(set(named[0]), {*self.all[0].peers()})
+        self.assertTrue(all(one.is_entry_point for one in self.all))
+        newcomers = [instance(self.log, f"i{at}", "d") for at in range(10, 30)]
+        for one in newcomers:
+            await one.tail.poll(0)
+        entries = [one._address for one in newcomers if one.is_entry_point]
+        self.assertEqual(set(entries), set(named[0]))
+        self.assertTrue(
+            all(one.ranking("x") >= 9 for one in newcomers if not one.is_entry_point)
+        )
 
     async def test_lonely_instance_names_itself(self):
         alone = instance(MemoryPartitionedLog(), "x", "a")
--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -79,6 +79,11 @@
         self._tasks = set()
         steps.on_claim(self._claimed)
 
+    @property
+    def holding(self):
+        """Whether this process runs any shard."""
+        return bool(self._held)
+
     async def run(self):
         """Claim and renew until cancelled."""
         while True:
