--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -17,8 +17,8 @@
 where the log is slow; every third try waits for a log that is slower still."""
 RETRY_PAUSE = 0.15
 """Seconds between tries while the log is away: back well within a second."""
-UNWANTED_PAUSE = 0.5
-"""Seconds until a partition that is not followed may be wanted."""
+UNWANTED_PAUSE = 0.1
+"""Seconds between looks at whether a partition is wanted: a start waits for one."""
 CONFIRM_PAUSE = 0.05
 """Seconds between the reads of a caller who waits for a confirmation."""
 
