End a stream of too old weights at once; drop what nothing uses

Cause: reading the whole change as a newcomer: a sample whose first event came from weights older than its step allows was refused, but its stream was read to the end before the item went elsewhere. Route fields, a conditional append and a settings figure had no reader.

Change: the attempt is ended at its first such event; the unused names are gone.

--- a/sassafrasdoor/log/memory_partitioned.py
+++ b/sassafrasdoor/log/memory_partitioned.py
@@ -6,7 +6,6 @@
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.log.partitioned import (
     Appended,
-    Conflict,
     NewestKeys,
     PartitionedLog,
     RawBatch,
@@ -74,14 +73,12 @@
         """Return a partition, made on first use."""
         return self._partitions.setdefault((topic, part), Partition())
 
-    async def append(self, topic, part, records, deadline, at=None):
-        """Append; with ``at`` only if the partition ends there, else ``Conflict``."""
+    async def append(self, topic, part, records, deadline):
+        """Append all records."""
         self.calls.append(("append", topic, part))
         if self.down:
             return Unavailable("down")
         partition = self.partition(topic, part)
-        if at is not None and partition.end != at:
-            return Conflict("partition ends elsewhere", partition.end)
         if self.lose_replies > 0:
             self.lose_replies -= 1
             self._unanswered(topic, part, records)
--- a/sassafrasdoor/log/partitioned.py
+++ b/sassafrasdoor/log/partitioned.py
@@ -7,8 +7,6 @@
 
 from abc import ABC, abstractmethod
 
-from sassafrasdoor.outcomes import Outcome
-
 
 class Appended:
     """An acknowledged append: ``first`` offset of it and ``end`` of the partition."""
@@ -46,16 +44,6 @@
         self.end = end
 
 
-class Conflict(Outcome):
-    """A conditional append found the partition at another ``end``."""
-
-    __slots__ = ("end",)
-
-    def __init__(self, reason, end):
-        super().__init__(reason)
-        self.end = end
-
-
 class PartitionedLog(ABC):
     """The log. Every call may return ``Unavailable``: then it took no effect."""
 
--- a/sassafrasdoor/platform/configuration.py
+++ b/sassafrasdoor/platform/configuration.py
@@ -50,13 +50,9 @@
         services=services,
         timeout=timeout,
         target=(one.get("TargetLatencyMs") or timeout * 1000) / 1000,
-        priority=one.get("Priority", 0),
         attempts=max(1, one.get("MaxAttempts") or 1),
         keep_for=float(one.get("RetentionS") or DEFAULT_KEEP_S),
-        run_for=(one.get("RunDeadlineMs") or 0) / 1000,
         one_version=bool(one.get("SingleVersion")),
-        streaming=bool(one.get("Streaming")) or one["Kind"] == "streaming",
-        resumable=bool(one.get("Resumable")),
     )
 
 
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -17,7 +17,6 @@
     "Bounds.GraceS": 8.0,
     "Bounds.LeaseMs": 3000.0,
     "Bounds.StatusS": 120.0,
-    "Bounds.ttl_max_s": 5.0,
     "Platform.RecordBytes": 262144.0,
     "Platform.parts": 12.0,
     "Limits.CpuShare": 1.0,
@@ -35,13 +34,12 @@
 
     ``stop_within`` is how long a planned stop may take, ``lease`` the time that two
     holders of a duty must lie apart where replicas do not check fencing numbers,
-    ``fenced`` whether they do, ``results_kept`` how long a step's samples are
-    read after its submission, ``answers_kept`` the longest that callers keep a
-    directory answer, ``cores`` how much processor the instance has, ``product`` the product's own ``Settings``.
+    ``fenced`` whether they do, ``results_kept`` how long a step's samples are read
+    after its submission, ``cores`` how much processor the instance has, ``product``
+    the product's own ``Settings``.
     """
 
     __slots__ = (
-        "answers_kept",
         "cores",
         "directory",
         "front",
@@ -107,7 +105,6 @@
     found.lease = numbers["Bounds.LeaseMs"] / 1000
     found.fenced = fields.get("Bounds.RequireFencing", "").lower() == "true"
     found.results_kept = numbers["Bounds.StatusS"]
-    found.answers_kept = numbers["Bounds.ttl_max_s"]
     found.record_bytes = int(numbers["Platform.RecordBytes"])
     found.cores = numbers["Limits.CpuShare"] * numbers["Limits.Cores"]
     found.partitions = int(numbers["Platform.parts"])
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -126,10 +126,6 @@
             if one.listing.service == service and one.usable
         ]
 
-    def all_usable(self):
-        """Return every replica that may get work."""
-        return [one for one in self._known.values() if one.usable]
-
     def get(self, identity):
         """Return the replica, or None."""
         return self._known.get(identity)
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -35,8 +35,13 @@
 """How many times slower than another a replica is before its samples move: replicas
 differ by 1.3, a full one is 1.4 times slower than an idle one; a slow one 2.4 to 4."""
 MOST_MOVES = 2
-SILENT, MOVED = "silent", "moved"
-ENDED_HERE = {SILENT: "stream went silent", MOVED: "moved from a slow replica"}
+SILENT, MOVED, OLD = "silent", "moved", "old version"
+ENDED_HERE = {
+    SILENT: "stream went silent",
+    MOVED: "moved from a slow replica",
+    OLD: "weights older than the step allows",
+}
+"""Why an attempt was given up here, and what is said of it."""
 KEEP_INTERVAL = 1.2
 """Seconds between records of an unfinished sample, and before its first: most samples
 end sooner and need none. Long ones run for six seconds; one that began anew with the
@@ -301,8 +306,9 @@
     def _event(self, job, event, timeout):
         """Take one event; return whether the stream is to go on."""
         if event.version and event.version < job.step.spec.min_version:
-            job.why = "old version"
+            job.why = OLD
             job.replica.told_version(job.step.spec.model, event.version)
+            job.task.cancel()
             return False
         timeout.reschedule(None)
         if job.last_event_at is not None:
@@ -313,8 +319,8 @@
     def _judge(self, job, replica, route, result):
         """Act on what became of an attempt."""
         ATTEMPTS.inc({"result": type(result).__name__})
-        if job.why == "old version":
-            self._again(job, replica, "weights older than the step allows")
+        if job.why == OLD:
+            self._again(job, replica, ENDED_HERE[OLD])
         elif result is True:
             replica.state.answered()
             self._completed(job, replica, route)
--- a/sassafrasdoor/steps/durable/tests/fixtures.py
+++ b/sassafrasdoor/steps/durable/tests/fixtures.py
@@ -26,13 +26,9 @@
         "services": [(SERVICE, 1)],
         "timeout": 5.0,
         "target": 0.5,
-        "priority": 0,
         "attempts": 3,
         "keep_for": 30.0,
-        "run_for": 7.5,
         "one_version": False,
-        "streaming": False,
-        "resumable": True,
     }
     return Route(**{**fields, **changes})
 
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -35,12 +35,8 @@
         "name",
         "one_version",
         "prefix",
-        "priority",
         "repeat",
-        "resumable",
-        "run_for",
         "services",
-        "streaming",
         "target",
         "timeout",
     )
--- a/sassafrasdoor/weights/tests/test_named.py
+++ b/sassafrasdoor/weights/tests/test_named.py
@@ -90,7 +90,7 @@
     def at(self, model, version):
         return [
             one.identity
-            for one in self.replicas.all_usable()
+            for one in self.replicas.of_service(SERVICE)
             if one.versions.get(model) == version
         ]
 
