Hold the lines that the operations page needs

Cause: docs/OPERATIONS.md goes from an id to its cause by lines that no test required: a refused call, a sample whose stream was cut, a step whose runner died.

Change: a test plays each on real processes and finds the cause with the same reader as the page (timeline.lines) over the processes' logs.

--- a/sassafrasdoor/platform/tests/test_processes.py
+++ b/sassafrasdoor/platform/tests/test_processes.py
@@ -17,6 +17,7 @@
 from sassafrasdoor.standin.proxy import Proxy
 from sassafrasdoor.steps.durable.records import CLAIM
 from sassafrasdoor.steps.durable.service import TOPIC, shard_of
+from sassafrasdoor.timeline.lines import select
 
 HOST, MODEL, ENGINES, PLAIN = "h.example", "m", "engines", "plain"
 PATIENCE = 60.0
@@ -293,6 +294,67 @@
         named = await self.fetch(self.instances[at].directory, "/-/resolve?Zone=z")
         return len(json.loads(named.body)["Addresses"]) == len(self.instances)
 
+    def lines(self, wanted, kind=""):
+        """Return the log lines of all instances that name an id, in order."""
+        texts = []
+        for instance in self.instances:
+            texts += instance.log_path.read_text("utf-8").splitlines()
+        return select(texts, wanted, kind)
+
+    async def line(self, wanted, kind):
+        """Wait for a line and return its fields."""
+        await self.until(lambda: self.lines(wanted, kind))
+        return self.lines(wanted, kind)[-1].fields
+
+    async def test_refused_call_is_explained_by_its_lines(self):
+        """From the id to the cause, as the operations page goes: a refused call."""
+        for replica in self.plain:
+            replica.full = True
+        headers = {wire.REQUEST_ID: "refused"}
+        address = self.instances[1].front
+        reply = await self.fetch(address, "/plain/x", "POST", "b", **headers)
+        self.assertEqual(reply.code, 503)
+        shown = await self.line("refused", "request.not_served")
+        self.assertEqual(shown["status"], 503)
+        given_up = await self.line("refused", "request.given_up")
+        self.assertEqual(given_up["outcome"], "NotRun")
+        self.assertEqual(given_up["replicas"], ["p0", "p1"])
+        tried = self.lines("refused", "request.try_failed")
+        self.assertTrue(all("503" in one.fields["reason"] for one in tried))
+
+    async def test_cut_stream_is_explained_by_its_lines(self):
+        """The same for a sample whose stream was cut off."""
+        for engine in self.engines:
+            engine.break_after = [2] * 4
+        self.assertEqual((await self.submit("s", items=1)).code, 202)
+        await self.until(lambda: self.whole("s"))
+        cut = await self.line("s-0", "item.try_failed")
+        self.assertIn(cut["replica"], {"e0", "e1"})
+        self.assertGreater(cut["events"], 0)
+        made = await self.line("s-0", "item.made")
+        self.assertGreater(made["attempts"], 1)
+        self.assertEqual(made["versions"], [1])
+
+    async def test_late_step_is_explained_by_its_lines(self):
+        """The same for a step whose runner died."""
+        for engine in self.engines:
+            engine.pause = 0.3
+        self.assertEqual((await self.submit("s")).code, 202)
+        await self.until(lambda: sum(len(one.running) for one in self.engines) == 4)
+        dead = self.holder()
+        dead.kill()
+        other = next(at for at, one in enumerate(self.instances) if one is not dead)
+        await self.until(lambda: self.whole("s", other))
+        submitted = await self.line("s", "step.submitted")
+        gained = [
+            one
+            for one in self.lines("", "shard.gained")
+            if one.fields["shard"] == submitted["shard"]
+        ]
+        self.assertEqual([one.process for one in gained][0], dead.name)
+        self.assertNotEqual(gained[-1].process, dead.name)
+        await self.until(lambda: len(self.lines("s", "item.made")) >= 4)
+
     async def test_append_that_lands_late_is_no_refusal(self):
         self.store.log.lose_replies, self.store.log.land_late = 50, 1.0
         reply = await self.submit("s")
