Hand nothing on of an answer that its head has refused

Symptom: a sample's text would hold events of another sample. Found by a new test of passed-on streams, which shares the connection with the samples' streams.

Cause: an answer that belongs to an earlier request is refused by its head, and the connection is closed; but what was already read of its body was still given to the reader of events. With a late answer on a kept connection, that is the body of another request.

Ruled out: the check of the head itself (it refuses, and the exchange ends broken); whole answers (they are dropped with the exchange).

Change: once the head is refused, nothing of the body is handed on. What the reader returns is awaited, for readers that pass on to a slower side.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -98,10 +98,14 @@
             self.close()
 
     def data_received(self, chunk):
+        # A closed connection still hands out what it has read. Taken, the events of an
+        # earlier request would stand in this one's text.
+        if self.refused:
+            return None
         if self._on_data is not None and self.status == 200:
-            self._on_data(chunk)
-        else:
-            self._pieces.append(chunk)
+            return self._on_data(chunk)
+        self._pieces.append(chunk)
+        return None
 
     def finish(self):
         self.whole = True
@@ -144,7 +148,8 @@
         """Return the whole ``Reply``, or ``Broken``; cancelling closes at once.
 
         ``accept(status, headers)`` may refuse an answer by returning a reason;
-        ``on_data`` takes the body of an answer 200 piece by piece.
+        ``on_data`` takes the body of an answer 200 piece by piece; what it returns,
+        unless None, is awaited before more is read.
         """
         try:
             async with asyncio.timeout_at(request.deadline):
--- a/sassafrasdoor/platform/tests/test_servers.py
+++ b/sassafrasdoor/platform/tests/test_servers.py
@@ -109,6 +109,17 @@
         self.assertIsInstance(await self.generate(), Broken)
         self.assertEqual([number for number, _, _ in self.events], [0, 1])
 
+    async def test_events_of_another_request_are_none_of_this_one(self):
+        """Symptom: a text holds pieces of another sample.
+
+        Sequence: on a kept connection the late answer of an earlier request comes
+        first, and all of it was read at once. Cause: the answer is refused by its
+        head, but what was read of its body is still handed on.
+        """
+        await self.start(answer(200, STAMP, f"{wire.REQUEST_ID}: i0", body=EVENTS))
+        self.assertIsInstance(await self.generate(), Broken)
+        self.assertEqual(self.events, [])
+
     async def test_resumed_stream_names_its_last_event(self):
         await self.start(answer(200, STAMP, body=EVENTS))
         await self.generate(after=7)
