Pass callers' streams on event by event, and go on elsewhere

Cause: routes whose answers are streams were served whole at the end: the first word came with the last, and a lost replica cost the whole stream.

Ruled out: passing raw bytes on (a replica may stop inside an event; what goes on elsewhere would double the half); hedging streams (two runs for one text).

Change: requests/streaming passes whole events on with back-pressure; where the route lets a stream be resumed it goes on after the last event passed on, under the first head, also after 1.5 s of silence; else the connection is cut without the end of the answer, also when a handler fails. What both kinds of requests share (budget, judging a send, outcomes) moved to requests/attempts. Header values that come twice reach the replica twice.

--- a/sassafrasdoor/backends/replicas.py
+++ b/sassafrasdoor/backends/replicas.py
@@ -28,9 +28,21 @@
 
 
 class DirectCall:
-    """A caller's request as it goes to a replica; ``headers`` is a list of pairs."""
+    """A caller's request as it goes to a replica; ``headers`` is a list of pairs.
 
-    __slots__ = ("body", "deadline", "fresh", "headers", "method", "path", "request_id")
+    ``after`` is the number of the last event that the caller has got, None for none.
+    """
+
+    __slots__ = (
+        "after",
+        "body",
+        "deadline",
+        "fresh",
+        "headers",
+        "method",
+        "path",
+        "request_id",
+    )
 
     def __init__(self, method, path, headers, body, request_id, deadline, fresh=False):
         self.method = method
@@ -40,6 +52,7 @@
         self.request_id = request_id
         self.deadline = deadline
         self.fresh = fresh
+        self.after = None
 
 
 class SampleOrder:
@@ -92,6 +105,14 @@
     async def call(self, replica, call):
         """Return the ``Answer``, ``NotRun``, ``WrongReplica`` or ``Broken``."""
 
+    @abstractmethod
+    async def stream(self, replica, call, passing):
+        """Pass events on; return True when whole, or as ``call`` does.
+
+        ``passing.head(pairs)`` takes the head of a stream that succeeds, and
+        ``await passing.event(number, block)`` each whole event as it came.
+        """
+
     @abstractmethod
     async def generate(self, replica, order, on_event):
         """Hand on events; return the version, ``SampleFailed``, ``NotRun``, ``Broken``.
--- a/sassafrasdoor/platform/configuration.py
+++ b/sassafrasdoor/platform/configuration.py
@@ -13,7 +13,8 @@
 DEFAULT_TIMEOUT_MS = 10_000
 DEFAULT_KEEP_S = 40.0
 REPEATS = {"safe": Repeat.SAFE, "rollout": Repeat.STEP}
-"""Every other kind of route may run once at most."""
+"""Every other kind of route may run once at most, but streams that can be resumed."""
+STREAMING = "streaming"
 
 
 def configuration_from(document):
@@ -46,7 +47,8 @@
         name=one["Name"],
         host=one["Host"].lower(),
         prefix=one["PathPrefix"],
-        repeat=REPEATS.get(one["Kind"], Repeat.ONCE),
+        repeat=_repeat(one),
+        streams=one["Kind"] == STREAMING,
         services=services,
         timeout=timeout,
         target=(one.get("TargetLatencyMs") or timeout * 1000) / 1000,
@@ -56,6 +58,12 @@
     )
 
 
+def _repeat(one):
+    if one["Kind"] == STREAMING and one.get("Resumable"):
+        return Repeat.RESUME
+    return REPEATS.get(one["Kind"], Repeat.ONCE)
+
+
 def listing_from(document):
     """Return the ``Listing`` in a replica's entry; raises as above."""
     return Listing(
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -1,8 +1,10 @@
 """Callers on the platform's wire: requests and steps."""
 
+import contextlib
 import re
 
 from tornado.httputil import parse_qs_bytes
+from tornado.iostream import StreamClosedError
 from tornado.web import Application
 
 from sassafrasdoor.backends.connections import Outgoing, Reply
@@ -17,7 +19,8 @@
     ReadyHandler,
     WireHandler,
 )
-from sassafrasdoor.requests.direct import DirectRequest
+from sassafrasdoor.requests.attempts import DirectRequest
+from sassafrasdoor.requests.streaming import StreamCaller
 from sassafrasdoor.steps.durable.service import NotFound, Page
 from sassafrasdoor.table.routes import Repeat
 
@@ -85,14 +88,30 @@
             deadline=min(self._deadline(), self._began + route.timeout),
             version=configuration.version,
         )
-        answer = await self._while_present(self._parts.direct.answer(request))
-        if answer is None:
+        if route.streams:
+            await self._stream(request)
             return
+        answer = await self._while_present(self._parts.direct.answer(request))
+        if answer is not None:
+            self._answer(answer)
+
+    def _answer(self, answer):
         if isinstance(answer, Answer):
             self._reply(answer.status, answer.headers, answer.body)
         else:
             self._own_failure(answer)
 
+    async def _stream(self, request):
+        caller = _WireCaller(self)
+        passing = self._parts.streams.answer(request, caller)
+        result = await self._while_present(passing)
+        if result is True:
+            self.finish()
+        elif result is not None and self._headers_written:
+            self._cut()
+        elif result is not None:
+            self._answer(result)
+
     async def _submit(self, route, host, path):
         spec = documents.spec_from(self._request_id, host, path, self.request.body)
         if isinstance(spec, Rejected):
@@ -191,6 +210,29 @@
         return self._began + (stated / 1000 if stated > 0 else LONGEST_WAIT)
 
 
+class _WireCaller(StreamCaller):
+    """Passes a stream on to the caller of a handler."""
+
+    __slots__ = ("_handler",)
+
+    def __init__(self, handler):
+        self._handler = handler
+
+    async def begin(self, headers):
+        self._handler._head(200, headers)
+        await self._flush()
+
+    async def pass_on(self, block):
+        self._handler.write(block)
+        await self._flush()
+
+    async def _flush(self):
+        # A caller who has left is told to the handler, which ends the stream; the
+        # error here would look like one of the replica's connection.
+        with contextlib.suppress(StreamClosedError):
+            await self._handler.flush()
+
+
 _STEP_CALLS = (
     (LOT, "GET", FrontHandler._read),
     (LOT, "DELETE", FrontHandler._end),
--- a/sassafrasdoor/platform/handlers.py
+++ b/sassafrasdoor/platform/handlers.py
@@ -33,11 +33,20 @@
 class Parts:
     """What the handlers use: services, routes, instances and the process's state."""
 
-    __slots__ = ("connections", "direct", "instances", "process", "routes", "steps")
-
-    def __init__(self, direct, instances, process, routes, steps):
+    __slots__ = (
+        "connections",
+        "direct",
+        "instances",
+        "process",
+        "routes",
+        "steps",
+        "streams",
+    )
+
+    def __init__(self, direct, streams, instances, process, routes, steps):
         self.connections = Connections()
         self.direct = direct
+        self.streams = streams
         self.instances = instances
         self.process = process
         self.routes = routes
@@ -97,6 +106,10 @@
         return self.request.headers.get(wire.REQUEST_ID, "")
 
     def _reply(self, status, headers=(), body=b""):
+        self._head(status, headers)
+        self.finish(body)
+
+    def _head(self, status, headers=()):
         self.set_status(status)
         for name, value in headers:
             self.add_header(name, value)
@@ -104,7 +117,18 @@
             self.set_header("Connection", "close")
         ANSWERS.inc({"kind": type(self).__name__, "status": str(status)})
         SECONDS.observe({"kind": type(self).__name__}, now() - self._began)
-        self.finish(body)
+
+    def _cut(self):
+        """Close the connection in the middle of an answer, without its end."""
+        self._auto_finish = False
+        self.request.connection.stream.close()
+
+    def send_error(self, status_code=500, **kwargs):
+        # Tornado would end a begun answer as if it were whole.
+        if self._headers_written:
+            self._cut()
+        else:
+            super().send_error(status_code, **kwargs)
 
     def _reply_json(self, status, document):
         body = (
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -19,6 +19,7 @@
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
 from sassafrasdoor.requests.direct import DirectService
+from sassafrasdoor.requests.streaming import StreamService
 from sassafrasdoor.routing.instances import Instances
 from sassafrasdoor.routing.replicas import Replicas
 from sassafrasdoor.steps.durable.outbox import Outbox
@@ -181,6 +182,7 @@
     def _listen(self):
         parts = handlers.Parts(
             DirectService(self._client, self._replicas),
+            StreamService(self._client, self._replicas),
             self._instances,
             self,
             self._routes,
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -2,6 +2,8 @@
 
 import json
 
+from tornado.httputil import HTTPHeaders
+
 from sassafrasdoor.backends.connections import Connections, Outgoing
 from sassafrasdoor.backends.interface import Answer, Broken, Stale
 from sassafrasdoor.backends.replicas import (
@@ -20,6 +22,8 @@
 ORDER_FENCED = 412
 RETRY_AFTER = 0.1
 VERSION_LINE = wire.VERSIONS.lower()
+EVENT_END = b"\n\n"
+NO_STAMP = "answer without the replica's stamp"
 
 
 class WireReplicas(ReplicaClient):
@@ -36,25 +40,32 @@
 
     async def call(self, replica, call):
         """Return the ``Answer``, ``NotRun``, ``WrongReplica`` or ``Broken``."""
-        headers = dict(call.headers)
-        headers[wire.REQUEST_ID] = call.request_id
-        headers[wire.EXPECT_INSTANCE] = replica.identity
-        headers[wire.DEADLINE] = str(max(1, int(remaining(call.deadline) * 1000)))
-        request = Outgoing(
-            call.method, call.path, headers, call.body, call.deadline, call.fresh
+        reply = await self._send(
+            replica, _outgoing(replica, call), _own(call.request_id)
         )
-        reply = await self._send(replica, request, _own(call.request_id))
-        if isinstance(reply, Broken):
-            return reply
-        refused = _refusal(reply)
-        if refused is not None:
+        return _whole_answer(reply)
+
+    async def stream(self, replica, call, passing):
+        """Pass events on; return True when whole, or as ``call`` does."""
+        blocks = _Blocks()
+        own = _own(call.request_id)
+
+        def accept(status, answered):
+            refused = own(status, answered)
+            if not refused and status == 200:
+                if wire.STAMP not in answered:
+                    return NO_STAMP
+                passing.head(wire.header_pairs(answered, wire.NOT_SENT_BACK))
             return refused
-        if wire.STAMP not in reply.headers:
-            # A head cut short still reads as one. Passed on, the caller would take
-            # half an answer for its own; only the stamp shows whose answer it is.
-            return Broken("answer without the replica's stamp", began=True)
-        pairs = wire.header_pairs(reply.headers, wire.NOT_SENT_BACK)
-        return Answer(reply.status, pairs, reply.body)
+
+        async def take(data):
+            for block in blocks.feed(data):
+                await passing.event(_event_number(block), block + EVENT_END)
+
+        reply = await self._send(replica, _outgoing(replica, call), accept, take)
+        if isinstance(reply, Broken) or reply.status != 200:
+            return _whole_answer(reply)
+        return blocks.whole
 
     async def generate(self, replica, order, on_event):
         """Hand on events; return True, ``SampleFailed``, ``NotRun`` or ``Broken``."""
@@ -78,9 +89,7 @@
         if isinstance(reply, Broken):
             return reply
         if reply.status == 200:
-            return (
-                True if events.at_boundary else Broken("stream ended inside an event")
-            )
+            return events.whole
         refused = _refusal(reply)
         if refused is not None:
             return refused
@@ -123,27 +132,45 @@
         return reply
 
 
+class _Blocks:
+    """Cuts a stream's bytes into events; a half one is kept until its rest comes."""
+
+    __slots__ = ("_rest",)
+
+    def __init__(self):
+        self._rest = b""
+
+    @property
+    def whole(self):
+        """True if the last event is whole, else ``Broken``."""
+        return Broken("stream ended inside an event") if self._rest.strip() else True
+
+    def feed(self, data):
+        """Take bytes of the stream; return the events that they complete."""
+        *whole, self._rest = (self._rest + data).split(EVENT_END)
+        return [block for block in whole if block.strip()]
+
+
 class _EventReader:
-    """Cuts a stream into events; only whole ones are handed on."""
+    """Hands on the events of a sample's stream with their versions."""
 
-    __slots__ = ("_on_event", "_rest", "_stopped", "version")
+    __slots__ = ("_blocks", "_on_event", "_stopped", "version")
 
     def __init__(self, on_event):
         self._on_event = on_event
-        self._rest = b""
+        self._blocks = _Blocks()
         self._stopped = False
         self.version = 0
 
     @property
-    def at_boundary(self):
-        """Whether the last event is whole."""
-        return not self._rest.strip()
+    def whole(self):
+        """True if the last event is whole, else ``Broken``."""
+        return self._blocks.whole
 
     def feed(self, data):
         """Take bytes of the stream."""
-        *whole, self._rest = (self._rest + data).split(b"\n\n")
-        for block in whole:
-            if block.strip() and not self._stopped:
+        for block in self._blocks.feed(data):
+            if not self._stopped:
                 self._event(block)
 
     def _event(self, block):
@@ -163,6 +190,44 @@
             self._stopped = True
 
 
+def _outgoing(replica, call):
+    headers = HTTPHeaders()
+    for name, value in call.headers:
+        headers.add(name, value)
+    headers[wire.REQUEST_ID] = call.request_id
+    headers[wire.EXPECT_INSTANCE] = replica.identity
+    headers[wire.DEADLINE] = str(max(1, int(remaining(call.deadline) * 1000)))
+    if call.after is not None:
+        headers[wire.LAST_EVENT] = str(call.after)
+    return Outgoing(
+        call.method, call.path, headers, call.body, call.deadline, call.fresh
+    )
+
+
+def _whole_answer(reply):
+    """Return the ``Answer`` in a reply, ``NotRun``, ``WrongReplica`` or ``Broken``."""
+    if isinstance(reply, Broken):
+        return reply
+    refused = _refusal(reply)
+    if refused is not None:
+        return refused
+    if wire.STAMP not in reply.headers:
+        # A head cut short still reads as one. Passed on, the caller would take
+        # half an answer for its own; only the stamp shows whose answer it is.
+        return Broken(NO_STAMP, began=True)
+    pairs = wire.header_pairs(reply.headers, wire.NOT_SENT_BACK)
+    return Answer(reply.status, pairs, reply.body)
+
+
+def _event_number(block):
+    """Return the number of an event, None if it names none."""
+    for line in block.decode("utf-8", "replace").split("\n"):
+        name, _, value = line.partition(":")
+        if name == "id":
+            return _number(value, None)
+    return None
+
+
 def _own(request_id):
     """Return the check that an answer belongs to the request of that id."""
 
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -20,7 +20,8 @@
 )
 from sassafrasdoor.table.routes import Repeat, RoutesInForce
 
-PLAIN = "/plain/"
+PLAIN, STREAM = "/plain/", "/stream/"
+EVENTS = [b"id: 0\ndata: a\n\n", b"id: 1\ndata: b\n\n"]
 SUBMISSION = {
     "Step": 1,
     "Model": "m",
@@ -59,6 +60,28 @@
     answer = submit = read = body = end = _answer
 
 
+class Streams:
+    """Passes events on by a script: blocks, then ``HANG`` or a result."""
+
+    def __init__(self):
+        self.script = []
+        self.cancelled = asyncio.Event()
+
+    async def answer(self, request, caller):
+        for number, step in enumerate(self.script):
+            if step is Service.HANG:
+                try:
+                    await asyncio.Event().wait()
+                finally:
+                    self.cancelled.set()
+            if not isinstance(step, bytes):
+                return step
+            if not number:
+                await caller.begin([(wire.STAMP, "x")])
+            await caller.pass_on(step)
+        return True
+
+
 class Instances:
     def addresses(self, zone):
         return [f"address-in-{zone}"]
@@ -79,10 +102,17 @@
     async def asyncSetUp(self):
         self.service = Service()
         plain = route(prefix=PLAIN, repeat=Repeat.SAFE)
-        self.routes = routes_in_force(route(), plain)
+        stream = route(prefix=STREAM, repeat=Repeat.RESUME, streams=True)
+        self.routes = routes_in_force(route(), plain, stream)
         self.process = Process()
+        self.streams = Streams()
         self.parts = handlers.Parts(
-            self.service, Instances(), self.process, self.routes, self.service
+            self.service,
+            self.streams,
+            Instances(),
+            self.process,
+            self.routes,
+            self.service,
         )
         self.address = self.serve(front.front_application(self.parts))
         self.client = AsyncHTTPClient(force_instance=True)
@@ -180,6 +210,61 @@
         async with asyncio.timeout(20):
             await cancelled.wait()
 
+    async def test_stream_is_passed_on_as_it_comes(self):
+        """Symptom: a reader waits for the first word until the last is written.
+
+        Sequence: a stream that pauses after its first event. Cause: an answer that
+        is collected before it is passed on.
+        """
+        self.streams.script = [EVENTS[0], Service.HANG]
+        reader, writer = await self.connect(STREAM)
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(f"{wire.STAMP}: x".encode(), head)
+        self.assertIn(EVENTS[0], await reader.readuntil(b"data: a\n\n"))
+        writer.close()
+        await asyncio.wait_for(self.streams.cancelled.wait(), 20)
+
+    async def test_ends_of_streams(self):
+        self.streams.script = [*EVENTS, True]
+        response = await self.call(STREAM, "POST", "")
+        self.assertEqual((response.code, response.body), (200, b"".join(EVENTS)))
+        for outcome, status in [(NotRun("full", 0.1), 503), (Unknown("lost"), 504)]:
+            self.streams.script = [outcome]
+            self.assertEqual((await self.call(STREAM, "POST", "")).code, status)
+        self.streams.script = [Answer(500, [], b"no")]
+        self.assertEqual((await self.call(STREAM, "POST", "")).code, 500)
+
+    async def test_part_of_a_stream_never_looks_whole(self):
+        """Symptom: a sign shows half a sentence, and nobody notices.
+
+        Sequence: the stream is lost after an event, or the handler fails. Cause: the
+        connection is ended as after a whole answer.
+        """
+        for loss in (Unknown("lost"), ValueError("a fault of ours")):
+            with self.subTest(loss=loss):
+                self.streams.script = [EVENTS[0], loss]
+                if isinstance(loss, ValueError):
+                    self.streams.answer = self.failing
+                reader, _ = await self.connect(STREAM)
+                data = await reader.read()
+                self.assertIn(EVENTS[0], data)
+                self.assertNotIn(b"\r\n0\r\n", data)
+
+    async def failing(self, request, caller):
+        """Fail after one event."""
+        await caller.begin([])
+        await caller.pass_on(EVENTS[0])
+        raise ValueError("a fault of ours")
+
+    async def connect(self, path):
+        """Send a request on a connection of its own; return reader and writer."""
+        host, _, port = self.address.removeprefix("http://").partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        lines = [f"POST {path} HTTP/1.1", f"Host: {HOST}", "Content-Length: 0", "", ""]
+        writer.write("\r\n".join(lines).encode())
+        return reader, writer
+
     async def test_step_calls(self):
         self.service.result = True
         self.assertEqual((await self.submit()).code, 202)
--- a/sassafrasdoor/platform/tests/test_processes.py
+++ b/sassafrasdoor/platform/tests/test_processes.py
@@ -31,6 +31,21 @@
 ROUTES = [
     {**ROUTE, "Name": "p", "PathPrefix": "/plain/", "Kind": "safe", "Service": PLAIN},
     {**ROUTE, "Name": "s", "PathPrefix": "/s/", "Kind": "rollout", "Service": ENGINES},
+    {
+        **ROUTE,
+        "Name": "o",
+        "PathPrefix": "/o/",
+        "Kind": "streaming",
+        "Service": ENGINES,
+    },
+    {
+        **ROUTE,
+        "Name": "r",
+        "PathPrefix": "/r/",
+        "Kind": "streaming",
+        "Resumable": True,
+        "Service": ENGINES,
+    },
 ]
 SERVICES = [
     {"Name": PLAIN},
@@ -226,6 +241,26 @@
         self.check_texts(await self.until(lambda: self.whole("s")))
         self.assertTrue(any(run.after is not None for run in self.all_runs()))
 
+    async def test_callers_stream_goes_on_elsewhere_or_is_cut(self):
+        """Symptom: a text stops in the middle, or is read twice.
+
+        Sequence: engines break their streams off, some callers leave. Cause: a stream
+        that may be resumed was not, or one that may not was.
+        """
+        front = self.instances[0].front
+        for engine in self.engines:
+            engine.break_after = [2]
+        reply = await self.fetch(front, "/r/1", "POST", "b", **{wire.REQUEST_ID: "r1"})
+        self.assertEqual(reply.code, 200)
+        events = [f"id: {at}\ndata: r1.{at}\n\n" for at in range(4)]
+        self.assertEqual(reply.body.decode(), "".join(events))
+        self.assertEqual([run.after for run in self.all_runs()], [None, 1])
+        for engine in self.engines:
+            engine.break_after = [2]
+        reply = await self.fetch(front, "/o/1", "POST", "b", **{wire.REQUEST_ID: "o1"})
+        self.assertEqual(reply.code, 599)
+        self.assertEqual([run.request_id for run in self.all_runs()].count("o1"), 1)
+
     def all_runs(self):
         return [run for engine in self.engines for run in engine.runs]
 
--- a/sassafrasdoor/platform/tests/test_servers.py
+++ b/sassafrasdoor/platform/tests/test_servers.py
@@ -29,6 +29,20 @@
     return "\r\n".join(lines).encode() + body
 
 
+class Passed:
+    """Records what a stream passes on."""
+
+    def __init__(self):
+        self.headers = []
+        self.events = []
+
+    def head(self, headers):
+        self.headers = headers
+
+    async def event(self, number, block):
+        self.events.append((number, block))
+
+
 class ServersTest(unittest.IsolatedAsyncioTestCase):
     async def start(self, data, cut=False):
         self.heads = []
@@ -88,6 +102,7 @@
         (head,) = self.heads
         self.assertIn(f"{wire.EXPECT_INSTANCE}: i-1\r\n", head)
         self.assertIn(f"{wire.REQUEST_ID}: r1\r\n", head)
+        self.assertIn("X: 1\r\nX: 2\r\n", head)
         left = int(head.partition(f"{wire.DEADLINE}: ")[2].split("\r\n")[0])
         self.assertTrue(0 < left <= 5000)
         self.assertTrue(head.startswith("POST /p?q=1 HTTP/1.1\r\n"))
@@ -99,6 +114,37 @@
         self.assertIs(await self.generate(), True)
         self.assertEqual(self.events, [(0, "a", 3), (1, "b", 4)])
 
+    async def stream(self, after=None):
+        """Pass a stream on; return the outcome, the head and the events."""
+        call = DirectCall("POST", "/p", [], b"", "r1", deadline_in(5))
+        call.after = after
+        self.passed = Passed()
+        return await self.client.stream(self.replica, call, self.passed)
+
+    async def test_stream_is_passed_on_byte_by_byte(self):
+        await self.start(answer(200, STAMP, body=EVENTS))
+        self.assertIs(await self.stream(after=4), True)
+        self.assertIn((wire.STAMP, "x"), self.passed.headers)
+        self.assertEqual([number for number, _ in self.passed.events], [0, 1])
+        self.assertEqual(b"".join(block for _, block in self.passed.events), EVENTS)
+        self.assertIn(f"{wire.LAST_EVENT}: 4\r\n", self.heads[0])
+
+    async def test_ends_of_passed_on_streams(self):
+        half = EVENTS + b"id: 2\ndata: c"
+        cases = [
+            (answer(200, STAMP, body=half), Broken, 2),
+            (answer(200, body=EVENTS), Broken, 0),
+            (answer(200, STAMP, f"{wire.REQUEST_ID}: r0", body=EVENTS), Broken, 0),
+            (answer(500, STAMP), Answer, 0),
+            (answer(503, f"{wire.NOT_RUN}: 1"), NotRun, 0),
+            (answer(421), WrongReplica, 0),
+        ]
+        for data, outcome, events in cases:
+            with self.subTest(data=data):
+                await self.start(data)
+                self.assertIsInstance(await self.stream(), outcome)
+                self.assertEqual(len(self.passed.events), events)
+
     async def test_half_an_event_is_none(self):
         """Symptom: a text ends in the middle of a piece, or holds one twice.
 
--- a/sassafrasdoor/requests/tests/test_direct.py
+++ b/sassafrasdoor/requests/tests/test_direct.py
@@ -7,7 +7,8 @@
 from sassafrasdoor.backends.replicas import WrongReplica
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.outcomes import NotRun, Unknown
-from sassafrasdoor.requests.direct import DirectRequest, DirectService
+from sassafrasdoor.requests.attempts import DirectRequest
+from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.steps.durable.tests.fixtures import replicas, route
 from sassafrasdoor.table.routes import Repeat
 
--- /dev/null
+++ b/sassafrasdoor/requests/tests/test_streaming.py
@@ -0,0 +1,141 @@
+"""Callers' streams: every way in which one may end, and going on elsewhere."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from sassafrasdoor.backends.interface import Answer, Broken
+from sassafrasdoor.backends.replicas import WrongReplica
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.requests import streaming
+from sassafrasdoor.requests.attempts import DirectRequest
+from sassafrasdoor.requests.streaming import StreamService
+from sassafrasdoor.steps.durable.tests.fixtures import replicas, route
+from sassafrasdoor.table.routes import Repeat
+
+ERROR = Answer(500, [], b"no")
+BUSY = Answer(503, [], b"ran, and says busy")
+FULL = NotRun("full")
+GONE = WrongReplica("gone")
+NOT_SENT = Broken("refused", began=False)
+LOST = Broken("lost", began=True)
+HANG = object()
+
+
+class Client:
+    """Plays a script: for each send, how many events and then what outcome."""
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.calls = []
+
+    async def stream(self, replica, call, passing):
+        self.calls.append((replica.identity, call.after))
+        events, outcome = self.script.pop(0)
+        first = 0 if call.after is None else call.after + 1
+        if events is not None:
+            passing.head([("Of", replica.identity)])
+            for number in range(first, first + events):
+                await passing.event(number, b"%d " % number)
+        if outcome is HANG:
+            await asyncio.Event().wait()
+        return outcome
+
+
+class Caller:
+    """Records what it is sent."""
+
+    def __init__(self):
+        self.headers = None
+        self.text = b""
+
+    async def begin(self, headers):
+        self.headers = headers
+
+    async def pass_on(self, block):
+        self.text += block
+
+
+class StreamingTest(unittest.IsolatedAsyncioTestCase):
+    async def stream(self, *script, repeat=Repeat.RESUME, seconds=20.0, **fields):
+        self.client = Client(script)
+        self.caller = Caller()
+        service = StreamService(self.client, replicas(3))
+        request = DirectRequest(
+            route=route(repeat=repeat, streams=True, **fields),
+            method="POST",
+            path="/p",
+            headers=[],
+            body=b"b",
+            request_id="r1",
+            deadline=deadline_in(seconds),
+            version=1,
+        )
+        return await service.answer(request, self.caller)
+
+    async def test_ends_of_streams(self):
+        # script -> outcome if resumable, text; outcome if it may run once, text
+        cases = [
+            ([(3, True)], True, b"0 1 2 ", True, b"0 1 2 "),
+            ([(0, True)], True, b"", True, b""),
+            ([(None, FULL), (2, True)], True, b"0 1 ", True, b"0 1 "),
+            ([(None, GONE), (2, True)], True, b"0 1 ", True, b"0 1 "),
+            ([(None, NOT_SENT), (2, True)], True, b"0 1 ", True, b"0 1 "),
+            ([(None, LOST), (2, True)], True, b"0 1 ", Unknown, b""),
+            ([(0, LOST), (2, True)], True, b"0 1 ", Unknown, b""),
+            ([(2, LOST), (2, True)], True, b"0 1 2 3 ", Unknown, b"0 1 "),
+            ([(2, LOST), (None, ERROR), (1, True)], True, b"0 1 2 ", Unknown, b"0 1 "),
+            ([(1, LOST), (1, LOST), (1, LOST)], Unknown, b"0 1 2 ", Unknown, b"0 "),
+            ([(None, ERROR)] * 3, Answer, b"", Answer, b""),
+            ([(None, BUSY)] * 3, Answer, b"", Unknown, b""),
+            ([(None, FULL)] * 3, NotRun, b"", NotRun, b""),
+        ]
+        for script, resumed, whole, once, part in cases:
+            expected = [(Repeat.RESUME, resumed, whole), (Repeat.ONCE, once, part)]
+            for repeat, outcome, text in expected:
+                with self.subTest(script=script, repeat=repeat):
+                    result = await self.stream(*script, repeat=repeat)
+                    if outcome is True:
+                        self.assertIs(result, True)
+                    else:
+                        self.assertIsInstance(result, outcome)
+                    self.assertEqual(self.caller.text, text)
+
+    async def test_stream_goes_on_after_its_last_event_elsewhere(self):
+        """Symptom: a text holds a piece twice, or pieces of two runs.
+
+        Sequence: a replica is lost after its second event. Cause: the stream was
+        begun anew, or gone on with where it was lost, or under another head.
+        """
+        await self.stream((2, LOST), (1, True))
+        (first, begun), (second, after) = self.client.calls
+        self.assertNotEqual(first, second)
+        self.assertEqual((begun, after), (None, 1))
+        self.assertEqual(self.caller.headers, [("Of", first)])
+
+    async def test_attempts_are_bounded(self):
+        result = await self.stream((1, LOST), (1, LOST), (1, True), attempts=2)
+        self.assertIsInstance(result, Unknown)
+        self.assertEqual(len(self.client.calls), 2)
+
+    async def test_silent_replica_is_left_where_another_can_go_on(self):
+        """Symptom: a reader gives up on a text that stands still.
+
+        Sequence: a replica loses power in the middle of a stream. Cause: nothing but
+        the deadline ends the wait.
+        """
+        with mock.patch.object(streaming, "LONGEST_SILENCE", 0.05):
+            self.assertIs(await self.stream((1, HANG), (1, True)), True)
+            self.assertEqual(self.caller.text, b"0 1 ")
+            result = await self.stream((1, HANG), repeat=Repeat.ONCE, seconds=0.3)
+        self.assertIsInstance(result, Unknown)
+        self.assertEqual(len(self.client.calls), 1)
+
+    async def test_deadline_with_a_run_on_its_way_is_no_refusal(self):
+        result = await self.stream((None, HANG), repeat=Repeat.ONCE, seconds=0.05)
+        self.assertIsInstance(result, Unknown)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sassafrasdoor/steps/durable/tests/fixtures.py
+++ b/sassafrasdoor/steps/durable/tests/fixtures.py
@@ -29,6 +29,7 @@
         "attempts": 3,
         "keep_for": 30.0,
         "one_version": False,
+        "streams": False,
     }
     return Route(**{**fields, **changes})
 
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -16,6 +16,8 @@
 
     SAFE = "safe"
     ONCE = "once"
+    RESUME = "resume"
+    """A stream that another replica can go on with after its last event."""
     STEP = "step"
 
 
@@ -24,6 +26,7 @@
 
     ``services`` are ``(service, weight)`` pairs. ``timeout`` bounds how long a
     caller is kept waiting, ``target`` is the latency the operator wants.
+    ``streams`` says that answers are streams of events, passed on as they come.
     ``keep_for`` is how long a step's sample may go on before it may be given up,
     ``one_version`` forbids samples of several weight versions.
     """
@@ -37,6 +40,7 @@
         "prefix",
         "repeat",
         "services",
+        "streams",
         "target",
         "timeout",
     )
