Count the ids that no line explains

Cause: an operator could follow one id; whether every failed request has a line with its reason could not be told.

--- a/sassafrasdoor/timeline/lines.py
+++ b/sassafrasdoor/timeline/lines.py
@@ -31,7 +31,13 @@
         shown = " ".join(f"{name}={value}" for name, value in self.fields.items())
         return f"{self.at:.6f} {self.process} {self.kind} {shown}"
 
+    @property
+    def explains(self):
+        """Whether it says why something was not done, or who ended it."""
+        return bool(self.fields.get("reason")) or self.kind in SAYS_WHO_ENDED_IT
 
+
+SAYS_WHO_ENDED_IT = {"request.caller_left", "request.cut_by_stop", "request.no_route"}
 NOT_SHOWN = {"timestamp", "process", "message_type", "task_uuid", "task_level"}
 
 
@@ -64,3 +70,14 @@
         and (not wanted or line.names(wanted))
     ]
     return sorted(kept, key=lambda line: line.at)
+
+
+def reasons(texts, wanted):
+    """Return by id the last line that explains what became of it, or None."""
+    found = dict.fromkeys(wanted)
+    for line in select(texts):
+        if line.explains:
+            for one in found:
+                if line.names(one):
+                    found[one] = line
+    return found
--- a/sassafrasdoor/timeline/tests/test_lines.py
+++ b/sassafrasdoor/timeline/tests/test_lines.py
@@ -48,3 +48,22 @@
                 result = CliRunner().invoke(app, words, input=given)
                 self.assertEqual(result.exit_code, 0)
                 self.assertEqual(len(result.output.splitlines()), 3)
+
+    def test_ids_without_a_reason_are_counted(self):
+        """Symptom: a failed request that no line explains goes unnoticed.
+
+        Sequence: r1 was refused with a reason, r2 was answered, r3 is in no line.
+        Cause: only lines that exist are looked at.
+        """
+        texts = [*TEXTS, line(4.0, "two", "request.failed", request="r1", reason="x")]
+        with tempfile.TemporaryDirectory() as folder:
+            log, ids = pathlib.Path(folder) / "log", pathlib.Path(folder) / "ids"
+            log.write_text("\n".join(texts), "utf-8")
+            for wanted, left, code in (("r1\nr2\nr3", 2, 1), ("r1\n", 0, 0)):
+                ids.write_text(wanted, "utf-8")
+                words = ["--lines", str(log), "--reasons-for", str(ids)]
+                result = CliRunner().invoke(app, words)
+                *_, last = result.output.splitlines()
+                count = len(wanted.split())
+                self.assertEqual(last, f"{left} of {count} without a reason")
+                self.assertEqual(result.exit_code, code)
--- a/sassafrasdoor/tools/timeline.py
+++ b/sassafrasdoor/tools/timeline.py
@@ -12,7 +12,7 @@
 from sassafrasdoor.control.instances import InstanceList
 from sassafrasdoor.timeline import export
 from sassafrasdoor.timeline.collector import Collector, Filter
-from sassafrasdoor.timeline.lines import select
+from sassafrasdoor.timeline.lines import reasons, select
 from sassafrasdoor.timeline.sources import ControlSource, EntrySource
 from sassafrasdoor.tools.options import USAGE_ERROR, CaFileOption, VersionOption, read
 
@@ -41,12 +41,19 @@
     lines: list[str] = typer.Option(
         [], help="Read log lines of these files instead; - for standard input."
     ),
+    reasons_for: str = typer.Option(
+        "", help="With --lines: a file of ids, one a line; print why each failed."
+    ),
     version: bool = VersionOption,
 ):
     """Collect the events of all processes and print them in causal order.
 
-    Exit codes: 0 complete, 1 some process could not be read, 2 usage.
+    Exit codes: 0 complete, 1 some process could not be read or some id of
+    --reasons-for has no line with a reason, 2 usage.
     """
+    if lines and reasons_for:
+        _show_reasons(lines, pathlib.Path(reasons_for).read_text("utf-8").split())
+        return
     if lines:
         _show_lines(lines, request or step or instance, kind)
         return
@@ -72,6 +79,23 @@
 
 def _show_lines(paths, wanted, kind):
     """Print the log lines that name an id, over all files, in order of time."""
+    for line in select(_texts(paths), wanted, kind):
+        typer.echo(str(line))
+
+
+def _show_reasons(paths, ids):
+    """Print for each id the line with its reason, and how many have none."""
+    found = reasons(_texts(paths), ids)
+    for one, line in found.items():
+        typer.echo(f"{one}: {line or 'no line with a reason'}")
+    unexplained = sum(line is None for line in found.values())
+    typer.echo(f"{unexplained} of {len(found)} without a reason")
+    if unexplained:
+        raise typer.Exit(INCOMPLETE)
+
+
+def _texts(paths):
+    """Return the lines of all files."""
     texts = []
     for path in paths:
         if path == STANDARD_INPUT:
@@ -79,8 +103,7 @@
         else:
             text = pathlib.Path(path).read_text("utf-8", errors="replace")
             texts.extend(text.splitlines())
-    for line in select(texts, wanted, kind):
-        typer.echo(str(line))
+    return texts
 
 
 async def _run(settings, entries, controls, discover, keep, write, follow, trace):
