Give a replica that failed work again once it may be well

Symptom: a replica that had failed in a row got no call any more as long as the others had room, however long it had been well again.

Cause: failures in a row count as load until the next answer, and without a call there is none. Load is seldom what decides at a few calls a second.

Ruled out: the suspicion itself (it ends after 1 to 8 s); the list.

Change: failures count as load for 2 s beyond the suspicion; then one call finds out. One that may be repeated is sent elsewhere if it fails, and the next suspicion is twice as long.

--- a/sassafrasdoor/routing/backend_state.py
+++ b/sassafrasdoor/routing/backend_state.py
@@ -9,6 +9,9 @@
 MAX_FAILURES = 6
 MAX_SUSPICION_FACTOR = 8
 MISSED_REPORTS = 3
+FAILURES_WEIGH_FOR = 2.0
+"""Seconds beyond the suspicion in which failures still count as load: then one call,
+which may be repeated elsewhere, finds out whether the server is well again."""
 
 
 class BackendState:
@@ -51,6 +54,16 @@
         """Whether it failed so recently, or is silent, that it gets no work."""
         return self._missed >= MISSED_REPORTS or not passed(self._suspect_until)
 
+    @property
+    def weighing_failures(self):
+        """The failures in a row, while they are recent enough to count as load.
+
+        For good they would keep a server that is well again without work for as long
+        as the others have room.
+        """
+        forgotten = passed(self._suspect_until + FAILURES_WEIGH_FOR)
+        return 0 if forgotten else self.failures
+
     @property
     def score(self):
         """Estimated load as a share of capacity; failures count as load.
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -114,6 +114,11 @@
         self._callbacks = []
         self.list_tail = None
 
+    @property
+    def count(self):
+        """How many replicas are known."""
+        return len(self._known)
+
     def on_change(self, callback):
         """Call ``callback()`` when a replica comes, goes or changes."""
         self._callbacks.append(callback)
@@ -191,7 +196,7 @@
         return min(sound, key=self._cost, default=None)
 
     def _cost(self, one):
-        share = (one.load + one.state.failures) / max(1, one.listing.slots)
+        share = (one.load + one.state.weighing_failures) / max(1, one.listing.slots)
         away = 0.0 if one.listing.zone == self._zone else ZONE_PENALTY
         return (share + away, one.identity)
 
