Start without pydantic, and take over settings that change

Cause of the first: after all processes have died callers find nobody until they are up again, and a third of a start went into importing pydantic: for the product's JSON settings, of which four fields were used here, and by typer when it runs a command. Ruled out: compiling our sources (the build leaves them compiled).

Change: the platform's settings hold those four fields themselves; the program reads its two options with argparse (the other programs keep typer).

Before and after, nine starts each: 0.371 and 0.223 s of processor time, peak 43 and 31 MB.

Cause of the second: the settings file was read at the start; a reload only said whether it was valid, and a change without a signal went unseen. Change: it is looked at each second; bounds that are read when needed are taken over, what needs a start is named, an invalid file changes nothing and its findings are logged.

The process tests, which had grown to 450 lines, are two modules over one base now: the same 17 tests and one on settings.

--- a/sassafrasdoor/platform/__main__.py
+++ b/sassafrasdoor/platform/__main__.py
@@ -3,12 +3,13 @@
 Everything runs in one process: a second one would cost its memory again.
 """
 
+# The other programs use typer. To run one command it imports pydantic, a quarter of a
+# start here: callers found nobody for that much longer after all processes had died.
+import argparse
 import asyncio
 import os
 import sys
 
-import typer
-
 from sassafrasdoor import decisions
 from sassafrasdoor.platform import settings
 from sassafrasdoor.platform.process import Process
@@ -16,22 +17,31 @@
 INVALID_SETTINGS = 2
 
 
-def main(
-    check: bool = typer.Option(False, help="Validate the settings only."),
-    metrics_port: int = typer.Option(0, help="Port of the metrics page; 0: none."),
-):
-    """Serve callers, trainers and the directory until SIGTERM."""
+def main(arguments=None):
+    """Serve callers, trainers and the directory until SIGTERM; return the exit code."""
+    given = _parser().parse_args(arguments)
     path = os.environ.get(settings.PATH_VARIABLE, "")
     found = settings.load(path)
     if not found:
         for finding in found.findings:
             print(finding, file=sys.stderr)
-        raise typer.Exit(INVALID_SETTINGS)
-    if check:
-        return
-    decisions.start(found.name)
-    asyncio.run(Process(found, path, metrics_port).run())
+        return INVALID_SETTINGS
+    if not given.check:
+        decisions.start(found.name)
+        asyncio.run(Process(found, path, given.metrics_port).run())
+    return 0
+
+
+def _parser():
+    parser = argparse.ArgumentParser(
+        prog="python3 -m sassafrasdoor.platform", description=main.__doc__
+    )
+    parser.add_argument("--check", action="store_true", help="check the settings only")
+    parser.add_argument(
+        "--metrics-port", type=int, default=0, help="port of the metrics page; 0: none"
+    )
+    return parser
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    sys.exit(main())
--- a/sassafrasdoor/platform/local.py
+++ b/sassafrasdoor/platform/local.py
@@ -49,10 +49,10 @@
         self.name = name
         ports = [f"{LOCAL}:{next(PORTS)}" for _ in range(3)]
         self.front, self.ready, self.directory = ports
-        self._path = pathlib.Path(folder) / f"{name}.conf"
+        self.settings_path = pathlib.Path(folder) / f"{name}.conf"
         fields = {"name": name, "store": store, "front": self.front}
         text = TEXT.format(ready=self.ready, directory=self.directory, **fields)
-        self._path.write_text(text, "utf-8")
+        self.settings_path.write_text(text, "utf-8")
         self.log_path = pathlib.Path(folder) / f"{name}.log"
         self._log = self.log_path.open("ab")
         self.start()
@@ -62,7 +62,7 @@
         self.process = subprocess.Popen(
             [sys.executable, "-m", "sassafrasdoor.platform"],
             cwd=ROOT,
-            env={settings.PATH_VARIABLE: str(self._path), "PATH": ""},
+            env={settings.PATH_VARIABLE: str(self.settings_path), "PATH": ""},
             stdout=self._log,
             stderr=subprocess.STDOUT,
         )
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -47,6 +47,9 @@
 FIRST_IDLE_LIMIT = 60.0
 """Seconds that a connection may idle before the operator's limit is known."""
 CLEANUP_INTERVAL = 10.0
+SETTINGS_INTERVAL = 1.0
+"""Seconds between looks at the settings file; a look is one call to the kernel."""
+MOST_FINDINGS = 5
 KEEP_MARGIN = 60.0
 """Seconds beyond the promised time that finished steps stay readable."""
 BACKLOG = 512
@@ -61,6 +64,7 @@
     def __init__(self, settings, path, metrics_port=0):
         self._settings = settings
         self._path = path
+        self._settings_stamp = platform_settings.stamp(path)
         self._metrics_port = metrics_port
         self._stop = asyncio.Event()
         self._servers = []
@@ -73,14 +77,14 @@
         self._store = Store(settings.store)
         self._client = WireReplicas()
         self._routes = RoutesInForce()
-        self._replicas = Replicas(settings.zone)
+        self._replicas = Replicas(settings.instance.availability_zone)
         self._steps = Steps()
         # The shard after those of the steps is no step's: its holder orders the loads.
         shards = min(SHARDS, settings.partitions - 1)
         self._weights_shard = shards
         member = f"{settings.front}/{uuid.uuid4().hex[:8]}"
         self._instances = Instances(
-            settings.product,
+            settings,
             self._store,
             settings.front,
             settings.front,
@@ -127,7 +131,7 @@
             Duty(self._shards, self._weights_shard, self._settings.name),
             self._replicas,
             self._routes,
-            handover=self._handover,
+            handover=lambda: self._handover,
             work=self._runner,
         )
         self._steps.use(self._weights_shard)
@@ -156,7 +160,11 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        note("process.started", front=self._settings.front, zone=self._settings.zone)
+        note(
+            "process.started",
+            front=self._settings.front,
+            zone=self._settings.instance.availability_zone,
+        )
         self._listen()
         self._routes.on_change(self._apply_limits)
         tasks = lasting(self._jobs())
@@ -178,6 +186,7 @@
             self._runner.run(),
             self._shards.run(),
             self._forget_old(),
+            self._watch_settings(),
             *(tail.run() for tail in self._tails),
             *(outbox.run() for outbox in self._outboxes),
         ]
@@ -204,7 +213,7 @@
             application = front.directory_application(parts)
             applications.append((self._settings.directory, application))
         if self._metrics_port:
-            host = self._settings.product.instance.host
+            host = self._settings.instance.host
             application = front.metrics_application(parts)
             applications.append((f"{host}:{self._metrics_port}", application))
         for address, application in applications:
@@ -250,9 +259,27 @@
             await asyncio.sleep(CLEANUP_INTERVAL)
             self._steps.forget(now() - self._settings.results_kept - KEEP_MARGIN)
 
+    async def _watch_settings(self):
+        """Reload a settings file that was changed without a signal."""
+        while True:
+            await asyncio.sleep(SETTINGS_INTERVAL)
+            if platform_settings.stamp(self._path) != self._settings_stamp:
+                self._reload()
+
     def _reload(self):
+        """Take over what may change while the process runs; say what may not.
+
+        A file that is invalid changes nothing: the process would end with the next
+        restart, and until then serves on as it is.
+        """
+        self._settings_stamp = platform_settings.stamp(self._path)
         found = platform_settings.load(self._path)
-        note("process.reloaded", valid=bool(found))
+        if not found:
+            findings = [str(one) for one in found.findings[:MOST_FINDINGS]]
+            note("process.reloaded", valid=False, findings=findings)
+            return
+        taken, waiting = self._settings.take_over(found)
+        note("process.reloaded", valid=True, taken=taken, at_next_start=waiting)
 
     async def _leave(self):
         """Send callers elsewhere, hand the duties over, and serve on meanwhile."""
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -1,7 +1,13 @@
-"""The platform's settings file, turned into the product's own settings."""
+"""The platform's settings file, checked and in the product's own names.
+
+The product's own settings are JSON, checked by pydantic. Importing that took a third of
+a start and a quarter of the memory here, so this module does without.
+"""
+
+import os
 
-from sassafrasdoor import settings as product
 from sassafrasdoor.outcomes import Finding, Rejected
+from sassafrasdoor.routing.instances import InstancePlace
 
 PATH_VARIABLE = "SASSAFRASDOOR_BOOT"
 REQUIRED = (
@@ -25,6 +31,9 @@
 """Defaults where a platform leaves a figure out: those of its pages."""
 
 
+LIVE = ("fenced", "lease", "results_kept", "stop_within")
+"""What a running process takes over from a changed file: bounds that are read when they
+are needed. Addresses, places and partitions hold until the next start."""
 FEWEST_PARTITIONS = 2
 """One for the steps, one for the duty of ordering loads."""
 
@@ -35,27 +44,47 @@
     ``stop_within`` is how long a planned stop may take, ``lease`` the time that two
     holders of a duty must lie apart where replicas do not check fencing numbers,
     ``fenced`` whether they do, ``results_kept`` how long a step's samples are read
-    after its submission, ``cores`` how much processor the instance has, ``product``
-    the product's own ``Settings``.
+    after its submission, ``cores`` how much processor the instance has, ``instance``
+    its ``InstancePlace``.
     """
 
     __slots__ = (
         "cores",
         "directory",
-        "front",
         "fenced",
+        "front",
+        "instance",
         "lease",
         "name",
         "partitions",
-        "product",
         "ready",
         "record_bytes",
         "results_kept",
         "stop_within",
         "store",
-        "zone",
     )
 
+    def take_over(self, other):
+        """Take what may change from ``other``; return the names taken and left."""
+        changed = [
+            name
+            for name in self.__slots__
+            if name != "instance" and getattr(self, name) != getattr(other, name)
+        ]
+        taken = [name for name in changed if name in LIVE]
+        for name in taken:
+            setattr(self, name, getattr(other, name))
+        return taken, [name for name in changed if name not in LIVE]
+
+
+def stamp(path):
+    """Return what changes when the file at ``path`` is written; None without a file."""
+    try:
+        found = os.stat(path)
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_size, found.st_ino
+
 
 def read_lines(text):
     """Return the mapping in lines ``a.b=value``; other lines are left out."""
@@ -96,7 +125,6 @@
 def _translated(fields, numbers):
     found = PlatformSettings()
     found.name = fields["NodeName"]
-    found.zone = fields["Zone"]
     found.front = fields["Listen.Front"]
     found.ready = fields["Listen.Ready"]
     found.directory = fields.get("Listen.Directory", "")
@@ -108,17 +136,10 @@
     found.record_bytes = int(numbers["Platform.RecordBytes"])
     found.cores = numbers["Limits.CpuShare"] * numbers["Limits.Cores"]
     found.partitions = int(numbers["Platform.parts"])
-    found.product = product.from_document(_document(fields, found))
-    return found if found.product else found.product
-
-
-def _document(fields, found):
-    return {
-        "instance": {
-            "name": fields["NodeName"],
-            "availability_zone": fields["Zone"],
-            "region": fields["Region"],
-            "host": fields["Ip"],
-        },
-        "platform": {"log_url": f"http://{found.store}"},
-    }
+    found.instance = InstancePlace(
+        name=found.name,
+        host=fields["Ip"],
+        availability_zone=fields["Zone"],
+        region=fields["Region"],
+    )
+    return found
--- /dev/null
+++ b/sassafrasdoor/platform/tests/cases.py
@@ -0,0 +1,196 @@
+"""A cluster of real processes on the platform's wire, for the tests of this folder."""
+
+import asyncio
+import base64
+import json
+import tempfile
+import unittest
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.fetch import reply_to
+from sassafrasdoor.platform import configuration, wire
+from sassafrasdoor.platform.local import LocalInstance
+from sassafrasdoor.platform.standin import ReplicaStandin, StoreStandin
+from sassafrasdoor.standin.proxy import Proxy
+from sassafrasdoor.steps.durable.service import TOPIC, shard_of
+from sassafrasdoor.steps.durable.state import Steps
+from sassafrasdoor.timeline.lines import select
+
+HOST, MODEL, ENGINES, PLAIN = "h.example", "m", "engines", "plain"
+PATIENCE = 60.0
+ROUTE = {
+    "Host": HOST,
+    "TimeoutMs": 8000,
+    "TargetLatencyMs": 500,
+    "MaxAttempts": 3,
+    "RetentionS": 60,
+}
+ROUTES = [
+    {**ROUTE, "Name": "p", "PathPrefix": "/plain/", "Kind": "safe", "Service": PLAIN},
+    {**ROUTE, "Name": "s", "PathPrefix": "/s/", "Kind": "rollout", "Service": ENGINES},
+    {
+        **ROUTE,
+        "Name": "o",
+        "PathPrefix": "/o/",
+        "Kind": "streaming",
+        "Service": ENGINES,
+    },
+    {
+        **ROUTE,
+        "Name": "r",
+        "PathPrefix": "/r/",
+        "Kind": "streaming",
+        "Resumable": True,
+        "Service": ENGINES,
+    },
+]
+SERVICES = [
+    {"Name": PLAIN},
+    {"Name": ENGINES, "Engine": {"Models": [{"Name": MODEL}]}},
+]
+
+
+class ProcessCase(unittest.IsolatedAsyncioTestCase):
+    """Three instances, two engines, two plain replicas and a store."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.client = AsyncHTTPClient(force_instance=True, max_clients=50)
+        self.addCleanup(self.client.close)
+        self.store = StoreStandin()
+        self.addCleanup(self.store.stop)
+        self.engines = [ReplicaStandin(f"e{at}") for at in range(2)]
+        self.plain = [ReplicaStandin(f"p{at}") for at in range(2)]
+        for replica in self.engines + self.plain:
+            self.addCleanup(replica.stop)
+        await self.configure(1)
+        await self.list_replicas()
+        self.instances = []
+        # The first instance reaches the store through a proxy with faults.
+        self.proxy = await Proxy(self.store.address).open()
+        self.addAsyncCleanup(self.proxy.close)
+        stores = [self.proxy.address, self.store.address, self.store.address]
+        for name, store in zip("abc", stores, strict=True):
+            instance = LocalInstance(folder.name, name, store)
+            self.addCleanup(instance.close)
+            self.instances.append(instance)
+        await self.until_ready()
+
+    async def configure(self, version, routes=ROUTES):
+        document = {"Version": version, "Routes": routes, "Services": SERVICES}
+        await self.store.configure(document)
+
+    async def list_replicas(self):
+        for replica in self.engines:
+            entry = replica.entry(ENGINES, [MODEL])
+            await self.store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+        for replica in self.plain:
+            entry = replica.entry(PLAIN, [])
+            await self.store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+
+    async def until(self, condition):
+        limit = deadline_in(PATIENCE)
+        while True:
+            found = condition()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return found
+            self.assertFalse(passed(limit), "condition never came true")
+            await asyncio.sleep(0.05)
+
+    async def until_ready(self):
+        for instance in self.instances:
+            await self.until(lambda one=instance: self.is_ready(one))
+
+    async def is_ready(self, instance):
+        return (await self.fetch(instance.ready, "/-/ready")).code == 200
+
+    async def fetch(self, address, path, method="GET", body=None, **headers):
+        request = HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            body=body,
+            headers={"Host": HOST, **headers},
+            request_timeout=10,
+        )
+        return await reply_to(self.client, request)
+
+    async def submit(self, step_id, items=4, at=0):
+        rows = [
+            {
+                "Id": f"{step_id}-{number}",
+                "Path": f"/s/{number}",
+                "Headers": {},
+                "Body": base64.b64encode(b"body").decode(),
+                "Tokens": 10,
+                "Group": f"g{number // 2}",
+            }
+            for number in range(items)
+        ]
+        document = {"Step": 1, "Model": MODEL, "MinVersion": 1, "Desired": 2}
+        body = json.dumps({**document, "Items": rows})
+        headers = {wire.REQUEST_ID: step_id}
+        address = self.instances[at].front
+        return await self.fetch(address, "/s/", "POST", body, **headers)
+
+    async def page(self, step_id, at=0, after=0):
+        address = self.instances[at].front
+        reply = await self.fetch(address, f"/-/lots/{step_id}?After={after}")
+        return json.loads(reply.body) if reply.code == 200 else None
+
+    async def whole(self, step_id, at=0):
+        page = await self.page(step_id, at)
+        done = page is not None and page["NextToken"] == page["Total"]
+        return page["Results"] if done else None
+
+    def check_texts(self, results, events=4):
+        for result in results:
+            lines = [f"{result['Id']}.{number}" for number in range(events)]
+            self.assertEqual(result["Output"].split("\n"), lines)
+            self.assertEqual(result["Versions"], [1])
+
+    def holder(self):
+        """Return the instance whose process runs the steps."""
+        # Two may claim at once; which claim counts is the fold's to say.
+        shard, steps = shard_of(MODEL), Steps()
+        records = self.store.log.partition(TOPIC, shard).records
+        for offset, data in enumerate(records):
+            steps.fold(shard, offset, data)
+        front = steps.claims[shard].runner.partition("/")[0]
+        return next(one for one in self.instances if one.front == front)
+
+    def all_runs(self):
+        return [run for engine in self.engines for run in engine.runs]
+
+    async def accepted(self, step_id):
+        return (await self.submit(step_id)).code == 202
+
+    async def knows_peers(self, at):
+        named = await self.fetch(self.instances[at].directory, "/-/resolve?Zone=z")
+        return len(json.loads(named.body)["Addresses"]) == len(self.instances)
+
+    def lines(self, wanted, kind=""):
+        """Return the log lines of all instances that name an id, in order."""
+        texts = []
+        for instance in self.instances:
+            texts += instance.log_path.read_text("utf-8").splitlines()
+        return select(texts, wanted, kind)
+
+    async def line(self, wanted, kind):
+        """Wait for a line and return its fields."""
+        await self.until(lambda: self.lines(wanted, kind))
+        return self.lines(wanted, kind)[-1].fields
+
+    async def refuses_body(self, front):
+        headers = {wire.REQUEST_ID: "r"}
+        reply = await self.fetch(front, "/plain/x", "POST", "b" * 11, **headers)
+        return reply.code in (400, 413, 599)
+
+    async def plain_is(self, instance, status):
+        headers = {wire.REQUEST_ID: "r"}
+        reply = await self.fetch(instance.front, "/plain/x", "POST", "b", **headers)
+        return reply.code == status
--- a/sassafrasdoor/platform/tests/test_boundary.py
+++ b/sassafrasdoor/platform/tests/test_boundary.py
@@ -3,6 +3,8 @@
 import ast
 import pathlib
 import re
+import subprocess
+import sys
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
@@ -55,6 +57,23 @@
         ]
         self.assertEqual(found, [])
 
+    def test_program_starts_without_what_it_does_not_use(self):
+        """Symptom: after all processes have died, callers find nobody for longer.
+
+        Sequence: every instance starts again at once. Cause: a third of the start goes
+        into importing the checks of settings that this program does not read.
+        """
+        script = (
+            "import sys; from sassafrasdoor.platform.__main__ import main; "
+            "main(['--check']); print(*sys.modules)"
+        )
+        command = [sys.executable, "-c", script]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, check=True)
+        loaded = done.stdout.decode().split()
+        self.assertIn("tornado", loaded)
+        self.assertNotIn("pydantic", loaded)
+        self.assertNotIn("capnp", loaded)
+
     def test_the_pattern_finds_what_it_is_for(self):
         text = "".join(path.read_text("utf-8") for path in FOLDER.glob("*.py"))
         names = {match.group() for match in WIRE_NAMES.finditer(text)}
--- /dev/null
+++ b/sassafrasdoor/platform/tests/test_calls_processes.py
@@ -0,0 +1,195 @@
+"""Calls and operation in real processes on the platform's wire."""
+
+import asyncio
+import json
+import signal
+import unittest
+
+from sassafrasdoor.platform import configuration, wire
+from sassafrasdoor.platform.standin import ReplicaStandin
+from sassafrasdoor.platform.tests.cases import (
+    PATIENCE,
+    PLAIN,
+    ROUTES,
+    SERVICES,
+    ProcessCase,
+)
+
+
+class CallsTest(ProcessCase):
+    async def test_calls_and_steps_end_to_end(self):
+        for at, instance in enumerate(self.instances):
+            headers = {wire.REQUEST_ID: f"r{at}"}
+            reply = await self.fetch(instance.front, "/plain/x", "POST", "b", **headers)
+            self.assertEqual(reply.body, f"answer to r{at}".encode())
+            self.assertIn(wire.STAMP, reply.headers)
+        self.assertEqual((await self.submit("s")).code, 202)
+        results = await self.until(lambda: self.whole("s", 1))
+        self.check_texts(results)
+        body = await self.fetch(self.instances[2].front, "/-/items/s?Id=s-1")
+        self.assertEqual(body.body, b"body")
+        for at in range(3):
+            same = await self.until(lambda at=at: self.whole("s", at))
+            self.assertEqual(same, results)
+
+    async def test_callers_stream_goes_on_elsewhere_or_is_cut(self):
+        """Symptom: a text stops in the middle, or is read twice.
+
+        Sequence: engines break their streams off, some callers leave. Cause: a stream
+        that may be resumed was not, or one that may not was.
+        """
+        front = self.instances[0].front
+        for engine in self.engines:
+            engine.break_after = [2]
+        reply = await self.fetch(front, "/r/1", "POST", "b", **{wire.REQUEST_ID: "r1"})
+        self.assertEqual(reply.code, 200)
+        events = [f"id: {at}\ndata: r1.{at}\n\n" for at in range(4)]
+        self.assertEqual(reply.body.decode(), "".join(events))
+        self.assertEqual([run.after for run in self.all_runs()], [None, 1])
+        for engine in self.engines:
+            engine.break_after = [2]
+        reply = await self.fetch(front, "/o/1", "POST", "b", **{wire.REQUEST_ID: "o1"})
+        self.assertEqual(reply.code, 599)
+        self.assertEqual([run.request_id for run in self.all_runs()].count("o1"), 1)
+
+    async def test_planned_stop_cuts_nothing(self):
+        """Symptom: callers see broken connections during a rolling restart.
+
+        Sequence: calls are under way and new ones come on remembered addresses
+        while an instance stops. Cause: it closed before its callers had left.
+        """
+        for replica in self.plain:
+            replica.pause = 0.2
+        first = self.instances[0]
+        calls = []
+        for number in range(20):
+            if number == 3:
+                first.signal(signal.SIGTERM)
+            headers = {wire.REQUEST_ID: f"r{number}"}
+            call = self.fetch(first.front, "/plain/x", "POST", "b", **headers)
+            calls.append(asyncio.ensure_future(call))
+            await asyncio.sleep(0.1)
+        codes = [(await call).code for call in calls]
+        self.assertEqual(codes, [200] * 20)
+        self.assertFalse(await self.is_ready(first))
+        self.assertEqual(await asyncio.to_thread(first.process.wait, 30), 0)
+        named = await self.fetch(self.instances[1].directory, "/-/resolve?Zone=z")
+        self.assertNotIn(first.front, json.loads(named.body)["Addresses"])
+
+    async def test_settings_that_change_are_taken_over(self):
+        """Symptom: a stop takes longer than the platform allows, and is cut short.
+
+        Sequence: the settings file changes without a signal, is invalid for a while,
+        and is changed again with one. Cause: it is read at the start only.
+        """
+        instance = self.instances[0]
+        path = instance.settings_path
+        before = path.read_text("utf-8")
+        path.write_text(before.replace("GraceS=5", "GraceS=2"), "utf-8")
+        await self.until(lambda: "stop_within" in self.reloads(instance))
+        path.write_text(before.replace("GraceS=5", "GraceS=soon"), "utf-8")
+        await self.until(lambda: "not a number" in self.reloads(instance))
+        self.assertTrue(instance.running)
+        path.write_text(before, "utf-8")
+        instance.signal(signal.SIGHUP)
+        await self.until(lambda: self.reloads(instance).count("stop_within") >= 2)
+
+    def reloads(self, instance):
+        """Return the lines that the process wrote on its settings."""
+        lines = instance.log_path.read_text("utf-8").splitlines()
+        return "".join(line for line in lines if "process.reloaded" in line)
+
+    async def test_refused_call_is_explained_by_its_lines(self):
+        """From the id to the cause, as the operations page goes: a refused call."""
+        for replica in self.plain:
+            replica.full = True
+        headers = {wire.REQUEST_ID: "refused"}
+        address = self.instances[1].front
+        reply = await self.fetch(address, "/plain/x", "POST", "b", **headers)
+        self.assertEqual(reply.code, 503)
+        shown = await self.line("refused", "request.not_served")
+        self.assertEqual(shown["status"], 503)
+        given_up = await self.line("refused", "request.given_up")
+        self.assertEqual(given_up["outcome"], "NotRun")
+        self.assertEqual(given_up["replicas"], ["p0", "p1"])
+        tried = self.lines("refused", "request.try_failed")
+        self.assertTrue(all("503" in one.fields["reason"] for one in tried))
+
+    async def test_cut_stream_is_explained_by_its_lines(self):
+        """The same for a sample whose stream was cut off."""
+        for engine in self.engines:
+            engine.break_after = [2] * 4
+        self.assertEqual((await self.submit("s", items=1)).code, 202)
+        await self.until(lambda: self.whole("s"))
+        cut = await self.line("s-0", "item.try_failed")
+        self.assertIn(cut["replica"], {"e0", "e1"})
+        self.assertGreater(cut["events"], 0)
+        made = await self.line("s-0", "item.made")
+        self.assertGreater(made["attempts"], 1)
+        self.assertEqual(made["versions"], [1])
+
+    async def test_late_step_is_explained_by_its_lines(self):
+        """The same for a step whose runner died."""
+        for engine in self.engines:
+            engine.pause = 0.3
+        self.assertEqual((await self.submit("s")).code, 202)
+        await self.until(lambda: sum(len(one.running) for one in self.engines) == 4)
+        dead = self.holder()
+        dead.kill()
+        other = next(at for at, one in enumerate(self.instances) if one is not dead)
+        await self.until(lambda: self.whole("s", other))
+        submitted = await self.line("s", "step.submitted")
+        gained = [
+            one
+            for one in self.lines("", "shard.gained")
+            if one.fields["shard"] == submitted["shard"]
+        ]
+        self.assertEqual([one.process for one in gained][0], dead.name)
+        self.assertNotEqual(gained[-1].process, dead.name)
+        await self.until(lambda: len(self.lines("s", "item.made")) >= 4)
+
+    async def test_address_of_another_service_runs_nothing(self):
+        """Symptom: a replica of another service runs a request.
+
+        Sequence: a replica ends, its address is given to another one, the list
+        still names the first. Cause: the identity was not named at the send.
+        """
+        stranger = ReplicaStandin("stranger")
+        self.addCleanup(stranger.stop)
+        entry = {**self.plain[0].entry(PLAIN, []), "Address": stranger.address}
+        await self.store.put(configuration.SERVERS_TOPIC, "p0", entry)
+        await asyncio.sleep(0.8)
+        for number in range(6):
+            headers = {wire.REQUEST_ID: f"r{number}"}
+            address = self.instances[number % 3].front
+            reply = await self.fetch(address, "/plain/x", "POST", "b", **headers)
+            self.assertEqual(reply.code, 200)
+        self.assertEqual(stranger.runs, [])
+
+    async def test_configuration_is_in_force_everywhere_and_stays(self):
+        await self.configure(5, ROUTES[1:])
+        for instance in self.instances:
+            await self.until(lambda one=instance: self.plain_is(one, 404))
+        await self.configure(4)
+        await asyncio.sleep(1.0)
+        for instance in self.instances:
+            self.assertTrue(await self.plain_is(instance, 404))
+        await self.configure(6)
+        for instance in self.instances:
+            await self.until(lambda one=instance: self.plain_is(one, 200))
+
+    async def test_limits_of_the_configuration_are_kept(self):
+        limits = {"MaxBodyBytes": 10, "IdleTimeoutMs": 400}
+        document = {"Version": 2, "Routes": ROUTES, "Services": SERVICES}
+        await self.store.configure({**document, "Limits": limits})
+        front = self.instances[0].front
+        await self.until(lambda: self.refuses_body(front))
+        host, _, port = front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        async with asyncio.timeout(PATIENCE):
+            self.assertEqual(await reader.read(), b"")
+        writer.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sassafrasdoor/platform/tests/test_translation.py
+++ b/sassafrasdoor/platform/tests/test_translation.py
@@ -57,7 +57,7 @@
     def test_figures_are_translated(self):
         found = settings.from_fields(self.fields())
         self.assertEqual((found.lease, found.fenced), (3.0, True))
-        self.assertEqual(found.product.instance.availability_zone, "palermo")
+        self.assertEqual(found.instance.availability_zone, "palermo")
 
     def test_every_finding_is_reported_with_its_place(self):
         broken = {
@@ -71,6 +71,14 @@
         places = {finding.place for finding in found.findings}
         self.assertEqual(places, set(broken))
 
+    def test_running_process_takes_over_bounds_only(self):
+        running = settings.from_fields(self.fields())
+        changed = {"Bounds.GraceS": "5", "Listen.Front": "10.1.0.10:1", "Unknown": "1"}
+        taken, waiting = running.take_over(settings.from_fields(self.fields(**changed)))
+        self.assertEqual((taken, waiting), (["stop_within"], ["front"]))
+        self.assertEqual(running.stop_within, 5.0)
+        self.assertNotEqual(running.front, "10.1.0.10:1")
+
     def test_unreadable_file_is_refused(self):
         missing = pathlib.Path(tempfile.gettempdir()) / "no-such-file"
         self.assertIsInstance(settings.load(missing), Rejected)
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -36,6 +36,18 @@
 """With fewer instances in the caller's zone it is sent to all zones."""
 
 
+class InstancePlace:
+    """Who and where an instance is; the product's settings have the same fields."""
+
+    __slots__ = ("availability_zone", "host", "name", "region")
+
+    def __init__(self, name, host, availability_zone, region):
+        self.name = name
+        self.host = host
+        self.availability_zone = availability_zone
+        self.region = region
+
+
 class _Seen:
     __slots__ = ("address", "at", "cores", "region", "zone")
 
--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -56,7 +56,7 @@
 class Mover:
     """Orders loads while ``holder.fence`` is set and settled.
 
-    ``handover`` (seconds) is kept between a former holder's orders and our own.
+    ``handover()`` (seconds) is kept between a former holder's orders and our own.
     ``work`` tells of the steps that run here: ``waiting(model)`` items without a
     replica, and ``oldest_allowed(model)``, the version that open steps ask for.
     """
@@ -132,7 +132,7 @@
             # that mix would take replicas back and forth.
             first = fence == FIRST_FENCE
             self._fence = fence
-            self._acts_from = LONG_AGO if first else deadline_in(self._handover)
+            self._acts_from = LONG_AGO if first else deadline_in(self._handover())
             self._sent.clear()
             self._assigned.clear()
         return passed(self._acts_from)
--- a/sassafrasdoor/weights/tests/test_named.py
+++ b/sassafrasdoor/weights/tests/test_named.py
@@ -74,7 +74,12 @@
 
     def make(self, handover):
         return Mover(
-            self.client, self.holder, self.replicas, self.routes, handover, self.work
+            self.client,
+            self.holder,
+            self.replicas,
+            self.routes,
+            lambda: handover,
+            self.work,
         )
 
     def run_mover(self):
