--- a/sassafrasdoor/platform/tests/test_health.py
+++ b/sassafrasdoor/platform/tests/test_health.py
@@ -9,8 +9,8 @@
 from sassafrasdoor.platform.configuration import listing_from
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.standin import ReplicaStandin
-from sassafrasdoor.requests.attempts import DirectRequest
 from sassafrasdoor.requests.direct import DirectService
+from sassafrasdoor.requests.tests.fixtures import direct_request
 from sassafrasdoor.routing.replicas import Replicas
 from sassafrasdoor.standin.proxy import Proxy
 from sassafrasdoor.steps.durable.tests.fixtures import SERVICE, route
@@ -38,15 +38,11 @@
 
     async def call(self, repeat=Repeat.SAFE):
         self.number += 1
-        request = DirectRequest(
-            route=route(repeat=repeat, target=20.0),
-            method="POST",
+        request = direct_request(
+            route(repeat=repeat, target=20.0),
             path="/plain/x",
             headers=[("Host", "h.example")],
-            body=b"",
             request_id=f"r{self.number}",
-            deadline=deadline_in(20),
-            version=1,
         )
         return await self.service.answer(request)
 
--- a/sassafrasdoor/requests/tests/test_direct.py
+++ b/sassafrasdoor/requests/tests/test_direct.py
@@ -3,23 +3,23 @@
 import asyncio
 import unittest
 
-from sassafrasdoor.backends.interface import Answer, Broken
-from sassafrasdoor.backends.replicas import WrongReplica
+from sassafrasdoor.backends.interface import Answer
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.outcomes import NotRun, Unknown
-from sassafrasdoor.requests.attempts import DirectRequest
 from sassafrasdoor.requests.direct import DirectService
+from sassafrasdoor.requests.tests.fixtures import (
+    ERROR,
+    FULL,
+    GONE,
+    HANG,
+    LOST,
+    NOT_SENT,
+    OK,
+    direct_request,
+)
 from sassafrasdoor.steps.durable.tests.fixtures import replicas, route
 from sassafrasdoor.table.routes import Repeat
 
-OK = Answer(200, [], b"ok")
-ERROR = Answer(500, [], b"no")
-FULL = NotRun("full")
-GONE = WrongReplica("gone")
-NOT_SENT = Broken("refused", began=False)
-LOST = Broken("lost", began=True)
-HANG = object()
-
 
 class Client:
     """Plays a script of outcomes and records the calls."""
@@ -46,16 +46,7 @@
     ):
         self.client = Client(*script)
         service = DirectService(self.client, replicas(count))
-        request = DirectRequest(
-            route=route(repeat=repeat, **fields),
-            method="POST",
-            path="/p",
-            headers=[],
-            body=b"b",
-            request_id="r1",
-            deadline=deadline_in(seconds),
-            version=1,
-        )
+        request = direct_request(route(repeat=repeat, **fields), seconds)
         return await service.answer(request)
 
     async def until(self, condition):
--- a/sassafrasdoor/requests/tests/test_streaming.py
+++ b/sassafrasdoor/requests/tests/test_streaming.py
@@ -4,24 +4,23 @@
 import unittest
 from unittest import mock
 
-from sassafrasdoor.backends.interface import Answer, Broken
-from sassafrasdoor.backends.replicas import WrongReplica
-from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.backends.interface import Answer
 from sassafrasdoor.outcomes import NotRun, Unknown
 from sassafrasdoor.requests import streaming
-from sassafrasdoor.requests.attempts import DirectRequest
 from sassafrasdoor.requests.streaming import StreamService
+from sassafrasdoor.requests.tests.fixtures import (
+    BUSY,
+    ERROR,
+    FULL,
+    GONE,
+    HANG,
+    LOST,
+    NOT_SENT,
+    direct_request,
+)
 from sassafrasdoor.steps.durable.tests.fixtures import replicas, route
 from sassafrasdoor.table.routes import Repeat
 
-ERROR = Answer(500, [], b"no")
-BUSY = Answer(503, [], b"ran, and says busy")
-FULL = NotRun("full")
-GONE = WrongReplica("gone")
-NOT_SENT = Broken("refused", began=False)
-LOST = Broken("lost", began=True)
-HANG = object()
-
 
 class Client:
     """Plays a script: for each send, how many events and then what outcome."""
@@ -62,16 +61,8 @@
         self.client = Client(script)
         self.caller = Caller()
         service = StreamService(self.client, replicas(3))
-        request = DirectRequest(
-            route=route(repeat=repeat, streams=True, **fields),
-            method="POST",
-            path="/p",
-            headers=[],
-            body=b"b",
-            request_id="r1",
-            deadline=deadline_in(seconds),
-            version=1,
-        )
+        found = route(repeat=repeat, streams=True, **fields)
+        request = direct_request(found, seconds)
         return await service.answer(request, self.caller)
 
     async def test_ends_of_streams(self):
