Soak the product's own interface too

Cause: the soak played the users' wire only.

It checks own answers, at most once, and that 'not run' is true.

Steps of the own interface are not played.

--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -23,6 +23,7 @@
 from sassafrasdoor.platform.standin import ReplicaStandin, StoreStandin
 from sassafrasdoor.soak import checks
 from sassafrasdoor.soak.checks import Violations
+from sassafrasdoor.soak.own import OwnSoak
 from sassafrasdoor.soak.schedule import schedule
 from sassafrasdoor.standin.proxy import Proxy
 
@@ -274,22 +275,34 @@
     seconds: float = typer.Option(20.0, help="Seconds of faults for each seed."),
     instances: int = typer.Option(3, help="Processes of ours."),
     keep: str = typer.Option("", help="Folder for the logs of seeds that fail."),
+    own: bool = typer.Option(False, help="The product's own interface, not the wire."),
 ):
     """Play seeded faults on real processes and check the promises."""
     broken = False
     for one in range(seed, seed + seeds):
-        broken |= bool(_play(one, seconds, instances, keep))
+        play = _play_own if own else _play
+        broken |= bool(play(one, seconds, instances, keep))
     raise typer.Exit(BROKEN if broken else 0)
 
 
+def _play_own(seed, seconds, instances, keep):
+    """Play one seed on the product's own interface; return its violations."""
+    soak = OwnSoak(seed, seconds, instances)
+    _report(seed, soak, asyncio.run(soak.run()))
+    return soak.violations.found
+
+
+def _report(seed, soak, counts):
+    print(f"seed {seed}: {counts}", flush=True)
+    for text in dict.fromkeys(soak.violations.found):
+        print(f"seed {seed}: BROKEN {text}", flush=True)
+
+
 def _play(seed, seconds, instances, keep):
     """Play one seed and report it; return its violations."""
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, seconds, instances, folder)
-        counts = asyncio.run(soak.run())
-        print(f"seed {seed}: {counts}", flush=True)
-        for text in dict.fromkeys(soak.violations.found):
-            print(f"seed {seed}: BROKEN {text}", flush=True)
+        _report(seed, soak, asyncio.run(soak.run()))
         if soak.violations.found and keep:
             for path in pathlib.Path(folder).glob("*.log"):
                 target = pathlib.Path(keep) / f"{seed}-{path.name}"
--- /dev/null
+++ b/sassafrasdoor/soak/own.py
@@ -0,0 +1,227 @@
+"""The fault soak on the product's own interface: entry and control as processes.
+
+An instance that ended does not come back: another of a new name takes its place, as a
+deployment replaces machines. Steps are not played here.
+"""
+
+import asyncio
+import json
+import random
+
+from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.cluster import KEYS, Cluster
+from sassafrasdoor.requests.messages import identity
+from sassafrasdoor.soak import checks
+from sassafrasdoor.soak.checks import Call, Violations
+from sassafrasdoor.soak.schedule import Kind, schedule
+
+SERVICES = 2
+CALL_EVERY = 0.05
+TRIES = 3
+DEADLINE_MS = "3000"
+SLOW = 2.0
+"""Seconds of a call at a slow service: most of a caller's time."""
+SETTLE = 60.0
+"""Seconds for calls to be answered again once the last fault has ended."""
+SETTINGS = {
+    "requests": {"first_byte_timeout": 1.5, "gap_timeout": 0.7},
+    "admission": {"grant_duration": 1.5},
+}
+
+
+class OwnSoak:
+    """One run: a cluster, its callers, its faults and what was seen."""
+
+    def __init__(self, seed, seconds, instances):
+        self._seed = seed
+        self._seconds = seconds
+        self._count = instances
+        self._draw = random.Random(seed)
+        self._cluster = None
+        self._calls = []
+        self._started = instances
+        self._tasks = set()
+        self.violations = Violations()
+        drawn = schedule(seed, seconds, instances, SERVICES)
+        self.faults = [one for one in drawn if one.kind in _INJECT]
+
+    async def run(self):
+        """Play the schedule; return the counts."""
+        async with Cluster(SETTINGS) as self._cluster:
+            counts = {"instances": self._count, "engines": 1, "services": SERVICES}
+            await self._cluster.start(**counts)
+            await self._until_served()
+            calling = self._spawn(self._call_on())
+            started = asyncio.get_running_loop().time()
+            for fault in self.faults:
+                until = started + fault.at
+                await asyncio.sleep(max(0, until - asyncio.get_running_loop().time()))
+                print(f"seed {self._seed}: {fault}", flush=True)
+                self._spawn(_INJECT[fault.kind](self, fault))
+            left = started + self._seconds - asyncio.get_running_loop().time()
+            await asyncio.sleep(max(0, left))
+            calling.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await self._until_served()
+            await self._check()
+        return self._counts()
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    @property
+    def _living(self):
+        instances = self._cluster.instances
+        return [one for one in instances if one.entry.returncode is None]
+
+    # Callers.
+
+    async def _call_on(self):
+        number = 0
+        while True:
+            number += 1
+            row = "once" if number % 2 else "idempotent"
+            self._spawn(self._call(row, number))
+            await asyncio.sleep(CALL_EVERY)
+
+    async def _call(self, row, number):
+        """Call with one key until there is an answer, at any instance."""
+        clock = asyncio.get_running_loop().time
+        key = f"key-{number}"
+        call = Call(identity(row, key), row == "once", clock(), key)
+        statuses = set()
+        for _ in range(TRIES):
+            reply = await self._ask(row, key, number)
+            statuses.add(reply.code)
+            if reply.code == checks.OK:
+                call.status, call.body = checks.OK, _told(reply.body)
+                break
+        if statuses == {checks.REFUSED}:
+            call.status = checks.REFUSED
+        call.ended_at = clock()
+        self._calls.append(call)
+
+    async def _ask(self, row, key, number):
+        instance = self._draw.choice(self._living or self._cluster.instances)
+        headers = {"Idempotency-Key": key, "X-Deadline-Ms": DEADLINE_MS}
+        path = f"/v1/call/{row}/do"
+        body = {"mine": number}
+        address = instance.address
+        return await self._cluster.raw("POST", address, path, KEYS[row], body, headers)
+
+    # Faults.
+
+    async def _kill(self, fault):
+        self._target(fault).kill()
+        await self._replace(fault.lasts)
+
+    async def _stop(self, fault):
+        instance = self._target(fault)
+        instance.entry.signal(15)
+        limit = deadline_in(SETTLE)
+        while instance.entry.returncode is None and not passed(limit):  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+        if instance.entry.returncode is None:
+            self.violations.add("planned stop ends", instance.name)
+        instance.kill()
+        await self._replace(0)
+
+    async def _replace(self, seconds):
+        """Start a new instance, in a thread: a start waits for its ready line."""
+        await asyncio.sleep(seconds)
+        self._started += 1
+        name = f"entry-{self._started}"
+        await asyncio.to_thread(self._cluster.start_instance, name)
+
+    async def _pause(self, fault):
+        instance = self._target(fault)
+        instance.freeze()
+        await asyncio.sleep(fault.lasts)
+        instance.thaw()
+
+    async def _log_down(self, fault):
+        await self._cluster.platform_faults(down=True)
+        await asyncio.sleep(fault.lasts)
+        await self._cluster.platform_faults(down=False)
+
+    async def _log_loses(self, fault):
+        await self._cluster.platform_faults(lose_reply=3)
+
+    async def _break(self, fault):
+        await self._service(fault, hang_up=2, hang_up_middle=2, hang_up_before=1)
+
+    async def _fail(self, fault):
+        await self._service(fault, fail=3)
+
+    async def _full(self, fault):
+        """Have a service work so slowly that calls wait for its places."""
+        await self._service(fault, delay=SLOW)
+        await asyncio.sleep(fault.lasts)
+        await self._service(fault, delay=0.0)
+
+    async def _service(self, fault, **faults):
+        await self._cluster.faults(f"service-{fault.target + 1}", **faults)
+
+    def _target(self, fault):
+        living = self._living
+        return living[fault.target % len(living)]
+
+    # The end.
+
+    async def _until_served(self):
+        limit = deadline_in(SETTLE)
+        for instance in self._living:
+            row, served = "idempotent", False
+            while not served and not passed(limit):
+                path = f"/v1/call/{row}/do"
+                address, key = instance.address, KEYS[row]
+                reply = await self._cluster.raw("POST", address, path, key, {})
+                served = reply.code == checks.OK
+                await asyncio.sleep(0 if served else 0.1)
+            if not served:
+                self.violations.add("comes back", instance.name)
+
+    async def _check(self):
+        runs = {}
+        for number in range(SERVICES):
+            truth = await self._cluster.truth(f"service-{number + 1}")
+            for name, count in truth["by_request"].items():
+                runs[name] = runs.get(name, 0) + count
+        found = {name: [name] * count for name, count in runs.items()}
+        for call in self._calls:
+            if not call.once:
+                # A service knows a call that may be repeated by another name each time.
+                found[call.request_id] = [call.request_id]
+        numbers = {call.request_id: call.instance for call in self._calls}
+        checks.check_calls(self._calls, found, numbers.get, self.violations)
+
+    def _counts(self):
+        answered = sum(call.status == checks.OK for call in self._calls)
+        refused = sum(call.status == checks.REFUSED for call in self._calls)
+        return (
+            f"{len(self.faults)} faults, {len(self._calls)} keys ({answered} answered, "
+            f"{refused} refused), {len(self.violations.found)} violations"
+        )
+
+
+def _told(body):
+    """Return the key whose number the service saw, or what came instead."""
+    try:
+        return f"key-{json.loads(json.loads(body)['body'])['mine']}"
+    except (ValueError, KeyError, TypeError):
+        return repr(body)
+
+
+_INJECT = {
+    Kind.KILL: OwnSoak._kill,
+    Kind.STOP: OwnSoak._stop,
+    Kind.PAUSE: OwnSoak._pause,
+    Kind.LOG_DOWN: OwnSoak._log_down,
+    Kind.LOG_LOSES: OwnSoak._log_loses,
+    Kind.BREAK: OwnSoak._break,
+    Kind.FAIL: OwnSoak._fail,
+    Kind.FULL: OwnSoak._full,
+}
