--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -32,6 +32,9 @@
 serves a service keeps connections of its own to its replicas, and they cost most when
 they are seldom used."""
 ENTRY_KEY = "entry"
+VIEW_HOLDS = 0.2
+"""Seconds that what was worked out of the list is used again. To order 300 instances
+takes 0.4 ms of processor time (50 runs), and 140 times a second it is asked for."""
 FEWEST_IN_ZONE = 2
 """With fewer instances in the caller's zone it is sent to all zones."""
 
@@ -59,11 +62,6 @@
         self.at = now()
 
 
-VIEW_HOLDS = 0.2
-"""Seconds that what was worked out of the list is used again. Ordering 300 instances
-takes about a millisecond, and is asked for some hundred times a second: 14 % of a core."""
-
-
 class _View:
     """What follows from the list at one moment; ``rankings`` are filled as asked."""
 
