--- /dev/null
+++ b/sassafrasdoor/requests/tests/cases.py
@@ -0,0 +1,86 @@
+"""A cluster of real processes for the tests of requests."""
+
+import unittest
+
+from sassafrasdoor.cluster import KEYS, Cluster
+from sassafrasdoor.support import until
+
+QUICK = {
+    "requests": {"first_byte_timeout": 1.5, "gap_timeout": 0.7},
+    "admission": {"grant_duration": 1.5},
+}
+ASK = {"prompt": "how many spaces are free", "max_tokens": 40}
+
+
+class ProcessCase(unittest.IsolatedAsyncioTestCase):
+    """A cluster for each test, with what all tests ask of it."""
+
+    async def cluster(self, settings=QUICK, **counts):
+        """Start a cluster whose instances have slots to give."""
+        cluster = await self.enterAsyncContext(Cluster(settings))
+        await cluster.start(**counts)
+        self.cluster = cluster
+        for instance in cluster.instances:
+            for row in ("idempotent", "chat"):
+                await until(lambda one=instance, row=row: self.served(one, row))
+        return cluster
+
+    async def served(self, instance, row):
+        """Say whether an instance has slots for a row's service."""
+        if row == "chat":
+            status, _ = await self.generate(instance)
+            return status == 200
+        return (await self.ask(instance, "idempotent")).code == 200
+
+    async def ask(self, instance, row, key="", body=None, **headers):
+        """Call a row's service at one instance."""
+        sent = {name.replace("_", "-"): value for name, value in headers.items()}
+        if key:
+            sent["Idempotency-Key"] = key
+        path = f"/v1/call/{row}/do"
+        return await self.cluster.raw(
+            "POST", instance.address, path, KEYS[row], body or {}, sent
+        )
+
+    async def generate(self, instance, headers=None, **fields):
+        """Have an engine write; return status and document."""
+        return await self.cluster.post(
+            instance.address,
+            "/v1/generate/chat",
+            {**ASK, **fields},
+            KEYS["chat"],
+            headers,
+        )
+
+    async def prefix(self, instance):
+        """Return a prefix for keys that this instance alone runs."""
+        _, found = await self.cluster.get(instance.address, "/v1/addresses?row=once")
+        return found["key_prefix"]
+
+    async def runs(self, request_id):
+        """Return how often the services ran a request."""
+        total = 0
+        for name in self.cluster.backends:
+            truth = await self.cluster.truth(name)
+            total += truth.get("by_request", {}).get(request_id, 0)
+        return total
+
+    async def service_faults(self, **faults):
+        """Set faults at every plain service."""
+        for name in self.cluster.backends:
+            if name.startswith("service"):
+                await self.cluster.faults(name, **faults)
+
+    async def busy(self, name):
+        """Say whether a service runs something now, by its load report."""
+        address = self.cluster.backends[name].ready["address"]
+        _, load = await self.cluster.get(address, "/load")
+        return load["running"]
+
+    async def slots(self, row, instances):
+        """Return what a row may use at some instances together."""
+        total = 0
+        for instance in instances:
+            _, status = await self.cluster.get(instance.address, "/v1/status")
+            total += status["requests"]["slots"].get(row, 0)
+        return total
--- a/sassafrasdoor/requests/tests/test_hard_limit_processes.py
+++ b/sassafrasdoor/requests/tests/test_hard_limit_processes.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from sassafrasdoor.cluster import TABLE
-from sassafrasdoor.requests.tests.test_requests_processes import QUICK, ProcessCase
+from sassafrasdoor.requests.tests.cases import QUICK, ProcessCase
 from sassafrasdoor.support import until
 
 
--- /dev/null
+++ b/sassafrasdoor/requests/tests/test_operation_processes.py
@@ -0,0 +1,124 @@
+"""Requests through real processes while the log is down and while somebody leaves."""
+
+import asyncio
+import json
+import unittest
+
+from sassafrasdoor.requests.tests.cases import ProcessCase
+from sassafrasdoor.standin.proxy import Proxy
+from sassafrasdoor.support import until
+
+# Two rows without wishes share the 64 slots of a plain service, over two instances.
+EQUAL_PARTS = [16, 16]
+
+
+class OutageTest(ProcessCase):
+    async def test_calls_go_on_when_nobody_can_hold_the_quota(self):
+        """Symptom: every call is refused as long as the log is down.
+
+        Sequence: the log is down for longer than the lease of the quota and the
+        grants under it. Cause: grants lapse everywhere and nobody may renew.
+        """
+        cluster = await self.cluster(instances=2, engines=1, services=1)
+        # Right after the start one instance may hold what the other gave up or
+        # has not reported for; nothing can be compared with such a moment.
+        await until(lambda: self.shared_out())
+        await cluster.platform_faults(down=True)
+        await until(lambda: self.fallen_back())
+        for instance in cluster.instances * 5:
+            reply = await self.ask(instance, "idempotent")
+            self.assertEqual(reply.code, 200, reply.body)
+        await cluster.platform_faults(down=False)
+        await until(lambda: self.shared_out())
+
+    async def shared_out(self):
+        """Say whether a holder gives each instance an equal part of the row's slots."""
+        slots = [
+            await self.slots("idempotent", [one]) for one in self.cluster.instances
+        ]
+        return self.somebody_shares() and slots == EQUAL_PARTS
+
+    async def fallen_back(self):
+        """Say whether the grants have lapsed: nobody makes any, about half is left."""
+        left = await self.slots("idempotent", self.cluster.instances)
+        return not self.somebody_shares() and left <= sum(EQUAL_PARTS)
+
+    def somebody_shares(self):
+        """Say whether an instance holds the lease on the service's quota, by its log."""
+        return any(
+            self.last_word(instance).get("held") for instance in self.cluster.instances
+        )
+
+    def last_word(self, instance):
+        """Return the last line that an instance logged on that lease."""
+        lines = [
+            json.loads(line)
+            for line in instance.control.output
+            if "lease.held" in line and "quota/occupancy" in line
+        ]
+        return lines[-1] if lines else {}
+
+
+class LeavingTest(ProcessCase):
+    async def test_leaving_server_gets_no_work_with_a_lagging_list(self):
+        """Symptom: a server that is leaving gets work until it is gone.
+
+        Sequence: it begins to leave; the instance list lags by far and one
+        instance cannot read it at all. Cause: waiting for the list, where the
+        server's own load report tells it.
+        """
+        cluster = await self.cluster(instances=1, engines=1, services=2)
+        proxy = await Proxy(cluster.platform_url.removeprefix("http://")).open()
+        self.addAsyncCleanup(proxy.close)
+        cut = cluster.start_instance(
+            "entry-cut", "zone-b", instances_url=f"http://{proxy.address}"
+        )
+        await cluster.ready()
+        await until(lambda: self.served(cut, "idempotent"))
+        proxy.freeze()
+        await cluster.platform_faults(list_lag=60)
+        await cluster.faults("service-1", leaving=True)
+        await until(lambda: self.left_alone("service-1", 20))
+        before = (await cluster.truth("service-1"))["total"]
+        for instance in cluster.instances * 20:
+            self.assertEqual((await self.ask(instance, "idempotent")).code, 200)
+        self.assertEqual((await cluster.truth("service-1"))["total"], before)
+
+    async def left_alone(self, name, calls):
+        """Say whether a number of calls at every instance pass the server by."""
+        before = (await self.cluster.truth(name))["total"]
+        for instance in self.cluster.instances * calls:
+            await self.ask(instance, "idempotent")
+        return (await self.cluster.truth(name))["total"] == before
+
+    async def test_planned_stop_cuts_nobody_off(self):
+        """Symptom: calls fail at every restart.
+
+        Sequence: an instance is stopped as planned while calls and streams run
+        and come. Cause: refusing at once, or ending before the last byte.
+        """
+        cluster = await self.cluster(instances=2, engines=1, services=1)
+        await self.service_faults(delay=0.4)
+        leaving = cluster.instances[0]
+        running = [
+            asyncio.ensure_future(work)
+            for work in (
+                *[self.ask(leaving, "once") for _ in range(10)],
+                *[self.generate(leaving, max_tokens=200) for _ in range(3)],
+            )
+        ]
+        await until(lambda: self.busy_with(leaving, 13))
+        leaving.entry.signal(15)
+        replies = await asyncio.gather(*running)
+        self.assertEqual({reply.code for reply in replies[:10]}, {200})
+        self.assertEqual({status for status, _ in replies[10:]}, {200})
+        await until(lambda: leaving.entry.returncode == 0)
+
+    async def busy_with(self, instance, count):
+        """Say whether so many requests are in progress at an instance."""
+        _, status = await self.cluster.get(instance.address, "/v1/status")
+        return status["requests"]["in_progress"] >= count
+
+
+if __name__ == "__main__":
+    unittest.main()
