Leave the log's reads to others where many follow the steps

Cause: sixty instances follow the steps there, each append wakes all of them, and with what all 300 read of the lists the store's 6,000 reads a second were exceeded; it refused the reads of the configuration as well.

Ruled out: processor time (the middle instance 5.2 %), the configuration's own read (acknowledged after 133 ms, one long poll an instance).

Change: followers of the same partitions take two fifths of the reads together and pause after each read if that makes 0.08 s and more; with the 10 to 16 followers of sites up to 89 instances they do not pause.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -21,21 +21,38 @@
 """Seconds between looks at whether a partition is wanted: a start waits for one."""
 CONFIRM_PAUSE = 0.05
 """Seconds between the reads of a caller who waits for a confirmation."""
+READS_SHARE = 0.4
+"""Part of the log's reads that those who follow the same partitions may take together;
+the lists, which every instance reads, and confirmations take the rest."""
+SHORTEST_PAUSE = 0.08
+"""Seconds below which followers do not pause: they are few, and answers would only
+come later."""
 
 RESTARTS = counter("log_tail_restarts_total", "Reads that met expired records.")
 
 
+def shared_pause(followers, partitions, reads_per_second):
+    """Return the seconds that each follower pauses after each read of a partition.
+
+    Each append wakes all who wait for it. With 60 followers of four busy partitions the
+    log's 6,000 reads a second were exceeded, it refused the others, and a configuration
+    was in force 5.6 s late on some of 300 instances.
+    """
+    pause = followers * partitions / (READS_SHARE * reads_per_second)
+    return pause if pause >= SHORTEST_PAUSE else 0.0
+
+
 class Tail:
     """Hands each record of a partition to ``fold(offset, record)``, in order.
 
-    ``pause`` (seconds) after each read bounds the reads of a busy partition;
+    ``pause()`` (seconds) after each read bounds the reads of a busy partition;
     ``wanted()`` says whether the partition is to be followed at all at this moment.
     ``confirmed_at`` is the monotonic time at which a read was sent that found
     nothing newer; ``failing_since`` is None while reads succeed; ``restored_at`` is
     when they last began to succeed again.
     """
 
-    def __init__(self, log, topic, part, fold, pause=0.0, wanted=lambda: True):
+    def __init__(self, log, topic, part, fold, pause=lambda: 0.0, wanted=lambda: True):
         self.wanted = wanted
         self._log = log
         self._topic = topic
@@ -60,8 +77,8 @@
                 await asyncio.sleep(UNWANTED_PAUSE)
             elif not await self.poll(LONG_POLL):
                 await asyncio.sleep(RETRY_PAUSE)
-            elif self._pause:
-                await asyncio.sleep(self._pause)
+            elif pause := self._pause():
+                await asyncio.sleep(pause)
 
     async def poll(self, wait):
         """Read once; say whether the log answered."""
@@ -173,7 +190,7 @@
     """
 
     def __init__(self, log, topic, on_value, pause=0.0):
-        super().__init__(log, topic, 0, self._fold_record, pause)
+        super().__init__(log, topic, 0, self._fold_record, lambda: pause)
         self._on_value = on_value
         self._known = set()
         self.loaded = False
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -111,6 +111,48 @@
         async with asyncio.timeout(20):
             await seen.wait()
 
+    async def test_many_followers_leave_reads_to_others(self):
+        """Symptom: with 300 instances a configuration is in force seconds late.
+
+        Sequence: sixty instances follow busy partitions, each append wakes them all.
+        Cause: their reads exceed what the log gives to all, and it refuses others'.
+        """
+        # followers, partitions, reads a second -> at most so many reads a second
+        cases = [(60, 5, 6000, 2400), (80, 5, 6000, 2400), (300, 7, 2000, 800)]
+        for followers, partitions, limit, most in cases:
+            pause = module.shared_pause(followers, partitions, limit)
+            self.assertLessEqual(followers * partitions / pause, most + 1e-6)
+        for few in ((12, 5, 2000), (16, 5, 6000)):
+            self.assertEqual(module.shared_pause(*few), 0.0)
+
+    async def test_pause_gathers_records(self):
+        reads = []
+        read = self.log.read
+
+        async def counted(*arguments):
+            reads.append(self.tail.offset)
+            return await read(*arguments)
+
+        self.log.read = counted
+        self.tail = Tail(
+            self.log,
+            "t",
+            0,
+            lambda at, data: self.folded.append(at),
+            lambda: 30.0,
+        )
+        task = asyncio.ensure_future(self.tail.run())
+        self.addCleanup(task.cancel)
+        for record in (b"a", b"b", b"c"):
+            await self.append(record)
+            await asyncio.sleep(0)
+        async with asyncio.timeout(20):
+            while not self.folded:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        await self.append(b"d")
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(reads), 1)
+
 
 class KeyedTailTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -9,7 +9,7 @@
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
-from sassafrasdoor.log.tail import KeyedTail, Tail
+from sassafrasdoor.log.tail import KeyedTail, Tail, shared_pause
 from sassafrasdoor.platform import (
     configuration,
     front,
@@ -96,7 +96,8 @@
                 TOPIC,
                 shard,
                 self._fold_of(shard),
-                wanted=self._follows_steps,
+                self._steps_pause,
+                self._follows_steps,
             )
             for shard in range(shards + 1)
         ]
@@ -251,6 +252,13 @@
         """
         return f"shard-{shard}" if self._replicas.count > ALONE_UP_TO else "shards"
 
+    def _steps_pause(self):
+        return shared_pause(
+            self._instances.entry_points,
+            len(self._steps.used_shards),
+            self._settings.reads_per_second,
+        )
+
     def _fold_of(self, shard):
         return lambda offset, data: self._steps.fold(shard, offset, data)
 
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -25,13 +25,14 @@
     "Bounds.StatusS": 120.0,
     "Platform.RecordBytes": 262144.0,
     "Platform.parts": 12.0,
+    "Platform.ReadsPerS": 2000.0,
     "Limits.CpuShare": 1.0,
     "Limits.Cores": 1.0,
 }
 """Defaults where a platform leaves a figure out: those of its pages."""
 
 
-LIVE = ("fenced", "lease", "results_kept", "stop_within")
+LIVE = ("fenced", "lease", "reads_per_second", "results_kept", "stop_within")
 """What a running process takes over from a changed file: bounds that are read when they
 are needed. Addresses, places and partitions hold until the next start."""
 FEWEST_PARTITIONS = 2
@@ -43,6 +44,7 @@
 
     ``stop_within`` is how long a planned stop may take, ``lease`` the time that two
     holders of a duty must lie apart where replicas do not check fencing numbers,
+    ``reads_per_second`` how many reads the store gives all instances together,
     ``fenced`` whether they do, ``results_kept`` how long a step's samples are read
     after its submission, ``cores`` how much processor the instance has, ``instance``
     its ``InstancePlace``.
@@ -57,6 +59,7 @@
         "lease",
         "name",
         "partitions",
+        "reads_per_second",
         "ready",
         "record_bytes",
         "results_kept",
@@ -134,6 +137,7 @@
     found.fenced = fields.get("Bounds.RequireFencing", "").lower() == "true"
     found.results_kept = numbers["Bounds.StatusS"]
     found.record_bytes = int(numbers["Platform.RecordBytes"])
+    found.reads_per_second = max(1.0, numbers["Platform.ReadsPerS"])
     found.cores = numbers["Limits.CpuShare"] * numbers["Limits.Cores"]
     found.partitions = int(numbers["Platform.parts"])
     found.instance = InstancePlace(
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -163,6 +163,11 @@
         known = any(one.address == self._address for one in view.alive)
         return not known or self._address in view.entry_points
 
+    @property
+    def entry_points(self):
+        """How many instances callers are sent to."""
+        return len(self._current.entry_points)
+
     @property
     def _current(self):
         if self._view is None or not self._view.holds:
