Test the soak's command line like the other programs'

Change: the test runs the modules that the scripts name; the soak says its version and its exit codes. As strict: the soak is now one more program tested.

--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -26,6 +26,7 @@
 from sassafrasdoor.soak.own import OwnSoak
 from sassafrasdoor.soak.schedule import schedule
 from sassafrasdoor.standin.proxy import Proxy
+from sassafrasdoor.tools.options import VersionOption
 
 PLAIN = "plain"
 EVENTS = 6
@@ -276,8 +277,12 @@
     instances: int = typer.Option(3, help="Processes of ours."),
     keep: str = typer.Option("", help="Folder for the logs of seeds that fail."),
     own: bool = typer.Option(False, help="The product's own interface, not the wire."),
+    version: bool = VersionOption,
 ):
-    """Play seeded faults on real processes and check the promises."""
+    """Play seeded faults on real processes and check the promises.
+
+    Exit codes: 0 all kept, 1 a promise was broken, 2 usage.
+    """
     broken = False
     for one in range(seed, seed + seeds):
         play = _play_own if own else _play
--- a/sassafrasdoor/tools/tests/test_programs.py
+++ b/sassafrasdoor/tools/tests/test_programs.py
@@ -15,9 +15,8 @@
 TIMEOUT = 60
 USAGE = 2
 PROJECT = tomllib.loads((ROOT / "pyproject.toml").read_text("utf-8"))["project"]
-PROGRAMS = sorted(
-    entry.partition(":")[0].rpartition(".")[2] for entry in PROJECT["scripts"].values()
-)
+MODULES = [entry.partition(":")[0] for entry in PROJECT["scripts"].values()]
+PROGRAMS = {module.rpartition(".")[2]: module for module in sorted(MODULES)}
 DAEMONS = ("control", "entry")
 
 MISTAKES = {
@@ -75,7 +74,7 @@
 def run(program, *arguments):
     """Run a program to its end; return ``(exit code, all output)``."""
     done = subprocess.run(
-        [sys.executable, "-m", f"sassafrasdoor.tools.{program}", *arguments],
+        [sys.executable, "-m", PROGRAMS[program], *arguments],
         cwd=ROOT,
         stdin=subprocess.DEVNULL,
         stdout=subprocess.PIPE,
