Refuse an answer that names no request

Change: an answer must name its request; only a refusal (421, or one that says it has not run) may come without. The new test got the wrong answer before.

--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -229,13 +229,19 @@
 
 
 def _own(request_id):
-    """Return the check that an answer belongs to the request of that id."""
+    """Return the check that an answer belongs to the request of that id.
+
+    An extra answer that comes late may name no request at all. On a kept connection it
+    would be taken for the answer to the next one, and a caller read another's answer.
+    Only a refusal may come without: it carries nothing that is anybody's.
+    """
 
     def check(status, headers):
         echoed = headers.get(wire.REQUEST_ID)
-        if echoed is not None and echoed != request_id:
-            return "answer to another request"
-        return ""
+        if echoed == request_id:
+            return ""
+        refusal = status == wire.MISDIRECTED or wire.NOT_RUN in headers
+        return "" if echoed is None and refusal else "answer to another request"
 
     return check
 
--- a/sassafrasdoor/platform/tests/test_servers.py
+++ b/sassafrasdoor/platform/tests/test_servers.py
@@ -29,6 +29,14 @@
     return "\r\n".join(lines).encode() + body
 
 
+def naming(data, head):
+    """Return an answer with the id of the request whose head is given."""
+    name = f"{wire.REQUEST_ID}: ".encode()
+    own = name + head.partition(name)[2].split(b"\r\n")[0]
+    first, _, rest = data.partition(b"\r\n")
+    return b"\r\n".join([first, own, rest])
+
+
 class Passed:
     """Records what a stream passes on."""
 
@@ -44,7 +52,8 @@
 
 
 class ServersTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, data, cut=False):
+    async def start(self, data, cut=False, echo=True):
+        """Serve ``data`` to each request, naming it unless ``data`` names another."""
         self.heads = []
         self.bodies = []
 
@@ -53,7 +62,8 @@
             self.heads.append(head.decode())
             length = head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0]
             self.bodies.append(await reader.readexactly(int(length or 0)))
-            writer.write(data)
+            named = echo and wire.REQUEST_ID.encode() not in data
+            writer.write(data if not named else naming(data, head))
             await writer.drain()
             if cut:
                 writer.close()
@@ -96,6 +106,27 @@
                 await self.start(data)
                 self.assertIsInstance(await self.call(), outcome)
 
+    async def test_answer_that_names_no_request_is_nobodys(self):
+        """Symptom: a member reads another member's answer.
+
+        Sequence: a replica sends a second, late answer that names no request; it comes
+        on a kept connection just after the next request was sent. Cause: only an answer
+        that names another request was refused.
+        """
+        cases = [
+            (answer(200, STAMP, body=b"x"), Broken),
+            (answer(500, STAMP), Broken),
+            (answer(503, f"{wire.NOT_RUN}: 1"), NotRun),
+            (answer(421, f"{wire.INSTANCE_ID}: i-2"), WrongReplica),
+        ]
+        for data, outcome in cases:
+            with self.subTest(data=data):
+                await self.start(data, echo=False)
+                self.assertIsInstance(await self.call(), outcome)
+        await self.start(answer(200, STAMP, body=EVENTS), echo=False)
+        self.assertIsInstance(await self.generate(), Broken)
+        self.assertEqual(self.events, [])
+
     async def test_call_names_whom_it_means_and_what_is_left(self):
         await self.start(answer(200, STAMP, f"{wire.LOAD}: 3,1,4"))
         await self.call()
