Score whole texts by their items' reward calls before they are listed

Ruled out: sending the call as soon as the text is whole, without a record of it: a runner that dies then makes another text, and a score may belong to the first. Change: a whole text is a record; the call follows when it is folded; the first text and the first score count; a replica's 500 is a record that counts toward the attempts, and nothing else does. Malformed reward calls are refused with their places.

--- a/sassafrasdoor/backends/interface.py
+++ b/sassafrasdoor/backends/interface.py
@@ -252,14 +252,18 @@
 
 
 class Answer:
-    """A service's whole answer; ``headers`` maps names to values."""
+    """A service's whole answer; ``headers`` maps names to values.
 
-    __slots__ = ("body", "headers", "status")
+    ``signature`` is the mark by which a server owns its answer, empty for none.
+    """
+
+    __slots__ = ("body", "headers", "signature", "status")
 
-    def __init__(self, status, headers, body):
+    def __init__(self, status, headers, body, signature=""):
         self.status = status
         self.headers = headers
         self.body = body
+        self.signature = signature
 
 
 class Engine(ABC):
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -216,7 +216,7 @@
         # half an answer for its own; only the stamp shows whose answer it is.
         return Broken(NO_STAMP, began=True)
     pairs = wire.header_pairs(reply.headers, wire.NOT_SENT_BACK)
-    return Answer(reply.status, pairs, reply.body)
+    return Answer(reply.status, pairs, reply.body, reply.headers[wire.STAMP])
 
 
 def _event_number(block):
--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -132,6 +132,7 @@
         self.path = path
         self.body = body
         self.after = after
+        self.stamp = ""
         self.at = asyncio.get_running_loop().time()
         self.ended = None
 
@@ -211,7 +212,8 @@
             None if after is None else int(after),
         )
         replica.runs.append(self._run)
-        self.set_header(wire.STAMP, f"{replica.identity}.{len(replica.runs)}")
+        self._run.stamp = f"{replica.identity}.{len(replica.runs)}"
+        self.set_header(wire.STAMP, self._run.stamp)
         return True
 
     def on_finish(self):
--- a/sassafrasdoor/platform/steps.py
+++ b/sassafrasdoor/platform/steps.py
@@ -6,7 +6,7 @@
 
 from sassafrasdoor.outcomes import Finding, Rejected
 from sassafrasdoor.platform import wire
-from sassafrasdoor.steps.durable.records import Item, StepSpec
+from sassafrasdoor.steps.durable.records import Item, RewardCall, StepSpec
 
 
 def spec_from(step_id, host, path, body):
@@ -15,8 +15,8 @@
         document = json.loads(body)
         model = document.get("Model", "")
         rows = document["Items"]
-        items = [_item(row, model, at) for at, row in enumerate(rows)]
-        faults = [one for one in items if isinstance(one, Finding)]
+        items = [_item(row, model, f"Items.{at}") for at, row in enumerate(rows)]
+        faults = [one for found in items if isinstance(found, list) for one in found]
         if faults:
             return Rejected("step invalid", faults)
         return StepSpec(
@@ -33,8 +33,12 @@
         return Rejected("step invalid", [Finding("(root)", repr(error))])
 
 
-def _item(row, model, at):
+def _item(row, model, place):
+    """Return the ``Item`` in a row, or the list of its ``Finding``s."""
     try:
+        reward = _reward(row.get("Scorer"), f"{place}.Scorer")
+        if isinstance(reward, list):
+            return reward
         headers = dict(row.get("Headers") or {})
         return Item(
             row["Id"],
@@ -45,25 +49,53 @@
             int(float(headers.get(wire.LENGTH_HINT) or 0)),
             row.get("Group", ""),
             model,
+            reward,
         )
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
-        return Finding(f"Items.{at}", repr(error))
+    except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as error:
+        return [Finding(place, repr(error))]
+
+
+def _reward(document, place):
+    """Return the ``RewardCall``, None where there is none, or its ``Finding``s."""
+    if document is None:
+        return None
+    if not isinstance(document, dict):
+        return [Finding(place, "must be an object")]
+    found = [
+        Finding(f"{place}.{name}", "must be text that is not empty")
+        for name in ("Id", "Host", "Path")
+        if not isinstance(document.get(name), str) or not document[name]
+    ]
+    if not found and not document["Path"].startswith("/"):
+        found.append(Finding(f"{place}.Path", "must begin with a slash"))
+    body = b""
+    try:
+        body = base64.b64decode(document.get("Body") or "", validate=True)
+    except (TypeError, ValueError, binascii.Error) as error:
+        found.append(Finding(f"{place}.Body", repr(error)))
+    if found:
+        return found
+    return RewardCall(document["Id"], document["Host"], document["Path"], body)
 
 
 def page_document(page):
     """Return the JSON bytes of a ``Page``."""
-    results = [
-        {
-            "Id": sample.item_id,
-            "State": sample.state,
-            "Output": sample.text,
-            "Versions": sample.versions,
-        }
-        for sample in page.samples
-    ]
+    results = [_result(sample) for sample in page.samples]
     document = {
         "Total": page.total,
         "NextToken": page.first + len(results),
         "Results": results,
     }
     return json.dumps(document).encode()
+
+
+def _result(sample):
+    result = {
+        "Id": sample.item_id,
+        "State": sample.state,
+        "Output": sample.text,
+        "Versions": sample.versions,
+    }
+    if sample.score:
+        result["Score"] = sample.score
+    return result
--- a/sassafrasdoor/platform/tests/cases.py
+++ b/sassafrasdoor/platform/tests/cases.py
@@ -119,7 +119,7 @@
         )
         return await reply_to(self.client, request)
 
-    async def submit(self, step_id, items=4, at=0):
+    async def submit(self, step_id, items=4, at=0, rewarded=False):
         rows = [
             {
                 "Id": f"{step_id}-{number}",
@@ -131,6 +131,10 @@
             }
             for number in range(items)
         ]
+        for number, row in enumerate(rows if rewarded else ()):
+            path = f"/plain/{number}"
+            reward = {"Id": f"{row['Id']}-r", "Host": HOST, "Path": path, "Body": ""}
+            row["Scorer"] = reward
         document = {"Step": 1, "Model": MODEL, "MinVersion": 1, "Desired": 2}
         body = json.dumps({**document, "Items": rows})
         headers = {wire.REQUEST_ID: step_id}
--- /dev/null
+++ b/sassafrasdoor/platform/tests/test_reward_processes.py
@@ -0,0 +1,84 @@
+"""Reward calls in real processes: a runner that dies between a text and its score."""
+
+import signal
+import unittest
+
+from sassafrasdoor.platform import wire
+from sassafrasdoor.platform.tests.cases import ProcessCase
+
+
+class RewardProcessTest(ProcessCase):
+    def scoring_runs(self):
+        return [run for replica in self.plain for run in replica.runs]
+
+    def check_scores(self, results):
+        stamps = {}
+        for run in self.scoring_runs():
+            stamps.setdefault(run.request_id, set()).add(run.stamp)
+        for result in results:
+            self.assertIn(result["Score"], stamps[f"{result['Id']}-r"])
+
+    async def test_samples_bear_the_mark_of_their_own_call(self):
+        self.assertEqual((await self.submit("s", rewarded=True)).code, 202)
+        results = await self.until(lambda: self.whole("s", 1))
+        self.check_texts(results)
+        self.check_scores(results)
+
+    async def test_runner_that_dies_between_text_and_score(self):
+        """Symptom: texts are made twice, or bear the score of another text.
+
+        Sequence: all texts of a step are whole, their calls run; the runner is
+        killed. Cause: that a text was whole was known to its runner only.
+        """
+        for replica in self.plain:
+            replica.pause = 1.5
+        self.assertEqual((await self.submit("s", rewarded=True)).code, 202)
+        await self.until(lambda: len(self.scoring_runs()) >= 4)
+        made = len(self.all_runs())
+        holder = self.holder()
+        holder.kill()
+        other = next(at for at, one in enumerate(self.instances) if one is not holder)
+        results = await self.until(lambda: self.whole("s", other))
+        self.check_texts(results)
+        self.check_scores(results)
+        self.assertEqual(len(self.all_runs()), made)
+        for run in self.scoring_runs():
+            self.assertEqual(run.path, f"/plain/{run.request_id[2:-2]}")
+
+    async def test_paused_runner_changes_no_score_that_was_read(self):
+        """Symptom: a position shows another score after a process woke up.
+
+        Sequence: the runner is stopped while its calls run, another one scores the
+        texts, the first goes on. Cause: the later score was taken too.
+        """
+        for replica in self.plain:
+            replica.pause = 0.8
+        self.assertEqual((await self.submit("s", rewarded=True)).code, 202)
+        await self.until(lambda: len(self.scoring_runs()) >= 4)
+        holder = self.holder()
+        holder.signal(signal.SIGSTOP)
+        others = [at for at, one in enumerate(self.instances) if one is not holder]
+        results = await self.until(lambda: self.whole("s", others[0]))
+        holder.signal(signal.SIGCONT)
+        at = self.instances.index(holder)
+        self.assertEqual(await self.until(lambda: self.whole("s", at)), results)
+        self.check_scores(results)
+
+    async def test_malformed_reward_call_is_refused_and_nothing_is_kept(self):
+        body = '{"Model": "m", "Items": [{"Id": "i", "Path": "/s/0", "Scorer": 1}]}'
+        front = self.instances[0].front
+        headers = {wire.REQUEST_ID: "bad"}
+        reply = await self.fetch(front, "/s/", "POST", body, **headers)
+        self.assertEqual(reply.code, 400)
+        self.assertIn(b"Items.0.Scorer", reply.body)
+
+        async def answered_surely():
+            # 503 until the instance has read every shard to its end.
+            reply = await self.fetch(front, "/-/lots/bad?After=0")
+            return reply.code if reply.code != 503 else None
+
+        self.assertEqual(await self.until(answered_surely), 404)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sassafrasdoor/platform/tests/test_translation.py
+++ b/sassafrasdoor/platform/tests/test_translation.py
@@ -6,8 +6,10 @@
 import unittest
 
 from sassafrasdoor.outcomes import Rejected
-from sassafrasdoor.platform import configuration, settings
+from sassafrasdoor.platform import configuration, settings, steps
 from sassafrasdoor.routing.replicas import Replicas
+from sassafrasdoor.steps.durable.records import COMPLETED, Sample
+from sassafrasdoor.steps.durable.service import Page
 from sassafrasdoor.table.routes import Repeat, RoutesInForce
 
 LINES = """
@@ -176,3 +178,57 @@
         for bad in (b"{", b"[]", b"{}"):
             self.keys.take("i-1", bad)
         self.assertEqual(len(self.replicas.of_service("x")), 1)
+
+
+class SubmissionTest(unittest.TestCase):
+    REWARD = {"Id": "r", "Host": "h", "Path": "/a/1", "Body": "YWI="}
+
+    def spec(self, *rewards):
+        rows = [
+            {"Id": f"i{at}", "Path": "/p", "Tokens": 1, "Scorer": reward}
+            for at, reward in enumerate(rewards)
+        ]
+        body = json.dumps({"Model": "m", "Items": rows})
+        return steps.spec_from("s", "h", "/p", body)
+
+    def test_reward_call_is_translated(self):
+        found = self.spec(self.REWARD, None)
+        reward = found.items[0].reward
+        self.assertEqual(
+            (reward.call_id, reward.host, reward.path, reward.body),
+            ("r", "h", "/a/1", b"ab"),
+        )
+        self.assertIsNone(found.items[1].reward)
+
+    def test_malformed_reward_calls_are_refused_with_their_places(self):
+        """Symptom: a trainer waits for samples that can never be scored.
+
+        Sequence: a step with a reward call without a path is accepted. Cause: only
+        the items themselves were checked.
+        """
+        cases = [
+            ("Id", {**self.REWARD, "Id": ""}),
+            ("Host", {**self.REWARD, "Host": 7}),
+            ("Path", {**self.REWARD, "Path": "a/1"}),
+            ("Body", {**self.REWARD, "Body": "%"}),
+            ("Body", {**self.REWARD, "Body": 3}),
+        ]
+        for name, reward in cases:
+            with self.subTest(name):
+                found = self.spec(self.REWARD, reward)
+                self.assertIsInstance(found, Rejected)
+                places = [one.place for one in found.findings]
+                self.assertEqual(places, [f"Items.1.Scorer.{name}"])
+        found = self.spec("text", {})
+        places = [one.place for one in found.findings]
+        wanted = [f"Items.1.Scorer.{name}" for name in ("Id", "Host", "Path")]
+        self.assertEqual(places, ["Items.0.Scorer", *wanted])
+
+    def test_score_is_shown_where_there_is_one(self):
+        samples = [
+            Sample("s", "i0", COMPLETED, "t", [1], "mark"),
+            Sample("s", "i1", COMPLETED, "t", [1]),
+        ]
+        document = json.loads(steps.page_document(Page(0, samples, 2)))
+        found = [one.get("Score") for one in document["Results"]]
+        self.assertEqual(found, ["mark", None])
--- a/sassafrasdoor/requests/attempts.py
+++ b/sassafrasdoor/requests/attempts.py
@@ -43,9 +43,13 @@
 
 
 class Attempts:
-    """The sends of one request; ``running`` maps tasks to their replicas."""
+    """The sends of one request; ``running`` maps tasks to their replicas.
+
+    ``failures`` counts the answers in which a replica says that its own work failed.
+    """
 
     __slots__ = (
+        "failures",
         "may_have_run",
         "refusals",
         "request",
@@ -60,6 +64,7 @@
         self.service = request.route.pick_service()
         self.sent = 0
         self.refusals = 0
+        self.failures = 0
         self.tried = set()
         self.running = {}
         self.may_have_run = False
@@ -103,6 +108,7 @@
             if result.status < SERVER_ERROR:
                 replica.state.answered()
                 return result
+            self.failures += result.status == SERVER_ERROR
             reason = f"status {result.status}"
             replica.state.failed(SUSPECT_FOR)
         elif isinstance(result, NotRun):
--- a/sassafrasdoor/requests/direct.py
+++ b/sassafrasdoor/requests/direct.py
@@ -25,9 +25,12 @@
 
     async def answer(self, request):
         """Return the replica's ``Answer``, ``NotRun`` or ``Unknown``."""
-        attempts = Attempts(request)
+        return await self.settle(Attempts(request))
+
+    async def settle(self, attempts):
+        """Send as often as need be; return as ``answer`` does."""
         try:
-            async with asyncio.timeout_at(request.deadline):
+            async with asyncio.timeout_at(attempts.request.deadline):
                 result = await self._run(attempts)
         except TimeoutError:
             result = attempts.out_of_time()
--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -9,7 +9,10 @@
 class Job:
     """An item on its way: what was received of it and its running attempt.
 
-    ``kept`` is how many of its events are in the log, under the name ``run``.
+    ``kept`` is how many of its events are in the log, under the name ``run``. Once
+    ``scoring``, its text is whole and ``task`` its reward call, sent not before
+    ``reward_from``; ``text_kept_at`` is when the log was seen to keep the text, and
+    ``unanswered`` counts the calls since that ended without an answer.
     """
 
     __slots__ = (
@@ -22,10 +25,15 @@
         "moves",
         "numbers",
         "replica",
+        "reward_failures",
+        "reward_from",
         "run",
+        "scoring",
         "step",
         "task",
+        "text_kept_at",
         "texts",
+        "unanswered",
         "versions",
         "why",
     )
@@ -38,6 +46,10 @@
         self.attempts = 0
         self.moves = 0
         self.failures = step.failures.get(item.item_id, 0)
+        self.reward_failures = step.reward_failures.get(item.item_id, 0)
+        self.unanswered = 0
+        self.reward_from = self.text_kept_at = 0.0
+        self.scoring = False
         self.restart()
         self._resume(step)
 
@@ -75,9 +87,16 @@
         self.versions = list(beginning.versions)
         self.numbers = list(beginning.numbers)
 
+    def score_next(self):
+        """Go on from a whole text to its score: nothing more of it is kept here."""
+        self.scoring = True
+        self.task = None
+        self.last_event_at = None
+        self.keep_at = None
+
     def progress(self):
         """Return the ``Progress`` of the events not yet kept, or None."""
-        if self.kept >= len(self.numbers):
+        if self.scoring or self.kept >= len(self.numbers):
             return None
         first, self.kept = self.kept, len(self.numbers)
         return Progress(
--- a/sassafrasdoor/steps/durable/records.py
+++ b/sassafrasdoor/steps/durable/records.py
@@ -1,4 +1,4 @@
-"""The records of a shard: steps, samples and their progress, ends, claims.
+"""The records of a shard: steps, samples, their texts and scores, ends, claims.
 
 Each record is one kind byte and a payload. Decoding is total: a record that is none
 of ours is reported as ``Unreadable`` and changes nothing.
@@ -11,6 +11,7 @@
 from sassafrasdoor.outcomes import Outcome
 
 STEP, SAMPLE, FAILURE, END, CLAIM, PROGRESS = b"S", b"R", b"A", b"E", b"C", b"P"
+TEXT, SCORE, REWARD_FAILURE = b"T", b"G", b"F"
 PACKED = b"Z"
 PACK_FROM = 1024
 """Bytes; shorter records gain less than the packing costs."""
@@ -24,11 +25,27 @@
     __slots__ = ()
 
 
+class RewardCall:
+    """The request that scores a whole text: sent as it is, under its own id.
+
+    ``host`` and ``path`` select its route; ``body`` are bytes.
+    """
+
+    __slots__ = ("body", "call_id", "host", "path")
+
+    def __init__(self, call_id, host, path, body):
+        self.call_id = call_id
+        self.host = host
+        self.path = path
+        self.body = body
+
+
 class Item:
     """One sample that a step asks for.
 
     ``tokens`` is the most it may take, ``expected`` the caller's guess of its length
-    in tokens (0: none): right at the median, often far off.
+    in tokens (0: none): right at the median, often far off. ``reward`` is the
+    ``RewardCall`` that its text needs before it is listed, None for none.
     """
 
     __slots__ = (
@@ -39,10 +56,22 @@
         "item_id",
         "model",
         "path",
+        "reward",
         "tokens",
     )
 
-    def __init__(self, item_id, path, headers, body, tokens, expected, group, model):
+    def __init__(
+        self,
+        item_id,
+        path,
+        headers,
+        body,
+        tokens,
+        expected,
+        group,
+        model,
+        reward=None,
+    ):
         self.item_id = item_id
         self.path = path
         self.headers = headers
@@ -51,6 +80,7 @@
         self.expected = expected
         self.group = group
         self.model = model
+        self.reward = reward
 
 
 class StepSpec:
@@ -91,16 +121,47 @@
 
 
 class Sample:
-    """A listed sample: its final state, text and the versions that made it."""
+    """A listed sample: its final state, text and the versions that made it.
 
-    __slots__ = ("item_id", "state", "step_id", "text", "versions")
+    ``score`` is what its reward call was answered with, empty where it has none.
+    """
 
-    def __init__(self, step_id, item_id, state, text, versions):
+    __slots__ = ("item_id", "score", "state", "step_id", "text", "versions")
+
+    def __init__(self, step_id, item_id, state, text, versions, score=""):
         self.step_id = step_id
         self.item_id = item_id
         self.state = state
         self.text = text
         self.versions = versions
+        self.score = score
+
+
+class Text:
+    """A whole text that still needs its score; of several only the first counts.
+
+    It is in the log before its reward call is sent: a runner that dies in between
+    would otherwise make the text again, and the score would belong to another one.
+    """
+
+    __slots__ = ("item_id", "step_id", "text", "versions")
+
+    def __init__(self, step_id, item_id, text, versions):
+        self.step_id = step_id
+        self.item_id = item_id
+        self.text = text
+        self.versions = versions
+
+
+class Score:
+    """The answer to an item's reward call: it lists the text that is kept."""
+
+    __slots__ = ("item_id", "score", "step_id")
+
+    def __init__(self, step_id, item_id, score):
+        self.step_id = step_id
+        self.item_id = item_id
+        self.score = score
 
 
 class Failure:
@@ -113,6 +174,12 @@
         self.item_id = item_id
 
 
+class RewardFailure(Failure):
+    """A replica's own failure of an item's reward call: it counts likewise."""
+
+    __slots__ = ()
+
+
 class End:
     """The end of a step."""
 
@@ -174,7 +241,7 @@
     once, and share what the log can send.
     """
     kind = _KINDS[type(record)]
-    fields = {name: getattr(record, name) for name in record.__slots__}
+    fields = {name: getattr(record, name) for name in _fields(type(record))}
     payload = json.dumps(fields).encode()
     if len(payload) < PACK_FROM:
         return kind + payload
@@ -204,6 +271,10 @@
         return Unreadable(f"step not understood: {error}")
 
 
+def _fields(kind):
+    return kind.__slots__ or kind.__base__.__slots__
+
+
 def _line(step_id, part, parts):
     return json.dumps([step_id, part, parts]).encode() + b"\n"
 
@@ -219,16 +290,31 @@
             item.tokens,
             item.expected,
             item.group,
+            _reward_row(item.reward),
         ]
         for item in spec.items
     ]
     return document
 
 
+def _reward_row(reward):
+    if reward is None:
+        return None
+    body = base64.b64encode(reward.body).decode()
+    return [reward.call_id, reward.host, reward.path, body]
+
+
 def _item(row, model):
-    item_id, path, headers, body, tokens, expected, group = row
+    # Rows of an earlier program end before the reward call.
+    item_id, path, headers, body, tokens, expected, group, *rest = row
+    reward = _reward(rest[0]) if rest and rest[0] is not None else None
     body = base64.b64decode(body)
-    return Item(item_id, path, headers, body, tokens, expected, group, model)
+    return Item(item_id, path, headers, body, tokens, expected, group, model, reward)
+
+
+def _reward(row):
+    call_id, host, path, body = row
+    return RewardCall(call_id, host, path, base64.b64decode(body))
 
 
 def _decode_part(data):
@@ -239,7 +325,10 @@
 
 _KINDS = {
     Sample: SAMPLE,
+    Text: TEXT,
+    Score: SCORE,
     Failure: FAILURE,
+    RewardFailure: REWARD_FAILURE,
     End: END,
     Claim: CLAIM,
     Progress: PROGRESS,
@@ -247,7 +336,10 @@
 _DECODERS = {
     STEP: _decode_part,
     SAMPLE: lambda data: Sample(**json.loads(data)),
+    TEXT: lambda data: Text(**json.loads(data)),
+    SCORE: lambda data: Score(**json.loads(data)),
     FAILURE: lambda data: Failure(**json.loads(data)),
+    REWARD_FAILURE: lambda data: RewardFailure(**json.loads(data)),
     END: lambda data: End(**json.loads(data)),
     CLAIM: lambda data: Claim(**json.loads(data)),
     PROGRESS: lambda data: Progress(**json.loads(data)),
--- /dev/null
+++ b/sassafrasdoor/steps/durable/rewards.py
@@ -0,0 +1,172 @@
+"""Sending the reward calls of whole texts that the log keeps.
+
+A reward call may be repeated: it keeps its id, path and body, and whatever becomes of
+one send, the next may be answered. Only a replica's own failures are counted, in the
+log, so that they add up over runners.
+"""
+
+import asyncio
+
+from sassafrasdoor.backends.interface import Answer
+from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.decisions import note
+from sassafrasdoor.metrics import counter, histogram
+from sassafrasdoor.outcomes import Unknown
+from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts, DirectRequest
+from sassafrasdoor.steps.durable import reward_order
+from sassafrasdoor.steps.durable.records import RewardFailure, Score, encode
+
+SUCCESSES = range(200, 300)
+METHOD = "POST"
+
+CALLS = counter("steps_reward_calls_total", "Reward calls, by result.")
+SECONDS = histogram(
+    "steps_reward_seconds",
+    "Seconds from a text's record to its score's.",
+    buckets=[0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8],
+)
+
+
+class Rewards:
+    """Scores texts: ``add`` a job whose text the log keeps, ``drop`` one that ended.
+
+    ``scored(job)`` and ``give_up(job, reason)`` are told of the end of a job.
+    """
+
+    __slots__ = (
+        "_direct",
+        "_give_up",
+        "_jobs",
+        "_outboxes",
+        "_replicas",
+        "_routes",
+        "_scored",
+        "_taken",
+        "_wake",
+    )
+
+    def __init__(self, direct, replicas, routes, outboxes, wake, scored, give_up):
+        self._direct = direct
+        self._replicas = replicas
+        self._routes = routes
+        self._outboxes = outboxes
+        self._wake = wake
+        self._scored = scored
+        self._give_up = give_up
+        self._jobs = {}
+        self._taken = {}
+
+    def add(self, job):
+        """Send the reward call of a job as soon as there is a place for it."""
+        job.reward_from = job.text_kept_at = now()
+        self._jobs[job.key] = job
+        self._wake()
+
+    def drop(self, job):
+        """Forget a job; the caller cancels its task."""
+        self._jobs.pop(job.key, None)
+
+    @property
+    def waiting(self):
+        """Jobs whose call is not under way."""
+        return [job for job in self._jobs.values() if job.task is None]
+
+    def hand_out(self):
+        """Send the calls that are due and find a place."""
+        configuration = self._routes.current
+        if configuration is None:
+            return
+        due = [job for job in self.waiting if passed(job.reward_from)]
+        for job in reward_order.ordered(due):
+            call = job.item.reward
+            route = configuration.match(call.host, call.path)
+            if route is None:
+                job.reward_from = deadline_in(reward_order.ROUTELESS_PAUSE)
+                note("reward.no_route", request=call.call_id, item=job.item.item_id)
+                continue
+            request = self._request(job, route, configuration)
+            attempts = Attempts(request)
+            if self._places(attempts.service):
+                task = self._attempt(job, attempts)
+                job.task = asyncio.ensure_future(task)
+
+    def _places(self, service):
+        slots = sum(
+            one.listing.slots
+            for one in self._replicas.of_service(service)
+            if not one.state.suspect
+        )
+        return reward_order.places(slots, self._taken.get(service, 0))
+
+    def _request(self, job, route, configuration):
+        call = job.item.reward
+        limit = reward_order.seconds_for(route, job.unanswered)
+        return DirectRequest(
+            route=route,
+            method=METHOD,
+            path=call.path,
+            headers=[("Host", call.host)],
+            body=call.body,
+            request_id=call.call_id,
+            deadline=deadline_in(limit),
+            version=configuration.version,
+        )
+
+    async def _attempt(self, job, attempts):
+        service = attempts.service
+        self._taken[service] = self._taken.get(service, 0) + 1
+        try:
+            result = await self._direct.settle(attempts)
+        finally:
+            self._taken[service] -= 1
+            self._wake()
+        if self._jobs.get(job.key) is not job:
+            return
+        job.task = None
+        self._judge(job, attempts, result)
+
+    def _judge(self, job, attempts, result):
+        """Act on what became of a reward call's sends."""
+        kind = type(result).__name__
+        if isinstance(result, Answer):
+            kind = f"{result.status // 100}xx"
+            if result.status in SUCCESSES and result.signature:
+                CALLS.inc({"result": kind})
+                self._take(job, result)
+                return
+        CALLS.inc({"result": kind})
+        job.unanswered += isinstance(result, Unknown)
+        if attempts.failures:
+            self._failed(job, attempts)
+        else:
+            job.reward_from = deadline_in(reward_order.LOST_PAUSE)
+
+    def _take(self, job, answer):
+        SECONDS.observe({}, now() - job.text_kept_at)
+        self.drop(job)
+        spec = job.step.spec
+        score = Score(spec.step_id, job.item.item_id, answer.signature)
+        self._outboxes[job.step.shard].put(encode(score))
+        self._scored(job)
+
+    def _failed(self, job, attempts):
+        spec = job.step.spec
+        for _ in range(attempts.failures):
+            record = RewardFailure(spec.step_id, job.item.item_id)
+            self._outboxes[job.step.shard].put(encode(record))
+        job.reward_failures += attempts.failures
+        item_route = self._routes.current.match(spec.host, job.item.path)
+        allowed = reward_order.allowed_failures(item_route, attempts.request.route)
+        note(
+            "reward.failed",
+            request=job.item.reward.call_id,
+            item=job.item.item_id,
+            step=spec.step_id,
+            failures=job.reward_failures,
+            allowed=allowed,
+        )
+        if job.reward_failures >= allowed:
+            self.drop(job)
+            self._give_up(job, f"reward call failed with {SERVER_ERROR}")
+        else:
+            job.reward_from = deadline_in(reward_order.FAILED_PAUSE)
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -13,6 +13,7 @@
 from sassafrasdoor.decisions import note, note_routine
 from sassafrasdoor.metrics import counter, histogram
 from sassafrasdoor.outcomes import NotRun
+from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.routing.replicas import SUSPECT_FOR
 from sassafrasdoor.steps.durable.jobs import Job
 from sassafrasdoor.steps.durable.order import ordered
@@ -21,8 +22,10 @@
     ERRORED,
     Failure,
     Sample,
+    Text,
     encode,
 )
+from sassafrasdoor.steps.durable.rewards import Rewards
 
 TICK = 0.1
 """Seconds between looks at the queue when nothing wakes the runner."""
@@ -69,6 +72,7 @@
         "_queue",
         "_refused_until",
         "_replicas",
+        "_rewards",
         "_routes",
         "_steps",
         "_wake",
@@ -85,6 +89,15 @@
         self._queue = []
         self._refused_until = {}
         self._wake = asyncio.Event()
+        self._rewards = Rewards(
+            DirectService(client, replicas),
+            replicas,
+            routes,
+            outboxes,
+            self._wake.set,
+            self._scored,
+            lambda job, reason: self._list(job, ERRORED, reason),
+        )
         steps.on_change(self._step_changed)
         replicas.on_change(self._wake.set)
 
@@ -101,6 +114,7 @@
             self._end_silent()
             self._keep_progress()
             self._hand_out()
+            self._score_texts()
             self._move_slow()
 
     def waiting(self, model):
@@ -150,17 +164,42 @@
         for job in [one for one in self._jobs.values() if one.step is step]:
             if not step.is_open(job.item.item_id):
                 self._drop(job)
+            elif job.item.item_id in step.texts and not job.text_kept_at:
+                self._score(job)
 
     def _add(self, step):
         for item in ordered(step.spec):
             job = Job(step, item)
-            if step.is_open(item.item_id) and job.key not in self._jobs:
-                self._jobs[job.key] = job
+            if not step.is_open(item.item_id) or job.key in self._jobs:
+                continue
+            self._jobs[job.key] = job
+            if item.item_id in step.texts:
+                self._score(job)
+            else:
                 self._queue.append(job)
         self._wake.set()
 
+    def _score(self, job):
+        """Send the reward call of a text that the log keeps.
+
+        A former runner may have kept it while this one still makes its own: only the
+        first record of a text counts, so the other is made in vain.
+        """
+        self._stop(job)
+        job.score_next()
+        self._rewards.add(job)
+
+    def _score_texts(self):
+        for job in self._rewards.waiting:
+            self._gave_up(job)
+        self._rewards.hand_out()
+
     def _drop(self, job):
         self._jobs.pop(job.key, None)
+        self._rewards.drop(job)
+        self._stop(job)
+
+    def _stop(self, job):
         if job in self._queue:
             self._queue.remove(job)
         if job.task is not None:
@@ -244,7 +283,9 @@
         waiting = {job.step.spec.model for job in self._queue}
         rooms = {}
         for job in list(self._jobs.values()):
-            if job.task is None or job.why or job.moves >= MOST_MOVES:
+            if job.task is None or job.scoring or job.why:
+                continue
+            if job.moves >= MOST_MOVES:
                 continue
             if job.replica.pace is None or job.step.spec.model in waiting:
                 continue
@@ -298,7 +339,7 @@
         finally:
             replica.state.finished()
             self._wake.set()
-        if self._jobs.get(job.key) is not job:
+        if self._jobs.get(job.key) is not job or job.scoring:
             return
         job.task = None
         self._judge(job, replica, route, result)
@@ -338,8 +379,14 @@
             job.restart()
             self._again(job, replica, "several versions where one is asked for")
             return
-        SECONDS.observe({}, now() - job.step.seen_at)
-        self._list(job, COMPLETED, "")
+        if job.item.reward is None:
+            self._list(job, COMPLETED, "")
+            return
+        spec = job.step.spec
+        versions = sorted(set(job.versions))
+        text = Text(spec.step_id, job.item.item_id, "\n".join(job.texts), versions)
+        self._outboxes[job.step.shard].put(encode(text))
+        job.score_next()
 
     def _failed(self, job, replica, route, result):
         job.failures += 1
@@ -378,14 +425,26 @@
         text = "\n".join(job.texts) if state == COMPLETED else ""
         versions = sorted(set(job.versions)) if state == COMPLETED else []
         sample = Sample(spec.step_id, job.item.item_id, state, text, versions)
-        self._jobs.pop(job.key, None)
         self._outboxes[job.step.shard].put(encode(sample))
+        self._made(job, state, versions, reason)
+
+    def _scored(self, job):
+        kept = job.step.texts.get(job.item.item_id)
+        self._made(job, COMPLETED, kept.versions if kept else [], "")
+
+    def _made(self, job, state, versions, reason):
+        """Forget a job whose sample is on its way into the log."""
+        self._jobs.pop(job.key, None)
+        self._rewards.drop(job)
         SAMPLES.inc({"result": state})
+        if state == COMPLETED:
+            SECONDS.observe({}, now() - job.step.seen_at)
         write = note_routine if state == COMPLETED else note
         write(
             "item.made",
-            step=spec.step_id,
+            step=job.step.spec.step_id,
             item=job.item.item_id,
+            reward=job.item.reward.call_id if job.item.reward else "",
             replica=job.replica.identity if job.replica else "",
             attempts=job.attempts,
             versions=versions,
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -217,7 +217,7 @@
     def _fitting(self, samples):
         fitting, size = [], 0
         for sample in samples:
-            size += len(sample.text) + len(sample.item_id) + 64
+            size += len(sample.text) + len(sample.item_id) + len(sample.score) + 64
             if fitting and size > PAGE_BYTES:
                 break
             fitting.append(sample)
--- a/sassafrasdoor/steps/durable/state.py
+++ b/sassafrasdoor/steps/durable/state.py
@@ -5,6 +5,8 @@
 submitted twice change nothing that a trainer has read.
 """
 
+from collections import Counter
+
 from sassafrasdoor.clock import now
 from sassafrasdoor.decisions import note
 from sassafrasdoor.steps.durable import records
@@ -15,21 +17,26 @@
 class Step:
     """One accepted step and what the log lists of it.
 
-    ``listed`` are the samples by position; ``failures`` counts replicas'
-    own failures by item, ``progress`` the beginnings kept of unfinished samples
-    by item and run; ``seen_at`` is when this process learned of the step.
+    ``listed`` are the samples by position; ``failures`` and ``reward_failures`` count
+    replicas' own failures by item, ``progress`` the beginnings kept of unfinished
+    samples by item and run, ``texts`` the whole texts that still need their score;
+    ``seen_at`` is when this process learned of the step.
     """
 
     __slots__ = (
+        "_sizes",
+        "_whole",
         "ended",
         "failures",
         "items",
         "listed",
         "listed_ids",
         "progress",
+        "reward_failures",
         "seen_at",
         "shard",
         "spec",
+        "texts",
         "waiters",
     )
 
@@ -37,10 +44,14 @@
         self.spec = spec
         self.shard = shard
         self.items = {item.item_id: item for item in spec.items}
+        self._sizes = Counter(item.group for item in spec.items)
+        self._whole = {}
         self.listed = []
         self.listed_ids = set()
         self.failures = {}
+        self.reward_failures = {}
         self.progress = {}
+        self.texts = {}
         self.ended = False
         self.seen_at = now()
         self.waiters = set()
@@ -56,6 +67,19 @@
             not self.ended and item_id in self.items and item_id not in self.listed_ids
         )
 
+    def missing_of(self, group):
+        """Return how many samples a group still lacks."""
+        return self._sizes[group] - self._whole.get(group, 0)
+
+    def take(self, sample):
+        """List a sample at the next position."""
+        self.listed_ids.add(sample.item_id)
+        self.progress.pop(sample.item_id, None)
+        self.texts.pop(sample.item_id, None)
+        self.listed.append(sample)
+        group = self.items[sample.item_id].group
+        self._whole[group] = self._whole.get(group, 0) + 1
+
     def beginning(self, item_id):
         """Return the longest ``Beginning`` kept of an item, or None."""
         runs = self.progress.get(item_id, {}).values()
@@ -187,18 +211,47 @@
         step = self.by_id.get(sample.step_id)
         if step is None or not step.is_open(sample.item_id):
             return
-        step.listed_ids.add(sample.item_id)
-        step.progress.pop(sample.item_id, None)
-        step.listed.append(sample)
+        step.take(sample)
         step.wake()
         self._changed(step)
 
+    def _take_text(self, shard, offset, text):
+        step = self.by_id.get(text.step_id)
+        if step is None or not step.is_open(text.item_id):
+            return
+        if text.item_id in step.texts:
+            return
+        step.texts[text.item_id] = text
+        step.progress.pop(text.item_id, None)
+        self._changed(step)
+
+    def _take_score(self, shard, offset, score):
+        step = self.by_id.get(score.step_id)
+        text = step.texts.get(score.item_id) if step is not None else None
+        if text is None:
+            return
+        sample = records.Sample(
+            text.step_id,
+            text.item_id,
+            records.COMPLETED,
+            text.text,
+            text.versions,
+            score.score,
+        )
+        self._take_sample(shard, offset, sample)
+
     def _take_failure(self, shard, offset, failure):
         step = self.by_id.get(failure.step_id)
         if step is not None:
             count = step.failures.get(failure.item_id, 0)
             step.failures[failure.item_id] = count + 1
 
+    def _take_reward_failure(self, shard, offset, failure):
+        step = self.by_id.get(failure.step_id)
+        if step is not None:
+            count = step.reward_failures.get(failure.item_id, 0)
+            step.reward_failures[failure.item_id] = count + 1
+
     def _take_end(self, shard, offset, end):
         step = self.by_id.get(end.step_id)
         if step is None or step.ended:
@@ -219,6 +272,8 @@
         step = self.by_id.get(progress.step_id)
         if step is None or not step.is_open(progress.item_id):
             return
+        if progress.item_id in step.texts:
+            return
         runs = step.progress.setdefault(progress.item_id, {})
         beginning = runs.setdefault(progress.run, Beginning(progress.run))
         if progress.first == len(beginning.numbers):
@@ -232,7 +287,10 @@
 _FOLDS = {
     records.StepPart: Steps._take_part,
     records.Sample: Steps._take_sample,
+    records.Text: Steps._take_text,
+    records.Score: Steps._take_score,
     records.Failure: Steps._take_failure,
+    records.RewardFailure: Steps._take_reward_failure,
     records.End: Steps._take_end,
     records.Claim: Steps._take_claim,
     records.Progress: Steps._take_progress,
--- a/sassafrasdoor/steps/durable/tests/fixtures.py
+++ b/sassafrasdoor/steps/durable/tests/fixtures.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
+from sassafrasdoor.backends.interface import Answer
 from sassafrasdoor.backends.replicas import Event
 from sassafrasdoor.routing.replicas import Listing, Replicas
-from sassafrasdoor.steps.durable.records import Item, StepSpec
+from sassafrasdoor.steps.durable.records import Item, RewardCall, StepSpec
 from sassafrasdoor.table.routes import (
     Configuration,
     Limits,
@@ -14,6 +15,7 @@
 )
 
 HOST, PREFIX, MODEL, SERVICE = "train.example", "/rollout/", "m", "engines"
+SCORING, SCORING_PREFIX, SCORER = "score.example", "/score/", "scorers"
 
 
 def route(**changes):
@@ -34,6 +36,17 @@
     return Route(**{**fields, **changes})
 
 
+def reward_route(**changes):
+    """Return a route for reward calls; ``changes`` replace its fields."""
+    fields = {
+        "host": SCORING,
+        "prefix": SCORING_PREFIX,
+        "repeat": Repeat.SAFE,
+        "services": [(SCORER, 1)],
+    }
+    return route(**{**fields, **changes})
+
+
 def routes_in_force(*routes, version=1):
     """Return ``RoutesInForce`` with these routes, or with the step route."""
     found = RoutesInForce()
@@ -43,12 +56,16 @@
     return found
 
 
-def spec(step_id="s1", items=2, min_version=1, model=MODEL):
-    """Return a step with items ``i0``, ``i1``, ..."""
+def spec(step_id="s1", items=2, min_version=1, model=MODEL, rewarded=False):
+    """Return a step with items ``i0``, ``i1``, ..., ``rewarded`` by calls ``r0``, ..."""
     rows = [
         Item(f"i{at}", f"{PREFIX}{at}", {}, b"body %d" % at, 100, 0, "g", model)
         for at in range(items)
     ]
+    if rewarded:
+        for at, item in enumerate(rows):
+            path = f"{SCORING_PREFIX}{at}"
+            item.reward = RewardCall(f"r{at}", SCORING, path, b"score %d" % at)
     return StepSpec(step_id, HOST, PREFIX, 1, model, min_version, 1, rows)
 
 
@@ -63,9 +80,21 @@
     return found
 
 
+def add_scorers(found, count=1, slots=4):
+    """Add replicas ``s0``, ``s1``, ... of the scoring service to ``Replicas``."""
+    for at in range(count):
+        address = f"10.0.1.{at}:80"
+        listing = Listing(SCORER, address, "zone-a", slots, False, {})
+        found.listed(f"s{at}", listing)
+    return found
+
+
 class ScriptedClient:
     """Generates samples by a script; ``sent`` are ``(replica, item, after)``.
 
+    ``calls`` are the ``(replica, DirectCall)`` of reward calls, answered with a
+    signed 200 or by the entries of ``answers``: outcomes or ``HANG``.
+
     A script is a list of outcomes, one for each send: a list of ``(number, text,
     version)`` events ends well, an ``Outcome`` is returned, and a pair
     ``(events, outcome)`` hands the events on first. ``HANG`` waits for ever.
@@ -76,8 +105,27 @@
     def __init__(self, *script):
         self.script = list(script)
         self.sent = []
+        self.answers = []
+        self.calls = []
         self.cancelled = 0
 
+    async def call(self, replica, call):
+        """Answer a reward call."""
+        self.calls.append((replica.identity, call))
+        answer = self.answers.pop(0) if self.answers else None
+        if answer is None:
+            answer = Answer(200, [], b"", f"stamp {call.request_id}")
+        await asyncio.sleep(0)
+        if answer == self.HANG:
+            await self._hang()
+        return answer
+
+    async def _hang(self):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.cancelled += 1
+
     async def generate(self, replica, order, on_event):
         """Play the next entry of the script."""
         self.sent.append((replica.identity, order.item_id, order.after))
@@ -90,8 +138,5 @@
                 return outcome
         await asyncio.sleep(0)
         if outcome == self.HANG:
-            try:
-                await asyncio.Event().wait()
-            finally:
-                self.cancelled += 1
+            await self._hang()
         return outcome
--- /dev/null
+++ b/sassafrasdoor/steps/durable/tests/test_rewards.py
@@ -0,0 +1,248 @@
+"""Reward calls: when they are sent, repeated, counted and given up."""
+
+import asyncio
+import unittest
+
+from sassafrasdoor.backends.interface import Answer, Broken
+from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.outcomes import NotRun
+from sassafrasdoor.steps.durable import records
+from sassafrasdoor.steps.durable.records import (
+    COMPLETED,
+    ERRORED,
+    End,
+    RewardFailure,
+    Score,
+    Text,
+    encode,
+)
+from sassafrasdoor.steps.durable.runner import Runner
+from sassafrasdoor.steps.durable.state import Steps
+from sassafrasdoor.steps.durable.tests.fixtures import (
+    ScriptedClient,
+    add_scorers,
+    replicas,
+    reward_route,
+    route,
+    routes_in_force,
+    spec,
+)
+
+FAILED = Answer(500, [], b"", "stamp of a failure")
+
+
+class Log:
+    """An outbox whose records are folded as if appended, unless ``held``."""
+
+    def __init__(self, steps):
+        self.steps = steps
+        self.records = []
+        self.held = False
+        self._offset = 100
+
+    def put(self, data):
+        self.records.append(records.decode(data))
+        if not self.held:
+            self.fold(data)
+
+    def fold(self, data):
+        self._offset += 1
+        self.steps.fold(0, self._offset, data)
+
+
+class RewardTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.client = ScriptedClient()
+        self.steps = Steps()
+        self.log = Log(self.steps)
+        self.replicas = add_scorers(replicas(), 2)
+        self.routes = routes_in_force(route(), reward_route())
+
+    async def submit(self, items=1, **step):
+        data = records.encode_step(spec(items=items, rewarded=True, **step), 10_000)
+        for record in data:
+            self.log.fold(record)
+
+    async def run_shard(self):
+        self.runner = Runner(
+            self.client, self.replicas, self.routes, self.steps, [self.log]
+        )
+        self.runner.own(0)
+        self.task = asyncio.ensure_future(self.runner.run())
+        self.addCleanup(self.task.cancel)
+
+    async def until(self, condition):
+        limit = deadline_in(20)
+        while not condition():
+            self.assertFalse(passed(limit), "condition never came true")
+            await asyncio.sleep(0.005)
+
+    @property
+    def listed(self):
+        return self.steps.by_id["s1"].listed
+
+    async def sample(self):
+        await self.until(lambda: self.listed)
+        return self.listed[0]
+
+    def kinds(self):
+        return [type(one) for one in self.log.records]
+
+    async def test_text_is_listed_with_its_score(self):
+        await self.submit()
+        await self.run_shard()
+        found = await self.sample()
+        self.assertEqual(
+            (found.state, found.text, found.score, found.versions),
+            (COMPLETED, "text", "stamp r0", [1]),
+        )
+        self.assertEqual(self.kinds(), [Text, Score])
+
+    async def test_call_is_sent_as_the_trainer_wrote_it(self):
+        await self.submit()
+        await self.run_shard()
+        await self.sample()
+        ((_, call),) = self.client.calls
+        self.assertEqual(
+            (call.request_id, call.method, call.path, call.body, call.headers),
+            ("r0", "POST", "/score/0", b"score 0", [("Host", "score.example")]),
+        )
+
+    async def test_nothing_is_scored_before_the_log_keeps_the_text(self):
+        """Symptom: a listed text bears the score of another one.
+
+        Sequence: a text is whole and its reward call sent; the runner dies before
+        the text is kept; the next one makes another text. Cause: the call did not
+        wait for the text's record.
+        """
+        self.log.held = True
+        await self.submit()
+        await self.run_shard()
+        await self.until(lambda: self.kinds() == [Text])
+        for _ in range(20):
+            await asyncio.sleep(0.01)
+        self.assertEqual(self.client.calls, [])
+        self.log.held = False
+        self.log.fold(encode(self.log.records[0]))
+        self.assertEqual((await self.sample()).score, "stamp r0")
+
+    async def test_next_runner_makes_no_text_again(self):
+        """Symptom: places of engines go to texts that were whole before.
+
+        Sequence: a runner dies between a text's record and its score. Cause: the
+        next one began the item anew.
+        """
+        await self.submit()
+        self.log.fold(encode(Text("s1", "i0", "kept", [1])))
+        await self.run_shard()
+        self.assertEqual((await self.sample()).text, "kept")
+        self.assertEqual(self.client.sent, [])
+
+    async def test_first_text_counts_also_while_another_is_made(self):
+        """Symptom: a position shows a text that its score was not asked for.
+
+        Sequence: a paused runner's text lands while the next one streams its own.
+        Cause: the later text was taken.
+        """
+        self.client.script = [([(0, "other", 1)], ScriptedClient.HANG)]
+        await self.submit()
+        await self.run_shard()
+        await self.until(lambda: self.client.sent)
+        self.log.fold(encode(Text("s1", "i0", "first", [1])))
+        self.log.fold(encode(Text("s1", "i0", "second", [1])))
+        self.assertEqual((await self.sample()).text, "first")
+        await self.until(lambda: self.client.cancelled == 1)
+
+    async def test_failures_are_counted_in_the_log_until_the_attempts_are_used(self):
+        self.client.answers = [FAILED] * 9
+        await self.submit()
+        await self.run_shard()
+        found = await self.sample()
+        self.assertEqual((found.state, found.text, found.score), (ERRORED, "", ""))
+        failures = self.kinds().count(RewardFailure)
+        self.assertEqual(failures, len(self.client.calls))
+        # The last round of tries may end one try beyond: two replicas are asked.
+        self.assertIn(failures, (3, 4))
+
+    async def test_failures_of_a_former_runner_count(self):
+        """Symptom: a call that always fails goes on for as long as runners change.
+
+        Sequence: a runner dies after two failures of three. Cause: they were counted
+        in its memory.
+        """
+        self.client.answers = [FAILED] * 9
+        await self.submit()
+        self.log.fold(encode(Text("s1", "i0", "kept", [1])))
+        for _ in range(2):
+            self.log.fold(encode(RewardFailure("s1", "i0")))
+        await self.run_shard()
+        self.assertEqual((await self.sample()).state, ERRORED)
+        self.assertLessEqual(len(self.client.calls), 3)
+
+    async def test_refusals_lost_and_unsigned_answers_are_no_failures(self):
+        """Symptom: a sample is listed as errored although its call would succeed.
+
+        Sequence: the scoring service sheds, cuts answers and sends some without its
+        mark. Cause: every answer but a success counted toward the attempts.
+        """
+        self.client.answers = [
+            *[NotRun("full", 0.1)] * 6,
+            *[Broken("cut", began=True)] * 4,
+            Answer(200, [], b"", ""),
+        ]
+        await self.submit()
+        await self.run_shard()
+        found = await self.sample()
+        self.assertEqual((found.state, found.score), (COMPLETED, "stamp r0"))
+        self.assertNotIn(RewardFailure, self.kinds())
+
+    async def test_ended_step_sends_none_and_ends_those_under_way(self):
+        self.client.answers = [ScriptedClient.HANG] * 9
+        await self.submit(items=2)
+        await self.run_shard()
+        await self.until(lambda: len(self.client.calls) >= 2)
+        self.log.fold(encode(End("s1")))
+        await self.until(lambda: self.client.cancelled >= 2)
+        sent = len(self.client.calls)
+        for _ in range(20):
+            await asyncio.sleep(0.01)
+        self.assertEqual(len(self.client.calls), sent)
+        self.assertEqual(self.listed, [])
+
+    async def test_call_without_a_route_waits_for_one(self):
+        self.routes = routes_in_force()
+        await self.submit()
+        await self.run_shard()
+        await self.until(lambda: self.kinds() == [Text])
+        self.assertEqual(self.client.calls, [])
+        current = self.routes.current
+        newer = routes_in_force(route(), reward_route(), version=current.version + 1)
+        self.routes.take(newer.current)
+        self.assertEqual((await self.sample()).score, "stamp r0")
+
+    async def test_item_is_given_up_after_the_time_it_is_kept(self):
+        self.routes = routes_in_force(route(keep_for=0.3))
+        await self.submit()
+        await self.run_shard()
+        self.assertEqual((await self.sample()).state, ERRORED)
+
+
+class OldRecordTest(unittest.TestCase):
+    def test_step_without_reward_calls_is_read_as_before(self):
+        (data,) = records.encode_step(spec(), 10_000)
+        part = records.decode(data)
+        found = records.unpack_step([part.piece])
+        self.assertEqual([item.reward for item in found.items], [None, None])
+
+    def test_rows_of_an_earlier_program_have_no_reward_call(self):
+        row = ["i", "/p", {}, "", 1, 0, "g"]
+        self.assertIsNone(records._item(row, "m").reward)
+
+    def test_reward_call_comes_back_as_it_was(self):
+        (data,) = records.encode_step(spec(rewarded=True), 10_000)
+        found = records.unpack_step([records.decode(data).piece])
+        reward = found.items[1].reward
+        self.assertEqual(
+            (reward.call_id, reward.host, reward.path, reward.body),
+            ("r1", "score.example", "/score/1", b"score 1"),
+        )
