Forget a replica that starts again, and use no entry of another writer

Cause: a replica may start again under its identity, empty and with numbers anew, and an entry may come from another writer; both were taken for news of the replica known. Ruled out: comparing the entries' numbers, which begin anew with each start. Change: the start's time tells incarnations apart; all that is remembered hangs on the incarnation (also refusals and orders), kept connections are closed, a late entry of an earlier one changes nothing. Every field of an entry and of a step's record has its type checked. Lines carry the steady clock; the time line is ordered by it. Figures: fuzz tests of every topic; they found one fault (a version of infinite size ended the reader of the operator's topic). The new mover test fails without its change.

--- a/sassafrasdoor/decisions.py
+++ b/sassafrasdoor/decisions.py
@@ -104,7 +104,8 @@
         return
     if dropped:
         fields["lines_left_out_before"] = dropped
-    eliot.log_message(message_type=what, **fields)
+    # The time of day may jump; lines of one process are ordered by the steady clock.
+    eliot.log_message(message_type=what, steady=round(now(), 4), **fields)
 
 
 def start(process):
--- a/sassafrasdoor/platform/configuration.py
+++ b/sassafrasdoor/platform/configuration.py
@@ -4,6 +4,7 @@
 import re
 
 from sassafrasdoor.decisions import note
+from sassafrasdoor.metrics import counter
 from sassafrasdoor.routing.replicas import Listing
 from sassafrasdoor.table.routes import Configuration, Limits, Repeat, Route
 
@@ -17,6 +18,21 @@
 REPEATS = {"safe": Repeat.SAFE, "rollout": Repeat.STEP}
 """Every other kind of route may run once at most, but streams that can be resumed."""
 STREAMING = "streaming"
+MALFORMED = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What reading a record raises that another writer may have written."""
+REASON = 200
+"""Characters of a reason in a log line."""
+
+UNREADABLE = counter(
+    "platform_records_unreadable_total", "Keyed records that cannot be used, by topic."
+)
 
 
 def configuration_from(document):
@@ -67,17 +83,45 @@
 
 
 def listing_from(document):
-    """Return the ``Listing`` in a replica's entry; raises as above."""
+    """Return the ``Listing`` in a replica's entry; raises as above.
+
+    An entry may be another writer's. Taken for what it resembles, it would send
+    requests to an address where nobody waits for them.
+    """
+    address = _typed(document, "Address", str)
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"Address {address!r}")
+    slots = _typed(document, "Slots", int)
+    if slots < 1:
+        raise ValueError(f"Slots {slots}")
     return Listing(
-        document["Service"],
-        document["Address"],
-        document.get("Zone", ""),
-        int(document.get("Slots") or 1),
-        document.get("State") != "ready",
-        {one["Name"]: int(one["Version"]) for one in document.get("Models") or ()},
+        _typed(document, "Service", str),
+        address,
+        _typed(document, "Zone", str),
+        slots,
+        _LEAVING[_typed(document, "State", str)],
+        {
+            _typed(one, "Name", str): _typed(one, "Version", int)
+            for one in _typed(document, "Models", list, [])
+        },
+        _typed(document, "born", int, 0),
     )
 
 
+_LEAVING = {"ready": False, "draining": True}
+"""Whether a replica in a state gets no new work."""
+_REQUIRED = object()
+
+
+def _typed(document, name, kind, default=_REQUIRED):
+    """Return a field of exactly one type; raises ``KeyError`` or ``TypeError``."""
+    value = document[name] if default is _REQUIRED else document.get(name, default)
+    if type(value) is not kind:
+        raise TypeError(f"{name} is {type(value).__name__}")
+    return value
+
+
 class OperatorKeys:
     """Hands configurations and named versions on to the product."""
 
@@ -97,9 +141,11 @@
             if key == CONFIGURATION_KEY:
                 self._routes.take(configuration_from(document))
             elif key.startswith(VERSION_KEYS):
-                self._named(document["Model"], int(document["Version"]))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            note("operator.record_unreadable", key=key, reason=repr(error))
+                model = _typed(document, "Model", str)
+                self._named(model, _typed(document, "Version", int))
+        except MALFORMED as error:
+            UNREADABLE.inc({"topic": OPERATOR_TOPIC})
+            note("operator.record_unreadable", key=key, reason=repr(error)[:REASON])
 
 
 class ServerKeys:
@@ -126,7 +172,10 @@
         self._taken[identity] = without_number
         try:
             listing = listing_from(json.loads(value))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            note("replica.entry_unreadable", replica=identity, reason=repr(error))
+        except MALFORMED as error:
+            UNREADABLE.inc({"topic": SERVERS_TOPIC})
+            reason = repr(error)[:REASON]
+            note("replica.entry_unreadable", replica=identity, reason=reason)
+            self._replicas.refuse(identity)
             return
         self._replicas.listed(identity, listing)
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -80,6 +80,7 @@
         self._client = WireReplicas()
         self._routes = RoutesInForce()
         self._replicas = Replicas(settings.instance.availability_zone)
+        self._replicas.on_restart(self._client.forget)
         self._steps = Steps()
         # The shard after those of the steps is no step's: its holder orders the loads.
         shards = min(SHARDS, settings.partitions - 1)
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -38,6 +38,10 @@
         """Close all connections."""
         self._connections.close()
 
+    def forget(self, replica):
+        """Close the kept connections of an incarnation that is gone."""
+        self._connections.forget(replica.listing.address)
+
     async def call(self, replica, call):
         """Return the ``Answer``, ``NotRun``, ``WrongReplica`` or ``Broken``."""
         reply = await self._send(
--- /dev/null
+++ b/sassafrasdoor/platform/tests/test_foreign_records.py
@@ -0,0 +1,119 @@
+"""Records of another writer, in every topic that is followed: none ends its reader.
+
+Symptom: an instance that read one record follows its topic no more, also after each
+start. Sequence: another writer, or a broken one, leaves any bytes at all. Cause: an
+exception that the reader does not expect.
+"""
+
+import json
+import unittest
+
+from hypothesis import example, given, strategies as st
+
+from sassafrasdoor import settings
+from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
+from sassafrasdoor.platform import configuration
+from sassafrasdoor.platform.tests.test_translation import DOCUMENT, ENTRY
+from sassafrasdoor.routing.instances import Instances
+from sassafrasdoor.routing.replicas import Replicas
+from sassafrasdoor.steps.durable import records
+from sassafrasdoor.steps.durable.state import Steps
+from sassafrasdoor.steps.durable.tests.fixtures import spec
+from sassafrasdoor.table.routes import RoutesInForce
+from sassafrasdoor.tests.test_fuzz import JSON, fuzzed, nearly
+
+INSTANCE = {"address": "h:1", "zone": "a", "region": "r", "cores": 1.0}
+SAMPLE = {
+    "step_id": "s1",
+    "item_id": "i0",
+    "state": "completed",
+    "text": "t",
+    "versions": [1],
+    "score": "",
+}
+PROGRESS = {
+    "step_id": "s1",
+    "item_id": "i0",
+    "run": "r",
+    "first": 0,
+    "numbers": [0],
+    "texts": ["t"],
+    "versions": [1],
+}
+CLAIM = {"runner": "h/1", "replaces": -1, "released": False}
+BODIES = {
+    records.SAMPLE: SAMPLE,
+    records.TEXT: {key: SAMPLE[key] for key in SAMPLE if key not in ("state", "score")},
+    records.SCORE: {"step_id": "s1", "item_id": "i0", "score": "x"},
+    records.FAILURE: {"step_id": "s1", "item_id": "i0"},
+    records.REWARD_FAILURE: {"step_id": "s1", "item_id": "i0"},
+    records.END: {"step_id": "s1"},
+    records.CLAIM: CLAIM,
+    records.PROGRESS: PROGRESS,
+}
+
+
+def nearly_records():
+    """Return bytes that are, or nearly are, a record of a step."""
+    made = [
+        nearly(body).map(lambda one, kind=kind: kind + json.dumps(one).encode())
+        for kind, body in BODIES.items()
+    ]
+    (step,) = records.encode_step(spec("s1"), 10_000)
+    return st.one_of(*made) | st.binary(max_size=60) | st.just(step)
+
+
+class KeyedTopicsTest(unittest.TestCase):
+    @fuzzed
+    @given(JSON | nearly(ENTRY))
+    @example({**ENTRY, "Models": [{"Name": [], "Version": 1}]})
+    def test_replicas(self, document):
+        replicas = Replicas("palermo")
+        keys = configuration.ServerKeys(replicas)
+        keys.take("good", json.dumps(ENTRY).encode())
+        keys.take("other", json.dumps(document).encode())
+        self.assertIn("good", [one.identity for one in replicas.of_service("x")])
+        for one in replicas.of_service("x"):
+            self.assertIsInstance(one.load + one.room, int)
+            host, _, port = one.listing.address.rpartition(":")
+            self.assertTrue(host and port.isdigit())
+
+    @fuzzed
+    @given(JSON | nearly(DOCUMENT), st.sampled_from(["config", "version/m", "x"]))
+    def test_operators_words(self, document, key):
+        routes = RoutesInForce()
+        keys = configuration.OperatorKeys(routes, lambda model, version: None)
+        keys.take("config", json.dumps(DOCUMENT).encode())
+        keys.take(key, json.dumps(document).encode())
+        self.assertGreaterEqual(routes.current.version, DOCUMENT["Version"])
+        routes.current.match("h.example", "/a/b")
+
+    @fuzzed
+    @given(JSON | nearly(INSTANCE))
+    def test_instances(self, document):
+        place = settings.from_document({"instance": {"name": "i"}})
+        found = Instances(place, MemoryPartitionedLog(), "i:1", "i:1")
+        found._take("h:1", json.dumps(INSTANCE).encode())
+        found._take("other", json.dumps(document).encode())
+        self.assertIn("h:1", found.addresses("a"))
+        found.peers()
+        found.ranking("shards")
+
+
+class StepTopicTest(unittest.TestCase):
+    @fuzzed
+    @given(st.lists(nearly_records(), max_size=6))
+    def test_steps(self, data):
+        steps = Steps()
+        for offset, record in enumerate(data):
+            steps.fold(0, offset, record)
+        (whole,) = records.encode_step(spec("s2"), 10_000)
+        sample = records.Sample("s2", "i1", records.COMPLETED, "t", [1])
+        steps.fold(0, 90, whole)
+        steps.fold(0, 91, records.encode(sample))
+        self.assertEqual(steps.by_id["s2"].listed[0].text, "t")
+        for step in steps.by_id.values():
+            step.beginning("i0")
+            for one in step.listed:
+                self.assertIsInstance(one.text, str)
+                self.assertTrue(all(type(one) is int for one in one.versions))
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -35,6 +35,8 @@
 VIEW_HOLDS = 0.2
 """Seconds that what was worked out of the list is used again. To order 300 instances
 takes 0.4 ms of processor time (50 runs), and 140 times a second it is asked for."""
+MALFORMED = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
+"""What reading a record raises that another writer may have written."""
 FEWEST_IN_ZONE = 2
 """With fewer instances in the caller's zone it is sent to all zones."""
 
@@ -55,13 +57,19 @@
     __slots__ = ("address", "at", "cores", "region", "zone")
 
     def __init__(self, document):
-        self.address = document["address"]
-        self.zone = document["zone"]
-        self.region = document["region"]
+        self.address = _text(document, "address")
+        self.zone = _text(document, "zone")
+        self.region = _text(document, "region")
         self.cores = float(document["cores"])
         self.at = now()
 
 
+def _text(document, name):
+    if not isinstance(document[name], str):
+        raise TypeError(f"{name} is not text")
+    return document[name]
+
+
 class _View:
     """What follows from the list at one moment; ``rankings`` are filled as asked."""
 
@@ -233,12 +241,14 @@
             self._seen.pop(key, None)
             self._view = None
             return
+        try:
+            seen = _Seen(json.loads(value))
+        except MALFORMED as error:
+            note("instance.record_unreadable", key=key, reason=repr(error)[:200])
+            return
         if key not in self._seen:
             self._view = None
-        try:
-            self._seen[key] = _Seen(json.loads(value))
-        except (ValueError, KeyError, TypeError) as error:
-            note("instance.record_unreadable", key=key, reason=str(error))
+        self._seen[key] = seen
 
 
 def _entry_points(near):
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -25,11 +25,16 @@
 
 
 class Listing:
-    """What the platform's list says of a replica."""
+    """What the platform's list says of a replica.
 
-    __slots__ = ("address", "leaving", "service", "slots", "versions", "zone")
+    ``born`` tells its incarnations apart: the Unix millisecond of its start, 0 where
+    the list does not say. It is compared with other such, never with a clock.
+    """
+
+    __slots__ = ("address", "born", "leaving", "service", "slots", "versions", "zone")
 
-    def __init__(self, service, address, zone, slots, leaving, versions):
+    def __init__(self, service, address, zone, slots, leaving, versions, born=0):
+        self.born = born
         self.service = service
         self.address = address
         self.zone = zone
@@ -39,7 +44,11 @@
 
 
 class Replica:
-    """One incarnation of a replica; ``identity`` appears nowhere else.
+    """One incarnation of a replica; another one may have its ``identity`` later.
+
+    Everything that is remembered of a replica hangs on this object, so that nothing
+    of an incarnation is believed of the next: ``refused_until`` maps a model to when
+    it may get an item again that it has refused.
 
     ``loading_until`` maps a model to when a load that this process ordered ends;
     ``pace`` is the smoothed time between two events of its streams in seconds, None
@@ -54,6 +63,7 @@
         "listing",
         "loading_until",
         "pace",
+        "refused_until",
         "state",
         "versions",
     )
@@ -65,6 +75,7 @@
         self.versions = dict(listing.versions)
         self.absent_until = None
         self.loading_until = {}
+        self.refused_until = {}
         self.pace = None
         self._others = 0
         self._others_until = 0.0
@@ -106,12 +117,19 @@
 class Replicas:
     """All known replicas by identity; ``list_failing`` says if the list is away."""
 
-    __slots__ = ("_callbacks", "_known", "_zone", "list_tail")
+    __slots__ = (
+        "_callbacks",
+        "_known",
+        "_restart_callbacks",
+        "_zone",
+        "list_tail",
+    )
 
     def __init__(self, zone):
         self._zone = zone
         self._known = {}
         self._callbacks = []
+        self._restart_callbacks = []
         self.list_tail = None
 
     @property
@@ -123,6 +141,10 @@
         """Call ``callback()`` when a replica comes, goes or changes."""
         self._callbacks.append(callback)
 
+    def on_restart(self, callback):
+        """Call ``callback(replica)`` with an incarnation that another one replaces."""
+        self._restart_callbacks.append(callback)
+
     def of_service(self, service):
         """Return the replicas of a service that may get work."""
         return [
@@ -136,8 +158,16 @@
         return self._known.get(identity)
 
     def listed(self, identity, listing):
-        """Take an entry of the platform's list."""
+        """Take an entry of the platform's list.
+
+        One of an earlier incarnation that comes late changes nothing.
+        """
         known = self._known.get(identity)
+        if known is not None and listing.born < known.listing.born:
+            note("replica.entry_late", replica=identity, born=listing.born)
+            return
+        if known is not None and listing.born > known.listing.born:
+            known = self._restarted(known)
         if known is None:
             known = self._known[identity] = Replica(identity, listing)
             self._note("listed", known)
@@ -150,6 +180,21 @@
         known.absent_until = None
         self._changed()
 
+    def _restarted(self, known):
+        """Forget an incarnation; its place is free for the next."""
+        # A replica that starts again under its identity holds nothing and knows
+        # nothing. Its former versions believed, steps would be sent to weights that
+        # are not there; its former failures believed, it would stand idle.
+        del self._known[known.identity]
+        self._note("restarted", known)
+        for callback in self._restart_callbacks:
+            callback(known)
+
+    def refuse(self, identity):
+        """Drop a replica whose newest entry names none that could be used."""
+        if self._known.pop(identity, None) is not None:
+            self._changed()
+
     def unlisted(self, identity):
         """Take the end of an entry.
 
--- a/sassafrasdoor/routing/tests/test_replicas.py
+++ b/sassafrasdoor/routing/tests/test_replicas.py
@@ -85,3 +85,58 @@
         self.assertEqual(one.versions, {"m": 2})
         self.listed("x", versions={"m": 3})
         self.assertEqual(one.versions, {"m": 3})
+
+
+class IncarnationTest(unittest.TestCase):
+    """A replica that starts again under the identity that it had."""
+
+    def setUp(self):
+        self.replicas = Replicas("a")
+        self.replicas.list_tail = Tail()
+        self.restarted = []
+        self.replicas.on_restart(self.restarted.append)
+
+    def listed(self, born, version=1, leaving=False):
+        listing = Listing("s", "h:80", "a", 4, leaving, {"m": version}, born)
+        self.replicas.listed("x", listing)
+        return self.replicas.get("x")
+
+    def test_nothing_is_remembered_of_the_one_before(self):
+        """Symptom: items go to weights that a replica does not hold, or it stands idle.
+
+        Sequence: a replica at version 7 with failures and a full load crashes and
+        starts again under its identity, empty. Cause: its new entry was taken for
+        news of the former incarnation.
+        """
+        before = self.listed(1000, version=3)
+        before.told_version("m", 7)
+        before.told_load(4, 2)
+        before.told_gap(0.5)
+        before.state.failed(60.0)
+        before.state.started()
+        before.loading_until["m"] = before.refused_until["m"] = now() + 60
+        found = self.listed(2000, version=0)
+        self.assertIsNot(found, before)
+        self.assertEqual((found.versions, found.room), ({"m": 0}, 4))
+        self.assertIsNone(found.pace)
+        self.assertFalse(found.state.suspect)
+        self.assertEqual((found.loading_until, found.refused_until), ({}, {}))
+        self.assertEqual(self.restarted, [before])
+
+    def test_late_entry_of_an_earlier_one_changes_nothing(self):
+        found = self.listed(2000, version=5)
+        self.listed(1000, version=1, leaving=True)
+        self.assertIs(self.replicas.get("x"), found)
+        self.assertEqual(found.versions, {"m": 5})
+        self.assertTrue(found.usable)
+        self.assertEqual(self.restarted, [])
+
+    def test_same_one_is_the_same(self):
+        found = self.listed(1000)
+        found.told_version("m", 4)
+        self.assertIs(self.listed(1000), found)
+        self.assertEqual(found.versions, {"m": 4})
+
+    def test_one_that_left_may_start_again(self):
+        self.listed(1000, leaving=True)
+        self.assertTrue(self.listed(2000).usable)
--- a/sassafrasdoor/steps/durable/records.py
+++ b/sassafrasdoor/steps/durable/records.py
@@ -17,6 +17,17 @@
 """Bytes; shorter records gain less than the packing costs."""
 PACK_LEVEL = 1
 COMPLETED, ERRORED = "completed", "errored"
+MALFORMED = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+    zlib.error,
+)
+"""What reading bytes raises that another writer may have written."""
+MOST_REASON = 200
+"""Characters of a reason that quotes such bytes."""
 
 
 class Unreadable(Outcome):
@@ -257,8 +268,8 @@
         return Unreadable("unknown kind of record")
     try:
         return read(zlib.decompress(data[1:]) if packed else data[1:])
-    except (ValueError, KeyError, TypeError, zlib.error) as error:
-        return Unreadable(f"record not understood: {error}")
+    except MALFORMED as error:
+        return Unreadable(f"record not understood: {error}"[:MOST_REASON])
 
 
 def unpack_step(pieces):
@@ -266,9 +277,10 @@
     try:
         document = json.loads(zlib.decompress(b"".join(pieces)))
         items = [_item(one, document["model"]) for one in document.pop("items")]
+        _check(document)
         return StepSpec(items=items, **document)
-    except (ValueError, KeyError, TypeError, zlib.error) as error:
-        return Unreadable(f"step not understood: {error}")
+    except MALFORMED as error:
+        return Unreadable(f"step not understood: {error}"[:MOST_REASON])
 
 
 def _fields(kind):
@@ -308,18 +320,22 @@
     # Rows of an earlier program end before the reward call.
     item_id, path, headers, body, tokens, expected, group, *rest = row
     reward = _reward(rest[0]) if rest and rest[0] is not None else None
+    _check({"item_id": item_id, "path": path, "headers": headers, "tokens": tokens})
+    _check({"expected": expected, "group": group, "model": model})
     body = base64.b64decode(body)
     return Item(item_id, path, headers, body, tokens, expected, group, model, reward)
 
 
 def _reward(row):
     call_id, host, path, body = row
+    _check({"call_id": call_id, "host": host, "path": path})
     return RewardCall(call_id, host, path, base64.b64decode(body))
 
 
 def _decode_part(data):
     line, _, piece = data.partition(b"\n")
     step_id, part, parts = json.loads(line)
+    _check({"step_id": step_id, "part": part, "parts": parts})
     return StepPart(step_id, part, parts, piece)
 
 
@@ -333,14 +349,65 @@
     Claim: CLAIM,
     Progress: PROGRESS,
 }
+_TYPES = {
+    "call_id": str,
+    "expected": int,
+    "first": int,
+    "group": str,
+    "headers": dict,
+    "host": str,
+    "item_id": str,
+    "min_version": int,
+    "model": str,
+    "number": int,
+    "numbers": list,
+    "part": int,
+    "parts": int,
+    "path": str,
+    "released": bool,
+    "replaces": int,
+    "run": str,
+    "runner": str,
+    "score": str,
+    "state": str,
+    "step_id": str,
+    "text": str,
+    "texts": list,
+    "tokens": int,
+    "versions": list,
+    "wanted": int,
+}
+"""The type of each field. A record with another one would stop its reader for good:
+every instance would read it again after each start and fail on it again."""
+_ELEMENTS = {"texts": str, "versions": int}
+"""The type of the elements of each list; an event may have no number."""
+
+
+def _check(fields):
+    for name, value in fields.items():
+        if name in _TYPES and type(value) is not _TYPES[name]:
+            raise TypeError(f"{name} is {type(value).__name__}")
+        if name in _ELEMENTS and any(type(one) is not _ELEMENTS[name] for one in value):
+            raise TypeError(f"{name} holds other elements")
+
+
+def _reader(kind):
+    def read(data):
+        fields = json.loads(data)
+        _check(fields)
+        return kind(**fields)
+
+    return read
+
+
 _DECODERS = {
     STEP: _decode_part,
-    SAMPLE: lambda data: Sample(**json.loads(data)),
-    TEXT: lambda data: Text(**json.loads(data)),
-    SCORE: lambda data: Score(**json.loads(data)),
-    FAILURE: lambda data: Failure(**json.loads(data)),
-    REWARD_FAILURE: lambda data: RewardFailure(**json.loads(data)),
-    END: lambda data: End(**json.loads(data)),
-    CLAIM: lambda data: Claim(**json.loads(data)),
-    PROGRESS: lambda data: Progress(**json.loads(data)),
+    SAMPLE: _reader(Sample),
+    TEXT: _reader(Text),
+    SCORE: _reader(Score),
+    FAILURE: _reader(Failure),
+    REWARD_FAILURE: _reader(RewardFailure),
+    END: _reader(End),
+    CLAIM: _reader(Claim),
+    PROGRESS: _reader(Progress),
 }
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -70,7 +70,6 @@
         "_outboxes",
         "_owned",
         "_queue",
-        "_refused_until",
         "_replicas",
         "_rewards",
         "_routes",
@@ -87,7 +86,6 @@
         self._owned = set()
         self._jobs = {}
         self._queue = []
-        self._refused_until = {}
         self._wake = asyncio.Event()
         self._rewards = Rewards(
             DirectService(client, replicas),
@@ -256,7 +254,7 @@
                 continue
             if model and one.versions.get(model, 0) < oldest:
                 continue
-            if not passed(self._refused_until.get((one.identity, model), 0.0)):
+            if not passed(one.refused_until.get(model, 0.0)):
                 continue
             if not passed(one.loading_until.get(model, 0.0)):
                 continue
@@ -401,8 +399,7 @@
 
     def _refused(self, job, replica, result):
         model = job.step.spec.model
-        until = deadline_in(REFUSED_PAUSE)
-        self._refused_until[replica.identity, model] = until
+        replica.refused_until[model] = deadline_in(REFUSED_PAUSE)
         if isinstance(result, WrongReplica):
             replica.state.failed(SUSPECT_FOR)
         self._again(job, replica, result.reason)
--- a/sassafrasdoor/steps/durable/state.py
+++ b/sassafrasdoor/steps/durable/state.py
@@ -274,6 +274,8 @@
             return
         if progress.item_id in step.texts:
             return
+        if not len(progress.numbers) == len(progress.texts) == len(progress.versions):
+            return
         runs = step.progress.setdefault(progress.item_id, {})
         beginning = runs.setdefault(progress.run, Beginning(progress.run))
         if progress.first == len(beginning.numbers):
--- /dev/null
+++ b/sassafrasdoor/tests/test_clock_jumps.py
@@ -0,0 +1,41 @@
+"""No decision follows the time of day: it may jump by seconds, back and forth."""
+
+import ast
+import unittest
+
+from sassafrasdoor.support import ROOT
+
+SOURCE = ROOT / "sassafrasdoor"
+WALL = {"time.time", "time.time_ns", "datetime", "CLOCK_REALTIME", "localtime"}
+ALLOWED = {
+    "clock.py": "the hybrid clock that orders events of the time line",
+    "membership/node.py": "an incarnation's number, compared with its own only",
+}
+
+
+def wall_readers():
+    """Yield the modules that name the time of day, tests left out."""
+    for path in sorted(SOURCE.rglob("*.py")):
+        if "tests" in path.parts:
+            continue
+        names = {ast.unparse(node) for node in ast.walk(ast.parse(path.read_text()))}
+        if any(
+            wall in name.split(".")[0] or wall == name
+            for name in names
+            for wall in WALL
+        ):
+            yield str(path.relative_to(SOURCE))
+
+
+class TimeOfDayTest(unittest.TestCase):
+    def test_only_what_is_named_here_reads_it(self):
+        """Symptom: leases lapse, or callers' time is over, at a jump of the clock.
+
+        Sequence: the time of day steps forward by seconds. Cause: a deadline was
+        counted on it.
+        """
+        self.assertEqual(set(wall_readers()), set(ALLOWED))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sassafrasdoor/timeline/lines.py
+++ b/sassafrasdoor/timeline/lines.py
@@ -3,19 +3,25 @@
 The lines are the JSON lines that ``decisions`` and ``logs`` write; whatever stands
 before the first brace (a collector's own prefix) is left out. Clocks of instances
 may differ by some milliseconds, so lines of different processes that close to each
-other may stand in the wrong order.
+other may stand in the wrong order. The time of day may jump on a machine: lines of one
+process are ordered by its steady clock, which every line carries too.
 """
 
 import json
+import statistics
 
 
 class Line:
-    """One log line: when (seconds since the epoch), which process, what."""
+    """One log line: when (seconds since the epoch), which process, what.
 
-    __slots__ = ("at", "fields", "kind", "process")
+    ``steady`` is the process's steady clock in seconds, None where it is not told.
+    """
 
-    def __init__(self, at, process, kind, fields):
+    __slots__ = ("at", "fields", "kind", "process", "steady")
+
+    def __init__(self, at, process, kind, fields, steady=None):
         self.at = at
+        self.steady = steady
         self.process = process
         self.kind = kind
         self.fields = fields
@@ -38,7 +44,14 @@
 
 
 SAYS_WHO_ENDED_IT = {"request.caller_left", "request.cut_by_stop", "request.no_route"}
-NOT_SHOWN = {"timestamp", "process", "message_type", "task_uuid", "task_level"}
+NOT_SHOWN = {
+    "timestamp",
+    "steady",
+    "process",
+    "message_type",
+    "task_uuid",
+    "task_level",
+}
 
 
 def parse(text):
@@ -54,6 +67,7 @@
             str(document["process"]),
             str(document["message_type"]),
             fields,
+            None if document.get("steady") is None else float(document["steady"]),
         )
     except (ValueError, KeyError, TypeError):
         return None
@@ -61,17 +75,32 @@
 
 def select(texts, wanted="", kind=""):
     """Return the lines that name an id and whose kind begins so, in order of time."""
-    found = (parse(text) for text in texts)
+    found = [line for line in map(parse, texts) if line is not None]
+    _straighten(found)
     kept = [
         line
         for line in found
-        if line is not None
-        and line.kind.startswith(kind)
-        and (not wanted or line.names(wanted))
+        if line.kind.startswith(kind) and (not wanted or line.names(wanted))
     ]
     return sorted(kept, key=lambda line: line.at)
 
 
+def _straighten(lines):
+    """Set the time of each line by its process's steady clock.
+
+    A jump of the time of day would put a cause behind its effect. Most lines of a
+    process are written outside a jump, so the usual distance of both clocks holds.
+    """
+    distances = {}
+    for line in lines:
+        if line.steady is not None:
+            distances.setdefault(line.process, []).append(line.at - line.steady)
+    usual = {name: statistics.median(found) for name, found in distances.items()}
+    for line in lines:
+        if line.steady is not None:
+            line.at = line.steady + usual[line.process]
+
+
 def reasons(texts, wanted):
     """Return by id the last line that explains what became of it, or None."""
     found = dict.fromkeys(wanted)
--- a/sassafrasdoor/timeline/tests/test_lines.py
+++ b/sassafrasdoor/timeline/tests/test_lines.py
@@ -49,6 +49,20 @@
                 self.assertEqual(result.exit_code, 0)
                 self.assertEqual(len(result.output.splitlines()), 3)
 
+    def test_jump_of_the_time_of_day_keeps_the_order(self):
+        """Symptom: a failed try stands behind the answer that it led to.
+
+        Sequence: the time of day jumps back by three seconds between both lines, and
+        forth again. Cause: lines were ordered by the time of day alone.
+        """
+        wall = [(1.0, 51.0), (2.0, 52.0), (3.0, 50.0), (4.0, 54.0)]
+        texts = [
+            line(at, "one", f"k{number}", steady=steady, request="r")
+            for number, (steady, at) in enumerate(wall)
+        ]
+        kinds = [one.kind for one in select(texts[::-1], "r")]
+        self.assertEqual(kinds, ["k0", "k1", "k2", "k3"])
+
     def test_ids_without_a_reason_are_counted(self):
         """Symptom: a failed request that no line explains goes unnoticed.
 
--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -40,13 +40,14 @@
 
 
 class _Sent:
-    """The last order to a replica: of which model and version, and until when it
-    is neither repeated nor doubted (``quiet_until``); ``loads_until`` is when its
-    load has ended."""
+    """The last order to an incarnation of a replica: of which model and version, and
+    until when it is neither repeated nor doubted (``quiet_until``); ``loads_until`` is
+    when its load has ended."""
 
-    __slots__ = ("loads_until", "model", "quiet_until", "version")
+    __slots__ = ("loads_until", "model", "quiet_until", "replica", "version")
 
-    def __init__(self, model, version):
+    def __init__(self, replica, model, version):
+        self.replica = replica
         self.model = model
         self.version = version
         self.quiet_until = deadline_in(ORDER_TIMEOUT)
@@ -166,7 +167,7 @@
         if replica.versions.get(model, 0) >= version:
             return False
         sent = self._sent.get(replica.identity)
-        if sent is None:
+        if sent is None or sent.replica is not replica:
             return True
         if not passed(sent.loads_until):
             return False
@@ -188,7 +189,7 @@
         return not passed(self._named_at[model] + LONGEST_DEFERRAL)
 
     def _begin(self, replica, model, version):
-        self._sent[replica.identity] = _Sent(model, version)
+        self._sent[replica.identity] = _Sent(replica, model, version)
         task = asyncio.ensure_future(self._order(replica, model, version))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/sassafrasdoor/weights/tests/test_named.py
+++ b/sassafrasdoor/weights/tests/test_named.py
@@ -121,6 +121,24 @@
         self.mover.named("a", 3)
         await self.until(lambda: self.at("a", 3) == before)
 
+    async def test_restarted_replica_is_ordered_at_once(self):
+        """Symptom: a replica stands without weights for seconds after its restart.
+
+        Sequence: an order is accepted, the replica starts again under its identity
+        and holds nothing. Cause: the accepted order's quiet time still held.
+        """
+        lag, module.BELIEF_LAG = module.BELIEF_LAG, 1000.0
+        self.addCleanup(setattr, module, "BELIEF_LAG", lag)
+        self.models = ["a"]
+        self.configure(version=2)
+        self.run_mover()
+        self.mover.named("a", 2)
+        await self.until(lambda: len(self.at("a", 2)) == 5)
+        reborn = Listing(SERVICE, "h0:1", "z", 4, False, {"a": 1}, born=5)
+        self.replicas.listed("e0", reborn)
+        await self.until(lambda: len(self.at("a", 2)) == 5)
+        self.assertEqual(self.client.orders.count(("e0", "a", 2)), 2)
+
     async def test_without_the_duty_nothing_is_ordered(self):
         self.holder.fence = 0
         self.run_mover()
