Count a failed try once, also where its record was appended twice

Cause: an append whose reply was lost is repeated, and records of failures were counted: one failure of a replica could use two of an item's attempts. Ruled out: not repeating such appends; then a failure that was not kept is forgotten. Change: a failure names its try; the fold keeps names. Records without one count as before.

--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -9,7 +9,8 @@
 class Job:
     """An item on its way: what was received of it and its running attempt.
 
-    ``kept`` is how many of its events are in the log, under the name ``run``. Once
+    ``leaves`` is the identity of the slow replica that it was taken from, until its
+    next attempt. ``kept`` is how many of its events are in the log, under the name ``run``. Once
     ``scoring``, its text is whole and ``task`` its reward call, sent not before
     ``reward_from``; ``text_kept_at`` is when the log was seen to keep the text, and
     ``unanswered`` counts the calls since that ended without an answer.
@@ -22,6 +23,7 @@
         "keep_at",
         "kept",
         "last_event_at",
+        "leaves",
         "moves",
         "numbers",
         "replica",
@@ -45,8 +47,9 @@
         self.replica = None
         self.attempts = 0
         self.moves = 0
-        self.failures = step.failures.get(item.item_id, 0)
-        self.reward_failures = step.reward_failures.get(item.item_id, 0)
+        self.leaves = ""
+        self.failures = len(step.failed.get(item.item_id, ()))
+        self.reward_failures = len(step.reward_failed.get(item.item_id, ()))
         self.unanswered = 0
         self.reward_from = self.text_kept_at = 0.0
         self.scoring = False
--- a/sassafrasdoor/steps/durable/records.py
+++ b/sassafrasdoor/steps/durable/records.py
@@ -6,6 +6,7 @@
 
 import base64
 import json
+import uuid
 import zlib
 
 from sassafrasdoor.outcomes import Outcome
@@ -176,13 +177,18 @@
 
 
 class Failure:
-    """A replica's own failure of an item: it counts across runners."""
+    """A replica's own failure of an item: it counts across runners.
 
-    __slots__ = ("item_id", "step_id")
+    ``attempt`` names the try that failed. An append whose reply was lost is repeated;
+    counted twice, one failure would give an item up before its attempts are used.
+    """
+
+    __slots__ = ("attempt", "item_id", "step_id")
 
-    def __init__(self, step_id, item_id):
+    def __init__(self, step_id, item_id, attempt=""):
         self.step_id = step_id
         self.item_id = item_id
+        self.attempt = attempt or uuid.uuid4().hex[:12]
 
 
 class RewardFailure(Failure):
@@ -350,6 +356,7 @@
     Progress: PROGRESS,
 }
 _TYPES = {
+    "attempt": str,
     "call_id": str,
     "expected": int,
     "first": int,
--- a/sassafrasdoor/steps/durable/state.py
+++ b/sassafrasdoor/steps/durable/state.py
@@ -17,22 +17,22 @@
 class Step:
     """One accepted step and what the log lists of it.
 
-    ``listed`` are the samples by position; ``failures`` and ``reward_failures`` count
-    replicas' own failures by item, ``progress`` the beginnings kept of unfinished
-    samples by item and run, ``texts`` the whole texts that still need their score;
-    ``seen_at`` is when this process learned of the step.
+    ``listed`` are the samples by position; ``failed`` and ``reward_failed`` name
+    the tries that replicas failed by item, ``progress`` the beginnings kept of
+    unfinished samples by item and run, ``texts`` the whole texts that still need their
+    score; ``seen_at`` is when this process learned of the step.
     """
 
     __slots__ = (
         "_sizes",
         "_whole",
         "ended",
-        "failures",
+        "failed",
         "items",
         "listed",
         "listed_ids",
         "progress",
-        "reward_failures",
+        "reward_failed",
         "seen_at",
         "shard",
         "spec",
@@ -48,8 +48,8 @@
         self._whole = {}
         self.listed = []
         self.listed_ids = set()
-        self.failures = {}
-        self.reward_failures = {}
+        self.failed = {}
+        self.reward_failed = {}
         self.progress = {}
         self.texts = {}
         self.ended = False
@@ -243,14 +243,12 @@
     def _take_failure(self, shard, offset, failure):
         step = self.by_id.get(failure.step_id)
         if step is not None:
-            count = step.failures.get(failure.item_id, 0)
-            step.failures[failure.item_id] = count + 1
+            step.failed.setdefault(failure.item_id, set()).add(failure.attempt)
 
     def _take_reward_failure(self, shard, offset, failure):
         step = self.by_id.get(failure.step_id)
         if step is not None:
-            count = step.reward_failures.get(failure.item_id, 0)
-            step.reward_failures[failure.item_id] = count + 1
+            step.reward_failed.setdefault(failure.item_id, set()).add(failure.attempt)
 
     def _take_end(self, shard, offset, end):
         step = self.by_id.get(end.step_id)
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -142,7 +142,7 @@
         """
         failed = SampleFailed("status 500", final=False)
         await self.start(ScriptedClient(failed), items=1, step_id="s1")
-        self.steps.by_id["s1"].failures["i0"] = 2
+        self.steps.by_id["s1"].failed["i0"] = {"t1", "t2"}
         self.runner.disown(0)
         self.client.script = [failed]
         self.client.sent.clear()
--- a/sassafrasdoor/steps/durable/tests/test_state.py
+++ b/sassafrasdoor/steps/durable/tests/test_state.py
@@ -9,6 +9,7 @@
     COMPLETED,
     End,
     Failure,
+    RewardFailure,
     Sample,
     encode,
     encode_step,
@@ -61,9 +62,21 @@
         self.assertEqual(steps.by_id["s1"].listed, [])
 
     def test_failures_are_counted_across_runners(self):
-        failure = encode(Failure("s1", "i0"))
-        steps = folded(*step_records(), failure, failure)
-        self.assertEqual(steps.by_id["s1"].failures, {"i0": 2})
+        failures = [encode(Failure("s1", "i0")) for _ in range(2)]
+        steps = folded(*step_records(), *failures)
+        self.assertEqual(len(steps.by_id["s1"].failed["i0"]), 2)
+
+    def test_failure_that_was_appended_twice_counts_once(self):
+        """Symptom: an item is given up after fewer failures than it is allowed.
+
+        Sequence: the append of a failure loses its reply and is repeated. Cause:
+        records were counted, not the tries that they tell of.
+        """
+        for kind, kept in ((Failure, "failed"), (RewardFailure, "reward_failed")):
+            with self.subTest(kind.__name__):
+                data = encode(kind("s1", "i0"))
+                steps = folded(*step_records(), data, data, encode(kind("s1", "i0")))
+                self.assertEqual(len(getattr(steps.by_id["s1"], kept)["i0"]), 2)
 
     def test_large_step_is_cut_into_records_and_joined(self):
         many = step_records(items=400, limit=1000)
