Place items by a decision of its own; a moved sample leaves its slow replica out

Ruled out: a larger bound on moves; each costs reading, and they led nowhere. Change: routing/placement decides on what is seen at one moment, without clock, log or input and output; a moved sample does not choose the replica that it leaves, for one look.

--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -4,6 +4,7 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.routing.backend_state import BackendState
+from sassafrasdoor.routing.placement import Seen
 
 SUSPECT_FOR = 1.0
 """Seconds without work after a failure, doubled with each in a row: a restarted
@@ -98,6 +99,12 @@
         """Estimated free places."""
         return self.listing.slots - self.load
 
+    def seen(self):
+        """Return a ``Seen``: what is believed of it at this moment."""
+        closed = {model for model, at in self.loading_until.items() if not passed(at)}
+        closed |= {model for model, at in self.refused_until.items() if not passed(at)}
+        return Seen(self, self.load, self.state.suspect, closed)
+
     def told_load(self, running, waiting):
         """Take the load told beside an answer; own calls are part of it."""
         self._others = max(0, running + waiting - self.state.in_flight)
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -14,6 +14,7 @@
 from sassafrasdoor.metrics import counter, histogram
 from sassafrasdoor.outcomes import NotRun
 from sassafrasdoor.requests.direct import DirectService
+from sassafrasdoor.routing import placement
 from sassafrasdoor.routing.replicas import SUSPECT_FOR
 from sassafrasdoor.steps.durable.jobs import Job
 from sassafrasdoor.steps.durable.order import ordered
@@ -34,10 +35,6 @@
 weights takes 0.9 s, a full queue some seconds."""
 GAP_TIMEOUT = 1.5
 """Seconds without a further event: ten times the usual pause of 150 ms."""
-SLOWER = 1.8
-"""How many times slower than another a replica is before its samples move: replicas
-differ by 1.3, a full one is 1.4 times slower than an idle one; a slow one 2.4 to 4."""
-MOST_MOVES = 2
 SILENT, MOVED, OLD = "silent", "moved", "old version"
 ENDED_HERE = {
     SILENT: "stream went silent",
@@ -67,6 +64,7 @@
     __slots__ = (
         "_client",
         "_jobs",
+        "_looks",
         "_outboxes",
         "_owned",
         "_queue",
@@ -86,6 +84,7 @@
         self._owned = set()
         self._jobs = {}
         self._queue = []
+        self._looks = {}
         self._wake = asyncio.Event()
         self._rewards = Rewards(
             DirectService(client, replicas),
@@ -206,18 +205,22 @@
     def _hand_out(self):
         waiting, self._queue = self._queue, []
         full = set()
+        self._looks.clear()
         for job in waiting:
             if job.key not in self._jobs:
                 continue
             if self._gave_up(job):
                 continue
-            kind = (job.step.spec.model, job.step.spec.min_version)
-            replica = None if kind in full else self._place(job)
-            if replica is None:
+            kind = (job.step.spec.model, job.step.spec.min_version, job.leaves)
+            found = None if kind in full else self._place(job)
+            if found is None:
                 full.add(kind)
+                # Whoever took the better place is gone with it: any will do now.
+                job.leaves = ""
                 self._queue.append(job)
                 continue
-            self._start(job, replica)
+            found.load += 1
+            self._start(job, found.replica)
 
     def _gave_up(self, job):
         route = self._route(job)
@@ -241,35 +244,20 @@
         return configuration.match(job.step.spec.host, job.item.path)
 
     def _place(self, job):
-        """Return a replica that may run the item now, or None."""
+        """Return the ``Seen`` of the replica that gets an item now, or None."""
         route = self._route(job)
         if route is None:
             return None
-        service = route.pick_service()
-        usual = self._usual_pace(service)
-        model, oldest = job.step.spec.model, job.step.spec.min_version
-        best, best_cost = None, None
-        for one in self._replicas.of_service(service):
-            if one.state.suspect or one.room <= 0:
-                continue
-            if model and one.versions.get(model, 0) < oldest:
-                continue
-            if not passed(one.refused_until.get(model, 0.0)):
-                continue
-            if not passed(one.loading_until.get(model, 0.0)):
-                continue
-            pace = one.pace or usual
-            cost = ((one.load + 1) * pace / max(1, one.listing.slots), one.identity)
-            if best is None or cost < best_cost:
-                best, best_cost = one, cost
-        return best
-
-    def _usual_pace(self, service):
-        """Return the middle pace of a service's replicas; 1 where none is known."""
-        known = sorted(
-            one.pace for one in self._replicas.of_service(service) if one.pace
-        )
-        return known[len(known) // 2] if known else 1.0
+        spec = job.step.spec
+        want = placement.Want(spec.model, spec.min_version, job.leaves)
+        return placement.place(self._look(route.pick_service()), want)
+
+    def _look(self, service):
+        """Return the ``Seen`` of a service's replicas, the same for one pass."""
+        if service not in self._looks:
+            found = self._replicas.of_service(service)
+            self._looks[service] = [one.seen() for one in found]
+        return self._looks[service]
 
     def _move_slow(self):
         """Move samples away from replicas that are much slower than one with room.
@@ -279,27 +267,25 @@
         has reached, some ten milliseconds.
         """
         waiting = {job.step.spec.model for job in self._queue}
-        rooms = {}
+        self._looks.clear()
         for job in list(self._jobs.values()):
             if job.task is None or job.scoring or job.why:
                 continue
-            if job.moves >= MOST_MOVES:
-                continue
-            if job.replica.pace is None or job.step.spec.model in waiting:
+            if job.moves >= placement.MOST_MOVES or job.step.spec.model in waiting:
                 continue
+            job.leaves = job.replica.identity
             better = self._place(job)
-            if better is None or better is job.replica or better.pace is None:
-                continue
-            rooms.setdefault(better.identity, better.room)
-            if job.replica.pace < SLOWER * better.pace or not rooms[better.identity]:
+            if not placement.leaves(job.replica, better):
+                job.leaves = ""
                 continue
-            rooms[better.identity] -= 1
+            better.load += 1
             job.moves += 1
             job.why = MOVED
             job.task.cancel()
 
     def _start(self, job, replica):
         job.attempts += 1
+        job.leaves = ""
         job.replica = replica
         job.last_event_at = None
         if job.keep_at is None:
