Move no sample before it has begun, and place by the pace to come

A look places items and then moves samples from slow replicas; an item placed on a slow one was cancelled before its attempt had begun, and such an attempt puts nothing back and leaves its replica counted as fuller for good. Besides, the cost took the pace as shared by all places, so that a replica four times slower was the best while empty. Change: only samples that have begun move; a replica's load is counted when the attempt begins; the cost is the pace that the next sample will have. A step whose first text is folded is not added anew (some items were scored twice). The new runner test stood still before.

--- a/sassafrasdoor/routing/placement.py
+++ b/sassafrasdoor/routing/placement.py
@@ -9,6 +9,11 @@
 SLOWER = 1.8
 """How many times slower than another a replica is before its samples move: replicas
 differ by 1.3, a full one is 1.4 times slower than an idle one; a slow one 2.4 to 4."""
+LOAD_COST = 1.0
+"""How much slower, as a part, a full replica is taken to be than an empty one. Its
+samples run 1.4 times slower, and each one there slows the others down: the pace alone
+would fill the fastest replica first, the load alone would use one four times slower.
+"""
 MOST_MOVES = 2
 """Moves of one sample: each costs reading what it has reached, and a sample that moves
 on and on gets nowhere while all replicas are slow by turns."""
@@ -77,7 +82,7 @@
 def place(seen, want):
     """Return the ``Seen`` where an item ends soonest, or None.
 
-    The cost is what its pace comes to with one more item there.
+    The cost is the pace that its events will have with one more item there.
     """
     usual = usual_pace(seen)
     found = [one for one in seen if _takes(one, want)]
@@ -102,4 +107,4 @@
 
 def _cost(one, usual):
     pace = one.pace or usual
-    return ((one.load + 1) * pace / one.slots, one.identity)
+    return (pace * (1 + LOAD_COST * (one.load + 1) / one.slots), one.identity)
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -156,7 +156,7 @@
     def _step_changed(self, step):
         if step.shard not in self._owned:
             return
-        if not step.ended and not step.listed_ids and not step.progress:
+        if step.is_new:
             self._add(step)
         for job in [one for one in self._jobs.values() if one.step is step]:
             if not step.is_open(job.item.item_id):
@@ -271,6 +271,10 @@
         for job in list(self._jobs.values()):
             if job.task is None or job.scoring or job.why:
                 continue
+            # An attempt that has not begun yet would not see its cancellation, and the
+            # item would wait for ever with its replica counted as one fuller.
+            if job.last_event_at is None:
+                continue
             if job.moves >= placement.MOST_MOVES or job.step.spec.model in waiting:
                 continue
             job.leaves = job.replica.identity
@@ -290,7 +294,6 @@
         job.last_event_at = None
         if job.keep_at is None:
             job.keep_at = deadline_in(KEEP_INTERVAL)
-        replica.state.started()
         job.task = asyncio.ensure_future(self._attempt(job, replica))
 
     def _end_silent(self):
@@ -304,6 +307,7 @@
                 job.task.cancel()
 
     async def _attempt(self, job, replica):
+        replica.state.started()
         route = self._route(job)
         order = SampleOrder(job.item, job.step.spec.host, None, job.last_number)
         job.why = ""
--- a/sassafrasdoor/steps/durable/state.py
+++ b/sassafrasdoor/steps/durable/state.py
@@ -61,6 +61,11 @@
         """Whether nothing of it is to be run any more."""
         return self.ended or len(self.listed_ids) == len(self.items)
 
+    @property
+    def is_new(self):
+        """Whether nothing is known of it but that it was accepted."""
+        return not (self.ended or self.listed_ids or self.progress or self.texts)
+
     def is_open(self, item_id):
         """Whether an item still needs a sample."""
         return (
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -247,6 +247,24 @@
         self.assertEqual(sent, [(begun, None), (other[begun], 0)])
         self.assertFalse(found.get(begun).state.suspect)
 
+    async def test_item_that_is_placed_is_not_moved_before_it_has_begun(self):
+        """Symptom: four of 36 samples stand still until their step's deadline.
+
+        Sequence: only a slow replica has room; in the moment after an item is placed
+        there another one gets room. Cause: the attempt was cancelled before it had
+        begun, and an attempt that never began puts no item back.
+        """
+        found = replicas(2, slots=1)
+        found.get("e0").pace, found.get("e1").pace = 0.2, 0.04
+        found.get("e1").state.started()
+        await self.start(ScriptedClient(), found, items=1)
+        self.runner._hand_out()
+        found.get("e1").state.finished()
+        self.runner._move_slow()
+        (sample,) = await self.samples(1)
+        self.assertEqual(sample.state, COMPLETED)
+        self.assertEqual([one.load for one in found.of_service("engines")], [0, 0])
+
     async def test_items_wait_for_places(self):
         hang = ScriptedClient.HANG
         script = [([], hang)] * 3
