Reach the log through another instance while this one alone is cut off

Ruled out: shorter leases (a slow store takes 0.24 s an append); handing calls on one by one, as submissions and ends already are: the claim itself must be renewed. Change: log/relay: an append without a reply for 0.35 s, and calls of a log found to be away, go through the control address of another entry point, which answers as the store does; a read that waits learns of it at once. Where the store is away for all, relays refuse.

--- a/sassafrasdoor/log/partitioned.py
+++ b/sassafrasdoor/log/partitioned.py
@@ -47,6 +47,11 @@
 class PartitionedLog(ABC):
     """The log. Every call may return ``Unavailable``: then it took no effect."""
 
+    @property
+    def is_away(self):
+        """Whether it is reached through others only, if at all."""
+        return False
+
     @abstractmethod
     async def append(self, topic, part, records, deadline):
         """Append all records or none: ``Appended``, ``Unavailable``, ``ReplyLost``."""
--- /dev/null
+++ b/sassafrasdoor/log/tests/test_relay.py
@@ -0,0 +1,111 @@
+"""A log that one instance alone cannot reach."""
+
+import asyncio
+import unittest
+
+from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
+from sassafrasdoor.log.partitioned import Appended, RawBatch
+from sassafrasdoor.log.relay import RelayedLog
+from sassafrasdoor.outcomes import ReplyLost, Unavailable
+
+
+class CutLog:
+    """The way of one instance to a log; ``cut`` leaves every call without a reply."""
+
+    def __init__(self, log):
+        self.log = log
+        self.cut = False
+        self.answer = None
+        self.calls = 0
+
+    async def append(self, topic, part, records, deadline):
+        self.calls += 1
+        if self.cut:
+            await asyncio.sleep(max(0.0, deadline - asyncio.get_running_loop().time()))
+            return ReplyLost("timeout")
+        if self.answer is not None:
+            return self.answer
+        return await self.log.append(topic, part, records, deadline)
+
+    async def read(self, topic, part, offset, wait, slack):
+        self.calls += 1
+        if self.cut:
+            await asyncio.sleep(wait + slack)
+            return Unavailable("timeout")
+        if self.answer is not None:
+            return Unavailable("refused")
+        return await self.log.read(topic, part, offset, wait, slack)
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.log = MemoryPartitionedLog()
+        self.direct, self.peer = CutLog(self.log), CutLog(self.log)
+        self.relayed = RelayedLog(self.direct, lambda: [self.peer])
+
+    def records(self):
+        return self.log.partition("t", 0).records
+
+    async def append(self, data=b"x", seconds=1.0):
+        return await self.relayed.append("t", 0, [data], deadline_in(seconds))
+
+    async def test_direct_way_alone_is_used_while_it_answers(self):
+        self.assertIsInstance(await self.append(), Appended)
+        self.assertIsInstance(await self.relayed.read("t", 0, 0, 0, 1.0), RawBatch)
+        self.assertEqual(self.peer.calls, 0)
+
+    async def test_silent_way_is_left_before_the_deadline(self):
+        """Symptom: an instance that alone is cut off loses its shards.
+
+        Sequence: its connection to the log goes silent while it runs steps; its claim
+        lapses before an append has failed. Cause: nobody else was asked to append.
+        """
+        self.direct.cut = True
+        deadline = deadline_in(30.0)
+        result = await self.relayed.append("t", 0, [b"x"], deadline)
+        self.assertIsInstance(result, Appended)
+        self.assertFalse(passed(deadline))
+        self.assertEqual(self.records(), [b"x"])
+        self.assertTrue(self.relayed.is_away)
+
+    async def test_reads_that_wait_learn_of_the_cut_from_appends(self):
+        """Symptom: the instance renews its claim and does not see it.
+
+        Sequence: as above, with a read that waits for new records. Cause: that read
+        held on to the silent way until its own time was over.
+        """
+        self.direct.cut = True
+        reading = asyncio.ensure_future(self.relayed.read("t", 0, 0, 500.0, 500.0))
+        await asyncio.sleep(0)
+        await self.append(seconds=30.0)
+        async with asyncio.timeout(20):
+            self.assertEqual((await reading).records, [b"x"])
+
+    async def test_refused_instance_goes_through_another_at_once(self):
+        self.direct.answer = Unavailable("store answered 429")
+        self.assertIsInstance(await self.append(), Appended)
+        calls = self.direct.calls
+        self.assertIsInstance(await self.append(), Appended)
+        self.assertEqual(self.direct.calls, calls)
+        self.assertIsInstance(await self.relayed.read("t", 0, 0, 0, 1.0), RawBatch)
+
+    async def test_append_that_may_have_landed_is_not_called_without_effect(self):
+        """Symptom: a step is refused as not kept, and runs.
+
+        Sequence: the direct append loses its reply, the relay refuses. Cause: the
+        last answer was taken for the outcome.
+        """
+        self.direct.answer = ReplyLost("reset")
+        self.peer.answer = Unavailable("down")
+        self.assertIsInstance(await self.append(), ReplyLost)
+        self.direct.answer, self.peer.answer = self.peer.answer, self.direct.answer
+        self.assertIsInstance(await self.append(), ReplyLost)
+        self.direct.answer = self.peer.answer = Unavailable("down")
+        self.assertIsInstance(await self.append(), Unavailable)
+
+    async def test_nobody_reaches_it(self):
+        self.direct.answer = self.peer.answer = Unavailable("down")
+        found = await self.relayed.read("t", 0, 0, 0, 1.0)
+        self.assertIsInstance(found, Unavailable)
+        self.assertFalse(self.relayed.is_away)
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -19,7 +19,13 @@
     ReadyHandler,
     WireHandler,
 )
-from sassafrasdoor.platform.peers import NEWEST_PATH, PeerHandler
+from sassafrasdoor.platform.peers import (
+    APPEND_PATH,
+    NEWEST_PATH,
+    READ_PATH,
+    PeerHandler,
+    RelayHandler,
+)
 from sassafrasdoor.requests.attempts import DirectRequest
 from sassafrasdoor.requests.streaming import StreamCaller
 from sassafrasdoor.steps.durable.service import NotFound, Page
@@ -258,7 +264,14 @@
 
 def control_application(parts):
     """Return the application of the address where other instances ask."""
-    return _application([(NEWEST_PATH, PeerHandler, {"parts": parts})])
+    known = {"parts": parts}
+    return _application(
+        [
+            (NEWEST_PATH, PeerHandler, known),
+            (READ_PATH, RelayHandler, known),
+            (APPEND_PATH, RelayHandler, known),
+        ]
+    )
 
 
 def directory_application(parts):
--- a/sassafrasdoor/platform/handlers.py
+++ b/sassafrasdoor/platform/handlers.py
@@ -33,7 +33,7 @@
 class Parts:
     """What the handlers use: services, routes, instances and the process's state.
 
-    ``lists`` maps keyed topics to the tails that follow them.
+    ``store`` is the platform's store as this instance itself reaches it. ``lists`` maps keyed topics to the tails that follow them.
     """
 
     __slots__ = (
@@ -44,10 +44,11 @@
         "process",
         "routes",
         "steps",
+        "store",
         "streams",
     )
 
-    def __init__(self, direct, streams, instances, process, routes, steps):
+    def __init__(self, direct, streams, instances, process, routes, steps, store):
         self.connections = Connections()
         self.direct = direct
         self.streams = streams
@@ -55,6 +56,7 @@
         self.process = process
         self.routes = routes
         self.steps = steps
+        self.store = store
         self.lists = {}
 
 
--- a/sassafrasdoor/platform/peers.py
+++ b/sassafrasdoor/platform/peers.py
@@ -1,26 +1,53 @@
-"""What instances tell each other while the store is away: its lists, as last read.
+"""What instances do for each other while the store is away, for all or for one.
 
 An instance that starts then knows no configuration, no replicas and no other instance.
 Its settings name some control addresses; whoever answers there has followed the lists
-for longer. They are told as the store tells them, so that one client reads both.
+for longer. One that alone is cut off appends and reads through another. Both answer as
+the store does, so that one client serves all.
 """
 
 import random
 
-from sassafrasdoor.outcomes import Unavailable
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.outcomes import Expired, Outcome, ReplyLost, Unavailable
 from sassafrasdoor.platform.handlers import WireHandler
-from sassafrasdoor.platform.store import Store, newest_document
+from sassafrasdoor.platform.store import (
+    GONE,
+    UNAVAILABLE,
+    Store,
+    batch_document,
+    newest_document,
+    unpacked,
+)
 
-NEWEST_PATH = "/-/log-newest"
+NEWEST_PATH, READ_PATH, APPEND_PATH = (
+    "/-/log-newest",
+    "/-/log-read",
+    "/-/log-append",
+)
+LONGEST_READ = 1.0
+"""Seconds that a read is held for another instance; its own reads wait as long."""
+TIMEOUT = 0.8
+"""Seconds for the store's answer beyond that; as long as an append of our own."""
+UNKNOWN = 504
+"""An append whose fate is not known; the store's client takes any such status so."""
 
 
 class Peers:
     """Asks the control addresses of other instances."""
 
-    __slots__ = ("_stores",)
+    __slots__ = ("_relays", "_stores")
 
     def __init__(self, addresses):
         self._stores = [Store(address) for address in addresses]
+        self._relays = {}
+
+    def relays(self, addresses):
+        """Return the clients of control addresses, or of those the settings name."""
+        for address in addresses:
+            if address not in self._relays:
+                self._relays[address] = Store(address)
+        return [self._relays[address] for address in addresses] or self._stores
 
     async def newest(self, topic):
         """Return the ``NewestKeys`` of a topic as a peer knows them, or None."""
@@ -32,7 +59,7 @@
 
     def close(self):
         """Close all connections."""
-        for store in self._stores:
+        for store in [*self._stores, *self._relays.values()]:
             store.close()
 
 
@@ -47,3 +74,48 @@
             self._reply(503)
         else:
             self._reply_json(200, newest_document(newest))
+
+
+class RelayHandler(WireHandler):
+    """Appends and reads for an instance that is cut off from the store."""
+
+    def prepare(self):
+        super().prepare()
+        # Where the store is away for all, asking it once more for each other would
+        # hold every call for twice its time.
+        if any(tail.failing_since is not None for tail in self._parts.lists.values()):
+            self._reply(UNAVAILABLE)
+
+    async def get(self):
+        """Read on; answers only what the store itself has said."""
+        wait = min(LONGEST_READ, int(self.get_query_argument("WaitMs", "0")) / 1000)
+        offset = int(self.get_query_argument("From"))
+        store = self._parts.store
+        result = await self._while_present(
+            store.read(*self._partition(), offset, wait, TIMEOUT)
+        )
+        if isinstance(result, Expired):
+            self._reply_json(GONE, {"First": result.first})
+        elif isinstance(result, Outcome):
+            self._reply(UNAVAILABLE)
+        elif result is not None:
+            self._reply(200, [], batch_document(result))
+
+    async def post(self):
+        """Append; an append of unknown fate is not answered as one without effect."""
+        records = unpacked(self.request.body)
+        if not records:
+            self._reply(400)
+            return
+        result = await self._parts.store.append(
+            *self._partition(), records, deadline_in(TIMEOUT)
+        )
+        if isinstance(result, ReplyLost):
+            self._reply(UNKNOWN)
+        elif isinstance(result, Outcome):
+            self._reply(UNAVAILABLE)
+        else:
+            self._reply_json(200, {"Offset": result.first, "End": result.end})
+
+    def _partition(self):
+        return self.get_query_argument("Topic"), int(self.get_query_argument("part"))
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -9,6 +9,7 @@
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
+from sassafrasdoor.log.relay import RelayedLog
 from sassafrasdoor.log.tail import KeyedTail, Tail, shared_pause
 from sassafrasdoor.platform import (
     configuration,
@@ -77,6 +78,7 @@
         settings = self._settings
         self._store = Store(settings.store)
         self._peers = Peers(settings.peers)
+        self._log = RelayedLog(self._store, self._relays)
         self._client = WireReplicas()
         self._routes = RoutesInForce()
         self._replicas = Replicas(settings.instance.availability_zone)
@@ -88,15 +90,16 @@
         member = f"{settings.front}/{uuid.uuid4().hex[:8]}"
         self._instances = Instances(
             settings,
-            self._store,
+            self._log,
             settings.front,
             settings.front,
             settings.cores,
             self._peers.newest,
+            settings.control,
         )
         self._tails = [
             Tail(
-                self._store,
+                self._log,
                 TOPIC,
                 shard,
                 self._fold_of(shard),
@@ -106,13 +109,13 @@
             for shard in range(shards + 1)
         ]
         self._outboxes = [
-            Outbox(self._store, TOPIC, shard) for shard in range(shards + 1)
+            Outbox(self._log, TOPIC, shard) for shard in range(shards + 1)
         ]
         self._runner = Runner(
             self._client, self._replicas, self._routes, self._steps, self._outboxes
         )
         self._shards = Shards(
-            self._store,
+            self._log,
             TOPIC,
             self._steps,
             self._tails,
@@ -124,14 +127,14 @@
         self._build_weights()
         keys = configuration.OperatorKeys(self._routes, self._mover.named)
         self._operator = KeyedTail(
-            self._store,
+            self._log,
             configuration.OPERATOR_TOPIC,
             keys.take,
             elsewhere=self._peers.newest,
         )
         listed = configuration.ServerKeys(self._replicas)
         self._list = KeyedTail(
-            self._store,
+            self._log,
             configuration.SERVERS_TOPIC,
             listed.take,
             LIST_PAUSE,
@@ -139,6 +142,9 @@
         )
         self._replicas.list_tail = self._list
 
+    def _relays(self):
+        return self._peers.relays(self._instances.controls())
+
     def _build_weights(self):
         self._mover = Mover(
             self._client,
@@ -214,11 +220,12 @@
             self,
             self._routes,
             StepService(
-                self._store,
+                self._log,
                 self._steps,
                 self._tails[: self._weights_shard],
                 self._settings.record_bytes,
             ),
+            self._store,
         )
         tails = (self._operator, self._list, self._instances.tail)
         parts.lists = {tail.topic: tail for tail in tails}
--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -17,7 +17,7 @@
 from sassafrasdoor.log.partitioned import keyed_record
 from sassafrasdoor.outcomes import Expired, Outcome, ReplyLost
 from sassafrasdoor.platform import configuration, wire
-from sassafrasdoor.platform.store import ENDS, LENGTH, newest_document
+from sassafrasdoor.platform.store import batch_document, newest_document, unpacked
 
 LOCAL = "127.0.0.1"
 READ_SLACK = 1.0
@@ -89,11 +89,7 @@
 
 class _Append(_StoreHandler):
     async def post(self):
-        records, at, data = [], 0, self.request.body
-        while at < len(data):
-            (length,) = LENGTH.unpack_from(data, at)
-            at += LENGTH.size + length
-            records.append(data[at - length : at])
+        records = unpacked(self.request.body)
         result = await self._store.log.append(*self._partition(), records, None)
         if isinstance(result, Outcome):
             self._failed(result)
@@ -111,8 +107,7 @@
             self._failed(result)
             return
         first = self._store.log.partition(*partition).first
-        packed = b"".join(LENGTH.pack(len(one)) + one for one in result.records)
-        self.finish(ENDS.pack(result.end, first) + packed)
+        self.finish(batch_document(result, first))
 
 
 class _Newest(_StoreHandler):
--- a/sassafrasdoor/platform/store.py
+++ b/sassafrasdoor/platform/store.py
@@ -44,7 +44,7 @@
 
     async def append(self, topic, part, records, deadline):
         """Append all records or none: ``Appended``, ``Unavailable``, ``ReplyLost``."""
-        body = b"".join(LENGTH.pack(len(one)) + one for one in records)
+        body = packed(records)
         query = {"Topic": topic, "part": part}
         reply = await self._call("append", "POST", "log-append", query, body, deadline)
         if isinstance(reply, Broken):
@@ -114,6 +114,29 @@
         return reply
 
 
+def packed(records):
+    """Return records (bytes) one behind another, each with its length."""
+    return b"".join(LENGTH.pack(len(one)) + one for one in records)
+
+
+def unpacked(data):
+    """Return the records in such bytes, None where one of them is cut."""
+    records, at = [], 0
+    while at + LENGTH.size <= len(data):
+        (length,) = LENGTH.unpack_from(data, at)
+        at += LENGTH.size
+        if at + length > len(data):
+            return None
+        records.append(data[at : at + length])
+        at += length
+    return records
+
+
+def batch_document(batch, first_kept=0):
+    """Return the answer that ``Store.read`` reads, of a ``RawBatch``."""
+    return ENDS.pack(batch.end, first_kept) + packed(batch.records)
+
+
 def newest_document(newest):
     """Return the answer that ``Store.newest`` reads, of ``NewestKeys``."""
     items = [
@@ -135,12 +158,7 @@
     if len(data) < ENDS.size:
         return Unavailable("read answered without its offsets")
     end, _ = ENDS.unpack_from(data)
-    records, at = [], ENDS.size
-    while at + LENGTH.size <= len(data):
-        (length,) = LENGTH.unpack_from(data, at)
-        at += LENGTH.size
-        if at + length > len(data):
-            return Unavailable("read answered with half a record")
-        records.append(data[at : at + length])
-        at += length
+    records = unpacked(data[ENDS.size :])
+    if records is None:
+        return Unavailable("read answered with half a record")
     return RawBatch(records, offset, end)
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -113,6 +113,7 @@
             self.process,
             self.routes,
             self.service,
+            store=None,
         )
         self.address = self.serve(front.front_application(self.parts))
         self.client = AsyncHTTPClient(force_instance=True)
--- a/sassafrasdoor/platform/tests/test_processes.py
+++ b/sassafrasdoor/platform/tests/test_processes.py
@@ -143,6 +143,31 @@
         self.proxy.thaw()
         self.assertEqual(await self.until(lambda: self.whole("s")), results)
 
+    async def test_runner_that_alone_is_cut_off_goes_on(self):
+        """Symptom: a step stands still for seconds and misses its deadline.
+
+        Sequence: the instance that runs it, and it alone, is cut off from the store.
+        Cause: its claim lapsed, and another began where the last record had been.
+        """
+        first, *others = self.instances
+        for instance in others:
+            instance.kill()
+        for engine in self.engines:
+            engine.events, engine.pause = 20, 0.3
+        await self.until(lambda: self.accepted("s"))
+        for instance in others:
+            instance.start()
+        await self.until(lambda: self.knows_peers(0))
+        await self.until(lambda: self.is_ready(others[0]))
+        runs = len(self.all_runs())
+        self.proxy.freeze()
+        results = await self.until(lambda: self.whole("s", 1))
+        self.check_texts(results, events=20)
+        self.assertEqual(len(self.all_runs()), runs)
+        self.assertEqual(self.lines("", "shard.lost"), [])
+        self.assertTrue(self.lines("", "log.relayed"))
+        self.proxy.thaw()
+
     async def test_append_that_lands_late_is_no_refusal(self):
         self.store.log.lose_replies, self.store.log.land_late = 50, 1.0
         reply = await self.submit("s")
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -54,13 +54,15 @@
 
 
 class _Seen:
-    __slots__ = ("address", "at", "cores", "region", "zone")
+    __slots__ = ("address", "at", "control", "cores", "region", "zone")
 
     def __init__(self, document):
         self.address = _text(document, "address")
         self.zone = _text(document, "zone")
         self.region = _text(document, "region")
         self.cores = float(document["cores"])
+        # Records of an earlier program name none.
+        self.control = _text({"control": "", **document}, "control")
         self.at = now()
 
 
@@ -97,6 +99,7 @@
 
     __slots__ = (
         "_address",
+        "_control",
         "_cores",
         "_key",
         "_leaving",
@@ -107,7 +110,10 @@
         "tail",
     )
 
-    def __init__(self, settings, log, address, key, cores=1.0, elsewhere=None):
+    def __init__(
+        self, settings, log, address, key, cores=1.0, elsewhere=None, control=""
+    ):
+        self._control = control
         self._settings = settings.instance
         self._cores = cores
         self._log = log
@@ -160,6 +166,11 @@
         found.sort(key=lambda address: zones[address] != zone)
         return found
 
+    def controls(self):
+        """Return where those peers serve other instances, in the same order."""
+        by_address = {one.address: one.control for one in self._current.alive}
+        return [by_address[one] for one in self.peers() if by_address[one]]
+
     @property
     def is_entry_point(self):
         """Whether callers are sent here; also while no other instance is known.
@@ -185,13 +196,15 @@
 
     @property
     def _is_cut_off(self):
-        """Whether this instance cannot read the log.
+        """Whether this instance cannot reach the log by itself.
 
         If it alone cannot, callers are better served elsewhere: it can neither keep
         a step nor say what is new. If nobody can, all others are named just as well.
         """
         failing_since = self.tail.failing_since
-        return failing_since is not None and passed(failing_since + CUT_OFF_AFTER)
+        if failing_since is None:
+            return self._log.is_away
+        return passed(failing_since + CUT_OFF_AFTER)
 
     def ranking(self, key):
         """Return this instance's place among the living for ``key``, 0 for the first.
@@ -227,6 +240,7 @@
             "zone": self._settings.availability_zone,
             "region": self._settings.region,
             "cores": self._cores,
+            "control": self._control,
         }
         return json.dumps(document).encode()
 
