Leave a replica that sends nothing on any stream after 1.2 s

Cause: an item sent to a replica without power waited 4 s for its first event, as in a full replica's queue; the step's longest sample cannot lose that. Change: placement.is_dark: nothing from any of the replica's streams, and no load ordered.

--- a/sassafrasdoor/routing/placement.py
+++ b/sassafrasdoor/routing/placement.py
@@ -14,6 +14,11 @@
 samples run 1.4 times slower, and each one there slows the others down: the pace alone
 would fill the fastest replica first, the load alone would use one four times slower.
 """
+DARK_AFTER = 1.2
+"""Seconds without a byte from a replica, on any of its streams, after which an item that
+has got nothing there goes elsewhere: the first event comes
+within 0.2 s where there is a place, and a load of weights takes 0.9 s. One that sends to others is alive; its queue may be waited for.
+"""
 MOST_MOVES = 2
 """Moves of one sample: each costs reading what it has reached, and a sample that moves
 on and on gets nowhere while all replicas are slow by turns."""
@@ -96,6 +101,15 @@
     return slow.pace >= SLOWER * better.pace and better.room > 0
 
 
+def is_dark(sent_at, heard_at, loading, moment):
+    """Say whether an item without a first event should not wait for its replica.
+
+    ``sent_at`` and ``heard_at`` (of any stream's last byte) are monotonic, as is
+    ``moment``; ``loading`` says that the replica was ordered to load.
+    """
+    return not loading and moment >= max(sent_at, heard_at) + DARK_AFTER
+
+
 def _takes(one, want):
     if one.suspect or one.room <= 0 or one.identity == want.avoid:
         return False
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -1,6 +1,6 @@
 """The replicas of every service, as the platform's list and own calls show them."""
 
-from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.routing.backend_state import BackendState
@@ -52,6 +52,7 @@
     it may get an item again that it has refused.
 
     ``loading_until`` maps a model to when a load that this process ordered ends;
+    ``heard_at`` is when one of its streams last sent something,
     ``pace`` is the smoothed time between two events of its streams in seconds, None
     before the first.
     """
@@ -60,6 +61,7 @@
         "_others",
         "_others_until",
         "absent_until",
+        "heard_at",
         "identity",
         "listing",
         "loading_until",
@@ -78,6 +80,7 @@
         self.loading_until = {}
         self.refused_until = {}
         self.pace = None
+        self.heard_at = LONG_AGO
         self._others = 0
         self._others_until = 0.0
 
@@ -110,6 +113,11 @@
         self._others = max(0, running + waiting - self.state.in_flight)
         self._others_until = deadline_in(LOAD_TRUSTED_FOR)
 
+    @property
+    def loading(self):
+        """Whether a load that this process ordered has not ended yet."""
+        return any(not passed(at) for at in self.loading_until.values())
+
     def told_gap(self, seconds):
         """Take the time between two events of one of its streams."""
         if self.pace is None:
--- a/sassafrasdoor/routing/tests/test_placement.py
+++ b/sassafrasdoor/routing/tests/test_placement.py
@@ -3,7 +3,15 @@
 import random
 import unittest
 
-from sassafrasdoor.routing.placement import Seen, Want, leaves, place
+from sassafrasdoor.clock import LONG_AGO
+from sassafrasdoor.routing.placement import (
+    DARK_AFTER,
+    Seen,
+    Want,
+    is_dark,
+    leaves,
+    place,
+)
 from sassafrasdoor.routing.replicas import Listing, Replica
 
 
@@ -46,6 +54,23 @@
         self.assertFalse(leaves(slow, full))
         self.assertFalse(leaves(slow, None))
 
+    def test_silence_on_every_stream_is_dark(self):
+        """Symptom: items that went to a replica without power come four seconds late.
+
+        Sequence: it loses power; until its entry lapses it looks idle and gets new
+        items. Cause: a first event was waited for as in a full replica's queue.
+        """
+        cases = [
+            ("just sent", 10.0, LONG_AGO, False, False),
+            ("nothing for long", 10.0 - DARK_AFTER, LONG_AGO, False, True),
+            ("nothing since before", 8.0, 8.5, False, True),
+            ("others get theirs", 8.0, 9.9, False, False),
+            ("loads", 8.0, 8.5, True, False),
+        ]
+        for name, sent_at, heard_at, loading, wanted in cases:
+            with self.subTest(name):
+                self.assertEqual(is_dark(sent_at, heard_at, loading, 10.0), wanted)
+
 
 class SlowReplicaReplay(unittest.TestCase):
     """Symptom: a calm day with one slow replica loses whole steps.
--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -9,6 +9,8 @@
 class Job:
     """An item on its way: what was received of it and its running attempt.
 
+    ``sent_at`` is when that attempt began, None before.
+
     ``leaves`` is the identity of the slow replica that it was taken from, until its
     next attempt. ``kept`` is how many of its events are in the log, under the name ``run``. Once
     ``scoring``, its text is whole and ``task`` its reward call, sent not before
@@ -31,6 +33,7 @@
         "reward_from",
         "run",
         "scoring",
+        "sent_at",
         "step",
         "task",
         "text_kept_at",
@@ -53,6 +56,7 @@
         self.unanswered = 0
         self.reward_from = self.text_kept_at = 0.0
         self.scoring = False
+        self.sent_at = None
         self.restart()
         self._resume(step)
 
@@ -94,7 +98,7 @@
         """Go on from a whole text to its score: nothing more of it is kept here."""
         self.scoring = True
         self.task = None
-        self.last_event_at = None
+        self.last_event_at = self.sent_at = None
         self.keep_at = None
 
     def progress(self):
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -291,23 +291,28 @@
         job.attempts += 1
         job.leaves = ""
         job.replica = replica
-        job.last_event_at = None
+        job.last_event_at = job.sent_at = None
         if job.keep_at is None:
             job.keep_at = deadline_in(KEEP_INTERVAL)
         job.task = asyncio.ensure_future(self._attempt(job, replica))
 
     def _end_silent(self):
         for job in self._jobs.values():
-            if job.task is None or job.why:
+            if job.task is None or job.why or job.sent_at is None:
                 continue
-            if job.last_event_at is None:
-                continue
-            if passed(job.last_event_at + GAP_TIMEOUT):
+            if self._is_silent(job):
                 job.why = SILENT
                 job.task.cancel()
 
+    def _is_silent(self, job):
+        if job.last_event_at is not None:
+            return passed(job.last_event_at + GAP_TIMEOUT)
+        one = job.replica
+        return placement.is_dark(job.sent_at, one.heard_at, one.loading, now())
+
     async def _attempt(self, job, replica):
         replica.state.started()
+        job.sent_at = now()
         route = self._route(job)
         order = SampleOrder(job.item, job.step.spec.host, None, job.last_number)
         job.why = ""
@@ -343,6 +348,7 @@
         if job.last_event_at is not None:
             job.replica.told_gap(now() - job.last_event_at)
         job.take(event)
+        job.replica.heard_at = job.last_event_at
         return True
 
     def _judge(self, job, replica, route, result):
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -7,6 +7,7 @@
 from sassafrasdoor.backends.replicas import SampleFailed, WrongReplica
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.outcomes import NotRun
+from sassafrasdoor.routing import placement
 from sassafrasdoor.steps.durable import records, runner as module
 from sassafrasdoor.steps.durable.records import COMPLETED, ERRORED
 from sassafrasdoor.steps.durable.runner import Runner
@@ -41,8 +42,9 @@
 class RunnerTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         # A stream that nobody ends must not end by itself while a test waits.
-        first, module.FIRST_EVENT_TIMEOUT = module.FIRST_EVENT_TIMEOUT, 1000.0
-        self.addCleanup(setattr, module, "FIRST_EVENT_TIMEOUT", first)
+        for where, name in ((module, "FIRST_EVENT_TIMEOUT"), (placement, "DARK_AFTER")):
+            self.addCleanup(setattr, where, name, getattr(where, name))
+            setattr(where, name, 1000.0)
 
     async def start(self, client, found=None, routes=None, **step):
         self.client = client
@@ -228,6 +230,14 @@
         (sample,) = await self.samples(1)
         self.assertEqual(sample.text, "a\nb")
 
+    async def test_item_at_a_dark_replica_goes_elsewhere(self):
+        placement.DARK_AFTER = 0.2
+        dark = ([], ScriptedClient.HANG)
+        await self.start(ScriptedClient(dark), replicas(2), items=1)
+        (sample,) = await self.samples(1)
+        self.assertEqual(sample.text, "text")
+        self.assertNotEqual(self.client.sent[0][0], self.client.sent[1][0])
+
     async def test_sample_moves_away_from_a_slow_replica(self):
         """Symptom: steps are late by seconds while one replica is slow.
 
