--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -258,6 +258,7 @@
                 step.pages += pages
         checks.check_kept(self._steps, readable.__contains__, self.violations)
         checks.check_steps(self._steps, runs, text_of, self.violations)
+        checks.check_scores(self._steps, runs, self.violations)
 
     def _counts(self):
         answered = sum(call.status == checks.OK for call in self._calls)
--- a/sassafrasdoor/platform/soak_callers.py
+++ b/sassafrasdoor/platform/soak_callers.py
@@ -91,7 +91,8 @@
             await asyncio.sleep(STEP_EVERY)
 
     async def _train(self, step_id):
-        step = StepSeen(step_id, [f"{step_id}-{at}" for at in range(ITEMS)])
+        items = [f"{step_id}-{at}" for at in range(ITEMS)]
+        step = StepSeen(step_id, items, rewarded=items[1::2])
         self._steps.append(step)
         body = json.dumps(
             {
@@ -116,7 +117,7 @@
             await self._read(step)
 
     def _row(self, item, at):
-        return {
+        row = {
             "Id": item,
             "Path": f"/s/{at}",
             "Headers": {},
@@ -124,6 +125,10 @@
             "Tokens": 10,
             "Group": f"g{at // 2}",
         }
+        if at % 2:
+            path, call_id = f"/plain/{at}", checks.reward_of(item)
+            row["Scorer"] = {"Id": call_id, "Host": HOST, "Path": path, "Body": ""}
+        return row
 
     async def _read(self, step):
         ends = self._draw.random() < 0.3
--- a/sassafrasdoor/platform/soak_faults.py
+++ b/sassafrasdoor/platform/soak_faults.py
@@ -125,6 +125,30 @@
         entry = replica.entry(ENGINES, [MODEL])
         await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
 
+    async def _reborn(self, fault):
+        """An engine starts again under its identity; its list says so a bit later."""
+        replica = self._engines[fault.target]
+        before = replica.entry(ENGINES, [MODEL])
+        replica.restart()
+        await asyncio.sleep(fault.lasts / 4)
+        topic, identity = configuration.SERVERS_TOPIC, replica.identity
+        await self._store.put(topic, identity, replica.entry(ENGINES, [MODEL]))
+        await self._store.put(topic, identity, before)
+        await asyncio.sleep(fault.lasts / 4)
+        await self._store.put(topic, identity, replica.entry(ENGINES, [MODEL]))
+
+    async def _foreign(self, fault):
+        """Another writer leaves entries, one of them under an engine's key."""
+        replica = self._engines[fault.target]
+        entry = replica.entry(ENGINES, [MODEL])
+        for number, name in enumerate(entry):
+            document = {**entry, "Address": "127.0.0.1:9", name: {}}
+            await self._store.put(configuration.SERVERS_TOPIC, f"x{number}", document)
+        topic, identity = configuration.SERVERS_TOPIC, replica.identity
+        await self._store.put(topic, identity, {**entry, "State": "parked"})
+        await asyncio.sleep(fault.lasts)
+        await self._store.put(topic, identity, replica.entry(ENGINES, [MODEL]))
+
     async def _reconfigure(self, fault):
         if not self._store.log.down:
             self._version += 1
@@ -151,4 +175,6 @@
     Kind.FAIL: Faults._fail,
     Kind.LEAVE: Faults._leave,
     Kind.CONFIGURE: Faults._reconfigure,
+    Kind.REBORN: Faults._reborn,
+    Kind.FOREIGN: Faults._foreign,
 }
--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -150,6 +150,7 @@
         self.break_after = []
         self.failures = []
         self.full = False
+        self.born = 1
         routes = [
             (r"/-/order", _Order, {"replica": self}),
             (r"/.*", _Work, {"replica": self}),
@@ -171,8 +172,15 @@
             "Slots": self.slots,
             "State": state,
             "Models": found,
+            "born": self.born,
         }
 
+    def restart(self):
+        """Start again under the same identity: runs end, connections close."""
+        self.born += 1
+        self.orders = []
+        self.break_after = []
+
     def stop(self):
         """Stop serving."""
         self._server.stop()
@@ -183,6 +191,7 @@
         self._replica = replica
         self._run = None
         self._gone = False
+        self._life = replica.born
 
     def on_connection_close(self):
         self._gone = True
@@ -239,7 +248,8 @@
         try:
             for number in range(first, replica.events):
                 await asyncio.sleep(replica.pause)
-                if self._gone or number - first == broken:
+                ended = self._gone or self._life != replica.born
+                if ended or number - first == broken:
                     self._end()
                     self.request.connection.stream.close()
                     return
--- a/sassafrasdoor/soak/checks.py
+++ b/sassafrasdoor/soak/checks.py
@@ -9,6 +9,13 @@
 HARM_LASTS = 1.0
 """Seconds after a pause in which a planned stop may still have run out of time."""
 REFUSED, FAILED, OK = 503, 500, 200
+REWARD = "-reward"
+"""What the id of an item's reward call ends with."""
+
+
+def reward_of(item_id):
+    """Return the id of an item's reward call."""
+    return item_id + REWARD
 
 
 class Call:
@@ -70,6 +77,8 @@
 class StepSeen:
     """One step as its trainer saw it; ``pages`` are the listings that were read.
 
+    ``rewarded`` are the ids of the items whose texts need a score.
+
     ``refusals`` counts submissions answered "not run", ``unknown`` those that ended
     without an answer or with one that promises nothing: after one of these the step
     may run, whatever the others were answered.
@@ -81,13 +90,15 @@
         "items",
         "pages",
         "refusals",
+        "rewarded",
         "step_id",
         "unknown",
     )
 
-    def __init__(self, step_id, items):
+    def __init__(self, step_id, items, rewarded=()):
         self.step_id = step_id
         self.items = items
+        self.rewarded = frozenset(rewarded)
         self.accepted = False
         self.refusals = 0
         self.unknown = 0
@@ -149,6 +160,17 @@
                 violations.add("ended means ended", f"step {step.step_id}")
 
 
+def check_scores(steps, runs, violations):
+    """The score of each text that needs one is the mark of an answer to its own call."""
+    for step in steps:
+        for sample in max(step.pages, key=len, default=[]):
+            if sample["State"] != "completed" or sample["Id"] not in step.rewarded:
+                continue
+            stamps = {run.stamp for run in runs.get(reward_of(sample["Id"]), [])}
+            if sample.get("Score") not in stamps:
+                violations.add("own score", f"{step.step_id} {sample['Id']}")
+
+
 def _check_pages(step, text, violations):
     longest = max(step.pages, key=len, default=[])
     names = [sample["Id"] for sample in longest]
--- a/sassafrasdoor/soak/schedule.py
+++ b/sassafrasdoor/soak/schedule.py
@@ -32,11 +32,18 @@
     LEAVE = "replica leaves"
     CONFIGURE = "configuration"
     KILL_ALL = "kill all"
+    REBORN = "replica starts again"
+    FOREIGN = "entry of another writer"
 
 
+LATER_KINDS = (Kind.REBORN, Kind.FOREIGN)
+"""Drawn as a series of their own, so that a seed's first series stays what it was."""
+FIRST_KINDS = [kind for kind in Kind if kind not in LATER_KINDS]
+LATER_EVERY = 3.0
+"""Seconds between the beginnings of two of these, on the average."""
 ON_INSTANCES = {Kind.KILL, Kind.STOP, Kind.PAUSE}
 ON_PATHS = {Kind.CUT_OFF, Kind.DELAY, Kind.RESET, Kind.ONE_WAY}
-ON_REPLICAS = {Kind.FULL, Kind.BREAK, Kind.FAIL, Kind.LEAVE}
+ON_REPLICAS = {Kind.FULL, Kind.BREAK, Kind.FAIL, Kind.LEAVE, *LATER_KINDS}
 WEIGHTS = {Kind.KILL_ALL: 1, Kind.LEAVE: 1}
 USUAL_WEIGHT = 3
 
@@ -64,14 +71,24 @@
 def schedule(seed, seconds, instances, replicas):
     """Return the faults of a run in order of time."""
     draw = random.Random(seed)
-    kinds = list(Kind)
-    weights = [WEIGHTS.get(kind, USUAL_WEIGHT) for kind in kinds]
+    weights = [WEIGHTS.get(kind, USUAL_WEIGHT) for kind in FIRST_KINDS]
     faults, at = [], FIRST_AT
     while at < LAST_SHARE * seconds:
-        (kind,) = draw.choices(kinds, weights)
+        (kind,) = draw.choices(FIRST_KINDS, weights)
         count = replicas if kind in ON_REPLICAS else instances
         target = draw.randrange(count)
         lasts = draw.uniform(SHORTEST, LONGEST)
         faults.append(Fault(at, kind, target, lasts))
         at += draw.uniform(BUSIEST, CALMEST)
+    later = _later(random.Random(f"{seed} later"), seconds, replicas)
+    return sorted(faults + later, key=lambda fault: fault.at)
+
+
+def _later(draw, seconds, replicas):
+    faults, at = [], FIRST_AT + draw.uniform(0, LATER_EVERY)
+    while at < LAST_SHARE * seconds:
+        lasts = draw.uniform(SHORTEST, LONGEST)
+        kind, target = draw.choice(LATER_KINDS), draw.randrange(replicas)
+        faults.append(Fault(at, kind, target, lasts))
+        at += draw.uniform(0, 2 * LATER_EVERY)
     return faults
--- a/sassafrasdoor/soak/tests/test_soak.py
+++ b/sassafrasdoor/soak/tests/test_soak.py
@@ -1,12 +1,13 @@
 """The schedule is the seed's alone, and each check can fail."""
 
 import unittest
+from types import SimpleNamespace
 
 from sassafrasdoor.backends.connections import Reply
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.soak import checks
 from sassafrasdoor.soak.checks import Call, Harm, StepSeen, Violations
-from sassafrasdoor.soak.schedule import LAST_SHARE, Kind, schedule
+from sassafrasdoor.soak.schedule import LAST_SHARE, LATER_KINDS, Kind, schedule
 
 
 class Run:
@@ -30,6 +31,14 @@
     }
 
 
+FIRST_OF_36 = [
+    ("delay", 0),
+    ("replica breaks streams", 0),
+    ("cut off", 2),
+    ("cut off", 0),
+]
+
+
 class ScheduleTest(unittest.TestCase):
     def test_same_seed_same_faults(self):
         first, second = ([str(one) for one in schedule(7, 30, 3, 4)] for _ in range(2))
@@ -41,6 +50,14 @@
             faults = schedule(seed, 30, 3, 4)
             self.assertLess(max(one.at for one in faults), LAST_SHARE * 30)
 
+    def test_later_kinds_leave_a_seeds_first_series_as_it_was(self):
+        """A seed that once failed is kept as a test; its faults must stay the same."""
+        found = [one for one in schedule(36, 10, 3, 3) if one.kind not in LATER_KINDS]
+        self.assertEqual(
+            [(one.kind, one.target) for one in found][:4],
+            FIRST_OF_36,
+        )
+
     def test_every_kind_is_drawn(self):
         drawn = {one.kind for seed in range(20) for one in schedule(seed, 60, 3, 4)}
         self.assertEqual(drawn, set(Kind))
@@ -100,6 +117,24 @@
         checks.check_kept([step], lambda name: name != "s", violations)
         return [one.partition(":")[0] for one in violations.found]
 
+    def test_scores_are_those_of_their_own_calls(self):
+        called = SimpleNamespace(stamp="p.1")
+        cases = [
+            ("own", {"Score": "p.1"}, []),
+            ("another's", {"Score": "p.2"}, ["own score"]),
+            ("none", {}, ["own score"]),
+            ("failed", {"State": "errored"}, []),
+        ]
+        for name, fields, expected in cases:
+            with self.subTest(name):
+                step = StepSeen("s", ["i", "j"], rewarded=["i"])
+                step.pages = [[{**sample("i"), **fields}, sample("j")]]
+                violations = Violations()
+                runs = {checks.reward_of("i"): [called]}
+                checks.check_scores([step], runs, violations)
+                found = [one.partition(":")[0] for one in violations.found]
+                self.assertEqual(found, expected)
+
     def test_each_promise_of_steps_can_fail(self):
         kept = "accepted is kept"
         cases = [
