Run the steps where the loads of weights are ordered

Each preferred the same instance by rank, but the first claims come before the instances know each other. Ruled out: telling the others of each load through the log (a record a load, read by all). Change: whoever holds the duty of the loads comes first for the steps' shards.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -120,7 +120,7 @@
             self._steps,
             self._tails,
             member,
-            lambda shard: self._instances.ranking(self._ranked_for(shard)),
+            self._rank,
             self._runner.own,
             self._runner.disown,
         )
@@ -270,6 +270,18 @@
             return False
         return self._instances.is_entry_point or self._shards.holding
 
+    def _rank(self, shard):
+        """Return this instance's place among those that could run a shard.
+
+        Whoever orders the loads comes first for the steps too: it loads a replica once
+        the items that wait have begun, and sends none to one that it loads. Apart, two
+        of five sends to engines were refused on a calm day with 24 engines.
+        """
+        rank = self._instances.ranking(self._ranked_for(shard))
+        if self._replicas.count > ALONE_UP_TO or shard == self._weights_shard:
+            return rank
+        return 0 if self._shards.runs_here(self._weights_shard) else rank + 1
+
     def _ranked_for(self, shard):
         """Return the key by which instances are ranked for a shard.
 
--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -90,6 +90,10 @@
                     self._claim(shard)
             await asyncio.sleep(TICK)
 
+    def runs_here(self, shard):
+        """Whether this process runs a shard, as far as it knows."""
+        return shard in self._held
+
     def fence(self, shard):
         """Return the fencing number if this process holds a shard now, else 0.
 
