--- /dev/null
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -0,0 +1,45 @@
+"""Decisions take what is observed and return what to do: no clock, log, input, output.
+
+Symptom: how items are placed can be tried with real processes only, and each try takes
+a minute. Sequence: a decision reads the clock or writes a line. Cause: it stands among
+input and output.
+"""
+
+import ast
+import unittest
+
+from sassafrasdoor.support import ROOT
+
+SOURCE = ROOT / "sassafrasdoor"
+DECISIONS = {
+    "routing/placement.py": "which replica gets an item, which samples leave a slow one",
+    "steps/durable/order.py": "in which order the items of a step begin",
+    "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
+}
+ALLOWED = {"sassafrasdoor.steps.durable.records"}
+
+
+def imported(path):
+    """Yield the modules that a file imports."""
+    for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+        if isinstance(node, ast.Import):
+            yield from (name.name for name in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module
+
+
+class PureDecisionsTest(unittest.TestCase):
+    def test_decisions_import_nothing_that_acts(self):
+        for name in DECISIONS:
+            with self.subTest(name):
+                self.assertLessEqual(set(imported(SOURCE / name)), ALLOWED)
+
+    def test_each_says_which_load_it_answers(self):
+        for name in DECISIONS:
+            with self.subTest(name):
+                text = ast.get_docstring(ast.parse((SOURCE / name).read_text("utf-8")))
+                self.assertGreater(len(text.splitlines()), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
