Score samples on the product's own interface too

Cause: reward calls were known on the users' platform only; a trainer of the product's own interface had to score its samples itself. Ruled out: one Scorer for both fronts: here a step's owner keeps nothing and a service is chosen from load reports; there the log keeps each text and routes choose. Change: a group may name a service, path and body; a whole sample's call is sent until it is answered, under the id of its stream, without holding the engine's place; three answers of 500, or the deadline, and the sample says that it has no score. A process test kills the owner while calls run and breaks the service in three ways: every sample bears the score of its own stream.

--- a/sassafrasdoor/entry/parts.py
+++ b/sassafrasdoor/entry/parts.py
@@ -51,7 +51,7 @@
         work = (settings, self.view, self.admission, self.chooser)
         self.log = HttpLog(settings)
         self.requests = RequestsService(*work, self.engine, self.service, self.log)
-        self.steps = StepsService(*work, self.engine)
+        self.steps = StepsService(*work, self.engine, self.service)
 
     def view(self):
         """Return the newest view."""
--- a/sassafrasdoor/steps/delivery.py
+++ b/sassafrasdoor/steps/delivery.py
@@ -74,10 +74,13 @@
 
     def _document(self, sample):
         group, index = self._owner.identity.place(sample.position)
-        return {
+        document = {
             "group": group,
             "index": index,
             "text": sample.attempt.text,
             "spans": [span.as_list() for span in sample.attempt.spans],
             "oldest_version": sample.attempt.oldest,
         }
+        if self._owner.spec.groups[group].reward is not None:
+            document["score"] = sample.score
+        return document
--- a/sassafrasdoor/steps/owner.py
+++ b/sassafrasdoor/steps/owner.py
@@ -10,6 +10,7 @@
 from sassafrasdoor.backends.interface import prefix_key
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.events import EVENTS
+from sassafrasdoor.outcomes import Outcome
 from sassafrasdoor.steps.adoption import adopt
 from sassafrasdoor.steps.dispatch import Dispatcher
 from sassafrasdoor.steps.reader import Reader
@@ -244,8 +245,12 @@
     async def _make(self, sample, attempt, permit, once):
         try:
             whole = await self._reader.read(sample, attempt, once)
+            # The engine's place is free from here on, whatever the score takes.
+            permit.release()
+            permit = None
             if whole is not None:
-                self._finished(sample, whole)
+                score = await self._score(sample, whole)
+                self._finished(sample, whole, score)
         except Exception as error:
             # A fault of ours must neither lose the sample nor spin: it would
             # show as a step that never completes, or as a busy process.
@@ -254,12 +259,29 @@
             if sample.state is SampleState.RUNNING:
                 self.dispatcher.add(sample)
         finally:
-            permit.release()
+            if permit is not None:
+                permit.release()
             self.dispatcher.fill()
 
-    def _finished(self, sample, attempt):
+    async def _score(self, sample, attempt):
+        """Return the score of a whole sample, None where it gets none."""
+        group, _ = self.identity.place(sample.position)
+        reward = self.spec.groups[group].reward
+        if reward is None:
+            return None
+        self.dispatcher.fill()
+        call_id = f"{attempt.stream}.reward"
+        score = await self._resources.scorer.score(reward, call_id, self.deadline)
+        if isinstance(score, Outcome):
+            logs.changed("steps:unscored", reason=score.reason, stream=attempt.stream)
+            return None
+        return score
+
+    def _finished(self, sample, attempt, score):
+        # Another attempt may have been scored first; its text bears its own score.
         if sample.state is not SampleState.RUNNING:
             return
+        sample.score = score
         winner = attempt.held
         self._stop(sample, attempt.base)
         self._cancel_streams(sample, keep=winner)
--- a/sassafrasdoor/steps/registry.py
+++ b/sassafrasdoor/steps/registry.py
@@ -62,9 +62,11 @@
 
     __slots__ = ("_draining", "_left", "_resources", "_settings", "_steps", "_sweeper")
 
-    def __init__(self, settings, view_getter, admission, chooser, engine):
+    def __init__(self, settings, view_getter, admission, chooser, engine, service=None):
         self._settings = settings
-        self._resources = Resources(settings, view_getter, admission, chooser, engine)
+        self._resources = Resources(
+            settings, view_getter, admission, chooser, engine, service
+        )
         self._steps = {}
         self._draining = False
         self._left = Signal()
--- a/sassafrasdoor/steps/resources.py
+++ b/sassafrasdoor/steps/resources.py
@@ -7,6 +7,7 @@
 from sassafrasdoor import metrics
 from sassafrasdoor.clock import remaining
 from sassafrasdoor.outcomes import Outcome
+from sassafrasdoor.steps.scoring import Scorer
 
 CANCEL_RETRY = 1.0
 CANCELS_AT_ONCE = 4
@@ -81,17 +82,19 @@
         "cleaner",
         "engine",
         "newest",
+        "scorer",
         "settings",
         "view",
     )
 
-    def __init__(self, settings, view, admission, chooser, engine):
+    def __init__(self, settings, view, admission, chooser, engine, service=None):
         self.settings = settings
         self.view = view
         self.admission = admission
         self.chooser = chooser
         self.engine = engine
         self.newest = {}
+        self.scorer = Scorer(view, chooser, service)
         self.cleaner = Cleaner(engine)
 
     def reported(self, model, version):
--- a/sassafrasdoor/steps/sample.py
+++ b/sassafrasdoor/steps/sample.py
@@ -25,7 +25,8 @@
 
     ``adopted`` is an attempt to start from, found on an engine; ``running``
     are the attempts in progress, each read by one of ``tasks``; ``visited``
-    are the streams that engines may still hold, as ``StreamAt``.
+    are the streams that engines may still hold, as ``StreamAt``. ``score`` is what
+    its reward call was answered with, None without one.
     """
 
     __slots__ = (
@@ -34,12 +35,14 @@
         "generation",
         "position",
         "running",
+        "score",
         "state",
         "tasks",
         "visited",
     )
 
     def __init__(self, position):
+        self.score = None
         self.position = position
         self.state = SampleState.PENDING
         self.generation = 0
--- a/sassafrasdoor/steps/spec.py
+++ b/sassafrasdoor/steps/spec.py
@@ -25,10 +25,19 @@
     model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
 
 
+class Reward(Input):
+    """The call that scores a whole sample: a POST to a plain service."""
+
+    service: str = Field(min_length=1, max_length=128)
+    path: str = Field(min_length=1, max_length=2048, pattern="^/")
+    body: str = Field(default="", max_length=MAX_PROMPT)
+
+
 class Group(Input):
-    """Samples of one group share their prompt."""
+    """Samples of one group share their prompt, and their reward call if any."""
 
     prompt: str = Field(min_length=1, max_length=MAX_PROMPT)
+    reward: Reward | None = None
 
 
 class StepSpec(Input):
@@ -62,7 +71,9 @@
         """Return what tells apart two steps that carry one name."""
         digest = hashlib.sha256()
         head = f"{self.samples_per_group} {self.max_tokens} {self.seed}"
-        for text in (head, *(group.prompt for group in self.groups)):
+        texts = [head, *(group.prompt for group in self.groups)]
+        texts += [one.reward.model_dump_json() for one in self.groups if one.reward]
+        for text in texts:
             digest.update(f"{len(text)}:{text}".encode())
         return digest.hexdigest()[:DIGEST_LENGTH]
 
--- /dev/null
+++ b/sassafrasdoor/steps/tests/test_scoring.py
@@ -0,0 +1,96 @@
+"""Samples whose group names a reward call: scored, repeated, given up."""
+
+import asyncio
+import unittest
+
+from sassafrasdoor.backends.interface import Answer, Broken
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.outcomes import NotRun, Rejected
+from sassafrasdoor.steps.scoring import NoScore, Scorer
+from sassafrasdoor.steps.spec import Reward, StepSpec, checked
+from sassafrasdoor.steps.tests.fakes import Bench
+
+GOOD = Answer(200, {}, b'{"score": 0.5}')
+FAILED = Answer(500, {}, b"")
+REWARD = {"service": "engines", "path": "/score", "body": "b"}
+
+
+class FakeService:
+    """Answers by ``answers``, then well; ``calls`` are ``(id, path, body)``."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def call(self, backend, call):
+        self.calls.append((call.request_id, call.path, call.body))
+        await asyncio.sleep(0)
+        return self.answers.pop(0) if self.answers else GOOD
+
+
+class ScorerTest(unittest.IsolatedAsyncioTestCase):
+    async def score(self, *answers, seconds=30.0):
+        bench = Bench()
+        chooser = bench.instance()._resources.chooser
+        self.service = FakeService(*answers)
+        scorer = Scorer(bench.view, chooser, self.service)
+        return await scorer.score(Reward(**REWARD), "s.reward", deadline_in(seconds))
+
+    async def test_answer_is_the_score(self):
+        self.assertEqual(await self.score(), {"score": 0.5})
+        self.assertEqual(self.service.calls, [("s.reward", "/score", b"b")])
+
+    async def test_repeated_call_is_unchanged(self):
+        found = await self.score(Broken("cut"), NotRun("full", 0.1), FAILED)
+        self.assertEqual(found, {"score": 0.5})
+        self.assertEqual(len(self.service.calls), 4)
+        self.assertEqual(len(set(self.service.calls)), 1)
+
+    async def test_call_that_always_fails_is_given_up(self):
+        """Symptom: a trainer waits for one sample until its step's deadline.
+
+        Sequence: the service answers one call with 500 each time. Cause: it was
+        asked again without end.
+        """
+        found = await self.score(*[FAILED] * 9)
+        self.assertIsInstance(found, NoScore)
+        self.assertEqual(len(self.service.calls), 3)
+
+    async def test_ends(self):
+        self.assertIsInstance(await self.score(seconds=-1.0), NoScore)
+        self.assertIsInstance(await self.score(Answer(200, {}, b"{")), NoScore)
+
+
+class StepTest(unittest.IsolatedAsyncioTestCase):
+    async def collect(self, *answers):
+        bench = Bench()
+        self.addAsyncCleanup(bench.close)
+        steps = bench.instance()
+        steps._resources.scorer._service = FakeService(*answers)
+        groups = [{"prompt": "one", "reward": REWARD}, {"prompt": "two"}]
+        steps.submit(bench.row, bench.spec(groups=groups))
+        return await bench.collect(steps)
+
+    async def test_samples_come_with_their_scores(self):
+        have = await self.collect()
+        self.assertEqual(have[0, 0]["score"], {"score": 0.5})
+        self.assertEqual(have[0, 1]["score"], {"score": 0.5})
+        self.assertNotIn("score", have[1, 0])
+
+    async def test_sample_without_a_score_says_so(self):
+        have = await self.collect(*[FAILED] * 9)
+        self.assertIsNone(have[0, 0]["score"])
+
+    def test_malformed_reward_call_is_refused_with_its_place(self):
+        spec = Bench().spec().model_dump_json()
+        bad = spec.replace('"reward":null', '"reward":{"service":"s","path":"x"}', 1)
+        found = checked(StepSpec, bad.encode())
+        self.assertIsInstance(found, Rejected)
+        self.assertIn("reward", found.findings[0].place)
+
+    def test_step_with_another_reward_call_is_another_step(self):
+        plain = Bench().spec()
+        scored = Bench().spec(
+            groups=[{"prompt": "one", "reward": REWARD}, {"prompt": "two"}]
+        )
+        self.assertNotEqual(plain.digest(), scored.digest())
--- a/sassafrasdoor/steps/tests/test_steps_processes.py
+++ b/sassafrasdoor/steps/tests/test_steps_processes.py
@@ -73,10 +73,10 @@
 
 
 class StepsProcessesTest(unittest.IsolatedAsyncioTestCase):
-    async def cluster(self, instances=2, engines=2):
+    async def cluster(self, instances=2, engines=2, services=0):
         cluster = Cluster(SETTINGS)
         self.addAsyncCleanup(cluster.__aexit__)
-        await cluster.start(instances, engines, services=0, engine_options=ENGINE)
+        await cluster.start(instances, engines, services, engine_options=ENGINE)
         self.truth = Truth(cluster)
         return cluster
 
@@ -124,6 +124,37 @@
                 return stream
         raise AssertionError(f"no engine ever made {sample}")
 
+    async def test_scores_survive_faults_of_the_service_and_of_the_owner(self):
+        """Symptom: samples without a score, or with another sample's.
+
+        Sequence: the scoring service fails, hangs up and cuts answers; the instance
+        that owns the step is killed while calls run. Cause: a call was tried once, or
+        told apart by the connection it came back on.
+        """
+        cluster = await self.cluster(services=1)
+        await cluster.faults(
+            "service-1", delay=0.3, fail=1, hang_up=2, hang_up_middle=1
+        )
+        one, two = cluster.instances
+        reward = {"service": "occupancy", "path": "/score", "body": "{}"}
+        groups = [{"prompt": f"level {at}", "reward": reward} for at in range(4)]
+        changes = {"groups": groups}
+        run = self.trainer(one.address, two.address).run(document("scored", **changes))
+
+        async def killed():
+            await self.truth.note("engine-1", "engine-2")
+            one.kill()
+
+        samples = await self.read(run, 2, killed)
+        await self.truth.note("engine-1", "engine-2")
+        self.judge(run, samples, "scored", **changes)
+        spec = StepSpec.model_validate({**document("scored", **changes), "attach": 1})
+        identity = Identity(ROW, spec)
+        for (group, index), sample in samples.items():
+            length = sample["spans"][-1][2]
+            stream = self._stream_of(identity, group * 4 + index, sample, length)
+            self.assertEqual(sample["score"]["request_id"], f"{stream}.reward")
+
     async def test_instance_goes_in_the_middle_of_a_step(self):
         """
         Symptom: samples lost, doubled or wrongly labelled after an instance
