Go back to the log directly once it answers

Cause: an instance that once read through another took each relayed read for a further sign of the cut, and its deadline was moved on by every one of them. With ten reads that wait one behind another it never ran out: 20 s after the end of a cut of two seconds the instance still read through others, and the directory named two addresses of three.

The failure itself is not shown to come from this; its report now holds what the instances wrote.

Change: being away is a state. It ends when a short direct read, once a second beside the relayed calls, is answered, or when no relay reaches the log either. The line log.direct_again says so. Addresses of relays are taken from one look at the list: between two it may change, and a missing key ended the process.

Before: named 2 of 3 for 20 s.

--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -20,9 +20,9 @@
 ASK_AFTER = 0.35
 """Seconds without a reply after which an append goes through a relay too: a log that is
 60 times slower than usual answers within 0.25 s."""
-AWAY_FOR = 1.5
-"""Seconds for which a log that only a relay could reach is asked through it first; then
-the direct way is tried again, which costs ``ASK_AFTER`` where it still is cut."""
+PROBE_EVERY = 1.0
+"""Seconds between looks at whether the direct way answers again, one short read each:
+callers are sent elsewhere until it does."""
 MOST_RELAYS = 2
 """Relays asked for one call; with a half of the instances cut off, three calls of four
 find one."""
@@ -33,21 +33,19 @@
 class RelayedLog(PartitionedLog):
     """``direct`` is the log; ``relays()`` returns such logs of other instances."""
 
-    __slots__ = ("_away", "_away_until", "_direct", "_relays")
+    __slots__ = ("_away", "_direct", "_probe", "_probe_at", "_relays")
 
     def __init__(self, direct, relays):
         self._direct = direct
         self._relays = relays
-        self._away_until = LONG_AGO
         self._away = asyncio.Event()
+        self._probe = None
+        self._probe_at = LONG_AGO
 
     @property
     def is_away(self):
         """Whether the log is believed to be out of direct reach."""
-        if passed(self._away_until):
-            self._away.clear()
-            return False
-        return True
+        return self._away.is_set()
 
     async def append(self, topic, part, records, deadline):
         """Append all records or none: ``Appended``, ``Unavailable``, ``ReplyLost``."""
@@ -75,19 +73,22 @@
     async def read(self, topic, part, offset, wait, slack):
         """Return a ``RawBatch``, ``Expired`` or ``Unavailable``."""
         result = Unavailable("out of direct reach")
-        if not self.is_away:
+        asked_directly = not self.is_away
+        if asked_directly:
             result = await self._read_direct(topic, part, offset, wait, slack)
             if not isinstance(result, Unavailable):
                 return result
+        else:
+            self._look_again(topic, part, offset)
         for relay in self._relays()[:MOST_RELAYS]:
             found = await relay.read(topic, part, offset, wait, slack)
             _count("read", found)
             if not isinstance(found, Unavailable):
-                self._found_away(result.reason)
+                if asked_directly:
+                    self._found_away(result.reason)
                 return found
-        if self.is_away:
-            # Nobody else reaches it either: the direct way is as good as any.
-            self._away_until = LONG_AGO
+        # Nobody else reaches it either: the direct way is as good as any.
+        self._go_directly("no relay reaches it")
         return result
 
     async def newest(self, topic):
@@ -126,11 +127,36 @@
         return result
 
     def _found_away(self, reason):
-        if not self.is_away:
-            note("log.relayed", reason=reason)
-        self._away_until = deadline_in(AWAY_FOR)
+        if self.is_away:
+            return
+        note("log.relayed", reason=reason)
+        self._probe_at = deadline_in(PROBE_EVERY)
         self._away.set()
 
+    def _go_directly(self, reason):
+        if self.is_away:
+            note("log.direct_again", reason=reason)
+        self._away.clear()
+
+    def _look_again(self, topic, part, offset):
+        """Ask the direct way beside the relays, once in a while.
+
+        A call that went there by itself would wait in vain while the way is cut; calls
+        that never do would be relayed for good, as one would notice by an instance to
+        which no caller is sent any more.
+        """
+        if self._probe is None and passed(self._probe_at):
+            self._probe = asyncio.ensure_future(self._probed(topic, part, offset))
+
+    async def _probed(self, topic, part, offset):
+        try:
+            found = await self._direct.read(topic, part, offset, 0, ASK_AFTER)
+            if not isinstance(found, Unavailable):
+                self._go_directly("it answers")
+        finally:
+            self._probe_at = deadline_in(PROBE_EVERY)
+            self._probe = None
+
 
 def _worse(one, other):
     """Return the outcome of two failed appends: unknown if either may have landed."""
--- a/sassafrasdoor/log/tests/test_relay.py
+++ b/sassafrasdoor/log/tests/test_relay.py
@@ -90,6 +90,36 @@
         self.assertEqual(self.direct.calls, calls)
         self.assertIsInstance(await self.relayed.read("t", 0, 0, 0, 1.0), RawBatch)
 
+    async def test_instance_goes_back_once_the_direct_way_answers(self):
+        """Symptom: no caller is sent to an instance any more after a short cut.
+
+        Sequence: one of its calls goes unanswered, a relay answers, the direct way
+        comes back; reads wait at the relays one behind another. Cause: each relayed
+        read was taken for a further sign that the direct way is cut.
+        """
+        self.direct.cut = True
+        await self.append(seconds=30.0)
+        self.direct.cut = False
+        limit = deadline_in(30.0)
+        while self.relayed.is_away:
+            self.assertFalse(passed(limit), "still relayed")
+            await self.relayed.read("t", 0, 1, 0.05, 1.0)
+        calls = self.peer.calls
+        self.assertIsInstance(await self.append(), Appended)
+        self.assertEqual(self.peer.calls, calls)
+
+    async def test_way_that_stays_cut_holds_no_read(self):
+        """Each look at the direct way runs beside the reads, which relays answer."""
+        self.direct.cut = True
+        await self.append(seconds=30.0)
+        asked, limit = self.direct.calls, deadline_in(30.0)
+        while self.direct.calls < asked + 2:
+            self.assertFalse(passed(limit), "never looked again")
+            found = await self.relayed.read("t", 0, 0, 300.0, 300.0)
+            self.assertEqual(found.records, [b"x"])
+            await asyncio.sleep(0.02)
+        self.assertTrue(self.relayed.is_away)
+
     async def test_append_that_may_have_landed_is_not_called_without_effect(self):
         """Symptom: a step is refused as not kept, and runs.
 
--- a/sassafrasdoor/platform/tests/cases.py
+++ b/sassafrasdoor/platform/tests/cases.py
@@ -5,6 +5,7 @@
 import json
 import tempfile
 import unittest
+from collections import deque
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
@@ -20,6 +21,8 @@
 
 HOST, MODEL, ENGINES, PLAIN = "h.example", "m", "engines", "plain"
 PATIENCE = 60.0
+ANSWERS_SHOWN, BODY_SHOWN, LINES_SHOWN = 5, 200, 40
+"""How many of the last answers, bytes of each, and log lines a failure shows."""
 ROUTE = {
     "Host": HOST,
     "TimeoutMs": 8000,
@@ -58,6 +61,7 @@
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        self.answers = deque(maxlen=ANSWERS_SHOWN)
         self.client = AsyncHTTPClient(force_instance=True, max_clients=50)
         self.addCleanup(self.client.close)
         self.store = StoreStandin()
@@ -99,9 +103,24 @@
                 found = await found
             if found:
                 return found
-            self.assertFalse(passed(limit), "condition never came true")
+            if passed(limit):
+                self.fail(f"condition never came true\n{self.report()}")
             await asyncio.sleep(0.05)
 
+    def report(self):
+        """Return what a condition that never came true is traced from.
+
+        Each instance's end, if it has ended, and its last log lines; the last answers.
+        """
+        texts = [f"last answers: {list(self.answers)}"]
+        for one in getattr(self, "instances", ()):
+            lines = one.log_path.read_text("utf-8").splitlines()[-LINES_SHOWN:]
+            texts += [
+                f"{one.name} front {one.front} ended {one.process.poll()}",
+                *lines,
+            ]
+        return "\n".join(texts)
+
     async def until_ready(self):
         for instance in self.instances:
             await self.until(lambda one=instance: self.is_ready(one))
@@ -117,7 +136,9 @@
             headers={"Host": HOST, **headers},
             request_timeout=10,
         )
-        return await reply_to(self.client, request)
+        reply = await reply_to(self.client, request)
+        self.answers.append((address, path, reply.code, reply.body[:BODY_SHOWN]))
+        return reply
 
     async def submit(self, step_id, items=4, at=0, rewarded=False):
         rows = [
--- a/sassafrasdoor/platform/tests/test_processes.py
+++ b/sassafrasdoor/platform/tests/test_processes.py
@@ -142,6 +142,7 @@
         self.assertEqual(set(addresses), {one.front for one in self.instances[1:]})
         self.proxy.thaw()
         self.assertEqual(await self.until(lambda: self.whole("s")), results)
+        await self.until(lambda: self.knows_peers(0))
 
     async def test_runner_that_alone_is_cut_off_goes_on(self):
         """Symptom: a step stands still for seconds and misses its deadline.
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -168,8 +168,10 @@
 
     def controls(self):
         """Return where those peers serve other instances, in the same order."""
+        # The list may change between two looks at it: the peers' addresses come first.
+        peers = self.peers()
         by_address = {one.address: one.control for one in self._current.alive}
-        return [by_address[one] for one in self.peers() if by_address[one]]
+        return [by_address[one] for one in peers if by_address.get(one)]
 
     @property
     def is_entry_point(self):
