Claim a shard only after a read that was sent past the lapse

Claims were judged by what an instance had seen, and in silence it sees no renewal: all twelve claimed from 19.7 s on (179 claims without a reply between 24 and 27 s), some landed at the return, and two shards and the orders of loads moved to instances that had done nothing. Reads made it worse: a direct read hung for 1.5 s and then two relays for as long each, so log.lost came 4 s late; every third read waited for 2 s, and log.regained came at 25.3 to 28.1 s.

Change: (1) a claim has lapsed once the end of the shard was read by a read that was sent after the lapse; a short read asks for it. (2) A failing log is asked again each half second beside the reads that still wait. (3) Reads go to a relay as appends do, after a third of a second beside the direct way, and the first answer counts.

The test of how soon a silent read is given up names the constant anew (SLACK for the first of SLACKS); it is as strict.

--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -23,6 +23,9 @@
 PROBE_EVERY = 1.0
 """Seconds between looks at whether the direct way answers again, one short read each:
 callers are sent elsewhere until it does."""
+RELAY_SLACK = 0.5
+"""Seconds that a relay is given beside a silent direct way: one that reaches the log
+answers within 0.25 s also where that is slow; the others do not know yet either."""
 MOST_RELAYS = 2
 """Relays asked for one call; with a half of the instances cut off, three calls of four
 find one."""
@@ -53,73 +56,77 @@
             result = await self._append_relayed(topic, part, records, deadline)
             if isinstance(result, Appended):
                 return result
-        direct = asyncio.ensure_future(
-            self._direct.append(topic, part, records, deadline)
+        return await self._hedged(
+            self._direct.append(topic, part, records, deadline),
+            min(ASK_AFTER, remaining(deadline) / 2),
+            lambda: self._append_relayed(topic, part, records, deadline),
         )
-        try:
-            first = min(ASK_AFTER, remaining(deadline) / 2)
-            await asyncio.wait([direct], timeout=first)
-            if direct.done() and isinstance(direct.result(), Appended):
-                return direct.result()
-            relayed = await self._append_relayed(topic, part, records, deadline)
-            if isinstance(relayed, Appended):
-                reason = direct.result().reason if direct.done() else "no reply"
-                self._found_away(reason)
-                return relayed
-            return _worse(await direct, relayed)
-        finally:
-            direct.cancel()
 
     async def read(self, topic, part, offset, wait, slack):
         """Return a ``RawBatch``, ``Expired`` or ``Unavailable``."""
-        result = Unavailable("out of direct reach")
-        asked_directly = not self.is_away
-        if asked_directly:
-            result = await self._read_direct(topic, part, offset, wait, slack)
-            if not isinstance(result, Unavailable):
-                return result
-        else:
+        if self.is_away:
             self._look_again(topic, part, offset)
-        for relay in self._relays()[:MOST_RELAYS]:
-            found = await relay.read(topic, part, offset, wait, slack)
-            _count("read", found)
-            if not isinstance(found, Unavailable):
-                if asked_directly:
-                    self._found_away(result.reason)
-                return found
-        # Nobody else reaches it either: the direct way is as good as any.
-        self._go_directly("no relay reaches it")
-        return result
+            result = await self._read_relayed(topic, part, offset, wait, slack)
+            if isinstance(result, Unavailable):
+                # Nobody else reaches it either: the direct way is as good as any.
+                self._go_directly(result.reason)
+            return result
+        return await self._hedged(
+            self._direct.read(topic, part, offset, wait, slack),
+            wait + min(ASK_AFTER, slack / 2),
+            lambda: self._read_relayed(topic, part, offset, 0, min(slack, RELAY_SLACK)),
+        )
 
     async def newest(self, topic):
         """Return the ``NewestKeys`` of a keyed topic, or ``Unavailable``."""
         return await self._direct.newest(topic)
 
-    async def _read_direct(self, topic, part, offset, wait, slack):
-        """Read; give up once the log is found to be away.
+    async def _hedged(self, call, patience, relay):
+        """Return the first answer of the log, or what became of both calls.
 
-        A read that waits for new records learns of a cut by its own time only, one
-        and a half seconds later.
+        ``relay()`` begins the other call: after ``patience`` seconds, after a failure,
+        or once another call has found the log away. A read that waits for new records
+        would learn of that by its own time only, one and a half seconds later.
         """
-        read = asyncio.ensure_future(
-            self._direct.read(topic, part, offset, wait, slack)
-        )
+        direct = asyncio.ensure_future(call)
+        relayed = None
         away = asyncio.ensure_future(self._away.wait())
         try:
-            await asyncio.wait([read, away], return_when=asyncio.FIRST_COMPLETED)
-            if read.done():
-                return read.result()
-            return Unavailable("out of direct reach")
+            await asyncio.wait(
+                [direct, away],
+                timeout=patience,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if direct.done() and _answers(direct.result()):
+                return direct.result()
+            relayed = asyncio.ensure_future(relay())
+            await asyncio.wait([direct, relayed], return_when=asyncio.FIRST_COMPLETED)
+            if direct.done() and _answers(direct.result()):
+                return direct.result()
+            if _answers(await relayed):
+                self._found_away(direct.result().reason if direct.done() else "silent")
+                return relayed.result()
+            return _worse(await direct, relayed.result())
         finally:
-            read.cancel()
-            away.cancel()
+            for task in (direct, relayed, away):
+                if task is not None:
+                    task.cancel()
+
+    async def _read_relayed(self, topic, part, offset, wait, slack):
+        result = Unavailable("no relay reaches the log")
+        for relay in self._relays()[:MOST_RELAYS]:
+            found = await relay.read(topic, part, offset, wait, slack)
+            _count("read", found)
+            if _answers(found):
+                return found
+        return result
 
     async def _append_relayed(self, topic, part, records, deadline):
         result = Unavailable("no relay known")
         for relay in self._relays()[:MOST_RELAYS]:
             found = await relay.append(topic, part, records, deadline)
             _count("append", found)
-            if isinstance(found, Appended):
+            if _answers(found):
                 return found
             result = _worse(result, found)
             if passed(deadline):
@@ -158,8 +165,16 @@
             self._probe = None
 
 
+def _answers(result):
+    """Say whether this is what the log itself said, not a failure on the way to it."""
+    return not isinstance(result, (Unavailable, ReplyLost))
+
+
 def _worse(one, other):
-    """Return the outcome of two failed appends: unknown if either may have landed."""
+    """Return the outcome of two calls that are over: unknown if an append may have
+    landed, an answer where there is one."""
+    if _answers(one):
+        return one
     return other if isinstance(other, ReplyLost) else one
 
 
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sassafrasdoor.clock import now, passed
+from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.partitioned import NewestKeys, split_keyed
 from sassafrasdoor.metrics import counter
@@ -12,9 +12,15 @@
 """Seconds that a read waits. A read that was sent while the log was silent is never
 answered; with the slack it ends well within the two seconds in which a change that
 is acknowledged right after the log's return must be in force."""
-SLACKS = (0.5, 0.5, 2.0)
-"""Seconds beyond the wait, for the tries in a row: an answer takes 4 ms, or 240 ms
-where the log is slow; every third try waits for a log that is slower still."""
+SLACK = 0.5
+"""Seconds beyond the wait while the log answers: that takes 4 ms, or 240 ms where the
+log is slow."""
+ASK_AGAIN = 0.5
+"""Seconds without an answer after which a failing log is asked once more, beside the
+reads that are still waited for: a read that was sent while it was silent is never
+answered."""
+LONGEST_SLACK = 2.0
+"""Seconds for the first of such reads: for a log that is slower than ``SLACK``."""
 RETRY_PAUSE = 0.15
 """Seconds between tries while the log is away: back well within a second."""
 UNWANTED_PAUSE = 0.1
@@ -59,7 +65,6 @@
         self._part = part
         self._fold = fold
         self._pause = pause
-        self._failures = 0
         self._running = False
         self._confirming = None
         self._started_at = now()
@@ -82,9 +87,11 @@
 
     async def poll(self, wait):
         """Read once; say whether the log answered."""
-        sent_at = now()
-        slack = SLACKS[self._failures % len(SLACKS)]
-        result = await self._log.read(self._topic, self._part, self.offset, wait, slack)
+        if self.failing_since is None:
+            sent_at = now()
+            result = await self._read(wait, SLACK)
+        else:
+            sent_at, result = await self._read_again()
         if isinstance(result, Unavailable):
             self._note_failed(result)
             return False
@@ -106,6 +113,33 @@
             self.confirmed_at = sent_at
         return True
 
+    async def _read(self, wait, slack):
+        return await self._log.read(self._topic, self._part, self.offset, wait, slack)
+
+    async def _read_again(self):
+        """Return when the first read that was answered was sent, and its result.
+
+        A single read that was sent just before the log's return held its reader for
+        two and a half seconds more: claims lapsed, and a change was in force late.
+        """
+        limit = deadline_in(LONGEST_SLACK)
+        sent_at, waiting = {}, set()
+        try:
+            while True:
+                if not passed(limit):
+                    read = asyncio.ensure_future(self._read(0, remaining(limit)))
+                    sent_at[read] = now()
+                    waiting.add(read)
+                done, waiting = await asyncio.wait(
+                    waiting, timeout=ASK_AGAIN, return_when=asyncio.FIRST_COMPLETED
+                )
+                for read in done:
+                    if not isinstance(read.result(), Unavailable) or not waiting:
+                        return sent_at[read], read.result()
+        finally:
+            for read in sent_at:
+                read.cancel()
+
     async def confirm(self, deadline):
         """Read until all that was acknowledged before this call is folded in.
 
@@ -167,13 +201,11 @@
             )
 
     def _note_failed(self, result):
-        self._failures += 1
         if self.failing_since is None:
             self.failing_since = now()
             note("log.lost", topic=self._topic, part=self._part, reason=result.reason)
 
     def _note_restored(self):
-        self._failures = 0
         if self.failing_since is None:
             return
         away = round(now() - self.failing_since, 3)
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -25,6 +25,26 @@
         return await super().read(topic, part, offset, wait, slack)
 
 
+class SilentLog(MemoryPartitionedLog):
+    """Never answers a read that was sent while it was ``silent``."""
+
+    def __init__(self):
+        super().__init__()
+        self.silent = False
+        self.waiting = self.given_up = 0
+
+    async def read(self, topic, part, offset, wait, slack):
+        if not self.silent:
+            return await super().read(topic, part, offset, wait, slack)
+        self.waiting += 1
+        try:
+            await asyncio.sleep(wait + slack)
+            self.given_up += 1
+        finally:
+            self.waiting -= 1
+        return module.Unavailable("timeout")
+
+
 class TailTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.log = MemoryPartitionedLog()
@@ -101,7 +121,7 @@
         Sequence: a read is sent while the log is silent, which then comes back and
         acknowledges a change. Cause: the read was waited for five seconds.
         """
-        self.assertLess(module.LONG_POLL + module.SLACKS[0] + module.RETRY_PAUSE, 1.8)
+        self.assertLess(module.LONG_POLL + module.SLACK + module.RETRY_PAUSE, 1.8)
         log = SilentOnce()
         seen = asyncio.Event()
         tail = Tail(log, "t", 0, lambda at, data: seen.set())
@@ -111,6 +131,29 @@
         async with asyncio.timeout(20):
             await seen.wait()
 
+    async def test_return_is_seen_by_a_read_that_was_sent_after_it(self):
+        """Symptom: an instance goes on 2.5 s after the log has come back.
+
+        Sequence: the log is silent for all for seconds, its readers have given up some
+        reads and wait for one more, it comes back. Cause: the read that was sent last
+        was waited for, in vain, before another was sent.
+        """
+        log = SilentLog()
+        log.silent = True
+        folded = asyncio.Event()
+        tail = Tail(log, "t", 0, lambda at, data: folded.set())
+        task = asyncio.ensure_future(tail.run())
+        self.addCleanup(task.cancel)
+        await log.append("t", 0, [b"a"], deadline_in(1))
+        async with asyncio.timeout(30):
+            while not (log.given_up > 1 and log.waiting > 1):  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        log.silent = False
+        given_up = log.given_up
+        async with asyncio.timeout(20):
+            await folded.wait()
+        self.assertEqual(log.given_up, given_up)
+
     async def test_many_followers_leave_reads_to_others(self):
         """Symptom: with 300 instances a configuration is in force seconds late.
 
--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -27,6 +27,8 @@
 SEPARATOR = "/"
 MOST_RANK = 5
 CLAIM_TIMEOUT = 1.5
+CONFIRM_TIMEOUT = 0.5
+"""Seconds for a look whether a claim was renewed; a slow log answers within 0.25 s."""
 
 CLAIMS = counter("steps_shard_claims_total", "Claims of shards, by result.")
 HELD = gauge("steps_shards_held", "Shards that this process runs.")
@@ -47,6 +49,7 @@
         "_leaving",
         "_log",
         "_next_claim",
+        "_reading",
         "_on_gain",
         "_on_loss",
         "_ranking",
@@ -73,6 +76,7 @@
         self._sent_at = {}
         self._renewed_at = {}
         self._next_claim = {}
+        self._reading = set()
         self._leaving = False
         self._tasks = set()
         steps.on_claim(self._claimed)
@@ -126,7 +130,33 @@
         claim = self._steps.claims.get(shard)
         if shard in self._held:
             return passed(claim.seen_at + RENEW_INTERVAL)
-        return passed(self._free_from(shard, claim))
+        if not passed(self._free_from(shard, claim)):
+            return False
+        if claim is None or claim.released or self._is_former_self(claim):
+            return True
+        return self._has_lapsed(shard, claim)
+
+    def _has_lapsed(self, shard, claim):
+        """Say whether a claim was not renewed, as the shard's records say.
+
+        Silence of the log says nothing: where it is away for all, the holder cannot
+        renew either. Claims made then would land at its return, one of them would
+        count, and steps and loads would stand still until all agree on it. So the end
+        of the shard must have been read after the lapse.
+        """
+        tail = self._tails[shard]
+        if tail.confirmed_at >= claim.seen_at + LAPSE_AFTER:
+            return True
+        if shard not in self._reading:
+            self._reading.add(shard)
+            task = asyncio.ensure_future(tail.confirm(deadline_in(CONFIRM_TIMEOUT)))
+            self._tasks.add(task)
+            task.add_done_callback(lambda done: self._read(shard, done))
+        return False
+
+    def _read(self, shard, task):
+        self._reading.discard(shard)
+        self._tasks.discard(task)
 
     def _free_from(self, shard, claim):
         """Return when this process may claim a shard that it does not hold."""
--- a/sassafrasdoor/steps/durable/tests/test_shards.py
+++ b/sassafrasdoor/steps/durable/tests/test_shards.py
@@ -3,9 +3,10 @@
 import asyncio
 import unittest
 
-from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.clock import deadline_in, passed, remaining
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.tail import Tail
+from sassafrasdoor.outcomes import ReplyLost, Unavailable
 from sassafrasdoor.steps.durable import records, shards as module
 from sassafrasdoor.steps.durable.jobs import Job
 from sassafrasdoor.steps.durable.records import Claim, Progress, encode, encode_step
@@ -140,6 +141,63 @@
         self.assertEqual((self.one.events, self.two.events), (["gained"], []))
 
 
+class SilentLog(MemoryPartitionedLog):
+    """Leaves every call without an answer while it is ``silent``; appends land."""
+
+    def __init__(self):
+        super().__init__()
+        self.silent = False
+        self.held = []
+
+    async def append(self, topic, part, records, deadline):
+        if not self.silent:
+            return await super().append(topic, part, records, deadline)
+        self.held.append(records)
+        await asyncio.sleep(remaining(deadline))
+        return ReplyLost("timeout")
+
+    async def read(self, topic, part, offset, wait, slack):
+        result = await super().read(topic, part, offset, wait, slack)
+        if self.silent:
+            await asyncio.sleep(wait + slack)
+            return Unavailable("timeout")
+        return result
+
+
+class SilenceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_nobody_claims_while_the_log_is_silent(self):
+        """Symptom: after an outage for all, living runners lose their shards.
+
+        Sequence: the log is silent for seconds; each instance takes the holder's claim
+        for lapsed and claims, some of those appends land at the log's return. Cause:
+        not to see a renewal was taken for its absence, though nothing could be seen.
+        """
+        log = SilentLog()
+        one, two = Instance(log, "one/1", 0), Instance(log, "two/1", 1)
+        lapse, module.LAPSE_AFTER = module.LAPSE_AFTER, 1.0
+        self.addCleanup(setattr, module, "LAPSE_AFTER", lapse)
+        for instance in (one, two):
+            instance.start()
+            self.addCleanup(instance.stop)
+        await log.append(TOPIC, 0, encode_step(spec(), 10_000), deadline_in(1))
+        await self.until(lambda: one.holds and 0 in two.steps.claims)
+        log.silent = True
+        await self.until(lambda: two.tail.failing_since is not None)
+        await asyncio.sleep(2 * module.LAPSE_AFTER)
+        log.silent = False
+        claims = [records.decode(data) for held in log.held for data in held]
+        self.assertEqual({claim.runner for claim in claims}, {"one/1"})
+        renewed = two.steps.claims[0].offset
+        await self.until(lambda: two.steps.claims[0].offset > renewed)
+        self.assertEqual((one.events, two.events), (["gained"], []))
+
+    async def until(self, condition):
+        limit = deadline_in(20)
+        while not condition():
+            self.assertFalse(passed(limit), "condition never came true")
+            await asyncio.sleep(0.01)
+
+
 class ClaimTest(unittest.TestCase):
     def test_of_two_claims_on_one_the_first_counts(self):
         steps = Steps()
