Ask again beside the first reads of a start, and the direct way at once

A shard was read to its end only 1.3 s after the return: the first read of a start waited for new records, and nothing was sent beside it. At the return all twelve instances wrote log.relayed within 0.2 s, since a relay answered while the call sent in silence was still waited for; each then named only others.

Change: a partition that was not read to its end yet is read as a failing one is. The first look at the direct way follows the first relayed answer at once.

--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -137,7 +137,9 @@
         if self.is_away:
             return
         note("log.relayed", reason=reason)
-        self._probe_at = deadline_in(PROBE_EVERY)
+        # The call that went unanswered may have been sent just before the log's return:
+        # then all instances would find it away at once, and send callers elsewhere.
+        self._probe_at = LONG_AGO
         self._away.set()
 
     def _go_directly(self, reason):
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -87,7 +87,7 @@
 
     async def poll(self, wait):
         """Read once; say whether the log answered."""
-        if self.failing_since is None:
+        if self.failing_since is None and self.confirmed_at is not None:
             sent_at = now()
             result = await self._read(wait, SLACK)
         else:
@@ -120,7 +120,8 @@
         """Return when the first read that was answered was sent, and its result.
 
         A single read that was sent just before the log's return held its reader for
-        two and a half seconds more: claims lapsed, and a change was in force late.
+        two and a half seconds more: claims lapsed, a change was in force late, and a
+        process that had started meanwhile took its steps up as late.
         """
         limit = deadline_in(LONGEST_SLACK)
         sent_at, waiting = {}, set()
--- a/sassafrasdoor/log/tests/test_relay.py
+++ b/sassafrasdoor/log/tests/test_relay.py
@@ -4,6 +4,7 @@
 import unittest
 
 from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.log import relay as module
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.partitioned import Appended, RawBatch
 from sassafrasdoor.log.relay import RelayedLog
@@ -108,6 +109,20 @@
         self.assertIsInstance(await self.append(), Appended)
         self.assertEqual(self.peer.calls, calls)
 
+    async def test_call_lost_at_the_logs_return_sends_nobody_elsewhere(self):
+        """Symptom: after an outage for all every instance names only others.
+
+        Sequence: each has a call under way that was sent in silence, a relay answers
+        first. Cause: the direct way was asked again only a second later.
+        """
+        every, module.PROBE_EVERY = module.PROBE_EVERY, 1000.0
+        self.addCleanup(setattr, module, "PROBE_EVERY", every)
+        self.direct.cut = True
+        await self.append(seconds=30.0)
+        self.direct.cut = False
+        await self.relayed.read("t", 0, 1, 0.05, 1.0)
+        self.assertFalse(self.relayed.is_away)
+
     async def test_way_that_stays_cut_holds_no_read(self):
         """Each look at the direct way runs beside the reads, which relays answer."""
         self.direct.cut = True
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -154,6 +154,27 @@
             await folded.wait()
         self.assertEqual(log.given_up, given_up)
 
+    async def test_start_in_silence_does_not_wait_for_its_first_read(self):
+        """Symptom: steps stand still for seconds after a restart of all instances.
+
+        Sequence: an instance starts while the log is silent, which then comes back.
+        Cause: the first read waited for new records, and nothing was sent beside it.
+        """
+        log = SilentLog()
+        log.silent = True
+        seen = asyncio.Event()
+        tail = Tail(log, "t", 0, lambda at, data: seen.set())
+        task = asyncio.ensure_future(tail.run())
+        self.addCleanup(task.cancel)
+        await log.append("t", 0, [b"a"], deadline_in(1))
+        async with asyncio.timeout(20):
+            while not log.waiting:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        log.silent = False
+        async with asyncio.timeout(20):
+            await seen.wait()
+        self.assertEqual(log.given_up, 0)
+
     async def test_many_followers_leave_reads_to_others(self):
         """Symptom: with 300 instances a configuration is in force seconds late.
 
