--- a/sassafrasdoor/membership/suspicions.py
+++ b/sassafrasdoor/membership/suspicions.py
@@ -69,11 +69,14 @@
         return now() - suspicion.first < self._settings.silence_timeout
 
     def _is_cut_off(self, member, suspicion, others):
-        if member.region != self._region:
-            unheard = self._regions.heard_at(member.region) < suspicion.since
-            return unheard and passed(suspicion.deadline)
         silence = min(
             SILENT_ROUNDS * self._settings.probe_interval,
             self._settings.suspicion_timeout / 2,
         )
+        if member.region != self._region:
+            # What the region sent before its way was cut may arrive, or be read,
+            # after the suspicion began: it does not show that the way is there.
+            heard_at = self._regions.heard_at(member.region)
+            unheard = heard_at < suspicion.since + silence
+            return unheard and passed(suspicion.deadline)
         return now() - self.last_heard > silence and others > 1
