Soak: an end without an answer may be kept

The trace of one: the trainer of s6 asked for its end, the instance was killed (599), the log kept the end at offset 58 after three samples and three texts. The step then lists no more, truly; the check waited for six samples until its limit of 45 s was over, and flagged every step behind s6 without a look at it (their samples and scores stood in the log).

Ruled out: a runner that stands still (items of s5 to s15 were made within 0.5 s of their submission, and the step after the settling ran).

Change: a trainer whose end got no answer asks again, and that must be acknowledged, also where all samples are listed; each step is looked at once also after the limit. So the check is as strict, and stricter for ends. SettleTest holds it without processes.

--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -213,16 +213,29 @@
         await self._list()
         limit = deadline_in(SETTLE)
         for step in self._steps:
-            while step.accepted and step.ended_at is None and not passed(limit):
-                page = await self._page(step.step_id, self._any())
-                if page is not None:
-                    step.pages.append(page)
-                if page is not None and len(page) == ITEMS:
-                    break
-                await asyncio.sleep(0.1)
-            else:
-                if step.accepted and step.ended_at is None:
-                    self.violations.add("accepted steps are run", step.step_id)
+            if step.accepted and not await self._settled(step, limit):
+                self.violations.add("accepted steps are run", step.step_id)
+
+    async def _settled(self, step, limit):
+        """Say whether a step comes to its end: all samples, or an acknowledged end.
+
+        An end that got no answer may be kept, and its step lists no more. Its trainer
+        asks for it again, as real ones do. Each step is looked at, also after
+        ``limit``: one that stands still must not count against those behind it.
+        """
+        while True:
+            if step.asked_to_end and step.ended_at is None:
+                await self._end(step)
+            if step.ended_at is not None:
+                return True
+            page = await self._page(step.step_id, self._any())
+            if page is not None:
+                step.pages.append(page)
+                if len(page) == ITEMS and not step.asked_to_end:
+                    return True
+            if passed(limit):
+                return False
+            await asyncio.sleep(0.1)
 
     async def _leave_in_calm(self):
         """Have one replica of each kind leave, now that every instance can know."""
--- a/sassafrasdoor/platform/soak_callers.py
+++ b/sassafrasdoor/platform/soak_callers.py
@@ -141,10 +141,15 @@
                     break
             await asyncio.sleep(READ_EVERY)
         if ends:
-            path = f"/-/lots/{step.step_id}"
-            reply = await self._fetch(self._any().front, path, "DELETE")
-            if reply.code == checks.OK:
-                step.ended_at = asyncio.get_running_loop().time()
+            await self._end(step)
+
+    async def _end(self, step):
+        """Ask for the end of a step, once."""
+        step.asked_to_end = True
+        path = f"/-/lots/{step.step_id}"
+        reply = await self._fetch(self._any().front, path, "DELETE")
+        if reply.code == checks.OK:
+            step.ended_at = asyncio.get_running_loop().time()
 
     async def _page(self, step_id, instance):
         reply = await self._fetch(instance.front, f"/-/lots/{step_id}?After=0")
--- a/sassafrasdoor/platform/tests/test_soak.py
+++ b/sassafrasdoor/platform/tests/test_soak.py
@@ -1,10 +1,14 @@
 """A short soak with a fixed seed; longer ones are run by hand."""
 
 import asyncio
+import json
 import tempfile
 import unittest
 
+from sassafrasdoor.clock import LONG_AGO, deadline_in
 from sassafrasdoor.platform.soak import Soak
+from sassafrasdoor.platform.soak_callers import ITEMS
+from sassafrasdoor.soak.checks import StepSeen
 
 SECONDS, INSTANCES = 15, 3
 SEEDS = (1, 2, 36)
@@ -14,6 +18,65 @@
 """
 
 
+class Answer:
+    """An instance's answer."""
+
+    def __init__(self, code, listed=0):
+        self.code = code
+        self.body = json.dumps({"Results": [{}] * listed})
+
+
+class Answering(Soak):
+    """A soak whose instances answer as they are told: ends, then listings."""
+
+    def __init__(self, ends, listed):
+        super().__init__(1, 1, 1, "")
+        self.ends, self.listed = list(ends), listed
+
+    def _any(self):
+        return self
+
+    front = "nowhere"
+
+    async def _fetch(self, address, path, method="GET", body=None, **headers):
+        if method == "DELETE":
+            return Answer(self.ends.pop(0) if len(self.ends) > 1 else self.ends[0])
+        return Answer(200, self.listed)
+
+
+class SettleTest(unittest.IsolatedAsyncioTestCase):
+    """What becomes of a step once the faults are over."""
+
+    async def settled(self, limit, asked_to_end=False, ends=(599,), listed=2):
+        soak = Answering(ends, listed)
+        self.addCleanup(soak._client.close)
+        step = StepSeen("s1", [f"i{at}" for at in range(ITEMS)])
+        step.asked_to_end = asked_to_end
+        found = await soak._settled(step, limit)
+        self.assertEqual(step.ended_at is not None, asked_to_end and found)
+        return found
+
+    async def test_end_without_an_answer_may_be_kept(self):
+        """Symptom: a soak beside load says that accepted steps were not run.
+
+        Sequence: the instance that a step's end was sent to is killed; the end is kept,
+        its trainer gets no answer. Cause: the check waited for all samples of it, and
+        for those of every step behind it no more.
+        """
+        late = deadline_in(20)
+        self.assertTrue(await self.settled(late, True, ends=(599, 504, 200)))
+
+    async def test_end_that_nobody_acknowledges_is_a_violation(self):
+        self.assertFalse(await self.settled(LONG_AGO, True))
+        self.assertFalse(await self.settled(LONG_AGO, True, listed=ITEMS))
+
+    async def test_step_behind_one_that_stands_still_is_looked_at(self):
+        self.assertTrue(await self.settled(LONG_AGO, listed=ITEMS))
+
+    async def test_accepted_step_that_is_not_run_is_a_violation(self):
+        self.assertFalse(await self.settled(LONG_AGO))
+
+
 class SoakTest(unittest.TestCase):
     def test_no_promise_is_broken(self):
         for seed in SEEDS:
--- a/sassafrasdoor/soak/checks.py
+++ b/sassafrasdoor/soak/checks.py
@@ -81,11 +81,13 @@
 
     ``refusals`` counts submissions answered "not run", ``unknown`` those that ended
     without an answer or with one that promises nothing: after one of these the step
-    may run, whatever the others were answered.
+    may run, whatever the others were answered. ``asked_to_end`` says that an end was
+    sent, ``ended_at`` when one was acknowledged; one without an answer may be kept.
     """
 
     __slots__ = (
         "accepted",
+        "asked_to_end",
         "ended_at",
         "items",
         "pages",
@@ -102,6 +104,7 @@
         self.accepted = False
         self.refusals = 0
         self.unknown = 0
+        self.asked_to_end = False
         self.ended_at = None
         self.pages = []
 
