Give a start's second read no longer than its first

Change: a partition that was not read to its end yet is read without a wait, for 1.5, 1.5 and 3 seconds in turn, one call at a time.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -21,6 +21,10 @@
 answered."""
 LONGEST_SLACK = 2.0
 """Seconds for the first of such reads: for a log that is slower than ``SLACK``."""
+START_SLACKS = (1.5, 1.5, 3.0)
+"""Seconds for the tries in a row of a partition that was not read to its end yet: a
+second one of three would hold a start in silence for that long after the log's return;
+the third is for a log that is slower than the others allow."""
 RETRY_PAUSE = 0.15
 """Seconds between tries while the log is away: back well within a second."""
 UNWANTED_PAUSE = 0.1
@@ -65,6 +69,7 @@
         self._part = part
         self._fold = fold
         self._pause = pause
+        self._failed_starts = 0
         self._running = False
         self._confirming = None
         self._started_at = now()
@@ -90,8 +95,9 @@
         sent_at = now()
         if self.confirmed_at is None:
             # Megabytes to read: asked for twice, they would take twice as long.
-            failing = self.failing_since is not None
-            result = await self._read(wait, LONGEST_SLACK if failing else SLACK)
+            slack = START_SLACKS[self._failed_starts % len(START_SLACKS)]
+            result = await self._read(0, slack)
+            self._failed_starts += isinstance(result, Unavailable)
         elif self.failing_since is None:
             result = await self._read(wait, SLACK)
         else:
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -155,6 +155,25 @@
             await folded.wait()
         self.assertEqual(log.given_up, given_up)
 
+    async def test_start_in_silence_is_not_held_by_its_second_read(self):
+        """Symptom: steps stand still for three seconds after the log's return.
+
+        Sequence: an instance starts while the log is silent, its first read is given
+        up. Cause: the second was waited for three seconds, with a wait for new records.
+        """
+        asked = []
+
+        async def read(topic, part, offset, wait, slack):
+            asked.append(wait + slack)
+            return module.Unavailable("timeout")
+
+        self.log.read = read
+        for _ in range(4):
+            await self.tail.poll(module.LONG_POLL)
+        self.assertLessEqual(max(asked[:2]), module.LONG_POLL + module.SLACK)
+        # A log that is slower than that is read all the same.
+        self.assertGreater(max(asked), 2 * asked[0] - 0.1)
+
     async def test_many_followers_leave_reads_to_others(self):
         """Symptom: with 300 instances a configuration is in force seconds late.
 
