Remember a relayed append of unknown fate

Cause, found while reading the change: where the log is away, a relayed append that lost its reply was dropped, and two refusals after it were told as one without effect: a step could be refused as not kept, and run.

Ruled out: that it was asked for in the direct case (there both outcomes were kept).

Change: in that case the direct way is asked once, without the relays again, and the worse of both outcomes is returned. Of reads that end together, one that the log answered counts before one that failed; a name that stood for two things in shards is another.

Before: test_relayed_append_of_unknown_fate_is_not_forgotten fails. After: it passes, with test_relay, test_tail and test_shards.

--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -13,7 +13,7 @@
 
 from sassafrasdoor.clock import LONG_AGO, deadline_in, passed, remaining
 from sassafrasdoor.decisions import note
-from sassafrasdoor.log.partitioned import Appended, PartitionedLog
+from sassafrasdoor.log.partitioned import PartitionedLog
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Outcome, ReplyLost, Unavailable
 
@@ -24,8 +24,8 @@
 """Seconds between looks at whether the direct way answers again, one short read each:
 callers are sent elsewhere until it does."""
 RELAY_SLACK = 0.5
-"""Seconds that a relay is given beside a silent direct way: one that reaches the log
-answers within 0.25 s also where that is slow; the others do not know yet either."""
+"""Seconds that a relay is given for a read whose direct way has failed: one that reaches
+the log answers within 0.25 s also where that is slow, the others do not know yet."""
 MOST_RELAYS = 2
 """Relays asked for one call; with a half of the instances cut off, three calls of four
 find one."""
@@ -54,8 +54,11 @@
         """Append all records or none: ``Appended``, ``Unavailable``, ``ReplyLost``."""
         if self.is_away:
             result = await self._append_relayed(topic, part, records, deadline)
-            if isinstance(result, Appended):
+            if _answers(result):
                 return result
+            return _worse(
+                await self._direct.append(topic, part, records, deadline), result
+            )
         return await self._hedged(
             self._direct.append(topic, part, records, deadline),
             min(ASK_AFTER, remaining(deadline) / 2),
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -143,9 +143,9 @@
                 done, waiting = await asyncio.wait(
                     waiting, timeout=ASK_AGAIN, return_when=asyncio.FIRST_COMPLETED
                 )
-                for read in done:
-                    if not isinstance(read.result(), Unavailable) or not waiting:
-                        return sent_at[read], read.result()
+                ended = sorted(done, key=lambda read: not _answers(read))
+                if ended and (_answers(ended[0]) or not waiting):
+                    return sent_at[ended[0]], ended[0].result()
         finally:
             for read in sent_at:
                 read.cancel()
@@ -224,6 +224,11 @@
         self.restored_at = now()
 
 
+def _answers(read):
+    """Say whether a read that has ended was answered by the log."""
+    return not isinstance(read.result(), Unavailable)
+
+
 class KeyedTail(Tail):
     """Keeps the newest value of each key of a keyed topic's only partition.
 
--- a/sassafrasdoor/log/tests/test_relay.py
+++ b/sassafrasdoor/log/tests/test_relay.py
@@ -149,6 +149,22 @@
         self.direct.answer = self.peer.answer = Unavailable("down")
         self.assertIsInstance(await self.append(), Unavailable)
 
+    async def test_relayed_append_of_unknown_fate_is_not_forgotten(self):
+        """Symptom: as above, at an instance that was cut off before.
+
+        Sequence: the relay loses its reply, then refuses, the direct way refuses too.
+        Cause: what became of the first relayed append was dropped.
+        """
+        self.direct.answer = Unavailable("store answered 429")
+        await self.append()
+        answers = [ReplyLost("reset"), Unavailable("down")]
+
+        async def append(*_):
+            return answers.pop(0) if len(answers) > 1 else answers[0]
+
+        self.peer.append = append
+        self.assertIsInstance(await self.append(), ReplyLost)
+
     async def test_nobody_reaches_it(self):
         self.direct.answer = self.peer.answer = Unavailable("down")
         found = await self.relayed.read("t", 0, 0, 0, 1.0)
--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -49,7 +49,7 @@
         "_leaving",
         "_log",
         "_next_claim",
-        "_reading",
+        "_looking",
         "_on_gain",
         "_on_loss",
         "_ranking",
@@ -76,7 +76,7 @@
         self._sent_at = {}
         self._renewed_at = {}
         self._next_claim = {}
-        self._reading = set()
+        self._looking = set()
         self._leaving = False
         self._tasks = set()
         steps.on_claim(self._claimed)
@@ -147,15 +147,15 @@
         tail = self._tails[shard]
         if tail.confirmed_at >= claim.seen_at + LAPSE_AFTER:
             return True
-        if shard not in self._reading:
-            self._reading.add(shard)
+        if shard not in self._looking:
+            self._looking.add(shard)
             task = asyncio.ensure_future(tail.confirm(deadline_in(CONFIRM_TIMEOUT)))
             self._tasks.add(task)
-            task.add_done_callback(lambda done: self._read(shard, done))
+            task.add_done_callback(lambda done: self._looked(shard, done))
         return False
 
-    def _read(self, shard, task):
-        self._reading.discard(shard)
+    def _looked(self, shard, task):
+        self._looking.discard(shard)
         self._tasks.discard(task)
 
     def _free_from(self, shard, claim):
