One instance of each zone reads the steps first after a start

On the larger site of the further customer all 76 instances lose power at 35 s and come back at 36.7 s. Twenty follow the steps and read 5,700 records each, side by side, of a log that sends one rate to all: the first was done after 4.2 s, small reads beside them timed out, and the lapse of the former runner's claims was counted from there. Shards were run again at 41.4 to 43.1 s. The first instance of each zone reads at once, the others one after the other a second apart, and hand their callers to the first meanwhile (`log/turns`).

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -11,6 +11,7 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.relay import RelayedLog
 from sassafrasdoor.log.tail import KeyedTail, Tail, shared_pause
+from sassafrasdoor.log.turns import turn_comes_at
 from sassafrasdoor.platform import (
     configuration,
     front,
@@ -22,7 +23,7 @@
 from sassafrasdoor.platform.store import Store
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.requests.streaming import StreamService
-from sassafrasdoor.routing.instances import Instances
+from sassafrasdoor.routing.instances import READERS_KEY, Instances
 from sassafrasdoor.routing.replicas import Replicas
 from sassafrasdoor.steps.durable.outbox import Outbox
 from sassafrasdoor.steps.durable.runner import Runner
@@ -69,6 +70,8 @@
         self._settings_stamp = platform_settings.stamp(path)
         self._metrics_port = metrics_port
         self._stop = asyncio.Event()
+        self._started_at = now()
+        self._has_had_turn = False
         self._servers = []
         self.closing = False
         self.in_flight = set()
@@ -264,11 +267,20 @@
         """Say whether this instance reads the steps' records itself.
 
         A process that runs a shard does so also when callers are sent elsewhere: it
-        must learn of ended steps.
+        must learn of ended steps. After a start the others wait for their turn.
         """
         if not self._instances.tail.loaded:
             return False
-        return self._instances.is_entry_point or self._shards.holding
+        if self._shards.holding:
+            return True
+        if not self._instances.is_entry_point:
+            return False
+        if self._has_had_turn:
+            return True
+        keys = {READERS_KEY, *map(self._ranked_for, range(self._weights_shard + 1))}
+        place = min(self._instances.place_in_zone(key) for key in keys)
+        self._has_had_turn = passed(turn_comes_at(self._started_at, place))
+        return self._has_had_turn
 
     def _rank(self, shard):
         """Return this instance's place among those that could run a shard.
@@ -288,7 +300,7 @@
         One process that runs all steps knows what every replica does, and its kept
         connections serve all of them. Before many replicas it lacks the processor.
         """
-        return f"shard-{shard}" if self._replicas.count > ALONE_UP_TO else "shards"
+        return f"shard-{shard}" if self._replicas.count > ALONE_UP_TO else READERS_KEY
 
     def _steps_pause(self):
         return shared_pause(
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -32,6 +32,12 @@
 serves a service keeps connections of its own to its replicas, and they cost most when
 they are seldom used."""
 ENTRY_KEY = "entry"
+READERS_KEY = "shards"
+"""Orders the instances that read and run the steps."""
+YOUNG_FOR = 5.0
+"""Seconds after the own start in which calls are handed to the first of each zone: where
+all instances started together only these have read what the log keeps, and the last of
+five in a zone begins after four."""
 VIEW_HOLDS = 0.2
 """Seconds that what was worked out of the list is used again. To order 300 instances
 takes 0.4 ms of processor time (50 runs), and 140 times a second it is asked for."""
@@ -73,7 +79,8 @@
 
 
 class _View:
-    """What follows from the list at one moment; ``rankings`` are filled as asked."""
+    """What follows from the list at one moment; ``rankings``, the addresses in order by
+    key, are filled as asked."""
 
     __slots__ = ("_deadline", "alive", "entry_points", "rankings")
 
@@ -107,6 +114,7 @@
         "_seen",
         "_settings",
         "_view",
+        "_young_until",
         "tail",
     )
 
@@ -122,6 +130,7 @@
         self._leaving = False
         self._seen = {}
         self._view = None
+        self._young_until = deadline_in(YOUNG_FOR)
         self.tail = KeyedTail(log, TOPIC, self._take, READ_PAUSE, elsewhere)
 
     async def renew(self, is_ready):
@@ -162,7 +171,10 @@
             one.address: one.zone for one in view.alive if one.address != self._address
         }
         found = [one for one in view.entry_points if one in zones]
-        random.shuffle(found)
+        if passed(self._young_until):
+            random.shuffle(found)
+        else:
+            found.sort(key=self._order(READERS_KEY).index)
         found.sort(key=lambda address: zones[address] != zone)
         return found
 
@@ -215,9 +227,19 @@
         ``key`` stands for is done by one of them. All agree on the order as far as
         they agree on who lives.
         """
+        return self._order(key).index(self._address)
+
+    def place_in_zone(self, key):
+        """Return this instance's place among those of its zone in that order."""
+        zones = {one.address: one.zone for one in self._current.alive}
+        zone = zones[self._address] = self._settings.availability_zone
+        near = [one for one in self._order(key) if zones[one] == zone]
+        return near.index(self._address)
+
+    def _order(self, key):
         view = self._current
         if key not in view.rankings:
-            view.rankings[key] = self._ranked(view, key).index(self._address)
+            view.rankings[key] = self._ranked(view, key)
         return view.rankings[key]
 
     def _ranked(self, view, key):
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -75,6 +75,21 @@
         ranks = sorted(one.ranking("x") for one in self.all)
         self.assertEqual(ranks, [0, 1, 2, 3, 4])
 
+    async def test_each_zone_has_a_first_and_calls_are_handed_to_it_after_a_start(self):
+        """Symptom: reads are refused for seconds after all instances started again.
+
+        Sequence: all instances of a zone start; one of them reads the steps first, and
+        the others hand a trainer's reads on. Cause: they handed them to a neighbour
+        picked at random, which had not read the steps either.
+        """
+        zones = {"a": [0, 2, 4], "b": [1, 3]}
+        for members in zones.values():
+            places = {at: self.all[at].place_in_zone("shards") for at in members}
+            self.assertEqual(sorted(places.values()), list(range(len(members))))
+            first = min(places, key=places.get)
+            for at in set(members) - {first}:
+                self.assertEqual(self.all[at].peers()[0], f"i{first}:80")
+
     async def test_one_order_serves_many_questions(self):
         """Symptom: with 300 instances each spends a seventh of a core on nothing.
 
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -12,6 +12,7 @@
 
 SOURCE = ROOT / "sassafrasdoor"
 DECISIONS = {
+    "log/turns.py": "who reads first after all instances started together",
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
     "steps/durable/order.py": "in which order the items of a step begin",
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
