A claim of a process known to have ended is free at once

After a restart of all, callers are sent to other instances than before, so the former runner's instance may not follow the steps and cannot take its claims back; the others wait 1.7 s for their lapse, though its new process is listed. Instances list the name of their process and claim nothing before they are listed; a claim whose instance lists another process, as read after the claim was seen, counts as released.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -99,6 +99,7 @@
             settings.cores,
             self._peers.newest,
             settings.control,
+            member,
         )
         self._tails = [
             Tail(
@@ -126,6 +127,7 @@
             self._rank,
             self._runner.own,
             self._runner.disown,
+            self._instances,
         )
         self._build_weights()
         keys = configuration.OperatorKeys(self._routes, self._mover.named)
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -43,6 +43,9 @@
 takes 0.4 ms of processor time (50 runs), and 140 times a second it is asked for."""
 MALFORMED = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
 """What reading a record raises that another writer may have written."""
+LOOK_TIMEOUT = 0.5
+"""Seconds for a look whether an instance has started again; a slow log answers within
+0.25 s."""
 FEWEST_IN_ZONE = 2
 """With fewer instances in the caller's zone it is sent to all zones."""
 
@@ -60,7 +63,7 @@
 
 
 class _Seen:
-    __slots__ = ("address", "at", "control", "cores", "region", "zone")
+    __slots__ = ("address", "at", "control", "cores", "process", "region", "zone")
 
     def __init__(self, document):
         self.address = _text(document, "address")
@@ -69,6 +72,7 @@
         self.cores = float(document["cores"])
         # Records of an earlier program name none.
         self.control = _text({"control": "", **document}, "control")
+        self.process = _text({"process": "", **document}, "process")
         self.at = now()
 
 
@@ -102,7 +106,11 @@
 
 
 class Instances:
-    """Knows the instances that serve, and says that this one does."""
+    """Knows the instances that serve, and says that this one does.
+
+    ``process`` is the name of this process, another one after each start; ``is_listed``
+    says whether the log has acknowledged a record with it.
+    """
 
     __slots__ = (
         "_address",
@@ -111,17 +119,29 @@
         "_key",
         "_leaving",
         "_log",
+        "_looking",
+        "_process",
         "_seen",
         "_settings",
         "_view",
         "_young_until",
+        "is_listed",
         "tail",
     )
 
     def __init__(
-        self, settings, log, address, key, cores=1.0, elsewhere=None, control=""
+        self,
+        settings,
+        log,
+        address,
+        key,
+        cores=1.0,
+        elsewhere=None,
+        control="",
+        process="",
     ):
         self._control = control
+        self._process = process
         self._settings = settings.instance
         self._cores = cores
         self._log = log
@@ -130,6 +150,8 @@
         self._leaving = False
         self._seen = {}
         self._view = None
+        self._looking = None
+        self.is_listed = False
         self._young_until = deadline_in(YOUNG_FOR)
         self.tail = KeyedTail(log, TOPIC, self._take, READ_PAUSE, elsewhere)
 
@@ -220,6 +242,25 @@
             return self._log.is_away
         return passed(failing_since + CUT_OFF_AFTER)
 
+    def has_ended(self, address, process, since):
+        """Say whether an instance is known to run another process than ``process``.
+
+        The list must have been read to its end after ``since`` (monotonic), when that
+        process was last heard of: it was listed before, so what names another one is
+        newer. Without this, whoever takes over waits for a lapse although all know that
+        the former one is gone, 1.7 s after each restart of all instances.
+        """
+        runs = {one.process for one in self._seen.values() if one.address == address}
+        if not runs or not runs.isdisjoint({"", process}):
+            return False
+        confirmed_at = self.tail.confirmed_at
+        if confirmed_at is not None and confirmed_at >= since:
+            return True
+        if self._looking is None or self._looking.done():
+            look = self.tail.confirm(deadline_in(LOOK_TIMEOUT))
+            self._looking = asyncio.ensure_future(look)
+        return False
+
     def ranking(self, key):
         """Return this instance's place among the living for ``key``, 0 for the first.
 
@@ -265,6 +306,7 @@
             "region": self._settings.region,
             "cores": self._cores,
             "control": self._control,
+            "process": self._process,
         }
         return json.dumps(document).encode()
 
@@ -273,6 +315,8 @@
         result = await self._log.append(TOPIC, 0, [record], deadline_in(WRITE_TIMEOUT))
         if isinstance(result, Outcome):
             note("instance.not_renewed", reason=result.reason)
+        elif value:
+            self.is_listed = True
 
     def _take(self, key, value):
         if not value:
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -90,6 +90,27 @@
             for at in set(members) - {first}:
                 self.assertEqual(self.all[at].peers()[0], f"i{first}:80")
 
+    async def test_process_has_ended_once_its_instance_lists_another(self):
+        """Symptom: a living process is taken for ended, or an ended one waited for.
+
+        Sequence: an instance lists a process, then another one. Cause: a list that was
+        read before the process was heard of says nothing about it.
+        """
+        old, reader = self.all[0], self.all[1]
+        old._process = "i0:80/first"
+        await old._write(old._document())
+        await self.read()
+        heard_at = now()
+        self.assertFalse(reader.has_ended("i0:80", "i0:80/second", heard_at))
+        self.assertFalse(reader.has_ended("i0:80", "i0:80/first", LONG_AGO))
+        old._process = "i0:80/second"
+        await old._write(old._document())
+        self.assertFalse(reader.has_ended("i0:80", "i0:80/first", heard_at))
+        await self.read()
+        self.assertTrue(reader.has_ended("i0:80", "i0:80/first", heard_at))
+        self.assertFalse(reader.has_ended("i0:80", "i0:80/second", heard_at))
+        self.assertFalse(reader.has_ended("elsewhere:80", "x", heard_at))
+
     async def test_one_order_serves_many_questions(self):
         """Symptom: with 300 instances each spends a seventh of a core on nothing.
 
--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -41,6 +41,8 @@
 
     ``ranking(shard)`` is this instance's place among those that could run a shard, 0
     for the first; ``on_gain(shard)`` and ``on_loss(shard)`` are told of changes.
+    ``processes`` knows which have ended: ``has_ended(instance, name, since)``, and
+    whether this one ``is_listed`` there, before which it claims nothing.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "_looking",
         "_on_gain",
         "_on_loss",
+        "_processes",
         "_ranking",
         "_renewed_at",
         "_sent_at",
@@ -62,7 +65,9 @@
         "_topic",
     )
 
-    def __init__(self, log, topic, steps, tails, runner, ranking, on_gain, on_loss):
+    def __init__(
+        self, log, topic, steps, tails, runner, ranking, on_gain, on_loss, processes
+    ):
         self._log = log
         self._topic = topic
         self._steps = steps
@@ -72,6 +77,7 @@
         self._ranking = ranking
         self._on_gain = on_gain
         self._on_loss = on_loss
+        self._processes = processes
         self._held = set()
         self._sent_at = {}
         self._renewed_at = {}
@@ -122,7 +128,9 @@
         return released
 
     def _is_due(self, shard):
-        if self._leaving or not passed(self._next_claim.get(shard, LONG_AGO)):
+        if self._leaving or not self._processes.is_listed:
+            return False
+        if not passed(self._next_claim.get(shard, LONG_AGO)):
             return False
         if self._tails[shard].confirmed_at is None:
             # Before the shard was read to its end an old claim looks like the last.
@@ -132,7 +140,7 @@
             return passed(claim.seen_at + RENEW_INTERVAL)
         if not passed(self._free_from(shard, claim)):
             return False
-        if claim is None or claim.released or self._is_former_self(claim):
+        if claim is None or claim.released or self._has_ended(claim):
             return True
         return self._has_lapsed(shard, claim)
 
@@ -165,12 +173,19 @@
             return self._steps.used_shards[shard] + rank_pause
         if self._is_former_self(claim):
             return claim.seen_at
-        if claim.released:
+        if claim.released or self._has_ended(claim):
             return claim.seen_at + rank_pause
         # While the log was away nobody could renew, and nobody could see it.
         restored_at = self._tails[shard].restored_at or LONG_AGO
         return max(claim.seen_at, restored_at) + LAPSE_AFTER + rank_pause
 
+    def _has_ended(self, claim):
+        """Say whether the claim is of a process that is known to have ended."""
+        if self._is_former_self(claim):
+            return True
+        instance = claim.runner.partition(SEPARATOR)[0]
+        return self._processes.has_ended(instance, claim.runner, claim.seen_at)
+
     def _is_former_self(self, claim):
         """Say whether the claim is of a process of this instance that has ended.
 
--- a/sassafrasdoor/steps/durable/tests/test_shards.py
+++ b/sassafrasdoor/steps/durable/tests/test_shards.py
@@ -16,6 +16,17 @@
 from sassafrasdoor.steps.durable.tests.fixtures import spec
 
 
+class Processes:
+    """Which process each instance runs, as the list of instances says."""
+
+    def __init__(self):
+        self.by_instance = {}
+        self.is_listed = True
+
+    def has_ended(self, instance, name, since):
+        return self.by_instance.get(instance, name) != name
+
+
 class Instance:
     """One process that may run shard 0."""
 
@@ -24,6 +35,7 @@
         self.name = name
         self.steps = Steps()
         self.events = []
+        self.processes = Processes()
         self.tail = Tail(log, TOPIC, 0, lambda at, data: self.steps.fold(0, at, data))
         self.shards = Shards(
             log,
@@ -34,6 +46,7 @@
             lambda shard: rank,
             lambda shard: self.events.append("gained"),
             lambda shard: self.events.append("lost"),
+            self.processes,
         )
         self.tasks = []
 
@@ -117,6 +130,32 @@
         self.addCleanup(again.stop)
         await self.until(lambda: again.holds)
 
+    async def test_shard_of_a_process_known_to_have_ended_is_taken_at_once(self):
+        """Symptom: nothing runs for seconds after all processes have ended.
+
+        Sequence: all restart, and callers are sent to other instances than before, so
+        the former holder's instance does not follow the shard. Cause: the others waited
+        for its claim to lapse although its instance had listed a new process.
+        """
+        module.LAPSE_AFTER = 1000.0
+        await self.submit()
+        await self.until(lambda: self.one.holds)
+        self.one.stop()
+        self.two.processes.by_instance["one"] = "one/2"
+        await self.until(lambda: self.two.holds)
+
+    async def test_process_that_is_not_listed_claims_nothing(self):
+        """Symptom: a living runner loses its shards to an instance further down.
+
+        Sequence: a process claims before it is listed; another reads the list, which
+        still names the process before. Cause: that the claim's process is not the one
+        listed was taken for its end.
+        """
+        self.one.processes.is_listed = False
+        await self.submit()
+        await self.until(lambda: self.two.holds)
+        self.assertEqual(self.one.events, [])
+
     async def test_released_shard_is_taken_at_once(self):
         module.LAPSE_AFTER = 1000.0
         await self.submit()
