Half of a model's replicas load a version at a time

A trainer names a version and asks for its next step 63 ms later. The order of items, the reward calls (0.25 s in the middle), reading (trainers read each half second; the answers were there). `weights/pace` decides: half of a model's own replicas load together, unless they can run nothing. Lines of finished items say when their text was begun and whole. A test of a fenced-off holder arranges replicas that can run nothing, since it counts two orders at once; it checks what it did.

--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -9,7 +9,8 @@
 class Job:
     """An item on its way: what was received of it and its running attempt.
 
-    ``sent_at`` is when that attempt began, None before.
+    ``sent_at`` is when that attempt began, None before; ``begun_at`` when the first one
+    did, and ``whole_at`` when its text was whole.
 
     ``leaves`` is the identity of the slow replica that it was taken from, until its
     next attempt. ``kept`` is how many of its events are in the log, under the name ``run``. Once
@@ -20,6 +21,7 @@
 
     __slots__ = (
         "attempts",
+        "begun_at",
         "failures",
         "item",
         "keep_at",
@@ -40,6 +42,7 @@
         "texts",
         "unanswered",
         "versions",
+        "whole_at",
         "why",
     )
 
@@ -56,7 +59,7 @@
         self.unanswered = 0
         self.reward_from = self.text_kept_at = 0.0
         self.scoring = False
-        self.sent_at = None
+        self.sent_at = self.begun_at = self.whole_at = None
         self.restart()
         self._resume(step)
 
@@ -97,10 +100,18 @@
     def score_next(self):
         """Go on from a whole text to its score: nothing more of it is kept here."""
         self.scoring = True
+        self.whole_at = self.whole_at or now()
         self.task = None
         self.last_event_at = self.sent_at = None
         self.keep_at = None
 
+    def seconds(self):
+        """Return the seconds from its step's record to its first attempt, to its whole
+        text and to now, None for what never came."""
+        moments = (self.begun_at, self.whole_at, now())
+        seen_at = self.step.seen_at
+        return [None if at is None else round(at - seen_at, 2) for at in moments]
+
     def progress(self):
         """Return the ``Progress`` of the events not yet kept, or None."""
         if self.scoring or self.kept >= len(self.numbers):
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -289,6 +289,7 @@
 
     def _start(self, job, replica):
         job.attempts += 1
+        job.begun_at = job.begun_at or now()
         job.leaves = ""
         job.replica = replica
         job.last_event_at = job.sent_at = None
@@ -440,6 +441,8 @@
             reward=job.item.reward.call_id if job.item.reward else "",
             replica=job.replica.identity if job.replica else "",
             attempts=job.attempts,
+            moves=job.moves,
+            begun_whole_listed=job.seconds(),
             versions=versions,
             state=state,
             reason=reason,
--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -13,6 +13,7 @@
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
+from sassafrasdoor.weights import pace
 
 TICK = 0.1
 LOADS_AT_ONCE = 2
@@ -156,9 +157,9 @@
                 if loading >= most:
                     return
                 version = self._named.get(model, 0)
-                if self._is_due(replica, model, version) and not self._defers(
-                    replica, model
-                ):
+                if not self._is_due(replica, model, version):
+                    continue
+                if not self._defers(replica, model) and self._may_load(replica, model):
                     loading += 1
                     self._begin(replica, model, version)
                     break
@@ -174,6 +175,18 @@
         same = (sent.model, sent.version) == (model, version)
         return not same or passed(sent.quiet_until)
 
+    def _may_load(self, replica, model):
+        own = sum(model in models for models in self._assigned.values())
+        loading = sum(
+            one.model == model and not passed(one.loads_until)
+            for one in self._sent.values()
+        )
+        return pace.may_load(own, loading, self._serves(replica, model))
+
+    def _serves(self, replica, model):
+        """Say whether the weights of a replica are new enough for all open steps."""
+        return replica.versions.get(model, 0) >= self._work.oldest_allowed(model)
+
     def _defers(self, replica, model):
         """Say whether a load should wait because its replica is needed as it is.
 
@@ -184,7 +197,7 @@
         """
         if not self._work.waiting(model):
             return False
-        if replica.versions.get(model, 0) < self._work.oldest_allowed(model):
+        if not self._serves(replica, model):
             return False
         return not passed(self._named_at[model] + LONGEST_DEFERRAL)
 
--- a/sassafrasdoor/weights/tests/test_named.py
+++ b/sassafrasdoor/weights/tests/test_named.py
@@ -99,6 +99,25 @@
             if one.versions.get(model) == version
         ]
 
+    async def test_half_of_a_models_replicas_go_on_while_the_others_load(self):
+        """Symptom: the items of a step that follows a version wait for 0.9 s.
+
+        Sequence: a version is named while no step is open. Cause: all replicas of the
+        model were ordered to load it at once.
+        """
+        self.models = ["a"]
+        self.configure(2)
+        module.LOAD_TIME = 1000.0
+        share, module.LOADS_SHARE = module.LOADS_SHARE, 1.0
+        self.addCleanup(setattr, module, "LOADS_SHARE", share)
+        self.run_mover()
+        self.mover.named("a", 2)
+        await self.until(lambda: len(self.client.orders) == 2)
+        await asyncio.sleep(3 * module.TICK)
+        self.assertEqual(len(self.client.orders), 2)
+        self.work.oldest = 2
+        await self.until(lambda: len(self.client.orders) == 5)
+
     async def test_only_a_models_own_replicas_follow_it(self):
         """Symptom: each named version costs a load at every replica.
 
@@ -161,6 +180,7 @@
         a refusal for a lower fencing number was taken for a busy replica.
         """
         self.client.answers = [Stale("old", 9)] * 2
+        self.work.oldest = 2
         self.run_mover()
         self.mover.named("a", 2)
         await self.until(lambda: len(self.client.orders) == 2)
--- /dev/null
+++ b/sassafrasdoor/weights/tests/test_pace.py
@@ -0,0 +1,58 @@
+"""How many replicas load together, and what a step that comes then loses by it."""
+
+import unittest
+
+from sassafrasdoor.weights.pace import may_load
+
+REPLICAS, PLACES = 8, 8
+LOAD = 0.9
+"""Seconds that a load takes a replica."""
+ASKED_AT = 0.1
+"""Seconds from the name of a version to the step that follows it."""
+SAMPLES = (6.5, 5.0, 4.5) + (2.0,) * 10 + (0.7,) * 47
+"""Seconds of a step's samples, longest first, as they are handed out."""
+
+
+def whole_at(rule):
+    """Return when a step's last sample is whole, from its submission.
+
+    A version is named at 0 and ``rule(replicas, loading, serves)`` lets replicas load.
+    """
+    free_at = [[0.0] * PLACES for _ in range(REPLICAS)]
+    loading = 0
+    for places in free_at:
+        if rule(REPLICAS, loading, True):
+            loading += 1
+            places[:] = [LOAD] * PLACES
+    last = 0.0
+    for seconds in SAMPLES:
+        places = min(free_at, key=min)
+        begins = max(ASKED_AT, min(places))
+        places[places.index(min(places))] = begins + seconds
+        last = max(last, begins + seconds)
+    return last - ASKED_AT
+
+
+class PaceTest(unittest.TestCase):
+    def test_step_that_follows_a_version_begins_at_once(self):
+        """Symptom: a trainer falls behind by half a second a step.
+
+        Sequence: it names a version, all replicas of its model begin to load, its next
+        step comes a tenth of a second later. Cause: nobody was left to take the items,
+        although the step allows the version before.
+        """
+        longest = max(SAMPLES)
+        before = whole_at(lambda replicas, loading, serves: True)
+        self.assertAlmostEqual(before, longest + LOAD - ASKED_AT)
+        self.assertAlmostEqual(whole_at(may_load), longest)
+
+    def test_replicas_that_can_run_nothing_load_together(self):
+        self.assertTrue(all(may_load(4, loading, False) for loading in range(4)))
+
+    def test_a_single_replica_loads(self):
+        self.assertTrue(may_load(1, 0, True))
+        self.assertFalse(may_load(1, 1, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
