Loads wait a quarter of a second for the step that follows a version

At a version's name nothing waits yet, so its loads began at once, and the step that came 63 ms later found half of its replicas loading. A load waits 0.25 s after the name, and then, as before, while items wait, 2.5 s at most (`weights/pace.waits`, moved there with its limit). What is left of the waits: a load that has ended is believed only once the list shows it, two seconds later.

--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -27,9 +27,6 @@
 BELIEF_LAG = 3.5
 """Seconds after an accepted order before the list must show it: a load, a heartbeat
 of 1.2 s and the list's own lag of 0.8 s."""
-LONGEST_DEFERRAL = 2.5
-"""Seconds that a load may wait for a step's first items: they take about one second
-each and two or three follow each other on a place."""
 ORDER_TIMEOUT = 1.5
 REFUSED_PAUSE = 0.4
 """Seconds before a refused or lost order is tried again."""
@@ -195,11 +192,12 @@
         from each replica while items wait; once the last items run, it takes it
         from replicas that have little to do.
         """
-        if not self._work.waiting(model):
-            return False
-        if not self._serves(replica, model):
-            return False
-        return not passed(self._named_at[model] + LONGEST_DEFERRAL)
+        return pace.waits(
+            self._named_at[model],
+            now(),
+            bool(self._work.waiting(model)),
+            self._serves(replica, model),
+        )
 
     def _begin(self, replica, model, version):
         self._sent[replica.identity] = _Sent(replica, model, version)
--- a/sassafrasdoor/weights/pace.py
+++ b/sassafrasdoor/weights/pace.py
@@ -1,4 +1,4 @@
-"""How many replicas of a model load a version at the same time.
+"""When replicas load a version that was named, and how many of a model at a time.
 
 The load that this answers: a trainer names a version and asks for its next step in the
 same tenth of a second. Every replica of the model was ordered to load at once, a load
@@ -13,6 +13,14 @@
 of the places takes the longest of a step's items, which begin first, and with two turns
 all have loaded well before the next version."""
 
+FOLLOW_UP = 0.25
+"""Seconds after a version's name in which the step that follows it comes where its
+trainer is behind: 63 ms in the middle. Until then nobody knows that places will be
+short, and a load once begun takes 0.9 s."""
+LONGEST_DEFERRAL = 2.5
+"""Seconds that a load may wait for a step's first items: they take about one second
+each and two or three follow each other on a place."""
+
 
 def may_load(replicas, loading, serves):
     """Say whether one more of a model's replicas may begin to load.
@@ -22,3 +30,16 @@
     nothing takes nothing away.
     """
     return not serves or loading < max(1, int(replicas * LOADING_SHARE))
+
+
+def waits(named_at, moment, items_wait, serves):
+    """Say whether a replica's load waits, since its places are needed as they are.
+
+    ``named_at`` is when the version was named, monotonic like ``moment``;
+    ``items_wait`` that items of the model wait for a place; ``serves`` as above.
+    """
+    if not serves:
+        return False
+    if moment < named_at + FOLLOW_UP:
+        return True
+    return items_wait and moment < named_at + LONGEST_DEFERRAL
