--- a/sassafrasdoor/platform/local.py
+++ b/sassafrasdoor/platform/local.py
@@ -12,6 +12,7 @@
 from sassafrasdoor.support import ROOT
 
 LOCAL = "127.0.0.1"
+PROGRAM = "sassafrasdoor.platform"
 FIRST_PORT, LAST_PORT, BLOCK, PORT_BLOCKS = 15000, 32000, 100, 150
 TEXT = """
 NodeName={name}
@@ -60,10 +61,10 @@
         self._log = self.log_path.open("ab")
         self.start()
 
-    def start(self):
-        """Start the process."""
+    def start(self, module=PROGRAM):
+        """Start the process; ``module`` may arrange something before the program."""
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "sassafrasdoor.platform"],
+            [sys.executable, "-m", module],
             cwd=ROOT,
             env={settings.PATH_VARIABLE: str(self.settings_path), "PATH": ""},
             stdout=self._log,
