--- a/sassafrasdoor/tools/trainer.py
+++ b/sassafrasdoor/tools/trainer.py
@@ -21,7 +21,9 @@
 
 @app.command()
 def run(
-    prompts: Annotated[str, typer.Argument(help="JSON file: a list of prompts.")],
+    prompts: Annotated[
+        str, typer.Argument(help="JSON file: a list of prompts, or of groups.")
+    ],
     address: Annotated[list[str], typer.Option(help="Any instance, host:port.")],
     row: Annotated[str, typer.Option(help="The trainer's row.")],
     key: Annotated[str, typer.Option(envvar="SASSAFRASDOOR_KEY", help="Its key.")],
@@ -45,7 +47,7 @@
         raise typer.BadParameter(f"--deadline: not within 0..{LONGEST_DEADLINE}")
     document = {
         "step": step,
-        "groups": [{"prompt": prompt} for prompt in _read(prompts)],
+        "groups": [_group(one) for one in _read(prompts)],
         "samples_per_group": samples,
         "max_tokens": max_tokens,
         "deadline_ms": int(deadline * 1000),
@@ -67,11 +69,20 @@
             found = json.loads(file.read(MAX_PROMPTS_FILE))
     except (OSError, ValueError, RecursionError) as error:
         raise typer.BadParameter(f"{path}: {error}") from error
-    if not isinstance(found, list) or not all(isinstance(one, str) for one in found):
-        raise typer.BadParameter(f"{path}: not a list of strings")
+    if not isinstance(found, list) or not all(map(_is_group, found)):
+        raise typer.BadParameter(f"{path}: not a list of strings or objects")
     return found
 
 
+def _is_group(one):
+    return isinstance(one, (str, dict))
+
+
+def _group(one):
+    """Return the group of an entry: its prompt alone, or with its reward call."""
+    return {"prompt": one} if isinstance(one, str) else one
+
+
 def _check(document):
     found = checked(StepSpec, json.dumps({**document, "attach": 1}))
     if not found:
