Few instances read at once after a start

Turns were meant for a log that twenty instances read at once; before twelve they made callers of a small site wait and be handed on for two seconds. Up to twelve followers read at once, as before; nor do they hand calls to the first of their zone. Larger site: the same program.

--- a/sassafrasdoor/log/tests/test_turns.py
+++ b/sassafrasdoor/log/tests/test_turns.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from sassafrasdoor.log.turns import TURN, turn_comes_at
+from sassafrasdoor.log.turns import FEW, TURN, turn_comes_at
 
 KEPT = 9.0
 """MB of steps that each reader needs."""
@@ -38,14 +38,24 @@
         """
         at_once = read_at([0.0] * ZONES * IN_ZONE)
         self.assertGreater(min(at_once.values()), 4.0)
-        begins = [turn_comes_at(0.0, place) for place in range(IN_ZONE)] * ZONES
+        many = ZONES * IN_ZONE
+        begins = [turn_comes_at(0.0, place, many) for place in range(IN_ZONE)] * ZONES
         in_turns = read_at(begins)
         firsts = [in_turns[zone * IN_ZONE] for zone in range(ZONES)]
         self.assertLess(max(firsts), TURN)
         self.assertLess(max(in_turns.values()), max(at_once.values()) + TURN)
 
     def test_an_instance_alone_in_its_zone_never_waits(self):
-        self.assertEqual(turn_comes_at(7.0, 0), 7.0)
+        self.assertEqual(turn_comes_at(7.0, 0, 100), 7.0)
+
+    def test_few_read_at_once(self):
+        """Symptom: a small site's callers are handed on for two seconds after a start.
+
+        Sequence: three instances a zone start together. Cause: they took turns although
+        the log sends what ten of them read in little more than a second.
+        """
+        self.assertEqual(turn_comes_at(7.0, 2, FEW), 7.0)
+        self.assertGreater(turn_comes_at(7.0, 2, FEW + 1), 7.0)
 
 
 if __name__ == "__main__":
--- a/sassafrasdoor/log/turns.py
+++ b/sassafrasdoor/log/turns.py
@@ -14,10 +14,15 @@
 """Seconds between the turns of a zone's instances: four zones' instances that read 9 MB
 at once take 0.9 s of a log that sends 40 MB/s."""
 
+FEW = 12
+"""Instances that may read at once: ten have read 9 MB side by side after 1.2 s, and
+there is little to win by waiting."""
 
-def turn_comes_at(started_at, place):
+
+def turn_comes_at(started_at, place, followers):
     """Return when an instance may begin to read, monotonic like ``started_at``.
 
-    ``place`` is its place among the instances of its zone that follow, 0 for the first.
+    ``place`` is its place among the instances of its zone that follow, 0 for the first;
+    ``followers`` is how many follow in all.
     """
-    return started_at + place * TURN
+    return started_at if followers <= FEW else started_at + place * TURN
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -285,7 +285,9 @@
             return True
         keys = {READERS_KEY, *map(self._ranked_for, range(self._weights_shard + 1))}
         place = min(self._instances.place_in_zone(key) for key in keys)
-        self._has_had_turn = passed(turn_comes_at(self._started_at, place))
+        followers = self._instances.entry_points
+        turn = turn_comes_at(self._started_at, place, followers)
+        self._has_had_turn = passed(turn)
         return self._has_had_turn
 
     def _rank(self, shard):
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -13,6 +13,7 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.partitioned import keyed_record
 from sassafrasdoor.log.tail import KeyedTail
+from sassafrasdoor.log.turns import FEW
 from sassafrasdoor.outcomes import Outcome
 from sassafrasdoor.rendezvous import ranked
 
@@ -36,7 +37,7 @@
 """Orders the instances that read and run the steps."""
 YOUNG_FOR = 5.0
 """Seconds after the own start in which calls are handed to the first of each zone: where
-all instances started together only these have read what the log keeps, and the last of
+many instances started together only these have read what the log keeps, and the last of
 five in a zone begins after four."""
 VIEW_HOLDS = 0.2
 """Seconds that what was worked out of the list is used again. To order 300 instances
@@ -193,7 +194,7 @@
             one.address: one.zone for one in view.alive if one.address != self._address
         }
         found = [one for one in view.entry_points if one in zones]
-        if passed(self._young_until):
+        if passed(self._young_until) or len(view.entry_points) <= FEW:
             random.shuffle(found)
         else:
             found.sort(key=self._order(READERS_KEY).index)
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -82,6 +82,8 @@
         the others hand a trainer's reads on. Cause: they handed them to a neighbour
         picked at random, which had not read the steps either.
         """
+        few, module.FEW = module.FEW, 0
+        self.addCleanup(setattr, module, "FEW", few)
         zones = {"a": [0, 2, 4], "b": [1, 3]}
         for members in zones.values():
             places = {at: self.all[at].place_in_zone("shards") for at in members}
