--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -288,6 +288,9 @@
         followers = self._instances.entry_points
         turn = turn_comes_at(self._started_at, place, followers)
         self._has_had_turn = passed(turn)
+        if self._has_had_turn:
+            waited = round(now() - self._started_at, 2)
+            note("steps.reading", place=place, followers=followers, seconds=waited)
         return self._has_had_turn
 
     def _rank(self, shard):
--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -31,6 +31,10 @@
 """Seconds for a look whether a claim was renewed; a slow log answers within 0.25 s."""
 
 CLAIMS = counter("steps_shard_claims_total", "Claims of shards, by result.")
+ENDED = counter(
+    "steps_runners_ended_total",
+    "Shards claimed since their runner is known to be gone.",
+)
 HELD = gauge("steps_shards_held", "Shards that this process runs.")
 
 
@@ -204,6 +208,9 @@
         self._next_claim[shard] = deadline_in(RENEW_INTERVAL)
         self._sent_at.setdefault(shard, boot_now())
         claim = self._steps.claims.get(shard)
+        if claim is not None and not claim.released and self._has_ended(claim):
+            ENDED.inc({})
+            note("shard.runner_ended", shard=shard, runner=claim.runner)
         replaces = -1 if claim is None else claim.offset
         record = encode(Claim(self._runner, replaces, False))
         task = asyncio.ensure_future(self._append(shard, record))
--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -12,7 +12,7 @@
 from sassafrasdoor.backends.replicas import OrderRefused, VersionOrder
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed
 from sassafrasdoor.decisions import note
-from sassafrasdoor.metrics import counter
+from sassafrasdoor.metrics import counter, histogram
 from sassafrasdoor.weights import pace
 
 TICK = 0.1
@@ -35,6 +35,11 @@
 """The fencing number of the first holder ever: nobody ordered before it."""
 
 ORDERS = counter("weights_named_orders_total", "Orders to replicas, by result.")
+WAITED = histogram(
+    "weights_named_wait_seconds",
+    "Seconds from a version's name to an accepted order of it.",
+    buckets=[0.1, 0.3, 0.6, 1, 1.5, 2.5, 4, 8],
+)
 
 
 class _Sent:
@@ -224,6 +229,7 @@
             model=model,
             version=version,
             believed=replica.versions.get(model, 0),
+            seconds_since_named=round(now() - self._named_at[model], 2),
             fence=order.fence,
             outcome=outcome,
             reason="" if result is True else result.reason,
@@ -231,6 +237,7 @@
         if result is True:
             sent.quiet_until = deadline_in(BELIEF_LAG)
             replica.loading_until[model] = deadline_in(SHORTEST_LOAD)
+            WAITED.observe({}, now() - self._named_at[model])
             return
         sent.quiet_until = deadline_in(REFUSED_PAUSE)
         if isinstance(result, OrderRefused):
