KNOWN-RED: the hard limit's test, with what its failing run showed

Ruled out: a limit that is exceeded (eleven of sixteen in use), another holder, a second take-over. Why that fallback was told as 0 is not traced. The test shows all quotas when its condition never comes true; it checks what it did.

--- a/sassafrasdoor/requests/tests/test_hard_limit_processes.py
+++ b/sassafrasdoor/requests/tests/test_hard_limit_processes.py
@@ -45,7 +45,7 @@
             before = await self.slots("once", living)
             cut.control.freeze()
             await until(lambda: self.buried(cut, living), what="news of it")
-            await until(lambda: self.took_over(living, before), what="its slots")
+            await self.until_told(lambda: self.took_over(living, before), "its slots")
             self.now = 0
             await until(lambda: self.now >= 8, what="use of what is left")
             self.assertGreater(await self.slots("once", [cut]), 0)
@@ -87,6 +87,18 @@
                 return False
         return True
 
+    async def until_told(self, condition, what):
+        """Wait for a condition; one that never comes true shows all quotas."""
+        try:
+            await until(condition, what=what)
+        except AssertionError as error:
+            statuses = [
+                await self.cluster.get(one.address, "/v1/status")
+                for one in self.cluster.instances
+            ]
+            quotas = [status["quota"]["once"] for _, status in statuses]
+            raise AssertionError(f"{error}: {quotas}") from error
+
     async def took_over(self, living, before):
         """Say whether the living were granted more than they had."""
         return await self.slots("once", living) > before
