Take peers and places from one look at the instances

Read in the diff: the list's view is worked out anew each fifth of a second, and peers() and place_in_zone() looked at it twice; an instance that lapsed between both ended a trainer's call with a ValueError. One view for both; the process of an instance is found by its key. The test with a list that changes between two looks failed before with ValueError: 'i1:80' is not in list.

--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -197,7 +197,7 @@
         if passed(self._young_until) or len(view.entry_points) <= FEW:
             random.shuffle(found)
         else:
-            found.sort(key=self._order(READERS_KEY).index)
+            found.sort(key=self._order(view, READERS_KEY).index)
         found.sort(key=lambda address: zones[address] != zone)
         return found
 
@@ -248,11 +248,12 @@
 
         The list must have been read to its end after ``since`` (monotonic), when that
         process was last heard of: it was listed before, so what names another one is
-        newer. Without this, whoever takes over waits for a lapse although all know that
+        newer. (A record of before that lands late shows the former one for a second;
+        that may move a duty, which its fencing numbers allow.) Without this, whoever takes over waits for a lapse although all know that
         the former one is gone, 1.7 s after each restart of all instances.
         """
-        runs = {one.process for one in self._seen.values() if one.address == address}
-        if not runs or not runs.isdisjoint({"", process}):
+        seen = self._seen.get(address)
+        if seen is None or seen.process in ("", process):
             return False
         confirmed_at = self.tail.confirmed_at
         if confirmed_at is not None and confirmed_at >= since:
@@ -269,17 +270,17 @@
         ``key`` stands for is done by one of them. All agree on the order as far as
         they agree on who lives.
         """
-        return self._order(key).index(self._address)
+        return self._order(self._current, key).index(self._address)
 
     def place_in_zone(self, key):
         """Return this instance's place among those of its zone in that order."""
-        zones = {one.address: one.zone for one in self._current.alive}
+        view = self._current
+        zones = {one.address: one.zone for one in view.alive}
         zone = zones[self._address] = self._settings.availability_zone
-        near = [one for one in self._order(key) if zones[one] == zone]
+        near = [one for one in self._order(view, key) if zones[one] == zone]
         return near.index(self._address)
 
-    def _order(self, key):
-        view = self._current
+    def _order(self, view, key):
         if key not in view.rankings:
             view.rankings[key] = self._ranked(view, key)
         return view.rankings[key]
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -92,6 +92,25 @@
             for at in set(members) - {first}:
                 self.assertEqual(self.all[at].peers()[0], f"i{first}:80")
 
+    async def test_list_that_changes_between_two_looks_breaks_nothing(self):
+        """Symptom: a trainer's call ends with an error of ours after a start.
+
+        Sequence: the peers are taken from the list, an instance lapses, the peers are
+        put in the order of the list as it is now. Cause: two looks at a list that is
+        worked out anew each fifth of a second.
+        """
+        few, module.FEW = module.FEW, 0
+        self.addCleanup(setattr, module, "FEW", few)
+        holds, module.VIEW_HOLDS = module.VIEW_HOLDS, 0.0
+        self.addCleanup(setattr, module, "VIEW_HOLDS", holds)
+        one = self.all[0]
+        alive = [True] * 4 + [False] * 100
+        with mock.patch.object(Instances, "_is_alive", lambda _, seen: alive.pop(0)):
+            self.assertEqual(len(one.peers()), 3)
+        alive = [True] * 5 + [False] * 100
+        with mock.patch.object(Instances, "_is_alive", lambda _, seen: alive.pop(0)):
+            self.assertIn(one.place_in_zone("shards"), range(3))
+
     async def test_process_has_ended_once_its_instance_lists_another(self):
         """Symptom: a living process is taken for ended, or an ended one waited for.
 
