Say that a runner ended when its shard is claimed, not at each renewal

Read in the diff: a process's own claim counts as one of a former self, so each renewal, two a second and shard, wrote shard.runner_ended and counted it. Only a claim of a shard that is not held says so. The test counts the lines over two renewals: one.

--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -208,15 +208,21 @@
         self._next_claim[shard] = deadline_in(RENEW_INTERVAL)
         self._sent_at.setdefault(shard, boot_now())
         claim = self._steps.claims.get(shard)
-        if claim is not None and not claim.released and self._has_ended(claim):
-            ENDED.inc({})
-            note("shard.runner_ended", shard=shard, runner=claim.runner)
+        if shard not in self._held:
+            self._note_ended(shard, claim)
         replaces = -1 if claim is None else claim.offset
         record = encode(Claim(self._runner, replaces, False))
         task = asyncio.ensure_future(self._append(shard, record))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _note_ended(self, shard, claim):
+        """Say that a shard is claimed since its runner is known to be gone."""
+        if claim is None or claim.released or not self._has_ended(claim):
+            return
+        ENDED.inc({})
+        note("shard.runner_ended", shard=shard, runner=claim.runner)
+
     async def _append(self, shard, record):
         limit = deadline_in(CLAIM_TIMEOUT)
         result = await self._log.append(self._topic, shard, [record], limit)
--- a/sassafrasdoor/steps/durable/tests/test_shards.py
+++ b/sassafrasdoor/steps/durable/tests/test_shards.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from sassafrasdoor.clock import deadline_in, passed, remaining
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
@@ -142,7 +143,12 @@
         await self.until(lambda: self.one.holds)
         self.one.stop()
         self.two.processes.by_instance["one"] = "one/2"
-        await self.until(lambda: self.two.holds)
+        with mock.patch.object(module, "note") as note:
+            await self.until(lambda: self.two.holds)
+            renewed = self.two.steps.claims[0].offset + 2
+            await self.until(lambda: self.two.steps.claims[0].offset >= renewed)
+        said = [call for call in note.mock_calls if "shard.runner_ended" in call.args]
+        self.assertEqual([one.kwargs["runner"] for one in said], ["one/1"])
 
     async def test_shard_runs_elsewhere_while_its_claim_is_renewed(self):
         """Symptom: loads and items are left to two processes, which disturb each other.
