--- a/sassafrasdoor/soak/own.py
+++ b/sassafrasdoor/soak/own.py
@@ -21,6 +21,8 @@
 DEADLINE_MS = "3000"
 SLOW = 2.0
 """Seconds of a call at a slow service: most of a caller's time."""
+POLL = 0.1
+"""Seconds between looks at whether a process lives, or an instance serves."""
 SETTLE = 60.0
 """Seconds for calls to be answered again once the last fault has ended."""
 SETTINGS = {
@@ -69,9 +71,15 @@
     def _spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
         return task
 
+    def _ended(self, task):
+        """Forget a task; one that failed injected nothing and asked nothing."""
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.violations.add("the soak runs", repr(task.exception()))
+
     @property
     def _living(self):
         instances = self._cluster.instances
@@ -115,15 +123,15 @@
     # Faults.
 
     async def _kill(self, fault):
-        self._target(fault).kill()
+        (await self._target(fault)).kill()
         await self._replace(fault.lasts)
 
     async def _stop(self, fault):
-        instance = self._target(fault)
+        instance = await self._target(fault)
         instance.entry.signal(15)
         limit = deadline_in(SETTLE)
         while instance.entry.returncode is None and not passed(limit):  # noqa: ASYNC110
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(POLL)
         if instance.entry.returncode is None:
             self.violations.add("planned stop ends", instance.name)
         instance.kill()
@@ -137,7 +145,7 @@
         await asyncio.to_thread(self._cluster.start_instance, name)
 
     async def _pause(self, fault):
-        instance = self._target(fault)
+        instance = await self._target(fault)
         instance.freeze()
         await asyncio.sleep(fault.lasts)
         instance.thaw()
@@ -165,7 +173,13 @@
     async def _service(self, fault, **faults):
         await self._cluster.faults(f"service-{fault.target + 1}", **faults)
 
-    def _target(self, fault):
+    async def _target(self, fault):
+        """Return the instance that a fault strikes; wait while none lives.
+
+        Kills overlap with starts, so that for a moment all may be gone.
+        """
+        while not self._living:  # noqa: ASYNC110
+            await asyncio.sleep(POLL)
         living = self._living
         return living[fault.target % len(living)]
 
@@ -180,7 +194,7 @@
                 address, key = instance.address, KEYS[row]
                 reply = await self._cluster.raw("POST", address, path, key, {})
                 served = reply.code == checks.OK
-                await asyncio.sleep(0 if served else 0.1)
+                await asyncio.sleep(0 if served else POLL)
             if not served:
                 self.violations.add("comes back", instance.name)
 
--- a/sassafrasdoor/soak/tests/test_own.py
+++ b/sassafrasdoor/soak/tests/test_own.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from types import SimpleNamespace
 
 from sassafrasdoor.soak.own import OwnSoak
 
@@ -19,5 +20,49 @@
         self.assertGreater(len(soak._calls), 50)
 
 
+def instance(name, returncode):
+    entry = SimpleNamespace(returncode=returncode)
+    return SimpleNamespace(name=name, entry=entry, kill=lambda: None)
+
+
+class FaultsTest(unittest.IsolatedAsyncioTestCase):
+    """Seed 41 of 20 s: a fault came while all three instances were gone."""
+
+    def soak(self, *instances):
+        soak = OwnSoak(41, 20, INSTANCES)
+        soak._cluster = SimpleNamespace(instances=list(instances))
+        return soak
+
+    async def test_fault_waits_while_nobody_lives(self):
+        """Symptom: "integer modulo by zero", and a run with a fault less.
+
+        Sequence: an instance is killed, the two others stop, the next fault comes
+        before one of their successors serves. Cause: the target was taken from the
+        living at that moment.
+        """
+        soak = self.soak(instance("entry-1", -9))
+        fault = soak.faults[0]
+        found = asyncio.ensure_future(soak._target(fault))
+        await asyncio.sleep(0)
+        self.assertFalse(found.done())
+        soak._cluster.instances.append(instance("entry-2", None))
+        self.assertEqual((await found).name, "entry-2")
+
+    async def test_fault_that_fails_is_a_violation(self):
+        """Symptom: a run is green though it did not play what its seed says.
+
+        Sequence: a fault's task ends with an error. Cause: nobody asked for it.
+        """
+
+        async def broken():
+            raise ZeroDivisionError("nobody to strike")
+
+        soak = self.soak()
+        task = soak._spawn(broken())
+        await asyncio.wait([task])
+        await asyncio.sleep(0)
+        self.assertIn("nobody to strike", soak.violations.found[0])
+
+
 if __name__ == "__main__":
     unittest.main()
