Test of a runner cut off: wait until it runs

The instances killed first may have held the orders of loads; while their claim lives all others wait up to 0.9 s longer for a new shard.

--- a/sassafrasdoor/platform/tests/test_processes.py
+++ b/sassafrasdoor/platform/tests/test_processes.py
@@ -156,6 +156,8 @@
         for engine in self.engines:
             engine.events, engine.pause = 20, 0.3
         await self.until(lambda: self.accepted("s"))
+        # The others' claims lapse first: they may have held the orders of loads.
+        await self.until(lambda: len(self.all_runs()) == 4)
         for instance in others:
             instance.start()
         await self.until(lambda: self.knows_peers(0))
