--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -48,7 +48,7 @@
 AFTER_THE_FIRST = 3
 """Places by which all others step back for a shard while whoever orders the loads lives:
 it reads megabytes after a start, and where it was 0.1 s later than the next in rank,
-loads and items stayed apart for the rest of a day; 430 items were refused there."""
+loads and items stayed apart for the rest of a day; 445 items were refused there."""
 FENCED_HANDOVER = 0.3
 """Seconds that an order of a lapsed holder may be on its way, at most."""
 FIRST_IDLE_LIMIT = 60.0
