Say why a lapsed entry is believed on, for how long, and when it came back

Callers saw nothing; whoever looks for why a request reached a server that had left could not tell from the logs whether the end of its entry came late, was not believed, or was taken back. replica.absent now says how long the list may have been away, since when it is back and for how long the server is tried; replica.back says that an entry returned. No decision changes.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sassafrasdoor.clock import deadline_in, now, passed, remaining
+from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.partitioned import NewestKeys, split_keyed
 from sassafrasdoor.metrics import counter
@@ -52,6 +52,20 @@
     return pause if pause >= SHORTEST_PAUSE else 0.0
 
 
+class Silence:
+    """A time without an answer of the log, as one reader has seen it.
+
+    The log may have been away from ``since``, its last answer before (monotonic,
+    ``LONG_AGO`` where there was none), to ``until``, its first one after.
+    """
+
+    __slots__ = ("since", "until")
+
+    def __init__(self, since, until):
+        self.since = since
+        self.until = until
+
+
 class Tail:
     """Hands each record of a partition to ``fold(offset, record)``, in order.
 
@@ -59,7 +73,8 @@
     ``wanted()`` says whether the partition is to be followed at all at this moment.
     ``confirmed_at`` is the monotonic time at which a read was sent that found
     nothing newer; ``failing_since`` is None while reads succeed; ``restored_at`` is
-    when they last began to succeed again.
+    when they last began to succeed again; ``silence`` is the last ``Silence`` that has
+    ended, None before the first.
     """
 
     def __init__(self, log, topic, part, fold, pause=lambda: 0.0, wanted=lambda: True):
@@ -73,10 +88,12 @@
         self._running = False
         self._confirming = None
         self._started_at = now()
+        self._answered_at = LONG_AGO
         self.offset = 0
         self.confirmed_at = None
         self.failing_since = None
         self.restored_at = None
+        self.silence = None
 
     async def run(self):
         """Follow until cancelled."""
@@ -105,7 +122,7 @@
         if isinstance(result, Unavailable):
             self._note_failed(result)
             return False
-        self._note_restored()
+        self._note_answered()
         if isinstance(result, Expired):
             RESTARTS.inc({})
             note(
@@ -215,13 +232,15 @@
             self.failing_since = now()
             note("log.lost", topic=self._topic, part=self._part, reason=result.reason)
 
-    def _note_restored(self):
+    def _note_answered(self):
+        last, self._answered_at = self._answered_at, now()
         if self.failing_since is None:
             return
         away = round(now() - self.failing_since, 3)
         note("log.regained", topic=self._topic, part=self._part, away_seconds=away)
         self.failing_since = None
         self.restored_at = now()
+        self.silence = Silence(last, self.restored_at)
 
 
 def _answers(read):
@@ -272,7 +291,7 @@
             self._note_failed(newest)
             await self._load_elsewhere()
             return False
-        self._note_restored()
+        self._note_answered()
         self._take_all(newest)
         self.confirmed_at = sent_at
         return True
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from sassafrasdoor.clock import deadline_in, now
+from sassafrasdoor.clock import LONG_AGO, deadline_in, now
 from sassafrasdoor.log import tail as module
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.partitioned import keyed_record
@@ -115,6 +115,29 @@
         self.assertIsNone(self.tail.failing_since)
         self.assertLessEqual(self.tail.restored_at, now())
 
+    async def test_silence_begins_with_the_last_answer_before_it(self):
+        """A read that waits is given up long after the log went away."""
+        self.assertIsNone(self.tail.silence)
+        await self.tail.poll(0)
+        answered = now()
+        self.log.down = True
+        await asyncio.sleep(0.05)
+        await self.tail.poll(0)
+        failed = self.tail.failing_since
+        self.log.down = False
+        await self.tail.poll(0)
+        silence = self.tail.silence
+        self.assertLessEqual(silence.since, answered)
+        self.assertLess(silence.since, failed)
+        self.assertEqual(silence.until, self.tail.restored_at)
+
+    async def test_silence_before_the_first_answer_has_no_begin(self):
+        self.log.down = True
+        await self.tail.poll(0)
+        self.log.down = False
+        await self.tail.poll(0)
+        self.assertEqual(self.tail.silence.since, LONG_AGO)
+
     async def test_read_that_is_never_answered_is_given_up_soon(self):
         """Symptom: a change is in force 2.2 s after the log's return.
 
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -1,6 +1,6 @@
 """The replicas of every service, as the platform's list and own calls show them."""
 
-from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed
+from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.routing.backend_state import BackendState
@@ -188,6 +188,8 @@
             self._note("listed", known)
         elif known.listing.leaving != listing.leaving:
             self._note("leaving", known)
+        elif known.absent_until is not None:
+            self._note("back", known)
         for model, version in listing.versions.items():
             if listing.versions != known.listing.versions:
                 known.versions[model] = version
@@ -222,7 +224,7 @@
             return
         if self._lapsed_in_outage:
             known.absent_until = deadline_in(OUTAGE_GRACE)
-            self._note("absent", known)
+            self._note("absent", known, **self._silence_fields(known.absent_until))
         else:
             del self._known[identity]
             self._note("gone", known)
@@ -260,7 +262,18 @@
         away = 0.0 if one.listing.zone == self._zone else ZONE_PENALTY
         return (share + away, one.identity)
 
-    def _note(self, kind, one):
+    def _silence_fields(self, until):
+        """Return what decided for how long a lapsed entry is believed on."""
+        fields = {"tried_seconds": round(remaining(until), 3)}
+        silence = self.list_tail.silence
+        if silence is None:
+            return fields
+        if silence.since != LONG_AGO:
+            fields["list_away_seconds"] = round(silence.until - silence.since, 3)
+        fields["list_back_seconds"] = round(now() - silence.until, 3)
+        return fields
+
+    def _note(self, kind, one, **fields):
         LISTED.inc({"kind": kind})
         note(
             f"replica.{kind}",
@@ -268,6 +281,7 @@
             service=one.listing.service,
             address=one.listing.address,
             zone=one.listing.zone,
+            **fields,
         )
 
     def _changed(self):
--- a/sassafrasdoor/routing/tests/test_replicas.py
+++ b/sassafrasdoor/routing/tests/test_replicas.py
@@ -12,6 +12,7 @@
 
     failing_since = None
     restored_at = None
+    silence = None
 
 
 class ReplicasTest(unittest.TestCase):
--- a/sassafrasdoor/tests/test_pages.py
+++ b/sassafrasdoor/tests/test_pages.py
@@ -12,7 +12,7 @@
 METRIC = re.compile(r'\b(?:counter|gauge|histogram)\(\s*"(\w+)"')
 EVENT = re.compile(r'\b(?:EVENTS\.add|\.event)\(\s*"([\w-]+)"')
 DECISION = re.compile(r'\b(?:note|note_routine|write)\(\s*"([\w.:-]+)"')
-REPLICA_LINES = ("absent", "gone", "leaving", "listed", "restarted")
+REPLICA_LINES = ("absent", "back", "gone", "leaving", "listed", "restarted")
 LINE = re.compile(r'\b(?<!order\.)changed\(\s*"([\w.:-]+)"')
 
 
