--- a/sassafrasdoor/routing/tests/test_replicas.py
+++ b/sassafrasdoor/routing/tests/test_replicas.py
@@ -3,6 +3,7 @@
 import unittest
 
 from sassafrasdoor.clock import LONG_AGO, now
+from sassafrasdoor.log.tail import Silence
 from sassafrasdoor.routing import replicas as module
 from sassafrasdoor.routing.replicas import Listing, Replicas
 
@@ -49,6 +50,32 @@
         self.replicas.sweep()
         self.assertEqual(self.names(), [])
 
+    def test_end_of_an_entry_is_believed_from_the_return_on(self):
+        """Symptom: a request reaches a server 2.3 s after it has left.
+
+        Sequence: the list is away for six seconds and returns, a server leaves two
+        seconds later, and is used for the whole grace of a lapsed entry from then.
+        """
+        self.listed("x")
+        returned_at = now() - 2.0
+        self.tail.restored_at = returned_at
+        self.tail.silence = Silence(returned_at - 6.0, returned_at)
+        self.replicas.unlisted("x")
+        used_until = getattr(self.replicas.get("x"), "absent_until", returned_at)
+        self.assertLessEqual(used_until, returned_at + module.OUTAGE_GRACE)
+
+    def test_short_silence_ends_no_entry(self):
+        """Symptom: a server is used for 2.6 s after its end, on a quiet day.
+
+        Sequence: one read of the list is lost and the next is answered after two
+        seconds; then a server leaves. No entry lapses within two heartbeats.
+        """
+        self.listed("x")
+        self.tail.restored_at = now()
+        self.tail.silence = Silence(now() - 2.0, now())
+        self.replicas.unlisted("x")
+        self.assertEqual(self.names(), [])
+
     def test_entry_that_comes_back_is_whole_again(self):
         self.listed("x")
         self.tail.restored_at = now()
