Believe the end of a server's entry from the list's return on

Callers saw nothing: their calls were answered by a server that had left, up to 2.6 s after its end was acknowledged, and a slower one would have been cut off by its exit.

Cause: entries also lapse while the list is away and come back within two seconds of its return; so the end of an entry within 2.6 s of the return was taken for such a lapse. The grace was counted from the entry's end, not from the return that it is about, so both added up to 5.2 s; and any failed read of this process, one lost answer, counted as the list's absence. The class: what one process did not hear is taken for what the platform did not do, and a grace runs from the moment of noticing.

Change: the grace of 2.3 s runs from the first answer after the silence, and only a silence of two heartbeats or more, from the last answer before it, can have ended the entry of a living server.

Before and after: the process test 21 and 22 calls after the bound, none now.

Why it holds: the return is seen within half a second, or 0.65 s, so nothing is sent to an ended server later than 3 s after the list is back, whenever its entry ends; the bound begins to count then.

test_entries_that_lapse_in_an_outage_are_tried_on set the reader to failing while the end was read, which it never is; it now has the silence end first, and asks the same.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -88,7 +88,9 @@
         self._log = RelayedLog(self._store, self._relays)
         self._client = WireReplicas()
         self._routes = RoutesInForce()
-        self._replicas = Replicas(settings.instance.availability_zone)
+        self._replicas = Replicas(
+            settings.instance.availability_zone, settings.heartbeat
+        )
         self._replicas.on_restart(self._client.forget)
         self._steps = Steps()
         # The shard after those of the steps is no step's: its holder orders the loads.
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -30,6 +30,7 @@
     "Bounds.GraceS": 8.0,
     "Bounds.LeaseMs": 3000.0,
     "Bounds.StatusS": 120.0,
+    "HeartbeatMs": 1200.0,
     "Platform.RecordBytes": 262144.0,
     "Platform.parts": 12.0,
     "Platform.ReadsPerS": 2000.0,
@@ -55,6 +56,7 @@
     ``stop_within`` is how long a planned stop may take, ``lease`` the time that two
     holders of a duty must lie apart where replicas do not check fencing numbers,
     ``reads_per_second`` how many reads the store gives all instances together,
+    ``heartbeat`` the time between two heartbeats of a replica,
     ``fenced`` whether they do, ``results_kept`` how long a step's samples are read
     after its submission, ``cores`` how much processor the instance has, ``instance``
     its ``InstancePlace``.
@@ -66,6 +68,7 @@
         "directory",
         "fenced",
         "front",
+        "heartbeat",
         "instance",
         "lease",
         "name",
@@ -150,6 +153,7 @@
     found.stop_within = numbers["Bounds.GraceS"]
     found.lease = numbers["Bounds.LeaseMs"] / 1000
     found.fenced = fields.get("Bounds.RequireFencing", "").lower() == "true"
+    found.heartbeat = numbers["HeartbeatMs"] / 1000
     found.results_kept = numbers["Bounds.StatusS"]
     found.record_bytes = int(numbers["Platform.RecordBytes"])
     found.reads_per_second = max(1.0, numbers["Platform.ReadsPerS"])
--- a/sassafrasdoor/platform/tests/test_leaving_processes.py
+++ b/sassafrasdoor/platform/tests/test_leaving_processes.py
@@ -22,7 +22,23 @@
 
         An instance was cut off from the platform's store and came back to it; 2 s
         later a server's entry ended, without a word before, and the instance sent it a
-        request 2.3 s after that.
+        request 2.3 s after that. The end of the entry was read at once and not
+        believed: within 2.6 s of the list's return it was taken for one that had
+        lapsed meanwhile, and its server was used for 2.6 s more, counted from the
+        entry's end instead of from the return.
+
+        Another day of that kind showed it, with all instances cut off for four seconds:
+
+             8.483 log.regained topic=keyed.servers away_seconds=2.922
+            10.198 replica.absent
+            12.828 replica.gone
+
+        The server's leaving was acknowledged at 10.009 s; calls reached it from 12.028 s
+        on. With the grace counted from the return the same day has
+
+            10.199 replica.absent tried_seconds=0.584 list_back_seconds=1.716
+
+        and the last call that the server answered was answered at 10.756 s.
         """
         first, *others = self.instances
         for instance in others:
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -9,9 +9,15 @@
 SUSPECT_FOR = 1.0
 """Seconds without work after a failure, doubled with each in a row: a restarted
 replica is tried again soon, a dark one costs one call in eight seconds."""
-OUTAGE_GRACE = 2.6
+OUTAGE_GRACE = 2.3
 """Seconds after the list's return that a lapsed entry may need to come back: the
-platform names about two; a replica is tried meanwhile, its calls name its identity."""
+platform names about two, and the list is read each third of a second; a replica is
+tried meanwhile, its calls name its identity."""
+USUAL_HEARTBEAT = 1.2
+"""Seconds between two heartbeats of a replica, unless the platform names others."""
+MISSED_TO_LAPSE = 2
+"""Heartbeats that an outage must last before the entry of a living replica ends: the
+third one in a row that does not come ends it, and the first may be due at its begin."""
 ZONE_PENALTY = 0.25
 """Load, as a share of capacity, that a replica in another zone must be better by:
 a call of 1 KB across zones costs little, but a second kept connection does not pay."""
@@ -130,18 +136,24 @@
 
 
 class Replicas:
-    """All known replicas by identity; ``list_failing`` says if the list is away."""
+    """All known replicas by identity.
+
+    ``heartbeat`` is the time in seconds between two heartbeats of a replica;
+    ``list_tail`` is the reader of the platform's list, None without one.
+    """
 
     __slots__ = (
         "_callbacks",
+        "_heartbeat",
         "_known",
         "_restart_callbacks",
         "_zone",
         "list_tail",
     )
 
-    def __init__(self, zone):
+    def __init__(self, zone, heartbeat=USUAL_HEARTBEAT):
         self._zone = zone
+        self._heartbeat = heartbeat
         self._known = {}
         self._callbacks = []
         self._restart_callbacks = []
@@ -222,12 +234,13 @@
         known = self._known.get(identity)
         if known is None:
             return
-        if self._lapsed_in_outage:
-            known.absent_until = deadline_in(OUTAGE_GRACE)
-            self._note("absent", known, **self._silence_fields(known.absent_until))
-        else:
+        tried_until = self._lapses_until
+        if passed(tried_until):
             del self._known[identity]
             self._note("gone", known)
+        else:
+            known.absent_until = tried_until
+            self._note("absent", known, **self._silence_fields(tried_until))
         self._changed()
 
     def sweep(self):
@@ -238,14 +251,21 @@
                 self._note("gone", one)
 
     @property
-    def _lapsed_in_outage(self):
-        tail = self.list_tail
-        if tail is None:
-            return False
-        if tail.failing_since is not None:
-            return True
-        restored = tail.restored_at
-        return restored is not None and now() - restored < OUTAGE_GRACE
+    def _lapses_until(self):
+        """Until when the end of an entry may be a lapse of the list's last outage.
+
+        A replica may also end without a word, and the end of its entry alone tells.
+        The time for a lapsed entry to return runs from the list's own return: counted
+        from the entry's end, a replica that left two seconds after it was sent work
+        for longer than it serves on. And what this process alone did not hear for a
+        moment, a lost answer, has ended nobody's entry.
+        """
+        silence = self.list_tail.silence if self.list_tail is not None else None
+        if silence is None:
+            return LONG_AGO
+        if silence.until - silence.since < MISSED_TO_LAPSE * self._heartbeat:
+            return LONG_AGO
+        return silence.until + OUTAGE_GRACE
 
     def choose(self, service, avoid=()):
         """Return the least loaded replica of a service, or None.
--- a/sassafrasdoor/routing/tests/test_replicas.py
+++ b/sassafrasdoor/routing/tests/test_replicas.py
@@ -11,8 +11,6 @@
 class Tail:
     """The state of the list's reader."""
 
-    failing_since = None
-    restored_at = None
     silence = None
 
 
@@ -43,7 +41,7 @@
         write theirs again. Cause: a lapsed entry was taken for a replica gone.
         """
         self.listed("x")
-        self.tail.failing_since = now()
+        self.tail.silence = Silence(now() - 6.0, now())
         self.replicas.unlisted("x")
         self.assertEqual(self.names(), ["x"])
         self.replicas.get("x").absent_until = LONG_AGO
@@ -58,7 +56,6 @@
         """
         self.listed("x")
         returned_at = now() - 2.0
-        self.tail.restored_at = returned_at
         self.tail.silence = Silence(returned_at - 6.0, returned_at)
         self.replicas.unlisted("x")
         used_until = getattr(self.replicas.get("x"), "absent_until", returned_at)
@@ -71,15 +68,15 @@
         seconds; then a server leaves. No entry lapses within two heartbeats.
         """
         self.listed("x")
-        self.tail.restored_at = now()
         self.tail.silence = Silence(now() - 2.0, now())
         self.replicas.unlisted("x")
         self.assertEqual(self.names(), [])
 
     def test_entry_that_comes_back_is_whole_again(self):
         self.listed("x")
-        self.tail.restored_at = now()
+        self.tail.silence = Silence(now() - 6.0, now())
         self.replicas.unlisted("x")
+        self.assertIsNotNone(self.replicas.get("x").absent_until)
         self.listed("x")
         self.assertIsNone(self.replicas.get("x").absent_until)
 
