The log's return brings no lapsed instance back

Callers were sent for three seconds to instances that had ended long before, after each lost read of the list of instances; their connections failed and they tried the next address. Ranks for duties counted the dead as well.

Found while looking for the cause of the server used after its end: here too one reader's silence was taken for evidence about those that it reads of. After each return everybody ever heard of counted as living.

Change: whoever lived when the log went away has as long from its return on as from a renewal; whoever had lapsed before stays so. test_log_that_returns_brings_nobody_back failed before (an instance last heard of 60 s ago was named) and passes.

--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -299,12 +299,20 @@
         return order
 
     def _is_alive(self, one):
+        """Say whether an instance renewed its record of late, as far as could be seen.
+
+        While the log is away nobody can; whoever lived when it went away has as long
+        from its return on as from a renewal. Whoever had lapsed before stays so: after
+        each lost read callers would be sent to instances that ended long ago.
+        """
         failing_since = self.tail.failing_since
         reference = now() if failing_since is None else failing_since
-        restored = self.tail.restored_at
-        if restored is not None and now() - restored < LAPSE_AFTER:
+        if reference - one.at < LAPSE_AFTER:
             return True
-        return reference - one.at < LAPSE_AFTER
+        silence = self.tail.silence
+        if silence is None or passed(silence.until + LAPSE_AFTER):
+            return False
+        return silence.since - one.at < LAPSE_AFTER
 
     def _document(self):
         document = {
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -7,6 +7,7 @@
 from sassafrasdoor import settings
 from sassafrasdoor.clock import LONG_AGO, now
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
+from sassafrasdoor.log.tail import Silence
 from sassafrasdoor.routing import instances as module
 from sassafrasdoor.routing.instances import Instances
 
@@ -58,9 +59,25 @@
         await asyncio.sleep(0.6)
         others = {"i1:80", "i2:80", "i3:80", "i4:80"}
         self.assertLessEqual(others, set(self.all[0].addresses("c")))
-        tail.failing_since, tail.restored_at = None, now()
+        tail.failing_since = None
+        tail.silence = Silence(now() - 1.2, now())
         self.assertEqual(len(self.all[0].addresses("c")), 5)
 
+    async def test_log_that_returns_brings_nobody_back(self):
+        """Symptom: callers are sent to an instance that is gone for minutes.
+
+        Sequence: an instance ends without a word and lapses; a minute later one read
+        of the list is lost. Cause: after each return of the log all that were ever
+        heard of counted as living for three seconds.
+        """
+        tail = self.all[0].tail
+        self.all[0]._seen["i1:80"].at = now() - 60.0
+        self.assertNotIn("i1:80", self.all[0].addresses("c"))
+        tail.silence = Silence(now() - 2.0, now())
+        tail.restored_at = tail.silence.until
+        self.all[0]._view = None
+        self.assertNotIn("i1:80", self.all[0].addresses("c"))
+
     async def test_instance_that_is_cut_off_sends_callers_elsewhere(self):
         """Symptom: a trainer stands still while one instance cannot reach the log.
 
