A list is read on soon after the log's return, also after a start

Callers' calls could reach a server up to 2.4 s after it had left, at an instance that had started while the log was away, or whose list the log had forgotten meanwhile.

A followed list is asked again each half second; one taken from another instance was read with the patience of a start, which may have megabytes to read (1.5, 1.5, 3 s), and loading a list was waited for 2 s with no call beside it.

Change: one way to ask again, for reads and for loading; a list that was loaded, here or elsewhere, lacks a few records and is never read as a start.

Tests, red before in two runs of two (a call that could not be answered was waited for to its end) and green in two of two: KeyedReturnTest.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -110,7 +110,7 @@
     async def poll(self, wait):
         """Read once; say whether the log answered."""
         sent_at = now()
-        if self.confirmed_at is None:
+        if self._reads_all:
             # Megabytes to read: asked for twice, they would take twice as long.
             slack = START_SLACKS[self._failed_starts % len(START_SLACKS)]
             result = await self._read(0, slack)
@@ -118,7 +118,7 @@
         elif self.failing_since is None:
             result = await self._read(wait, SLACK)
         else:
-            sent_at, result = await self._read_again()
+            sent_at, result = await self._ask_again(lambda left: self._read(0, left))
         if isinstance(result, Unavailable):
             self._note_failed(result)
             return False
@@ -140,32 +140,38 @@
             self.confirmed_at = sent_at
         return True
 
+    @property
+    def _reads_all(self):
+        """Whether all that the partition holds is still to be read."""
+        return self.confirmed_at is None
+
     async def _read(self, wait, slack):
         return await self._log.read(self._topic, self._part, self.offset, wait, slack)
 
-    async def _read_again(self):
-        """Return when the first read that was answered was sent, and its result.
+    async def _ask_again(self, call):
+        """Return when the first call that was answered was sent, and its result.
 
-        A single read that was sent just before the log's return held its reader for
-        two and a half seconds more: claims lapsed, and a change was in force late.
+        ``call(seconds)`` asks the log once, for that long at most. A single call that
+        was sent just before the log's return held its reader for two and a half seconds
+        more: claims lapsed, and a change was in force late.
         """
         limit = deadline_in(LONGEST_SLACK)
         sent_at, waiting = {}, set()
         try:
             while True:
                 if not passed(limit):
-                    read = asyncio.ensure_future(self._read(0, remaining(limit)))
-                    sent_at[read] = now()
-                    waiting.add(read)
+                    asked = asyncio.ensure_future(call(remaining(limit)))
+                    sent_at[asked] = now()
+                    waiting.add(asked)
                 done, waiting = await asyncio.wait(
                     waiting, timeout=ASK_AGAIN, return_when=asyncio.FIRST_COMPLETED
                 )
-                ended = sorted(done, key=lambda read: not _answers(read))
+                ended = sorted(done, key=lambda asked: not _answers(asked))
                 if ended and (_answers(ended[0]) or not waiting):
                     return sent_at[ended[0]], ended[0].result()
         finally:
-            for read in sent_at:
-                read.cancel()
+            for asked in sent_at:
+                asked.cancel()
 
     async def confirm(self, deadline):
         """Read until all that was acknowledged before this call is folded in.
@@ -243,9 +249,9 @@
         self.silence = Silence(last, self.restored_at)
 
 
-def _answers(read):
-    """Say whether a read that has ended was answered by the log."""
-    return not isinstance(read.result(), Unavailable)
+def _answers(asked):
+    """Say whether a call that has ended was answered by the log."""
+    return not isinstance(asked.result(), Unavailable)
 
 
 class KeyedTail(Tail):
@@ -284,9 +290,17 @@
         # tell what changed and which keys were dropped meanwhile.
         self.loaded = False
 
+    @property
+    def _reads_all(self):
+        # What was loaded, here or elsewhere, lacks a few records only.
+        return False
+
     async def _load(self):
         sent_at = now()
-        newest = await self._log.newest(self._topic)
+        if self.failing_since is None:
+            newest = await self._log.newest(self._topic)
+        else:
+            sent_at, newest = await self._ask_again(self._newest)
         if isinstance(newest, Unavailable):
             self._note_failed(newest)
             await self._load_elsewhere()
@@ -296,6 +310,13 @@
         self.confirmed_at = sent_at
         return True
 
+    async def _newest(self, seconds):
+        try:
+            async with asyncio.timeout(seconds):
+                return await self._log.newest(self._topic)
+        except TimeoutError:
+            return Unavailable("timeout")
+
     async def _load_elsewhere(self):
         """Begin with what another reader knows.
 
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -6,9 +6,12 @@
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now
 from sassafrasdoor.log import tail as module
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
-from sassafrasdoor.log.partitioned import keyed_record
+from sassafrasdoor.log.partitioned import NewestKeys, keyed_record
 from sassafrasdoor.log.tail import KeyedTail, Tail
 
+CALL_SECONDS = 2.0
+"""How long a call that names no time is waited for."""
+
 
 class SilentOnce(MemoryPartitionedLog):
     """Never answers the first read: it was sent while the log was cut off."""
@@ -36,9 +39,17 @@
     async def read(self, topic, part, offset, wait, slack):
         if not self.silent:
             return await super().read(topic, part, offset, wait, slack)
+        return await self._unanswered(wait + slack)
+
+    async def newest(self, topic):
+        if not self.silent:
+            return await super().newest(topic)
+        return await self._unanswered(CALL_SECONDS)
+
+    async def _unanswered(self, seconds):
         self.waiting += 1
         try:
-            await asyncio.sleep(wait + slack)
+            await asyncio.sleep(seconds)
             self.given_up += 1
         finally:
             self.waiting -= 1
@@ -240,6 +251,75 @@
         self.assertEqual(len(reads), 1)
 
 
+class KeyedReturnTest(unittest.IsolatedAsyncioTestCase):
+    """A list is read on soon after the log's return, in whatever state it was."""
+
+    async def asyncSetUp(self):
+        self.log = SilentLog()
+        self.changed = asyncio.Event()
+        await self.put("a", b"1")
+
+    async def put(self, key, value=b""):
+        record = keyed_record(key, value)
+        await self.log.append("keyed.t", 0, [record], deadline_in(1))
+
+    async def elsewhere(self, topic):
+        return NewestKeys({"a": b"1"}, 1)
+
+    def follow(self, elsewhere=None):
+        tail = KeyedTail(self.log, "keyed.t", self.take, elsewhere=elsewhere)
+        task = asyncio.ensure_future(tail.run())
+        self.addCleanup(task.cancel)
+        return tail
+
+    def take(self, key, value):
+        if key == "a" and not value:
+            self.changed.set()
+
+    async def check_return(self):
+        """Let the log return when a call has just begun; that one is never answered."""
+        given_up = self.log.given_up
+        async with asyncio.timeout(30):
+            while self.log.given_up == given_up or self.log.waiting != 1:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        given_up = self.log.given_up
+        self.log.silent = False
+        async with asyncio.timeout(30):
+            await self.changed.wait()
+        self.assertEqual(self.log.given_up, given_up)
+
+    async def test_list_taken_from_elsewhere_is_read_on_at_the_return(self):
+        """Symptom: a server that leaves after an outage is used three seconds more.
+
+        Sequence: an instance starts while the log is silent, goes by another's list,
+        the log returns, a key is dropped. Cause: the reads of a start were waited for
+        one by one, up to three seconds each, although the list had been loaded.
+        """
+        self.log.silent = True
+        self.follow(self.elsewhere)
+        await self.put("a")
+        await self.check_return()
+
+    async def test_list_that_expired_in_an_outage_is_loaded_at_the_return(self):
+        """Symptom: as above, where the log also forgets its history meanwhile.
+
+        Sequence: a list is followed, the log goes silent and forgets, a key is
+        dropped, it returns and is silent once more while the list is loaded anew.
+        Cause: loading a list was waited for two seconds, with no call beside it.
+        """
+        tail = self.follow()
+        async with asyncio.timeout(30):
+            while not tail.loaded:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        self.log.silent = True
+        async with asyncio.timeout(30):
+            while not self.log.waiting:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        await self.put("a")
+        tail.loaded = False
+        await self.check_return()
+
+
 class KeyedTailTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.log = MemoryPartitionedLog()
