--- a/sassafrasdoor/log/tests/test_relay.py
+++ b/sassafrasdoor/log/tests/test_relay.py
@@ -135,6 +135,27 @@
             await asyncio.sleep(0.02)
         self.assertTrue(self.relayed.is_away)
 
+    async def test_return_of_the_direct_way_ends_the_wait_for_a_relay(self):
+        """Symptom: a change of the lists is known seconds late after a cut.
+
+        Sequence: an instance is cut off, the relays that it asks have lost power, the
+        direct way comes back; a change is made. Cause: a relayed read was waited for
+        to its end, one silent relay after the other, while other reads went directly.
+        """
+        self.direct.cut = True
+        await self.append(seconds=30.0)
+        self.peer.cut = True
+        held = asyncio.ensure_future(self.relayed.read("t", 0, 0, 300.0, 300.0))
+        self.addCleanup(held.cancel)
+        await asyncio.sleep(0)
+        self.direct.cut = False
+        limit = deadline_in(30.0)
+        while self.relayed.is_away:
+            self.assertFalse(passed(limit), "still relayed")
+            await self.relayed.read("t", 0, 1, 0.05, 0.05)
+        async with asyncio.timeout(20):
+            self.assertEqual((await held).records, [b"x"])
+
     async def test_append_that_may_have_landed_is_not_called_without_effect(self):
         """Symptom: a step is refused as not kept, and runs.
 
