Soak: replicas end without a word around the end of a cut

Callers' calls reached a server that had left, and the soak could not have shown it: its replicas said that they leave, once, in calm, and every instance had another to read through.

Change: a replica's entry ends around the end of each fault on a path, as a third series that leaves the earlier ones of each seed as they were; the check wants no call at it from 2 s after its end on, from an instance without a fault of its own for 3 s. One seed runs with one instance alone.

--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -19,7 +19,7 @@
 from sassafrasdoor.platform import configuration
 from sassafrasdoor.platform.local import LocalInstance
 from sassafrasdoor.platform.soak_callers import HOST, ITEMS, Callers
-from sassafrasdoor.platform.soak_faults import ENGINES, MODEL, SETTLE, Faults
+from sassafrasdoor.platform.soak_faults import ENGINES, MODEL, PLAIN, SETTLE, Faults
 from sassafrasdoor.platform.standin import ReplicaStandin, StoreStandin
 from sassafrasdoor.soak import checks
 from sassafrasdoor.soak.checks import Violations
@@ -28,7 +28,6 @@
 from sassafrasdoor.standin.proxy import Proxy
 from sassafrasdoor.tools.options import VersionOption
 
-PLAIN = "plain"
 EVENTS = 6
 REPLICAS = 3
 CALL_TAKES = 0.1
@@ -105,7 +104,7 @@
         self._version = 1
         self._newest_seen = {}
         self._tasks = set()
-        self._harmed = []
+        self._harmed, self._unsettled, self._left = [], [], []
         self.violations = Violations()
         self.faults = schedule(seed, seconds, instances, REPLICAS)
 
@@ -210,6 +209,8 @@
             replica.full = False
         await asyncio.sleep(1.0)
         await self._until_ready()
+        for left in self._left:
+            left.until = left.until or asyncio.get_running_loop().time()
         await self._list()
         limit = deadline_in(SETTLE)
         for step in self._steps:
@@ -259,6 +260,7 @@
                 runs.setdefault(run.request_id, []).append(run)
         checks.check_calls(self._calls, runs, answer_to, self.violations)
         checks.check_cuts(self._calls, runs, self._harmed, self.violations)
+        checks.check_left(self._left, self._calls, self._unsettled, self.violations)
         readable = set()
         for step in self._steps:
             pages = [
--- a/sassafrasdoor/platform/soak_faults.py
+++ b/sassafrasdoor/platform/soak_faults.py
@@ -4,14 +4,16 @@
 import signal
 
 from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.log.partitioned import Appended, keyed_record
 from sassafrasdoor.platform import configuration
-from sassafrasdoor.soak.checks import HARM_LASTS, Harm
-from sassafrasdoor.soak.schedule import Kind
+from sassafrasdoor.soak.checks import HARM_LASTS, LEAVE_WITHIN, Harm, Left
+from sassafrasdoor.soak.schedule import ON_ALL, ON_INSTANCES, ON_PATHS, Kind
 
-MODEL, ENGINES = "m", "engines"
+MODEL, ENGINES, PLAIN = "m", "engines", "plain"
 CALLS_IN_STOP = 0.08
 """Seconds between calls to a stopping instance: less than one takes, so that some are
 always in progress."""
+CALL_SECONDS = 1.0
 SETTLE = 45.0
 """Seconds for everything to come back once the last fault has ended."""
 
@@ -21,7 +23,17 @@
 
     async def _inject(self, fault):
         print(f"seed {self._seed}: {fault}", flush=True)
+        begin = asyncio.get_running_loop().time()
+        harm = Harm(self._harmed_by(fault), begin, float("inf"))
+        self._unsettled.append(harm)
         await _INJECT[fault.kind](self, fault)
+        harm.end = asyncio.get_running_loop().time()
+
+    def _harmed_by(self, fault):
+        """Return the instance that a fault may keep from knowing; "" for all."""
+        if fault.kind in ON_INSTANCES | ON_PATHS:
+            return self._instances[fault.target].name
+        return "" if fault.kind in ON_ALL else None
 
     def _end(self, at):
         """Kill an instance and note since when its callers may be cut off."""
@@ -125,6 +137,24 @@
         entry = replica.entry(ENGINES, [MODEL])
         await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
 
+    async def _gone(self, fault):
+        """A replica's entry ends without a word before; it serves on, and comes back."""
+        replica = self._plain[fault.target]
+        if any(one.replica is replica and one.until is None for one in self._left):
+            return
+        topic, ended = configuration.SERVERS_TOPIC, keyed_record(replica.identity)
+        limit = deadline_in(CALL_SECONDS)
+        result = await self._store.log.append(topic, 0, [ended], limit)
+        if not isinstance(result, Appended):
+            return
+        left = Left(replica, asyncio.get_running_loop().time())
+        self._left.append(left)
+        await asyncio.sleep(LEAVE_WITHIN + fault.lasts)
+        if left.until is None:
+            left.until = asyncio.get_running_loop().time()
+            entry = replica.entry(PLAIN, [])
+            await self._store.put(topic, replica.identity, entry)
+
     async def _reborn(self, fault):
         """An engine starts again under its identity; its list says so a bit later."""
         replica = self._engines[fault.target]
@@ -177,4 +207,5 @@
     Kind.CONFIGURE: Faults._reconfigure,
     Kind.REBORN: Faults._reborn,
     Kind.FOREIGN: Faults._foreign,
+    Kind.GONE: Faults._gone,
 }
--- a/sassafrasdoor/platform/tests/test_soak.py
+++ b/sassafrasdoor/platform/tests/test_soak.py
@@ -17,6 +17,10 @@
 process was down, and the check took these for refusals.
 """
 
+ALONE, ALONE_SECONDS = 332, 20
+"""One instance, which nobody can help while it is cut off: it once used a replica that
+had left after a cut, up to 2.6 s after its end."""
+
 
 class Answer:
     """An instance's answer."""
@@ -80,9 +84,18 @@
 class SoakTest(unittest.TestCase):
     def test_no_promise_is_broken(self):
         for seed in SEEDS:
-            with self.subTest(seed=seed), tempfile.TemporaryDirectory() as folder:
-                soak = Soak(seed, SECONDS, INSTANCES, folder)
-                asyncio.run(soak.run())
-                self.assertEqual(soak.violations.found, [])
-                self.assertGreater(len(soak._calls), 50)
-                self.assertTrue(any(step.accepted for step in soak._steps))
+            with self.subTest(seed=seed):
+                self.play(seed, SECONDS, INSTANCES)
+
+    def test_no_promise_is_broken_by_one_alone(self):
+        soak = self.play(ALONE, ALONE_SECONDS, 1)
+        self.assertTrue(soak._left)
+
+    def play(self, seed, seconds, instances):
+        with tempfile.TemporaryDirectory() as folder:
+            soak = Soak(seed, seconds, instances, folder)
+            asyncio.run(soak.run())
+        self.assertEqual(soak.violations.found, [])
+        self.assertGreater(len(soak._calls), 50)
+        self.assertTrue(any(step.accepted for step in soak._steps))
+        return soak
--- a/sassafrasdoor/soak/checks.py
+++ b/sassafrasdoor/soak/checks.py
@@ -6,6 +6,8 @@
 """Seconds after an end's acknowledgement from which nothing of the step may begin."""
 LEAVE_WITHIN = 2.0
 """Seconds after a replica said that it leaves from which it may get nothing new."""
+SETTLED_AFTER = 3.0
+"""Seconds without a fault of its own from which an instance must know who has left."""
 HARM_LASTS = 1.0
 """Seconds after a pause in which a planned stop may still have run out of time."""
 REFUSED, FAILED, OK = 503, 500, 200
@@ -74,6 +76,17 @@
         return same and call.sent_at <= self.end and call.ended_at >= self.begin
 
 
+class Left:
+    """A replica's entry ended, as the log acknowledged ``since``, and came back."""
+
+    __slots__ = ("replica", "since", "until")
+
+    def __init__(self, replica, since):
+        self.replica = replica
+        self.since = since
+        self.until = None
+
+
 class StepSeen:
     """One step as its trainer saw it; ``pages`` are the listings that were read.
 
@@ -149,6 +162,34 @@
             violations.add("nothing is cut", f"{call.request_id} at {call.instance}")
 
 
+def check_left(left, calls, unsettled, violations):
+    """No call reaches a replica that has left, from an instance that could know.
+
+    ``unsettled`` are the ``Harm`` of instances, and under the name "" of the log.
+    """
+    senders = {call.request_id: call.instance for call in calls}
+    for one in left:
+        if _met(unsettled, "", one.since):
+            continue
+        for run in one.replica.runs:
+            late = one.since + LEAVE_WITHIN < run.at < one.until
+            sender = senders.get(run.request_id)
+            if not late or sender is None:
+                continue
+            if not _met(unsettled, sender, run.at) and not _met(unsettled, "", run.at):
+                after = f"{run.at - one.since:.2f} s after its end"
+                text = f"{one.replica.identity} {after}, {run.request_id} at {sender}"
+                violations.add("leaving gets no work", text)
+
+
+def _met(unsettled, instance, at):
+    """Whether harm was done to an instance shortly before a moment."""
+    return any(
+        harm.instance == instance and harm.begin <= at <= harm.end + SETTLED_AFTER
+        for harm in unsettled
+    )
+
+
 def check_steps(steps, runs, text, violations):
     """Whole samples, stable positions, kept steps, ended and refused ones at rest."""
     for step in steps:
--- a/sassafrasdoor/soak/schedule.py
+++ b/sassafrasdoor/soak/schedule.py
@@ -34,16 +34,28 @@
     KILL_ALL = "kill all"
     REBORN = "replica starts again"
     FOREIGN = "entry of another writer"
+    GONE = "replica ends without a word"
 
 
 LATER_KINDS = (Kind.REBORN, Kind.FOREIGN)
 """Drawn as a series of their own, so that a seed's first series stays what it was."""
-FIRST_KINDS = [kind for kind in Kind if kind not in LATER_KINDS]
+GONE_AROUND = -1.0, 2.5
+"""Seconds after the end of a fault on a path at which a replica ends without a word:
+when what was not heard meanwhile is learnt. A third series, for the same reason."""
+ADDED_KINDS = {*LATER_KINDS, Kind.GONE}
+FIRST_KINDS = [kind for kind in Kind if kind not in ADDED_KINDS]
 LATER_EVERY = 3.0
 """Seconds between the beginnings of two of these, on the average."""
 ON_INSTANCES = {Kind.KILL, Kind.STOP, Kind.PAUSE}
 ON_PATHS = {Kind.CUT_OFF, Kind.DELAY, Kind.RESET, Kind.ONE_WAY}
-ON_REPLICAS = {Kind.FULL, Kind.BREAK, Kind.FAIL, Kind.LEAVE, *LATER_KINDS}
+ON_REPLICAS = {
+    Kind.FULL,
+    Kind.BREAK,
+    Kind.FAIL,
+    Kind.LEAVE,
+    *ADDED_KINDS,
+}
+ON_ALL = {Kind.KILL_ALL, Kind.LOG_DOWN, Kind.LOG_LOSES, Kind.LOG_LATE}
 WEIGHTS = {Kind.KILL_ALL: 1, Kind.LEAVE: 1}
 USUAL_WEIGHT = 3
 
@@ -80,8 +92,10 @@
         lasts = draw.uniform(SHORTEST, LONGEST)
         faults.append(Fault(at, kind, target, lasts))
         at += draw.uniform(BUSIEST, CALMEST)
-    later = _later(random.Random(f"{seed} later"), seconds, replicas)
-    return sorted(faults + later, key=lambda fault: fault.at)
+    faults += _later(random.Random(f"{seed} later"), seconds, replicas)
+    cuts = [fault for fault in faults if fault.kind in ON_PATHS]
+    faults += _after(random.Random(f"{seed} gone"), cuts, seconds, replicas)
+    return sorted(faults, key=lambda fault: fault.at)
 
 
 def _later(draw, seconds, replicas):
@@ -92,3 +106,13 @@
         faults.append(Fault(at, kind, target, lasts))
         at += draw.uniform(0, 2 * LATER_EVERY)
     return faults
+
+
+def _after(draw, cuts, seconds, replicas):
+    faults = []
+    for cut in cuts:
+        at = max(FIRST_AT, cut.end + draw.uniform(*GONE_AROUND))
+        target, lasts = draw.randrange(replicas), draw.uniform(SHORTEST, LONGEST)
+        if at < LAST_SHARE * seconds:
+            faults.append(Fault(at, Kind.GONE, target, lasts))
+    return faults
--- a/sassafrasdoor/soak/tests/test_soak.py
+++ b/sassafrasdoor/soak/tests/test_soak.py
@@ -6,13 +6,19 @@
 from sassafrasdoor.backends.connections import Reply
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.soak import checks
-from sassafrasdoor.soak.checks import Call, Harm, StepSeen, Violations
-from sassafrasdoor.soak.schedule import LAST_SHARE, LATER_KINDS, Kind, schedule
+from sassafrasdoor.soak.checks import Call, Harm, Left, StepSeen, Violations
+from sassafrasdoor.soak.schedule import (
+    ADDED_KINDS,
+    LAST_SHARE,
+    Kind,
+    schedule,
+)
 
 
 class Run:
-    def __init__(self, at):
+    def __init__(self, at, request_id="r"):
         self.at = at
+        self.request_id = request_id
 
 
 def call(once, status, body):
@@ -52,7 +58,7 @@
 
     def test_later_kinds_leave_a_seeds_first_series_as_it_was(self):
         """A seed that once failed is kept as a test; its faults must stay the same."""
-        found = [one for one in schedule(36, 10, 3, 3) if one.kind not in LATER_KINDS]
+        found = [one for one in schedule(36, 10, 3, 3) if one.kind not in ADDED_KINDS]
         self.assertEqual(
             [(one.kind, one.target) for one in found][:4],
             FIRST_OF_36,
@@ -106,6 +112,32 @@
                 found = [one.partition(":")[0] for one in violations.found]
                 self.assertEqual(found, expected)
 
+    def test_replica_that_left_wants_an_excuse_for_each_call(self):
+        # the run's moment, harm -> promises broken; the entry ended at 10, for 9 s
+        broken = ["leaving gets no work"]
+        cases = [
+            (11.9, [], []),
+            (12.1, [], broken),
+            (19.1, [], []),
+            (12.1, [Harm("a", 5, 9.2)], []),
+            (12.3, [Harm("a", 5, 9.2)], broken),
+            (12.1, [Harm("b", 5, 12)], broken),
+            (12.1, [Harm("", 5, 6.9)], broken),
+            (12.1, [Harm("", 5, 7.1)], []),
+            (17.0, [Harm("", 15, 16)], []),
+        ]
+        for at, harmed, expected in cases:
+            with self.subTest(
+                at=at, harmed=[(one.instance, one.end) for one in harmed]
+            ):
+                replica = SimpleNamespace(identity="p", runs=[Run(at)])
+                left = Left(replica, 10)
+                left.until = 19
+                seen, violations = call(False, 200, b""), Violations()
+                checks.check_left([left], [seen], harmed, violations)
+                found = [one.partition(":")[0] for one in violations.found]
+                self.assertEqual(found, expected)
+
     def steps(
         self, pages, runs=(), accepted=True, refusals=0, unknown=0, ended_at=None
     ):
