Soak: an instance that is to be killed is killed

Nobody's calls were touched: the soak on the users' wire printed its kills and made none. Two of its parts had a method of the same name since, the end of a step and that of an instance; the first was called for both and, not being awaited, did nothing but warn.

Change: the kill has a name of its own, and a test holds that the soak's parts hide nothing of each other (red before).

--- a/sassafrasdoor/platform/soak_faults.py
+++ b/sassafrasdoor/platform/soak_faults.py
@@ -35,7 +35,7 @@
             return self._instances[fault.target].name
         return "" if fault.kind in ON_ALL else None
 
-    def _end(self, at):
+    def _kill_at_once(self, at):
         """Kill an instance and note since when its callers may be cut off."""
         begin = asyncio.get_running_loop().time()
         self._instances[at].kill()
@@ -46,13 +46,13 @@
         self._harmed.append(Harm(self._instances[at].name, begin, end))
 
     async def _kill(self, fault):
-        self._end(fault.target)
+        self._kill_at_once(fault.target)
         await asyncio.sleep(fault.lasts)
         self._again(fault.target)
 
     async def _kill_all(self, fault):
         for at in range(self._count):
-            self._end(at)
+            self._kill_at_once(at)
         await asyncio.sleep(fault.lasts)
         for at in range(self._count):
             self._again(at)
@@ -73,7 +73,7 @@
             await asyncio.sleep(CALLS_IN_STOP)
         if instance.running:
             self.violations.add("planned stop ends", instance.name)
-            self._end(fault.target)
+            self._kill_at_once(fault.target)
         self._again(fault.target)
 
     def _call_soon(self, instance):
--- a/sassafrasdoor/platform/tests/test_soak.py
+++ b/sassafrasdoor/platform/tests/test_soak.py
@@ -48,6 +48,20 @@
         return Answer(200, self.listed)
 
 
+class PartsTest(unittest.TestCase):
+    def test_parts_hide_nothing_of_each_other(self):
+        """Symptom: a soak prints "kill of 0", and no process of it ever ends.
+
+        Sequence: two parts of it name a method alike, the end of a step and that of an
+        instance. Cause: the first part's was called for both, and never awaited.
+        """
+        parts = [Soak, *Soak.__bases__]
+        names = [
+            name for part in parts for name in vars(part) if not name.startswith("__")
+        ]
+        self.assertEqual(sorted(names), sorted(set(names)))
+
+
 class SettleTest(unittest.IsolatedAsyncioTestCase):
     """What becomes of a step once the faults are over."""
 
