An instance that reports late keeps what it may be using

Callers at an instance whose report came late (a busy machine, a pause) were refused until its next report: it got a grant of no slots in place of the fallback that it was using. If the holder of the quota died just then, its successor heard of no fallback there and kept that much more aside for the dead, for as long as a fallback lasts.

Cause: the last targets leave out whoever has not been heard of in a grant's life, and its next report is answered from them.

Change: until targets are made anew it is granted what it may be using. Ruled out: making targets anew for each late report, 9.3 ms of processor time with 400 instances, of which all are late after a pause of the holder.

Before and after, three instances over a virtual clock: slots and fallback of the late one 0 and 0, now 4 and 2, of 4 in use; back at 7 and 3 after three reports either way. test_instance_that_reports_late_is_not_granted_nothing failed before; the sequences of losses, cuts and holders pass.

--- a/sassafrasdoor/admission/allocator.py
+++ b/sassafrasdoor/admission/allocator.py
@@ -106,6 +106,7 @@
         """
         self._hear(report)
         record = self._record(report.instance)
+        is_late = passed(record.heard_until)
         self._count(record, -1)
         lifetime = self._lifetime(len(self._records))
         record.take(report, lifetime, self._settings.admission.overhang)
@@ -114,6 +115,10 @@
             return None
         if passed(self._rebalance_at):
             self._rebalance()
+        elif is_late:
+            # The last targets leave it out. Granted nothing, it would lose the fallback
+            # that it uses, and refuse its callers until the next report.
+            self._targets[report.instance] = dict(record.committed)
         return self._grant(report.instance, record, lease_deadline)
 
     def _lifetime(self, instances):
--- a/sassafrasdoor/admission/tests/test_allocator.py
+++ b/sassafrasdoor/admission/tests/test_allocator.py
@@ -360,6 +360,26 @@
         self.assertGreaterEqual(self.total(sites, "trainer"), 1)
         self.check(sites)
 
+    def test_instance_that_reports_late_is_not_granted_nothing(self):
+        """Symptom: calls are refused at an instance beside load; after the death of
+        the holder the others wait a minute for slots that nobody has.
+
+        Sequence: an instance reports after its grants have lapsed. Cause: it had been
+        left out of the last targets, so it got a grant of no slots, without a
+        fallback, in place of what it still used. The next holder took that for all
+        that it had, and kept the rest for the dead.
+        """
+        allocator, sites = self.started(app=12)
+        late, *others = sites
+        lapse = SETTINGS.admission.grant_duration
+        self.settle(allocator, others, rounds=int(lapse / 0.3) + 2)
+        had = late.allowed("app")
+        self.assertGreater(had, 0)
+        self.exchange(allocator, late)
+        self.check(sites)
+        self.assertGreaterEqual(late.allowed("app"), had)
+        self.assertGreater(late.grants["app"].fallback, 0)
+
     def test_limited_rows_wait_for_the_silent(self):
         allocator, sites = self.started(app=40)
         cut, *others = sites
