--- a/sassafrasdoor/decisions.py
+++ b/sassafrasdoor/decisions.py
@@ -15,7 +15,7 @@
 from sassafrasdoor.metrics import counter
 
 LINES_A_SECOND = 60.0
-"""Budget; a line costs about 0.1 ms of processor time, so under 1 % of a core."""
+"""Budget, so that writing lines stays a small part of a core under any load."""
 BURST = 240.0
 """Lines that may come at once: the items of one step and their results."""
 BUFFER_BYTES = 512 * 1024
--- a/sassafrasdoor/entry/process.py
+++ b/sassafrasdoor/entry/process.py
@@ -57,8 +57,7 @@
     would have served them; so it is announced as leaving first, serves until
     the last answer that names it has lapsed, then refuses, then finishes.
     Other instances go on naming it until the news has reached them, which is
-    what ``drain.spread`` allows for: without it, calls were cut within 20 ms of
-    the end.
+    what ``drain.spread`` allows for: without it, calls are cut just before the end.
     """
     parts.leaving = True
     logs.changed("entry:leaving")
--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -122,9 +122,9 @@
     async def _until_back(self, call):
         """Return what a relayed call comes to, or None once the direct way answers.
 
-        Relays that have lost power answer nothing: a list that was read through one
-        after the other stayed as it was for three seconds after the cut had ended, and
-        a server that had left got work.
+        Relays that have lost power answer nothing. Read through one after the other, a
+        list would stay as it is for seconds after the cut's end, and a server that has
+        left would get work.
         """
         relayed = asyncio.ensure_future(call)
         back = asyncio.ensure_future(self._back.wait())
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -44,9 +44,9 @@
 def shared_pause(followers, partitions, reads_per_second):
     """Return the seconds that each follower pauses after each read of a partition.
 
-    Each append wakes all who wait for it. With 60 followers of four busy partitions the
-    log's 6,000 reads a second were exceeded, it refused the others, and a configuration
-    was in force 5.6 s late on some of 300 instances.
+    Each append wakes all who wait for it. Where many follow busy partitions they exceed
+    the log's reads a second, it refuses the others, and a configuration is in force
+    seconds late on some instances.
     """
     pause = followers * partitions / (READS_SHARE * reads_per_second)
     return pause if pause >= SHORTEST_PAUSE else 0.0
@@ -152,8 +152,8 @@
         """Return when the first call that was answered was sent, and its result.
 
         ``call(seconds)`` asks the log once, for that long at most. A single call that
-        was sent just before the log's return held its reader for two and a half seconds
-        more: claims lapsed, and a change was in force late.
+        was sent just before the log's return would hold its reader for seconds more:
+        claims lapse, a change is in force late, a server that left gets work.
         """
         limit = deadline_in(LONGEST_SLACK)
         sent_at, waiting = {}, set()
--- a/sassafrasdoor/log/turns.py
+++ b/sassafrasdoor/log/turns.py
@@ -2,21 +2,21 @@
 
 The load that this answers: all instances lose power and come back within half a second,
 and each of those that follow the steps reads megabytes. The log sends one rate to all
-of them: with twenty of 76 instances reading 9 MB each at once the first was done after
-4.2 s, small reads beside them timed out after 1.5 s, and whoever was to run the steps
-could not know for 4.6 s that the former runner had gone.
+of them: where many read at once the first is done only seconds later, small reads
+beside them time out, and whoever is to run the steps does not know meanwhile that the
+former runner has gone.
 
 So one instance of each availability zone reads first. It can run the steps and answer
 for its neighbours, who read one after the other and hand their callers on meanwhile.
 """
 
 TURN = 1.0
-"""Seconds between the turns of a zone's instances: four zones' instances that read 9 MB
-at once take 0.9 s of a log that sends 40 MB/s."""
+"""Seconds between the turns of a zone's instances: what one of each zone reads has been
+sent in that time."""
 
 FEW = 12
-"""Instances that may read at once: ten have read 9 MB side by side after 1.2 s, and
-there is little to win by waiting."""
+"""Instances that may read at once: so few are done within about a turn, and there is
+little to win by waiting."""
 
 
 def turn_comes_at(started_at, place, followers):
--- a/sassafrasdoor/membership/node.py
+++ b/sassafrasdoor/membership/node.py
@@ -443,8 +443,8 @@
     """Say whether the updates of a message are to be passed on to all.
 
     Who joins is sent all members, which all but itself know. Passing each on a
-    dozen times took it over the byte budget for most of a minute. A difference
-    of a few is a lost update, and may be lost on others too.
+    dozen times would take it over its byte budget. A difference of a few is a lost
+    update, and may be lost on others too.
     """
     return str(message.kind) != "differ" or len(message.updates) <= FEW_UPDATES
 
--- a/sassafrasdoor/platform/configuration.py
+++ b/sassafrasdoor/platform/configuration.py
@@ -164,8 +164,8 @@
             self._taken.pop(identity, None)
             self._replicas.unlisted(identity)
             return
-        # Nearly every record is a heartbeat in which the number alone differs. Reading
-        # each anew took 13 us of processor time instead of 1 us, on every instance.
+        # Nearly every record is a heartbeat in which the number alone differs. Parsing
+        # each anew would take most of an idle instance's processor time.
         without_number = _NUMBER.sub(b"", value)
         if self._taken.get(identity) == without_number:
             return
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -43,12 +43,12 @@
 """Part of the planned stop in which requests in progress may still end."""
 FINISH_TICK = 0.02
 ALONE_UP_TO = 60
-"""Replicas before which one process runs all shards: with 23 it takes 4 to 11 % of a
-core, with 300 it took 42 % and kept 1,000 connections."""
+"""Replicas before which one process runs all shards: before more it lacks the processor
+and keeps too many connections."""
 AFTER_THE_FIRST = 3
 """Places by which all others step back for a shard while whoever orders the loads lives:
-it reads megabytes after a start, and where it was 0.1 s later than the next in rank,
-loads and items stayed apart for the rest of a day; 445 items were refused there."""
+it reads megabytes after a start, and where the next in rank is done a moment sooner,
+loads and items stay apart, and replicas that load refuse items."""
 FENCED_HANDOVER = 0.3
 """Seconds that an order of a lapsed holder may be on its way, at most."""
 FIRST_IDLE_LIMIT = 60.0
@@ -299,8 +299,8 @@
         """Return this instance's place among those that could run a shard.
 
         Whoever orders the loads comes first for the steps too: it loads a replica once
-        the items that wait have begun, and sends none to one that it loads. Apart, two
-        of five sends to engines were refused on a calm day with 24 engines.
+        the items that wait have begun, and sends none to one that it loads. Apart, much
+        of what is sent to engines is refused.
         """
         rank = self._instances.ranking(self._ranked_for(shard))
         if self._replicas.count > ALONE_UP_TO or shard == self._weights_shard:
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -1,7 +1,7 @@
 """The platform's settings file, checked and in the product's own names.
 
-The product's own settings are JSON, checked by pydantic. Importing that took a third of
-a start and a quarter of the memory here, so this module does without.
+The product's own settings are JSON, checked by pydantic. Importing that takes much of
+a start and of the memory here, so this module does without.
 """
 
 import os
--- a/sassafrasdoor/platform/soak_faults.py
+++ b/sassafrasdoor/platform/soak_faults.py
@@ -14,6 +14,7 @@
 """Seconds between calls to a stopping instance: less than one takes, so that some are
 always in progress."""
 CALL_SECONDS = 1.0
+"""Seconds for a call of the soak's own to the log."""
 SETTLE = 45.0
 """Seconds for everything to come back once the last fault has ended."""
 
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -22,8 +22,7 @@
 """Seconds between renewals."""
 FIRST_INTERVAL = 0.1
 """Seconds between looks whether the process serves: it claims nothing before it is
-listed, and is ready 0.3 s after its start. A whole renewal later, shards were run again
-1.9 s after a start of all instances."""
+listed, and after a start of all instances nothing runs until one of them has claimed."""
 LAPSE_AFTER = 3.2
 """Seconds without renewal after which callers are not sent there: three missed."""
 CUT_OFF_AFTER = 0.6
@@ -44,8 +43,8 @@
 many instances started together only these have read what the log keeps, and the last of
 five in a zone begins after four."""
 VIEW_HOLDS = 0.2
-"""Seconds that what was worked out of the list is used again. To order 300 instances
-takes 0.4 ms of processor time (50 runs), and 140 times a second it is asked for."""
+"""Seconds that what was worked out of the list is used again: to order many instances
+for each question takes a part of the processor that grows with their number."""
 MALFORMED = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
 """What reading a record raises that another writer may have written."""
 LOOK_TIMEOUT = 0.5
@@ -254,8 +253,8 @@
         The list must have been read to its end after ``since`` (monotonic), when that
         process was last heard of: it was listed before, so what names another one is
         newer. (A record of before that lands late shows the former one for a second;
-        that may move a duty, which its fencing numbers allow.) Without this, whoever takes over waits for a lapse although all know that
-        the former one is gone, 1.7 s after each restart of all instances.
+        that may move a duty, which its fencing numbers allow.) Without this, whoever
+        takes over waits for a lapse although all know that the former one is gone.
         """
         seen = self._seen.get(address)
         if seen is None or seen.process in ("", process):
--- a/sassafrasdoor/routing/placement.py
+++ b/sassafrasdoor/routing/placement.py
@@ -16,8 +16,9 @@
 """
 DARK_AFTER = 1.2
 """Seconds without a byte from a replica, on any of its streams, after which an item that
-has got nothing there goes elsewhere: a load of weights takes
-0.9 s, and what little an engine with a free place needs besides fits. One that sends to others is alive; its queue may be waited for.
+has got nothing there goes elsewhere: a load of weights takes 0.9 s, and what little an
+engine with a free place needs besides fits. One that sends to others is alive; its queue
+may be waited for.
 """
 MOST_MOVES = 2
 """Moves of one sample: each costs reading what it has reached, and a sample that moves
@@ -65,9 +66,8 @@
     """What an item needs: weights of ``model`` not older than ``oldest``.
 
     ``avoid`` is the identity of the replica that it leaves, empty for none: a sample
-    that moved from a slow replica came back to it at once, twice within 0.1 s, since
-    its place there had just become free. Four plays of a calm day with one slow
-    replica earned 0.709 of what they could on the average before, 0.757 since.
+    that moved from a slow replica would come back to it at once, since its place there
+    has just become free, and spend its moves.
     """
 
     __slots__ = ("avoid", "model", "oldest")
--- a/sassafrasdoor/steps/durable/reward_order.py
+++ b/sassafrasdoor/steps/durable/reward_order.py
@@ -5,10 +5,8 @@
 """
 
 SHARE = 0.5
-"""Part of a service's places that reward calls may take. Live callers' calls last an
-eighth as long and find the other half. Worked out from the users' sheet, reward calls
-take 19 of 48 places at three times the usual load: the bound cuts off what would queue.
-"""
+"""Part of a service's places that reward calls may take: live callers' calls last an
+eighth as long and find room in the other half. The bound cuts off what would queue."""
 FEWEST = 2
 """Reward calls at once also before a single small replica, so that a lost answer does
 not hold the next call for its whole time."""
--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -1,8 +1,8 @@
 """Which process runs a shard: a lease kept in the shard's own records.
 
-The log's groups deal all partitions anew whenever a member comes or goes: with ten
-instances restarted in turn that cut 425 of 1,432 streams in half a minute. A lease
-in the shard moves only when its holder leaves or dies. Claims are judged by offset
+The log's groups deal all partitions anew whenever a member comes or goes: while
+instances are restarted in turn, streams are cut again and again. A lease in the shard
+moves only when its holder leaves or dies. Claims are judged by offset
 alone; each names the claim that it replaces, so of several only the first counts,
 and whoever's claim is folded has folded every sample listed before it.
 """
--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -19,7 +19,7 @@
 LOADS_AT_ONCE = 2
 LOADS_SHARE = 0.4
 """Replicas that load together, at least, and as a share of a service's: with more, each
-load takes longer (more than 2 of 5 and 9 of 22 or 23 on the users' sheets)."""
+load takes longer."""
 LOAD_TIME = 1.2
 """Seconds that a load holds its place: 0.9 s, and a little for the order's way."""
 SHORTEST_LOAD = 0.9
--- a/sassafrasdoor/weights/pace.py
+++ b/sassafrasdoor/weights/pace.py
@@ -3,9 +3,8 @@
 The load that this answers: a trainer names a version and asks for its next step in the
 same tenth of a second. Every replica of the model was ordered to load at once, a load
 takes 0.9 s, and the step's items waited for it although they may run under the version
-before; with 24 engines half of the steps of a calm day began 0.4 to 0.8 s late. The
-longest sample alone takes 6.5 s of the eight that keep a trainer in time, so it fell
-behind for the rest of the day.
+before. The longest sample alone takes most of the time that a step has, so its trainer
+fell behind for good.
 """
 
 LOADING_SHARE = 0.5
@@ -15,8 +14,8 @@
 
 FOLLOW_UP = 0.25
 """Seconds after a version's name in which the step that follows it comes where its
-trainer is behind: 63 ms in the middle. Until then nobody knows that places will be
-short, and a load once begun takes 0.9 s."""
+trainer is behind. Until then nobody knows that places will be short, and a load once
+begun takes 0.9 s."""
 LONGEST_DEFERRAL = 2.5
 """Seconds that a load may wait for a step's first items: they take about one second
 each and two or three follow each other on a place."""
