Test of lists at the log's return: wait for the begin of a try

The test waited for a moment with one call under way, which also the end of a try may show for some microseconds; a call that ends then would have counted as given up after the return.

--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -276,12 +276,17 @@
         if key == "a" and not value:
             self.changed.set()
 
+    async def until(self, condition):
+        async with asyncio.timeout(30):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
     async def check_return(self):
         """Let the log return when a call has just begun; that one is never answered."""
         given_up = self.log.given_up
-        async with asyncio.timeout(30):
-            while self.log.given_up == given_up or self.log.waiting != 1:  # noqa: ASYNC110
-                await asyncio.sleep(0.01)
+        # Calls of one try end together; the next try's first one is what is wanted.
+        await self.until(lambda: self.log.given_up > given_up and not self.log.waiting)
+        await self.until(lambda: self.log.waiting == 1)
         given_up = self.log.given_up
         self.log.silent = False
         async with asyncio.timeout(30):
@@ -308,13 +313,9 @@
         Cause: loading a list was waited for two seconds, with no call beside it.
         """
         tail = self.follow()
-        async with asyncio.timeout(30):
-            while not tail.loaded:  # noqa: ASYNC110
-                await asyncio.sleep(0.01)
+        await self.until(lambda: tail.loaded)
         self.log.silent = True
-        async with asyncio.timeout(30):
-            while not self.log.waiting:  # noqa: ASYNC110
-                await asyncio.sleep(0.01)
+        await self.until(lambda: self.log.waiting)
         await self.put("a")
         tail.loaded = False
         await self.check_return()
