The reason beside the mend in two lines, the test's story without labels

A newcomer reads the story of the server that had left in plain sentences and the reason where the end of an entry is judged.

--- a/sassafrasdoor/platform/tests/test_leaving_processes.py
+++ b/sassafrasdoor/platform/tests/test_leaving_processes.py
@@ -18,7 +18,7 @@
 
 class LeavingTest(ProcessCase):
     async def test_server_that_leaves_after_a_cut_gets_nothing_soon(self):
-        """Symptom: a request reached a server 2,336 ms after it had left, bound 2,000.
+        """A request reached a server 2,336 ms after it had left; the bound is 2,000.
 
         An instance was cut off from the platform's store and came back to it; 2 s
         later a server's entry ended, without a word before, and the instance sent it a
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -254,11 +254,8 @@
     def _lapses_until(self):
         """Until when the end of an entry may be a lapse of the list's last outage.
 
-        A replica may also end without a word, and the end of its entry alone tells.
-        The time for a lapsed entry to return runs from the list's own return: counted
-        from the entry's end, a replica that left two seconds after it was sent work
-        for longer than it serves on. And what this process alone did not hear for a
-        moment, a lost answer, has ended nobody's entry.
+        Counted from the entry's end instead of from the list's return, or after any lost
+        read, it would give work to a replica that left without a word until it exits.
         """
         silence = self.list_tail.silence if self.list_tail is not None else None
         if silence is None:
