Reads at relays end only when the direct way answers

Cause: since a relayed read is given up when the direct way is taken again, it was also given up when that is done for want of any relay that reaches the log. While the log is away for all, each such turn ended and began anew every read of the instance.

Change: only an answer of the direct way ends them. test_relays_that_reach_nothing_end_no_other_read fails on the code before.

--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -170,7 +170,6 @@
         if self.is_away:
             note("log.direct_again", reason=reason)
         self._away.clear()
-        self._back.set()
 
     def _look_again(self, topic, part, offset):
         """Ask the direct way beside the relays, once in a while.
@@ -187,6 +186,7 @@
             found = await self._direct.read(topic, part, offset, 0, ASK_AFTER)
             if not isinstance(found, Unavailable):
                 self._go_directly("it answers")
+                self._back.set()
         finally:
             self._probe_at = deadline_in(PROBE_EVERY)
             self._probe = None
--- a/sassafrasdoor/log/tests/test_relay.py
+++ b/sassafrasdoor/log/tests/test_relay.py
@@ -156,6 +156,29 @@
         async with asyncio.timeout(20):
             self.assertEqual((await held).records, [b"x"])
 
+    async def test_relays_that_reach_nothing_end_no_other_read(self):
+        """Symptom: while the log is away for all, every instance takes several times
+        the processor and asks it again and again.
+
+        Sequence: an instance reads through others; one relay does not reach the log
+        either, the direct way is taken, fails, a relay answers. Cause: each such turn
+        ended all reads that wait at relays, and they began anew.
+        """
+        self.direct.cut = True
+        await self.append(seconds=30.0)
+        held = asyncio.ensure_future(self.relayed.read("t", 0, 1, 300.0, 300.0))
+        self.addCleanup(held.cancel)
+        await asyncio.sleep(0.05)
+        self.peer.answer = Unavailable("down")
+        found = await self.relayed.read("t", 0, 1, 0.05, 0.05)
+        self.assertIsInstance(found, Unavailable)
+        self.assertFalse(self.relayed.is_away)
+        self.peer.answer = None
+        calls = self.peer.calls + self.direct.calls
+        await asyncio.sleep(0.05)
+        self.assertFalse(held.done())
+        self.assertEqual(self.peer.calls + self.direct.calls, calls)
+
     async def test_append_that_may_have_landed_is_not_called_without_effect(self):
         """Symptom: a step is refused as not kept, and runs.
 
