Relayed reads end once a probe has found the direct way to answer

Cause: only the reads that came after the return went directly.

Change: only a probe that the direct way itself has answered ends them, not the failure of a relay; and a way that was probed within the last second is not probed again when a relay answers, so that the way changes at most once a second. Before, each relayed answer asked for a probe at once, and a way that answers by turns changed at the speed of the network.

--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -36,12 +36,13 @@
 class RelayedLog(PartitionedLog):
     """``direct`` is the log; ``relays()`` returns such logs of other instances."""
 
-    __slots__ = ("_away", "_direct", "_probe", "_probe_at", "_relays")
+    __slots__ = ("_away", "_back", "_direct", "_probe", "_probe_at", "_relays")
 
     def __init__(self, direct, relays):
         self._direct = direct
         self._relays = relays
         self._away = asyncio.Event()
+        self._back = asyncio.Event()
         self._probe = None
         self._probe_at = LONG_AGO
 
@@ -69,7 +70,11 @@
         """Return a ``RawBatch``, ``Expired`` or ``Unavailable``."""
         if self.is_away:
             self._look_again(topic, part, offset)
-            result = await self._read_relayed(topic, part, offset, wait, slack)
+            result = await self._until_back(
+                self._read_relayed(topic, part, offset, wait, slack)
+            )
+            if result is None:
+                return await self._direct.read(topic, part, offset, wait, slack)
             if isinstance(result, Unavailable):
                 # Nobody else reaches it either: the direct way is as good as any.
                 self._go_directly(result.reason)
@@ -115,6 +120,17 @@
                 if task is not None:
                     task.cancel()
 
+    async def _until_back(self, call):
+        """Return the result of a relayed call, None once the direct way answers."""
+        relayed = asyncio.ensure_future(call)
+        back = asyncio.ensure_future(self._back.wait())
+        try:
+            await asyncio.wait([relayed, back], return_when=asyncio.FIRST_COMPLETED)
+            return relayed.result() if relayed.done() else None
+        finally:
+            relayed.cancel()
+            back.cancel()
+
     async def _read_relayed(self, topic, part, offset, wait, slack):
         result = Unavailable("no relay reaches the log")
         for relay in self._relays()[:MOST_RELAYS]:
@@ -140,9 +156,10 @@
         if self.is_away:
             return
         note("log.relayed", reason=reason)
-        # The call that went unanswered may have been sent just before the log's return:
-        # then all instances would find it away at once, and send callers elsewhere.
-        self._probe_at = LONG_AGO
+        # The call that went unanswered may have been sent just before the log's return,
+        # so the direct way is probed at once, unless it has just been probed: a way that
+        # answers by turns would otherwise be changed at the speed of the network.
+        self._back.clear()
         self._away.set()
 
     def _go_directly(self, reason):
@@ -165,6 +182,7 @@
             found = await self._direct.read(topic, part, offset, 0, ASK_AFTER)
             if not isinstance(found, Unavailable):
                 self._go_directly("it answers")
+                self._back.set()
         finally:
             self._probe_at = deadline_in(PROBE_EVERY)
             self._probe = None
--- a/sassafrasdoor/log/tests/test_relay.py
+++ b/sassafrasdoor/log/tests/test_relay.py
@@ -12,13 +12,18 @@
 
 
 class CutLog:
-    """The way of one instance to a log; ``cut`` leaves every call without a reply."""
+    """The way of one instance to a log; ``cut`` leaves every call without a reply.
+
+    With ``held_fail`` the reads that wait fail; ``short_reads`` counts the others.
+    """
 
     def __init__(self, log):
         self.log = log
         self.cut = False
+        self.held_fail = False
         self.answer = None
         self.calls = 0
+        self.short_reads = 0
 
     async def append(self, topic, part, records, deadline):
         self.calls += 1
@@ -31,6 +36,9 @@
 
     async def read(self, topic, part, offset, wait, slack):
         self.calls += 1
+        self.short_reads += not wait
+        if self.held_fail and wait:
+            return Unavailable("refused")
         if self.cut:
             await asyncio.sleep(wait + slack)
             return Unavailable("timeout")
@@ -136,12 +144,7 @@
         self.assertTrue(self.relayed.is_away)
 
     async def test_return_of_the_direct_way_ends_the_wait_for_a_relay(self):
-        """Symptom: a change of the lists is known seconds late after a cut.
-
-        Sequence: an instance is cut off, the relays that it asks have lost power, the
-        direct way comes back; a change is made. Cause: a relayed read was waited for
-        to its end, one silent relay after the other, while other reads went directly.
-        """
+        """Guards against lists that stay as they are while a dead relay is waited for."""
         self.direct.cut = True
         await self.append(seconds=30.0)
         self.peer.cut = True
@@ -156,6 +159,15 @@
         async with asyncio.timeout(20):
             self.assertEqual((await held).records, [b"x"])
 
+    async def test_way_that_answers_by_turns_is_probed_once_in_a_while(self):
+        """Guards against reads that end each other at the speed of the network."""
+        every, module.PROBE_EVERY = module.PROBE_EVERY, 1000.0
+        self.addCleanup(setattr, module, "PROBE_EVERY", every)
+        self.direct.held_fail = True
+        for _ in range(10):
+            await self.relayed.read("t", 0, 1, 0.02, 0.02)
+        self.assertEqual(self.direct.short_reads, 1)
+
     async def test_relays_that_reach_nothing_end_no_other_read(self):
         """Symptom: while the log is away for all, every instance takes several times
         the processor and asks it again and again.
