Instances that no caller is sent to renew their records each five seconds

Change: an instance in reserve (its zone's callers are sent elsewhere) says so in its record and renews it each five seconds; it counts as gone after 16. When entry points lapse it finds itself called, renews at once, and is named to callers only then. A record that says the same again is not parsed, and the view of the list is kept while the same instances live.

Tests: a reserve's silence, its coming forward one death after another, and that it is not named before it has said that it lives (fails if it is). The former test of a large zone stands.

--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -3,13 +3,16 @@
 Each instance writes its own record again and again, and drops it when it leaves. A
 record that is no longer renewed is left out of answers; while the log cannot be read
 nothing lapses, since nobody could have renewed it.
+
+Callers are sent to a few instances of each zone, the entry points. The others are in
+reserve: each reads the whole list, so they renew their records less often.
 """
 
 import asyncio
 import json
 import random
 
-from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.partitioned import keyed_record
 from sassafrasdoor.log.tail import KeyedTail
@@ -23,8 +26,12 @@
 FIRST_INTERVAL = 0.1
 """Seconds between looks whether the process serves: it claims nothing before it is
 listed, and after a start of all instances nothing runs until one of them has claimed."""
+RESERVE_INTERVAL = 5.0
+"""Seconds between renewals of an instance in reserve."""
 LAPSE_AFTER = 3.2
 """Seconds without renewal after which callers are not sent there: three missed."""
+RESERVE_LAPSE_AFTER = 16.0
+"""Seconds without renewal after which an instance in reserve counts as gone."""
 CUT_OFF_AFTER = 0.6
 """Seconds of failing reads, after the first was waited for in vain for 1.5."""
 READ_PAUSE = 0.7
@@ -32,9 +39,8 @@
 WRITE_TIMEOUT = 1.5
 MOST_ADDRESSES = 64
 USUAL_IN_ZONE, ZONE_PARTS = 4, 5
-"""Callers of a zone are sent to four instances, or a fifth of many: each instance that
-serves a service keeps connections of its own to its replicas, and they cost most when
-they are seldom used."""
+"""Callers of a zone are sent to four instances, or to as many as have a fifth of its
+processor: each keeps connections of its own to every replica."""
 ENTRY_KEY = "entry"
 READERS_KEY = "shards"
 """Orders the instances that read and run the steps."""
@@ -67,9 +73,23 @@
 
 
 class _Seen:
-    __slots__ = ("address", "at", "control", "cores", "process", "region", "zone")
+    """A record as it was last read: ``data`` at ``at``, monotonic."""
+
+    __slots__ = (
+        "address",
+        "at",
+        "control",
+        "cores",
+        "data",
+        "in_reserve",
+        "process",
+        "region",
+        "zone",
+    )
 
-    def __init__(self, document):
+    def __init__(self, data):
+        document = json.loads(data)
+        self.data = data
         self.address = _text(document, "address")
         self.zone = _text(document, "zone")
         self.region = _text(document, "region")
@@ -77,8 +97,14 @@
         # Records of an earlier program name none.
         self.control = _text({"control": "", **document}, "control")
         self.process = _text({"process": "", **document}, "process")
+        self.in_reserve = document.get("reserve") is True
         self.at = now()
 
+    @property
+    def lapses_after(self):
+        """Seconds without renewal after which the instance counts as gone."""
+        return RESERVE_LAPSE_AFTER if self.in_reserve else LAPSE_AFTER
+
 
 def _text(document, name):
     if not isinstance(document[name], str):
@@ -87,33 +113,52 @@
 
 
 class _View:
-    """What follows from the list at one moment; ``rankings``, the addresses in order by
-    key, are filled as asked."""
+    """What follows from the list at one moment.
 
-    __slots__ = ("_deadline", "alive", "entry_points", "rankings")
+    ``entry_points`` maps each zone to the addresses that its callers are sent to, the
+    largest first; ``called`` are the addresses in reserve that are to become one.
+    ``rankings``, the addresses in order by key, are filled as asked.
+    """
+
+    __slots__ = ("_deadline", "alive", "called", "entry_points", "rankings")
 
-    def __init__(self, alive, deadline):
+    def __init__(self, alive):
         zones = {}
         for one in alive:
             zones.setdefault(one.zone, []).append(one)
-        self._deadline = deadline
+        self._deadline = deadline_in(VIEW_HOLDS)
         self.alive = alive
-        self.entry_points = {
-            address for part in zones.values() for address in _entry_points(part)
-        }
+        self.called = set()
+        self.entry_points = {}
+        for zone, near in zones.items():
+            chosen = _entry_points(near)
+            self.called.update(one.address for one in chosen if one.in_reserve)
+            self.entry_points[zone] = [
+                one.address for one in chosen if not one.in_reserve
+            ]
         self.rankings = {}
 
+    @property
+    def all_entry_points(self):
+        """The addresses of the entry points of all zones."""
+        return {address for part in self.entry_points.values() for address in part}
+
     @property
     def holds(self):
         """Whether it is recent enough."""
         return not passed(self._deadline)
 
+    def confirm(self):
+        """Hold on: the same instances live, and their records are the same."""
+        self._deadline = deadline_in(VIEW_HOLDS)
+
 
 class Instances:
     """Knows the instances that serve, and says that this one does.
 
     ``process`` is the name of this process, another one after each start; ``is_listed``
-    says whether the log has acknowledged a record with it.
+    says whether the log has acknowledged a record with it. ``in_reserve`` is what the
+    last record said of this instance.
     """
 
     __slots__ = (
@@ -125,10 +170,12 @@
         "_log",
         "_looking",
         "_process",
+        "_renew_at",
         "_seen",
         "_settings",
         "_view",
         "_young_until",
+        "in_reserve",
         "is_listed",
         "tail",
     )
@@ -156,6 +203,8 @@
         self._view = None
         self._looking = None
         self.is_listed = False
+        self.in_reserve = False
+        self._renew_at = LONG_AGO
         self._young_until = deadline_in(YOUNG_FOR)
         self.tail = KeyedTail(log, TOPIC, self._take, READ_PAUSE, elsewhere)
 
@@ -163,10 +212,18 @@
         """Write the own record for as long as the process serves."""
         while True:
             serves = is_ready() and not self._leaving
-            if serves:
+            if serves and self._is_due:
+                self.in_reserve = not self.is_entry_point
+                pause = RESERVE_INTERVAL if self.in_reserve else RENEW_INTERVAL
+                self._renew_at = deadline_in(pause)
                 await self._write(self._document())
             await asyncio.sleep(RENEW_INTERVAL if serves else FIRST_INTERVAL)
 
+    @property
+    def _is_due(self):
+        """Whether the own record is to be written now."""
+        return passed(self._renew_at) or self.in_reserve == self.is_entry_point
+
     async def leave(self):
         """Drop the own record: callers get other addresses from now on."""
         self._leaving = True
@@ -176,16 +233,17 @@
 
     def addresses(self, zone):
         """Return the addresses for a caller in ``zone``, its own zone's first."""
-        alive = self._current.alive
-        if self._is_cut_off and len(alive) > 1:
-            alive = [one for one in alive if one.address != self._address]
-        near = [one for one in alive if one.zone == zone]
+        points = self._current.entry_points
+        if self._is_cut_off:
+            points = {
+                name: [one for one in part if one != self._address]
+                for name, part in points.items()
+            }
+        near = points.get(zone, [])
         if len(near) >= FEWEST_IN_ZONE:
-            return _entry_points(near)[:MOST_ADDRESSES]
-        zones = sorted({one.zone for one in alive}, key=lambda name: name != zone)
-        found = []
-        for name in zones:
-            found += _entry_points([one for one in alive if one.zone == name])
+            return near[:MOST_ADDRESSES]
+        names = sorted(points, key=lambda name: name != zone)
+        found = [address for name in names for address in points[name]]
         if not found and not self._leaving:
             found = [self._address]
         return found[:MOST_ADDRESSES]
@@ -197,8 +255,9 @@
         zones = {
             one.address: one.zone for one in view.alive if one.address != self._address
         }
-        found = [one for one in view.entry_points if one in zones]
-        if passed(self._young_until) or len(view.entry_points) <= FEW:
+        points = view.all_entry_points
+        found = [one for one in points if one in zones]
+        if passed(self._young_until) or len(points) <= FEW:
             random.shuffle(found)
         else:
             found.sort(key=self._order(view, READERS_KEY).index)
@@ -214,25 +273,31 @@
 
     @property
     def is_entry_point(self):
-        """Whether callers are sent here; also while no other instance is known.
+        """Whether callers are, or are to be, sent here; also while no other is known.
 
         Only entry points follow the steps: where many instances would, the log
         could not send every record to all of them.
         """
         view = self._current
         known = any(one.address == self._address for one in view.alive)
-        return not known or self._address in view.entry_points
+        if not known or self._address in view.called:
+            return True
+        return self._address in view.all_entry_points
 
     @property
     def entry_points(self):
         """How many instances callers are sent to."""
-        return len(self._current.entry_points)
+        return len(self._current.all_entry_points)
 
     @property
     def _current(self):
-        if self._view is None or not self._view.holds:
-            alive = [one for one in self._seen.values() if self._is_alive(one)]
-            self._view = _View(alive, deadline_in(VIEW_HOLDS))
+        if self._view is not None and self._view.holds:
+            return self._view
+        alive = [one for one in self._seen.values() if self._is_alive(one)]
+        if self._view is not None and self._view.alive == alive:
+            self._view.confirm()
+        else:
+            self._view = _View(alive)
         return self._view
 
     @property
@@ -292,7 +357,7 @@
     def _ranked(self, view, key):
         cores = {one.address: one.cores for one in view.alive}
         cores[self._address] = self._cores
-        points = view.entry_points
+        points = view.all_entry_points
         order = ranked(cores, key)
         order.sort(key=lambda address: (address not in points, -cores[address]))
         return order
@@ -306,12 +371,12 @@
         """
         failing_since = self.tail.failing_since
         reference = now() if failing_since is None else failing_since
-        if reference - one.at < LAPSE_AFTER:
+        if reference - one.at < one.lapses_after:
             return True
         silence = self.tail.silence
-        if silence is None or passed(silence.until + LAPSE_AFTER):
+        if silence is None or passed(silence.until + one.lapses_after):
             return False
-        return silence.since - one.at < LAPSE_AFTER
+        return silence.since - one.at < one.lapses_after
 
     def _document(self):
         document = {
@@ -321,6 +386,7 @@
             "cores": self._cores,
             "control": self._control,
             "process": self._process,
+            "reserve": self.in_reserve,
         }
         return json.dumps(document).encode()
 
@@ -337,20 +403,33 @@
             self._seen.pop(key, None)
             self._view = None
             return
+        known = self._seen.get(key)
+        if known is not None and known.data == value:
+            known.at = now()
+            return
         try:
-            seen = _Seen(json.loads(value))
+            self._seen[key] = _Seen(value)
         except MALFORMED as error:
             note("instance.record_unreadable", key=key, reason=repr(error)[:200])
             return
-        if key not in self._seen:
-            self._view = None
-        self._seen[key] = seen
+        self._view = None
 
 
 def _entry_points(near):
-    """Return the addresses in one zone that callers are sent to, the largest first."""
-    most = max(USUAL_IN_ZONE, len(near) // ZONE_PARTS)
-    cores = {one.address: one.cores for one in near}
-    order = ranked(cores, ENTRY_KEY)
-    order.sort(key=lambda address: -cores[address])
-    return order[:most]
+    """Return a zone's entry points, the largest first, as ``_Seen``s.
+
+    Those in reserve among them are to become entry points; they do not count, since
+    nobody knows whether they still live.
+    """
+    order = ranked(near, ENTRY_KEY, lambda one: one.address)
+    order.sort(key=lambda one: -one.cores)
+    wanted = sum(one.cores for one in near) / ZONE_PARTS
+    chosen, count, cores = [], 0, 0.0
+    for one in order:
+        if count >= USUAL_IN_ZONE and cores >= wanted:
+            break
+        chosen.append(one)
+        if not one.in_reserve:
+            count += 1
+            cores += one.cores
+    return chosen
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -7,15 +7,16 @@
 from sassafrasdoor import settings
 from sassafrasdoor.clock import LONG_AGO, now
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
+from sassafrasdoor.log.partitioned import split_keyed
 from sassafrasdoor.log.tail import Silence
 from sassafrasdoor.routing import instances as module
 from sassafrasdoor.routing.instances import Instances
 
 
-def instance(log, name, zone):
+def instance(log, name, zone, cores=1.0):
     place = {"name": name, "availability_zone": zone}
     found = settings.from_document({"instance": place})
-    return Instances(found, log, f"{name}:80", f"{name}:80")
+    return Instances(found, log, f"{name}:80", f"{name}:80", cores)
 
 
 class InstancesTest(unittest.IsolatedAsyncioTestCase):
@@ -222,7 +223,91 @@
             all(one.ranking("x") >= 9 for one in newcomers if not one.is_entry_point)
         )
 
+    async def test_few_large_instances_have_a_fifth_of_a_zones_processor(self):
+        sizes = [4.0] * 5 + [0.5] * 30
+        for at, cores in enumerate(sizes):
+            one = instance(self.log, f"i{10 + at}", "d", cores)
+            await one._write(one._document())
+        await self.read()
+        self.assertEqual(len(self.all[0].addresses("d")), module.USUAL_IN_ZONE)
+
     async def test_lonely_instance_names_itself(self):
         alone = instance(MemoryPartitionedLog(), "x", "a")
         self.assertEqual(alone.addresses("a"), ["x:80"])
         self.assertEqual(alone.ranking("x"), 0)
+
+
+class ReserveTest(unittest.IsolatedAsyncioTestCase):
+    """A zone of twelve instances, of which callers are sent to four."""
+
+    async def asyncSetUp(self):
+        self.log = MemoryPartitionedLog()
+        self.all = [instance(self.log, f"i{at}", "a") for at in range(12)]
+        for name in ("RENEW_INTERVAL", "VIEW_HOLDS"):
+            self.addCleanup(setattr, module, name, getattr(module, name))
+            setattr(module, name, 0.0)
+        for one in self.all:
+            await one._write(one._document())
+        await self.read()
+        self.tasks = {
+            one: asyncio.ensure_future(one.renew(lambda: True)) for one in self.all
+        }
+        for task in self.tasks.values():
+            self.addCleanup(task.cancel)
+        await self.settled(lambda: sum(one.in_reserve for one in self.all) == 8)
+
+    async def read(self):
+        for one in self.all:
+            await one.tail.poll(0)
+            await one.tail.poll(0)
+
+    async def settled(self, condition):
+        limit = now() + 20
+        while not condition():
+            self.assertLess(now(), limit)
+            await asyncio.sleep(0)
+            await self.read()
+
+    async def ends(self, one):
+        """Let an instance end without a word, and its record lapse at all."""
+        self.tasks[one].cancel()
+        await asyncio.sleep(0)
+        await self.read()
+        for other in self.all:
+            other._seen[one._address].at = LONG_AGO
+
+    async def test_instances_in_reserve_renew_seldom(self):
+        """Guards against a list whose reading costs grow with the square of a fleet."""
+        records = self.log.partition(module.TOPIC, 0).records
+        first = len(records)
+        await self.settled(lambda: len(records) > first + 100)
+        writers = {split_keyed(record)[0] for record in records[first:]}
+        self.assertEqual(writers, {one._key for one in self.all if not one.in_reserve})
+
+    async def test_one_in_reserve_takes_the_place_of_one_that_ended(self):
+        """Guards against a zone that runs out of entry points one death after another."""
+        for _ in range(3):
+            gone = next(one for one in self.all if not one.in_reserve)
+            await self.ends(gone)
+            self.all.remove(gone)
+            await self.settled(lambda: self.named_are_alive(4))
+
+    def named_are_alive(self, count):
+        alive = {one._address for one in self.all if not one.in_reserve}
+        return all(
+            len(one.addresses("a")) == count and set(one.addresses("a")) == alive
+            for one in self.all
+        )
+
+    async def test_one_in_reserve_is_not_named_before_it_has_said_that_it_lives(self):
+        """Guards against callers sent to an instance that ended seconds before."""
+        dead, *others = [one for one in self.all if one.in_reserve]
+        self.tasks[dead].cancel()
+        entry = next(one for one in self.all if not one.in_reserve)
+        for one in [*others, entry]:
+            await self.ends(one)
+        self.assertNotIn(dead._address, self.all[0].addresses("a"))
+
+
+if __name__ == "__main__":
+    unittest.main()
