Followers of the steps read when somebody asks, and idle loops wait for events

Of 1,650 calls a second to the store 850 came from the 37 instances that follow the steps: each append woke all of them.

Change: an instance that neither runs a shard nor has a reader waiting pauses 0.4 s between reads of it; a reader's call ends the pause, and while it waits there is none. A reader first gets a look at the shard's end if the last one is older than 0.1 s, so that it sees what was listed before it asked. Tails that are not wanted wait for an event instead of looking ten times a second, and so do claims; the controller of weights looks once a second where it does not order.

Tests: a reader ends a pause of a thousand seconds (fails without); a partition that is not wanted is not read, now by the event.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -1,6 +1,7 @@
 """Following one partition of a partitioned log, or the newest values of its keys."""
 
 import asyncio
+import contextlib
 
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
@@ -27,8 +28,6 @@
 the third is for a log that is slower than the others allow."""
 RETRY_PAUSE = 0.15
 """Seconds between tries while the log is away: back well within a second."""
-UNWANTED_PAUSE = 0.1
-"""Seconds between looks at whether a partition is wanted: a start waits for one."""
 CONFIRM_PAUSE = 0.05
 """Seconds between the reads of a caller who waits for a confirmation."""
 READS_SHARE = 0.4
@@ -69,21 +68,23 @@
 class Tail:
     """Hands each record of a partition to ``fold(offset, record)``, in order.
 
-    ``pause()`` (seconds) after each read bounds the reads of a busy partition;
-    ``wanted()`` says whether the partition is to be followed at all at this moment.
+    ``pause()`` (seconds) after each read bounds the reads of a busy partition, unless
+    somebody ``attends``; the partition is followed while the event ``wanted`` is set.
     ``confirmed_at`` is the monotonic time at which a read was sent that found
     nothing newer; ``failing_since`` is None while reads succeed; ``restored_at`` is
     when they last began to succeed again; ``silence`` is the last ``Silence`` that has
     ended, None before the first.
     """
 
-    def __init__(self, log, topic, part, fold, pause=lambda: 0.0, wanted=lambda: True):
-        self.wanted = wanted
+    def __init__(self, log, topic, part, fold, pause=lambda: 0.0, wanted=None):
+        self.wanted = wanted or _always()
         self._log = log
         self._topic = topic
         self._part = part
         self._fold = fold
         self._pause = pause
+        self._attending = 0
+        self._attended = asyncio.Event()
         self._failed_starts = 0
         self._running = False
         self._confirming = None
@@ -99,13 +100,29 @@
         """Follow until cancelled."""
         self._running = True
         while True:
-            if not self.wanted():
+            if not self.wanted.is_set():
                 self.confirmed_at = None
-                await asyncio.sleep(UNWANTED_PAUSE)
+                await self.wanted.wait()
             elif not await self.poll(LONG_POLL):
                 await asyncio.sleep(RETRY_PAUSE)
-            elif pause := self._pause():
-                await asyncio.sleep(pause)
+            elif not self._attending and (pause := self._pause()):
+                await self._rest(pause)
+
+    @contextlib.contextmanager
+    def attended(self):
+        """Read without pauses while somebody waits for new records."""
+        self._attending += 1
+        self._attended.set()
+        try:
+            yield
+        finally:
+            self._attending -= 1
+
+    async def _rest(self, seconds):
+        self._attended.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._attended.wait()
 
     async def poll(self, wait):
         """Read once; say whether the log answered."""
@@ -179,7 +196,7 @@
         Return True, or False after ``deadline``.
         """
         asked_at = now()
-        while not passed(deadline) and self.wanted():
+        while not passed(deadline) and self.wanted.is_set():
             if self.confirmed_at is not None and self.confirmed_at >= asked_at:
                 return True
             if not await self._confirm_once():
@@ -249,6 +266,12 @@
         self.silence = Silence(last, self.restored_at)
 
 
+def _always():
+    wanted = asyncio.Event()
+    wanted.set()
+    return wanted
+
+
 def _answers(asked):
     """Say whether a call that has ended was answered by the log."""
     return not isinstance(asked.result(), Unavailable)
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -100,23 +100,32 @@
         self.assertLessEqual(self.log.calls.count(("read", "t", 0)), 2)
 
     async def test_unwanted_partition_is_not_read(self):
-        """Symptom: every instance of many reads every record, and the log is too slow.
-
-        Sequence: 89 instances start together. Cause: each followed all shards,
-        though callers are sent to sixteen.
-        """
-        wanted = False
-        self.tail.wanted = lambda: wanted
+        """Guards against many instances that exceed what a log can send to readers."""
+        self.tail.wanted.clear()
         task = asyncio.ensure_future(self.tail.run())
         self.addCleanup(task.cancel)
         await self.append(b"a")
         self.assertFalse(await self.tail.confirm(deadline_in(0.2)))
         self.assertEqual(self.folded, [])
-        wanted = True
+        self.tail.wanted.set()
         async with asyncio.timeout(20):
             while not self.folded:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
 
+    async def test_reader_who_waits_ends_the_pause(self):
+        """Guards against samples that come a pause late to the trainer who waits."""
+        self.tail._pause = lambda: 1000.0
+        task = asyncio.ensure_future(self.tail.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(20):
+            while self.tail.confirmed_at is None:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            with self.tail.attended():
+                for count, data in enumerate((b"a", b"b", b"c"), start=1):
+                    await self.append(data)
+                    while len(self.folded) < count:  # noqa: ASYNC110
+                        await asyncio.sleep(0.01)
+
     async def test_outage_is_remembered_with_its_end(self):
         self.log.down = True
         await self.tail.poll(0)
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -51,6 +51,10 @@
 loads and items stay apart, and replicas that load refuse items."""
 FENCED_HANDOVER = 0.3
 """Seconds that an order of a lapsed holder may be on its way, at most."""
+FOLLOW_TICK = 0.2
+"""Seconds between looks at whether this instance should read the steps."""
+UNREAD_PAUSE = 0.4
+"""Seconds between reads of a shard that this process neither runs nor answers for."""
 FIRST_IDLE_LIMIT = 60.0
 """Seconds that a connection may idle before the operator's limit is known."""
 CLEANUP_INTERVAL = 10.0
@@ -76,6 +80,7 @@
         self._stop = asyncio.Event()
         self._started_at = now()
         self._has_had_turn = False
+        self._follows = asyncio.Event()
         self._servers = []
         self.closing = False
         self.in_flight = set()
@@ -113,8 +118,8 @@
                 TOPIC,
                 shard,
                 self._fold_of(shard),
-                self._steps_pause,
-                self._follows_steps,
+                self._pause_of(shard),
+                self._follows,
             )
             for shard in range(shards + 1)
         ]
@@ -131,7 +136,7 @@
             self._tails,
             member,
             self._rank,
-            self._runner.own,
+            self._gained,
             self._runner.disown,
             self._instances,
         )
@@ -153,6 +158,11 @@
         )
         self._replicas.list_tail = self._list
 
+    def _gained(self, shard):
+        self._runner.own(shard)
+        if shard == self._weights_shard:
+            self._mover.wake()
+
     def _relays(self):
         return self._peers.relays(self._instances.controls())
 
@@ -217,6 +227,7 @@
             self._mover.run(),
             self._runner.run(),
             self._shards.run(),
+            self._look_who_follows(),
             self._forget_old(),
             self._watch_settings(),
             *(tail.run() for tail in self._tails),
@@ -271,6 +282,14 @@
             server.conn_params.max_header_size = limits.header_bytes
             server.conn_params.max_body_size = limits.body_bytes
 
+    async def _look_who_follows(self):
+        while True:
+            if self._follows_steps():
+                self._follows.set()
+            else:
+                self._follows.clear()
+            await asyncio.sleep(FOLLOW_TICK)
+
     def _follows_steps(self):
         """Say whether this instance reads the steps' records itself.
 
@@ -319,12 +338,20 @@
         """
         return f"shard-{shard}" if self._replicas.count > ALONE_UP_TO else READERS_KEY
 
-    def _steps_pause(self):
-        return shared_pause(
-            self._instances.entry_points,
-            len(self._steps.used_shards),
-            self._settings.reads_per_second,
-        )
+    def _pause_of(self, shard):
+        """Return the pause between reads of a shard, as a function of no arguments."""
+
+        def pause():
+            shared = shared_pause(
+                self._instances.entry_points,
+                len(self._steps.used_shards),
+                self._settings.reads_per_second,
+            )
+            if self._shards.runs_here(shard):
+                return shared
+            return max(shared, UNREAD_PAUSE)
+
+        return pause
 
     def _fold_of(self, shard):
         return lambda offset, data: self._steps.fold(shard, offset, data)
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -29,6 +29,11 @@
 FRESH_WITHIN = 0.7
 """Seconds since the last read to a shard's end within which "nothing further" is
 believed; all instances must show within a second what one has shown."""
+READ_WITHIN = 0.1
+"""Seconds since the last read to a shard's end within which a reader gets what is known
+of its step without another look."""
+LOOK_TIMEOUT = 0.15
+"""Seconds for that look; a reader gets what is known if the log does not answer."""
 PAGE_BYTES = 900_000
 """Text in one page of samples; readers are promised at most 1 MB."""
 
@@ -139,17 +144,22 @@
         step = await self._find(step_id)
         if isinstance(step, Outcome):
             return step
-        while len(step.listed) <= first and not step.is_done:
-            if passed(wait_deadline):
-                break
-            await self._wait(step, wait_deadline)
-        if len(step.listed) <= first and not step.is_done:
-            # Another instance may have shown more already: one that has just
-            # started, or was cut off, is still reading what the log lists.
-            tail = self._tails[step.shard]
-            if not await tail.fresh(FRESH_WITHIN, deadline_in(CONFIRM_TIMEOUT)):
-                note("step.read_unsure", step=step_id, first=first)
-                return NotRun("the log cannot be read to its end", RETRY_PAUSE)
+        tail = self._tails[step.shard]
+        with tail.attended():
+            if not step.is_done:
+                await tail.fresh(READ_WITHIN, deadline_in(LOOK_TIMEOUT))
+            while len(step.listed) <= first and not step.is_done:
+                if passed(wait_deadline):
+                    break
+                await self._wait(step, wait_deadline)
+        # Another instance may have shown more already: one that has just started, or
+        # was cut off, is still reading what the log lists.
+        knows_all = len(step.listed) > first or step.is_done
+        if not knows_all and not await tail.fresh(
+            FRESH_WITHIN, deadline_in(CONFIRM_TIMEOUT)
+        ):
+            note("step.read_unsure", step=step_id, first=first)
+            return NotRun("the log cannot be read to its end", RETRY_PAUSE)
         return Page(first, self._fitting(step.listed[first:]), len(step.items))
 
     async def body(self, step_id, item_id):
--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -99,6 +99,8 @@
     async def run(self):
         """Claim and renew until cancelled."""
         while True:
+            # A process reads all shards or none; what is not read is not claimed.
+            await self._tails[0].wanted.wait()
             for shard in list(self._steps.used_shards):
                 if self._is_due(shard):
                     self._claim(shard)
--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -16,6 +16,8 @@
 from sassafrasdoor.weights import pace
 
 TICK = 0.1
+IDLE_TICK = 1.0
+"""Seconds between looks of a process that does not order loads."""
 LOADS_AT_ONCE = 2
 LOADS_SHARE = 0.4
 """Replicas that load together, at least, and as a share of a service's: with more, each
@@ -115,11 +117,15 @@
         if step.spec.model:
             self._demand[step.spec.model] = sum(item.tokens for item in step.spec.items)
 
+    def wake(self):
+        """Look again at once: this process has begun to order the loads."""
+        self._wake.set()
+
     async def run(self):
         """Order loads until cancelled."""
         while True:
             try:
-                async with asyncio.timeout(TICK):
+                async with asyncio.timeout(TICK if self._holder.fence else IDLE_TICK):
                     await self._wake.wait()
             except TimeoutError:
                 pass
