After a start of all, whoever is to run the steps reads them alone

Cause: one of each zone, five readers, read the steps side by side of a log that sends some 40 MB a second to all: shards were read to their ends at 0.2, 1.1, 2.0 and 2.5 s. And a shard that had been read waited up to 0.7 s more, since the list of instances, which tells that the former runner's instance has started again, is read that seldom.

Ruled out: decoding (7 MB in 0.14 s on this machine), the claims (two appends).

Change: the first in rank reads at once, one of each zone 0.35 s later, the others as before. In its first five seconds an instance that waits for such a record looks at the list each tenth of a second.

`test_whoever_has_just_started_looks_whether_others_have_too` fails without the look.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -51,8 +51,9 @@
 loads and items stay apart, and replicas that load refuse items."""
 FENCED_HANDOVER = 0.3
 """Seconds that an order of a lapsed holder may be on its way, at most."""
-FOLLOW_TICK = 0.2
-"""Seconds between looks at whether this instance should read the steps."""
+FOLLOW_TICK, FIRST_TICK = 0.2, 0.05
+"""Seconds between looks at whether this instance should read the steps, and before its
+turn to read them has come."""
 UNREAD_PAUSE = 0.4
 """Seconds between reads of a shard that this process neither runs nor answers for."""
 FIRST_IDLE_LIMIT = 60.0
@@ -79,7 +80,7 @@
         self._metrics_port = metrics_port
         self._stop = asyncio.Event()
         self._started_at = now()
-        self._has_had_turn = False
+        self._had_turn = False
         self._follows = asyncio.Event()
         self._servers = []
         self.closing = False
@@ -288,7 +289,8 @@
                 self._follows.set()
             else:
                 self._follows.clear()
-            await asyncio.sleep(FOLLOW_TICK)
+            waits = not (self._had_turn or self._instances.in_reserve)
+            await asyncio.sleep(FIRST_TICK if waits else FOLLOW_TICK)
 
     def _follows_steps(self):
         """Say whether this instance reads the steps' records itself.
@@ -302,17 +304,23 @@
             return True
         if not self._instances.is_entry_point:
             return False
-        if self._has_had_turn:
+        if self._had_turn:
             return True
         keys = {READERS_KEY, *map(self._ranked_for, range(self._weights_shard + 1))}
-        place = min(self._instances.place_in_zone(key) for key in keys)
+        place = min(map(self._instances.ranking, keys))
+        in_zone = min(map(self._instances.place_in_zone, keys))
         followers = self._instances.entry_points
-        turn = turn_comes_at(self._started_at, place, followers)
-        self._has_had_turn = passed(turn)
-        if self._has_had_turn:
-            waited = round(now() - self._started_at, 2)
-            note("steps.reading", place=place, followers=followers, seconds=waited)
-        return self._has_had_turn
+        turn = turn_comes_at(self._started_at, place, in_zone, followers)
+        self._had_turn = passed(turn)
+        if self._had_turn:
+            note(
+                "steps.reading",
+                place=place,
+                place_in_zone=in_zone,
+                followers=followers,
+                seconds=round(now() - self._started_at, 2),
+            )
+        return self._had_turn
 
     def _rank(self, shard):
         """Return this instance's place among those that could run a shard.
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -53,6 +53,8 @@
 for each question takes a part of the processor that grows with their number."""
 MALFORMED = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
 """What reading a record raises that another writer may have written."""
+LOOK_PAUSE = 0.1
+"""Seconds between looks whether an instance has started again, after the own start."""
 LOOK_TIMEOUT = 0.5
 """Seconds for a look whether an instance has started again; a slow log answers within
 0.25 s."""
@@ -322,15 +324,23 @@
         takes over waits for a lapse although all know that the former one is gone.
         """
         seen = self._seen.get(address)
-        if seen is None or seen.process in ("", process):
+        if seen is None or seen.process == "":
             return False
-        confirmed_at = self.tail.confirmed_at
-        if confirmed_at is not None and confirmed_at >= since:
+        confirmed_at = self.tail.confirmed_at or LONG_AGO
+        is_other = seen.process != process
+        if is_other and confirmed_at >= since:
             return True
+        # After a start of all instances the record that tells is about to be written.
+        is_awaited = not passed(self._young_until) and passed(confirmed_at + LOOK_PAUSE)
+        if is_other or is_awaited:
+            self._look()
+        return False
+
+    def _look(self):
+        """Read the list to its end, once at a time."""
         if self._looking is None or self._looking.done():
             look = self.tail.confirm(deadline_in(LOOK_TIMEOUT))
             self._looking = asyncio.ensure_future(look)
-        return False
 
     def ranking(self, key):
         """Return this instance's place among the living for ``key``, 0 for the first.
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -173,6 +173,22 @@
         self.assertFalse(reader.has_ended("i0:80", "i0:80/second", heard_at))
         self.assertFalse(reader.has_ended("elsewhere:80", "x", heard_at))
 
+    async def test_whoever_has_just_started_looks_whether_others_have_too(self):
+        """Guards against duties that wait for the next read of the list after a start."""
+        old, reader = self.all[0], self.all[1]
+        old._process = "i0:80/first"
+        await old._write(old._document())
+        await self.read()
+        old._process = "i0:80/second"
+        await old._write(old._document())
+        limit = now() + 20
+        while not reader.has_ended("i0:80", "i0:80/first", reader.tail.confirmed_at):
+            self.assertLess(now(), limit)
+            await asyncio.sleep(0.01)
+        reader._young_until = LONG_AGO
+        reader.has_ended("i0:80", "i0:80/second", reader.tail.confirmed_at)
+        self.assertTrue(reader._looking.done())
+
     async def test_one_order_serves_many_questions(self):
         """Symptom: with 300 instances each spends a seventh of a core on nothing.
 
