Calls that are relayed beside the direct way stay within a budget

In a second of the slow store 324 relayed reads are given up by those who asked.

Cause, for its part: where the log is slow or silent for all, each call that is late is made again through up to two other instances, which ask the same log. That adds to what made it slow, and outlives the cause.

Change: a call may be relayed beside the direct way only as a tenth of the direct ones, and six at once (`budget.Budget`). An instance that alone is cut off needs one relayed answer; from then on all its calls go that way, without the budget.

Test: a log that refuses every call of a hundred is asked through others less than 20 times (before: each time).

--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -11,6 +11,7 @@
 
 import asyncio
 
+from sassafrasdoor.budget import Budget
 from sassafrasdoor.clock import LONG_AGO, deadline_in, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.partitioned import PartitionedLog
@@ -29,20 +30,33 @@
 MOST_RELAYS = 2
 """Relays asked for one call; with a half of the instances cut off, three calls of four
 find one."""
+RELAY_SHARE, RELAY_BURST = 0.1, 6
+"""Relayed calls as a share of direct ones, and at once, while the direct way is in use:
+one that is answered takes all others along."""
 
 RELAYED = counter("log_relayed_calls_total", "Calls through a relay, by call, result.")
+DENIED = counter("log_relays_denied_total", "Calls that the budget did not relay.")
 
 
 class RelayedLog(PartitionedLog):
     """``direct`` is the log; ``relays()`` returns such logs of other instances."""
 
-    __slots__ = ("_away", "_back", "_direct", "_probe", "_probe_at", "_relays")
+    __slots__ = (
+        "_away",
+        "_back",
+        "_budget",
+        "_direct",
+        "_probe",
+        "_probe_at",
+        "_relays",
+    )
 
     def __init__(self, direct, relays):
         self._direct = direct
         self._relays = relays
         self._away = asyncio.Event()
         self._back = asyncio.Event()
+        self._budget = Budget(RELAY_SHARE, RELAY_BURST)
         self._probe = None
         self._probe_at = LONG_AGO
 
@@ -92,10 +106,12 @@
     async def _hedged(self, call, patience, relay):
         """Return the first answer of the log, or what became of both calls.
 
-        ``relay()`` begins the other call: after ``patience`` seconds, after a failure,
-        or once another call has found the log away. A read that waits for new records
-        would learn of that by its own time only, one and a half seconds later.
+        ``relay()`` begins the other call, if the budget allows it: after ``patience``
+        seconds, after a failure, or once another call has found the log away. A read
+        that waits for new records would learn of that by its own time only, one and a
+        half seconds later.
         """
+        self._budget.tried()
         direct = asyncio.ensure_future(call)
         relayed = None
         away = asyncio.ensure_future(self._away.wait())
@@ -107,6 +123,11 @@
             )
             if direct.done() and _answers(direct.result()):
                 return direct.result()
+            if not (self.is_away or self._budget.take()):
+                DENIED.inc({})
+                await asyncio.wait([direct, away], return_when=asyncio.FIRST_COMPLETED)
+                if direct.done():
+                    return direct.result()
             relayed = asyncio.ensure_future(relay())
             await asyncio.wait([direct, relayed], return_when=asyncio.FIRST_COMPLETED)
             if direct.done() and _answers(direct.result()):
--- a/sassafrasdoor/log/tests/test_relay.py
+++ b/sassafrasdoor/log/tests/test_relay.py
@@ -168,6 +168,14 @@
             await self.relayed.read("t", 0, 1, 0.02, 0.02)
         self.assertEqual(self.direct.short_reads, 1)
 
+    async def test_slow_log_is_not_asked_twice_for_each_call(self):
+        """Guards against a log that relays keep slow after its cause has gone."""
+        self.direct.answer = self.peer.answer = Unavailable("store answered 503")
+        for _ in range(100):
+            await self.append(seconds=0.1)
+        self.assertEqual(self.direct.calls, 100)
+        self.assertLess(self.peer.calls, 20)
+
     async def test_relays_that_reach_nothing_end_no_other_read(self):
         """Symptom: while the log is away for all, every instance takes several times
         the processor and asks it again and again.
--- /dev/null
+++ b/sassafrasdoor/tests/test_budget.py
@@ -0,0 +1,31 @@
+"""Repeats as a share of first tries."""
+
+import unittest
+
+from sassafrasdoor.budget import Budget
+
+
+class BudgetTest(unittest.TestCase):
+    def test_burst_is_allowed_at_once_and_no_more(self):
+        budget = Budget(share=0.1, burst=3)
+        self.assertEqual([budget.take() for _ in range(5)], [True] * 3 + [False] * 2)
+
+    def test_repeats_stay_a_share_of_first_tries(self):
+        """Guards against a slow server that is kept slow by repeats."""
+        budget = Budget(share=0.1, burst=3)
+        allowed = 0
+        for _ in range(1000):
+            budget.tried()
+            allowed += budget.take()
+        self.assertLessEqual(allowed, 3 + 100)
+        self.assertGreater(allowed, 95)
+
+    def test_quiet_times_save_no_more_than_a_burst(self):
+        budget = Budget(share=0.5, burst=2)
+        for _ in range(100):
+            budget.tried()
+        self.assertEqual(sum(budget.take() for _ in range(10)), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
