--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
@@ -70,8 +71,9 @@
 
     ``pause()`` (seconds) after each read bounds the reads of a busy partition, unless
     somebody ``attends``; the partition is followed while the event ``wanted`` is set.
-    ``confirmed_at`` is the monotonic time at which a read was sent that found
-    nothing newer; ``failing_since`` is None while reads succeed; ``restored_at`` is
+    ``end`` is the partition's end as it was last told, None before; ``skipped`` counts
+    the records that were gone before they were read. ``confirmed_at`` is the monotonic
+    time at which a read was sent that found nothing newer; ``failing_since`` is None while reads succeed; ``restored_at`` is
     when they last began to succeed again; ``silence`` is the last ``Silence`` that has
     ended, None before the first.
     """
@@ -88,9 +90,13 @@
         self._failed_starts = 0
         self._running = False
         self._confirming = None
-        self._started_at = now()
+        self._following_since = now()
         self._answered_at = LONG_AGO
+        self._bytes_read = 0
+        self._reads = Counter()
         self.offset = 0
+        self.end = None
+        self.skipped = 0
         self.confirmed_at = None
         self.failing_since = None
         self.restored_at = None
@@ -103,6 +109,7 @@
             if not self.wanted.is_set():
                 self.confirmed_at = None
                 await self.wanted.wait()
+                self._following_since = now()
             elif not await self.poll(LONG_POLL):
                 await asyncio.sleep(RETRY_PAUSE)
             elif not self._attending and (pause := self._pause()):
@@ -124,6 +131,23 @@
             async with asyncio.timeout(seconds):
                 await self._attended.wait()
 
+    def progress(self):
+        """Return how far the partition was read, as fields of a log line.
+
+        Seconds are ages; None stands for never.
+        """
+        return {
+            "part": self._part,
+            "followed": self.wanted.is_set(),
+            "following_seconds": _age(self._following_since),
+            "offset": self.offset,
+            "end": self.end,
+            "confirmed_seconds": _age(self.confirmed_at),
+            "failing_seconds": _age(self.failing_since),
+            "reads_answered": self._reads["answered"],
+            "reads_given_up": self._reads["given up"],
+        }
+
     async def poll(self, wait):
         """Read once; say whether the log answered."""
         sent_at = now()
@@ -137,8 +161,10 @@
         else:
             sent_at, result = await self._ask_again(lambda left: self._read(0, left))
         if isinstance(result, Unavailable):
+            self._reads["given up"] += 1
             self._note_failed(result)
             return False
+        self._reads["answered"] += 1
         self._note_answered()
         if isinstance(result, Expired):
             RESTARTS.inc({})
@@ -228,9 +254,12 @@
         return await self.confirm(deadline)
 
     def _expired(self, expired):
+        self.skipped += max(0, expired.first - self.offset)
         self.offset = max(self.offset, expired.first)
 
     def _fold_batch(self, batch):
+        self.end = batch.end if self.end is None else max(self.end, batch.end)
+        self._bytes_read += sum(map(len, batch.records))
         offset = batch.first
         for record in batch.records:
             # Two reads may overlap, a long one and one that confirms.
@@ -241,13 +270,15 @@
 
     def _note_caught_up(self):
         if self.confirmed_at is None:
-            seconds = round(now() - self._started_at, 3)
             note(
                 "log.caught_up",
                 topic=self._topic,
                 part=self._part,
                 records=self.offset,
-                seconds=seconds,
+                bytes=self._bytes_read,
+                seconds=_age(self._following_since),
+                reads_answered=self._reads["answered"],
+                reads_given_up=self._reads["given up"],
             )
 
     def _note_failed(self, result):
@@ -266,6 +297,10 @@
         self.silence = Silence(last, self.restored_at)
 
 
+def _age(moment):
+    return None if moment is None else round(now() - moment, 3)
+
+
 def _always():
     wanted = asyncio.Event()
     wanted.set()
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -15,6 +15,7 @@
 from sassafrasdoor.outcomes import NotRun, Rejected
 from sassafrasdoor.platform import steps as documents, wire
 from sassafrasdoor.platform.handlers import (
+    LOGGED_PATH,
     DirectoryHandler,
     ReadyHandler,
     WireHandler,
@@ -188,6 +189,13 @@
                 kind = reply.headers.get("Content-Type", wire.JSON_TYPE)
                 self._reply(200, [("Content-Type", kind)], reply.body)
                 return
+            note(
+                "request.handed_on_in_vain",
+                request=self._request_id,
+                path=self.request.path[:LOGGED_PATH],
+                reason=outcome.reason,
+                peer_known=reply is not None,
+            )
         self._own_failure(outcome)
 
     async def _ask_peer(self):
@@ -209,7 +217,13 @@
         )
         outcome = "broken" if isinstance(reply, Broken) else str(reply.status)
         HANDED.inc({"result": outcome})
-        note("request.handed_on", request=self._request_id, to=peers[0], result=outcome)
+        note(
+            "request.handed_on",
+            request=self._request_id,
+            path=self.request.path[:LOGGED_PATH],
+            to=peers[0],
+            result=outcome,
+        )
         return reply
 
     def _deadline(self):
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -158,7 +158,9 @@
         if not knows_all and not await tail.fresh(
             FRESH_WITHIN, deadline_in(CONFIRM_TIMEOUT)
         ):
-            note("step.read_unsure", step=step_id, first=first)
+            note(
+                "step.read_unsure", step=step_id, first=first, unread=[tail.progress()]
+            )
             return NotRun("the log cannot be read to its end", RETRY_PAUSE)
         return Page(first, self._fitting(step.listed[first:]), len(step.items))
 
@@ -210,9 +212,34 @@
         if not all(sure):
             outcome = NotRun("the log cannot be read to its end", RETRY_PAUSE)
         CALLS.inc({"call": "find", "outcome": type(outcome).__name__})
-        note("step.not_found", step=step_id, sure=all(sure))
+        note(
+            "step.not_found",
+            step=step_id,
+            sure=all(sure),
+            reason=self._why_unknown(step_id, all(sure)),
+            unread=self._unread(sure),
+        )
         return outcome
 
+    def _why_unknown(self, step_id, sure):
+        """Return why this instance does not know a step."""
+        reasons = (
+            (step_id in self._steps.forgotten, "forgotten"),
+            (any(one.skipped for one in self._tails), "records expired unread"),
+            (not self._tails[0].wanted.is_set(), "steps are not followed here"),
+            (not sure, "not read to the end"),
+            (True, "not kept"),
+        )
+        return next(reason for holds, reason in reasons if holds)
+
+    def _unread(self, sure):
+        """Return the progress of the followed shards whose end is not known."""
+        return [
+            tail.progress()
+            for tail, known in zip(self._tails, sure, strict=True)
+            if not known and tail.wanted.is_set()
+        ]
+
     async def _wait(self, step, deadline):
         waiter = asyncio.get_running_loop().create_future()
         step.waiters.add(waiter)
--- a/sassafrasdoor/steps/durable/state.py
+++ b/sassafrasdoor/steps/durable/state.py
@@ -12,6 +12,8 @@
 from sassafrasdoor.steps.durable import records
 
 MAX_STARTED_PARTS = 64
+MAX_FORGOTTEN = 4096
+"""Names of dropped steps that are kept, so that a line can say why one is unknown."""
 
 
 class Step:
@@ -137,7 +139,8 @@
     """All steps by id, over all shards; ``on_change(step)`` is told of each change.
 
     ``claims`` are the claims that count, by shard; ``used_shards`` maps each shard
-    that ever had a step to when this process learned of that.
+    that ever had a step to when this process learned of that; ``forgotten`` holds the
+    last steps that were dropped, by id.
     """
 
     __slots__ = (
@@ -146,6 +149,7 @@
         "_parts",
         "by_id",
         "claims",
+        "forgotten",
         "used_shards",
     )
 
@@ -153,6 +157,7 @@
         self.by_id = {}
         self.claims = {}
         self.used_shards = {}
+        self.forgotten = {}
         self._parts = {}
         self._callbacks = []
         self._claim_callbacks = []
@@ -188,6 +193,9 @@
         for step_id, step in list(self.by_id.items()):
             if step.seen_at < before and step.is_done:
                 del self.by_id[step_id]
+                self.forgotten[step_id] = now()
+        while len(self.forgotten) > MAX_FORGOTTEN:
+            self.forgotten.pop(next(iter(self.forgotten)))
 
     def _take_part(self, shard, offset, part):
         if part.step_id in self.by_id:
