--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -32,10 +32,15 @@
 
 
 class StoreStandin:
-    """The store; ``log`` has the faults, nothing is answered without ``answering``."""
+    """The store; ``log`` has the faults, nothing is answered without ``answering``.
 
-    def __init__(self):
-        self.log = MemoryPartitionedLog()
+    ``record_seconds`` maps topics to how long a read of one record takes; such a read
+    returns one at a time.
+    """
+
+    def __init__(self, log=None):
+        self.log = log or MemoryPartitionedLog()
+        self.record_seconds = {}
         self.answering = asyncio.Event()
         self.answering.set()
         routes = [
@@ -106,6 +111,10 @@
         if isinstance(result, Outcome):
             self._failed(result)
             return
+        seconds = self._store.record_seconds.get(partition[0])
+        if seconds and result.records:
+            del result.records[1:]
+            await asyncio.sleep(seconds)
         first = self._store.log.partition(*partition).first
         self.finish(batch_document(result, first))
 
