--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -131,6 +131,16 @@
             async with asyncio.timeout(seconds):
                 await self._attended.wait()
 
+    @property
+    def has_caught_up(self):
+        """Whether the end was read since the partition is followed."""
+        return self.confirmed_at is not None
+
+    @property
+    def is_starting(self):
+        """Whether what the partition keeps is still being read, or waits to be."""
+        return self._running and self.confirmed_at is None
+
     def progress(self):
         """Return how far the partition was read, as fields of a log line.
 
@@ -235,7 +245,7 @@
         While a start still reads what the log holds, a second read would bring the
         same megabytes again: instances that start together share what the log sends.
         """
-        if self._running and self.confirmed_at is None:
+        if self.is_starting:
             return False
         if self._confirming is None:
             self._confirming = asyncio.ensure_future(self.poll(0))
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -9,7 +9,7 @@
 
 from sassafrasdoor.backends.connections import Outgoing, Reply
 from sassafrasdoor.backends.interface import Answer, Broken
-from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import NotRun, Rejected
@@ -42,6 +42,10 @@
 PEER_TIMEOUT = 1.8
 """Seconds for the other instance: an append, which has 0.8, or a reader's wait of one
 second."""
+PEERS_TIMEOUT = 2.2
+"""Seconds for all that are asked for one call: its caller waits 1.5 seconds longer than
+the longest poll."""
+MOST_PEERS = 3
 LOT = re.compile(r"^/-/lots/([^/?]+)$")
 ITEM = re.compile(r"^/-/items/([^/?]+)$")
 
@@ -184,44 +188,57 @@
     async def _from_peer_or_failure(self, outcome):
         """Answer as another instance does if it can, else with the own failure."""
         if isinstance(outcome, NotRun) and self._elsewhere is not None:
-            reply = await self._while_present(self._ask_peer())
-            if isinstance(reply, Reply) and reply.status == 200:
+            reply = await self._while_present(self._first_answer(outcome.reason))
+            if self._left:
+                return
+            if reply is not None:
                 kind = reply.headers.get("Content-Type", wire.JSON_TYPE)
                 self._reply(200, [("Content-Type", kind)], reply.body)
                 return
-            note(
-                "request.handed_on_in_vain",
-                request=self._request_id,
-                path=self.request.path[:LOGGED_PATH],
-                reason=outcome.reason,
-                peer_known=reply is not None,
-            )
         self._own_failure(outcome)
 
+    async def _first_answer(self, reason):
+        """Return the ``Reply`` of the first peer that has an answer, or None."""
+        limit = deadline_in(PEERS_TIMEOUT)
+        peers = self._parts.instances.peers()[:MOST_PEERS]
+        for peer in peers:
+            reply = await self._ask(peer, min(limit, deadline_in(PEER_TIMEOUT)))
+            if isinstance(reply, Reply) and reply.status == 200:
+                return reply
+            if passed(limit):
+                break
+        note(
+            "request.handed_on_in_vain",
+            request=self._request_id,
+            path=self.request.path[:LOGGED_PATH],
+            reason=reason,
+            peers=peers,
+        )
+        return None
+
     async def _ask_peer(self):
         """Send this call to another instance; None where none is known."""
         peers = self._parts.instances.peers()
-        if not peers:
-            return None
+        return await self._ask(peers[0], deadline_in(PEER_TIMEOUT)) if peers else None
+
+    async def _ask(self, peer, deadline):
         pairs = wire.header_pairs(self.request.headers, wire.NOT_SENT_ON)
         headers = {**dict(pairs), HANDED_ON: "1"}
-        reply = await self._parts.connections.send(
-            peers[0],
-            Outgoing(
-                self.request.method,
-                self.request.uri,
-                headers,
-                self.request.body,
-                deadline_in(PEER_TIMEOUT),
-            ),
+        call = Outgoing(
+            self.request.method,
+            self.request.uri,
+            headers,
+            self.request.body,
+            deadline,
         )
+        reply = await self._parts.connections.send(peer, call)
         outcome = "broken" if isinstance(reply, Broken) else str(reply.status)
         HANDED.inc({"result": outcome})
         note(
             "request.handed_on",
             request=self._request_id,
             path=self.request.path[:LOGGED_PATH],
-            to=peers[0],
+            to=peer,
             result=outcome,
         )
         return reply
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -289,9 +289,15 @@
                 self._follows.set()
             else:
                 self._follows.clear()
+            self._instances.has_read = self._has_read_steps
             waits = not (self._had_turn or self._instances.in_reserve)
             await asyncio.sleep(FIRST_TICK if waits else FOLLOW_TICK)
 
+    @property
+    def _has_read_steps(self):
+        steps = self._tails[: self._weights_shard]
+        return self._follows.is_set() and all(one.has_caught_up for one in steps)
+
     def _follows_steps(self):
         """Say whether this instance reads the steps' records itself.
 
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import random
 
@@ -75,7 +76,11 @@
 
 
 class _Seen:
-    """A record as it was last read: ``data`` at ``at``, monotonic."""
+    """A record as it was last read: ``data`` at ``at``, monotonic.
+
+    ``is_renewed`` says whether it was written since this process follows the list; one
+    of before may be of a process that ended with all others.
+    """
 
     __slots__ = (
         "address",
@@ -83,13 +88,15 @@
         "control",
         "cores",
         "data",
+        "has_read",
         "in_reserve",
+        "is_renewed",
         "process",
         "region",
         "zone",
     )
 
-    def __init__(self, data):
+    def __init__(self, data, is_renewed):
         document = json.loads(data)
         self.data = data
         self.address = _text(document, "address")
@@ -100,6 +107,8 @@
         self.control = _text({"control": "", **document}, "control")
         self.process = _text({"process": "", **document}, "process")
         self.in_reserve = document.get("reserve") is True
+        self.has_read = document.get("read") is True
+        self.is_renewed = is_renewed
         self.at = now()
 
     @property
@@ -160,21 +169,25 @@
 
     ``process`` is the name of this process, another one after each start; ``is_listed``
     says whether the log has acknowledged a record with it. ``in_reserve`` is what the
-    last record said of this instance.
+    last record said of this instance. ``has_read`` is set from outside: whether this
+    process has read the steps to their end and follows them.
     """
 
     __slots__ = (
         "_address",
         "_control",
         "_cores",
+        "_has_read",
         "_key",
         "_leaving",
         "_log",
         "_looking",
+        "_news",
         "_process",
         "_renew_at",
         "_seen",
         "_settings",
+        "_told_read",
         "_view",
         "_young_until",
         "in_reserve",
@@ -207,9 +220,22 @@
         self.is_listed = False
         self.in_reserve = False
         self._renew_at = LONG_AGO
+        self._has_read = self._told_read = False
+        self._news = asyncio.Event()
         self._young_until = deadline_in(YOUNG_FOR)
         self.tail = KeyedTail(log, TOPIC, self._take, READ_PAUSE, elsewhere)
 
+    @property
+    def has_read(self):
+        """Whether this process has read the steps to their end and follows them."""
+        return self._has_read
+
+    @has_read.setter
+    def has_read(self, value):
+        if value != self._has_read:
+            self._has_read = value
+            self._news.set()
+
     async def renew(self, is_ready):
         """Write the own record for as long as the process serves."""
         while True:
@@ -218,13 +244,23 @@
                 self.in_reserve = not self.is_entry_point
                 pause = RESERVE_INTERVAL if self.in_reserve else RENEW_INTERVAL
                 self._renew_at = deadline_in(pause)
+                self._told_read = self._has_read
                 await self._write(self._document())
-            await asyncio.sleep(RENEW_INTERVAL if serves else FIRST_INTERVAL)
+            await self._rest(RENEW_INTERVAL if serves else FIRST_INTERVAL)
+
+    async def _rest(self, seconds):
+        """Wait until the own record may be due."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._news.wait()
+        self._news.clear()
 
     @property
     def _is_due(self):
         """Whether the own record is to be written now."""
-        return passed(self._renew_at) or self.in_reserve == self.is_entry_point
+        has_changed = self._told_read != self._has_read
+        is_misplaced = self.in_reserve == self.is_entry_point
+        return passed(self._renew_at) or has_changed or is_misplaced
 
     async def leave(self):
         """Drop the own record: callers get other addresses from now on."""
@@ -251,7 +287,10 @@
         return found[:MOST_ADDRESSES]
 
     def peers(self):
-        """Return the addresses of other entry points, those of this zone first."""
+        """Return the addresses of other entry points.
+
+        Those that have read the steps come first, of these the ones of this zone.
+        """
         zone = self._settings.availability_zone
         view = self._current
         zones = {
@@ -263,9 +302,13 @@
             random.shuffle(found)
         else:
             found.sort(key=self._order(view, READERS_KEY).index)
-        found.sort(key=lambda address: zones[address] != zone)
+        read = self._readers(view)
+        found.sort(key=lambda address: (address not in read, zones[address] != zone))
         return found
 
+    def _readers(self, view):
+        return {one.address for one in view.alive if one.has_read and one.is_renewed}
+
     def controls(self):
         """Return where those peers serve other instances, in the same order."""
         # The list may change between two looks at it: the peers' addresses come first.
@@ -397,6 +440,7 @@
             "control": self._control,
             "process": self._process,
             "reserve": self.in_reserve,
+            "read": self._has_read,
         }
         return json.dumps(document).encode()
 
@@ -416,9 +460,10 @@
         known = self._seen.get(key)
         if known is not None and known.data == value:
             known.at = now()
+            known.is_renewed = known.is_renewed or self.tail.loaded
             return
         try:
-            self._seen[key] = _Seen(value)
+            self._seen[key] = _Seen(value, is_renewed=self.tail.loaded)
         except MALFORMED as error:
             note("instance.record_unreadable", key=key, reason=repr(error)[:200])
             return
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -1,6 +1,7 @@
 """Which instances callers are sent to."""
 
 import asyncio
+import json
 import unittest
 from unittest import mock
 
@@ -110,6 +111,50 @@
             for at in set(members) - {first}:
                 self.assertEqual(self.all[at].peers()[0], f"i{first}:80")
 
+    async def tell_read(self, *ats):
+        for at in ats:
+            self.all[at].has_read = True
+            await self.all[at]._write(self.all[at]._document())
+        await self.read()
+
+    async def test_calls_are_handed_to_those_that_have_read(self):
+        """Guards against steps that nobody reads although one instance has."""
+        await self.tell_read(1)
+        for at in (0, 2, 3, 4):
+            for _ in range(5):
+                self.assertEqual(self.all[at].peers()[0], "i1:80")
+        await self.tell_read(2)
+        self.assertEqual(self.all[0].peers()[:2], ["i2:80", "i1:80"])
+
+    async def test_record_of_before_the_start_tells_nothing_of_reading(self):
+        """Guards against trust in what instances had read before all lost power."""
+        await self.tell_read(0, 1, 2, 3, 4)
+        started = instance(self.log, "i4", "a")
+        await started.tail.poll(0)
+        others = [started.peers()[0] for _ in range(20)]
+        self.assertGreater(len(set(others)), 1)
+        self.all[1].has_read = True
+        await self.all[1]._write(self.all[1]._document())
+        await started.tail.poll(0)
+        self.assertEqual(started.peers()[0], "i1:80")
+
+    async def test_reading_is_told_at_once(self):
+        """Guards against callers that are refused for the time between renewals."""
+        one = self.all[0]
+        task = asyncio.ensure_future(one.renew(lambda: True))
+        self.addCleanup(task.cancel)
+        records = self.log.partition(module.TOPIC, 0).records
+        written = len(records)
+        while len(records) == written:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        for value in (True, False):
+            written, one.has_read = len(records), value
+            async with asyncio.timeout(module.RENEW_INTERVAL / 2):
+                while len(records) == written:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+            told = json.loads(split_keyed(records[-1])[1])
+            self.assertIs(told["read"], value)
+
     async def test_process_is_listed_as_soon_as_it_is_ready(self):
         """Symptom: nothing runs for a second and more after all processes have ended.
 
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -145,6 +145,8 @@
         if isinstance(step, Outcome):
             return step
         tail = self._tails[step.shard]
+        if tail.is_starting and len(step.listed) <= first and not step.is_done:
+            return self._unsure(step, first)
         with tail.attended():
             if not step.is_done:
                 await tail.fresh(READ_WITHIN, deadline_in(LOOK_TIMEOUT))
@@ -158,12 +160,19 @@
         if not knows_all and not await tail.fresh(
             FRESH_WITHIN, deadline_in(CONFIRM_TIMEOUT)
         ):
-            note(
-                "step.read_unsure", step=step_id, first=first, unread=[tail.progress()]
-            )
-            return NotRun("the log cannot be read to its end", RETRY_PAUSE)
+            return self._unsure(step, first)
         return Page(first, self._fitting(step.listed[first:]), len(step.items))
 
+    def _unsure(self, step, first):
+        """Return the refusal of a page of which this instance may lack samples."""
+        note(
+            "step.read_unsure",
+            step=step.spec.step_id,
+            first=first,
+            unread=[self._tails[step.shard].progress()],
+        )
+        return NotRun("the log cannot be read to its end", RETRY_PAUSE)
+
     async def body(self, step_id, item_id):
         """Return the body of an item, ``NotFound`` or ``NotRun``."""
         step = await self._find(step_id)
@@ -202,8 +211,10 @@
         if step is not None:
             return step
         # A step may have been accepted elsewhere a moment ago. Only a read that
-        # finds the end of every shard makes "no such step" true.
-        limit = deadline_in(CONFIRM_TIMEOUT)
+        # finds the end of every shard makes "no such step" true. While megabytes are
+        # still to be read, another instance can tell sooner.
+        is_starting = any(tail.is_starting for tail in self._tails)
+        limit = now() if is_starting else deadline_in(CONFIRM_TIMEOUT)
         sure = await asyncio.gather(*(tail.confirm(limit) for tail in self._tails))
         step = self._steps.by_id.get(step_id)
         if step is not None:
