--- a/sassafrasdoor/log/turns.py
+++ b/sassafrasdoor/log/turns.py
@@ -1,28 +1,25 @@
 """In which order instances that start together read what the log keeps.
 
-Load pattern: all instances lose power and come back within half a second, and each of
-those that follow the steps reads megabytes, which the log sends to all of them at one
-rate. Where many read at once the first is done only when the last one is.
+Load pattern: all instances lose power and come back within half a second, or many are
+restarted in turn, and each of those that follow the steps reads megabytes, which the log
+sends to all of them at one rate. Where many read at once the first is done only when the
+last one is, and no step is read or run until then.
 
-The instance that is to run the steps reads alone, then one of each other availability
-zone, which answers for its neighbours, then the neighbours one after the other; they
-hand their callers on meanwhile.
+So the first in rank reads alone, and once somebody has read, a few at a time follow in
+order of rank. The others hand their callers on to those that have read.
 """
 
-HEAD_START = 0.35
-"""Seconds for which the first instance reads alone."""
-TURN = 1.0
-"""Seconds between the turns of a zone's instances."""
-FEW = 12
-"""Instances that may read at once."""
+AT_ONCE = 3
+"""Instances that may read side by side once somebody has read."""
+PATIENCE = 3.0
+"""Seconds granted to each instance that comes before: it may be gone or stand still."""
 
 
-def turn_comes_at(started_at, place, place_in_zone, followers):
-    """Return when an instance may begin to read, monotonic like ``started_at``.
+def may_read(ahead, somebody_has_read, unchanged_since, moment):
+    """Say whether an instance may begin to read what the log keeps at a ``moment``.
 
-    ``place`` is its place among all instances that follow, ``place_in_zone`` that among
-    those of its zone, 0 for the first; ``followers`` is how many follow in all.
+    ``ahead`` is how many instances that come before it are not known to have read, and
+    ``unchanged_since`` when that number was seen first. Times are monotonic.
     """
-    if followers <= FEW or place == 0:
-        return started_at
-    return started_at + HEAD_START + place_in_zone * TURN
+    too_many = ahead - (AT_ONCE if somebody_has_read else 1) + 1
+    return too_many <= 0 or moment >= unchanged_since + too_many * PATIENCE
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -11,7 +11,7 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.relay import RelayedLog
 from sassafrasdoor.log.tail import KeyedTail, Tail, shared_pause
-from sassafrasdoor.log.turns import turn_comes_at
+from sassafrasdoor.log.turns import may_read
 from sassafrasdoor.platform import (
     configuration,
     front,
@@ -79,7 +79,7 @@
         self._settings_stamp = platform_settings.stamp(path)
         self._metrics_port = metrics_port
         self._stop = asyncio.Event()
-        self._started_at = now()
+        self._waiting_since = self._unchanged_since = self._unread_ahead = None
         self._had_turn = False
         self._follows = asyncio.Event()
         self._servers = []
@@ -302,32 +302,39 @@
         """Say whether this instance reads the steps' records itself.
 
         A process that runs a shard does so also when callers are sent elsewhere: it
-        must learn of ended steps. After a start the others wait for their turn.
+        must learn of ended steps. The others wait for their turn, after a start and
+        when callers are to be sent here from now on.
         """
         if not self._instances.tail.loaded:
             return False
         if self._shards.holding:
             return True
         if not self._instances.is_entry_point:
+            self._waiting_since = self._unread_ahead = None
+            self._had_turn = False
             return False
-        if self._had_turn:
-            return True
-        keys = {READERS_KEY, *map(self._ranked_for, range(self._weights_shard + 1))}
-        place = min(map(self._instances.ranking, keys))
-        in_zone = min(map(self._instances.place_in_zone, keys))
-        followers = self._instances.entry_points
-        turn = turn_comes_at(self._started_at, place, in_zone, followers)
-        self._had_turn = passed(turn)
-        if self._had_turn:
-            note(
-                "steps.reading",
-                place=place,
-                place_in_zone=in_zone,
-                followers=followers,
-                seconds=round(now() - self._started_at, 2),
-            )
+        if not self._had_turn:
+            self._waiting_since = self._waiting_since or now()
+            self._had_turn = self._turn_has_come()
         return self._had_turn
 
+    def _turn_has_come(self):
+        keys = {READERS_KEY, *map(self._ranked_for, range(self._weights_shard + 1))}
+        ahead = min(map(self._instances.unread_before, keys))
+        others = self._instances.somebody_has_read
+        if ahead != self._unread_ahead:
+            self._unread_ahead, self._unchanged_since = ahead, now()
+        if not may_read(ahead, others, self._unchanged_since, now()):
+            return False
+        note(
+            "steps.reading",
+            ahead=ahead,
+            somebody_has_read=others,
+            followers=self._instances.entry_points,
+            seconds=round(now() - self._waiting_since, 2),
+        )
+        return True
+
     def _rank(self, shard):
         """Return this instance's place among those that could run a shard.
 
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -17,7 +17,6 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.partitioned import keyed_record
 from sassafrasdoor.log.tail import KeyedTail
-from sassafrasdoor.log.turns import FEW
 from sassafrasdoor.outcomes import Outcome
 from sassafrasdoor.rendezvous import ranked
 
@@ -39,6 +38,8 @@
 """Seconds between reads of the list: renewals are gathered in one answer."""
 WRITE_TIMEOUT = 1.5
 MOST_ADDRESSES = 64
+FEW = 12
+"""Entry points among which calls are handed on at random also after the own start."""
 USUAL_IN_ZONE, ZONE_PARTS = 4, 5
 """Callers of a zone are sent to four instances, or to as many as have a fifth of its
 processor: each keeps connections of its own to every replica."""
@@ -306,6 +307,19 @@
         found.sort(key=lambda address: (address not in read, zones[address] != zone))
         return found
 
+    @property
+    def somebody_has_read(self):
+        """Whether another entry point is known to have read the steps."""
+        return bool(self._readers(self._current))
+
+    def unread_before(self, key):
+        """Return how many entry points that come before this one for ``key`` are not
+        known to have read the steps."""
+        view = self._current
+        order = self._order(view, key)
+        before = set(order[: order.index(self._address)])
+        return len(before & view.all_entry_points - self._readers(view))
+
     def _readers(self, view):
         return {one.address for one in view.alive if one.has_read and one.is_renewed}
 
@@ -394,14 +408,6 @@
         """
         return self._order(self._current, key).index(self._address)
 
-    def place_in_zone(self, key):
-        """Return this instance's place among those of its zone in that order."""
-        view = self._current
-        zones = {one.address: one.zone for one in view.alive}
-        zone = zones[self._address] = self._settings.availability_zone
-        near = [one for one in self._order(view, key) if zones[one] == zone]
-        return near.index(self._address)
-
     def _order(self, view, key):
         if key not in view.rankings:
             view.rankings[key] = self._ranked(view, key)
