--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -14,6 +14,7 @@
 from sassafrasdoor.budget import Budget
 from sassafrasdoor.clock import LONG_AGO, deadline_in, passed, remaining
 from sassafrasdoor.decisions import note
+from sassafrasdoor.log.demand import PROBE, asked_for
 from sassafrasdoor.log.partitioned import PartitionedLog
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Outcome, ReplyLost, Unavailable
@@ -200,7 +201,8 @@
 
     async def _probed(self, topic, part, offset):
         try:
-            found = await self._direct.read(topic, part, offset, 0, ASK_AFTER)
+            with asked_for(PROBE):
+                found = await self._direct.read(topic, part, offset, 0, ASK_AFTER)
             if not isinstance(found, Unavailable):
                 self._go_directly("it answers")
                 self._back.set()
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -6,6 +6,7 @@
 
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
+from sassafrasdoor.log.demand import AGAIN, CONFIRM, FOLLOW, LOAD, START, asked_for
 from sassafrasdoor.log.partitioned import NewestKeys, split_keyed
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Expired, Unavailable
@@ -164,12 +165,17 @@
         if self._reads_all:
             # Megabytes to read: asked for twice, they would take twice as long.
             slack = START_SLACKS[self._failed_starts % len(START_SLACKS)]
-            result = await self._read(0, slack)
+            with asked_for(START):
+                result = await self._read(0, slack)
             self._failed_starts += isinstance(result, Unavailable)
         elif self.failing_since is None:
-            result = await self._read(wait, SLACK)
+            with asked_for(FOLLOW if wait else CONFIRM):
+                result = await self._read(wait, SLACK)
         else:
-            sent_at, result = await self._ask_again(lambda left: self._read(0, left))
+            with asked_for(AGAIN):
+                sent_at, result = await self._ask_again(
+                    lambda left: self._read(0, left)
+                )
         if isinstance(result, Unavailable):
             self._reads["given up"] += 1
             self._note_failed(result)
@@ -365,10 +371,11 @@
 
     async def _load(self):
         sent_at = now()
-        if self.failing_since is None:
-            newest = await self._log.newest(self._topic)
-        else:
-            sent_at, newest = await self._ask_again(self._newest)
+        with asked_for(LOAD):
+            if self.failing_since is None:
+                newest = await self._log.newest(self._topic)
+            else:
+                sent_at, newest = await self._ask_again(self._newest)
         if isinstance(newest, Unavailable):
             self._note_failed(newest)
             await self._load_elsewhere()
--- /dev/null
+++ b/sassafrasdoor/log/tests/test_demand.py
@@ -0,0 +1,91 @@
+"""What is asked of the log is told apart by what it is asked for."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.log import demand as module
+from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
+from sassafrasdoor.log.tail import KeyedTail, Tail
+
+
+class CountedLog(MemoryPartitionedLog):
+    """Counts its calls as the platform's store does."""
+
+    def __init__(self):
+        super().__init__()
+        self.demand = module.Demand()
+
+    async def read(self, *arguments):
+        """Read on, counted."""
+        return await self._counted("read", super().read(*arguments))
+
+    async def newest(self, topic):
+        """Return the newest values, counted."""
+        return await self._counted("newest", super().newest(topic))
+
+    async def _counted(self, name, call):
+        purpose = self.demand.begin(name)
+        result = await call
+        self.demand.end(purpose, not self.down, 2048)
+        return result
+
+
+class DemandTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.log = CountedLog()
+
+    def reported(self):
+        with mock.patch.object(module, "note_routine") as line:
+            self.log.demand.report()
+        return line.call_args.kwargs
+
+    async def test_reads_of_a_tail_are_told_apart(self):
+        tail = Tail(self.log, "t", 0, lambda at, data: None)
+        await tail.poll(0.01)
+        await tail.poll(0.01)
+        await tail.poll(0)
+        self.log.down = True
+        for _ in range(2):
+            await tail.poll(0)
+        expected = {
+            "open": 0,
+            "start": [1, 0, 2],
+            "follow": [1, 0, 2],
+            "confirm": [2, 1, 4],
+            "again": [1, 1, 2],
+        }
+        self.assertEqual(self.reported(), expected)
+
+    async def test_load_is_told_apart(self):
+        tail = KeyedTail(self.log, "keyed.t", lambda key, value: None)
+        await tail.poll(0.01)
+        await tail.poll(0.01)
+        expected = {"open": 0, "load": [1, 0, 2], "follow": [1, 0, 2]}
+        self.assertEqual(self.reported(), expected)
+
+    async def test_line_tells_what_came_since_the_last_one(self):
+        await self.log.read("t", 0, 0, 0, 1.0)
+        self.assertIn("read", self.reported())
+        self.assertEqual(self.reported(), {"open": 0})
+
+    async def test_call_under_way_is_open(self):
+        waiting = asyncio.ensure_future(self.log.read("t", 0, 0, 5.0, 1.0))
+        await asyncio.sleep(0)
+        self.assertEqual(self.reported(), {"open": 1})
+        await self.log.append("t", 0, [b"a"], deadline_in(1))
+        await waiting
+        self.assertEqual(self.reported()["open"], 0)
+
+    async def test_purpose_holds_in_tasks_of_its_block_alone(self):
+        with module.asked_for(module.RELAY):
+            task = asyncio.ensure_future(self.log.read("t", 0, 0, 0, 1.0))
+        await self.log.read("t", 0, 0, 0, 1.0)
+        await task
+        expected = {"open": 0, "relay": [1, 0, 2], "read": [1, 0, 2]}
+        self.assertEqual(self.reported(), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sassafrasdoor/platform/peers.py
+++ b/sassafrasdoor/platform/peers.py
@@ -9,6 +9,7 @@
 import random
 
 from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.log.demand import RELAY, asked_for
 from sassafrasdoor.outcomes import Expired, Outcome, ReplyLost, Unavailable
 from sassafrasdoor.platform.handlers import WireHandler
 from sassafrasdoor.platform.store import (
@@ -88,6 +89,10 @@
 
     async def get(self):
         """Read on; answers only what the store itself has said."""
+        with asked_for(RELAY):
+            await self._read()
+
+    async def _read(self):
         wait = min(LONGEST_READ, int(self.get_query_argument("WaitMs", "0")) / 1000)
         offset = int(self.get_query_argument("From"))
         store = self._parts.store
@@ -107,9 +112,10 @@
         if not records:
             self._reply(400)
             return
-        result = await self._parts.store.append(
-            *self._partition(), records, deadline_in(TIMEOUT)
-        )
+        with asked_for(RELAY):
+            result = await self._parts.store.append(
+                *self._partition(), records, deadline_in(TIMEOUT)
+            )
         if isinstance(result, ReplyLost):
             self._reply(UNKNOWN)
         elif isinstance(result, Outcome):
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -9,6 +9,7 @@
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
+from sassafrasdoor.log.demand import Demand
 from sassafrasdoor.log.relay import RelayedLog
 from sassafrasdoor.log.tail import KeyedTail, Tail, shared_pause
 from sassafrasdoor.log.turns import may_read
@@ -59,6 +60,8 @@
 FIRST_IDLE_LIMIT = 60.0
 """Seconds that a connection may idle before the operator's limit is known."""
 CLEANUP_INTERVAL = 10.0
+REPORT_INTERVAL = 5.0
+"""Seconds between lines of what was asked of the log."""
 SETTINGS_INTERVAL = 1.0
 """Seconds between looks at the settings file; a look is one call to the kernel."""
 MOST_FINDINGS = 5
@@ -89,7 +92,8 @@
 
     def _build(self):
         settings = self._settings
-        self._store = Store(settings.store)
+        self._demand = Demand()
+        self._store = Store(settings.store, self._demand)
         self._peers = Peers(settings.peers)
         self._log = RelayedLog(self._store, self._relays)
         self._client = WireReplicas()
@@ -231,6 +235,7 @@
             self._look_who_follows(),
             self._forget_old(),
             self._watch_settings(),
+            self._report_demand(),
             *(tail.run() for tail in self._tails),
             *(outbox.run() for outbox in self._outboxes),
         ]
@@ -382,6 +387,11 @@
             await asyncio.sleep(CLEANUP_INTERVAL)
             self._steps.forget(now() - self._settings.results_kept - KEEP_MARGIN)
 
+    async def _report_demand(self):
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL)
+            self._demand.report()
+
     async def _watch_settings(self):
         """Reload a settings file that was changed without a signal."""
         while True:
--- a/sassafrasdoor/platform/store.py
+++ b/sassafrasdoor/platform/store.py
@@ -8,6 +8,7 @@
 from sassafrasdoor.backends.connections import Connections, Outgoing
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.log.demand import Demand
 from sassafrasdoor.log.partitioned import (
     Appended,
     NewestKeys,
@@ -30,12 +31,13 @@
 
 
 class Store(PartitionedLog):
-    """Calls to the store at one address."""
+    """Calls to the store at one address; ``demand`` counts them by purpose."""
 
-    __slots__ = ("_address", "_connections")
+    __slots__ = ("_address", "_connections", "_demand")
 
-    def __init__(self, address):
+    def __init__(self, address, demand=None):
         self._address = address
+        self._demand = demand or Demand()
         self._connections = Connections()
 
     def close(self):
@@ -106,9 +108,17 @@
             path += "?" + urllib.parse.urlencode(query)
         headers = {"Host": self._address, **(JSON_HEADERS if body else {})}
         request = Outgoing(method, path, headers, body, deadline)
-        reply = await self._connections.send(self._address, request)
-        if isinstance(reply, Broken):
-            self._connections.forget(self._address)
+        purpose = self._demand.begin(name)
+        reply, size = None, 0
+        try:
+            reply = await self._connections.send(self._address, request)
+            if isinstance(reply, Broken):
+                self._connections.forget(self._address)
+            else:
+                size = len(reply.body)
+        finally:
+            answered = reply is not None and not isinstance(reply, Broken)
+            self._demand.end(purpose, answered and reply.status == OK, size)
         result = "broken" if isinstance(reply, Broken) else str(reply.status)
         CALLS.inc({"call": name, "result": result})
         return reply
