--- /dev/null
+++ b/sassafrasdoor/log/tests/virtual.py
@@ -0,0 +1,134 @@
+"""Virtual time, and a log that sends its readers a bounded number of bytes."""
+
+import asyncio
+import selectors
+from unittest import mock
+
+from sassafrasdoor import clock
+from sassafrasdoor.log import tail
+from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
+from sassafrasdoor.log.partitioned import PartitionedLog, RawBatch
+from sassafrasdoor.outcomes import Unavailable
+
+LOAD_TIMEOUT = 2.0
+"""Seconds for a load of the newest values, as of the platform's store."""
+DELAY = 0.004
+MEGABYTE = 1_000_000
+HEADER = 200
+
+
+class _Skipping(selectors.SelectSelector):
+    """Sleeps by moving the time on."""
+
+    def __init__(self):
+        super().__init__()
+        self.time = 0.0
+
+    def select(self, timeout=None):
+        self.time += timeout or 0.0
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time passes in its waits alone."""
+
+    def __init__(self):
+        self._skipping = _Skipping()
+        super().__init__(self._skipping)
+
+    def time(self):
+        """Return the virtual seconds since the begin."""
+        return self._skipping.time
+
+
+def run(main):
+    """Return the result of ``main(loop)``, run in virtual time."""
+    loop = VirtualLoop()
+    with (
+        mock.patch.object(clock, "now", loop.time),
+        mock.patch.object(tail, "now", loop.time),
+        asyncio.Runner(loop_factory=lambda: loop) as runner,
+    ):
+        return runner.run(main(loop))
+
+
+class BoundedLog:
+    """The log for all readers: ``rate`` bytes a second, one answer after another.
+
+    What was asked for is sent, also to readers who have given it up: nothing takes a
+    call back. ``silent`` leaves what is asked meanwhile unanswered, and unsent.
+    """
+
+    def __init__(self, rate):
+        self.kept = MemoryPartitionedLog()
+        self.rate = rate
+        self.silent = False
+        self.sent = 0
+        self._free_at = 0.0
+
+    @property
+    def backlog(self):
+        """Seconds for which a small answer would wait now."""
+        return max(0.0, self._free_at - clock.now())
+
+    def reader(self):
+        """Return the way of one instance to it."""
+        return _Reader(self)
+
+    async def answer(self, size):
+        """Return once so many bytes are sent behind all that was asked before."""
+        self.sent += size
+        self._free_at = max(self._free_at, clock.now()) + size / self.rate
+        await asyncio.sleep(self._free_at + DELAY - clock.now())
+
+
+class _Reader(PartitionedLog):
+    __slots__ = ("_log",)
+
+    def __init__(self, log):
+        self._log = log
+
+    @property
+    def is_away(self):
+        return False
+
+    async def append(self, topic, part, records, deadline):
+        return await self._log.kept.append(topic, part, records, deadline)
+
+    async def read(self, topic, part, offset, wait, slack):
+        return await self._within(
+            wait + slack, self._read(topic, part, offset, wait, slack)
+        )
+
+    async def newest(self, topic):
+        return await self._within(LOAD_TIMEOUT, self._newest(topic))
+
+    async def _within(self, seconds, call):
+        try:
+            async with asyncio.timeout(seconds):
+                return await call
+        except TimeoutError:
+            return Unavailable("timeout")
+
+    async def _read(self, topic, part, offset, wait, slack):
+        await self._heard()
+        batch = await self._log.kept.read(topic, part, offset, wait, slack)
+        size, taken = HEADER, []
+        for record in batch.records:
+            if taken and size + len(record) > MEGABYTE:
+                break
+            taken.append(record)
+            size += len(record)
+        await self._log.answer(size)
+        return RawBatch(taken, batch.first, batch.end)
+
+    async def _newest(self, topic):
+        await self._heard()
+        newest = await self._log.kept.newest(topic)
+        size = HEADER + sum(map(len, newest.values.values()))
+        await self._log.answer(size)
+        return newest
+
+    async def _heard(self):
+        if self._log.silent:
+            await asyncio.get_running_loop().create_future()
