--- a/sassafrasdoor/log/memory_partitioned.py
+++ b/sassafrasdoor/log/memory_partitioned.py
@@ -99,7 +99,7 @@
         await asyncio.sleep(self.land_late)
         partition.add(records, topic.startswith(KEYED))
 
-    async def read(self, topic, part, offset, wait, slack):
+    async def read(self, topic, part, offset, wait, slack, most=None):
         """Return a ``RawBatch``, ``Expired`` or ``Unavailable``."""
         self.calls.append(("read", topic, part))
         limit = deadline_in(wait)
@@ -114,7 +114,7 @@
         if offset < partition.first:
             return Expired("offset no longer kept", partition.first)
         found = partition.records[offset - partition.first :]
-        return RawBatch(list(found), offset, partition.end)
+        return RawBatch(_within(found, most), offset, partition.end)
 
     async def newest(self, topic):
         """Return the ``NewestKeys`` of a keyed topic."""
@@ -124,3 +124,16 @@
             return Unavailable("down")
         partition = self.partition(topic, 0)
         return NewestKeys(dict(partition.newest), partition.end)
+
+
+def _within(records, most):
+    """Return the first records with so many bytes together, one at least."""
+    if most is None:
+        return list(records)
+    found, size = [], 0
+    for record in records:
+        size += len(record)
+        if found and size > most:
+            break
+        found.append(record)
+    return found
--- a/sassafrasdoor/log/partitioned.py
+++ b/sassafrasdoor/log/partitioned.py
@@ -57,10 +57,11 @@
         """Append all records or none: ``Appended``, ``Unavailable``, ``ReplyLost``."""
 
     @abstractmethod
-    async def read(self, topic, part, offset, wait, slack):
+    async def read(self, topic, part, offset, wait, slack, most=None):
         """Return a ``RawBatch`` or ``Expired``; wait up to ``wait`` seconds.
 
-        ``slack`` is how many seconds more the answer may take.
+        ``slack`` is how many seconds more the answer may take, ``most`` how many bytes
+        it may have; None leaves that to the log.
         """
 
     @abstractmethod
--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -81,23 +81,25 @@
             lambda: self._append_relayed(topic, part, records, deadline),
         )
 
-    async def read(self, topic, part, offset, wait, slack):
+    async def read(self, topic, part, offset, wait, slack, most=None):
         """Return a ``RawBatch``, ``Expired`` or ``Unavailable``."""
         if self.is_away:
             self._look_again(topic, part, offset)
             result = await self._until_back(
-                self._read_relayed(topic, part, offset, wait, slack)
+                self._read_relayed(topic, part, offset, wait, slack, most)
             )
             if result is None:
-                return await self._direct.read(topic, part, offset, wait, slack)
+                return await self._direct.read(topic, part, offset, wait, slack, most)
             if isinstance(result, Unavailable):
                 # Nobody else reaches it either: the direct way is as good as any.
                 self._go_directly(result.reason)
             return result
         return await self._hedged(
-            self._direct.read(topic, part, offset, wait, slack),
+            self._direct.read(topic, part, offset, wait, slack, most),
             wait + slack,
-            lambda: self._read_relayed(topic, part, offset, 0, min(slack, RELAY_SLACK)),
+            lambda: self._read_relayed(
+                topic, part, offset, 0, min(slack, RELAY_SLACK), most
+            ),
         )
 
     async def newest(self, topic):
@@ -153,10 +155,10 @@
             relayed.cancel()
             back.cancel()
 
-    async def _read_relayed(self, topic, part, offset, wait, slack):
+    async def _read_relayed(self, topic, part, offset, wait, slack, most):
         result = Unavailable("no relay reaches the log")
         for relay in self._relays()[:MOST_RELAYS]:
-            found = await relay.read(topic, part, offset, wait, slack)
+            found = await relay.read(topic, part, offset, wait, slack, most)
             _count("read", found)
             if _answers(found):
                 return found
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections import Counter
 
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
@@ -22,6 +23,8 @@
 """Seconds without an answer after which a failing log is asked once more, beside the
 reads that are still waited for: a read that was sent while it was silent is never
 answered."""
+PROBE_BYTES = 1024
+"""Bytes that such reads ask for: they tell that the log answers, the rest follows."""
 LONGEST_SLACK = 2.0
 """Seconds for the first of such reads: for a log that is slower than ``SLACK``."""
 START_SLACKS = (1.5, 1.5, 3.0)
@@ -30,6 +33,14 @@
 the third is for a log that is slower than the others allow."""
 RETRY_PAUSE = 0.15
 """Seconds between tries while the log is away: back well within a second."""
+LONGEST_PAUSE = 5.0
+"""Seconds to which the pauses between reads of a backlog grow while these fail."""
+BACKLOG_WITHIN = 1.0
+"""Seconds in which the log sends what all readers of backlogs have asked for."""
+LARGEST_ANSWER = 1024 * 1024
+"""Bytes of one answer, at most: the first of them are used while others are read."""
+RECORD_MARGIN = 4096
+"""Bytes beyond those of the largest record."""
 CONFIRM_PAUSE = 0.05
 """Seconds between the reads of a caller who waits for a confirmation."""
 READS_SHARE = 0.4
@@ -67,20 +78,103 @@
         self.until = until
 
 
+def backlog_share(readers, bytes_per_second, record_bytes):
+    """Return how many bytes of a backlog one reader may ask for at a time.
+
+    What all ``readers`` that there may be have asked for is sent within
+    ``BACKLOG_WITHIN`` seconds, so that the answers of the lists behind it are in time.
+    """
+    share = BACKLOG_WITHIN * READS_SHARE * bytes_per_second / max(1, readers)
+    return max(min(share, LARGEST_ANSWER), record_bytes + RECORD_MARGIN)
+
+
+class Way:
+    """What the tails of one instance know of their common way to the log.
+
+    Load pattern: many instances begin to read megabytes at the same moment. Answers
+    come later than they are waited for, all are asked for again, and what was asked in
+    vain still takes its share of what the log sends: the overload outlives its cause.
+
+    So each instance has one read of a backlog under way, of ``most()`` bytes (None:
+    as many as the log sends), after pauses that grow while such reads fail. The lists
+    come first: once a read was not answered, backlogs wait until the lists are.
+    """
+
+    __slots__ = (
+        "_failed",
+        "_late_lists",
+        "_lists_answered",
+        "_lock",
+        "_not_before",
+        "most",
+    )
+
+    def __init__(self, most=lambda: None):
+        self.most = most
+        self._lock = asyncio.Lock()
+        self._late_lists = set()
+        self._lists_answered = asyncio.Event()
+        self._lists_answered.set()
+        self._failed = 0
+        self._not_before = LONG_AGO
+
+    def note_failed(self, list_topic=None):
+        """Some read was not answered, that of a list if it is named."""
+        self._lists_answered.clear()
+        if list_topic:
+            self._late_lists.add(list_topic)
+
+    def note_list_answered(self, topic):
+        """A list's read was answered."""
+        self._late_lists.discard(topic)
+        if not self._late_lists:
+            self._lists_answered.set()
+
+    async def read_backlog(self, read):
+        """Return when a read of a backlog was sent, and its result.
+
+        ``read(most, failed)`` reads so many bytes; so many such reads have failed in a
+        row.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LONGEST_SLACK):
+                await self._lists_answered.wait()
+        async with self._lock:
+            await asyncio.sleep(remaining(self._not_before))
+            sent_at = now()
+            result = await read(self.most(), self._failed)
+            self._note_backlog(result)
+        return sent_at, result
+
+    def _note_backlog(self, result):
+        if not isinstance(result, Unavailable):
+            self._failed = 0
+            return
+        pause = min(LONGEST_PAUSE, RETRY_PAUSE * 2**self._failed)
+        self._failed += 1
+        self._not_before = deadline_in(pause * random.uniform(0.5, 1.0))
+
+
 class Tail:
     """Hands each record of a partition to ``fold(offset, record)``, in order.
 
     ``pause()`` (seconds) after each read bounds the reads of a busy partition, unless
     somebody ``attends``; the partition is followed while the event ``wanted`` is set.
+    ``way`` is what the instance's tails share; without it this one asks for itself.
     ``end`` is the partition's end as it was last told, None before; ``skipped`` counts
     the records that were gone before they were read. ``confirmed_at`` is the monotonic
-    time at which a read was sent that found nothing newer; ``failing_since`` is None while reads succeed; ``restored_at`` is
+    time at which a read was sent that found nothing newer; ``failing_since`` is None
+    while reads succeed; ``restored_at`` is
     when they last began to succeed again; ``silence`` is the last ``Silence`` that has
     ended, None before the first.
     """
 
-    def __init__(self, log, topic, part, fold, pause=lambda: 0.0, wanted=None):
+    def __init__(
+        self, log, topic, part, fold, pause=lambda: 0.0, wanted=None, way=None
+    ):
         self.wanted = wanted or _always()
+        self._way = way or Way()
+        self._waits_for_others = way is not None
         self._log = log
         self._topic = topic
         self._part = part
@@ -88,8 +182,8 @@
         self._pause = pause
         self._attending = 0
         self._attended = asyncio.Event()
-        self._failed_starts = 0
         self._running = False
+        self._behind = False
         self._confirming = None
         self._following_since = now()
         self._answered_at = LONG_AGO
@@ -113,7 +207,7 @@
                 self._following_since = now()
             elif not await self.poll(LONG_POLL):
                 await asyncio.sleep(RETRY_PAUSE)
-            elif not self._attending and (pause := self._pause()):
+            elif not (self._attending or self._behind) and (pause := self._pause()):
                 await self._rest(pause)
 
     @contextlib.contextmanager
@@ -162,20 +256,16 @@
     async def poll(self, wait):
         """Read once; say whether the log answered."""
         sent_at = now()
-        if self._reads_all:
-            # Megabytes to read: asked for twice, they would take twice as long.
-            slack = START_SLACKS[self._failed_starts % len(START_SLACKS)]
-            with asked_for(START):
-                result = await self._read(0, slack)
-            self._failed_starts += isinstance(result, Unavailable)
+        if self._reads_all or (self._behind and self._waits_for_others):
+            sent_at, result = await self._way.read_backlog(self._read_start)
         elif self.failing_since is None:
             with asked_for(FOLLOW if wait else CONFIRM):
-                result = await self._read(wait, SLACK)
+                result = await self._read(wait, SLACK, self._way.most())
+        elif self._waits_for_others:
+            sent_at, result = await self._way.read_backlog(self._read_once_more)
         else:
             with asked_for(AGAIN):
-                sent_at, result = await self._ask_again(
-                    lambda left: self._read(0, left)
-                )
+                sent_at, result = await self._ask_again(self._probe)
         if isinstance(result, Unavailable):
             self._reads["given up"] += 1
             self._note_failed(result)
@@ -194,18 +284,41 @@
             self._expired(result)
             return True
         self._fold_batch(result)
-        if self.offset >= result.end:
+        self._behind = self.offset < result.end
+        if not self._behind:
             self._note_caught_up()
             self.confirmed_at = sent_at
         return True
 
+    @property
+    def _is_late(self):
+        """Whether what was acknowledged is still to be read, or read again."""
+        return self._behind or self.failing_since is not None
+
     @property
     def _reads_all(self):
         """Whether all that the partition holds is still to be read."""
         return self.confirmed_at is None
 
-    async def _read(self, wait, slack):
-        return await self._log.read(self._topic, self._part, self.offset, wait, slack)
+    async def _read(self, wait, slack, most=None):
+        return await self._log.read(
+            self._topic, self._part, self.offset, wait, slack, most
+        )
+
+    async def _read_start(self, most, failed):
+        # Megabytes to read: asked for twice, they would take twice as long.
+        slack = START_SLACKS[failed % len(START_SLACKS)]
+        with asked_for(START):
+            return await self._read(0, slack, most)
+
+    async def _read_once_more(self, most, failed):
+        # What has come meanwhile may be megabytes too.
+        slack = START_SLACKS[failed % len(START_SLACKS)]
+        with asked_for(AGAIN):
+            return await self._read(0, slack, most)
+
+    async def _probe(self, seconds):
+        return await self._read(0, seconds, PROBE_BYTES)
 
     async def _ask_again(self, call):
         """Return when the first call that was answered was sent, and its result.
@@ -250,8 +363,9 @@
 
         While a start still reads what the log holds, a second read would bring the
         same megabytes again: instances that start together share what the log sends.
+        And one that failed is made again already.
         """
-        if self.is_starting:
+        if self.is_starting or (self._running and self._is_late):
             return False
         if self._confirming is None:
             self._confirming = asyncio.ensure_future(self.poll(0))
@@ -298,12 +412,20 @@
             )
 
     def _note_failed(self, result):
+        self._tell_failed()
         if self.failing_since is None:
             self.failing_since = now()
             note("log.lost", topic=self._topic, part=self._part, reason=result.reason)
 
+    def _tell_failed(self):
+        self._way.note_failed()
+
+    def _tell_answered(self):
+        """Say so to the other tails; only what a list says counts for them."""
+
     def _note_answered(self):
         last, self._answered_at = self._answered_at, now()
+        self._tell_answered()
         if self.failing_since is None:
             return
         away = round(now() - self.failing_since, 3)
@@ -336,8 +458,9 @@
     reader knows, or None: where the log is away at the start they are the next best.
     """
 
-    def __init__(self, log, topic, on_value, pause=0.0, elsewhere=None):
+    def __init__(self, log, topic, on_value, pause=0.0, elsewhere=None, way=None):
         super().__init__(log, topic, 0, self._fold_record, lambda: pause)
+        self._way = way or self._way
         self._on_value = on_value
         self._elsewhere = elsewhere
         self._values = {}
@@ -359,6 +482,12 @@
             return await super().poll(wait)
         return await self._load()
 
+    def _tell_failed(self):
+        self._way.note_failed(self._topic)
+
+    def _tell_answered(self):
+        self._way.note_list_answered(self._topic)
+
     def _expired(self, expired):
         # Records that were never read are gone; only the newest values, read anew,
         # tell what changed and which keys were dropped meanwhile.
--- a/sassafrasdoor/log/tests/test_relay.py
+++ b/sassafrasdoor/log/tests/test_relay.py
@@ -34,7 +34,7 @@
             return self.answer
         return await self.log.append(topic, part, records, deadline)
 
-    async def read(self, topic, part, offset, wait, slack):
+    async def read(self, topic, part, offset, wait, slack, most=None):
         self.calls += 1
         self.short_reads += not wait
         if self.held_fail and wait:
--- a/sassafrasdoor/log/tests/test_standstill.py
+++ b/sassafrasdoor/log/tests/test_standstill.py
@@ -5,10 +5,11 @@
 
 from sassafrasdoor.clock import now
 from sassafrasdoor.log.partitioned import keyed_record
-from sassafrasdoor.log.tail import KeyedTail, Tail
+from sassafrasdoor.log.tail import KeyedTail, Tail, Way, backlog_share
 from sassafrasdoor.log.tests.virtual import MEGABYTE, BoundedLog, run
 
 RATE = 40 * MEGABYTE
+"""Half of what the log is said to send."""
 SHARDS = 5
 RECORD = 50_000
 KEPT = 48
@@ -21,12 +22,21 @@
 class Instance:
     """What one instance follows."""
 
-    def __init__(self, log):
+    def __init__(self, log, readers):
         reader = log.reader()
-        self.table = KeyedTail(reader, "keyed.table", self._put_in_force)
-        self.servers = KeyedTail(reader, "keyed.list", self._listed, 0.35)
+        share = backlog_share(readers, 2 * RATE, 4 * RECORD)
+        way = Way(lambda: share)
+        self.table = KeyedTail(reader, "keyed.table", self._put_in_force, way=way)
+        self.servers = KeyedTail(reader, "keyed.list", self._listed, 0.35, way=way)
         self.steps = [
-            Tail(reader, "steps", shard, lambda offset, data: None, lambda: 0.4)
+            Tail(
+                reader,
+                "steps",
+                shard,
+                lambda offset, data: None,
+                lambda: 0.4,
+                way=way,
+            )
             for shard in range(SHARDS)
         ]
         self.version = 0
@@ -65,7 +75,10 @@
 
     def __init__(self, followers, newcomers):
         self.log = BoundedLog(RATE)
-        self.all = [Instance(self.log) for _ in range(followers + newcomers)]
+        self.all = [
+            Instance(self.log, followers + newcomers)
+            for _ in range(followers + newcomers)
+        ]
         self.newcomers = self.all[followers:]
         self._tasks = []
         self._version = 0
@@ -158,6 +171,10 @@
         """Guards against reads that are given up and made again for good."""
         self.play(NEWCOMERS, Fleet.newcomers_read, 30.0)
 
+    def test_newcomers_of_a_larger_fleet_get_done(self):
+        """Guards against a bound that holds for one size of the fleet only."""
+        self.play(4 * NEWCOMERS, Fleet.newcomers_read, 60.0)
+
     def test_fleet_reads_on_after_a_silence(self):
         """Guards against a fleet whose repeats outlive the log's silence."""
         self.play(0, lambda fleet: fleet.silence(6.0), 10.0)
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -20,12 +20,12 @@
         super().__init__()
         self.silent = 1
 
-    async def read(self, topic, part, offset, wait, slack):
+    async def read(self, topic, part, offset, wait, slack, most=None):
         if self.silent:
             self.silent -= 1
             await asyncio.sleep(wait + slack)
             return module.Unavailable("timeout")
-        return await super().read(topic, part, offset, wait, slack)
+        return await super().read(topic, part, offset, wait, slack, most)
 
 
 class SilentLog(MemoryPartitionedLog):
@@ -36,9 +36,9 @@
         self.silent = False
         self.waiting = self.given_up = 0
 
-    async def read(self, topic, part, offset, wait, slack):
+    async def read(self, topic, part, offset, wait, slack, most=None):
         if not self.silent:
-            return await super().read(topic, part, offset, wait, slack)
+            return await super().read(topic, part, offset, wait, slack, most)
         return await self._unanswered(wait + slack)
 
     async def newest(self, topic):
@@ -206,7 +206,7 @@
         """
         asked = []
 
-        async def read(topic, part, offset, wait, slack):
+        async def read(topic, part, offset, wait, slack, most=None):
             asked.append(wait + slack)
             return module.Unavailable("timeout")
 
@@ -381,3 +381,177 @@
         await self.put("a", b"1")
         await self.tail.poll(0)
         self.assertEqual(self.values, [("a", b"1")])
+
+
+class CountingLog(SilentLog):
+    """Notes the reads under way, by partition, and how many there were of each."""
+
+    def __init__(self):
+        super().__init__()
+        self.under_way = []
+        self.most_at_once = 0
+        self.asked = []
+
+    async def read(self, topic, part, offset, wait, slack, most=None):
+        self.asked.append((topic, part))
+        self.under_way.append(part)
+        self.most_at_once = max(self.most_at_once, len(self.under_way))
+        try:
+            await asyncio.sleep(0.01)
+            return await super().read(topic, part, offset, wait, slack, most)
+        finally:
+            self.under_way.remove(part)
+
+
+class WayTest(unittest.IsolatedAsyncioTestCase):
+    """Tails of one instance do not ask for more than it has to ask for."""
+
+    def setUp(self):
+        self.log = CountingLog()
+        self.way = module.Way()
+        self.tails = [
+            Tail(self.log, "t", part, lambda at, data: None, way=self.way)
+            for part in range(5)
+        ]
+
+    def follow(self, tail):
+        task = asyncio.ensure_future(tail.run())
+        self.addCleanup(task.cancel)
+
+    async def until(self, condition):
+        async with asyncio.timeout(30):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    async def test_one_backlog_is_read_at_a_time(self):
+        """Guards against a start that asks for the megabytes of all partitions."""
+        await asyncio.gather(*(tail.poll(0) for tail in self.tails))
+        self.assertEqual(self.log.most_at_once, 1)
+
+    async def test_partitions_wait_for_an_answer_of_a_list(self):
+        """Guards against reads of megabytes that a silent log is asked for."""
+        for tail in self.tails:
+            await tail.poll(0)
+        self.log.silent = True
+        await asyncio.gather(*(tail.poll(0) for tail in self.tails))
+        self.log.asked.clear()
+        polls = [asyncio.ensure_future(tail.poll(0)) for tail in self.tails]
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.log.asked, [])
+        self.log.silent = False
+        one = KeyedTail(self.log, "keyed.t", lambda key, value: None, way=self.way)
+        await one.poll(0)
+        self.assertEqual(await asyncio.gather(*polls), [True] * 5)
+        self.assertEqual(self.log.most_at_once, 5)
+
+    async def test_start_in_silence_goes_on_once_a_list_is_answered(self):
+        """Guards against shards that are read late since each one waits its time."""
+        self.log.silent = True
+        self.assertFalse(await self.tails[0].poll(0))
+        polls = [asyncio.ensure_future(tail.poll(0)) for tail in self.tails]
+        await asyncio.sleep(0.1)
+        self.log.silent = False
+        one = KeyedTail(self.log, "keyed.t", lambda key, value: None, way=self.way)
+        await one.poll(0)
+        async with asyncio.timeout(module.START_SLACKS[0]):
+            self.assertEqual(await asyncio.gather(*polls), [True] * 5)
+
+    async def test_pauses_grow_while_reads_fail(self):
+        """Guards against a log that is asked at the same rate however slow it is."""
+        pauses = []
+
+        async def read(most, failed):
+            return module.Unavailable("timeout")
+
+        for _ in range(8):
+            self.way.note_list_answered("keyed.t")
+            self.way._not_before = LONG_AGO
+            await self.way.read_backlog(read)
+            pauses.append(self.way._not_before - now())
+        self.assertLessEqual(pauses[0], module.RETRY_PAUSE)
+        self.assertGreater(pauses[-1], module.LONGEST_PAUSE / 2 - 0.1)
+        self.assertLessEqual(max(pauses), module.LONGEST_PAUSE)
+
+    async def test_pauses_hold_for_all_partitions(self):
+        """Guards against partitions that take turns at asking a slow log."""
+        self.log.down = True
+        for tail in self.tails:
+            self.way.note_list_answered("keyed.t")
+            self.way._not_before = LONG_AGO
+            await tail.poll(0)
+        self.assertEqual(self.way._failed, len(self.tails))
+        self.log.down = False
+        self.way.note_list_answered("keyed.t")
+        self.way._not_before = LONG_AGO
+        await self.tails[0].poll(0)
+        self.assertEqual(self.way._failed, 0)
+
+    def test_backlogs_of_all_readers_are_sent_within_a_second(self):
+        """Guards against lists that are read late behind many backlogs."""
+        rate, record = 80e6, 262_144
+        for readers in (1, 16, 48, 100):
+            share = module.backlog_share(readers, rate, record)
+            self.assertLessEqual(readers * share, module.BACKLOG_WITHIN * rate / 2)
+            self.assertGreater(share, record)
+        # A record is read though it exceeds the share.
+        self.assertGreater(module.backlog_share(1000, rate, record), record)
+
+    async def test_confirmation_waits_for_a_read_that_is_made_again(self):
+        """Guards against looks that are made beside a read that failed."""
+        tail = self.tails[0]
+        await tail.poll(0)
+        self.follow(tail)
+        self.log.down = True
+        await self.until(lambda: tail.failing_since is not None)
+        self.way.note_failed()
+        self.log.asked.clear()
+        self.assertFalse(await tail.confirm(deadline_in(0.3)))
+        self.assertEqual(self.log.asked, [])
+        self.log.down = False
+        self.way.note_list_answered("keyed.t")
+        self.assertTrue(await tail.confirm(deadline_in(20)))
+
+    async def test_partitions_wait_for_each_list(self):
+        """Guards against steps that are read while the operator's table is late."""
+        self.way.note_failed("keyed.a")
+        self.way.note_failed("keyed.b")
+        poll = asyncio.ensure_future(self.tails[0].poll(0))
+        self.way.note_list_answered("keyed.b")
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.log.asked, [])
+        self.way.note_list_answered("keyed.a")
+        self.assertTrue(await poll)
+
+    async def test_list_that_fails_is_asked_for_little(self):
+        """Guards against lists whose repeats grow with what they are behind."""
+        asked = []
+
+        async def read(topic, part, offset, wait, slack, most=None):
+            asked.append(most)
+            return module.Unavailable("timeout")
+
+        one = KeyedTail(self.log, "keyed.t", lambda key, value: None, way=self.way)
+        await one.poll(0)
+        self.log.read = read
+        for _ in range(2):
+            await one.poll(0)
+        self.assertEqual(asked[1:], [module.PROBE_BYTES] * len(asked[1:]))
+
+    async def test_what_is_left_behind_a_short_answer_is_read_at_once(self):
+        """Guards against a list that is read in small parts with pauses between."""
+        one = KeyedTail(self.log, "keyed.t", lambda key, value: None, 30.0)
+        await one.poll(0)
+        records = [keyed_record(f"k{at}", bytes(900)) for at in range(5)]
+        await self.log.append("keyed.t", 0, records, deadline_in(1))
+        one.failing_since = now()
+        self.follow(one)
+        await self.until(lambda: one.offset == 5)
+
+    async def test_partition_is_read_though_no_list_is_answered(self):
+        """Guards against steps that stand still where the lists alone fail."""
+        tail = self.tails[0]
+        await tail.poll(0)
+        self.log.down = True
+        await tail.poll(0)
+        self.log.down = False
+        self.assertTrue(await tail.poll(0))
--- a/sassafrasdoor/log/tests/virtual.py
+++ b/sassafrasdoor/log/tests/virtual.py
@@ -7,7 +7,7 @@
 from sassafrasdoor import clock
 from sassafrasdoor.log import tail
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
-from sassafrasdoor.log.partitioned import PartitionedLog, RawBatch
+from sassafrasdoor.log.partitioned import PartitionedLog
 from sassafrasdoor.outcomes import Unavailable
 
 LOAD_TIMEOUT = 2.0
@@ -95,9 +95,9 @@
     async def append(self, topic, part, records, deadline):
         return await self._log.kept.append(topic, part, records, deadline)
 
-    async def read(self, topic, part, offset, wait, slack):
+    async def read(self, topic, part, offset, wait, slack, most=None):
         return await self._within(
-            wait + slack, self._read(topic, part, offset, wait, slack)
+            wait + slack, self._read(topic, part, offset, wait, slack, most)
         )
 
     async def newest(self, topic):
@@ -110,17 +110,12 @@
         except TimeoutError:
             return Unavailable("timeout")
 
-    async def _read(self, topic, part, offset, wait, slack):
+    async def _read(self, topic, part, offset, wait, slack, most):
         await self._heard()
-        batch = await self._log.kept.read(topic, part, offset, wait, slack)
-        size, taken = HEADER, []
-        for record in batch.records:
-            if taken and size + len(record) > MEGABYTE:
-                break
-            taken.append(record)
-            size += len(record)
-        await self._log.answer(size)
-        return RawBatch(taken, batch.first, batch.end)
+        most = MEGABYTE if most is None else min(most, MEGABYTE)
+        batch = await self._log.kept.read(topic, part, offset, wait, slack, most)
+        await self._log.answer(HEADER + sum(map(len, batch.records)))
+        return batch
 
     async def _newest(self, topic):
         await self._heard()
--- a/sassafrasdoor/platform/peers.py
+++ b/sassafrasdoor/platform/peers.py
@@ -96,8 +96,9 @@
         wait = min(LONGEST_READ, int(self.get_query_argument("WaitMs", "0")) / 1000)
         offset = int(self.get_query_argument("From"))
         store = self._parts.store
+        most = int(self.get_query_argument("MaxKb", "0")) * 1024 or None
         result = await self._while_present(
-            store.read(*self._partition(), offset, wait, TIMEOUT)
+            store.read(*self._partition(), offset, wait, TIMEOUT, most)
         )
         if isinstance(result, Expired):
             self._reply_json(GONE, {"First": result.first})
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -11,7 +11,7 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.demand import Demand
 from sassafrasdoor.log.relay import RelayedLog
-from sassafrasdoor.log.tail import KeyedTail, Tail, shared_pause
+from sassafrasdoor.log.tail import KeyedTail, Tail, Way, backlog_share, shared_pause
 from sassafrasdoor.log.turns import may_read
 from sassafrasdoor.platform import (
     configuration,
@@ -96,6 +96,7 @@
         self._store = Store(settings.store, self._demand)
         self._peers = Peers(settings.peers)
         self._log = RelayedLog(self._store, self._relays)
+        self._way = Way(self._backlog_share)
         self._client = WireReplicas()
         self._routes = RoutesInForce()
         self._replicas = Replicas(
@@ -116,6 +117,7 @@
             self._peers.newest,
             settings.control,
             member,
+            self._way,
         )
         self._tails = [
             Tail(
@@ -125,6 +127,7 @@
                 self._fold_of(shard),
                 self._pause_of(shard),
                 self._follows,
+                self._way,
             )
             for shard in range(shards + 1)
         ]
@@ -152,6 +155,7 @@
             configuration.OPERATOR_TOPIC,
             keys.take,
             elsewhere=self._peers.newest,
+            way=self._way,
         )
         listed = configuration.ServerKeys(self._replicas)
         self._list = KeyedTail(
@@ -160,6 +164,7 @@
             listed.take,
             LIST_PAUSE,
             self._peers.newest,
+            self._way,
         )
         self._replicas.list_tail = self._list
 
@@ -379,6 +384,14 @@
 
         return pause
 
+    def _backlog_share(self):
+        # Any of them may begin to follow the steps, and others may not see it yet.
+        return backlog_share(
+            self._instances.alive,
+            self._settings.read_bytes_per_second,
+            self._settings.record_bytes,
+        )
+
     def _fold_of(self, shard):
         return lambda offset, data: self._steps.fold(shard, offset, data)
 
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -34,13 +34,21 @@
     "Platform.RecordBytes": 262144.0,
     "Platform.parts": 12.0,
     "Platform.ReadsPerS": 2000.0,
+    "Platform.ReadMbS": 80.0,
     "Limits.CpuShare": 1.0,
     "Limits.Cores": 1.0,
 }
 """Defaults where a platform leaves a figure out: those of its pages."""
 
 
-LIVE = ("fenced", "lease", "reads_per_second", "results_kept", "stop_within")
+LIVE = (
+    "fenced",
+    "lease",
+    "read_bytes_per_second",
+    "reads_per_second",
+    "results_kept",
+    "stop_within",
+)
 """What a running process takes over from a changed file: bounds that are read when they
 are needed. Addresses, places and partitions hold until the next start."""
 FEWEST_PARTITIONS = 2
@@ -56,6 +64,7 @@
     ``stop_within`` is how long a planned stop may take, ``lease`` the time that two
     holders of a duty must lie apart where replicas do not check fencing numbers,
     ``reads_per_second`` how many reads the store gives all instances together,
+    ``read_bytes_per_second`` how much it sends them,
     ``heartbeat`` the time between two heartbeats of a replica,
     ``fenced`` whether they do, ``results_kept`` how long a step's samples are read
     after its submission, ``cores`` how much processor the instance has, ``instance``
@@ -74,6 +83,7 @@
         "name",
         "partitions",
         "peers",
+        "read_bytes_per_second",
         "reads_per_second",
         "ready",
         "record_bytes",
@@ -157,6 +167,7 @@
     found.results_kept = numbers["Bounds.StatusS"]
     found.record_bytes = int(numbers["Platform.RecordBytes"])
     found.reads_per_second = max(1.0, numbers["Platform.ReadsPerS"])
+    found.read_bytes_per_second = max(1.0, numbers["Platform.ReadMbS"]) * 1e6
     found.cores = numbers["Limits.CpuShare"] * numbers["Limits.Cores"]
     found.partitions = int(numbers["Platform.parts"])
     found.instance = InstancePlace(
--- a/sassafrasdoor/platform/store.py
+++ b/sassafrasdoor/platform/store.py
@@ -59,11 +59,13 @@
             return Unavailable(f"store answered {reply.status}")
         return ReplyLost(f"store answered {reply.status}")
 
-    async def read(self, topic, part, offset, wait, slack=CALL_TIMEOUT):
+    async def read(self, topic, part, offset, wait, slack=CALL_TIMEOUT, most=None):
         """Return a ``RawBatch``, ``Expired`` or ``Unavailable``."""
         query = {"Topic": topic, "part": part, "From": offset}
         if wait:
             query["WaitMs"] = int(wait * 1000)
+        if most is not None:
+            query["MaxKb"] = max(1, int(most) // 1024)
         deadline = deadline_in(wait + slack)
         reply = await self._call("read", "GET", "log-read", query, b"", deadline)
         if isinstance(reply, Broken):
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -206,6 +206,7 @@
         elsewhere=None,
         control="",
         process="",
+        way=None,
     ):
         self._control = control
         self._process = process
@@ -224,7 +225,7 @@
         self._has_read = self._told_read = False
         self._news = asyncio.Event()
         self._young_until = deadline_in(YOUNG_FOR)
-        self.tail = KeyedTail(log, TOPIC, self._take, READ_PAUSE, elsewhere)
+        self.tail = KeyedTail(log, TOPIC, self._take, READ_PAUSE, elsewhere, way)
 
     @property
     def has_read(self):
@@ -348,6 +349,11 @@
         """How many instances callers are sent to."""
         return len(self._current.all_entry_points)
 
+    @property
+    def alive(self):
+        """How many instances there are, as far as is known."""
+        return len(self._current.alive)
+
     @property
     def _current(self):
         if self._view is not None and self._view.holds:
--- a/sassafrasdoor/steps/durable/tests/test_shards.py
+++ b/sassafrasdoor/steps/durable/tests/test_shards.py
@@ -214,8 +214,8 @@
         await asyncio.sleep(remaining(deadline))
         return ReplyLost("timeout")
 
-    async def read(self, topic, part, offset, wait, slack):
-        result = await super().read(topic, part, offset, wait, slack)
+    async def read(self, topic, part, offset, wait, slack, most=None):
+        result = await super().read(topic, part, offset, wait, slack, most)
         if self.silent:
             await asyncio.sleep(wait + slack)
             return Unavailable("timeout")
