--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -163,8 +163,9 @@
     ``way`` is what the instance's tails share; without it this one asks for itself.
     ``end`` is the partition's end as it was last told, None before; ``skipped`` counts
     the records that were gone before they were read. ``confirmed_at`` is the monotonic
-    time at which a read was sent that found nothing newer; ``failing_since`` is None
-    while reads succeed; ``restored_at`` is
+    time at which a read was sent that found nothing newer, ``ended_at`` that of its
+    answer, ``LONG_AGO`` before the first; ``failing_since`` is None while reads
+    succeed; ``restored_at`` is
     when they last began to succeed again; ``silence`` is the last ``Silence`` that has
     ended, None before the first.
     """
@@ -193,6 +194,7 @@
         self.end = None
         self.skipped = 0
         self.confirmed_at = None
+        self.ended_at = LONG_AGO
         self.failing_since = None
         self.restored_at = None
         self.silence = None
@@ -287,7 +289,7 @@
         self._behind = self.offset < result.end
         if not self._behind:
             self._note_caught_up()
-            self.confirmed_at = sent_at
+            self.confirmed_at, self.ended_at = sent_at, now()
         return True
 
     @property
@@ -511,7 +513,7 @@
             return False
         self._note_answered()
         self._take_all(newest)
-        self.confirmed_at = sent_at
+        self.confirmed_at, self.ended_at = sent_at, now()
         return True
 
     async def _newest(self, seconds):
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -428,15 +428,14 @@
         return order
 
     def _is_alive(self, one):
-        """Say whether an instance renewed its record of late, as far as could be seen.
+        """Say whether an instance had renewed its record when the list was last read.
 
-        While the log is away nobody can; whoever lived when it went away has as long
-        from its return on as from a renewal. Whoever had lapsed before stays so: after
-        each lost read callers would be sent to instances that ended long ago.
+        Since then nobody could see it: a read that the log does not answer fails only
+        seconds later. Whoever lived when the log went away has as long from its return
+        on as from a renewal. Whoever had lapsed before stays so: after each lost read
+        callers would be sent to instances that ended long ago.
         """
-        failing_since = self.tail.failing_since
-        reference = now() if failing_since is None else failing_since
-        if reference - one.at < one.lapses_after:
+        if self.tail.ended_at - one.at < one.lapses_after:
             return True
         silence = self.tail.silence
         if silence is None or passed(silence.until + one.lapses_after):
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -65,6 +65,34 @@
         tail.silence = Silence(now() - 1.2, now())
         self.assertEqual(len(self.all[0].addresses("c")), 5)
 
+    async def test_nobody_lapses_before_the_silence_is_noticed(self):
+        """Guards against new entry points that read all steps as the log falls silent."""
+        tail, peers = self.all[0].tail, {f"i{at}:80" for at in range(1, 5)}
+        tail.ended_at = now() - 2.0
+        for one in self.all[0]._seen.values():
+            one.at = tail.ended_at - module.LAPSE_AFTER + 0.5
+        for tail.failing_since in (None, now()):
+            self.all[0]._view = None
+            self.assertLessEqual(peers, set(self.all[0].addresses("c")))
+        tail.failing_since = None
+        await tail.poll(0)
+        self.all[0]._view = None
+        self.assertFalse(peers & set(self.all[0].addresses("c")))
+
+    async def test_part_of_what_came_in_a_silence_makes_nobody_lapse(self):
+        """Guards against peers that lapse by the first of several answers."""
+        tail, peers = self.all[0].tail, {f"i{at}:80" for at in range(1, 5)}
+        for one in self.all[0]._seen.values():
+            one.at = tail.ended_at - module.LAPSE_AFTER + 0.1
+        for one in self.all:
+            await one._write(one._document())
+        await asyncio.sleep(0.2)
+        tail.failing_since = now()
+        await tail.poll(0)
+        tail.silence = None
+        self.all[0]._view = None
+        self.assertLessEqual(peers, set(self.all[0].addresses("c")))
+
     async def test_log_that_returns_brings_nobody_back(self):
         """Symptom: callers are sent to an instance that is gone for minutes.
 
