--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -83,7 +83,8 @@
                 host=host,
                 routes_version=configuration.version,
             )
-            self._own_failure(NotFound("no such route"))
+            missing = NotFound("no such route")
+            self._own_failure(self._parts.routes.unknown(missing))
         elif route.repeat is Repeat.STEP:
             await self._submit(route, host, path)
         else:
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -60,6 +60,8 @@
 FIRST_IDLE_LIMIT = 60.0
 """Seconds that a connection may idle before the operator's limit is known."""
 CLEANUP_INTERVAL = 10.0
+ROUTES_INTERVAL = 0.5
+"""Seconds between looks at how old the routes are."""
 REPORT_INTERVAL = 5.0
 """Seconds between lines of what was asked of the log."""
 SETTINGS_INTERVAL = 1.0
@@ -98,7 +100,9 @@
         self._log = RelayedLog(self._store, self._relays)
         self._way = Way(self._backlog_share)
         self._client = WireReplicas()
-        self._routes = RoutesInForce()
+        self._routes = RoutesInForce(
+            lambda: self._operator.confirmed_at, lambda: settings.config_apply
+        )
         self._replicas = Replicas(
             settings.instance.availability_zone, settings.heartbeat
         )
@@ -241,6 +245,7 @@
             self._forget_old(),
             self._watch_settings(),
             self._report_demand(),
+            self._look_at_routes(),
             *(tail.run() for tail in self._tails),
             *(outbox.run() for outbox in self._outboxes),
         ]
@@ -400,6 +405,11 @@
             await asyncio.sleep(CLEANUP_INTERVAL)
             self._steps.forget(now() - self._settings.results_kept - KEEP_MARGIN)
 
+    async def _look_at_routes(self):
+        while True:
+            self._routes.look()
+            await asyncio.sleep(ROUTES_INTERVAL)
+
     async def _report_demand(self):
         while True:
             await asyncio.sleep(REPORT_INTERVAL)
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -27,6 +27,7 @@
     "Platform.Address",
 )
 NUMBERS = {
+    "Bounds.ConfigApplyMs": 2000.0,
     "Bounds.GraceS": 8.0,
     "Bounds.LeaseMs": 3000.0,
     "Bounds.StatusS": 120.0,
@@ -42,6 +43,7 @@
 
 
 LIVE = (
+    "config_apply",
     "fenced",
     "lease",
     "read_bytes_per_second",
@@ -61,6 +63,7 @@
     ``control`` is where other instances ask, empty if nowhere; ``peers`` are such
     addresses of others.
 
+    ``config_apply`` is within which time a configuration must be in force.
     ``stop_within`` is how long a planned stop may take, ``lease`` the time that two
     holders of a duty must lie apart where replicas do not check fencing numbers,
     ``reads_per_second`` how many reads the store gives all instances together,
@@ -72,6 +75,7 @@
     """
 
     __slots__ = (
+        "config_apply",
         "control",
         "cores",
         "directory",
@@ -160,6 +164,7 @@
     seeds = [one for one in fields.get("Seeds", "").split(",") if one]
     found.peers = [one for one in seeds if one != found.control]
     found.store = fields["Platform.Address"]
+    found.config_apply = numbers["Bounds.ConfigApplyMs"] / 1000
     found.stop_within = numbers["Bounds.GraceS"]
     found.lease = numbers["Bounds.LeaseMs"] / 1000
     found.fenced = fields.get("Bounds.RequireFencing", "").lower() == "true"
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -9,6 +9,7 @@
 from tornado.testing import bind_unused_port
 
 from sassafrasdoor.backends.interface import Answer
+from sassafrasdoor.clock import now
 from sassafrasdoor.outcomes import NotRun, Unknown
 from sassafrasdoor.platform import front, handlers, wire
 from sassafrasdoor.steps.durable.service import NotFound, Page
@@ -170,6 +171,20 @@
         self.parts.routes = self.routes
         self.assertEqual((await self.call("/unknown/")).code, 404)
 
+    async def test_unknown_route_of_old_routes_may_be_asked_for_again(self):
+        """Guards against a 404 by an old table for a route that was added since."""
+        confirmed_at = now()
+        old = RoutesInForce(lambda: confirmed_at, lambda: 2.0)
+        old.take(self.routes.current)
+        self.parts.routes = old
+        self.assertEqual((await self.call("/unknown/")).code, 404)
+        confirmed_at -= 3.0
+        response = await self.call("/unknown/")
+        self.assertEqual(response.code, 503)
+        self.assertEqual(response.headers["Retry-After"], "1")
+        self.service.result = Answer(200, [], b"known")
+        self.assertEqual((await self.call(PLAIN)).code, 200)
+
     async def test_stop_of_the_process_is_no_answer(self):
         """Symptom: a step counts as accepted that no instance has; a call gets an
         empty answer of 200.
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -4,11 +4,23 @@
 table. ``RoutesInForce`` holds the newest version seen and never goes back.
 """
 
+import math
 import random
 from enum import StrEnum
 
-from sassafrasdoor.clock import now
+from sassafrasdoor.clock import LONG_AGO, now
 from sassafrasdoor.decisions import note
+from sassafrasdoor.metrics import counter, gauge
+from sassafrasdoor.outcomes import NotRun
+
+UNSURE_RETRY_AFTER = 1.0
+"""Seconds after which a route that was not known may be: the operator's records are
+asked for at least that often while they cannot be read."""
+
+AGE = gauge("routes_age_seconds", "Seconds since the routes were last found current.")
+UNSURE = counter(
+    "routes_unsure_total", "Unknown routes refused since the routes may be old."
+)
 
 
 class Repeat(StrEnum):
@@ -94,15 +106,60 @@
 
 
 class RoutesInForce:
-    """The newest configuration seen; ``current`` is None before the first."""
+    """The newest configuration seen; ``current`` is None before the first.
 
-    __slots__ = ("_callbacks", "current", "taken_at")
+    ``confirmed_at()`` is the monotonic time at which nothing newer was found, or None;
+    ``bound()`` are the seconds within which a new configuration must be in force.
+    """
+
+    __slots__ = (
+        "_bound",
+        "_callbacks",
+        "_confirmed_at",
+        "_is_old",
+        "current",
+        "taken_at",
+    )
 
-    def __init__(self):
+    def __init__(self, confirmed_at=now, bound=lambda: math.inf):
+        self._confirmed_at = confirmed_at
+        self._bound = bound
+        self._is_old = False
         self.current = None
         self.taken_at = None
         self._callbacks = []
 
+    @property
+    def age(self):
+        """Seconds since nothing newer was found; infinite before."""
+        confirmed_at = self._confirmed_at()
+        return now() - (LONG_AGO if confirmed_at is None else confirmed_at)
+
+    def look(self):
+        """Show the age, and write a line when it passes the bound, either way."""
+        age = self.age
+        AGE.set({}, age)
+        is_old = self.current is not None and age > self._bound()
+        if is_old == self._is_old:
+            return
+        self._is_old = is_old
+        if is_old:
+            note("routes.old", version=self.current.version, age=_shown(age))
+        else:
+            note("routes.current_again", version=self.current.version)
+
+    def unknown(self, outcome):
+        """Return ``outcome`` for a route that is not known, if that is sure.
+
+        By an old configuration it is not: the caller should come again.
+        """
+        age = self.age
+        if age <= self._bound():
+            return outcome
+        UNSURE.inc({})
+        note("request.route_unsure", age=_shown(age))
+        return NotRun("the routes may be old", UNSURE_RETRY_AFTER)
+
     def on_change(self, callback):
         """Call ``callback(configuration)`` for each new version."""
         self._callbacks.append(callback)
@@ -122,3 +179,7 @@
         for callback in self._callbacks:
             callback(configuration)
         return True
+
+
+def _shown(age):
+    return None if math.isinf(age) else round(age, 3)
