--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -104,7 +104,15 @@
 
     async def newest(self, topic):
         """Return the ``NewestKeys`` of a keyed topic, or ``Unavailable``."""
-        return await self._direct.newest(topic)
+        if not self.is_away:
+            return await self._direct.newest(topic)
+        result = Unavailable("no relay reaches the log")
+        for relay in self._relays()[:MOST_RELAYS]:
+            found = await relay.newest(topic)
+            _count("newest", found)
+            if _answers(found):
+                return found
+        return result
 
     async def _hedged(self, call, patience, relay):
         """Return the first answer of the log, or what became of both calls.
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -507,6 +507,8 @@
                 newest = await self._log.newest(self._topic)
             else:
                 sent_at, newest = await self._ask_again(self._newest)
+        if not isinstance(newest, Unavailable) and newest.end < self.offset:
+            newest = Unavailable("older than what was read")
         if isinstance(newest, Unavailable):
             self._note_failed(newest)
             await self._load_elsewhere()
--- a/sassafrasdoor/log/tests/test_relay.py
+++ b/sassafrasdoor/log/tests/test_relay.py
@@ -6,10 +6,12 @@
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.log import relay as module
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
-from sassafrasdoor.log.partitioned import Appended, RawBatch
+from sassafrasdoor.log.partitioned import Appended, RawBatch, keyed_record
 from sassafrasdoor.log.relay import RelayedLog
 from sassafrasdoor.outcomes import ReplyLost, Unavailable
 
+SILENCE = 30.0
+
 
 class CutLog:
     """The way of one instance to a log; ``cut`` leaves every call without a reply.
@@ -46,6 +48,13 @@
             return Unavailable("refused")
         return await self.log.read(topic, part, offset, wait, slack)
 
+    async def newest(self, topic):
+        self.calls += 1
+        if self.cut:
+            await asyncio.sleep(SILENCE)
+            return Unavailable("timeout")
+        return await self.log.newest(topic)
+
 
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
@@ -78,6 +87,21 @@
         self.assertEqual(self.records(), [b"x"])
         self.assertTrue(self.relayed.is_away)
 
+    async def test_list_that_expired_is_loaded_through_another(self):
+        """Guards against a list that stays as it was for as long as a cut lasts."""
+        await self.log.append("keyed.t", 0, [keyed_record("a", b"1")], deadline_in(1))
+        self.direct.cut = True
+        await self.append(seconds=30.0)
+        calls = self.direct.calls
+        newest = await self.relayed.newest("keyed.t")
+        self.assertEqual((newest.values, newest.end), ({"a": b"1"}, 1))
+        self.assertEqual(self.direct.calls, calls)
+        self.peer.newest = self.refused
+        self.assertIsInstance(await self.relayed.newest("keyed.t"), Unavailable)
+
+    async def refused(self, topic):
+        return Unavailable("store answered 503")
+
     async def test_reads_that_wait_learn_of_the_cut_from_appends(self):
         """Symptom: the instance renews its claim and does not see it.
 
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -374,6 +374,24 @@
         self.assertIn(("a", b""), self.values)
         self.assertIn(("c", b"1"), self.values)
 
+    async def test_load_that_is_older_than_what_was_read_changes_nothing(self):
+        """Guards against a list that another reader, who is behind, takes back."""
+        await self.put("a", b"1")
+        await self.tail.poll(0)
+        await self.put("a")
+        await self.tail.poll(0)
+        self.tail.loaded = False
+        self.values.clear()
+        newest, self.log.newest = self.log.newest, self.older
+        self.assertFalse(await self.tail.poll(0))
+        self.assertEqual(self.values, [])
+        self.log.newest = newest
+        self.assertTrue(await self.tail.poll(0))
+        self.assertEqual(self.values, [])
+
+    async def older(self, topic):
+        return NewestKeys({"a": b"1"}, 1)
+
     async def test_unreadable_record_is_passed_over(self):
         await self.tail.poll(0)
         partition = self.log.partition("keyed.t", 0)
--- a/sassafrasdoor/platform/peers.py
+++ b/sassafrasdoor/platform/peers.py
@@ -26,6 +26,8 @@
     "/-/log-read",
     "/-/log-append",
 )
+FROM_STORE = "Store"
+"""Asks for a list as the store has it now, not as the other instance knows it."""
 LONGEST_READ = 1.0
 """Seconds that a read is held for another instance; its own reads wait as long."""
 TIMEOUT = 0.8
@@ -37,18 +39,21 @@
 class Peers:
     """Asks the control addresses of other instances."""
 
-    __slots__ = ("_relays", "_stores")
+    __slots__ = ("_addresses", "_relays", "_stores")
 
     def __init__(self, addresses):
+        self._addresses = list(addresses)
         self._stores = [Store(address) for address in addresses]
         self._relays = {}
 
     def relays(self, addresses):
         """Return the clients of control addresses, or of those the settings name."""
+        addresses = addresses or self._addresses
         for address in addresses:
             if address not in self._relays:
-                self._relays[address] = Store(address)
-        return [self._relays[address] for address in addresses] or self._stores
+                relay = Store(address, newest_query={FROM_STORE: 1})
+                self._relays[address] = relay
+        return [self._relays[address] for address in addresses]
 
     async def newest(self, topic):
         """Return the ``NewestKeys`` of a topic as a peer knows them, or None."""
@@ -67,15 +72,25 @@
 class PeerHandler(WireHandler):
     """Tells another instance the newest values of a keyed topic."""
 
-    def get(self):
-        tails = self._parts.lists
-        tail = tails.get(self.get_query_argument("Topic", ""))
-        newest = tail.newest if tail is not None else None
-        if newest is None:
-            self._reply(503)
+    async def get(self):
+        tail = self._parts.lists.get(self.get_query_argument("Topic", ""))
+        if tail is None:
+            newest = None
+        elif self.get_query_argument(FROM_STORE, ""):
+            newest = await self._from_store(tail)
+        else:
+            newest = tail.newest
+        if newest is None or isinstance(newest, Outcome):
+            self._reply(UNAVAILABLE)
         else:
             self._reply_json(200, newest_document(newest))
 
+    async def _from_store(self, tail):
+        if tail.failing_since is not None:
+            return None
+        with asked_for(RELAY):
+            return await self._while_present(self._parts.store.newest(tail.topic))
+
 
 class RelayHandler(WireHandler):
     """Appends and reads for an instance that is cut off from the store."""
--- a/sassafrasdoor/platform/store.py
+++ b/sassafrasdoor/platform/store.py
@@ -31,12 +31,16 @@
 
 
 class Store(PartitionedLog):
-    """Calls to the store at one address; ``demand`` counts them by purpose."""
+    """Calls to the store at one address; ``demand`` counts them by purpose.
 
-    __slots__ = ("_address", "_connections", "_demand")
+    ``newest_query`` goes with loads of the newest values.
+    """
 
-    def __init__(self, address, demand=None):
+    __slots__ = ("_address", "_connections", "_demand", "_newest_query")
+
+    def __init__(self, address, demand=None, newest_query=()):
         self._address = address
+        self._newest_query = dict(newest_query)
         self._demand = demand or Demand()
         self._connections = Connections()
 
@@ -83,7 +87,7 @@
         """Return the ``NewestKeys`` of a keyed topic, or ``Unavailable``."""
         values, end, after = {}, None, ""
         while True:
-            query = {"Topic": topic, "part": 0}
+            query = {"Topic": topic, "part": 0, **self._newest_query}
             if after:
                 query["After"] = after
             deadline = deadline_in(CALL_TIMEOUT)
