--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -60,6 +60,10 @@
 LOOK_TIMEOUT = 0.5
 """Seconds for a look whether an instance has started again; a slow log answers within
 0.25 s."""
+MOST_STEPS = 10
+CALL_STEP = 2.0
+"""Seconds for an instance in reserve to say that it is an entry point now, after which
+others are called beside it."""
 FEWEST_IN_ZONE = 2
 """With fewer instances in the caller's zone it is sent to all zones."""
 
@@ -124,9 +128,46 @@
     return document[name]
 
 
+class _Short:
+    """Since when zones have had too few entry points, monotonic by zone.
+
+    Load pattern: one entry point of a zone lapses, and each instance in reserve that
+    takes its place reads all steps. They are called by ones and twos: some may be gone,
+    which nobody knows, so that more are called the longer a place stays free.
+    """
+
+    __slots__ = ("_since",)
+
+    def __init__(self):
+        self._since = {}
+
+    def steps(self, zone):
+        """Return how many times those called before have let their time pass."""
+        since = self._since.get(zone)
+        return 0 if since is None else int((now() - since) / CALL_STEP)
+
+    def note(self, zone, is_short):
+        """Note whether the zone has too few now."""
+        if not is_short:
+            self._since.pop(zone, None)
+        else:
+            self._since.setdefault(zone, now())
+
+    def forget_others(self, zones):
+        """Forget the zones that have no instance any more."""
+        for zone in self._since.keys() - zones.keys():
+            del self._since[zone]
+
+    def all_steps(self):
+        """Return those of all zones that have too few."""
+        return {zone: self.steps(zone) for zone in self._since}
+
+
 class _View:
     """What follows from the list at one moment.
 
+    ``short`` tells how long zones have had too few entry points.
+
     ``entry_points`` maps each zone to the addresses that its callers are sent to, the
     largest first; ``called`` are the addresses in reserve that are to become one.
     ``rankings``, the addresses in order by key, are filled as asked.
@@ -134,7 +175,7 @@
 
     __slots__ = ("_deadline", "alive", "called", "entry_points", "rankings")
 
-    def __init__(self, alive):
+    def __init__(self, alive, short):
         zones = {}
         for one in alive:
             zones.setdefault(one.zone, []).append(one)
@@ -143,11 +184,13 @@
         self.called = set()
         self.entry_points = {}
         for zone, near in zones.items():
-            chosen = _entry_points(near)
+            chosen = _entry_points(near, short.steps(zone))
+            short.note(zone, any(one.in_reserve for one in chosen))
             self.called.update(one.address for one in chosen if one.in_reserve)
             self.entry_points[zone] = [
                 one.address for one in chosen if not one.in_reserve
             ]
+        short.forget_others(zones)
         self.rankings = {}
 
     @property
@@ -188,6 +231,8 @@
         "_renew_at",
         "_seen",
         "_settings",
+        "_short",
+        "_short_steps",
         "_told_read",
         "_view",
         "_young_until",
@@ -218,6 +263,8 @@
         self._leaving = False
         self._seen = {}
         self._view = None
+        self._short = _Short()
+        self._short_steps = {}
         self._looking = None
         self.is_listed = False
         self.in_reserve = False
@@ -359,10 +406,13 @@
         if self._view is not None and self._view.holds:
             return self._view
         alive = [one for one in self._seen.values() if self._is_alive(one)]
-        if self._view is not None and self._view.alive == alive:
+        steps = self._short.all_steps()
+        is_same = self._view is not None and self._view.alive == alive
+        if is_same and steps == self._short_steps:
             self._view.confirm()
         else:
-            self._view = _View(alive)
+            self._view = _View(alive, self._short)
+            self._short_steps = self._short.all_steps()
         return self._view
 
     @property
@@ -481,21 +531,32 @@
         self._view = None
 
 
-def _entry_points(near):
+def _entry_points(near, steps):
     """Return a zone's entry points, the largest first, as ``_Seen``s.
 
     Those in reserve among them are to become entry points; they do not count, since
-    nobody knows whether they still live.
+    nobody knows whether they still live. As many are called as are missing, and twice
+    as many, and so on, after each of ``steps``.
     """
     order = ranked(near, ENTRY_KEY, lambda one: one.address)
     order.sort(key=lambda one: -one.cores)
     wanted = sum(one.cores for one in near) / ZONE_PARTS
+    reserve = [one for one in order if one.in_reserve]
+    missing = sum(one.in_reserve for one in _enough(order, wanted, set(order)))
+    called = set(reserve[: missing << min(steps, MOST_STEPS)])
+    living = set(order).difference(reserve)
+    eligible = called | living
+    return [one for one in _enough(order, wanted, living) if one in eligible]
+
+
+def _enough(order, wanted, counted):
+    """Return the first in order, until those ``counted`` among them are enough."""
     chosen, count, cores = [], 0, 0.0
     for one in order:
         if count >= USUAL_IN_ZONE and cores >= wanted:
             break
         chosen.append(one)
-        if not one.in_reserve:
+        if one in counted:
             count += 1
             cores += one.cores
     return chosen
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -386,6 +386,50 @@
             self.all.remove(gone)
             await self.settled(lambda: self.named_are_alive(4))
 
+    def called(self):
+        """Return those in reserve that take themselves for entry points."""
+        for one in self.all:
+            one._view = None
+        points = [one for one in self.all if one.is_entry_point]
+        return [one for one in points if one.in_reserve]
+
+    async def stops(self):
+        """Nobody writes a record any more; return an entry point."""
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.sleep(0)
+        await self.read()
+        return next(one for one in self.all if not one.in_reserve)
+
+    async def test_one_is_called_where_one_has_ended(self):
+        """Guards against a zone whose whole reserve reads all steps at once."""
+        await self.ends(await self.stops())
+        self.assertEqual(len(self.called()), 1)
+
+    async def test_more_are_called_while_a_place_stays_free(self):
+        """Guards against a place that waits for an instance that is gone."""
+        await self.ends(await self.stops())
+        found = []
+        for _ in range(4):
+            found.append(len(self.called()))
+            for one in self.all:
+                one._short._since["a"] -= module.CALL_STEP
+        self.assertEqual(found, [1, 2, 4, 8])
+
+    async def test_calls_begin_anew_once_a_zone_has_had_enough(self):
+        """Guards against a reserve that is called by what was missing before."""
+        ended = await self.stops()
+        await self.ends(ended)
+        self.called()
+        for one in self.all:
+            one._short._since["a"] -= 3 * module.CALL_STEP
+        self.assertGreater(len(self.called()), 1)
+        for one in self.all:
+            one._seen[ended._address].at = now()
+        self.assertEqual(self.called(), [])
+        await self.ends(ended)
+        self.assertEqual(len(self.called()), 1)
+
     def named_are_alive(self, count):
         alive = {one._address for one in self.all if not one.in_reserve}
         return all(
