--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -95,17 +95,20 @@
     come later than they are waited for, all are asked for again, and what was asked in
     vain still takes its share of what the log sends: the overload outlives its cause.
 
-    So each instance has one read of a backlog under way, of ``most()`` bytes (None:
-    as many as the log sends), after pauses that grow while such reads fail. The lists
-    come first: once a read was not answered, backlogs wait until the lists are.
+    So each instance begins one read of a backlog at a time, of ``most()`` bytes (None:
+    as many as the log sends): the next one once it is answered, or after the time in
+    which the log sends what all have asked for. Pauses grow while such reads fail, for
+    all partitions until one is answered, and for each by itself: one that alone is
+    silent holds no other one up. The lists come first: once a read was not answered,
+    backlogs wait until the lists are.
     """
 
     __slots__ = (
-        "_failed",
         "_late_lists",
         "_lists_answered",
         "_lock",
-        "_not_before",
+        "_pause",
+        "_part_pauses",
         "most",
     )
 
@@ -115,8 +118,8 @@
         self._late_lists = set()
         self._lists_answered = asyncio.Event()
         self._lists_answered.set()
-        self._failed = 0
-        self._not_before = LONG_AGO
+        self._pause = _GrowingPause()
+        self._part_pauses = {}
 
     def note_failed(self, list_topic=None):
         """Some read was not answered, that of a list if it is named."""
@@ -130,29 +133,63 @@
         if not self._late_lists:
             self._lists_answered.set()
 
-    async def read_backlog(self, read):
-        """Return when a read of a backlog was sent, and its result.
+    async def read_backlog(self, part, read):
+        """Return when a read of a partition's backlog was sent, and its result.
 
-        ``read(most, failed)`` reads so many bytes; so many such reads have failed in a
-        row.
+        ``read(most, failed)`` reads so many bytes; so many such reads of the partition
+        have failed in a row.
         """
+        pause = self._part_pauses.setdefault(part, _GrowingPause())
+        await pause.over()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LONGEST_SLACK):
                 await self._lists_answered.wait()
         async with self._lock:
-            await asyncio.sleep(remaining(self._not_before))
+            await self._pause.over()
             sent_at = now()
-            result = await read(self.most(), self._failed)
-            self._note_backlog(result)
-        return sent_at, result
+            reading = asyncio.ensure_future(read(self.most(), pause.failed))
+            reading.add_done_callback(lambda done: _note_read(done, self._pause, pause))
+            try:
+                await asyncio.wait([reading], timeout=BACKLOG_WITHIN)
+            except asyncio.CancelledError:
+                reading.cancel()
+                raise
+        try:
+            return sent_at, await reading
+        finally:
+            reading.cancel()
+
+
+class _GrowingPause:
+    """The pause before the next of some reads, of which ``failed`` failed in a row."""
+
+    __slots__ = ("_until", "failed")
 
-    def _note_backlog(self, result):
-        if not isinstance(result, Unavailable):
-            self._failed = 0
+    def __init__(self):
+        self._until = LONG_AGO
+        self.failed = 0
+
+    async def over(self):
+        """Wait until it is over."""
+        await asyncio.sleep(remaining(self._until))
+
+    def note(self, answered):
+        """Take the end of a read."""
+        if answered:
+            self.failed = 0
+            self._until = LONG_AGO
             return
-        pause = min(LONGEST_PAUSE, RETRY_PAUSE * 2**self._failed)
-        self._failed += 1
-        self._not_before = deadline_in(pause * random.uniform(0.5, 1.0))
+        pause = min(LONGEST_PAUSE, RETRY_PAUSE * 2**self.failed)
+        self.failed += 1
+        self._until = deadline_in(pause * random.uniform(0.5, 1.0))
+
+
+def _note_read(reading, *pauses):
+    if reading.cancelled() or reading.exception() is not None:
+        return
+    answered = not isinstance(reading.result(), Unavailable)
+    for one in pauses:
+        one.note(answered)
 
 
 class Tail:
@@ -259,12 +296,14 @@
         """Read once; say whether the log answered."""
         sent_at = now()
         if self._reads_all or (self._behind and self._waits_for_others):
-            sent_at, result = await self._way.read_backlog(self._read_start)
+            sent_at, result = await self._way.read_backlog(self._part, self._read_start)
         elif self.failing_since is None:
             with asked_for(FOLLOW if wait else CONFIRM):
                 result = await self._read(wait, SLACK, self._way.most())
         elif self._waits_for_others:
-            sent_at, result = await self._way.read_backlog(self._read_once_more)
+            sent_at, result = await self._way.read_backlog(
+                self._part, self._read_once_more
+            )
         else:
             with asked_for(AGAIN):
                 sent_at, result = await self._ask_again(self._probe)
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -406,6 +406,7 @@
 
     def __init__(self):
         super().__init__()
+        self.silent_part = None
         self.under_way = []
         self.most_at_once = 0
         self.asked = []
@@ -416,6 +417,8 @@
         self.most_at_once = max(self.most_at_once, len(self.under_way))
         try:
             await asyncio.sleep(0.01)
+            if (topic, part) == self.silent_part:
+                return await self._unanswered(wait + slack)
             return await super().read(topic, part, offset, wait, slack, most)
         finally:
             self.under_way.remove(part)
@@ -446,6 +449,21 @@
         await asyncio.gather(*(tail.poll(0) for tail in self.tails))
         self.assertEqual(self.log.most_at_once, 1)
 
+    async def test_silent_partition_holds_no_other_up(self):
+        """Guards against a shard that nobody reads since another one is silent."""
+        for part in range(1, 5):
+            await self.log.append("t", part, [b"x"] * 30, deadline_in(1))
+        self.log.silent_part = ("t", 0)
+        self.way.most = lambda: 1
+        one = KeyedTail(self.log, "keyed.t", lambda key, value: None, way=self.way)
+        for tail in [one, *self.tails]:
+            self.follow(tail)
+        began = now()
+        await self.until(lambda: all(tail.has_caught_up for tail in self.tails[1:]))
+        # Thirty answers of each of the four, and a few tries at the silent one.
+        self.assertLess(now() - began, 10 * module.BACKLOG_WITHIN)
+        self.assertFalse(self.tails[0].has_caught_up)
+
     async def test_partitions_wait_for_an_answer_of_a_list(self):
         """Guards against reads of megabytes that a silent log is asked for."""
         for tail in self.tails:
@@ -474,6 +492,10 @@
         async with asyncio.timeout(module.START_SLACKS[0]):
             self.assertEqual(await asyncio.gather(*polls), [True] * 5)
 
+    def end_pauses(self):
+        for pause in [self.way._pause, *self.way._part_pauses.values()]:
+            pause._until = LONG_AGO
+
     async def test_pauses_grow_while_reads_fail(self):
         """Guards against a log that is asked at the same rate however slow it is."""
         pauses = []
@@ -483,9 +505,10 @@
 
         for _ in range(8):
             self.way.note_list_answered("keyed.t")
-            self.way._not_before = LONG_AGO
-            await self.way.read_backlog(read)
-            pauses.append(self.way._not_before - now())
+            self.end_pauses()
+            await self.way.read_backlog(0, read)
+            pauses.append(self.way._pause._until - now())
+            self.assertGreater(self.way._part_pauses[0]._until, now())
         self.assertLessEqual(pauses[0], module.RETRY_PAUSE)
         self.assertGreater(pauses[-1], module.LONGEST_PAUSE / 2 - 0.1)
         self.assertLessEqual(max(pauses), module.LONGEST_PAUSE)
@@ -495,14 +518,14 @@
         self.log.down = True
         for tail in self.tails:
             self.way.note_list_answered("keyed.t")
-            self.way._not_before = LONG_AGO
+            self.end_pauses()
             await tail.poll(0)
-        self.assertEqual(self.way._failed, len(self.tails))
+        self.assertEqual(self.way._pause.failed, len(self.tails))
         self.log.down = False
         self.way.note_list_answered("keyed.t")
-        self.way._not_before = LONG_AGO
+        self.end_pauses()
         await self.tails[0].poll(0)
-        self.assertEqual(self.way._failed, 0)
+        self.assertEqual(self.way._pause.failed, 0)
 
     def test_backlogs_of_all_readers_are_sent_within_a_second(self):
         """Guards against lists that are read late behind many backlogs."""
