--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -9,7 +9,7 @@
 
 from sassafrasdoor.backends.connections import Outgoing, Reply
 from sassafrasdoor.backends.interface import Answer, Broken
-from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import NotRun, Rejected
@@ -29,6 +29,7 @@
 )
 from sassafrasdoor.requests.attempts import DirectRequest
 from sassafrasdoor.requests.streaming import StreamCaller
+from sassafrasdoor.steps.durable.handing_on import first_answer
 from sassafrasdoor.steps.durable.service import NotFound, Page
 from sassafrasdoor.table.routes import Repeat
 
@@ -42,9 +43,11 @@
 PEER_TIMEOUT = 1.8
 """Seconds for the other instance: an append, which has 0.8, or a reader's wait of one
 second."""
-PEERS_TIMEOUT = 2.2
-"""Seconds for all that are asked for one call: its caller waits 1.5 seconds longer than
-the longest poll."""
+PEERS_TIMEOUT = 1.4
+"""Seconds for all that are asked for one read, beyond the time that its caller lets it
+wait: the caller leaves after 1.5."""
+HEDGE_AFTER = 0.5
+"""Seconds without an answer, beyond that time, after which another one is asked too."""
 MOST_PEERS = 3
 LOT = re.compile(r"^/-/lots/([^/?]+)$")
 ITEM = re.compile(r"^/-/items/([^/?]+)$")
@@ -200,22 +203,24 @@
 
     async def _first_answer(self, reason):
         """Return the ``Reply`` of the first peer that has an answer, or None."""
-        limit = deadline_in(PEERS_TIMEOUT)
-        peers = self._parts.instances.peers()[:MOST_PEERS]
-        for peer in peers:
-            reply = await self._ask(peer, min(limit, deadline_in(PEER_TIMEOUT)))
-            if isinstance(reply, Reply) and reply.status == 200:
-                return reply
-            if passed(limit):
-                break
-        note(
-            "request.handed_on_in_vain",
-            request=self._request_id,
-            path=self.request.path[:LOGGED_PATH],
-            reason=reason,
-            peers=peers,
+        wait = _whole(self.request.headers.get(wire.WAIT), 0) / 1000
+        peers = self._parts.instances.peers_to_ask(MOST_PEERS)
+        reply = await first_answer(
+            peers,
+            self._ask,
+            lambda reply: isinstance(reply, Reply) and reply.status == 200,
+            wait + HEDGE_AFTER,
+            self._began + wait + PEERS_TIMEOUT,
         )
-        return None
+        if reply is None:
+            note(
+                "request.handed_on_in_vain",
+                request=self._request_id,
+                path=self.request.path[:LOGGED_PATH],
+                reason=reason,
+                peers=peers,
+            )
+        return reply
 
     async def _ask_peer(self):
         """Send this call to another instance; None where none is known."""
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -87,6 +87,9 @@
     def addresses(self, zone):
         return [f"address-in-{zone}"]
 
+    def peers_to_ask(self, most):
+        return []
+
     def peers(self):
         return []
 
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import random
 
@@ -116,6 +117,11 @@
         self.is_renewed = is_renewed
         self.at = now()
 
+    @property
+    def is_reader(self):
+        """Whether a living process is known to have read the steps."""
+        return bool(self.has_read and self.is_renewed)
+
     @property
     def lapses_after(self):
         """Seconds without renewal after which the instance counts as gone."""
@@ -336,10 +342,7 @@
         return found[:MOST_ADDRESSES]
 
     def peers(self):
-        """Return the addresses of other entry points.
-
-        Those that have read the steps come first, of these the ones of this zone.
-        """
+        """Return the addresses of other entry points, those of this zone first."""
         zone = self._settings.availability_zone
         view = self._current
         zones = {
@@ -351,14 +354,33 @@
             random.shuffle(found)
         else:
             found.sort(key=self._order(view, READERS_KEY).index)
-        read = self._readers(view)
-        found.sort(key=lambda address: (address not in read, zones[address] != zone))
+        found.sort(key=lambda address: zones[address] != zone)
         return found
 
+    def peers_to_ask(self, most):
+        """Return the peers that may answer for steps which this instance has not read.
+
+        The second is of another zone: all of one may be late together. Where none is
+        known to have read the steps it is one: after a start of all, calls that reach
+        nobody who knows would be multiplied.
+        """
+        read = [one for one in self._current.alive if one.is_reader]
+        others = [one for one in read if one.address != self._address]
+        random.shuffle(others)
+        return self._by_turns_of_zones(others)[:most] or self.peers()[:1]
+
+    def _by_turns_of_zones(self, found):
+        """Return the addresses, one of this zone and one of another by turns."""
+        zone = self._settings.availability_zone
+        near = [one.address for one in found if one.zone == zone]
+        far = [one.address for one in found if one.zone != zone]
+        pairs = itertools.zip_longest(near, far)
+        return [one for pair in pairs for one in pair if one is not None]
+
     @property
     def somebody_has_read(self):
         """Whether another entry point is known to have read the steps."""
-        return bool(self._readers(self._current))
+        return any(one.is_reader for one in self._current.alive)
 
     def unread_before(self, key):
         """Return how many entry points that come before this one for ``key`` are not
@@ -366,17 +388,18 @@
         view = self._current
         order = self._order(view, key)
         before = set(order[: order.index(self._address)])
-        return len(before & view.all_entry_points - self._readers(view))
-
-    def _readers(self, view):
-        return {one.address for one in view.alive if one.has_read and one.is_renewed}
+        readers = {one.address for one in view.alive if one.is_reader}
+        return len(before & view.all_entry_points - readers)
 
     def controls(self):
-        """Return where those peers serve other instances, in the same order."""
+        """Return where those peers serve other instances, by turns of this zone and of
+        another."""
         # The list may change between two looks at it: the peers' addresses come first.
         peers = self.peers()
-        by_address = {one.address: one.control for one in self._current.alive}
-        return [by_address[one] for one in peers if by_address.get(one)]
+        by_address = {one.address: one for one in self._current.alive}
+        found = [by_address[one] for one in peers if one in by_address]
+        order = self._by_turns_of_zones(found)
+        return [by_address[one].control for one in order if by_address[one].control]
 
     @property
     def is_entry_point(self):
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -24,6 +24,8 @@
 RETRY_PAUSE = 0.2
 RETRY_AFTER = 1.5
 """Seconds a trainer should wait with a step that was refused: outages take seconds."""
+START_RETRY_AFTER = 1.0
+"""Seconds a caller should wait for an instance that still reads what the log keeps."""
 CONFIRM_TIMEOUT = 0.9
 """Seconds to find out whether an unknown step exists."""
 FRESH_WITHIN = 0.7
@@ -171,7 +173,12 @@
             first=first,
             unread=[self._tails[step.shard].progress()],
         )
-        return NotRun("the log cannot be read to its end", RETRY_PAUSE)
+        return self._unread_refusal()
+
+    def _unread_refusal(self):
+        is_starting = any(tail.is_starting for tail in self._tails)
+        retry_after = START_RETRY_AFTER if is_starting else RETRY_PAUSE
+        return NotRun("the log cannot be read to its end", retry_after)
 
     async def body(self, step_id, item_id):
         """Return the body of an item, ``NotFound`` or ``NotRun``."""
@@ -221,7 +228,7 @@
             return step
         outcome = NotFound("no such step")
         if not all(sure):
-            outcome = NotRun("the log cannot be read to its end", RETRY_PAUSE)
+            outcome = self._unread_refusal()
         CALLS.inc({"call": "find", "outcome": type(outcome).__name__})
         note(
             "step.not_found",
--- a/sassafrasdoor/steps/durable/tests/test_service.py
+++ b/sassafrasdoor/steps/durable/tests/test_service.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from sassafrasdoor.clock import deadline_in, remaining
+from sassafrasdoor.clock import deadline_in, now, remaining
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.tail import Tail
 from sassafrasdoor.outcomes import NotRun, Unavailable, Unknown
@@ -191,6 +191,19 @@
         result = await behind.service.read("s1", 1, deadline_in(0))
         self.assertIsInstance(result, NotRun)
 
+    async def test_instance_that_still_starts_refuses_at_once(self):
+        """Guards against readers held back by a start while others could answer."""
+        await self.submit()
+        await self.instance.service.read("s1", 0, deadline_in(0))
+        for tail in self.instance.tails:
+            tail._running, tail.confirmed_at = True, None
+        for step_id in ("s1", "unknown"):
+            began = now()
+            result = await self.instance.service.read(step_id, 0, deadline_in(5))
+            self.assertIsInstance(result, NotRun)
+            self.assertEqual(result.retry_after, module.START_RETRY_AFTER)
+            self.assertLess(now() - began, module.LOOK_TIMEOUT)
+
     async def test_page_is_bounded_but_never_empty(self):
         await self.submit(items=3)
         await self.instance.service.read("s1", 0, deadline_in(0))
