--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -64,6 +64,12 @@
     return pause if pause >= SHORTEST_PAUSE else 0.0
 
 
+def all_read(tails):
+    """Say whether partitions were read to their ends, as far as the log answers."""
+    answered = [one for one in tails if one.failing_since is None]
+    return bool(answered) and all(one.has_caught_up for one in answered)
+
+
 class Silence:
     """A time without an answer of the log, as one reader has seen it.
 
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -424,6 +424,31 @@
             self.under_way.remove(part)
 
 
+class AllReadTest(unittest.TestCase):
+    def tails(self, *states):
+        """Return tails that have caught up, are behind, or fail."""
+        found = []
+        for state in states:
+            tail = Tail(MemoryPartitionedLog(), "t", 0, lambda at, data: None)
+            tail.confirmed_at = now() if state == "read" else None
+            tail.failing_since = now() if state == "fails" else None
+            found.append(tail)
+        return found
+
+    def test_partitions_that_do_not_answer_keep_no_other_back(self):
+        """Guards against instances that never say what they have read."""
+        cases = {
+            ("read", "read"): True,
+            ("read", "behind"): False,
+            ("read", "fails"): True,
+            ("behind", "fails"): False,
+            ("fails", "fails"): False,
+        }
+        for states, expected in cases.items():
+            with self.subTest(states):
+                self.assertIs(module.all_read(self.tails(*states)), expected)
+
+
 class WayTest(unittest.IsolatedAsyncioTestCase):
     """Tails of one instance do not ask for more than it has to ask for."""
 
--- a/sassafrasdoor/log/turns.py
+++ b/sassafrasdoor/log/turns.py
@@ -1,25 +1,47 @@
 """In which order instances that start together read what the log keeps.
 
 Load pattern: all instances lose power and come back within half a second, or many are
-restarted in turn, and each of those that follow the steps reads megabytes, which the log
-sends to all of them at one rate. Where many read at once the first is done only when the
-last one is, and no step is read or run until then.
+restarted in turn, and each of those that follow the steps reads tens of megabytes, which
+the log sends to all of them at one rate. Where many read at once the first is done only
+shortly before the last, and no step is read or run until then.
 
-So the first in rank reads alone, and once somebody has read, a few at a time follow in
-order of rank. The others hand their callers on to those that have read.
+So a few read at once, in order of rank, and the next one begins as one of them is done.
+The others hand their callers on to those that have read.
 """
 
-AT_ONCE = 3
-"""Instances that may read side by side once somebody has read."""
-PATIENCE = 3.0
-"""Seconds granted to each instance that comes before: it may be gone or stand still."""
+AT_ONCE = 4
+"""Instances that read side by side: by itself one takes a third of what the log sends."""
+LONGEST_WAIT = 8.0
+"""Seconds after which an instance reads in any case."""
 
 
-def may_read(ahead, somebody_has_read, unchanged_since, moment):
+def may_read(ahead, waiting_since, moment):
     """Say whether an instance may begin to read what the log keeps at a ``moment``.
 
-    ``ahead`` is how many instances that come before it are not known to have read, and
-    ``unchanged_since`` when that number was seen first. Times are monotonic.
+    ``ahead`` is how many instances that come before it may still have to read;
+    ``waiting_since`` is when it began to wait. Times are monotonic.
     """
-    too_many = ahead - (AT_ONCE if somebody_has_read else 1) + 1
-    return too_many <= 0 or moment >= unchanged_since + too_many * PATIENCE
+    return ahead < AT_ONCE or moment >= waiting_since + LONGEST_WAIT
+
+
+class Turn:
+    """One instance's turn to read: ``has_come`` until it steps back."""
+
+    __slots__ = ("_waiting_since", "has_come")
+
+    def __init__(self):
+        self.step_back()
+
+    def step_back(self):
+        """Wait anew from the next look on: it need not read for now."""
+        self._waiting_since = None
+        self.has_come = False
+
+    def look(self, ahead, moment):
+        """Return the seconds that it waited if its turn comes now, else None."""
+        if self.has_come:
+            return None
+        if self._waiting_since is None:
+            self._waiting_since = moment
+        self.has_come = may_read(ahead, self._waiting_since, moment)
+        return moment - self._waiting_since if self.has_come else None
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -11,8 +11,15 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.demand import Demand
 from sassafrasdoor.log.relay import RelayedLog
-from sassafrasdoor.log.tail import KeyedTail, Tail, Way, backlog_share, shared_pause
-from sassafrasdoor.log.turns import may_read
+from sassafrasdoor.log.tail import (
+    KeyedTail,
+    Tail,
+    Way,
+    all_read,
+    backlog_share,
+    shared_pause,
+)
+from sassafrasdoor.log.turns import Turn
 from sassafrasdoor.platform import (
     configuration,
     front,
@@ -84,8 +91,7 @@
         self._settings_stamp = platform_settings.stamp(path)
         self._metrics_port = metrics_port
         self._stop = asyncio.Event()
-        self._waiting_since = self._unchanged_since = self._unread_ahead = None
-        self._had_turn = False
+        self._turn = Turn()
         self._follows = asyncio.Event()
         self._servers = []
         self.closing = False
@@ -304,15 +310,11 @@
                 self._follows.set()
             else:
                 self._follows.clear()
-            self._instances.has_read = self._has_read_steps
-            waits = not (self._had_turn or self._instances.in_reserve)
+            steps = self._tails[: self._weights_shard]
+            self._instances.has_read = self._follows.is_set() and all_read(steps)
+            waits = not (self._turn.has_come or self._instances.in_reserve)
             await asyncio.sleep(FIRST_TICK if waits else FOLLOW_TICK)
 
-    @property
-    def _has_read_steps(self):
-        steps = self._tails[: self._weights_shard]
-        return self._follows.is_set() and all(one.has_caught_up for one in steps)
-
     def _follows_steps(self):
         """Say whether this instance reads the steps' records itself.
 
@@ -325,30 +327,30 @@
         if self._shards.holding:
             return True
         if not self._instances.is_entry_point:
-            self._waiting_since = self._unread_ahead = None
-            self._had_turn = False
+            self._turn.step_back()
             return False
-        if not self._had_turn:
-            self._waiting_since = self._waiting_since or now()
-            self._had_turn = self._turn_has_come()
-        return self._had_turn
-
-    def _turn_has_come(self):
-        keys = {READERS_KEY, *map(self._ranked_for, range(self._weights_shard + 1))}
-        ahead = min(map(self._instances.unread_before, keys))
-        others = self._instances.somebody_has_read
-        if ahead != self._unread_ahead:
-            self._unread_ahead, self._unchanged_since = ahead, now()
-        if not may_read(ahead, others, self._unchanged_since, now()):
-            return False
-        note(
-            "steps.reading",
-            ahead=ahead,
-            somebody_has_read=others,
-            followers=self._instances.entry_points,
-            seconds=round(now() - self._waiting_since, 2),
-        )
-        return True
+        if not self._turn.has_come:
+            self._look_at_turn()
+        return self._turn.has_come
+
+    def _look_at_turn(self):
+        ahead = self._unread_ahead
+        waited = self._turn.look(ahead, now())
+        if waited is not None:
+            note(
+                "steps.reading",
+                ahead=ahead,
+                followers=self._instances.entry_points,
+                seconds=round(waited, 2),
+            )
+
+    @property
+    def _unread_ahead(self):
+        """How many read the steps before this instance; none if it is to run some."""
+        keys = set(map(self._ranked_for, range(self._weights_shard + 1)))
+        if any(self._instances.unread_before(key) == 0 for key in keys):
+            return 0
+        return self._instances.unread_before(READERS_KEY)
 
     def _rank(self, shard):
         """Return this instance's place among those that could run a shard.
--- a/sassafrasdoor/platform/tests/test_unread_processes.py
+++ b/sassafrasdoor/platform/tests/test_unread_processes.py
@@ -1,18 +1,24 @@
 """Accepted steps at real processes that have not read the log to its end."""
 
+import asyncio
 import json
 import tempfile
 
-from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.clock import deadline_in, now
 from sassafrasdoor.platform.local import LocalInstance
 from sassafrasdoor.platform.standin import StoreStandin
 from sassafrasdoor.platform.tests.cases import MODEL, ProcessCase
+from sassafrasdoor.rendezvous import ranked
+from sassafrasdoor.routing.instances import READERS_KEY
 from sassafrasdoor.steps.durable.records import Sample, encode
 from sassafrasdoor.steps.durable.service import TOPIC, shard_of
 
 OLD_RECORDS = 400
 RECORD_SECONDS = 0.2
 READS = 20
+ENTRY_POINTS = 4
+LONGEST_LAPSE = 4.0
+"""Seconds in which the record of an instance that is gone lapses."""
 
 
 class UnreadTest(ProcessCase):
@@ -56,3 +62,38 @@
                 results.append(await self.page("s", at=at))
         self.assertTrue(self.lines("s", "step.not_found"))
         self.assertEqual(results.count(None), 0)
+
+
+class FirstGoneTest(ProcessCase):
+    """All instances end; the one that comes first for the steps stays away."""
+
+    async def test_steps_are_read_while_the_list_names_one_that_is_gone(self):
+        """Guards against instances that all wait for one without power."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        for name in "def":
+            instance = LocalInstance(folder.name, name, self.store.address)
+            self.addCleanup(instance.close)
+            self.instances.append(instance)
+        await self.until_ready()
+        self.assertEqual((await self.submit("s")).code, 202)
+        await self.until(lambda: self.whole("s", at=1))
+        await self.until(lambda: self.knows_peers(1, ENTRY_POINTS))
+        named = await self.fetch(self.instances[1].directory, "/-/resolve?Zone=z")
+        points = json.loads(named.body)["Addresses"]
+        first = next(iter(ranked(dict.fromkeys(points, 1.0), READERS_KEY)))
+        for instance in self.instances:
+            instance.kill()
+        self.instances = [one for one in self.instances if one.front != first]
+        for instance in self.instances:
+            instance.start()
+        await self.until_ready()
+        began, all_refuse_until = now(), 0.0
+        while now() < began + LONGEST_LAPSE:
+            pages = await asyncio.gather(
+                *(self.page("s", at=at) for at in range(len(self.instances)))
+            )
+            if not any(pages):
+                all_refuse_until = now() - began
+            await asyncio.sleep(0.1)
+        self.assertLess(all_refuse_until, LONGEST_LAPSE / 2)
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -51,6 +51,9 @@
 """Seconds after the own start in which calls are handed to the first of each zone: where
 many instances started together only these have read what the log keeps, and the last of
 five in a zone begins after four."""
+HEARD_WITHIN = 2.0
+"""Seconds after the own start within which each living entry point is heard of: it
+renews its record each second, and the list is read 0.7 s apart."""
 VIEW_HOLDS = 0.2
 """Seconds that what was worked out of the list is used again: to order many instances
 for each question takes a part of the processor that grows with their number."""
@@ -84,8 +87,9 @@
 class _Seen:
     """A record as it was last read: ``data`` at ``at``, monotonic.
 
-    ``is_renewed`` says whether it was written since this process follows the list; one
-    of before may be of a process that ended with all others.
+    ``has_read`` says whether the instance has read the steps, None where it does not
+    tell. ``is_renewed`` says whether the record was written since this process follows
+    the list; one of before may be of a process that ended with all others.
     """
 
     __slots__ = (
@@ -113,7 +117,7 @@
         self.control = _text({"control": "", **document}, "control")
         self.process = _text({"process": "", **document}, "process")
         self.in_reserve = document.get("reserve") is True
-        self.has_read = document.get("read") is True
+        self.has_read = document["read"] is True if "read" in document else None
         self.is_renewed = is_renewed
         self.at = now()
 
@@ -228,6 +232,7 @@
         "_control",
         "_cores",
         "_has_read",
+        "_heard_by",
         "_key",
         "_leaving",
         "_log",
@@ -278,6 +283,7 @@
         self._has_read = self._told_read = False
         self._news = asyncio.Event()
         self._young_until = deadline_in(YOUNG_FOR)
+        self._heard_by = deadline_in(HEARD_WITHIN)
         self.tail = KeyedTail(log, TOPIC, self._take, READ_PAUSE, elsewhere, way)
 
     @property
@@ -377,19 +383,26 @@
         pairs = itertools.zip_longest(near, far)
         return [one for pair in pairs for one in pair if one is not None]
 
-    @property
-    def somebody_has_read(self):
-        """Whether another entry point is known to have read the steps."""
-        return any(one.is_reader for one in self._current.alive)
-
     def unread_before(self, key):
-        """Return how many entry points that come before this one for ``key`` are not
-        known to have read the steps."""
+        """Return how many entry points come before this one for ``key`` and may still
+        have to read the steps.
+
+        Those that nothing was heard of since the own start, and those that do not tell,
+        are not waited for.
+        """
         view = self._current
         order = self._order(view, key)
-        before = set(order[: order.index(self._address)])
-        readers = {one.address for one in view.alive if one.is_reader}
-        return len(before & view.all_entry_points - readers)
+        before = view.all_entry_points.intersection(order[: order.index(self._address)])
+        return sum(
+            one.address in before and self._may_have_to_read(one) for one in view.alive
+        )
+
+    def _may_have_to_read(self, one):
+        if one.has_read is None:
+            return False
+        if one.is_renewed:
+            return not one.has_read
+        return not passed(self._heard_by)
 
     def controls(self):
         """Return where those peers serve other instances, by turns of this zone and of
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -199,6 +199,26 @@
         await self.tell_read(self.all.index(by_rank[0]), self.all.index(by_rank[2]))
         self.assertEqual([one.unread_before("x") for one in by_rank], [0, 0, 1, 1, 2])
 
+    async def test_those_that_say_nothing_are_not_waited_for(self):
+        """Guards against a fleet that waits for instances without power."""
+        by_rank = sorted(self.all, key=lambda one: one.ranking("x"))
+        last = by_rank[-1]
+        for seen in last._seen.values():
+            seen.is_renewed = False
+        self.assertEqual(last.unread_before("x"), 4)
+        last._heard_by = LONG_AGO
+        self.assertEqual(last.unread_before("x"), 0)
+
+    async def test_records_of_an_earlier_program_are_not_waited_for(self):
+        """Guards against an update that waits for instances which cannot tell."""
+        by_rank = sorted(self.all, key=lambda one: one.ranking("x"))
+        first = by_rank[0]
+        document = json.loads(first._document())
+        del document["read"]
+        await first._write(json.dumps(document).encode())
+        await self.read()
+        self.assertEqual(by_rank[1].unread_before("x"), 0)
+
     async def test_reading_is_told_at_once(self):
         """Guards against callers that are refused for the time between renewals."""
         one = self.all[0]
