--- a/sassafrasdoor/platform/steps.py
+++ b/sassafrasdoor/platform/steps.py
@@ -6,6 +6,7 @@
 
 from sassafrasdoor.outcomes import Finding, Rejected
 from sassafrasdoor.platform import wire
+from sassafrasdoor.steps.durable import records
 from sassafrasdoor.steps.durable.records import Item, RewardCall, StepSpec
 
 
@@ -19,7 +20,7 @@
         faults = [one for found in items if isinstance(found, list) for one in found]
         if faults:
             return Rejected("step invalid", faults)
-        return StepSpec(
+        spec = StepSpec(
             step_id=step_id,
             host=host,
             path=path,
@@ -29,6 +30,9 @@
             wanted=int(document.get("Desired", 0)),
             items=items,
         )
+        # Kept, it would be skipped by every reader of the log: accepted and unknown.
+        fault = records.fault_of(spec)
+        return Rejected("step invalid", [Finding("(root)", fault)]) if fault else spec
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return Rejected("step invalid", [Finding("(root)", repr(error))])
 
--- a/sassafrasdoor/platform/tests/test_translation.py
+++ b/sassafrasdoor/platform/tests/test_translation.py
@@ -8,7 +8,7 @@
 from sassafrasdoor.outcomes import Rejected
 from sassafrasdoor.platform import configuration, settings, steps
 from sassafrasdoor.routing.replicas import Replicas
-from sassafrasdoor.steps.durable.records import COMPLETED, Sample
+from sassafrasdoor.steps.durable.records import COMPLETED, Sample, StepSpec
 from sassafrasdoor.steps.durable.service import Page
 from sassafrasdoor.table.routes import Repeat, RoutesInForce
 
@@ -279,6 +279,27 @@
         wanted = [f"Items.1.Scorer.{name}" for name in ("Id", "Host", "Path")]
         self.assertEqual(places, ["Items.0.Scorer", *wanted])
 
+    def test_step_that_no_reader_of_the_log_understands_is_refused(self):
+        """Guards against a step that is accepted and known to nobody for good."""
+        cases = [
+            ("Id", 5),
+            ("Id", None),
+            ("Path", None),
+            ("Group", None),
+            ("Group", 5),
+        ]
+        good = {"Id": "i", "Path": "/p", "Headers": {}, "Body": "", "Group": "g"}
+        bad = [{"Model": "m", "Items": [{**good, name: at}]} for name, at in cases]
+        bad += [{"Model": at, "Items": [good]} for at in (None, 5)]
+        for step in bad:
+            with self.subTest(step):
+                found = steps.spec_from("s", "h", "/", json.dumps(step).encode())
+                self.assertIsInstance(found, Rejected)
+        found = steps.spec_from(
+            "s", "h", "/", json.dumps({"Model": "m", "Items": [good]}).encode()
+        )
+        self.assertIsInstance(found, StepSpec)
+
     def test_score_is_shown_where_there_is_one(self):
         samples = [
             Sample("s", "i0", COMPLETED, "t", [1], "mark"),
--- a/sassafrasdoor/steps/durable/records.py
+++ b/sassafrasdoor/steps/durable/records.py
@@ -240,6 +240,18 @@
         self.versions = versions
 
 
+def fault_of(spec):
+    """Return what would make a step's record unreadable, empty for nothing."""
+    document = _step_document(spec)
+    try:
+        for row in document.pop("items"):
+            _item(row, spec.model)
+        _check(document)
+    except MALFORMED as error:
+        return str(error)[:MOST_REASON]
+    return ""
+
+
 def encode_step(spec, record_limit):
     """Return the records of a step, each at most ``record_limit`` bytes."""
     packed = zlib.compress(json.dumps(_step_document(spec)).encode(), PACK_LEVEL)
