--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -19,7 +19,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-from sassafrasdoor.backends.interface import Broken
+from sassafrasdoor.backends.interface import Broken, Refused
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.metrics import counter
 
@@ -144,6 +144,14 @@
         for one in self._idle.pop(address, ()):
             one.stream.close()
 
+    async def reach(self, address):
+        """Return True if a connection can be opened, else ``Refused`` or ``Broken``."""
+        stream = await self._open(address)
+        if not stream:
+            return stream
+        stream.close()
+        return True
+
     async def send(self, address, request, accept=None, on_data=None):
         """Return the whole ``Reply``, or ``Broken``; cancelling closes at once.
 
@@ -185,7 +193,10 @@
         except (StreamClosedError, OSError) as error:
             stream.close()
             OPENED.inc({"result": "refused"})
-            return Broken(f"not connected: {error}", began=False)
+            reason = f"not connected: {error}"
+            if isinstance(_cause(error), ConnectionRefusedError):
+                return Refused(reason)
+            return Broken(reason, began=False)
         except asyncio.CancelledError:
             stream.close()
             raise
@@ -240,6 +251,11 @@
         return True
 
 
+def _cause(error):
+    """Return the system's error behind a stream's."""
+    return getattr(error, "real_error", None) or error
+
+
 def _socket():
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
--- a/sassafrasdoor/backends/interface.py
+++ b/sassafrasdoor/backends/interface.py
@@ -36,6 +36,15 @@
         return f"Broken({self.reason!r}, began={self.began})"
 
 
+class Refused(Broken):
+    """Nobody listens at the address: the process that did is gone."""
+
+    __slots__ = ()
+
+    def __init__(self, reason):
+        super().__init__(reason, began=False)
+
+
 class Stale(Outcome):
     """The engine refused an order; ``fence`` is the newest number it has seen."""
 
--- a/sassafrasdoor/backends/replicas.py
+++ b/sassafrasdoor/backends/replicas.py
@@ -105,6 +105,10 @@
     async def call(self, replica, call):
         """Return the ``Answer``, ``NotRun``, ``WrongReplica`` or ``Broken``."""
 
+    @abstractmethod
+    async def reach(self, replica):
+        """Return True if it can be connected to, else ``Refused`` or ``Broken``."""
+
     @abstractmethod
     async def stream(self, replica, call, passing):
         """Pass events on; return True when whole, or as ``call`` does.
--- a/sassafrasdoor/backends/tests/test_connections.py
+++ b/sassafrasdoor/backends/tests/test_connections.py
@@ -6,7 +6,7 @@
 import unittest
 
 from sassafrasdoor.backends.connections import Connections, Outgoing, Reply
-from sassafrasdoor.backends.interface import Broken
+from sassafrasdoor.backends.interface import Broken, Refused
 from sassafrasdoor.clock import deadline_in
 
 WHOLE = b"HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 2\r\n\r\nok"
@@ -157,6 +157,15 @@
         async with asyncio.timeout(20):
             await self.server.left.wait()
 
+    async def test_server_that_is_gone_is_told_from_one_that_listens(self):
+        await self.start()
+        self.assertIs(await self.connections.reach(self.address), True)
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{unused.getsockname()[1]}"
+            reached = await self.connections.reach(address)
+        self.assertIsInstance(reached, Refused)
+
     async def test_nothing_was_sent_where_nobody_listens(self):
         await self.start()
         self.server.stop()
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -29,6 +29,7 @@
 from sassafrasdoor.platform.peers import Peers
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
+from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.requests.streaming import StreamService
 from sassafrasdoor.routing.instances import READERS_KEY, Instances
@@ -113,6 +114,7 @@
             settings.instance.availability_zone, settings.heartbeat
         )
         self._replicas.on_restart(self._client.forget)
+        self._crashes = CrashWatch(self._client, self._replicas)
         self._steps = Steps()
         # The shard after those of the steps is no step's: its holder orders the loads.
         shards = min(SHARDS, settings.partitions - 1)
@@ -145,7 +147,12 @@
             Outbox(self._log, TOPIC, shard) for shard in range(shards + 1)
         ]
         self._runner = Runner(
-            self._client, self._replicas, self._routes, self._steps, self._outboxes
+            self._client,
+            self._replicas,
+            self._routes,
+            self._steps,
+            self._outboxes,
+            self._crashes,
         )
         self._shards = Shards(
             self._log,
@@ -258,8 +265,8 @@
 
     def _listen(self):
         parts = handlers.Parts(
-            DirectService(self._client, self._replicas),
-            StreamService(self._client, self._replicas),
+            DirectService(self._client, self._replicas, self._crashes),
+            StreamService(self._client, self._replicas, self._crashes),
             self._instances,
             self,
             self._routes,
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -49,6 +49,10 @@
         )
         return _whole_answer(reply)
 
+    async def reach(self, replica):
+        """Return True if it can be connected to, else ``Refused`` or ``Broken``."""
+        return await self._connections.reach(replica.listing.address)
+
     async def stream(self, replica, call, passing):
         """Pass events on; return True when whole, or as ``call`` does."""
         blocks = _Blocks()
--- a/sassafrasdoor/platform/tests/test_health.py
+++ b/sassafrasdoor/platform/tests/test_health.py
@@ -9,6 +9,7 @@
 from sassafrasdoor.platform.configuration import listing_from
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.standin import ReplicaStandin
+from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.requests.tests.fixtures import direct_request
 from sassafrasdoor.routing.replicas import Replicas
@@ -33,7 +34,8 @@
             self.replicas.listed(standin.identity, listing_from(entry))
         self.client = WireReplicas()
         self.addCleanup(self.client.close)
-        self.service = DirectService(self.client, self.replicas)
+        self.crashes = CrashWatch(self.client, self.replicas)
+        self.service = DirectService(self.client, self.replicas, self.crashes)
         self.number = 0
 
     async def call(self, repeat=Repeat.SAFE):
@@ -113,6 +115,11 @@
         self.assertEqual(self.ran("r13"), 1)
         for proxy in self.proxies:
             proxy.set({"clear": True})
+        # A replica that broke a connection is connected to without a request.
+        limit = deadline_in(60)
+        while self.crashes.looking:
+            self.assertFalse(passed(limit), "looked after for ever")
+            await asyncio.sleep(0.02)
         before = sum(proxy.accepted for proxy in self.proxies)
         self.assertGreater(before, opened)
         self.assertIsInstance(await self.call(Repeat.ONCE), Answer)
--- a/sassafrasdoor/requests/attempts.py
+++ b/sassafrasdoor/requests/attempts.py
@@ -1,5 +1,7 @@
 """One caller's request and what has become of it so far, whole answer or stream."""
 
+import hashlib
+
 from sassafrasdoor.backends.interface import Answer, Broken
 from sassafrasdoor.backends.replicas import DirectCall, WrongReplica
 from sassafrasdoor.clock import passed, remaining
@@ -18,6 +20,9 @@
 SERVER_ERROR = 500
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 """Statuses that callers take for the promise that a request has not run."""
+CALLER_HEADERS = ("host", "authorization")
+"""Headers that are the same each time a caller sends a request again."""
+FINGERPRINT_BYTES = 16
 REPEATABLE = {Repeat.SAFE, Repeat.RESUME}
 
 TRIES = counter("direct_tries_total", "Sends to replicas, by why.")
@@ -41,6 +46,17 @@
         for name in self.__slots__:
             setattr(self, name, fields[name])
 
+    @property
+    def fingerprint(self):
+        """A digest of caller, method, path and body, the same under each id."""
+        known = {name.lower(): value for name, value in self.headers}
+        parts = [known.get(name, "") for name in CALLER_HEADERS]
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for part in (*parts, self.method, self.path):
+            digest.update(f"{len(part)}:{part}".encode())
+        digest.update(self.body)
+        return digest.hexdigest()
+
 
 class Attempts:
     """The sends of one request; ``running`` maps tasks to their replicas.
@@ -130,6 +146,7 @@
             tries=self.sent,
             routes_version=self.request.version,
             reason=reason,
+            fingerprint=self.request.fingerprint,
         )
         return result
 
--- a/sassafrasdoor/requests/direct.py
+++ b/sassafrasdoor/requests/direct.py
@@ -5,6 +5,7 @@
 from sassafrasdoor.backends.interface import Answer
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts
+from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.table.routes import Repeat
 
 HEDGE_SHARE = 0.55
@@ -17,11 +18,12 @@
 class DirectService:
     """Answers callers' requests from replicas."""
 
-    __slots__ = ("_client", "_replicas")
+    __slots__ = ("_client", "_crashes", "_replicas")
 
-    def __init__(self, client, replicas):
+    def __init__(self, client, replicas, crashes=None):
         self._client = client
         self._replicas = replicas
+        self._crashes = crashes or CrashWatch(client, replicas)
 
     async def answer(self, request):
         """Return the replica's ``Answer``, ``NotRun`` or ``Unknown``."""
@@ -55,6 +57,7 @@
             for task in done:
                 replica = attempts.running.pop(task)
                 last = attempts.judge(replica, task.result())
+                self._crashes.judged(attempts.request, replica, last)
                 if isinstance(last, Answer) and last.status < SERVER_ERROR:
                     return attempts.final(last)
             if done:
--- a/sassafrasdoor/requests/streaming.py
+++ b/sassafrasdoor/requests/streaming.py
@@ -12,6 +12,7 @@
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Unknown
 from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts
+from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.table.routes import Repeat
 
 LONGEST_SILENCE = 1.5
@@ -81,11 +82,12 @@
 class StreamService:
     """Passes replicas' streams on to callers."""
 
-    __slots__ = ("_client", "_replicas")
+    __slots__ = ("_client", "_crashes", "_replicas")
 
-    def __init__(self, client, replicas):
+    def __init__(self, client, replicas, crashes=None):
         self._client = client
         self._replicas = replicas
+        self._crashes = crashes or CrashWatch(client, replicas)
 
     async def answer(self, request, caller):
         """Pass a stream on; return True when it is whole.
@@ -118,6 +120,7 @@
                 attempts.answered(200)
                 return True
             last = attempts.judge(replica, result)
+            self._crashes.judged(attempts.request, replica, last)
             if isinstance(last, Answer) and last.status < SERVER_ERROR:
                 break
         if passing.begun:
--- a/sassafrasdoor/requests/tests/test_direct.py
+++ b/sassafrasdoor/requests/tests/test_direct.py
@@ -29,6 +29,9 @@
         self.calls = []
         self.cancelled = 0
 
+    async def reach(self, replica):
+        return True
+
     async def call(self, replica, call):
         self.calls.append((replica.identity, call))
         outcome = self.script.pop(0)
--- a/sassafrasdoor/requests/tests/test_streaming.py
+++ b/sassafrasdoor/requests/tests/test_streaming.py
@@ -29,6 +29,9 @@
         self.script = list(script)
         self.calls = []
 
+    async def reach(self, replica):
+        return True
+
     async def stream(self, replica, call, passing):
         self.calls.append((replica.identity, call.after))
         events, outcome = self.script.pop(0)
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -75,7 +75,7 @@
         "_wake",
     )
 
-    def __init__(self, client, replicas, routes, steps, outboxes):
+    def __init__(self, client, replicas, routes, steps, outboxes, crashes=None):
         self._client = client
         self._replicas = replicas
         self._routes = routes
@@ -87,7 +87,7 @@
         self._looks = {}
         self._wake = asyncio.Event()
         self._rewards = Rewards(
-            DirectService(client, replicas),
+            DirectService(client, replicas, crashes),
             replicas,
             routes,
             outboxes,
--- a/sassafrasdoor/steps/durable/tests/fixtures.py
+++ b/sassafrasdoor/steps/durable/tests/fixtures.py
@@ -109,6 +109,10 @@
         self.calls = []
         self.cancelled = 0
 
+    async def reach(self, replica):
+        """Every replica lives."""
+        return True
+
     async def call(self, replica, call):
         """Answer a reward call."""
         self.calls.append((replica.identity, call))
