--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
@@ -23,10 +25,14 @@
 READ_SLACK = 1.0
 
 
-def serve(application):
-    """Serve on a port of its own; return ``(server, "host:port")``."""
+RESET = struct.pack("ii", 1, 0)
+"""Lingering for no time: a connection is reset instead of closed."""
+
+
+def serve(application, port=0):
+    """Serve on a port, by default one of its own; return ``(server, "host:port")``."""
     server = HTTPServer(application)
-    sockets = bind_sockets(0, LOCAL)
+    sockets = bind_sockets(port, LOCAL)
     server.add_sockets(sockets)
     return server, f"{LOCAL}:{sockets[0].getsockname()[1]}"
 
@@ -146,6 +152,10 @@
 
     ``break_after`` closes a stream after so many events (once for each entry of the
     list), ``failures`` are statuses to answer with, ``full`` refuses everything.
+    A request of a path in ``crash_paths`` ends the replica ``crash_after`` seconds after
+    it has begun to run; ``away`` seconds later it serves again under a new identity, and
+    ``on_back(former identity)`` is awaited; ``crashed_with`` are the paths that ran at
+    each crash.
     """
 
     def __init__(self, identity, slots=8, events=4, pause=0.02):
@@ -160,11 +170,19 @@
         self.failures = []
         self.full = False
         self.born = 1
+        self.crash_paths = set()
+        self.crash_after = 0.05
+        self.away = 1.0
+        self.on_back = _nothing
+        self.streams = set()
+        self.crashes = 0
+        self.crashed_with = []
         routes = [
             (r"/-/order", _Order, {"replica": self}),
             (r"/.*", _Work, {"replica": self}),
         ]
-        self._server, self.address = serve(Application(routes, log_function=_quiet))
+        self._application = Application(routes, log_function=_quiet)
+        self._server, self.address = serve(self._application)
 
     @property
     def running(self):
@@ -190,17 +208,43 @@
         self.orders = []
         self.break_after = []
 
+    async def crash(self):
+        """End at once; come back at the same address under a new identity."""
+        self.crashes += 1
+        self._server.stop()
+        self.crashed_with.append([run.path for run in self.running])
+        for run in self.running:
+            run.ended = asyncio.get_running_loop().time()
+        for stream in self.streams:
+            if not stream.closed():
+                sock = stream.socket
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                stream.close()
+        self.streams.clear()
+        await asyncio.sleep(self.away)
+        former = self.identity
+        self.identity = f"{former.partition('.')[0]}.{self.crashes}"
+        self.restart()
+        port = int(self.address.rpartition(":")[2])
+        self._server, _ = serve(self._application, port)
+        await self.on_back(former)
+
     def stop(self):
         """Stop serving."""
         self._server.stop()
 
 
+async def _nothing(former):
+    """Tell nobody that a replica is back."""
+
+
 class _ReplicaHandler(RequestHandler):
     def initialize(self, replica):
         self._replica = replica
         self._run = None
         self._gone = False
         self._life = replica.born
+        replica.streams.add(self.request.connection.stream)
 
     def on_connection_close(self):
         self._gone = True
@@ -241,7 +285,11 @@
     async def post(self):
         if not self._begin():
             return
-        if self._replica.failures:
+        if self.request.path in self._replica.crash_paths:
+            await asyncio.sleep(self._replica.crash_after)
+            if self._run.ended is None:
+                await self._replica.crash()
+        elif self._replica.failures:
             self.set_status(self._replica.failures.pop(0))
         elif self.request.path.startswith("/plain"):
             await asyncio.sleep(self._replica.pause)
--- /dev/null
+++ b/sassafrasdoor/platform/tests/test_crash_processes.py
@@ -0,0 +1,88 @@
+"""A request that crashes each replica that runs it, in real processes."""
+
+import asyncio
+import unittest
+
+from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.platform import configuration, wire
+from sassafrasdoor.platform.standin import ReplicaStandin
+from sassafrasdoor.platform.tests.cases import PLAIN, ProcessCase
+
+CRASHING, BESIDE = "/plain/crash", "/plain/beside"
+CERTAIN = 3
+"""Replicas after whose crashes the request counts as the cause."""
+SHARED_WITHIN = 3.0
+"""Seconds after the third crash from which on sends are counted."""
+MOST_SENDS = 3
+REPEATS = 12
+
+
+class CrashTest(ProcessCase):
+    async def asyncSetUp(self):
+        self.sent = 0
+        await super().asyncSetUp()
+        more = [ReplicaStandin(f"p{at}") for at in range(2, 4)]
+        for replica in more:
+            self.addCleanup(replica.stop)
+        self.plain += more
+        for replica in self.plain:
+            replica.pause = 0.2
+            replica.crash_paths = {CRASHING}
+            replica.on_back = lambda former, one=replica: self.is_back(former, one)
+        await self.list_replicas()
+
+    async def is_back(self, former, replica):
+        await self.store.put(configuration.SERVERS_TOPIC, former, None)
+        entry = replica.entry(PLAIN, [])
+        await self.store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+
+    async def send(self, path):
+        """Send a request at the next instance, under an id of its own."""
+        self.sent += 1
+        front = self.instances[self.sent % len(self.instances)].front
+        headers = {wire.REQUEST_ID: f"r{self.sent}"}
+        return await self.fetch(front, path, "POST", "b", **headers)
+
+    async def send_beside(self):
+        """Send the request that crashes while another runs at each replica."""
+        beside = [self.send(BESIDE) for _ in range(3 * len(self.plain))]
+        tasks = [asyncio.ensure_future(one) for one in beside]
+        await self.until(lambda: all(one.running for one in self.plain))
+        await self.send(CRASHING)
+        await asyncio.gather(*tasks)
+
+    async def all_serve(self):
+        """Say whether each instance knows all replicas that are back."""
+        for instance in self.instances:
+            if not await self.plain_is(instance, 200):
+                return False
+        return all(one.running == [] for one in self.plain)
+
+    @property
+    def crashes(self):
+        return sum(one.crashes for one in self.plain)
+
+    def runs_since(self, moment):
+        found = [run for one in self.plain for run in one.runs]
+        return [run for run in found if run.path == CRASHING and run.at >= moment]
+
+    async def test_request_that_crashes_replicas_reaches_few_more(self):
+        """One request takes down replicas of its service again and again."""
+        while self.crashes < CERTAIN:
+            await self.send_beside()
+            await self.until(self.all_serve)
+        await asyncio.sleep(SHARED_WITHIN)
+        counted_from = now()
+        for _ in range(REPEATS):
+            await self.send(CRASHING)
+            await self.until(self.all_serve)
+        self.assertLessEqual(len(self.runs_since(counted_from)), MOST_SENDS)
+        ran = [paths for one in self.plain for paths in one.crashed_with]
+        self.assertTrue(any(BESIDE in paths for paths in ran))
+        limit = deadline_in(1.0)
+        while not passed(limit):
+            self.assertEqual((await self.send(BESIDE)).code, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
