--- a/sassafrasdoor/platform/handlers.py
+++ b/sassafrasdoor/platform/handlers.py
@@ -13,6 +13,7 @@
 from sassafrasdoor.metrics import counter, exposition, histogram
 from sassafrasdoor.outcomes import NotRun, Unknown
 from sassafrasdoor.platform import wire
+from sassafrasdoor.requests.crash_watch import Quarantined
 from sassafrasdoor.steps.durable.service import NotFound
 
 DIRECTORY_VALID = 2
@@ -204,6 +205,11 @@
     return 504, []
 
 
+@failure.register
+def _(outcome: Quarantined):
+    return 502, []
+
+
 @failure.register
 def _(outcome: NotFound):
     return 404, []
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -29,7 +29,7 @@
 from sassafrasdoor.platform.peers import Peers
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
-from sassafrasdoor.requests.crash_watch import CrashWatch
+from sassafrasdoor.requests.crash_watch import TOPIC as CRASHES_TOPIC, CrashWatch
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.requests.streaming import StreamService
 from sassafrasdoor.routing.instances import READERS_KEY, Instances
@@ -46,6 +46,8 @@
 LIST_PAUSE = 0.35
 """Seconds between reads of the replicas' list: a leaving replica is known well
 within its two seconds, and heartbeats of all replicas come in one answer."""
+CRASHES_PAUSE = 0.5
+"""Seconds between reads of the crashes: all instances know of one within a second."""
 SERVE_ON_SHARE = 0.86
 """Part of the planned stop for which open and remembered connections are served."""
 FINISH_SHARE = 0.1
@@ -114,7 +116,20 @@
             settings.instance.availability_zone, settings.heartbeat
         )
         self._replicas.on_restart(self._client.forget)
-        self._crashes = CrashWatch(self._client, self._replicas)
+        self._crashes = CrashWatch(
+            self._client,
+            self._replicas,
+            self._log,
+            settings.name,
+            lambda: self._instances.ranking(CRASHES_TOPIC) == 0,
+        )
+        self._crash_list = KeyedTail(
+            self._log,
+            CRASHES_TOPIC,
+            self._crashes.take,
+            CRASHES_PAUSE,
+            self._peers.newest,
+        )
         self._steps = Steps()
         # The shard after those of the steps is no step's: its holder orders the loads.
         shards = min(SHARDS, settings.partitions - 1)
@@ -249,6 +264,9 @@
         return [
             self._operator.run(),
             self._list.run(),
+            self._crash_list.run(),
+            self._crashes.run(),
+            self._crashes.expire(),
             self._instances.tail.run(),
             self._instances.renew(lambda: self.ready),
             self._mover.run(),
@@ -278,7 +296,12 @@
             ),
             self._store,
         )
-        tails = (self._operator, self._list, self._instances.tail)
+        tails = (
+            self._operator,
+            self._list,
+            self._instances.tail,
+            self._crash_list,
+        )
         parts.lists = {tail.topic: tail for tail in tails}
         applications = [
             (self._settings.front, front.front_application(parts)),
--- a/sassafrasdoor/platform/tests/test_crash_processes.py
+++ b/sassafrasdoor/platform/tests/test_crash_processes.py
@@ -30,6 +30,12 @@
             replica.crash_paths = {CRASHING}
             replica.on_back = lambda former, one=replica: self.is_back(former, one)
         await self.list_replicas()
+        for one in more:
+            await self.until(lambda name=one.identity: self.is_known(name))
+
+    def is_known(self, identity):
+        """Say whether each instance has a replica in its list."""
+        return len(self.lines(identity, "replica.listed")) == len(self.instances)
 
     async def is_back(self, former, replica):
         await self.store.put(configuration.SERVERS_TOPIC, former, None)
--- a/sassafrasdoor/requests/attempts.py
+++ b/sassafrasdoor/requests/attempts.py
@@ -32,6 +32,7 @@
     """A caller's request: what came in, its route and its deadline (monotonic)."""
 
     __slots__ = (
+        "_fingerprint",
         "body",
         "deadline",
         "headers",
@@ -43,12 +44,18 @@
     )
 
     def __init__(self, **fields):
-        for name in self.__slots__:
+        self._fingerprint = None
+        for name in self.__slots__[1:]:
             setattr(self, name, fields[name])
 
     @property
     def fingerprint(self):
         """A digest of caller, method, path and body, the same under each id."""
+        if self._fingerprint is None:
+            self._fingerprint = self._digest()
+        return self._fingerprint
+
+    def _digest(self):
         known = {name.lower(): value for name, value in self.headers}
         parts = [known.get(name, "") for name in CALLER_HEADERS]
         digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
@@ -61,10 +68,12 @@
 class Attempts:
     """The sends of one request; ``running`` maps tasks to their replicas.
 
-    ``failures`` counts the answers in which a replica says that its own work failed.
+    ``failures`` counts the answers in which a replica says that its own work failed;
+    ``alone`` allows one send that may run, and no second beside it.
     """
 
     __slots__ = (
+        "alone",
         "failures",
         "may_have_run",
         "refusals",
@@ -81,6 +90,7 @@
         self.sent = 0
         self.refusals = 0
         self.failures = 0
+        self.alone = False
         self.tried = set()
         self.running = {}
         self.may_have_run = False
@@ -97,7 +107,9 @@
             return False
         if self.refusals >= MOST_REFUSALS or passed(self.request.deadline):
             return False
-        return self.repeatable or not (self.may_have_run or self.running)
+        if self.repeatable and not self.alone:
+            return True
+        return not (self.may_have_run or self.running)
 
     def sending(self, replica, why):
         """Count a send to ``replica``; return the ``DirectCall``."""
--- a/sassafrasdoor/requests/direct.py
+++ b/sassafrasdoor/requests/direct.py
@@ -45,6 +45,17 @@
         return result
 
     async def _run(self, attempts):
+        """Send as often as need be, a suspect of crashes alone and once."""
+        if not self._crashes.suspects(attempts.request):
+            return await self._sends(attempts)
+        async with self._crashes.turn(attempts.service):
+            attempts.alone = True
+            return await self._sends(attempts)
+
+    async def _sends(self, attempts):
+        refusal = self._crashes.refusal(attempts.request)
+        if refusal is not None:
+            return attempts.give_up(refusal)
         last = self._send(attempts, "first")
         while attempts.running:
             done, _ = await asyncio.wait(
@@ -73,6 +84,8 @@
         """Send to one more replica; return whether it was sent."""
         if not attempts.may_send:
             return False
+        if attempts.sent and self._crashes.refusal(attempts.request) is not None:
+            return False
         replica = self._replicas.choose(attempts.service, attempts.tried)
         if replica is None:
             return False
--- a/sassafrasdoor/requests/streaming.py
+++ b/sassafrasdoor/requests/streaming.py
@@ -12,7 +12,7 @@
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Unknown
 from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts
-from sassafrasdoor.requests.crash_watch import CrashWatch
+from sassafrasdoor.requests.crash_watch import CrashWatch, Quarantined
 from sassafrasdoor.table.routes import Repeat
 
 LONGEST_SILENCE = 1.5
@@ -109,6 +109,10 @@
     async def _run(self, attempts, passing):
         last = None
         while attempts.may_send:
+            refusal = self._crashes.refusal(attempts.request)
+            if refusal is not None:
+                last = refusal
+                break
             replica = self._replicas.choose(attempts.service, attempts.tried)
             if replica is None:
                 break
@@ -116,6 +120,7 @@
             # Only now: at the deadline, what is running counts as perhaps run.
             attempts.running.clear()
             if result is True:
+                self._crashes.judged(attempts.request, replica, result)
                 replica.state.answered()
                 attempts.answered(200)
                 return True
@@ -126,6 +131,8 @@
         if passing.begun:
             reason = getattr(last, "reason", "") or "no replica goes on"
             return attempts.give_up(Unknown(f"stream cut: {reason}"))
+        if isinstance(last, Quarantined):
+            return attempts.give_up(last)
         return attempts.final(last)
 
     async def _attempt(self, attempts, passing, replica):
--- a/sassafrasdoor/requests/tests/test_direct.py
+++ b/sassafrasdoor/requests/tests/test_direct.py
@@ -3,9 +3,10 @@
 import asyncio
 import unittest
 
-from sassafrasdoor.backends.interface import Answer
+from sassafrasdoor.backends.interface import Answer, Refused
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.requests.crash_watch import Quarantined
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.requests.tests.fixtures import (
     ERROR,
@@ -43,6 +44,10 @@
         return outcome
 
 
+async def crashed(replica):
+    return Refused("nobody listens")
+
+
 class DirectTest(unittest.IsolatedAsyncioTestCase):
     async def answer(
         self, *script, repeat=Repeat.SAFE, count=3, seconds=20.0, **fields
@@ -111,6 +116,30 @@
         result = await self.answer(Answer(404, [], b""), repeat=Repeat.ONCE)
         self.assertEqual(result.status, 404)
 
+    async def test_request_that_crashes_replicas_is_refused_without_a_send(self):
+        client = Client(LOST, LOST, LOST, OK)
+        client.reach = crashed
+        service = DirectService(client, replicas(6))
+        sends = []
+        for at in range(5):
+            request = direct_request(route(repeat=Repeat.SAFE), request_id=f"r{at}")
+            result = await service.answer(request)
+            await asyncio.sleep(0.01)
+            sends.append(len(client.calls))
+        self.assertEqual(sends, [3, 3, 3, 3, 3])
+        self.assertIsInstance(result, Quarantined)
+
+    async def test_suspect_is_sent_once_and_not_hedged(self):
+        client = Client(LOST, LOST, HANG, OK)
+        client.reach = crashed
+        service = DirectService(client, replicas(6))
+        one = route(repeat=Repeat.SAFE, attempts=2, target=0.01)
+        await service.answer(direct_request(one))
+        await asyncio.sleep(0.01)
+        result = await service.answer(direct_request(one, seconds=0.2))
+        self.assertIsInstance(result, Unknown)
+        self.assertEqual(len(client.calls), 3)
+
     async def test_attempts_are_bounded(self):
         result = await self.answer(ERROR, ERROR, OK, attempts=2)
         self.assertEqual(result.status, 500)
