--- a/sassafrasdoor/requests/attempts.py
+++ b/sassafrasdoor/requests/attempts.py
@@ -52,17 +52,21 @@
     def fingerprint(self):
         """A digest of caller, method, path and body, the same under each id."""
         if self._fingerprint is None:
-            self._fingerprint = self._digest()
+            self._fingerprint = fingerprint(
+                self.headers, self.method, self.path, self.body
+            )
         return self._fingerprint
 
-    def _digest(self):
-        known = {name.lower(): value for name, value in self.headers}
-        parts = [known.get(name, "") for name in CALLER_HEADERS]
-        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-        for part in (*parts, self.method, self.path):
-            digest.update(f"{len(part)}:{part}".encode())
-        digest.update(self.body)
-        return digest.hexdigest()
+
+def fingerprint(headers, method, path, body):
+    """Return a digest of caller, method, path and body; ``headers`` are pairs."""
+    known = {name.lower(): value for name, value in headers}
+    parts = [known.get(name, "") for name in CALLER_HEADERS]
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (*parts, method, path):
+        digest.update(f"{len(part)}:{part}".encode())
+    digest.update(body)
+    return digest.hexdigest()
 
 
 class Attempts:
--- a/sassafrasdoor/requests/crash_watch.py
+++ b/sassafrasdoor/requests/crash_watch.py
@@ -96,7 +96,7 @@
 
     def refusal(self, request):
         """Return ``Quarantined`` if a request must not be sent, else None."""
-        if self._state(request) is not State.QUARANTINED:
+        if not self.quarantines(request):
             return None
         QUARANTINED.inc({})
         fingerprint = request.fingerprint
@@ -112,6 +112,10 @@
             self._tell(fingerprint, replicas[:1])
         return Quarantined(f"the request has crashed {len(replicas)} replicas")
 
+    def quarantines(self, request):
+        """Say whether a request must not be sent."""
+        return self._state(request) is State.QUARANTINED
+
     def suspects(self, request):
         """Say whether a request is to run alone."""
         return self._state(request) is State.SUSPECT
--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -12,6 +12,8 @@
     ``sent_at`` is when that attempt began, None before; ``begun_at`` when the first one
     did, and ``whole_at`` when its text was whole.
 
+    ``broke_at`` is when its last attempt's connection broke, None where none did.
+
     ``leaves`` is the identity of the slow replica that it was taken from, until its
     next attempt. ``kept`` is how many of its events are in the log, under the name ``run``. Once
     ``scoring``, its text is whole and ``task`` its reward call, sent not before
@@ -22,6 +24,7 @@
     __slots__ = (
         "attempts",
         "begun_at",
+        "broke_at",
         "failures",
         "item",
         "keep_at",
@@ -59,7 +62,7 @@
         self.unanswered = 0
         self.reward_from = self.text_kept_at = 0.0
         self.scoring = False
-        self.sent_at = self.begun_at = self.whole_at = None
+        self.sent_at = self.begun_at = self.whole_at = self.broke_at = None
         self.restart()
         self._resume(step)
 
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -13,6 +13,8 @@
 from sassafrasdoor.decisions import note, note_routine
 from sassafrasdoor.metrics import counter, histogram
 from sassafrasdoor.outcomes import NotRun
+from sassafrasdoor.requests.attempts import fingerprint
+from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.routing import placement
 from sassafrasdoor.routing.replicas import SUSPECT_FOR
@@ -46,6 +48,9 @@
 """Seconds between records of an unfinished sample, and before its first: most samples
 end sooner and need none. Long ones run for six seconds; one that began anew with the
 next runner would come after its step's deadline."""
+HELD_FOR = 4.0
+"""Seconds between attempts at an item that crashes the replicas that run it. It may not
+be given up, and one that is at no replica for five seconds counts as forgotten."""
 REFUSED_PAUSE = 0.15
 """Seconds that a replica which refused an item gets no other one of that model."""
 
@@ -58,11 +63,31 @@
 )
 
 
+class _ItemRun:
+    """An item as the requests that crash replicas are known: by what is sent."""
+
+    __slots__ = ("_job",)
+
+    def __init__(self, job):
+        self._job = job
+
+    @property
+    def request_id(self):
+        return self._job.item.item_id
+
+    @property
+    def fingerprint(self):
+        item = self._job.item
+        headers = [("Host", self._job.step.spec.host), *item.headers.items()]
+        return fingerprint(headers, "POST", item.path, item.body)
+
+
 class Runner:
     """Runs the open items of owned shards; results go to the shards' outboxes."""
 
     __slots__ = (
         "_client",
+        "_crashes",
         "_jobs",
         "_looks",
         "_outboxes",
@@ -77,6 +102,7 @@
 
     def __init__(self, client, replicas, routes, steps, outboxes, crashes=None):
         self._client = client
+        self._crashes = crashes or CrashWatch(client, replicas)
         self._replicas = replicas
         self._routes = routes
         self._steps = steps
@@ -87,7 +113,7 @@
         self._looks = {}
         self._wake = asyncio.Event()
         self._rewards = Rewards(
-            DirectService(client, replicas, crashes),
+            DirectService(client, replicas, self._crashes),
             replicas,
             routes,
             outboxes,
@@ -211,6 +237,9 @@
                 continue
             if self._gave_up(job):
                 continue
+            if self._is_held(job):
+                self._queue.append(job)
+                continue
             kind = (job.step.spec.model, job.step.spec.min_version, job.leaves)
             found = None if kind in full else self._place(job)
             if found is None:
@@ -222,6 +251,12 @@
             found.load += 1
             self._start(job, found.replica)
 
+    def _is_held(self, job):
+        """Say whether an item that crashes replicas is to wait before its next try."""
+        if job.broke_at is None or passed(job.broke_at + HELD_FOR):
+            return False
+        return self._crashes.quarantines(_ItemRun(job))
+
     def _gave_up(self, job):
         route = self._route(job)
         configuration = self._routes.current
@@ -359,6 +394,7 @@
             self._again(job, replica, ENDED_HERE[OLD])
         elif result is True:
             replica.state.answered()
+            self._crashes.judged(_ItemRun(job), replica, result)
             self._completed(job, replica, route)
         elif isinstance(result, SampleFailed):
             self._failed(job, replica, route, result)
@@ -367,6 +403,9 @@
         else:
             if job.why != MOVED:
                 replica.state.failed(SUSPECT_FOR)
+            if job.why not in ENDED_HERE:
+                job.broke_at = now()
+                self._crashes.judged(_ItemRun(job), replica, result)
             self._again(job, replica, result.reason)
 
     def _completed(self, job, replica, route):
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
-from sassafrasdoor.backends.interface import Broken
+from sassafrasdoor.backends.interface import Broken, Refused
 from sassafrasdoor.backends.replicas import SampleFailed, WrongReplica
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.outcomes import NotRun
@@ -25,6 +26,10 @@
 BROKEN = Broken("connection lost", began=True)
 
 
+async def nobody_listens(replica):
+    return Refused("nobody listens")
+
+
 class Outbox:
     """Collects the records that a runner writes."""
 
@@ -282,3 +287,16 @@
         await self.until(lambda: len(self.client.sent) == 3)
         await asyncio.sleep(3 * module.TICK)
         self.assertEqual(len(self.client.sent), 3)
+
+    async def test_item_that_crashes_replicas_is_held_between_attempts(self):
+        """One item takes down replica after replica, as fast as they come."""
+        client = ScriptedClient(*[BROKEN] * 6)
+        client.reach = nobody_listens
+        await self.start(client, replicas(8), items=1)
+        await self.until(lambda: len(client.sent) >= 3)
+        await asyncio.sleep(1.0)
+        # The crash that tells may be known only after the next attempt has begun.
+        self.assertLessEqual(len(client.sent), 4)
+        with mock.patch.object(module, "HELD_FOR", 0.0):
+            await self.samples(1)
+        self.assertEqual(self.outbox.samples[0].state, COMPLETED)
