--- a/sassafrasdoor/requests/crash_watch.py
+++ b/sassafrasdoor/requests/crash_watch.py
@@ -239,7 +239,7 @@
 
     def _crashed(self, replica, running):
         CRASHES.inc({})
-        name = replica.identity[:LONGEST_NAME]
+        name = f"{replica.identity[:LONGEST_NAME]}@{replica.listing.born}"
         for fingerprint in running:
             self._crashes.crashed(fingerprint, name)
             self._tell(fingerprint, [name])
--- a/sassafrasdoor/requests/tests/test_crash_watch.py
+++ b/sassafrasdoor/requests/tests/test_crash_watch.py
@@ -18,6 +18,7 @@
     OK,
     direct_request,
 )
+from sassafrasdoor.routing.replicas import Listing
 from sassafrasdoor.steps.durable.tests.fixtures import replicas, route
 
 DOWN = Refused("nobody listens")
@@ -173,6 +174,14 @@
             later.take(key, value)
         self.assertIsInstance(later.refusal(self.request), Quarantined)
 
+    async def test_replica_that_starts_again_under_its_identity_is_another(self):
+        for born in range(1, 4):
+            at = self.replicas.get("e0").listing
+            listing = Listing(at.service, at.address, at.zone, 4, False, {}, born)
+            self.replicas.listed("e0", listing)
+            await self.crash(self.here, "e0")
+        self.assertIsInstance(self.here.refusal(self.request), Quarantined)
+
     async def test_crashes_are_told_once_the_log_is_back(self):
         self.log.failures = 2
         await self.crash(self.here, "e0", "e1", "e2")
