--- a/sassafrasdoor/requests/crash_watch.py
+++ b/sassafrasdoor/requests/crash_watch.py
@@ -65,6 +65,7 @@
         "_log",
         "_name",
         "_replicas",
+        "_settling",
         "_tasks",
         "_turns",
         "_waiting",
@@ -81,6 +82,7 @@
         self._broken = {}
         self._tasks = {}
         self._turns = {}
+        self._settling = set()
         self._waiting = {}
         self._wake = asyncio.Event()
 
@@ -124,14 +126,25 @@
     async def turn(self, service):
         """Let the suspects of a service run one after the other.
 
-        Each waits until it is known what became of the replica that the one before ran
-        at: two that crash together could not be told apart.
+        The next one waits until it is known what became of the replica that the one
+        before ran at: two that crash together could not be told apart.
         """
         turn = self._turns.setdefault(service, asyncio.Lock())
-        async with turn:
+        await turn.acquire()
+        try:
             yield
+        finally:
+            # The caller has its answer meanwhile.
+            settling = asyncio.ensure_future(self._settle(turn))
+            self._settling.add(settling)
+            settling.add_done_callback(self._settling.discard)
+
+    async def _settle(self, turn):
+        try:
             if self._tasks:
                 await asyncio.wait(self._tasks.values(), timeout=SETTLED_WITHIN)
+        finally:
+            turn.release()
 
     def judged(self, request, replica, result):
         """Take what became of a send; ``result`` is True for a whole stream."""
--- a/sassafrasdoor/requests/tests/test_crash_watch.py
+++ b/sassafrasdoor/requests/tests/test_crash_watch.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from sassafrasdoor.backends.interface import Broken, Refused
-from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.clock import deadline_in, now, passed
 from sassafrasdoor.log.partitioned import Appended, split_keyed
 from sassafrasdoor.outcomes import Unavailable
 from sassafrasdoor.requests import crash_watch as module
@@ -221,6 +221,20 @@
         await asyncio.gather(run("a"), run("b"))
         self.assertEqual(order, ["a", "a", "b", "b"])
 
+    async def test_answer_of_a_suspect_is_not_held_back(self):
+        """Guards against callers who wait for what became of a replica."""
+        self.addCleanup(setattr, module, "SETTLED_WITHIN", module.SETTLED_WITHIN)
+        module.SETTLED_WITHIN = 1.0
+        looking = asyncio.ensure_future(asyncio.sleep(60))
+        self.addCleanup(looking.cancel)
+        self.here._tasks["replica"] = looking
+        began = now()
+        async with self.here.turn("service"):
+            pass
+        self.assertLess(now() - began, module.SETTLED_WITHIN / 2)
+        async with self.here.turn("service"):
+            self.assertGreaterEqual(now() - began, module.SETTLED_WITHIN - 0.01)
+
 
 class FingerprintTest(unittest.TestCase):
     def test_fingerprint_is_that_of_caller_method_path_and_body(self):
