--- a/sassafrasdoor/admission/grants.py
+++ b/sassafrasdoor/admission/grants.py
@@ -1,12 +1,10 @@
-"""What instances and the holder of the quota tell each other, and its record."""
+"""Reports and grants between instances and the holder, and the holder's records."""
 
 from collections import Counter
 
 from sassafrasdoor.clock import deadline_in, now, passed
 
-# An instance reports again after this part of its grants' life, or sooner when it
-# wants more than it was granted.
-REPORTS_FOR_EACH_GRANT = 5
+REPORTS_PER_GRANT = 5  # in its lifetime; more when an instance wants more slots
 
 
 class Usage:
@@ -21,10 +19,10 @@
 
 
 class Report:
-    """What an instance reports: ``number`` is that of the grants it now uses.
+    """An instance's report: ``number`` is that of the ``GrantSet`` in use.
 
-    ``life`` names the life of its entry process: another one than before holds
-    no grants. ``rows`` maps row names to ``Usage``.
+    ``life`` identifies one run of its entry process; a new one holds no grants. ``rows``
+    maps row names to ``Usage``.
     """
 
     __slots__ = ("instance", "life", "number", "rows")
@@ -40,7 +38,8 @@
     """The grants of one instance, replaced as a whole.
 
     Until ``deadline`` the instance may use ``slots``; afterwards, until
-    ``fallback_deadline``, what ``fallback`` names; then nothing.
+    ``fallback_deadline``, the slots of ``fallback``; then none. Both deadlines are
+    monotonic; both mappings give slots by row name.
     """
 
     __slots__ = ("deadline", "fallback", "fallback_deadline", "number", "slots")
@@ -53,14 +52,14 @@
         self.fallback = fallback
 
     def usable(self):
-        """Return what the instance may use at this moment, by row."""
+        """Return ``{row: slots}`` that the instance may use now."""
         if not passed(self.deadline):
             return self.slots
         return {} if passed(self.fallback_deadline) else self.fallback
 
 
 class InstanceRecord:
-    """What the holder knows of one instance, and what it may be using at most."""
+    """The holder's record of one instance, and the slots that it may use at most."""
 
     __slots__ = (
         "_in_use_until",
@@ -70,7 +69,7 @@
         "_sets",
         "committed",
         "fallback",
-        "heard_until",
+        "report_deadline",
         "in_use",
         "wanted",
     )
@@ -81,7 +80,7 @@
         self._inherited = {}
         self._inherited_until = inherited_until
         self._in_use_until = now()
-        self.heard_until = now()
+        self.report_deadline = now()
         self.wanted = {}
         self.in_use = {}
         self.committed = {}
@@ -89,22 +88,22 @@
 
     @property
     def empty(self):
-        """Whether it was not heard of lately and holds nothing."""
-        return passed(self.heard_until) and not any(self.committed.values())
+        """Whether it has not reported recently and holds no slots."""
+        return passed(self.report_deadline) and not any(self.committed.values())
 
     @property
     def active(self):
-        """What it may be using, if it was heard of lately; nothing else."""
-        return {} if passed(self.heard_until) else self.committed
+        """Slots that it may be using if it has reported recently, else none."""
+        return {} if passed(self.report_deadline) else self.committed
 
     def take(self, report, lifetime, overhang):
-        """Take a report; the grants before the one in use are not used again.
+        """Take a report; grants older than the one in use are dropped.
 
-        Grants after it may be on their way, or lost with a reply: they count
-        until a report names them or they lapse. ``overhang`` seconds after the
-        last report its calls in progress are taken to have ended.
+        Later grants may be in flight or lost with a reply: they count until a report
+        names them or they lapse. ``overhang`` seconds after the last report its calls
+        in progress count as ended.
         """
-        self.heard_until = deadline_in(lifetime)
+        self.report_deadline = deadline_in(lifetime)
         self._in_use_until = deadline_in(overhang)
         rows = report.rows.items()
         self.wanted = {name: usage.wanted for name, usage in rows if usage.wanted}
@@ -119,31 +118,31 @@
         self.recount()
 
     def add(self, grants):
-        """Count grants just made."""
+        """Add a new ``GrantSet``."""
         self._sets.append(grants)
         self.recount()
 
     def recount(self):
-        """Compute what the instance may be using now, and fall back on later."""
+        """Compute the slots that it may use now, and its fallback."""
         self._sets = [one for one in self._sets if not passed(one.fallback_deadline)]
         inherited = {} if passed(self._inherited_until) else self._inherited
         in_use = {} if passed(self._in_use_until) else self.in_use
         used = [one.usable() for one in self._sets]
-        self.committed = _most(inherited, in_use, *used)
-        self.fallback = _most(inherited, *[one.fallback for one in self._sets])
+        self.committed = _maximum(inherited, in_use, *used)
+        self.fallback = _maximum(inherited, *[one.fallback for one in self._sets])
 
 
-def _most(*parts):
-    """Return by row the most that any of the mappings names."""
-    most = {}
+def _maximum(*parts):
+    """Return the maximum of the mappings, row by row."""
+    maximum = {}
     for part in parts:
         for name, slots in part.items():
-            if slots > most.get(name, 0):
-                most[name] = slots
-    return most
+            if slots > maximum.get(name, 0):
+                maximum[name] = slots
+    return maximum
 
 
-class Sums:
+class SlotTotals:
     """Slots by row, and their total."""
 
     __slots__ = ("_by_row", "total")
@@ -157,7 +156,7 @@
         return self._by_row[name]
 
     def add(self, part, sign):
-        """Add the slots of ``part``, or take them away."""
+        """Add ``sign`` times the slots of ``part``."""
         for name, slots in part.items():
             self._by_row[name] += sign * slots
             self.total += sign * slots
--- a/sassafrasdoor/admission/queues.py
+++ b/sassafrasdoor/admission/queues.py
@@ -1,7 +1,7 @@
 """Bounded queues before the leased quota, one for each row.
 
-A call waits only if it will probably be served in time; otherwise it is refused
-at once, while the caller can still go elsewhere.
+A call waits only if it is expected to be served before its deadline; else it is refused
+at once.
 """
 
 import asyncio
@@ -15,22 +15,20 @@
 from sassafrasdoor.clock import now, passed, remaining
 from sassafrasdoor.outcomes import NotRun
 
-# Demand falls by half in this many seconds after work has ended, so that a row
-# with calls now and then keeps a slot and need not wait for one each time.
-DEMAND_HALF_LIFE = 3.0
-MIN_DEMAND = 0.25
+# Durations in seconds.
+DEMAND_HALF_LIFE = 3.0  # of peak demand, so that a row with few calls keeps a slot
+MIN_DEMAND = 0.25  # slots; below it a decayed peak counts as none
 MIN_RETRY_AFTER = 0.5
 MAX_RETRY_AFTER = 30.0
-HOLD_WEIGHT = 0.1
-# Grants lapse without an event; waiting calls look at the clock this often.
-PUMP_INTERVAL = 0.05
+HOLD_WEIGHT = 0.1  # of the last call in the smoothed service time
+DISPATCH_INTERVAL = 0.05  # grants lapse without an event
 
 ADMITTED = metrics.counter("sassafrasdoor_admitted_total", "Calls given a slot.")
 REFUSED = metrics.counter("sassafrasdoor_refused_total", "Calls refused a slot.")
 
 
 class Permit:
-    """A slot in use; ``release`` gives it back, more than once does no harm."""
+    """A slot in use; ``release`` is idempotent."""
 
     __slots__ = ("_queue", "_since")
 
@@ -39,7 +37,7 @@
         self._since = now()
 
     def release(self):
-        """Give the slot back."""
+        """Release the slot."""
         queue, self._queue = self._queue, None
         if queue is not None:
             queue.released(now() - self._since)
@@ -52,7 +50,7 @@
 
 
 class RowQueue:
-    """The calls of one row: those in progress and those that wait."""
+    """The calls of one row, in progress and queued."""
 
     __slots__ = ("_hold", "_peak", "_peak_at", "_settings", "_view", "_waiting")
     __slots__ += ("in_use", "row")
@@ -69,29 +67,29 @@
 
     @property
     def waiting(self):
-        """How many calls wait."""
+        """Number of queued calls."""
         return len(self._waiting)
 
     @property
     def idle(self):
-        """Whether it holds nothing worth keeping."""
+        """Whether it has no calls and no demand."""
         return not self.in_use and not self._waiting and self.wanted() == 0
 
     def allowed(self):
-        """Return the slots that may be in use now."""
+        """Return the number of slots that may be in use now."""
         return allowance(self._settings, self._view, self.row)
 
     def wanted(self):
-        """Return the slots wanted: now, or lately and fading."""
-        faded = self._peak * 0.5 ** ((now() - self._peak_at) / DEMAND_HALF_LIFE)
+        """Return the demand in slots: the current one, or a decaying recent peak."""
+        decayed = self._peak * 0.5 ** ((now() - self._peak_at) / DEMAND_HALF_LIFE)
         current = self.in_use + self.waiting
-        if current >= faded:
+        if current >= decayed:
             self._peak, self._peak_at = current, now()
             return current
-        return max(current, -int(-faded // 1)) if faded >= MIN_DEMAND else current
+        return max(current, -int(-decayed // 1)) if decayed >= MIN_DEMAND else current
 
     def renew(self, view, row):
-        """Use a newer view and, with it, the row as it is now."""
+        """Use a newer view and the row of its table."""
         self._view = view
         self.row = row
         self.pump()
@@ -114,34 +112,32 @@
             async with asyncio.timeout(remaining(deadline)):
                 return await future
         except TimeoutError:
-            return self._took_or(future, self._too_late())
+            return self._granted_or(future, self._too_late())
         except asyncio.CancelledError:
-            # The slot may have been given in the very moment in which the call
-            # was cancelled. Nobody would release it: it would be lost for good
-            # and the row would shrink by one each time.
-            permit = self._took_or(future, None)
+            # The slot may have been granted just before the cancellation, and nobody
+            # else would release it.
+            permit = self._granted_or(future, None)
             if permit:
                 permit.release()
             raise
 
-    def _took_or(self, future, otherwise):
+    def _granted_or(self, future, otherwise):
         if future.done() and not future.cancelled():
             return future.result()
         self._waiting = deque(one for one in self._waiting if one[0] is not future)
         return otherwise
 
     def released(self, held):
-        """Count a slot given back after ``held`` seconds."""
+        """Take back a slot that was held for ``held`` seconds."""
         self.in_use -= 1
         self._hold += HOLD_WEIGHT * (held - self._hold)
         self.pump()
 
     def pump(self):
-        """Hand free slots to those that wait longest and can still end in time.
+        """Grant free slots in queue order to calls that can still meet their deadline.
 
-        Under overload those at the head have waited until just before their
-        deadline. Served, all of them would end too late, and so would everybody
-        behind them: full use and hardly an answer in time.
+        A call whose remaining time is below the mean service time is refused, so that
+        under overload slots serve calls that end in time.
         """
         while self._waiting and self.in_use < self.allowed():
             future, deadline = self._waiting.popleft()
@@ -155,7 +151,7 @@
         return NotRun("no slot in time", self.retry_after())
 
     def retry_after(self):
-        """Return the seconds after which a slot is probably free, with jitter."""
+        """Return the seconds until a slot is expected to be free, with jitter."""
         likely = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, self._expected_wait()))
         return likely * random.uniform(1.0, 1.5)
 
@@ -178,7 +174,7 @@
         return None
 
     def _expected_wait(self):
-        """Return the likely seconds until a call that comes now would begin."""
+        """Return the expected queueing time in seconds of a new call."""
         return self._hold * (self.waiting + 1) / max(1, self.allowed())
 
 
@@ -203,7 +199,7 @@
         return await queue.admit(deadline)
 
     def renew(self, view):
-        """Use a newer view: its grants count from now on."""
+        """Use a newer view and its grants."""
         if view is self._view:
             return
         self._view = view
@@ -215,9 +211,9 @@
                 del self._queues[name]
 
     async def run(self, view_getter):
-        """Hand out slots as grants come and lapse, until cancelled."""
+        """Dispatch queued calls as grants come and lapse, until cancelled."""
         while True:
-            await asyncio.sleep(PUMP_INTERVAL)
+            await asyncio.sleep(DISPATCH_INTERVAL)
             self.renew(view_getter())
             for queue in self._queues.values():
                 queue.pump()
@@ -265,7 +261,7 @@
 
 
 def _grant_status(grant):
-    """A grant that nobody distributes shows as ``None``, a lapsed one below 0 s."""
+    """Return a grant, JSON-ready: None where there is none, below 0 s once lapsed."""
     return {
         "granted": grant.slots if grant else None,
         "grant_number": grant.number if grant else 0,
--- a/sassafrasdoor/admission/quota.py
+++ b/sassafrasdoor/admission/quota.py
@@ -1,4 +1,4 @@
-"""How many slots a row may use at this instance, by its leased grant."""
+"""The slots that a row may use at this instance, by its leased grant."""
 
 from math import ceil, floor
 
@@ -14,33 +14,29 @@
 def allowance(settings, view, row):
     """Return the slots that ``row`` may use here at this moment.
 
-    A grant holds until its deadline; afterwards its fallback is all that the
-    row may use, for a bounded time, because the holder of the quota may have
-    given the rest to others. A process that counted on a lapsed grant would show
-    as more calls in flight than the hard limit allows. ``view.grants`` of None say
-    that nobody distributes quota: then each instance keeps to an equal slice.
+    A grant holds until its deadline, then its fallback for a bounded time, as the
+    holder may have granted the rest to others. ``view.grants`` of None means that
+    nobody distributes quota: each instance uses an equal slice.
     """
     if view.grants is None:
         return equal_slice(view, row)
     if not view.grants:
-        return untold(settings, view, row)
+        return ungranted(settings, view, row)
     grant = view.grants.get(row.name)
     if grant is None:
         return 0
     if not passed(grant.deadline):
         return grant.slots
     lapses = grant.deadline + settings.admission.fallback_duration
-    return untold(settings, view, row) if passed(lapses) else grant.fallback
+    return ungranted(settings, view, row) if passed(lapses) else grant.fallback
 
 
-def untold(settings, view, row):
-    """Return the slots of a row at an instance that holds no grants any more, or yet.
+def ungranted(settings, view, row):
+    """Return the slots of a row at an instance that holds no grants.
 
-    While the log is down nobody can hold the quota's lease, and an instance that
-    started since has no grants to fall back on: once all were replaced, every
-    call would be refused. A row without a hard limit has none to overshoot, so it
-    gets an equal slice of half of the capacity, and the backend servers guard the
-    rest. A row with one gets nothing.
+    While the log is down the quota's lease has no holder, and an instance that starts
+    then has no fallback either. A row without a hard limit gets an equal slice of half
+    of the capacity; the backend servers limit the rest. A row with one gets none.
     """
     if settings.admission.strict_capacity or row.limit < 1:
         return 0
--- a/sassafrasdoor/admission/retries.py
+++ b/sassafrasdoor/admission/retries.py
@@ -1,29 +1,27 @@
-"""A budget for retries, so that failures do not multiply the load.
+"""A retry budget, so that retries of failed calls don't multiply the load.
 
-When every call fails and each is tried three times, backend servers get three
-times the load at the worst moment. Retries here are paid from what ordinary
-calls earn.
+Each first try adds a fraction of a retry to the budget; each retry takes one.
 """
 
-MAX_SAVED = 10.0
+MAX_BALANCE = 10.0  # retries
 
 
 class RetryBudget:
-    """Each call earns ``ratio`` of a retry; a retry costs one."""
+    """A token bucket: a first try adds ``ratio`` tokens, a retry takes one."""
 
-    __slots__ = ("_ratio", "_saved")
+    __slots__ = ("_balance", "_ratio")
 
     def __init__(self, settings):
         self._ratio = settings.admission.retry_budget
-        self._saved = MAX_SAVED if self._ratio else 0.0
+        self._balance = MAX_BALANCE if self._ratio else 0.0
 
     def earned(self):
-        """Count a first try."""
-        self._saved = min(MAX_SAVED, self._saved + self._ratio)
+        """Add the tokens of a first try."""
+        self._balance = min(MAX_BALANCE, self._balance + self._ratio)
 
     def spend(self):
-        """Take one retry from the budget; say whether there was one."""
-        if self._saved < 1.0:
+        """Take the token of one retry; return whether there was one."""
+        if self._balance < 1.0:
             return False
-        self._saved -= 1.0
+        self._balance -= 1.0
         return True
--- a/sassafrasdoor/admission/shares.py
+++ b/sassafrasdoor/admission/shares.py
@@ -1,32 +1,27 @@
 """Weighted max-min shares of a fixed capacity, by priority and hard limits.
 
-Pure functions. Work-conserving: what one row does not want goes to the others.
-A small part of the capacity is shared by weight alone, so that rows of high
-priority cannot starve the others for ever.
+Pure functions. Work-conserving: unused shares go to the other rows. A small part of
+the capacity is shared by weight alone, so that rows of high priority can't starve the
+others.
 """
 
 from math import floor
 
-FLOOR_SHARE = 0.05
-# An irrational step, so that remainders of slots visit all rows evenly in turn.
-GOLDEN = 0.6180339887498949
+FLOOR_SHARE = 0.05  # of the capacity, shared by weight alone
+GOLDEN_STEP = 0.6180339887498949  # irrational, so that remainders rotate evenly
 EPSILON = 1e-9
 
 
 def hard_limit(row, capacity):
-    """Return the slots that a row may never exceed; at least one.
-
-    A limit smaller than one slot would shut the row out for good.
-    """
+    """Return a row's hard limit in slots, at least one."""
     return max(1, floor(row.limit * capacity + EPSILON))
 
 
 def shares(rows, demand, capacity, turn=0):
     """Return ``{row name: slots}`` of ``capacity`` (whole slots).
 
-    ``rows`` are table rows, ``demand`` maps names to wanted slots. Where the
-    slots do not divide evenly, ``turn`` decides who gets the odd ones; with
-    growing turns each row gets its part of them.
+    ``rows`` are table rows, ``demand`` maps names to wanted slots. ``turn`` decides
+    which rows get the remainders; over many turns each row gets its share of them.
     """
     wanted = {
         row.name: min(demand.get(row.name, 0), hard_limit(row, capacity))
@@ -53,11 +48,11 @@
 def whole_slots(given, turn):
     """Return the shares as whole slots of the same sum (rounded down).
 
-    Systematic sampling: a row with a remainder of 0.3 gets an odd slot in three
-    of ten turns. Rounding the same way each time would starve the same rows.
+    Systematic sampling: a row with a remainder of 0.3 gets a further slot in three of
+    ten turns.
     """
     whole = {}
-    offset = (turn * GOLDEN) % 1.0
+    offset = (turn * GOLDEN_STEP) % 1.0
     total = 0.0
     spare = floor(sum(given.values()) + EPSILON)
     spare -= sum(floor(share + EPSILON) for share in given.values())
@@ -72,7 +67,7 @@
 
 
 def split(amount, wanted, turn=0):
-    """Return ``{name: slots}`` of ``amount``, alike for all up to ``wanted``."""
+    """Return ``{name: slots}`` of ``amount``, split evenly up to ``wanted``."""
     given, rest, left = {}, min(amount, sum(wanted.values())), len(wanted)
     for name in sorted(wanted, key=lambda each: (wanted[each], each)):
         given[name] = min(wanted[name], rest / left)
@@ -82,7 +77,7 @@
 
 
 def _fill(rows, wanted, given, amount):
-    """Pour ``amount`` into ``given`` in proportion to weight, up to ``wanted``."""
+    """Add ``amount`` to ``given`` in proportion to weight, up to ``wanted``."""
     weight = sum(row.weight for row in rows)
     room = {row.name: max(0.0, wanted[row.name] - given[row.name]) for row in rows}
     for row in sorted(rows, key=lambda one: (room[one.name] / one.weight, one.name)):
--- a/sassafrasdoor/backends/affinity.py
+++ b/sassafrasdoor/backends/affinity.py
@@ -1,8 +1,7 @@
-"""Which engines hold which prompt prefix: a hint from their late cache events.
+"""Which engines hold which prompt prefix, by their cache events.
 
-An event may come late or never, so an entry says "probably" for a while: it is
-believed for ``BELIEVED_FOR`` seconds after its last event or our own use. Used
-to order choices, never to exclude one.
+Events may be late or lost, so an entry is a hint that expires ``ENTRY_TTL`` seconds
+after its last event or use. Hints order candidates and exclude none.
 """
 
 import asyncio
@@ -12,35 +11,35 @@
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed
 from sassafrasdoor.view import BackendKind, State
 
-BELIEVED_FOR = 60.0
-PREFIXES_KEPT = 1024
-POLL_INTERVAL = 1.0
-START_OVER_AFTER = 30.0
-AT_ONCE = 16
+ENTRY_TTL = 60.0  # seconds
+MAX_PREFIXES = 1024  # of one engine
+POLL_INTERVAL = 1.0  # seconds
+RESYNC_INTERVAL = 30.0  # seconds without an event until all are read again
+MAX_CONCURRENT_POLLS = 16
 
 
-class Followed:
-    """What one engine told: the next event wanted and its prefixes."""
+class EngineCache:
+    """One engine's prefixes and the number of the next event to read."""
 
-    __slots__ = ("address", "following", "prefixes", "start_over_deadline")
+    __slots__ = ("address", "next_event", "prefixes", "resync_deadline")
 
     def __init__(self, address):
         self.address = address
-        self.following = 0
-        self.start_over_deadline = LONG_AGO
-        self.prefixes = TTLCache(PREFIXES_KEPT, BELIEVED_FOR, timer=now)
+        self.next_event = 0
+        self.resync_deadline = LONG_AGO
+        self.prefixes = TTLCache(MAX_PREFIXES, ENTRY_TTL, timer=now)
 
 
 class Affinity:
     """Follows the cache events of all engines in the view."""
 
-    __slots__ = ("_client", "_engines", "_places", "_view")
+    __slots__ = ("_caches", "_client", "_poll_slots", "_view")
 
     def __init__(self, engine_client, view_getter):
         self._client = engine_client
         self._view = view_getter
-        self._engines = {}
-        self._places = asyncio.Semaphore(AT_ONCE)
+        self._caches = {}
+        self._poll_slots = asyncio.Semaphore(MAX_CONCURRENT_POLLS)
 
     async def run(self):
         """Poll for events until cancelled."""
@@ -51,47 +50,44 @@
     def affinity(self, prefix):
         """Return the names of the engines that probably hold the prefix."""
         return [
-            name
-            for name, followed in self._engines.items()
-            if prefix in followed.prefixes
+            name for name, cache in self._caches.items() if prefix in cache.prefixes
         ]
 
     def used(self, name, prefix):
-        """Note that a stream with that prefix was sent to an engine."""
-        followed = self._engines.get(name)
-        if followed is not None:
-            followed.prefixes[prefix] = True
+        """Record that a stream with that prefix was sent to an engine."""
+        cache = self._caches.get(name)
+        if cache is not None:
+            cache.prefixes[prefix] = True
 
     async def poll(self):
-        """Ask every engine once for the events since the last time."""
+        """Ask every live engine once for its new events."""
         engines = [
             backend
             for backend in self._view().backends
             if backend.kind is BackendKind.ENGINE and backend.state is State.ALIVE
         ]
-        known, self._engines = self._engines, {}
+        known, self._caches = self._caches, {}
         for backend in engines:
-            followed = known.get(backend.name)
-            if followed is None or followed.address != backend.address:
-                followed = Followed(backend.address)
-            self._engines[backend.name] = followed
+            cache = known.get(backend.name)
+            if cache is None or cache.address != backend.address:
+                cache = EngineCache(backend.address)
+            self._caches[backend.name] = cache
         await asyncio.gather(*[self._ask(backend) for backend in engines])
 
     async def _ask(self, backend):
-        followed = self._engines[backend.name]
-        if passed(followed.start_over_deadline):
-            # A restarted engine numbers from the start again and would have
-            # nothing to say from our number on, for ever.
-            followed.following = 0
-        async with self._places:
-            answer = await self._client.cache_events(backend, followed.following)
+        cache = self._caches[backend.name]
+        if passed(cache.resync_deadline):
+            # A restarted engine numbers its events from zero again.
+            cache.next_event = 0
+        async with self._poll_slots:
+            answer = await self._client.cache_events(backend, cache.next_event)
         if not answer:
             return
-        events, followed.following = answer
-        if events or not followed.following:
-            followed.start_over_deadline = deadline_in(START_OVER_AFTER)
+        events, cache.next_event = answer
+        if events or not cache.next_event:
+            cache.resync_deadline = deadline_in(RESYNC_INTERVAL)
         for event in events:
             if event.stored:
-                followed.prefixes[event.prefix] = True
+                cache.prefixes[event.prefix] = True
             else:
-                followed.prefixes.pop(event.prefix, None)
+                cache.prefixes.pop(event.prefix, None)
--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -1,10 +1,9 @@
-"""Kept HTTP/1.1 connections, one exchange at a time on each.
+"""A pool of HTTP/1.1 connections to replicas, one exchange at a time on each.
 
-Tornado's own ``http1connection`` does the protocol. The curl client cannot be told
-in the middle of a transfer that the answer on a reused connection belongs to an
-earlier request: it would keep that connection, and each later answer on it would
-reach the wrong request. Here an exchange checks the head of an answer first and
-closes the connection where it is not its own.
+The protocol is Tornado's ``http1connection``. An exchange may refuse an answer by its
+head, and its connection is closed then: on a reused connection the answer may belong to
+an earlier request. The curl client can't end a transfer like this without keeping the
+connection.
 """
 
 import asyncio
@@ -23,21 +22,15 @@
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.metrics import counter
 
-CONNECT_TIMEOUT = 0.4
-"""Seconds; well above the slowest round trip here (6 ms), below a caller's patience."""
-KEEPALIVE_IDLE = 1
-KEEPALIVE_INTERVAL = 1
+CONNECT_TIMEOUT = 0.4  # seconds
+KEEPALIVE_IDLE = 1  # whole seconds
+KEEPALIVE_INTERVAL = 1  # whole seconds
 KEEPALIVE_PROBES = 2
-"""Whole seconds and a count: a peer without power is noticed within three seconds."""
-USER_TIMEOUT_MS = 2500
-"""Milliseconds that sent bytes may stay unacknowledged; as long as the probes take."""
-DEFAULT_IDLE = 0.5
-"""Seconds an idle connection is trusted whose server names no whole second."""
-IDLE_MARGIN = 0.6
-"""Seconds before the server's own limit at which an idle connection is given up."""
-MAX_IDLE = 64
-"""Idle connections kept to one address: more than one server has places."""
-MAX_HEADER = 65536
+USER_TIMEOUT_MS = 2500  # that sent bytes may stay unacknowledged
+DEFAULT_IDLE_TIMEOUT = 0.5  # seconds, for servers that name none
+IDLE_MARGIN = 0.6  # seconds before the server's own idle timeout
+MAX_IDLE = 64  # connections to one address
+MAX_HEADER = 65536  # bytes, as are the next two
 MAX_BODY = 64 * 1024 * 1024
 READ_CHUNK = 65536
 
@@ -46,7 +39,7 @@
 
 
 class Outgoing:
-    """One request to send; ``deadline`` is monotonic, ``fresh`` forbids reuse."""
+    """One request to send; ``deadline`` is monotonic, ``fresh`` forbids a reused one."""
 
     __slots__ = ("body", "deadline", "fresh", "headers", "method", "path")
 
@@ -62,7 +55,7 @@
 
 
 class Reply:
-    """A whole answer: ``status``, ``headers`` (``HTTPHeaders``) and ``body``."""
+    """A complete answer: ``status``, ``headers`` (``HTTPHeaders``), ``body`` (bytes)."""
 
     __slots__ = ("body", "headers", "status")
 
@@ -73,7 +66,7 @@
 
 
 class _Receiver(HTTPMessageDelegate):
-    """Collects one answer; ``accept(status, headers)`` returns why it is refused."""
+    """Collects one answer; ``accept(status, headers)`` returns a reason to refuse it."""
 
     def __init__(self, accept, on_data):
         self._accept = accept
@@ -98,8 +91,7 @@
             self.close()
 
     def data_received(self, chunk):
-        # A closed connection still hands out what it has read. Taken, the events of an
-        # earlier request would stand in this one's text.
+        # A closed connection still delivers the bytes that it has buffered.
         if self.refused:
             return None
         if self._on_data is not None and self.status == 200:
@@ -112,7 +104,7 @@
 
 
 class _Idle:
-    """A connection that waits for its next exchange until ``deadline``."""
+    """A connection that may be reused until ``deadline``."""
 
     __slots__ = ("deadline", "stream")
 
@@ -122,7 +114,7 @@
 
 
 class Connections:
-    """Sends requests to ``host:port`` addresses and keeps their connections."""
+    """Sends requests to ``host:port`` addresses over pooled connections."""
 
     __slots__ = ("_idle", "_parameters")
 
@@ -140,7 +132,7 @@
         self._idle.clear()
 
     def forget(self, address):
-        """Close the idle connections to ``address``: one of them went silent."""
+        """Close the idle connections to ``address``."""
         for one in self._idle.pop(address, ()):
             one.stream.close()
 
@@ -153,11 +145,11 @@
         return True
 
     async def send(self, address, request, accept=None, on_data=None):
-        """Return the whole ``Reply``, or ``Broken``; cancelling closes at once.
+        """Return the complete ``Reply``, or ``Broken``; cancelling closes at once.
 
         ``accept(status, headers)`` may refuse an answer by returning a reason;
-        ``on_data`` takes the body of an answer 200 piece by piece; what it returns,
-        unless None, is awaited before more is read.
+        ``on_data`` takes the body of a 200 answer chunk by chunk and may return an
+        awaitable, which is awaited before more is read.
         """
         try:
             async with asyncio.timeout_at(request.deadline):
@@ -174,7 +166,7 @@
         kept = self._idle.get(address)
         while kept:
             one = kept.pop()
-            if not passed(one.deadline) and _quiet(one.stream):
+            if not passed(one.deadline) and _is_reusable(one.stream):
                 REUSED.inc({})
                 return one.stream
             one.stream.close()
@@ -231,23 +223,23 @@
             return Broken(receiver.refused, began=True)
         if not receiver.whole:
             return Broken("reply cut or not understood", began=True)
-        # A reply without length ends where its connection ends. After a reset it
-        # looks the same to the protocol reader, but half of it may be missing.
+        # A reply without length ends with its connection, and the protocol reader
+        # can't tell a reset from that end.
         if stream.closed() and stream.error is not None:
             return Broken(f"connection reset: {stream.error}", began=True)
         return None
 
     def _keep(self, address, stream, headers):
         if stream.closed() or stream.writing():
-            # An answer that came before the whole request was sent: what is left
-            # of the request must not be taken for the next one.
+            # The answer came before the request was sent completely; its remaining
+            # bytes would be read as the next request.
             return False
         if "close" in headers.get("Connection", "").lower():
             return False
         kept = self._idle.setdefault(address, [])
         if len(kept) >= MAX_IDLE:
             return False
-        kept.append(_Idle(stream, deadline_in(_idle_seconds(headers))))
+        kept.append(_Idle(stream, deadline_in(_idle_timeout(headers))))
         return True
 
 
@@ -260,8 +252,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    # A peer that lost power or its path answers nothing: without these a read
-    # waits for ever. One would notice items that no server runs and nobody retries.
+    # Ends reads from a peer that lost power or connectivity.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
@@ -270,8 +261,8 @@
     return sock
 
 
-def _quiet(stream):
-    """Say whether an idle connection is open and holds no bytes of anybody."""
+def _is_reusable(stream):
+    """Say whether an idle connection is open and has no unread bytes."""
     if stream.closed():
         return False
     try:
@@ -280,13 +271,13 @@
         return True
     except OSError:
         return False
-    # Either closed by the server, or bytes of an answer that nobody waits for.
+    # Closed by the server, or bytes of an earlier answer.
     return False
 
 
-def _idle_seconds(headers):
+def _idle_timeout(headers):
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "timeout" and value.isdigit():
             return max(0.0, int(value) - IDLE_MARGIN)
-    return DEFAULT_IDLE
+    return DEFAULT_IDLE_TIMEOUT
--- a/sassafrasdoor/backends/http.py
+++ b/sassafrasdoor/backends/http.py
@@ -22,12 +22,11 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 OK, REFUSED_FENCE = 200, 409
 
-# What Tornado's curl client adds of itself is no header of the answer.
-NOT_FORWARDED = ONE_HOP | {"x-http-reason"}
+NOT_FORWARDED = ONE_HOP | {"x-http-reason"}  # the latter is Tornado's own
 
 
 class _Adapter:
-    """What both adapters have: the settings and a client of their own."""
+    """Base of both adapters: the settings and an HTTP client."""
 
     __slots__ = ("_client", "_settings")
 
@@ -41,15 +40,15 @@
 
 
 class HttpEngine(_Adapter, interface.Engine):
-    """Engines that speak the wire of ``docs/INTERNALS.md``."""
+    """Engines that speak the protocol of ``docs/INTERNALS.md``."""
 
     __slots__ = ()
 
     def stream(self, backend, order):
         """Yield the chunks of a stream and then its end.
 
-        Use it under ``contextlib.aclosing``: leaving the loop early must end the
-        transfer at once and not when the garbage collector comes by.
+        Use it under ``contextlib.aclosing``, so that leaving the loop early ends the
+        transfer at once.
         """
         return StreamReader(self._client, backend, order).read()
 
@@ -57,7 +56,7 @@
         """Return the ``StreamState``s under a prefix, or ``Unavailable``."""
         query = urllib.parse.urlencode({"prefix": prefix})
         document = await self._call(backend, "GET", f"/streams?{query}")
-        return understood(_streams_from, document)
+        return decoded(_streams_from, document)
 
     async def cancel(self, backend, stream):
         """Cancel and forget a stream; return None, or ``Unavailable``."""
@@ -77,8 +76,7 @@
             "version": order.version,
             "role": order.role,
         }
-        # On a fresh connection: a second attempt that libcurl makes by itself,
-        # perhaps after a pause of this process, would not check the lease.
+        # On a fresh connection: libcurl's own retry would not check the lease.
         request = Request(
             "POST",
             f"http://{backend.address}/orders",
@@ -93,17 +91,17 @@
         read = ORDER_REPLIES.get(response.code)
         if read is None:
             return Unavailable(f"order failed with status {response.code}")
-        return understood(read, parsed(response))
+        return decoded(read, json_object(response))
 
     async def cache_events(self, backend, first):
         """Return ``(events, next number)``, or ``Unavailable``."""
         document = await self._call(backend, "GET", f"/cache-events?from={first}")
-        return understood(_cache_events_from, document)
+        return decoded(_cache_events_from, document)
 
     async def export_kv(self, backend, stream):
         """Return the KV cache of a stream (a string), or ``Unavailable``."""
         document = await self._call(backend, "POST", "/kv/export", {"stream": stream})
-        return understood(lambda found: found["kv"], document)
+        return decoded(lambda found: found["kv"], document)
 
     async def import_kv(self, backend, stream, kv):
         """Give an engine the KV cache of a stream; return None or ``Unavailable``."""
@@ -121,7 +119,7 @@
     __slots__ = ()
 
     async def call(self, backend, call):
-        """Return the whole ``Answer``, or ``Broken``."""
+        """Return the complete ``Answer``, or ``Broken``."""
         headers = {
             name: value
             for name, value in call.headers.items()
@@ -149,7 +147,7 @@
 
 
 def forwarded(headers):
-    """Return a reply's headers without those of one hop."""
+    """Return a reply's headers without the hop-by-hop ones."""
     kept = headers.copy()
     for name in headers:
         if name.lower() in NOT_FORWARDED:
@@ -160,15 +158,14 @@
 async def read_load(client, backend):
     """Return a backend server's ``Load``, or ``Unavailable``."""
     document = await call_json(client, backend, "GET", "/load")
-    return understood(_load_from, document)
+    return decoded(_load_from, document)
 
 
-def understood(read, document):
-    """Return ``read(document)``; ``Unavailable`` for none and for one of bad form.
+def decoded(read, document):
+    """Return ``read(document)``, or ``Unavailable`` for a malformed document.
 
-    A backend server that answers in another form must look like one that does
-    not answer: an exception would end the task that follows it, and nobody
-    would look at that server again.
+    An ``Outcome`` is returned as it is. An exception here would end the task that polls
+    the backend server.
     """
     if isinstance(document, Outcome):
         return document
@@ -217,7 +214,7 @@
 
 
 async def call_json(client, backend, method, path, body=None):
-    """Make a short repeatable call; return its JSON object or ``Unavailable``."""
+    """Make a short idempotent call; return its JSON object or ``Unavailable``."""
     request = Request(
         method,
         f"http://{backend.address}{path}",
@@ -229,13 +226,13 @@
     response = await client.fetch(backend, request)
     if isinstance(response, Broken):
         return Unavailable(response.reason)
-    document = parsed(response)
+    document = json_object(response)
     if response.code != OK or document is None:
         return Unavailable(f"status {response.code}")
     return document
 
 
-def parsed(response):
+def json_object(response):
     """Return the JSON object in a response, or None."""
     try:
         document = json.loads(response.body)
--- a/sassafrasdoor/backends/interface.py
+++ b/sassafrasdoor/backends/interface.py
@@ -1,7 +1,7 @@
-"""What the system needs of backend servers, whatever protocol they speak.
+"""The interface to backend servers, independent of their protocol.
 
-Offsets and lengths of streams count tokens. Timeouts come as deadlines on the
-monotonic clock, except the two of a stream that restart with each chunk.
+Offsets and lengths of streams count tokens. Deadlines are monotonic; the two timeouts
+of a stream are seconds, since they restart with each chunk.
 """
 
 import hashlib
@@ -13,17 +13,17 @@
 
 
 def prefix_key(prompt, prefix_tokens=0):
-    """Return the name of a prompt's cached prefix (its first words, 0: all)."""
+    """Return the key of a prompt's prefix: its first ``prefix_tokens`` words (0: all)."""
     words = prompt.split()
     head = " ".join(words[:prefix_tokens] if prefix_tokens else words)
     return hashlib.sha256(head.encode()).hexdigest()[:PREFIX_KEY_LENGTH]
 
 
 class Broken(Outcome):
-    """A call that ended without a whole reply.
+    """A call that ended without a complete reply.
 
-    ``began`` is False only if no byte of the request can have reached the
-    backend server.
+    ``began`` is False only if no byte of the request can have reached the backend
+    server.
     """
 
     __slots__ = ("began",)
@@ -46,7 +46,7 @@
 
 
 class Stale(Outcome):
-    """The engine refused an order; ``fence`` is the newest number it has seen."""
+    """An engine refused an order; ``fence`` is the highest number it has seen."""
 
     __slots__ = ("fence",)
 
@@ -58,10 +58,10 @@
 class StreamOrder:
     """A stream to start, or to resume from ``offset`` if the engine has it.
 
-    ``first_byte_timeout`` and ``gap_timeout`` are seconds without a chunk,
-    before the first and between two; ``deadline`` ends all, None for never.
-    ``flush_interval`` asks for a chunk in so many seconds at most, 0 for each
-    token as it is made: chunks are what a stream costs us, its tokens are not.
+    ``first_byte_timeout`` and ``gap_timeout`` are seconds without a chunk, before the
+    first and between two; ``deadline`` ends the stream, None for never.
+    ``flush_interval`` is the longest time between two chunks in seconds, 0 for one
+    chunk per token.
     """
 
     __slots__ = (
@@ -109,7 +109,7 @@
 
 
 class Chunk:
-    """A piece of a stream: ``tokens`` tokens from ``offset`` on, of one version."""
+    """A chunk of a stream: ``tokens`` tokens from ``offset`` on, of one version."""
 
     __slots__ = ("offset", "text", "tokens", "version")
 
@@ -121,7 +121,7 @@
 
 
 class Span:
-    """Tokens ``first`` up to but not including ``last``, of one weight version."""
+    """Tokens ``first`` up to, not including, ``last``, of one weight version."""
 
     __slots__ = ("first", "last", "version")
 
@@ -140,12 +140,12 @@
         return f"Span({self.version}, {self.first}, {self.last})"
 
     def as_list(self):
-        """Return the span as the wire carries it."""
+        """Return the span in its JSON form."""
         return [self.version, self.first, self.last]
 
 
 class Finished:
-    """The end of a whole stream: its length and the versions behind it."""
+    """The end of a complete stream: its length in tokens and its ``Span``s."""
 
     __slots__ = ("length", "spans")
 
@@ -155,7 +155,7 @@
 
 
 class StreamState:
-    """A stream that an engine has: how far it is and whether it is done."""
+    """A stream at an engine: its offset in tokens and whether it is done."""
 
     __slots__ = ("done", "offset", "stream")
 
@@ -166,9 +166,10 @@
 
 
 class Load:
-    """A backend server's own report; it was true ``age`` seconds ago.
+    """A backend server's own report, ``age`` seconds old.
 
-    ``versions`` maps a model to the weight version in use.
+    ``running``, ``queued`` and ``capacity`` count calls; ``versions`` maps a model to
+    the weight version in use.
     """
 
     __slots__ = (
@@ -201,10 +202,10 @@
 
 
 class Order:
-    """An idempotent order: be at ``version`` of ``model``, in ``role``.
+    """An idempotent order to serve ``version`` of ``model``, in ``role``.
 
-    ``fence`` is the number of the lease under which it was planned; an empty
-    ``role`` leaves the role as it is.
+    ``fence`` is the fencing number of the sender's lease; an empty ``role`` keeps the
+    role.
     """
 
     __slots__ = ("deadline", "fence", "model", "role", "version")
@@ -261,9 +262,9 @@
 
 
 class Answer:
-    """A service's whole answer; ``headers`` maps names to values.
+    """A service's complete answer; ``headers`` maps names to values.
 
-    ``signature`` is the mark by which a server owns its answer, empty for none.
+    ``signature`` is the server's signature of its answer, empty for none.
     """
 
     __slots__ = ("body", "headers", "signature", "status")
@@ -276,7 +277,7 @@
 
 
 class Engine(ABC):
-    """A model engine. Closing the iterator of ``stream`` ends the transfer only."""
+    """A model engine. Closing the iterator of ``stream`` ends only the transfer."""
 
     @abstractmethod
     def stream(self, backend, order):
@@ -316,7 +317,7 @@
 
     @abstractmethod
     async def call(self, backend, call):
-        """Return the whole ``Answer``, or ``Broken``."""
+        """Return the complete ``Answer``, or ``Broken``."""
 
     @abstractmethod
     async def load(self, backend):
--- a/sassafrasdoor/backends/replicas.py
+++ b/sassafrasdoor/backends/replicas.py
@@ -1,4 +1,4 @@
-"""What the system asks of one replica, whatever protocol the replica speaks."""
+"""The interface to one replica, independent of its protocol."""
 
 from abc import ABC, abstractmethod
 
@@ -6,13 +6,13 @@
 
 
 class WrongReplica(NotRun):
-    """Another replica has the address by now; the request did not run there."""
+    """Another replica has the address now; the request did not run there."""
 
     __slots__ = ()
 
 
 class SampleFailed(Outcome):
-    """A replica's own failure of a sample; ``final`` if no other try can help."""
+    """A replica's own failure of a sample; ``final`` if a retry can't succeed."""
 
     __slots__ = ("final",)
 
@@ -22,15 +22,16 @@
 
 
 class OrderRefused(Outcome):
-    """A replica refused an order for now, for instance because one is under way."""
+    """A replica refused an order for now, for instance while another one runs."""
 
     __slots__ = ()
 
 
 class DirectCall:
-    """A caller's request as it goes to a replica; ``headers`` is a list of pairs.
+    """A caller's request to a replica; ``headers`` is a list of pairs.
 
-    ``after`` is the number of the last event that the caller has got, None for none.
+    ``after`` is the number of the last event that the caller has received, None for
+    none; ``deadline`` is monotonic, ``fresh`` forbids a reused connection.
     """
 
     __slots__ = (
@@ -56,9 +57,9 @@
 
 
 class SampleOrder:
-    """A sample to generate: what the step says of it and where to go on.
+    """A sample to generate, or to resume.
 
-    ``after`` is the number of the last event already received, -1 for none.
+    ``after`` is the number of the last event already received, None for none.
     """
 
     __slots__ = ("after", "body", "deadline", "headers", "host", "item_id", "path")
@@ -74,7 +75,7 @@
 
 
 class Event:
-    """One event of a sample's stream; ``version`` generated it (0: not told)."""
+    """One event of a sample's stream; ``version`` generated it (0: unknown)."""
 
     __slots__ = ("data", "number", "version")
 
@@ -85,7 +86,10 @@
 
 
 class VersionOrder:
-    """To be at a version of a model, with the fencing number of the sender."""
+    """An order to load a version of a model, with the sender's fencing number.
+
+    With ``finish_first`` running samples end under the weights that they began with.
+    """
 
     __slots__ = ("deadline", "fence", "finish_first", "holder", "model", "version")
 
@@ -111,17 +115,17 @@
 
     @abstractmethod
     async def stream(self, replica, call, passing):
-        """Pass events on; return True when whole, or as ``call`` does.
+        """Relay events; return True when complete, or as ``call`` does.
 
-        ``passing.head(pairs)`` takes the head of a stream that succeeds, and
-        ``await passing.event(number, block)`` each whole event as it came.
+        ``passing.head(pairs)`` takes the headers of a stream that succeeds, and
+        ``await passing.event(number, block)`` each complete event unchanged.
         """
 
     @abstractmethod
     async def generate(self, replica, order, on_event):
-        """Hand on events; return the version, ``SampleFailed``, ``NotRun``, ``Broken``.
+        """Pass events to ``on_event(event)``, which returns False to end the stream.
 
-        ``on_event(event)`` returns False to end the stream.
+        Return the version, ``SampleFailed``, ``NotRun`` or ``Broken``.
         """
 
     @abstractmethod
--- a/sassafrasdoor/backends/stream.py
+++ b/sassafrasdoor/backends/stream.py
@@ -1,4 +1,4 @@
-"""Reading one stream of an engine: lines in, chunks and one end out."""
+"""Reads one stream of an engine: JSON lines in, chunks and one end out."""
 
 import asyncio
 import json
@@ -53,8 +53,7 @@
         limit = deadline_in(timeout)
         if self._order.deadline is not None:
             limit = min(limit, self._order.deadline)
-        # Not ``wait_for``: on Python 3.11 it swallows a cancellation that comes in
-        # the moment of a chunk, and the stream would go on without its reader.
+        # Python 3.11's ``wait_for`` loses a cancellation that coincides with a chunk.
         try:
             async with asyncio.timeout(remaining(limit)):
                 return await self._data.get()
@@ -62,7 +61,7 @@
             return SILENT
 
     async def _end(self, transfer, data):
-        """Say why no further line came."""
+        """Return why no further line came."""
         if data is SILENT:
             self._client.distrust(self._backend)
             late = self._order.deadline is not None and passed(self._order.deadline)
@@ -81,7 +80,7 @@
         return [line for line in lines if line]
 
     def _item(self, line):
-        """Return what a line says; None if it is neither a chunk nor the end."""
+        """Return a line's ``Chunk``, ``Finished`` or ``Broken``; None for other lines."""
         try:
             document = json.loads(line)
             if document.get("done"):
@@ -99,8 +98,7 @@
             document["tokens"],
             document["version"],
         )
-        # Tokens left out or sent twice would make an answer that nobody wrote;
-        # one would notice by its length only. Each chunk continues the last.
+        # Chunks are contiguous: no token is lost or repeated.
         if chunk.offset != self._offset:
             return Broken("gap in the stream")
         self._offset += chunk.tokens
@@ -131,7 +129,6 @@
             "prefix_tokens": order.prefix_tokens,
             "flush_ms": int(order.flush_interval * 1000),
         }
-        # A stream is resumable by its id, but for a caller whose request may
-        # run once only the engine must not see it twice: a fresh connection.
+        # On a fresh connection, so that a request that may run once is sent once.
         url = f"http://{self._backend.address}/streams"
         return Request("POST", url, json.dumps(body), HEADERS, fresh=True)
--- a/sassafrasdoor/backends/tests/test_affinity.py
+++ b/sassafrasdoor/backends/tests/test_affinity.py
@@ -55,7 +55,7 @@
         for prefix, holders in (("a", ["e"]), ("a", ["e"]), ("a", []), ("b", ["e"])):
             await affinity.poll()
             self.assertEqual(affinity.affinity(prefix), holders)
-        affinity._engines["e"].start_over_deadline = 0.0
+        affinity._caches["e"].resync_deadline = 0.0
         await affinity.poll()
         self.assertEqual(affinity.affinity("c"), ["e"])
         self.assertEqual(script.asked, [0, 2, 2, 6, 0])
--- a/sassafrasdoor/backends/transfer.py
+++ b/sassafrasdoor/backends/transfer.py
@@ -1,8 +1,4 @@
-"""HTTP transfers by Tornado's curl client, without its hidden second attempts.
-
-Each option below was chosen after watching what a server truly receives; the
-contract tests in ``tests/test_transfer.py`` keep it so.
-"""
+"""HTTP transfers by Tornado's curl client, without libcurl's own retries."""
 
 import asyncio
 import contextlib
@@ -14,13 +10,10 @@
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.clock import deadline_in, passed, remaining
 
-MAX_TRANSFERS = 2048
-"""Handles of the client. Its default of ten would queue calls unseen."""
-CONNECT_TIMEOUT = 1.0
-IDLE_LIMIT = 4
-"""Seconds (whole) that an idle connection is kept."""
-MINIMUM_TIMEOUT = 0.001
-"""Seconds; curl takes zero for "no timeout"."""
+MAX_TRANSFERS = 2048  # above it the client queues calls
+CONNECT_TIMEOUT = 1.0  # seconds
+IDLE_TIMEOUT = 4  # whole seconds that an idle connection is kept
+MIN_TIMEOUT = 0.001  # seconds; curl reads zero as "no timeout"
 NO_PROXY = "*"
 
 TIMED_OUT = pycurl.E_OPERATION_TIMEDOUT
@@ -36,7 +29,7 @@
 
 
 class Request:
-    """What to send; ``fresh`` forbids a connection that was used before."""
+    """One request; ``deadline`` is monotonic, ``fresh`` forbids a reused connection."""
 
     __slots__ = ("body", "deadline", "fresh", "headers", "method", "url")
 
@@ -50,7 +43,7 @@
 
 
 class Transfer:
-    """One transfer in flight: whether it began, and the means to end it."""
+    """One transfer; ``began`` says whether bytes of the request may have been sent."""
 
     __slots__ = ("_aborted", "_curl", "_fresh", "_future", "began")
 
@@ -63,30 +56,26 @@
 
     @property
     def finished(self):
-        """Whether the client is done with it and may reuse its handle."""
+        """Whether it has ended, so that the client may reuse its handle."""
         return self._future is not None and self._future.done()
 
     def start(self, client, request):
-        """Hand the request to the client."""
+        """Pass the request to the client."""
         self._future = client.fetch(request, raise_error=False)
-        # An aborted transfer ends in an error that nobody waits for any more.
+        # Retrieves the error of an aborted transfer, which nobody awaits.
         self._future.add_done_callback(lambda future: future.exception())
 
     def prepare(self, curl):
-        """Set the options of the handle; called by the client before it sends."""
+        """Set the options of the handle; the client calls it before it sends."""
         self._curl = curl
         curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-        # Proxies named in the environment would get our callers' requests, and
-        # might repeat them. One would notice requests that no backend server
-        # has seen. An empty proxy and a full exception list keep them out.
+        # Ignores proxies that the environment names.
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.NOPROXY, NO_PROXY)
-        curl.setopt(pycurl.MAXAGE_CONN, IDLE_LIMIT)
+        curl.setopt(pycurl.MAXAGE_CONN, IDLE_TIMEOUT)
         if self._fresh:
-            # libcurl sends a request again by itself when a reused connection
-            # closes before any byte of the reply. The server may have run it:
-            # one would notice two executions of one call. A connection that
-            # nobody used before is never tried twice.
+            # libcurl retries when a reused connection closes before the reply, and
+            # the server may have run the request. It never retries on a new one.
             curl.setopt(pycurl.FRESH_CONNECT, 1)
             curl.setopt(pycurl.FORBID_REUSE, 1)
         curl.setopt(pycurl.NOPROGRESS, 0)
@@ -96,11 +85,9 @@
     def abort(self):
         """End the transfer now; without effect on a finished one.
 
-        Cancelling a task that awaits ``fetch`` leaves the transfer running: the
-        server goes on sending and its stream stays open, which steals capacity.
-        curl asks ``_progress`` whether to go on, but only when bytes move or one
-        of its timers ends; on a silent connection without a deadline that may be
-        never. Pausing and continuing makes it ask at once.
+        Cancelling a task that awaits ``fetch`` leaves the transfer running. curl asks
+        ``_progress`` whether to go on only when bytes move or a timer ends; pausing and
+        continuing makes it ask at once.
         """
         self._aborted = True
         if self._curl is None or self.finished:
@@ -130,9 +117,8 @@
         return int(self._aborted)
 
     def _connected(self, *ends):
-        # Called between the connection's readiness and the first byte of the
-        # request: the one place where "not run" turns into "may have run". A call
-        # cancelled while it waited for a handle or a connection ends here.
+        # Called after connecting, before the first byte of the request is sent. A
+        # transfer aborted while it waited for a handle or a connection ends here.
         if self._aborted:
             return pycurl.PREREQFUNC_ABORT
         self.began = True
@@ -140,7 +126,7 @@
 
 
 class Client:
-    """Makes transfers; distrusts the pool of a server that went silent."""
+    """Makes transfers; bypasses the connection pool of servers that went silent."""
 
     __slots__ = ("_client", "_distrusted")
 
@@ -155,11 +141,11 @@
         self._client.close()
 
     def start(self, backend, request, on_header=None, on_data=None):
-        """Start a transfer; ``on_data`` gets the body piece by piece."""
+        """Start a ``Transfer``; ``on_data`` takes the body chunk by chunk."""
         transfer = Transfer(request.fresh or self._is_distrusted(backend))
         timeout = 0 if request.deadline is None else remaining(request.deadline)
         if timeout == 0 and request.deadline is not None:
-            timeout = MINIMUM_TIMEOUT
+            timeout = MIN_TIMEOUT
         transfer.start(
             self._client,
             HTTPRequest(
@@ -180,7 +166,7 @@
         return transfer
 
     async def fetch(self, backend, request):
-        """Return the whole response, or ``Broken``."""
+        """Return the complete response, or ``Broken``."""
         if request.deadline is not None and passed(request.deadline):
             return Broken("deadline passed", began=False)
         response = await self.start(backend, request).response()
@@ -195,10 +181,9 @@
     def distrust(self, backend):
         """Use no pooled connection to that server until its idle ones are closed.
 
-        A connection may go silent for good while new ones work. Each call that
-        takes such a one from the pool would wait for its whole deadline.
+        A pooled connection may be dead without a reset, and calls on it time out.
         """
-        self._distrusted[backend.address] = deadline_in(2 * IDLE_LIMIT)
+        self._distrusted[backend.address] = deadline_in(2 * IDLE_TIMEOUT)
 
     def _is_distrusted(self, backend):
         limit = self._distrusted.get(backend.address)
@@ -211,10 +196,9 @@
 
 
 def framed(response, method):
-    """Say whether a reply could be known to be whole.
+    """Say whether a reply has a length or chunks.
 
-    One with neither length nor chunks ends where its connection ends, and a
-    cut one looks the same: 200 with half a body.
+    One with neither ends with its connection, so a truncated one can't be told.
     """
     return (
         method == "HEAD"
--- a/sassafrasdoor/routing/placement.py
+++ b/sassafrasdoor/routing/placement.py
@@ -1,38 +1,24 @@
-"""Which replica an item goes to, and which samples leave a slow one.
+"""Chooses the replica of an item, and the samples that leave a slow replica.
 
-The load that this answers: a step's items come at once and fill every place; each step
-ends with its longest sample, which takes six of its seven seconds and a half where it
-never waits. Whatever that sample loses, by a wait, a slow replica or a move that leads
-back to one, the step loses.
+A step ends with its longest sample. Items go to the replica with the earliest estimated
+finish, by token interval and load; a sample leaves its replica when another one with a
+free slot is faster by ``MIGRATION_THRESHOLD``.
 """
 
-SLOWER = 1.8
-"""How many times slower than another a replica is before its samples move: replicas
-differ by 1.3, a full one is 1.4 times slower than an idle one; a slow one 2.4 to 4."""
-LOAD_COST = 1.0
-"""How much slower, as a part, a full replica is taken to be than an empty one. Its
-samples run 1.4 times slower, and each one there slows the others down: the pace alone
-would fill the fastest replica first, the load alone would use one four times slower.
-"""
-DARK_AFTER = 1.2
-"""Seconds without a byte from a replica, on any of its streams, after which an item that
-has got nothing there goes elsewhere: a load of weights takes 0.9 s, and what little an
-engine with a free place needs besides fits. One that sends to others is alive; its queue
-may be waited for.
-"""
-MOST_MOVES = 2
-"""Moves of one sample: each costs reading what it has reached, and a sample that moves
-on and on gets nowhere while all replicas are slow by turns."""
-USUAL_PACE = 1.0
-"""Stands for every pace while none is known: then loads alone decide."""
+MIGRATION_THRESHOLD = 1.8  # ratio of paces; above the spread of healthy replicas
+LOAD_WEIGHT = 1.0  # estimated slowdown of a full replica, as a part of its pace
+DARK_AFTER = 1.2  # seconds without a byte on any stream; longer than a load of weights
+MOST_MOVES = 2  # migrations of one sample
+DEFAULT_PACE = 1.0  # seconds between events while no replica's pace is known
 
 
 class Seen:
-    """One replica as it is believed to be at one moment.
+    """One replica's estimated state at one moment.
 
-    ``load`` and ``slots`` are places, ``pace`` the seconds between two events of its
-    samples, None while unknown. ``versions`` maps models to weights; of the models in
-    ``closed`` it takes no item now: it loads them, or has just refused one.
+    ``load`` and ``slots`` count samples; ``pace`` is the seconds between two events of
+    its samples, None while unknown. ``versions`` maps models to weight versions.
+    ``closed`` holds the models of which it takes no item now, as it loads them or has
+    refused one.
     """
 
     __slots__ = (
@@ -57,17 +43,15 @@
         self.closed = closed
 
     @property
-    def room(self):
-        """Free places."""
+    def free_slots(self):
+        """Estimated free slots."""
         return self.slots - self.load
 
 
 class Want:
-    """What an item needs: weights of ``model`` not older than ``oldest``.
+    """What an item requires: weights of ``model`` not older than ``oldest``.
 
-    ``avoid`` is the identity of the replica that it leaves, empty for none: a sample
-    that moved from a slow replica would come back to it at once, since its place there
-    has just become free, and spend its moves.
+    ``avoid`` is the identity of the replica that its sample leaves, empty for none.
     """
 
     __slots__ = ("avoid", "model", "oldest")
@@ -78,40 +62,37 @@
         self.avoid = avoid
 
 
-def usual_pace(seen):
-    """Return the middle pace of the replicas, or ``USUAL_PACE``."""
+def median_pace(seen):
+    """Return the median pace of the replicas, or ``DEFAULT_PACE``."""
     known = sorted(one.pace for one in seen if one.pace)
-    return known[len(known) // 2] if known else USUAL_PACE
+    return known[len(known) // 2] if known else DEFAULT_PACE
 
 
 def place(seen, want):
-    """Return the ``Seen`` where an item ends soonest, or None.
-
-    The cost is the pace that its events will have with one more item there.
-    """
-    usual = usual_pace(seen)
+    """Return the ``Seen`` with the earliest estimated finish for an item, or None."""
+    median = median_pace(seen)
     found = [one for one in seen if _takes(one, want)]
-    return min(found, key=lambda one: _cost(one, usual), default=None)
+    return min(found, key=lambda one: _cost(one, median), default=None)
 
 
 def leaves(slow, better):
-    """Say whether a sample should leave the ``Seen`` it runs at for another."""
+    """Say whether a sample should leave its replica for another ``Seen``."""
     if better is None or slow.pace is None or better.pace is None:
         return False
-    return slow.pace >= SLOWER * better.pace and better.room > 0
+    return slow.pace >= MIGRATION_THRESHOLD * better.pace and better.free_slots > 0
 
 
 def is_dark(sent_at, heard_at, loading, moment):
-    """Say whether an item without a first event should not wait for its replica.
+    """Say whether an item without a first event should leave its replica.
 
-    ``sent_at`` and ``heard_at`` (of any stream's last byte) are monotonic, as is
-    ``moment``; ``loading`` says that the replica was ordered to load.
+    ``sent_at``, ``heard_at`` (last byte on any of its streams) and ``moment`` are
+    monotonic seconds; ``loading`` says that the replica was ordered to load weights.
     """
     return not loading and moment >= max(sent_at, heard_at) + DARK_AFTER
 
 
 def _takes(one, want):
-    if one.suspect or one.room <= 0 or one.identity == want.avoid:
+    if one.suspect or one.free_slots <= 0 or one.identity == want.avoid:
         return False
     if not want.model:
         return True
@@ -119,6 +100,7 @@
     return held >= want.oldest and want.model not in one.closed
 
 
-def _cost(one, usual):
-    pace = one.pace or usual
-    return (pace * (1 + LOAD_COST * (one.load + 1) / one.slots), one.identity)
+def _cost(one, median):
+    """Return the estimated pace with one more item there, then the identity."""
+    pace = one.pace or median
+    return (pace * (1 + LOAD_WEIGHT * (one.load + 1) / one.slots), one.identity)
--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -1,4 +1,4 @@
-"""One item on its way to its sample: what was received, and what is kept of it."""
+"""The state of one item that a runner processes: events received, events logged."""
 
 import uuid
 
@@ -7,18 +7,15 @@
 
 
 class Job:
-    """An item on its way: what was received of it and its running attempt.
-
-    ``sent_at`` is when that attempt began, None before; ``begun_at`` when the first one
-    did, and ``whole_at`` when its text was whole.
-
-    ``broke_at`` is when its last attempt's connection broke, None where none did.
-
-    ``leaves`` is the identity of the slow replica that it was taken from, until its
-    next attempt. ``kept`` is how many of its events are in the log, under the name ``run``. Once
-    ``scoring``, its text is whole and ``task`` its reward call, sent not before
-    ``reward_from``; ``text_kept_at`` is when the log was seen to keep the text, and
-    ``unanswered`` counts the calls since that ended without an answer.
+    """An item in progress: its events and its current attempt. Times are monotonic.
+
+    ``sent_at`` is when the current attempt was sent, ``begun_at`` the first one, and
+    ``whole_at`` when the text was complete; None before.
+    ``broke_at`` is when the last attempt's connection broke, None where none did. ``leaves`` is the identity of
+    the slow replica that it migrates from, until its next attempt. ``kept`` counts its
+    events in the log, under the name ``run``. Once ``scoring``, ``task`` is the reward
+    call, not sent before ``reward_from``; ``text_kept_at`` is when the log kept the
+    text, and ``unanswered`` counts the calls since then without an answer.
     """
 
     __slots__ = (
@@ -68,11 +65,11 @@
 
     @property
     def key(self):
-        """What names the job: the same item may stand in several steps."""
+        """The job's key; the same item may belong to several steps."""
         return (self.step.spec.step_id, self.item.item_id)
 
     def restart(self):
-        """Forget what was received."""
+        """Discard the events received."""
         self.texts = []
         self.versions = []
         self.numbers = []
@@ -88,10 +85,10 @@
         return self.numbers[-1] if self.numbers else None
 
     def _resume(self, step):
-        """Go on from what a former runner kept, if its weights are new enough.
+        """Resume from a former runner's progress, if its weights are new enough.
 
-        The events are kept anew under the name of this run: the former runner may
-        still add to its own.
+        The events are logged again under this run's name, as the former runner may
+        still append to its own.
         """
         beginning = step.beginning(self.item.item_id)
         if beginning is None or min(beginning.versions) < step.spec.min_version:
@@ -101,7 +98,7 @@
         self.numbers = list(beginning.numbers)
 
     def score_next(self):
-        """Go on from a whole text to its score: nothing more of it is kept here."""
+        """Start scoring the complete text; no progress is logged any more."""
         self.scoring = True
         self.whole_at = self.whole_at or now()
         self.task = None
@@ -109,14 +106,14 @@
         self.keep_at = None
 
     def seconds(self):
-        """Return the seconds from its step's record to its first attempt, to its whole
-        text and to now, None for what never came."""
+        """Return the seconds from its step's record to its first attempt, to its
+        complete text and to now; None for what has not happened."""
         moments = (self.begun_at, self.whole_at, now())
         seen_at = self.step.seen_at
         return [None if at is None else round(at - seen_at, 2) for at in moments]
 
     def progress(self):
-        """Return the ``Progress`` of the events not yet kept, or None."""
+        """Return the ``Progress`` of the events not yet logged, or None."""
         if self.scoring or self.kept >= len(self.numbers):
             return None
         first, self.kept = self.kept, len(self.numbers)
@@ -131,7 +128,7 @@
         )
 
     def take(self, event):
-        """Append one event's text and the version that made it."""
+        """Append one event's text, number and weight version."""
         self.texts.append(event.data)
         self.numbers.append(event.number)
         self.versions.append(event.version)
--- a/sassafrasdoor/steps/durable/order.py
+++ b/sassafrasdoor/steps/durable/order.py
@@ -1,17 +1,16 @@
-"""In which order a step's items are handed out.
+"""In which order the items of a step are dispatched.
 
-A trainer goes on once enough groups are whole, so a group is worth nothing before
-its last sample. Long samples decide when that is: they begin first. Of the groups,
-as many as the trainer does not wait for come last, the longest ones.
+A trainer goes on once ``wanted`` groups are complete, and a group is complete with its
+last sample. Long samples are dispatched first; the groups that the trainer does not
+wait for, the longest ones, are dispatched last.
 """
 
 
 def ordered(spec):
-    """Return the items of a step in the order in which they are to begin.
+    """Return the items of a step in the order in which they are dispatched.
 
-    Groups that a trainer sends again come first in its step, and it waits for them
-    whatever else is whole; they are the first half of the wanted ones at most, and
-    are never among those put last.
+    Groups that a trainer sends again are the first of its step, at most half of the
+    wanted ones; the trainer waits for them, so they are never put last.
     """
     groups = {}
     for item in spec.items:
@@ -22,6 +21,6 @@
 
 
 def _longest(names, groups, count):
-    """Return the ``count`` names of the groups whose longest sample is longest."""
+    """Return the ``count`` names of the groups with the longest longest sample."""
     longest = {name: max(item.expected for item in groups[name]) for name in names}
     return sorted(names, key=lambda name: -longest[name])[:count]
--- a/sassafrasdoor/steps/durable/rewards.py
+++ b/sassafrasdoor/steps/durable/rewards.py
@@ -1,8 +1,8 @@
-"""Sending the reward calls of whole texts that the log keeps.
+"""Dispatches the reward calls of complete texts that the log keeps.
 
-A reward call may be repeated: it keeps its id, path and body, and whatever becomes of
-one send, the next may be answered. Only a replica's own failures are counted, in the
-log, so that they add up over runners.
+A reward call is idempotent: it keeps its id, path and body over all tries. Only a
+replica's own failures count, and they are kept in the log, so that they add up over
+runners.
 """
 
 import asyncio
@@ -30,7 +30,7 @@
 class Rewards:
     """Scores texts: ``add`` a job whose text the log keeps, ``drop`` one that ended.
 
-    ``scored(job)`` and ``give_up(job, reason)`` are told of the end of a job.
+    Calls ``scored(job)`` or ``give_up(job, reason)`` when a job ends.
     """
 
     __slots__ = (
@@ -41,7 +41,7 @@
         "_replicas",
         "_routes",
         "_scored",
-        "_taken",
+        "_in_flight",
         "_wake",
     )
 
@@ -54,10 +54,10 @@
         self._scored = scored
         self._give_up = give_up
         self._jobs = {}
-        self._taken = {}
+        self._in_flight = {}
 
     def add(self, job):
-        """Send the reward call of a job as soon as there is a place for it."""
+        """Queue the reward call of a job."""
         job.reward_from = job.text_kept_at = now()
         self._jobs[job.key] = job
         self._wake()
@@ -68,11 +68,11 @@
 
     @property
     def waiting(self):
-        """Jobs whose call is not under way."""
+        """Jobs whose call is not in flight."""
         return [job for job in self._jobs.values() if job.task is None]
 
     def hand_out(self):
-        """Send the calls that are due and find a place."""
+        """Send the calls that are due, as far as slots are free."""
         configuration = self._routes.current
         if configuration is None:
             return
@@ -81,26 +81,26 @@
             call = job.item.reward
             route = configuration.match(call.host, call.path)
             if route is None:
-                job.reward_from = deadline_in(reward_order.ROUTELESS_PAUSE)
+                job.reward_from = deadline_in(reward_order.NO_ROUTE_RETRY_DELAY)
                 note("reward.no_route", request=call.call_id, item=job.item.item_id)
                 continue
             request = self._request(job, route, configuration)
             attempts = Attempts(request)
-            if self._places(attempts.service):
+            if self._free_slots(attempts.service):
                 task = self._attempt(job, attempts)
                 job.task = asyncio.ensure_future(task)
 
-    def _places(self, service):
+    def _free_slots(self, service):
         slots = sum(
             one.listing.slots
             for one in self._replicas.of_service(service)
             if not one.state.suspect
         )
-        return reward_order.places(slots, self._taken.get(service, 0))
+        return reward_order.free_slots(slots, self._in_flight.get(service, 0))
 
     def _request(self, job, route, configuration):
         call = job.item.reward
-        limit = reward_order.seconds_for(route, job.unanswered)
+        timeout = reward_order.call_timeout(route, job.unanswered)
         return DirectRequest(
             route=route,
             method=METHOD,
@@ -108,25 +108,25 @@
             headers=[("Host", call.host)],
             body=call.body,
             request_id=call.call_id,
-            deadline=deadline_in(limit),
+            deadline=deadline_in(timeout),
             version=configuration.version,
         )
 
     async def _attempt(self, job, attempts):
         service = attempts.service
-        self._taken[service] = self._taken.get(service, 0) + 1
+        self._in_flight[service] = self._in_flight.get(service, 0) + 1
         try:
             result = await self._direct.settle(attempts)
         finally:
-            self._taken[service] -= 1
+            self._in_flight[service] -= 1
             self._wake()
         if self._jobs.get(job.key) is not job:
             return
         job.task = None
-        self._judge(job, attempts, result)
+        self._handle_result(job, attempts, result)
 
-    def _judge(self, job, attempts, result):
-        """Act on what became of a reward call's sends."""
+    def _handle_result(self, job, attempts, result):
+        """Handle the result of a reward call."""
         kind = type(result).__name__
         if isinstance(result, Answer):
             kind = f"{result.status // 100}xx"
@@ -139,7 +139,7 @@
         if attempts.failures:
             self._failed(job, attempts)
         else:
-            job.reward_from = deadline_in(reward_order.LOST_PAUSE)
+            job.reward_from = deadline_in(reward_order.LOST_RETRY_DELAY)
 
     def _take(self, job, answer):
         SECONDS.observe({}, now() - job.text_kept_at)
@@ -169,4 +169,4 @@
             self.drop(job)
             self._give_up(job, f"reward call failed with {SERVER_ERROR}")
         else:
-            job.reward_from = deadline_in(reward_order.FAILED_PAUSE)
+            job.reward_from = deadline_in(reward_order.FAILED_RETRY_DELAY)
--- a/sassafrasdoor/steps/durable/tests/test_reward_order.py
+++ b/sassafrasdoor/steps/durable/tests/test_reward_order.py
@@ -25,18 +25,18 @@
         self.assertEqual([job.item.item_id for job in found], ["i3", "i0", "i2"])
 
     def test_half_of_the_places_stays_with_live_callers(self):
-        self.assertEqual(reward_order.places(48, 0), 24)
-        self.assertEqual(reward_order.places(48, 24), 0)
+        self.assertEqual(reward_order.free_slots(48, 0), 24)
+        self.assertEqual(reward_order.free_slots(48, 24), 0)
 
     def test_a_small_service_gets_two_at_once(self):
-        self.assertEqual(reward_order.places(1, 0), 2)
+        self.assertEqual(reward_order.free_slots(1, 0), 2)
 
     def test_time_follows_the_route(self):
-        found = reward_order.seconds_for(reward_route(target=0.8, timeout=10.0))
+        found = reward_order.call_timeout(reward_route(target=0.8, timeout=10.0))
         self.assertAlmostEqual(found, 2.4)
-        found = reward_order.seconds_for(reward_route(target=0.8, timeout=10.0), 1)
+        found = reward_order.call_timeout(reward_route(target=0.8, timeout=10.0), 1)
         self.assertAlmostEqual(found, 4.8)
-        found = reward_order.seconds_for(reward_route(target=0.8, timeout=1.0))
+        found = reward_order.call_timeout(reward_route(target=0.8, timeout=1.0))
         self.assertEqual(found, 1.0)
 
     def test_larger_of_both_attempts_counts(self):
--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -1,9 +1,8 @@
-"""Moving replicas to the named versions of their models, from one fenced holder.
+"""Orders replicas to load the named versions of their models, from one fenced holder.
 
-Every replica can serve every model, but each load costs seconds of its capacity. So
-the replicas of a service are shared out among its models by demand, a replica keeps
-its model while it can, and only a model's own replicas follow its versions. What is
-believed of a replica's versions comes from the platform's list and from answers.
+The replicas of a service are assigned to its models by demand; a replica keeps its
+model where possible, and only a model's own replicas follow its versions. A replica's
+versions are known from the platform's list and from answers.
 """
 
 import asyncio
@@ -15,26 +14,18 @@
 from sassafrasdoor.metrics import counter, histogram
 from sassafrasdoor.weights import pace
 
-TICK = 0.1
-IDLE_TICK = 1.0
-"""Seconds between looks of a process that does not order loads."""
-LOADS_AT_ONCE = 2
-LOADS_SHARE = 0.4
-"""Replicas that load together, at least, and as a share of a service's: with more, each
-load takes longer."""
-LOAD_TIME = 1.2
-"""Seconds that a load holds its place: 0.9 s, and a little for the order's way."""
-SHORTEST_LOAD = 0.9
-"""Seconds that a load takes at least: items of its model sent before are refused."""
-BELIEF_LAG = 3.5
-"""Seconds after an accepted order before the list must show it: a load, a heartbeat
-of 1.2 s and the list's own lag of 0.8 s."""
+# Durations in seconds.
+POLL_INTERVAL = 0.1
+IDLE_POLL_INTERVAL = 1.0  # of a process that does not hold the lease
+MIN_CONCURRENT_LOADS = 2
+CONCURRENT_LOAD_SHARE = 0.4  # of a service's replicas
+LOAD_TIME = 1.2  # after an order until its load counts as ended
+MIN_LOAD_TIME = 0.9  # after an accepted order in which the replica refuses items
+REPORT_LAG = 3.5  # after an accepted order until the list must show its version
 ORDER_TIMEOUT = 1.5
-REFUSED_PAUSE = 0.4
-"""Seconds before a refused or lost order is tried again."""
+RETRY_DELAY = 0.4  # after a refused or lost order
 
-FIRST_FENCE = 1
-"""The fencing number of the first holder ever: nobody ordered before it."""
+FIRST_FENCE = 1  # of the first holder ever, which takes over from nobody
 
 ORDERS = counter("weights_named_orders_total", "Orders to replicas, by result.")
 WAITED = histogram(
@@ -44,31 +35,32 @@
 )
 
 
-class _Sent:
-    """The last order to an incarnation of a replica: of which model and version, and
-    until when it is neither repeated nor doubted (``quiet_until``); ``loads_until`` is
-    when its load has ended."""
+class _LastOrder:
+    """The last order to an incarnation of a replica.
 
-    __slots__ = ("loads_until", "model", "quiet_until", "replica", "version")
+    It is not repeated before ``retry_deadline``; its load ends at ``load_deadline``.
+    """
+
+    __slots__ = ("load_deadline", "model", "replica", "retry_deadline", "version")
 
     def __init__(self, replica, model, version):
         self.replica = replica
         self.model = model
         self.version = version
-        self.quiet_until = deadline_in(ORDER_TIMEOUT)
-        self.loads_until = deadline_in(LOAD_TIME)
+        self.retry_deadline = deadline_in(ORDER_TIMEOUT)
+        self.load_deadline = deadline_in(LOAD_TIME)
 
 
 class Mover:
-    """Orders loads while ``holder.fence`` is set and settled.
+    """Orders loads while ``holder.fence`` is set and the handover has passed.
 
-    ``handover()`` (seconds) is kept between a former holder's orders and our own.
-    ``work`` tells of the steps that run here: ``waiting(model)`` items without a
-    replica, and ``oldest_allowed(model)``, the version that open steps ask for.
+    ``handover()`` returns the seconds to wait for a former holder's orders. ``work``
+    tells of the steps that run here: ``waiting(model)`` is the number of queued items,
+    ``oldest_allowed(model)`` the oldest version that serves all open steps.
     """
 
     __slots__ = (
-        "_acts_from",
+        "_handover_deadline",
         "_assigned",
         "_client",
         "_demand",
@@ -79,7 +71,7 @@
         "_named_at",
         "_replicas",
         "_routes",
-        "_sent",
+        "_last_orders",
         "_stale_fence",
         "_tasks",
         "_wake",
@@ -97,10 +89,10 @@
         self._named_at = {}
         self._demand = {}
         self._assigned = {}
-        self._sent = {}
+        self._last_orders = {}
         self._fence = 0
         self._stale_fence = 0
-        self._acts_from = LONG_AGO
+        self._handover_deadline = LONG_AGO
         self._tasks = set()
         self._wake = asyncio.Event()
 
@@ -118,36 +110,39 @@
             self._demand[step.spec.model] = sum(item.tokens for item in step.spec.items)
 
     def wake(self):
-        """Look again at once: this process has begun to order the loads."""
+        """Order loads at once instead of at the next poll."""
         self._wake.set()
 
     async def run(self):
         """Order loads until cancelled."""
         while True:
             try:
-                async with asyncio.timeout(TICK if self._holder.fence else IDLE_TICK):
+                async with asyncio.timeout(
+                    POLL_INTERVAL if self._holder.fence else IDLE_POLL_INTERVAL
+                ):
                     await self._wake.wait()
             except TimeoutError:
                 pass
             self._wake.clear()
             if self._named and self._may_act():
-                self._step()
+                self._order_loads()
 
     def _may_act(self):
         fence = self._holder.fence
         if not fence or fence <= self._stale_fence:
             return False
         if fence != self._fence:
-            # A former holder's last orders may be under way. Orders of two holders
-            # that mix would take replicas back and forth.
+            # A former holder's last orders may still be in flight.
             first = fence == FIRST_FENCE
             self._fence = fence
-            self._acts_from = LONG_AGO if first else deadline_in(self._handover())
-            self._sent.clear()
+            self._handover_deadline = (
+                LONG_AGO if first else deadline_in(self._handover())
+            )
+            self._last_orders.clear()
             self._assigned.clear()
-        return passed(self._acts_from)
+        return passed(self._handover_deadline)
 
-    def _step(self):
+    def _order_loads(self):
         configuration = self._routes.current
         if configuration is None:
             return
@@ -158,8 +153,10 @@
                 self._order_due(replicas)
 
     def _order_due(self, replicas):
-        loading = sum(not passed(one.loads_until) for one in self._sent.values())
-        most = max(LOADS_AT_ONCE, int(LOADS_SHARE * len(replicas)))
+        loading = sum(
+            not passed(one.load_deadline) for one in self._last_orders.values()
+        )
+        most = max(MIN_CONCURRENT_LOADS, int(CONCURRENT_LOAD_SHARE * len(replicas)))
         for replica in sorted(replicas, key=lambda one: one.state.in_flight):
             for model in self._assigned.get(replica.identity, ()):
                 if loading >= most:
@@ -169,25 +166,25 @@
                     continue
                 if not self._defers(replica, model) and self._may_load(replica, model):
                     loading += 1
-                    self._begin(replica, model, version)
+                    self._start_order(replica, model, version)
                     break
 
     def _is_due(self, replica, model, version):
         if replica.versions.get(model, 0) >= version:
             return False
-        sent = self._sent.get(replica.identity)
+        sent = self._last_orders.get(replica.identity)
         if sent is None or sent.replica is not replica:
             return True
-        if not passed(sent.loads_until):
+        if not passed(sent.load_deadline):
             return False
         same = (sent.model, sent.version) == (model, version)
-        return not same or passed(sent.quiet_until)
+        return not same or passed(sent.retry_deadline)
 
     def _may_load(self, replica, model):
         own = sum(model in models for models in self._assigned.values())
         loading = sum(
-            one.model == model and not passed(one.loads_until)
-            for one in self._sent.values()
+            one.model == model and not passed(one.load_deadline)
+            for one in self._last_orders.values()
         )
         return pace.may_load(own, loading, self._serves(replica, model))
 
@@ -196,28 +193,22 @@
         return replica.versions.get(model, 0) >= self._work.oldest_allowed(model)
 
     def _defers(self, replica, model):
-        """Say whether a load should wait because its replica is needed as it is.
-
-        A trainer that is behind asks for a step at the moment it names a version;
-        the step's items may run under the version before. Loading then takes 0.9 s
-        from each replica while items wait; once the last items run, it takes it
-        from replicas that have little to do.
-        """
-        return pace.waits(
+        """Say whether a load is deferred, so that its replica serves queued items."""
+        return pace.should_defer(
             self._named_at[model],
             now(),
             bool(self._work.waiting(model)),
             self._serves(replica, model),
         )
 
-    def _begin(self, replica, model, version):
-        self._sent[replica.identity] = _Sent(replica, model, version)
+    def _start_order(self, replica, model, version):
+        self._last_orders[replica.identity] = _LastOrder(replica, model, version)
         task = asyncio.ensure_future(self._order(replica, model, version))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _order(self, replica, model, version):
-        sent = self._sent[replica.identity]
+        sent = self._last_orders[replica.identity]
         order = VersionOrder(
             model,
             version,
@@ -241,20 +232,19 @@
             reason="" if result is True else result.reason,
         )
         if result is True:
-            sent.quiet_until = deadline_in(BELIEF_LAG)
-            replica.loading_until[model] = deadline_in(SHORTEST_LOAD)
+            sent.retry_deadline = deadline_in(REPORT_LAG)
+            replica.loading_until[model] = deadline_in(MIN_LOAD_TIME)
             WAITED.observe({}, now() - self._named_at[model])
             return
-        sent.quiet_until = deadline_in(REFUSED_PAUSE)
+        sent.retry_deadline = deadline_in(RETRY_DELAY)
         if isinstance(result, OrderRefused):
-            sent.loads_until = sent.quiet_until
+            sent.load_deadline = sent.retry_deadline
         if isinstance(result, Stale):
-            # Somebody holds a higher number: our lease is gone although our own
-            # clock does not know it yet.
+            # Another process holds the lease already.
             self._stale_fence = max(self._stale_fence, order.fence)
 
     def _finish_first(self, replica):
-        """Say whether runs must end under the weights that they began with."""
+        """Say whether samples must end under the weights that they began with."""
         routes = self._routes.current.routes
         return any(
             route.one_version
@@ -263,7 +253,7 @@
         )
 
     def _assign(self, replicas, models):
-        """Share the replicas out among the models; each keeps its own if it can."""
+        """Assign the replicas to the models; each keeps its own where possible."""
         wanted = shares(len(replicas), models, self._demand)
         left = {one.identity: one for one in replicas}
         if len(replicas) < len(models):
@@ -278,7 +268,7 @@
         for model in models:
             mine = sorted(left.values(), key=lambda one: self._distance(one, model))
             for one in mine[: wanted[model]]:
-                if self._keeps(one, model):
+                if self._is_assigned(one, model):
                     taken[one.identity] = (model,)
         for identity in taken:
             del left[identity]
@@ -295,18 +285,18 @@
             )
         self._assigned = {**self._assigned, **taken}
 
-    def _keeps(self, replica, model):
+    def _is_assigned(self, replica, model):
         return self._assigned.get(replica.identity) == (model,)
 
     def _distance(self, replica, model):
-        kept = 0 if self._keeps(replica, model) else 1
+        kept = 0 if self._is_assigned(replica, model) else 1
         return (kept, -replica.versions.get(model, 0), replica.identity)
 
 
 def shares(count, models, demand):
     """Return how many of ``count`` replicas each model gets, by its demand.
 
-    Every model gets one; each further one goes where most is missing.
+    Every model gets one; each further one goes to the largest shortfall.
     """
     if count < len(models):
         return dict.fromkeys(models, 1)
--- a/sassafrasdoor/weights/plan.py
+++ b/sassafrasdoor/weights/plan.py
@@ -1,7 +1,7 @@
-"""Which engines are to swap next: decisions without any I/O.
+"""Chooses the engines that swap weights next; no I/O.
 
-Swaps follow each other in a sliding window and not in waves with a barrier: a
-swap that hangs holds one place of the window and delays nobody else.
+Swaps run in a sliding window without a barrier between waves, so a swap that hangs
+holds one place of the window only.
 """
 
 import math
@@ -12,7 +12,7 @@
 
 
 class Phase(StrEnum):
-    """What an engine is doing for the rollout."""
+    """An engine's phase in the rollout."""
 
     IDLE = "idle"
     SWAPPING = "swapping"
@@ -20,10 +20,10 @@
 
 
 class EngineState:
-    """An engine as its own reports tell it; ``versions`` is None until one came.
+    """An engine's state by its own reports; ``versions`` is None before the first.
 
-    Nothing is sent to it before ``retry_deadline``; a report is wanted again
-    after ``check_deadline``.
+    No order is sent before ``retry_deadline``; its report is outdated after
+    ``check_deadline``. Both are monotonic.
     """
 
     __slots__ = (
@@ -50,16 +50,15 @@
         self.retry_deadline = LONG_AGO
 
     def is_behind(self, model, version):
-        """Say whether its report shows an older version than that.
+        """Say whether its report shows an older version.
 
-        A newer one is left alone: our own view may be the old one, and undoing
-        a swap would serve older weights for nothing.
+        A newer one is no reason to swap, since our own view may be outdated.
         """
         return self.versions is not None and self.versions.get(model, 0) < version
 
     @property
     def is_ready(self):
-        """Whether an order may be sent to it now: idle, with a report of late."""
+        """Whether an order may be sent now: idle, with a recent report."""
         return (
             self.phase is Phase.IDLE
             and passed(self.retry_deadline)
@@ -79,7 +78,7 @@
 
 
 def preference(table, model):
-    """Return what the trainers of a model prefer, by the sum of their weights."""
+    """Return the ``Preference`` of a model's trainers, by the sum of their weights."""
     sums = dict.fromkeys(Preference, 0.0)
     for row in table.rows if table else ():
         if row.kind is Kind.TRAINER and row.model == model:
@@ -87,12 +86,11 @@
     return max(sums, key=sums.get)
 
 
-def most_at_once(settings, wanted, engines):
+def max_concurrent_swaps(settings, wanted, engines):
     """Return how many of a model's engines may be out of service for swaps.
 
-    Engines without a report count as out of service already. One swap is always
-    allowed: with few engines, or with most of them dead, the share alone would
-    keep the rest on old weights for ever.
+    Engines without a report count as out of service. One swap is always allowed, so
+    that a rollout makes progress with few live engines.
     """
     share = getattr(settings.weights.serving_share, wanted)
     reachable = sum(engine.versions is not None for engine in engines)
@@ -100,10 +98,10 @@
 
 
 def next_swaps(settings, view, engines):
-    """Return the ``Swap``s to begin now, the least busy engines first.
+    """Return the ``Swap``s to start now, the least loaded engines first.
 
-    Bounded by the store's concurrency over all models, and for each model by
-    the share of its engines that has to go on serving.
+    Bounded by the store's concurrency over all models, and for each model by the
+    share of its engines that must keep serving.
     """
     swapping = sum(engine.phase is Phase.SWAPPING for engine in engines)
     free = settings.weights.store_concurrency - swapping
@@ -113,7 +111,9 @@
     for model, version in sorted(view.weights.items()):
         mine = [engine for engine in engines if model in engine.backend.models]
         out = sum(e.phase is not Phase.IDLE or e in chosen for e in mine)
-        allowed = most_at_once(settings, preference(view.table, model), mine) - out
+        allowed = (
+            max_concurrent_swaps(settings, preference(view.table, model), mine) - out
+        )
         ready = [
             engine
             for engine in mine
--- a/sassafrasdoor/weights/tests/test_named.py
+++ b/sassafrasdoor/weights/tests/test_named.py
@@ -63,8 +63,8 @@
         self.mover = self.make(0.0)
         load, module.LOAD_TIME = module.LOAD_TIME, 0.05
         self.addCleanup(setattr, module, "LOAD_TIME", load)
-        pause, module.REFUSED_PAUSE = module.REFUSED_PAUSE, 0.05
-        self.addCleanup(setattr, module, "REFUSED_PAUSE", pause)
+        pause, module.RETRY_DELAY = module.RETRY_DELAY, 0.05
+        self.addCleanup(setattr, module, "RETRY_DELAY", pause)
 
     def configure(self, version=1, **fields):
         limits = Limits(1, 1, 1)
@@ -108,12 +108,12 @@
         self.models = ["a"]
         self.configure(2)
         module.LOAD_TIME = 1000.0
-        share, module.LOADS_SHARE = module.LOADS_SHARE, 1.0
-        self.addCleanup(setattr, module, "LOADS_SHARE", share)
+        share, module.CONCURRENT_LOAD_SHARE = module.CONCURRENT_LOAD_SHARE, 1.0
+        self.addCleanup(setattr, module, "CONCURRENT_LOAD_SHARE", share)
         self.run_mover()
         self.mover.named("a", 2)
         await self.until(lambda: len(self.client.orders) == 2)
-        await asyncio.sleep(3 * module.TICK)
+        await asyncio.sleep(3 * module.POLL_INTERVAL)
         self.assertEqual(len(self.client.orders), 2)
         self.work.oldest = 2
         await self.until(lambda: len(self.client.orders) == 5)
@@ -146,8 +146,8 @@
         Sequence: an order is accepted, the replica starts again under its identity
         and holds nothing. Cause: the accepted order's quiet time still held.
         """
-        lag, module.BELIEF_LAG = module.BELIEF_LAG, 1000.0
-        self.addCleanup(setattr, module, "BELIEF_LAG", lag)
+        lag, module.REPORT_LAG = module.REPORT_LAG, 1000.0
+        self.addCleanup(setattr, module, "REPORT_LAG", lag)
         self.models = ["a"]
         self.configure(version=2)
         self.run_mover()
@@ -205,8 +205,8 @@
         self.mover.named("a", 2)
         await self.until(lambda: self.at("a", 2))
         (replica, *_) = self.at("a", 2)
-        for sent in self.mover._sent.values():
-            sent.quiet_until = sent.loads_until = LONG_AGO
+        for sent in self.mover._last_orders.values():
+            sent.retry_deadline = sent.load_deadline = LONG_AGO
         self.replicas.get(replica).told_version("a", 1)
         await self.until(lambda: replica in self.at("a", 2))
 
@@ -230,9 +230,9 @@
         self.run_mover()
         self.mover.named("a", 2)
         self.mover.named("b", 2)
-        await self.until(lambda: len(self.client.orders) == module.LOADS_AT_ONCE)
+        await self.until(lambda: len(self.client.orders) == module.MIN_CONCURRENT_LOADS)
         await asyncio.sleep(0.3)
-        self.assertEqual(len(self.client.orders), module.LOADS_AT_ONCE)
+        self.assertEqual(len(self.client.orders), module.MIN_CONCURRENT_LOADS)
 
     async def test_more_load_at_once_where_there_are_more(self):
         """Symptom: a named version needs four seconds to reach a model's replicas.
--- a/sassafrasdoor/weights/tests/test_pace.py
+++ b/sassafrasdoor/weights/tests/test_pace.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from sassafrasdoor.weights.pace import LONGEST_DEFERRAL, may_load, waits
+from sassafrasdoor.weights.pace import MAX_DEFERRAL, may_load, should_defer
 
 REPLICAS, PLACES = 8, 8
 LOAD = 0.9
@@ -53,16 +53,18 @@
         tenth of a second later the step comes that its trainer asks for at once. Cause:
         nothing waited yet, so the loads were not put off.
         """
-        self.assertTrue(waits(10.0, 10.0, items_wait=False, serves=True))
+        self.assertTrue(should_defer(10.0, 10.0, items_wait=False, serves=True))
         asked_at = 10.0 + ASKED_AT
-        self.assertTrue(waits(10.0, asked_at, items_wait=True, serves=True))
-        self.assertTrue(waits(10.0, asked_at + LOAD, items_wait=True, serves=True))
+        self.assertTrue(should_defer(10.0, asked_at, items_wait=True, serves=True))
+        self.assertTrue(
+            should_defer(10.0, asked_at + LOAD, items_wait=True, serves=True)
+        )
 
     def test_load_does_not_wait_for_long_or_for_nobody(self):
-        late = 10.0 + LONGEST_DEFERRAL
-        self.assertFalse(waits(10.0, late, items_wait=True, serves=True))
-        self.assertFalse(waits(10.0, 10.5, items_wait=False, serves=True))
-        self.assertFalse(waits(10.0, 10.0, items_wait=True, serves=False))
+        late = 10.0 + MAX_DEFERRAL
+        self.assertFalse(should_defer(10.0, late, items_wait=True, serves=True))
+        self.assertFalse(should_defer(10.0, 10.5, items_wait=False, serves=True))
+        self.assertFalse(should_defer(10.0, 10.0, items_wait=True, serves=False))
 
     def test_replicas_that_can_run_nothing_load_together(self):
         self.assertTrue(all(may_load(4, loading, False) for loading in range(4)))
--- a/sassafrasdoor/weights/tests/test_plan.py
+++ b/sassafrasdoor/weights/tests/test_plan.py
@@ -11,7 +11,7 @@
 from sassafrasdoor.weights.plan import (
     EngineState,
     Phase,
-    most_at_once,
+    max_concurrent_swaps,
     next_swaps,
     preference,
 )
@@ -93,7 +93,9 @@
         that has to serve can't be reached any more, so nothing was ever allowed.
         """
         engines = [engine(f"e{n}", None) for n in range(9)] + [engine("e9")]
-        self.assertEqual(most_at_once(configured(), Preference.IDLE, engines), 1)
+        self.assertEqual(
+            max_concurrent_swaps(configured(), Preference.IDLE, engines), 1
+        )
         view = View(weights={"model": 2})
         self.assertEqual(len(next_swaps(configured(), view, engines)), 1)
 
@@ -124,7 +126,7 @@
             mine = [one for one in engines if model in one.backend.models]
             begun = sum(swap.model == model for swap in swaps)
             out = sum(one.phase is not Phase.IDLE for one in mine)
-            allowed = most_at_once(configuration, Preference.STALENESS, mine)
+            allowed = max_concurrent_swaps(configuration, Preference.STALENESS, mine)
             self.assertLessEqual(begun, max(0, allowed - out))
 
 
