--- a/sassafrasdoor/admission/tests/test_allocator.py
+++ b/sassafrasdoor/admission/tests/test_allocator.py
@@ -172,11 +172,7 @@
         self.assertEqual(self.total(sites, "trainer"), 20)
 
     def test_idle_share_is_lent_and_comes_back(self):
-        """Symptom: gates stay shut for minutes because trainers fill the engines.
-
-        Sequence: applications idle, a trainer uses all; then an application
-        wants its part. Cause: lent slots only came back when leases ended.
-        """
+        """Guards against lent slots that return only when leases end."""
         allocator, sites = self.started(trainer=40)
         for site in sites:
             site.in_use["trainer"] = site.allowed("trainer")
@@ -198,11 +194,7 @@
                 self.assertGreater(site.allowed(row.name), 0, (site.name, row.name))
 
     def test_instance_that_wants_nothing_yet_has_a_slot_ready(self):
-        """Symptom: first calls after callers moved to an instance are late.
-
-        Sequence: e0 wants the row; callers' next discovery answers name e1.
-        Cause: spare slots were lent only to instances that already want them.
-        """
+        """Guards against a first call at an instance that has to wait for a grant."""
         allocator, sites = self.started()
         sites[0].wanted["app"] = 5
         self.settle(allocator, sites)
@@ -211,11 +203,7 @@
         self.check(sites)
 
     def test_new_holder_waits_out_the_grants_of_the_old(self):
-        """Symptom: twice the limit in flight just after the holder died.
-
-        Sequence: grants are out, the holder dies, the next one grants at once.
-        Cause: it knew nothing of the grants still in use.
-        """
+        """Guards against a new holder that grants slots covered by old grants."""
         _, sites = self.started(app=40)
         before = self.total(sites, "app")
         fresh = Site("fresh")
@@ -230,12 +218,7 @@
         self.assertGreaterEqual(self.total([*sites, fresh], "app"), 19)
 
     def test_silent_instance_keeps_its_fallback_and_no_more(self):
-        """Symptom: the hard limit is exceeded while an instance is cut off.
-
-        Sequence: e0 is cut off with grants in hand; the others ask for more.
-        Cause: its grants were given away before they lapsed there, or what it
-        falls back on was forgotten.
-        """
+        """Guards against granting slots that a partitioned instance may still use."""
         allocator, sites = self.started(app=40)
         cut, *others = sites
         held = cut.allowed("app")
@@ -299,11 +282,7 @@
     @hypothesis_settings(derandomize=True, deadline=None, max_examples=30)
     @given(strategies.integers(0, 10_000))
     def test_any_sequence_of_losses_cuts_and_holders(self, seed):
-        """Symptom: now and then more is in flight than the limit allows.
-
-        Sequence: any mix of lost replies, cut instances, restarts, changed
-        demand, changes of holder. Cause: whatever forgot a grant in any of them.
-        """
+        """Guards against grants beyond the limits after any mix of faults."""
         self.any_sequence(seed)
 
 
@@ -323,12 +302,7 @@
         self.any_sequence(seed)
 
     def test_death_of_the_busy_instance_does_not_idle_the_rest(self):
-        """Symptom: after one instance dies the trainers idle for ``overhang``.
-
-        Sequence: e0 uses all slots of a row without a hard limit and dies; its
-        trainer attaches at e1, which is granted next to nothing.
-        Cause: calls in progress of the dead counted against the capacity.
-        """
+        """Guards against calls of a dead instance that count against the capacity."""
         allocator, sites = self.started()
         dead, heir, *_ = sites
         dead.wanted["trainer"] = 40
@@ -342,12 +316,7 @@
         self.assertEqual(heir.allowed("trainer"), CAPACITY)
 
     def test_an_application_keeps_a_fallback_beside_busy_trainers(self):
-        """Symptom: while the log is down applications are refused, trainers not.
-
-        Sequence: a trainer fills the engines from every instance, the log goes
-        down, all grants lapse. Cause: one bound on everybody's fallback, which
-        the trainer's large grants had used up.
-        """
+        """Guards against a trainer that takes all of the fallback."""
         allocator, sites = self.started(trainer=40)
         self.settle(allocator, sites, rounds=20)
         for site in sites:
@@ -361,14 +330,7 @@
         self.check(sites)
 
     def test_instance_that_reports_late_is_not_granted_nothing(self):
-        """Symptom: calls are refused at an instance beside load; after the death of
-        the holder the others wait a minute for slots that nobody has.
-
-        Sequence: an instance reports after its grants have lapsed. Cause: it had been
-        left out of the last targets, so it got a grant of no slots, without a
-        fallback, in place of what it still used. The next holder took that for all
-        that it had, and kept the rest for the dead.
-        """
+        """Guards against a late report answered by a grant without a fallback."""
         allocator, sites = self.started(app=12)
         late, *others = sites
         lapse = SETTINGS.admission.grant_duration
--- a/sassafrasdoor/admission/tests/test_queues.py
+++ b/sassafrasdoor/admission/tests/test_queues.py
@@ -47,12 +47,7 @@
         self.assertEqual(self.admission.in_use(), {"app": 2})
 
     async def test_what_a_grant_allows(self):
-        """Symptom: more calls in flight than the hard limit allows.
-
-        Sequence: the holder of the quota cannot be reached, the grant lapses,
-        the holder gives the slots to others. Cause: going on with the old
-        grant. Only what its fallback names was kept aside for us.
-        """
+        """Guards against use of a grant that has lapsed."""
         cases = [
             ("valid", granted(3), 3),
             ("lapsed", granted(3, lifetime=0), 0),
@@ -69,12 +64,7 @@
                 self.assertEqual(sum(map(bool, tries)), allowed)
 
     def test_an_instance_that_was_never_told_of_grants(self):
-        """Symptom: once all instances were replaced in an outage, none serves.
-
-        Sequence: the log is down, so nobody holds the quota; a fresh instance
-        has no grants. Cause: no grants read as no slots, for rows too that have
-        no hard limit to overshoot.
-        """
+        """Guards against an instance without grants that refuses all calls."""
         cases = [
             ("no hard limit", {}, False, 1),
             ("a hard limit", {"limit": 0.5}, False, 0),
@@ -89,11 +79,7 @@
                 self.assertEqual(slots, ceil(half / 8) * allowed)
 
     def test_an_outage_that_outlasts_the_fallback(self):
-        """Symptom: ten minutes into an outage of the log every call is refused.
-
-        Sequence: grants lapse, then what they fall back on. Cause: an instance
-        with lapsed grants was worse off than one that never had any.
-        """
+        """Guards against refusing all calls once the fallback has lapsed."""
         for name, limit, allowed in (("no limit", 1.0, True), ("limit", 0.5, False)):
             with self.subTest(name):
                 lapsed = {"app": Grant(3, deadline_in(-601), fallback=1, number=1)}
@@ -125,11 +111,7 @@
         task.cancel()
 
     async def test_refused_early(self):
-        """Symptom: callers wait to their deadline only to hear a refusal.
-
-        Sequence: more calls come than slots free up. Cause: queueing calls that
-        cannot be served in time any more.
-        """
+        """Guards against queueing calls that cannot be served before their deadline."""
         seen = granted(1)
         await self.fill(seen, 1)
         kept = [self.admit(seen), self.admit(seen)]
@@ -154,11 +136,7 @@
         self.assertGreater(outcome.retry_after, 5)
 
     async def test_who_cannot_end_in_time_is_not_served(self):
-        """Symptom: all slots are busy and hardly any answer comes in time.
-
-        Sequence: a call waits nearly to its deadline, then gets a slot. Cause:
-        the time that the call itself takes was forgotten.
-        """
+        """Guards against slots for calls that will miss their deadline."""
         seen = granted(1)
         permit = (await self.fill(seen, 1))[0]
         waiting = self.admit(seen, within=5.0)
@@ -170,11 +148,7 @@
         self.assertTrue(await self.admit(seen, within=5.0))
 
     async def test_waiting_call_that_is_cancelled_loses_no_slot(self):
-        """Symptom: a row's throughput falls by one slot now and then, for good.
-
-        Sequence: a slot frees and is given to a waiting call; its caller leaves
-        in the same turn of the loop. Cause: nobody released the slot given.
-        """
+        """Guards against a slot granted to a cancelled call and never released."""
         seen = granted(1)
         for moment in ("while waiting", "just when given"):
             with self.subTest(moment):
--- a/sassafrasdoor/admission/tests/test_shares.py
+++ b/sassafrasdoor/admission/tests/test_shares.py
@@ -76,12 +76,7 @@
                 self.assertEqual(shares(table(*rows).rows, demand, 40), expected)
 
     def test_low_priority_is_served_in_turn(self):
-        """Symptom: a trainer waits for ever while applications fill everything.
-
-        Sequence: eight slots, an application of high priority wants them all;
-        five per cent of eight slots is less than one. Cause: rounding the
-        trainer's part down to nothing at every turn.
-        """
+        """Guards against starvation of a row whose share rounds down to zero."""
         rows = table(row_document("app", priority=9), row_document("trainer")).rows
         total = Counter()
         for turn in range(200):
--- a/sassafrasdoor/backends/tests/test_affinity.py
+++ b/sassafrasdoor/backends/tests/test_affinity.py
@@ -38,11 +38,7 @@
         await until(known, what="the event")
 
     async def test_gaps_silence_and_restarts(self):
-        """Symptom: streams keep going to an engine that dropped their prefix.
-
-        Sequence: events are lost or the engine does not answer; later it starts
-        over with its numbers. Cause: the list of events was taken for whole.
-        """
+        """Guards against trust in prefixes after lost events or an engine's restart."""
         script = ScriptedEvents(
             ([CacheEvent(1, "a", True)], 2),
             Unavailable("down"),
--- a/sassafrasdoor/backends/tests/test_connections.py
+++ b/sassafrasdoor/backends/tests/test_connections.py
@@ -115,12 +115,7 @@
         self.assertEqual(self.server.connections, 2)
 
     async def test_extra_answer_reaches_nobody(self):
-        """Symptom: a caller gets the answer to another's request.
-
-        Sequence: a server answers a request twice on a kept connection; the next
-        request takes the second answer for its own. Cause: answers were matched by
-        their order.
-        """
+        """Guards against a duplicate answer taken for the next request's."""
         for extra in (KEPT.replace(b"{id}", b"1"), b"junk"):
             with self.subTest(extra=extra):
                 await self.start((KEPT + extra, OPEN), (KEPT, OPEN), (KEPT, OPEN))
@@ -177,11 +172,7 @@
         self.assertFalse(reply.began)
 
     async def test_cancelled_call_closes_its_connection(self):
-        """Symptom: replicas work on for callers that have left.
-
-        Sequence: a caller leaves while its answer is awaited. Cause: the task was
-        cancelled and the transfer went on.
-        """
+        """Guards against a transfer that goes on after its call was cancelled."""
         await self.start((b"", OPEN))
         calling = asyncio.ensure_future(self.send())
         while not self.server.requests:  # noqa: ASYNC110
--- a/sassafrasdoor/backends/tests/test_service.py
+++ b/sassafrasdoor/backends/tests/test_service.py
@@ -45,12 +45,7 @@
 
 class ServiceContractTest(BackendsTestCase):
     async def test_each_fault_has_its_outcome(self):
-        """Symptom: a caller is told "not run" although its payment was booked.
-
-        Sequence: the server reads the request and hangs up, cuts its reply, or
-        stays silent; or never gets a byte. Cause: only a connection that was
-        never ready proves that no byte arrived.
-        """
+        """Guards against "not run" for a call that may have run."""
         for faults, status, began, executions in CONTRACT:
             with self.subTest(faults=faults):
                 stand_in, backend = self.start_service()
@@ -65,12 +60,7 @@
                     self.assertEqual(result.status, status)
 
     async def test_a_call_that_may_not_be_repeated_runs_once(self):
-        """Symptom: two calls made, three executions seen by the server.
-
-        Sequence: a first call leaves its connection in the pool; the server reads
-        the second call from it, runs it and hangs up. Cause: libcurl sends again
-        by itself on a connection that was used before.
-        """
+        """Guards against libcurl's own retry on a reused connection."""
         for repeatable, executions, kind in ((False, 1, Broken), (True, 2, Answer)):
             with self.subTest(repeatable=repeatable):
                 stand_in, backend = self.start_service()
@@ -82,11 +72,7 @@
                 self.assertEqual(stand_in.executions.count("second"), executions)
 
     async def test_only_the_callers_own_headers_reach_the_service(self):
-        """Symptom: large bodies wait a second, or go to somebody's proxy.
-
-        Sequence: a caller sends ``Expect`` and hop headers; the environment names
-        a proxy. Cause: libcurl honours both unless told otherwise.
-        """
+        """Guards against libcurl's ``Expect`` and the environment's proxy."""
         _, backend = self.start_service()
         sent = {"Expect": "100-continue", "Connection": "upgrade", "X-Board": "7"}
         proxy = {"http_proxy": "http://127.0.0.1:9", "ALL_PROXY": "http://127.0.0.1:9"}
@@ -101,11 +87,7 @@
         self.assertNotIn("Content-Length", answer.headers)
 
     async def test_each_answer_belongs_to_its_request(self):
-        """Symptom: a member sees another member's balance.
-
-        Sequence: many calls at once over a small pool, answered in any order.
-        Cause: answers matched by order and not by their own connection.
-        """
+        """Guards against an answer that reaches another request."""
         _, backend = self.start_service(delay=0.01)
         names = [f"request-{number}" for number in range(60)]
         calls = [
@@ -116,12 +98,7 @@
             self.assertIn(f'"body": "{name}"'.encode(), answer.body)
 
     async def test_cancelling_ends_the_transfer(self):
-        """Symptom: capacity of a backend server is gone although nobody calls.
-
-        Sequence: the server is silent, the caller leaves, the task is cancelled.
-        Cause: curl asks whether to go on only when bytes move or a timer ends;
-        here the only timer, that of the connection, is far away.
-        """
+        """Guards against a silent transfer that outlives its cancelled call."""
         far = mock.patch.object(transfer, "CONNECT_TIMEOUT", 600.0)
         far.start()
         self.addCleanup(far.stop)
@@ -135,11 +112,7 @@
         await until(lambda: stand_in.abandoned, timeout=3, what="the close")
 
     async def test_a_call_cancelled_in_the_clients_queue_never_runs(self):
-        """Symptom: a call runs although its caller left before it was sent.
-
-        Sequence: all handles are busy, a call waits for one, its task is
-        cancelled, a handle comes free. Cause: the queue knows no cancelling.
-        """
+        """Guards against a call sent after it was cancelled in the client's queue."""
         client = Client(max_transfers=1)
         self.addCleanup(client.close)
         service = HttpService(self.settings, client)
@@ -168,12 +141,7 @@
                 self.assertEqual(method == "HEAD", not answer.body)
 
     async def test_after_a_timeout_pooled_connections_are_left_alone(self):
-        """Symptom: every call to a healthy server waits for its whole deadline.
-
-        Sequence: something between the two ends forgets a pooled connection; a
-        call on it times out; the next call takes the next such connection.
-        Cause: an idle connection was trusted without proof.
-        """
+        """Guards against calls on pooled connections that are dead without a reset."""
         stand_in, backend = self.start_service()
         stand_in.set_faults({"silent": 1})
         broken = await self.service.call(backend, call("lost", True, seconds=0.2))
--- a/sassafrasdoor/backends/tests/test_stream.py
+++ b/sassafrasdoor/backends/tests/test_stream.py
@@ -50,12 +50,7 @@
 
 class StreamContractTest(BackendsTestCase):
     async def test_each_fault_has_its_end(self):
-        """Symptom: half a sample is taught to the model as a whole one.
-
-        Sequence: the engine crashes before or after the first byte, or its reply
-        ends early but in good form. Cause: a reply was believed whole because
-        its connection ended well, not because its last line came.
-        """
+        """Guards against a truncated stream taken for a complete one."""
         for faults, kind, reason, chunks_came in STREAM_CONTRACT:
             with self.subTest(faults=faults):
                 stand_in, backend = self.start_engine()
@@ -89,12 +84,7 @@
             self.assertIsInstance(end, Finished)
 
     async def test_a_stream_resumed_elsewhere_on_the_wire_is_the_same(self):
-        """Symptom: a resumed answer repeats words, or lacks some.
-
-        Sequence: the connection is cut, or goes silent while new ones work; the
-        stream runs on; a second connection asks for the rest. Cause: the rest was
-        counted from the engine's state, not from what the reader has.
-        """
+        """Guards against repeated or missing tokens in a resumed stream."""
         for faults in ({"fail_after": 1}, {"silence": True}):
             with self.subTest(faults=faults):
                 stand_in, backend = self.start_engine()
@@ -134,11 +124,7 @@
         self.assertEqual(end.spans[0].first, 0)
 
     async def test_a_swap_in_the_middle_is_labelled_with_both_versions(self):
-        """Symptom: a sample names the version it started with and no other.
-
-        Sequence: a stream runs, the engine swaps weights, the stream goes on.
-        Cause: the label was taken when the stream was started.
-        """
+        """Guards against a label that omits the version of a swap in the stream."""
         stand_in, backend = self.start_engine(initial_version=1, swap_seconds=0.05)
         reading = asyncio.create_task(self.read(backend, stream_order("s/1", 400)))
         await until(lambda: stand_in.batch.streams and stand_in.batch.running)
@@ -154,12 +140,7 @@
             self.assertEqual(within, {version})
 
     async def test_leaving_the_loop_frees_the_connection(self):
-        """Symptom: engines fill up with streams that nobody reads.
-
-        Sequence: a reader leaves in the middle of a stream that is silent.
-        Cause: closing the iterator did not end the transfer, or only once a
-        timer of curl's ended; here the only one is far away.
-        """
+        """Guards against a transfer that goes on after its reader has left."""
         far = mock.patch.object(transfer, "CONNECT_TIMEOUT", 600.0)
         far.start()
         self.addCleanup(far.stop)
@@ -175,12 +156,7 @@
         self.assertEqual(await self.engine.streams(backend, "s/"), [])
 
     async def test_a_cancelled_reader_stays_cancelled(self):
-        """Symptom: streams go on although their readers were cancelled.
-
-        Sequence: a chunk arrives, and before the reader runs it is cancelled.
-        Cause: ``asyncio.wait_for`` of Python 3.11 then returns the chunk and
-        drops the cancellation.
-        """
+        """Guards against ``asyncio.wait_for`` of Python 3.11 losing a cancellation."""
         for turns in range(5):
             with self.subTest(turns=turns):
                 reader = StreamReader(None, None, stream_order())
@@ -194,11 +170,7 @@
                         await task
 
     async def test_lines_that_do_not_fit_end_the_stream(self):
-        """Symptom: an answer lacks a piece in its middle, or is no text at all.
-
-        Sequence: an engine or something before it loses a line. Cause: chunks
-        were joined without looking at their offsets.
-        """
+        """Guards against chunks joined in spite of a gap between their offsets."""
         start = b'{"offset":0,"text":"a ","tokens":1,"version":1}\n'
         for lines, reason in (
             (b'{"offset":5,"text":"b","tokens":1,"version":1}\n', "gap in the stream"),
@@ -235,11 +207,7 @@
 
 class OrderContractTest(BackendsTestCase):
     async def test_each_fault_has_its_outcome(self):
-        """Symptom: an engine is counted as swapped and serves the old weights.
-
-        Sequence: a swap fails, its reply is late or lost, or it claims a success
-        that never was. Cause: the reply was believed; only ``load`` tells.
-        """
+        """Guards against a reply to an order taken for the engine's state."""
         for faults, fence, kind, version in ORDER_CONTRACT:
             with self.subTest(faults=faults, fence=fence):
                 stand_in, backend = self.start_engine(swap_seconds=0.01)
@@ -257,11 +225,7 @@
         return (await self.engine.load(backend)).versions[MODEL] == version
 
     async def test_replies_of_another_form_are_no_replies(self):
-        """Symptom: an engine is never looked at again after a strange reply.
-
-        Sequence: its report lacks a field or has another type. Cause: the error
-        ended the task that follows the engine.
-        """
+        """Guards against a malformed reply that ends the task of its engine."""
         for body in (b'{"versions": 7}', b"[]", b"{}", b"not JSON"):
             with self.subTest(body=body):
                 server, backend = await raw_server(body)
--- a/sassafrasdoor/control/tests/test_link.py
+++ b/sassafrasdoor/control/tests/test_link.py
@@ -58,11 +58,7 @@
 
     @on_kj_loop
     async def test_the_metrics_of_control_are_readable(self):
-        """
-        Symptom: nobody can read how often leases were claimed or weights are
-        behind. Sequence: control counts, but serves no page. Cause: its
-        metrics leave the process on no way.
-        """
+        """Guards against metrics of control that no page serves."""
         server, link, task = await self.connect()
         self.assertIn("control_updates_total", await link.metrics())
         await self.end(server, task)
@@ -105,13 +101,7 @@
 
     @on_kj_loop
     async def test_restart_of_control_keeps_the_view(self):
-        """Symptom: while control restarts, the entry refuses for want of a table.
-
-        Sequence: the entry has revision 7; control dies; a new one starts at the
-        same port, first without a table, then with 5, then with 9.
-        Cause: the new session's parts were taken although they were older, or
-        empty: no grants yet, no list read yet.
-        """
+        """Guards against a restarted control that replaces a view by an older one."""
         server, link, task = await self.connect()
         self.control.source.set_table(TABLE, 7)
         self.control.source.set_weights({"m": 4})
@@ -148,12 +138,7 @@
 
     @on_kj_loop
     async def test_only_what_changed_is_sent(self):
-        """Symptom: the entry stalls, or shows members that are gone.
-
-        Sequence: some of many members change, some go, one comes back; so the
-        backend servers.
-        Cause: the whole list crossed at each change, or removals did not.
-        """
+        """Guards against lists sent whole at each change, and lost removals."""
         server, link, task = await self.connect()
         source = self.control.source
 
--- a/sassafrasdoor/control/tests/test_process.py
+++ b/sassafrasdoor/control/tests/test_process.py
@@ -147,12 +147,7 @@
 
     @on_kj_loop
     async def test_killed_and_frozen_instances_leave_the_view(self):
-        """Symptom: callers are sent to an instance that is gone or stuck.
-
-        Sequence: one instance is killed, another frozen and then thawed.
-        Cause: nobody noticed that it no longer answers; or, thawed, it blamed
-        the others for the time that it slept.
-        """
+        """Guards against unresponsive instances that stay in the view."""
         async with Controls() as cluster:
             names = ["c1", "c2", "c3", "c4"]
             await cluster.begin(names)
@@ -166,12 +161,7 @@
 
     @on_kj_loop
     async def test_region_that_is_silent_is_suspect_until_it_returns(self):
-        """Symptom: a region out of reach for a while is gone from all views.
-
-        Sequence: all processes of one region stop, for longer than a suspicion
-        lasts, and run on.
-        Cause: its members were declared dead one by one.
-        """
+        """Guards against an unreachable region whose members are declared dead."""
         async with Controls({"membership": {"remote_share": 0.5}}) as cluster:
             near, far = ["c1", "c2"], ["f1", "f2"]
             cluster.start_platform()
@@ -192,14 +182,7 @@
 
     @on_kj_loop
     async def test_started_while_the_log_is_down_learns_the_table_from_peers(self):
-        """Symptom: instances replaced during an outage of the log refuse all work.
-
-        Sequence: the log goes down; one instance is started, then each older one
-        is stopped and another started in its place, until none is left that
-        ever read the log; the log returns with a new table.
-        Cause: the table, or the list of backend servers, was only to be had from
-        the platform.
-        """
+        """Guards against instances started in an outage of the log without a table."""
         async with Controls() as cluster:
             await cluster.begin(["a1", "a2", "a3"])
             await cluster.know(2, "a1", "a2", "a3")
@@ -241,14 +224,7 @@
 
     @on_kj_loop
     async def test_quota_is_shared_and_outlives_its_holder(self):
-        """Symptom: an application's calls stall or exceed the row's limit after
-        the instance that distributes the quota has died.
-
-        Sequence: two instances want all slots of a service; the holder of its
-        quota is killed; the other takes over.
-        Cause: grants of the old holder counted on beside those of the new one,
-        or nobody made new ones.
-        """
+        """Guards against quota that is lost or counted twice when its holder dies."""
         quick = {
             "lease": {"duration": 1.5, "renew_interval": 0.4},
             "weights": {"order_timeout": 0.5},
--- a/sassafrasdoor/control/tests/test_spread.py
+++ b/sassafrasdoor/control/tests/test_spread.py
@@ -60,11 +60,7 @@
                 self.assertTrue(self.spread(next_one, members).is_poller)
 
     def test_all_try_the_log_rarely_when_nothing_is_confirmed(self):
-        """Symptom: a log that comes back is met by a rush of every instance.
-
-        Sequence: no confirmation for long, so the pollers may be gone.
-        Cause: everybody fell back to polling at full pace.
-        """
+        """Guards against all instances polling a log that comes back."""
         members = self.members(60)
         other = next(
             m.name for m in members if not self.spread(m.name, members).is_poller
@@ -78,12 +74,7 @@
         self.assertFalse(any(spread.may_poll() for _ in range(1000)))
 
     def test_confirmation_passes_on_a_bounded_number_of_times(self):
-        """Symptom: the log is down for an hour and views say "confirmed just now".
-
-        Sequence: members tell each other the last confirmation, round and round;
-        each telling makes it younger by the way's time.
-        Cause: nothing bounded how often it was passed on.
-        """
+        """Guards against a confirmation that stays young by being relayed."""
         at = now() - 10
         for hops, told in ((0, True), (MAX_HOPS - 1, True), (MAX_HOPS, False)):
             with self.subTest(hops=hops):
--- a/sassafrasdoor/control/tests/test_weights.py
+++ b/sassafrasdoor/control/tests/test_weights.py
@@ -15,12 +15,7 @@
 class WeightsTests(unittest.IsolatedAsyncioTestCase):
     @on_kj_loop
     async def test_the_rollout_goes_on_when_its_holder_ends(self):
-        """Symptom: no engine gets new weights after a restart of one instance.
-
-        Sequence: the holder of the lease ends, as planned or all at once; another
-        version is announced. Cause: nobody else took the lease, or the newcomer
-        trusted what its predecessor had seen.
-        """
+        """Guards against a rollout that ends with its holder."""
         names = ["entry-1", "entry-2", "entry-3"]
         async with Controls(QUICK) as cluster:
             await cluster.begin(names)
--- a/sassafrasdoor/entry/tests/test_bad_input.py
+++ b/sassafrasdoor/entry/tests/test_bad_input.py
@@ -188,11 +188,7 @@
 
 class BadInputTest(OneInstance, unittest.IsolatedAsyncioTestCase):
     async def test_callers_port(self):
-        """Symptom: a bad request kills a process, or its sender reads a traceback.
-
-        Sequence: each bad request once, then a good one.
-        Cause: input used before it was checked, or checked without a reason.
-        """
+        """Guards against malformed requests that end a process or show a traceback."""
         await self.start(requests={"body_limit": BODY_LIMIT})
         status, _ = await self.cluster.post(self.address, STEPS, STEP, TRAINER)
         self.assertEqual(status, 202)
@@ -246,11 +242,7 @@
 
 class KeyRotationTest(OneInstance, unittest.IsolatedAsyncioTestCase):
     async def test_old_key_ends_with_the_table(self):
-        """Symptom: a key that was taken away still opens, or rotation cuts callers.
-
-        Sequence: a table with both hashes, then one with the new hash alone.
-        Cause: a row whose keys outlive the table that named them.
-        """
+        """Guards against a key that outlives the table that named it."""
         await self.start()
         status, seen = await self.cluster.get(self.address, "/v1/status")
         self.assertEqual(status, 200)
@@ -275,12 +267,7 @@
 
 class PeerPortsTest(OneInstance, unittest.IsolatedAsyncioTestCase):
     async def test_garbage_ends_its_connection_only(self):
-        """Symptom: a port scan of the instances ends their processes.
-
-        Sequence: bad frames at the peer and the control port, bad datagrams at
-        the gossip port, then a good call.
-        Cause: a frame trusted for its own length, or an error left to spread.
-        """
+        """Guards against malformed frames and datagrams that end a process."""
         await self.start()
         ready = self.instance.control.ready
         peer = self.instance.entry.ready["peer"]
--- a/sassafrasdoor/entry/tests/test_drain.py
+++ b/sassafrasdoor/entry/tests/test_drain.py
@@ -58,13 +58,7 @@
 
 class RollingRestartTest(unittest.IsolatedAsyncioTestCase):
     async def test_no_request_is_cut(self):
-        """Symptom: during a rolling restart some callers see reset connections.
-
-        Sequence: callers hold discovery answers; an instance is told to stop;
-        callers go on connecting to it on those answers while it has closed its
-        port, or it ends while streams are still running.
-        Cause: an instance that stops serving sooner than it stops being named.
-        """
+        """Guards against an instance that stops serving before discovery drops it."""
         http = SimpleAsyncHTTPClient(force_instance=True, max_clients=100)
         async with Cluster() as cluster:
             await cluster.start(engines=2, services=1, engine_options=SLOW_ENGINE)
--- a/sassafrasdoor/entry/tests/test_entry_gone.py
+++ b/sassafrasdoor/entry/tests/test_entry_gone.py
@@ -8,11 +8,7 @@
 
 class EntryGoneTest(unittest.IsolatedAsyncioTestCase):
     async def test_discovery_forgets_it_and_takes_it_back(self):
-        """
-        Symptom: for hours one caller in three finds its connection refused at
-        first. Sequence: an entry process dies; its control process lives on and
-        answers probes. Cause: members judge the control process alone.
-        """
+        """Guards against discovery of an instance whose entry process has ended."""
         async with Cluster() as cluster:
             await cluster.start(instances=3, engines=1)
             other, gone = cluster.instances[:2]
--- a/sassafrasdoor/entry/tests/test_isolated.py
+++ b/sassafrasdoor/entry/tests/test_isolated.py
@@ -17,11 +17,7 @@
 
 class IsolatedTest(unittest.IsolatedAsyncioTestCase):
     async def test_who_goes_on_with_an_unconfirmed_table(self):
-        """Symptom: an instance cut off for an hour serves by a table long replaced.
-
-        Sequence: its network is cut on the inner side only; callers still reach
-        it; operators lower a limit. Cause: an unconfirmed table never ends.
-        """
+        """Guards against an isolated instance that serves by an old table for ever."""
         chosen = settings(
             instance={"name": "entry-1"}, table={"unconfirmed_grace": 60.0}
         )
--- a/sassafrasdoor/entry/tests/test_replacement.py
+++ b/sassafrasdoor/entry/tests/test_replacement.py
@@ -23,12 +23,7 @@
         return status == 200
 
     async def test_all_replaced_while_the_log_is_down(self):
-        """Symptom: after an outage of the log an earlier table is in force.
-
-        Sequence: a second revision is accepted, the log goes down, every
-        instance is killed and replaced, one after another; the log comes back.
-        Cause: the table lived only in the log and in instances that are gone.
-        """
+        """Guards against an earlier table in force after all were replaced."""
         async with Cluster() as cluster:
             await cluster.start(instances=3, engines=1, services=1)
             first = await self.revision(cluster, cluster.instances[0])
--- a/sassafrasdoor/entry/tests/test_secrets.py
+++ b/sassafrasdoor/entry/tests/test_secrets.py
@@ -26,12 +26,7 @@
 
 class SecretsTest(unittest.IsolatedAsyncioTestCase):
     async def test_secrets_stay_inside(self):
-        """Symptom: whoever reads logs or metrics can call as anybody.
-
-        Sequence: two instances with TLS and peer keys; calls with right and
-        wrong keys, good and bad; an engine fails, an instance dies.
-        Cause: a settings object, header or request put into a line or label.
-        """
+        """Guards against keys in logs, metrics or answers."""
         folder = tempfile.TemporaryDirectory(prefix="sassafrasdoor-secrets-")
         self.addCleanup(folder.cleanup)
         ca = trustme.CA()
--- a/sassafrasdoor/entry/tests/test_status.py
+++ b/sassafrasdoor/entry/tests/test_status.py
@@ -30,12 +30,7 @@
         self.addAsyncCleanup(self.parts.close)
 
     async def test_it_names_what_an_operator_asks_for(self):
-        """
-        Symptom: a row starves, or a server runs old weights, and the page does
-        not say where. Sequence: a server reports an old version, another none;
-        one call holds the only slot, one waits. Cause: knowledge that is used
-        for decisions but not shown.
-        """
+        """Guards against a status page that hides an old version or a busy row."""
         first, second = self.seen.backends
         self.parts.chooser.report(first, Load(4, capacity=8, versions={"m": 2}))
         row, admission = self.seen.row("app"), self.parts.admission
@@ -72,11 +67,7 @@
                 self.assertEqual({len(one) for one in rows}, {len(heads)})
 
     async def test_an_instance_that_knows_nothing_yet(self):
-        """
-        Symptom: the page of an instance that started while the log was down is
-        no JSON for strict readers. Sequence: nothing was ever confirmed.
-        Cause: an age of infinity, which JSON has no word for.
-        """
+        """Guards against an infinite age, which is not valid JSON."""
         self.parts.link.view = View(confirmed_at=LONG_AGO, grants={})
         seen = json.loads(json.dumps(self.parts.status(), allow_nan=False))
         self.assertIsNone(seen["unconfirmed_seconds"])
--- a/sassafrasdoor/entry/tests/test_tls.py
+++ b/sassafrasdoor/entry/tests/test_tls.py
@@ -45,12 +45,7 @@
         return [str(path) for path in paths]
 
     async def test_listener_and_programs(self):
-        """Symptom: with TLS set, callers' keys still cross the net in the open.
-
-        Sequence: an instance with a certificate; calls with the right CA, with
-        another one, and in the open; each program that calls instances.
-        Cause: a listener that takes both, or a program that speaks HTTP only.
-        """
+        """Guards against plain HTTP where TLS is set."""
         cluster = Cluster({"tls": self.tls}, self.ca_file)
         async with cluster:
             await cluster.start(instances=1, engines=1)
@@ -111,11 +106,7 @@
         return found if found and found.everywhere else None
 
     def test_files_are_findings(self):
-        """Symptom: a daemon ends with a traceback when it binds its port.
-
-        Sequence: its settings name files that are missing, foreign or no PEM.
-        Cause: the files were first opened by the listener.
-        """
+        """Guards against TLS files that are first read when the port is bound."""
         other_key = self.issue("other", "127.0.0.1")[2]
         text = self.folder / "text.pem"
         text.write_text("no certificate")
--- a/sassafrasdoor/lease/tests/test_frozen_process.py
+++ b/sassafrasdoor/lease/tests/test_frozen_process.py
@@ -44,12 +44,7 @@
             await until(reached, PATIENCE, f"{name} at version {version}")
 
     async def test_engines_of_both_kinds_never_go_back(self):
-        """
-        Symptom: after a rollout an engine runs the version of before.
-        Sequence: the holder's control process is stopped; another takes the
-        lease over and rolls the next version out; the first one wakes.
-        Cause: a holder that acts on what it knew before it was stopped.
-        """
+        """Guards against orders of a holder that resumes after its lease was lost."""
         cluster = self.cluster
         cluster.start_engine("checks", "--checks-fencing")
         cluster.start_engine("ignores", "--no-checks-fencing")
--- a/sassafrasdoor/lease/tests/test_holder.py
+++ b/sassafrasdoor/lease/tests/test_holder.py
@@ -35,11 +35,7 @@
         self.assertEqual(self.b.holder.fence, 0)
 
     async def test_a_successor_waits_for_the_lease_and_the_longest_order(self):
-        """
-        Symptom: an engine carries out orders of two plans at once.
-        Sequence: the holder vanishes right after it sent an order.
-        Cause: a successor that acts as soon as its claim is accepted.
-        """
+        """Guards against a successor that acts while an old order is in flight."""
         old = await self.a.turn()
         await self.b.turn()
         await self.bench.run(DURATION + ORDER - 0.5, self.b, step=0.5)
@@ -59,12 +55,7 @@
         self.assertGreater(successor.holder.fence, 0)
 
     async def test_a_holder_that_slept_holds_nothing_and_cannot_renew(self):
-        """
-        Symptom: two instances send orders, each sure of its lease.
-        Sequence: the holder is stopped; its lease lapses and is claimed by
-        another; it wakes, does not know, checks its lease and renews it.
-        Cause: believing what was true before the pause.
-        """
+        """Guards against a holder that trusts its lease after a pause."""
         await self.a.turn()
         await self.b.turn()
         await self.bench.run(2 * DURATION + ORDER, self.b, step=0.5)
@@ -76,22 +67,14 @@
         self.assertEqual((self.a.holder.fence, self.b.holder.fence), (0, held))
 
     async def test_a_short_pause_within_the_lease_still_asks_for_a_renewal(self):
-        """
-        Symptom: an order is sent on a lease that was read before a pause.
-        Sequence: the process is stopped for less than the lease and continued.
-        Cause: its clock alone says that the lease is good; all else it knows is old.
-        """
+        """Guards against an order sent on a lease that was read before a pause."""
         fence = await self.a.turn()
         self.bench.clock.advance(RENEWAL + 0.1)
         self.assertEqual(self.a.holder.fence, 0)
         self.assertEqual(await self.a.turn(), fence)
 
     async def test_the_lease_counts_from_when_its_claim_was_sent(self):
-        """
-        Symptom: the old holder acts for seconds beside its successor.
-        Sequence: a renewal lies in the network for most of the lease, then
-        arrives. Cause: counting from when the holder saw it accepted.
-        """
+        """Guards against a lease counted from the arrival of its claim."""
         await self.a.turn()
         await self.bench.run(RENEWAL, self.a)
         self.bench.clock.advance(RENEWAL)
@@ -105,11 +88,7 @@
         self.assertEqual(self.a.holder.deadline, self.bench.clock.time + 1.0)
 
     async def test_a_restarted_process_is_another_holder(self):
-        """
-        Symptom: an order of a process that is gone undoes a newer one.
-        Sequence: the holder dies with an order under way and is started again
-        under the same name. Cause: carrying on the lease of its predecessor.
-        """
+        """Guards against a restarted process that continues its former lease."""
         old = await self.a.turn()
         again = Node("a", self.bench.log)
         await self.bench.run(DURATION + ORDER - 0.5, again, step=0.5)
@@ -142,11 +121,7 @@
         self.assertGreater(await self.b.turn(), 0)
 
     async def test_a_successor_still_waiting_releases_nothing(self):
-        """
-        Symptom: a third holder acts while the first one's order is under way.
-        Sequence: the second claims, and is stopped as planned before it may act.
-        Cause: a release tells the third that there is nothing to wait for.
-        """
+        """Guards against a release that hides an earlier order in flight."""
         await self.a.turn()
         await self.b.turn()
         await self.bench.run(DURATION + 1.0, self.b, step=0.5)
--- a/sassafrasdoor/lease/tests/test_orders.py
+++ b/sassafrasdoor/lease/tests/test_orders.py
@@ -34,15 +34,7 @@
 
 class FrozenHolderTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_order_sent_by_a_holder_that_was_frozen_after_its_check(self):
-        """
-        Symptom: an engine falls back to an old version after a rollout.
-        Sequence: the holder checks its lease and is frozen; its successor takes
-        over and orders version 2; the old holder wakes in the middle of its send
-        and its order of version 1 goes out.
-        Cause: no check before a send covers the time between the two. An engine
-        that checks fencing numbers refuses; for one that ignores them the new
-        holder reads back what the engine reports and orders again.
-        """
+        """Guards against an order sent between the check of a lease and its loss."""
         for checks_fencing, refused, meanwhile in ((True, 1, 2), (False, 0, 1)):
             with self.subTest(checks_fencing=checks_fencing):
                 bench = Bench(self)
@@ -61,12 +53,7 @@
                 self.assertEqual(engine.version, 2)
 
     async def test_no_order_of_two_holders_is_under_way_at_once(self):
-        """
-        Symptom: two swaps run on one engine that ignores fencing numbers.
-        Sequence: the holder sends an order at the last moment of its lease, which
-        takes as long as any; the successor claims as soon as it may.
-        Cause: a successor that waits for the lease but not for the order.
-        """
+        """Guards against concurrent orders of two holders at one engine."""
         bench = Bench(self)
         old, new = bench.nodes
         await old.turn()
--- a/sassafrasdoor/membership/tests/test_datagrams.py
+++ b/sassafrasdoor/membership/tests/test_datagrams.py
@@ -86,12 +86,7 @@
         received()
 
     def test_message_of_several_segments(self):
-        """Symptom: a datagram of 20 bytes ends the process by SIGABRT.
-
-        Sequence: it is decoded, and let go again.
-        Cause: the reader of a message whose last segments are missing raises
-        from its destructor, which no code of ours can catch.
-        """
+        """Guards against a datagram whose decoding aborts the process."""
         with self.assertRaises(gossip.Malformed):
             gossip.decode([], b"\0" + CUT_SHORT)
 
--- a/sassafrasdoor/membership/tests/test_node.py
+++ b/sassafrasdoor/membership/tests/test_node.py
@@ -125,12 +125,7 @@
             await cluster.settled(b="dead", c="dead")
 
     async def test_slow_member_is_probed_through_others(self):
-        """Symptom: two instances that can't reach each other declare each other
-        dead, although all others reach both.
-
-        Sequence: the way between a and b is cut; c reaches both.
-        Cause: one failed direct probe was taken as proof.
-        """
+        """Guards against one failed direct probe taken for a death."""
         async with Cluster(probe_interval=0.6, probe_timeout=0.1) as cluster:
             for name in "abc":
                 await cluster.add(name)
@@ -152,11 +147,7 @@
             self.assertEqual(states, [])
 
     async def test_false_suspicion_is_refuted(self):
-        """Symptom: a healthy instance vanishes from everyone's view.
-
-        Sequence: a rumour says that b is suspect, then dead.
-        Cause: b did not raise its incarnation on hearing it.
-        """
+        """Guards against a false suspicion that its member does not refute."""
         async with Cluster() as cluster:
             for name in "abc":
                 await cluster.add(name)
@@ -181,11 +172,7 @@
                     await cluster.settled()
 
     async def test_address_taken_over_by_another_instance(self):
-        """Symptom: an instance that is gone stays alive for ever.
-
-        Sequence: b ends; a new instance d gets b's address and answers there.
-        Cause: an answer from the address was taken for b's own.
-        """
+        """Guards against an address's new member taken for the former one."""
         async with Cluster() as cluster:
             for name in "abc":
                 await cluster.add(name)
@@ -199,14 +186,7 @@
             await cluster.settled()
 
     async def test_silent_region_is_suspect_not_dead_and_returns_without_flood(self):
-        """Symptom: after a cut between regions half the system is gone from the
-        view, and when it returns a storm of updates fills the wire.
-
-        Sequence: the way between regions is cut for many suspicion timeouts,
-        then healed.
-        Cause: each member was judged alone, by probes that only the region
-        failed. Counted: the updates that ride on messages from cut to calm.
-        """
+        """Guards against deaths and floods of updates by a partition of regions."""
         async with Cluster(remote_share=0.3, **UNHURRIED) as cluster:
             for index in range(5):
                 await cluster.add(f"n{index}")
@@ -246,11 +226,7 @@
             await cluster.settled(f1="dead")
 
     async def test_isolated_member_declares_nobody_dead(self):
-        """Symptom: when one instance's network returns, all others flicker.
-
-        Sequence: a hears nobody for many suspicion timeouts, then all again.
-        Cause: it blamed all others for its own cut and spread their deaths.
-        """
+        """Guards against an isolated member that declares all others dead."""
         async with Cluster() as cluster:
             for name in "abcd":
                 await cluster.add(name)
@@ -265,12 +241,7 @@
             self.assertNotIn(State.DEAD, [member.state for member in deaths])
 
     async def test_paused_member_trusts_nothing_until_refreshed(self):
-        """Symptom: an instance that was frozen declares others dead as it wakes.
-
-        Sequence: its process stops between sending a probe and its answer,
-        wakes long after the timeouts, and judges before it reads.
-        Cause: time that passed without it was counted against the others.
-        """
+        """Guards against a resumed process that counts its pause against others."""
         async with Cluster() as cluster:
             for name in "abc":
                 await cluster.add(name)
@@ -315,12 +286,7 @@
             )
 
     async def test_who_joins_does_not_pass_all_members_on(self):
-        """Symptom: an instance that joins sends more in its first minute than in
-        the rest of its day.
-
-        Sequence: 30 members know each other; another joins.
-        Cause: it took the members that it was sent for news, and spread them.
-        """
+        """Guards against a joining member that gossips all members as news."""
         async with Cluster() as cluster:
             first = await cluster.add("a")
             for number in range(30):
@@ -366,12 +332,7 @@
 
 class RegionsTests(unittest.TestCase):
     def test_only_what_was_heard_directly_is_told_on(self):
-        """Symptom: a region cut for minutes seems to have been heard just now.
-
-        Sequence: members of the other region tell each other how long ago it
-        was heard, round and round; each telling makes it younger.
-        Cause: hearsay was passed on.
-        """
+        """Guards against indirect reports of a region that are relayed as fresh."""
         regions = Regions(settings.from_document({}).membership)
         regions.told("there", 1.0)
         self.assertGreater(regions.heard_at("there"), float("-inf"))
--- a/sassafrasdoor/membership/tests/test_order.py
+++ b/sassafrasdoor/membership/tests/test_order.py
@@ -49,11 +49,7 @@
     @hypothesis_settings(derandomize=True, max_examples=200, deadline=None)
     @given(strategies.lists(UPDATES, max_size=8), strategies.randoms())
     def test_any_order_converges(self, updates, chance):
-        """Symptom: two instances hold different members for ever.
-
-        Sequence: both get the same updates, in different orders, some twice.
-        Cause: the rule depended on the order of arrival.
-        """
+        """Guards against members that depend on the order of updates."""
         one, other = Roster(), Roster()
         for update in updates:
             one.apply(update)
--- a/sassafrasdoor/membership/tests/test_suspicions.py
+++ b/sassafrasdoor/membership/tests/test_suspicions.py
@@ -45,12 +45,7 @@
         return self.suspicions.expired({"f1": self.member}, others=3)
 
     def test_message_under_way_at_the_cut_kills_nobody(self):
-        """Symptom: beside load, members of a region that is cut off are called dead.
-
-        Sequence: a member is suspect, the way is cut, and a message that its region
-        had sent before is read late. Cause: it was taken for a sign that the way was
-        there, so the member alone was blamed.
-        """
+        """Guards against a message in flight at a partition taken for connectivity."""
         self.assertEqual(self.dead(heard_after=0.1), [])
 
     def test_silent_region_kills_nobody(self):
--- a/sassafrasdoor/peers/tests/test_link.py
+++ b/sassafrasdoor/peers/tests/test_link.py
@@ -60,11 +60,7 @@
 
     @on_kj_loop
     async def test_keys(self):
-        """Symptom: a stranger calls our processes, or a rotation cuts them apart.
-
-        Sequence: caller and server hold these keys; the caller enters.
-        Cause: the door opened without proof, or knew one key only.
-        """
+        """Guards against a peer link without proof, or broken by a key rotation."""
         cases = [
             (("new", "old"), ("old",), True),
             (("new", "old"), ("new", "old"), True),
@@ -87,12 +83,7 @@
 
     @on_kj_loop
     async def test_caller_without_key_never_reaches_the_capability(self):
-        """Symptom: a peer without a key runs our calls.
-
-        Sequence: it skips the check of the server and enters with a MAC made
-        for another nonce (a recorded proof).
-        Cause: the server trusted the proof without its own fresh nonce.
-        """
+        """Guards against a replayed proof."""
         server = await self.serve("key")
         before = count(REFUSED)
         host, _, port = server.address.rpartition(":")
@@ -110,11 +101,7 @@
 
     @on_kj_loop
     async def test_silent_peer_ends_the_call_at_its_deadline(self):
-        """Symptom: a caller waits for ever; later calls on the link hang too.
-
-        Sequence: the peer takes the call (or just the connection) and is silent.
-        Cause: a call without a deadline on a connection that nobody closed.
-        """
+        """Guards against a call to a silent peer without an end."""
         server = await self.serve()
         link = self.link(server.address)
         await link.open()
@@ -139,11 +126,7 @@
 
     @on_kj_loop
     async def test_bad_frames_end_only_their_connection(self):
-        """Symptom: one garbled connection takes the process or its peers down.
-
-        Sequence: a good link is open; another connection sends these bytes.
-        Cause: the frame's error left the connection's own task.
-        """
+        """Guards against a malformed frame that ends other connections."""
         server = await self.serve()
         link = self.link(server.address)
         await link.open()
@@ -178,11 +161,7 @@
 
     @on_kj_loop
     async def test_stranger_who_proves_nothing_is_cut_off(self):
-        """Symptom: peers cannot connect, for the process is out of descriptors.
-
-        Sequence: strangers connect and say nothing; a peer with a key is idle.
-        Cause: a connection may stay without proof for as long as it likes.
-        """
+        """Guards against unauthenticated connections that use up the descriptors."""
         server = await self.serve("key")
         link = self.link(server.address, "key")
         before = count(BROKEN)
--- a/sassafrasdoor/routing/tests/test_chooser.py
+++ b/sassafrasdoor/routing/tests/test_chooser.py
@@ -39,11 +39,7 @@
         self.assertLess(self.spread(chooser, seen)["b0"], 40)
 
     def test_own_work_since_the_report_counts(self):
-        """Symptom: all calls of half a second go to one server and queue there.
-
-        Sequence: a report calls b0 idle and the others nearly so; a burst of 60
-        calls comes before the next report. Cause: choosing by the report alone.
-        """
+        """Guards against choices by an outdated load report alone."""
         seen = view(count=4)
         chooser = chooser_of()
         for backend, running in zip(seen.backends, (0, 1, 1, 1), strict=True):
@@ -80,12 +76,7 @@
         self.assertEqual(chooser.load_of(backend), 5 / 8)
 
     def test_server_that_fails_fast_attracts_nothing(self):
-        """Symptom: most calls fail although one server of three is broken.
-
-        Sequence: b0 refuses each connection at once, so it never has anything
-        in flight and reports no load. Cause: the least loaded was taken to be
-        the best. Failures have to count as load.
-        """
+        """Guards against a failing server that looks least loaded."""
         seen = view(count=3)
         # So short that no rest after a failure hides what failures count as load.
         chooser = chooser_of(routing={"suspect_backend_for": 1e-9})
@@ -115,11 +106,7 @@
         self.assertEqual(chooser.choose(seen, "desk").name, "b0")
 
     def test_who_gets_no_work(self):
-        """Symptom: a leaving server still gets calls and cuts them off.
-
-        Sequence: it announces its leaving; the instance list lags. Cause:
-        listening to one of the sources only, where any of them is enough.
-        """
+        """Guards against calls to a server that one source reports as leaving."""
         leaving = view(count=2)
         leaving.backends[0].state = State.LEAVING
         dead = view(count=2)
@@ -210,11 +197,7 @@
 
 class LoadPollerTest(unittest.IsolatedAsyncioTestCase):
     async def test_frozen_server_does_not_hold_up_the_others(self):
-        """Symptom: all load reports grow old when one server freezes.
-
-        Sequence: b0 takes the connection and never answers. Cause: the round
-        waited for each reply without a bound.
-        """
+        """Guards against one frozen server that delays all load reports."""
         chooser = chooser_of(routing={"load_interval": 0.02})
         seen = view(count=3)
         engine = _Loads(b1=Load(4, capacity=8), b2=Unavailable("refused"))
--- a/sassafrasdoor/routing/tests/test_placement.py
+++ b/sassafrasdoor/routing/tests/test_placement.py
@@ -55,11 +55,7 @@
         self.assertFalse(leaves(slow, None))
 
     def test_silence_on_every_stream_is_dark(self):
-        """Symptom: items that went to a replica without power come four seconds late.
-
-        Sequence: it loses power; until its entry lapses it looks idle and gets new
-        items. Cause: a first event was waited for as in a full replica's queue.
-        """
+        """Guards against items that wait for a replica without power."""
         cases = [
             ("just sent", 10.0, LONG_AGO, False, False),
             ("nothing for long", 10.0 - DARK_AFTER, LONG_AGO, False, True),
@@ -73,12 +69,7 @@
 
 
 class SlowReplicaReplay(unittest.TestCase):
-    """Symptom: a calm day with one slow replica loses whole steps.
-
-    Sequence: six replicas are nearly full, one turns 3.8 times slower. Its samples
-    move; often the place that one leaves is the only free one by then, and it comes
-    back at once, twice. Cause: a moved sample could choose the replica that it left.
-    """
+    """Guards against a migrated sample that goes back to the slow replica."""
 
     def moved(self, seed, leave_out):
         """Return how many of 120 moves lead back to the slow replica."""
--- a/sassafrasdoor/soak/tests/test_own.py
+++ b/sassafrasdoor/soak/tests/test_own.py
@@ -34,12 +34,7 @@
         return soak
 
     async def test_fault_waits_while_nobody_lives(self):
-        """Symptom: "integer modulo by zero", and a run with a fault less.
-
-        Sequence: an instance is killed, the two others stop, the next fault comes
-        before one of their successors serves. Cause: the target was taken from the
-        living at that moment.
-        """
+        """Guards against a fault that is dropped while no instance is alive."""
         soak = self.soak(instance("entry-1", -9))
         fault = soak.faults[0]
         found = asyncio.ensure_future(soak._target(fault))
@@ -49,10 +44,7 @@
         self.assertEqual((await found).name, "entry-2")
 
     async def test_fault_that_fails_is_a_violation(self):
-        """Symptom: a run is green though it did not play what its seed says.
-
-        Sequence: a fault's task ends with an error. Cause: nobody asked for it.
-        """
+        """Guards against a fault that fails unnoticed."""
 
         async def broken():
             raise ZeroDivisionError("nobody to strike")
--- a/sassafrasdoor/steps/durable/tests/test_rewards.py
+++ b/sassafrasdoor/steps/durable/tests/test_rewards.py
@@ -109,12 +109,7 @@
         )
 
     async def test_nothing_is_scored_before_the_log_keeps_the_text(self):
-        """Symptom: a listed text bears the score of another one.
-
-        Sequence: a text is whole and its reward call sent; the runner dies before
-        the text is kept; the next one makes another text. Cause: the call did not
-        wait for the text's record.
-        """
+        """Guards against a score of a text that the log does not keep."""
         self.log.held = True
         await self.submit()
         await self.run_shard()
@@ -127,11 +122,7 @@
         self.assertEqual((await self.sample()).score, "stamp r0")
 
     async def test_next_runner_makes_no_text_again(self):
-        """Symptom: places of engines go to texts that were whole before.
-
-        Sequence: a runner dies between a text's record and its score. Cause: the
-        next one began the item anew.
-        """
+        """Guards against a logged text that is generated again."""
         await self.submit()
         self.log.fold(encode(Text("s1", "i0", "kept", [1])))
         await self.run_shard()
@@ -139,11 +130,7 @@
         self.assertEqual(self.client.sent, [])
 
     async def test_first_text_counts_also_while_another_is_made(self):
-        """Symptom: a position shows a text that its score was not asked for.
-
-        Sequence: a paused runner's text lands while the next one streams its own.
-        Cause: the later text was taken.
-        """
+        """Guards against a later text that replaces the one that was scored."""
         self.client.script = [([(0, "other", 1)], ScriptedClient.HANG)]
         await self.submit()
         await self.run_shard()
@@ -165,11 +152,7 @@
         self.assertIn(failures, (3, 4))
 
     async def test_failures_of_a_former_runner_count(self):
-        """Symptom: a call that always fails goes on for as long as runners change.
-
-        Sequence: a runner dies after two failures of three. Cause: they were counted
-        in its memory.
-        """
+        """Guards against failed reward calls counted in one runner's memory only."""
         self.client.answers = [FAILED] * 9
         await self.submit()
         self.log.fold(encode(Text("s1", "i0", "kept", [1])))
@@ -180,11 +163,7 @@
         self.assertLessEqual(len(self.client.calls), 3)
 
     async def test_refusals_lost_and_unsigned_answers_are_no_failures(self):
-        """Symptom: a sample is listed as errored although its call would succeed.
-
-        Sequence: the scoring service sheds, cuts answers and sends some without its
-        mark. Cause: every answer but a success counted toward the attempts.
-        """
+        """Guards against refused or lost reward calls counted as failures."""
         self.client.answers = [
             *[NotRun("full", 0.1)] * 6,
             *[Broken("cut", began=True)] * 4,
--- a/sassafrasdoor/steps/tests/test_client.py
+++ b/sassafrasdoor/steps/tests/test_client.py
@@ -130,11 +130,7 @@
         await until(lambda: server.steps.status() == [])
 
     async def test_what_goes_wrong_between_trainer_and_instances(self):
-        """
-        Symptom: a sample is lost or comes twice.
-        Sequence: after the first sample, a fault of the table.
-        Cause: the instance, and not the trainer, was asked what was delivered.
-        """
+        """Guards against samples lost or repeated by a fault on the way."""
 
         async def replies_lost(one, two):
             one.lose = two.lose = 2
@@ -186,12 +182,7 @@
         self.assertEqual(run.report.counts["regenerated"], 0)
 
     async def test_a_restarted_trainer_goes_on_from_its_state(self):
-        """
-        Symptom: a restarted trainer never gets some samples.
-        Sequence: a batch arrives; the trainer takes two of it, saves its state
-        and restarts.
-        Cause: the state named what had arrived, not what was taken.
-        """
+        """Guards against samples lost by a restart of their trainer."""
         server = self.serve()
         server.steps.submit(self.bench.row, self.bench.spec())
         await self.bench.ready(server.steps, 4)
@@ -203,13 +194,7 @@
         self.assertEqual(rest, PLACES - {(s["group"], s["index"]) for s in first})
 
     async def test_weights_published_while_a_reply_was_on_its_way(self):
-        """
-        Symptom: a trainer takes a sample older than its bound.
-        Sequence: a reply leaves the instance; the trainer publishes newer
-        weights; the reply arrives.
-        Cause: the instance judged it by what it knew then; only the trainer
-        can judge on arrival.
-        """
+        """Guards against a sample that turned stale on its way to the trainer."""
         self.serve()
         engines = self.bench.engines
 
--- a/sassafrasdoor/steps/tests/test_delivery.py
+++ b/sassafrasdoor/steps/tests/test_delivery.py
@@ -32,13 +32,7 @@
         return bench, service
 
     async def test_staleness_is_judged_when_the_bytes_leave(self):
-        """
-        Symptom: a trainer gets samples older than its bound.
-        Sequence: samples are ready; newer weights become known in one of the
-        ways of the table; the trainer fetches.
-        Cause: staleness was judged when the sample was finished, or against
-        one source of versions alone.
-        """
+        """Guards against staleness judged before delivery or by one source only."""
 
         async def announced(bench, service):
             bench.announced = 3
@@ -89,11 +83,7 @@
         self.assertEqual(reply["samples"], [])
 
     async def test_unconfirmed_view_delivers_only_against_a_stated_version(self):
-        """
-        Symptom: an instance cut off from the log delivers old samples.
-        Sequence: its view is unconfirmed for long; new weights are announced.
-        Cause: it took the newest version it had seen for the newest there is.
-        """
+        """Guards against stale samples from an instance cut off from the log."""
         bench, service = await self.ready()
         bench.confirmed_at = now() - 60
         reply = await bench.fetch(service)
@@ -103,12 +93,7 @@
         )
 
     async def test_a_version_stated_before_a_pause_does_not_count(self):
-        """
-        Symptom: a thawed instance delivers samples that are too old.
-        Sequence: a fetch states version 1 and waits; the process is frozen;
-        weights move on; it thaws and answers the waiting fetch.
-        Cause: a version stated long ago was taken for a current one.
-        """
+        """Guards against staleness judged by a version stated before a pause."""
         bench, service = await self.ready()
         bench.confirmed_at = now() - 60
         step = service._steps["trainer", "s1"]
@@ -117,12 +102,7 @@
         self.assertFalse(step.delivery.confirmed(bench.view(), fetch, now() - 60))
 
     async def test_a_lost_reply_is_repaired_by_the_old_token(self):
-        """
-        Symptom: samples lost, or others sent in their place.
-        Sequence: a reply is lost; more samples finish; the trainer presents
-        its old token again.
-        Cause: what was sent was taken for delivered.
-        """
+        """Guards against a sent reply taken for a delivered one."""
         bench = self.bench()
         service = bench.instance(batch_size=2)
         service.submit(bench.row, bench.spec())
@@ -151,12 +131,7 @@
         self.assertEqual(reply["remaining"], 0)
 
     async def test_an_older_attachment_acknowledges_nothing(self):
-        """
-        Symptom: a restarted trainer never gets some samples.
-        Sequence: it lost samples and attached anew; a fetch of its old process,
-        whose token names them, comes late.
-        Cause: an older attachment's token was taken for the trainer's.
-        """
+        """Guards against an acknowledgement by a trainer's former process."""
         bench, service = await self.ready()
         reply = await bench.fetch(service)
         service.submit(bench.row, bench.spec(attach=2))
@@ -166,11 +141,7 @@
         self.assertEqual(reply["remaining"], 0)
 
     async def test_a_drain_answers_waiting_fetches_whole_before_it_ends(self):
-        """
-        Symptom: a planned stop cuts a trainer's fetch.
-        Sequence: a fetch waits; the instance drains; its reply is being written.
-        Cause: a reply was taken for sent once it was composed.
-        """
+        """Guards against a drain that truncates a reply."""
         bench = self.bench(length_of=lambda stream: 8)
         service = bench.instance()
         service.submit(bench.row, bench.spec())
@@ -187,12 +158,7 @@
         self.assertEqual(len(bench.all_streams()), 4)
 
     async def test_nothing_is_started_for_a_trainer_that_hung_up(self):
-        """
-        Symptom: samples made twice after a trainer moved to another instance.
-        Sequence: its fetch times out; it attaches elsewhere; the old owner goes
-        on to start what still waits.
-        Cause: only long silence counted as absence, a closed connection did not.
-        """
+        """Guards against streams started for a trainer that has moved away."""
         bench = self.bench(length_of=lambda stream: 2)
         service = bench.instance()
         service._resources.admission.slots = 1
@@ -238,12 +204,7 @@
         self.assertIsInstance(await waiting, Conflict)
 
     async def test_a_trainer_that_leaves_is_forgotten_and_its_streams_are_left(self):
-        """
-        Symptom: an owner destroys its successor's work.
-        Sequence: a trainer attaches elsewhere; the old owner gives up and
-        cancels the streams, which the new owner reads.
-        Cause: being abandoned was taken for the step being unwanted.
-        """
+        """Guards against an abandoned owner that cancels its successor's streams."""
         bench = self.bench(length_of=lambda stream: 8)
         service = bench.instance(attach_idle=0.3)
         service.submit(bench.row, bench.spec())
--- a/sassafrasdoor/steps/tests/test_exactly_once.py
+++ b/sassafrasdoor/steps/tests/test_exactly_once.py
@@ -166,8 +166,4 @@
 
 
 class ExactlyOnceTest(StepMachine.TestCase):
-    """Symptom: a sample lost, doubled, too old or with another's label.
-
-    Sequence: any order of the rules above.
-    Cause: an owner believed anything but the trainer's token and the engines.
-    """
+    """Guards against lost, repeated, stale or wrongly labelled samples."""
--- a/sassafrasdoor/steps/tests/test_owner.py
+++ b/sassafrasdoor/steps/tests/test_owner.py
@@ -42,11 +42,7 @@
         self.assert_true_labels(bench, have)
 
     async def test_faults_of_engines(self):
-        """
-        Symptom: a sample whose text or label is none that an engine made.
-        Sequence: an engine fails in a way of the table while a stream is read.
-        Cause: what came before the fault was joined to what came after it.
-        """
+        """Guards against a text joined from two streams after an engine's fault."""
 
         def cut(bench):
             bench.engines["e1"].cut_next = 2
@@ -82,12 +78,7 @@
                 self.assertEqual({name: counts[name] for name in expected}, expected)
 
     async def test_a_stream_lost_between_listing_and_resuming_is_made_anew(self):
-        """
-        Symptom: a sample that is half of one run and half of another.
-        Sequence: a stream breaks; the engine still lists it; it restarts; the
-        resume reaches it and it makes up a stream from our offset on.
-        Cause: a listing is no promise. The engine's own closing report shows it.
-        """
+        """Guards against a resume that reaches another stream than the one listed."""
         bench = self.bench(engines=("e1",), length_of=lambda stream: 8)
         steps = bench.instance()
         spec = bench.spec(groups=[{"prompt": "one"}], samples_per_group=1)
@@ -110,12 +101,7 @@
         self.assertEqual(owner.samples[0].generation, 1)
 
     async def test_a_second_instance_finishes_what_a_dead_one_started(self):
-        """
-        Symptom: tokens made twice each time an instance dies.
-        Sequence: an instance dies in the middle of a step; the trainer
-        attaches at another one.
-        Cause: the successor started anew what the engines still held.
-        """
+        """Guards against streams of a dead instance that are generated again."""
         bench = self.bench(length_of=lambda stream: 8)
         first, second = bench.instance(), bench.instance()
         first.submit(bench.row, bench.spec())
--- a/sassafrasdoor/steps/tests/test_scoring.py
+++ b/sassafrasdoor/steps/tests/test_scoring.py
@@ -47,11 +47,7 @@
         self.assertEqual(len(set(self.service.calls)), 1)
 
     async def test_call_that_always_fails_is_given_up(self):
-        """Symptom: a trainer waits for one sample until its step's deadline.
-
-        Sequence: the service answers one call with 500 each time. Cause: it was
-        asked again without end.
-        """
+        """Guards against retries of a failing reward call without end."""
         found = await self.score(*[FAILED] * 9)
         self.assertIsInstance(found, NoScore)
         self.assertEqual(len(self.service.calls), 3)
--- a/sassafrasdoor/steps/tests/test_steps_processes.py
+++ b/sassafrasdoor/steps/tests/test_steps_processes.py
@@ -125,12 +125,7 @@
         raise AssertionError(f"no engine ever made {sample}")
 
     async def test_scores_survive_faults_of_the_service_and_of_the_owner(self):
-        """Symptom: samples without a score, or with another sample's.
-
-        Sequence: the scoring service fails, hangs up and cuts answers; the instance
-        that owns the step is killed while calls run. Cause: a call was tried once, or
-        told apart by the connection it came back on.
-        """
+        """Guards against missing or exchanged scores after faults."""
         cluster = await self.cluster(services=1)
         await cluster.faults(
             "service-1", delay=0.3, fail=1, hang_up=2, hang_up_middle=1
@@ -156,13 +151,7 @@
             self.assertEqual(sample["score"]["request_id"], f"{stream}.reward")
 
     async def test_instance_goes_in_the_middle_of_a_step(self):
-        """
-        Symptom: samples lost, doubled or wrongly labelled after an instance
-        went; tokens made twice.
-        Sequence: the instance that owns a step is killed, or frozen and thawed
-        after another took over.
-        Cause: the step's state was only in the instance that owned it.
-        """
+        """Guards against a step's state that is lost with its owner."""
         cluster = await self.cluster(instances=3)
         one, two, three = cluster.instances
 
@@ -185,11 +174,7 @@
                 self.assertGreater(run.report.counts["resumed"], 0)
 
     async def test_planned_stop_in_the_middle_of_a_step(self):
-        """
-        Symptom: a planned stop cuts a fetch, or samples are made anew.
-        Sequence: the instance that owns a step gets SIGTERM.
-        Cause: it ended before its trainer was sent away, or cut the streams.
-        """
+        """Guards against a drain that truncates fetches or streams."""
         cluster = await self.cluster()
         one, two = cluster.instances
         stops = []
@@ -210,11 +195,7 @@
         self.assertEqual(await stops[0], (0, 0))
 
     async def test_replies_are_lost(self):
-        """
-        Symptom: the samples of a batch are lost, or come twice.
-        Sequence: the proxy between trainer and instance cuts replies midway.
-        Cause: what was sent was taken for delivered.
-        """
+        """Guards against a sent batch taken for a delivered one."""
         cluster = await self.cluster(instances=1)
         proxy = await Proxy(cluster.instances[0].address).open()
         self.addAsyncCleanup(proxy.close)
@@ -231,12 +212,7 @@
         self.assertGreater(run.report.attachments, 1)
 
     async def test_two_attachments_at_once(self):
-        """
-        Symptom: two instances make one step twice, or one cuts the other's work.
-        Sequence: a trainer's old process still fetches at one instance while
-        its new one attaches at another.
-        Cause: owners shared no stream identities.
-        """
+        """Guards against two owners that run one step with separate streams."""
         cluster = await self.cluster()
         old = self.trainer(cluster.instances[0].address).run(document("twice"))
         new = self.trainer(cluster.instances[1].address).run(
@@ -248,11 +224,7 @@
             self.judge(run, samples, "twice")
 
     async def test_engine_crashes(self):
-        """
-        Symptom: a sample joined from two runs, or a step that never ends.
-        Sequence: an engine ends in the middle of its streams.
-        Cause: a resume was believed without the engine's own report.
-        """
+        """Guards against a resumed stream taken for complete without a report."""
         cluster = await self.cluster()
 
         async def crash():
@@ -267,12 +239,7 @@
         self.assertGreater(run.report.counts["regenerated"], 0)
 
     async def test_many_faults_together(self):
-        """
-        Symptom: what each fault alone leaves whole breaks when they meet.
-        Sequence: an engine crashes, the owner is killed and weights are
-        announced at once; then the next owner is stopped as planned.
-        Cause: a repair relied on a part that may fail as well.
-        """
+        """Guards against recovery that fails under a second fault."""
         cluster = await self.cluster(instances=3, engines=3)
         one, two, three = cluster.instances
         stops = []
@@ -302,11 +269,7 @@
         self.assertEqual(await stops[0], (0, 0))
 
     async def test_connections_to_an_engine_go_silent(self):
-        """
-        Symptom: a step waits for ever, or makes anew what the engine has.
-        Sequence: open connections to an engine go silent; new ones work.
-        Cause: only a closed connection was taken for a broken one.
-        """
+        """Guards against silent connections taken for live ones."""
         cluster = await self.cluster(engines=1)
 
         async def silence():
@@ -320,11 +283,7 @@
         self.assertEqual(run.report.counts["regenerated"], 0)
 
     async def test_swap_in_the_middle_of_a_step(self):
-        """
-        Symptom: a sample that crossed a swap names one version.
-        Sequence: new weights are announced; engines swap while they generate.
-        Cause: the label came from a plan, not from the engine's own spans.
-        """
+        """Guards against a label that omits the version of a swap in the step."""
         cluster = await self.cluster()
 
         async def swap():
@@ -346,13 +305,7 @@
         return swapped
 
     async def test_weights_announced_between_last_token_and_delivery(self):
-        """
-        Symptom: a trainer gets samples older than its bound.
-        Sequence: samples are ready; an instance that lags behind the log, or
-        has lost it, answers a fetch; only the trainer knows the newest weights.
-        Cause: staleness was judged when a sample was finished, or by the
-        instance's own view alone.
-        """
+        """Guards against staleness judged before delivery."""
         cluster = await self.cluster(instances=1)
         address = cluster.instances[0].address
         path = f"/v1/steps/{ROW}"
--- a/sassafrasdoor/steps/tests/test_stragglers.py
+++ b/sassafrasdoor/steps/tests/test_stragglers.py
@@ -35,11 +35,7 @@
         return bench, steps, owner
 
     async def test_a_straggler_on_a_lagging_engine(self):
-        """
-        Symptom: a step waits for one sample while engines are idle.
-        Sequence: two streams run; the engine of one turns slow, or freezes.
-        Cause: a stream stayed where it was started.
-        """
+        """Guards against a stream that stays at a slow or frozen engine."""
 
         def slow(engine):
             engine.speed = 0
@@ -87,11 +83,7 @@
         self.assertEqual(first.generation, 0)
 
     async def test_a_replay_is_no_speed(self):
-        """
-        Symptom: after an instance died, the rest of a step is made twice.
-        Sequence: its successor reads the streams from their start, at once.
-        Cause: replayed tokens were taken for tokens made.
-        """
+        """Guards against replayed tokens counted as an engine's speed."""
         bench, steps, owner = await self.started("duplicate")
         await steps.close()
         after = bench.instance(stragglers="duplicate")
--- a/sassafrasdoor/table/tests/test_accepted.py
+++ b/sassafrasdoor/table/tests/test_accepted.py
@@ -57,11 +57,7 @@
         self.assertIn("ben", str(lost.findings[0]))
 
     def test_a_second_copy_changes_neither_the_table_nor_its_decision(self):
-        """
-        Symptom: an operator is told "rejected" about a table that is in force.
-        Sequence: an append is retried below us; one proposal stands at 4 and 5.
-        Cause: the copy's base is out of force because the first one took effect.
-        """
+        """Guards against a duplicate record that rejects its accepted proposal."""
         once = folded((4, proposal("a", 0)))
         twice = fold(once, Record(5, proposal("a", 0)))
         self.assertIs(twice, once)
--- a/sassafrasdoor/table/tests/test_publisher.py
+++ b/sassafrasdoor/table/tests/test_publisher.py
@@ -41,11 +41,7 @@
         self.assertGreater(second.offset, first.offset)
 
     async def test_a_lost_reply_is_settled_by_reading_not_by_a_second_append(self):
-        """
-        Symptom: a table is published twice, or an operator publishes once more.
-        Sequence: the append takes effect; its reply is lost.
-        Cause: taking no reply for no effect.
-        """
+        """Guards against a lost reply taken for a failed append."""
         self.log.lose_replies = 1
         decision = await self.propose(0)
         self.assertTrue(decision.accepted)
@@ -56,11 +52,7 @@
         self.assertTrue((await self.propose(0)).accepted)
 
     async def test_eighty_operators_race_and_one_wins(self):
-        """
-        Symptom: the winner of a crowded race is told that the outcome is unknown.
-        Sequence: more proposals than the state keeps decisions on come in one
-        batch. Cause: looking for one's decision only after the whole batch.
-        """
+        """Guards against a decision that is dropped before its operator reads it."""
         racing = [self.propose(0, n + 1.0, f"operator-{n}") for n in range(80)]
         results = await asyncio.gather(*racing)
         won = [result for result in results if result]
@@ -90,12 +82,7 @@
         self.assertIsInstance(result, ReplyLost)
 
     async def test_an_unseen_proposal_whose_base_fell_has_lost(self):
-        """
-        Symptom: an operator waits for a proposal that can no longer be accepted.
-        Sequence: his append's reply is lost and it is not in the log yet; another
-        table is accepted on the same base.
-        Cause: none; whatever comes later names a base that is out of force.
-        """
+        """Guards against waiting for a proposal that can no longer be accepted."""
         log = SwallowingLog()
         waiting = asyncio.create_task(self.propose(0, log=log, seconds=0.5))
         await asyncio.sleep(0)
--- a/sassafrasdoor/tests/test_clock_jumps.py
+++ b/sassafrasdoor/tests/test_clock_jumps.py
@@ -29,11 +29,7 @@
 
 class TimeOfDayTest(unittest.TestCase):
     def test_only_what_is_named_here_reads_it(self):
-        """Symptom: leases lapse, or callers' time is over, at a jump of the clock.
-
-        Sequence: the time of day steps forward by seconds. Cause: a deadline was
-        counted on it.
-        """
+        """Guards against deadlines counted on the time of day."""
         self.assertEqual(set(wall_readers()), set(ALLOWED))
 
 
--- a/sassafrasdoor/tests/test_decisions.py
+++ b/sassafrasdoor/tests/test_decisions.py
@@ -24,11 +24,7 @@
         self.output = NonBlockingOutput(self.writing)
 
     def test_reader_who_stops_blocks_nothing(self):
-        """Symptom: an instance stands still while its log is not read.
-
-        Sequence: whoever reads standard output stops; the pipe fills. Cause: a
-        write waited for the reader.
-        """
+        """Guards against writes that block on a full pipe."""
         line = "x" * 1000 + "\n"
         for _ in range(3000):
             self.output.write(line)
--- a/sassafrasdoor/tests/test_fuzz.py
+++ b/sassafrasdoor/tests/test_fuzz.py
@@ -1,10 +1,4 @@
-"""Any input at all: every reader of input answers with a value or a reason.
-
-Symptom of each: one bad record, file, request or datagram ends a process, or
-stops the task that reads them, for good. Sequence: hypothesis makes the input,
-half of it nearly right. Cause: an exception that the reader's caller does not
-expect.
-"""
+"""Guards against malformed input that ends a process or the task that reads it."""
 
 import base64
 import copy
--- a/sassafrasdoor/tests/test_pages.py
+++ b/sassafrasdoor/tests/test_pages.py
@@ -49,11 +49,7 @@
         self.assertCountEqual(quoted, [one.read_text("utf-8") for one in samples])
 
     def test_the_operating_page_lists_what_the_code_has(self):
-        """
-        Symptom: an operator meets a metric, an event or a log line that no page
-        explains, or looks for one that is gone. Sequence: the code changes.
-        Cause: a list kept by hand.
-        """
+        """Guards against metrics, events and log lines that no page explains."""
         text = page("OPERATING.md") + page("OPERATIONS.md")
         code = sources()
         cases = [
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -1,9 +1,4 @@
-"""Decisions take what is observed and return what to do: no clock, log, input, output.
-
-Symptom: how items are placed can be tried with real processes only, and each try takes
-a minute. Sequence: a decision reads the clock or writes a line. Cause: it stands among
-input and output.
-"""
+"""Guards against decisions that read a clock or do input or output."""
 
 import ast
 import unittest
--- a/sassafrasdoor/tests/test_stopping.py
+++ b/sassafrasdoor/tests/test_stopping.py
@@ -26,11 +26,7 @@
 
 class LastingTest(unittest.TestCase):
     def test_a_dead_task_ends_the_process(self):
-        """Symptom: an instance serves an old table for ever and looks well.
-
-        Sequence: its follower's task meets something unforeseen and ends.
-        Cause: nobody awaits a task that is meant to run for ever.
-        """
+        """Guards against a process that goes on after one of its tasks has ended."""
         done = subprocess.run(
             [sys.executable, "-c", DAEMON], cwd=ROOT, capture_output=True, text=True
         )
--- a/sassafrasdoor/tests/test_whole_path.py
+++ b/sassafrasdoor/tests/test_whole_path.py
@@ -22,12 +22,7 @@
 
 class WholePathTest(unittest.TestCase):
     def test_demo_keeps_every_promise(self):
-        """Symptom: samples doubled or lost, answers untyped after a kill.
-
-        Sequence: table accepted, calls and a step under way, new weights, the
-        owner of the step killed, the trainer attaches elsewhere.
-        Cause: state that only the killed instance had.
-        """
+        """Guards against state that is lost with a killed instance."""
         with Processes() as processes:
             process = processes.start("demo", "--json")
             code = process.wait(DEMO_TIMEOUT)
--- a/sassafrasdoor/timeline/tests/test_lines.py
+++ b/sassafrasdoor/timeline/tests/test_lines.py
@@ -50,11 +50,7 @@
                 self.assertEqual(len(result.output.splitlines()), 3)
 
     def test_jump_of_the_time_of_day_keeps_the_order(self):
-        """Symptom: a failed try stands behind the answer that it led to.
-
-        Sequence: the time of day jumps back by three seconds between both lines, and
-        forth again. Cause: lines were ordered by the time of day alone.
-        """
+        """Guards against lines ordered by the time of day alone."""
         wall = [(1.0, 51.0), (2.0, 52.0), (3.0, 50.0), (4.0, 54.0)]
         texts = [
             line(at, "one", f"k{number}", steady=steady, request="r")
@@ -64,11 +60,7 @@
         self.assertEqual(kinds, ["k0", "k1", "k2", "k3"])
 
     def test_ids_without_a_reason_are_counted(self):
-        """Symptom: a failed request that no line explains goes unnoticed.
-
-        Sequence: r1 was refused with a reason, r2 was answered, r3 is in no line.
-        Cause: only lines that exist are looked at.
-        """
+        """Guards against failed requests without any line."""
         texts = [*TEXTS, line(4.0, "two", "request.failed", request="r1", reason="x")]
         with tempfile.TemporaryDirectory() as folder:
             log, ids = pathlib.Path(folder) / "log", pathlib.Path(folder) / "ids"
--- a/sassafrasdoor/timeline/tests/test_timeline.py
+++ b/sassafrasdoor/timeline/tests/test_timeline.py
@@ -57,12 +57,7 @@
         self.assertEqual(collector.unavailable, {})
 
     async def test_following_waits_for_late_older_events(self):
-        """Symptom: a followed time line shows an effect before its cause.
-
-        Sequence: one process is read; an event happens in another, then its
-        effect in a third, and both are read.
-        Cause: each read was printed at once, whatever was still to come.
-        """
+        """Guards against an effect that is printed before its cause."""
         ring = EventRing()
         one, two = FakeSource("one"), FakeSource("two")
         collector = Collector([one, two])
--- a/sassafrasdoor/timeline/tests/test_walk.py
+++ b/sassafrasdoor/timeline/tests/test_walk.py
@@ -18,12 +18,7 @@
 
 class WalkTest(unittest.IsolatedAsyncioTestCase):
     async def test_the_time_line_tells_what_happened_to_a_step(self):
-        """
-        Symptom: an instance died and the time line says neither who noticed nor
-        where its step went on, and "--step" finds nothing. Sequence: a step
-        starts, its instance is killed, the trainer attaches to another one.
-        Cause: events without the step's name, and none for the adoption.
-        """
+        """Guards against events of a step's adoption without the step's name."""
         async with capnp.kj_loop(), Cluster() as cluster:
             await cluster.start(engine_options=SLOW)
             collector = self._collector(cluster)
--- a/sassafrasdoor/tools/tests/test_in_force.py
+++ b/sassafrasdoor/tools/tests/test_in_force.py
@@ -20,11 +20,7 @@
         return tool.returncode, json.loads(tool.output[-1])
 
     async def test_it_says_on_how_many_instances_and_which_are_missing(self):
-        """
-        Symptom: an operator believes a limit to be in force that is not.
-        Sequence: a table is accepted; one instance does not run at that time.
-        Cause: taking "accepted" for "in force".
-        """
+        """Guards against an accepted table taken for one in force everywhere."""
         async with Cluster() as cluster:
             await cluster.start(instances=3, engines=1)
             _, seen = await cluster.get(cluster.instances[0].address, "/v1/status")
--- a/sassafrasdoor/tools/tests/test_programs.py
+++ b/sassafrasdoor/tools/tests/test_programs.py
@@ -119,12 +119,7 @@
                     self.assertIn("--check", output)
 
     def test_all_mistakes_of_a_settings_file_at_once(self):
-        """Symptom: an operator mends one mistake a start, or reads a traceback.
-
-        Sequence: a settings file with several mistakes, one of them a file that
-        does not exist; then one without.
-        Cause: a check that stops at its first finding, or comes after the start.
-        """
+        """Guards against a check of settings that stops at its first finding."""
         wrong = self.write("wrong", json.dumps(MISTAKES))
         right = self.write("right", "{}")
         asked = [
@@ -142,11 +137,7 @@
                     self.assertIn(f"{place}:", output)
 
     def test_wrong_usage(self):
-        """Symptom: a traceback, or exit code 1, for a mistake on the command line.
-
-        Sequence: wrong options, files that are missing or no good.
-        Cause: input used before it was checked.
-        """
+        """Guards against a traceback for a wrong command line."""
         paths = {name: self.write(name, text) for name, text in FILES.items()}
         asked = [
             (name, *(paths.get(one.strip("{}"), one) for one in arguments))
--- a/sassafrasdoor/tools/tests/test_race.py
+++ b/sassafrasdoor/tools/tests/test_race.py
@@ -57,11 +57,7 @@
 
 class OperatorsTest(PlatformCase):
     async def test_one_of_many_on_one_base_wins_and_the_rest_learn_whose(self):
-        """
-        Symptom: two operators are told "accepted", or one is told nothing.
-        Sequence: several publish onto one revision at once, one reply is lost.
-        Cause: deciding anywhere but in the fold.
-        """
+        """Guards against two accepted proposals on one base."""
         self.faults(lose_reply=1)
         tools = [self.operator(f"op-{n}", n + 1.0, 0) for n in range(OPERATORS)]
         results = [await self.ended(tool) for tool in tools]
@@ -75,12 +71,7 @@
                 self.assertTrue(document["winner_author"].startswith("op-"))
 
     async def test_an_outage_right_after_an_append_whose_reply_was_lost(self):
-        """
-        Symptom: a table is published twice or its operator is told "not done".
-        Sequence: the append takes effect, its reply is lost, the log goes down
-        before its writer could look, and comes back.
-        Cause: taking an unreachable log for a proposal that failed.
-        """
+        """Guards against an unreachable log taken for a failed proposal."""
         self.faults(lose_reply=1, then_down=True)
         tool = self.operator("anna", 1.0, 0)
         await until(lambda: self.records("proposal"), what="the append")
@@ -107,13 +98,7 @@
         return decision.offset
 
     async def test_expiry_under_a_slow_reader_and_a_checkpoint_that_comes_late(self):
-        """
-        Symptom: after a busy hour one instance, or every new one, uses a table
-        of before. Sequence: a reader stops after the first table; a checkpoint
-        is made and held up; two tables follow, and a newer checkpoint; the held
-        one is appended; everything before the newer one's as-of expires.
-        Cause: reading on across a gap; starting from the last checkpoint.
-        """
+        """Guards against reading on over a gap, or from an outdated checkpoint."""
         first = await self.publish(0, 1.0)
         slow = await self.caught_up(self.follower())
         held = checkpoints.body(slow.state, slow.as_of)
--- a/sassafrasdoor/tools/tests/test_table.py
+++ b/sassafrasdoor/tools/tests/test_table.py
@@ -130,11 +130,7 @@
         self.assertEqual(self.tool("show")[1]["rows"][0]["weight"], 2.0)
 
     def test_the_slower_of_two_operators_is_told_who_was_first(self):
-        """
-        Symptom: an operator's change is gone and nobody told him.
-        Sequence: two edit the same revision; both publish.
-        Cause: publishing onto whatever is in force, not what was edited.
-        """
+        """Guards against publishing onto a revision that was not edited."""
         first = self.tool("apply", self.sheet)[1]["revision"]
         mine = self.write({**table(2.0), "revision": first}, "mine.json")
         theirs = self.write({**table(3.0), "revision": first}, "theirs.json")
--- a/sassafrasdoor/tools/tests/test_trainer_processes.py
+++ b/sassafrasdoor/tools/tests/test_trainer_processes.py
@@ -19,11 +19,7 @@
 
 class TrainerProcessesTest(unittest.IsolatedAsyncioTestCase):
     async def test_sample_groups_are_scored(self):
-        """Symptom: a trainer's program cannot ask for scores.
-
-        Sequence: its file names a reward call for each group. Cause: the program took
-        prompts only.
-        """
+        """Guards against a trainer's program that ignores reward calls."""
         groups = json.loads(SAMPLE.read_text("utf-8"))
         async with Cluster() as cluster:
             await cluster.start(instances=1, engines=1, services=1)
--- a/sassafrasdoor/weights/tests/test_named.py
+++ b/sassafrasdoor/weights/tests/test_named.py
@@ -100,11 +100,7 @@
         ]
 
     async def test_half_of_a_models_replicas_go_on_while_the_others_load(self):
-        """Symptom: the items of a step that follows a version wait for 0.9 s.
-
-        Sequence: a version is named while no step is open. Cause: all replicas of the
-        model were ordered to load it at once.
-        """
+        """Guards against all replicas of a model that load at once."""
         self.models = ["a"]
         self.configure(2)
         module.LOAD_TIME = 1000.0
@@ -119,11 +115,7 @@
         await self.until(lambda: len(self.client.orders) == 5)
 
     async def test_only_a_models_own_replicas_follow_it(self):
-        """Symptom: each named version costs a load at every replica.
-
-        Sequence: two trainers name versions in turn. Cause: all replicas were
-        brought to all models, although half of the loads serve nobody.
-        """
+        """Guards against loads at replicas of other models."""
         self.run_mover()
         self.mover.named("a", 2)
         self.mover.named("b", 2)
@@ -141,11 +133,7 @@
         await self.until(lambda: self.at("a", 3) == before)
 
     async def test_restarted_replica_is_ordered_at_once(self):
-        """Symptom: a replica stands without weights for seconds after its restart.
-
-        Sequence: an order is accepted, the replica starts again under its identity
-        and holds nothing. Cause: the accepted order's quiet time still held.
-        """
+        """Guards against the retry deadline of an earlier incarnation."""
         lag, module.REPORT_LAG = module.REPORT_LAG, 1000.0
         self.addCleanup(setattr, module, "REPORT_LAG", lag)
         self.models = ["a"]
@@ -174,11 +162,7 @@
         self.assertEqual(self.client.orders, [])
 
     async def test_fenced_off_holder_orders_nothing_more(self):
-        """Symptom: refused orders are sent again and again.
-
-        Sequence: a holder is cut off, another orders, the first comes back. Cause:
-        a refusal for a lower fencing number was taken for a busy replica.
-        """
+        """Guards against a stale fencing number taken for a busy replica."""
         self.client.answers = [Stale("old", 9)] * 2
         self.work.oldest = 2
         self.run_mover()
@@ -196,11 +180,7 @@
         await self.until(lambda: len(self.at("a", 2)) >= 2)
 
     async def test_replica_that_went_back_is_ordered_again(self):
-        """Symptom: items of a model wait for ever for new enough weights.
-
-        Sequence: an order without reply is carried out after a newer one. Cause:
-        the newer order was believed for good.
-        """
+        """Guards against a replica that went back to an older version unnoticed."""
         self.run_mover()
         self.mover.named("a", 2)
         await self.until(lambda: self.at("a", 2))
@@ -235,11 +215,7 @@
         self.assertEqual(len(self.client.orders), module.MIN_CONCURRENT_LOADS)
 
     async def test_more_load_at_once_where_there_are_more(self):
-        """Symptom: a named version needs four seconds to reach a model's replicas.
-
-        Sequence: twenty replicas follow their models, two at a time. Cause: the
-        number was that of the smallest service.
-        """
+        """Guards against a bound on loads that ignores the size of the service."""
         for at in range(5, 20):
             listing = Listing(SERVICE, f"h{at}:1", "z", 4, False, {"a": 1, "b": 1})
             self.replicas.listed(f"e{at}", listing)
--- a/sassafrasdoor/weights/tests/test_pace.py
+++ b/sassafrasdoor/weights/tests/test_pace.py
@@ -35,24 +35,14 @@
 
 class PaceTest(unittest.TestCase):
     def test_step_that_follows_a_version_begins_at_once(self):
-        """Symptom: a trainer falls behind by half a second a step.
-
-        Sequence: it names a version, all replicas of its model begin to load, its next
-        step comes a tenth of a second later. Cause: nobody was left to take the items,
-        although the step allows the version before.
-        """
+        """Guards against a step that waits while all replicas load its next version."""
         longest = max(SAMPLES)
         before = whole_at(lambda replicas, loading, serves: True)
         self.assertAlmostEqual(before, longest + LOAD - ASKED_AT)
         self.assertAlmostEqual(whole_at(may_load), longest)
 
     def test_load_waits_for_the_step_that_follows(self):
-        """Symptom: items of a step wait for a second although places were free.
-
-        Sequence: a version is named, half of the model's replicas begin to load, and a
-        tenth of a second later the step comes that its trainer asks for at once. Cause:
-        nothing waited yet, so the loads were not put off.
-        """
+        """Guards against loads that begin just before the step that follows."""
         self.assertTrue(should_defer(10.0, 10.0, items_wait=False, serves=True))
         asked_at = 10.0 + ASKED_AT
         self.assertTrue(should_defer(10.0, asked_at, items_wait=True, serves=True))
--- a/sassafrasdoor/weights/tests/test_plan.py
+++ b/sassafrasdoor/weights/tests/test_plan.py
@@ -87,11 +87,7 @@
                 self.assertEqual(len(swaps), allowed)
 
     def test_one_swap_is_allowed_however_few_engines_answer(self):
-        """Symptom: after a crash of most engines the rest keeps old weights.
-
-        Sequence: more engines are down than the share allows. Cause: the share
-        that has to serve can't be reached any more, so nothing was ever allowed.
-        """
+        """Guards against a rollout that stops when few engines are alive."""
         engines = [engine(f"e{n}", None) for n in range(9)] + [engine("e9")]
         self.assertEqual(
             max_concurrent_swaps(configured(), Preference.IDLE, engines), 1
--- a/sassafrasdoor/weights/tests/test_rollout.py
+++ b/sassafrasdoor/weights/tests/test_rollout.py
@@ -131,11 +131,7 @@
 
 class RolloutTest(RolloutTestCase):
     async def test_engines_reach_the_version_whatever_the_reply_said(self):
-        """Symptom: one engine serves old weights for ever, counted as swapped.
-
-        Sequence: its swap fails, is reported late, is reported and never done,
-        or the reply is lost. Cause: the reply was believed and not the report.
-        """
+        """Guards against a reply to an order taken for the engine's version."""
         self.configure(check_interval=600.0)
         for version, (faults, orders) in enumerate(FAULTS, 1):
             with self.subTest(faults=faults):
@@ -151,12 +147,7 @@
                 self.assertEqual(sum(order["applied"] for order in truth), 1)
 
     async def test_an_order_is_waited_for_and_not_forgotten(self):
-        """Symptom: a slow store gets slower and slower during a rollout.
-
-        Sequence: swaps take longer than an order waits; their places in the
-        window are given away; more engines fetch at once. Cause: an order without
-        a reply was taken for one that ended.
-        """
+        """Guards against an order without reply taken for one that has ended."""
         self.configure(store_concurrency=1, order_timeout=0.2)
         self.add(2, swap_seconds=1.0)
         self.announce(1)
@@ -173,11 +164,7 @@
             self.assertEqual(sum(o["applied"] for o in one.orders), 1)
 
     async def test_no_order_without_the_lease(self):
-        """Symptom: two holders order two versions in turn.
-
-        Sequence: the lease is lost, or lapses between planning and sending.
-        Cause: the lease was checked when the swap was planned.
-        """
+        """Guards against orders of a holder that has lost its lease."""
         self.holder.fence = 0
         self.add()
         self.announce(1)
@@ -189,11 +176,7 @@
         self.assertEqual({order["fence"] for order in self.engines[0].orders}, {2})
 
     async def test_the_lease_is_checked_right_before_each_order(self):
-        """Symptom: an engine is ordered by a holder whose lease has lapsed.
-
-        Sequence: the reply to an order is lost; the lease lapses; the order is
-        sent again. Cause: the lease was checked before the first order only.
-        """
+        """Guards against a retried order without a check of the lease."""
         self.configure(order_timeout=0.2)
         self.add(swap_seconds=600)
         self.announce(1)
@@ -205,13 +188,7 @@
         self.assertEqual(len(self.engines[0].orders), 1)
 
     async def test_a_holder_frozen_between_check_and_order(self):
-        """Symptom: engines go back to an older version long after a rollout.
-
-        Sequence: a holder checks its lease, freezes, loses it; its successor
-        rolls a newer version out; the first one wakes and sends. Cause: no clock
-        of the holder's own can see that; a fencing number can, and where the
-        engine ignores it, reading back does.
-        """
+        """Guards against an order sent between the check of a lease and its loss."""
         for checks, reverted in ((True, False), (False, True)):
             with self.subTest(checks_fencing=checks):
                 self.view, self.engines = View(), []
@@ -234,11 +211,7 @@
                 self.assertEqual(first._stale_fence, 0 if reverted else 5)
 
     async def test_a_holder_that_was_fenced_off_stops(self):
-        """Symptom: an outdated holder floods engines with orders they refuse.
-
-        Sequence: its own clock still grants the lease, an engine names a newer
-        number. Cause: the refusal was retried like a failed swap.
-        """
+        """Guards against retries of orders with a stale fencing number."""
         self.add()
         await self.engines[0].order(9, MODEL, 0, "")
         self.engines[0].orders.clear()
@@ -252,11 +225,7 @@
         await self.all_at(1)
 
     async def test_no_engine_goes_back_for_an_older_view(self):
-        """Symptom: fresh weights are swapped out and in again after a takeover.
-
-        Sequence: the new holder's view lags behind what the engines were told.
-        Cause: "another version" was taken for "an older version".
-        """
+        """Guards against a swap to an older version by an outdated view."""
         self.add(initial_version=5)
         self.announce(4)
         rollout = self.run_rollout()
@@ -264,11 +233,7 @@
         self.assertEqual(self.engines[0].orders, [])
 
     async def test_a_dead_engine_delays_nobody(self):
-        """Symptom: a rollout stands still for the time of a crash.
-
-        Sequence: engines die before and come back during the rollout. Cause: the
-        next wave waited for the whole last one.
-        """
+        """Guards against a rollout that waits for dead engines."""
         self.add(4)
         lost = self.engines.pop()
         await lost.close()
@@ -282,11 +247,7 @@
         await until(lambda: rollout.behind == {MODEL: 0})
 
     async def test_an_engine_that_restarts_is_brought_up_again(self):
-        """Symptom: an engine serves the weights it started with.
-
-        Sequence: it crashes after the rollout and comes back at its address.
-        Cause: what was confirmed once was never looked at again.
-        """
+        """Guards against a restarted engine that keeps its initial weights."""
         self.add()
         self.announce(1)
         rollout = self.run_rollout()
@@ -295,12 +256,7 @@
         await self.all_at(1)
 
     async def test_a_planned_stop_waits_for_the_order_under_way(self):
-        """Symptom: after each restart of the holder one engine swaps twice.
-
-        Sequence: the holder leaves while an engine swaps; its successor orders
-        the next version; the first order ends late. Cause: the lease was given
-        up with an order under way.
-        """
+        """Guards against a lease released with an order in flight."""
         self.add(2, swap_seconds=0.2)
         self.configure(store_concurrency=1)
         self.announce(1)
@@ -313,11 +269,7 @@
         self.assertFalse(rollout._may_act())
 
     async def test_a_cancelled_rollout_ends(self):
-        """Symptom: a control process never ends its planned stop.
-
-        Sequence: an engine's report wakes the rollout; before it runs it is
-        cancelled. Cause: ``asyncio.wait_for`` drops such a cancellation.
-        """
+        """Guards against ``asyncio.wait_for`` of Python 3.11 losing a cancellation."""
         for turns in range(5):
             with self.subTest(turns=turns):
                 rollout = Rollout(self.settings, self.engine, self.holder, View)
@@ -331,11 +283,7 @@
                         await task
 
     async def test_a_report_that_lags_is_waited_for(self):
-        """Symptom: each engine is ordered several times for each version.
-
-        Sequence: a swap is done; the report still shows the old version. Cause:
-        a report of before was taken for a swap that never was.
-        """
+        """Guards against an outdated report taken for a failed swap."""
         self.configure(confirm_timeout=20.0)
         self.add(load_lag=0.8)
         self.announce(1)
@@ -344,11 +292,7 @@
         self.assertEqual(len(self.engines[0].orders), 1)
 
     async def test_a_new_term_starts_from_fresh_reports(self):
-        """Symptom: after a takeover engines stay at what another holder ordered.
-
-        Sequence: a holder loses the lease, an engine changes, the holder gets the
-        lease again. Cause: it went on from its reports of before.
-        """
+        """Guards against reports of an earlier lease used in a new one."""
         self.configure(check_interval=600.0)
         self.add()
         self.announce(1)
@@ -359,11 +303,7 @@
         await self.all_at(1)
 
     async def test_the_least_busy_by_reports_of_now_go_first(self):
-        """Symptom: a rollout stalls streams although other engines are idle.
-
-        Sequence: engines are read while idle; one fills up; a version comes.
-        Cause: the order of swaps was chosen by reports of before.
-        """
+        """Guards against swaps ordered by outdated load reports."""
         self.configure(check_interval=600.0, store_concurrency=1)
         self.add(2)
         self.announce(1)
@@ -379,11 +319,7 @@
         await self.all_at(2)
 
     async def test_checks_between_rollouts_are_bounded(self):
-        """Symptom: the control process grows dear with the number of engines.
-
-        Sequence: nothing happens, all engines are read in turn. Cause: a fixed
-        interval, whatever their number and kind.
-        """
+        """Guards against a load of report polls that grows with the engines."""
         self.configure(check_interval=15.0)
         rollout = Rollout(self.settings, self.engine, self.holder, View)
         for checks, known, least, most in (
@@ -398,11 +334,7 @@
                 self.assertTrue(least <= interval <= most, interval)
 
     async def test_the_store_is_down_and_then_slow(self):
-        """Symptom: a rollout that met an outage of the store never ends.
-
-        Sequence: the store refuses, every swap fails; later it works. Cause:
-        retries gave up, or all came at once and overran it.
-        """
+        """Guards against swaps that are given up or retried at once in an outage."""
         store = type("Store", (WeightStore,), {"broken": True})
         application = Application(
             [("/weights/.*", store)], log_function=lambda handler: None
