--- a/sassafrasdoor/routing/tests/test_replicas.py
+++ b/sassafrasdoor/routing/tests/test_replicas.py
@@ -35,11 +35,7 @@
         self.assertEqual(self.names(), ["z"])
 
     def test_entries_that_lapse_in_an_outage_are_tried_on(self):
-        """Symptom: every request is refused after each outage of the platform.
-
-        Sequence: the list is away, all entries lapse, it returns, and the replicas
-        write theirs again. Cause: a lapsed entry was taken for a replica gone.
-        """
+        """Guards against lapsed entries taken for ended replicas in an outage."""
         self.listed("x")
         self.tail.silence = Silence(now() - 6.0, now())
         self.replicas.unlisted("x")
@@ -49,11 +45,7 @@
         self.assertEqual(self.names(), [])
 
     def test_end_of_an_entry_is_believed_from_the_return_on(self):
-        """Symptom: a request reaches a server 2.3 s after it has left.
-
-        Sequence: the list is away for six seconds and returns, a server leaves two
-        seconds later, and is used for the whole grace of a lapsed entry from then.
-        """
+        """Guards against use of a replica that ended after an outage of the list."""
         self.listed("x")
         returned_at = now() - 2.0
         self.tail.silence = Silence(returned_at - 6.0, returned_at)
@@ -62,11 +54,7 @@
         self.assertLessEqual(used_until, returned_at + module.OUTAGE_GRACE)
 
     def test_short_silence_ends_no_entry(self):
-        """Symptom: a server is used for 2.6 s after its end, on a quiet day.
-
-        Sequence: one read of the list is lost and the next is answered after two
-        seconds; then a server leaves. No entry lapses within two heartbeats.
-        """
+        """Guards against a lost read of the list that extends ended entries."""
         self.listed("x")
         self.tail.silence = Silence(now() - 2.0, now())
         self.replicas.unlisted("x")
@@ -127,12 +115,7 @@
         return self.replicas.get("x")
 
     def test_nothing_is_remembered_of_the_one_before(self):
-        """Symptom: items go to weights that a replica does not hold, or it stands idle.
-
-        Sequence: a replica at version 7 with failures and a full load crashes and
-        starts again under its identity, empty. Cause: its new entry was taken for
-        news of the former incarnation.
-        """
+        """Guards against state of a former incarnation kept for the new one."""
         before = self.listed(1000, version=3)
         before.told_version("m", 7)
         before.told_load(4, 2)
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -86,11 +86,7 @@
         self.assertEqual({one.state for one in found}, {COMPLETED})
 
     async def test_broken_stream_goes_on_after_its_last_event(self):
-        """Symptom: a text holds a piece twice, or lacks one.
-
-        Sequence: the connection is reset after two events. Cause: the item was
-        run anew and both texts were joined.
-        """
+        """Guards against repeated or missing events in a resumed stream."""
         first = ([(0, "a", 1), (1, "b", 1)], BROKEN)
         await self.start(ScriptedClient(first, [(2, "c", 1)]), items=1)
         (sample,) = await self.samples(1)
@@ -106,11 +102,7 @@
         self.assertEqual(sample.versions, [3, 4])
 
     async def test_event_of_too_old_weights_is_not_listed(self):
-        """Symptom: a sample names a version below what its step allows.
-
-        Sequence: the list shows the new version, the replica still has the old
-        one. Cause: the version was checked before the send only.
-        """
+        """Guards against an event of weights older than its step allows."""
         old = ([(0, "old", 1)], True)
         await self.start(
             ScriptedClient(old, [(0, "new", 2)]),
@@ -142,11 +134,7 @@
         self.assertEqual(written, [records.Failure, records.Failure, records.Sample])
 
     async def test_failures_of_a_former_runner_count(self):
-        """Symptom: an item that always fails is sent more often than allowed.
-
-        Sequence: its runner dies after two failures, another begins at zero.
-        Cause: the count lived in the runner only.
-        """
+        """Guards against failures counted in one runner's memory only."""
         failed = SampleFailed("status 500", final=False)
         await self.start(ScriptedClient(failed), items=1, step_id="s1")
         self.steps.by_id["s1"].failed["i0"] = {"t1", "t2"}
@@ -165,11 +153,7 @@
         self.assertEqual((sample.state, len(self.client.sent)), (ERRORED, 1))
 
     async def test_refusals_are_no_failures(self):
-        """Symptom: items end as errored while weights load.
-
-        Sequence: a replica refuses all items as "not run" until its load has
-        ended. Cause: a refusal was counted as a failure of the item.
-        """
+        """Guards against refusals during a load of weights counted as failures."""
         refused = [NotRun("loading")] * 2 + [WrongReplica("gone")] * 2
         await self.start(ScriptedClient(*refused), replicas(2), items=1)
         (sample,) = await self.samples(1)
@@ -184,11 +168,7 @@
         await self.samples(1)
 
     async def test_no_route_known_waits(self):
-        """Symptom: a restarted process ends again and again while the store is away.
-
-        Sequence: it reads the steps but no configuration, and hands out items.
-        Cause: the route of an item was taken for granted.
-        """
+        """Guards against a runner that ends for want of a configuration."""
         routes = RoutesInForce()
         await self.start(ScriptedClient(), routes=routes, items=1)
         await asyncio.sleep(3 * module.TICK)
@@ -203,11 +183,7 @@
         self.assertEqual((sample.state, self.client.sent), (ERRORED, []))
 
     async def test_end_of_a_step_ends_its_streams(self):
-        """Symptom: engines work on for a step that its trainer has ended.
-
-        Sequence: items run, the end is appended. Cause: only waiting items were
-        dropped.
-        """
+        """Guards against streams that go on after their step has ended."""
         hang = ScriptedClient.HANG
         await self.start(ScriptedClient(([], hang), ([], hang)))
         await self.until(lambda: len(self.client.sent) == 2)
@@ -223,11 +199,7 @@
         await self.until(lambda: self.client.cancelled == 1)
 
     async def test_silent_stream_goes_on_elsewhere(self):
-        """Symptom: an item stands still until its step's deadline.
-
-        Sequence: a replica loses power in the middle of a stream; no reset comes.
-        Cause: nothing bounded the pause between events.
-        """
+        """Guards against a silent stream that holds its item."""
         gap, module.GAP_TIMEOUT = module.GAP_TIMEOUT, 0.2
         self.addCleanup(setattr, module, "GAP_TIMEOUT", gap)
         silent = ([(0, "a", 1)], ScriptedClient.HANG)
@@ -244,11 +216,7 @@
         self.assertNotEqual(self.client.sent[0][0], self.client.sent[1][0])
 
     async def test_sample_moves_away_from_a_slow_replica(self):
-        """Symptom: steps are late by seconds while one replica is slow.
-
-        Sequence: a replica turns slow with long samples on it; others are idle.
-        Cause: a sample stayed where it had begun.
-        """
+        """Guards against samples that stay at a slow replica."""
         slow = ([(0, "a", 1)], ScriptedClient.HANG)
         found = replicas(2)
         await self.start(ScriptedClient(slow, [(1, "b", 1)]), found, items=1)
@@ -263,12 +231,7 @@
         self.assertFalse(found.get(begun).state.suspect)
 
     async def test_item_that_is_placed_is_not_moved_before_it_has_begun(self):
-        """Symptom: four of 36 samples stand still until their step's deadline.
-
-        Sequence: only a slow replica has room; in the moment after an item is placed
-        there another one gets room. Cause: the attempt was cancelled before it had
-        begun, and an attempt that never began puts no item back.
-        """
+        """Guards against an item lost by cancelling an attempt that has not begun."""
         found = replicas(2, slots=1)
         found.get("e0").pace, found.get("e1").pace = 0.2, 0.04
         found.get("e1").state.started()
--- a/sassafrasdoor/steps/durable/tests/test_service.py
+++ b/sassafrasdoor/steps/durable/tests/test_service.py
@@ -67,12 +67,7 @@
         )
 
     async def test_last_try_is_never_one_without_time(self):
-        """Symptom: a step that cannot have run is answered 504, not 503.
-
-        Sequence: the log refuses for seconds; the last append is sent a moment
-        before the patience ends and is cut by its deadline. Cause: that one counted
-        as sent without a reply.
-        """
+        """Guards against a refused submission that is reported as unknown."""
         given = []
 
         async def refuse(topic, part, data, deadline):
@@ -86,11 +81,7 @@
         self.assertGreater(min(given), module.APPEND_LEAST / 2)
 
     async def test_step_goes_elsewhere_when_the_log_is_away_here(self):
-        """Symptom: a trainer is late by seconds, now and then.
-
-        Sequence: one instance is cut off the log and a step is submitted there.
-        Cause: it was held in the hope that the log comes back.
-        """
+        """Guards against a submission held at an instance that cannot reach the log."""
         self.log.down = True
         for answer, expected in ((True, True), (None, Unknown), (False, NotRun)):
             calls = []
@@ -113,11 +104,7 @@
         self.assertEqual(len(self.log.calls), 1)
 
     async def test_append_without_reply_is_never_refused(self):
-        """Symptom: a step runs although its trainer was told that it does not.
-
-        Sequence: the append takes effect, its reply is lost, the log goes away;
-        the instance answers 503. Cause: a lost reply was taken for a refusal.
-        """
+        """Guards against an append without reply that is reported as not run."""
         self.log.lose_replies = 100
         self.log.land_late = 0.5
         result = await self.submit()
@@ -173,11 +160,7 @@
         self.assertEqual([one.text for one in page.samples], ["x"])
 
     async def test_instance_that_is_behind_does_not_say_there_is_nothing(self):
-        """Symptom: positions that a trainer has read are empty elsewhere.
-
-        Sequence: an instance starts and has folded a step's first records only; a
-        reader asks for what comes after them. Cause: it answered from half a log.
-        """
+        """Guards against an empty answer from an instance that is behind the log."""
         await self.submit()
         behind = Instance(self.log)
         await behind.service.read("s1", 0, deadline_in(0))
--- a/sassafrasdoor/steps/durable/tests/test_shards.py
+++ b/sassafrasdoor/steps/durable/tests/test_shards.py
@@ -102,12 +102,7 @@
         await self.until(lambda: self.two.holds)
 
     async def test_sleeper_loses_the_shard_by_the_log(self):
-        """Symptom: two processes run one shard for good.
-
-        Sequence: the holder is stopped, another claims, the holder wakes and
-        renews. Cause: the renewal was taken although another claim had replaced
-        what it names.
-        """
+        """Guards against a resumed process that renews a replaced claim."""
         await self.submit()
         await self.until(lambda: self.one.holds)
         self.one.stop()
@@ -117,11 +112,7 @@
         self.assertTrue(self.two.holds)
 
     async def test_restarted_process_takes_its_shards_back_at_once(self):
-        """Symptom: nothing runs for seconds after all processes have ended.
-
-        Sequence: all restart, and each waits for the claim of one that has ended.
-        Cause: a restarted process did not know its own former claim.
-        """
+        """Guards against a restarted process that waits for its own former claim."""
         module.LAPSE_AFTER = 1000.0
         await self.submit()
         await self.until(lambda: self.one.holds)
@@ -132,12 +123,7 @@
         await self.until(lambda: again.holds)
 
     async def test_shard_of_a_process_known_to_have_ended_is_taken_at_once(self):
-        """Symptom: nothing runs for seconds after all processes have ended.
-
-        Sequence: all restart, and callers are sent to other instances than before, so
-        the former holder's instance does not follow the shard. Cause: the others waited
-        for its claim to lapse although its instance had listed a new process.
-        """
+        """Guards against waiting for the claim of a process that has ended."""
         module.LAPSE_AFTER = 1000.0
         await self.submit()
         await self.until(lambda: self.one.holds)
@@ -151,11 +137,7 @@
         self.assertEqual([one.kwargs["runner"] for one in said], ["one/1"])
 
     async def test_shard_runs_elsewhere_while_its_claim_is_renewed(self):
-        """Symptom: loads and items are left to two processes, which disturb each other.
-
-        Sequence: all restart; the first takes the loads, and the next in rank has read
-        the steps sooner. Cause: nobody asked whether the first lives.
-        """
+        """Guards against loads and items that end up at two processes."""
         await self.submit()
         await self.until(lambda: self.one.holds)
         await self.until(lambda: self.two.shards.runs_elsewhere(0))
@@ -164,12 +146,7 @@
         self.assertFalse(self.two.shards.runs_elsewhere(0))
 
     async def test_process_that_is_not_listed_claims_nothing(self):
-        """Symptom: a living runner loses its shards to an instance further down.
-
-        Sequence: a process claims before it is listed; another reads the list, which
-        still names the process before. Cause: that the claim's process is not the one
-        listed was taken for its end.
-        """
+        """Guards against a claim that others take for that of an ended process."""
         self.one.processes.is_listed = False
         await self.submit()
         await self.until(lambda: self.two.holds)
@@ -184,11 +161,7 @@
         await self.until(lambda: self.one.events == ["gained", "lost"])
 
     async def test_outage_of_the_log_moves_nothing(self):
-        """Symptom: every shard changes hands after each outage of the log.
-
-        Sequence: the log is away for longer than a claim lives; on its return all
-        others see an old claim. Cause: the time of the outage was counted.
-        """
+        """Guards against claims that lapse by the time of an outage."""
         await self.submit()
         await self.until(lambda: self.one.holds)
         self.log.down = True
@@ -224,12 +197,7 @@
 
 class SilenceTest(unittest.IsolatedAsyncioTestCase):
     async def test_nobody_claims_while_the_log_is_silent(self):
-        """Symptom: after an outage for all, living runners lose their shards.
-
-        Sequence: the log is silent for seconds; each instance takes the holder's claim
-        for lapsed and claims, some of those appends land at the log's return. Cause:
-        not to see a renewal was taken for its absence, though nothing could be seen.
-        """
+        """Guards against claims made because a silent log shows no renewal."""
         log = SilentLog()
         one, two = Instance(log, "one/1", 0), Instance(log, "two/1", 1)
         lapse, module.LAPSE_AFTER = module.LAPSE_AFTER, 1.0
@@ -287,12 +255,7 @@
         self.assertEqual((job.texts, job.last_number), (["a", "b", "c"], 2))
 
     def test_events_of_two_runs_never_join(self):
-        """Symptom: a text goes on with events that were never asked for there.
-
-        Sequence: two runners of one shard keep the beginnings of one item; the
-        second's later events follow the first's by number. Cause: events were
-        joined by item and number only.
-        """
+        """Guards against progress of two runs joined into one text."""
         self.keep("r", 0, ["a", "b"])
         self.keep("q", 2, ["X"])
         self.assertEqual(self.job().texts, ["a", "b"])
--- a/sassafrasdoor/steps/durable/tests/test_state.py
+++ b/sassafrasdoor/steps/durable/tests/test_state.py
@@ -35,20 +35,12 @@
 
 class FoldTest(unittest.TestCase):
     def test_first_sample_of_an_item_counts(self):
-        """Symptom: a position that was read holds another text later.
-
-        Sequence: a runner is paused with its result on the way; another runs the
-        item; both results are appended. Cause: the later record was taken too.
-        """
+        """Guards against a second sample that replaces one already read."""
         steps = folded(*step_records(), sample(text="first"), sample(text="second"))
         self.assertEqual([one.text for one in steps.by_id["s1"].listed], ["first"])
 
     def test_step_submitted_twice_is_one_step(self):
-        """Symptom: samples vanish after a submission was repeated.
-
-        Sequence: the 202 is lost, the step arrives at another instance and is
-        appended again, after samples of it. Cause: the second record began anew.
-        """
+        """Guards against a repeated submission that discards samples."""
         steps = folded(*step_records(), sample(), *step_records())
         self.assertEqual(len(steps.by_id["s1"].listed), 1)
 
@@ -67,11 +59,7 @@
         self.assertEqual(len(steps.by_id["s1"].failed["i0"]), 2)
 
     def test_failure_that_was_appended_twice_counts_once(self):
-        """Symptom: an item is given up after fewer failures than it is allowed.
-
-        Sequence: the append of a failure loses its reply and is repeated. Cause:
-        records were counted, not the tries that they tell of.
-        """
+        """Guards against a failure counted twice after a repeated append."""
         for kind, kept in ((Failure, "failed"), (RewardFailure, "reward_failed")):
             with self.subTest(kind.__name__):
                 data = encode(kind("s1", "i0"))
