--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -16,13 +16,21 @@
 
 from sassafrasdoor.backends.connections import Connections
 from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.log.partitioned import Appended, keyed_record
 from sassafrasdoor.platform import configuration
 from sassafrasdoor.platform.local import LocalInstance
-from sassafrasdoor.platform.soak_callers import HOST, ITEMS, Callers
-from sassafrasdoor.platform.soak_faults import ENGINES, MODEL, PLAIN, SETTLE, Faults
+from sassafrasdoor.platform.soak_callers import (
+    ENGINES,
+    HOST,
+    ITEMS,
+    MODEL,
+    PLAIN,
+    Callers,
+)
 from sassafrasdoor.platform.standin import ReplicaStandin, StoreStandin
 from sassafrasdoor.soak import checks
 from sassafrasdoor.soak.checks import Violations
+from sassafrasdoor.soak.faults import SETTLE, Faults
 from sassafrasdoor.soak.own import OwnSoak
 from sassafrasdoor.soak.schedule import schedule
 from sassafrasdoor.standin.proxy import Proxy
@@ -34,6 +42,8 @@
 """Seconds of a call: longer than the pause between calls to a stopping instance."""
 PLAIN_SLOTS = 20
 CALLS_WHEN_CALM = 20
+LOG_TIMEOUT = 1.0
+"""Seconds for an append of the soak itself."""
 BROKEN = 1
 
 ROUTE = {
@@ -179,12 +189,31 @@
         await self._store.configure(document)
 
     async def _list(self):
-        for replica in self._engines:
-            entry = replica.entry(ENGINES, [MODEL])
-            await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
-        for replica in self._plain:
-            entry = replica.entry(PLAIN, [])
-            await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+        for replica in self._engines + self._plain:
+            await self._put_entry(replica, self._entry(replica))
+
+    def _entry(self, replica, leaving=False):
+        state = "draining" if leaving else "ready"
+        service, models = (PLAIN, []) if replica in self._plain else (ENGINES, [MODEL])
+        return replica.entry(service, models, state)
+
+    async def _put_entry(self, replica, entry):
+        await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+
+    async def _drop_entry(self, replica):
+        """Drop a replica's entry; return whether the log has kept that."""
+        dropped, limit = keyed_record(replica.identity), deadline_in(LOG_TIMEOUT)
+        topic = configuration.SERVERS_TOPIC
+        result = await self._store.log.append(topic, 0, [dropped], limit)
+        return isinstance(result, Appended)
+
+    async def _put_foreign_entries(self, replica):
+        """Write malformed entries, one of them under a replica's key."""
+        entry = self._entry(replica)
+        for number, name in enumerate(entry):
+            document = {**entry, "Address": "127.0.0.1:9", name: {}}
+            await self._store.put(configuration.SERVERS_TOPIC, f"x{number}", document)
+        await self._put_entry(replica, {**entry, "State": "parked"})
 
     async def _until_ready(self):
         limit = deadline_in(SETTLE)
@@ -241,10 +270,8 @@
     async def _leave_in_calm(self):
         """Have one replica of each kind leave, now that every instance can know."""
         leaving = self._engines[0], self._plain[0]
-        services = (ENGINES, [MODEL]), (PLAIN, [])
-        for replica, (service, models) in zip(leaving, services, strict=True):
-            entry = replica.entry(service, models, state="draining")
-            await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+        for replica in leaving:
+            await self._put_entry(replica, self._entry(replica, leaving=True))
         await asyncio.sleep(checks.LEAVE_WITHIN)
         before = [len(replica.runs) for replica in leaving]
         calls = [self._call(f"calm-{at}", False) for at in range(CALLS_WHEN_CALM)]
--- a/sassafrasdoor/platform/soak_callers.py
+++ b/sassafrasdoor/platform/soak_callers.py
@@ -10,11 +10,11 @@
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.fetch import reply_to
 from sassafrasdoor.platform import wire
-from sassafrasdoor.platform.soak_faults import MODEL
 from sassafrasdoor.soak import checks
 from sassafrasdoor.soak.checks import Call, StepSeen
 
 HOST = "h.example"
+MODEL, ENGINES, PLAIN = "m", "engines", "plain"
 ITEMS = 6
 CALL_EVERY, STEP_EVERY, READ_EVERY = 0.05, 1.0, 0.4
 ROUTE_TIME = 3.0
--- a/sassafrasdoor/platform/soak_faults.py
+++ b/sassafrasdoor/soak/faults.py
@@ -1,26 +1,24 @@
-"""What each kind of fault does to the soak's processes, paths and stand-ins."""
+"""Injects each kind of fault into a soak's processes, network paths and stand-ins."""
 
 import asyncio
 import signal
 
 from sassafrasdoor.clock import deadline_in, passed
-from sassafrasdoor.log.partitioned import Appended, keyed_record
-from sassafrasdoor.platform import configuration
 from sassafrasdoor.soak.checks import HARM_LASTS, LEAVE_WITHIN, Harm, Left
 from sassafrasdoor.soak.schedule import ON_ALL, ON_INSTANCES, ON_PATHS, Kind
 
-MODEL, ENGINES, PLAIN = "m", "engines", "plain"
-CALLS_IN_STOP = 0.08
-"""Seconds between calls to a stopping instance: less than one takes, so that some are
-always in progress."""
-CALL_SECONDS = 1.0
-"""Seconds for a call of the soak's own to the log."""
-SETTLE = 45.0
-"""Seconds for everything to come back once the last fault has ended."""
+CALLS_IN_STOP = 0.08  # seconds between calls; less than one takes
+SETTLE = 45.0  # seconds for recovery after the last fault
 
 
 class Faults:
-    """The part of a soak that does harm; ``Soak`` has the rest."""
+    """The part of a soak that injects faults; its ``Soak`` has the rest.
+
+    ``Soak`` translates what concerns the list of replicas: ``_entry(replica, leaving)``
+    returns a replica's entry, ``_put_entry(replica, entry)`` writes it,
+    ``_drop_entry(replica)`` says whether it was dropped, and
+    ``_put_foreign_entries(replica)`` writes entries of another writer.
+    """
 
     async def _inject(self, fault):
         print(f"seed {self._seed}: {fault}", flush=True)
@@ -31,13 +29,13 @@
         harm.end = asyncio.get_running_loop().time()
 
     def _harmed_by(self, fault):
-        """Return the instance that a fault may keep from knowing; "" for all."""
+        """Return the instance that may miss updates by a fault; "" for all."""
         if fault.kind in ON_INSTANCES | ON_PATHS:
             return self._instances[fault.target].name
         return "" if fault.kind in ON_ALL else None
 
     def _kill_at_once(self, at):
-        """Kill an instance and note since when its callers may be cut off."""
+        """Kill an instance and note since when its calls may be cut."""
         begin = asyncio.get_running_loop().time()
         self._instances[at].kill()
         self._harm(at, begin)
@@ -69,7 +67,7 @@
         instance.signal(signal.SIGTERM)
         limit = deadline_in(SETTLE)
         while instance.running and not passed(limit):
-            # Some callers go on using what connections are open until it is gone.
+            # Some callers keep using open connections until it has ended.
             self._call_soon(instance)
             await asyncio.sleep(CALLS_IN_STOP)
         if instance.running:
@@ -130,55 +128,43 @@
         self._plain[fault.target].failures += [500, 503, 500]
 
     async def _leave(self, fault):
-        """A replica says that it leaves, and is listed anew later."""
+        """A replica announces that it leaves, and is listed again later."""
         replica = self._engines[fault.target]
-        entry = replica.entry(ENGINES, [MODEL], state="draining")
-        await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+        await self._put_entry(replica, self._entry(replica, leaving=True))
         await asyncio.sleep(fault.lasts)
-        entry = replica.entry(ENGINES, [MODEL])
-        await self._store.put(configuration.SERVERS_TOPIC, replica.identity, entry)
+        await self._put_entry(replica, self._entry(replica))
 
     async def _gone(self, fault):
-        """A replica's entry ends without a word before; it serves on, and comes back."""
+        """A replica's entry is dropped unannounced; it serves on and is listed again."""
         replica = self._plain[fault.target]
         if any(one.replica is replica and one.until is None for one in self._left):
             return
-        topic, ended = configuration.SERVERS_TOPIC, keyed_record(replica.identity)
-        limit = deadline_in(CALL_SECONDS)
-        result = await self._store.log.append(topic, 0, [ended], limit)
-        if not isinstance(result, Appended):
+        if not await self._drop_entry(replica):
             return
         left = Left(replica, asyncio.get_running_loop().time())
         self._left.append(left)
         await asyncio.sleep(LEAVE_WITHIN + fault.lasts)
         if left.until is None:
             left.until = asyncio.get_running_loop().time()
-            entry = replica.entry(PLAIN, [])
-            await self._store.put(topic, replica.identity, entry)
+            await self._put_entry(replica, self._entry(replica))
 
     async def _reborn(self, fault):
-        """An engine starts again under its identity; its list says so a bit later."""
+        """An engine restarts under its identity; the list shows it with a delay."""
         replica = self._engines[fault.target]
-        before = replica.entry(ENGINES, [MODEL])
+        before = self._entry(replica)
         replica.restart()
         await asyncio.sleep(fault.lasts / 4)
-        topic, identity = configuration.SERVERS_TOPIC, replica.identity
-        await self._store.put(topic, identity, replica.entry(ENGINES, [MODEL]))
-        await self._store.put(topic, identity, before)
+        await self._put_entry(replica, self._entry(replica))
+        await self._put_entry(replica, before)
         await asyncio.sleep(fault.lasts / 4)
-        await self._store.put(topic, identity, replica.entry(ENGINES, [MODEL]))
+        await self._put_entry(replica, self._entry(replica))
 
     async def _foreign(self, fault):
         """Another writer leaves entries, one of them under an engine's key."""
         replica = self._engines[fault.target]
-        entry = replica.entry(ENGINES, [MODEL])
-        for number, name in enumerate(entry):
-            document = {**entry, "Address": "127.0.0.1:9", name: {}}
-            await self._store.put(configuration.SERVERS_TOPIC, f"x{number}", document)
-        topic, identity = configuration.SERVERS_TOPIC, replica.identity
-        await self._store.put(topic, identity, {**entry, "State": "parked"})
+        await self._put_foreign_entries(replica)
         await asyncio.sleep(fault.lasts)
-        await self._store.put(topic, identity, replica.entry(ENGINES, [MODEL]))
+        await self._put_entry(replica, self._entry(replica))
 
     async def _reconfigure(self, fault):
         if not self._store.log.down:
