--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -41,7 +41,7 @@
 from sassafrasdoor.steps.durable.state import Steps
 from sassafrasdoor.stopping import lasting
 from sassafrasdoor.table.routes import RoutesInForce
-from sassafrasdoor.weights.named import Mover
+from sassafrasdoor.weights.named import WeightsController
 
 LIST_PAUSE = 0.35
 """Seconds between reads of the replicas' list: a leaving replica is known well
@@ -181,7 +181,7 @@
             self._instances,
         )
         self._build_weights()
-        keys = configuration.OperatorKeys(self._routes, self._mover.named)
+        keys = configuration.OperatorKeys(self._routes, self._weights.named)
         self._operator = KeyedTail(
             self._log,
             configuration.OPERATOR_TOPIC,
@@ -203,13 +203,13 @@
     def _gained(self, shard):
         self._runner.own(shard)
         if shard == self._weights_shard:
-            self._mover.wake()
+            self._weights.wake()
 
     def _relays(self):
         return self._peers.relays(self._instances.controls())
 
     def _build_weights(self):
-        self._mover = Mover(
+        self._weights = WeightsController(
             self._client,
             Duty(self._shards, self._weights_shard, self._settings.name),
             self._replicas,
@@ -218,7 +218,7 @@
             work=self._runner,
         )
         self._steps.use(self._weights_shard)
-        self._steps.on_change(self._mover.step_seen)
+        self._steps.on_change(self._weights.record_demand)
 
     @property
     def _handover(self):
@@ -269,7 +269,7 @@
             self._crashes.expire(),
             self._instances.tail.run(),
             self._instances.renew(lambda: self.ready),
-            self._mover.run(),
+            self._weights.run(),
             self._runner.run(),
             self._shards.run(),
             self._look_who_follows(),
--- a/sassafrasdoor/routing/placement.py
+++ b/sassafrasdoor/routing/placement.py
@@ -7,12 +7,12 @@
 
 MIGRATION_THRESHOLD = 1.8  # ratio of paces; above the spread of healthy replicas
 LOAD_WEIGHT = 1.0  # estimated slowdown of a full replica, as a part of its pace
-DARK_AFTER = 1.2  # seconds without a byte on any stream; longer than a load of weights
-MOST_MOVES = 2  # migrations of one sample
+UNRESPONSIVE_AFTER = 1.2  # seconds of silence on all streams; longer than a load
+MAX_MIGRATIONS = 2  # migrations of one sample
 DEFAULT_PACE = 1.0  # seconds between events while no replica's pace is known
 
 
-class Seen:
+class Candidate:
     """One replica's estimated state at one moment.
 
     ``load`` and ``slots`` count samples; ``pace`` is the seconds between two events of
@@ -48,7 +48,7 @@
         return self.slots - self.load
 
 
-class Want:
+class Requirement:
     """What an item requires: weights of ``model`` not older than ``oldest``.
 
     ``avoid`` is the identity of the replica that its sample leaves, empty for none.
@@ -62,42 +62,42 @@
         self.avoid = avoid
 
 
-def median_pace(seen):
+def median_pace(candidates):
     """Return the median pace of the replicas, or ``DEFAULT_PACE``."""
-    known = sorted(one.pace for one in seen if one.pace)
+    known = sorted(one.pace for one in candidates if one.pace)
     return known[len(known) // 2] if known else DEFAULT_PACE
 
 
-def place(seen, want):
-    """Return the ``Seen`` with the earliest estimated finish for an item, or None."""
-    median = median_pace(seen)
-    found = [one for one in seen if _takes(one, want)]
+def place(candidates, requirement):
+    """Return the ``Candidate`` with the earliest estimated finish, or None."""
+    median = median_pace(candidates)
+    found = [one for one in candidates if _takes(one, requirement)]
     return min(found, key=lambda one: _cost(one, median), default=None)
 
 
-def leaves(slow, better):
-    """Say whether a sample should leave its replica for another ``Seen``."""
+def should_migrate(slow, better):
+    """Say whether a sample should leave its replica for another ``Candidate``."""
     if better is None or slow.pace is None or better.pace is None:
         return False
     return slow.pace >= MIGRATION_THRESHOLD * better.pace and better.free_slots > 0
 
 
-def is_dark(sent_at, heard_at, loading, moment):
+def is_unresponsive(sent_at, heard_at, loading, moment):
     """Say whether an item without a first event should leave its replica.
 
     ``sent_at``, ``heard_at`` (last byte on any of its streams) and ``moment`` are
     monotonic seconds; ``loading`` says that the replica was ordered to load weights.
     """
-    return not loading and moment >= max(sent_at, heard_at) + DARK_AFTER
+    return not loading and moment >= max(sent_at, heard_at) + UNRESPONSIVE_AFTER
 
 
-def _takes(one, want):
-    if one.suspect or one.free_slots <= 0 or one.identity == want.avoid:
+def _takes(one, requirement):
+    if one.suspect or one.free_slots <= 0 or one.identity == requirement.avoid:
         return False
-    if not want.model:
+    if not requirement.model:
         return True
-    held = one.versions.get(want.model, 0)
-    return held >= want.oldest and want.model not in one.closed
+    held = one.versions.get(requirement.model, 0)
+    return held >= requirement.oldest and requirement.model not in one.closed
 
 
 def _cost(one, median):
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -4,7 +4,7 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.routing.backend_state import BackendState
-from sassafrasdoor.routing.placement import Seen
+from sassafrasdoor.routing.placement import Candidate
 
 SUSPECT_FOR = 1.0
 """Seconds without work after a failure, doubled with each in a row: a restarted
@@ -108,11 +108,11 @@
         """Estimated free places."""
         return self.listing.slots - self.load
 
-    def seen(self):
-        """Return a ``Seen``: what is believed of it at this moment."""
+    def candidate(self):
+        """Return a ``Candidate``: its estimated state at this moment."""
         closed = {model for model, at in self.loading_until.items() if not passed(at)}
         closed |= {model for model, at in self.refused_until.items() if not passed(at)}
-        return Seen(self, self.load, self.state.suspect, closed)
+        return Candidate(self, self.load, self.state.suspect, closed)
 
     def told_load(self, running, waiting):
         """Take the load told beside an answer; own calls are part of it."""
--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -10,8 +10,8 @@
     """An item in progress: its events and its current attempt. Times are monotonic.
 
     ``sent_at`` is when the current attempt was sent, ``begun_at`` the first one, and
-    ``whole_at`` when the text was complete; None before.
-    ``broke_at`` is when the last attempt's connection broke, None where none did. ``leaves`` is the identity of
+    ``whole_at`` when the text was complete; None before. ``broke_at`` is when the last
+    attempt's connection broke, None where none did. ``avoid`` is the identity of
     the slow replica that it migrates from, until its next attempt. ``kept`` counts its
     events in the log, under the name ``run``. Once ``scoring``, ``task`` is the reward
     call, not sent before ``reward_from``; ``text_kept_at`` is when the log kept the
@@ -20,6 +20,7 @@
 
     __slots__ = (
         "attempts",
+        "avoid",
         "begun_at",
         "broke_at",
         "failures",
@@ -27,7 +28,6 @@
         "keep_at",
         "kept",
         "last_event_at",
-        "leaves",
         "moves",
         "numbers",
         "replica",
@@ -53,7 +53,7 @@
         self.replica = None
         self.attempts = 0
         self.moves = 0
-        self.leaves = ""
+        self.avoid = ""
         self.failures = len(step.failed.get(item.item_id, ()))
         self.reward_failures = len(step.reward_failed.get(item.item_id, ()))
         self.unanswered = 0
--- a/sassafrasdoor/steps/durable/rewards.py
+++ b/sassafrasdoor/steps/durable/rewards.py
@@ -27,7 +27,7 @@
 )
 
 
-class Rewards:
+class RewardDispatcher:
     """Scores texts: ``add`` a job whose text the log keeps, ``drop`` one that ended.
 
     Calls ``scored(job)`` or ``give_up(job, reason)`` when a job ends.
@@ -71,7 +71,7 @@
         """Jobs whose call is not in flight."""
         return [job for job in self._jobs.values() if job.task is None]
 
-    def hand_out(self):
+    def dispatch(self):
         """Send the calls that are due, as far as slots are free."""
         configuration = self._routes.current
         if configuration is None:
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -28,7 +28,7 @@
     Text,
     encode,
 )
-from sassafrasdoor.steps.durable.rewards import Rewards
+from sassafrasdoor.steps.durable.rewards import RewardDispatcher
 
 TICK = 0.1
 """Seconds between looks at the queue when nothing wakes the runner."""
@@ -86,10 +86,10 @@
     """Runs the open items of owned shards; results go to the shards' outboxes."""
 
     __slots__ = (
+        "_candidates",
         "_client",
         "_crashes",
         "_jobs",
-        "_looks",
         "_outboxes",
         "_owned",
         "_queue",
@@ -110,9 +110,9 @@
         self._owned = set()
         self._jobs = {}
         self._queue = []
-        self._looks = {}
+        self._candidates = {}
         self._wake = asyncio.Event()
-        self._rewards = Rewards(
+        self._rewards = RewardDispatcher(
             DirectService(client, replicas, self._crashes),
             replicas,
             routes,
@@ -136,7 +136,7 @@
             self._replicas.sweep()
             self._end_silent()
             self._keep_progress()
-            self._hand_out()
+            self._dispatch()
             self._score_texts()
             self._move_slow()
 
@@ -215,7 +215,7 @@
     def _score_texts(self):
         for job in self._rewards.waiting:
             self._gave_up(job)
-        self._rewards.hand_out()
+        self._rewards.dispatch()
 
     def _drop(self, job):
         self._jobs.pop(job.key, None)
@@ -228,10 +228,10 @@
         if job.task is not None:
             job.task.cancel()
 
-    def _hand_out(self):
+    def _dispatch(self):
         waiting, self._queue = self._queue, []
         full = set()
-        self._looks.clear()
+        self._candidates.clear()
         for job in waiting:
             if job.key not in self._jobs:
                 continue
@@ -240,12 +240,12 @@
             if self._is_held(job):
                 self._queue.append(job)
                 continue
-            kind = (job.step.spec.model, job.step.spec.min_version, job.leaves)
+            kind = (job.step.spec.model, job.step.spec.min_version, job.avoid)
             found = None if kind in full else self._place(job)
             if found is None:
                 full.add(kind)
                 # Whoever took the better place is gone with it: any will do now.
-                job.leaves = ""
+                job.avoid = ""
                 self._queue.append(job)
                 continue
             found.load += 1
@@ -279,20 +279,20 @@
         return configuration.match(job.step.spec.host, job.item.path)
 
     def _place(self, job):
-        """Return the ``Seen`` of the replica that gets an item now, or None."""
+        """Return the ``Candidate`` that gets an item now, or None."""
         route = self._route(job)
         if route is None:
             return None
         spec = job.step.spec
-        want = placement.Want(spec.model, spec.min_version, job.leaves)
-        return placement.place(self._look(route.pick_service()), want)
+        required = placement.Requirement(spec.model, spec.min_version, job.avoid)
+        return placement.place(self._candidates_of(route.pick_service()), required)
 
-    def _look(self, service):
-        """Return the ``Seen`` of a service's replicas, the same for one pass."""
-        if service not in self._looks:
+    def _candidates_of(self, service):
+        """Return the ``Candidate``s of a service, the same for one pass."""
+        if service not in self._candidates:
             found = self._replicas.of_service(service)
-            self._looks[service] = [one.seen() for one in found]
-        return self._looks[service]
+            self._candidates[service] = [one.candidate() for one in found]
+        return self._candidates[service]
 
     def _move_slow(self):
         """Move samples away from replicas that are much slower than one with room.
@@ -302,7 +302,7 @@
         has reached, some ten milliseconds.
         """
         waiting = {job.step.spec.model for job in self._queue}
-        self._looks.clear()
+        self._candidates.clear()
         for job in list(self._jobs.values()):
             if job.task is None or job.scoring or job.why:
                 continue
@@ -310,12 +310,12 @@
             # item would wait for ever with its replica counted as one fuller.
             if job.last_event_at is None:
                 continue
-            if job.moves >= placement.MOST_MOVES or job.step.spec.model in waiting:
+            if job.moves >= placement.MAX_MIGRATIONS or job.step.spec.model in waiting:
                 continue
-            job.leaves = job.replica.identity
+            job.avoid = job.replica.identity
             better = self._place(job)
-            if not placement.leaves(job.replica, better):
-                job.leaves = ""
+            if not placement.should_migrate(job.replica, better):
+                job.avoid = ""
                 continue
             better.load += 1
             job.moves += 1
@@ -325,7 +325,7 @@
     def _start(self, job, replica):
         job.attempts += 1
         job.begun_at = job.begun_at or now()
-        job.leaves = ""
+        job.avoid = ""
         job.replica = replica
         job.last_event_at = job.sent_at = None
         if job.keep_at is None:
@@ -344,7 +344,7 @@
         if job.last_event_at is not None:
             return passed(job.last_event_at + GAP_TIMEOUT)
         one = job.replica
-        return placement.is_dark(job.sent_at, one.heard_at, one.loading, now())
+        return placement.is_unresponsive(job.sent_at, one.heard_at, one.loading, now())
 
     async def _attempt(self, job, replica):
         replica.state.started()
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -47,7 +47,10 @@
 class RunnerTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         # A stream that nobody ends must not end by itself while a test waits.
-        for where, name in ((module, "FIRST_EVENT_TIMEOUT"), (placement, "DARK_AFTER")):
+        for where, name in (
+            (module, "FIRST_EVENT_TIMEOUT"),
+            (placement, "UNRESPONSIVE_AFTER"),
+        ):
             self.addCleanup(setattr, where, name, getattr(where, name))
             setattr(where, name, 1000.0)
 
@@ -208,7 +211,7 @@
         self.assertEqual(sample.text, "a\nb")
 
     async def test_item_at_a_dark_replica_goes_elsewhere(self):
-        placement.DARK_AFTER = 0.2
+        placement.UNRESPONSIVE_AFTER = 0.2
         dark = ([], ScriptedClient.HANG)
         await self.start(ScriptedClient(dark), replicas(2), items=1)
         (sample,) = await self.samples(1)
@@ -236,7 +239,7 @@
         found.get("e0").pace, found.get("e1").pace = 0.2, 0.04
         found.get("e1").state.started()
         await self.start(ScriptedClient(), found, items=1)
-        self.runner._hand_out()
+        self.runner._dispatch()
         found.get("e1").state.finished()
         self.runner._move_slow()
         (sample,) = await self.samples(1)
--- a/sassafrasdoor/weights/named.py
+++ b/sassafrasdoor/weights/named.py
@@ -51,7 +51,7 @@
         self.load_deadline = deadline_in(LOAD_TIME)
 
 
-class Mover:
+class WeightsController:
     """Orders loads while ``holder.fence`` is set and the handover has passed.
 
     ``handover()`` returns the seconds to wait for a former holder's orders. ``work``
@@ -104,8 +104,8 @@
             note("weights.named", model=model, version=version)
             self._wake.set()
 
-    def step_seen(self, step):
-        """Take a step's size as its model's demand."""
+    def record_demand(self, step):
+        """Take a step's tokens as its model's demand."""
         if step.spec.model:
             self._demand[step.spec.model] = sum(item.tokens for item in step.spec.items)
 
--- a/sassafrasdoor/weights/tests/test_named.py
+++ b/sassafrasdoor/weights/tests/test_named.py
@@ -11,7 +11,7 @@
 from sassafrasdoor.steps.durable.tests.fixtures import SERVICE, route
 from sassafrasdoor.table.routes import Configuration, Limits, RoutesInForce
 from sassafrasdoor.weights import named as module
-from sassafrasdoor.weights.named import Mover, shares
+from sassafrasdoor.weights.named import WeightsController, shares
 
 
 class Holder:
@@ -49,7 +49,7 @@
         return answer
 
 
-class MoverTest(unittest.IsolatedAsyncioTestCase):
+class WeightsControllerTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.models = ["a", "b"]
         self.replicas = Replicas("z")
@@ -60,7 +60,7 @@
         self.routes = RoutesInForce()
         self.configure()
         self.client, self.holder, self.work = Client(), Holder(), Work()
-        self.mover = self.make(0.0)
+        self.controller = self.make(0.0)
         load, module.LOAD_TIME = module.LOAD_TIME, 0.05
         self.addCleanup(setattr, module, "LOAD_TIME", load)
         pause, module.RETRY_DELAY = module.RETRY_DELAY, 0.05
@@ -73,7 +73,7 @@
         self.routes.take(found)
 
     def make(self, handover):
-        return Mover(
+        return WeightsController(
             self.client,
             self.holder,
             self.replicas,
@@ -82,8 +82,8 @@
             self.work,
         )
 
-    def run_mover(self):
-        task = asyncio.ensure_future(self.mover.run())
+    def run_controller(self):
+        task = asyncio.ensure_future(self.controller.run())
         self.addCleanup(task.cancel)
 
     async def until(self, condition):
@@ -106,8 +106,8 @@
         module.LOAD_TIME = 1000.0
         share, module.CONCURRENT_LOAD_SHARE = module.CONCURRENT_LOAD_SHARE, 1.0
         self.addCleanup(setattr, module, "CONCURRENT_LOAD_SHARE", share)
-        self.run_mover()
-        self.mover.named("a", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
         await self.until(lambda: len(self.client.orders) == 2)
         await asyncio.sleep(3 * module.POLL_INTERVAL)
         self.assertEqual(len(self.client.orders), 2)
@@ -116,20 +116,20 @@
 
     async def test_only_a_models_own_replicas_follow_it(self):
         """Guards against loads at replicas of other models."""
-        self.run_mover()
-        self.mover.named("a", 2)
-        self.mover.named("b", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
+        self.controller.named("b", 2)
         await self.until(lambda: len(self.client.orders) == 5)
         await asyncio.sleep(0.3)
         self.assertEqual(len(self.client.orders), 5)
         self.assertFalse(set(self.at("a", 2)) & set(self.at("b", 2)))
 
     async def test_replicas_keep_their_model(self):
-        self.run_mover()
-        self.mover.named("a", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
         await self.until(lambda: len(self.at("a", 2)) >= 2)
         before = self.at("a", 2)
-        self.mover.named("a", 3)
+        self.controller.named("a", 3)
         await self.until(lambda: self.at("a", 3) == before)
 
     async def test_restarted_replica_is_ordered_at_once(self):
@@ -138,8 +138,8 @@
         self.addCleanup(setattr, module, "REPORT_LAG", lag)
         self.models = ["a"]
         self.configure(version=2)
-        self.run_mover()
-        self.mover.named("a", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
         await self.until(lambda: len(self.at("a", 2)) == 5)
         reborn = Listing(SERVICE, "h0:1", "z", 4, False, {"a": 1}, born=5)
         self.replicas.listed("e0", reborn)
@@ -148,16 +148,16 @@
 
     async def test_without_the_duty_nothing_is_ordered(self):
         self.holder.fence = 0
-        self.run_mover()
-        self.mover.named("a", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
         await asyncio.sleep(0.3)
         self.assertEqual(self.client.orders, [])
 
     async def test_new_holder_waits_for_the_former_ones_orders(self):
         self.holder.fence = 7
-        self.mover = self.make(1000.0)
-        self.run_mover()
-        self.mover.named("a", 2)
+        self.controller = self.make(1000.0)
+        self.run_controller()
+        self.controller.named("a", 2)
         await asyncio.sleep(0.3)
         self.assertEqual(self.client.orders, [])
 
@@ -165,8 +165,8 @@
         """Guards against a stale fencing number taken for a busy replica."""
         self.client.answers = [Stale("old", 9)] * 2
         self.work.oldest = 2
-        self.run_mover()
-        self.mover.named("a", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
         await self.until(lambda: len(self.client.orders) == 2)
         await asyncio.sleep(0.4)
         self.assertEqual(len(self.client.orders), 2)
@@ -175,25 +175,25 @@
 
     async def test_refused_and_lost_orders_are_sent_again(self):
         self.client.answers = [OrderRefused("busy"), ReplyLost("lost")]
-        self.run_mover()
-        self.mover.named("a", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
         await self.until(lambda: len(self.at("a", 2)) >= 2)
 
     async def test_replica_that_went_back_is_ordered_again(self):
         """Guards against a replica that went back to an older version unnoticed."""
-        self.run_mover()
-        self.mover.named("a", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
         await self.until(lambda: self.at("a", 2))
         (replica, *_) = self.at("a", 2)
-        for sent in self.mover._last_orders.values():
+        for sent in self.controller._last_orders.values():
             sent.retry_deadline = sent.load_deadline = LONG_AGO
         self.replicas.get(replica).told_version("a", 1)
         await self.until(lambda: replica in self.at("a", 2))
 
     async def test_load_waits_while_items_need_the_version_before(self):
         self.work.queue, self.work.oldest = 3, 1
-        self.run_mover()
-        self.mover.named("a", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
         await asyncio.sleep(0.3)
         self.assertEqual(self.client.orders, [])
         self.work.queue = 0
@@ -201,15 +201,15 @@
 
     async def test_load_does_not_wait_where_items_need_it(self):
         self.work.queue, self.work.oldest = 3, 2
-        self.run_mover()
-        self.mover.named("a", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
         await self.until(lambda: self.client.orders)
 
     async def test_few_load_at_once(self):
         module.LOAD_TIME = 1000.0
-        self.run_mover()
-        self.mover.named("a", 2)
-        self.mover.named("b", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
+        self.controller.named("b", 2)
         await self.until(lambda: len(self.client.orders) == module.MIN_CONCURRENT_LOADS)
         await asyncio.sleep(0.3)
         self.assertEqual(len(self.client.orders), module.MIN_CONCURRENT_LOADS)
@@ -220,9 +220,9 @@
             listing = Listing(SERVICE, f"h{at}:1", "z", 4, False, {"a": 1, "b": 1})
             self.replicas.listed(f"e{at}", listing)
         module.LOAD_TIME = 1000.0
-        self.run_mover()
-        self.mover.named("a", 2)
-        self.mover.named("b", 2)
+        self.run_controller()
+        self.controller.named("a", 2)
+        self.controller.named("b", 2)
         await self.until(lambda: len(self.client.orders) == 8)
         await asyncio.sleep(0.3)
         self.assertEqual(len(self.client.orders), 8)
