--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -41,6 +41,8 @@
 """Bytes of one answer, at most: the first of them are used while others are read."""
 RECORD_MARGIN = 4096
 """Bytes beyond those of the largest record."""
+LISTS = 3
+"""Lists that every instance follows."""
 CONFIRM_PAUSE = 0.05
 """Seconds between the reads of a caller who waits for a confirmation."""
 READS_SHARE = 0.4
@@ -94,6 +96,16 @@
     return max(min(share, LARGEST_ANSWER), record_bytes + RECORD_MARGIN)
 
 
+def retry_pause(instances, reads_per_second):
+    """Return the seconds after which an instance asks for a list that was refused.
+
+    Refused reads count too: where those of all instances exceed the log's reads a
+    second, nothing is answered any more.
+    """
+    share = LISTS * instances / (READS_SHARE * reads_per_second)
+    return max(RETRY_PAUSE, share)
+
+
 class Way:
     """What the tails of one instance know of their common way to the log.
 
@@ -106,20 +118,23 @@
     which the log sends what all have asked for. Pauses grow while such reads fail, for
     all partitions until one is answered, and for each by itself: one that alone is
     silent holds no other one up. The lists come first: once a read was not answered,
-    backlogs wait until the lists are.
+    backlogs wait until the lists are. These are asked for again after ``pause``
+    seconds.
     """
 
     __slots__ = (
         "_late_lists",
         "_lists_answered",
         "_lock",
+        "_list_pause",
         "_pause",
         "_part_pauses",
         "most",
     )
 
-    def __init__(self, most=lambda: None):
+    def __init__(self, most=lambda: None, pause=lambda: RETRY_PAUSE):
         self.most = most
+        self._list_pause = pause
         self._lock = asyncio.Lock()
         self._late_lists = set()
         self._lists_answered = asyncio.Event()
@@ -127,6 +142,11 @@
         self._pause = _GrowingPause()
         self._part_pauses = {}
 
+    @property
+    def pause(self):
+        """Seconds before a read that failed is made again."""
+        return self._list_pause() * random.uniform(1.0, 1.3)
+
     def note_failed(self, list_topic=None):
         """Some read was not answered, that of a list if it is named."""
         self._lists_answered.clear()
@@ -251,7 +271,7 @@
                 await self.wanted.wait()
                 self._following_since = now()
             elif not await self.poll(LONG_POLL):
-                await asyncio.sleep(RETRY_PAUSE)
+                await asyncio.sleep(self._way.pause)
             elif not (self._attending or self._behind) and (pause := self._pause()):
                 await self._rest(pause)
 
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -17,6 +17,7 @@
     Way,
     all_read,
     backlog_share,
+    retry_pause,
     shared_pause,
 )
 from sassafrasdoor.log.turns import Turn
@@ -107,7 +108,7 @@
         self._store = Store(settings.store, self._demand)
         self._peers = Peers(settings.peers)
         self._log = RelayedLog(self._store, self._relays)
-        self._way = Way(self._backlog_share)
+        self._way = Way(self._backlog_share, self._retry_pause)
         self._client = WireReplicas()
         self._routes = RoutesInForce(
             lambda: self._operator.confirmed_at, lambda: settings.config_apply
@@ -429,6 +430,9 @@
             self._settings.record_bytes,
         )
 
+    def _retry_pause(self):
+        return retry_pause(self._instances.alive, self._settings.reads_per_second)
+
     def _fold_of(self, shard):
         return lambda offset, data: self._steps.fold(shard, offset, data)
 
