--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -1,14 +1,19 @@
-"""Following one partition of a partitioned log, or the newest values of its keys."""
+"""Following one partition of a partitioned log, or the newest values of its keys.
+
+Load pattern: the log falls silent while its readers wait, and never answers what was
+sent meanwhile. So reads are given up soon, and a failing log is asked again beside
+them.
+"""
 
 import asyncio
 import contextlib
-import random
 from collections import Counter
 
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.demand import AGAIN, CONFIRM, FOLLOW, LOAD, START, asked_for
 from sassafrasdoor.log.partitioned import NewestKeys, split_keyed
+from sassafrasdoor.log.sharing import LONGEST_SLACK, Way
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Expired, Unavailable
 
@@ -25,47 +30,16 @@
 answered."""
 PROBE_BYTES = 1024
 """Bytes that such reads ask for: they tell that the log answers, the rest follows."""
-LONGEST_SLACK = 2.0
-"""Seconds for the first of such reads: for a log that is slower than ``SLACK``."""
 START_SLACKS = (1.5, 1.5, 3.0)
 """Seconds for the tries in a row of a partition that was not read to its end yet: a
 second one of three would hold a start in silence for that long after the log's return;
 the third is for a log that is slower than the others allow."""
-RETRY_PAUSE = 0.15
-"""Seconds between tries while the log is away: back well within a second."""
-LONGEST_PAUSE = 5.0
-"""Seconds to which the pauses between reads of a backlog grow while these fail."""
-BACKLOG_WITHIN = 1.0
-"""Seconds in which the log sends what all readers of backlogs have asked for."""
-LARGEST_ANSWER = 1024 * 1024
-"""Bytes of one answer, at most: the first of them are used while others are read."""
-RECORD_MARGIN = 4096
-"""Bytes beyond those of the largest record."""
-LISTS = 3
-"""Lists that every instance follows."""
 CONFIRM_PAUSE = 0.05
 """Seconds between the reads of a caller who waits for a confirmation."""
-READS_SHARE = 0.4
-"""Part of the log's reads that those who follow the same partitions may take together;
-the lists, which every instance reads, and confirmations take the rest."""
-SHORTEST_PAUSE = 0.08
-"""Seconds below which followers do not pause: they are few, and answers would only
-come later."""
 
 RESTARTS = counter("log_tail_restarts_total", "Reads that met expired records.")
 
 
-def shared_pause(followers, partitions, reads_per_second):
-    """Return the seconds that each follower pauses after each read of a partition.
-
-    Each append wakes all who wait for it. Where many follow busy partitions they exceed
-    the log's reads a second, it refuses the others, and a configuration is in force
-    seconds late on some instances.
-    """
-    pause = followers * partitions / (READS_SHARE * reads_per_second)
-    return pause if pause >= SHORTEST_PAUSE else 0.0
-
-
 def all_read(tails):
     """Say whether partitions were read to their ends, as far as the log answers."""
     answered = [one for one in tails if one.failing_since is None]
@@ -86,138 +60,6 @@
         self.until = until
 
 
-def backlog_share(readers, bytes_per_second, record_bytes):
-    """Return how many bytes of a backlog one reader may ask for at a time.
-
-    What all ``readers`` that there may be have asked for is sent within
-    ``BACKLOG_WITHIN`` seconds, so that the answers of the lists behind it are in time.
-    """
-    share = BACKLOG_WITHIN * READS_SHARE * bytes_per_second / max(1, readers)
-    return max(min(share, LARGEST_ANSWER), record_bytes + RECORD_MARGIN)
-
-
-def retry_pause(instances, reads_per_second):
-    """Return the seconds after which an instance asks for a list that was refused.
-
-    Refused reads count too: where those of all instances exceed the log's reads a
-    second, nothing is answered any more.
-    """
-    share = LISTS * instances / (READS_SHARE * reads_per_second)
-    return max(RETRY_PAUSE, share)
-
-
-class Way:
-    """What the tails of one instance know of their common way to the log.
-
-    Load pattern: many instances begin to read megabytes at the same moment. Answers
-    come later than they are waited for, all are asked for again, and what was asked in
-    vain still takes its share of what the log sends: the overload outlives its cause.
-
-    So each instance begins one read of a backlog at a time, of ``most()`` bytes (None:
-    as many as the log sends): the next one once it is answered, or after the time in
-    which the log sends what all have asked for. Pauses grow while such reads fail, for
-    all partitions until one is answered, and for each by itself: one that alone is
-    silent holds no other one up. The lists come first: once a read was not answered,
-    backlogs wait until the lists are. These are asked for again after ``pause``
-    seconds.
-    """
-
-    __slots__ = (
-        "_late_lists",
-        "_lists_answered",
-        "_lock",
-        "_list_pause",
-        "_pause",
-        "_part_pauses",
-        "most",
-    )
-
-    def __init__(self, most=lambda: None, pause=lambda: RETRY_PAUSE):
-        self.most = most
-        self._list_pause = pause
-        self._lock = asyncio.Lock()
-        self._late_lists = set()
-        self._lists_answered = asyncio.Event()
-        self._lists_answered.set()
-        self._pause = _GrowingPause()
-        self._part_pauses = {}
-
-    @property
-    def pause(self):
-        """Seconds before a read that failed is made again."""
-        return self._list_pause() * random.uniform(1.0, 1.3)
-
-    def note_failed(self, list_topic=None):
-        """Some read was not answered, that of a list if it is named."""
-        self._lists_answered.clear()
-        if list_topic:
-            self._late_lists.add(list_topic)
-
-    def note_list_answered(self, topic):
-        """A list's read was answered."""
-        self._late_lists.discard(topic)
-        if not self._late_lists:
-            self._lists_answered.set()
-
-    async def read_backlog(self, part, read):
-        """Return when a read of a partition's backlog was sent, and its result.
-
-        ``read(most, failed)`` reads so many bytes; so many such reads of the partition
-        have failed in a row.
-        """
-        pause = self._part_pauses.setdefault(part, _GrowingPause())
-        await pause.over()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LONGEST_SLACK):
-                await self._lists_answered.wait()
-        async with self._lock:
-            await self._pause.over()
-            sent_at = now()
-            reading = asyncio.ensure_future(read(self.most(), pause.failed))
-            reading.add_done_callback(lambda done: _note_read(done, self._pause, pause))
-            try:
-                await asyncio.wait([reading], timeout=BACKLOG_WITHIN)
-            except asyncio.CancelledError:
-                reading.cancel()
-                raise
-        try:
-            return sent_at, await reading
-        finally:
-            reading.cancel()
-
-
-class _GrowingPause:
-    """The pause before the next of some reads, of which ``failed`` failed in a row."""
-
-    __slots__ = ("_until", "failed")
-
-    def __init__(self):
-        self._until = LONG_AGO
-        self.failed = 0
-
-    async def over(self):
-        """Wait until it is over."""
-        await asyncio.sleep(remaining(self._until))
-
-    def note(self, answered):
-        """Take the end of a read."""
-        if answered:
-            self.failed = 0
-            self._until = LONG_AGO
-            return
-        pause = min(LONGEST_PAUSE, RETRY_PAUSE * 2**self.failed)
-        self.failed += 1
-        self._until = deadline_in(pause * random.uniform(0.5, 1.0))
-
-
-def _note_read(reading, *pauses):
-    if reading.cancelled() or reading.exception() is not None:
-        return
-    answered = not isinstance(reading.result(), Unavailable)
-    for one in pauses:
-        one.note(answered)
-
-
 class Tail:
     """Hands each record of a partition to ``fold(offset, record)``, in order.
 
--- a/sassafrasdoor/log/tests/test_standstill.py
+++ b/sassafrasdoor/log/tests/test_standstill.py
@@ -6,7 +6,8 @@
 
 from sassafrasdoor.clock import now
 from sassafrasdoor.log.partitioned import keyed_record
-from sassafrasdoor.log.tail import KeyedTail, Tail, Way, backlog_share, retry_pause
+from sassafrasdoor.log.sharing import Way, backlog_share, retry_pause
+from sassafrasdoor.log.tail import KeyedTail, Tail
 from sassafrasdoor.log.tests.virtual import MEGABYTE, BoundedLog, run
 
 RATE = 40 * MEGABYTE
--- a/sassafrasdoor/log/tests/virtual.py
+++ b/sassafrasdoor/log/tests/virtual.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from sassafrasdoor import clock
-from sassafrasdoor.log import tail
+from sassafrasdoor.log import sharing, tail
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.partitioned import PartitionedLog
 from sassafrasdoor.outcomes import Unavailable
@@ -47,6 +47,7 @@
     loop = VirtualLoop()
     with (
         mock.patch.object(clock, "now", loop.time),
+        mock.patch.object(sharing, "now", loop.time),
         mock.patch.object(tail, "now", loop.time),
         asyncio.Runner(loop_factory=lambda: loop) as runner,
     ):
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -11,15 +11,8 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.demand import Demand
 from sassafrasdoor.log.relay import RelayedLog
-from sassafrasdoor.log.tail import (
-    KeyedTail,
-    Tail,
-    Way,
-    all_read,
-    backlog_share,
-    retry_pause,
-    shared_pause,
-)
+from sassafrasdoor.log.sharing import Way, backlog_share, retry_pause, shared_pause
+from sassafrasdoor.log.tail import KeyedTail, Tail, all_read
 from sassafrasdoor.log.turns import Turn
 from sassafrasdoor.platform import (
     configuration,
