--- /dev/null
+++ b/sassafrasdoor/routing/instance_view.py
@@ -0,0 +1,193 @@
+"""Records of instances, and what follows from them at one moment.
+
+Load pattern: many instances serve, and where callers are spread over all of them each
+keeps connections of its own to every replica and reads all steps. So callers of a zone
+are sent to a few of its instances, the entry points. Where one of them lapses, the
+others are called by ones and twos, more the longer its place stays free.
+"""
+
+import json
+
+from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.rendezvous import ranked
+
+LAPSE_AFTER = 3.2
+"""Seconds without renewal after which callers are not sent there: three missed."""
+RESERVE_LAPSE_AFTER = 16.0
+"""Seconds without renewal after which an instance in reserve counts as gone."""
+USUAL_IN_ZONE, ZONE_PARTS = 4, 5
+"""Callers of a zone are sent to four instances, or to as many as have a fifth of its
+processor: each keeps connections of its own to every replica."""
+ENTRY_KEY = "entry"
+MOST_STEPS = 10
+CALL_STEP = 2.0
+"""Seconds for an instance in reserve to say that it is an entry point now, after which
+others are called beside it."""
+VIEW_HOLDS = 0.2
+"""Seconds that what was worked out of the list is used again: to order many instances
+for each question takes a part of the processor that grows with their number."""
+
+
+class InstanceRecord:
+    """A record as it was last read: ``data`` at ``at``, monotonic.
+
+    ``has_read`` says whether the instance has read the steps, None where it does not
+    tell. ``is_renewed`` says whether the record was written since this process follows
+    the list; one of before may be of a process that ended with all others.
+    """
+
+    __slots__ = (
+        "address",
+        "at",
+        "control",
+        "cores",
+        "data",
+        "has_read",
+        "in_reserve",
+        "is_renewed",
+        "process",
+        "region",
+        "zone",
+    )
+
+    def __init__(self, data, is_renewed):
+        document = json.loads(data)
+        self.data = data
+        self.address = _text(document, "address")
+        self.zone = _text(document, "zone")
+        self.region = _text(document, "region")
+        self.cores = float(document["cores"])
+        # Records of an earlier program name none.
+        self.control = _text({"control": "", **document}, "control")
+        self.process = _text({"process": "", **document}, "process")
+        self.in_reserve = document.get("reserve") is True
+        self.has_read = document["read"] is True if "read" in document else None
+        self.is_renewed = is_renewed
+        self.at = now()
+
+    @property
+    def is_reader(self):
+        """Whether a living process is known to have read the steps."""
+        return bool(self.has_read and self.is_renewed)
+
+    @property
+    def lapses_after(self):
+        """Seconds without renewal after which the instance counts as gone."""
+        return RESERVE_LAPSE_AFTER if self.in_reserve else LAPSE_AFTER
+
+
+def _text(document, name):
+    if not isinstance(document[name], str):
+        raise TypeError(f"{name} is not text")
+    return document[name]
+
+
+class Shortages:
+    """Since when zones have had too few entry points, monotonic by zone.
+
+    Load pattern: one entry point of a zone lapses, and each instance in reserve that
+    takes its place reads all steps. They are called by ones and twos: some may be gone,
+    which nobody knows, so that more are called the longer a place stays free.
+    """
+
+    __slots__ = ("_since",)
+
+    def __init__(self):
+        self._since = {}
+
+    def steps(self, zone):
+        """Return how many times those called before have let their time pass."""
+        since = self._since.get(zone)
+        return 0 if since is None else int((now() - since) / CALL_STEP)
+
+    def note(self, zone, is_short):
+        """Note whether the zone has too few now."""
+        if not is_short:
+            self._since.pop(zone, None)
+        else:
+            self._since.setdefault(zone, now())
+
+    def forget_others(self, zones):
+        """Forget the zones that have no instance any more."""
+        for zone in self._since.keys() - zones.keys():
+            del self._since[zone]
+
+    def all_steps(self):
+        """Return those of all zones that have too few."""
+        return {zone: self.steps(zone) for zone in self._since}
+
+
+class InstanceView:
+    """What follows from the list at one moment.
+
+    ``short`` tells how long zones have had too few entry points.
+
+    ``entry_points`` maps each zone to the addresses that its callers are sent to, the
+    largest first; ``called`` are the addresses in reserve that are to become one.
+    ``rankings``, the addresses in order by key, are filled as asked.
+    """
+
+    __slots__ = ("_deadline", "alive", "called", "entry_points", "rankings")
+
+    def __init__(self, alive, short):
+        zones = {}
+        for one in alive:
+            zones.setdefault(one.zone, []).append(one)
+        self._deadline = deadline_in(VIEW_HOLDS)
+        self.alive = alive
+        self.called = set()
+        self.entry_points = {}
+        for zone, near in zones.items():
+            chosen = _entry_points(near, short.steps(zone))
+            short.note(zone, any(one.in_reserve for one in chosen))
+            self.called.update(one.address for one in chosen if one.in_reserve)
+            self.entry_points[zone] = [
+                one.address for one in chosen if not one.in_reserve
+            ]
+        short.forget_others(zones)
+        self.rankings = {}
+
+    @property
+    def all_entry_points(self):
+        """The addresses of the entry points of all zones."""
+        return {address for part in self.entry_points.values() for address in part}
+
+    @property
+    def holds(self):
+        """Whether it is recent enough."""
+        return not passed(self._deadline)
+
+    def confirm(self):
+        """Hold on: the same instances live, and their records are the same."""
+        self._deadline = deadline_in(VIEW_HOLDS)
+
+
+def _entry_points(near, steps):
+    """Return a zone's entry points, the largest first, as ``InstanceRecord``s.
+
+    Those in reserve among them are to become entry points; they do not count, since
+    nobody knows whether they still live. As many are called as are missing, and twice
+    as many, and so on, after each of ``steps``.
+    """
+    order = ranked(near, ENTRY_KEY, lambda one: one.address)
+    order.sort(key=lambda one: -one.cores)
+    wanted = sum(one.cores for one in near) / ZONE_PARTS
+    reserve = [one for one in order if one.in_reserve]
+    missing = sum(one.in_reserve for one in _enough(order, wanted, set(order)))
+    called = set(reserve[: missing << min(steps, MOST_STEPS)])
+    living = set(order).difference(reserve)
+    eligible = called | living
+    return [one for one in _enough(order, wanted, living) if one in eligible]
+
+
+def _enough(order, wanted, counted):
+    """Return the first in order, until those ``counted`` among them are enough."""
+    chosen, count, cores = [], 0, 0.0
+    for one in order:
+        if count >= USUAL_IN_ZONE and cores >= wanted:
+            break
+        chosen.append(one)
+        if one in counted:
+            count += 1
+            cores += one.cores
+    return chosen
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -4,8 +4,8 @@
 record that is no longer renewed is left out of answers; while the log cannot be read
 nothing lapses, since nobody could have renewed it.
 
-Callers are sent to a few instances of each zone, the entry points. The others are in
-reserve: each reads the whole list, so they renew their records less often.
+Load pattern: each instance reads the whole list. So those in reserve, to which no
+caller is sent, renew their records less often than the entry points.
 """
 
 import asyncio
@@ -20,6 +20,7 @@
 from sassafrasdoor.log.tail import KeyedTail
 from sassafrasdoor.outcomes import Outcome
 from sassafrasdoor.rendezvous import ranked
+from sassafrasdoor.routing.instance_view import InstanceRecord, InstanceView, Shortages
 
 TOPIC = "keyed.instances"
 RENEW_INTERVAL = 1.0
@@ -29,10 +30,6 @@
 listed, and after a start of all instances nothing runs until one of them has claimed."""
 RESERVE_INTERVAL = 5.0
 """Seconds between renewals of an instance in reserve."""
-LAPSE_AFTER = 3.2
-"""Seconds without renewal after which callers are not sent there: three missed."""
-RESERVE_LAPSE_AFTER = 16.0
-"""Seconds without renewal after which an instance in reserve counts as gone."""
 CUT_OFF_AFTER = 0.6
 """Seconds of failing reads, after the first was waited for in vain for 1.5."""
 READ_PAUSE = 0.7
@@ -41,10 +38,6 @@
 MOST_ADDRESSES = 64
 FEW = 12
 """Entry points among which calls are handed on at random also after the own start."""
-USUAL_IN_ZONE, ZONE_PARTS = 4, 5
-"""Callers of a zone are sent to four instances, or to as many as have a fifth of its
-processor: each keeps connections of its own to every replica."""
-ENTRY_KEY = "entry"
 READERS_KEY = "shards"
 """Orders the instances that read and run the steps."""
 YOUNG_FOR = 5.0
@@ -54,9 +47,6 @@
 HEARD_WITHIN = 2.0
 """Seconds after the own start within which each living entry point is heard of: it
 renews its record each second, and the list is read 0.7 s apart."""
-VIEW_HOLDS = 0.2
-"""Seconds that what was worked out of the list is used again: to order many instances
-for each question takes a part of the processor that grows with their number."""
 MALFORMED = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
 """What reading a record raises that another writer may have written."""
 LOOK_PAUSE = 0.1
@@ -64,10 +54,6 @@
 LOOK_TIMEOUT = 0.5
 """Seconds for a look whether an instance has started again; a slow log answers within
 0.25 s."""
-MOST_STEPS = 10
-CALL_STEP = 2.0
-"""Seconds for an instance in reserve to say that it is an entry point now, after which
-others are called beside it."""
 FEWEST_IN_ZONE = 2
 """With fewer instances in the caller's zone it is sent to all zones."""
 
@@ -84,140 +70,6 @@
         self.region = region
 
 
-class _Seen:
-    """A record as it was last read: ``data`` at ``at``, monotonic.
-
-    ``has_read`` says whether the instance has read the steps, None where it does not
-    tell. ``is_renewed`` says whether the record was written since this process follows
-    the list; one of before may be of a process that ended with all others.
-    """
-
-    __slots__ = (
-        "address",
-        "at",
-        "control",
-        "cores",
-        "data",
-        "has_read",
-        "in_reserve",
-        "is_renewed",
-        "process",
-        "region",
-        "zone",
-    )
-
-    def __init__(self, data, is_renewed):
-        document = json.loads(data)
-        self.data = data
-        self.address = _text(document, "address")
-        self.zone = _text(document, "zone")
-        self.region = _text(document, "region")
-        self.cores = float(document["cores"])
-        # Records of an earlier program name none.
-        self.control = _text({"control": "", **document}, "control")
-        self.process = _text({"process": "", **document}, "process")
-        self.in_reserve = document.get("reserve") is True
-        self.has_read = document["read"] is True if "read" in document else None
-        self.is_renewed = is_renewed
-        self.at = now()
-
-    @property
-    def is_reader(self):
-        """Whether a living process is known to have read the steps."""
-        return bool(self.has_read and self.is_renewed)
-
-    @property
-    def lapses_after(self):
-        """Seconds without renewal after which the instance counts as gone."""
-        return RESERVE_LAPSE_AFTER if self.in_reserve else LAPSE_AFTER
-
-
-def _text(document, name):
-    if not isinstance(document[name], str):
-        raise TypeError(f"{name} is not text")
-    return document[name]
-
-
-class _Short:
-    """Since when zones have had too few entry points, monotonic by zone.
-
-    Load pattern: one entry point of a zone lapses, and each instance in reserve that
-    takes its place reads all steps. They are called by ones and twos: some may be gone,
-    which nobody knows, so that more are called the longer a place stays free.
-    """
-
-    __slots__ = ("_since",)
-
-    def __init__(self):
-        self._since = {}
-
-    def steps(self, zone):
-        """Return how many times those called before have let their time pass."""
-        since = self._since.get(zone)
-        return 0 if since is None else int((now() - since) / CALL_STEP)
-
-    def note(self, zone, is_short):
-        """Note whether the zone has too few now."""
-        if not is_short:
-            self._since.pop(zone, None)
-        else:
-            self._since.setdefault(zone, now())
-
-    def forget_others(self, zones):
-        """Forget the zones that have no instance any more."""
-        for zone in self._since.keys() - zones.keys():
-            del self._since[zone]
-
-    def all_steps(self):
-        """Return those of all zones that have too few."""
-        return {zone: self.steps(zone) for zone in self._since}
-
-
-class _View:
-    """What follows from the list at one moment.
-
-    ``short`` tells how long zones have had too few entry points.
-
-    ``entry_points`` maps each zone to the addresses that its callers are sent to, the
-    largest first; ``called`` are the addresses in reserve that are to become one.
-    ``rankings``, the addresses in order by key, are filled as asked.
-    """
-
-    __slots__ = ("_deadline", "alive", "called", "entry_points", "rankings")
-
-    def __init__(self, alive, short):
-        zones = {}
-        for one in alive:
-            zones.setdefault(one.zone, []).append(one)
-        self._deadline = deadline_in(VIEW_HOLDS)
-        self.alive = alive
-        self.called = set()
-        self.entry_points = {}
-        for zone, near in zones.items():
-            chosen = _entry_points(near, short.steps(zone))
-            short.note(zone, any(one.in_reserve for one in chosen))
-            self.called.update(one.address for one in chosen if one.in_reserve)
-            self.entry_points[zone] = [
-                one.address for one in chosen if not one.in_reserve
-            ]
-        short.forget_others(zones)
-        self.rankings = {}
-
-    @property
-    def all_entry_points(self):
-        """The addresses of the entry points of all zones."""
-        return {address for part in self.entry_points.values() for address in part}
-
-    @property
-    def holds(self):
-        """Whether it is recent enough."""
-        return not passed(self._deadline)
-
-    def confirm(self):
-        """Hold on: the same instances live, and their records are the same."""
-        self._deadline = deadline_in(VIEW_HOLDS)
-
-
 class Instances:
     """Knows the instances that serve, and says that this one does.
 
@@ -274,7 +126,7 @@
         self._leaving = False
         self._seen = {}
         self._view = None
-        self._short = _Short()
+        self._short = Shortages()
         self._short_steps = {}
         self._looking = None
         self.is_listed = False
@@ -449,7 +301,7 @@
         if is_same and steps == self._short_steps:
             self._view.confirm()
         else:
-            self._view = _View(alive, self._short)
+            self._view = InstanceView(alive, self._short)
             self._short_steps = self._short.all_steps()
         return self._view
 
@@ -562,39 +414,8 @@
             known.is_renewed = known.is_renewed or self.tail.loaded
             return
         try:
-            self._seen[key] = _Seen(value, is_renewed=self.tail.loaded)
+            self._seen[key] = InstanceRecord(value, is_renewed=self.tail.loaded)
         except MALFORMED as error:
             note("instance.record_unreadable", key=key, reason=repr(error)[:200])
             return
         self._view = None
-
-
-def _entry_points(near, steps):
-    """Return a zone's entry points, the largest first, as ``_Seen``s.
-
-    Those in reserve among them are to become entry points; they do not count, since
-    nobody knows whether they still live. As many are called as are missing, and twice
-    as many, and so on, after each of ``steps``.
-    """
-    order = ranked(near, ENTRY_KEY, lambda one: one.address)
-    order.sort(key=lambda one: -one.cores)
-    wanted = sum(one.cores for one in near) / ZONE_PARTS
-    reserve = [one for one in order if one.in_reserve]
-    missing = sum(one.in_reserve for one in _enough(order, wanted, set(order)))
-    called = set(reserve[: missing << min(steps, MOST_STEPS)])
-    living = set(order).difference(reserve)
-    eligible = called | living
-    return [one for one in _enough(order, wanted, living) if one in eligible]
-
-
-def _enough(order, wanted, counted):
-    """Return the first in order, until those ``counted`` among them are enough."""
-    chosen, count, cores = [], 0, 0.0
-    for one in order:
-        if count >= USUAL_IN_ZONE and cores >= wanted:
-            break
-        chosen.append(one)
-        if one in counted:
-            count += 1
-            cores += one.cores
-    return chosen
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -10,7 +10,7 @@
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.partitioned import keyed_record, split_keyed
 from sassafrasdoor.log.tail import Silence
-from sassafrasdoor.routing import instances as module
+from sassafrasdoor.routing import instance_view, instances as module
 from sassafrasdoor.routing.instances import Instances
 
 
@@ -56,7 +56,7 @@
         """
         tail = self.all[0].tail
         for one in self.all[0]._seen.values():
-            one.at = now() - module.LAPSE_AFTER + 0.5
+            one.at = now() - instance_view.LAPSE_AFTER + 0.5
         tail.failing_since = now()
         await asyncio.sleep(0.6)
         others = {"i1:80", "i2:80", "i3:80", "i4:80"}
@@ -70,7 +70,7 @@
         tail, peers = self.all[0].tail, {f"i{at}:80" for at in range(1, 5)}
         tail.ended_at = now() - 2.0
         for one in self.all[0]._seen.values():
-            one.at = tail.ended_at - module.LAPSE_AFTER + 0.5
+            one.at = tail.ended_at - instance_view.LAPSE_AFTER + 0.5
         for tail.failing_since in (None, now()):
             self.all[0]._view = None
             self.assertLessEqual(peers, set(self.all[0].addresses("c")))
@@ -83,7 +83,7 @@
         """Guards against peers that lapse by the first of several answers."""
         tail, peers = self.all[0].tail, {f"i{at}:80" for at in range(1, 5)}
         for one in self.all[0]._seen.values():
-            one.at = tail.ended_at - module.LAPSE_AFTER + 0.1
+            one.at = tail.ended_at - instance_view.LAPSE_AFTER + 0.1
         for one in self.all:
             await one._write(one._document())
         await asyncio.sleep(0.2)
@@ -274,8 +274,8 @@
         """
         few, module.FEW = module.FEW, 0
         self.addCleanup(setattr, module, "FEW", few)
-        holds, module.VIEW_HOLDS = module.VIEW_HOLDS, 0.0
-        self.addCleanup(setattr, module, "VIEW_HOLDS", holds)
+        holds, instance_view.VIEW_HOLDS = instance_view.VIEW_HOLDS, 0.0
+        self.addCleanup(setattr, instance_view, "VIEW_HOLDS", holds)
         one = self.all[0]
         alive = [True] * 4 + [False] * 100
         with mock.patch.object(Instances, "_is_alive", lambda _, seen: alive.pop(0)):
@@ -327,7 +327,11 @@
         Sequence: seven shards ask ten times a second who is in front. Cause: the
         whole list is put in order for each question.
         """
-        with mock.patch.object(module, "ranked", wraps=module.ranked) as ordering:
+        ordering = mock.Mock(wraps=module.ranked)
+        with (
+            mock.patch.object(module, "ranked", ordering),
+            mock.patch.object(instance_view, "ranked", ordering),
+        ):
             for _ in range(100):
                 self.all[0].ranking("x")
                 self.assertTrue(self.all[0].is_entry_point)
@@ -358,7 +362,7 @@
             await one._write(one._document())
         await self.read()
         named = [tuple(one.addresses("d")) for one in self.all]
-        self.assertEqual(len(named[0]), module.USUAL_IN_ZONE)
+        self.assertEqual(len(named[0]), instance_view.USUAL_IN_ZONE)
         self.assertEqual(len(set(named)), 1)
         self.assertLessEqual(set(named[0]), {*self.all[0].peers()})
         self.assertTrue(all(one.is_entry_point for one in self.all))
@@ -377,7 +381,7 @@
             one = instance(self.log, f"i{10 + at}", "d", cores)
             await one._write(one._document())
         await self.read()
-        self.assertEqual(len(self.all[0].addresses("d")), module.USUAL_IN_ZONE)
+        self.assertEqual(len(self.all[0].addresses("d")), instance_view.USUAL_IN_ZONE)
 
     async def test_lonely_instance_names_itself(self):
         alone = instance(MemoryPartitionedLog(), "x", "a")
@@ -391,9 +395,9 @@
     async def asyncSetUp(self):
         self.log = MemoryPartitionedLog()
         self.all = [instance(self.log, f"i{at}", "a") for at in range(12)]
-        for name in ("RENEW_INTERVAL", "VIEW_HOLDS"):
-            self.addCleanup(setattr, module, name, getattr(module, name))
-            setattr(module, name, 0.0)
+        for where, name in ((module, "RENEW_INTERVAL"), (instance_view, "VIEW_HOLDS")):
+            self.addCleanup(setattr, where, name, getattr(where, name))
+            setattr(where, name, 0.0)
         for one in self.all:
             await one._write(one._document())
         await self.read()
@@ -467,7 +471,7 @@
         for _ in range(4):
             found.append(len(self.called()))
             for one in self.all:
-                one._short._since["a"] -= module.CALL_STEP
+                one._short._since["a"] -= instance_view.CALL_STEP
         self.assertEqual(found, [1, 2, 4, 8])
 
     async def test_calls_begin_anew_once_a_zone_has_had_enough(self):
@@ -476,7 +480,7 @@
         await self.ends(ended)
         self.called()
         for one in self.all:
-            one._short._since["a"] -= 3 * module.CALL_STEP
+            one._short._since["a"] -= 3 * instance_view.CALL_STEP
         self.assertGreater(len(self.called()), 1)
         for one in self.all:
             one._seen[ended._address].at = now()
