--- a/sassafrasdoor/log/sharing.py
+++ b/sassafrasdoor/log/sharing.py
@@ -28,7 +28,7 @@
 """Bytes of one answer, at most: the first of them are used while others are read."""
 RECORD_MARGIN = 4096
 """Bytes beyond those of the largest record."""
-LISTS = 3
+LISTS = 4
 """Lists that every instance follows."""
 READS_SHARE = 0.4
 """Part of the log's reads that those who follow the same partitions may take together;
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -123,6 +123,8 @@
             self._crashes.take,
             CRASHES_PAUSE,
             self._peers.newest,
+            # Apart from the others: while it is late the steps are read all the same.
+            Way(self._backlog_share, self._retry_pause),
         )
         self._steps = Steps()
         # The shard after those of the steps is no step's: its holder orders the loads.
--- /dev/null
+++ b/sassafrasdoor/platform/tests/test_process.py
@@ -0,0 +1,47 @@
+"""How the parts of one instance's process are put together."""
+
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+from sassafrasdoor.log.sharing import LISTS, READS_SHARE
+from sassafrasdoor.platform import settings
+from sassafrasdoor.platform.local import TEXT
+from sassafrasdoor.platform.process import Process
+from sassafrasdoor.routing.instances import Instances
+
+ALIVE = 4000
+READS = 2000.0
+ADDRESSES = {
+    name: f"127.0.0.1:{port}"
+    for port, name in enumerate(("front", "ready", "directory", "control", "store"), 1)
+}
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "a.conf"
+        text = TEXT.format(name="a", seeds="", **ADDRESSES)
+        path.write_text(f"{text}Platform.ReadsPerS={READS}\n", "utf-8")
+        self.process = Process(settings.load(path), path)
+
+    async def test_every_list_that_is_refused_is_asked_for_within_the_share(self):
+        """Guards against a list whose repeats alone take all reads of the log."""
+        process = self.process
+        lists = (
+            process._operator,
+            process._list,
+            process._instances.tail,
+            process._crash_list,
+        )
+        self.assertEqual(len(lists), LISTS)
+        with mock.patch.object(Instances, "alive", ALIVE):
+            reads = sum(ALIVE / one._way.pause for one in lists)
+        self.assertLessEqual(reads, READS_SHARE * READS * 1.001)
+
+
+if __name__ == "__main__":
+    unittest.main()
