Fuzz test of checkpoints accepts a lease that a mutation renamed

Cause: the test looked up each lease of the folded state in the checkpoint; a checkpoint whose only lease has another name lacks the one that the next claim creates (KeyError). Change: leases of the checkpoint must all remain with no lower epoch, a lease that it lacks must have the epoch of its claim. The renamed checkpoint is an example now; with the old lookup it fails.

--- a/sassafrasdoor/tests/test_fuzz.py
+++ b/sassafrasdoor/tests/test_fuzz.py
@@ -123,6 +123,11 @@
     return {**CHECKPOINT, "state": state}
 
 
+RENAMED_LEASE = copy.deepcopy(CHECKPOINT)
+RENAMED_LEASE["state"]["leases"] = {"other": A_LEASE}
+FIRST_OFFSET = 10  # of the records that follow a checkpoint
+CLAIM_OFFSET = FIRST_OFFSET + 1
+
 RECORDS = st.one_of(JSON, *map(nearly, (PROPOSAL, CLAIM, WEIGHTS, CHECKPOINT)))
 
 
@@ -271,15 +276,20 @@
     @example(checkpoint_with("accepted", "revision", "x"))
     @example(checkpoint_with("accepted", "revision", None))
     @example(checkpoint_with("leases", "weights", {**A_LEASE, "epoch": None}))
+    @example(RENAMED_LEASE)
     def test_checkpoint(self, body):
         """A checkpoint that is taken can be gone on from."""
         found = checkpoints.decode(Record(9, body), Agreed)
         if found is None:
             return
         state = found.state
-        for offset, record in enumerate((PROPOSAL, CLAIM, WEIGHTS), 10):
+        for offset, record in enumerate((PROPOSAL, CLAIM, WEIGHTS), FIRST_OFFSET):
             state = fold(state, Record(offset, record))
         self.assertGreaterEqual(state.revision, found.state.revision)
+        self.assertLessEqual(set(found.state.leases), set(state.leases))
         for name, lease in state.leases.items():
-            self.assertGreaterEqual(lease.epoch, found.state.leases[name].epoch)
+            before = found.state.leases.get(name)
+            # A checkpoint with another name for the lease has no former holder of it.
+            least = CLAIM_OFFSET if before is None else before.epoch
+            self.assertGreaterEqual(lease.epoch, least)
         json.dumps(state.as_document()).encode()
