Health test counts connections once the proxies have accepted them

Cause: the client's probe has ended when its connection is established; the proxy counts it when its own task runs. Under load the test read the count in between (11 != 10). Change: before each count the test opens a connection of its own to each proxy and waits until that one is counted: connections are accepted in order, so all earlier ones are.

--- a/sassafrasdoor/platform/tests/test_health.py
+++ b/sassafrasdoor/platform/tests/test_health.py
@@ -124,10 +124,26 @@
         while self.crashes.is_checking:
             self.assertFalse(passed(limit), "replica was still being probed after 60 s")
             await asyncio.sleep(0.02)
-        before = sum(proxy.accepted for proxy in self.proxies)
+        before = await self.count_connections()
         self.assertGreater(before, opened)
         self.assertIsInstance(await self.call(Repeat.ONCE), Answer)
-        self.assertEqual(sum(proxy.accepted for proxy in self.proxies), before + 1)
+        # Each count connects once to each proxy.
+        self.assertEqual(await self.count_connections(), before + 1 + len(self.proxies))
+
+    async def count_connections(self):
+        """Return the number of connections opened to the proxies so far.
+
+        A proxy counts a connection some time after the client has opened it, in order:
+        once one opened here is counted, all earlier ones are.
+        """
+        for proxy in self.proxies:
+            host, port = proxy.address.rsplit(":", 1)
+            _, writer = await asyncio.open_connection(host, int(port))
+            own = writer.get_extra_info("sockname")
+            while own not in proxy.clients:
+                await asyncio.sleep(0)
+            writer.transport.abort()
+        return sum(proxy.accepted for proxy in self.proxies)
 
     def run_count(self, request_id):
         """Return how many times a request ran."""
--- a/sassafrasdoor/standin/proxy.py
+++ b/sassafrasdoor/standin/proxy.py
@@ -37,7 +37,10 @@
 
 
 class Proxy:
-    """Listens on its own port and forwards bytes to and from ``target`` (host:port)."""
+    """Listens on its own port and forwards bytes to and from ``target`` (host:port).
+
+    ``accepted`` counts the connections, ``clients`` are the addresses they came from.
+    """
 
     __slots__ = (
         "_open_writers",
@@ -45,6 +48,7 @@
         "_tasks",
         "_thawed",
         "accepted",
+        "clients",
         "faults",
         "target",
     )
@@ -53,6 +57,7 @@
         self.target = target
         self.faults = Faults()
         self.accepted = 0
+        self.clients = set()
         self._open_writers = set()
         self._tasks = set()
         self._server = None
@@ -112,6 +117,7 @@
     async def _handle_connection(self, reader, writer):
         self._tasks.add(asyncio.current_task())
         self.accepted += 1
+        self.clients.add(writer.get_extra_info("peername"))
         self._open_writers.add(writer)
         try:
             if not self.faults.refuse:
