Straggler test waits for the finished sample's task before it counts tasks

Cause: a sample is ready before its task has ended, and the task leaves the set by a callback one loop turn later; the test may count it (2 != 1). No second attempt was started: with the mode off the check returns at once. Change: the test waits for the finished sample's task, and also asserts that no second attempt is being prepared, which the count alone would not have shown.

--- a/sassafrasdoor/steps/tests/test_stragglers.py
+++ b/sassafrasdoor/steps/tests/test_stragglers.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 
+from sassafrasdoor.steps.sample import SampleState
 from sassafrasdoor.steps.stragglers import LengthEstimator
 from sassafrasdoor.steps.tests.fakes import Bench
 from sassafrasdoor.support import until
@@ -63,11 +64,21 @@
                 self.assertEqual(steps._resources.admission.used, 0)
 
     async def test_no_second_attempt_when_off(self):
+        """Guards against second attempts that the operator has switched off."""
         bench, steps, owner = await self.start_step("off")
         bench.engines["e1"].speed = 0
         await bench.ready(steps, 1)
+        running = [
+            sample
+            for sample in owner.samples
+            if sample.state is SampleState.RUNNING
+        ]
+        self.assertEqual(len(running), 1)
+        finished = next(sample for sample in owner.samples if sample not in running)
+        await until(lambda: not finished.tasks)
         owner._stragglers._checked_at = 0
         owner.check_stragglers()
+        self.assertFalse(owner._stragglers._preparing)
         self.assertEqual(sum(len(sample.tasks) for sample in owner.samples), 1)
 
     async def test_failed_second_attempt_does_not_affect_the_first(self):
