Crash test holds the concurrent requests until the replica has crashed

Cause: requests of 0.2 s were to run beside a crashing one that was sent after them; under load they had ended (False is not true). Change: the stand-in answers them only after the crash; more slots, so that held requests and their hedges leave room for the crashing one. The assertion stands.

--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -159,6 +159,7 @@
     after it has started. ``away`` seconds later the replica serves again under a new
     identity, and ``on_recovered(former identity)`` is awaited.
     ``paths_running_at_crash`` has a list of the running requests' paths for each crash.
+    Other requests that are not streams end only while ``may_answer`` is set.
     """
 
     def __init__(self, identity, slots=8, events=4, pause=0.02):
@@ -180,6 +181,8 @@
         self.streams = set()
         self.crashes = 0
         self.paths_running_at_crash = []
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
         routes = [
             (r"/-/order", _Order, {"replica": self}),
             (r"/.*", _Work, {"replica": self}),
@@ -296,6 +299,7 @@
             self.set_status(self._replica.failures.pop(0))
         elif self.request.path.startswith("/plain"):
             await asyncio.sleep(self._replica.pause)
+            await self._replica.may_answer.wait()
             self.finish(b"answer to " + self._run.request_id.encode())
         else:
             await self._stream()
--- a/sassafrasdoor/platform/tests/test_crash_processes.py
+++ b/sassafrasdoor/platform/tests/test_crash_processes.py
@@ -13,6 +13,7 @@
 # Time after the third crash for all instances to learn of it; later runs are counted.
 QUARANTINE_PROPAGATION_SECONDS = 3.0
 MAX_SENDS = 3
+SLOTS = 64  # requests that wait for the crash leave room for the one that causes it
 REPEAT_BY_KIND = 12
 
 
@@ -26,6 +27,7 @@
         self.plain += added
         for replica in self.plain:
             replica.pause = 0.2
+            replica.slots = SLOTS
             replica.crash_paths = {CRASHING}
             replica.on_recovered = lambda former, replica=replica: self.relist(
                 former, replica
@@ -52,10 +54,14 @@
 
     async def send_with_concurrent_requests(self):
         """Send the crashing request while each replica runs another one."""
+        for replica in self.plain:
+            replica.may_answer.clear()
         requests = [self.send(CONCURRENT) for _ in range(3 * len(self.plain))]
         tasks = [asyncio.ensure_future(request) for request in requests]
         await self.wait_until(lambda: all(replica.running for replica in self.plain))
         await self.send(CRASHING)
+        for replica in self.plain:
+            replica.may_answer.set()
         await asyncio.gather(*tasks)
 
     async def all_serve(self):
