--- a/sassafrasdoor/steps/tests/test_steps_processes.py
+++ b/sassafrasdoor/steps/tests/test_steps_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.cluster import KEYS, MODEL, Cluster
 from sassafrasdoor.standin.batch import word_at
 from sassafrasdoor.standin.proxy import Proxy
@@ -320,6 +321,9 @@
             lambda: self._all_samples_ready(cluster, address), what="ready samples"
         )
         await cluster.platform_faults(down=True)
+        # No confirmation can be later than this, even one that arrives late.
+        unconfirmed_at = deadline_in(SETTINGS["steps"]["view_confirm"])
+        await until(lambda: passed(unconfirmed_at))
         await until(
             lambda: self._is_view_unconfirmed(cluster, address), what="a lagging view"
         )
