Age of the routes counts the time of a suspended machine

Cause: the monotonic clock stops while a machine is suspended, so routes read before it looked as fresh afterwards; an unknown route was then answered 404 from them. Change: a tail records when its last confirming read was sent by the clock that counts suspension, with the difference of both clocks sampled before the read.

--- a/sassafrasdoor/log/memory_partitioned.py
+++ b/sassafrasdoor/log/memory_partitioned.py
@@ -69,6 +69,13 @@
         self.land_late = None
         self.calls = []
 
+    def all_records(self):
+        """Return ``(topic, records)`` of each partition."""
+        return [
+            (topic, list(partition.records))
+            for (topic, _), partition in self._partitions.items()
+        ]
+
     def partition(self, topic, part):
         """Return a partition, created on first use."""
         return self._partitions.setdefault((topic, part), Partition())
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -9,7 +9,7 @@
 import contextlib
 from collections import Counter
 
-from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
+from sassafrasdoor.clock import LONG_AGO, boot_now, deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.demand import CONFIRM, FOLLOW, LOAD, RETRY, START, call_purpose
 from sassafrasdoor.log.partitioned import NewestKeys, split_keyed
@@ -73,6 +73,7 @@
     - ``skipped``: number of records that expired before they were read.
     - ``confirmed_at``: when the last read that reached the end was sent; None if there
       was none since the partition is followed.
+    - ``confirmed_boot_at``: the same by ``boot_now``, which counts suspension.
     - ``end_reached_at``: when that read was answered, ``LONG_AGO`` before the first.
     - ``failing_since``: when reads began to fail, None while they succeed.
     - ``restored_at``: when reads last began to succeed again, None before.
@@ -110,6 +111,7 @@
         self.end = None
         self.skipped = 0
         self.confirmed_at = None
+        self.confirmed_boot_at = None
         self.end_reached_at = LONG_AGO
         self.failing_since = None
         self.restored_at = None
@@ -175,7 +177,7 @@
 
     async def poll(self, wait):
         """Read once; return whether the log answered."""
-        sent_at = now()
+        sent_at, suspended = now(), boot_now() - now()
         if self._needs_initial_read or (
             self._has_backlog and self._has_shared_coordinator
         ):
@@ -215,9 +217,18 @@
         self._has_backlog = self.offset < result.end
         if not self._has_backlog:
             self._log_caught_up()
-            self.confirmed_at, self.end_reached_at = sent_at, now()
+            self._record_confirmation(sent_at, suspended)
         return True
 
+    def _record_confirmation(self, sent_at, suspended):
+        """Record that the end was reached by a read.
+
+        ``suspended`` is by how much the clocks differed at or before the time at which
+        the read was sent; taken later it would include a suspension during the read.
+        """
+        self.confirmed_at, self.end_reached_at = sent_at, now()
+        self.confirmed_boot_at = sent_at + suspended
+
     @property
     def _is_behind_or_failing(self):
         """Whether records are known to be unread, or the last read failed."""
@@ -438,7 +449,7 @@
         return False
 
     async def _load(self):
-        sent_at = now()
+        sent_at, suspended = now(), boot_now() - now()
         with call_purpose(LOAD):
             if self.failing_since is None:
                 newest = await self._log.newest(self._topic)
@@ -454,7 +465,7 @@
             return False
         self._record_answer()
         self._apply_newest(newest)
-        self.confirmed_at, self.end_reached_at = sent_at, now()
+        self._record_confirmation(sent_at, suspended)
         return True
 
     async def _load_newest(self, timeout):
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -8,7 +8,7 @@
 import random
 from enum import StrEnum
 
-from sassafrasdoor.clock import LONG_AGO, now
+from sassafrasdoor.clock import LONG_AGO, boot_now, now
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter, gauge
 from sassafrasdoor.outcomes import NotRun
@@ -39,6 +39,8 @@
     ``services`` are ``(service, weight)`` pairs. ``timeout`` bounds how long a
     caller waits, ``target`` is the latency that the operator wants.
     ``streams`` means that answers are event streams, relayed as they arrive.
+    ``public`` routes ask for no key of a client account. ``priority`` is the route's
+    rank, 0 the most urgent.
     ``keep_for`` is how long a sample of a step runs before it may be abandoned,
     ``one_version`` forbids samples of several weight versions.
     """
@@ -50,6 +52,8 @@
         "name",
         "one_version",
         "prefix",
+        "priority",
+        "public",
         "repeat",
         "services",
         "streams",
@@ -58,6 +62,7 @@
     )
 
     def __init__(self, **fields):
+        fields = {"priority": 0, "public": False, **fields}
         for name in self.__slots__:
             setattr(self, name, fields[name])
 
@@ -82,11 +87,22 @@
 
 
 class Configuration:
-    """One version of the operator's configuration."""
+    """One version of the operator's configuration.
 
-    __slots__ = ("_by_host", "limits", "routes", "service_models", "version")
+    ``accounts`` are the client accounts, None if requests need no key.
+    """
 
-    def __init__(self, version, routes, service_models, limits):
+    __slots__ = (
+        "_by_host",
+        "accounts",
+        "limits",
+        "routes",
+        "service_models",
+        "version",
+    )
+
+    def __init__(self, version, routes, service_models, limits, accounts=None):
+        self.accounts = accounts
         self.version = version
         self.routes = routes
         self.service_models = service_models
@@ -104,12 +120,20 @@
                 return route
         return None
 
+    def has_public_steps(self, host):
+        """Return whether steps of a host may be submitted without a key."""
+        return any(
+            route.public and route.repeat is Repeat.STEP
+            for route in self._by_host.get(host.lower(), ())
+        )
+
 
 class RoutesInForce:
     """The newest configuration seen; ``current`` is None before the first.
 
-    ``confirmed_at()`` returns the monotonic time of the last check that found nothing
-    newer, or None; ``max_age()`` the seconds until a new version must be in force.
+    ``confirmed_at()`` returns when the last check that found nothing newer was sent, or
+    None; ``max_age()`` the seconds until a new version must be in force. The time is that
+    of ``boot_now``, since an instance that was suspended has missed what happened.
     """
 
     __slots__ = (
@@ -121,7 +145,7 @@
         "taken_at",
     )
 
-    def __init__(self, confirmed_at=now, max_age=lambda: math.inf):
+    def __init__(self, confirmed_at=boot_now, max_age=lambda: math.inf):
         self._confirmed_at = confirmed_at
         self._max_age = max_age
         self._is_stale = False
@@ -133,7 +157,7 @@
     def age(self):
         """Seconds since a check last found nothing newer; infinite before the first."""
         confirmed_at = self._confirmed_at()
-        return now() - (LONG_AGO if confirmed_at is None else confirmed_at)
+        return boot_now() - (LONG_AGO if confirmed_at is None else confirmed_at)
 
     def report_age(self):
         """Update the age metric; log when the routes become stale or current again."""
--- a/sassafrasdoor/table/tests/test_routes.py
+++ b/sassafrasdoor/table/tests/test_routes.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from sassafrasdoor.clock import now
+from sassafrasdoor.clock import boot_now
 from sassafrasdoor.outcomes import NotRun
 from sassafrasdoor.steps.durable.service import NotFound
 from sassafrasdoor.table import routes as module
@@ -12,7 +12,7 @@
 
 class RoutesAgeTest(unittest.TestCase):
     def setUp(self):
-        self.confirmed_at = now()
+        self.confirmed_at = boot_now()
         self.routes = RoutesInForce(lambda: self.confirmed_at, lambda: 2.0)
         self.routes.take(Configuration(1, [], {}, Limits(1, 1, 1.0)))
         self.missing = NotFound("no such route")
@@ -43,7 +43,7 @@
         self.confirmed_at -= 2.1
         self.assertEqual(self.reported_event(), "routes.old")
         self.assertIsNone(self.reported_event())
-        self.confirmed_at = now()
+        self.confirmed_at = boot_now()
         self.assertEqual(self.reported_event(), "routes.current_again")
         self.assertIsNone(self.reported_event())
 
