Client accounts: keys are asked for, accounts passed on, taken keys refused in time

Change: a configuration may carry client accounts, kept by hash. Requests of routes that are not public need a key: 401 without a known one, 503 where the instance may not know it yet. Steps keep the account that they were submitted by; reads, bodies and ends need a key of it. What callers and items sent as account or key is dropped.

--- a/sassafrasdoor/backends/replicas.py
+++ b/sassafrasdoor/backends/replicas.py
@@ -31,10 +31,12 @@
     """A caller's request to a replica; ``headers`` is a list of pairs.
 
     ``after`` is the number of the last event that the caller has received, None for
-    none; ``deadline`` is monotonic, ``fresh`` forbids a reused connection.
+    none; ``deadline`` is monotonic, ``fresh`` forbids a reused connection. ``account``
+    names the caller's client account, empty for none.
     """
 
     __slots__ = (
+        "account",
         "after",
         "body",
         "deadline",
@@ -45,7 +47,18 @@
         "request_id",
     )
 
-    def __init__(self, method, path, headers, body, request_id, deadline, fresh=False):
+    def __init__(
+        self,
+        method,
+        path,
+        headers,
+        body,
+        request_id,
+        deadline,
+        fresh=False,
+        account="",
+    ):
+        self.account = account
         self.method = method
         self.path = path
         self.headers = headers
@@ -59,12 +72,23 @@
 class SampleOrder:
     """A sample to generate, or to resume.
 
-    ``after`` is the number of the last event already received, None for none.
+    ``after`` is the number of the last event already received, None for none;
+    ``account`` names the client account of the step, empty for none.
     """
 
-    __slots__ = ("after", "body", "deadline", "headers", "host", "item_id", "path")
+    __slots__ = (
+        "account",
+        "after",
+        "body",
+        "deadline",
+        "headers",
+        "host",
+        "item_id",
+        "path",
+    )
 
-    def __init__(self, item, host, deadline, after):
+    def __init__(self, item, host, deadline, after, account=""):
+        self.account = account
         self.item_id = item.item_id
         self.path = item.path
         self.headers = item.headers
--- a/sassafrasdoor/platform/configuration.py
+++ b/sassafrasdoor/platform/configuration.py
@@ -6,6 +6,8 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.routing.replicas import Listing
+from sassafrasdoor.security import key_hash
+from sassafrasdoor.table.accounts import Account, Accounts
 from sassafrasdoor.table.routes import Configuration, Limits, Repeat, Route
 
 OPERATOR_TOPIC = "keyed.op"
@@ -56,6 +58,23 @@
             int(limits.get("MaxBodyBytes", 33554432)),
             limits.get("IdleTimeoutMs", 15000) / 1000,
         ),
+        _parse_accounts(document.get("Tenants")),
+    )
+
+
+def _parse_accounts(rows):
+    """Return the ``Accounts`` of a configuration, or None if it has none."""
+    if rows is None:
+        return None
+    return Accounts(
+        [
+            Account(
+                _typed_field(row, "Name", str),
+                map(key_hash, _typed_field(row, "ApiKeys", list)),
+                row.get("Priority"),
+            )
+            for row in rows
+        ]
     )
 
 
@@ -77,6 +96,8 @@
         target=(document.get("TargetLatencyMs") or timeout * 1000) / 1000,
         attempts=max(1, document.get("MaxAttempts") or 1),
         keep_for=float(document.get("RetentionS") or DEFAULT_RETENTION_S),
+        public=bool(document.get("Public")),
+        priority=int(document.get("Priority") or 0),
         one_version=bool(document.get("SingleVersion")),
     )
 
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -12,7 +12,7 @@
 from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
-from sassafrasdoor.outcomes import NotRun, Rejected
+from sassafrasdoor.outcomes import NotRun, Outcome, Rejected
 from sassafrasdoor.platform import steps as documents, wire
 from sassafrasdoor.platform.handlers import (
     MAX_LOGGED_PATH,
@@ -30,7 +30,7 @@
 from sassafrasdoor.requests.attempts import DirectRequest
 from sassafrasdoor.requests.streaming import StreamCaller
 from sassafrasdoor.steps.durable.hedging import first_answer
-from sassafrasdoor.steps.durable.service import NotFound, Page
+from sassafrasdoor.steps.durable.service import ANY_ACCOUNT, NotFound, Page
 from sassafrasdoor.table.routes import Repeat
 
 DEFAULT_CALL_TIMEOUT = 60.0  # seconds; for callers that state no deadline
@@ -62,12 +62,28 @@
         for pattern, method, handler in _STEP_CALLS:
             match = pattern.match(path)
             if match and self.request.method == method:
-                await handler(self, match.group(1))
+                await self._step_call(handler, match.group(1))
                 return
         await self._route(path)
 
     get = head = post = put = delete = patch = options = _serve
 
+    async def _step_call(self, handler, step_id):
+        configuration = self._parts.routes.current
+        if configuration is None:
+            await handler(self, step_id, ANY_ACCOUNT)
+            return
+        host = self.request.headers.get("Host", "").partition(":")[0]
+        is_public = wire.bearer_key(
+            self.request.headers
+        ) is None and configuration.has_public_steps(host)
+        grant = self._grant(is_public)
+        if isinstance(grant, Outcome):
+            self._reply_failure(grant)
+            return
+        account = ANY_ACCOUNT if configuration.accounts is None else grant.account
+        await handler(self, step_id, account)
+
     async def _route(self, path):
         configuration = self._parts.routes.current
         if configuration is None:
@@ -85,21 +101,37 @@
             )
             missing = NotFound("no such route")
             self._reply_failure(self._parts.routes.resolve_unknown(missing))
-        elif route.repeat is Repeat.STEP:
-            await self._submit(route, host, path)
         else:
-            await self._direct(route, configuration)
+            grant = self._grant(route.public)
+            if isinstance(grant, Outcome):
+                self._reply_failure(grant)
+            elif route.repeat is Repeat.STEP:
+                await self._submit(grant, host, path)
+            else:
+                await self._direct(route, configuration, grant)
+
+    def _grant(self, is_public):
+        """Return the ``Grant`` of the caller, or an ``Outcome``."""
+        return self._parts.access.grant(
+            wire.bearer_key(self.request.headers), is_public
+        )
 
-    async def _direct(self, route, configuration):
+    async def _direct(self, route, configuration, grant):
+        dropped = (
+            wire.DROPPED_FROM_REQUEST
+            if configuration.accounts is None
+            else wire.DROPPED_WITH_KEYS
+        )
         request = DirectRequest(
             route=route,
             method=self.request.method,
             path=self.request.uri,
-            headers=wire.header_pairs(self.request.headers, wire.DROPPED_FROM_REQUEST),
+            headers=wire.header_pairs(self.request.headers, dropped),
             body=self.request.body,
             request_id=self._request_id,
             deadline=min(self._deadline(), self._started_at + route.timeout),
             version=configuration.version,
+            grant=grant,
         )
         if route.streams:
             await self._stream(request)
@@ -125,9 +157,9 @@
         elif result is not None:
             self._answer(result)
 
-    async def _submit(self, route, host, path):
+    async def _submit(self, grant, host, path):
         spec = documents.parse_step_spec(
-            self._request_id, host, path, self.request.body
+            self._request_id, host, path, self.request.body, grant.account
         )
         if isinstance(spec, Rejected):
             note(
@@ -146,31 +178,32 @@
         elif result is not None:
             self._reply_failure(result)
 
-    async def _read_step(self, step_id):
+    async def _read_step(self, step_id, account):
         query = parse_qs_bytes(self.request.query.encode())
         first_position = max(0, _parse_int(query.get("After", [b"0"])[0], 0))
         wait = _parse_int(self.request.headers.get(wire.WAIT), 0) / 1000
         wait_deadline = deadline_in(min(wait, MAX_POLL_WAIT))
         page = await self._while_connected(
-            self._parts.steps.read(step_id, first_position, wait_deadline)
+            self._parts.steps.read(step_id, first_position, wait_deadline, account)
         )
         if isinstance(page, Page):
             self._reply_json(200, documents.page_document(page))
         elif page is not None:
             await self._reply_from_peer_or_fail(page)
 
-    async def _read_item_body(self, step_id):
+    async def _read_item_body(self, step_id, account):
         query = parse_qs_bytes(self.request.query.encode())
         item_id = query.get("Id", [b""])[0].decode("utf-8", "replace")
-        body = await self._while_connected(self._parts.steps.body(step_id, item_id))
+        reading = self._parts.steps.body(step_id, item_id, account)
+        body = await self._while_connected(reading)
         if isinstance(body, bytes):
             self._reply(200, [("Content-Type", "application/octet-stream")], body)
         elif body is not None:
             await self._reply_from_peer_or_fail(body)
 
-    async def _end_step(self, step_id):
+    async def _end_step(self, step_id, account):
         deadline = min(self._deadline(), deadline_in(DEFAULT_CALL_TIMEOUT))
-        ending = self._parts.steps.end(step_id, deadline, self._forwarder)
+        ending = self._parts.steps.end(step_id, deadline, self._forwarder, account)
         result = await self._while_connected(ending)
         if result is True:
             self._reply(200)
@@ -190,7 +223,7 @@
             return False
         if isinstance(reply, Broken):
             return None if reply.began else False
-        return {200: True, 202: True, 503: False}.get(reply.status)
+        return {200: True, 202: True, 401: False, 503: False}.get(reply.status)
 
     async def _reply_from_peer_or_fail(self, outcome):
         """Reply with the failure ``outcome``, or with a peer's answer if there is one.
--- a/sassafrasdoor/platform/handlers.py
+++ b/sassafrasdoor/platform/handlers.py
@@ -13,6 +13,7 @@
 from sassafrasdoor.metrics import counter, exposition, histogram
 from sassafrasdoor.outcomes import NotRun, Unknown
 from sassafrasdoor.platform import wire
+from sassafrasdoor.requests.access import Unauthorized
 from sassafrasdoor.requests.crash_watch import Quarantined
 from sassafrasdoor.steps.durable.service import NotFound
 
@@ -39,6 +40,7 @@
     """
 
     __slots__ = (
+        "access",
         "connections",
         "direct",
         "instances",
@@ -50,7 +52,10 @@
         "streams",
     )
 
-    def __init__(self, direct, streams, instances, process, routes, steps, store):
+    def __init__(
+        self, direct, streams, instances, process, routes, steps, store, access
+    ):
+        self.access = access
         self.connections = Connections()
         self.direct = direct
         self.streams = streams
@@ -175,7 +180,8 @@
             body, headers = exposition()
             self._reply(200, list(headers.items()), body)
         else:
-            self._reply(200 if self._parts.process.ready else 503)
+            serves = self._parts.process.ready and not self._parts.access.is_expired
+            self._reply(200 if serves else 503)
 
 
 class DirectoryHandler(WireHandler):
@@ -183,7 +189,9 @@
 
     def get(self):
         zone = self.get_query_argument("Zone", "")
-        addresses = self._parts.instances.addresses(zone)
+        addresses = self._parts.instances.addresses(
+            zone, serves=not self._parts.access.is_expired
+        )
         if not addresses:
             self._reply_failure(NotRun("no instance known", 1.0))
             return
@@ -211,6 +219,11 @@
     return 502, []
 
 
+@failure.register
+def _(outcome: Unauthorized):
+    return 401, []
+
+
 @failure.register
 def _(outcome: NotFound):
     return 404, []
--- a/sassafrasdoor/platform/local.py
+++ b/sassafrasdoor/platform/local.py
@@ -27,6 +27,7 @@
 Platform.Address={store}
 Bounds.GraceS=5
 Bounds.RequireFencing=true
+Bounds.FailClosed=true
 """
 
 
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -28,6 +28,7 @@
 from sassafrasdoor.platform.peers import Peers
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
+from sassafrasdoor.requests.access import Access
 from sassafrasdoor.requests.crash_watch import TOPIC as CRASHES_TOPIC, CrashWatch
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.requests.streaming import StreamService
@@ -107,8 +108,10 @@
         self._read_coordinator = ReadCoordinator(self._backlog_share, self._retry_pause)
         self._client = WireReplicas()
         self._routes = RoutesInForce(
-            lambda: self._operator_tail.confirmed_at, lambda: settings.config_apply
+            lambda: self._operator_tail.confirmed_boot_at,
+            lambda: settings.config_apply,
         )
+        self._access = Access(self._routes, settings)
         self._replicas = Replicas(
             settings.instance.availability_zone, settings.heartbeat
         )
@@ -289,8 +292,8 @@
 
     def _listen(self):
         parts = handlers.Parts(
-            DirectService(self._client, self._replicas, self._crashes),
-            StreamService(self._client, self._replicas, self._crashes),
+            DirectService(self._client, self._replicas, self._crashes, self._access),
+            StreamService(self._client, self._replicas, self._crashes, self._access),
             self._instances,
             self,
             self._routes,
@@ -301,6 +304,7 @@
                 self._settings.record_bytes,
             ),
             self._store,
+            self._access,
         )
         tails = (
             self._operator_tail,
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -85,7 +85,13 @@
         Returns True at the end of the sample, else ``SampleFailed``, ``NotRun``,
         ``WrongReplica`` or ``Broken``.
         """
-        headers = dict(order.headers)
+        headers = {
+            name: value
+            for name, value in order.headers.items()
+            if name.lower() not in wire.DROPPED_FROM_ITEM
+        }
+        if order.account:
+            headers[wire.ACCOUNT] = order.account
         headers["Host"] = order.host
         headers[wire.REQUEST_ID] = order.item_id
         headers[wire.EXPECT_INSTANCE] = replica.identity
@@ -221,6 +227,8 @@
     headers = HTTPHeaders()
     for name, value in call.headers:
         headers.add(name, value)
+    if call.account:
+        headers[wire.ACCOUNT] = call.account
     headers[wire.REQUEST_ID] = call.request_id
     headers[wire.EXPECT_INSTANCE] = replica.identity
     headers[wire.DEADLINE] = str(max(1, int(remaining(call.deadline) * 1000)))
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -25,12 +25,16 @@
     "Listen.Control",
     "Listen.Directory",
     "Platform.Address",
+    "Cloud.Address",
 )
 # Values of the settings that a platform leaves out, from its documentation.
 NUMBER_DEFAULTS = {
     "Bounds.ConfigApplyMs": 2000.0,
     "Bounds.GraceS": 8.0,
     "Bounds.LeaseMs": 3000.0,
+    "Bounds.ReportWindowS": 5.0,
+    "Bounds.RevokeMs": 5000.0,
+    "Bounds.UsageLateS": 10.0,
     "Bounds.StatusS": 120.0,
     "HeartbeatMs": 1200.0,
     "Platform.RecordBytes": 262144.0,
@@ -46,13 +50,16 @@
 # each use. Addresses, the location and the number of partitions change only at a start.
 RELOADABLE = (
     "config_apply",
+    "fail_closed",
     "fenced",
     "lease",
     "read_bytes_per_second",
     "reads_per_second",
     "results_kept",
+    "revoke_within",
     "stop_within",
 )
+POSITIVE = ("Bounds.ReportWindowS",)
 MIN_PARTITIONS = 2  # one for the steps, one for the weights lease
 
 
@@ -63,6 +70,11 @@
     addresses of other instances. ``instance``: name and location of this one.
 
     ``config_apply``: time within which a new configuration must be in force.
+    ``revoke_within``: time within which a key that was taken away must be refused;
+    ``fail_closed``: whether that holds for instances that cannot know of it too.
+    ``duties_address``: address for the duties named in ``duties``, empty if none.
+    ``usage_window``, ``usage_due``: length of a window of the usage report, and the time
+    after its end within which its report is due.
     ``stop_within``: longest duration of a planned stop.
     ``fenced``: whether replicas check fencing tokens; if not, ``lease`` is the time
     that must pass between two holders of a lease.
@@ -78,6 +90,9 @@
         "control",
         "cores",
         "directory",
+        "duties",
+        "duties_address",
+        "fail_closed",
         "fenced",
         "front",
         "heartbeat",
@@ -91,8 +106,11 @@
         "ready",
         "record_bytes",
         "results_kept",
+        "revoke_within",
         "stop_within",
         "store",
+        "usage_due",
+        "usage_window",
     )
 
     def take_over(self, other):
@@ -142,6 +160,11 @@
             numbers[key] = float(fields.get(key) or default)
         except ValueError:
             findings.append(Finding(key, "not a number"))
+    findings += [
+        Finding(key, "must be positive")
+        for key in POSITIVE
+        if numbers.get(key, 1.0) <= 0.0
+    ]
     if numbers.get("Platform.parts", MIN_PARTITIONS) < MIN_PARTITIONS:
         findings.append(Finding("Platform.parts", f"below {MIN_PARTITIONS}"))
     for key in ADDRESSES:
@@ -167,6 +190,13 @@
     settings.stop_within = numbers["Bounds.GraceS"]
     settings.lease = numbers["Bounds.LeaseMs"] / 1000
     settings.fenced = fields.get("Bounds.RequireFencing", "").lower() == "true"
+    settings.fail_closed = fields.get("Bounds.FailClosed", "").lower() == "true"
+    settings.revoke_within = numbers["Bounds.RevokeMs"] / 1000
+    settings.duties_address = fields.get("Cloud.Address", "")
+    duties = fields.get("Cloud.Duties", "").split(",")
+    settings.duties = [duty for duty in duties if duty]
+    settings.usage_window = numbers["Bounds.ReportWindowS"]
+    settings.usage_due = numbers["Bounds.UsageLateS"]
     settings.heartbeat = numbers["HeartbeatMs"] / 1000
     settings.results_kept = numbers["Bounds.StatusS"]
     settings.record_bytes = int(numbers["Platform.RecordBytes"])
--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -140,7 +140,8 @@
 class Run:
     """A request that a replica has started; ``ended`` is None until it has ended."""
 
-    def __init__(self, request_id, path, body, after):
+    def __init__(self, request_id, path, body, after, headers):
+        self.headers = headers
         self.request_id = request_id
         self.path = path
         self.body = body
@@ -273,6 +274,7 @@
             self.request.path,
             self.request.body,
             None if after is None else int(after),
+            headers,
         )
         replica.runs.append(self._run)
         self._run.stamp = f"{replica.identity}.{len(replica.runs)}"
--- a/sassafrasdoor/platform/steps.py
+++ b/sassafrasdoor/platform/steps.py
@@ -10,7 +10,7 @@
 from sassafrasdoor.steps.durable.records import Item, RewardCall, StepSpec
 
 
-def parse_step_spec(step_id, host, path, body):
+def parse_step_spec(step_id, host, path, body, account=""):
     """Return the ``StepSpec`` of a submission, or ``Rejected`` with its findings."""
     try:
         document = json.loads(body)
@@ -33,6 +33,7 @@
             min_version=int(document.get("MinVersion", 0)),
             wanted=int(document.get("Desired", 0)),
             items=items,
+            account=account,
         )
         # Every reader of the log skips invalid records: the step would be accepted and
         # never run.
--- a/sassafrasdoor/platform/tests/cases.py
+++ b/sassafrasdoor/platform/tests/cases.py
@@ -58,6 +58,9 @@
 class ProcessCase(unittest.IsolatedAsyncioTestCase):
     """Three instances, two engines, two plain replicas and a store."""
 
+    # Sent with the calls on steps, for example a key.
+    caller_headers = {}
+
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -162,13 +165,14 @@
             row["Scorer"] = reward
         document = {"Step": 1, "Model": MODEL, "MinVersion": 1, "Desired": 2}
         body = json.dumps({**document, "Items": rows})
-        headers = {wire.REQUEST_ID: step_id}
+        headers = {wire.REQUEST_ID: step_id, **self.caller_headers}
         address = self.instances[at].front
         return await self.fetch(address, "/s/", "POST", body, **headers)
 
     async def page(self, step_id, at=0, after=0):
         address = self.instances[at].front
-        reply = await self.fetch(address, f"/-/lots/{step_id}?After={after}")
+        path = f"/-/lots/{step_id}?After={after}"
+        reply = await self.fetch(address, path, **self.caller_headers)
         return json.loads(reply.body) if reply.code == 200 else None
 
     async def all_results(self, step_id, at=0):
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -9,9 +9,10 @@
 from tornado.testing import bind_unused_port
 
 from sassafrasdoor.backends.interface import Answer
-from sassafrasdoor.clock import now
+from sassafrasdoor.clock import boot_now
 from sassafrasdoor.outcomes import NotRun, Unknown
 from sassafrasdoor.platform import front, handlers, wire
+from sassafrasdoor.requests.access import Access
 from sassafrasdoor.steps.durable.service import NotFound, Page
 from sassafrasdoor.steps.durable.tests.fixtures import (
     HOST,
@@ -84,7 +85,7 @@
 
 
 class FakeInstances:
-    def addresses(self, zone):
+    def addresses(self, zone, serves=True):
         return [f"address-in-{zone}"]
 
     def reader_candidates(self, most):
@@ -94,6 +95,11 @@
         return []
 
 
+class AccessSettings:
+    fail_closed = True
+    revoke_within = 5.0
+
+
 class FakeProcess:
     ready = True
     closing = False
@@ -118,6 +124,7 @@
             self.routes,
             self.service,
             store=None,
+            access=Access(self.routes, AccessSettings()),
         )
         self.address = self.serve(front.front_application(self.parts))
         self.client = AsyncHTTPClient(force_instance=True)
@@ -176,7 +183,7 @@
 
     async def test_unknown_route_in_stale_routes_returns_503(self):
         """Guards against a 404 from stale routes for a route added since."""
-        confirmed_at = now()
+        confirmed_at = boot_now()
         old = RoutesInForce(lambda: confirmed_at, lambda: 2.0)
         old.take(self.routes.current)
         self.parts.routes = old
--- a/sassafrasdoor/platform/tests/test_health.py
+++ b/sassafrasdoor/platform/tests/test_health.py
@@ -140,7 +140,7 @@
             host, port = proxy.address.rsplit(":", 1)
             _, writer = await asyncio.open_connection(host, int(port))
             own = writer.get_extra_info("sockname")
-            while own not in proxy.clients:
+            while own not in proxy.clients:  # noqa: ASYNC110
                 await asyncio.sleep(0)
             writer.transport.abort()
         return sum(proxy.accepted for proxy in self.proxies)
--- a/sassafrasdoor/requests/attempts.py
+++ b/sassafrasdoor/requests/attempts.py
@@ -7,7 +7,8 @@
 from sassafrasdoor.clock import passed, remaining
 from sassafrasdoor.decisions import note, note_routine
 from sassafrasdoor.metrics import counter
-from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.outcomes import NotRun, Outcome, Unknown
+from sassafrasdoor.requests.access import PUBLIC
 from sassafrasdoor.routing.replicas import SUSPECT_DURATION
 from sassafrasdoor.table.routes import Repeat
 
@@ -28,13 +29,14 @@
 class DirectRequest:
     """A caller's request with its route and monotonic deadline.
 
-    ``version`` is the version of the routes.
+    ``version`` is the version of the routes, ``grant`` the permission of the caller.
     """
 
     __slots__ = (
         "_fingerprint",
         "body",
         "deadline",
+        "grant",
         "headers",
         "method",
         "path",
@@ -45,6 +47,7 @@
 
     def __init__(self, **fields):
         self._fingerprint = None
+        fields = {"grant": PUBLIC, **fields}
         for name in self.__slots__[1:]:
             setattr(self, name, fields[name])
 
@@ -53,14 +56,19 @@
         """A digest of caller, method, path and body that ignores the request id."""
         if self._fingerprint is None:
             self._fingerprint = fingerprint(
-                self.headers, self.method, self.path, self.body
+                self.headers, self.method, self.path, self.body, self.grant.account
             )
         return self._fingerprint
 
 
-def fingerprint(headers, method, path, body):
-    """Return a digest of caller, method, path and body; ``headers`` are pairs."""
+def fingerprint(headers, method, path, body, account=""):
+    """Return a digest of caller, method, path and body; ``headers`` are pairs.
+
+    The caller is the client account; without one, what it sent to authorize itself.
+    """
     values = {name.lower(): value for name, value in headers}
+    if account:
+        values["authorization"] = account
     parts = [values.get(name, "") for name in FINGERPRINT_HEADERS]
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     for part in (*parts, method, path):
@@ -69,6 +77,14 @@
     return digest.hexdigest()
 
 
+def denial(access, request):
+    """Return why a request's caller may not send it any more, or None."""
+    if access is None:
+        return None
+    grant = access.check(request.grant)
+    return grant if isinstance(grant, Outcome) else None
+
+
 class Attempts:
     """The sends of one request; ``running`` maps tasks to their replicas.
 
@@ -131,6 +147,7 @@
             # If the server closes a reused connection just then, it is unknown whether
             # the request ran, and a non-repeatable request could not be sent again.
             fresh=not self.repeatable,
+            account=request.grant.account,
         )
 
     def record_outcome(self, replica, result):
--- a/sassafrasdoor/requests/direct.py
+++ b/sassafrasdoor/requests/direct.py
@@ -4,7 +4,7 @@
 
 from sassafrasdoor.backends.interface import Answer
 from sassafrasdoor.metrics import counter
-from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts
+from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts, denial
 from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.table.routes import Repeat
 
@@ -18,9 +18,10 @@
 class DirectService:
     """Sends requests of callers to replicas and returns the answers."""
 
-    __slots__ = ("_client", "_crash_watch", "_replicas")
+    __slots__ = ("_access", "_client", "_crash_watch", "_replicas")
 
-    def __init__(self, client, replicas, crash_watch=None):
+    def __init__(self, client, replicas, crash_watch=None, access=None):
+        self._access = access
         self._client = client
         self._replicas = replicas
         self._crash_watch = crash_watch or CrashWatch(client, replicas)
@@ -54,6 +55,8 @@
 
     async def _send_until_answered(self, attempts):
         refusal = self._crash_watch.refusal(attempts.request)
+        if refusal is None:
+            refusal = denial(self._access, attempts.request)
         if refusal is not None:
             return attempts.give_up(refusal)
         last = self._send(attempts, "first")
@@ -86,6 +89,8 @@
             return False
         if attempts.sent and self._crash_watch.refusal(attempts.request) is not None:
             return False
+        if denial(self._access, attempts.request) is not None:
+            return False
         replica = self._replicas.choose(attempts.service, attempts.tried)
         if replica is None:
             return False
--- a/sassafrasdoor/requests/streaming.py
+++ b/sassafrasdoor/requests/streaming.py
@@ -11,7 +11,8 @@
 from sassafrasdoor.backends.interface import Answer, Broken
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Unknown
-from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts
+from sassafrasdoor.requests.access import Unauthorized
+from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts, denial
 from sassafrasdoor.requests.crash_watch import CrashWatch, Quarantined
 from sassafrasdoor.table.routes import Repeat
 
@@ -82,9 +83,10 @@
 class StreamService:
     """Relays streams from replicas to callers."""
 
-    __slots__ = ("_client", "_crash_watch", "_replicas")
+    __slots__ = ("_access", "_client", "_crash_watch", "_replicas")
 
-    def __init__(self, client, replicas, crash_watch=None):
+    def __init__(self, client, replicas, crash_watch=None, access=None):
+        self._access = access
         self._client = client
         self._replicas = replicas
         self._crash_watch = crash_watch or CrashWatch(client, replicas)
@@ -110,6 +112,8 @@
         last = None
         while attempts.may_send:
             refusal = self._crash_watch.refusal(attempts.request)
+            if refusal is None:
+                refusal = denial(self._access, attempts.request)
             if refusal is not None:
                 last = refusal
                 break
@@ -131,7 +135,7 @@
         if relay.begun:
             reason = getattr(last, "reason", "") or "no replica goes on"
             return attempts.give_up(Unknown(f"stream cut: {reason}"))
-        if isinstance(last, Quarantined):
+        if isinstance(last, (Quarantined, Unauthorized)):
             return attempts.give_up(last)
         return attempts.final_outcome(last)
 
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -188,10 +188,13 @@
         self._view = None
         await self._write(b"")
 
-    def addresses(self, zone):
-        """Return the addresses for a caller in ``zone``, those of its zone first."""
+    def addresses(self, zone, serves=True):
+        """Return the addresses for a caller in ``zone``, those of its zone first.
+
+        This instance is left out if it is cut off or not ``serves``.
+        """
         entry_points = self._current_view.entry_points
-        if self._is_cut_off:
+        if self._is_cut_off or not serves:
             entry_points = {
                 zone_name: [
                     address for address in zone_addresses if address != self._address
--- a/sassafrasdoor/steps/durable/records.py
+++ b/sassafrasdoor/steps/durable/records.py
@@ -94,9 +94,14 @@
 
 
 class StepSpec:
-    """A step as submitted; ``min_version`` is the oldest weight version allowed."""
+    """A step as submitted; ``min_version`` is the oldest weight version allowed.
+
+    ``account`` names the client account that it belongs to, empty for none; the account
+    may lose the key with which it was submitted.
+    """
 
     __slots__ = (
+        "account",
         "host",
         "items",
         "min_version",
@@ -107,7 +112,19 @@
         "wanted",
     )
 
-    def __init__(self, step_id, host, path, number, model, min_version, wanted, items):
+    def __init__(
+        self,
+        step_id,
+        host,
+        path,
+        number,
+        model,
+        min_version,
+        wanted,
+        items,
+        account="",
+    ):
+        self.account = account
         self.step_id = step_id
         self.host = host
         self.path = path
@@ -312,6 +329,9 @@
 
 def _step_document(spec):
     document = {name: getattr(spec, name) for name in spec.__slots__}
+    if not spec.account:
+        # Earlier versions of this program cannot read a record with it.
+        del document["account"]
     document["items"] = [
         [
             item.item_id,
@@ -373,6 +393,7 @@
 # The type of each field. A record with another one would stop its readers for good:
 # every instance would read it again after each start and fail on it again.
 _TYPES = {
+    "account": str,
     "attempt": str,
     "call_id": str,
     "expected": int,
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -360,7 +360,13 @@
         replica.state.started()
         job.sent_at = now()
         route = self._route(job)
-        order = SampleOrder(job.item, job.step.spec.host, None, job.last_number)
+        order = SampleOrder(
+            job.item,
+            job.step.spec.host,
+            None,
+            job.last_number,
+            job.step.spec.account,
+        )
         job.abort_reason = ""
         try:
             async with asyncio.timeout(FIRST_EVENT_TIMEOUT) as timeout:
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -43,6 +43,14 @@
     __slots__ = ()
 
 
+class _AnyAccount:
+    """Stands for a caller that may use the steps of all accounts."""
+
+
+# Where the configuration has no client accounts, steps are open to all callers.
+ANY_ACCOUNT = _AnyAccount()
+
+
 class Page:
     """Samples of a step from position ``first`` on; the step has ``total`` items."""
 
@@ -132,9 +140,9 @@
     def _shard(self, spec):
         return shard_of(spec.model or spec.path, len(self._tails))
 
-    async def read(self, step_id, first, wait_deadline):
+    async def read(self, step_id, first, wait_deadline, account=ANY_ACCOUNT):
         """Return a ``Page`` from position ``first``, ``NotFound`` or ``NotRun``."""
-        step = await self._find(step_id)
+        step = await self._find(step_id, account)
         if isinstance(step, Outcome):
             return step
         tail = self._tails[step.shard]
@@ -171,20 +179,20 @@
         retry_after = STARTUP_RETRY_AFTER if is_starting else RETRY_DELAY
         return NotRun("the log cannot be read to its end", retry_after)
 
-    async def body(self, step_id, item_id):
+    async def body(self, step_id, item_id, account=ANY_ACCOUNT):
         """Return the body of an item, ``NotFound`` or ``NotRun``."""
-        step = await self._find(step_id)
+        step = await self._find(step_id, account)
         if isinstance(step, Outcome):
             return step
         item = step.items.get(item_id)
         return NotFound("no such item") if item is None else item.body
 
-    async def end(self, step_id, deadline, forward=None):
+    async def end(self, step_id, deadline, forward=None, account=ANY_ACCOUNT):
         """End a step; return True once that is logged, or an ``Outcome``.
 
         ``forward()`` ends it through another instance: True if that logged the end.
         """
-        step = await self._find(step_id)
+        step = await self._find(step_id, account)
         if isinstance(step, Outcome):
             return step
         deadline = min(deadline, deadline_in(END_TIMEOUT))
@@ -206,7 +214,15 @@
         CALLS.inc({"call": "end", "outcome": "kept"})
         return True
 
-    async def _find(self, step_id):
+    async def _find(self, step_id, account):
+        """Return the ``Step`` if it is of the account, ``NotFound`` or ``NotRun``."""
+        step = await self._find_any(step_id)
+        if isinstance(step, Outcome) or _may_use(account, step.spec.account):
+            return step
+        note("step.of_another_account", step=step_id, account=account)
+        return NotFound("no such step")
+
+    async def _find_any(self, step_id):
         step = self._steps.by_id.get(step_id)
         if step is not None:
             return step
@@ -275,3 +291,11 @@
                 break
             page.append(sample)
         return page
+
+
+def _may_use(account, owner):
+    """Return whether callers of an account may use a step of ``owner``.
+
+    Steps accepted before there were client accounts belong to none.
+    """
+    return account is ANY_ACCOUNT or not owner or account == owner
--- a/sassafrasdoor/steps/tests/test_stragglers.py
+++ b/sassafrasdoor/steps/tests/test_stragglers.py
@@ -69,9 +69,7 @@
         bench.engines["e1"].speed = 0
         await bench.ready(steps, 1)
         running = [
-            sample
-            for sample in owner.samples
-            if sample.state is SampleState.RUNNING
+            sample for sample in owner.samples if sample.state is SampleState.RUNNING
         ]
         self.assertEqual(len(running), 1)
         finished = next(sample for sample in owner.samples if sample not in running)
