Usage of client accounts is counted on each instance and reported once

Change: requests that a replica began to run are counted by account and window of time, and appended to the log each second; the holder of the weights lease folds the increments, fixes the counts of a window in the log before their first send, and sends exactly these until they are accepted. A refused fencing number is not used again. Tests: property test over kills, repeated records and takeovers; real processes with a killed holder, lost answers, an outage of the log, a planned stop. Open: windows follow each instance's own clock.

--- /dev/null
+++ b/sassafrasdoor/duties/reporter.py
@@ -0,0 +1,214 @@
+"""Writes what this instance counted, and reports the windows while it holds the lease."""
+
+import asyncio
+import time
+from abc import ABC, abstractmethod
+
+from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.decisions import note
+from sassafrasdoor.duties.usage import (
+    UsageCounter,
+    UsageLedger,
+    began_record,
+    fixed_record,
+    may_fix,
+    sent_record,
+)
+from sassafrasdoor.log.tail import Tail
+from sassafrasdoor.metrics import counter
+from sassafrasdoor.outcomes import Outcome
+
+TOPIC = "usage"
+# Seconds between increments: what was counted since the last one is lost with a process.
+FLUSH_INTERVAL = 1.0
+READ_INTERVAL = 0.25  # seconds; one read returns the increments of several instances
+CHECK_INTERVAL = 0.25  # seconds between checks for windows to report
+APPEND_TIMEOUT = 1.0  # seconds; a slow log answers within 0.25 s
+CONFIRM_TIMEOUT = 1.0  # seconds
+CALL_TIMEOUT = 1.5  # seconds for the platform to answer a report
+RETRY_DELAY = 0.5  # seconds
+
+REPORTS = counter("usage_reports_total", "Calls with a usage report, by result.")
+COUNTED = counter("usage_requests_total", "Requests that began to run, by account.")
+
+
+class Fenced(Outcome):
+    """Another holder with a higher fencing number has called."""
+
+    __slots__ = ()
+
+
+class DutyClient(ABC):
+    """The platform's end of the duties."""
+
+    @abstractmethod
+    async def report_usage(self, holder, fence, window, counts, deadline):
+        """Return True if accepted, ``Fenced`` or ``Unavailable``."""
+
+
+class UsageReporter:
+    """Counts requests on every instance; reports all counts on one.
+
+    ``holder`` has ``fence``, the fencing number while this process holds the lease, and
+    ``identity``. ``handover()`` returns the seconds that a new holder waits before its
+    first call. ``settings`` has ``usage_window`` and ``usage_due`` in seconds.
+    ``process`` names this process, which is new after each start.
+    """
+
+    __slots__ = (
+        "_client",
+        "_counter",
+        "_fence",
+        "_first_window",
+        "_handover",
+        "_handover_deadline",
+        "_holder",
+        "_ledger",
+        "_log",
+        "_number",
+        "_process",
+        "_settings",
+        "_stale_fence",
+        "tail",
+    )
+
+    def __init__(self, log, client, holder, settings, handover, process):
+        self._log = log
+        self._client = client
+        self._holder = holder
+        self._settings = settings
+        self._handover = handover
+        self._process = process
+        self._number = 0
+        self._fence = self._stale_fence = 0
+        self._handover_deadline = now()
+        self._counter = UsageCounter(settings.usage_window)
+        self._ledger = UsageLedger(settings.usage_window)
+        self._first_window = self._current_window
+        self.tail = Tail(log, TOPIC, 0, self._fold, self._pause, asyncio.Event())
+
+    @property
+    def _current_window(self):
+        return int(time.time() // self._settings.usage_window)
+
+    def record(self, account, sent_at):
+        """Count a request that was sent to a replica at a monotonic time, and began."""
+        if account:
+            COUNTED.inc({"account": account})
+            self._counter.record(account, time.time() - (now() - sent_at))
+
+    def _pause(self):
+        return READ_INTERVAL
+
+    def _fold(self, offset, data):
+        problem = self._ledger.fold(data)
+        if problem is not None:
+            note("usage.record_unreadable", offset=offset, reason=problem.reason)
+
+    async def flush(self):
+        """Append what was counted, again and again, until cancelled."""
+        while True:
+            await asyncio.sleep(FLUSH_INTERVAL)
+            counts = self._counter.take()
+            if counts:
+                self._number += 1
+                await self._append(began_record(self._process, self._number, counts))
+
+    async def flush_once(self, deadline):
+        """Append what was counted since the last time, before the process ends."""
+        counts = self._counter.take()
+        if counts:
+            self._number += 1
+            record = began_record(self._process, self._number, counts)
+            await self._log.append(TOPIC, 0, [record], deadline)
+
+    async def _append(self, record):
+        while True:
+            deadline = deadline_in(APPEND_TIMEOUT)
+            result = await self._log.append(TOPIC, 0, [record], deadline)
+            if not isinstance(result, Outcome):
+                return
+            note("usage.not_kept", reason=result.reason)
+            await asyncio.sleep(RETRY_DELAY)
+
+    async def run(self):
+        """Report due windows while this process holds the lease, until cancelled."""
+        while True:
+            if self._may_act():
+                await self._report_due_windows()
+            await asyncio.sleep(CHECK_INTERVAL)
+
+    def _may_act(self):
+        fence = self._holder.fence
+        if not fence:
+            self.tail.wanted.clear()
+            return False
+        self.tail.wanted.set()
+        if fence != self._fence:
+            self._fence = fence
+            self._handover_deadline = deadline_in(self._handover())
+        return (
+            fence > self._stale_fence
+            and passed(self._handover_deadline)
+            and self.tail.has_caught_up
+        )
+
+    async def _report_due_windows(self):
+        current = self._current_window
+        self._ledger.discard(current)
+        for window in self._ledger.unsent(current, self._first_window):
+            if not self._may_act():
+                return
+            if self._ledger.fixed(window) is None and self._may_fix(window):
+                await self._fix(window)
+            counts = self._ledger.fixed(window)
+            if counts is not None:
+                await self._send(window, counts)
+
+    def _may_fix(self, window):
+        offset = time.time() - now()
+        restored_at = self.tail.restored_at
+        return may_fix(
+            window,
+            self._settings.usage_window,
+            self._settings.usage_due,
+            time.time(),
+            self.tail.confirmed_at + offset,
+            None if restored_at is None else restored_at + offset,
+        )
+
+    async def _fix(self, window):
+        """Fix the counts of a window in the log, and read which ones were fixed first."""
+        record = fixed_record(window, self._ledger.began(window))
+        deadline = deadline_in(APPEND_TIMEOUT)
+        result = await self._log.append(TOPIC, 0, [record], deadline)
+        if isinstance(result, Outcome):
+            note("usage.not_fixed", window=window, reason=result.reason)
+            return
+        await self.tail.confirm(deadline_in(CONFIRM_TIMEOUT))
+
+    async def _send(self, window, counts):
+        fence = self._holder.fence
+        if not fence or fence != self._fence:
+            return
+        deadline = deadline_in(CALL_TIMEOUT)
+        result = await self._client.report_usage(
+            self._holder.identity, fence, window, counts, deadline
+        )
+        label = "accepted" if result is True else type(result).__name__
+        REPORTS.inc({"result": label})
+        note(
+            "usage.reported",
+            window=window,
+            fence=fence,
+            accounts=len(counts),
+            requests=sum(counts.values()),
+            result=label,
+            reason="" if result is True else result.reason,
+        )
+        if isinstance(result, Fenced):
+            self._stale_fence = fence
+        elif result is True:
+            deadline = deadline_in(APPEND_TIMEOUT)
+            await self._log.append(TOPIC, 0, [sent_record(window)], deadline)
+            self._ledger.fold(sent_record(window))
--- /dev/null
+++ b/sassafrasdoor/duties/tests/test_usage.py
@@ -0,0 +1,146 @@
+"""What the usage report of a window says, whatever happens to the instances."""
+
+import random
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings as run_settings, strategies as st
+
+from sassafrasdoor.duties.usage import (
+    GATHER_SHARE,
+    LATEST_SHARE,
+    MAX_WINDOWS_BACK,
+    Unreadable,
+    UsageCounter,
+    UsageLedger,
+    began_record,
+    fixed_record,
+    may_fix,
+    sent_record,
+)
+
+LENGTH, DUE = 5.0, 10.0
+fuzzed = run_settings(derandomize=True, deadline=None, max_examples=200)
+
+
+class CounterTest(unittest.TestCase):
+    def test_requests_are_counted_in_the_window_in_which_they_began(self):
+        counter = UsageCounter(LENGTH)
+        for account, began_at in (("a", 4.9), ("a", 5.0), ("b", 9.9), ("a", 9.9)):
+            counter.record(account, began_at)
+        self.assertEqual(counter.take(), {0: {"a": 1}, 1: {"a": 2, "b": 1}})
+        self.assertEqual(counter.take(), {})
+
+
+class LedgerTest(unittest.TestCase):
+    def setUp(self):
+        self.ledger = UsageLedger(LENGTH)
+
+    def test_increment_that_lands_twice_counts_once(self):
+        """Guards against doubled counts after an append without a reply."""
+        first = began_record("p", 1, {3: {"a": 2}})
+        for record in (first, first, began_record("p", 2, {3: {"a": 1}}), first):
+            self.ledger.fold(record)
+        self.assertEqual(self.ledger.began(3), {"a": 3})
+
+    def test_processes_of_one_instance_count_separately(self):
+        """Guards against increments lost after a restart, which counts anew."""
+        for process in ("i/1", "i/2"):
+            self.ledger.fold(began_record(process, 1, {3: {"a": 1}}))
+        self.assertEqual(self.ledger.began(3), {"a": 2})
+
+    def test_first_fixed_counts_stay(self):
+        """Guards against two reports of one window with different counts."""
+        self.ledger.fold(fixed_record(3, {"a": 2}))
+        self.ledger.fold(began_record("p", 1, {3: {"a": 5}}))
+        self.ledger.fold(fixed_record(3, {"a": 7}))
+        self.assertEqual(self.ledger.fixed(3), {"a": 2})
+
+    def test_windows_without_requests_are_reported_too(self):
+        self.ledger.fold(began_record("p", 1, {3: {"a": 1}, 6: {"a": 1}}))
+        self.ledger.fold(sent_record(4))
+        self.assertEqual(self.ledger.unsent(7, 5), [3, 5, 6])
+
+    def test_old_windows_are_given_up(self):
+        self.ledger.fold(began_record("p", 1, {3: {"a": 1}}))
+        self.assertEqual(self.ledger.unsent(100, 100), list(range(88, 100)))
+        self.ledger.discard(100)
+        self.assertEqual(self.ledger.began(3), {})
+        self.assertEqual(MAX_WINDOWS_BACK, 12)
+
+    def test_foreign_records_change_nothing(self):
+        """Guards against a record that stops every holder that reads it."""
+        for data in (b"", b"[]", b"{}", b"[1]", b'["began"]', b'["fixed",1e999,{}]'):
+            self.assertIsInstance(self.ledger.fold(data), Unreadable, data)
+        self.assertIsInstance(
+            self.ledger.fold(b'["began","p",1,{"x":{"a":1}}]'), Unreadable
+        )
+        self.assertEqual(self.ledger.unsent(5, 5), [])
+
+    @fuzzed
+    @given(st.binary(max_size=60) | st.text(max_size=60).map(str.encode))
+    def test_any_bytes_are_folded(self, data):
+        self.ledger.fold(data)
+
+
+class FixingTest(unittest.TestCase):
+    """When the counts of window 0, which ends at 5, may be fixed."""
+
+    def may_fix(self, at, read_at, restored_at=None):
+        return may_fix(0, LENGTH, DUE, at, read_at, restored_at)
+
+    def test_waits_until_the_increments_have_arrived(self):
+        gathered_at = LENGTH + DUE * GATHER_SHARE
+        self.assertFalse(self.may_fix(gathered_at - 0.1, gathered_at - 0.1))
+        self.assertFalse(self.may_fix(gathered_at + 0.1, gathered_at - 0.1))
+        self.assertTrue(self.may_fix(gathered_at + 0.1, gathered_at))
+
+    def test_waits_for_increments_held_up_by_an_outage(self):
+        """Guards against counts fixed before instances could append theirs."""
+        self.assertFalse(self.may_fix(12.0, 12.0, restored_at=11.0))
+        self.assertTrue(self.may_fix(12.6, 12.6, restored_at=11.0))
+
+    def test_fixes_before_the_report_is_late(self):
+        latest = LENGTH + DUE * LATEST_SHARE
+        self.assertTrue(self.may_fix(latest, 0.0, restored_at=latest))
+
+
+class TakeoverTest(unittest.TestCase):
+    """Holders that are killed, cut off and replaced, over one log."""
+
+    @fuzzed
+    @given(st.integers(0, 10**6))
+    def test_any_order_of_kills_and_lost_answers_gives_one_report(self, seed):
+        """Guards against two reports that differ, and counts that are not true."""
+        draw = random.Random(seed)
+        log, truth, reports = [], Counter(), {}
+        for number in range(1, draw.randint(2, 20)):
+            count = draw.randint(1, 3)
+            record = began_record(
+                f"p{draw.randint(0, 2)}-{number}", 1, {0: {"a": count}}
+            )
+            truth["a"] += count
+            log += [record] * draw.randint(1, 3)
+        ledgers = [UsageLedger(LENGTH) for _ in range(3)]
+        read = [0] * len(ledgers)
+        for _ in range(draw.randint(5, 40)):
+            at = draw.randrange(len(ledgers))
+            if draw.random() < 0.1:  # killed: its successor reads the log anew
+                ledgers[at], read[at] = UsageLedger(LENGTH), 0
+            for record in log[read[at] :]:
+                ledgers[at].fold(record)
+            read[at] = len(log)
+            ledger = ledgers[at]
+            if ledger.fixed(0) is None:
+                record = fixed_record(0, ledger.began(0))
+                log += [record] * draw.randint(0, 2)  # refused, kept, or kept twice
+            elif 0 in ledger.unsent(1, 0):
+                reports.setdefault(0, []).append(ledger.fixed(0))
+                if draw.random() < 0.5:
+                    log.append(sent_record(0))
+        for report in reports.get(0, ()):
+            self.assertEqual(report, dict(truth))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sassafrasdoor/duties/usage.py
@@ -0,0 +1,166 @@
+"""Counts the requests that began to run, by client account and window of time.
+
+Decides what the usage report of each window says and when it is due. Load pattern: the
+instances that counted and the one that reports are killed, cut off and replaced at any
+moment, and calls to the platform are answered late, twice or never. So counts are
+appended to the log in small increments, and the counts of a window are fixed there before
+they are first sent: whoever sends them again sends the same.
+
+Times are seconds since the epoch; window ``k`` begins at ``k`` times its length.
+"""
+
+import json
+from collections import Counter
+
+from sassafrasdoor.outcomes import Outcome
+
+BEGAN, FIXED, SENT = "began", "fixed", "sent"
+# Shares of the time in which a report is due, counted from its window's end: when all
+# increments have normally arrived, and until when those held up by an outage may.
+GATHER_SHARE, LATEST_SHARE = 0.5, 0.85
+# Seconds after an outage of the log in which instances append what they have counted.
+BACKLOG_TIME = 1.5
+# Windows that ended longer ago than this number of windows are not reported any more.
+MAX_WINDOWS_BACK = 12
+DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
+class Unreadable(Outcome):
+    """A record that is none of this topic's."""
+
+    __slots__ = ()
+
+
+class UsageCounter:
+    """Counts the requests of this process until they are written to the log."""
+
+    __slots__ = ("_counts", "_length")
+
+    def __init__(self, length):
+        self._length = length
+        self._counts = {}
+
+    def record(self, account, began_at):
+        """Count one request of an account."""
+        window = int(began_at // self._length)
+        self._counts.setdefault(window, Counter())[account] += 1
+
+    def take(self):
+        """Return the counts since the last call, by window, and start anew."""
+        counts, self._counts = self._counts, {}
+        return counts
+
+
+def began_record(process, number, counts):
+    """Return the record of an increment; ``number`` grows with each one of a process."""
+    windows = {str(window): dict(by_name) for window, by_name in counts.items()}
+    return _encode([BEGAN, process, number, windows])
+
+
+def fixed_record(window, counts):
+    """Return the record that fixes the counts of a window's report."""
+    return _encode([FIXED, window, dict(counts)])
+
+
+def sent_record(window):
+    """Return the record that the platform has accepted a window's report."""
+    return _encode([SENT, window])
+
+
+def _encode(fields):
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+class UsageLedger:
+    """Folds the records of all instances; identical wherever they are folded."""
+
+    __slots__ = ("_began", "_fixed", "_last_numbers", "_length", "_sent")
+
+    def __init__(self, length):
+        self._length = length
+        self._began = {}
+        self._fixed = {}
+        self._sent = set()
+        self._last_numbers = {}
+
+    def fold(self, data):
+        """Fold one record; return ``Unreadable`` for bytes that are none."""
+        try:
+            kind, *fields = json.loads(data)
+            _FOLDS[kind](self, *fields)
+        except DECODE_ERRORS as error:
+            return Unreadable(f"malformed record: {type(error).__name__}")
+        return None
+
+    def _fold_began(self, process, number, windows):
+        # An append without a reply is repeated, and may still land.
+        if number <= self._last_numbers.get(process, -1):
+            return
+        counts = {
+            int(window): Counter({str(name): int(count) for name, count in row.items()})
+            for window, row in windows.items()
+        }
+        self._last_numbers[process] = number
+        for window, by_name in counts.items():
+            self._began.setdefault(window, Counter()).update(by_name)
+
+    def _fold_fixed(self, window, counts):
+        counts = {str(name): int(count) for name, count in counts.items()}
+        self._fixed.setdefault(int(window), counts)
+
+    def _fold_sent(self, window):
+        self._sent.add(int(window))
+
+    def began(self, window):
+        """Return the counts of a window so far."""
+        return dict(self._began.get(window, ()))
+
+    def fixed(self, window):
+        """Return the counts that the window's report must have, None if not fixed."""
+        return self._fixed.get(window)
+
+    def unsent(self, current, first):
+        """Return the windows before ``current`` that are still to be reported.
+
+        ``first`` is the first window to report if the log shows no earlier one.
+        """
+        known = [*self._began, *self._fixed]
+        oldest = max(min([first, *known]), current - MAX_WINDOWS_BACK)
+        return [window for window in range(oldest, current) if window not in self._sent]
+
+    def discard(self, current):
+        """Forget windows that are not reported any more."""
+        oldest = current - 2 * MAX_WINDOWS_BACK
+        for windows in (self._began, self._fixed):
+            for window in [one for one in windows if one < oldest]:
+                del windows[window]
+        self._sent = {window for window in self._sent if window >= oldest}
+
+
+_FOLDS = {
+    BEGAN: UsageLedger._fold_began,
+    FIXED: UsageLedger._fold_fixed,
+    SENT: UsageLedger._fold_sent,
+}
+
+
+def may_fix(window, length, due, at, read_at, restored_at):
+    """Return whether the counts of a window may be fixed at a point in time.
+
+    ``due`` are the seconds after the window's end within which its report is due. The
+    log was last read to its end at ``read_at`` and answers again since ``restored_at``
+    (None: it never failed).
+    """
+    end = (window + 1) * length
+    if at >= end + due * LATEST_SHARE:
+        return True
+    gathered_at = end + due * GATHER_SHARE
+    is_backlog_read = restored_at is None or at >= restored_at + BACKLOG_TIME
+    return min(at, read_at) >= gathered_at and is_backlog_read
--- a/sassafrasdoor/platform/local.py
+++ b/sassafrasdoor/platform/local.py
@@ -47,9 +47,12 @@
 
 
 class LocalInstance:
-    """One instance in a local process; it keeps its addresses across restarts."""
+    """One instance in a local process; it keeps its addresses across restarts.
 
-    def __init__(self, folder, name, store, seeds=()):
+    ``more`` are further lines of its settings file.
+    """
+
+    def __init__(self, folder, name, store, seeds=(), more=""):
         self.name = name
         ports = [f"{LOOPBACK}:{next(PORTS)}" for _ in range(4)]
         self.front, self.ready, self.directory, self.control = ports
@@ -59,7 +62,7 @@
         text = SETTINGS_TEMPLATE.format(
             ready=self.ready, directory=self.directory, **fields
         )
-        self.settings_path.write_text(text, "utf-8")
+        self.settings_path.write_text(text + more, "utf-8")
         self.log_path = pathlib.Path(folder) / f"{name}.log"
         self._log = self.log_path.open("ab")
         self.start()
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -9,6 +9,7 @@
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
+from sassafrasdoor.duties.reporter import UsageReporter
 from sassafrasdoor.log.demand import CallCounter
 from sassafrasdoor.log.relay import RelayedLog
 from sassafrasdoor.log.sharing import (
@@ -25,6 +26,7 @@
     handlers,
     settings as platform_settings,
 )
+from sassafrasdoor.platform.duties import USAGE, WireDuties
 from sassafrasdoor.platform.peers import Peers
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
@@ -72,6 +74,7 @@
 ROUTES_CHECK_INTERVAL = 0.5  # seconds between checks of the age of the routes
 CALL_REPORT_INTERVAL = 5.0  # seconds between log lines with the calls to the log
 SETTINGS_CHECK_INTERVAL = 1.0  # seconds; a check is a single stat() of the file
+LAST_FLUSH_TIMEOUT = 0.2  # seconds for the last counted requests before the end
 MAX_LOGGED_FINDINGS = 5
 # Seconds for which finished steps stay readable beyond the promised retention.
 RESULT_RETENTION_MARGIN = 60.0
@@ -184,6 +187,7 @@
             self._instances,
         )
         self._build_weights()
+        self._build_duties(member)
         operator_topic = configuration.OperatorTopicReader(
             self._routes, self._weights.set_target_version
         )
@@ -214,9 +218,10 @@
         return self._peers.relays(self._instances.peer_control_addresses())
 
     def _build_weights(self):
+        self._lease = ShardLease(self._shards, self._weights_shard, self._settings.name)
         self._weights = WeightsController(
             self._client,
-            ShardLease(self._shards, self._weights_shard, self._settings.name),
+            self._lease,
             self._replicas,
             self._routes,
             handover=lambda: self._handover_delay,
@@ -225,6 +230,21 @@
         self._steps.mark_used(self._weights_shard)
         self._steps.on_change(self._weights.record_demand)
 
+    def _build_duties(self, member):
+        """Build the duties that the platform's settings name."""
+        self._duties = self._usage = None
+        if not (self._settings.duties_address and USAGE in self._settings.duties):
+            return
+        self._duties = WireDuties(self._settings.duties_address)
+        self._usage = UsageReporter(
+            self._log,
+            self._duties,
+            self._lease,
+            self._settings,
+            handover=lambda: self._handover_delay,
+            process=member,
+        )
+
     @property
     def _handover_delay(self):
         """Seconds to wait after gaining the weights lease before the first order.
@@ -267,6 +287,8 @@
         self._store.close()
         self._peers.close()
         self._client.close()
+        if self._duties is not None:
+            self._duties.close()
         note("process.stopped")
 
     def _background_jobs(self):
@@ -288,12 +310,25 @@
             self._check_routes(),
             *(tail.run() for tail in self._tails),
             *(outbox.run() for outbox in self._outboxes),
+            *self._duty_jobs(),
         ]
 
+    def _duty_jobs(self):
+        if self._usage is None:
+            return []
+        return [self._usage.run(), self._usage.flush(), self._usage.tail.run()]
+
     def _listen(self):
+        callers = (
+            self._client,
+            self._replicas,
+            self._crashes,
+            self._access,
+            self._usage,
+        )
         parts = handlers.Parts(
-            DirectService(self._client, self._replicas, self._crashes, self._access),
-            StreamService(self._client, self._replicas, self._crashes, self._access),
+            DirectService(*callers),
+            StreamService(*callers),
             self._instances,
             self,
             self._routes,
@@ -522,6 +557,8 @@
         )
         while self.in_flight and not passed(finish_deadline):  # noqa: ASYNC110
             await asyncio.sleep(IN_FLIGHT_CHECK_INTERVAL)
+        if self._usage is not None:
+            await self._usage.flush_once(finish_deadline + LAST_FLUSH_TIMEOUT)
 
     async def _release_shards(self):
         """Release all shards, after writing what was received of their items."""
--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -137,6 +137,55 @@
         self.finish(newest_document(result))
 
 
+class DutiesStandin:
+    """The platform's address for duties; checks fencing numbers by duty.
+
+    ``calls`` has ``(holder, fence, document)`` of each accepted call. ``failures`` are
+    statuses of the next answers; a call that is answered 500 has taken effect.
+    """
+
+    def __init__(self):
+        self.calls = []
+        self.failures = []
+        self.refused = 0
+        self._fences = {}
+        routes = [(r"/(usage)", _Duty, {"duties": self})]
+        self._server, self.address = serve(
+            Application(routes, log_function=_log_nothing)
+        )
+
+    def accept(self, duty, holder, fence, document):
+        """Return the status for a call."""
+        if fence < self._fences.get(duty, 0):
+            self.refused += 1
+            return 409
+        status = self.failures.pop(0) if self.failures else 200
+        if status in (200, 500):
+            self._fences[duty] = fence
+            self.calls.append((holder, fence, document))
+        return status
+
+    def stop(self):
+        """Stop serving."""
+        self._server.stop()
+
+
+class _Duty(RequestHandler):
+    def initialize(self, duties):
+        self._duties = duties
+
+    def post(self, duty):
+        headers = self.request.headers
+        self.set_status(
+            self._duties.accept(
+                duty,
+                headers[wire.HOLDER],
+                int(headers[wire.FENCE]),
+                json.loads(self.request.body),
+            )
+        )
+
+
 class Run:
     """A request that a replica has started; ``ended`` is None until it has ended."""
 
--- a/sassafrasdoor/platform/tests/cases.py
+++ b/sassafrasdoor/platform/tests/cases.py
@@ -58,6 +58,8 @@
 class ProcessCase(unittest.IsolatedAsyncioTestCase):
     """Three instances, two engines, two plain replicas and a store."""
 
+    # Further lines of the instances' settings files.
+    more_settings = ""
     # Sent with the calls on steps, for example a key.
     caller_headers = {}
 
@@ -81,7 +83,7 @@
         self.addAsyncCleanup(self.proxy.close)
         stores = [self.proxy.address, self.store.address, self.store.address]
         for name, store in zip("abc", stores, strict=True):
-            instance = LocalInstance(folder.name, name, store)
+            instance = LocalInstance(folder.name, name, store, more=self.more_settings)
             self.addCleanup(instance.close)
             self.instances.append(instance)
         await self.wait_until_ready()
--- /dev/null
+++ b/sassafrasdoor/platform/tests/test_usage_processes.py
@@ -0,0 +1,87 @@
+"""The usage report with real processes."""
+
+import asyncio
+from collections import Counter
+
+from sassafrasdoor.platform import wire
+from sassafrasdoor.platform.standin import DutiesStandin
+from sassafrasdoor.platform.tests.cases import ROUTES, SERVICES, ProcessCase
+
+WINDOW, DUE = 1.0, 3.0  # seconds
+CALLS = 30
+
+
+class UsageTest(ProcessCase):
+    async def asyncSetUp(self):
+        self.duties = DutiesStandin()
+        self.addCleanup(self.duties.stop)
+        self.more_settings = (
+            f"Cloud.Address={self.duties.address}\nCloud.Duties=usage,scale\n"
+            f"Bounds.ReportWindowS={WINDOW}\nBounds.UsageLateS={DUE}\n"
+        )
+        await super().asyncSetUp()
+
+    async def configure(self, version, routes=ROUTES):
+        tenants = [{"Name": name, "ApiKeys": [f"key-{name}"]} for name in "ab"]
+        document = {"Version": version, "Routes": routes, "Services": SERVICES}
+        await self.store.configure({**document, "Tenants": tenants})
+
+    async def call(self, number):
+        headers = {
+            wire.REQUEST_ID: f"r{number}",
+            wire.AUTHORIZATION: f"Bearer key-{'ab'[number % 3 == 0]}",
+        }
+        front = self.instances[number % len(self.instances)].front
+        return (await self.fetch(front, "/plain/x", "POST", "b", **headers)).code
+
+    def reported(self):
+        """Return the requests reported by account; checks that repeats are exact."""
+        windows = {}
+        for _, _, document in self.duties.calls:
+            counts = windows.setdefault(document["Window"], document["Counts"])
+            self.assertEqual(counts, document["Counts"])
+        return sum(map(Counter, windows.values()), Counter())
+
+    async def make_calls(self, first=0):
+        truth = Counter()
+        for number in range(first, first + CALLS):
+            self.assertEqual(await self.call(number), 200)
+            truth["ab"[number % 3 == 0]] += 1
+            await asyncio.sleep(0.05)
+        return truth
+
+    async def test_each_request_is_reported_once(self):
+        truth = await self.make_calls()
+        await self.wait_until(lambda: self.reported() == truth)
+        await asyncio.sleep(2 * WINDOW)
+        self.assertEqual(self.reported(), truth)
+        self.assertEqual(len({holder for holder, _, _ in self.duties.calls}), 1)
+
+    async def test_holder_is_killed_while_answers_are_lost(self):
+        """Guards against two reports of one window with different counts."""
+        await self.wait_until(lambda: self.duties.calls)
+        truth = await self.make_calls()
+        self.duties.failures = [500, 429, 503, 500]
+        holder = self.duties.calls[-1][0]
+        await asyncio.sleep(1.2)  # until all instances have written their increments
+        next(one for one in self.instances if one.name == holder).kill()
+        await self.wait_until(lambda: self.reported() == truth)
+        fences = [fence for _, fence, _ in self.duties.calls]
+        self.assertEqual(fences, sorted(fences))
+        self.assertGreater(len({name for name, _, _ in self.duties.calls}), 1)
+
+    async def test_counts_survive_an_outage_of_the_log(self):
+        """Guards against requests that are counted while nothing can be written."""
+        self.store.answering.clear()
+        truth = await self.make_calls()
+        self.store.answering.set()
+        await self.wait_until(lambda: self.reported() == truth)
+
+    async def test_planned_stop_writes_what_was_counted(self):
+        truth = Counter()
+        for number in (1, 4, 7):
+            self.assertEqual(await self.call(number), 200)
+            truth["a"] += 1
+        self.instances[1].signal(15)
+        await self.wait_until(lambda: not self.instances[1].running)
+        await self.wait_until(lambda: self.reported() == truth)
--- a/sassafrasdoor/requests/attempts.py
+++ b/sassafrasdoor/requests/attempts.py
@@ -4,7 +4,7 @@
 
 from sassafrasdoor.backends.interface import Answer, Broken
 from sassafrasdoor.backends.replicas import DirectCall, WrongReplica
-from sassafrasdoor.clock import passed, remaining
+from sassafrasdoor.clock import now, passed, remaining
 from sassafrasdoor.decisions import note, note_routine
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import NotRun, Outcome, Unknown
@@ -85,15 +85,25 @@
     return grant if isinstance(grant, Outcome) else None
 
 
+def record_usage(usage, attempts):
+    """Count a request for its client account if a replica has begun to run it."""
+    if usage is not None and attempts.began_at is not None:
+        usage.record(attempts.request.grant.account, attempts.began_at)
+
+
 class Attempts:
     """The sends of one request; ``running`` maps tasks to their replicas.
 
     ``failures`` counts answers with status 500, which report a failure of the replica.
     ``at_most_once`` forbids another send while one is running or may have run.
+    ``began_at`` is the monotonic time of the first send that a replica has begun to run,
+    as far as is known, None before.
     """
 
     __slots__ = (
+        "_sent_at",
         "at_most_once",
+        "began_at",
         "failures",
         "may_have_run",
         "refusals",
@@ -111,6 +121,8 @@
         self.refusals = 0
         self.failures = 0
         self.at_most_once = False
+        self.began_at = None
+        self._sent_at = {}
         self.tried = set()
         self.running = {}
         self.may_have_run = False
@@ -134,6 +146,7 @@
     def begin_send(self, replica, why):
         """Count a send to ``replica``; return the ``DirectCall``."""
         self.tried.add(replica.identity)
+        self._sent_at[replica.identity] = now()
         self.sent += 1
         TRIES.inc({"why": why})
         request = self.request
@@ -150,10 +163,17 @@
             account=request.grant.account,
         )
 
+    def record_begin(self, replica):
+        """Record that a replica has begun to run the request that was sent to it."""
+        sent_at = self._sent_at[replica.identity]
+        if self.began_at is None or sent_at < self.began_at:
+            self.began_at = sent_at
+
     def record_outcome(self, replica, result):
         """Update the replica and the counts with the result of a send; return it."""
         if isinstance(result, Answer):
             self.may_have_run = True
+            self.record_begin(replica)
             if result.status < SERVER_ERROR:
                 replica.state.answered()
                 return result
@@ -170,6 +190,7 @@
             replica.state.failed(SUSPECT_DURATION)
             if result.began:
                 self.may_have_run = True
+                self.record_begin(replica)
             else:
                 self._count_refusal()
         note(
--- a/sassafrasdoor/requests/direct.py
+++ b/sassafrasdoor/requests/direct.py
@@ -4,7 +4,7 @@
 
 from sassafrasdoor.backends.interface import Answer
 from sassafrasdoor.metrics import counter
-from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts, denial
+from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts, denial, record_usage
 from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.table.routes import Repeat
 
@@ -18,10 +18,11 @@
 class DirectService:
     """Sends requests of callers to replicas and returns the answers."""
 
-    __slots__ = ("_access", "_client", "_crash_watch", "_replicas")
+    __slots__ = ("_access", "_client", "_crash_watch", "_replicas", "_usage")
 
-    def __init__(self, client, replicas, crash_watch=None, access=None):
+    def __init__(self, client, replicas, crash_watch=None, access=None, usage=None):
         self._access = access
+        self._usage = usage
         self._client = client
         self._replicas = replicas
         self._crash_watch = crash_watch or CrashWatch(client, replicas)
@@ -38,8 +39,10 @@
         except TimeoutError:
             result = attempts.timeout_outcome()
         finally:
-            for task in attempts.running:
+            for task, replica in attempts.running.items():
                 task.cancel()
+                attempts.record_begin(replica)
+            record_usage(self._usage, attempts)
         OUTCOMES.inc({"outcome": type(result).__name__})
         if isinstance(result, Answer):
             attempts.log_answer(result.status)
--- a/sassafrasdoor/requests/streaming.py
+++ b/sassafrasdoor/requests/streaming.py
@@ -12,7 +12,7 @@
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Unknown
 from sassafrasdoor.requests.access import Unauthorized
-from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts, denial
+from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts, denial, record_usage
 from sassafrasdoor.requests.crash_watch import CrashWatch, Quarantined
 from sassafrasdoor.table.routes import Repeat
 
@@ -83,10 +83,11 @@
 class StreamService:
     """Relays streams from replicas to callers."""
 
-    __slots__ = ("_access", "_client", "_crash_watch", "_replicas")
+    __slots__ = ("_access", "_client", "_crash_watch", "_replicas", "_usage")
 
-    def __init__(self, client, replicas, crash_watch=None, access=None):
+    def __init__(self, client, replicas, crash_watch=None, access=None, usage=None):
         self._access = access
+        self._usage = usage
         self._client = client
         self._replicas = replicas
         self._crash_watch = crash_watch or CrashWatch(client, replicas)
@@ -104,6 +105,10 @@
                 result = await self._run(attempts, relay)
         except TimeoutError:
             result = attempts.timeout_outcome()
+        finally:
+            for replica in attempts.running.values():
+                attempts.record_begin(replica)
+            record_usage(self._usage, attempts)
         outcome = "whole" if result is True else type(result).__name__
         STREAMS.inc({"outcome": outcome})
         return result
@@ -124,6 +129,7 @@
             # Not earlier: a send that is running at the deadline may have run.
             attempts.running.clear()
             if result is True:
+                attempts.record_begin(replica)
                 self._crash_watch.record_result(attempts.request, replica, result)
                 replica.state.answered()
                 attempts.log_answer(200)
