Replicas that are lost for good are ordered again

Cause: nothing ordered replicas, so what was lost or reclaimed stayed lost. Change: the holder of the lease fixes with how many replicas by zone and kind a service began, and orders that number again once some have been missing for 6 s, repeated each 5 s until they are listed. Not while the list of replicas is not read, and never beyond what the operator began with. Whose turn it is to call is decided in one place for both duties. Tests: replays of lost zones, crashes that pass, rolling replacement, a list that was away; one with real processes.

--- a/sassafrasdoor/duties/reporter.py
+++ b/sassafrasdoor/duties/reporter.py
@@ -4,7 +4,7 @@
 import time
 from abc import ABC, abstractmethod
 
-from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.clock import deadline_in, now
 from sassafrasdoor.decisions import note
 from sassafrasdoor.duties.usage import (
     UsageCounter,
@@ -45,43 +45,41 @@
     async def report_usage(self, holder, fence, window, counts, deadline):
         """Return True if accepted, ``Fenced`` or ``Unavailable``."""
 
+    @abstractmethod
+    async def order_replicas(self, holder, fence, service, place, count, deadline):
+        """Return True if accepted, else ``Unavailable``.
+
+        ``place`` is an availability zone and whether the replicas are interruptible.
+        """
+
 
 class UsageReporter:
     """Counts requests on every instance; reports all counts on one.
 
-    ``holder`` has ``fence``, the fencing number while this process holds the lease, and
-    ``identity``. ``handover()`` returns the seconds that a new holder waits before its
-    first call. ``settings`` has ``usage_window`` and ``usage_due`` in seconds.
+    ``turn`` is the ``Turn`` of the duty. ``settings`` has ``usage_window`` and ``usage_due`` in seconds.
     ``process`` names this process, which is new after each start.
     """
 
     __slots__ = (
         "_client",
         "_counter",
-        "_fence",
         "_first_window",
-        "_handover",
-        "_handover_deadline",
-        "_holder",
         "_ledger",
         "_log",
         "_number",
         "_process",
         "_settings",
-        "_stale_fence",
+        "_turn",
         "tail",
     )
 
-    def __init__(self, log, client, holder, settings, handover, process):
+    def __init__(self, log, client, turn, settings, process):
         self._log = log
         self._client = client
-        self._holder = holder
+        self._turn = turn
         self._settings = settings
-        self._handover = handover
         self._process = process
         self._number = 0
-        self._fence = self._stale_fence = 0
-        self._handover_deadline = now()
         self._counter = UsageCounter(settings.usage_window)
         self._ledger = UsageLedger(settings.usage_window)
         self._first_window = self._current_window
@@ -139,19 +137,11 @@
             await asyncio.sleep(CHECK_INTERVAL)
 
     def _may_act(self):
-        fence = self._holder.fence
-        if not fence:
+        if not self._turn.is_held:
             self.tail.wanted.clear()
             return False
         self.tail.wanted.set()
-        if fence != self._fence:
-            self._fence = fence
-            self._handover_deadline = deadline_in(self._handover())
-        return (
-            fence > self._stale_fence
-            and passed(self._handover_deadline)
-            and self.tail.has_caught_up
-        )
+        return bool(self._turn.fence) and self.tail.has_caught_up
 
     async def _report_due_windows(self):
         current = self._current_window
@@ -188,12 +178,12 @@
         await self.tail.confirm(deadline_in(CONFIRM_TIMEOUT))
 
     async def _send(self, window, counts):
-        fence = self._holder.fence
-        if not fence or fence != self._fence:
+        fence = self._turn.fence
+        if not fence:
             return
         deadline = deadline_in(CALL_TIMEOUT)
         result = await self._client.report_usage(
-            self._holder.identity, fence, window, counts, deadline
+            self._turn.identity, fence, window, counts, deadline
         )
         label = "accepted" if result is True else type(result).__name__
         REPORTS.inc({"result": label})
@@ -207,7 +197,7 @@
             reason="" if result is True else result.reason,
         )
         if isinstance(result, Fenced):
-            self._stale_fence = fence
+            self._turn.record_refusal(fence)
         elif result is True:
             deadline = deadline_in(APPEND_TIMEOUT)
             await self._log.append(TOPIC, 0, [sent_record(window)], deadline)
--- /dev/null
+++ b/sassafrasdoor/duties/scaler.py
@@ -0,0 +1,127 @@
+"""Orders replicas again that were lost, while this process holds the lease."""
+
+import asyncio
+from collections import Counter
+
+from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.decisions import note
+from sassafrasdoor.duties.scaling import ScalingLedger, ScalingPolicy, base_record
+from sassafrasdoor.log.tail import Tail
+from sassafrasdoor.metrics import counter
+from sassafrasdoor.outcomes import Outcome
+
+TOPIC = "scale"
+CHECK_INTERVAL = 1.0  # seconds
+READ_INTERVAL = 2.0  # seconds between reads of a topic of a few records
+APPEND_TIMEOUT = 1.0  # seconds; a slow log answers within 0.25 s
+CALL_TIMEOUT = 1.5  # seconds for the platform to answer an order
+# Seconds after the list of replicas answers again in which lapsed entries return.
+LIST_RETURN_TIME = 5.0
+
+ORDERS = counter("scaling_orders_total", "Orders of replicas, by result.")
+
+
+class ReplicaScaler:
+    """Keeps the number of replicas with which the operator began.
+
+    ``turn`` is the ``Turn`` of the duty, ``client`` a ``DutyClient``.
+    """
+
+    __slots__ = (
+        "_client",
+        "_ledger",
+        "_log",
+        "_policy",
+        "_replicas",
+        "_routes",
+        "_turn",
+        "tail",
+    )
+
+    def __init__(self, log, client, turn, replicas, routes):
+        self._log = log
+        self._client = client
+        self._turn = turn
+        self._replicas = replicas
+        self._routes = routes
+        self._ledger = ScalingLedger()
+        self._policy = ScalingPolicy()
+        self.tail = Tail(log, TOPIC, 0, self._fold, self._pause, asyncio.Event())
+
+    def _pause(self):
+        return READ_INTERVAL
+
+    def _fold(self, offset, data):
+        problem = self._ledger.fold(data)
+        if problem is not None:
+            note("scaling.record_unreadable", offset=offset, reason=problem.reason)
+
+    async def run(self):
+        """Order what is missing while this process holds the lease, until cancelled."""
+        while True:
+            if self._turn.is_held:
+                self.tail.wanted.set()
+            else:
+                self.tail.wanted.clear()
+                self._policy.forget_losses()
+            if self._turn.fence and self.tail.has_caught_up:
+                await self._check_services()
+            await asyncio.sleep(CHECK_INTERVAL)
+
+    @property
+    def _is_list_reliable(self):
+        tail = self._replicas.list_tail
+        if tail.confirmed_at is None or tail.failing_since is not None:
+            return False
+        return tail.restored_at is None or passed(tail.restored_at + LIST_RETURN_TIME)
+
+    async def _check_services(self):
+        configuration = self._routes.current
+        if configuration is None or not self._is_list_reliable:
+            self._policy.forget_losses()
+            return
+        for service, scaling in configuration.scaling.items():
+            listings = [one.listing for one in self._replicas.of_service(service)]
+            counts = Counter((one.zone, one.interruptible) for one in listings)
+            self._policy.observe(service, counts, now())
+            base = self._ledger.base.get(service)
+            if base is not None:
+                for place, count in self._policy.due_orders(
+                    service, base, scaling, now()
+                ):
+                    await self._order(service, place, count, counts[place])
+            elif counts and self._policy.has_settled(service, now()):
+                await self._fix_base(service, counts)
+
+    async def _fix_base(self, service, counts):
+        record = base_record(service, counts)
+        deadline = deadline_in(APPEND_TIMEOUT)
+        result = await self._log.append(TOPIC, 0, [record], deadline)
+        if isinstance(result, Outcome):
+            note("scaling.base_not_kept", service=service, reason=result.reason)
+
+    async def _order(self, service, place, count, present):
+        fence = self._turn.fence
+        if not fence:
+            return
+        result = await self._client.order_replicas(
+            self._turn.identity,
+            fence,
+            service,
+            place,
+            count,
+            deadline_in(CALL_TIMEOUT),
+        )
+        label = "accepted" if result is True else type(result).__name__
+        ORDERS.inc({"result": label})
+        note(
+            "scaling.ordered",
+            service=service,
+            zone=place[0],
+            interruptible=place[1],
+            wanted=count,
+            present=present,
+            fence=fence,
+            result=label,
+            reason="" if result is True else result.reason,
+        )
--- /dev/null
+++ b/sassafrasdoor/duties/tests/test_scaling.py
@@ -0,0 +1,98 @@
+"""Which lost replicas are ordered again, replayed in virtual time."""
+
+import unittest
+
+from sassafrasdoor.duties.scaling import (
+    LASTING_LOSS,
+    ORDER_INTERVAL,
+    ScalingLedger,
+    ScalingPolicy,
+    Unreadable,
+    base_record,
+)
+from sassafrasdoor.table.routes import Scaling
+
+SERVICE = "engines"
+A, B, CHEAP = ("a", False), ("b", False), ("a", True)
+BASE = {A: 8, B: 7}
+
+
+class ScalingTest(unittest.TestCase):
+    def setUp(self):
+        self.policy = ScalingPolicy()
+        self.scaling = Scaling(1, 15)
+
+    def replay(self, seconds, *changes, base=BASE, step=1.0):
+        """Return the orders; ``changes`` are ``(time, counts)`` in order."""
+        orders, at, counts = [], 0.0, dict(base)
+        pending = list(changes)
+        while at <= seconds:
+            while pending and pending[0][0] <= at:
+                counts = pending.pop(0)[1]
+            self.policy.observe(SERVICE, counts, at)
+            due = self.policy.due_orders(SERVICE, base, self.scaling, at)
+            orders += [(at, *order) for order in due]
+            at += step
+        return orders
+
+    def test_zone_that_is_lost_for_good_is_ordered_again(self):
+        """Guards against a day that is served by what a loss has left."""
+        orders = self.replay(9.0, (1.0, {A: 8}))
+        self.assertEqual(orders, [(1.0 + LASTING_LOSS, B, 7)])
+
+    def test_order_is_repeated_until_the_replicas_are_there(self):
+        """Guards against orders that were answered and lost."""
+        orders = self.replay(14.0, (1.0, {A: 8, B: 5}), (13.0, BASE))
+        times = [at for at, _, _ in orders]
+        first = 1.0 + LASTING_LOSS
+        self.assertEqual(times, [first, first + ORDER_INTERVAL])
+
+    def test_crashed_replicas_that_return_are_not_ordered(self):
+        orders = self.replay(
+            20.0, (2.0, {A: 5, B: 7}), (7.0, BASE), (9.0, {A: 8}), (14.0, BASE)
+        )
+        self.assertEqual(orders, [])
+
+    def test_replacement_one_after_the_other_is_no_loss(self):
+        changes = []
+        for at in range(12):
+            changes.append((float(at), {A: 8 + at % 2, B: 7}))
+        self.assertEqual(self.replay(20.0, *changes), [])
+
+    def test_most_replicas_are_respected(self):
+        self.scaling = Scaling(1, 6)
+        self.assertEqual(self.replay(20.0, (1.0, {A: 6, B: 6})), [])
+
+    def test_list_that_was_away_shows_no_loss(self):
+        """Guards against replicas ordered since their entries lapsed in an outage."""
+        self.replay(4.0, (1.0, {}))
+        self.policy.forget_losses()
+        self.assertEqual(self.replay(LASTING_LOSS - 1, (0.0, {A: 8})), [])
+
+    def test_interruptible_replicas_are_counted_apart(self):
+        orders = self.replay(8.0, (0.0, {A: 9}), base={A: 8, CHEAP: 2})
+        self.assertEqual([order[1:] for order in orders], [(CHEAP, 2)])
+
+    def test_numbers_settle_before_they_count_as_the_first(self):
+        for at, count in ((0.0, 3), (1.0, 5), (2.0, 8), (3.0, 8)):
+            self.policy.observe(SERVICE, {A: count}, at)
+            self.assertFalse(self.policy.has_settled(SERVICE, at))
+        self.policy.observe(SERVICE, {A: 8}, 4.0)
+        self.assertTrue(self.policy.has_settled(SERVICE, 4.0))
+
+    def test_first_numbers_of_a_service_stay(self):
+        """Guards against a new holder that takes a loss for what there always was."""
+        ledger = ScalingLedger()
+        ledger.fold(base_record(SERVICE, BASE))
+        ledger.fold(base_record(SERVICE, {A: 2}))
+        self.assertEqual(ledger.base, {SERVICE: BASE})
+
+    def test_foreign_records_change_nothing(self):
+        ledger = ScalingLedger()
+        for data in (b"", b"[]", b"{}", b'["s",[["a",1]]]', b"[[],[]]", b"[1,2]"):
+            self.assertIsInstance(ledger.fold(data), Unreadable, data)
+        self.assertEqual(ledger.base, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sassafrasdoor/platform/configuration.py
+++ b/sassafrasdoor/platform/configuration.py
@@ -8,7 +8,7 @@
 from sassafrasdoor.routing.replicas import Listing
 from sassafrasdoor.security import key_hash
 from sassafrasdoor.table.accounts import Account, Accounts
-from sassafrasdoor.table.routes import Configuration, Limits, Repeat, Route
+from sassafrasdoor.table.routes import Configuration, Limits, Repeat, Route, Scaling
 
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
@@ -59,9 +59,21 @@
             limits.get("IdleTimeoutMs", 15000) / 1000,
         ),
         _parse_accounts(document.get("Tenants")),
+        _parse_scaling(document["Services"]),
     )
 
 
+def _parse_scaling(services):
+    """Return the ``Scaling`` by service of those whose replicas may be ordered."""
+    return {
+        service["Name"]: Scaling(
+            int(service["Scaling"].get("Min", 0)), int(service["Scaling"]["Max"])
+        )
+        for service in services
+        if service.get("Scaling")
+    }
+
+
 def _parse_accounts(rows):
     """Return the ``Accounts`` of a configuration, or None if it has none."""
     if rows is None:
@@ -133,6 +145,7 @@
             for model in _typed_field(document, "Models", list, [])
         },
         _typed_field(document, "born", int, 0),
+        bool(document.get("Spot")),
     )
 
 
--- a/sassafrasdoor/platform/duties.py
+++ b/sassafrasdoor/platform/duties.py
@@ -8,7 +8,7 @@
 from sassafrasdoor.outcomes import Unavailable
 from sassafrasdoor.platform import wire
 
-USAGE = "usage"
+USAGE, SCALE = "usage", "scale"
 ACCEPTED, FENCED = 200, 409
 
 
@@ -30,6 +30,20 @@
         document = {"Window": window, "Counts": counts}
         return await self._call("/usage", holder, fence, document, deadline)
 
+    async def order_replicas(self, holder, fence, service, place, count, deadline):
+        """Return True if accepted, else ``Unavailable``.
+
+        The platform refuses alike if none are to be had and if the number is too low.
+        """
+        zone, interruptible = place
+        document = {"Service": service, "Zone": zone, "Desired": count}
+        if interruptible:
+            document["Spot"] = True
+        result = await self._call("/scale", holder, fence, document, deadline)
+        if isinstance(result, Fenced):
+            return Unavailable("none are to be had, or the fencing number is too low")
+        return result
+
     async def _call(self, path, holder, fence, document, deadline):
         headers = {
             "Host": self._address,
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -10,6 +10,8 @@
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.duties.reporter import UsageReporter
+from sassafrasdoor.duties.scaler import ReplicaScaler
+from sassafrasdoor.duties.turn import Turn
 from sassafrasdoor.log.demand import CallCounter
 from sassafrasdoor.log.relay import RelayedLog
 from sassafrasdoor.log.sharing import (
@@ -26,7 +28,7 @@
     handlers,
     settings as platform_settings,
 )
-from sassafrasdoor.platform.duties import USAGE, WireDuties
+from sassafrasdoor.platform.duties import SCALE, USAGE, WireDuties
 from sassafrasdoor.platform.peers import Peers
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
@@ -232,18 +234,26 @@
 
     def _build_duties(self, member):
         """Build the duties that the platform's settings name."""
-        self._duties = self._usage = None
-        if not (self._settings.duties_address and USAGE in self._settings.duties):
+        settings = self._settings
+        self._duties = self._usage = self._scaler = None
+        if not settings.duties_address:
             return
-        self._duties = WireDuties(self._settings.duties_address)
-        self._usage = UsageReporter(
-            self._log,
-            self._duties,
-            self._lease,
-            self._settings,
-            handover=lambda: self._handover_delay,
-            process=member,
-        )
+        self._duties = WireDuties(settings.duties_address)
+        if USAGE in settings.duties:
+            self._usage = UsageReporter(
+                self._log, self._duties, self._make_turn(), settings, member
+            )
+        if SCALE in settings.duties:
+            self._scaler = ReplicaScaler(
+                self._log,
+                self._duties,
+                self._make_turn(),
+                self._replicas,
+                self._routes,
+            )
+
+    def _make_turn(self):
+        return Turn(self._lease, lambda: self._handover_delay)
 
     @property
     def _handover_delay(self):
@@ -314,9 +324,13 @@
         ]
 
     def _duty_jobs(self):
-        if self._usage is None:
-            return []
-        return [self._usage.run(), self._usage.flush(), self._usage.tail.run()]
+        jobs = []
+        for duty in (self._usage, self._scaler):
+            if duty is not None:
+                jobs += [duty.run(), duty.tail.run()]
+        if self._usage is not None:
+            jobs.append(self._usage.flush())
+        return jobs
 
     def _listen(self):
         callers = (
--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -140,16 +140,18 @@
 class DutiesStandin:
     """The platform's address for duties; checks fencing numbers by duty.
 
-    ``calls`` has ``(holder, fence, document)`` of each accepted call. ``failures`` are
+    ``calls`` has ``(holder, fence, document)`` of each accepted report, ``orders`` that
+    of each accepted order of replicas. ``failures`` are
     statuses of the next answers; a call that is answered 500 has taken effect.
     """
 
     def __init__(self):
         self.calls = []
+        self.orders = []
         self.failures = []
         self.refused = 0
         self._fences = {}
-        routes = [(r"/(usage)", _Duty, {"duties": self})]
+        routes = [(r"/(usage|scale)", _Duty, {"duties": self})]
         self._server, self.address = serve(
             Application(routes, log_function=_log_nothing)
         )
@@ -162,7 +164,8 @@
         status = self.failures.pop(0) if self.failures else 200
         if status in (200, 500):
             self._fences[duty] = fence
-            self.calls.append((holder, fence, document))
+            accepted = self.calls if duty == "usage" else self.orders
+            accepted.append((holder, fence, document))
         return status
 
     def stop(self):
--- a/sassafrasdoor/platform/tests/test_usage_processes.py
+++ b/sassafrasdoor/platform/tests/test_duties_processes.py
@@ -1,17 +1,17 @@
-"""The usage report with real processes."""
+"""The duties with real processes: the usage report and orders of replicas."""
 
 import asyncio
 from collections import Counter
 
-from sassafrasdoor.platform import wire
+from sassafrasdoor.platform import configuration, wire
 from sassafrasdoor.platform.standin import DutiesStandin
-from sassafrasdoor.platform.tests.cases import ROUTES, SERVICES, ProcessCase
+from sassafrasdoor.platform.tests.cases import ENGINES, ROUTES, SERVICES, ProcessCase
 
 WINDOW, DUE = 1.0, 3.0  # seconds
 CALLS = 30
 
 
-class UsageTest(ProcessCase):
+class DutiesTest(ProcessCase):
     async def asyncSetUp(self):
         self.duties = DutiesStandin()
         self.addCleanup(self.duties.stop)
@@ -23,7 +23,9 @@
 
     async def configure(self, version, routes=ROUTES):
         tenants = [{"Name": name, "ApiKeys": [f"key-{name}"]} for name in "ab"]
-        document = {"Version": version, "Routes": routes, "Services": SERVICES}
+        engines = {**SERVICES[1], "Scaling": {"Min": 1, "Max": 15, "BootS": 4.0}}
+        services = [SERVICES[0], engines]
+        document = {"Version": version, "Routes": routes, "Services": services}
         await self.store.configure({**document, "Tenants": tenants})
 
     async def call(self, number):
@@ -85,3 +87,13 @@
         self.instances[1].signal(15)
         await self.wait_until(lambda: not self.instances[1].running)
         await self.wait_until(lambda: self.reported() == truth)
+
+    async def test_lost_replica_is_ordered_again(self):
+        """Guards against a service that stays as small as losses have made it."""
+        await self.wait_until(lambda: self.store.log.partition("scale", 0).records)
+        await self.store.put(configuration.SERVERS_TOPIC, "e1", None)
+        await self.wait_until(lambda: self.duties.orders)
+        _, _, document = self.duties.orders[0]
+        self.assertEqual(
+            document, {"Service": ENGINES, "Zone": "z", "Desired": len(self.engines)}
+        )
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -34,13 +34,34 @@
 
     ``born`` distinguishes its incarnations: the start in Unix milliseconds, or 0 if
     the list does not state it. It is compared with other values of ``born`` only, never
-    with a clock.
+    with a clock. ``interruptible`` replicas are cheap and may be reclaimed, a zone at a
+    time.
     """
 
-    __slots__ = ("address", "born", "leaving", "service", "slots", "versions", "zone")
+    __slots__ = (
+        "address",
+        "born",
+        "interruptible",
+        "leaving",
+        "service",
+        "slots",
+        "versions",
+        "zone",
+    )
 
-    def __init__(self, service, address, zone, slots, leaving, versions, born=0):
+    def __init__(
+        self,
+        service,
+        address,
+        zone,
+        slots,
+        leaving,
+        versions,
+        born=0,
+        interruptible=False,
+    ):
         self.born = born
+        self.interruptible = interruptible
         self.service = service
         self.address = address
         self.zone = zone
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -86,10 +86,21 @@
         self.idle_timeout = idle_timeout
 
 
+class Scaling:
+    """Bounds for the replicas of a service in one availability zone."""
+
+    __slots__ = ("least", "most")
+
+    def __init__(self, least, most):
+        self.least = least
+        self.most = most
+
+
 class Configuration:
     """One version of the operator's configuration.
 
-    ``accounts`` are the client accounts, None if requests need no key.
+    ``accounts`` are the client accounts, None if requests need no key. ``scaling`` maps
+    services whose replicas may be ordered to their ``Scaling``.
     """
 
     __slots__ = (
@@ -97,12 +108,16 @@
         "accounts",
         "limits",
         "routes",
+        "scaling",
         "service_models",
         "version",
     )
 
-    def __init__(self, version, routes, service_models, limits, accounts=None):
+    def __init__(
+        self, version, routes, service_models, limits, accounts=None, scaling=()
+    ):
         self.accounts = accounts
+        self.scaling = dict(scaling)
         self.version = version
         self.routes = routes
         self.service_models = service_models
