Items wait by the priority of their client account

Cause: an account's priority goes before its route's, and nothing read either: items of all steps waited in the order in which their steps came. Change: the queue of a runner is kept by priority, the account's or else the route's; within one rank as before, items that have begun first.

--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -14,8 +14,8 @@
     ``disconnected_at`` is when an attempt last ended in a broken connection or a
     timeout, None if none did. ``avoid`` is the identity of the slow replica that it
     migrates from, until its next attempt. ``appended`` counts its events in the log,
-    under the run id ``run``; the next ones are logged at ``progress_due_at``. Once
-    ``scoring``, ``task`` is the reward call, not sent before ``next_reward_call_at``;
+    under the run id ``run``; the next ones are logged at ``progress_due_at``.
+    ``priority`` is its rank in the queue, 0 the first. Once ``scoring``, ``task`` is the reward call, not sent before ``next_reward_call_at``;
     ``text_logged_at`` is when the text was found in the log, ``unanswered_calls`` the
     number of reward calls without an answer.
     """
@@ -32,6 +32,7 @@
         "last_event_at",
         "migrations",
         "numbers",
+        "priority",
         "replica",
         "reward_failures",
         "next_reward_call_at",
@@ -48,7 +49,8 @@
         "abort_reason",
     )
 
-    def __init__(self, step, item):
+    def __init__(self, step, item, priority=0):
+        self.priority = priority
         self.step = step
         self.item = item
         self.task = None
--- a/sassafrasdoor/steps/durable/order.py
+++ b/sassafrasdoor/steps/durable/order.py
@@ -2,9 +2,12 @@
 
 A trainer proceeds once ``wanted`` groups are complete, and a group is complete with its
 last sample. Long samples are dispatched first; the groups that the trainer does not
-wait for, the longest ones, are dispatched last.
+wait for, the longest ones, are dispatched last. Items of client accounts with another
+priority wait in one queue for the same replicas: the more urgent go first.
 """
 
+from bisect import bisect_left, bisect_right
+
 
 def ordered(spec):
     """Return the items of a step in the order in which they are dispatched.
@@ -20,6 +23,31 @@
     return sorted(spec.items, key=lambda item: (item.group in deferred, -item.expected))
 
 
+def priority(configuration, spec):
+    """Return the rank of a step's items: its account's, else its route's; 0 is first."""
+    account = None
+    if configuration.accounts is not None:
+        account = configuration.accounts.by_name.get(spec.account)
+    if account is not None and account.priority is not None:
+        return account.priority
+    route = configuration.match(spec.host, spec.path)
+    return 0 if route is None else route.priority
+
+
+def enqueue(queue, job):
+    """Add a new job behind those of its priority."""
+    queue.insert(bisect_right(queue, job.priority, key=_priority_of), job)
+
+
+def requeue(queue, job):
+    """Add a job that has begun before those of its priority."""
+    queue.insert(bisect_left(queue, job.priority, key=_priority_of), job)
+
+
+def _priority_of(job):
+    return job.priority
+
+
 def _longest(names, groups, count):
     """Return the names of the ``count`` groups whose longest sample is longest."""
     longest = {name: max(item.expected for item in groups[name]) for name in names}
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -19,7 +19,7 @@
 from sassafrasdoor.routing import placement
 from sassafrasdoor.routing.replicas import SUSPECT_DURATION
 from sassafrasdoor.steps.durable.jobs import Job
-from sassafrasdoor.steps.durable.order import ordered
+from sassafrasdoor.steps.durable.order import enqueue, ordered, priority, requeue
 from sassafrasdoor.steps.durable.records import (
     COMPLETED,
     ERRORED,
@@ -74,8 +74,9 @@
     @property
     def fingerprint(self):
         item = self._job.item
-        headers = [("Host", self._job.step.spec.host), *item.headers.items()]
-        return fingerprint(headers, "POST", item.path, item.body)
+        spec = self._job.step.spec
+        headers = [("Host", spec.host), *item.headers.items()]
+        return fingerprint(headers, "POST", item.path, item.body, spec.account)
 
 
 class Runner:
@@ -189,15 +190,17 @@
                 self._start_scoring(job)
 
     def _add_items(self, step):
+        configuration = self._routes.current
+        rank = 0 if configuration is None else priority(configuration, step.spec)
         for item in ordered(step.spec):
-            job = Job(step, item)
+            job = Job(step, item, rank)
             if not step.is_open(item.item_id) or job.key in self._jobs:
                 continue
             self._jobs[job.key] = job
             if item.item_id in step.texts:
                 self._start_scoring(job)
             else:
-                self._queue.append(job)
+                enqueue(self._queue, job)
         self._wake.set()
 
     def _start_scoring(self, job):
@@ -470,7 +473,7 @@
             events=len(job.texts),
             reason=reason,
         )
-        self._queue.insert(0, job)
+        requeue(self._queue, job)
         self._wake.set()
 
     def _append_sample(self, job, state, reason):
--- a/sassafrasdoor/steps/durable/tests/test_order.py
+++ b/sassafrasdoor/steps/durable/tests/test_order.py
@@ -2,8 +2,14 @@
 
 import unittest
 
-from sassafrasdoor.steps.durable.order import ordered
+from sassafrasdoor.security import key_hash
+from sassafrasdoor.steps.durable.jobs import Job
+from sassafrasdoor.steps.durable.order import enqueue, ordered, priority, requeue
 from sassafrasdoor.steps.durable.records import Item, StepSpec
+from sassafrasdoor.steps.durable.state import Step
+from sassafrasdoor.steps.durable.tests.fixtures import HOST, PREFIX, route
+from sassafrasdoor.table.accounts import Account, Accounts
+from sassafrasdoor.table.routes import Configuration, Limits
 
 
 def spec(lengths, wanted):
@@ -36,3 +42,39 @@
 
     def test_order_is_unchanged_without_hints(self):
         self.assertEqual(order({"a": [0, 0], "b": [0]}, 0), ["a0", "a1", "b0"])
+
+
+class PriorityTest(unittest.TestCase):
+    """Accounts with another priority than their route, one of which sends half of all."""
+
+    def configuration(self, **priorities):
+        accounts = Accounts(
+            [Account(name, [key_hash(name)], rank) for name, rank in priorities.items()]
+        )
+        limits = Limits(1, 1, 1.0)
+        return Configuration(1, [route(priority=3)], {}, limits, accounts)
+
+    def spec(self, account):
+        items = [Item("i", PREFIX, {}, b"", 0, 0, "g", "m")]
+        return StepSpec("s", HOST, PREFIX, 1, "m", 0, 1, items, account)
+
+    def test_priority_of_the_account_goes_before_that_of_the_route(self):
+        configuration = self.configuration(urgent=0, plain=None)
+        for account, rank in (("urgent", 0), ("plain", 3), ("unknown", 3), ("", 3)):
+            with self.subTest(account):
+                self.assertEqual(priority(configuration, self.spec(account)), rank)
+
+    def test_urgent_items_do_not_wait_behind_an_account_that_sends_half_of_all(self):
+        """Guards against first come, first served among accounts of other ranks."""
+        queue = []
+        for number in range(8):
+            rank = 2 if number % 2 else number % 4
+            job = Job(Step(self.spec(""), 0), self.spec("").items[0], rank)
+            job.run = f"{rank}-{number}"
+            enqueue(queue, job)
+        self.assertEqual([job.priority for job in queue], [0, 0, 2, 2, 2, 2, 2, 2])
+        again = queue.pop(4)
+        requeue(queue, again)
+        self.assertIs(queue[2], again)
+        runs = [job.run for job in queue if job is not again]
+        self.assertEqual(runs, sorted(runs))
