Shards are read again as soon as the log has returned

Its lists are regained at 25.1 s, its shards at 28.9 s: the backoff of backlog reads had grown to its five seconds and was waited out. Claims sent meanwhile named a predecessor that had been replaced just before the outage, so the lease lapsed, no load was ordered and no item was run for 3.7 s after the return; two usage reports and steps of that time came late. Change: once the lists are answered again after a failure, each instance makes one backlog read within 0.4 s at random; a failure of that read goes on with the backoff as it was, and it happens once in five seconds at most, so that an overload is not kept up. Test: fails on the former source; test_standstill passes.

--- a/sassafrasdoor/log/sharing.py
+++ b/sassafrasdoor/log/sharing.py
@@ -12,7 +12,7 @@
 import contextlib
 import random
 
-from sassafrasdoor.clock import LONG_AGO, deadline_in, now, remaining
+from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
 from sassafrasdoor.outcomes import Unavailable
 
 # Seconds allowed for a read of a failing log; also the longest time that backlog reads
@@ -20,6 +20,9 @@
 MAX_READ_SLACK = 2.0
 RETRY_PAUSE = 0.15  # seconds; a recovery must be detected well within 1 s
 MAX_RETRY_PAUSE = 5.0  # seconds; upper bound of the backoff of backlog reads
+# Seconds within which the instances retry their backlog reads, spread at random, once
+# the lists are answered again.
+RETURN_SPREAD = 0.4
 # Seconds in which the log can send one backlog share to every reader.
 BACKLOG_INTERVAL = 1.0
 MAX_ANSWER_BYTES = 1024 * 1024  # so that records are folded while more are read
@@ -77,6 +80,11 @@
     one of the partition, so that a single failing partition does not delay the others.
     Lists have priority: after a failed read, backlog reads wait for the lists to be
     answered, ``MAX_READ_SLACK`` at most. Lists are retried after ``retry_delay``.
+
+    Load pattern: the log is down for seconds, so the backoff has grown to its maximum when
+    it returns. Whoever runs the steps would read none of them for seconds more, and its
+    claims lapse. So once all lists are answered again each instance makes one read without
+    waiting out its backoff; a failure of that read increases the backoff further.
     """
 
     __slots__ = (
@@ -85,6 +93,7 @@
         "_lock",
         "_list_pause",
         "_backoff",
+        "_next_return_at",
         "_partition_backoffs",
         "max_bytes",
     )
@@ -97,6 +106,7 @@
         self._lists_answered = asyncio.Event()
         self._lists_answered.set()
         self._backoff = _Backoff()
+        self._next_return_at = LONG_AGO
         self._partition_backoffs = {}
 
     @property
@@ -112,9 +122,17 @@
 
     def record_list_answer(self, topic):
         """Record that the read of a list was answered."""
+        had_failed = topic in self._failing_lists
         self._failing_lists.discard(topic)
-        if not self._failing_lists:
-            self._lists_answered.set()
+        if self._failing_lists:
+            return
+        self._lists_answered.set()
+        # Lists that come and go under an overload must not keep up the backlog reads.
+        if had_failed and passed(self._next_return_at):
+            self._next_return_at = deadline_in(MAX_RETRY_PAUSE)
+            retry_at = deadline_in(random.uniform(0.0, RETURN_SPREAD))
+            for backoff in (self._backoff, *self._partition_backoffs.values()):
+                backoff.end_by(retry_at)
 
     async def read_backlog(self, part, read):
         """Schedule a backlog read; return the time at which it was sent and its result.
@@ -150,15 +168,26 @@
 class _Backoff:
     """Exponential backoff with jitter after ``failure_count`` consecutive failures."""
 
-    __slots__ = ("_deadline", "failure_count")
+    __slots__ = ("_deadline", "_shortened", "failure_count")
 
     def __init__(self):
         self._deadline = LONG_AGO
+        self._shortened = asyncio.Event()
         self.failure_count = 0
 
     async def wait(self):
         """Wait until the next read may start."""
-        await asyncio.sleep(remaining(self._deadline))
+        while not passed(self._deadline):
+            self._shortened.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(remaining(self._deadline)):
+                    await self._shortened.wait()
+
+    def end_by(self, deadline):
+        """End the current pause by a deadline, without forgetting the failures."""
+        if deadline < self._deadline:
+            self._deadline = deadline
+            self._shortened.set()
 
     def record(self, answered):
         """Record whether a read was answered."""
--- a/sassafrasdoor/log/tests/test_sharing.py
+++ b/sassafrasdoor/log/tests/test_sharing.py
@@ -147,6 +147,48 @@
         ]:
             backoff._deadline = LONG_AGO
 
+    async def fail(self, keyed_tail):
+        """Let the list and all partitions fail until the backoffs are at their maximum."""
+        self.log.silent = True
+        self.assertFalse(await keyed_tail.poll(0))
+        coordinator = self.read_coordinator
+        for backoff in (
+            coordinator._backoff,
+            *coordinator._partition_backoffs.values(),
+        ):
+            for _ in range(8):
+                backoff.record(False)
+
+    async def test_return_of_the_log_ends_the_backoff_once(self):
+        """Guards against steps that are not read for seconds after an outage.
+
+        The log was down for seven seconds, so the backoff of a runner's shards had grown
+        to seconds; its own claim, sent just before, was not seen until they had passed.
+        """
+        keyed_tail = KeyedTail(
+            self.log,
+            "keyed.t",
+            lambda key, value: None,
+            read_coordinator=self.read_coordinator,
+        )
+        await keyed_tail.poll(0)
+        await asyncio.gather(*(tail.poll(0) for tail in self.tails))
+        for tail in self.tails:
+            tail.failing_since = now()
+        await self.fail(keyed_tail)
+        polls = [asyncio.ensure_future(tail.poll(0)) for tail in self.tails]
+        await asyncio.sleep(0.05)
+        self.log.silent = False
+        await keyed_tail.poll(0)
+        async with asyncio.timeout(module.RETURN_SPREAD + 0.5):
+            self.assertEqual(await asyncio.gather(*polls), [True] * 5)
+        # A list that comes and goes again within seconds ends no backoff.
+        await self.fail(keyed_tail)
+        self.log.silent = False
+        await keyed_tail.poll(0)
+        deadline = self.read_coordinator._backoff._deadline
+        self.assertGreater(deadline, now() + module.RETURN_SPREAD)
+
     async def test_backoff_grows_while_reads_fail(self):
         """Guards against a constant rate of reads from a failing log."""
         pauses = []
