Usage is reported as soon as its increments can be there

Change: counts are fixed once the longest counted request, an interval of increments and half a second have passed, here 2.3 s, and after half of the due time at the latest. One line for an outage, pauses of 0.8 s.

--- a/sassafrasdoor/duties/reporter.py
+++ b/sassafrasdoor/duties/reporter.py
@@ -7,10 +7,12 @@
 from sassafrasdoor.clock import deadline_in, now
 from sassafrasdoor.decisions import note
 from sassafrasdoor.duties.usage import (
+    FLUSH_INTERVAL,
     UsageCounter,
     UsageLedger,
     began_record,
     fixed_record,
+    gather_time,
     may_fix,
     sent_record,
 )
@@ -19,14 +21,12 @@
 from sassafrasdoor.outcomes import Outcome
 
 TOPIC = "usage"
-# Seconds between increments: what was counted since the last one is lost with a process.
-FLUSH_INTERVAL = 1.0
 READ_INTERVAL = 0.25  # seconds; one read returns the increments of several instances
 CHECK_INTERVAL = 0.25  # seconds between checks for windows to report
 APPEND_TIMEOUT = 1.0  # seconds; a slow log answers within 0.25 s
 CONFIRM_TIMEOUT = 1.0  # seconds
 CALL_TIMEOUT = 1.5  # seconds for the platform to answer a report
-RETRY_DELAY = 0.5  # seconds
+RETRY_DELAY = 0.8  # seconds
 
 REPORTS = counter("usage_reports_total", "Calls with a usage report, by result.")
 COUNTED = counter("usage_requests_total", "Requests that began to run, by account.")
@@ -57,7 +57,8 @@
     """Counts requests on every instance; reports all counts on one.
 
     ``turn`` is the ``Turn`` of the duty. ``settings`` has ``usage_window`` and ``usage_due`` in seconds.
-    ``process`` names this process, which is new after each start.
+    ``process`` names this process, which is new after each start. ``longest_request()``
+    returns the longest seconds that a counted request may take.
     """
 
     __slots__ = (
@@ -66,6 +67,7 @@
         "_first_window",
         "_ledger",
         "_log",
+        "_longest_request",
         "_number",
         "_process",
         "_settings",
@@ -73,7 +75,8 @@
         "tail",
     )
 
-    def __init__(self, log, client, turn, settings, process):
+    def __init__(self, log, client, turn, settings, process, longest_request):
+        self._longest_request = longest_request
         self._log = log
         self._client = client
         self._turn = turn
@@ -121,12 +124,15 @@
             await self._log.append(TOPIC, 0, [record], deadline)
 
     async def _append(self, record):
+        is_failing = False
         while True:
             deadline = deadline_in(APPEND_TIMEOUT)
             result = await self._log.append(TOPIC, 0, [record], deadline)
             if not isinstance(result, Outcome):
                 return
-            note("usage.not_kept", reason=result.reason)
+            if not is_failing:
+                note("usage.not_kept", reason=result.reason)
+            is_failing = True
             await asyncio.sleep(RETRY_DELAY)
 
     async def run(self):
@@ -162,6 +168,7 @@
             window,
             self._settings.usage_window,
             self._settings.usage_due,
+            gather_time(self._settings.usage_due, self._longest_request()),
             time.time(),
             self.tail.confirmed_at + offset,
             None if restored_at is None else restored_at + offset,
--- a/sassafrasdoor/duties/tests/test_usage.py
+++ b/sassafrasdoor/duties/tests/test_usage.py
@@ -7,7 +7,6 @@
 from hypothesis import given, settings as run_settings, strategies as st
 
 from sassafrasdoor.duties.usage import (
-    GATHER_SHARE,
     LATEST_SHARE,
     MAX_WINDOWS_BACK,
     Unreadable,
@@ -15,11 +14,12 @@
     UsageLedger,
     began_record,
     fixed_record,
+    gather_time,
     may_fix,
     sent_record,
 )
 
-LENGTH, DUE = 5.0, 10.0
+LENGTH, DUE, GATHER = 5.0, 10.0, 2.5
 fuzzed = run_settings(derandomize=True, deadline=None, max_examples=200)
 
 
@@ -87,10 +87,10 @@
     """When the counts of window 0, which ends at 5, may be fixed."""
 
     def may_fix(self, at, read_at, restored_at=None):
-        return may_fix(0, LENGTH, DUE, at, read_at, restored_at)
+        return may_fix(0, LENGTH, DUE, GATHER, at, read_at, restored_at)
 
     def test_waits_until_the_increments_have_arrived(self):
-        gathered_at = LENGTH + DUE * GATHER_SHARE
+        gathered_at = LENGTH + GATHER
         self.assertFalse(self.may_fix(gathered_at - 0.1, gathered_at - 0.1))
         self.assertFalse(self.may_fix(gathered_at + 0.1, gathered_at - 0.1))
         self.assertTrue(self.may_fix(gathered_at + 0.1, gathered_at))
@@ -100,6 +100,11 @@
         self.assertFalse(self.may_fix(12.0, 12.0, restored_at=11.0))
         self.assertTrue(self.may_fix(12.6, 12.6, restored_at=11.0))
 
+    def test_report_is_made_as_soon_as_its_increments_can_be_there(self):
+        """Guards against reports missed since the log goes down before they are due."""
+        self.assertAlmostEqual(gather_time(DUE, 0.8), 2.3)
+        self.assertEqual(gather_time(DUE, 60.0), DUE / 2)
+
     def test_fixes_before_the_report_is_late(self):
         latest = LENGTH + DUE * LATEST_SHARE
         self.assertTrue(self.may_fix(latest, 0.0, restored_at=latest))
--- a/sassafrasdoor/duties/usage.py
+++ b/sassafrasdoor/duties/usage.py
@@ -15,9 +15,11 @@
 from sassafrasdoor.outcomes import Outcome
 
 BEGAN, FIXED, SENT = "began", "fixed", "sent"
-# Shares of the time in which a report is due, counted from its window's end: when all
-# increments have normally arrived, and until when those held up by an outage may.
-GATHER_SHARE, LATEST_SHARE = 0.5, 0.85
+FLUSH_INTERVAL = 1.0  # seconds between increments; what is newer is lost with a process
+APPEND_MARGIN = 0.5  # seconds for an increment to reach the holder through a slow log
+# Shares of the time in which a report is due, counted from its window's end: by when the
+# increments count as gathered, and until when those held up by an outage are waited for.
+MAX_GATHER_SHARE, LATEST_SHARE = 0.5, 0.85
 # Seconds after an outage of the log in which instances append what they have counted.
 BACKLOG_TIME = 1.5
 # Windows that ended longer ago than this number of windows are not reported any more.
@@ -151,16 +153,25 @@
 }
 
 
-def may_fix(window, length, due, at, read_at, restored_at):
+def gather_time(due, longest_request):
+    """Return the seconds after a window's end in which its increments arrive.
+
+    A request is counted once it is answered, so the longest one counts; an early report
+    is not missed if the log goes down before it is due.
+    """
+    return min(due * MAX_GATHER_SHARE, longest_request + FLUSH_INTERVAL + APPEND_MARGIN)
+
+
+def may_fix(window, length, due, gather, at, read_at, restored_at):
     """Return whether the counts of a window may be fixed at a point in time.
 
-    ``due`` are the seconds after the window's end within which its report is due. The
-    log was last read to its end at ``read_at`` and answers again since ``restored_at``
+    ``due`` are the seconds after the window's end within which its report is due,
+    ``gather`` those in which its increments arrive. The log was last read to its end at ``read_at`` and answers again since ``restored_at``
     (None: it never failed).
     """
     end = (window + 1) * length
     if at >= end + due * LATEST_SHARE:
         return True
-    gathered_at = end + due * GATHER_SHARE
+    gathered_at = end + gather
     is_backlog_read = restored_at is None or at >= restored_at + BACKLOG_TIME
     return min(at, read_at) >= gathered_at and is_backlog_read
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -44,7 +44,7 @@
 from sassafrasdoor.steps.durable.shards import ShardLease, Shards
 from sassafrasdoor.steps.durable.state import Steps
 from sassafrasdoor.stopping import start_critical_tasks
-from sassafrasdoor.table.routes import RoutesInForce
+from sassafrasdoor.table.routes import Repeat, RoutesInForce
 from sassafrasdoor.weights.controller import WeightsController
 
 # Seconds between reads of the list of replicas: a leaving replica is noticed well
@@ -241,7 +241,12 @@
         self._duties = WireDuties(settings.duties_address)
         if USAGE in settings.duties:
             self._usage = UsageReporter(
-                self._log, self._duties, self._make_turn(), settings, member
+                self._log,
+                self._duties,
+                self._make_turn(),
+                settings,
+                member,
+                self._longest_counted_request,
             )
         if SCALE in settings.duties:
             self._scaler = ReplicaScaler(
@@ -252,6 +257,18 @@
                 self._routes,
             )
 
+    def _longest_counted_request(self):
+        configuration = self._routes.current
+        routes = () if configuration is None else configuration.routes
+        return max(
+            (
+                route.timeout
+                for route in routes
+                if route.repeat is not Repeat.STEP and not route.public
+            ),
+            default=0.0,
+        )
+
     def _make_turn(self):
         return Turn(self._lease, lambda: self._handover_delay)
 
