Interruptible replicas are added until steps of all trainers fit into few rounds

Cause: a trainer that an outage has delayed catches up only if its steps take less than the time between two. Four trainers submit 304 items at once to 138 slots: the last ones begin in the third round. Ways: replacing only what was lost (stands); adding interruptible replicas, at 0.18 of the price, until one step of each trainer fits into 1.5 rounds, at most 0.6 of the others, remembered for 40 s without steps. Tests: replays of large steps, a reclaimed zone, bounds, an outage without steps.

--- a/sassafrasdoor/duties/scaler.py
+++ b/sassafrasdoor/duties/scaler.py
@@ -3,9 +3,15 @@
 import asyncio
 from collections import Counter
 
-from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed
 from sassafrasdoor.decisions import note
-from sassafrasdoor.duties.scaling import ScalingLedger, ScalingPolicy, base_record
+from sassafrasdoor.duties.scaling import (
+    DemandMemory,
+    ScalingLedger,
+    ScalingPolicy,
+    base_record,
+    interruptible_target,
+)
 from sassafrasdoor.log.tail import Tail
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Outcome
@@ -14,6 +20,8 @@
 CHECK_INTERVAL = 1.0  # seconds
 READ_INTERVAL = 2.0  # seconds between reads of a topic of a few records
 APPEND_TIMEOUT = 1.0  # seconds; a slow log answers within 0.25 s
+# Seconds between repeats of the first numbers, whose records the log keeps for minutes.
+BASE_REPEAT_INTERVAL = 60.0
 CALL_TIMEOUT = 1.5  # seconds for the platform to answer an order
 # Seconds after the list of replicas answers again in which lapsed entries return.
 LIST_RETURN_TIME = 5.0
@@ -22,13 +30,17 @@
 
 
 class ReplicaScaler:
-    """Keeps the number of replicas with which the operator began.
+    """Keeps the replicas with which the operator began, and adds some for large steps.
 
-    ``turn`` is the ``Turn`` of the duty, ``client`` a ``DutyClient``.
+    ``turn`` is the ``Turn`` of the duty, ``client`` a ``DutyClient``. ``demand(models)``
+    returns how many items one step of each of these models has.
     """
 
     __slots__ = (
+        "_base_deadlines",
         "_client",
+        "_demand",
+        "_demand_memories",
         "_ledger",
         "_log",
         "_policy",
@@ -38,7 +50,10 @@
         "tail",
     )
 
-    def __init__(self, log, client, turn, replicas, routes):
+    def __init__(self, log, client, turn, replicas, routes, demand):
+        self._demand = demand
+        self._base_deadlines = {}
+        self._demand_memories = {}
         self._log = log
         self._client = client
         self._turn = turn
@@ -85,15 +100,28 @@
             counts = Counter((one.zone, one.interruptible) for one in listings)
             self._policy.observe(service, counts, now())
             base = self._ledger.base.get(service)
-            if base is not None:
+            if base is None and counts and self._policy.has_settled(service, now()):
+                await self._append_base(service, counts)
+            elif base is not None:
+                if passed(self._base_deadlines.get(service, LONG_AGO)):
+                    await self._append_base(service, base)
+                added = self._added_replicas(service, base, scaling)
                 for place, count in self._policy.due_orders(
-                    service, base, scaling, now()
+                    service, base, scaling, now(), added
                 ):
                     await self._order(service, place, count, counts[place])
-            elif counts and self._policy.has_settled(service, now()):
-                await self._fix_base(service, counts)
 
-    async def _fix_base(self, service, counts):
+    def _added_replicas(self, service, base, scaling):
+        models = self._routes.current.service_models.get(service, ())
+        memory = self._demand_memories.setdefault(service, DemandMemory())
+        items = memory.record(self._demand(models), now())
+        slots = min(
+            (one.listing.slots for one in self._replicas.of_service(service)), default=0
+        )
+        return interruptible_target(base, scaling, slots, items)
+
+    async def _append_base(self, service, counts):
+        self._base_deadlines[service] = deadline_in(BASE_REPEAT_INTERVAL)
         record = base_record(service, counts)
         deadline = deadline_in(APPEND_TIMEOUT)
         result = await self._log.append(TOPIC, 0, [record], deadline)
--- a/sassafrasdoor/duties/tests/test_scaling.py
+++ b/sassafrasdoor/duties/tests/test_scaling.py
@@ -3,12 +3,15 @@
 import unittest
 
 from sassafrasdoor.duties.scaling import (
+    DEMAND_MEMORY,
     LASTING_LOSS,
     ORDER_INTERVAL,
+    DemandMemory,
     ScalingLedger,
     ScalingPolicy,
     Unreadable,
     base_record,
+    interruptible_target,
 )
 from sassafrasdoor.table.routes import Scaling
 
@@ -73,6 +76,58 @@
         orders = self.replay(8.0, (0.0, {A: 9}), base={A: 8, CHEAP: 2})
         self.assertEqual([order[1:] for order in orders], [(CHEAP, 2)])
 
+    def test_large_steps_add_interruptible_replicas_at_once(self):
+        """Guards against trainers that never catch up after an outage.
+
+        Four trainers submit 304 items at once to 23 replicas of six slots: the last ones
+        wait for two rounds, and a step takes nearly as long as the time between two.
+        """
+        base = {("a", False): 8, ("b", False): 8, ("c", False): 7}
+        scaling = Scaling(1, 15, 0.18)
+        added = interruptible_target(base, scaling, 6, 304)
+        self.assertEqual(added, {("a", True): 4, ("b", True): 4, ("c", True): 4})
+        self.policy.observe(SERVICE, base, 0.0)
+        orders = self.policy.due_orders(SERVICE, base, scaling, 0.0, added)
+        self.assertEqual(dict(orders), added)
+        orders = self.policy.due_orders(SERVICE, base, scaling, 1.0, added)
+        self.assertEqual(orders, [])
+
+    def test_reclaimed_zone_is_ordered_again(self):
+        """Guards against added replicas that a reclaim takes away for good."""
+        base, added = {A: 8}, {CHEAP: 4}
+        self.policy.due_orders(SERVICE, base, self.scaling, 0.0, added)
+        self.policy.observe(SERVICE, {A: 8, CHEAP: 4}, 5.0)
+        self.assertFalse(
+            self.policy.due_orders(SERVICE, base, self.scaling, 5.0, added)
+        )
+        self.policy.observe(SERVICE, base, 9.0)
+        self.policy.due_orders(SERVICE, base, self.scaling, 9.0, added)
+        at = 9.0 + LASTING_LOSS
+        orders = self.policy.due_orders(SERVICE, base, self.scaling, at, added)
+        self.assertEqual(orders, [(CHEAP, 4)])
+
+    def test_bounds_of_added_replicas(self):
+        """Guards against orders beyond the operator's bounds, or without a price."""
+        base = {A: 8}
+        for scaling, items, expected in (
+            (Scaling(1, 15, None), 900, {}),
+            (Scaling(1, 15, 0.2), 900, {CHEAP: 4}),
+            (Scaling(1, 10, 0.2), 900, {CHEAP: 2}),
+            (Scaling(1, 15, 0.2), 20, {CHEAP: 0}),
+        ):
+            with self.subTest(items=items, most=scaling.most):
+                self.assertEqual(
+                    interruptible_target(base, scaling, 6, items), expected
+                )
+
+    def test_demand_is_remembered_over_an_outage(self):
+        """Guards against replicas given back while no step can be accepted."""
+        memory = DemandMemory()
+        self.assertEqual(memory.record(304, 0.0), 304)
+        self.assertEqual(memory.record(0, 1.0), 304)
+        self.assertEqual(memory.record(0, DEMAND_MEMORY - 1.0), 304)
+        self.assertEqual(memory.record(0, DEMAND_MEMORY + 0.1), 0)
+
     def test_numbers_settle_before_they_count_as_the_first(self):
         for at, count in ((0.0, 3), (1.0, 5), (2.0, 8), (3.0, 8)):
             self.policy.observe(SERVICE, {A: count}, at)
--- a/sassafrasdoor/platform/configuration.py
+++ b/sassafrasdoor/platform/configuration.py
@@ -67,7 +67,9 @@
     """Return the ``Scaling`` by service of those whose replicas may be ordered."""
     return {
         service["Name"]: Scaling(
-            int(service["Scaling"].get("Min", 0)), int(service["Scaling"]["Max"])
+            int(service["Scaling"].get("Min", 0)),
+            int(service["Scaling"]["Max"]),
+            service["Scaling"].get("SpotPrice"),
         )
         for service in services
         if service.get("Scaling")
--- a/sassafrasdoor/steps/durable/state.py
+++ b/sassafrasdoor/steps/durable/state.py
@@ -11,6 +11,7 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.steps.durable import records
 
+RECENT_STEP_AGE = 10.0  # seconds; longer than between two steps of one trainer
 MAX_PARTIAL_STEPS = 64
 MAX_DISCARDED_IDS = 4096  # so that a log line can say why a step is unknown
 
@@ -190,6 +191,16 @@
         """Count a shard as used from now on, even without steps."""
         self.used_shards.setdefault(shard, now())
 
+    def recent_items(self, models):
+        """Return the number of items of the largest recent step of each model, summed."""
+        since = now() - RECENT_STEP_AGE
+        largest = dict.fromkeys(models, 0)
+        for step in self.by_id.values():
+            model = step.spec.model
+            if model in largest and (step.seen_at > since or not step.is_done):
+                largest[model] = max(largest[model], len(step.items))
+        return sum(largest.values())
+
     def discard_done(self, before):
         """Discard done steps that this process learned of before a point in time."""
         for step_id, step in list(self.by_id.items()):
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -87,11 +87,16 @@
 
 
 class Scaling:
-    """Bounds for the replicas of a service in one availability zone."""
+    """Bounds for the replicas of a service in one availability zone.
 
-    __slots__ = ("least", "most")
+    ``interruptible_price`` is the price of an interruptible replica as a share of
+    another's, None if there are none.
+    """
+
+    __slots__ = ("interruptible_price", "least", "most")
 
-    def __init__(self, least, most):
+    def __init__(self, least, most, interruptible_price=None):
+        self.interruptible_price = interruptible_price
         self.least = least
         self.most = most
 
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -7,13 +7,21 @@
 
 SOURCE = ROOT / "sassafrasdoor"
 DECISIONS = {
+    "duties/scaling.py": "how many replicas of a service are ordered in a zone",
+    "duties/usage.py": "what a usage report says and when its counts are fixed",
     "log/turns.py": "who reads first after all instances started together",
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
     "steps/durable/order.py": "in which order the items of a step begin",
     "weights/load_policy.py": "how many replicas of a model load at the same time",
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
 }
-ALLOWED = {"sassafrasdoor.steps.durable.records"}
+# Modules of the standard library without input, output or clocks.
+PURE_LIBRARIES = {"bisect", "collections", "json", "math"}
+ALLOWED = PURE_LIBRARIES | {
+    "sassafrasdoor.duties.usage",
+    "sassafrasdoor.outcomes",
+    "sassafrasdoor.steps.durable.records",
+}
 
 
 def imported(path):
