Interruptible replicas are added only while a trainer is behind

Ways: none; by the size of the steps (stands); by the size while a trainer is behind, that is while one of its last two steps took longer than it takes from step to step otherwise (median of its last ones), and for 40 s after. Tests: replays of a trainer on time, in an outage and catching up, of history read at once.

--- a/sassafrasdoor/duties/scaler.py
+++ b/sassafrasdoor/duties/scaler.py
@@ -11,6 +11,7 @@
     ScalingPolicy,
     base_record,
     interruptible_target,
+    is_behind,
 )
 from sassafrasdoor.log.tail import Tail
 from sassafrasdoor.metrics import counter
@@ -22,6 +23,7 @@
 APPEND_TIMEOUT = 1.0  # seconds; a slow log answers within 0.25 s
 # Seconds between repeats of the first numbers, whose records the log keeps for minutes.
 BASE_REPEAT_INTERVAL = 60.0
+RECENT_STEPS = 8  # of a trainer, to see how often it submits one
 CALL_TIMEOUT = 1.5  # seconds for the platform to answer an order
 # Seconds after the list of replicas answers again in which lapsed entries return.
 LIST_RETURN_TIME = 5.0
@@ -32,26 +34,26 @@
 class ReplicaScaler:
     """Keeps the replicas with which the operator began, and adds some for large steps.
 
-    ``turn`` is the ``Turn`` of the duty, ``client`` a ``DutyClient``. ``demand(models)``
-    returns how many items one step of each of these models has.
+    ``turn`` is the ``Turn`` of the duty, ``client`` a ``DutyClient``.
+    ``recent_steps(model, count)`` returns the last steps of a model.
     """
 
     __slots__ = (
         "_base_deadlines",
         "_client",
-        "_demand",
         "_demand_memories",
         "_ledger",
         "_log",
         "_policy",
+        "_recent_steps",
         "_replicas",
         "_routes",
         "_turn",
         "tail",
     )
 
-    def __init__(self, log, client, turn, replicas, routes, demand):
-        self._demand = demand
+    def __init__(self, log, client, turn, replicas, routes, recent_steps):
+        self._recent_steps = recent_steps
         self._base_deadlines = {}
         self._demand_memories = {}
         self._log = log
@@ -120,6 +122,17 @@
         )
         return interruptible_target(base, scaling, slots, items)
 
+    def _demand(self, models):
+        """Return the items of one step of each trainer, 0 while none is behind."""
+        steps = [self._recent_steps(model, RECENT_STEPS) for model in models]
+        is_any_behind = any(
+            is_behind([(one.seen_at, one.ended_at) for one in of_model], now())
+            for of_model in steps
+        )
+        if not is_any_behind:
+            return 0
+        return sum(len(of_model[-1].items) for of_model in steps if of_model)
+
     async def _append_base(self, service, counts):
         self._base_deadlines[service] = deadline_in(BASE_REPEAT_INTERVAL)
         record = base_record(service, counts)
--- a/sassafrasdoor/duties/scaling.py
+++ b/sassafrasdoor/duties/scaling.py
@@ -5,12 +5,14 @@
 replicas could not be read. Only a lasting loss is ordered again, up to the number that
 the operator began with. Steps of all trainers are submitted at once, and a trainer that
 an outage has delayed catches up only if its steps take less than the time between two.
-So interruptible replicas are added until the items of all steps fit in few rounds; they
-may be reclaimed at any moment, so nothing depends on them.
+So while a trainer is behind, interruptible replicas are added until the items of all
+steps fit in few rounds; they may be reclaimed at any moment, so nothing depends on them.
+Each one loads every version too, so trainers that are on time get none.
 """
 
 import json
 import math
+from statistics import median
 
 from sassafrasdoor.duties.usage import DECODE_ERRORS, Unreadable
 
@@ -22,9 +24,12 @@
 ROUNDS = 1.5
 # Interruptible replicas as a share of the others, at most.
 MAX_INTERRUPTIBLE_SHARE = 0.6
-# Seconds without large steps until interruptible replicas are given back; longer than an
-# outage in which no step is accepted.
+# Seconds after a trainer was last behind until interruptible replicas are given back; a
+# trainer regains a fraction of a second with each step.
 DEMAND_MEMORY = 40.0
+# Seconds between two steps below which they were read at once from the log's history.
+MIN_STEP_INTERVAL = 0.5
+MIN_INTERVALS = 2  # between steps of a trainer, to know how often it submits one
 # Seconds for which the numbers must not have changed before they count as the first.
 SETTLE_TIME = 2.0
 
@@ -60,6 +65,24 @@
         return None
 
 
+def is_behind(steps, at):
+    """Return whether a trainer cannot submit its next step when it is due.
+
+    ``steps`` are ``(submitted at, ended at)`` of its last steps in order, with None for
+    one that is still open: one took longer than it takes from step to step otherwise.
+    """
+    pairs = zip(steps, steps[1:], strict=False)
+    intervals = [later[0] - earlier[0] for earlier, later in pairs]
+    intervals = [one for one in intervals if one >= MIN_STEP_INTERVAL]
+    if len(intervals) < MIN_INTERVALS:
+        return False
+    interval = median(intervals)
+    return any(
+        (at if ended_at is None else ended_at) - submitted_at > interval
+        for submitted_at, ended_at in steps[-MIN_INTERVALS:]
+    )
+
+
 def interruptible_target(base, scaling, slots, items):
     """Return the number of interruptible replicas by zone for a demand.
 
--- a/sassafrasdoor/duties/tests/test_scaling.py
+++ b/sassafrasdoor/duties/tests/test_scaling.py
@@ -12,6 +12,7 @@
     Unreadable,
     base_record,
     interruptible_target,
+    is_behind,
 )
 from sassafrasdoor.table.routes import Scaling
 
@@ -128,6 +129,21 @@
         self.assertEqual(memory.record(0, DEMAND_MEMORY - 1.0), 304)
         self.assertEqual(memory.record(0, DEMAND_MEMORY + 0.1), 0)
 
+    def test_trainer_is_behind_once_a_step_takes_longer_than_from_step_to_step(self):
+        """Guards against replicas added for trainers that are on time, or not at all."""
+        on_time = [(4.0 * at, 4.0 * at + 3.4) for at in range(6)]
+        self.assertFalse(is_behind(on_time, 24.0))
+        outage = [*on_time, (24.0, None)]
+        self.assertFalse(is_behind(outage, 27.9))
+        self.assertTrue(is_behind(outage, 28.1))
+        catching_up = [*on_time, (24.0, 31.0), (31.6, 35.0)]
+        self.assertTrue(is_behind(catching_up, 35.5))
+
+    def test_history_read_at_once_tells_nothing_of_the_pace(self):
+        """Guards against a new holder that takes each step for late."""
+        history = [(100.0, 100.0)] * 5 + [(100.3, None), (104.0, None)]
+        self.assertFalse(is_behind(history, 108.0))
+
     def test_numbers_settle_before_they_count_as_the_first(self):
         for at, count in ((0.0, 3), (1.0, 5), (2.0, 8), (3.0, 8)):
             self.policy.observe(SERVICE, {A: count}, at)
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -255,7 +255,7 @@
                 self._make_turn(),
                 self._replicas,
                 self._routes,
-                self._steps.recent_items,
+                self._steps.recent,
             )
 
     def _longest_counted_request(self):
--- a/sassafrasdoor/steps/durable/state.py
+++ b/sassafrasdoor/steps/durable/state.py
@@ -11,7 +11,6 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.steps.durable import records
 
-RECENT_STEP_AGE = 10.0  # seconds; longer than between two steps of one trainer
 MAX_PARTIAL_STEPS = 64
 MAX_DISCARDED_IDS = 4096  # so that a log line can say why a step is unknown
 
@@ -23,13 +22,14 @@
     ``failed_reward_calls`` are the ids of attempts and reward calls that failed at a
     replica, ``progress`` the partial samples by run, ``texts`` the complete texts that
     still need their score.
-    ``seen_at`` is when this process learned of the step.
+    ``seen_at`` and ``ended_at`` are when this process learned of the step and of its end.
     """
 
     __slots__ = (
         "_group_sizes",
         "_listed_by_group",
         "ended",
+        "ended_at",
         "failed_attempts",
         "items",
         "listed",
@@ -56,6 +56,7 @@
         self.progress = {}
         self.texts = {}
         self.ended = False
+        self.ended_at = None
         self.seen_at = now()
         self.waiters = set()
 
@@ -191,15 +192,11 @@
         """Count a shard as used from now on, even without steps."""
         self.used_shards.setdefault(shard, now())
 
-    def recent_items(self, models):
-        """Return the number of items of the largest recent step of each model, summed."""
-        since = now() - RECENT_STEP_AGE
-        largest = dict.fromkeys(models, 0)
-        for step in self.by_id.values():
-            model = step.spec.model
-            if model in largest and (step.seen_at > since or not step.is_done):
-                largest[model] = max(largest[model], len(step.items))
-        return sum(largest.values())
+    def recent(self, model, count):
+        """Return the last ``count`` steps of a model, by their number."""
+        steps = [step for step in self.by_id.values() if step.spec.model == model]
+        steps.sort(key=lambda step: (step.spec.number, step.seen_at))
+        return steps[-count:]
 
     def discard_done(self, before):
         """Discard done steps that this process learned of before a point in time."""
@@ -283,6 +280,7 @@
         if step is None or step.ended:
             return
         step.ended = True
+        step.ended_at = now()
         step.wake()
         self._notify_changed(step)
 
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -16,7 +16,7 @@
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
 }
 # Modules of the standard library without input, output or clocks.
-PURE_LIBRARIES = {"bisect", "collections", "json", "math"}
+PURE_LIBRARIES = {"bisect", "collections", "json", "math", "statistics"}
 ALLOWED = PURE_LIBRARIES | {
     "sassafrasdoor.duties.usage",
     "sassafrasdoor.outcomes",
