Duties of a process are built and ended in one place

process.py builds its components and nothing else of the duties; which ones there are, their turns and their jobs are in duties/service.

--- a/sassafrasdoor/platform/duties.py
+++ b/sassafrasdoor/platform/duties.py
@@ -8,7 +8,6 @@
 from sassafrasdoor.outcomes import Unavailable
 from sassafrasdoor.platform import wire
 
-USAGE, SCALE = "usage", "scale"
 ACCEPTED, FENCED = 200, 409
 
 
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -9,9 +9,7 @@
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
-from sassafrasdoor.duties.reporter import UsageReporter
-from sassafrasdoor.duties.scaler import ReplicaScaler
-from sassafrasdoor.duties.turn import Turn
+from sassafrasdoor.duties.service import Duties
 from sassafrasdoor.log.demand import CallCounter
 from sassafrasdoor.log.relay import RelayedLog
 from sassafrasdoor.log.sharing import (
@@ -28,7 +26,7 @@
     handlers,
     settings as platform_settings,
 )
-from sassafrasdoor.platform.duties import SCALE, USAGE, WireDuties
+from sassafrasdoor.platform.duties import WireDuties
 from sassafrasdoor.platform.peers import Peers
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
@@ -44,7 +42,7 @@
 from sassafrasdoor.steps.durable.shards import ShardLease, Shards
 from sassafrasdoor.steps.durable.state import Steps
 from sassafrasdoor.stopping import start_critical_tasks
-from sassafrasdoor.table.routes import Repeat, RoutesInForce
+from sassafrasdoor.table.routes import RoutesInForce
 from sassafrasdoor.weights.controller import WeightsController
 
 # Seconds between reads of the list of replicas: a leaving replica is noticed well
@@ -233,46 +231,18 @@
         self._steps.on_change(self._weights.record_demand)
 
     def _build_duties(self, member):
-        """Build the duties that the platform's settings name."""
-        settings = self._settings
-        self._duties = self._usage = self._scaler = None
-        if not settings.duties_address:
-            return
-        self._duties = WireDuties(settings.duties_address)
-        if USAGE in settings.duties:
-            self._usage = UsageReporter(
-                self._log,
-                self._duties,
-                self._make_turn(),
-                settings,
-                member,
-                self._longest_counted_request,
-            )
-        if SCALE in settings.duties:
-            self._scaler = ReplicaScaler(
-                self._log,
-                self._duties,
-                self._make_turn(),
-                self._replicas,
-                self._routes,
-                self._steps.recent,
-            )
-
-    def _longest_counted_request(self):
-        configuration = self._routes.current
-        routes = () if configuration is None else configuration.routes
-        return max(
-            (
-                route.timeout
-                for route in routes
-                if route.repeat is not Repeat.STEP and not route.public
-            ),
-            default=0.0,
+        self._duties = Duties(
+            WireDuties(self._settings.duties_address),
+            self._log,
+            self._lease,
+            lambda: self._handover_delay,
+            self._settings,
+            member,
+            self._replicas,
+            self._routes,
+            self._steps,
         )
 
-    def _make_turn(self):
-        return Turn(self._lease, lambda: self._handover_delay)
-
     @property
     def _handover_delay(self):
         """Seconds to wait after gaining the weights lease before the first order.
@@ -315,8 +285,6 @@
         self._store.close()
         self._peers.close()
         self._client.close()
-        if self._duties is not None:
-            self._duties.close()
         note("process.stopped")
 
     def _background_jobs(self):
@@ -338,25 +306,16 @@
             self._check_routes(),
             *(tail.run() for tail in self._tails),
             *(outbox.run() for outbox in self._outboxes),
-            *self._duty_jobs(),
+            *self._duties.jobs(),
         ]
 
-    def _duty_jobs(self):
-        jobs = []
-        for duty in (self._usage, self._scaler):
-            if duty is not None:
-                jobs += [duty.run(), duty.tail.run()]
-        if self._usage is not None:
-            jobs.append(self._usage.flush())
-        return jobs
-
     def _listen(self):
         callers = (
             self._client,
             self._replicas,
             self._crashes,
             self._access,
-            self._usage,
+            self._duties.usage,
         )
         parts = handlers.Parts(
             DirectService(*callers),
@@ -589,8 +548,7 @@
         )
         while self.in_flight and not passed(finish_deadline):  # noqa: ASYNC110
             await asyncio.sleep(IN_FLIGHT_CHECK_INTERVAL)
-        if self._usage is not None:
-            await self._usage.flush_once(finish_deadline + LAST_FLUSH_TIMEOUT)
+        await self._duties.end(finish_deadline + LAST_FLUSH_TIMEOUT)
 
     async def _release_shards(self):
         """Release all shards, after writing what was received of their items."""
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -193,8 +193,8 @@
     settings.fail_closed = fields.get("Bounds.FailClosed", "").lower() == "true"
     settings.revoke_within = numbers["Bounds.RevokeMs"] / 1000
     settings.duties_address = fields.get("Cloud.Address", "")
-    duties = fields.get("Cloud.Duties", "").split(",")
-    settings.duties = [duty for duty in duties if duty]
+    duties = fields.get("Cloud.Duties", "") if settings.duties_address else ""
+    settings.duties = [duty for duty in duties.split(",") if duty]
     settings.usage_window = numbers["Bounds.ReportWindowS"]
     settings.usage_due = numbers["Bounds.UsageLateS"]
     settings.heartbeat = numbers["HeartbeatMs"] / 1000
