A window whose records may have expired is not reported anew

Cause: a new holder reads the usage topic from its first record that is kept. Change: after expired records only windows that had not ended then are fixed; earlier ones are sent again if their fixed counts are known. A line names the first window.

--- a/sassafrasdoor/duties/reporter.py
+++ b/sassafrasdoor/duties/reporter.py
@@ -65,12 +65,14 @@
         "_client",
         "_counter",
         "_first_window",
+        "_floor",
         "_ledger",
         "_log",
         "_longest_request",
         "_number",
         "_process",
         "_settings",
+        "_skipped",
         "_turn",
         "tail",
     )
@@ -86,6 +88,7 @@
         self._counter = UsageCounter(settings.usage_window)
         self._ledger = UsageLedger(settings.usage_window)
         self._first_window = self._current_window
+        self._floor = self._skipped = 0
         self.tail = Tail(log, TOPIC, 0, self._fold, self._pause, asyncio.Event())
 
     @property
@@ -152,7 +155,10 @@
     async def _report_due_windows(self):
         current = self._current_window
         self._ledger.discard(current)
-        for window in self._ledger.unsent(current, self._first_window):
+        if self.tail.skipped != self._skipped:
+            self._skipped, self._floor = self.tail.skipped, current
+            note("usage.records_expired", skipped=self._skipped, first_window=current)
+        for window in self._ledger.unsent(current, self._first_window, self._floor):
             if not self._may_act():
                 return
             if self._ledger.fixed(window) is None and self._may_fix(window):
--- a/sassafrasdoor/duties/tests/test_usage.py
+++ b/sassafrasdoor/duties/tests/test_usage.py
@@ -61,6 +61,12 @@
         self.ledger.fold(sent_record(4))
         self.assertEqual(self.ledger.unsent(7, 5), [3, 5, 6])
 
+    def test_window_whose_records_may_have_expired_is_not_fixed_anew(self):
+        """Guards against a second report with other counts after expired records."""
+        self.ledger.fold(began_record("p", 1, {3: {"a": 1}, 6: {"a": 1}}))
+        self.ledger.fold(fixed_record(4, {"a": 7}))
+        self.assertEqual(self.ledger.unsent(8, 3, floor=6), [4, 6, 7])
+
     def test_old_windows_are_given_up(self):
         self.ledger.fold(began_record("p", 1, {3: {"a": 1}}))
         self.assertEqual(self.ledger.unsent(100, 100), list(range(88, 100)))
--- a/sassafrasdoor/duties/usage.py
+++ b/sassafrasdoor/duties/usage.py
@@ -128,14 +128,20 @@
         """Return the counts that the window's report must have, None if not fixed."""
         return self._fixed.get(window)
 
-    def unsent(self, current, first):
+    def unsent(self, current, first, floor=0):
         """Return the windows before ``current`` that are still to be reported.
 
-        ``first`` is the first window to report if the log shows no earlier one.
+        ``first`` is the first window to report if the log shows no earlier one. Records
+        of windows below ``floor`` may have expired unread: what was reported of them is
+        unknown unless their counts are known to be fixed.
         """
         known = [*self._began, *self._fixed]
         oldest = max(min([first, *known]), current - MAX_WINDOWS_BACK)
-        return [window for window in range(oldest, current) if window not in self._sent]
+        return [
+            window
+            for window in range(oldest, current)
+            if window not in self._sent and (window >= floor or window in self._fixed)
+        ]
 
     def discard(self, current):
         """Forget windows that are not reported any more."""
