A step's id cannot be taken by another account

Cause: a submission under an id that another account's step has was answered like a repetition: accepted, and then not found. Change: it is refused with 400; a step from before there were accounts is repeated by all. Tests: steps of an account hidden from others, a step without account open to all; the first fails before.

--- a/sassafrasdoor/platform/handlers.py
+++ b/sassafrasdoor/platform/handlers.py
@@ -11,7 +11,7 @@
 from sassafrasdoor.clock import now
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter, exposition, histogram
-from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.outcomes import NotRun, Rejected, Unknown
 from sassafrasdoor.platform import wire
 from sassafrasdoor.requests.access import Unauthorized
 from sassafrasdoor.requests.crash_watch import Quarantined
@@ -219,6 +219,11 @@
     return 502, []
 
 
+@failure.register
+def _(outcome: Rejected):
+    return 400, []
+
+
 @failure.register
 def _(outcome: Unauthorized):
     return 401, []
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -6,7 +6,14 @@
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter, histogram
-from sassafrasdoor.outcomes import NotRun, Outcome, ReplyLost, Unknown
+from sassafrasdoor.outcomes import (
+    Finding,
+    NotRun,
+    Outcome,
+    Rejected,
+    ReplyLost,
+    Unknown,
+)
 from sassafrasdoor.steps.durable import records
 
 TOPIC = "steps"
@@ -79,7 +86,10 @@
         self._record_limit = record_limit
 
     async def submit(self, spec, deadline, forward=None):
-        """Return True once the step is in the log, ``NotRun`` or ``Unknown``.
+        """Return True once the step is in the log, else an ``Outcome``.
+
+        That is ``NotRun``, ``Unknown``, or ``Rejected`` if another account's step has the
+        same id.
 
         ``forward()`` submits the step through another instance: True if accepted there,
         False if certainly not, None if unknown. Without it only one append is tried.
@@ -104,8 +114,9 @@
         return result
 
     async def _submit(self, spec, deadline, forward):
-        if spec.step_id in self._steps.by_id:
-            return True
+        known = self._steps.by_id.get(spec.step_id)
+        if known is not None:
+            return _check_owner(known.spec, spec)
         packed = records.encode_step(spec, self._record_limit)
         submit_deadline = min(deadline, deadline_in(SUBMIT_TIMEOUT))
         is_unknown = False
@@ -293,6 +304,14 @@
         return page
 
 
+def _check_owner(known, spec):
+    """Return True for a repeated submission, ``Rejected`` for another account's id."""
+    if _may_use(spec.account, known.account):
+        return True
+    finding = Finding("id", "already that of another step")
+    return Rejected("the id of the step is taken", [finding])
+
+
 def _may_use(account, owner):
     """Return whether callers of an account may use a step of ``owner``.
 
--- a/sassafrasdoor/steps/durable/tests/test_service.py
+++ b/sassafrasdoor/steps/durable/tests/test_service.py
@@ -6,7 +6,7 @@
 from sassafrasdoor.clock import deadline_in, now, remaining
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.tail import Tail
-from sassafrasdoor.outcomes import NotRun, Unavailable, Unknown
+from sassafrasdoor.outcomes import NotRun, Rejected, Unavailable, Unknown
 from sassafrasdoor.steps.durable import records, service as module
 from sassafrasdoor.steps.durable.service import (
     SHARD_COUNT,
@@ -58,6 +58,31 @@
         page = await other.service.read("s1", 0, deadline_in(0))
         self.assertEqual((page.total, page.samples), (2, []))
 
+    async def test_step_of_an_account_is_hidden_from_others(self):
+        """Guards against reads and ends by other accounts, and ids taken from them."""
+        step = spec()
+        step.account = "a"
+        self.assertIs(await self.instance.service.submit(step, deadline_in(5)), True)
+        other = Instance(self.log)
+        for account, found in (("a", True), ("b", False), ("", False)):
+            with self.subTest(account):
+                page = await other.service.read("s1", 0, deadline_in(0), account)
+                self.assertEqual(not isinstance(page, NotFound), found)
+                ended = await other.service.end("s1", deadline_in(1), account=account)
+                self.assertEqual(ended is True, found)
+        taken = spec()
+        taken.account = "b"
+        self.assertIsInstance(
+            await other.service.submit(taken, deadline_in(5)), Rejected
+        )
+        self.assertIs(await other.service.submit(step, deadline_in(5)), True)
+
+    async def test_step_from_before_there_were_accounts_is_open_to_all(self):
+        """Guards against steps lost by a configuration that introduces accounts."""
+        self.assertIs(await self.submit(), True)
+        page = await self.instance.service.read("s1", 0, deadline_in(0), "a")
+        self.assertEqual(page.total, 2)
+
     async def test_submission_is_refused_if_nothing_was_appended(self):
         self.log.down = True
         result = await self.submit()
