Steps are not read before the client accounts are known

Cause: an instance that had just started and had no configuration answered reads, bodies and ends of steps without asking for a key. Change: where access fails closed it passes such calls to another instance, which asks for the key, or refuses with 503; elsewhere as before. Test: fails before.

--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -69,20 +69,22 @@
     get = head = post = put = delete = patch = options = _serve
 
     async def _step_call(self, handler, step_id):
+        """Handle a call on a step for the account of the caller's key."""
         configuration = self._parts.routes.current
-        if configuration is None:
+        if configuration is None and self._parts.access.fails_closed:
+            refused = NotRun("no configuration yet", NO_CONFIGURATION_RETRY_AFTER)
+            await self._reply_from_peer_or_fail(refused)
+            return
+        if configuration is None or configuration.accounts is None:
             await handler(self, step_id, ANY_ACCOUNT)
             return
         host = self.request.headers.get("Host", "").partition(":")[0]
-        is_public = wire.bearer_key(
-            self.request.headers
-        ) is None and configuration.has_public_steps(host)
-        grant = self._grant(is_public)
+        has_key = wire.bearer_key(self.request.headers) is not None
+        grant = self._grant(not has_key and configuration.has_public_steps(host))
         if isinstance(grant, Outcome):
             self._reply_failure(grant)
-            return
-        account = ANY_ACCOUNT if configuration.accounts is None else grant.account
-        await handler(self, step_id, account)
+        else:
+            await handler(self, step_id, grant.account)
 
     async def _route(self, path):
         configuration = self._parts.routes.current
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -100,6 +100,10 @@
     revoke_within = 5.0
 
 
+class OpenSettings(AccessSettings):
+    fail_closed = False
+
+
 class FakeProcess:
     ready = True
     closing = False
@@ -181,6 +185,15 @@
         self.parts.routes = self.routes
         self.assertEqual((await self.call("/unknown/")).code, 404)
 
+    async def test_steps_are_not_read_before_the_accounts_are_known(self):
+        """Guards against an instance that starts and shows a step to anybody."""
+        self.service.result = Page(0, [], 1)
+        self.assertEqual((await self.call("/-/lots/s")).code, 200)
+        self.parts.routes = RoutesInForce()
+        self.assertEqual((await self.call("/-/lots/s")).code, 503)
+        self.parts.access = Access(self.parts.routes, OpenSettings())
+        self.assertEqual((await self.call("/-/lots/s")).code, 200)
+
     async def test_unknown_route_in_stale_routes_returns_503(self):
         """Guards against a 404 from stale routes for a route added since."""
         confirmed_at = boot_now()
--- a/sassafrasdoor/requests/access.py
+++ b/sassafrasdoor/requests/access.py
@@ -62,6 +62,11 @@
         self._routes = routes
         self._settings = settings
 
+    @property
+    def fails_closed(self):
+        """Whether nothing may be served for which a key may be needed and unknown."""
+        return self._settings.fail_closed
+
     @property
     def is_expired(self):
         """Whether requests with a key are refused until the accounts are confirmed."""
@@ -70,7 +75,7 @@
             return False
         age = self._routes.age
         AGE.set({}, age)
-        return self._settings.fail_closed and age > self._max_age
+        return self.fails_closed and age > self._max_age
 
     @property
     def _max_age(self):
