Reads of a step go on to the next peer while none was reached

Cause: an instance that has not read the steps asks the peers that are known readers, or, where none has renewed its record since the own start, exactly one of those that said so before. An instance that has just ended stays listed for up to 3.2 s. If it was the only candidate, the refused connection ended the search: the living reader was never asked.

Change: `ReaderSearch` names the next peer once one was not reached or is silent; peers that reply count as before, three beside known readers, one while nobody is known to have read, so that calls are not multiplied after a start of all instances. The line says whether a reader was known.

--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -29,6 +29,7 @@
 )
 from sassafrasdoor.requests.attempts import DirectRequest
 from sassafrasdoor.requests.streaming import StreamCaller
+from sassafrasdoor.routing.reader_search import ReaderSearch
 from sassafrasdoor.steps.durable.hedging import first_answer
 from sassafrasdoor.steps.durable.service import ANY_ACCOUNT, NotFound, Page
 from sassafrasdoor.table.routes import Repeat
@@ -45,7 +46,7 @@
 PEER_READ_TIMEOUT = 1.4
 # Seconds without an answer, after the caller's wait, before the next peer is asked too.
 HEDGE_DELAY = 0.5
-MAX_PEERS_ASKED = 3
+MAX_PEERS_ASKED = 3  # peers that may reply without what was asked for
 STEP_PATH = re.compile(r"^/-/lots/([^/?]+)$")
 ITEM_PATH = re.compile(r"^/-/items/([^/?]+)$")
 
@@ -245,10 +246,18 @@
     async def _first_peer_reply(self, reason):
         """Return the first ``Reply`` of a peer with status 200, or None."""
         wait = _parse_int(self.request.headers.get(wire.WAIT), 0) / 1000
-        peers = self._parts.instances.reader_candidates(MAX_PEERS_ASKED)
+        knows_reader = self._parts.instances.knows_reader
+        search = ReaderSearch(self._parts.instances, MAX_PEERS_ASKED)
+
+        async def ask(peer, deadline):
+            reply = await self._forward_to(peer, deadline)
+            if isinstance(reply, Reply):
+                search.record_reply()
+            return reply
+
         reply = await first_answer(
-            peers,
-            self._forward_to,
+            search,
+            ask,
             lambda reply: isinstance(reply, Reply) and reply.status == 200,
             wait + HEDGE_DELAY,
             self._started_at + wait + PEER_READ_TIMEOUT,
@@ -259,7 +268,8 @@
                 request=self._request_id,
                 path=self.request.path[:MAX_LOGGED_PATH],
                 reason=reason,
-                peers=peers,
+                peers=search.tried,
+                knows_reader=knows_reader,
             )
         return reply
 
--- a/sassafrasdoor/platform/tests/test_unread_processes.py
+++ b/sassafrasdoor/platform/tests/test_unread_processes.py
@@ -66,6 +66,32 @@
         self.assertEqual(results.count(None), 0)
 
 
+class DeadReadersTest(ProcessCase):
+    """Two of three readers end just before an instance starts that has not read."""
+
+    async def test_step_is_read_beside_readers_that_have_ended(self):
+        """Guards against a read refused because the one peer asked has ended."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        shard = shard_of(MODEL)
+        old = [encode(Sample("old", "i", "completed", "x", [1]))] * OLD_RECORDS
+        await self.store.log.append(TOPIC, shard, old, deadline_in(1))
+        self.assertEqual((await self.submit("s", at=2)).code, 202)
+        await self.wait_until(lambda: self.all_results("s", at=2))
+        slow = StoreStandin(self.store.log)
+        slow.record_read_seconds[TOPIC] = RECORD_SECONDS
+        self.addCleanup(slow.stop)
+        for instance in self.instances[:2]:
+            instance.kill()
+        started = LocalInstance(folder.name, "d", slow.address)
+        self.addCleanup(started.close)
+        self.instances.append(started)
+        await self.wait_until(lambda: self.is_ready(started))
+        results = [await self.page("s", at=3) for _ in range(READS)]
+        self.assertTrue(self.lines("s", "step.not_found"))
+        self.assertEqual(results.count(None), 0)
+
+
 class FirstReaderGoneTest(ProcessCase):
     """All instances end; the first-ranked reader of the steps does not come back."""
 
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -233,17 +233,26 @@
         addresses.sort(key=lambda address: zones[address] != zone)
         return addresses
 
-    def reader_candidates(self, limit):
+    @property
+    def knows_reader(self):
+        """Whether another running process is known to have read the steps."""
+        return any(
+            record.is_reader and record.address != self._address
+            for record in self._current_view.alive
+        )
+
+    def reader_candidates(self, limit, excluded=()):
         """Return up to ``limit`` peers to ask for steps not read here.
 
         The second one is in another zone, since a whole zone may lag. If no peer is known
         to have read the steps, only one is returned: after a start of all instances more
-        would multiply calls that no peer can answer.
+        would multiply calls that no peer can answer. ``excluded`` are addresses that are
+        not returned, for example of peers that were not reached.
         """
         others = [
             record
             for record in self._current_view.alive
-            if record.address != self._address
+            if record.address != self._address and record.address not in excluded
         ]
         random.shuffle(others)
         readers = self._alternate_zones(
@@ -253,7 +262,8 @@
         probable_readers = self._alternate_zones(
             [record for record in others if record.has_read]
         )
-        return readers[:limit] or (probable_readers or self.peers())[:1]
+        other_peers = [peer for peer in self.peers() if peer not in excluded]
+        return readers[:limit] or (probable_readers or other_peers)[:1]
 
     def _alternate_zones(self, records):
         """Return the addresses, alternating between this zone and others."""
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -151,6 +151,15 @@
             for _ in range(5):
                 self.assertEqual(self.instances[at].reader_candidates(3), ["i1:80"])
 
+    async def test_excluded_reader_is_replaced_by_another_peer(self):
+        """Guards against calls that end at a reader which is no longer reachable."""
+        await self.publish_has_read(1)
+        for _ in range(5):
+            (candidate,) = self.instances[0].reader_candidates(3, ["i1:80"])
+            self.assertIn(candidate, {"i2:80", "i3:80", "i4:80"})
+        everyone = [f"i{at}:80" for at in range(5)]
+        self.assertEqual(self.instances[0].reader_candidates(3, everyone), [])
+
     async def test_calls_are_forwarded_to_another_zone_too(self):
         """Guards against refusals in a zone whose instances all lag."""
         await self.publish_has_read(1, 2, 3, 4)
--- a/sassafrasdoor/steps/durable/hedging.py
+++ b/sassafrasdoor/steps/durable/hedging.py
@@ -9,17 +9,21 @@
     """Return the first result of ``ask(peer, deadline)`` that is an answer, or None.
 
     ``is_answer(result)`` decides. The next peer is asked once one has failed, or beside
-    it after ``hedge_after`` seconds: one without power or frozen does not reply.
+    it after ``hedge_after`` seconds: one without power or frozen does not reply. It is
+    taken from ``peers`` only then, so an iterator may choose it by earlier results.
     """
-    unasked, tasks = list(peers), set()
+    peers, tasks = iter(peers), set()
     try:
-        while (unasked or tasks) and not passed(deadline):
-            if unasked:
-                tasks.add(asyncio.ensure_future(ask(unasked.pop(0), deadline)))
+        while not passed(deadline):
+            peer = next(peers, None)
+            if peer is not None:
+                tasks.add(asyncio.ensure_future(ask(peer, deadline)))
+            elif not tasks:
+                return None
             timeout = remaining(deadline)
             done, tasks = await asyncio.wait(
                 tasks,
-                timeout=min(timeout, hedge_after) if unasked else timeout,
+                timeout=timeout if peer is None else min(timeout, hedge_after),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             for task in done:
--- a/sassafrasdoor/steps/durable/tests/test_hedging.py
+++ b/sassafrasdoor/steps/durable/tests/test_hedging.py
@@ -55,6 +55,20 @@
         await asyncio.sleep(0)
         self.assertEqual(self.cancelled, 2)
 
+    async def test_next_peer_is_chosen_by_earlier_results(self):
+        """Guards against peers chosen before it is known that the first one is gone."""
+        results = []
+
+        async def ask(peer, deadline):
+            results.append(peer)
+            return peer == "substitute"
+
+        def peers():
+            yield "gone"
+            yield "substitute" if results else "too early"
+
+        self.assertTrue(await first_answer(peers(), ask, bool, 10, deadline_in(10)))
+
     async def test_no_peers_return_none(self):
         self.assertIsNone(await self.play(1))
 
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -11,6 +11,7 @@
     "duties/usage.py": "what a usage report says and when its counts are fixed",
     "log/turns.py": "who reads first after all instances started together",
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
+    "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
     "weights/load_policy.py": "how many replicas of a model load at the same time",
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
