Control states when a view was confirmed, and a line tells when it counts again

Cause: whether samples were delivered by a confirmation that was too old could not be told from the logs: the entry knows only the age that the control process stated, and not how long the message was under way.

No decision changes.

--- a/sassafrasdoor/control/control.capnp
+++ b/sassafrasdoor/control/control.capnp
@@ -98,6 +98,9 @@
   hasGrants @14 :Bool;
   goneMembers @15 :List(Text);
   goneBackends @16 :List(Text);
+  # When the confirmation was sent for, in seconds of the monotonic clock that both
+  # processes share; 0 if there is none, or from earlier versions.
+  confirmedAt @17 :Float64;
 }
 
 struct Addresses {
--- a/sassafrasdoor/control/link.py
+++ b/sassafrasdoor/control/link.py
@@ -6,6 +6,7 @@
 
 from sassafrasdoor import logs, metrics
 from sassafrasdoor.admission.grants import Report
+from sassafrasdoor.clock import now
 from sassafrasdoor.control import messages
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.peers.link import PeerLink
@@ -40,10 +41,12 @@
         "_link",
         "_is_lost",
         "_report",
+        "_settings",
         "_view",
     )
 
     def __init__(self, settings, address):
+        self._settings = settings.steps
         self._link = PeerLink(settings, address, messages.SCHEMA.Control)
         self._addresses = {"entry": "", "peer": ""}
         self._report = Report("")
@@ -125,7 +128,12 @@
             self._is_lost = False
             logs.changed("control:connected", address=self._link.address)
         UPDATES.inc({})
+        previous_age = self._view.age
         is_new_session = update.session != self._known["session"]
+        self._apply_parts(update, is_new_session)
+        self._log_confirmation(update, previous_age)
+
+    def _apply_parts(self, update, is_new_session):
         if not is_new_session and update.number == self._known["number"]:
             self._refresh_confirmation(update)
             return
@@ -143,6 +151,19 @@
         if confirmed_at is not None:
             self._view.confirmed_at = max(self._view.confirmed_at, confirmed_at)
 
+    def _log_confirmation(self, update, previous_age):
+        """Log that the view is recent enough again to deliver samples."""
+        if previous_age <= self._settings.view_confirm or not update.confirmed:
+            return
+        if self._view.age <= self._settings.view_confirm:
+            logs.changed(
+                "control:view-confirmed",
+                previous_age=round(previous_age, 3),
+                age=round(self._view.age, 3),
+                stated_age=update.confirmedAgeMs / 1000,
+                age_by_clock=round(now() - update.confirmedAt, 3),
+            )
+
     def _merge(self, update):
         old = self._view
         table, revision = self._merged_table(update)
--- a/sassafrasdoor/control/source.py
+++ b/sassafrasdoor/control/source.py
@@ -154,6 +154,7 @@
             "number": self.number,
             "revision": self.revision,
             **messages.age_fields(self.confirmed_at),
+            "confirmedAt": self.confirmed_at or 0.0,
         }
         if self._table.number > number or not number:
             update |= {"hasTable": True, "table": self._table.value}
