Lines tell when a usage window's counts were fixed and what came after

Cause: a report that is too low left no trace: neither when the counts of a window were fixed, nor since when the log answered again, nor increments that came afterwards.

Change: lines `usage.fixed` (with the seconds after the window's end and since the log's return), `usage.kept` (what an outage held up is in the log) and `usage.counted_late` (requests that are in no report, by window), and the counter `usage_increments_missed_total`. No decision changes.

--- a/sassafrasdoor/duties/reporter.py
+++ b/sassafrasdoor/duties/reporter.py
@@ -29,6 +29,10 @@
 RETRY_DELAY = 0.8  # seconds
 
 REPORTS = counter("usage_reports_total", "Calls with a usage report, by result.")
+MISSED = counter(
+    "usage_increments_missed_total",
+    "Increments that came after their counts were fixed.",
+)
 COUNTED = counter("usage_requests_total", "Requests that began to run, by account.")
 
 
@@ -105,9 +109,17 @@
         return READ_INTERVAL
 
     def _fold(self, offset, data):
+        missed = self._ledger.missed.total()
         problem = self._ledger.fold(data)
         if problem is not None:
             note("usage.record_unreadable", offset=offset, reason=problem.reason)
+        if self._ledger.missed.total() > missed:
+            MISSED.inc({})
+            note(
+                "usage.counted_late",
+                offset=offset,
+                missed={str(key): count for key, count in self._ledger.missed.items()},
+            )
 
     async def flush(self):
         """Append what was counted, again and again, until cancelled."""
@@ -132,6 +144,8 @@
             deadline = deadline_in(APPEND_TIMEOUT)
             result = await self._log.append(TOPIC, 0, [record], deadline)
             if not isinstance(result, Outcome):
+                if is_failing:
+                    note("usage.kept", offset=result.first)
                 return
             if not is_failing:
                 note("usage.not_kept", reason=result.reason)
@@ -182,14 +196,30 @@
 
     async def _fix(self, window):
         """Fix the counts of a window in the log, and read which ones were fixed first."""
-        record = fixed_record(window, self._ledger.began(window))
+        counts = self._ledger.began(window)
+        record = fixed_record(window, counts)
         deadline = deadline_in(APPEND_TIMEOUT)
         result = await self._log.append(TOPIC, 0, [record], deadline)
         if isinstance(result, Outcome):
             note("usage.not_fixed", window=window, reason=result.reason)
             return
+        restored_at = self.tail.restored_at
+        note(
+            "usage.fixed",
+            window=window,
+            offset=result.first,
+            accounts=len(counts),
+            requests=sum(counts.values()),
+            seconds_after_end=round(self._seconds_after_end(window), 3),
+            restored_seconds=None
+            if restored_at is None
+            else round(now() - restored_at, 3),
+        )
         await self.tail.confirm(deadline_in(CONFIRM_TIMEOUT))
 
+    def _seconds_after_end(self, window):
+        return time.time() - (window + 1) * self._settings.usage_window
+
     async def _send(self, window, counts):
         fence = self._turn.fence
         if not fence:
--- a/sassafrasdoor/duties/tests/test_usage.py
+++ b/sassafrasdoor/duties/tests/test_usage.py
@@ -56,6 +56,14 @@
         self.ledger.fold(fixed_record(3, {"a": 7}))
         self.assertEqual(self.ledger.fixed(3), {"a": 2})
 
+    def test_increment_after_its_counts_were_fixed_is_known_to_be_missed(self):
+        """Guards against a bill that is too low without any trace of it."""
+        self.ledger.fold(began_record("p", 1, {3: {"a": 2}, 4: {"a": 1}}))
+        self.ledger.fold(fixed_record(3, {"a": 2}))
+        self.assertFalse(self.ledger.missed)
+        self.ledger.fold(began_record("q", 1, {3: {"a": 5, "b": 1}, 4: {"a": 1}}))
+        self.assertEqual(self.ledger.missed, {3: 6})
+
     def test_windows_without_requests_are_reported_too(self):
         self.ledger.fold(began_record("p", 1, {3: {"a": 1}, 6: {"a": 1}}))
         self.ledger.fold(sent_record(4))
--- a/sassafrasdoor/duties/usage.py
+++ b/sassafrasdoor/duties/usage.py
@@ -81,9 +81,13 @@
 
 
 class UsageLedger:
-    """Folds the records of all instances; identical wherever they are folded."""
+    """Folds the records of all instances; identical wherever they are folded.
 
-    __slots__ = ("_began", "_fixed", "_last_numbers", "_length", "_sent")
+    ``missed`` has the requests by window whose increments came after the window's counts
+    were fixed: they are in no report.
+    """
+
+    __slots__ = ("_began", "_fixed", "_last_numbers", "_length", "_sent", "missed")
 
     def __init__(self, length):
         self._length = length
@@ -91,6 +95,7 @@
         self._fixed = {}
         self._sent = set()
         self._last_numbers = {}
+        self.missed = Counter()
 
     def fold(self, data):
         """Fold one record; return ``Unreadable`` for bytes that are none."""
@@ -112,6 +117,8 @@
         self._last_numbers[process] = number
         for window, by_name in counts.items():
             self._began.setdefault(window, Counter()).update(by_name)
+            if window in self._fixed:
+                self.missed[window] += by_name.total()
 
     def _fold_fixed(self, window, counts):
         counts = {str(name): int(count) for name, count in counts.items()}
@@ -146,7 +153,7 @@
     def discard(self, current):
         """Forget windows that are not reported any more."""
         oldest = current - 2 * MAX_WINDOWS_BACK
-        for windows in (self._began, self._fixed):
+        for windows in (self._began, self._fixed, self.missed):
             for window in [one for one in windows if one < oldest]:
                 del windows[window]
         self._sent = {window for window in self._sent if window >= oldest}
