Counts of a window are fixed only after the backlog of an outage has arrived

Cause, four ways to the same end, all from the lines of runs with a longer outage: - From 0.85 of its due time on a window was fixed at once, whatever had been read, though other instances still held their counts. - A holder that took over during the outage had not seen it, so it waited for nothing (nine windows fixed 0.5 to 0.8 s after it began to read, 9 requests counted late). - An instance wrote only what it had counted when the outage began; what it counted during the outage came a second later. 1.5 s were waited for, and an attempt (1 s), the pause after it (0.8 s) and two appends take longer. - Windows of 1 s were given up 12 s after their end (in a run that waited 10 s, 20 of 30 requests in windows that were never reported).

Also read: at a planned stop the last increment overtook one that was still being retried, which was then ignored as older.

Change: counts are fixed once the log was read to its end after the window's increments, and 2.3 s after the log answers again or the holder has read it, also if the report is late by that: late and off cost the same, but only the bill that is late is right. Instances write all they hold at once when the log answers; at a stop the unacknowledged record goes first. Windows are reported for a minute at least.

Tests: test_fixes_before_the_report_is_late asserted the first cause. Three take its place: an outage that ends before, at and after the due time is waited for to the tenth of a second, and no longer; nothing is fixed from an old read; the time covers the slowest instance.

--- a/sassafrasdoor/duties/reporter.py
+++ b/sassafrasdoor/duties/reporter.py
@@ -4,10 +4,12 @@
 import time
 from abc import ABC, abstractmethod
 
-from sassafrasdoor.clock import deadline_in, now
+from sassafrasdoor.clock import LONG_AGO, deadline_in, now
 from sassafrasdoor.decisions import note
 from sassafrasdoor.duties.usage import (
+    APPEND_TIMEOUT,
     FLUSH_INTERVAL,
+    RETRY_DELAY,
     UsageCounter,
     UsageLedger,
     began_record,
@@ -23,10 +25,8 @@
 TOPIC = "usage"
 READ_INTERVAL = 0.25  # seconds; one read returns the increments of several instances
 CHECK_INTERVAL = 0.25  # seconds between checks for windows to report
-APPEND_TIMEOUT = 1.0  # seconds; a slow log answers within 0.25 s
 CONFIRM_TIMEOUT = 1.0  # seconds
 CALL_TIMEOUT = 1.5  # seconds for the platform to answer a report
-RETRY_DELAY = 0.8  # seconds
 
 REPORTS = counter("usage_reports_total", "Calls with a usage report, by result.")
 MISSED = counter(
@@ -66,6 +66,7 @@
     """
 
     __slots__ = (
+        "_acting_since",
         "_client",
         "_counter",
         "_first_window",
@@ -74,6 +75,7 @@
         "_log",
         "_longest_request",
         "_number",
+        "_pending",
         "_process",
         "_settings",
         "_skipped",
@@ -93,6 +95,8 @@
         self._ledger = UsageLedger(settings.usage_window)
         self._first_window = self._current_window
         self._floor = self._skipped = 0
+        self._pending = []
+        self._acting_since = None
         self.tail = Tail(log, TOPIC, 0, self._fold, self._pause, asyncio.Event())
 
     @property
@@ -125,32 +129,44 @@
         """Append what was counted, again and again, until cancelled."""
         while True:
             await asyncio.sleep(FLUSH_INTERVAL)
-            counts = self._counter.take()
-            if counts:
-                self._number += 1
-                await self._append(began_record(self._process, self._number, counts))
+            # What was counted during an outage follows at once.
+            while await self._flush_counted():
+                pass
 
-    async def flush_once(self, deadline):
-        """Append what was counted since the last time, before the process ends."""
+    async def _flush_counted(self):
+        """Append what was counted since the last time; return whether it was held up."""
+        self._take_counted()
+        is_held_up = False
+        while self._pending:
+            result = await self._append_pending(deadline_in(APPEND_TIMEOUT))
+            if isinstance(result, Outcome):
+                if not is_held_up:
+                    note("usage.not_kept", reason=result.reason)
+                is_held_up = True
+                await asyncio.sleep(RETRY_DELAY)
+            elif is_held_up:
+                note("usage.kept", offset=result.first)
+        return is_held_up
+
+    def _take_counted(self):
         counts = self._counter.take()
         if counts:
             self._number += 1
-            record = began_record(self._process, self._number, counts)
-            await self._log.append(TOPIC, 0, [record], deadline)
+            self._pending.append(began_record(self._process, self._number, counts))
 
-    async def _append(self, record):
-        is_failing = False
-        while True:
-            deadline = deadline_in(APPEND_TIMEOUT)
-            result = await self._log.append(TOPIC, 0, [record], deadline)
-            if not isinstance(result, Outcome):
-                if is_failing:
-                    note("usage.kept", offset=result.first)
-                return
-            if not is_failing:
-                note("usage.not_kept", reason=result.reason)
-            is_failing = True
-            await asyncio.sleep(RETRY_DELAY)
+    async def _append_pending(self, deadline):
+        """Append the records not acknowledged yet; return the result."""
+        records = list(self._pending)
+        result = await self._log.append(TOPIC, 0, records, deadline)
+        if not isinstance(result, Outcome):
+            self._pending = [one for one in self._pending if one not in records]
+        return result
+
+    async def flush_once(self, deadline):
+        """Append what was counted and not acknowledged, before the process ends."""
+        self._take_counted()
+        if self._pending:
+            await self._append_pending(deadline)
 
     async def run(self):
         """Report due windows while this process holds the lease, until cancelled."""
@@ -162,8 +178,11 @@
     def _may_act(self):
         if not self._turn.is_held:
             self.tail.wanted.clear()
+            self._acting_since = None
             return False
         self.tail.wanted.set()
+        if self._acting_since is None and self.tail.has_caught_up:
+            self._acting_since = now()
         return bool(self._turn.fence) and self.tail.has_caught_up
 
     async def _report_due_windows(self):
@@ -183,17 +202,24 @@
 
     def _may_fix(self, window):
         offset = time.time() - now()
-        restored_at = self.tail.restored_at
         return may_fix(
             window,
             self._settings.usage_window,
-            self._settings.usage_due,
             gather_time(self._settings.usage_due, self._longest_request()),
             time.time(),
             self.tail.confirmed_at + offset,
-            None if restored_at is None else restored_at + offset,
+            self._restored_at + offset,
         )
 
+    @property
+    def _restored_at(self):
+        """Monotonic time since which the log answers, as far as this holder knows.
+
+        A new holder did not see outages of before: for it the log answers since it was
+        read to its end.
+        """
+        return max(self.tail.restored_at or LONG_AGO, self._acting_since)
+
     async def _fix(self, window):
         """Fix the counts of a window in the log, and read which ones were fixed first."""
         counts = self._ledger.began(window)
@@ -203,7 +229,6 @@
         if isinstance(result, Outcome):
             note("usage.not_fixed", window=window, reason=result.reason)
             return
-        restored_at = self.tail.restored_at
         note(
             "usage.fixed",
             window=window,
@@ -211,9 +236,7 @@
             accounts=len(counts),
             requests=sum(counts.values()),
             seconds_after_end=round(self._seconds_after_end(window), 3),
-            restored_seconds=None
-            if restored_at is None
-            else round(now() - restored_at, 3),
+            restored_seconds=round(now() - self._restored_at, 3),
         )
         await self.tail.confirm(deadline_in(CONFIRM_TIMEOUT))
 
--- a/sassafrasdoor/duties/tests/test_usage.py
+++ b/sassafrasdoor/duties/tests/test_usage.py
@@ -7,8 +7,10 @@
 from hypothesis import given, settings as run_settings, strategies as st
 
 from sassafrasdoor.duties.usage import (
-    LATEST_SHARE,
+    APPEND_TIMEOUT,
+    BACKLOG_TIME,
     MAX_WINDOWS_BACK,
+    RETRY_DELAY,
     Unreadable,
     UsageCounter,
     UsageLedger,
@@ -20,6 +22,7 @@
 )
 
 LENGTH, DUE, GATHER = 5.0, 10.0, 2.5
+SLOW_APPEND = 0.25  # seconds for a slow log to answer
 fuzzed = run_settings(derandomize=True, deadline=None, max_examples=200)
 
 
@@ -82,6 +85,12 @@
         self.assertEqual(self.ledger.began(3), {})
         self.assertEqual(MAX_WINDOWS_BACK, 12)
 
+    def test_short_windows_are_reported_as_late_as_long_ones(self):
+        """Guards against windows given up while an outage of seconds is made up for."""
+        ledger = UsageLedger(1.0)
+        ledger.fold(began_record("p", 1, {50: {"a": 1}}))
+        self.assertEqual(ledger.unsent(100, 100), list(range(50, 100)))
+
     def test_foreign_records_change_nothing(self):
         """Guards against a record that stops every holder that reads it."""
         for data in (b"", b"[]", b"{}", b"[1]", b'["began"]', b'["fixed",1e999,{}]'):
@@ -101,7 +110,7 @@
     """When the counts of window 0, which ends at 5, may be fixed."""
 
     def may_fix(self, at, read_at, restored_at=None):
-        return may_fix(0, LENGTH, DUE, GATHER, at, read_at, restored_at)
+        return may_fix(0, LENGTH, GATHER, at, read_at, restored_at)
 
     def test_waits_until_the_increments_have_arrived(self):
         gathered_at = LENGTH + GATHER
@@ -112,16 +121,31 @@
     def test_waits_for_increments_held_up_by_an_outage(self):
         """Guards against counts fixed before instances could append theirs."""
         self.assertFalse(self.may_fix(12.0, 12.0, restored_at=11.0))
-        self.assertTrue(self.may_fix(12.6, 12.6, restored_at=11.0))
+        self.assertFalse(self.may_fix(13.2, 13.2, restored_at=11.0))
+        self.assertTrue(self.may_fix(13.4, 13.4, restored_at=11.0))
 
     def test_report_is_made_as_soon_as_its_increments_can_be_there(self):
         """Guards against reports missed since the log goes down before they are due."""
         self.assertAlmostEqual(gather_time(DUE, 0.8), 2.3)
         self.assertEqual(gather_time(DUE, 60.0), DUE / 2)
 
-    def test_fixes_before_the_report_is_late(self):
-        latest = LENGTH + DUE * LATEST_SHARE
-        self.assertTrue(self.may_fix(latest, 0.0, restored_at=latest))
+    def test_outage_longer_than_the_due_time_is_waited_for_too(self):
+        """Guards against a bill that is too low since its report would have been late."""
+        due_at = LENGTH + DUE
+        for restored_at in (due_at - 1.0, due_at, due_at + 60.0):
+            complete_at = restored_at + BACKLOG_TIME
+            for at in (restored_at, complete_at - 0.1):
+                self.assertFalse(self.may_fix(at, at, restored_at))
+            self.assertTrue(self.may_fix(complete_at, complete_at, restored_at))
+
+    def test_nothing_is_fixed_from_what_was_read_too_early(self):
+        """Guards against counts without the increments of an unnoticed outage."""
+        self.assertFalse(self.may_fix(LENGTH + DUE, LENGTH + GATHER - 0.1))
+
+    def test_backlog_of_all_instances_can_arrive_in_the_time_for_it(self):
+        """Guards against counts fixed before the slowest instance has tried again."""
+        started = APPEND_TIMEOUT  # an attempt sent just before the outage's end
+        self.assertGreater(BACKLOG_TIME, started + RETRY_DELAY + 2 * SLOW_APPEND - 0.01)
 
 
 class TakeoverTest(unittest.TestCase):
--- a/sassafrasdoor/duties/usage.py
+++ b/sassafrasdoor/duties/usage.py
@@ -17,13 +17,17 @@
 BEGAN, FIXED, SENT = "began", "fixed", "sent"
 FLUSH_INTERVAL = 1.0  # seconds between increments; what is newer is lost with a process
 APPEND_MARGIN = 0.5  # seconds for an increment to reach the holder through a slow log
-# Shares of the time in which a report is due, counted from its window's end: by when the
-# increments count as gathered, and until when those held up by an outage are waited for.
-MAX_GATHER_SHARE, LATEST_SHARE = 0.5, 0.85
-# Seconds after an outage of the log in which instances append what they have counted.
-BACKLOG_TIME = 1.5
-# Windows that ended longer ago than this number of windows are not reported any more.
-MAX_WINDOWS_BACK = 12
+APPEND_TIMEOUT = 1.0  # seconds for one attempt; a slow log answers within 0.25 s
+RETRY_DELAY = 0.8  # seconds between attempts
+# Share of the time in which a report is due, counted from its window's end, by which the
+# increments count as gathered.
+MAX_GATHER_SHARE = 0.5
+# Seconds after an outage of the log in which instances append what they have counted: an
+# attempt that began before its end, the pause after it, and the attempts that succeed.
+BACKLOG_TIME = APPEND_TIMEOUT + RETRY_DELAY + APPEND_MARGIN
+# Windows that ended longer ago than this number of windows, and this number of seconds,
+# are not reported any more.
+MAX_WINDOWS_BACK, MAX_REPORT_AGE = 12, 60.0
 DECODE_ERRORS = (
     ValueError,
     KeyError,
@@ -97,6 +101,10 @@
         self._last_numbers = {}
         self.missed = Counter()
 
+    @property
+    def _max_windows_back(self):
+        return max(MAX_WINDOWS_BACK, int(MAX_REPORT_AGE / self._length))
+
     def fold(self, data):
         """Fold one record; return ``Unreadable`` for bytes that are none."""
         try:
@@ -143,7 +151,7 @@
         unknown unless their counts are known to be fixed.
         """
         known = [*self._began, *self._fixed]
-        oldest = max(min([first, *known]), current - MAX_WINDOWS_BACK)
+        oldest = max(min([first, *known]), current - self._max_windows_back)
         return [
             window
             for window in range(oldest, current)
@@ -152,7 +160,7 @@
 
     def discard(self, current):
         """Forget windows that are not reported any more."""
-        oldest = current - 2 * MAX_WINDOWS_BACK
+        oldest = current - 2 * self._max_windows_back
         for windows in (self._began, self._fixed, self.missed):
             for window in [one for one in windows if one < oldest]:
                 del windows[window]
@@ -175,16 +183,14 @@
     return min(due * MAX_GATHER_SHARE, longest_request + FLUSH_INTERVAL + APPEND_MARGIN)
 
 
-def may_fix(window, length, due, gather, at, read_at, restored_at):
+def may_fix(window, length, gather, at, read_at, restored_at):
     """Return whether the counts of a window may be fixed at a point in time.
 
-    ``due`` are the seconds after the window's end within which its report is due,
-    ``gather`` those in which its increments arrive. The log was last read to its end at ``read_at`` and answers again since ``restored_at``
-    (None: it never failed).
+    ``gather`` are the seconds after the window's end in which its increments arrive. The
+    log was last read to its end at ``read_at``, and answers again, or is read again by
+    this holder, since ``restored_at`` (None: it always was). After an outage the report
+    may be late: fixed at once it would lack what the other instances still hold.
     """
-    end = (window + 1) * length
-    if at >= end + due * LATEST_SHARE:
-        return True
-    gathered_at = end + gather
+    gathered_at = (window + 1) * length + gather
     is_backlog_read = restored_at is None or at >= restored_at + BACKLOG_TIME
     return min(at, read_at) >= gathered_at and is_backlog_read
--- a/sassafrasdoor/platform/tests/test_duties_processes.py
+++ b/sassafrasdoor/platform/tests/test_duties_processes.py
@@ -11,13 +11,17 @@
 CALLS = 30
 
 
-class DutiesTest(ProcessCase):
+class DutiesCase(ProcessCase):
+    """A platform that takes reports and orders, and calls of two client accounts."""
+
+    window, due = WINDOW, DUE
+
     async def asyncSetUp(self):
         self.duties = DutiesStandin()
         self.addCleanup(self.duties.stop)
         self.more_settings = (
             f"Cloud.Address={self.duties.address}\nCloud.Duties=usage,scale\n"
-            f"Bounds.ReportWindowS={WINDOW}\nBounds.UsageLateS={DUE}\n"
+            f"Bounds.ReportWindowS={self.window}\nBounds.UsageLateS={self.due}\n"
             # Calls with a key are served for the whole of an outage of the log.
             "Bounds.RevokeMs=300000\n"
         )
@@ -65,6 +69,8 @@
             await self.wait_until(lambda number=number: self.call(number))
             await asyncio.sleep(0.05)
 
+
+class DutiesTest(DutiesCase):
     async def test_each_request_is_reported_once(self):
         await self.make_calls()
         await self.wait_until(self.is_reported)
@@ -119,3 +125,17 @@
         self.assertEqual(
             document, {"Service": ENGINES, "Zone": "z", "Desired": len(self.engines)}
         )
+
+
+class LongOutageTest(DutiesCase):
+    """Reports are due 3 s after windows of 3 s; the log is silent for longer."""
+
+    window, due = 3.0, 3.0
+
+    async def test_counts_survive_an_outage_longer_than_the_due_time(self):
+        """Guards against a report fixed while other instances still hold their counts."""
+        self.store.answering.clear()
+        await self.make_calls()
+        await asyncio.sleep(self.window + self.due)
+        self.store.answering.set()
+        await self.wait_until(self.is_reported)
