A cut-off instance relays through lapsed ones while nobody is listed as alive

Cause: a cut-off instance finds relays in the list of instances as it read it last. If the others have just been restarted, their old records have lapsed and their new ones can't be read any more, so it knew nobody, sent each claim only to the store, and its lease lapsed, although both others served at the addresses that it had known.

Change: while nobody is alive, relays are those in the settings and the lapsed ones that did not leave as planned, in random order, so that each is tried in time. `log.no_relay_known` tells when there is none.

--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -51,6 +51,7 @@
         "_probe",
         "_probe_at",
         "_relays",
+        "_relays_missing",
     )
 
     def __init__(self, direct, relays):
@@ -61,6 +62,7 @@
         self._budget = Budget(RELAY_SHARE, RELAY_BURST)
         self._probe = None
         self._probe_at = LONG_AGO
+        self._relays_missing = False
 
     @property
     def is_cut_off(self):
@@ -110,7 +112,7 @@
         if not self.is_cut_off:
             return await self._direct.newest(topic)
         result = Unavailable("no relay reaches the log")
-        for relay in self._relays()[:MAX_RELAYS]:
+        for relay in self._known_relays():
             reply = await relay.newest(topic)
             _count_relayed("newest", reply)
             if _was_answered(reply):
@@ -169,9 +171,17 @@
             relayed.cancel()
             restored.cancel()
 
+    def _known_relays(self):
+        """Return the relays to try for one call; log when none is known any more."""
+        relays = self._relays()[:MAX_RELAYS]
+        if not relays and not self._relays_missing:
+            note("log.no_relay_known")
+        self._relays_missing = not relays
+        return relays
+
     async def _read_relayed(self, topic, part, offset, wait, slack, max_bytes):
         result = Unavailable("no relay reaches the log")
-        for relay in self._relays()[:MAX_RELAYS]:
+        for relay in self._known_relays():
             reply = await relay.read(topic, part, offset, wait, slack, max_bytes)
             _count_relayed("read", reply)
             if _was_answered(reply):
@@ -180,7 +190,7 @@
 
     async def _append_relayed(self, topic, part, records, deadline):
         result = Unavailable("no relay known")
-        for relay in self._relays()[:MAX_RELAYS]:
+        for relay in self._known_relays():
             reply = await relay.append(topic, part, records, deadline)
             _count_relayed("append", reply)
             if _was_answered(reply):
--- a/sassafrasdoor/platform/peers.py
+++ b/sassafrasdoor/platform/peers.py
@@ -45,9 +45,16 @@
         self._peer_clients = [Store(address) for address in addresses]
         self._relay_clients = {}
 
-    def relays(self, addresses):
-        """Return clients of the control addresses, by default those in the settings."""
-        addresses = addresses or self._addresses
+    def relays(self, alive, lapsed=()):
+        """Return clients of the control addresses of the instances that are alive.
+
+        If there are none, they are clients of those in the settings and of ``lapsed``
+        ones, in random order: some of them may serve.
+        """
+        addresses = alive
+        if not addresses:
+            candidates = {*self._addresses, *lapsed}
+            addresses = random.sample(sorted(candidates), len(candidates))
         for address in addresses:
             if address not in self._relay_clients:
                 client = Store(address, newest_query={FROM_STORE_PARAMETER: 1})
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -215,7 +215,10 @@
             self._weights.wake()
 
     def _relay_clients(self):
-        return self._peers.relays(self._instances.peer_control_addresses())
+        return self._peers.relays(
+            self._instances.peer_control_addresses(),
+            self._instances.lapsed_control_addresses(),
+        )
 
     def _build_weights(self):
         self._lease = ShardLease(self._shards, self._weights_shard, self._settings.name)
--- a/sassafrasdoor/platform/tests/test_processes.py
+++ b/sassafrasdoor/platform/tests/test_processes.py
@@ -178,6 +178,27 @@
         self.assertTrue(self.lines("", "log.relayed"))
         self.proxy.thaw()
 
+    async def test_runner_cut_off_beside_restarted_instances_continues(self):
+        """Guards against a cut-off runner that finds no relay since all records lapsed."""
+        first, *others = self.instances
+        await self.wait_until(lambda: self.lists_instances(0))
+        for instance in others:
+            instance.kill()
+        await self.wait_until(lambda: self.lists_instances(0, 1))
+        for engine in self.engines:
+            engine.events, engine.pause = 20, 0.3
+        await self.wait_until(lambda: self.is_accepted("s"))
+        await self.wait_until(lambda: len(self.all_runs()) == 4)
+        for instance in others:
+            instance.start()
+        self.proxy.freeze()
+        results = await self.wait_until(lambda: self.all_results("s", 1))
+        self.check_texts(results, events=20)
+        self.assertEqual(len(self.all_runs()), 4, self.report())
+        self.assertEqual(self.lines("", "shard.lost"), [])
+        self.assertTrue(self.lines("", "log.relayed"))
+        self.proxy.thaw()
+
     async def test_late_append_is_not_reported_as_refused(self):
         self.store.log.lose_replies, self.store.log.land_late = 50, 1.0
         reply = await self.submit("s")
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -310,6 +310,19 @@
             if by_address[address].control
         ]
 
+    def lapsed_control_addresses(self):
+        """Return the control addresses of listed instances whose records have lapsed.
+
+        Unless they left as planned they may have been restarted at the same address, and
+        an instance that is cut off from the log does not see their new records.
+        """
+        alive = {record.address for record in self._current_view.alive}
+        return [
+            record.control
+            for record in self._records.values()
+            if record.control and record.address not in alive | {self._address}
+        ]
+
     @property
     def is_entry_point(self):
         """Whether this instance is an entry point or should become one.
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -169,6 +169,18 @@
             self.assertIn(far, ("i1:80", "i3:80"))
             self.assertEqual(len(rest), 1)
 
+    async def test_control_addresses_of_lapsed_records_are_kept(self):
+        """Guards against a cut-off instance that forgets whom it could ask."""
+        instance = self.instances[0]
+        for peer in instance._records.values():
+            peer.control = peer.address.replace(":80", ":81")
+        self.assertEqual(instance.lapsed_control_addresses(), [])
+        for name in ("i0:80", "i1:80", "i2:80"):
+            instance._records[name].renewed_at = LONG_AGO
+        instance._view = None
+        self.assertCountEqual(instance.lapsed_control_addresses(), ["i1:81", "i2:81"])
+        self.assertCountEqual(instance.peer_control_addresses(), ["i3:81", "i4:81"])
+
     async def test_reserve_instance_that_has_read_is_a_reader_candidate(self):
         """Guards against a sole known reader that is never asked."""
         self.instances[1].in_reserve = True
