One step id submitted by two accounts at once is acknowledged to one of them

Callers would see: a step accepted with 202 whose id then is "not found" for its account, if two client accounts submit steps of one id and model at the same time at different instances.

Cause: the owner of an id was checked before the append only. Both appends succeed, the first record counts, and both were acknowledged.

Evidence: two instances over one log, both submissions started before either is read: 2 of 2 acknowledged (red before), one of 2 after, the other rejected as for an id that is taken; all instances agree whose it is.

Change: with client accounts, a submission reads its shard to the end after the append (one read, 0.4 s at most) and checks the owner again. Not covered: an instance that has not read the shard, and steps of two models in different shards, whose order no instance knows.

--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -20,6 +20,7 @@
 SHARD_COUNT = 6  # partitions of the topic; a model's steps share one, and so a runner
 APPEND_TIMEOUT = 0.8  # seconds; a slow log takes up to 60 times the usual 4 ms
 MIN_APPEND_TIMEOUT = 0.4  # seconds; a slow log answers within 0.25 s
+ID_CHECK_TIMEOUT = 0.4  # seconds to read back an append; as MIN_APPEND_TIMEOUT
 SUBMIT_TIMEOUT = 3.0  # seconds to try a submission; a caller has 12 s and one retry
 # Seconds to try an end; its trainer retries at another instance, and announces no new
 # weights before.
@@ -126,7 +127,7 @@
                 TOPIC, self._shard(spec), packed, append_deadline
             )
             if not isinstance(result, Outcome):
-                return True
+                return await self._check_id_after_append(spec, submit_deadline)
             # An append whose reply was lost may land seconds later. Appending the step
             # again is harmless, as its first record counts, but from here on it must
             # not be reported as not run.
@@ -148,6 +149,18 @@
             return Unknown(f"append without reply: {result.reason}")
         return NotRun(f"log away: {result.reason}", RETRY_AFTER)
 
+    async def _check_id_after_append(self, spec, deadline):
+        """Return True unless another account's step of the same id came first.
+
+        Both may have been submitted at the same time, at different instances. An
+        instance that has not read the shard cannot tell.
+        """
+        tail = self._tails[self._shard(spec)]
+        if spec.account and tail.has_caught_up:
+            await tail.confirm(min(deadline, deadline_in(ID_CHECK_TIMEOUT)))
+        first = self._steps.by_id.get(spec.step_id)
+        return True if first is None else _check_owner(first.spec, spec)
+
     def _shard(self, spec):
         return shard_of(spec.model or spec.path, len(self._tails))
 
--- a/sassafrasdoor/steps/durable/tests/test_service.py
+++ b/sassafrasdoor/steps/durable/tests/test_service.py
@@ -77,6 +77,29 @@
         )
         self.assertIs(await other.service.submit(step, deadline_in(5)), True)
 
+    async def test_one_id_submitted_by_two_accounts_at_once_is_acknowledged_to_one(
+        self,
+    ):
+        """Guards against an acknowledged step that is another account's."""
+        instances = [Instance(self.log) for _ in range(2)]
+        steps = [spec(), spec()]
+        steps[0].account, steps[1].account = "ab"
+        for instance in instances:
+            await instance.tails[shard_of(MODEL)].poll(0)
+        results = await asyncio.gather(
+            *(
+                instance.service.submit(step, deadline_in(5))
+                for instance, step in zip(instances, steps, strict=True)
+            )
+        )
+        accepted = [at for at, result in enumerate(results) if result is True]
+        self.assertEqual(len(accepted), 1, results)
+        self.assertIsInstance(results[1 - accepted[0]], Rejected)
+        for instance in (*instances, Instance(self.log)):
+            for at, account in enumerate("ab"):
+                page = await instance.service.read("s1", 0, deadline_in(0), account)
+                self.assertEqual(not isinstance(page, NotFound), at in accepted)
+
     async def test_step_from_before_there_were_accounts_is_open_to_all(self):
         """Guards against steps lost by a configuration that introduces accounts."""
         self.assertIs(await self.submit(), True)
