Stale routes are read once before an unknown route is refused

Callers saw: 503 "the routes may be old" from an instance that reaches the store, instead of 404 or, for a route just added, its answer.

Cause: routes count as confirmed from when the read that found nothing newer was sent. A long poll waits for 1 s, so just before the next one ends the age is twice that and the time of the calls: 2 s is the bound within which a version must be in force, and from then on an unknown route is refused.

Change: where the routes are stale and the store is not known to be away, the configuration is read to its end (one call, 0.4 s at most), and the route is looked up again; only if that fails is the call refused.

A new test has a stale instance whose store answers, with and without an added route, and one whose store does not (503 stays); red before for the first two.

--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -14,6 +14,7 @@
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import NotRun, Outcome, Rejected
 from sassafrasdoor.platform import steps as documents, wire
+from sassafrasdoor.platform.configuration import OPERATOR_TOPIC
 from sassafrasdoor.platform.handlers import (
     MAX_LOGGED_PATH,
     DirectoryHandler,
@@ -37,6 +38,7 @@
 DEFAULT_CALL_TIMEOUT = 60.0  # seconds; for callers that state no deadline
 MAX_POLL_WAIT = 1.0  # seconds that a reader may wait for another sample
 NO_CONFIGURATION_RETRY_AFTER = 0.5  # seconds
+ROUTES_READ_TIMEOUT = 0.4  # seconds; a slow store answers within 0.25 s
 FORWARDED_HEADER = "X-Handed-On"  # marks a call forwarded by another instance
 # Seconds for a peer to handle a forwarded call: an append takes up to 0.8 s, a read
 # waits for up to one second.
@@ -95,6 +97,9 @@
             return
         host = self.request.headers.get("Host", "").partition(":")[0]
         route = configuration.match(host, path)
+        if route is None and await self._refresh_stale_routes():
+            configuration = self._parts.routes.current
+            route = configuration.match(host, path)
         if route is None:
             note(
                 "request.no_route",
@@ -113,6 +118,18 @@
             else:
                 await self._direct(route, configuration, grant)
 
+    async def _refresh_stale_routes(self):
+        """Read the configuration to its end if the routes are stale; return whether.
+
+        A long poll confirms the routes only once it ends, so their age reaches twice its
+        wait. The store is not asked while it is known not to answer.
+        """
+        tail = self._parts.lists.get(OPERATOR_TOPIC)
+        if tail is None or tail.failing_since or not self._parts.routes.are_stale:
+            return False
+        deadline = deadline_in(ROUTES_READ_TIMEOUT)
+        return bool(await self._while_connected(tail.confirm(deadline)))
+
     def _grant(self, is_public):
         """Return the ``Grant`` of the caller, or an ``Outcome``."""
         return self._parts.access.grant(
--- a/sassafrasdoor/platform/tests/test_calls_processes.py
+++ b/sassafrasdoor/platform/tests/test_calls_processes.py
@@ -177,6 +177,7 @@
         self.assertEqual(other_replica.runs, [])
 
     async def test_newest_configuration_is_applied_everywhere(self):
+        """Guards against instances that serve, or are unsure of, routes of before."""
         await self.configure(5, ROUTES[1:])
         for instance in self.instances:
             await self.wait_until(
@@ -185,11 +186,7 @@
         await self.configure(4)
         await asyncio.sleep(1.0)
         for instance in self.instances:
-            # Routes that were not confirmed in time are answered 503, until they are.
-            self.assertFalse(await self.plain_call_returns(instance, 200))
-            await self.wait_until(
-                lambda instance=instance: self.plain_call_returns(instance, 404)
-            )
+            self.assertTrue(await self.plain_call_returns(instance, 404))
         await self.configure(6)
         for instance in self.instances:
             await self.wait_until(
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -9,9 +9,10 @@
 from tornado.testing import bind_unused_port
 
 from sassafrasdoor.backends.interface import Answer
-from sassafrasdoor.clock import boot_now
+from sassafrasdoor.clock import boot_now, now
 from sassafrasdoor.outcomes import NotRun, Unknown
 from sassafrasdoor.platform import front, handlers, wire
+from sassafrasdoor.platform.configuration import OPERATOR_TOPIC
 from sassafrasdoor.requests.access import Access
 from sassafrasdoor.steps.durable.service import NotFound, Page
 from sassafrasdoor.steps.durable.tests.fixtures import (
@@ -20,7 +21,7 @@
     route,
     routes_in_force,
 )
-from sassafrasdoor.table.routes import Repeat, RoutesInForce
+from sassafrasdoor.table.routes import Configuration, Limits, Repeat, RoutesInForce
 
 PLAIN, STREAM = "/plain/", "/stream/"
 EVENTS = [b"id: 0\ndata: a\n\n", b"id: 1\ndata: b\n\n"]
@@ -88,13 +89,34 @@
     def addresses(self, zone, serves=True):
         return [f"address-in-{zone}"]
 
-    def reader_candidates(self, most):
+    knows_reader = False
+
+    def reader_candidates(self, limit, excluded=()):
         return []
 
     def peers(self):
         return []
 
 
+class FakeOperatorTail:
+    """Routes that are stale until they are read; ``newest`` is found then, if any."""
+
+    def __init__(self, failing_since, newest):
+        self.failing_since = failing_since
+        self.reads = 0
+        self._newest = newest
+        self._confirmed_at = boot_now() - 3.0
+        self.routes = RoutesInForce(lambda: self._confirmed_at, lambda: 2.0)
+        self.routes.take(Configuration(0.5, [], {}, Limits(1, 1, 1.0)))
+
+    async def confirm(self, deadline):
+        self.reads += 1
+        self._confirmed_at = boot_now()
+        if self._newest:
+            self.routes.take(self._newest)
+        return True
+
+
 class AccessSettings:
     fail_closed = True
     revoke_within = 5.0
@@ -208,6 +230,21 @@
         self.service.result = Answer(200, [], b"known")
         self.assertEqual((await self.call(PLAIN)).code, 200)
 
+    async def test_unknown_route_is_looked_up_again_while_the_store_answers(self):
+        """Guards against refusals between two long polls at an instance in touch."""
+        for failing_since, added, status in (
+            (None, False, 404),
+            (None, True, 200),
+            (now() - 1.0, True, 503),
+        ):
+            with self.subTest(failing_since=failing_since, added=added):
+                tail = FakeOperatorTail(failing_since, added and self.routes.current)
+                self.parts.lists = {OPERATOR_TOPIC: tail}
+                self.parts.routes = tail.routes
+                self.service.result = Answer(200, [], b"known")
+                self.assertEqual((await self.call(PLAIN)).code, status)
+                self.assertEqual(tail.reads, int(failing_since is None))
+
     async def test_request_cancelled_by_stop_is_not_answered(self):
         """Guards against lost steps that were reported as accepted, and empty answers.
 
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -179,6 +179,11 @@
         confirmed_at = self._confirmed_at()
         return boot_now() - (LONG_AGO if confirmed_at is None else confirmed_at)
 
+    @property
+    def are_stale(self):
+        """Whether a newer version may have to be in force."""
+        return self.age > self._max_age()
+
     def report_age(self):
         """Update the age metric; log when the routes become stale or current again."""
         age = self.age
@@ -197,11 +202,10 @@
 
         A stale configuration may lack a new route, so the caller should retry.
         """
-        age = self.age
-        if age <= self._max_age():
+        if not self.are_stale:
             return outcome
         STALE_REFUSALS.inc({})
-        note("request.route_unsure", age=_rounded(age))
+        note("request.route_unsure", age=_rounded(self.age))
         return NotRun("the routes may be old", STALE_RETRY_AFTER)
 
     def on_change(self, callback):
