A caller that left while routes were read gets no answer; peers are listed only if needed

Cause: found in a read of the change. A caller may leave while stale routes are read, and all peers were sorted for each forwarded read though a reader was known. Change: the handler returns once its caller has left; peers are listed only where no reader is.

--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -100,6 +100,8 @@
         if route is None and await self._refresh_stale_routes():
             configuration = self._parts.routes.current
             route = configuration.match(host, path)
+        if self._caller_left:
+            return
         if route is None:
             note(
                 "request.no_route",
@@ -125,7 +127,9 @@
         wait. The store is not asked while it is known not to answer.
         """
         tail = self._parts.lists.get(OPERATOR_TOPIC)
-        if tail is None or tail.failing_since or not self._parts.routes.are_stale:
+        if not self._parts.routes.are_stale:
+            return False
+        if tail is None or tail.failing_since is not None:
             return False
         deadline = deadline_in(ROUTES_READ_TIMEOUT)
         return bool(await self._while_connected(tail.confirm(deadline)))
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -262,8 +262,11 @@
         probable_readers = self._alternate_zones(
             [record for record in others if record.has_read]
         )
-        other_peers = [peer for peer in self.peers() if peer not in excluded]
-        return readers[:limit] or (probable_readers or other_peers)[:1]
+        if readers:
+            return readers[:limit]
+        return (
+            probable_readers or [peer for peer in self.peers() if peer not in excluded]
+        )[:1]
 
     def _alternate_zones(self, records):
         """Return the addresses, alternating between this zone and others."""
