A late instance keeps its fallback while others' grants limit its own

Cause: the fallback was half of the momentary grant. An instance whose reports came later than a grant's life is at first granted no more than the fallback that it still may use, so each time its fallback halved. If the holder is lost before the next rounds, the instance reports that small fallback, and the successor keeps all that is missing in the half of the limit for the holder that it can't reach.

A late report within a grant's life changes nothing, and no order alone does. No run of processes was made to fail.

Change: the fallback is half of the target, no more than the grant, so that a lapse still never adds to what an instance may use; the target of a late instance is twice its fallback at least.

--- a/sassafrasdoor/admission/allocator.py
+++ b/sassafrasdoor/admission/allocator.py
@@ -114,8 +114,12 @@
         if passed(self._rebalance_at):
             self._rebalance()
         elif is_late:
-            # The last targets omit this instance; an empty grant would end its fallback.
-            self._targets[report.instance] = dict(record.committed)
+            # The last targets omit this instance; an empty grant would end its fallback,
+            # and one as small as the fallback would halve it.
+            self._targets[report.instance] = {
+                name: max(slots, 2 * record.fallback.get(name, 0))
+                for name, slots in record.committed.items()
+            }
         return self._grant(report.instance, record, lease_deadline)
 
     def _lifetime(self, instance_count):
@@ -206,7 +210,8 @@
                 self._add_to_totals(record, +1)
 
     def _grant(self, instance, record, lease_deadline):
-        slots = self._grantable(self._targets.get(instance, {}), record)
+        target = self._targets.get(instance, {})
+        slots = self._grantable(target, record)
         deadline = deadline_in(self._lifetime(len(self._records)))
         if lease_deadline is not None:
             deadline = min(deadline, lease_deadline)
@@ -216,7 +221,7 @@
             deadline,
             deadline + self._settings.admission.fallback_duration,
             slots,
-            self._fallback_slots(slots, record),
+            self._fallback_slots(slots, target, record),
         )
         self._add_to_totals(record, -1)
         record.add(grants)
@@ -267,12 +272,14 @@
         others = self._committed.of_row(name) - record.committed.get(name, 0)
         return limit - reserved.get(name, 0) - others
 
-    def _fallback_slots(self, slots, record):
+    def _fallback_slots(self, slots, target, record):
         """Return the slots that may still be used once ``slots`` have lapsed.
 
         While the log is down the lease has no holder and all grants lapse. The fallback
-        is half of the grant (rounded up), and over all instances at most half of the
-        limit, so that a later holder can bound the use of instances it can't reach.
+        is half of the target (rounded up), no more than the grant, and over all instances
+        at most half of the limit, so that a later holder can bound the use of instances
+        it can't reach. By half of a grant that is small only until others' grants have
+        lapsed, that bound would be too high for as long as the fallback lasts.
         """
         reserved = self._reserved_by_row() if self._has_reserve else {}
         available = self._remaining_fallback(record)
@@ -280,7 +287,8 @@
         for name, granted in slots.items():
             others = self._fallback.of_row(name) - record.fallback.get(name, 0)
             headroom = self._limits.get(name, 0) // 2 - others - reserved.get(name, 0)
-            part = max(0, min((granted + 1) // 2, headroom, available))
+            half = (max(granted, target.get(name, 0)) + 1) // 2
+            part = max(0, min(half, granted, headroom, available))
             if part:
                 fallback[name] = part
                 available -= part
--- a/sassafrasdoor/admission/tests/test_allocator.py
+++ b/sassafrasdoor/admission/tests/test_allocator.py
@@ -1,5 +1,6 @@
 """Leased quota: slots in use never exceed hard limits and capacity."""
 
+import itertools
 import random
 import subprocess
 import sys
@@ -309,6 +310,37 @@
     def test_hard_limits_hold_under_random_faults(self, seed):
         self.run_random_faults(seed)
 
+    def test_late_reports_before_the_holder_is_lost_reserve_no_more(self):
+        """Guards against slots kept for a silent instance that has no use of them."""
+        for late_seconds in (1.0, 3.5, 6.0):
+            for late_reports in (1, 2):
+                for order in itertools.permutations((1, 2)):
+                    with self.subTest((late_seconds, late_reports, order)):
+                        self.lose_holder_after_late_reports(
+                            late_seconds, late_reports, order
+                        )
+
+    def lose_holder_after_late_reports(self, late_seconds, late_reports, order):
+        """Check what is reserved for the first of three instances, which falls silent."""
+        allocator, instances = self.start_instances(app=12)
+        self.exchange_rounds(allocator, instances)
+        late = instances[2]
+        end = self.clock.time + late_seconds
+        while self.clock.time < end:
+            self.exchange_rounds(allocator, instances[:2], rounds=1, step=0.15)
+        self.exchange_rounds(allocator, [late], rounds=late_reports, step=0.05)
+        silent = instances[0].grants["app"].fallback
+        held = sum(instance.grants["app"].fallback for instance in instances)
+        self.clock.time += 3.0
+        successor = self.new_holder(instances)
+        for at in order:
+            self.exchange(successor, instances[at])
+        self.exchange_rounds(successor, instances[1:], rounds=20)
+        limit = hard_limit(ROWS.row("app"), CAPACITY)
+        self.assertEqual(held, limit // 2)
+        self.assertEqual(successor._reserved_by_row()["app"], silent)
+        self.check(instances)
+
     def test_slots_of_a_dead_instance_are_reclaimed(self):
         """Guards against calls of a dead instance that count against the capacity."""
         allocator, instances = self.start_instances()
