Two test runs never give the same ports to their instances

Seen: test_runner_cut_off_from_the_store_continues failed in 1 of 60 runs six at a time because two instances ended at their start with "Address already in use"; another of the runs ended with that error itself.

Cause: a process takes ports from a block by its process id modulo 150, so two runs whose ids are equal modulo 150 take the same ones.

Change: a block's first port stays bound as its lock, and a process whose block is taken goes on to the next. Red before: three runs of one id shared all ports.

--- a/sassafrasdoor/platform/local.py
+++ b/sassafrasdoor/platform/local.py
@@ -13,7 +13,7 @@
 
 LOOPBACK = "127.0.0.1"
 PROGRAM = "sassafrasdoor.platform"
-FIRST_PORT, LAST_PORT, PORTS_PER_BLOCK, PORT_BLOCKS = 15000, 32000, 100, 150
+FIRST_PORT, PORTS_PER_BLOCK, PORT_BLOCKS = 15000, 100, 150
 SETTINGS_TEMPLATE = """
 NodeName={name}
 Zone=z
@@ -35,12 +35,20 @@
     """Yield unused ports below the system's ephemeral range.
 
     An instance keeps its addresses across restarts, so it cannot use ephemeral ports.
+    Ports come from blocks that no other process takes: a block's first port stays bound
+    as its lock while this process runs.
     """
-    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK
-    for port in range(first, LAST_PORT):
-        with contextlib.closing(socket.socket()) as sock:
-            if sock.connect_ex((LOOPBACK, port)):
-                yield port
+    for number in range(os.getpid(), os.getpid() + PORT_BLOCKS):
+        first = FIRST_PORT + number % PORT_BLOCKS * PORTS_PER_BLOCK
+        with contextlib.closing(socket.socket()) as lock:
+            try:
+                lock.bind((LOOPBACK, first))
+            except OSError:
+                continue
+            for port in range(first + 1, first + PORTS_PER_BLOCK):
+                with contextlib.closing(socket.socket()) as sock:
+                    if sock.connect_ex((LOOPBACK, port)):
+                        yield port
 
 
 PORTS = free_ports()
