Silent peers count among those asked for a read

Cause: the search for a reader went on beyond peers that were silent, also while nobody is known to have read the steps. After a start of all instances every peer is slow, and each call was then forwarded up to three times, which the rule that stood is there to prevent.

Change: only peers to which no connection opens do not count.

--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -48,7 +48,7 @@
 PEER_READ_TIMEOUT = 1.4
 # Seconds without an answer, after the caller's wait, before the next peer is asked too.
 HEDGE_DELAY = 0.5
-MAX_PEERS_ASKED = 3  # peers that may reply without what was asked for
+MAX_PEERS_ASKED = 3  # for one read; peers that were not reached do not count
 STEP_PATH = re.compile(r"^/-/lots/([^/?]+)$")
 ITEM_PATH = re.compile(r"^/-/items/([^/?]+)$")
 
@@ -272,8 +272,8 @@
 
         async def ask(peer, deadline):
             reply = await self._forward_to(peer, deadline)
-            if isinstance(reply, Reply):
-                search.record_reply()
+            if isinstance(reply, Broken) and not reply.began:
+                search.record_unreached()
             return reply
 
         reply = await first_answer(
--- a/sassafrasdoor/routing/reader_search.py
+++ b/sassafrasdoor/routing/reader_search.py
@@ -5,23 +5,23 @@
 read the steps, and calls forwarded to several would multiply the load.
 """
 
-MAX_PEERS_TRIED = 8  # peers tried for one call, including those that do not reply
+MAX_PEERS_TRIED = 8  # peers tried for one call, including those not reached
 
 
 class ReaderSearch:
     """Iterates over the peers to ask for one call, the known readers first.
 
-    While too few peers have replied, the next ones follow. ``record_reply`` is called
-    for each peer that replied without what was asked for: as many as ``max_replies`` may
-    do so if a peer is known to have read the steps, otherwise one.
+    As many as ``max_asked`` are asked if a peer is known to have read the steps,
+    otherwise one. Those to which no connection could be opened, for which
+    ``record_unreached`` is called, do not count.
     """
 
-    __slots__ = ("_instances", "_max_replies", "_replies", "_untried", "tried")
+    __slots__ = ("_instances", "_max_asked", "_unreached", "_untried", "tried")
 
-    def __init__(self, instances, max_replies):
+    def __init__(self, instances, max_asked):
         self._instances = instances
-        self._max_replies = max_replies if instances.knows_reader else 1
-        self._replies = 0
+        self._max_asked = max_asked if instances.knows_reader else 1
+        self._unreached = 0
         self._untried = []
         self.tried = []
 
@@ -29,11 +29,12 @@
         return self
 
     def __next__(self):
-        if self._replies >= self._max_replies or len(self.tried) >= MAX_PEERS_TRIED:
+        asked = len(self.tried) - self._unreached
+        if asked >= self._max_asked or len(self.tried) >= MAX_PEERS_TRIED:
             raise StopIteration
         if not self._untried:
             self._untried = self._instances.reader_candidates(
-                self._max_replies, self.tried
+                self._max_asked, self.tried
             )
         if not self._untried:
             raise StopIteration
@@ -41,6 +42,6 @@
         self.tried.append(peer)
         return peer
 
-    def record_reply(self):
-        """Record that a peer replied, as opposed to one that could not be reached."""
-        self._replies += 1
+    def record_unreached(self):
+        """Record that no connection to a peer could be opened."""
+        self._unreached += 1
--- a/sassafrasdoor/routing/tests/test_reader_search.py
+++ b/sassafrasdoor/routing/tests/test_reader_search.py
@@ -23,12 +23,12 @@
 
 
 class ReaderSearchTest(unittest.TestCase):
-    def tried(self, instances, replying=()):
-        """Return the peers tried when only those in ``replying`` reply, in vain."""
-        search = ReaderSearch(instances, max_replies=3)
+    def tried(self, instances, reached=()):
+        """Return the peers tried when only those in ``reached`` are, in vain."""
+        search = ReaderSearch(instances, max_asked=3)
         for peer in search:
-            if peer in replying:
-                search.record_reply()
+            if peer not in reached:
+                search.record_unreached()
         return search.tried
 
     def test_peer_that_has_ended_does_not_end_the_search(self):
@@ -40,12 +40,12 @@
         ):
             self.assertEqual(self.tried(instances), ["dead", "alive"])
 
-    def test_one_reply_ends_the_search_while_nobody_has_read(self):
+    def test_one_peer_is_asked_while_nobody_has_read(self):
         """Guards against three calls for each one after a start of all instances."""
         instances = FakeInstances(probable=["dead", "alive", "next"], others=["other"])
         self.assertEqual(self.tried(instances, ["alive"]), ["dead", "alive"])
 
-    def test_replies_end_the_search_beside_known_readers(self):
+    def test_three_peers_are_asked_beside_known_readers(self):
         """Guards against a call forwarded to every instance in turn."""
         instances = FakeInstances(["r1", "r2"], ["p1", "p2"])
         self.assertEqual(
