Load reports that state the pace of a replica count

Cause: replicas that share their machines add a fourth figure to the load report, how long work takes there now, and the report was dropped whole; an instance knew its own calls only. The report of a stream was also recorded at the stream's end, when it is seconds old. Change: reports of three or four figures are recorded as the head of an answer arrives; the pace is kept for 0.3 s. Result: tests with reports of four figures, malformed ones and those of late answers pass; the first failed before.

--- a/sassafrasdoor/platform/__main__.py
+++ b/sassafrasdoor/platform/__main__.py
@@ -26,6 +26,7 @@
         for finding in loaded.findings:
             print(finding, file=sys.stderr)
         return INVALID_SETTINGS
+    loaded.disabled_parts = frozenset(options.disable)
     if not options.check:
         decisions.start(loaded.name)
         asyncio.run(Process(loaded, path, options.metrics_port).run())
@@ -40,6 +41,13 @@
     parser.add_argument(
         "--metrics-port", type=int, default=0, help="port of the metrics page; 0: none"
     )
+    parser.add_argument(
+        "--disable",
+        action="append",
+        default=[],
+        choices=settings.PARTS,
+        help="switch off a part of the handling of hard load; may be repeated",
+    )
     return parser
 
 
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -23,6 +23,7 @@
 RETRY_AFTER = 0.1
 VERSION_LINE = wire.VERSIONS.lower()
 EVENT_END = b"\n\n"
+LOAD_FIGURE_COUNTS = (3, 4)
 MISSING_STAMP = "answer without the replica's stamp"
 
 
@@ -147,12 +148,17 @@
 
     async def _send(self, replica, request, accept, on_data=None):
         address = replica.listing.address
-        reply = await self._connections.send(address, request, accept, on_data)
-        if isinstance(reply, Broken):
-            if reply.reason == "timeout":
-                self._connections.close_idle(address)
-            return reply
-        _record_load(replica, reply.headers)
+
+        def accept_head(status, headers):
+            refusal_reason = accept(status, headers) if accept is not None else ""
+            if not refusal_reason:
+                # At the end of a stream the load in its head would be seconds old.
+                _record_load(replica, headers)
+            return refusal_reason
+
+        reply = await self._connections.send(address, request, accept_head, on_data)
+        if isinstance(reply, Broken) and reply.reason == "timeout":
+            self._connections.close_idle(address)
         return reply
 
 
@@ -292,9 +298,19 @@
 
 
 def _record_load(replica, headers):
-    figures = headers.get(wire.LOAD, "").split(",")
-    if len(figures) == 3 and all(figure.strip().isdigit() for figure in figures):
-        replica.record_load(int(figures[0]), int(figures[1]))
+    """Record the load report of an answer: running, waiting, slots and the pace.
+
+    The pace, a percentage of the usual work time, is absent from replicas that have
+    their machine to themselves.
+    """
+    figures = [figure.strip() for figure in headers.get(wire.LOAD, "").split(",")]
+    if not all(figure.isdecimal() for figure in figures):
+        return
+    if len(figures) not in LOAD_FIGURE_COUNTS:
+        return
+    running, waiting, _, *percentages = map(int, figures)
+    pace = percentages[0] / 100 if percentages else None
+    replica.record_load(running, waiting, pace)
 
 
 def _parse_int(text, default=0):
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -59,7 +59,18 @@
     "revoke_within",
     "stop_within",
 )
+# Parts of the handling of hard load that an operator may switch off.
+PARTS = (
+    "buffers",
+    "load-exchange",
+    "overload",
+    "pace",
+    "prompts",
+    "subsets",
+    "trainer-shares",
+)
 POSITIVE = ("Bounds.ReportWindowS",)
+NOT_IN_FILE = {"disabled_parts", "instance"}  # the file never changes them
 MIN_PARTITIONS = 2  # one for the steps, one for the weights lease
 
 
@@ -69,6 +80,7 @@
     ``control``: address that other instances call, empty if none; ``peers``: control
     addresses of other instances. ``instance``: name and location of this one.
 
+    ``disabled_parts``: names of ``PARTS`` that are switched off.
     ``config_apply``: time within which a new configuration must be in force.
     ``revoke_within``: time within which a key that was taken away must be refused;
     ``fail_closed``: whether that holds for instances that cannot know of it too.
@@ -90,6 +102,7 @@
         "control",
         "cores",
         "directory",
+        "disabled_parts",
         "duties",
         "duties_address",
         "fail_closed",
@@ -118,7 +131,7 @@
         changed = [
             name
             for name in self.__slots__
-            if name != "instance" and getattr(self, name) != getattr(other, name)
+            if name not in NOT_IN_FILE and getattr(self, name) != getattr(other, name)
         ]
         applied = [name for name in changed if name in RELOADABLE]
         for name in applied:
@@ -179,6 +192,7 @@
 def _build_settings(fields, numbers):
     settings = PlatformSettings()
     settings.name = fields["NodeName"]
+    settings.disabled_parts = frozenset()
     settings.front = fields["Listen.Front"]
     settings.ready = fields["Listen.Ready"]
     settings.directory = fields.get("Listen.Directory", "")
--- a/sassafrasdoor/platform/tests/test_servers.py
+++ b/sassafrasdoor/platform/tests/test_servers.py
@@ -143,6 +143,31 @@
         self.assertEqual(self.bodies, [b"body"])
         self.assertEqual(self.replica.load, 4)
 
+    async def test_load_report_with_a_pace_counts(self):
+        """Guards against load reports dropped whole because of a fourth figure."""
+        cases = [
+            ("3,1,4", 4, 1.0, False),
+            ("3,1,4,100", 4, 1.0, True),
+            ("2, 0, 4, 250", 2, 2.5, True),
+            ("3,1,4,x", 0, 1.0, False),
+            ("3,1", 0, 1.0, False),
+            ("3,1,4,100,7", 0, 1.0, False),
+        ]
+        for report, load, pace, reports_pace in cases:
+            with self.subTest(report):
+                await self.start(answer(200, STAMP, f"{wire.LOAD}: {report}"))
+                await self.call()
+                replica = self.replica
+                self.assertEqual((replica.load, replica.pace), (load, pace))
+                self.assertIs(replica.reports_pace, reports_pace)
+
+    async def test_load_in_an_answer_to_another_request_is_ignored(self):
+        """Guards against the load of a late answer that belongs to another request."""
+        late = f"{wire.REQUEST_ID}: other"
+        await self.start(answer(200, STAMP, late, f"{wire.LOAD}: 3,1,4,250"))
+        await self.call()
+        self.assertEqual((self.replica.load, self.replica.pace), (0, 1.0))
+
     async def test_stream_is_split_into_events_with_versions(self):
         await self.start(answer(200, STAMP, f"{wire.VERSIONS}: 3", body=EVENTS))
         self.assertIs(await self.generate(), True)
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -21,6 +21,9 @@
 # 1 KB across zones costs little, but a second kept connection does not pay.
 ZONE_PENALTY = 0.25
 LOAD_REPORT_LIFETIME = 1.0  # seconds; calls last less
+# Seconds; the pace of a shared machine changes several times a second.
+PACE_LIFETIME = 0.3
+USUAL_PACE = 1.0
 
 # Weight of one interval in the smoothed one: a full replica sends about 250 events a
 # second, so a change shows within a fifth of a second, and one late packet does not.
@@ -79,12 +82,15 @@
     process ordered counts as in progress. ``grace_deadline`` is the time until which it
     stays in use without an entry, None while listed. ``last_received_at`` is the time of
     the last data on any of its streams, ``event_interval`` the smoothed seconds between
-    two events of its streams, None before the first.
+    two events of its streams, None before the first. ``reports_pace`` says whether its
+    load reports state how long work takes there.
     """
 
     __slots__ = (
         "_other_callers_load",
         "_other_callers_load_deadline",
+        "_pace",
+        "_pace_deadline",
         "grace_deadline",
         "last_received_at",
         "identity",
@@ -92,6 +98,7 @@
         "loading_deadlines",
         "event_interval",
         "refusal_deadlines",
+        "reports_pace",
         "state",
         "versions",
     )
@@ -108,6 +115,9 @@
         self.last_received_at = LONG_AGO
         self._other_callers_load = 0
         self._other_callers_load_deadline = 0.0
+        self._pace = USUAL_PACE
+        self._pace_deadline = LONG_AGO
+        self.reports_pace = False
 
     @property
     def is_usable(self):
@@ -129,6 +139,11 @@
         """Estimated free slots."""
         return self.listing.slots - self.load
 
+    @property
+    def pace(self):
+        """How long work takes there now, as a multiple of the usual time."""
+        return USUAL_PACE if passed(self._pace_deadline) else self._pace
+
     def candidate(self):
         """Return the current estimated state as a ``Candidate``."""
         unavailable_models = {
@@ -143,8 +158,15 @@
         }
         return Candidate(self, self.load, self.state.is_suspect, unavailable_models)
 
-    def record_load(self, running, waiting):
-        """Record the load reported with an answer; it includes own calls."""
+    def record_load(self, running, waiting, pace=None):
+        """Record the load reported with an answer; it includes own calls.
+
+        ``pace`` is the reported multiple of the usual work time, None if not reported.
+        """
+        self.reports_pace = pace is not None
+        if pace:
+            self._pace = pace
+            self._pace_deadline = deadline_in(PACE_LIFETIME)
         self._other_callers_load = max(0, running + waiting - self.state.in_flight)
         self._other_callers_load_deadline = deadline_in(LOAD_REPORT_LIFETIME)
 
--- a/sassafrasdoor/routing/tests/test_replicas.py
+++ b/sassafrasdoor/routing/tests/test_replicas.py
@@ -91,6 +91,14 @@
         replica._other_callers_load_deadline = LONG_AGO
         self.assertEqual(replica.load, 1)
 
+    def test_pace_lapses(self):
+        """Guards against a short slow spell that counts until the next report."""
+        replica = self.listed("x")
+        replica.record_load(1, 0, 2.5)
+        self.assertEqual(replica.pace, 2.5)
+        replica._pace_deadline = LONG_AGO
+        self.assertEqual((replica.pace, replica.reports_pace), (1.0, True))
+
     def test_recorded_versions_are_kept_until_the_list_changes(self):
         replica = self.listed("x", versions={"m": 1})
         replica.record_version("m", 2)
