Bodies and answers held for slow callers and replicas are bounded

Cause: bodies of requests and unread answers were held without a bound, up to the operator's largest body for each connection, and a process over its memory is killed with all its calls. A replica got any number of request bytes, though it crashes when what it holds exceeds its memory.

--- a/sassafrasdoor/platform/handlers.py
+++ b/sassafrasdoor/platform/handlers.py
@@ -10,10 +10,11 @@
 from sassafrasdoor.backends.connections import Connections
 from sassafrasdoor.clock import now
 from sassafrasdoor.decisions import note
-from sassafrasdoor.metrics import counter, exposition, histogram
+from sassafrasdoor.metrics import counter, exposition, gauge, histogram
 from sassafrasdoor.outcomes import NotRun, Rejected, Unknown
 from sassafrasdoor.platform import wire
 from sassafrasdoor.requests.access import Unauthorized
+from sassafrasdoor.requests.buffers import BufferBudget
 from sassafrasdoor.requests.crash_watch import Quarantined
 from sassafrasdoor.steps.durable.service import NotFound
 
@@ -23,6 +24,7 @@
 MAX_LOGGED_FRAMES = 2
 MAX_LOGGED_PATH = 120  # characters
 
+HELD_BYTES = gauge("buffers_held_bytes", "Bytes held for requests and unread answers.")
 ANSWERS = counter("front_answers_total", "Answers to callers, by kind and status.")
 ANSWER_SECONDS = histogram(
     "front_seconds",
@@ -36,11 +38,12 @@
 
     ``process`` has the state of this process. ``store`` is the platform's store, called
     directly and never through another instance. ``lists`` maps each keyed topic to the
-    tail that follows it.
+    tail that follows it. ``budget`` bounds what is held for callers.
     """
 
     __slots__ = (
         "access",
+        "budget",
         "connections",
         "direct",
         "instances",
@@ -53,9 +56,19 @@
     )
 
     def __init__(
-        self, direct, streams, instances, process, routes, steps, store, access
+        self,
+        direct,
+        streams,
+        instances,
+        process,
+        routes,
+        steps,
+        store,
+        access,
+        budget=None,
     ):
         self.access = access
+        self.budget = budget or BufferBudget()
         self.connections = Connections()
         self.direct = direct
         self.streams = streams
@@ -76,13 +89,17 @@
         self._parts = parts
         self._task = None
         self._caller_left = False
+        self._body_bytes = 0
         self._started_at = now()
 
     def prepare(self):
         self._parts.process.in_flight.add(self)
+        self._body_bytes = len(self.request.body)
+        self._parts.budget.add_body(self._body_bytes)
 
     def on_finish(self):
         self._parts.process.in_flight.discard(self)
+        self._release_body()
 
     def set_default_headers(self):
         self.clear_header("Server")
@@ -95,6 +112,7 @@
     def on_connection_close(self):
         self._caller_left = True
         self._parts.process.in_flight.discard(self)
+        self._release_body()
         if self._task is not None:
             self._task.cancel()
 
@@ -119,9 +137,24 @@
     def _request_id(self):
         return self.request.headers.get(wire.REQUEST_ID, "")
 
+    def _release_body(self):
+        self._parts.budget.add_body(-self._body_bytes)
+        self._body_bytes = 0
+
     def _reply(self, status, headers=(), body=b""):
         self._write_head(status, headers)
-        self.finish(body)
+        size = len(body)
+        self._parts.budget.add_answer(size)
+        # Done once the caller's system has taken the answer or the connection ended.
+        self.finish(body).add_done_callback(
+            lambda sent: self._handle_sent_answer(sent, size)
+        )
+
+    def _handle_sent_answer(self, sent, size):
+        self._parts.budget.add_answer(-size)
+        # Marks the error of a connection that ended as handled: nobody awaits it.
+        if not sent.cancelled():
+            sent.exception()
 
     def _write_head(self, status, headers=()):
         self.set_status(status)
@@ -177,6 +210,7 @@
 
     def get(self):
         if self.request.path == "/metrics":
+            HELD_BYTES.set({}, self._parts.budget.held_bytes)
             body, headers = exposition()
             self._reply(200, list(headers.items()), body)
         else:
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -31,6 +31,8 @@
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
 from sassafrasdoor.requests.access import Access
+from sassafrasdoor.requests.bounded_bodies import BoundedBodies
+from sassafrasdoor.requests.buffers import BufferBudget
 from sassafrasdoor.requests.crash_watch import TOPIC as CRASHES_TOPIC, CrashWatch
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.requests.streaming import StreamService
@@ -109,7 +111,9 @@
         self._peers = Peers(settings.peers)
         self._log = RelayedLog(self._store, self._relay_clients)
         self._read_coordinator = ReadCoordinator(self._backlog_share, self._retry_pause)
-        self._client = WireReplicas()
+        is_bounded = "buffers" not in settings.disabled_parts
+        self._budget = BufferBudget(settings.memory_bytes if is_bounded else 0)
+        self._client = WireReplicas(self._budget)
         self._routes = RoutesInForce(
             lambda: self._operator_tail.confirmed_boot_at,
             lambda: settings.config_apply,
@@ -334,6 +338,7 @@
             ),
             self._store,
             self._access,
+            self._budget,
         )
         tails = (
             self._operator_tail,
@@ -343,7 +348,7 @@
         )
         parts.lists = {tail.topic: tail for tail in tails}
         applications = [
-            (self._settings.front, front.front_application(parts)),
+            (self._settings.front, self._bounded(front.front_application(parts))),
             (self._settings.ready, front.ready_application(parts)),
         ]
         if self._settings.control:
@@ -364,6 +369,12 @@
             server.listen(int(port), host, backlog=LISTEN_BACKLOG)
             self._servers.append(server)
 
+    def _bounded(self, application):
+        """Return the application, with callers' bodies bounded unless switched off."""
+        if not self._budget.total_limit:
+            return application
+        return BoundedBodies(application, self._budget)
+
     def _apply_limits(self, configuration):
         """Apply the operator's limits on request sizes and idle connections.
 
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -14,8 +14,10 @@
     WrongReplica,
 )
 from sassafrasdoor.clock import remaining
+from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import NotRun, ReplyLost, Unavailable
 from sassafrasdoor.platform import wire
+from sassafrasdoor.requests.buffers import BufferBudget
 
 UNPROCESSABLE = 422
 ORDER_ACCEPTED = (200, 202)
@@ -24,15 +26,20 @@
 VERSION_LINE = wire.VERSIONS.lower()
 EVENT_END = b"\n\n"
 LOAD_FIGURE_COUNTS = (3, 4)
+BODIES_NOT_SENT = counter(
+    "buffers_not_sent_total", "Requests not sent as the replica holds too many bytes."
+)
+UNANSWERED = (Broken, NotRun)
 MISSING_STAMP = "answer without the replica's stamp"
 
 
 class WireReplicas(ReplicaClient):
     """Sends requests to replicas; each request names the intended replica."""
 
-    __slots__ = ("_connections",)
+    __slots__ = ("_budget", "_connections")
 
-    def __init__(self):
+    def __init__(self, budget=None):
+        self._budget = budget or BufferBudget()
         self._connections = Connections()
 
     def close(self):
@@ -76,7 +83,7 @@
         reply = await self._send(
             replica, _build_request(replica, call), accept, forward_events
         )
-        if isinstance(reply, Broken) or reply.status != 200:
+        if isinstance(reply, UNANSWERED) or reply.status != 200:
             return _answer_from(reply)
         return splitter.end_result
 
@@ -111,7 +118,7 @@
             return mismatch
 
         reply = await self._send(replica, request, accept, events.feed)
-        if isinstance(reply, Broken):
+        if isinstance(reply, UNANSWERED):
             return reply
         if reply.status == 200:
             return events.end_result
@@ -138,6 +145,8 @@
         body = json.dumps(document).encode()
         request = OutgoingRequest("POST", "/-/order", headers, body, order.deadline)
         reply = await self._send(replica, request, None)
+        if isinstance(reply, NotRun):
+            return Unavailable(reply.reason)
         if isinstance(reply, Broken):
             return (ReplyLost if reply.began else Unavailable)(reply.reason)
         if reply.status in ORDER_ACCEPTED:
@@ -156,7 +165,15 @@
                 _record_load(replica, headers)
             return refusal_reason
 
-        reply = await self._connections.send(address, request, accept_head, on_data)
+        size = len(request.body)
+        if not self._budget.may_send(replica.identity, size):
+            BODIES_NOT_SENT.inc({})
+            return NotRun("requests at the replica take up their memory", RETRY_AFTER)
+        self._budget.add_sent(replica.identity, size)
+        try:
+            reply = await self._connections.send(address, request, accept_head, on_data)
+        finally:
+            self._budget.add_sent(replica.identity, -size)
         if isinstance(reply, Broken) and reply.reason == "timeout":
             self._connections.close_idle(address)
         return reply
@@ -247,7 +264,7 @@
 
 def _answer_from(reply):
     """Convert a reply to ``Answer``, ``NotRun``, ``WrongReplica`` or ``Broken``."""
-    if isinstance(reply, Broken):
+    if isinstance(reply, UNANSWERED):
         return reply
     refusal = _refusal(reply)
     if refusal is not None:
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -43,6 +43,7 @@
     "Platform.ReadMbS": 80.0,
     "Limits.CpuShare": 1.0,
     "Limits.Cores": 1.0,
+    "Limits.MemoryMb": 0.0,
 }
 
 
@@ -95,6 +96,7 @@
     instances together.
     ``results_kept``: time after a step's submission for which its samples are readable.
     ``cores``: processor cores of the instance, which may be a fraction.
+    ``memory_bytes``: memory of the instance, 0 if not stated.
     """
 
     __slots__ = (
@@ -111,6 +113,7 @@
         "heartbeat",
         "instance",
         "lease",
+        "memory_bytes",
         "name",
         "partitions",
         "peers",
@@ -217,6 +220,7 @@
     settings.reads_per_second = max(1.0, numbers["Platform.ReadsPerS"])
     settings.read_bytes_per_second = max(1.0, numbers["Platform.ReadMbS"]) * 1e6
     settings.cores = numbers["Limits.CpuShare"] * numbers["Limits.Cores"]
+    settings.memory_bytes = int(numbers["Limits.MemoryMb"] * 1e6)
     settings.partitions = int(numbers["Platform.parts"])
     settings.instance = InstanceLocation(
         name=settings.name,
--- /dev/null
+++ b/sassafrasdoor/requests/bounded_bodies.py
@@ -0,0 +1,95 @@
+"""Admits the bodies of callers' requests to an HTTP server by a ``BufferBudget``.
+
+The body of a request that is not admitted is discarded as it arrives, and the request is
+then answered 503: it has not run. Closing the connection instead would reset it, and the
+caller could not tell whether the request has run.
+"""
+
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    ResponseStartLine,
+)
+
+from sassafrasdoor.decisions import note
+from sassafrasdoor.metrics import counter
+
+RETRY_AFTER = 0.5  # seconds, in which most bodies and answers in progress end
+REFUSAL = ResponseStartLine("HTTP/1.1", 503, "Service Unavailable")
+REASON = b"the body does not fit into the memory for requests\n"
+
+REFUSED = counter("buffers_refused_total", "Requests refused for the size of the body.")
+
+
+class BoundedBodies(HTTPServerConnectionDelegate):
+    """Passes on to ``application`` the requests whose bodies fit into ``budget``."""
+
+    def __init__(self, application, budget):
+        self._application = application
+        self._budget = budget
+
+    def start_request(self, server_conn, request_conn):
+        delegate = self._application.start_request(server_conn, request_conn)
+        return _BoundedBody(delegate, request_conn, self._budget)
+
+    def on_close(self, server_conn):
+        self._application.on_close(server_conn)
+
+
+class _BoundedBody(HTTPMessageDelegate):
+    """One request, whose body counts here until it is complete."""
+
+    def __init__(self, delegate, connection, budget):
+        self._delegate = delegate
+        self._connection = connection
+        self._budget = budget
+        self._counted = 0
+        self._received = 0
+        self._is_refused = False
+
+    def headers_received(self, start_line, headers):
+        length = headers.get("Content-Length", "")
+        self._reserve(int(length) if length.isdecimal() else 0)
+        return self._delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk):
+        self._received += len(chunk)
+        if self._received > self._counted:
+            # A chunked body states no length in advance.
+            self._reserve(self._received - self._counted)
+        return None if self._is_refused else self._delegate.data_received(chunk)
+
+    def finish(self):
+        self._release()
+        if self._is_refused:
+            self._answer_refusal()
+        else:
+            self._delegate.finish()
+
+    def on_connection_close(self):
+        self._release()
+        self._delegate.on_connection_close()
+
+    def _reserve(self, size):
+        if self._is_refused:
+            return
+        if self._budget.may_read_body(self._counted + size, self._counted):
+            self._counted += size
+            self._budget.add_body(size)
+            return
+        self._is_refused = True
+        self._release()
+        REFUSED.inc({})
+        note("request.body_refused", held_bytes=self._budget.held_bytes)
+
+    def _release(self):
+        self._budget.add_body(-self._counted)
+        self._counted = 0
+
+    def _answer_refusal(self):
+        headers = HTTPHeaders(
+            {"Retry-After": f"{RETRY_AFTER:g}", "Content-Length": str(len(REASON))}
+        )
+        self._connection.write_headers(REFUSAL, headers, REASON)
+        self._connection.finish()
