The soak has replicas on shared machines and bursts of calls

Cause: the stand-ins report no load, so no seed reached what goes by load reports. Change: with even seeds the replicas report load and pace, the pace changes each 0.3 s, and calls come in bursts at twenty times the usual rate. Odd seeds are as before.

--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -41,6 +41,8 @@
 CALL_DURATION = 0.1  # seconds; above the interval of calls to a stopping instance
 PLAIN_SLOTS = 20
 FINAL_CALL_COUNT = 20
+PACES = (1.0, 1.0, 1.0, 2.5)  # multiples of the usual work time on a shared machine
+PACE_INTERVAL = 0.3  # seconds between changes of the pace
 LOG_TIMEOUT = 1.0  # seconds for an append by the soak itself
 VIOLATION_EXIT_CODE = 1
 
@@ -120,7 +122,12 @@
         """Inject the scheduled faults, check the guarantees and return a summary."""
         await self._start()
         jobs = [
-            self._spawn(job) for job in (self._generate_calls(), self._generate_steps())
+            self._spawn(job)
+            for job in (
+                self._generate_calls(),
+                self._generate_steps(),
+                self._vary_paces(),
+            )
         ]
         try:
             started = asyncio.get_running_loop().time()
@@ -168,6 +175,22 @@
             self._instances.append(instance)
         await self._wait_until_ready()
 
+    async def _vary_paces(self):
+        """Change the pace of all replicas from time to time, with even seeds only.
+
+        Replicas that share their machines report it, and calls and items are then placed
+        by it; with odd seeds the replicas have their machines to themselves.
+        """
+        rng = random.Random(self._seed)
+        while self._has_shared_machines:
+            for replica in self._engines + self._plain:
+                replica.pace = rng.choice(PACES)
+            await asyncio.sleep(PACE_INTERVAL)
+
+    @property
+    def _has_shared_machines(self):
+        return self._seed % 2 == 0
+
     async def _stop(self):
         for task in list(self._tasks):
             task.cancel()
--- a/sassafrasdoor/platform/soak_callers.py
+++ b/sassafrasdoor/platform/soak_callers.py
@@ -17,6 +17,8 @@
 MODEL, ENGINES, PLAIN = "m", "engines", "plain"
 ITEM_COUNT = 6
 CALL_INTERVAL, STEP_INTERVAL, READ_INTERVAL = 0.05, 1.0, 0.4  # seconds
+# Calls of a burst, at twenty times the usual rate, in each so many calls.
+BURST_CALLS, BURST_PERIOD, BURST_INTERVAL = 300, 400, 0.0025  # calls, calls, seconds
 ROUTE_TIMEOUT = 3.0  # seconds
 CALL_TIMEOUT = 4.0  # seconds; above ROUTE_TIMEOUT, so that callers see its answer
 
@@ -45,7 +47,8 @@
             self._spawn(self._call(f"r{number}", number % 3 == 0))
             if number % 10 == 0:
                 self._spawn(self._probe())
-            await asyncio.sleep(CALL_INTERVAL)
+            in_burst = self._has_shared_machines and number % BURST_PERIOD < BURST_CALLS
+            await asyncio.sleep(BURST_INTERVAL if in_burst else CALL_INTERVAL)
 
     async def _call(self, request_id, once, instance=None):
         """Send a call, on a pooled connection if one is open."""
--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -212,7 +212,8 @@
     after it has started. ``away`` seconds later the replica serves again under a new
     identity, and ``on_recovered(former identity)`` is awaited.
     ``paths_running_at_crash`` has a list of the running requests' paths for each crash.
-    Other requests that are not streams end only while ``may_answer`` is set.
+    Other requests that are not streams end only while ``may_answer`` is set. ``pace``,
+    if set, is the multiple of the usual work time; it is reported with the load.
     """
 
     def __init__(self, identity, slots=8, events=4, pause=0.02):
@@ -226,6 +227,7 @@
         self.break_after = []
         self.failures = []
         self.full = False
+        self.pace = None
         self.born = 1
         self.crash_paths = set()
         self.crash_after = 0.05
@@ -248,6 +250,15 @@
         """The runs that have not ended."""
         return [run for run in self.runs if run.ended is None]
 
+    @property
+    def load_report(self):
+        """Running and waiting requests, slots and the pace in percent."""
+        return f"{len(self.running)},0,{self.slots},{int(self.pace * 100)}"
+
+    async def work(self):
+        """Take the time of one event or answer."""
+        await asyncio.sleep(self.pause * (self.pace or 1.0))
+
     def entry(self, service, models, state="ready"):
         """Return the replica's entry in the list of replicas."""
         versions = [{"Name": name, "Version": self.version} for name in models]
@@ -313,6 +324,8 @@
         headers = self.request.headers
         replica = self._replica
         self.set_header(wire.REQUEST_ID, headers.get(wire.REQUEST_ID, ""))
+        if replica.pace:
+            self.set_header(wire.LOAD, replica.load_report)
         if headers.get(wire.EXPECT_INSTANCE) != replica.identity:
             self.set_status(wire.MISDIRECTED)
             return False
@@ -352,7 +365,7 @@
         elif self._replica.failures:
             self.set_status(self._replica.failures.pop(0))
         elif self.request.path.startswith("/plain"):
-            await asyncio.sleep(self._replica.pause)
+            await self._replica.work()
             await self._replica.may_answer.wait()
             self.finish(b"answer to " + self._run.request_id.encode())
         else:
@@ -365,7 +378,7 @@
         break_at = replica.break_after.pop(0) if replica.break_after else None
         try:
             for number in range(first, replica.events):
-                await asyncio.sleep(replica.pause)
+                await replica.work()
                 is_over = self._connection_closed or self._incarnation != replica.born
                 if is_over or number - first == break_at:
                     self._end()
