--- a/sassafrasdoor/routing/engine_speed.py
+++ b/sassafrasdoor/routing/engine_speed.py
@@ -22,7 +22,8 @@
 LASTING_QUANTILE = 0.25  # short slowdowns take 0.15 of the time
 SMOOTHING_TIME = 0.15  # seconds; time constant of the current slowdown
 # Ratio to the lasting speed: above the error of ``LOAD_SLOWDOWN``, below the 2.5 times
-# of real slowdowns by this error.
+# of real slowdowns by this error. Reported paces below it count as lasting: a report may
+# include the lasting difference (1.2) of an engine.
 SLOW_RATIO = 1.7
 SLOW_AFTER = 1.0  # seconds; short slowdowns end sooner
 # Seconds by which the first slow event at most shows a slowdown late: a slow engine's
@@ -110,7 +111,7 @@
         A report may be 0.3 s old. Dividing by a pace that has ended would make the engine
         faster than it is, so a known speed is not undercut by it.
         """
-        usual = normalized / max(1.0, pace)
+        usual = normalized / pace if pace >= SLOW_RATIO else normalized
         if self.lasting_interval is None:
             return usual
         return max(usual, min(normalized, self.lasting_interval))
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -211,8 +211,9 @@
         if is_slow:
             SLOWDOWNS.inc({"service": self.listing.service})
         note(
-            "replica.slow" if is_slow else "replica.usual_speed",
+            "replica.speed_changed",
             replica=self.identity,
+            is_slow=is_slow,
             lasting_interval=round(self.speed.lasting_interval, 4),
             interval=round(self.speed.interval(moment), 4),
         )
