Calls go to few replicas while those have free capacity

Cause: a call went to the least loaded replica by reports up to a second old, so calls of one instance changed replicas in calm time too. Connections to each lapsed between two calls, and the last used connection was taken first, so that second ones lapsed as well. Change: for services whose replicas report their pace, each instance has an order of replicas that is even over the entry points of its zone (routing/subsets.py, pure). A kept connection, the usual pace and a free slot come first, then the order; from half of the slots on, the least loaded. Without a free slot the choice is the former one. Kept connections to such replicas are used in turn. Ruled out: shorter margins before the replica's idle timeout (a request on a closing connection is of unknown fate, and no run shows what margin is enough); kept connections for calls that may not run twice (the same reason).

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -146,16 +146,29 @@
         stream.close()
         return True
 
-    async def send(self, address, request, accept=None, on_data=None):
+    def has_idle(self, address):
+        """Return whether an idle connection to ``address`` can be reused now."""
+        return any(
+            not passed(connection.deadline) and _is_reusable(connection.stream)
+            for connection in reversed(self._idle.get(address, ()))
+        )
+
+    async def send(
+        self, address, request, accept=None, on_data=None, oldest_first=False
+    ):
         """Return the complete ``Reply``, or ``Broken``; cancelling closes the connection.
 
         ``accept(status, headers)`` may refuse a reply by returning a reason;
         ``on_data`` takes the body of a 200 reply chunk by chunk and may return an
-        awaitable, which is awaited before more is read.
+        awaitable, which is awaited before more is read. ``oldest_first`` reuses the
+        connection that has been idle longest instead of the last one used: in turn all
+        are used within their idle timeout, so that calls that overlap find one each.
         """
         try:
             async with asyncio.timeout_at(request.deadline):
-                stream = None if request.fresh else self._take_idle(address)
+                stream = (
+                    None if request.fresh else self._take_idle(address, oldest_first)
+                )
                 if stream is None:
                     stream = await self._open(address)
                 if not stream:
@@ -164,10 +177,10 @@
         except TimeoutError:
             return Broken("timeout", began=True)
 
-    def _take_idle(self, address):
+    def _take_idle(self, address, oldest_first):
         pool = self._idle.get(address)
         while pool:
-            connection = pool.pop()
+            connection = pool.pop(0 if oldest_first else -1)
             if not passed(connection.deadline) and _is_reusable(connection.stream):
                 REUSED.inc({})
                 return connection.stream
--- a/sassafrasdoor/backends/tests/test_connections.py
+++ b/sassafrasdoor/backends/tests/test_connections.py
@@ -116,6 +116,21 @@
         await self.send("2", fresh=True)
         self.assertEqual(self.server.connections, 2)
 
+    async def test_connections_are_reused_in_turn(self):
+        """Guards against a second connection that lapses while the last one is reused."""
+        await self.start(*[(KEEP_ALIVE_REPLY, OPEN)] * 4)
+        self.assertFalse(self.connections.has_idle(self.address))
+        await asyncio.gather(self.send("1"), self.send("2"))
+        pool = self.connections._idle[self.address]
+        first, second = (connection.stream for connection in pool)
+        request = OutgoingRequest("GET", "/", {"Id": "3"}, deadline=deadline_in(5))
+        await self.connections.send(self.address, request, oldest_first=True)
+        self.assertEqual([idle.stream for idle in pool], [second, first])
+        self.assertTrue(self.connections.has_idle(self.address))
+        for idle in pool:
+            idle.deadline = deadline_in(0.0)
+        self.assertFalse(self.connections.has_idle(self.address))
+
     async def test_duplicate_reply_is_discarded(self):
         """Guards against a duplicate reply taken for the reply to the next request."""
         for extra in (KEEP_ALIVE_REPLY.replace(b"{id}", b"1"), b"junk"):
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -35,7 +35,7 @@
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.requests.streaming import StreamService
 from sassafrasdoor.routing.instances import STEP_READERS_KEY, Instances
-from sassafrasdoor.routing.replicas import Replicas
+from sassafrasdoor.routing.replicas import Replicas, Subset
 from sassafrasdoor.steps.durable.outbox import Outbox
 from sassafrasdoor.steps.durable.runner import Runner
 from sassafrasdoor.steps.durable.service import SHARD_COUNT, TOPIC, StepService
@@ -109,7 +109,8 @@
         self._peers = Peers(settings.peers)
         self._log = RelayedLog(self._store, self._relay_clients)
         self._read_coordinator = ReadCoordinator(self._backlog_share, self._retry_pause)
-        self._client = WireReplicas()
+        uses_subsets = "subsets" not in settings.disabled_parts
+        self._client = WireReplicas(rotates_connections=uses_subsets)
         self._routes = RoutesInForce(
             lambda: self._operator_tail.confirmed_boot_at,
             lambda: settings.config_apply,
@@ -119,6 +120,12 @@
             settings.instance.availability_zone, settings.heartbeat
         )
         self._replicas.on_restart(self._client.forget)
+        if uses_subsets:
+            self._replicas.subset = Subset(
+                settings.front,
+                lambda: self._instances.zone_entry_points,
+                self._client.has_idle_connection,
+            )
         self._crashes = CrashWatch(
             self._client,
             self._replicas,
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -28,12 +28,17 @@
 
 
 class WireReplicas(ReplicaClient):
-    """Sends requests to replicas; each request names the intended replica."""
+    """Sends requests to replicas; each request names the intended replica.
 
-    __slots__ = ("_connections",)
+    ``rotates_connections`` says whether requests to replicas that report their pace use
+    the kept connections in turn, so that more of them stay open.
+    """
 
-    def __init__(self):
+    __slots__ = ("_connections", "_rotates_connections")
+
+    def __init__(self, rotates_connections=False):
         self._connections = Connections()
+        self._rotates_connections = rotates_connections
 
     def close(self):
         """Close all connections."""
@@ -43,6 +48,10 @@
         """Close the idle connections to an incarnation that has ended."""
         self._connections.close_idle(replica.listing.address)
 
+    def has_idle_connection(self, replica):
+        """Return whether a kept connection to the replica can be used now."""
+        return self._connections.has_idle(replica.listing.address)
+
     async def call(self, replica, call):
         """Return an ``Answer``, ``NotRun``, ``WrongReplica`` or ``Broken``."""
         reply = await self._send(
@@ -156,7 +165,10 @@
                 _record_load(replica, headers)
             return refusal_reason
 
-        reply = await self._connections.send(address, request, accept_head, on_data)
+        oldest_first = self._rotates_connections and replica.reports_pace
+        reply = await self._connections.send(
+            address, request, accept_head, on_data, oldest_first
+        )
         if isinstance(reply, Broken) and reply.reason == "timeout":
             self._connections.close_idle(address)
         return reply
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -344,6 +344,12 @@
         """Number of instances that callers are sent to."""
         return len(self._current_view.all_entry_points)
 
+    @property
+    def zone_entry_points(self):
+        """The addresses of the entry points in this instance's zone."""
+        zone = self._settings.availability_zone
+        return self._current_view.entry_points.get(zone, [])
+
     @property
     def alive_count(self):
         """Number of instances known to be alive."""
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -3,6 +3,7 @@
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
+from sassafrasdoor.routing import subsets
 from sassafrasdoor.routing.backend_state import BackendState
 from sassafrasdoor.routing.placement import Candidate
 
@@ -30,6 +31,9 @@
 EVENT_INTERVAL_WEIGHT = 0.03
 
 LISTED = counter("replicas_listed_total", "Changes of the platform's list, by kind.")
+CHOICES = counter(
+    "subset_choices_total", "Choices of a replica in the instance's order, by place."
+)
 
 
 class Listing:
@@ -186,11 +190,45 @@
         self.versions[model] = version
 
 
+class Subset:
+    """This instance's order of the replicas of each service.
+
+    ``zone_entry_points()`` returns the addresses of the entry points in this zone,
+    ``has_idle_connection(replica)`` whether a kept connection to the replica is open.
+    The order is kept until an entry point or a replica is added or removed.
+    """
+
+    __slots__ = ("_address", "_orders", "_zone_entry_points", "has_idle_connection")
+
+    def __init__(self, address, zone_entry_points, has_idle_connection):
+        self._address = address
+        self._orders = {}
+        self._zone_entry_points = zone_entry_points
+        self.has_idle_connection = has_idle_connection
+
+    def order(self, service, usable, zone):
+        """Return the identities of ``usable`` replicas, those of ``zone`` first."""
+        entry_points = tuple(self._zone_entry_points())
+        zones = tuple(
+            (replica.identity, replica.listing.zone == zone) for replica in usable
+        )
+        basis, order = self._orders.get(service, (None, None))
+        if basis != (entry_points, zones):
+            near = [identity for identity, is_near in zones if is_near]
+            far = [identity for identity, is_near in zones if not is_near]
+            order = subsets.replica_order(
+                self._address, entry_points, near, far, service
+            )
+            self._orders[service] = ((entry_points, zones), order)
+        return order
+
+
 class Replicas:
     """All known replicas by identity.
 
     ``heartbeat`` is the seconds between two heartbeats of a replica; ``list_tail`` is
-    the reader of the platform's list, or None.
+    the reader of the platform's list, or None. ``subset`` is the ``Subset`` of this
+    instance, None if calls are not concentrated on few replicas.
     """
 
     __slots__ = (
@@ -200,6 +238,7 @@
         "_restart_callbacks",
         "_zone",
         "list_tail",
+        "subset",
     )
 
     def __init__(self, zone, heartbeat=DEFAULT_HEARTBEAT_INTERVAL):
@@ -209,6 +248,7 @@
         self._callbacks = []
         self._restart_callbacks = []
         self.list_tail = None
+        self.subset = None
 
     @property
     def count(self):
@@ -315,21 +355,45 @@
         return outage.until + OUTAGE_GRACE_PERIOD
 
     def choose(self, service, avoid=()):
-        """Return the least loaded replica of a service, or None.
+        """Return the replica of a service that gets a call, or None.
 
-        One in this zone is preferred while its load is close to the lowest: this reuses
-        connections and causes no traffic between zones.
+        It is the least loaded one. One in this zone is preferred while its load is close
+        to the lowest: this reuses connections and causes no traffic between zones. If
+        the service's replicas report their pace, the ``subset`` decides first.
         """
-        candidates = [
-            replica
-            for replica in self.of_service(service)
-            if replica.identity not in avoid
-        ]
+        usable = self.of_service(service)
+        candidates = [replica for replica in usable if replica.identity not in avoid]
         healthy = [
             replica for replica in candidates if not replica.state.is_suspect
         ] or candidates
+        if self.subset is not None and any(replica.reports_pace for replica in usable):
+            replica = self._choose_in_order(service, usable, healthy)
+            if replica is not None:
+                return replica
         return min(healthy, key=self._cost, default=None)
 
+    def _choose_in_order(self, service, usable, healthy):
+        """Return the first healthy replica with a free slot in this instance's order."""
+        options = [
+            subsets.Option(
+                replica,
+                replica.load,
+                replica.listing.slots,
+                replica.pace,
+                self.subset.has_idle_connection(replica),
+                self._cost(replica),
+            )
+            for replica in healthy
+        ]
+        order = self.subset.order(service, usable, self._zone)
+        option = subsets.choose(options, order)
+        if option is None:
+            CHOICES.inc({"by": "load"})
+            return None
+        is_first = option.replica.identity == order[0]
+        CHOICES.inc({"by": "first" if is_first else "next"})
+        return option.replica
+
     def _cost(self, replica):
         share = (replica.load + replica.state.recent_failures) / max(
             1, replica.listing.slots
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -11,6 +11,7 @@
     "duties/usage.py": "what a usage report says and when its counts are fixed",
     "log/turns.py": "who reads first after all instances started together",
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
+    "routing/subsets.py": "which replica gets a call, so that few connections open",
     "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
     "weights/load_policy.py": "how many replicas of a model load at the same time",
@@ -21,6 +22,7 @@
 ALLOWED = PURE_LIBRARIES | {
     "sassafrasdoor.duties.usage",
     "sassafrasdoor.outcomes",
+    "sassafrasdoor.rendezvous",
     "sassafrasdoor.steps.durable.records",
 }
 
