Entry points exchange load reports by UDP while a service is half full

Cause: an instance knows a replica's load from its own answers only. Its last report of a replica that it rarely calls is too old, and it goes on sending to one that others keep full. Change: each entry point sends the reports of its own answers to up to four others of its zone and two elsewhere, at most five times a second, in at most 1,200 bytes, only while a replica of the service is at least half full or has refused (routing/load_exchange.py, pure). A receiver accepts newer reports of the known incarnation; the own calls in flight at the time of the report are subtracted from its total. A process that was stopped drops what had waited for it.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -35,6 +35,7 @@
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.requests.streaming import StreamService
 from sassafrasdoor.routing.instances import STEP_READERS_KEY, Instances
+from sassafrasdoor.routing.load_datagrams import LoadDatagrams
 from sassafrasdoor.routing.replicas import Replicas, Subset
 from sassafrasdoor.steps.durable.outbox import Outbox
 from sassafrasdoor.steps.durable.runner import Runner
@@ -193,6 +194,7 @@
             self._runner.stop_shard,
             self._instances,
         )
+        self._load_datagrams = self._build_load_datagrams()
         self._build_weights()
         self._build_duties(member)
         operator_topic = configuration.OperatorTopicReader(
@@ -216,6 +218,18 @@
         )
         self._replicas.list_tail = self._replica_list_tail
 
+    def _build_load_datagrams(self):
+        """Return the exchange of load reports, None if it is off."""
+        settings = self._settings
+        if settings.port_range is None or "load-exchange" in settings.disabled_parts:
+            return None
+        return LoadDatagrams(
+            settings.front,
+            settings.port_range[0],
+            self._replicas,
+            lambda: self._instances.other_entry_points,
+        )
+
     def _on_shard_gained(self, shard):
         self._runner.start_shard(shard)
         if shard == self._weights_shard:
@@ -292,13 +306,17 @@
         await self._shut_down()
         for task in tasks:
             task.cancel()
+        if self._load_datagrams is not None:
+            self._load_datagrams.close()
         self._store.close()
         self._peers.close()
         self._client.close()
         note("process.stopped")
 
     def _background_jobs(self):
+        exchange = self._load_datagrams
         return [
+            *([exchange.run()] if exchange is not None else ()),
             self._operator_tail.run(),
             self._replica_list_tail.run(),
             self._crash_list_tail.run(),
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -163,6 +163,8 @@
             if not refusal_reason:
                 # At the end of a stream the load in its head would be seconds old.
                 _record_load(replica, headers)
+                if wire.NOT_RUN in headers:
+                    replica.count_refusal()
             return refusal_reason
 
         oldest_first = self._rotates_connections and replica.reports_pace
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -71,6 +71,8 @@
 )
 POSITIVE = ("Bounds.ReportWindowS",)
 NOT_IN_FILE = {"disabled_parts", "instance"}  # the file never changes them
+PORT_RANGE = "PortRange"
+MAX_PORT = 65535
 MIN_PARTITIONS = 2  # one for the steps, one for the weights lease
 
 
@@ -95,6 +97,7 @@
     instances together.
     ``results_kept``: time after a step's submission for which its samples are readable.
     ``cores``: processor cores of the instance, which may be a fraction.
+    ``port_range``: lowest and highest port for traffic between instances, None if none.
     """
 
     __slots__ = (
@@ -114,6 +117,7 @@
         "name",
         "partitions",
         "peers",
+        "port_range",
         "read_bytes_per_second",
         "reads_per_second",
         "ready",
@@ -184,11 +188,22 @@
         value = fields.get(key)
         if value and not value.rpartition(":")[2].isdigit():
             findings.append(Finding(key, "not an address host:port"))
+    if fields.get(PORT_RANGE) and _port_range(fields) is None:
+        findings.append(Finding(PORT_RANGE, "not two ports LOW,HIGH"))
     if findings:
         return Rejected("settings invalid", findings)
     return _build_settings(fields, numbers)
 
 
+def _port_range(fields):
+    """Return ``(low, high)``, or None if absent or malformed."""
+    ports = [port.strip() for port in fields.get(PORT_RANGE, "").split(",")]
+    if len(ports) != 2 or not all(port.isdecimal() for port in ports):
+        return None
+    low, high = map(int, ports)
+    return (low, high) if 0 < low <= high <= MAX_PORT else None
+
+
 def _build_settings(fields, numbers):
     settings = PlatformSettings()
     settings.name = fields["NodeName"]
@@ -217,6 +232,7 @@
     settings.reads_per_second = max(1.0, numbers["Platform.ReadsPerS"])
     settings.read_bytes_per_second = max(1.0, numbers["Platform.ReadMbS"]) * 1e6
     settings.cores = numbers["Limits.CpuShare"] * numbers["Limits.Cores"]
+    settings.port_range = _port_range(fields)
     settings.partitions = int(numbers["Platform.parts"])
     settings.instance = InstanceLocation(
         name=settings.name,
--- a/sassafrasdoor/platform/tests/test_servers.py
+++ b/sassafrasdoor/platform/tests/test_servers.py
@@ -161,6 +161,13 @@
                 self.assertEqual((replica.load, replica.pace), (load, pace))
                 self.assertIs(replica.reports_pace, reports_pace)
 
+    async def test_refusals_are_counted_for_other_instances(self):
+        report = f"{wire.LOAD}: 4,24,4,100"
+        await self.start(answer(503, f"{wire.NOT_RUN}: 1", report))
+        await self.call()
+        observed = self.replica.observed_load
+        self.assertEqual((observed.refusals, observed.report.total), (1, 28))
+
     async def test_load_in_an_answer_to_another_request_is_ignored(self):
         """Guards against the load of a late answer that belongs to another request."""
         late = f"{wire.REQUEST_ID}: other"
--- a/sassafrasdoor/platform/tests/test_translation.py
+++ b/sassafrasdoor/platform/tests/test_translation.py
@@ -68,12 +68,24 @@
             "Listen.Front": "nowhere",
             "Bounds.GraceS": "soon",
             "Platform.parts": "1",
+            "PortRange": "9000",
         }
         rejected = settings.from_fields(self.fields(**broken))
         self.assertIsInstance(rejected, Rejected)
         places = {finding.place for finding in rejected.findings}
         self.assertEqual(places, set(broken))
 
+    def test_port_range(self):
+        """Guards against a port range that is read as absent although it is wrong."""
+        self.assertIsNone(settings.from_fields(self.fields()).port_range)
+        for text in ("9000,9010", " 9000 , 9010 "):
+            loaded = settings.from_fields(self.fields(PortRange=text))
+            self.assertEqual(loaded.port_range, (9000, 9010))
+        for text in ("9010,9000", "0,5", "9000,70000", "a,b", "1,2,3", ","):
+            with self.subTest(text):
+                rejected = settings.from_fields(self.fields(PortRange=text))
+                self.assertIsInstance(rejected, Rejected)
+
     def test_reload_applies_bounds_only(self):
         running = settings.from_fields(self.fields())
         changed = {"Bounds.GraceS": "5", "Listen.Front": "10.1.0.10:1", "Unknown": "1"}
--- a/sassafrasdoor/routing/backend_state.py
+++ b/sassafrasdoor/routing/backend_state.py
@@ -5,6 +5,9 @@
 from sassafrasdoor.clock import deadline_in, now, passed
 
 MAX_TRACKED = 4096  # calls since the last report, in case reports stop
+# Changes of the calls in flight that are kept. A report is used for a second, in which
+# one process rarely begins and ends as many calls at one server.
+MAX_IN_FLIGHT_CHANGES = 256
 MAX_FAILURES = 6
 MAX_SUSPICION_FACTOR = 8
 MISSED_REPORT_LIMIT = 3
@@ -20,6 +23,7 @@
         "_capacity",
         "_finished",
         "_in_flight",
+        "_in_flight_changes",
         "_missed_reports",
         "_reported",
         "_started",
@@ -35,6 +39,7 @@
         self._started = deque(maxlen=MAX_TRACKED)
         self._finished = deque(maxlen=MAX_TRACKED)
         self._in_flight = 0
+        self._in_flight_changes = deque(maxlen=MAX_IN_FLIGHT_CHANGES)
         self._missed_reports = 0
         self._reported = None
         self._suspect_until = 0.0
@@ -48,6 +53,14 @@
         """Calls and streams of this process in progress on the server."""
         return self._in_flight
 
+    def in_flight_at(self, moment):
+        """Return the calls and streams that were in progress at a recent moment."""
+        changes = self._in_flight_changes
+        for changed_at, count in reversed(changes):
+            if changed_at <= moment:
+                return count
+        return changes[0][1] if len(changes) == MAX_IN_FLIGHT_CHANGES else 0
+
     @property
     def is_suspect(self):
         """Whether it gets no work due to recent failures or missed reports."""
@@ -98,12 +111,14 @@
     def started(self):
         """Count a call or stream of this process that begins."""
         self._in_flight += 1
+        self._in_flight_changes.append((now(), self._in_flight))
         if self._reported is not None:
             self._started.append(now())
 
     def finished(self):
         """Count one that ended, whatever its outcome."""
         self._in_flight = max(0, self._in_flight - 1)
+        self._in_flight_changes.append((now(), self._in_flight))
         if self._reported is not None:
             self._finished.append(now())
 
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -350,6 +350,25 @@
         zone = self._settings.availability_zone
         return self._current_view.entry_points.get(zone, [])
 
+    @property
+    def other_entry_points(self):
+        """The addresses of the other entry points, of this zone and of all others.
+
+        Both are empty while this instance is no entry point.
+        """
+        entry_points = self._current_view.entry_points
+        zone = self._settings.availability_zone
+        near = entry_points.get(zone, [])
+        if self._address not in near:
+            return [], []
+        far = [
+            address
+            for name, addresses in entry_points.items()
+            if name != zone
+            for address in addresses
+        ]
+        return [address for address in near if address != self._address], far
+
     @property
     def alive_count(self):
         """Number of instances known to be alive."""
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -1,10 +1,15 @@
 """State of the replicas of all services, from the platform's list and own calls."""
 
-from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
+from sassafrasdoor.clock import LONG_AGO, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.routing import subsets
 from sassafrasdoor.routing.backend_state import BackendState
+from sassafrasdoor.routing.load_exchange import (
+    LOAD_REPORT_LIFETIME,
+    Observed,
+    Report,
+)
 from sassafrasdoor.routing.placement import Candidate
 
 # Seconds without work after a failure, doubled with each further one in a row: a
@@ -21,7 +26,6 @@
 # Share of capacity by which a replica in another zone must be less loaded: a call of
 # 1 KB across zones costs little, but a second kept connection does not pay.
 ZONE_PENALTY = 0.25
-LOAD_REPORT_LIFETIME = 1.0  # seconds; calls last less
 # Seconds; the pace of a shared machine changes several times a second.
 PACE_LIFETIME = 0.3
 USUAL_PACE = 1.0
@@ -87,18 +91,23 @@
     stays in use without an entry, None while listed. ``last_received_at`` is the time of
     the last data on any of its streams, ``event_interval`` the smoothed seconds between
     two events of its streams, None before the first. ``reports_pace`` says whether its
-    load reports state how long work takes there.
+    load reports state how long work takes there. ``load_reported_at`` is the time of the
+    newest load report that is known, ``LONG_AGO`` before the first.
     """
 
     __slots__ = (
+        "_last_own_report",
         "_other_callers_load",
         "_other_callers_load_deadline",
         "_pace",
         "_pace_deadline",
+        "_refusals",
+        "_refused_at",
         "grace_deadline",
         "last_received_at",
         "identity",
         "listing",
+        "load_reported_at",
         "loading_deadlines",
         "event_interval",
         "refusal_deadlines",
@@ -121,6 +130,10 @@
         self._other_callers_load_deadline = 0.0
         self._pace = USUAL_PACE
         self._pace_deadline = LONG_AGO
+        self._last_own_report = None
+        self._refusals = 0
+        self._refused_at = LONG_AGO
+        self.load_reported_at = LONG_AGO
         self.reports_pace = False
 
     @property
@@ -168,11 +181,49 @@
         ``pace`` is the reported multiple of the usual work time, None if not reported.
         """
         self.reports_pace = pace is not None
+        if pace:
+            self._last_own_report = (running, waiting, pace, now())
+        self._apply_load(running + waiting, pace, now(), self.state.in_flight)
+
+    def record_neighbour_load(self, report):
+        """Record a ``Report`` that another instance has received from the replica.
+
+        Its total includes the calls of this instance that were in progress then. After a
+        refusal the replica counts as full until a newer report.
+        """
+        total = report.total
+        if report.refusals:
+            total = max(total, self.listing.slots)
+        own_calls = self.state.in_flight_at(report.taken_at)
+        self._apply_load(total, report.percent / 100, report.taken_at, own_calls)
+
+    def _apply_load(self, total, pace, taken_at, own_calls):
         if pace:
             self._pace = pace
-            self._pace_deadline = deadline_in(PACE_LIFETIME)
-        self._other_callers_load = max(0, running + waiting - self.state.in_flight)
-        self._other_callers_load_deadline = deadline_in(LOAD_REPORT_LIFETIME)
+            self._pace_deadline = taken_at + PACE_LIFETIME
+        self._other_callers_load = max(0, total - own_calls)
+        self._other_callers_load_deadline = taken_at + LOAD_REPORT_LIFETIME
+        self.load_reported_at = taken_at
+
+    def count_refusal(self):
+        """Count a call of this instance that the replica refused."""
+        self._refusals += 1
+        self._refused_at = now()
+
+    @property
+    def observed_load(self):
+        """The last report of an own answer as ``Observed``, None without a pace."""
+        if self._last_own_report is None or not self.reports_pace:
+            return None
+        running, waiting, pace, taken_at = self._last_own_report
+        listing = self.listing
+        percent = max(1, round(pace * 100))
+        report = Report(
+            self.identity, listing.born, running, waiting, percent, taken_at
+        )
+        return Observed(
+            listing.service, listing.slots, report, self._refusals, self._refused_at
+        )
 
     @property
     def is_loading(self):
@@ -275,6 +326,28 @@
         """Return the replica, or None."""
         return self._known.get(identity)
 
+    def observed_loads(self):
+        """Return the ``Observed`` loads of all usable replicas that report their pace."""
+        loads = [
+            replica.observed_load
+            for replica in self._known.values()
+            if replica.is_usable
+        ]
+        return [load for load in loads if load is not None]
+
+    def load_state(self, identity):
+        """Return ``(born, load_reported_at)`` of a replica, None if it is not in use.
+
+        It is in use if a replica of its service has reported its pace to this instance.
+        """
+        replica = self._known.get(identity)
+        if replica is None:
+            return None
+        peers = self.of_service(replica.listing.service)
+        if not any(peer.reports_pace for peer in peers):
+            return None
+        return replica.listing.born, replica.load_reported_at
+
     def update_listing(self, identity, listing):
         """Apply an entry of the platform's list.
 
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -38,6 +38,16 @@
     async def test_callers_stay_in_their_zone_where_it_has_enough(self):
         self.assertEqual(set(self.instances[0].addresses("b")), {"i1:80", "i3:80"})
 
+    async def test_load_reports_go_to_the_other_entry_points(self):
+        """Guards against reports to this instance, or from one that is no entry point."""
+        near, far = self.instances[0].other_entry_points
+        self.assertEqual(
+            (set(near), set(far)), ({"i2:80", "i4:80"}, {"i1:80", "i3:80"})
+        )
+        self.assertEqual(len(self.instances[0].zone_entry_points), 3)
+        await self.instances[0].leave()
+        self.assertEqual(self.instances[0].other_entry_points, ([], []))
+
     async def test_callers_of_a_small_zone_are_sent_to_all_zones(self):
         self.assertEqual(len(self.instances[0].addresses("c")), 5)
 
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -11,6 +11,7 @@
     "duties/usage.py": "what a usage report says and when its counts are fixed",
     "log/turns.py": "who reads first after all instances started together",
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
+    "routing/load_exchange.py": "which load reports entry points send each other, when",
     "routing/subsets.py": "which replica gets a call, so that few connections open",
     "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
@@ -18,7 +19,7 @@
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
 }
 # Modules of the standard library without input, output or clocks.
-PURE_LIBRARIES = {"bisect", "collections", "json", "math", "statistics"}
+PURE_LIBRARIES = {"bisect", "collections", "json", "math", "statistics", "struct"}
 ALLOWED = PURE_LIBRARIES | {
     "sassafrasdoor.duties.usage",
     "sassafrasdoor.outcomes",
