Load reports of engines that get no calls here are not exchanged

Cause: the runner of steps has the reports of all engines, most of them over half full, and sent them to entry points that call no engine: some 650 bytes in each datagram, computed for 23 engines. Change: reports are sent and accepted for services to which a call was sent within 5 s. Result: without the rule the new test fails, as a datagram is sent; the tests of the exchange pass. The 650 bytes are computed; nothing was measured.

--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -29,6 +29,9 @@
 # Seconds; the pace of a shared machine changes several times a second.
 PACE_LIFETIME = 0.3
 USUAL_PACE = 1.0
+# Seconds after a call to a service in which load reports about it are exchanged: in calm
+# time an instance has a call every few seconds.
+SERVICE_USE_PERIOD = 5.0
 
 # Weight of one interval in the smoothed one: a full replica sends about 250 events a
 # second, so a change shows within a fifth of a second, and one late packet does not.
@@ -286,6 +289,7 @@
         "_callbacks",
         "_heartbeat",
         "_known",
+        "_last_choices",
         "_restart_callbacks",
         "_zone",
         "list_tail",
@@ -296,6 +300,7 @@
         self._zone = zone
         self._heartbeat = heartbeat
         self._known = {}
+        self._last_choices = {}
         self._callbacks = []
         self._restart_callbacks = []
         self.list_tail = None
@@ -327,27 +332,37 @@
         return self._known.get(identity)
 
     def observed_loads(self):
-        """Return the ``Observed`` loads of all usable replicas that report their pace."""
+        """Return the ``Observed`` loads of replicas that report their pace.
+
+        Only services in use are included: the runner of a step also knows the loads of
+        all engines, which no other instance needs.
+        """
         loads = [
             replica.observed_load
             for replica in self._known.values()
-            if replica.is_usable
+            if replica.is_usable and self._is_in_use(replica.listing.service)
         ]
         return [load for load in loads if load is not None]
 
     def load_state(self, identity):
-        """Return ``(born, load_reported_at)`` of a replica, None if it is not in use.
+        """Return ``(born, load_reported_at)`` of a replica.
 
-        It is in use if a replica of its service has reported its pace to this instance.
+        None if its service is not in use here, or none of its replicas has reported its
+        pace to this instance.
         """
         replica = self._known.get(identity)
-        if replica is None:
+        if replica is None or not self._is_in_use(replica.listing.service):
             return None
         peers = self.of_service(replica.listing.service)
         if not any(peer.reports_pace for peer in peers):
             return None
         return replica.listing.born, replica.load_reported_at
 
+    def _is_in_use(self, service):
+        """Whether a replica of the service was recently chosen for a call."""
+        chosen_at = self._last_choices.get(service, LONG_AGO)
+        return not passed(chosen_at + SERVICE_USE_PERIOD)
+
     def update_listing(self, identity, listing):
         """Apply an entry of the platform's list.
 
@@ -434,6 +449,7 @@
         to the lowest: this reuses connections and causes no traffic between zones. If
         the service's replicas report their pace, the ``subset`` decides first.
         """
+        self._last_choices[service] = now()
         usable = self.of_service(service)
         candidates = [replica for replica in usable if replica.identity not in avoid]
         healthy = [
--- a/sassafrasdoor/routing/tests/test_load_exchange.py
+++ b/sassafrasdoor/routing/tests/test_load_exchange.py
@@ -30,6 +30,7 @@
         self.exchange = LoadExchange(0, now)
         for identity in "xy":
             self.listed(identity, 1000)
+        self.replicas.choose(SERVICE)
 
     def listed(self, identity, born):
         listing = Listing(SERVICE, f"{identity}:1", "a", SLOTS, False, {}, born)
@@ -38,7 +39,9 @@
     def replica(self, identity="x"):
         return self.replicas.get(identity)
 
-    def datagram(self, now):
+    def datagram(self, now, is_in_use=True):
+        if is_in_use:
+            self.replicas.choose(SERVICE)
         self.exchange.begin_round(now)
         return self.exchange.next_datagram(self.replicas.observed_loads(), now)
 
@@ -161,6 +164,14 @@
         (report,) = decode(self.sent(2, 0, 1.0), self.time)
         self.assertEqual((report.total, report.refusals), (2, 1))
 
+    def test_services_without_calls_are_left_out(self):
+        """Guards against datagrams about engines that only a step's runner uses."""
+        self.elapse(replicas_module.SERVICE_USE_PERIOD)
+        self.sender.replica().record_load(SLOTS, 9, 1.0)
+        self.assertEqual(self.sender.datagram(self.time, is_in_use=False), b"")
+        data = self.sender.datagram(self.time)
+        self.assertEqual(self.receiver.receive(data, self.time), ["unknown"])
+
     def test_refusal_makes_a_replica_full_until_a_newer_report(self):
         self.sender.replica().count_refusal()
         self.receiver.receive(self.sent(2, 0, 1.0), self.time)
@@ -220,6 +231,8 @@
 
             def has_arrived():
                 sender.replica().record_load(SLOTS, 3, 1.0)
+                for member in (sender, receiver):
+                    member.replicas.choose(SERVICE)
                 return receiver.replica().load == SLOTS + 3
 
             await until(has_arrived)
