--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -34,13 +34,19 @@
 
 
 class WireReplicas(ReplicaClient):
-    """Sends requests to replicas; each request names the intended replica."""
+    """Sends requests to replicas; each request names the intended replica.
 
-    __slots__ = ("_budget", "_connections")
+    ``budget`` bounds the bytes that a replica holds. ``rotates_connections`` says whether
+    requests to replicas that report their pace use the kept connections in turn, so that
+    more of them stay open.
+    """
+
+    __slots__ = ("_budget", "_connections", "_rotates_connections")
 
-    def __init__(self, budget=None):
+    def __init__(self, budget=None, rotates_connections=False):
         self._budget = budget or BufferBudget()
         self._connections = Connections()
+        self._rotates_connections = rotates_connections
 
     def close(self):
         """Close all connections."""
@@ -50,6 +56,10 @@
         """Close the idle connections to an incarnation that has ended."""
         self._connections.close_idle(replica.listing.address)
 
+    def has_idle_connection(self, replica):
+        """Return whether a kept connection to the replica can be used now."""
+        return self._connections.has_idle(replica.listing.address)
+
     async def call(self, replica, call):
         """Return an ``Answer``, ``NotRun``, ``WrongReplica`` or ``Broken``."""
         reply = await self._send(
@@ -163,15 +173,20 @@
             if not refusal_reason:
                 # At the end of a stream the load in its head would be seconds old.
                 _record_load(replica, headers)
+                if wire.NOT_RUN in headers:
+                    replica.count_refusal()
             return refusal_reason
 
         size = len(request.body)
         if not self._budget.may_send(replica.identity, size):
             BODIES_NOT_SENT.inc({})
             return NotRun("requests at the replica take up their memory", RETRY_AFTER)
+        oldest_first = self._rotates_connections and replica.reports_pace
         self._budget.add_sent(replica.identity, size)
         try:
-            reply = await self._connections.send(address, request, accept_head, on_data)
+            reply = await self._connections.send(
+                address, request, accept_head, on_data, oldest_first
+            )
         finally:
             self._budget.add_sent(replica.identity, -size)
         if isinstance(reply, Broken) and reply.reason == "timeout":
--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -344,6 +344,31 @@
         """Number of instances that callers are sent to."""
         return len(self._current_view.all_entry_points)
 
+    @property
+    def zone_entry_points(self):
+        """The addresses of the entry points in this instance's zone."""
+        zone = self._settings.availability_zone
+        return self._current_view.entry_points.get(zone, [])
+
+    @property
+    def other_entry_points(self):
+        """The addresses of the other entry points, of this zone and of all others.
+
+        Both are empty while this instance is no entry point.
+        """
+        entry_points = self._current_view.entry_points
+        zone = self._settings.availability_zone
+        near = entry_points.get(zone, [])
+        if self._address not in near:
+            return [], []
+        far = [
+            address
+            for name, addresses in entry_points.items()
+            if name != zone
+            for address in addresses
+        ]
+        return [address for address in near if address != self._address], far
+
     @property
     def alive_count(self):
         """Number of instances known to be alive."""
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -1,10 +1,16 @@
 """State of the replicas of all services, from the platform's list and own calls."""
 
-from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
+from sassafrasdoor.clock import LONG_AGO, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
+from sassafrasdoor.routing import subsets
 from sassafrasdoor.routing.backend_state import BackendState
 from sassafrasdoor.routing.engine_speed import EngineSpeed, load_slowdown
+from sassafrasdoor.routing.load_exchange import (
+    LOAD_REPORT_LIFETIME,
+    Observed,
+    Report,
+)
 from sassafrasdoor.routing.placement import Candidate
 
 # Seconds without work after a failure, doubled with each further one in a row: a
@@ -21,10 +27,12 @@
 # Share of capacity by which a replica in another zone must be less loaded: a call of
 # 1 KB across zones costs little, but a second kept connection does not pay.
 ZONE_PENALTY = 0.25
-LOAD_REPORT_LIFETIME = 1.0  # seconds; calls last less
 # Seconds; the pace of a shared machine changes several times a second.
 PACE_LIFETIME = 0.3
 USUAL_PACE = 1.0
+# Seconds after a call to a service in which load reports about it are exchanged: in calm
+# time an instance has a call every few seconds.
+SERVICE_USE_PERIOD = 5.0
 
 # Weight of one interval in the smoothed one: a full replica sends about 250 events a
 # second, so a change shows within a fifth of a second, and one late packet does not.
@@ -34,6 +42,9 @@
 SLOWDOWNS = counter(
     "replica_slowdowns_total", "Replicas slower than their lasting speed for a second."
 )
+CHOICES = counter(
+    "subset_choices_total", "Choices of a replica in the instance's order, by place."
+)
 
 
 class Listing:
@@ -88,19 +99,24 @@
     the last data on any of its streams, ``event_interval`` the smoothed seconds between
     two events of its streams, None before the first. ``reports_pace`` says whether its
     load reports state how long work takes there. ``speed`` is its ``EngineSpeed``, known
-    only if they do.
+    only if they do. ``load_reported_at`` is the time of the newest load report that is
+    known, ``LONG_AGO`` before the first.
     """
 
     __slots__ = (
+        "_last_own_report",
         "_other_callers_load",
         "_other_callers_load_deadline",
         "_pace",
         "_pace_deadline",
         "_was_slow",
+        "_refusals",
+        "_refused_at",
         "grace_deadline",
         "last_received_at",
         "identity",
         "listing",
+        "load_reported_at",
         "loading_deadlines",
         "event_interval",
         "refusal_deadlines",
@@ -125,6 +141,10 @@
         self._pace = USUAL_PACE
         self._pace_deadline = LONG_AGO
         self._was_slow = False
+        self._last_own_report = None
+        self._refusals = 0
+        self._refused_at = LONG_AGO
+        self.load_reported_at = LONG_AGO
         self.reports_pace = False
         self.speed = EngineSpeed()
 
@@ -181,11 +201,49 @@
         ``pace`` is the reported multiple of the usual work time, None if not reported.
         """
         self.reports_pace = pace is not None
+        if pace:
+            self._last_own_report = (running, waiting, pace, now())
+        self._apply_load(running + waiting, pace, now(), self.state.in_flight)
+
+    def record_neighbour_load(self, report):
+        """Record a ``Report`` that another instance has received from the replica.
+
+        Its total includes the calls of this instance that were in progress then. After a
+        refusal the replica counts as full until a newer report.
+        """
+        total = report.total
+        if report.refusals:
+            total = max(total, self.listing.slots)
+        own_calls = self.state.in_flight_at(report.taken_at)
+        self._apply_load(total, report.percent / 100, report.taken_at, own_calls)
+
+    def _apply_load(self, total, pace, taken_at, own_calls):
         if pace:
             self._pace = pace
-            self._pace_deadline = deadline_in(PACE_LIFETIME)
-        self._other_callers_load = max(0, running + waiting - self.state.in_flight)
-        self._other_callers_load_deadline = deadline_in(LOAD_REPORT_LIFETIME)
+            self._pace_deadline = taken_at + PACE_LIFETIME
+        self._other_callers_load = max(0, total - own_calls)
+        self._other_callers_load_deadline = taken_at + LOAD_REPORT_LIFETIME
+        self.load_reported_at = taken_at
+
+    def count_refusal(self):
+        """Count a call of this instance that the replica refused."""
+        self._refusals += 1
+        self._refused_at = now()
+
+    @property
+    def observed_load(self):
+        """The last report of an own answer as ``Observed``, None without a pace."""
+        if self._last_own_report is None or not self.reports_pace:
+            return None
+        running, waiting, pace, taken_at = self._last_own_report
+        listing = self.listing
+        percent = max(1, round(pace * 100))
+        report = Report(
+            self.identity, listing.born, running, waiting, percent, taken_at
+        )
+        return Observed(
+            listing.service, listing.slots, report, self._refusals, self._refused_at
+        )
 
     @property
     def is_loading(self):
@@ -223,29 +281,67 @@
         self.versions[model] = version
 
 
+class Subset:
+    """This instance's order of the replicas of each service.
+
+    ``zone_entry_points()`` returns the addresses of the entry points in this zone,
+    ``has_idle_connection(replica)`` whether a kept connection to the replica is open.
+    The order is kept until an entry point or a replica is added or removed.
+    """
+
+    __slots__ = ("_address", "_orders", "_zone_entry_points", "has_idle_connection")
+
+    def __init__(self, address, zone_entry_points, has_idle_connection):
+        self._address = address
+        self._orders = {}
+        self._zone_entry_points = zone_entry_points
+        self.has_idle_connection = has_idle_connection
+
+    def order(self, service, usable, zone):
+        """Return the identities of ``usable`` replicas, those of ``zone`` first."""
+        entry_points = tuple(self._zone_entry_points())
+        zones = tuple(
+            (replica.identity, replica.listing.zone == zone) for replica in usable
+        )
+        basis, order = self._orders.get(service, (None, None))
+        if basis != (entry_points, zones):
+            near = [identity for identity, is_near in zones if is_near]
+            far = [identity for identity, is_near in zones if not is_near]
+            order = subsets.replica_order(
+                self._address, entry_points, near, far, service
+            )
+            self._orders[service] = ((entry_points, zones), order)
+        return order
+
+
 class Replicas:
     """All known replicas by identity.
 
     ``heartbeat`` is the seconds between two heartbeats of a replica; ``list_tail`` is
-    the reader of the platform's list, or None.
+    the reader of the platform's list, or None. ``subset`` is the ``Subset`` of this
+    instance, None if calls are not concentrated on few replicas.
     """
 
     __slots__ = (
         "_callbacks",
         "_heartbeat",
         "_known",
+        "_last_choices",
         "_restart_callbacks",
         "_zone",
         "list_tail",
+        "subset",
     )
 
     def __init__(self, zone, heartbeat=DEFAULT_HEARTBEAT_INTERVAL):
         self._zone = zone
         self._heartbeat = heartbeat
         self._known = {}
+        self._last_choices = {}
         self._callbacks = []
         self._restart_callbacks = []
         self.list_tail = None
+        self.subset = None
 
     @property
     def count(self):
@@ -272,6 +368,38 @@
         """Return the replica, or None."""
         return self._known.get(identity)
 
+    def observed_loads(self):
+        """Return the ``Observed`` loads of replicas that report their pace.
+
+        Only services in use are included: the runner of a step also knows the loads of
+        all engines, which no other instance needs.
+        """
+        loads = [
+            replica.observed_load
+            for replica in self._known.values()
+            if replica.is_usable and self._is_in_use(replica.listing.service)
+        ]
+        return [load for load in loads if load is not None]
+
+    def load_state(self, identity):
+        """Return ``(born, load_reported_at)`` of a replica.
+
+        None if its service is not in use here, or none of its replicas has reported its
+        pace to this instance.
+        """
+        replica = self._known.get(identity)
+        if replica is None or not self._is_in_use(replica.listing.service):
+            return None
+        peers = self.of_service(replica.listing.service)
+        if not any(peer.reports_pace for peer in peers):
+            return None
+        return replica.listing.born, replica.load_reported_at
+
+    def _is_in_use(self, service):
+        """Whether a replica of the service was recently chosen for a call."""
+        chosen_at = self._last_choices.get(service, LONG_AGO)
+        return not passed(chosen_at + SERVICE_USE_PERIOD)
+
     def update_listing(self, identity, listing):
         """Apply an entry of the platform's list.
 
@@ -352,21 +480,46 @@
         return outage.until + OUTAGE_GRACE_PERIOD
 
     def choose(self, service, avoid=()):
-        """Return the least loaded replica of a service, or None.
+        """Return the replica of a service that gets a call, or None.
 
-        One in this zone is preferred while its load is close to the lowest: this reuses
-        connections and causes no traffic between zones.
+        It is the least loaded one. One in this zone is preferred while its load is close
+        to the lowest: this reuses connections and causes no traffic between zones. If
+        the service's replicas report their pace, the ``subset`` decides first.
         """
-        candidates = [
-            replica
-            for replica in self.of_service(service)
-            if replica.identity not in avoid
-        ]
+        self._last_choices[service] = now()
+        usable = self.of_service(service)
+        candidates = [replica for replica in usable if replica.identity not in avoid]
         healthy = [
             replica for replica in candidates if not replica.state.is_suspect
         ] or candidates
+        if self.subset is not None and any(replica.reports_pace for replica in usable):
+            replica = self._choose_in_order(service, usable, healthy)
+            if replica is not None:
+                return replica
         return min(healthy, key=self._cost, default=None)
 
+    def _choose_in_order(self, service, usable, healthy):
+        """Return the first healthy replica with a free slot in this instance's order."""
+        options = [
+            subsets.Option(
+                replica,
+                replica.load,
+                replica.listing.slots,
+                replica.pace,
+                self.subset.has_idle_connection(replica),
+                self._cost(replica),
+            )
+            for replica in healthy
+        ]
+        order = self.subset.order(service, usable, self._zone)
+        option = subsets.choose(options, order)
+        if option is None:
+            CHOICES.inc({"by": "load"})
+            return None
+        is_first = option.replica.identity == order[0]
+        CHOICES.inc({"by": "first" if is_first else "next"})
+        return option.replica
+
     def _cost(self, replica):
         share = (replica.load + replica.state.recent_failures) / max(
             1, replica.listing.slots
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -14,17 +14,20 @@
     "routing/engine_speed.py": "which speed of an engine lasts, when it is slow",
     "routing/pace.py": "which samples leave an engine of another speed",
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
+    "routing/load_exchange.py": "which load reports entry points send each other, when",
+    "routing/subsets.py": "which replica gets a call, so that few connections open",
     "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
     "weights/load_policy.py": "how many replicas of a model load at the same time",
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
 }
 # Modules of the standard library without input, output or clocks.
-PURE_LIBRARIES = {"bisect", "collections", "json", "math", "statistics"}
+PURE_LIBRARIES = {"bisect", "collections", "json", "math", "statistics", "struct"}
 ALLOWED = PURE_LIBRARIES | {
     "sassafrasdoor.duties.usage",
     "sassafrasdoor.outcomes",
     "sassafrasdoor.routing.engine_speed",
+    "sassafrasdoor.rendezvous",
     "sassafrasdoor.steps.durable.records",
 }
 
