Admission control under overload as a pure decision

Cause: under many times the usual calls each instance asks every full replica in turn and then names a fixed 0.1 s. Change: routing/overload.py decides whether a call is sent, waits or is refused, from load reports, own sends and observed work times. A retry budget may be given its ratio directly. Not used by requests yet.

--- a/sassafrasdoor/admission/retries.py
+++ b/sassafrasdoor/admission/retries.py
@@ -7,12 +7,15 @@
 
 
 class RetryBudget:
-    """A token bucket: a first try adds ``ratio`` tokens, a retry takes one."""
+    """A token bucket: a first try adds ``ratio`` tokens, a retry takes one.
+
+    ``ratio`` is for programs whose settings have no section for admission.
+    """
 
     __slots__ = ("_balance", "_ratio")
 
-    def __init__(self, settings):
-        self._ratio = settings.admission.retry_budget
+    def __init__(self, settings=None, *, ratio=None):
+        self._ratio = settings.admission.retry_budget if ratio is None else ratio
         self._balance = MAX_BALANCE if self._ratio else 0.0
 
     def deposit(self):
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -10,6 +10,7 @@
     "duties/scaling.py": "how many replicas of a service are ordered in a zone",
     "duties/usage.py": "what a usage report says and when its counts are fixed",
     "log/turns.py": "who reads first after all instances started together",
+    "routing/overload.py": "which calls are sent, wait or are refused under overload",
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
     "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
