Calls are admitted by the load of replicas that report their pace

Change: requests/admission.py applies routing/overload.py to calls of services whose replicas report their pace, unless the part is disabled: send, wait or refuse, one further send after a refusal, hedges and retries by a budget while calls queue, Retry-After from the drain rate. A caller that leaves gives its place back; waiting calls are refused when the replicas are gone. Replicas keep their newest report with a pace. Services without it, streams and reward calls are handled as before.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -31,6 +31,7 @@
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
 from sassafrasdoor.requests.access import Access
+from sassafrasdoor.requests.admission import CallAdmission
 from sassafrasdoor.requests.crash_watch import TOPIC as CRASHES_TOPIC, CrashWatch
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.requests.streaming import StreamService
@@ -321,7 +322,9 @@
             self._duties.usage,
         )
         parts = handlers.Parts(
-            DirectService(*callers),
+            DirectService(
+                *callers, admission=CallAdmission(self._replicas, self._settings)
+            ),
             StreamService(*callers),
             self._instances,
             self,
--- a/sassafrasdoor/requests/attempts.py
+++ b/sassafrasdoor/requests/attempts.py
@@ -97,7 +97,9 @@
     ``failures`` counts answers with status 500, which report a failure of the replica.
     ``at_most_once`` forbids another send while one is running or may have run.
     ``began_at`` is the monotonic time of the first send that a replica has begun to run,
-    as far as is known, None before.
+    as far as is known, None before. ``may_hedge`` says whether a slow send may be
+    followed by a second one, ``retry_after`` after how many seconds a refused caller may
+    return. ``ticket`` is the ``Ticket`` of a request that is subject to admission.
     """
 
     __slots__ = (
@@ -106,11 +108,14 @@
         "began_at",
         "failures",
         "may_have_run",
+        "may_hedge",
         "refusals",
         "request",
+        "retry_after",
         "running",
         "sent",
         "service",
+        "ticket",
         "tried",
     )
 
@@ -126,6 +131,9 @@
         self.tried = set()
         self.running = {}
         self.may_have_run = False
+        self.may_hedge = True
+        self.retry_after = RETRY_AFTER
+        self.ticket = None
 
     @property
     def repeatable(self):
@@ -219,7 +227,7 @@
         if not self.tried:
             refused = NotRun("no replica known", NO_REPLICA_RETRY_AFTER)
         else:
-            refused = NotRun("every replica asked was full or away", RETRY_AFTER)
+            refused = NotRun("every replica asked was full or away", self.retry_after)
         return self.give_up(refused)
 
     def timeout_outcome(self):
--- a/sassafrasdoor/requests/direct.py
+++ b/sassafrasdoor/requests/direct.py
@@ -18,9 +18,25 @@
 class DirectService:
     """Sends requests of callers to replicas and returns the answers."""
 
-    __slots__ = ("_access", "_client", "_crash_watch", "_replicas", "_usage")
+    __slots__ = (
+        "_access",
+        "_admission",
+        "_client",
+        "_crash_watch",
+        "_replicas",
+        "_usage",
+    )
 
-    def __init__(self, client, replicas, crash_watch=None, access=None, usage=None):
+    def __init__(
+        self,
+        client,
+        replicas,
+        crash_watch=None,
+        access=None,
+        usage=None,
+        admission=None,
+    ):
+        self._admission = admission
         self._access = access
         self._usage = usage
         self._client = client
@@ -42,6 +58,8 @@
             for task, replica in attempts.running.items():
                 task.cancel()
                 attempts.record_begin(replica)
+            if attempts.ticket is not None:
+                self._admission.close(attempts.ticket)
             record_usage(self._usage, attempts)
         OUTCOMES.inc({"outcome": type(result).__name__})
         if isinstance(result, Answer):
@@ -60,6 +78,8 @@
         refusal = self._crash_watch.refusal(attempts.request)
         if refusal is None:
             refusal = denial(self._access, attempts.request)
+        if refusal is None and self._admission is not None:
+            refusal = await self._admission.admit(attempts)
         if refusal is not None:
             return attempts.give_up(refusal)
         last = self._send(attempts, "first")
@@ -70,7 +90,9 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if not done and not self._send(attempts, "slow"):
-                attempts.sent = attempts.request.route.attempts
+                attempts.may_hedge = False
+                if attempts.ticket is None:
+                    attempts.sent = attempts.request.route.attempts
             for task in done:
                 replica = attempts.running.pop(task)
                 last = attempts.record_outcome(replica, task.result())
@@ -84,6 +106,8 @@
     def _hedge_delay(self, attempts):
         if not attempts.may_send or attempts.request.route.repeat is not Repeat.SAFE:
             return None
+        if not attempts.may_hedge:
+            return None
         return attempts.request.route.target * HEDGE_FRACTION
 
     def _send(self, attempts, why):
@@ -94,12 +118,17 @@
             return False
         if denial(self._access, attempts.request) is not None:
             return False
-        replica = self._replicas.choose(attempts.service, attempts.tried)
+        if attempts.ticket is not None:
+            replica = self._admission.choose(attempts, why)
+        else:
+            replica = self._replicas.choose(attempts.service, attempts.tried)
         if replica is None:
             return False
         call = attempts.begin_send(replica, why)
         task = asyncio.ensure_future(self._call(replica, call))
         attempts.running[task] = replica
+        if attempts.ticket is not None:
+            self._admission.track(attempts.ticket, replica, task)
         return True
 
     async def _call(self, replica, call):
--- a/sassafrasdoor/routing/overload.py
+++ b/sassafrasdoor/routing/overload.py
@@ -43,6 +43,7 @@
 # Share of the estimated finish by which the choice among replicas is randomized, so that
 # instances with the same reports choose different ones.
 FINISH_SPREAD = 0.5
+DEADLINE_PERIOD = 10.0  # seconds in which callers of a route are seen to arrive
 SHARE_HALF_LIFE = 1.0  # seconds in which the service counted for an account halves
 DECAY_INTERVAL = 0.1  # seconds between two decays, which visit all active accounts
 MIN_COUNTED_SERVICE = 0.05  # calls; accounts with less are no longer active
@@ -168,6 +169,37 @@
         return (self.waiting + 1) / self.drain_rate(work_time) + work
 
 
+class FirstAttempts:
+    """Tells since when a caller has tried, from the time that its deadline leaves.
+
+    Callers of a route have the same deadline, and one that comes back has less time left
+    than the others. The longest time left of the last one or two periods is that of
+    first attempts.
+    """
+
+    __slots__ = ("_longest", "_period_end", "_previous")
+
+    def __init__(self):
+        self._longest = 0.0
+        self._previous = 0.0
+        self._period_end = 0.0
+
+    def elapsed(self, left, target, now):
+        """Return the seconds since the first attempt, 0 for a first attempt.
+
+        ``left`` are the seconds until the caller's deadline. With less time than a caller
+        can have after Retry-After, the deadline is the caller's own.
+        """
+        if now >= self._period_end:
+            self._period_end = now + DEADLINE_PERIOD
+            self._previous, self._longest = self._longest, 0.0
+        self._longest = max(self._longest, left)
+        longest = max(self._longest, self._previous)
+        elapsed = longest - left
+        latest = longest * MAX_RETRY_SHARE + target
+        return elapsed if MIN_RETRY_AFTER <= elapsed <= latest else 0.0
+
+
 class FairShares:
     """Decaying count of the service that each client account got here."""
 
@@ -319,11 +351,6 @@
             return None
         return Send(chosen)
 
-    def is_over_capacity(self, replicas, now):
-        """Return whether each replica with a fresh report is full, and there is one."""
-        estimates = self._estimates(replicas, now).values()
-        return bool(estimates) and not any(e.has_free_slot for e in estimates)
-
     def record_send(self, call, replica, now):
         """Count a send to a ``ReplicaLoad``; return the ``Sent`` for ``record_end``."""
         sent = Sent(replica.identity, now)
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -4,6 +4,7 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.routing.backend_state import BackendState
+from sassafrasdoor.routing.overload import LoadReport
 from sassafrasdoor.routing.placement import Candidate
 
 # Seconds without work after a failure, doubled with each further one in a row: a
@@ -83,7 +84,8 @@
     stays in use without an entry, None while listed. ``last_received_at`` is the time of
     the last data on any of its streams, ``event_interval`` the smoothed seconds between
     two events of its streams, None before the first. ``reports_pace`` says whether its
-    load reports state how long work takes there.
+    load reports state how long work takes there; ``load_report`` is the newest of those
+    that do, as a ``LoadReport``, or None.
     """
 
     __slots__ = (
@@ -95,6 +97,7 @@
         "last_received_at",
         "identity",
         "listing",
+        "load_report",
         "loading_deadlines",
         "event_interval",
         "refusal_deadlines",
@@ -118,6 +121,7 @@
         self._pace = USUAL_PACE
         self._pace_deadline = LONG_AGO
         self.reports_pace = False
+        self.load_report = None
 
     @property
     def is_usable(self):
@@ -164,6 +168,8 @@
         ``pace`` is the reported multiple of the usual work time, None if not reported.
         """
         self.reports_pace = pace is not None
+        if pace is not None:
+            self.load_report = LoadReport(running, waiting, pace, now())
         if pace:
             self._pace = pace
             self._pace_deadline = deadline_in(PACE_LIFETIME)
