--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -11,6 +11,7 @@
     Observed,
     Report,
 )
+from sassafrasdoor.routing.overload import LoadReport
 from sassafrasdoor.routing.placement import Candidate
 
 # Seconds without work after a failure, doubled with each further one in a row: a
@@ -98,9 +99,10 @@
     stays in use without an entry, None while listed. ``last_received_at`` is the time of
     the last data on any of its streams, ``event_interval`` the smoothed seconds between
     two events of its streams, None before the first. ``reports_pace`` says whether its
-    load reports state how long work takes there. ``speed`` is its ``EngineSpeed``, known
-    only if they do. ``load_reported_at`` is the time of the newest load report that is
-    known, ``LONG_AGO`` before the first.
+    load reports state how long work takes there; ``load_report`` is the newest of those
+    that do, its own or a neighbour's, as a ``LoadReport``, or None. ``speed`` is its
+    ``EngineSpeed``, known only if they do. ``load_reported_at`` is the time of the newest
+    load report that is known, ``LONG_AGO`` before the first.
     """
 
     __slots__ = (
@@ -117,6 +119,7 @@
         "identity",
         "listing",
         "load_reported_at",
+        "load_report",
         "loading_deadlines",
         "event_interval",
         "refusal_deadlines",
@@ -147,6 +150,7 @@
         self.load_reported_at = LONG_AGO
         self.reports_pace = False
         self.speed = EngineSpeed()
+        self.load_report = None
 
     @property
     def is_usable(self):
@@ -201,6 +205,8 @@
         ``pace`` is the reported multiple of the usual work time, None if not reported.
         """
         self.reports_pace = pace is not None
+        if pace is not None:
+            self.load_report = LoadReport(running, waiting, pace, now())
         if pace:
             self._last_own_report = (running, waiting, pace, now())
         self._apply_load(running + waiting, pace, now(), self.state.in_flight)
@@ -215,7 +221,11 @@
         if report.refusals:
             total = max(total, self.listing.slots)
         own_calls = self.state.in_flight_at(report.taken_at)
-        self._apply_load(total, report.percent / 100, report.taken_at, own_calls)
+        pace = report.percent / 100
+        self.load_report = LoadReport(
+            report.running, report.waiting, pace, report.taken_at
+        )
+        self._apply_load(total, pace, report.taken_at, own_calls)
 
     def _apply_load(self, total, pace, taken_at, own_calls):
         if pace:
--- a/sassafrasdoor/routing/tests/test_replicas.py
+++ b/sassafrasdoor/routing/tests/test_replicas.py
@@ -5,6 +5,7 @@
 from sassafrasdoor.clock import LONG_AGO, now
 from sassafrasdoor.log.tail import Outage
 from sassafrasdoor.routing import replicas as module
+from sassafrasdoor.routing.load_exchange import Report
 from sassafrasdoor.routing.replicas import Listing, Replicas
 
 
@@ -91,6 +92,15 @@
         replica._other_callers_load_deadline = LONG_AGO
         self.assertEqual(replica.load, 1)
 
+    def test_neighbours_report_counts_from_its_own_time(self):
+        """Guards against own sends since a neighbour's report that count twice."""
+        replica = self.listed("x")
+        taken_at = now() - 0.2
+        replica.record_neighbour_load(Report("x", 0, 3, 5, 250, taken_at))
+        report = replica.load_report
+        self.assertEqual((report.running, report.waiting, report.at), (3, 5, taken_at))
+        self.assertEqual((report.pace, replica.load), (2.5, 8))
+
     def test_pace_lapses(self):
         """Guards against a short slow spell that counts until the next report."""
         replica = self.listed("x")
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -13,6 +13,7 @@
     "requests/buffers.py": "whether a request's body fits into the memory",
     "routing/engine_speed.py": "which speed of an engine lasts, when it is slow",
     "routing/pace.py": "which samples leave an engine of another speed",
+    "routing/overload.py": "which calls are sent, wait or are refused under overload",
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
     "routing/load_exchange.py": "which load reports entry points send each other, when",
     "routing/subsets.py": "which replica gets a call, so that few connections open",
