How late a trainer is, from the submission times of its steps

Cause: is_behind tells whether a trainer is behind, not by how much, and it takes a trainer whose every step is late for one that is on time. Ruled out: submission times in the records of the log; clocks of instances would be compared. Change: steps/durable/lateness.py gives a trainer's schedule, when its next step is due and how late it is. The intervals between steps move there from duties/scaling.py, which uses them as before.

--- a/sassafrasdoor/duties/scaling.py
+++ b/sassafrasdoor/duties/scaling.py
@@ -15,6 +15,7 @@
 from statistics import median
 
 from sassafrasdoor.duties.usage import DECODE_ERRORS, Unreadable
+from sassafrasdoor.steps.durable.lateness import MIN_INTERVALS, step_intervals
 
 # Seconds for which replicas must be missing: a crashed one is back within some seconds,
 # and its entry lapses after three heartbeats.
@@ -27,9 +28,6 @@
 # Seconds after a trainer was last behind until interruptible replicas are given back; a
 # trainer regains a fraction of a second with each step.
 DEMAND_MEMORY = 40.0
-# Seconds between two steps below which they were read at once from the log's history.
-MIN_STEP_INTERVAL = 0.5
-MIN_INTERVALS = 2  # between steps of a trainer, to know how often it submits one
 # Seconds for which the numbers must not have changed before they count as the first.
 SETTLE_TIME = 2.0
 
@@ -71,9 +69,7 @@
     ``steps`` are ``(submitted at, ended at)`` of its last steps in order, with None for
     one that is still open: one took longer than it takes from step to step otherwise.
     """
-    pairs = zip(steps, steps[1:], strict=False)
-    intervals = [later[0] - earlier[0] for earlier, later in pairs]
-    intervals = [one for one in intervals if one >= MIN_STEP_INTERVAL]
+    intervals = step_intervals([submitted_at for submitted_at, _ in steps])
     if len(intervals) < MIN_INTERVALS:
         return False
     interval = median(intervals)
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -13,6 +13,7 @@
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
     "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
+    "steps/durable/lateness.py": "how late trainers are, from their submission times",
     "weights/load_policy.py": "how many replicas of a model load at the same time",
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
 }
@@ -21,6 +22,7 @@
 ALLOWED = PURE_LIBRARIES | {
     "sassafrasdoor.duties.usage",
     "sassafrasdoor.outcomes",
+    "sassafrasdoor.steps.durable.lateness",
     "sassafrasdoor.steps.durable.records",
 }
 
