--- a/sassafrasdoor/steps/durable/order.py
+++ b/sassafrasdoor/steps/durable/order.py
@@ -3,7 +3,9 @@
 A trainer proceeds once ``wanted`` groups are complete, and a group is complete with its
 last sample. Long samples are dispatched first; the groups that the trainer does not
 wait for, the longest ones, are dispatched last. Items of client accounts with another
-priority wait in one queue for the same replicas: the more urgent go first.
+priority wait in one queue for the same replicas: the more urgent go first. Among those
+of equal priority, a trainer that is late would wait behind the steps of others: the
+items of the step that is furthest behind go first.
 """
 
 from bisect import bisect_left, bisect_right
@@ -44,6 +46,23 @@
     queue.insert(bisect_left(queue, job.priority, key=_priority_of), job)
 
 
+def latest_first(queue, due_at):
+    """Return the queue with the step that is furthest behind first, by priority.
+
+    ``due_at(job)`` returns when the trainer's next step is due, None for a job that keeps
+    its place. Jobs of one step keep their order.
+    """
+    due_times = [due_at(job) for job in queue]
+    places = [place for place, due in enumerate(due_times) if due is not None]
+    in_order = sorted(
+        places, key=lambda place: (queue[place].priority, due_times[place])
+    )
+    result = list(queue)
+    for place, source in zip(places, in_order, strict=True):
+        result[place] = queue[source]
+    return result
+
+
 def _priority_of(job):
     return job.priority
 
--- a/sassafrasdoor/steps/durable/tests/test_order.py
+++ b/sassafrasdoor/steps/durable/tests/test_order.py
@@ -4,7 +4,13 @@
 
 from sassafrasdoor.security import key_hash
 from sassafrasdoor.steps.durable.jobs import Job
-from sassafrasdoor.steps.durable.order import enqueue, ordered, priority, requeue
+from sassafrasdoor.steps.durable.order import (
+    enqueue,
+    latest_first,
+    ordered,
+    priority,
+    requeue,
+)
 from sassafrasdoor.steps.durable.records import Item, StepSpec
 from sassafrasdoor.steps.durable.state import Step
 from sassafrasdoor.steps.durable.tests.fixtures import HOST, PREFIX, route
@@ -78,3 +84,36 @@
         self.assertIs(queue[2], again)
         runs = [job.run for job in queue if job is not again]
         self.assertEqual(runs, sorted(runs))
+
+
+class LatestFirstTest(unittest.TestCase):
+    def test_step_that_is_furthest_behind_goes_first_within_its_priority(self):
+        """Guards against a late trainer that waits behind the steps of all others."""
+        due = {"late": 5.0, "on time": 9.0, "other service": None}
+        queue = [
+            _QueuedJob("on time", 0, 0),
+            _QueuedJob("on time", 0, 1),
+            _QueuedJob("other service", 0, 0),
+            _QueuedJob("late", 0, 0),
+            _QueuedJob("late", 0, 1),
+            _QueuedJob("on time", 3, 0),
+            _QueuedJob("late", 3, 0),
+        ]
+        result = latest_first(queue, lambda job: due[job.step])
+        self.assertEqual(
+            [(job.step, job.priority, job.number) for job in result],
+            [
+                ("late", 0, 0),
+                ("late", 0, 1),
+                ("other service", 0, 0),
+                ("on time", 0, 0),
+                ("on time", 0, 1),
+                ("late", 3, 0),
+                ("on time", 3, 0),
+            ],
+        )
+
+
+class _QueuedJob:
+    def __init__(self, step, priority, number):
+        self.step, self.priority, self.number = step, priority, number
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -14,6 +14,7 @@
     "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
     "steps/durable/lateness.py": "how late trainers are, from their submission times",
+    "weights/shares.py": "how many engines of a service each trainer's model gets",
     "weights/load_policy.py": "how many replicas of a model load at the same time",
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
 }
