Items of the trainer that is furthest behind go first

Cause: among items of equal priority those that came first were dispatched first, so a late trainer's step waited behind the steps of those on time. Change: where replicas report their pace and trainer-shares is not disabled, the queue is ordered by when the trainer's next step is due; within a step the order stays, and items of other services keep their places. steps/durable/trainers.py collects what the records of the steps tell of each trainer. Result: test_items_of_a_late_trainer_go_first fails without the order and passes with it; the present tests of the runner and of the order pass unchanged.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -41,6 +41,7 @@
 from sassafrasdoor.steps.durable.service import SHARD_COUNT, TOPIC, StepService
 from sassafrasdoor.steps.durable.shards import ShardLease, Shards
 from sassafrasdoor.steps.durable.state import Steps
+from sassafrasdoor.steps.durable.trainers import Trainers
 from sassafrasdoor.stopping import start_critical_tasks
 from sassafrasdoor.table.routes import RoutesInForce
 from sassafrasdoor.weights.controller import WeightsController
@@ -167,6 +168,7 @@
         self._outboxes = [
             Outbox(self._log, TOPIC, shard) for shard in range(shard_count + 1)
         ]
+        self._trainers = Trainers(settings, self._steps, self._replicas, self._routes)
         self._runner = Runner(
             self._client,
             self._replicas,
@@ -174,6 +176,7 @@
             self._steps,
             self._outboxes,
             self._crashes,
+            self._trainers,
         )
         self._shards = Shards(
             self._log,
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -19,7 +19,13 @@
 from sassafrasdoor.routing import placement
 from sassafrasdoor.routing.replicas import SUSPECT_DURATION
 from sassafrasdoor.steps.durable.jobs import Job
-from sassafrasdoor.steps.durable.order import enqueue, ordered, priority, requeue
+from sassafrasdoor.steps.durable.order import (
+    enqueue,
+    latest_first,
+    ordered,
+    priority,
+    requeue,
+)
 from sassafrasdoor.steps.durable.records import (
     COMPLETED,
     ERRORED,
@@ -94,10 +100,14 @@
         "_rewards",
         "_routes",
         "_steps",
+        "_trainers",
         "_wake",
     )
 
-    def __init__(self, client, replicas, routes, steps, outboxes, crashes=None):
+    def __init__(
+        self, client, replicas, routes, steps, outboxes, crashes=None, trainers=None
+    ):
+        self._trainers = trainers
         self._client = client
         self._crashes = crashes or CrashWatch(client, replicas)
         self._replicas = replicas
@@ -230,7 +240,7 @@
             job.task.cancel()
 
     def _dispatch(self):
-        queue, self._queue = self._queue, []
+        queue, self._queue = self._latest_first(self._queue), []
         unplaceable = set()
         self._candidates.clear()
         for job in queue:
@@ -254,6 +264,14 @@
             candidate.load += 1
             self._start_attempt(job, candidate.replica)
 
+    def _latest_first(self, queue):
+        """Return the queue with the items of the trainers that are latest first."""
+        if self._trainers is None or len(queue) < 2:
+            return queue
+        steps = {job.step.spec.step_id: job.step for job in queue}
+        due = {step_id: self._trainers.due_at(step) for step_id, step in steps.items()}
+        return latest_first(queue, lambda job: due[job.step.spec.step_id])
+
     def _is_delayed_after_crash(self, job):
         """Say whether an item that crashes replicas must wait for its next attempt."""
         if job.disconnected_at is None or passed(
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -88,6 +88,22 @@
         self.assertEqual({sample.item_id for sample in samples}, {"i0", "i1"})
         self.assertEqual({sample.state for sample in samples}, {COMPLETED})
 
+    async def test_items_of_a_late_trainer_go_first(self):
+        """Guards against a late trainer's items behind those that came before."""
+        client = ScriptedClient(ScriptedClient.HANG)
+        await self.start(client, replicas(slots=1), items=2)
+        await self.until(lambda: client.sent)
+        due = {"s1": 9.0, "late": 5.0}
+        self.runner._trainers = mock.Mock(due_at=lambda step: due[step.spec.step_id])
+        for data in records.encode_step(spec("late", items=1), 10_000):
+            self.steps.fold(0, 3, data)
+        jobs = self.runner._jobs
+        jobs["s1", "i0"].task.cancel()
+        self.runner._remove(jobs["s1", "i0"])
+        await self.samples(2)
+        finished = [sample.step_id for sample in self.outbox.samples]
+        self.assertEqual(finished, ["late", "s1"])
+
     async def test_broken_stream_resumes_after_its_last_event(self):
         """Guards against repeated or missing events in a resumed stream."""
         first = ([(0, "a", 1), (1, "b", 1)], BROKEN)
