The holder of the weights lease divides engines by shares

Cause: the controller reassigned engines with every change of demand, and a new holder divided them anew. Change: where replicas report their pace, the controller asks weights/shares.py. A new holder takes each engine's model from its versions. Result: test_new_holder_keeps_the_engines_and_follows_the_steps fails without the adopted assignment (one of eight engines moves) and passes with it. The 14 present tests of the controller pass unchanged.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -232,6 +232,7 @@
             self._routes,
             handover=lambda: self._handover_delay,
             work=self._runner,
+            trainers=self._trainers,
         )
         self._steps.mark_used(self._weights_shard)
         self._steps.on_change(self._weights.record_demand)
--- a/sassafrasdoor/weights/controller.py
+++ b/sassafrasdoor/weights/controller.py
@@ -3,7 +3,9 @@
 Only the holder of the lease sends orders, with its fencing number. The replicas of a
 service are assigned to its models by demand; a replica keeps its model where possible
 and loads the versions of that model only. The versions that replicas have are known from
-the platform's list and from answers.
+the platform's list and from answers. Where replicas report their pace, they are assigned
+such that all trainers are equally late, and a new holder of the lease takes the present
+assignment from their versions.
 """
 
 import asyncio
@@ -12,8 +14,8 @@
 from sassafrasdoor.backends.replicas import OrderRefused, VersionOrder
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed
 from sassafrasdoor.decisions import note
-from sassafrasdoor.metrics import counter, histogram
-from sassafrasdoor.weights import load_policy
+from sassafrasdoor.metrics import counter, gauge, histogram
+from sassafrasdoor.weights import load_policy, shares
 
 # Durations in seconds.
 POLL_INTERVAL = 0.1
@@ -29,6 +31,8 @@
 FIRST_FENCE = 1  # of the first holder, which has no predecessor
 
 ORDERS = counter("weights_named_orders_total", "Orders to replicas, by result.")
+MOVES = counter("weights_moves_total", "Replicas that changed their model, by model.")
+ASSIGNED = gauge("weights_replicas_assigned", "Replicas assigned to each model.")
 ORDER_DELAY = histogram(
     "weights_named_wait_seconds",
     "Seconds from a version's name to an accepted order of it.",
@@ -59,12 +63,14 @@
     ``handover()`` returns the seconds to wait before the first order, since orders of a
     former holder may still arrive. ``work`` describes the steps run here:
     ``queued_items(model)`` returns the number of queued items, ``oldest_allowed(model)``
-    the oldest version that serves all open steps.
+    the oldest version that serves all open steps. ``trainers`` are the ``Trainers``, None
+    to assign by demand only.
     """
 
     __slots__ = (
         "_handover_deadline",
         "_assigned",
+        "_adopted",
         "_client",
         "_demand",
         "_fence",
@@ -77,11 +83,14 @@
         "_last_orders",
         "_stale_fence",
         "_tasks",
+        "_trainers",
         "_wake",
         "_work",
     )
 
-    def __init__(self, client, holder, replicas, routes, handover, work):
+    def __init__(self, client, holder, replicas, routes, handover, work, trainers=None):
+        self._trainers = trainers
+        self._adopted = set()
         self._client = client
         self._holder = holder
         self._replicas = replicas
@@ -143,6 +152,7 @@
             )
             self._last_orders.clear()
             self._assigned.clear()
+            self._adopted.clear()
         return passed(self._handover_deadline)
 
     def _order_loads(self):
@@ -152,7 +162,7 @@
         for service, models in configuration.service_models.items():
             replicas = self._replicas.of_service(service)
             if replicas and models:
-                self._assign(replicas, models)
+                self._assign(service, replicas, models)
                 self._order_due_loads(replicas)
 
     def _order_due_loads(self, replicas):
@@ -261,9 +271,60 @@
             if replica.listing.service in dict(route.services)
         )
 
-    def _assign(self, replicas, models):
+    def _allocate(self, service, replicas, models):
+        """Return the number of replicas of each model."""
+        if self._trainers is None or not self._trainers.is_active(service):
+            return allocate_replicas(len(replicas), models, self._demand)
+        self._trainers.report(models)
+        self._adopt(service, replicas, models)
+        joinable = {
+            model
+            for model in models
+            if model in self._target_set_at
+            and not passed(self._target_set_at[model] + shares.JOIN_WINDOW)
+        }
+        assigned = {}
+        for replica in replicas:
+            its_models = self._assigned.get(replica.identity, ())
+            assigned[replica.identity] = its_models[0] if len(its_models) == 1 else None
+        intervals = {replica.identity: replica.event_interval for replica in replicas}
+        loads = self._trainers.loads(models, joinable)
+        return shares.allocate(assigned, intervals, loads)
+
+    def _adopt(self, service, replicas, models):
+        """Assign the replicas without an order of this holder by their versions.
+
+        A new holder would otherwise move replicas whose model it does not know. This is
+        done once, when the service's replicas report their pace and a version of each
+        model is known.
+        """
+        if service in self._adopted or not self._target_versions.keys() >= set(models):
+            return
+        self._adopted.add(service)
+        for replica in replicas:
+            if replica.identity in self._last_orders:
+                continue
+            model = self._followed_model(replica, models)
+            self._assigned[replica.identity] = () if model is None else (model,)
+
+    def _followed_model(self, replica, models):
+        """Return the model whose versions a replica has followed, None if unclear."""
+        missing = sorted(
+            (
+                self._target_versions[model] - replica.versions.get(model, 0),
+                model,
+            )
+            for model in models
+        )
+        if len(missing) > 1 and missing[0][0] == missing[1][0]:
+            return None
+        return missing[0][1]
+
+    def _assign(self, service, replicas, models):
         """Assign the replicas to the models; each keeps its model where possible."""
-        replica_counts = allocate_replicas(len(replicas), models, self._demand)
+        replica_counts = self._allocate(service, replicas, models)
+        for model, count in replica_counts.items():
+            ASSIGNED.set({"model": model}, count)
         unassigned = {replica.identity: replica for replica in replicas}
         if len(replicas) < len(models):
             identities = sorted(unassigned)
@@ -296,12 +357,17 @@
                 assigned[replica.identity] = (model,)
                 del unassigned[replica.identity]
         if assigned != {key: self._assigned.get(key) for key in assigned}:
-            note(
-                "weights.assigned",
-                replicas={key: value[0] for key, value in assigned.items()},
-            )
+            self._record_assignment(assigned)
         self._assigned = {**self._assigned, **assigned}
 
+    def _record_assignment(self, assigned):
+        """Log a changed assignment; count the replicas that changed their model."""
+        by_identity = {identity: model for identity, (model,) in assigned.items()}
+        note("weights.assigned", replicas=by_identity)
+        for identity, model in by_identity.items():
+            if self._assigned.get(identity, (model,)) not in ((), (model,)):
+                MOVES.inc({"model": model})
+
     def _is_assigned(self, replica, model):
         return self._assigned.get(replica.identity) == (model,)
 
