--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -45,6 +45,7 @@
 from sassafrasdoor.steps.durable.service import SHARD_COUNT, TOPIC, StepService
 from sassafrasdoor.steps.durable.shards import ShardLease, Shards
 from sassafrasdoor.steps.durable.state import Steps
+from sassafrasdoor.steps.durable.trainers import Trainers
 from sassafrasdoor.stopping import start_critical_tasks
 from sassafrasdoor.table.routes import RoutesInForce
 from sassafrasdoor.weights.controller import WeightsController
@@ -180,6 +181,7 @@
         self._outboxes = [
             Outbox(self._log, TOPIC, shard) for shard in range(shard_count + 1)
         ]
+        self._trainers = Trainers(settings, self._steps, self._replicas, self._routes)
         self._runner = Runner(
             self._client,
             self._replicas,
@@ -188,6 +190,7 @@
             self._outboxes,
             self._crashes,
             settings,
+            self._trainers,
         )
         self._shards = Shards(
             self._log,
@@ -256,6 +259,7 @@
             self._routes,
             handover=lambda: self._handover_delay,
             work=self._runner,
+            trainers=self._trainers,
         )
         self._steps.mark_used(self._weights_shard)
         self._steps.on_change(self._weights.record_demand)
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -19,6 +19,8 @@
     "routing/subsets.py": "which replica gets a call, so that few connections open",
     "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
+    "steps/durable/lateness.py": "how late trainers are, from their submission times",
+    "weights/shares.py": "how many engines of a service each trainer's model gets",
     "weights/load_policy.py": "how many replicas of a model load at the same time",
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
 }
@@ -29,6 +31,7 @@
     "sassafrasdoor.outcomes",
     "sassafrasdoor.routing.engine_speed",
     "sassafrasdoor.rendezvous",
+    "sassafrasdoor.steps.durable.lateness",
     "sassafrasdoor.steps.durable.records",
 }
 
