--- a/sassafrasdoor/routing/placement.py
+++ b/sassafrasdoor/routing/placement.py
@@ -73,9 +73,11 @@
     """Return the ``Candidate`` with the earliest estimated finish, or None."""
     median = median_event_interval(candidates)
     eligible = [
-        candidate for candidate in candidates if _is_eligible(candidate, requirement)
+        candidate
+        for candidate in candidates
+        if candidate.free_slots > 0 and is_eligible(candidate, requirement)
     ]
-    return min(eligible, key=lambda candidate: _cost(candidate, median), default=None)
+    return min(eligible, key=lambda candidate: cost(candidate, median), default=None)
 
 
 def should_migrate(slow, better):
@@ -99,12 +101,9 @@
     )
 
 
-def _is_eligible(candidate, requirement):
-    if (
-        candidate.is_suspect
-        or candidate.free_slots <= 0
-        or candidate.identity == requirement.avoid
-    ):
+def is_eligible(candidate, requirement):
+    """Return whether a replica may serve an item once it has a free slot."""
+    if candidate.is_suspect or candidate.identity == requirement.avoid:
         return False
     if not requirement.model:
         return True
@@ -115,7 +114,7 @@
     )
 
 
-def _cost(candidate, median):
+def cost(candidate, median):
     """Return the estimated interval with one more item; the identity breaks ties."""
     event_interval = candidate.event_interval or median
     return (
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -5,6 +5,7 @@
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.routing.backend_state import BackendState
 from sassafrasdoor.routing.placement import Candidate
+from sassafrasdoor.routing.prompt_cache import PromptCache
 
 # Seconds without work after a failure, doubled with each further one in a row: a
 # restarted replica is soon tried again, a dead one costs one call in eight seconds.
@@ -83,7 +84,8 @@
     stays in use without an entry, None while listed. ``last_received_at`` is the time of
     the last data on any of its streams, ``event_interval`` the smoothed seconds between
     two events of its streams, None before the first. ``reports_pace`` says whether its
-    load reports state how long work takes there.
+    load reports state how long work takes there. ``prompts`` are the prompt parts that
+    it has read.
     """
 
     __slots__ = (
@@ -97,6 +99,7 @@
         "listing",
         "loading_deadlines",
         "event_interval",
+        "prompts",
         "refusal_deadlines",
         "reports_pace",
         "state",
@@ -112,6 +115,7 @@
         self.loading_deadlines = {}
         self.refusal_deadlines = {}
         self.event_interval = None
+        self.prompts = PromptCache()
         self.last_received_at = LONG_AGO
         self._other_callers_load = 0
         self._other_callers_load_deadline = 0.0
--- a/sassafrasdoor/steps/durable/order.py
+++ b/sassafrasdoor/steps/durable/order.py
@@ -15,12 +15,17 @@
     Groups that a trainer sends again are the first of its step, at most half of the
     wanted ones; the trainer waits for them, so they are never put last.
     """
+    spare = spare_groups(spec)
+    return sorted(spec.items, key=lambda item: (item.group in spare, -item.expected))
+
+
+def spare_groups(spec):
+    """Return the names of the groups for which the trainer does not wait."""
     groups = {}
     for item in spec.items:
         groups.setdefault(item.group, []).append(item)
     spare_count = max(0, len(groups) - spec.wanted) if spec.wanted else 0
-    deferred = set(_longest(list(groups)[spec.wanted // 2 :], groups, spare_count))
-    return sorted(spec.items, key=lambda item: (item.group in deferred, -item.expected))
+    return set(_longest(list(groups)[spec.wanted // 2 :], groups, spare_count))
 
 
 def priority(configuration, spec):
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -11,8 +11,11 @@
     "duties/usage.py": "what a usage report says and when its counts are fixed",
     "log/turns.py": "who reads first after all instances started together",
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
+    "routing/prompt_cache.py": "which engine has read which prompt, memory in use there",
+    "routing/prompt_placement.py": "which engine reads a prompt, which item starts there",
     "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
+    "steps/durable/urgency.py": "which items engines admit first",
     "weights/load_policy.py": "how many replicas of a model load at the same time",
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
 }
@@ -21,6 +24,7 @@
 ALLOWED = PURE_LIBRARIES | {
     "sassafrasdoor.duties.usage",
     "sassafrasdoor.outcomes",
+    "sassafrasdoor.routing.placement",
     "sassafrasdoor.steps.durable.records",
 }
 
