Prompts, memory of engines and priority at the platform's boundary

Cause: placement by prompt needs what an item's headers and the configuration say, and only platform/ knows these names. Configuration.engine_memory has Engine.KvCacheTokens by service. SampleOrder.priority is sent as a header unless the trainer sent one itself.

--- a/sassafrasdoor/backends/replicas.py
+++ b/sassafrasdoor/backends/replicas.py
@@ -73,7 +73,8 @@
     """A sample to generate, or to resume.
 
     ``after`` is the number of the last event already received, None for none;
-    ``account`` names the client account of the step, empty for none.
+    ``account`` names the client account of the step, empty for none. ``priority`` is the
+    rank at the replica, 0 the first and 9 the last, None to state none.
     """
 
     __slots__ = (
@@ -85,10 +86,12 @@
         "host",
         "item_id",
         "path",
+        "priority",
     )
 
-    def __init__(self, item, host, deadline, after, account=""):
+    def __init__(self, item, host, deadline, after, account="", priority=None):
         self.account = account
+        self.priority = priority
         self.item_id = item.item_id
         self.path = item.path
         self.headers = item.headers
--- a/sassafrasdoor/platform/configuration.py
+++ b/sassafrasdoor/platform/configuration.py
@@ -60,9 +60,19 @@
         ),
         _parse_accounts(document.get("Tenants")),
         _parse_scaling(document["Services"]),
+        _parse_engine_memory(document["Services"]),
     )
 
 
+def _parse_engine_memory(services):
+    """Return the tokens that an engine's memory holds, by service that states them."""
+    return {
+        service["Name"]: int(service["Engine"]["KvCacheTokens"])
+        for service in services
+        if service.get("Engine") and service["Engine"].get("KvCacheTokens")
+    }
+
+
 def _parse_scaling(services):
     """Return the ``Scaling`` by service of those whose replicas may be ordered."""
     return {
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -28,6 +28,7 @@
 )
 from sassafrasdoor.platform.duties import WireDuties
 from sassafrasdoor.platform.peers import Peers
+from sassafrasdoor.platform.prompts import prompt_of
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
 from sassafrasdoor.requests.access import Access
@@ -174,6 +175,8 @@
             self._steps,
             self._outboxes,
             self._crashes,
+            settings,
+            prompt_of,
         )
         self._shards = Shards(
             self._log,
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -98,6 +98,8 @@
         headers[wire.EXPECT_INSTANCE] = replica.identity
         if order.after is not None:
             headers[wire.LAST_EVENT] = str(order.after)
+        if order.priority is not None and not _names(headers, wire.PRIORITY):
+            headers[wire.PRIORITY] = str(order.priority)
         request = OutgoingRequest(
             "POST", order.path, headers, order.body, order.deadline
         )
@@ -313,6 +315,11 @@
     replica.record_load(running, waiting, pace)
 
 
+def _names(headers, wanted):
+    """Return whether a mapping of headers names one, in any case."""
+    return any(name.lower() == wanted.lower() for name in headers)
+
+
 def _parse_int(text, default=0):
     try:
         return int(text)
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -105,12 +105,14 @@
     """One version of the operator's configuration.
 
     ``accounts`` are the client accounts, None if requests need no key. ``scaling`` maps
-    services whose replicas may be ordered to their ``Scaling``.
+    services whose replicas may be ordered to their ``Scaling``, ``engine_memory`` services
+    to the memory of one of their engines in tokens.
     """
 
     __slots__ = (
         "_by_host",
         "accounts",
+        "engine_memory",
         "limits",
         "routes",
         "scaling",
@@ -119,9 +121,17 @@
     )
 
     def __init__(
-        self, version, routes, service_models, limits, accounts=None, scaling=()
+        self,
+        version,
+        routes,
+        service_models,
+        limits,
+        accounts=None,
+        scaling=(),
+        engine_memory=(),
     ):
         self.accounts = accounts
+        self.engine_memory = dict(engine_memory)
         self.scaling = dict(scaling)
         self.version = version
         self.routes = routes
