--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -17,7 +17,11 @@
     under the run id ``run``; the next ones are logged at ``progress_due_at``.
     ``priority`` is its rank in the queue, 0 the first. Once ``scoring``, ``task`` is the reward call, not sent before ``next_reward_call_at``;
     ``text_logged_at`` is when the text was found in the log, ``unanswered_calls`` the
-    number of reward calls without an answer.
+    number of reward calls without an answer. ``prompt`` is the ``Prompt`` of its item,
+    None if it is not placed by prompt; ``prompt_use`` that of the current attempt.
+    ``longest`` are the expected tokens of its step's longest item, ``is_spare`` says that
+    its trainer does not wait for its group. Before ``overtaking_deadline``, None while
+    unset, shorter items may be placed first.
     """
 
     __slots__ = (
@@ -26,8 +30,13 @@
         "started_at",
         "disconnected_at",
         "failures",
+        "is_spare",
         "item",
+        "longest",
+        "overtaking_deadline",
         "progress_due_at",
+        "prompt",
+        "prompt_use",
         "appended",
         "last_event_at",
         "migrations",
@@ -58,6 +67,9 @@
         self.attempts = 0
         self.migrations = 0
         self.avoid = ""
+        self.prompt = self.prompt_use = self.overtaking_deadline = None
+        self.longest = 0
+        self.is_spare = False
         self.failures = len(step.failed_attempts.get(item.item_id, ()))
         self.reward_failures = len(step.failed_reward_calls.get(item.item_id, ()))
         self.unanswered_calls = 0
@@ -72,6 +84,11 @@
         """The job's key; the same item may belong to several steps."""
         return (self.step.spec.step_id, self.item.item_id)
 
+    @property
+    def expected(self):
+        """The expected tokens of its item, 0 if unknown."""
+        return self.item.expected
+
     def restart(self):
         """Discard the events received."""
         self.texts = []
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import functools
+from itertools import groupby
 
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.backends.replicas import SampleFailed, SampleOrder, WrongReplica
@@ -16,10 +18,11 @@
 from sassafrasdoor.requests.attempts import fingerprint
 from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.requests.direct import DirectService
-from sassafrasdoor.routing import placement
+from sassafrasdoor.routing import placement, prompt_placement
 from sassafrasdoor.routing.replicas import SUSPECT_DURATION
 from sassafrasdoor.steps.durable.jobs import Job
 from sassafrasdoor.steps.durable.order import enqueue, ordered, priority, requeue
+from sassafrasdoor.steps.durable.prompts import Prompts
 from sassafrasdoor.steps.durable.records import (
     COMPLETED,
     ERRORED,
@@ -80,7 +83,11 @@
 
 
 class Runner:
-    """Runs the open items of owned shards and puts their records into the outboxes."""
+    """Runs the open items of owned shards and puts their records into the outboxes.
+
+    ``prompt_of(item)`` returns the ``Prompt`` of an item, or None; without it and the
+    instance's ``settings`` items are placed by load alone.
+    """
 
     __slots__ = (
         "_candidates",
@@ -89,6 +96,7 @@
         "_jobs",
         "_outboxes",
         "_owned_shards",
+        "_prompts",
         "_queue",
         "_replicas",
         "_rewards",
@@ -97,13 +105,24 @@
         "_wake",
     )
 
-    def __init__(self, client, replicas, routes, steps, outboxes, crashes=None):
+    def __init__(
+        self,
+        client,
+        replicas,
+        routes,
+        steps,
+        outboxes,
+        crashes=None,
+        settings=None,
+        prompt_of=None,
+    ):
         self._client = client
         self._crashes = crashes or CrashWatch(client, replicas)
         self._replicas = replicas
         self._routes = routes
         self._steps = steps
         self._outboxes = outboxes
+        self._prompts = Prompts(replicas, routes, settings, prompt_of)
         self._owned_shards = set()
         self._jobs = {}
         self._queue = []
@@ -192,8 +211,10 @@
     def _add_items(self, step):
         configuration = self._routes.current
         rank = 0 if configuration is None else priority(configuration, step.spec)
-        for item in ordered(step.spec):
-            job = Job(step, item, rank)
+        jobs = [Job(step, item, rank) for item in ordered(step.spec)]
+        self._prompts.prepare(jobs)
+        for job in jobs:
+            item = job.item
             if not step.is_open(item.item_id) or job.key in self._jobs:
                 continue
             self._jobs[job.key] = job
@@ -233,26 +254,59 @@
         queue, self._queue = self._queue, []
         unplaceable = set()
         self._candidates.clear()
-        for job in queue:
-            if job.key not in self._jobs:
-                continue
-            if self._fail_if_expired(job):
-                continue
-            if self._is_delayed_after_crash(job):
-                self._queue.append(job)
-                continue
-            requirement = (job.step.spec.model, job.step.spec.min_version, job.avoid)
-            candidate = (
-                None if requirement in unplaceable else self._select_candidate(job)
-            )
-            if candidate is None:
-                unplaceable.add(requirement)
-                # A migrating item has lost its slot to another: any replica will do.
+        self._prompts.begin_pass()
+        for (_, service), jobs in groupby(queue, key=self._batch_key):
+            jobs = [job for job in jobs if job.key in self._jobs]
+            jobs = [job for job in jobs if not self._fail_if_expired(job)]
+            if service is None:
+                left = [job for job in jobs if not self._place(job, unplaceable)]
+            else:
+                place = functools.partial(self._place_by_prompt, service, len(jobs))
+                left = prompt_placement.assign(jobs, place, now())
+            self._queue += left
+
+    def _batch_key(self, job):
+        """Return a queued job's step, and its service if it is placed by prompt."""
+        service = None
+        if job.prompt is not None:
+            service = self._prompts.service_for(self._route(job))
+        return job.step.spec.step_id if service else "", service
+
+    def _place(self, job, unplaceable):
+        """Start an attempt at the replica with the least load; return whether there is one.
+
+        ``unplaceable`` collects the requirements that no replica meets in this pass.
+        """
+        if self._is_delayed_after_crash(job):
+            return False
+        requirement = (job.step.spec.model, job.step.spec.min_version, job.avoid)
+        candidate = None if requirement in unplaceable else self._select_candidate(job)
+        if candidate is None:
+            unplaceable.add(requirement)
+            # A migrating item has lost its slot to another: any replica will do.
+            job.avoid = ""
+            return False
+        candidate.load += 1
+        self._start_attempt(job, candidate.replica)
+        return True
+
+    def _place_by_prompt(self, service, queued, job, cached_only):
+        """Start an attempt at the replica that suits the prompt, as ``_place`` does."""
+        if self._is_delayed_after_crash(job):
+            return False
+        spec = job.step.spec
+        required = placement.Requirement(spec.model, spec.min_version, job.avoid)
+        candidates = self._candidates_for(service)
+        candidate = self._prompts.choose(
+            job, service, required, candidates, queued, cached_only
+        )
+        if candidate is None:
+            if not cached_only:
                 job.avoid = ""
-                self._queue.append(job)
-                continue
-            candidate.load += 1
-            self._start_attempt(job, candidate.replica)
+            return False
+        candidate.load += 1
+        self._start_attempt(job, candidate.replica)
+        return True
 
     def _is_delayed_after_crash(self, job):
         """Say whether an item that crashes replicas must wait for its next attempt."""
@@ -341,7 +395,9 @@
         job.last_event_at = job.sent_at = None
         if job.progress_due_at is None:
             job.progress_due_at = deadline_in(PROGRESS_INTERVAL)
+        job.overtaking_deadline = None
         job.task = asyncio.ensure_future(self._run_attempt(job, replica))
+        self._prompts.record_start(job, replica, job.task)
 
     def _abort_silent_attempts(self):
         for job in self._jobs.values():
@@ -369,6 +425,7 @@
             None,
             job.last_number,
             job.step.spec.account,
+            self._prompts.priority(job, route, replica.listing.service),
         )
         job.abort_reason = ""
         try:
@@ -404,6 +461,8 @@
         timeout.reschedule(None)
         if job.last_event_at is not None:
             job.replica.record_event_interval(now() - job.last_event_at)
+        else:
+            self._prompts.record_first_event(job)
         job.append_event(event)
         job.replica.last_received_at = job.last_event_at
         return True
