--- a/sassafrasdoor/platform/configuration.py
+++ b/sassafrasdoor/platform/configuration.py
@@ -60,9 +60,19 @@
         ),
         _parse_accounts(document.get("Tenants")),
         _parse_scaling(document["Services"]),
+        _parse_engine_memory(document["Services"]),
     )
 
 
+def _parse_engine_memory(services):
+    """Return the tokens that an engine's memory holds, by service that states them."""
+    return {
+        service["Name"]: int(service["Engine"]["KvCacheTokens"])
+        for service in services
+        if service.get("Engine") and service["Engine"].get("KvCacheTokens")
+    }
+
+
 def _parse_scaling(services):
     """Return the ``Scaling`` by service of those whose replicas may be ordered."""
     return {
@@ -109,6 +119,9 @@
         timeout=timeout,
         target=(document.get("TargetLatencyMs") or timeout * 1000) / 1000,
         attempts=max(1, document.get("MaxAttempts") or 1),
+        due_after=document["RunDeadlineMs"] / 1000
+        if document.get("RunDeadlineMs")
+        else None,
         keep_for=float(document.get("RetentionS") or DEFAULT_RETENTION_S),
         public=bool(document.get("Public")),
         priority=int(document.get("Priority") or 0),
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -28,6 +28,7 @@
 )
 from sassafrasdoor.platform.duties import WireDuties
 from sassafrasdoor.platform.peers import Peers
+from sassafrasdoor.platform.prompts import prompt_of
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
 from sassafrasdoor.requests.access import Access
@@ -191,6 +192,7 @@
             self._crashes,
             settings,
             self._trainers,
+            prompt_of,
         )
         self._shards = Shards(
             self._log,
--- a/sassafrasdoor/routing/placement.py
+++ b/sassafrasdoor/routing/placement.py
@@ -85,11 +85,13 @@
     """Return the ``Candidate`` with the earliest estimated finish, or None."""
     median = median_event_interval(candidates)
     eligible = [
-        candidate for candidate in candidates if _is_eligible(candidate, requirement)
+        candidate
+        for candidate in candidates
+        if candidate.free_slots > 0 and is_eligible(candidate, requirement)
     ]
     return min(
         eligible,
-        key=lambda candidate: _cost(candidate, median, requirement),
+        key=lambda candidate: cost(candidate, median, requirement.yields),
         default=None,
     )
 
@@ -115,12 +117,9 @@
     )
 
 
-def _is_eligible(candidate, requirement):
-    if (
-        candidate.is_suspect
-        or candidate.free_slots <= 0
-        or candidate.identity == requirement.avoid
-    ):
+def is_eligible(candidate, requirement):
+    """Return whether a replica may serve an item once it has a free slot."""
+    if candidate.is_suspect or candidate.identity == requirement.avoid:
         return False
     if not requirement.model:
         return True
@@ -131,11 +130,14 @@
     )
 
 
-def _cost(candidate, median, requirement):
-    """Return the estimated interval with one more item; the identity breaks ties."""
+def cost(candidate, median, yields=False):
+    """Return the estimated interval with one more item; the identity breaks ties.
+
+    An item that ``yields`` leaves replicas with a short interval to longer ones.
+    """
     event_interval = candidate.event_interval or median
     load = candidate.load + 1
-    if requirement.yields and candidate.by_speed:
+    if yields and candidate.by_speed:
         load += OTHERS_WEIGHT * candidate.load
     return (
         event_interval * (1 + LOAD_WEIGHT * load / candidate.slots),
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -13,6 +13,7 @@
 )
 from sassafrasdoor.routing.overload import LoadReport
 from sassafrasdoor.routing.placement import Candidate
+from sassafrasdoor.routing.prompt_cache import PromptCache
 
 # Seconds without work after a failure, doubled with each further one in a row: a
 # restarted replica is soon tried again, a dead one costs one call in eight seconds.
@@ -102,7 +103,8 @@
     load reports state how long work takes there; ``load_report`` is the newest of those
     that do, its own or a neighbour's, as a ``LoadReport``, or None. ``speed`` is its
     ``EngineSpeed``, known only if they do. ``load_reported_at`` is the time of the newest
-    load report that is known, ``LONG_AGO`` before the first.
+    load report that is known, ``LONG_AGO`` before the first. ``prompts`` are the prompt
+    parts that it has read.
     """
 
     __slots__ = (
@@ -122,6 +124,7 @@
         "load_report",
         "loading_deadlines",
         "event_interval",
+        "prompts",
         "refusal_deadlines",
         "reports_pace",
         "speed",
@@ -138,6 +141,7 @@
         self.loading_deadlines = {}
         self.refusal_deadlines = {}
         self.event_interval = None
+        self.prompts = PromptCache()
         self.last_received_at = LONG_AGO
         self._other_callers_load = 0
         self._other_callers_load_deadline = 0.0
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import functools
+from itertools import groupby
 
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.backends.replicas import SampleFailed, SampleOrder, WrongReplica
@@ -16,7 +18,7 @@
 from sassafrasdoor.requests.attempts import fingerprint
 from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.requests.direct import DirectService
-from sassafrasdoor.routing import pace, placement
+from sassafrasdoor.routing import pace, placement, prompt_placement
 from sassafrasdoor.routing.replicas import SUSPECT_DURATION
 from sassafrasdoor.steps.durable.jobs import Job
 from sassafrasdoor.steps.durable.order import (
@@ -26,6 +28,7 @@
     priority,
     requeue,
 )
+from sassafrasdoor.steps.durable.prompts import Prompts
 from sassafrasdoor.steps.durable.records import (
     COMPLETED,
     ERRORED,
@@ -87,7 +90,11 @@
 
 
 class Runner:
-    """Runs the open items of owned shards and puts their records into the outboxes."""
+    """Runs the open items of owned shards and puts their records into the outboxes.
+
+    ``prompt_of(item)`` returns the ``Prompt`` of an item, or None; without it and the
+    instance's ``settings`` items are placed by load alone.
+    """
 
     __slots__ = (
         "_candidates",
@@ -97,6 +104,7 @@
         "_lengths",
         "_outboxes",
         "_owned_shards",
+        "_prompts",
         "_queue",
         "_replicas",
         "_rewards",
@@ -117,6 +125,7 @@
         crashes=None,
         settings=None,
         trainers=None,
+        prompt_of=None,
     ):
         self._trainers = trainers
         self._client = client
@@ -127,6 +136,7 @@
         self._routes = routes
         self._steps = steps
         self._outboxes = outboxes
+        self._prompts = Prompts(replicas, routes, settings, prompt_of)
         self._owned_shards = set()
         self._jobs = {}
         self._queue = []
@@ -216,8 +226,13 @@
         configuration = self._routes.current
         rank = 0 if configuration is None else priority(configuration, step.spec)
         long_from = pace.long_from(step.spec.items)
-        for item in ordered(step.spec):
-            job = Job(step, item, rank, item.expected < long_from)
+        jobs = [
+            Job(step, item, rank, item.expected < long_from)
+            for item in ordered(step.spec)
+        ]
+        self._prompts.prepare(jobs)
+        for job in jobs:
+            item = job.item
             if not step.is_open(item.item_id) or job.key in self._jobs:
                 continue
             self._jobs[job.key] = job
@@ -257,26 +272,59 @@
         queue, self._queue = self._latest_first(self._queue), []
         unplaceable = set()
         self._candidates.clear()
-        for job in queue:
-            if job.key not in self._jobs:
-                continue
-            if self._fail_if_expired(job):
-                continue
-            if self._is_delayed_after_crash(job):
-                self._queue.append(job)
-                continue
-            requirement = (job.step.spec.model, job.step.spec.min_version, job.avoid)
-            candidate = (
-                None if requirement in unplaceable else self._select_candidate(job)
-            )
-            if candidate is None:
-                unplaceable.add(requirement)
-                # A migrating item has lost its slot to another: any replica will do.
+        self._prompts.begin_pass()
+        for (_, service), jobs in groupby(queue, key=self._batch_key):
+            jobs = [job for job in jobs if job.key in self._jobs]
+            jobs = [job for job in jobs if not self._fail_if_expired(job)]
+            if service is None:
+                left = [job for job in jobs if not self._place(job, unplaceable)]
+            else:
+                place = functools.partial(self._place_by_prompt, service, len(jobs))
+                left = prompt_placement.assign(jobs, place, now())
+            self._queue += left
+
+    def _batch_key(self, job):
+        """Return a queued job's step, and its service if it is placed by prompt."""
+        service = None
+        if job.prompt is not None and self._prompts.is_in_use:
+            service = self._prompts.service_for(self._route(job))
+        return job.step.spec.step_id if service else "", service
+
+    def _place(self, job, unplaceable):
+        """Start an attempt at the replica with the least load; return whether there is one.
+
+        ``unplaceable`` collects the requirements that no replica meets in this pass.
+        """
+        if self._is_delayed_after_crash(job):
+            return False
+        requirement = (job.step.spec.model, job.step.spec.min_version, job.avoid)
+        candidate = None if requirement in unplaceable else self._select_candidate(job)
+        if candidate is None:
+            unplaceable.add(requirement)
+            # A migrating item has lost its slot to another: any replica will do.
+            job.avoid = ""
+            return False
+        candidate.load += 1
+        self._start_attempt(job, candidate.replica)
+        return True
+
+    def _place_by_prompt(self, service, queued, job, cached_only):
+        """Start an attempt at the replica that suits the prompt, as ``_place`` does."""
+        if self._is_delayed_after_crash(job):
+            return False
+        spec = job.step.spec
+        required = placement.Requirement(spec.model, spec.min_version, job.avoid)
+        candidates = self._candidates_for(service)
+        candidate = self._prompts.choose(
+            job, service, required, candidates, queued, cached_only
+        )
+        if candidate is None:
+            if not cached_only:
                 job.avoid = ""
-                self._queue.append(job)
-                continue
-            candidate.load += 1
-            self._start_attempt(job, candidate.replica)
+            return False
+        candidate.load += 1
+        self._start_attempt(job, candidate.replica)
+        return True
 
     def _latest_first(self, queue):
         """Return the queue with the items of the trainers that are latest first."""
@@ -438,7 +486,9 @@
         job.last_event_at = job.sent_at = None
         if job.progress_due_at is None:
             job.progress_due_at = deadline_in(PROGRESS_INTERVAL)
+        job.overtaking_deadline = None
         job.task = asyncio.ensure_future(self._run_attempt(job, replica))
+        self._prompts.record_start(job, replica, job.task)
 
     def _abort_silent_attempts(self):
         for job in self._jobs.values():
@@ -466,6 +516,7 @@
             None,
             job.last_number,
             job.step.spec.account,
+            self._prompts.priority(job, route, replica.listing.service),
         )
         job.abort_reason = ""
         try:
@@ -501,6 +552,8 @@
         timeout.reschedule(None)
         if job.last_event_at is not None:
             job.replica.record_event_interval(now() - job.last_event_at)
+        else:
+            self._prompts.record_first_event(job)
         job.append_event(event)
         job.replica.last_received_at = job.last_event_at
         return True
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -41,12 +41,15 @@
     ``streams`` means that answers are event streams, relayed as they arrive.
     ``public`` routes ask for no key of a client account. ``priority`` is the route's
     rank, 0 the most urgent.
+    ``due_after`` is the time after its submission in which a step is due, None if it is
+    not stated.
     ``keep_for`` is how long a sample of a step runs before it may be abandoned,
     ``one_version`` forbids samples of several weight versions.
     """
 
     __slots__ = (
         "attempts",
+        "due_after",
         "host",
         "keep_for",
         "name",
@@ -62,7 +65,7 @@
     )
 
     def __init__(self, **fields):
-        fields = {"priority": 0, "public": False, **fields}
+        fields = {"due_after": None, "priority": 0, "public": False, **fields}
         for name in self.__slots__:
             setattr(self, name, fields[name])
 
@@ -105,12 +108,14 @@
     """One version of the operator's configuration.
 
     ``accounts`` are the client accounts, None if requests need no key. ``scaling`` maps
-    services whose replicas may be ordered to their ``Scaling``.
+    services whose replicas may be ordered to their ``Scaling``, ``engine_memory`` services
+    to the memory of one of their engines in tokens.
     """
 
     __slots__ = (
         "_by_host",
         "accounts",
+        "engine_memory",
         "limits",
         "routes",
         "scaling",
@@ -119,9 +124,17 @@
     )
 
     def __init__(
-        self, version, routes, service_models, limits, accounts=None, scaling=()
+        self,
+        version,
+        routes,
+        service_models,
+        limits,
+        accounts=None,
+        scaling=(),
+        engine_memory=(),
     ):
         self.accounts = accounts
+        self.engine_memory = dict(engine_memory)
         self.scaling = dict(scaling)
         self.version = version
         self.routes = routes
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -21,6 +21,9 @@
     "steps/durable/order.py": "in which order the items of a step begin",
     "steps/durable/lateness.py": "how late trainers are, from their submission times",
     "weights/shares.py": "how many engines of a service each trainer's model gets",
+    "routing/prompt_cache.py": "which engine has read which prompt, memory in use there",
+    "routing/prompt_placement.py": "which engine reads a prompt, which item starts there",
+    "steps/durable/urgency.py": "which items engines admit first",
     "weights/load_policy.py": "how many replicas of a model load at the same time",
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
 }
@@ -32,6 +35,7 @@
     "sassafrasdoor.routing.engine_speed",
     "sassafrasdoor.rendezvous",
     "sassafrasdoor.steps.durable.lateness",
+    "sassafrasdoor.routing.placement",
     "sassafrasdoor.steps.durable.records",
 }
 
