Token counts that trainers state are bounded

Cause: a count of 400 digits in a header of an item is a valid integer that fits into no float; the runner would have failed on the division, and on the step again after each start. Change: Prompt bounds all counts to 0 to 10^8.

--- a/sassafrasdoor/platform/tests/test_prompts.py
+++ b/sassafrasdoor/platform/tests/test_prompts.py
@@ -9,6 +9,7 @@
 from sassafrasdoor.platform.configuration import parse_configuration
 from sassafrasdoor.platform.prompts import prompt_of
 from sassafrasdoor.platform.servers import WireReplicas
+from sassafrasdoor.routing.prompt_cache import MAX_TOKENS
 from sassafrasdoor.routing.replicas import Listing, Replica
 from sassafrasdoor.steps.durable.records import Item
 
@@ -51,6 +52,15 @@
                 self.assertIsNone(prompt_of(self.item(**case)))
         self.assertIsNone(prompt_of(make_item()))
 
+    def test_counts_are_bounded(self):
+        """Guards against a runner that fails on counts that fit into no float."""
+        huge = "9" * 400
+        prompt = prompt_of(self.item(f"{huge},{huge}", f"a:{huge},b:1", tokens=-1))
+        self.assertLessEqual(prompt.shared_tokens / 1.0, MAX_TOKENS)
+        self.assertLessEqual(prompt.own_tokens / 1.0, 3 * MAX_TOKENS)
+        prompt = prompt_of(self.item("1016,0", tokens=-10))
+        self.assertEqual(prompt.output_tokens, 0)
+
 
 class ConfigurationTest(unittest.TestCase):
     def test_memory_of_engines_by_service(self):
--- a/sassafrasdoor/routing/prompt_cache.py
+++ b/sassafrasdoor/routing/prompt_cache.py
@@ -10,6 +10,9 @@
 
 # Bound of the tracked parts of an engine whose memory the configuration does not state.
 DEFAULT_MEMORY_TOKENS = 32_768
+# Bound of the counts that a trainer states, beyond any engine's memory: larger ones may
+# not fit into a float, and the runner would fail on the step again and again.
+MAX_TOKENS = 10**8
 
 
 class Prompt:
@@ -24,13 +27,14 @@
     __slots__ = ("output_tokens", "shared", "shared_tokens", "tokens")
 
     def __init__(self, parts, tokens, output_tokens):
+        parts = [(name, _bounded(size)) for name, size in parts]
         names = tuple(name for name, _ in parts)
         self.shared = [
             (names[: end + 1], size) for end, (_, size) in enumerate(parts[:-1])
         ]
         self.shared_tokens = sum(size for _, size in parts[:-1])
-        self.tokens = max(tokens, sum(size for _, size in parts))
-        self.output_tokens = output_tokens
+        self.tokens = max(_bounded(tokens), sum(size for _, size in parts))
+        self.output_tokens = _bounded(output_tokens)
 
     @property
     def own_tokens(self):
@@ -38,6 +42,10 @@
         return self.tokens - self.shared_tokens + self.output_tokens
 
 
+def _bounded(tokens):
+    return min(max(0, tokens), MAX_TOKENS)
+
+
 class _Part:
     """A part of prompts at an engine, used by ``users`` running samples."""
 
