--- a/sassafrasdoor/platform/__main__.py
+++ b/sassafrasdoor/platform/__main__.py
@@ -27,6 +27,7 @@
             print(finding, file=sys.stderr)
         return INVALID_SETTINGS
     loaded.disabled_parts = frozenset(options.disable)
+    loaded.has_load_control |= options.load_control
     if not options.check:
         decisions.start(loaded.name)
         asyncio.run(Process(loaded, path, options.metrics_port).run())
@@ -41,6 +42,11 @@
     parser.add_argument(
         "--metrics-port", type=int, default=0, help="port of the metrics page; 0: none"
     )
+    parser.add_argument(
+        "--load-control",
+        action="store_true",
+        help="handle heavy load for all services, whatever their replicas report",
+    )
     parser.add_argument(
         "--disable",
         action="append",
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -125,7 +125,9 @@
         )
         self._access = Access(self._routes, settings)
         self._replicas = Replicas(
-            settings.instance.availability_zone, settings.heartbeat
+            settings.instance.availability_zone,
+            settings.heartbeat,
+            settings.has_load_control,
         )
         self._replicas.on_restart(self._client.forget)
         if uses_subsets:
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -37,7 +37,7 @@
     """Sends requests to replicas; each request names the intended replica.
 
     ``budget`` bounds the bytes that a replica holds. ``rotates_connections`` says whether
-    requests to replicas that report their pace use the kept connections in turn, so that
+    requests to replicas under load control use the kept connections in turn, so that
     more of them stay open.
     """
 
@@ -183,7 +183,7 @@
         if not self._budget.may_send(replica.identity, size):
             BODIES_NOT_SENT.inc({})
             return NotRun("requests at the replica take up their memory", RETRY_AFTER)
-        oldest_first = self._rotates_connections and replica.reports_pace
+        oldest_first = self._rotates_connections and replica.uses_load_control
         self._budget.add_sent(replica.identity, size)
         try:
             reply = await self._connections.send(
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -71,7 +71,10 @@
     "trainer-shares",
 )
 POSITIVE = ("Bounds.ReportWindowS",)
-NOT_IN_FILE = {"disabled_parts", "instance"}  # the file never changes them
+# Not compared with a changed file: options of the program may have set them.
+NOT_IN_FILE = {"disabled_parts", "has_load_control", "instance"}
+# In ``Contracts``, of deployments whose callers press for more than there is.
+PRESSURE = "pressure"
 PORT_RANGE = "PortRange"
 MAX_PORT = 65535
 MIN_PARTITIONS = 2  # one for the steps, one for the weights lease
@@ -84,6 +87,8 @@
     addresses of other instances. ``instance``: name and location of this one.
 
     ``disabled_parts``: names of ``PARTS`` that are switched off.
+    ``has_load_control``: whether they apply to all services; else they apply to those
+    whose replicas report how long work takes there.
     ``config_apply``: time within which a new configuration must be in force.
     ``revoke_within``: time within which a key that was taken away must be refused;
     ``fail_closed``: whether that holds for instances that cannot know of it too.
@@ -113,6 +118,7 @@
         "fail_closed",
         "fenced",
         "front",
+        "has_load_control",
         "heartbeat",
         "instance",
         "lease",
@@ -211,6 +217,7 @@
     settings = PlatformSettings()
     settings.name = fields["NodeName"]
     settings.disabled_parts = frozenset()
+    settings.has_load_control = PRESSURE in fields.get("Contracts", "").split(",")
     settings.front = fields["Listen.Front"]
     settings.ready = fields["Listen.Ready"]
     settings.directory = fields.get("Listen.Directory", "")
--- a/sassafrasdoor/platform/tests/test_translation.py
+++ b/sassafrasdoor/platform/tests/test_translation.py
@@ -62,6 +62,13 @@
         self.assertEqual((loaded.lease, loaded.fenced), (3.0, True))
         self.assertEqual(loaded.instance.availability_zone, "palermo")
 
+    def test_contract_of_pressure_asks_for_load_control(self):
+        """Guards against load control where the settings do not call for it."""
+        cases = [("base,pressure,platform", True), ("base,pool", False), ("", False)]
+        for contracts, expected in cases:
+            loaded = settings.from_fields(self.fields(Contracts=contracts))
+            self.assertIs(loaded.has_load_control, expected)
+
     def test_every_finding_is_reported_with_its_place(self):
         broken = {
             "Zone": "",
--- a/sassafrasdoor/requests/admission.py
+++ b/sassafrasdoor/requests/admission.py
@@ -1,4 +1,4 @@
-"""Admission of callers' requests to services whose replicas report their pace.
+"""Admission of callers' requests to services under load control.
 
 Applies the decisions of ``routing.overload`` to the requests of ``DirectService``. The
 state is kept by service, in this process only; callers of an instance that ends retry.
@@ -132,7 +132,7 @@
     def governs(self, service):
         """Return whether requests of a service are subject to admission."""
         return PART not in self._settings.disabled_parts and any(
-            replica.reports_pace for replica in self._replicas.of_service(service)
+            replica.uses_load_control for replica in self._replicas.of_service(service)
         )
 
     async def admit(self, attempts):
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -114,6 +114,7 @@
         "_pace",
         "_pace_deadline",
         "_was_slow",
+        "_has_load_control",
         "_refusals",
         "_refused_at",
         "grace_deadline",
@@ -132,8 +133,9 @@
         "versions",
     )
 
-    def __init__(self, identity, listing):
+    def __init__(self, identity, listing, has_load_control=False):
         self.identity = identity
+        self._has_load_control = has_load_control
         self.listing = listing
         self.state = BackendState(listing.slots)
         self.versions = dict(listing.versions)
@@ -156,6 +158,11 @@
         self.speed = EngineSpeed()
         self.load_report = None
 
+    @property
+    def uses_load_control(self):
+        """Whether the parts for heavy load apply: by the settings, or it reports its pace."""
+        return self._has_load_control or self.reports_pace
+
     @property
     def is_usable(self):
         """Whether it may get new work: not leaving, and listed or in the grace period."""
@@ -209,10 +216,9 @@
         ``pace`` is the reported multiple of the usual work time, None if not reported.
         """
         self.reports_pace = pace is not None
-        if pace is not None:
+        if self.uses_load_control:
             self.load_report = LoadReport(running, waiting, pace, now())
-        if pace:
-            self._last_own_report = (running, waiting, pace, now())
+            self._last_own_report = (running, waiting, pace or USUAL_PACE, now())
         self._apply_load(running + waiting, pace, now(), self.state.in_flight)
 
     def record_neighbour_load(self, report):
@@ -246,8 +252,8 @@
 
     @property
     def observed_load(self):
-        """The last report of an own answer as ``Observed``, None without a pace."""
-        if self._last_own_report is None or not self.reports_pace:
+        """The last report of an own answer as ``Observed``, None without load control."""
+        if self._last_own_report is None or not self.uses_load_control:
             return None
         running, waiting, pace, taken_at = self._last_own_report
         listing = self.listing
@@ -269,7 +275,7 @@
         if self.event_interval is None:
             self.event_interval = seconds
         self.event_interval += EVENT_INTERVAL_WEIGHT * (seconds - self.event_interval)
-        if self.reports_pace:
+        if self.uses_load_control:
             self._record_speed(seconds)
 
     def _record_speed(self, seconds):
@@ -332,12 +338,14 @@
     """All known replicas by identity.
 
     ``heartbeat`` is the seconds between two heartbeats of a replica; ``list_tail`` is
-    the reader of the platform's list, or None. ``subset`` is the ``Subset`` of this
+    the reader of the platform's list, or None. ``has_load_control`` says that the parts for
+    heavy load apply to all services. ``subset`` is the ``Subset`` of this
     instance, None if calls are not concentrated on few replicas.
     """
 
     __slots__ = (
         "_callbacks",
+        "_has_load_control",
         "_heartbeat",
         "_known",
         "_last_choices",
@@ -347,8 +355,11 @@
         "subset",
     )
 
-    def __init__(self, zone, heartbeat=DEFAULT_HEARTBEAT_INTERVAL):
+    def __init__(
+        self, zone, heartbeat=DEFAULT_HEARTBEAT_INTERVAL, has_load_control=False
+    ):
         self._zone = zone
+        self._has_load_control = has_load_control
         self._heartbeat = heartbeat
         self._known = {}
         self._last_choices = {}
@@ -383,7 +394,7 @@
         return self._known.get(identity)
 
     def observed_loads(self):
-        """Return the ``Observed`` loads of replicas that report their pace.
+        """Return the ``Observed`` loads of replicas under load control.
 
         Only services in use are included: the runner of a step also knows the loads of
         all engines, which no other instance needs.
@@ -398,14 +409,14 @@
     def load_state(self, identity):
         """Return ``(born, load_reported_at)`` of a replica.
 
-        None if its service is not in use here, or none of its replicas has reported its
-        pace to this instance.
+        None if its service is not in use here, or none of its replicas is under load
+        control.
         """
         replica = self._known.get(identity)
         if replica is None or not self._is_in_use(replica.listing.service):
             return None
         peers = self.of_service(replica.listing.service)
-        if not any(peer.reports_pace for peer in peers):
+        if not any(peer.uses_load_control for peer in peers):
             return None
         return replica.listing.born, replica.load_reported_at
 
@@ -426,7 +437,9 @@
         if replica is not None and listing.born > replica.listing.born:
             replica = self._forget_incarnation(replica)
         if replica is None:
-            replica = self._known[identity] = Replica(identity, listing)
+            replica = self._known[identity] = Replica(
+                identity, listing, self._has_load_control
+            )
             self._note("listed", replica)
         elif replica.listing.leaving != listing.leaving:
             self._note("leaving", replica)
@@ -497,8 +510,8 @@
         """Return the replica of a service that gets a call, or None.
 
         It is the least loaded one. One in this zone is preferred while its load is close
-        to the lowest: this reuses connections and causes no traffic between zones. If
-        the service's replicas report their pace, the ``subset`` decides first.
+        to the lowest: this reuses connections and causes no traffic between zones. Under
+        load control the ``subset`` decides first.
         """
         self._last_choices[service] = now()
         usable = self.of_service(service)
@@ -506,7 +519,9 @@
         healthy = [
             replica for replica in candidates if not replica.state.is_suspect
         ] or candidates
-        if self.subset is not None and any(replica.reports_pace for replica in usable):
+        if self.subset is not None and any(
+            replica.uses_load_control for replica in usable
+        ):
             replica = self._choose_in_order(service, usable, healthy)
             if replica is not None:
                 return replica
--- a/sassafrasdoor/routing/tests/test_replicas.py
+++ b/sassafrasdoor/routing/tests/test_replicas.py
@@ -101,6 +101,23 @@
         self.assertEqual((report.running, report.waiting, report.at), (3, 5, taken_at))
         self.assertEqual((report.pace, replica.load), (2.5, 8))
 
+    def test_load_control_by_settings_needs_no_pace(self):
+        """Guards against heavy load that nothing handles as no pace is reported."""
+        replica = self.listed("x")
+        replica.record_load(3, 1)
+        self.assertEqual(
+            (replica.uses_load_control, replica.load_report), (False, None)
+        )
+        self.replicas = Replicas("a", has_load_control=True)
+        self.replicas.list_tail = self.tail
+        replica = self.listed("x")
+        replica.record_load(3, 1)
+        self.assertTrue(replica.uses_load_control)
+        self.assertEqual(
+            (replica.load_report.waiting, replica.load_report.pace), (1, 1.0)
+        )
+        self.assertEqual(replica.observed_load.report.percent, 100)
+
     def test_pace_lapses(self):
         """Guards against a short slow spell that counts until the next report."""
         replica = self.listed("x")
--- a/sassafrasdoor/steps/durable/prompts.py
+++ b/sassafrasdoor/steps/durable/prompts.py
@@ -1,6 +1,6 @@
 """Places the items of a step by the prompts that engines have read.
 
-In use for services whose replicas report their pace; the items of all other services are
+In use for services under load control; the items of all other services are
 placed by load alone and state no priority.
 """
 
@@ -93,7 +93,7 @@
 
     def _update_active(self, service):
         replicas = self._replicas.of_service(service)
-        is_active = any(replica.reports_pace for replica in replicas)
+        is_active = any(replica.uses_load_control for replica in replicas)
         if is_active != self._active.get(service, False):
             note("prompts.in_use", service=service, in_use=is_active)
         self._active[service] = is_active
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -382,7 +382,9 @@
         """Return the ``Candidate``s of a service, cached for one pass."""
         if service not in self._candidates:
             replicas = self._replicas.of_service(service)
-            by_speed = self._uses_speed and any(row.reports_pace for row in replicas)
+            by_speed = self._uses_speed and any(
+                row.uses_load_control for row in replicas
+            )
             self._candidates[service] = [
                 replica.candidate_by_speed() if by_speed else replica.candidate()
                 for replica in replicas
@@ -391,7 +393,7 @@
 
     @property
     def _uses_speed(self):
-        """Whether lasting speeds count, for services that report their pace."""
+        """Whether lasting speeds count, for services under load control."""
         return self._settings is None or "pace" not in self._settings.disabled_parts
 
     def _migrate_slow_samples(self):
@@ -458,7 +460,7 @@
         return by_service
 
     def _step_outlooks(self, by_service):
-        """Return the ``StepOutlook`` of each step, if any service reports its pace."""
+        """Return the ``StepOutlook`` of each step, if any service is under load control."""
         outlooks = {}
         for job in self._jobs.values() if by_service else ():
             if job.scoring:
--- a/sassafrasdoor/steps/durable/trainers.py
+++ b/sassafrasdoor/steps/durable/trainers.py
@@ -66,7 +66,7 @@
 class Trainers:
     """The schedules and the work of the trainers, by model.
 
-    It applies to services whose replicas report their pace, unless ``PART`` is among the
+    It applies to services under load control, unless ``PART`` is among the
     disabled parts of ``settings``.
     """
 
@@ -84,7 +84,7 @@
     def is_active(self, service):
         """Return whether engines and queue of a service follow the trainers' lateness."""
         return PART not in self._settings.disabled_parts and any(
-            replica.reports_pace for replica in self._replicas.of_service(service)
+            replica.uses_load_control for replica in self._replicas.of_service(service)
         )
 
     def due_at(self, step):
--- a/sassafrasdoor/weights/controller.py
+++ b/sassafrasdoor/weights/controller.py
@@ -3,7 +3,7 @@
 Only the holder of the lease sends orders, with its fencing number. The replicas of a
 service are assigned to its models by demand; a replica keeps its model where possible
 and loads the versions of that model only. The versions that replicas have are known from
-the platform's list and from answers. Where replicas report their pace, they are assigned
+the platform's list and from answers. Under load control, they are assigned
 such that all trainers are equally late, and a new holder of the lease takes the present
 assignment from their versions.
 """
@@ -297,7 +297,7 @@
         """Assign the replicas without an order of this holder by their versions.
 
         A new holder would otherwise move replicas whose model it does not know. This is
-        done once, when the service's replicas report their pace and a version of each
+        done once, when the service is under load control and a version of each
         model is known.
         """
         if service in self._adopted or not self._target_versions.keys() >= set(models):
