Usage reports are late after an outage only if their counts cannot be fixed in time

Cause (replay in virtual time, test_outages): in an outage of the log the lease lapses, and its holder stopped reading the increments. After the outage it read them again after the lease was renewed, waited 2 s for lists that its own coordinator does not have, took that moment for the end of the outage, and waited 2.3 s more for what others had held up: an attempt of up to 1 s, the pause of 0.8 s after it, and the append. Also, without an outage, the counts were fixed up to 1.5 s after they could be, at the end of a long poll; and a window gathered before an outage waited again after it.

Change: a former holder reads on for 30 s; a tail without a shared coordinator does not wait for lists; attempts to append begin every 0.8 s whether or not the former one was answered, so 1.3 s are waited for; the topic is read once a window's increments are due; a gathered window stays gathered.

Two checks in test_usage have the wait in them (2.3 s) and follow it: the attempt that is never answered no longer delays the next one, which test_attempt_without_an_answer_does_not_delay_the_next_one checks.

--- a/sassafrasdoor/duties/reporter.py
+++ b/sassafrasdoor/duties/reporter.py
@@ -4,7 +4,7 @@
 import time
 from abc import ABC, abstractmethod
 
-from sassafrasdoor.clock import LONG_AGO, deadline_in, now
+from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.duties.usage import (
     APPEND_TIMEOUT,
@@ -27,6 +27,9 @@
 CHECK_INTERVAL = 0.25  # seconds between checks for windows to report
 CONFIRM_TIMEOUT = 1.0  # seconds
 CALL_TIMEOUT = 1.5  # seconds for the platform to answer a report
+# Seconds for which a former holder continues to read the topic. In an outage of the log
+# the lease lapses; whoever reads on knows at its end when the log answered again.
+FOLLOW_TIME = 30.0
 
 REPORTS = counter("usage_reports_total", "Calls with a usage report, by result.")
 MISSED = counter(
@@ -71,6 +74,8 @@
         "_counter",
         "_first_window",
         "_floor",
+        "_follow_deadline",
+        "_gathered",
         "_ledger",
         "_log",
         "_longest_request",
@@ -97,6 +102,8 @@
         self._floor = self._skipped = 0
         self._pending = []
         self._acting_since = None
+        self._follow_deadline = LONG_AGO
+        self._gathered = set()
         self.tail = Tail(log, TOPIC, 0, self._fold, self._pause, asyncio.Event())
 
     @property
@@ -134,20 +141,42 @@
                 pass
 
     async def _flush_counted(self):
-        """Append what was counted since the last time; return whether it was held up."""
+        """Append what was counted since the last time; return whether it was held up.
+
+        Attempts overlap: one that began before the end of an outage is never answered,
+        and must not delay the next one. A record that lands twice counts once.
+        """
         self._take_counted()
-        is_held_up = False
-        while self._pending:
-            result = await self._append_pending(deadline_in(APPEND_TIMEOUT))
-            if isinstance(result, Outcome):
-                if not is_held_up:
-                    note("usage.not_kept", reason=result.reason)
-                is_held_up = True
-                await asyncio.sleep(RETRY_DELAY)
-            elif is_held_up:
-                note("usage.kept", offset=result.first)
+        is_held_up, attempts = False, set()
+        try:
+            while self._pending:
+                attempt = self._append_pending(deadline_in(APPEND_TIMEOUT))
+                attempts.add(asyncio.ensure_future(attempt))
+                retry_at = deadline_in(RETRY_DELAY)
+                while attempts and self._pending and not passed(retry_at):
+                    done, attempts = await asyncio.wait(
+                        attempts,
+                        timeout=remaining(retry_at),
+                        return_when=asyncio.FIRST_COMPLETED,
+                    )
+                    for finished in done:
+                        self._note_attempt(finished.result(), is_held_up)
+                        is_held_up |= isinstance(finished.result(), Outcome)
+                if self._pending:
+                    is_held_up = True
+                    await asyncio.sleep(remaining(retry_at))
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
         return is_held_up
 
+    def _note_attempt(self, result, is_held_up):
+        """Log the first failure and the success after it."""
+        if isinstance(result, Outcome) and not is_held_up:
+            note("usage.not_kept", reason=result.reason)
+        elif is_held_up and not isinstance(result, Outcome):
+            note("usage.kept", offset=result.first)
+
     def _take_counted(self):
         counts = self._counter.take()
         if counts:
@@ -176,9 +205,12 @@
             await asyncio.sleep(CHECK_INTERVAL)
 
     def _may_act(self):
-        if not self._turn.is_held:
+        if self._turn.is_held:
+            self._follow_deadline = deadline_in(FOLLOW_TIME)
+        elif passed(self._follow_deadline):
             self.tail.wanted.clear()
             self._acting_since = None
+            self._gathered.clear()
             return False
         self.tail.wanted.set()
         if self._acting_since is None and self.tail.has_caught_up:
@@ -188,24 +220,45 @@
     async def _report_due_windows(self):
         current = self._current_window
         self._ledger.discard(current)
+        self._gathered.intersection_update(
+            self._ledger.unsent(current, self._first_window)
+        )
         if self.tail.skipped != self._skipped:
             self._skipped, self._floor = self.tail.skipped, current
             note("usage.records_expired", skipped=self._skipped, first_window=current)
         for window in self._ledger.unsent(current, self._first_window, self._floor):
             if not self._may_act():
                 return
-            if self._ledger.fixed(window) is None and self._may_fix(window):
+            if self._ledger.fixed(window) is None and await self._is_gathered(window):
                 await self._fix(window)
             counts = self._ledger.fixed(window)
             if counts is not None:
                 await self._send(window, counts)
 
-    def _may_fix(self, window):
+    async def _is_gathered(self, window):
+        """Return whether the increments of a window were read; remembers that they were.
+
+        A window whose counts could not be fixed before an outage does not wait for what
+        the other instances held up in it.
+        """
+        if window in self._gathered:
+            return True
+        seconds = gather_time(self._settings.usage_due, self._longest_request())
+        if self._seconds_after_end(window) < seconds:
+            return False
+        if not self._may_fix(window, seconds) and self.tail.failing_since is None:
+            # The long poll in progress may end only a second later.
+            await self.tail.confirm(deadline_in(CONFIRM_TIMEOUT))
+        if self._may_fix(window, seconds):
+            self._gathered.add(window)
+        return window in self._gathered
+
+    def _may_fix(self, window, seconds):
         offset = time.time() - now()
-        return may_fix(
+        return self.tail.has_caught_up and may_fix(
             window,
             self._settings.usage_window,
-            gather_time(self._settings.usage_due, self._longest_request()),
+            seconds,
             time.time(),
             self.tail.confirmed_at + offset,
             self._restored_at + offset,
--- a/sassafrasdoor/duties/usage.py
+++ b/sassafrasdoor/duties/usage.py
@@ -18,13 +18,13 @@
 FLUSH_INTERVAL = 1.0  # seconds between increments; what is newer is lost with a process
 APPEND_MARGIN = 0.5  # seconds for an increment to reach the holder through a slow log
 APPEND_TIMEOUT = 1.0  # seconds for one attempt; a slow log answers within 0.25 s
-RETRY_DELAY = 0.8  # seconds between attempts
+RETRY_DELAY = 0.8  # seconds from the start of one attempt to that of the next
 # Share of the time in which a report is due, counted from its window's end, by which the
 # increments count as gathered.
 MAX_GATHER_SHARE = 0.5
-# Seconds after an outage of the log in which instances append what they have counted: an
-# attempt that began before its end, the pause after it, and the attempts that succeed.
-BACKLOG_TIME = APPEND_TIMEOUT + RETRY_DELAY + APPEND_MARGIN
+# Seconds after an outage of the log in which instances append what they have counted: the
+# next attempts begin, and succeed.
+BACKLOG_TIME = RETRY_DELAY + APPEND_MARGIN
 # Windows that ended longer ago than this number of windows, and this number of seconds,
 # are not reported any more.
 MAX_WINDOWS_BACK, MAX_REPORT_AGE = 12, 60.0
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -360,7 +360,9 @@
             note("log.lost", topic=self._topic, part=self._part, reason=result.reason)
 
     def _report_failure_to_coordinator(self):
-        self._read_coordinator.record_read_failure()
+        # A coordinator of its own has no lists that could end the wait for them.
+        if self._has_shared_coordinator:
+            self._read_coordinator.record_read_failure()
 
     def _report_answer_to_coordinator(self):
         """Report an answer to the coordinator, which only needs those of lists."""
