A leaving instance deletes its record until that is acknowledged

Cause (read from the code, shown by two tests that fail on the former code): the deletion was tried once, for 1.5 s, and a renewal in flight could land after it.

Change: leave() tries until the deletion is acknowledged or the drain ends; renew() deletes the own record if it is listed again while the process still runs.

--- a/sassafrasdoor/routing/instances.py
+++ b/sassafrasdoor/routing/instances.py
@@ -37,6 +37,7 @@
 READ_FAILURE_TIMEOUT = 0.6
 LIST_READ_INTERVAL = 0.7  # seconds; one read returns the renewals of several instances
 WRITE_TIMEOUT = 1.5  # seconds
+LEAVE_RETRY_DELAY = 0.25  # seconds between attempts to delete the own record
 MAX_ADDRESSES = 64
 # Up to this number of entry points, calls are forwarded in random order during startup
 # too.
@@ -82,6 +83,7 @@
         "_cores",
         "_has_read",
         "_first_renewal_deadline",
+        "_is_deleted",
         "_key",
         "_leaving",
         "_log",
@@ -120,7 +122,7 @@
         self._log = log
         self._address = address
         self._key = key
-        self._leaving = False
+        self._leaving = self._is_deleted = False
         self._records = {}
         self._view = None
         self._shortages = ZoneShortages()
@@ -163,6 +165,9 @@
                 self._renewal_deadline = deadline_in(interval)
                 self._published_has_read = self._has_read
                 await self._write(self._document())
+            elif self._is_deleted and self._key in self._records:
+                # A renewal sent before the deletion may land after it.
+                await self._write(b"")
             await self._wait_for_renewal(
                 RENEW_INTERVAL if serves else READINESS_POLL_INTERVAL
             )
@@ -182,11 +187,17 @@
         return passed(self._renewal_deadline) or has_changed or has_wrong_role
 
     async def leave(self):
-        """Delete the own record, so that callers get other addresses from now on."""
+        """Delete the own record, so that callers get other addresses from now on.
+
+        Tries until the deletion is acknowledged or this is cancelled. Until the process
+        ends, ``renew`` deletes a record that lands later.
+        """
         self._leaving = True
         self._records.pop(self._key, None)
         self._view = None
-        await self._write(b"")
+        while not await self._write(b""):  # noqa: ASYNC110
+            await asyncio.sleep(LEAVE_RETRY_DELAY)
+        self._is_deleted = True
 
     def addresses(self, zone, serves=True):
         """Return the addresses for a caller in ``zone``, those of its zone first.
@@ -455,12 +466,15 @@
         return json.dumps(document).encode()
 
     async def _write(self, value):
+        """Write the own record; return whether that was acknowledged."""
         record = keyed_record(self._key, value)
         result = await self._log.append(TOPIC, 0, [record], deadline_in(WRITE_TIMEOUT))
         if isinstance(result, Outcome):
             note("instance.not_renewed", reason=result.reason)
-        elif value:
+            return False
+        if value:
             self.is_listed = True
+        return True
 
     def _apply_record(self, key, value):
         if not value:
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -46,6 +46,36 @@
         await self.read()
         self.assertNotIn("i1:80", self.instances[0].addresses("c"))
 
+    async def test_deletion_that_the_log_refuses_is_tried_again(self):
+        """Guards against callers sent to an instance that has ended in an outage."""
+        self.log.down = True
+        leaving = asyncio.ensure_future(self.instances[1].leave())
+        self.addCleanup(leaving.cancel)
+        await asyncio.sleep(0.05)
+        self.log.down = False
+        async with asyncio.timeout(10):
+            await leaving
+        await self.read()
+        self.assertNotIn("i1:80", self.instances[0].addresses("c"))
+
+    async def test_renewal_that_lands_after_the_deletion_is_deleted(self):
+        """Guards against callers sent to an instance until its late record lapses."""
+        left = self.instances[1]
+        self.log.lose_replies, self.log.land_late = 1, 0.05
+        left._renewal_deadline = LONG_AGO
+        renewing = asyncio.ensure_future(left.renew(lambda: not left._leaving))
+        self.addCleanup(renewing.cancel)
+        await asyncio.sleep(0)
+        await left.leave()
+        await asyncio.sleep(0.1)
+        await self.read()
+        self.assertIn("i1:80", self.instances[0].addresses("c"))
+        async with asyncio.timeout(10):
+            # The addresses would lack it too once the record has lapsed.
+            while "i1:80" in self.instances[0]._records:
+                await asyncio.sleep(0.05)
+                await self.read()
+
     async def test_instance_that_stopped_renewing_is_left_out(self):
         self.instances[0]._records["i1:80"].renewed_at = LONG_AGO
         self.assertNotIn("i1:80", self.instances[0].addresses("c"))
