A request whose deadline passes before it is sent did not begin

Cause (read from the code, shown by a test that failed): a deadline that passed while the connection was opened gave Broken(began=True), and an append ReplyLost, although nothing was sent. A later relay of a relayed append is tried with what is left of the deadline, so a loaded machine turns a refused submission (503) into one of unknown outcome (504).

Change: began is true only from the moment at which the exchange starts.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -153,6 +153,7 @@
         ``on_data`` takes the body of a 200 reply chunk by chunk and may return an
         awaitable, which is awaited before more is read.
         """
+        is_sending = False
         try:
             async with asyncio.timeout_at(request.deadline):
                 stream = None if request.fresh else self._take_idle(address)
@@ -160,9 +161,10 @@
                     stream = await self._open(address)
                 if not stream:
                     return stream
+                is_sending = True
                 return await self._exchange(address, stream, request, accept, on_data)
         except TimeoutError:
-            return Broken("timeout", began=True)
+            return Broken("timeout", began=is_sending)
 
     def _take_idle(self, address):
         pool = self._idle.get(address)
--- a/sassafrasdoor/backends/tests/test_connections.py
+++ b/sassafrasdoor/backends/tests/test_connections.py
@@ -158,6 +158,15 @@
         async with asyncio.timeout(20):
             await self.server.client_closed.wait()
 
+    async def test_request_whose_deadline_passes_before_it_is_sent_did_not_begin(self):
+        """Guards against an unknown outcome of a call that nobody has received.
+
+        A trainer then gets 504 in place of 503, and must ask what became of its step.
+        """
+        await self.start((COMPLETE_REPLY, OPEN))
+        reply = await self.send(seconds=-1.0)
+        self.assertEqual((reply.reason, reply.began), ("timeout", False))
+
     async def test_refused_connection_differs_from_a_listening_server(self):
         await self.start()
         self.assertIs(await self.connections.try_connect(self.address), True)
