--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -164,6 +164,7 @@
         connection that has been idle longest instead of the last one used: in turn all
         are used within their idle timeout, so that calls that overlap find one each.
         """
+        is_sending = False
         try:
             async with asyncio.timeout_at(request.deadline):
                 stream = (
@@ -173,9 +174,10 @@
                     stream = await self._open(address)
                 if not stream:
                     return stream
+                is_sending = True
                 return await self._exchange(address, stream, request, accept, on_data)
         except TimeoutError:
-            return Broken("timeout", began=True)
+            return Broken("timeout", began=is_sending)
 
     def _take_idle(self, address, oldest_first):
         pool = self._idle.get(address)
