A planned stop beside a renewal that lands late is tested with processes

Cause of "an instance that ended as planned is still in the directory of another": a renewal held up on the path to the store landed after the relayed deletion, which was never repeated.

--- a/sassafrasdoor/platform/tests/test_stop_processes.py
+++ b/sassafrasdoor/platform/tests/test_stop_processes.py
@@ -1,14 +1,18 @@
 """Tests of the planned stop of real processes while the store answers nothing."""
 
 import asyncio
+import json
 import signal
 import unittest
 
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.platform import wire
+from sassafrasdoor.platform.tests.cases import ProcessCase
 from sassafrasdoor.platform.tests.test_duties_processes import DutiesCase
 
 GRACE_SECONDS = 8.0  # the platform kills processes that have not ended by then
+HELD_RENEWAL = 1.5  # seconds; the record is renewed every second
+LANDS_AFTER = 1.0  # seconds after the deletion
 OUTCOME_UNKNOWN = 504
 HELD_BEFORE, HELD_AT = 0.5, 4.0  # seconds before and after SIGTERM
 
@@ -61,5 +65,25 @@
         self.assertEqual([line.fields["unfinished"] for line in stopped], [[]] * 3)
 
 
+class LateRenewalTest(ProcessCase):
+    async def test_renewal_that_lands_late_does_not_bring_an_ended_instance_back(self):
+        """Guards against callers sent to an instance that has ended as planned.
+
+        Its path to the store stops, so that a renewal is held up there; its deletion is
+        relayed and lands first.
+        """
+        first, second, _ = self.instances
+        await self.wait_until(lambda: self.lists_instances(1))
+        self.proxy.freeze()
+        await asyncio.sleep(HELD_RENEWAL)
+        first.signal(signal.SIGTERM)
+        await self.wait_until(lambda: self.lists_instances(1, 2))
+        await asyncio.sleep(LANDS_AFTER)
+        self.proxy.thaw()
+        await self.wait_until(lambda: not first.running)
+        reply = await self.fetch(second.directory, "/-/resolve?Zone=z")
+        self.assertNotIn(first.front, json.loads(reply.body)["Addresses"])
+
+
 if __name__ == "__main__":
     unittest.main()
