--- a/sassafrasdoor/routing/overload.py
+++ b/sassafrasdoor/routing/overload.py
@@ -22,8 +22,7 @@
 # Share of the target latency that accounts above their fair share leave to the others.
 HEADROOM_SHARE = 0.25
 # Share of a replica's queue that is filled. The rest absorbs what other instances send
-# before their reports show it: with the whole queue 1.28 sends per run, with 0.9 1.06
-# (replay with a target latency of 1 s).
+# before their reports show it; filled to the end, a quarter of the sends are refused.
 ROOM_SHARE = 0.9
 # Share of the target latency that a call's expected end leaves for reports that lag.
 MARGIN_SHARE = 0.1
@@ -33,8 +32,7 @@
 # Weight of one work time in the smoothed one, which follows a change within 50 calls.
 WORK_TIME_WEIGHT = 0.05
 # Ratio to the smoothed one up to which a work time counts. Where the queue changed during
-# a call, its work time is far off: without this limit the smoothed one was up to 0.049 s
-# in the replay, with it 0.037 s, for 0.0315 s.
+# a call, its work time is far off and would raise the smoothed one by half.
 MAX_WORK_RATIO = 1.5
 # Factor by which the longest wait exceeds the expected one. Other instances compete for
 # the same room; with 2 instead, some calls are held and then refused.
--- a/sassafrasdoor/routing/placement.py
+++ b/sassafrasdoor/routing/placement.py
@@ -7,9 +7,8 @@
 
 MIGRATION_THRESHOLD = 1.8  # ratio of intervals; above the variation of healthy replicas
 LOAD_WEIGHT = 1.0  # estimated slowdown of a full replica, as a share of its interval
-# Weight of the slowdown that a short item causes to the samples at its replica. With 0,
-# short items filled the fast replicas: steps of 24 items took 3.14 s in the replay, not
-# 2.82 s.
+# Weight of the slowdown that a short item causes to the samples at its replica. With 0
+# short items fill the fast replicas, and steps end later.
 OTHERS_WEIGHT = 2.0
 UNRESPONSIVE_AFTER = 1.2  # seconds without data on any stream; longer than a load
 MAX_MIGRATIONS = 2  # migrations of one sample
--- a/sassafrasdoor/routing/prompt_placement.py
+++ b/sassafrasdoor/routing/prompt_placement.py
@@ -23,15 +23,14 @@
 READ_TOKENS_PER_SECOND = 300_000  # prompt tokens; engines read 303 to 340 in a ms
 # Seconds of delay of one item that are accepted per second of reading avoided. A read
 # delays all of up to 8 streams of its engine, and each copy takes memory for as long as
-# the group runs. With 16, 32 and 64 shared tokens are read again 0.37, 0.34 and 0.32 times
-# as often as by load alone in the replay with allocated engines.
+# the group runs. With half of it more than a third of the shared tokens are read again.
 READ_WEIGHT = 64
 # An item may start before one of its step that is longer, if it is at least this share
 # as long: the longest items determine when the step ends, so they must not start last.
 MIN_LENGTH_SHARE = 0.5
 # Share of the time of a step's longest item at a usual engine within which a shorter one
 # may end without making the step later, while slots stay free; the rest allows for wrong
-# hints. From 0.7 on, single steps ended up to 7 % later than by load in replays.
+# hints. From 0.7 on, single steps end later than by load alone.
 IN_TIME_SHARE = 0.6
 # Seconds for which slots count as scarce once items have filled them: the interval of
 # the trainers' steps, so that the next ones soon fill what becomes free.
