The pace of replicas that report none is observed from their answers

Cause: admission control keeps one smoothed work time for a service and multiplies it by the reported pace. Replicas that send three figures count as 1.0, so the finish at one that is four times slower was estimated as a quarter of what it is, and calls sent there were late. A neighbour's report states 100 for such replicas too, as the datagram has no value for "none".

Change: an answer's work time against the service's usual gives the replica's observed pace, smoothed with 0.2; it lapses a second after the last answer and is forgotten when the replica leaves. It counts only where the report states no pace. A neighbour's report of 100 states none unless the replica's own reports do.

--- a/sassafrasdoor/routing/overload.py
+++ b/sassafrasdoor/routing/overload.py
@@ -34,6 +34,16 @@
 # Ratio to the smoothed one up to which a work time counts. Where the queue changed during
 # a call, its work time is far off and would raise the smoothed one by half.
 MAX_WORK_RATIO = 1.5
+# Weight of one answer in the pace of a replica that reports none. An instance gets few
+# answers of a slow replica, so the weight exceeds that of the usual work time. With a
+# rise of more weight than a fall, queues that changed during a call pass for slowness.
+OBSERVED_PACE_WEIGHT = 0.2
+# Ratio to the usual work time up to which an answer counts for a replica's pace, so that
+# one call that takes long does not pass for a replica that is useless.
+MAX_OBSERVED_PACE = 8.0
+# Seconds after the last answer in which an observed pace counts. A replica that gets no
+# calls since it was slow is tried again after it.
+OBSERVED_PACE_LIFETIME = 1.0
 # Factor by which the longest wait exceeds the expected one. Other instances compete for
 # the same room; with 2 instead, some calls are held and then refused.
 WAIT_SAFETY = 4.0
@@ -55,14 +65,18 @@
 
 
 class LoadReport:
-    """What a replica stated about its load; ``at`` is the time of the report."""
+    """What a replica stated about its load; ``at`` is the time of the report.
 
-    __slots__ = ("at", "pace", "running", "waiting")
+    ``states_pace`` says whether the replica reports its pace.
+    """
+
+    __slots__ = ("at", "pace", "running", "states_pace", "waiting")
 
     def __init__(self, running, waiting, pace, at):
         self.running = running
         self.waiting = waiting
         self.pace = pace or USUAL_PACE
+        self.states_pace = pace is not None
         self.at = at
 
 
@@ -140,6 +154,29 @@
         self.at = at
 
 
+class ObservedPace:
+    """The pace of a replica that reports none, from its answers."""
+
+    __slots__ = ("_observed_at", "_pace")
+
+    def __init__(self):
+        self._pace = USUAL_PACE
+        self._observed_at = -math.inf
+
+    def record(self, pace, now):
+        """Record the ratio of an answer's work time to the usual one."""
+        before = self.at(now)
+        pace = min(pace, MAX_OBSERVED_PACE)
+        self._pace = before + OBSERVED_PACE_WEIGHT * (pace - before)
+        self._observed_at = now
+
+    def at(self, now):
+        """Return the pace, the usual one some time after the last answer."""
+        if now - self._observed_at > OBSERVED_PACE_LIFETIME:
+            return USUAL_PACE
+        return self._pace
+
+
 class Estimate:
     """The estimated load and pace of one replica at one time."""
 
@@ -249,6 +286,7 @@
 
     __slots__ = (
         "_observed",
+        "_paces",
         "_queue_sizes",
         "_random",
         "_refused_at",
@@ -264,6 +302,7 @@
         self._returns = []
         self._sends = {}
         self._observed = 0
+        self._paces = {}
         self._queue_sizes = {}
         self._refused_at = None
         self._shares = FairShares()
@@ -383,6 +422,9 @@
         self._observed += 1
         if self.work_time is None:
             self.work_time = work_time
+        if not report.states_pace:
+            pace = self._paces.setdefault(sent.identity, ObservedPace())
+            pace.record(work_time / self.work_time, now)
         work_time = min(work_time, MAX_WORK_RATIO * self.work_time)
         work_time = max(work_time, self.work_time / MAX_WORK_RATIO)
         weight = max(WORK_TIME_WEIGHT, 1 / self._observed)
@@ -403,8 +445,9 @@
 
     def retain(self, identities):
         """Forget the replicas that are not among ``identities``."""
-        for identity in self._queue_sizes.keys() - identities:
-            del self._queue_sizes[identity]
+        for known in (self._queue_sizes, self._paces):
+            for identity in known.keys() - identities:
+                del known[identity]
 
     def retry_after(self, replicas, call, now):
         """Return the seconds until the work ahead of a call is done, with jitter.
@@ -447,7 +490,10 @@
         sends = self._sends.get(replica.identity, ())
         newer = sum(sent.at > report.at for sent in sends)
         load = max(len(sends), report.running + report.waiting + newer)
-        return Estimate(replica.identity, replica.slots, load, report.pace)
+        pace = report.pace
+        if not report.states_pace and replica.identity in self._paces:
+            pace = self._paces[replica.identity].at(now)
+        return Estimate(replica.identity, replica.slots, load, pace)
 
     def _is_pressed(self, estimates, now):
         """Return whether a fresh report shows a full replica, or one has refused."""
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -232,6 +232,9 @@
             total = max(total, self.listing.slots)
         own_calls = self.state.in_flight_at(report.taken_at)
         pace = report.percent / 100
+        # A datagram states the usual pace also for a replica that reports none.
+        if pace == USUAL_PACE and not self.reports_pace:
+            pace = None
         self.load_report = LoadReport(
             report.running, report.waiting, pace, report.taken_at
         )
--- a/sassafrasdoor/routing/tests/overload_replay.py
+++ b/sassafrasdoor/routing/tests/overload_replay.py
@@ -62,7 +62,8 @@
 
     @property
     def report(self):
-        return self.running, len(self.queue), self.pace
+        pace = self.pace if self._replay.reports_pace else None
+        return self.running, len(self.queue), pace
 
     def receive(self, job):
         job.caller.sends += 1
@@ -102,9 +103,20 @@
 
 
 class Replay:
-    """Runs the calls of ``seconds`` through instances made by ``make_instance``."""
-
-    def __init__(self, make_instance, paces=(1.0, 1.0, 4.0), instances=14, seed=1):
+    """Runs the calls of ``seconds`` through instances made by ``make_instance``.
+
+    ``reports_pace`` says whether the replicas report their pace.
+    """
+
+    def __init__(
+        self,
+        make_instance,
+        paces=(1.0, 1.0, 4.0),
+        instances=14,
+        seed=1,
+        reports_pace=True,
+    ):
+        self.reports_pace = reports_pace
         self.random = random.Random(seed)
         self.now = 0.0
         self._events = []
--- a/sassafrasdoor/routing/tests/test_overload.py
+++ b/sassafrasdoor/routing/tests/test_overload.py
@@ -7,6 +7,7 @@
 from sassafrasdoor.routing.overload import (
     HEADROOM_SHARE,
     MIN_RETRY_AFTER,
+    OBSERVED_PACE_LIFETIME,
     REPORT_LIFETIME,
     AdmissionControl,
     Call,
@@ -70,8 +71,16 @@
 
 
 class ReplayTest(unittest.TestCase):
-    def callers(self, make_instance, load, paces=PACES, seed=1, instances=14):
-        replay = Replay(make_instance, paces, instances, seed)
+    def callers(
+        self,
+        make_instance,
+        load,
+        paces=PACES,
+        seed=1,
+        instances=14,
+        reports_pace=True,
+    ):
+        replay = Replay(make_instance, paces, instances, seed, reports_pace)
         return replay.run(load, SECONDS, ACCOUNTS)
 
     def test_targets_hold_under_many_times_the_usual_calls(self):
@@ -85,6 +94,19 @@
                     callers = self.callers(Instance, load, seed=seed)
                     self.assertEqual(missed_targets(callers), [])
 
+    def test_targets_hold_if_replicas_report_no_pace(self):
+        """Guards against a slow replica whose calls are all expected as if it were not.
+
+        Its slowness shows in the times of its answers only.
+        """
+        for load in (60, 75, 90, 120):
+            for seed in (1, 2, 3):
+                with self.subTest(load=load, seed=seed):
+                    callers = self.callers(
+                        Instance, load, seed=seed, reports_pace=False
+                    )
+                    self.assertEqual(missed_targets(callers), [])
+
     def test_present_policy_misses_the_targets(self):
         """Guards against a replay that any policy passes.
 
@@ -193,6 +215,24 @@
         self.assertLessEqual(decision.retry_after, 0.5)
         self.assertEqual(self.control.waiting, [])
 
+    def test_observed_pace_lapses_and_is_forgotten_with_its_replica(self):
+        """Guards against a replica that gets no calls because it was slow once."""
+        idle = LoadReport(0, 0, None, 10.0)
+        for identity, sent_at in [("b", 9.97)] * 20 + [("a", 9.88)] * 20:
+            replica = ReplicaLoad(identity, SLOTS, idle)
+            sent = self.control.record_send(self.call(), replica, sent_at)
+            self.control.record_end(sent, 10.0, replica)
+
+        def pace(now):
+            report = LoadReport(0, 0, None, now)
+            replica = ReplicaLoad("a", SLOTS, report)
+            return self.control._estimates([replica], now)["a"].pace
+
+        self.assertGreater(pace(10.1), 2.0)
+        self.assertEqual(pace(10.1 + OBSERVED_PACE_LIFETIME), 1.0)
+        self.control.retain(set())
+        self.assertEqual(pace(10.1), 1.0)
+
     def test_callers_refused_together_return_at_different_times(self):
         self.control._random = iter([0.0, 1.0]).__next__
         full = self.load("a", 36)
--- a/sassafrasdoor/routing/tests/test_replicas.py
+++ b/sassafrasdoor/routing/tests/test_replicas.py
@@ -101,6 +101,23 @@
         self.assertEqual((report.running, report.waiting, report.at), (3, 5, taken_at))
         self.assertEqual((report.pace, replica.load), (2.5, 8))
 
+    def test_neighbours_report_of_the_usual_pace_states_none(self):
+        """Guards against a slow replica without a reported pace that counts as usual.
+
+        Datagrams state the usual pace for replicas that report none.
+        """
+        for own_pace, percent, states_pace in (
+            (None, 100, False),
+            (1.0, 100, True),
+            (None, 250, True),
+        ):
+            with self.subTest(own_pace=own_pace, percent=percent):
+                self.listed("x")
+                replica = self.replicas.get("x")
+                replica.record_load(1, 0, own_pace)
+                replica.record_neighbour_load(Report("x", 0, 3, 5, percent, now()))
+                self.assertEqual(replica.load_report.states_pace, states_pace)
+
     def test_load_control_by_settings_needs_no_pace(self):
         """Guards against heavy load that nothing handles as no pace is reported."""
         replica = self.listed("x")
