A second send may go to a replica without a fresh report

Cause: while a report shows a full replica, second sends needed a fresh report of the other one. An instance that uses one replica in calm time has none of the others, so a slow call at a briefly full replica got no second send, although it did before admission control.

Change: a replica without a fresh report that may have room is the last choice of a second send, as it is for first sends. The retry budget still applies.

--- a/sassafrasdoor/routing/overload.py
+++ b/sassafrasdoor/routing/overload.py
@@ -385,14 +385,16 @@
 
         ``replicas`` are those of the service, ``others`` the ones not asked. While calls
         queue, a second send needs a token of the retry ``budget``, and a replica with a
-        free slot or where it is expected on time. Over capacity there is none.
+        free slot, where it is expected on time, or without a fresh report that may have
+        room. Over capacity there is none.
         """
         if not self._is_pressed(self._estimates(replicas, now), now):
             return Send(None)
-        estimates = self._estimates(others, now).values()
-        free = [estimate for estimate in estimates if estimate.has_free_slot]
-        chosen = self._earliest(estimates, call.target_at - now, call)
+        estimates = self._estimates(others, now)
+        free = [e for e in estimates.values() if e.has_free_slot]
+        chosen = self._earliest(estimates.values(), call.target_at - now, call)
         chosen = chosen or self._earliest(free, math.inf, call)
+        chosen = chosen or self._unreported(others, estimates)
         if chosen is None or not budget.try_withdraw():
             return None
         return Send(chosen)
--- a/sassafrasdoor/routing/tests/test_overload.py
+++ b/sassafrasdoor/routing/tests/test_overload.py
@@ -298,6 +298,22 @@
         self.assertEqual(sum(granted([full, free], [free]) for _ in range(20)), 10)
         self.assertTrue(granted([free], [free]))
 
+    def test_second_send_goes_to_a_replica_without_a_report(self):
+        """Guards against slow calls without a second send in calm time.
+
+        An instance that uses one replica has reports of that one only.
+        """
+        full, unknown = self.load("a", 6), ReplicaLoad("b", SLOTS, None)
+        stale = self.load("b", 2, age=REPORT_LIFETIME + 0.1)
+        for other in (unknown, stale):
+            with self.subTest(report=other.report):
+                budget = RetryBudget(ratio=0.1)
+                call = self.call(left=0.45 * TARGET)
+                found = self.control.decide_second(
+                    call, [full, other], [other], budget, 10.0
+                )
+                self.assertEqual(found and found.identity, "b")
+
     def test_refused_call_is_sent_once_more_while_calls_queue(self):
         unknown, free = ReplicaLoad("b", SLOTS, None), self.load("b", 2)
         again = self.control.decide_again
