A replica listed again does not end the exchange of load reports

Cause: a datagram states the refusals since the one before as a difference of counts. If a replica's entry lapsed and returned with the same incarnation between two rounds, its count began again at 0, the difference was negative and could not be encoded. The exchange runs as a critical task, so the exception ended the process.

Change: a count that is lower than the last one is sent as it is. The test failed with struct.error before.

--- a/sassafrasdoor/routing/load_exchange.py
+++ b/sassafrasdoor/routing/load_exchange.py
@@ -184,7 +184,9 @@
         last = self._sent.get(observed.report.identity)
         if last is None or last.observed.report.born != observed.report.born:
             return observed.refusals
-        return observed.refusals - last.observed.refusals
+        unsent = observed.refusals - last.observed.refusals
+        # The count starts again if the replica's entry lapsed and returned.
+        return observed.refusals if unsent < 0 else unsent
 
     def receive(self, data, now, known):
         """Return the accepted reports of a datagram, and the results to count.
--- a/sassafrasdoor/routing/tests/test_load_exchange.py
+++ b/sassafrasdoor/routing/tests/test_load_exchange.py
@@ -180,6 +180,18 @@
         self.receiver.replica().record_load(2, 0, 1.0)
         self.assertEqual(self.receiver.replica().free_slots, 4)
 
+    def test_replica_that_is_listed_again_starts_with_no_refusals(self):
+        """Guards against a process that ends since a count of refusals is negative."""
+        for _ in range(2):
+            self.sender.replica().count_refusal()
+        self.assertEqual(decode(self.sent(SLOTS, 0, 1.0), self.time)[0].refusals, 2)
+        self.sender.replicas.discard("x")
+        self.sender.listed("x", 1000)
+        self.sender.replica().count_refusal()
+        self.time += SEND_INTERVAL
+        data = self.sent(SLOTS, 3, 1.0)
+        self.assertEqual(decode(data, self.time)[0].refusals, 1)
+
     def test_unchanged_load_is_sent_rarely(self):
         """Guards against datagrams that tell nothing new."""
         sent = 0
