A call that was not sent is not counted as a replica's refusal

Cause: a call is not sent while the requests at the replica take up their memory, and the outcome is the same as for a refusal. Admission control then took the queue of the newest report, which was of another answer, for the length of a full queue. A queue taken for too short is not corrected while this instance alone sends, since it never fills it beyond that.

Change: a refusal counts only with a report that is newer than the send. The test failed before: a queue of 1 was taken for full.

--- a/sassafrasdoor/requests/admission.py
+++ b/sassafrasdoor/requests/admission.py
@@ -249,7 +249,10 @@
         control.record_end(sent, now(), _load(replica) if is_answer else None)
         if isinstance(result, NotRun) and not isinstance(result, WrongReplica):
             ticket.refusals += 1
-            control.record_refusal(_load(replica), now())
+            report = replica.load_report
+            # A call that was not sent, for lack of memory, has no report of its own.
+            if report is not None and report.at > sent.at:
+                control.record_refusal(_load(replica), now())
         self._release(ticket.service)
 
     def _replica(self, service, decision, avoid=()):
--- a/sassafrasdoor/requests/tests/test_admission.py
+++ b/sassafrasdoor/requests/tests/test_admission.py
@@ -132,6 +132,16 @@
         self.assertEqual(sorted(self.client.calls), ["e0", "e1"])
         self.assertEqual(self.state.control._sends, {})
 
+    async def test_call_that_did_not_reach_a_replica_is_no_refusal_by_it(self):
+        """Guards against a queue that is taken for full by an earlier report.
+
+        A call is not sent while the requests at the replica take up their memory.
+        """
+        self.report((4, 1), (4, 1))
+        self.assertIs(await self.start(NotRun("not sent"), OK), OK)
+        self.assertEqual(self.state.control._queue_sizes, {})
+        self.assertIsNone(self.state.control._refused_at)
+
     async def test_request_that_may_run_once_is_sent_again_only_if_it_did_not_run(self):
         """Guards against a payment that runs twice under overload."""
         cases = [
