Refused calls add nothing to the retry budget

Cause: the budget of second sends is 0.1 of first sends, but each call added to it, also those that are refused at once. Under many times the usual calls most are, so the budget grew with the overload.

Change: a call adds to the budget when it is to be sent. The replay does the same.

--- a/sassafrasdoor/requests/admission.py
+++ b/sassafrasdoor/requests/admission.py
@@ -143,7 +143,6 @@
         if service is None:
             service = self._services[attempts.service] = ServiceState(attempts.service)
         ticket = attempts.ticket = Ticket(service, _call(service, attempts.request))
-        service.budget.deposit()
         usual = self._replicas.choose(service.name)
         decision = service.control.decide(
             ticket.call, usual.identity, self._loads(service), now()
@@ -222,6 +221,7 @@
         WAITING.set({"service": service.name}, len(service.tickets))
 
     def _reserve(self, ticket, decision):
+        ticket.service.budget.deposit()
         ticket.replica = self._replica(ticket.service, decision)
         ticket.sent = self._record_send(ticket, ticket.replica)
 
--- a/sassafrasdoor/requests/tests/test_admission.py
+++ b/sassafrasdoor/requests/tests/test_admission.py
@@ -111,6 +111,16 @@
         self.assertGreaterEqual(result.retry_after, 0.05)
         self.assertEqual(self.client.calls, [])
 
+    async def test_refused_calls_add_nothing_to_the_retry_budget(self):
+        """Guards against second sends that grow with the calls that are refused."""
+        self.report((4, 900), (4, 900))
+        await self.start()
+        while self.state.budget.try_withdraw():
+            pass
+        for _ in range(12):
+            self.assertIsInstance(await self.send(), NotRun)
+        self.assertFalse(self.state.budget.try_withdraw())
+
     async def test_other_services_are_served_as_before(self):
         """Guards against refusals by the load of replicas that don't report a pace."""
         cases = [
--- a/sassafrasdoor/routing/tests/overload_replay.py
+++ b/sassafrasdoor/routing/tests/overload_replay.py
@@ -290,7 +290,6 @@
             now - arrived_at >= MIN_RETRY_AFTER,
         )
         attempt = Attempt(self, caller, refused, call)
-        self._budget.deposit()
         usual = self.choose(()).identity
         decision = self._control.decide(call, usual, self._loads(), now)
         if isinstance(decision, Wait):
@@ -351,6 +350,7 @@
         if isinstance(decision, Refuse):
             attempt.refuse(decision.retry_after)
         else:
+            self._budget.deposit()
             attempt.send(self._replica(decision) or self.choose(()))
 
     def _release(self):
