--- a/sassafrasdoor/requests/admission.py
+++ b/sassafrasdoor/requests/admission.py
@@ -143,7 +143,6 @@
         if service is None:
             service = self._services[attempts.service] = ServiceState(attempts.service)
         ticket = attempts.ticket = Ticket(service, _call(service, attempts.request))
-        service.budget.deposit()
         usual = self._replicas.choose(service.name)
         decision = service.control.decide(
             ticket.call, usual.identity, self._loads(service), now()
@@ -222,6 +221,7 @@
         WAITING.set({"service": service.name}, len(service.tickets))
 
     def _reserve(self, ticket, decision):
+        ticket.service.budget.deposit()
         ticket.replica = self._replica(ticket.service, decision)
         ticket.sent = self._record_send(ticket, ticket.replica)
 
@@ -249,7 +249,10 @@
         control.record_end(sent, now(), _load(replica) if is_answer else None)
         if isinstance(result, NotRun) and not isinstance(result, WrongReplica):
             ticket.refusals += 1
-            control.record_refusal(_load(replica), now())
+            report = replica.load_report
+            # A call that was not sent, for lack of memory, has no report of its own.
+            if report is not None and report.at > sent.at:
+                control.record_refusal(_load(replica), now())
         self._release(ticket.service)
 
     def _replica(self, service, decision, avoid=()):
--- a/sassafrasdoor/requests/tests/test_admission.py
+++ b/sassafrasdoor/requests/tests/test_admission.py
@@ -111,6 +111,16 @@
         self.assertGreaterEqual(result.retry_after, 0.05)
         self.assertEqual(self.client.calls, [])
 
+    async def test_refused_calls_add_nothing_to_the_retry_budget(self):
+        """Guards against second sends that grow with the calls that are refused."""
+        self.report((4, 900), (4, 900))
+        await self.start()
+        while self.state.budget.try_withdraw():
+            pass
+        for _ in range(12):
+            self.assertIsInstance(await self.send(), NotRun)
+        self.assertFalse(self.state.budget.try_withdraw())
+
     async def test_other_services_are_served_as_before(self):
         """Guards against refusals by the load of replicas that don't report a pace."""
         cases = [
@@ -132,6 +142,16 @@
         self.assertEqual(sorted(self.client.calls), ["e0", "e1"])
         self.assertEqual(self.state.control._sends, {})
 
+    async def test_call_that_did_not_reach_a_replica_is_no_refusal_by_it(self):
+        """Guards against a queue that is taken for full by an earlier report.
+
+        A call is not sent while the requests at the replica take up their memory.
+        """
+        self.report((4, 1), (4, 1))
+        self.assertIs(await self.start(NotRun("not sent"), OK), OK)
+        self.assertEqual(self.state.control._queue_sizes, {})
+        self.assertIsNone(self.state.control._refused_at)
+
     async def test_request_that_may_run_once_is_sent_again_only_if_it_did_not_run(self):
         """Guards against a payment that runs twice under overload."""
         cases = [
