Refused bodies free their chunks, and HEAD gets its refusal

Cause: a chunked body that outgrew the budget was counted as released, but Tornado's delegate kept the chunks received before until the caller ended. Several such callers could hold uncounted memory beyond the bound. The refusal of a HEAD request with a large body had a body itself, for which Tornado closes the connection: the caller got no answer.

Change: the delegate drops its chunks when the body is refused, and the refusal of a HEAD request ends after its head.

--- a/sassafrasdoor/requests/bounded_bodies.py
+++ b/sassafrasdoor/requests/bounded_bodies.py
@@ -47,18 +47,26 @@
         self._counted = 0
         self._received = 0
         self._is_refused = False
+        self._is_head = False
 
     def headers_received(self, start_line, headers):
+        self._is_head = start_line.method == "HEAD"
         length = headers.get("Content-Length", "")
         self._reserve(int(length) if length.isdecimal() else 0)
         return self._delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk):
+        if self._is_refused:
+            return None
         self._received += len(chunk)
         if self._received > self._counted:
             # A chunked body states no length in advance.
             self._reserve(self._received - self._counted)
-        return None if self._is_refused else self._delegate.data_received(chunk)
+            if self._is_refused:
+                # Frees the chunks received before, which no longer count.
+                self._delegate.on_connection_close()
+                return None
+        return self._delegate.data_received(chunk)
 
     def finish(self):
         self._release()
@@ -72,8 +80,6 @@
         self._delegate.on_connection_close()
 
     def _reserve(self, size):
-        if self._is_refused:
-            return
         if self._budget.may_read_body(self._counted + size, self._counted):
             self._counted += size
             self._budget.add_body(size)
@@ -91,5 +97,7 @@
         headers = HTTPHeaders(
             {"Retry-After": f"{RETRY_AFTER:g}", "Content-Length": str(len(REASON))}
         )
-        self._connection.write_headers(REFUSAL, headers, REASON)
+        # Tornado closes the connection if a body follows the head of such an answer.
+        body = None if self._is_head else REASON
+        self._connection.write_headers(REFUSAL, headers, body)
         self._connection.finish()
--- a/sassafrasdoor/requests/tests/test_buffers.py
+++ b/sassafrasdoor/requests/tests/test_buffers.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
@@ -99,6 +101,29 @@
         status, _ = await self.post("Transfer-Encoding: chunked", body=body)
         self.assertEqual((status, Echo.calls, self.budget.held_bytes), (503, 0, 0))
 
+    async def test_refused_request_with_head_is_answered(self):
+        """Guards against a reset of the connection, as the answer must have no body."""
+        size = 2 * MB
+        head = f"HEAD / HTTP/1.1\r\nHost: x\r\nContent-Length: {size}\r\n\r\n"
+        self.writer.write(head.encode() + bytes(size))
+        answer = await self.reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(answer.split()[1], b"503")
+        status, body = await self.post("Content-Length: 3", body=b"abc")
+        self.assertEqual((status, body), (200, b"3"))
+
+    async def test_chunks_of_a_refused_body_are_freed_at_once(self):
+        """Guards against memory that is held but not counted while a body continues."""
+        delegate = mock.Mock(spec=HTTPMessageDelegate)
+        application = mock.Mock(start_request=lambda *_: delegate)
+        request = BoundedBodies(application, self.budget).start_request(None, None)
+        start_line = RequestStartLine("POST", "/", "HTTP/1.1")
+        request.headers_received(start_line, HTTPHeaders())
+        request.data_received(bytes(MB))
+        delegate.on_connection_close.assert_not_called()
+        request.data_received(bytes(MB))
+        self.assertEqual(self.budget.held_bytes, 0)
+        delegate.on_connection_close.assert_called_once()
+
     async def test_caller_that_leaves_halfway_frees_its_room(self):
         """Guards against room that stays taken after its caller has left."""
         head = f"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {MB // 2}\r\n\r\n"
