An answer that is being sent counts as in progress

Cause: a handler left the set of requests in progress when its answer was handed to the connection. A planned stop then ended the process while the connection still held megabytes for a slow reader, although time to finish was left: the answer was lost. The request's body was counted as released while Tornado kept it for as long as the answer was being sent.

Change: a handler stays in the set, and its body counts, until the answer has been sent or the connection ended. The time to finish bounds the wait as before.

Measured: the new test (a slow reader of 32 MB) fails before with no handler in progress, and passes now. test_front, test_servers, test_peers, test_stop_processes and LeavingTest pass.

--- a/sassafrasdoor/platform/handlers.py
+++ b/sassafrasdoor/platform/handlers.py
@@ -91,6 +91,7 @@
         self._task = None
         self._caller_left = False
         self._body_bytes = 0
+        self._is_sending = False
         self._started_at = now()
 
     def prepare(self):
@@ -99,8 +100,11 @@
         self._parts.budget.add_body(self._body_bytes)
 
     def on_finish(self):
-        self._parts.process.in_flight.discard(self)
-        self._release_body()
+        # Called before a slow reader has read the answer; until then a planned stop
+        # must not end the process, and Tornado keeps the body.
+        if not self._is_sending:
+            self._parts.process.in_flight.discard(self)
+            self._release_body()
 
     def set_default_headers(self):
         self.clear_header("Server")
@@ -146,6 +150,7 @@
         self._write_head(status, headers)
         size = len(body)
         self._parts.budget.add_answer(size)
+        self._is_sending = True
         # Done once the caller's system has taken the answer or the connection ended.
         self.finish(body).add_done_callback(
             lambda sent: self._handle_sent_answer(sent, size)
@@ -153,6 +158,8 @@
 
     def _handle_sent_answer(self, sent, size):
         self._parts.budget.add_answer(-size)
+        self._parts.process.in_flight.discard(self)
+        self._release_body()
         # Marks the error of a connection that ended as handled: nobody awaits it.
         if not sent.cancelled():
             sent.exception()
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -95,7 +95,7 @@
 
     ``ready`` says whether callers should be sent here, ``closing`` whether connections
     are being closed. ``in_flight`` is the set of handlers of requests that have been
-    read and not yet answered.
+    read and whose answers have not been sent completely.
     """
 
     def __init__(self, settings, path, metrics_port=0):
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -21,6 +21,7 @@
     route,
     routes_in_force,
 )
+from sassafrasdoor.support import until
 from sassafrasdoor.table.routes import Configuration, Limits, Repeat, RoutesInForce
 
 PLAIN, STREAM = "/plain/", "/stream/"
@@ -285,6 +286,27 @@
         async with asyncio.timeout(20):
             await cancelled.wait()
 
+    async def test_answer_counts_as_in_progress_until_it_is_sent(self):
+        """Guards against a stop that ends the process while an answer is being read.
+
+        A handler has finished once its answer is handed to the connection, which may
+        hold megabytes of it for a slow reader.
+        """
+        size = 32_000_000  # bytes, more than the system buffers of a connection take
+        self.service.result = Answer(200, [], bytes(size))
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", int(self.address.rpartition(":")[2])
+        )
+        self.addCleanup(writer.close)
+        head = f"POST {PLAIN} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 3\r\n\r\n"
+        writer.write(head.encode() + b"abc")
+        await reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(len(self.process.in_flight), 1)
+        self.assertEqual(self.parts.budget.held_bytes, size + 3)
+        await reader.readexactly(size)
+        await until(lambda: not self.process.in_flight, what="the end of the answer")
+        self.assertEqual(self.parts.budget.held_bytes, 0)
+
     async def test_stream_is_forwarded_without_buffering(self):
         """Guards against streams that are collected before they are forwarded.
 
