Hinted tokens of steps are bounded in the division of engines

Cause: the length hint is a header of the trainer. Two items with a hint of 1e308 have a sum that fits into no float, so the weights controller failed with an OverflowError at every pass; negative hints gave negative steps, and a rate of zero or less.

Change: the hinted tokens of an item count as 1 to MAX_TOKENS.

Result: test_hints_are_bounded failed for both hints before (OverflowError, negative load) and passes; test_trainers passes (5 tests).

--- a/sassafrasdoor/steps/durable/tests/test_trainers.py
+++ b/sassafrasdoor/steps/durable/tests/test_trainers.py
@@ -1,6 +1,7 @@
 """Tests of what is known of trainers, and of the services that it applies to."""
 
 import unittest
+from math import inf
 from unittest import mock
 
 from sassafrasdoor.steps.durable import trainers as module
@@ -75,6 +76,18 @@
                 self.fold(*encode_step(spec(model, model=model), 10_000))
         self.assertEqual(list(self.trainers._steps), [MODEL])
 
+    def test_hints_are_bounded(self):
+        """Guards against engines that are assigned no more after a wrong hint."""
+        for hint in (-(10**6), int(1e308)):
+            with self.subTest(hint=hint):
+                step = spec(f"s{hint}", model=f"m{hint}")
+                for item in step.items:
+                    item.expected = hint
+                self.fold(*encode_step(step, 10_000))
+                loads = self.trainers.loads([step.model], set())
+                load = loads[step.model]
+                self.assertTrue(0 < load.usual <= load.left < inf)
+
     def test_newest_step_of_a_model_is_open_until_its_end(self):
         self.fold(*encode_step(spec(items=2), 10_000))
         self.fold(encode(Sample("s1", "i0", COMPLETED, "a", [1])))
--- a/sassafrasdoor/steps/durable/trainers.py
+++ b/sassafrasdoor/steps/durable/trainers.py
@@ -9,6 +9,7 @@
 from sassafrasdoor.clock import now
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import gauge
+from sassafrasdoor.routing.prompt_cache import MAX_TOKENS
 from sassafrasdoor.steps.durable.lateness import StepTimes, schedules
 from sassafrasdoor.steps.durable.records import COMPLETED
 from sassafrasdoor.weights.shares import DEFAULT_INTERVAL, ModelLoad
@@ -205,4 +206,6 @@
 
 
 def _hinted_tokens(item):
-    return item.expected or item.tokens or 1
+    # Trainers state these: a negative sum or one that fits into no float would end the
+    # assignment of engines to all models.
+    return min(max(1, item.expected or item.tokens), MAX_TOKENS)
