The parts of a prompt that a trainer states are bounded in number

Parts of 0 tokens exceed no bound of the cache and were never evicted.

Change: headers with more than 64 parts state no prompt. Parts without tokens are not tracked.

Result: test_number_of_parts_is_bounded and test_parts_without_tokens_are_not_tracked failed before and pass.

--- a/sassafrasdoor/platform/prompts.py
+++ b/sassafrasdoor/platform/prompts.py
@@ -3,6 +3,10 @@
 from sassafrasdoor.platform import wire
 from sassafrasdoor.routing.prompt_cache import Prompt
 
+# Parts of one prompt; trainers name a few. Each prefix names all parts before it, so the
+# memory of a prompt grows with the square of their number.
+MAX_PARTS = 64
+
 
 def prompt_of(item):
     """Return the ``Prompt`` of an item, None if its headers state none that is valid.
@@ -34,6 +38,8 @@
     """Return the ``(name, tokens)`` pairs of a prompt's parts."""
     if not text:
         return []
+    if text.count(",") >= MAX_PARTS:
+        raise ValueError(f"more than {MAX_PARTS} parts")
     pairs = (part.strip().rpartition(":") for part in text.split(","))
     return [(name, _parse_count(tokens)) for name, _, tokens in pairs]
 
--- a/sassafrasdoor/platform/tests/test_prompts.py
+++ b/sassafrasdoor/platform/tests/test_prompts.py
@@ -7,7 +7,7 @@
 from sassafrasdoor.backends.replicas import SampleOrder
 from sassafrasdoor.platform import wire
 from sassafrasdoor.platform.configuration import parse_configuration
-from sassafrasdoor.platform.prompts import prompt_of
+from sassafrasdoor.platform.prompts import MAX_PARTS, prompt_of
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.routing.prompt_cache import MAX_TOKENS
 from sassafrasdoor.routing.replicas import Listing, Replica
@@ -61,6 +61,13 @@
         prompt = prompt_of(self.item("1016,0", tokens=-10))
         self.assertEqual(prompt.output_tokens, 0)
 
+    def test_number_of_parts_is_bounded(self):
+        """Guards against a header of 40 KB that takes 400 MB at each runner."""
+        parts = [f"p{number}:1" for number in range(2 * MAX_PARTS)]
+        self.assertIsNone(prompt_of(self.item(parts=",".join(parts))))
+        prompt = prompt_of(self.item(parts=",".join(parts[:MAX_PARTS])))
+        self.assertEqual(len(prompt.shared), MAX_PARTS - 1)
+
 
 class ConfigurationTest(unittest.TestCase):
     def test_memory_of_engines_by_service(self):
--- a/sassafrasdoor/routing/prompt_cache.py
+++ b/sassafrasdoor/routing/prompt_cache.py
@@ -29,8 +29,9 @@
     def __init__(self, parts, tokens, output_tokens):
         parts = [(name, _bounded(size)) for name, size in parts]
         names = tuple(name for name, _ in parts)
+        # Parts without tokens would never be evicted.
         self.shared = [
-            (names[: end + 1], size) for end, (_, size) in enumerate(parts[:-1])
+            (names[: end + 1], size) for end, (_, size) in enumerate(parts[:-1]) if size
         ]
         self.shared_tokens = sum(size for _, size in parts[:-1])
         self.tokens = max(_bounded(tokens), sum(size for _, size in parts))
--- a/sassafrasdoor/routing/tests/test_prompt_cache.py
+++ b/sassafrasdoor/routing/tests/test_prompt_cache.py
@@ -308,6 +308,12 @@
         self.cache.finish(running)
         self.assertEqual(self.cache.tokens_in_use, 0)
 
+    def test_parts_without_tokens_are_not_tracked(self):
+        """Guards against memory that callers fill, as such parts exceed no bound."""
+        for number in range(10):
+            self.cache.finish(self.start(f"g{number}", shared=0))
+        self.assertEqual(len(self.cache._parts), 0)
+
     def test_shared_parts_count_once(self):
         self.start()
         self.start()
