The memory of an ended attempt is free in the next pass

Cause: the end of an attempt wakes the runner before the callbacks of its task run, and a callback released the tracked memory.

Change: the attempt releases it itself, before it wakes the runner. The callback stays for tasks that are cancelled before their first step; a second release has no effect.

--- a/sassafrasdoor/routing/prompt_cache.py
+++ b/sassafrasdoor/routing/prompt_cache.py
@@ -165,9 +165,11 @@
         """Record the end of a sample.
 
         Parts that were not read to their end, since the engine refused or lost the
-        sample, are dropped.
+        sample, are dropped. A second call for the same sample has no effect.
         """
-        self._uses.discard(use)
+        if use not in self._uses:
+            return
+        self._uses.remove(use)
         self._own_tokens -= use.own_tokens
         for key in use.keys:
             part = self._parts[key]
--- a/sassafrasdoor/steps/durable/prompts.py
+++ b/sassafrasdoor/steps/durable/prompts.py
@@ -152,6 +152,15 @@
         # A task that is cancelled before its first step runs none of its code.
         task.add_done_callback(lambda _: replica.prompts.finish(use))
 
+    def record_end(self, replica, use):
+        """Record that the attempt of a ``PromptUse``, or of None, has ended.
+
+        The callbacks of its task run later than the pass over the queue that its end
+        starts.
+        """
+        if use is not None:
+            replica.prompts.finish(use)
+
     def record_first_event(self, job):
         """Record that the replica of a job has read its prompt."""
         if job.prompt_use is not None:
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -510,6 +510,7 @@
 
     async def _run_attempt(self, job, replica):
         replica.state.started()
+        prompt_use = job.prompt_use
         job.sent_at = now()
         route = self._route(job)
         order = SampleOrder(
@@ -538,6 +539,7 @@
             result = Broken(ABORT_REASONS[job.abort_reason], began=True)
         finally:
             replica.state.finished()
+            self._prompts.record_end(replica, prompt_use)
             self._wake.set()
         if self._jobs.get(job.key) is not job or job.scoring:
             return
--- a/sassafrasdoor/steps/durable/tests/test_prompts.py
+++ b/sassafrasdoor/steps/durable/tests/test_prompts.py
@@ -3,10 +3,12 @@
 import asyncio
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from sassafrasdoor.clock import deadline_in, now, passed
 from sassafrasdoor.routing.prompt_cache import Prompt
 from sassafrasdoor.steps.durable import records
+from sassafrasdoor.steps.durable.prompts import Prompts
 from sassafrasdoor.steps.durable.runner import Runner
 from sassafrasdoor.steps.durable.state import Steps
 from sassafrasdoor.steps.durable.tests.fixtures import (
@@ -145,6 +147,20 @@
         self.runner.stop_shard(0)
         await self.until(lambda: not any(cache.tokens_in_use for cache in caches))
 
+    async def test_memory_is_free_in_the_pass_after_an_attempt(self):
+        """Guards against a free slot that is passed over for memory no longer in use."""
+        await self.start()
+        seen = []
+
+        def observe(prompts):
+            rows = self.replicas.of_service(SERVICE)
+            seen.extend((row.load, row.prompts.tokens_in_use) for row in rows)
+
+        with mock.patch.object(Prompts, "begin_pass", observe):
+            self.runner.stop_shard(0)
+            await self.until(lambda: (0, 0) in seen)
+        self.assertEqual([tokens for load, tokens in seen if not load and tokens], [])
+
     async def test_restarted_engine_gets_its_prompts_anew(self):
         """Guards against tracked prompts of a former incarnation of an engine."""
         await self.start()
