Migration counts the attempts that began in the same pass

Cause: the load of a replica counts an attempt once its task runs, which is after the pass that begins it. Migrations were decided in that pass with new candidates, so a sample could leave for a slot that an item had just taken; it was cut and then waited.

Change: migrations use the candidates of the pass, which count what it has begun.

--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -411,7 +411,8 @@
         ]
         if not jobs:
             return
-        self._candidates.clear()
+        # The candidates of this pass count the attempts that it has begun; the load of
+        # their replicas does so only once their tasks run.
         by_service = self._candidates_by_speed(jobs)
         outlooks = self._step_outlooks(by_service)
         for job in jobs:
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -304,6 +304,21 @@
             [replica.load for replica in replica_set.of_service("engines")], [0, 0]
         )
 
+    async def test_sample_does_not_migrate_to_a_slot_that_was_just_filled(self):
+        """Guards against a sample that is cut and then waits for a slot."""
+        hang = ([(0, "a", 1)], ScriptedClient.HANG)
+        replica_set = replicas(2, slots=1)
+        await self.start(ScriptedClient(hang, hang), replica_set, items=1)
+        (job,) = self.runner._jobs.values()
+        await self.until(lambda: job.last_event_at)
+        for replica in replica_set.of_service("engines"):
+            replica.event_interval = 0.2 if replica is job.replica else 0.05
+        for data in records.encode_step(spec("s2", items=1), 10_000):
+            self.steps.fold(0, 3, data)
+        self.runner._dispatch()
+        self.runner._migrate_slow_samples()
+        self.assertEqual(job.abort_reason, "")
+
     async def test_items_wait_for_free_slots(self):
         hang = ScriptedClient.HANG
         script = [([], hang)] * 3
