Migrating samples go to the engine with the earliest finish

Cause: a migration is decided for the engine with the earliest finish, but the item was then placed by its prompt. While slots count as scarce all engines that end it before the longest item are equal there, so it went to one with its prompt, though as slow as the one that it left.

Change: an item that migrates is placed by speed and load, as the decision assumed.

Result: test_migrating_sample_goes_to_the_fastest_engine failed before (e1 with the prompt in place of e2, twice as fast) and passes.

--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -315,9 +315,13 @@
         spec = job.step.spec
         required = placement.Requirement(spec.model, spec.min_version, job.avoid)
         candidates = self._candidates_for(service)
-        candidate = self._prompts.choose(
-            job, service, required, candidates, queued, cached_only
-        )
+        if job.avoid:
+            # It migrates to end earlier, which a replica with its prompt may not achieve.
+            candidate = placement.place(candidates, required)
+        else:
+            candidate = self._prompts.choose(
+                job, service, required, candidates, queued, cached_only
+            )
         if candidate is None:
             if not cached_only:
                 job.avoid = ""
--- a/sassafrasdoor/steps/durable/tests/test_prompts.py
+++ b/sassafrasdoor/steps/durable/tests/test_prompts.py
@@ -9,7 +9,7 @@
 from sassafrasdoor.routing.prompt_cache import Prompt
 from sassafrasdoor.steps.durable import records
 from sassafrasdoor.steps.durable.prompts import Prompts
-from sassafrasdoor.steps.durable.runner import Runner
+from sassafrasdoor.steps.durable.runner import MIGRATED, Runner
 from sassafrasdoor.steps.durable.state import Steps
 from sassafrasdoor.steps.durable.tests.fixtures import (
     HOST,
@@ -161,6 +161,24 @@
             await self.until(lambda: (0, 0) in seen)
         self.assertEqual([tokens for load, tokens in seen if not load and tokens], [])
 
+    async def test_migrating_sample_goes_to_the_fastest_engine(self):
+        """Guards against a migration to an engine with its prompt that is no faster."""
+        await self.start()
+        rows = self.replicas.of_service(SERVICE)
+        for row, seconds in zip(rows, (0.03, 0.03, 0.015, 0.03), strict=True):
+            for at in range(8):
+                row.speed.record(seconds, 1.0, 1.0, 0.25 * at)
+        jobs = list(self.runner._jobs.values())
+        for job in jobs[1:]:
+            self.runner._remove(job)
+        (job,) = self.runner._jobs.values()
+        # Engine e1 has read the prompt; slots count as scarce since the step filled them.
+        rows[1].prompts.mark_read(rows[1].prompts.start(MODEL, 1, job.prompt, None))
+        job.abort_reason, job.avoid = MIGRATED, "e0"
+        job.task.cancel()
+        await self.until(lambda: job.attempts == 2)
+        self.assertEqual(job.replica.identity, "e2")
+
     async def test_restarted_engine_gets_its_prompts_anew(self):
         """Guards against tracked prompts of a former incarnation of an engine."""
         await self.start()
