--- a/sassafrasdoor/routing/prompt_cache.py
+++ b/sassafrasdoor/routing/prompt_cache.py
@@ -29,8 +29,9 @@
     def __init__(self, parts, tokens, output_tokens):
         parts = [(name, _bounded(size)) for name, size in parts]
         names = tuple(name for name, _ in parts)
+        # Parts without tokens would never be evicted.
         self.shared = [
-            (names[: end + 1], size) for end, (_, size) in enumerate(parts[:-1])
+            (names[: end + 1], size) for end, (_, size) in enumerate(parts[:-1]) if size
         ]
         self.shared_tokens = sum(size for _, size in parts[:-1])
         self.tokens = max(_bounded(tokens), sum(size for _, size in parts))
@@ -164,9 +165,11 @@
         """Record the end of a sample.
 
         Parts that were not read to their end, since the engine refused or lost the
-        sample, are dropped.
+        sample, are dropped. A second call for the same sample has no effect.
         """
-        self._uses.discard(use)
+        if use not in self._uses:
+            return
+        self._uses.remove(use)
         self._own_tokens -= use.own_tokens
         for key in use.keys:
             part = self._parts[key]
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -315,9 +315,13 @@
         spec = job.step.spec
         required = placement.Requirement(spec.model, spec.min_version, job.avoid)
         candidates = self._candidates_for(service)
-        candidate = self._prompts.choose(
-            job, service, required, candidates, queued, cached_only
-        )
+        if job.avoid:
+            # It migrates to end earlier, which a replica with its prompt may not achieve.
+            candidate = placement.place(candidates, required)
+        else:
+            candidate = self._prompts.choose(
+                job, service, required, candidates, queued, cached_only
+            )
         if candidate is None:
             if not cached_only:
                 job.avoid = ""
@@ -411,7 +415,8 @@
         ]
         if not jobs:
             return
-        self._candidates.clear()
+        # The candidates of this pass count the attempts that it has begun; the load of
+        # their replicas does so only once their tasks run.
         by_service = self._candidates_by_speed(jobs)
         outlooks = self._step_outlooks(by_service)
         for job in jobs:
@@ -510,6 +515,7 @@
 
     async def _run_attempt(self, job, replica):
         replica.state.started()
+        prompt_use = job.prompt_use
         job.sent_at = now()
         route = self._route(job)
         order = SampleOrder(
@@ -538,6 +544,7 @@
             result = Broken(ABORT_REASONS[job.abort_reason], began=True)
         finally:
             replica.state.finished()
+            self._prompts.record_end(replica, prompt_use)
             self._wake.set()
         if self._jobs.get(job.key) is not job or job.scoring:
             return
