Placement by prompt takes half of the processor time

Cause: for each queued item the memory in use, the costs at the load and the longest running output of every free engine were computed again, though they change only where an item was placed; and each item was looked up twice where no slot was free.

Change: the costs of an engine are kept until its load changes, its longest output until its samples change; memory is compared only at the preferred engine, and at the others if that one lacks it; no request is built without a free slot.

--- a/sassafrasdoor/routing/prompt_cache.py
+++ b/sassafrasdoor/routing/prompt_cache.py
@@ -81,6 +81,7 @@
     """
 
     __slots__ = (
+        "_longest_output",
         "_own_tokens",
         "_part_tokens",
         "_parts",
@@ -96,6 +97,7 @@
         self._used_part_tokens = 0
         self._own_tokens = 0
         self._uses = set()
+        self._longest_output = None  # None while it must be determined again
 
     @property
     def tokens_in_use(self):
@@ -105,7 +107,10 @@
     @property
     def longest_output(self):
         """The expected output tokens of the longest sample that runs, 0 for none."""
-        return max((use.output_tokens for use in self._uses), default=0)
+        if self._longest_output is None:
+            outputs = (use.output_tokens for use in self._uses)
+            self._longest_output = max(outputs, default=0)
+        return self._longest_output
 
     def known_tokens(self, model, version, prompt):
         """Return how many of a prompt's shared tokens are cached or being read."""
@@ -120,9 +125,12 @@
 
     def has_shared(self, model, version, prompt):
         """Return whether all that a prompt's group shares is cached or being read."""
-        return bool(prompt.shared) and (
-            self.known_tokens(model, version, prompt) == prompt.shared_tokens
-        )
+        if not prompt.shared:
+            return False
+        # The last part is looked up first: most engines lack it.
+        if (model, version, prompt.shared[-1][0]) not in self._parts:
+            return False
+        return self.known_tokens(model, version, prompt) == prompt.shared_tokens
 
     def tokens_needed(self, model, version, prompt):
         """Return the estimated memory in use if the prompt's sample ran here too."""
@@ -154,6 +162,7 @@
         self._evict(memory or DEFAULT_MEMORY_TOKENS)
         use = PromptUse(keys, prompt, missing)
         self._uses.add(use)
+        self._longest_output = None
         return use
 
     def mark_read(self, use):
@@ -170,6 +179,7 @@
         if use not in self._uses:
             return
         self._uses.remove(use)
+        self._longest_output = None
         self._own_tokens -= use.own_tokens
         for key in use.keys:
             part = self._parts[key]
--- a/sassafrasdoor/routing/prompt_placement.py
+++ b/sassafrasdoor/routing/prompt_placement.py
@@ -65,6 +65,7 @@
     __slots__ = (
         "_are_slots_scarce",
         "_eligible",
+        "_engine_costs",
         "_free",
         "_median",
         "_memory",
@@ -82,6 +83,7 @@
             candidate for candidate in candidates if is_eligible(candidate, requirement)
         ]
         self._free = self._eligible
+        self._engine_costs = {}
         self._are_slots_scarce = self._count_scarce(queued, scarce_deadlines, moment)
         costs = [cost(candidate, self._median)[0] for candidate in self._eligible]
         self._usual_cost = sorted(costs)[len(costs) // 2] if costs else 0.0
@@ -104,104 +106,149 @@
 
         With ``cached_only`` only if that engine has its shared prompt.
         """
-        self._free = [candidate for candidate in self._free if candidate.free_slots > 0]
+        self._free = [row for row in self._free if row.load < row.slots]
         if not self._free or (
             cached_only and not self._any_has_read(self._free, request.prompt)
         ):
             return None
-        estimates = [self._estimate(candidate, request) for candidate in self._free]
-        chosen = choose(estimates)
+        chosen = self._choose(request)
         return None if cached_only and chosen.missing_tokens else chosen
 
+    @property
+    def has_free_slots(self):
+        """Whether an engine had a free slot when the last item was placed."""
+        return bool(self._free)
+
     def is_read(self, prompt):
         """Return whether some engine has the shared parts of a prompt, free or not."""
         return self._any_has_read(self._eligible, prompt)
 
     def _any_has_read(self, candidates, prompt):
-        return any(
-            candidate.replica.prompts.has_shared(
-                self._model, candidate.versions.get(self._model, 0), prompt
+        # In a loop, since this is called for each queued item in each pass.
+        model = self._model
+        for candidate in candidates:
+            version = candidate.versions.get(model, 0)
+            if candidate.replica.prompts.has_shared(model, version, prompt):
+                return True
+        return False
+
+    def _choose(self, request):
+        """Return the ``Estimate`` of the best engine with a free slot.
+
+        An engine without memory for the item is chosen only if no other one is free. The
+        memory of all is determined only if the preferred one lacks it.
+        """
+        _, preferred, missing_tokens = min(self._costs(request))
+        excess_tokens = self._excess_tokens(preferred, request.prompt)
+        if not excess_tokens:
+            return Estimate(preferred, missing_tokens, 0, False)
+        excess_tokens, _, chosen, missing_tokens = min(
+            (
+                self._excess_tokens(candidate, request.prompt),
+                cost_there,
+                candidate,
+                missing,
             )
-            for candidate in candidates
+            for cost_there, candidate, missing in self._costs(request)
         )
+        is_diverted = chosen is not preferred
+        return Estimate(chosen, missing_tokens, excess_tokens, is_diverted)
+
+    def _costs(self, request):
+        """Yield the cost, the candidate and the missing tokens of each free engine.
 
-    def _estimate(self, candidate, request):
-        cache, prompt = candidate.replica.prompts, request.prompt
+        The cost is the delay with the worth of the read, then the load; no two are equal.
+        Where slots are scarce, loads become equal soon whichever engine an item goes to,
+        so that only what ends after the longest item is a delay.
+        """
+        prompt = request.prompt
+        longest_finish = self._usual_cost * request.longest
+        for candidate in self._free:
+            costs = self._costs_of(candidate)
+            missing_tokens = prompt.shared_tokens - costs.prompts.known_tokens(
+                self._model, costs.version, prompt
+            )
+            finish = request.expected * costs.load_cost[0]
+            if not self._are_slots_scarce:
+                delay = self._delay(costs, request, finish, longest_finish)
+            else:
+                delay = finish if finish > longest_finish else longest_finish
+            read_seconds = missing_tokens / READ_TOKENS_PER_SECOND
+            load_cost = costs.yielding_load_cost if request.yields else costs.load_cost
+            yield (
+                (delay + READ_WEIGHT * read_seconds, load_cost),
+                candidate,
+                missing_tokens,
+            )
+
+    def _costs_of(self, candidate):
+        """Return the ``_EngineCosts`` of a candidate at its present load."""
+        costs = self._engine_costs.get(candidate.identity)
+        if costs is None or costs.load != candidate.load:
+            costs = _EngineCosts(candidate, self._median, self._model)
+            self._engine_costs[candidate.identity] = costs
+        return costs
+
+    def _excess_tokens(self, candidate, prompt):
+        """Return by how many tokens an item is estimated to exceed an engine's memory."""
+        if not self._memory:
+            return 0
         version = candidate.versions.get(self._model, 0)
-        known_tokens = cache.known_tokens(self._model, version, prompt)
-        needed_tokens = cache.tokens_needed(self._model, version, prompt)
-        return Estimate(
-            candidate,
-            self._delay(candidate, request),
-            cost(candidate, self._median, request.yields),
-            prompt.shared_tokens - known_tokens,
-            needed_tokens - self._memory if self._memory else 0,
+        needed_tokens = candidate.replica.prompts.tokens_needed(
+            self._model, version, prompt
         )
+        return max(0, needed_tokens - self._memory)
 
-    def _delay(self, candidate, request):
-        """Return the estimated seconds to an item's end that can make its step later.
+    def _delay(self, costs, request, finish, longest_finish):
+        """Return the estimated seconds to an item's end, as far as its step ends later.
 
-        Where slots are scarce, loads become equal soon whichever engine an item goes to.
-        Otherwise an engine with more items than others also delays the long ones that it
-        runs; only one on which all end in time, even if full, may get more.
+        An engine with more items than others also delays the long ones that it runs; only
+        one on which all end in time, even if full, may get more.
         """
-        longest_finish = self._usual_cost * request.longest
-        finish = request.expected * cost(candidate, self._median)[0]
-        if self._are_slots_scarce:
-            return max(finish, longest_finish)
         in_time = IN_TIME_SHARE * longest_finish
-        longest = max(request.expected, candidate.replica.prompts.longest_output)
-        full_cost = (candidate.event_interval or self._median) * (1 + LOAD_WEIGHT)
-        return in_time if longest * full_cost <= in_time else in_time + finish
+        longest = max(request.expected, costs.prompts.longest_output)
+        return in_time if longest * costs.full_cost <= in_time else in_time + finish
 
 
-class Estimate:
-    """A candidate for an item, and what its placement there costs.
+class _EngineCosts:
+    """What the cost of an item at a candidate with a ``load`` depends on besides the item.
 
-    ``delay`` are the estimated seconds to the item's end, as far as they can make its
-    step later; ``load_cost`` decides between equal ones. ``missing_tokens`` are the shared
-    tokens that the engine would have to read, ``excess_tokens`` by how many the item is
-    estimated to exceed the engine's memory, 0 if it fits. ``is_diverted`` says that
-    another engine was preferred but lacks memory.
+    It is kept between items, since a pass estimates each item at every free engine.
     """
 
     __slots__ = (
-        "candidate",
-        "delay",
-        "excess_tokens",
-        "is_diverted",
+        "full_cost",
+        "load",
         "load_cost",
-        "missing_tokens",
+        "prompts",
+        "version",
+        "yielding_load_cost",
     )
 
-    def __init__(self, candidate, delay, load_cost, missing_tokens, excess_tokens):
-        self.candidate = candidate
-        self.delay = delay
-        self.load_cost = load_cost
-        self.missing_tokens = missing_tokens
-        self.excess_tokens = max(0, excess_tokens)
-        self.is_diverted = False
-
-    @property
-    def cost(self):
-        """The delay with the worth of the read, then the load."""
-        read_seconds = self.missing_tokens / READ_TOKENS_PER_SECOND
-        return (self.delay + READ_WEIGHT * read_seconds, self.load_cost)
+    def __init__(self, candidate, median, model):
+        self.load = candidate.load
+        self.prompts = candidate.replica.prompts
+        self.version = candidate.versions.get(model, 0)
+        self.load_cost = cost(candidate, median)
+        self.yielding_load_cost = cost(candidate, median, yields=True)
+        self.full_cost = (candidate.event_interval or median) * (1 + LOAD_WEIGHT)
 
 
-def choose(estimates):
-    """Return the ``Estimate`` of the engine for an item; ``estimates`` are not empty.
+class Estimate:
+    """A candidate for an item, and what its placement there costs.
 
-    An engine without memory for it is chosen only if no other one is free.
+    ``missing_tokens`` are the shared tokens that the engine would have to read,
+    ``excess_tokens`` by how many the item is estimated to exceed the engine's memory, 0 if
+    it fits. ``is_diverted`` says that another engine was preferred but lacks memory.
     """
-    preferred = min(estimates, key=lambda estimate: estimate.cost)
-    if not preferred.excess_tokens:
-        return preferred
-    chosen = min(
-        estimates, key=lambda estimate: (estimate.excess_tokens, estimate.cost)
-    )
-    chosen.is_diverted = chosen is not preferred
-    return chosen
+
+    __slots__ = ("candidate", "excess_tokens", "is_diverted", "missing_tokens")
+
+    def __init__(self, candidate, missing_tokens, excess_tokens, is_diverted):
+        self.candidate = candidate
+        self.missing_tokens = missing_tokens
+        self.excess_tokens = excess_tokens
+        self.is_diverted = is_diverted
 
 
 def assign(jobs, place, moment):
--- a/sassafrasdoor/steps/durable/prompts.py
+++ b/sassafrasdoor/steps/durable/prompts.py
@@ -112,8 +112,12 @@
 
     def service_for(self, route):
         """Return the service of a route if its items are placed by prompt, else None."""
-        if route is None or not all(self.is_active(name) for name, _ in route.services):
+        if route is None:
             return None
+        # In a loop, since this is called for each queued item in each pass.
+        for name, _ in route.services:
+            if not self._active.get(name):
+                return None
         return route.pick_service()
 
     def choose(self, job, service, required, candidates, queued, cached_only):
@@ -129,6 +133,8 @@
                 self._scarce_deadlines,
                 now(),
             )
+        if not placement.has_free_slots:
+            return None
         yields = job.is_short and not job.avoid
         request = PromptRequest(job.prompt, job.longest, yields)
         chosen = placement.place(request, cached_only)
@@ -188,8 +194,10 @@
         where = "again" if placement.is_read(prompt) else "first"
     PLACEMENTS.inc({"prompt": where})
     cached = prompt.shared_tokens - chosen.missing_tokens
-    TOKENS.add({"result": "cached"}, cached)
-    TOKENS.add({"result": "read"}, chosen.missing_tokens)
+    if cached:
+        TOKENS.add({"result": "cached"}, cached)
+    if chosen.missing_tokens:
+        TOKENS.add({"result": "read"}, chosen.missing_tokens)
     if chosen.excess_tokens or chosen.is_diverted:
         MEMORY_LIMITED.inc(
             {"result": "exceeded" if chosen.excess_tokens else "diverted"}
