Schedules are determined again once steps of models are forgotten

Cause: past 256 models the steps of those of no service are forgotten, but their schedule stayed. If such a model returned to the configuration, the report of lateness failed with a KeyError, and with it the pass that assigns engines, until the model's next step.

Change: the schedules are determined again after steps were forgotten.

Result: test_model_that_returns_to_the_configuration_has_no_old_schedule failed before and passes.

--- a/sassafrasdoor/steps/durable/tests/test_trainers.py
+++ b/sassafrasdoor/steps/durable/tests/test_trainers.py
@@ -76,6 +76,22 @@
                 self.fold(*encode_step(spec(model, model=model), 10_000))
         self.assertEqual(list(self.trainers._steps), [MODEL])
 
+    def test_model_that_returns_to_the_configuration_has_no_old_schedule(self):
+        """Guards against a controller that fails on the schedule of forgotten steps."""
+        for number in range(4):
+            step = spec(f"s{number}")
+            step.number = number
+            self.fold(*encode_step(step, 10_000))
+            self.steps.by_id[f"s{number}"].seen_at = 4.0 * number
+            self.trainers._steps[MODEL][-1].times.submitted_at = 4.0 * number
+        self.trainers.report([MODEL])
+        service_models = self.trainers._routes.current.service_models
+        service_models[SERVICE] = []
+        self.trainers._forget_unknown_models()
+        service_models[SERVICE] = [MODEL]
+        self.trainers.report([MODEL])
+        self.assertEqual(self.trainers._steps, {})
+
     def test_hints_are_bounded(self):
         """Guards against engines that are assigned no more after a wrong hint."""
         for hint in (-(10**6), int(1e308)):
--- a/sassafrasdoor/steps/durable/trainers.py
+++ b/sassafrasdoor/steps/durable/trainers.py
@@ -146,6 +146,7 @@
         for model in list(self._steps):
             if self._service_of(model) is None:
                 del self._steps[model]
+        self._schedules = None
 
     def _service_of(self, model):
         configuration = self._routes.current
