Versions of models that do not exist are forgotten by the prompt cache

Cause: callers name the models of their steps. One that no engine has is accepted with version 0 and sent, so each engine's cache kept a version for every name until it restarted (513 after 512 names in the test).

Change: beyond 256 models, only those with tracked parts are kept.

Result: test_models_that_do_not_exist_are_forgotten failed before and passes.

--- a/sassafrasdoor/routing/prompt_cache.py
+++ b/sassafrasdoor/routing/prompt_cache.py
@@ -13,6 +13,7 @@
 # Bound of the counts that a trainer states, beyond any engine's memory: larger ones may
 # not fit into a float, and the runner would fail on the step again and again.
 MAX_TOKENS = 10**8
+MAX_MODELS = 256  # callers name the models of their steps, also ones that do not exist
 
 
 class Prompt:
@@ -195,6 +196,9 @@
         if self._versions.get(model) == version:
             return
         self._versions[model] = version
+        if len(self._versions) > MAX_MODELS:
+            tracked = {key[0] for key in self._parts} | {model}
+            self._versions = {name: self._versions[name] for name in tracked}
         for key, part in list(self._parts.items()):
             if key[0] == model and key[1] != version and not part.users:
                 self._drop(key)
--- a/sassafrasdoor/routing/tests/test_prompt_cache.py
+++ b/sassafrasdoor/routing/tests/test_prompt_cache.py
@@ -6,7 +6,7 @@
 
 from sassafrasdoor.routing import placement, prompt_placement
 from sassafrasdoor.routing.placement import Candidate, Requirement
-from sassafrasdoor.routing.prompt_cache import Prompt
+from sassafrasdoor.routing.prompt_cache import MAX_MODELS, Prompt
 from sassafrasdoor.routing.prompt_placement import PromptPlacement, PromptRequest
 from sassafrasdoor.routing.replicas import Listing, Replica, Replicas
 
@@ -308,6 +308,17 @@
         self.cache.finish(running)
         self.assertEqual(self.cache.tokens_in_use, 0)
 
+    def test_models_that_do_not_exist_are_forgotten(self):
+        """Guards against memory that callers fill with names of models."""
+        running = self.start()
+        for number in range(2 * MAX_MODELS):
+            use = self.cache.start(f"m{number}", 0, make_prompt("g", 0), MEMORY)
+            self.cache.finish(use)
+        self.assertLessEqual(len(self.cache._versions), MAX_MODELS)
+        self.assertTrue(self.knows())
+        self.cache.finish(running)
+        self.assertEqual(self.cache.tokens_in_use, 0)
+
     def test_parts_without_tokens_are_not_tracked(self):
         """Guards against memory that callers fill, as such parts exceed no bound."""
         for number in range(10):
