Further figures of a load report never drop the known ones

Cause: a report with a fifth figure would again have been dropped whole, and a malformed one left no trace. Change: the known figures are read whatever follows them; a report with a known figure that is not valid is counted (replica_loads_unreadable_total) and changes nothing.

--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -25,7 +25,11 @@
 RETRY_AFTER = 0.1
 VERSION_LINE = wire.VERSIONS.lower()
 EVENT_END = b"\n\n"
-LOAD_FIGURE_COUNTS = (3, 4)
+MIN_LOAD_FIGURES, KNOWN_LOAD_FIGURES = 3, 4  # of a load report
+MAX_FIGURE_DIGITS = 6  # of a figure: more than any replica runs, or a pace of 10,000
+UNREADABLE_LOADS = counter(
+    "replica_loads_unreadable_total", "Load reports that cannot be read, by service."
+)
 BODIES_NOT_SENT = counter(
     "buffers_not_sent_total", "Requests not sent as the replica holds too many bytes."
 )
@@ -335,18 +339,26 @@
     """Record the load report of an answer: running, waiting, slots and the pace.
 
     The pace, a percentage of the usual work time, is absent from replicas that have
-    their machine to themselves.
+    their machine to themselves. Further figures are ignored; a report with a known
+    figure that is not valid is counted and changes nothing.
     """
-    figures = [figure.strip() for figure in headers.get(wire.LOAD, "").split(",")]
-    if not all(figure.isdecimal() for figure in figures):
+    report = headers.get(wire.LOAD)
+    if report is None:
         return
-    if len(figures) not in LOAD_FIGURE_COUNTS:
+    figures = [figure.strip() for figure in report.split(",")][:KNOWN_LOAD_FIGURES]
+    is_valid = len(figures) >= MIN_LOAD_FIGURES and all(map(_is_load_figure, figures))
+    if not is_valid:
+        UNREADABLE_LOADS.inc({"service": replica.listing.service})
         return
     running, waiting, _, *percentages = map(int, figures)
     pace = percentages[0] / 100 if percentages else None
     replica.record_load(running, waiting, pace)
 
 
+def _is_load_figure(text):
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_FIGURE_DIGITS
+
+
 def _names(headers, wanted):
     """Return whether a mapping of headers names one, in any case."""
     return any(name.lower() == wanted.lower() for name in headers)
