Failed process tests keep the lines of all processes

Change: a test of real processes that fails leaves below out/failed all lines of all instances, the store's answers with their times, and when the test's own process did not run. report() shows the runs of each engine, and for usage the requests begun and the accepted reports.

--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -8,6 +8,8 @@
 import json
 import socket
 import struct
+import time
+from collections import deque
 
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
@@ -23,7 +25,7 @@
 
 LOOPBACK = "127.0.0.1"
 READ_SLACK = 1.0
-
+MAX_KEPT_CALLS = 50_000  # the last ones that the store answered
 
 # Value of SO_LINGER with a time of 0: closing a socket resets its connection.
 LINGER_RESET = struct.pack("ii", 1, 0)
@@ -42,12 +44,15 @@
     is cleared.
 
     ``record_read_seconds`` maps topics to the seconds that reading one record takes; a
-    read of such a topic returns a single record.
+    read of such a topic returns a single record. ``answered_calls`` has for each call
+    the time of its answer in seconds since the epoch, the seconds it took, its status,
+    path and query.
     """
 
     def __init__(self, log=None):
         self.log = log or MemoryPartitionedLog()
         self.record_read_seconds = {}
+        self.answered_calls = deque(maxlen=MAX_KEPT_CALLS)
         self.answering = asyncio.Event()
         self.answering.set()
         routes = [
@@ -86,6 +91,17 @@
     async def prepare(self):
         await self._store.answering.wait()
 
+    def on_finish(self):
+        self._store.answered_calls.append(
+            (
+                round(time.time(), 3),
+                round(self.request.request_time(), 3),
+                self.get_status(),
+                self.request.path,
+                self.request.query,
+            )
+        )
+
     def _partition(self):
         return self.get_query_argument("Topic"), int(self.get_query_argument("part"))
 
--- a/sassafrasdoor/platform/tests/cases.py
+++ b/sassafrasdoor/platform/tests/cases.py
@@ -5,11 +5,12 @@
 import json
 import tempfile
 import unittest
-from collections import deque
+from collections import Counter, deque
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.failures import KeepsFailures, TestClock
 from sassafrasdoor.fetch import fetch_response
 from sassafrasdoor.platform import configuration, wire
 from sassafrasdoor.platform.local import LocalInstance
@@ -55,7 +56,7 @@
 ]
 
 
-class ProcessCase(unittest.IsolatedAsyncioTestCase):
+class ProcessCase(KeepsFailures, unittest.IsolatedAsyncioTestCase):
     """Three instances, two engines, two plain replicas and a store."""
 
     # Further lines of the instances' settings files.
@@ -67,6 +68,8 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.answers = deque(maxlen=MAX_SHOWN_ANSWERS)
+        self.clock = TestClock()
+        self.addCleanup(self.clock.stop)
         self.client = AsyncHTTPClient(force_instance=True, max_clients=50)
         self.addCleanup(self.client.close)
         self.store = StoreStandin()
@@ -86,6 +89,7 @@
             instance = LocalInstance(folder.name, name, store, more=self.more_settings)
             self.addCleanup(instance.close)
             self.instances.append(instance)
+        self.addCleanup(self.keep_if_failed)
         await self.wait_until_ready()
 
     async def configure(self, version, routes=ROUTES):
@@ -117,7 +121,7 @@
 
         It has the last answers, and each instance's exit code and last log lines.
         """
-        texts = [f"last answers: {list(self.answers)}"]
+        texts = [*self.state(), f"last answers: {list(self.answers)}"]
         for instance in getattr(self, "instances", ()):
             lines = instance.log_path.read_text("utf-8").splitlines()[
                 -MAX_SHOWN_LOG_LINES:
@@ -128,6 +132,25 @@
             ]
         return "\n".join(texts)
 
+    def state(self):
+        """Return lines with what each side has: the runs of each engine by path."""
+        return [
+            f"{engine.identity} runs {Counter(run.path for run in engine.runs)}"
+            for engine in self.engines
+        ]
+
+    def failure_texts(self):
+        """Return the lines of all instances, the store's calls and the test's pauses."""
+        calls = "\n".join(map(str, self.store.answered_calls))
+        texts = {
+            "state": self.report(),
+            "store": calls,
+            "test-clock": self.clock.report(),
+        }
+        for instance in self.instances:
+            texts[instance.name] = instance.log_path.read_text("utf-8")
+        return texts
+
     async def wait_until_ready(self):
         for instance in self.instances:
             await self.wait_until(lambda instance=instance: self.is_ready(instance))
--- a/sassafrasdoor/platform/tests/test_duties_processes.py
+++ b/sassafrasdoor/platform/tests/test_duties_processes.py
@@ -63,6 +63,14 @@
             self.assertEqual(counts, document["Counts"])
         return sum(map(Counter, windows.values()), Counter())
 
+    def state(self):
+        """Return the requests begun, and the accepted reports."""
+        return [
+            *super().state(),
+            f"begun {dict(self.truth)}",
+            *(f"report {call}" for call in self.duties.calls),
+        ]
+
     def is_reported(self):
         return self.reported() == self.truth
 
--- a/sassafrasdoor/requests/tests/cases.py
+++ b/sassafrasdoor/requests/tests/cases.py
@@ -3,6 +3,7 @@
 import unittest
 
 from sassafrasdoor.cluster import KEYS, Cluster
+from sassafrasdoor.failures import KeepsFailures, TestClock
 from sassafrasdoor.support import until
 
 SHORT_TIMEOUTS = {
@@ -12,14 +13,17 @@
 GENERATE_BODY = {"prompt": "how many spaces are free", "max_tokens": 40}
 
 
-class ProcessCase(unittest.IsolatedAsyncioTestCase):
+class ProcessCase(KeepsFailures, unittest.IsolatedAsyncioTestCase):
     """Starts a cluster for each test and sends requests to it."""
 
     async def cluster(self, settings=SHORT_TIMEOUTS, **counts):
         """Start a cluster and wait until all instances have slots."""
         cluster = await self.enterAsyncContext(Cluster(settings))
-        await cluster.start(**counts)
+        self.clock = TestClock()
+        self.addCleanup(self.clock.stop)
+        self.addCleanup(self.keep_if_failed)
         self.cluster = cluster
+        await cluster.start(**counts)
         for instance in cluster.instances:
             for row in ("idempotent", "chat"):
                 await until(
@@ -27,6 +31,14 @@
                 )
         return cluster
 
+    def failure_texts(self):
+        """Return the lines of all processes, and the test's pauses."""
+        texts = {"test-clock": self.clock.report()}
+        for number, process in enumerate(self.cluster.processes.all):
+            lines = "\n".join(process.output)
+            texts[f"{number}-{process.program}"] = lines
+        return texts
+
     async def is_served(self, instance, row):
         """Return whether an instance has slots for a row's service."""
         if row == "chat":
