Lag of the event loop in lines and metrics, pauses of the own process

Cause: whether an instance itself did not run while it measured a silence was in no line.

Change: each instance ticks every 0.1 s; loop.lagged says by how much a tick came late (0.25 s or more), event_loop_lag_seconds counts all.

--- /dev/null
+++ b/sassafrasdoor/pauses.py
@@ -0,0 +1,78 @@
+"""Pauses of this process, in which it measured the silence of others wrongly.
+
+Load pattern: the process is stopped, or gets no processor time, for a second or two,
+several times in a row. When it continues, its timers run before it has read what has
+arrived meanwhile: replicas, the log and other instances then look silent though only this
+process was.
+"""
+
+import asyncio
+from collections import deque
+
+from sassafrasdoor import clock
+from sassafrasdoor.decisions import note
+from sassafrasdoor.metrics import histogram
+
+TICK_INTERVAL = 0.1  # seconds
+MIN_PAUSE = 0.3  # seconds between two ticks from which on the process counts as paused
+MAX_KEPT_PAUSES = 64  # the last ones; others began before any silence that is measured
+MIN_LOGGED_LAG = 0.25  # seconds
+
+LAG = histogram(
+    "event_loop_lag_seconds",
+    "Seconds by which the event loop ran a timer late.",
+    buckets=[0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5],
+)
+
+
+class Pauses:
+    """The pauses of a process, as seen by ticks that are due each ``TICK_INTERVAL``.
+
+    All times are monotonic. ``started_at`` is when the ticks begin.
+    """
+
+    __slots__ = ("_kept", "_last_tick")
+
+    def __init__(self, started_at):
+        self._last_tick = started_at
+        self._kept = deque(maxlen=MAX_KEPT_PAUSES)
+
+    def tick(self, moment):
+        """Record that the process runs at a moment."""
+        if moment - self._last_tick >= MIN_PAUSE:
+            self._kept.append((self._last_tick + TICK_INTERVAL, moment))
+        self._last_tick = max(self._last_tick, moment)
+
+    def seconds_between(self, begin, end):
+        """Return the seconds of pauses between two moments."""
+        return sum(
+            max(0.0, min(end, until) - max(begin, since)) for since, until in self._kept
+        )
+
+    def running_seconds(self, since, moment):
+        """Return the seconds from ``since`` to now in which the process ran.
+
+        ``moment`` is now; a pause that has just ended counts, also before its tick.
+        """
+        self.tick(moment)
+        return moment - since - self.seconds_between(since, moment)
+
+
+class LoopMonitor:
+    """Ticks in the event loop, and reports by how much it runs late."""
+
+    __slots__ = ("pauses",)
+
+    def __init__(self):
+        self.pauses = Pauses(clock.now())
+
+    async def run(self):
+        """Tick until cancelled."""
+        while True:
+            due_at = clock.deadline_in(TICK_INTERVAL)
+            await asyncio.sleep(TICK_INTERVAL)
+            lag = clock.now() - due_at
+            self.pauses.tick(clock.now())
+            LAG.observe({}, max(0.0, lag))
+            if lag >= MIN_LOGGED_LAG:
+                note("loop.lagged", seconds=round(lag, 3))
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -19,6 +19,7 @@
 )
 from sassafrasdoor.log.tail import KeyedTail, Tail, all_caught_up
 from sassafrasdoor.log.turns import ReadSlot
+from sassafrasdoor.pauses import LoopMonitor
 from sassafrasdoor.platform import (
     configuration,
     front,
@@ -115,6 +116,7 @@
     def _build(self):
         settings = self._settings
         self._call_counter = CallCounter()
+        self._loop_monitor = LoopMonitor()
         self._store = Store(settings.store, self._call_counter)
         self._peers = Peers(settings.peers)
         self._log = RelayedLog(self._store, self._relay_clients)
@@ -332,6 +334,7 @@
         exchange = self._load_datagrams
         return [
             *([exchange.run()] if exchange is not None else ()),
+            self._loop_monitor.run(),
             self._operator_tail.run(),
             self._replica_list_tail.run(),
             self._crash_list_tail.run(),
