Counts of a usage report wait for processes that are paused

Callers saw: a client account's reported requests too low for good after one instance did not run for 1.6 to 2.2 s.

Change: a low watermark for each process. It states in the topic which windows it has closed; a window stays open for a request in progress, up to 0.6 of the due time. After a pause the counters are written once what arrived was handled. Instances of earlier versions log the new record as unreadable and use the others; they state no windows, and are waited for as before.

--- a/sassafrasdoor/duties/reporter.py
+++ b/sassafrasdoor/duties/reporter.py
@@ -13,14 +13,18 @@
     UsageCounter,
     UsageLedger,
     began_record,
+    closed_record,
     fixed_record,
     gather_time,
+    last_closed,
     may_fix,
     sent_record,
 )
+from sassafrasdoor.duties.watermarks import ENDED
 from sassafrasdoor.log.tail import Tail
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Outcome
+from sassafrasdoor.pauses import sleep_and_settle
 
 TOPIC = "usage"
 READ_INTERVAL = 0.25  # seconds; one read returns the increments of several instances
@@ -70,12 +74,15 @@
 
     __slots__ = (
         "_acting_since",
+        "_awaited",
         "_client",
+        "_closed",
         "_counter",
         "_first_window",
         "_floor",
         "_follow_deadline",
         "_gathered",
+        "_in_progress",
         "_ledger",
         "_log",
         "_longest_request",
@@ -101,6 +108,9 @@
         self._first_window = self._current_window
         self._floor = self._skipped = 0
         self._pending = []
+        self._in_progress = {}
+        self._closed = -1
+        self._awaited = set()
         self._acting_since = None
         self._follow_deadline = LONG_AGO
         self._gathered = set()
@@ -110,6 +120,14 @@
     def _current_window(self):
         return int(time.time() // self._settings.usage_window)
 
+    def open(self, request):
+        """Keep the current window open until ``close()`` is called with the request."""
+        self._in_progress[request] = now()
+
+    def close(self, request):
+        """End a request, which was counted if a replica has begun to run it."""
+        self._in_progress.pop(request, None)
+
     def record(self, account, sent_at):
         """Count a request that was sent to a replica at a monotonic time, and began."""
         if account:
@@ -135,10 +153,11 @@
     async def flush(self):
         """Append what was counted, again and again, until cancelled."""
         while True:
-            await asyncio.sleep(FLUSH_INTERVAL)
             # What was counted during an outage follows at once.
             while await self._flush_counted():
                 pass
+            # Answers that arrived during a pause are of requests still in progress.
+            await sleep_and_settle(FLUSH_INTERVAL)
 
     async def _flush_counted(self):
         """Append what was counted since the last time; return whether it was held up.
@@ -182,6 +201,15 @@
         if counts:
             self._number += 1
             self._pending.append(began_record(self._process, self._number, counts))
+        closed = last_closed(
+            self._settings.usage_window,
+            self._settings.usage_due,
+            time.time(),
+            time.time() - now() + min(self._in_progress.values(), default=now()),
+        )
+        if closed > self._closed:
+            self._closed = closed
+            self._pending.append(closed_record(self._process, closed))
 
     async def _append_pending(self, deadline):
         """Append the records not acknowledged yet; return the result."""
@@ -197,6 +225,12 @@
         if self._pending:
             await self._append_pending(deadline)
 
+    async def end(self, deadline):
+        """Append what was counted, and that this process counts no more."""
+        self._take_counted()
+        self._pending.append(closed_record(self._process, ENDED))
+        await self._append_pending(deadline)
+
     async def run(self):
         """Report due windows while this process holds the lease, until cancelled."""
         while True:
@@ -220,9 +254,9 @@
     async def _report_due_windows(self):
         current = self._current_window
         self._ledger.discard(current)
-        self._gathered.intersection_update(
-            self._ledger.unsent(current, self._first_window)
-        )
+        unsent = self._ledger.unsent(current, self._first_window)
+        self._gathered.intersection_update(unsent)
+        self._awaited.intersection_update(unsent)
         if self.tail.skipped != self._skipped:
             self._skipped, self._floor = self.tail.skipped, current
             note("usage.records_expired", skipped=self._skipped, first_window=current)
@@ -249,10 +283,18 @@
         if not self._may_fix(window, seconds) and self.tail.failing_since is None:
             # The long poll in progress may end only a second later.
             await self.tail.confirm(deadline_in(CONFIRM_TIMEOUT))
-        if self._may_fix(window, seconds):
+        if self._may_fix(window, seconds) and not self._awaits_processes(window):
             self._gathered.add(window)
         return window in self._gathered
 
+    def _awaits_processes(self, window):
+        """Return whether some process may hold counts of a window."""
+        awaited = self._ledger.watermarks.awaited(window, time.time())
+        if awaited and window not in self._awaited:
+            note("usage.awaited", window=window, processes=awaited)
+            self._awaited.add(window)
+        return bool(awaited)
+
     def _may_fix(self, window, seconds):
         offset = time.time() - now()
         return self.tail.has_caught_up and may_fix(
--- a/sassafrasdoor/duties/service.py
+++ b/sassafrasdoor/duties/service.py
@@ -56,7 +56,8 @@
 
     async def end(self, deadline):
         """Write what was counted last, and close the connections."""
-        await self.flush_once(deadline)
+        if self.usage is not None:
+            await self.usage.end(deadline)
         self._client.close()
 
     def _longest_counted_request(self):
--- a/sassafrasdoor/duties/tests/test_outages.py
+++ b/sassafrasdoor/duties/tests/test_outages.py
@@ -38,17 +38,24 @@
 
 
 class SilentAppends(PartitionedLog):
-    """One instance's client: while the log is silent, appends are not answered either."""
+    """One instance's client: while the log is silent, appends are not answered either.
 
-    __slots__ = ("_log", "_reader")
+    Appends to the topic of usage are sent only while ``may_send`` is set.
+    """
+
+    __slots__ = ("_log", "_reader", "may_send")
 
     def __init__(self, log):
         self._log = log
         self._reader = log.reader()
+        self.may_send = asyncio.Event()
+        self.may_send.set()
 
     is_cut_off = False
 
     async def append(self, topic, part, records, deadline):
+        if topic == reporter.TOPIC:
+            await self.may_send.wait()
         if self._log.silent:
             await asyncio.sleep(clock.remaining(deadline))
             return ReplyLost("timeout")
@@ -77,7 +84,7 @@
     """The parts of an instance that claim the lease, count and report."""
 
     def __init__(self, log, number, platform):
-        client = SilentAppends(log)
+        client = self.client = SilentAppends(log)
         coordinator = ReadCoordinator()
         listed = KeyedTail(
             client, "keyed.list", lambda *_: None, 0.35, read_coordinator=coordinator
@@ -116,8 +123,10 @@
     async def _call(self):
         while True:
             sent_at = clock.now()
+            self.usage.open(sent_at)
             await asyncio.sleep(CALL_SECONDS)
             self.usage.record("a", sent_at)
+            self.usage.close(sent_at)
             self.began[int(sent_at // WINDOW)] += 1
             await asyncio.sleep(CALL_INTERVAL - CALL_SECONDS % CALL_INTERVAL)
 
@@ -125,11 +134,15 @@
 class Replay:
     """Outages of given lengths; the first begins ``phase`` seconds into a window.
 
+    With ``pauses`` the log answers, and instead one instance that is no holder cannot
+    write what it counted.
+
     ``late`` maps windows to the seconds after their due time at which their report was
     accepted, ``off`` to the difference between the report and the calls made.
     """
 
-    def __init__(self, phase, lengths):
+    def __init__(self, phase, lengths, pauses=False):
+        self._pauses = pauses
         self._phase = phase
         self._lengths = lengths
         self.outages = []
@@ -156,10 +169,14 @@
         instances = [Instance(log, number, platform) for number in range(INSTANCES)]
         await asyncio.sleep(WARM_UP + self._phase)
         for length in self._lengths:
-            log.silent = True
             self.outages.append((clock.now(), clock.now() + length))
+            if self._pauses:
+                instances[-1].client.may_send.clear()
+            else:
+                log.silent = True
             await asyncio.sleep(length)
             log.silent = False
+            instances[-1].client.may_send.set()
             await asyncio.sleep(OUTAGE_DISTANCE)
         await asyncio.sleep(LAST_SECONDS)
         last = int((clock.now() - WINDOW - DUE) // WINDOW)
@@ -205,6 +222,17 @@
         reported_at = (window + 1) * WINDOW + DUE + lateness
         self.assertLessEqual(reported_at, ends[0] + MAX_DELAY)
 
+    def test_counts_wait_for_an_instance_that_is_paused(self):
+        """Guards against counts that are fixed while a paused instance holds some."""
+        for length in (2.0, 4.0, WINDOW, 7.0):
+            for phase in range(int(WINDOW)):
+                with self.subTest(length=length, phase=phase):
+                    replay = run(Replay(phase, (length,), pauses=True))
+                    self.assertEqual(replay.off, {})
+                    # Longer ones may last until a report is due.
+                    if length <= WINDOW:
+                        self.assertEqual(replay.late, {})
+
     def test_no_report_is_late_without_an_outage(self):
         replay = run(Replay(0.0, ()))
         self.assertEqual((replay.late, replay.off), ({}, {}))
--- a/sassafrasdoor/duties/tests/test_usage.py
+++ b/sassafrasdoor/duties/tests/test_usage.py
@@ -16,6 +16,7 @@
     began_record,
     fixed_record,
     gather_time,
+    last_closed,
     may_fix,
     sent_record,
 )
@@ -34,6 +35,22 @@
         self.assertEqual(counter.take(), {})
 
 
+class LastClosedTest(unittest.TestCase):
+    def test_window_stays_open_for_a_request_in_progress(self):
+        """Guards against a window closed while a paused process holds an answer."""
+        for at, oldest_at, closed in (
+            (10.0, 10.0, 1),
+            (10.0, 9.9, 0),
+            (14.9, 9.9, 0),
+            (15.0, 15.0, 2),
+        ):
+            self.assertEqual(last_closed(LENGTH, DUE, at, oldest_at), closed)
+
+    def test_window_is_closed_before_its_report_is_late(self):
+        """Guards against reports that are late because of one long request."""
+        self.assertEqual(last_closed(LENGTH, DUE, 16.1, 9.9), 1)
+
+
 class LedgerTest(unittest.TestCase):
     def setUp(self):
         self.ledger = UsageLedger(LENGTH)
--- a/sassafrasdoor/duties/usage.py
+++ b/sassafrasdoor/duties/usage.py
@@ -12,9 +12,10 @@
 import json
 from collections import Counter
 
+from sassafrasdoor.duties.watermarks import Watermarks
 from sassafrasdoor.outcomes import Outcome
 
-BEGAN, FIXED, SENT = "began", "fixed", "sent"
+BEGAN, CLOSED, FIXED, SENT = "began", "closed", "fixed", "sent"
 FLUSH_INTERVAL = 1.0  # seconds between increments; what is newer is lost with a process
 APPEND_MARGIN = 0.5  # seconds for an increment to reach the holder through a slow log
 APPEND_TIMEOUT = 1.0  # seconds for one attempt; a slow log answers within 0.25 s
@@ -22,6 +23,8 @@
 # Share of the time in which a report is due, counted from its window's end, by which the
 # increments count as gathered.
 MAX_GATHER_SHARE = 0.5
+# Share of that time for which a request in progress holds its window open.
+MAX_HOLD_SHARE = 0.6
 # Seconds after an outage of the log in which instances append what they have counted: the
 # next attempts begin, and succeed.
 BACKLOG_TIME = RETRY_DELAY + APPEND_MARGIN
@@ -70,6 +73,14 @@
     return _encode([BEGAN, process, number, windows])
 
 
+def closed_record(process, window):
+    """Return the record that a process counts no more in a window and those before it.
+
+    Instances of earlier versions log it as unreadable, and use all other records.
+    """
+    return _encode([CLOSED, process, window])
+
+
 def fixed_record(window, counts):
     """Return the record that fixes the counts of a window's report."""
     return _encode([FIXED, window, dict(counts)])
@@ -88,10 +99,19 @@
     """Folds the records of all instances; identical wherever they are folded.
 
     ``missed`` has the requests by window whose increments came after the window's counts
-    were fixed: they are in no report.
+    were fixed: they are in no report. ``watermarks`` are the ``Watermarks`` of the
+    processes.
     """
 
-    __slots__ = ("_began", "_fixed", "_last_numbers", "_length", "_sent", "missed")
+    __slots__ = (
+        "_began",
+        "_fixed",
+        "_last_numbers",
+        "_length",
+        "_sent",
+        "missed",
+        "watermarks",
+    )
 
     def __init__(self, length):
         self._length = length
@@ -100,6 +120,7 @@
         self._sent = set()
         self._last_numbers = {}
         self.missed = Counter()
+        self.watermarks = Watermarks(length)
 
     @property
     def _max_windows_back(self):
@@ -128,6 +149,9 @@
             if window in self._fixed:
                 self.missed[window] += by_name.total()
 
+    def _fold_closed(self, process, window):
+        self.watermarks.record(str(process), int(window))
+
     def _fold_fixed(self, window, counts):
         counts = {str(name): int(count) for name, count in counts.items()}
         self._fixed.setdefault(int(window), counts)
@@ -165,10 +189,12 @@
             for window in [one for one in windows if one < oldest]:
                 del windows[window]
         self._sent = {window for window in self._sent if window >= oldest}
+        self.watermarks.discard_before(oldest)
 
 
 _FOLDS = {
     BEGAN: UsageLedger._fold_began,
+    CLOSED: UsageLedger._fold_closed,
     FIXED: UsageLedger._fold_fixed,
     SENT: UsageLedger._fold_sent,
 }
@@ -183,6 +209,17 @@
     return min(due * MAX_GATHER_SHARE, longest_request + FLUSH_INTERVAL + APPEND_MARGIN)
 
 
+def last_closed(length, due, at, oldest_at):
+    """Return the last window in which a process counts no more at a point in time.
+
+    A request is counted once it is answered, in the window in which it began;
+    ``oldest_at`` is when the oldest one in progress began. One that lasts so long that
+    its window's report would be late is not waited for.
+    """
+    given_up_at = at - due * MAX_HOLD_SHARE
+    return int(min(at, max(oldest_at, given_up_at)) // length) - 1
+
+
 def may_fix(window, length, gather, at, read_at, restored_at):
     """Return whether the counts of a window may be fixed at a point in time.
 
--- a/sassafrasdoor/pauses.py
+++ b/sassafrasdoor/pauses.py
@@ -17,6 +17,7 @@
 MIN_PAUSE = 0.3  # seconds between two ticks from which on the process counts as paused
 MAX_KEPT_PAUSES = 64  # the last ones; others began before any silence that is measured
 MIN_LOGGED_LAG = 0.25  # seconds
+SETTLE_TIME = 0.1  # seconds to handle what has arrived during a pause
 
 LAG = histogram(
     "event_loop_lag_seconds",
@@ -58,6 +59,16 @@
         return moment - since - self.seconds_between(since, moment)
 
 
+async def sleep_and_settle(seconds):
+    """Sleep; after a pause of the process, sleep until what arrived in it is handled."""
+    while True:
+        due_at = clock.deadline_in(seconds)
+        await asyncio.sleep(seconds)
+        if clock.now() < due_at + MIN_PAUSE:
+            return
+        seconds = SETTLE_TIME
+
+
 class LoopMonitor:
     """Ticks in the event loop, and reports by how much it runs late."""
 
--- a/sassafrasdoor/platform/tests/test_duties_processes.py
+++ b/sassafrasdoor/platform/tests/test_duties_processes.py
@@ -64,11 +64,12 @@
         return sum(map(Counter, windows.values()), Counter())
 
     def state(self):
-        """Return the requests begun, and the accepted reports."""
+        """Return the requests begun, the accepted reports and the topic's records."""
         return [
             *super().state(),
             f"begun {dict(self.truth)}",
             *(f"report {call}" for call in self.duties.calls),
+            *map(str, self.store.log.partition("usage", 0).records),
         ]
 
     def is_reported(self):
--- a/sassafrasdoor/requests/attempts.py
+++ b/sassafrasdoor/requests/attempts.py
@@ -85,10 +85,19 @@
     return grant if isinstance(grant, Outcome) else None
 
 
+def open_usage(usage, attempts):
+    """Record that a request that may have to be counted is in progress."""
+    if usage is not None:
+        usage.open(attempts)
+
+
 def record_usage(usage, attempts):
     """Count a request for its client account if a replica has begun to run it."""
-    if usage is not None and attempts.began_at is not None:
+    if usage is None:
+        return
+    if attempts.began_at is not None:
         usage.record(attempts.request.grant.account, attempts.began_at)
+    usage.close(attempts)
 
 
 class Attempts:
--- a/sassafrasdoor/requests/direct.py
+++ b/sassafrasdoor/requests/direct.py
@@ -4,7 +4,13 @@
 
 from sassafrasdoor.backends.interface import Answer
 from sassafrasdoor.metrics import counter
-from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts, denial, record_usage
+from sassafrasdoor.requests.attempts import (
+    SERVER_ERROR,
+    Attempts,
+    denial,
+    open_usage,
+    record_usage,
+)
 from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.table.routes import Repeat
 
@@ -49,6 +55,7 @@
 
     async def run_attempts(self, attempts):
         """Send until there is a final outcome; return it as ``answer`` does."""
+        open_usage(self._usage, attempts)
         try:
             async with asyncio.timeout_at(attempts.request.deadline):
                 result = await self._run(attempts)
--- a/sassafrasdoor/requests/streaming.py
+++ b/sassafrasdoor/requests/streaming.py
@@ -12,7 +12,13 @@
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Unknown
 from sassafrasdoor.requests.access import Unauthorized
-from sassafrasdoor.requests.attempts import SERVER_ERROR, Attempts, denial, record_usage
+from sassafrasdoor.requests.attempts import (
+    SERVER_ERROR,
+    Attempts,
+    denial,
+    open_usage,
+    record_usage,
+)
 from sassafrasdoor.requests.crash_watch import CrashWatch, Quarantined
 from sassafrasdoor.table.routes import Repeat
 
@@ -100,6 +106,7 @@
         """
         attempts = Attempts(request)
         relay = _StreamRelay(caller)
+        open_usage(self._usage, attempts)
         try:
             async with asyncio.timeout_at(request.deadline):
                 result = await self._run(attempts, relay)
