--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -9,6 +9,7 @@
 DECISIONS = {
     "duties/scaling.py": "how many replicas of a service are ordered in a zone",
     "duties/usage.py": "what a usage report says and when its counts are fixed",
+    "duties/watermarks.py": "for which processes the counts of a window wait",
     "log/turns.py": "who reads first after all instances started together",
     "requests/buffers.py": "whether a request's body fits into the memory",
     "routing/engine_speed.py": "which speed of an engine lasts, when it is slow",
@@ -31,6 +32,7 @@
 PURE_LIBRARIES = {"bisect", "collections", "json", "math", "statistics", "struct"}
 ALLOWED = PURE_LIBRARIES | {
     "sassafrasdoor.duties.usage",
+    "sassafrasdoor.duties.watermarks",
     "sassafrasdoor.outcomes",
     "sassafrasdoor.routing.engine_speed",
     "sassafrasdoor.rendezvous",
