Items stay where they are while all replicas are silent

Silence of 1.5 s, or 1.2 s before the first event, was held against each replica alone.

Change: routing/silence decides. Silence that all replicas of a service share counts against none of them; it ends with the first data of any. An idle replica beside the only busy one, which is silent, gets its items at once, as before, and so does one silent replica beside living ones. Time in which this process did not run counts for no silence (pauses). An interval that spans a shared silence is no sign of speed unless the replica is the only one in use.

--- a/sassafrasdoor/pauses.py
+++ b/sassafrasdoor/pauses.py
@@ -7,15 +7,14 @@
 """
 
 import asyncio
-from collections import deque
 
 from sassafrasdoor import clock
 from sassafrasdoor.decisions import note
+from sassafrasdoor.gaps import Gaps
 from sassafrasdoor.metrics import histogram
 
 TICK_INTERVAL = 0.1  # seconds
 MIN_PAUSE = 0.3  # seconds between two ticks from which on the process counts as paused
-MAX_KEPT_PAUSES = 64  # the last ones; others began before any silence that is measured
 MIN_LOGGED_LAG = 0.25  # seconds
 SETTLE_TIME = 0.1  # seconds to handle what has arrived during a pause
 
@@ -27,28 +26,19 @@
 
 
 class Pauses:
-    """The pauses of a process, as seen by ticks that are due each ``TICK_INTERVAL``.
+    """The pauses of a process that ticks each ``TICK_INTERVAL`` while it runs.
 
     All times are monotonic. ``started_at`` is when the ticks begin.
     """
 
-    __slots__ = ("_kept", "_last_tick")
+    __slots__ = ("_gaps",)
 
     def __init__(self, started_at):
-        self._last_tick = started_at
-        self._kept = deque(maxlen=MAX_KEPT_PAUSES)
+        self._gaps = Gaps(started_at, MIN_PAUSE)
 
     def tick(self, moment):
         """Record that the process runs at a moment."""
-        if moment - self._last_tick >= MIN_PAUSE:
-            self._kept.append((self._last_tick + TICK_INTERVAL, moment))
-        self._last_tick = max(self._last_tick, moment)
-
-    def seconds_between(self, begin, end):
-        """Return the seconds of pauses between two moments."""
-        return sum(
-            max(0.0, min(end, until) - max(begin, since)) for since, until in self._kept
-        )
+        self._gaps.tick(moment)
 
     def running_seconds(self, since, moment):
         """Return the seconds from ``since`` to now in which the process ran.
@@ -56,7 +46,7 @@
         ``moment`` is now; a pause that has just ended counts, also before its tick.
         """
         self.tick(moment)
-        return moment - since - self.seconds_between(since, moment)
+        return self._gaps.seconds_outside(since, moment)
 
 
 async def sleep_and_settle(seconds):
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -201,6 +201,7 @@
             settings,
             self._trainers,
             prompt_of,
+            self._loop_monitor.pauses,
         )
         self._shards = Shards(
             self._log,
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -18,7 +18,7 @@
 from sassafrasdoor.requests.attempts import fingerprint
 from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.requests.direct import DirectService
-from sassafrasdoor.routing import pace, placement, prompt_placement
+from sassafrasdoor.routing import pace, placement, prompt_placement, silence
 from sassafrasdoor.routing.replicas import SUSPECT_DURATION
 from sassafrasdoor.steps.durable.jobs import Job
 from sassafrasdoor.steps.durable.order import (
@@ -43,10 +43,11 @@
 # Seconds; covers a load of weights (0.9 s) and some seconds in a replica's full queue.
 FIRST_EVENT_TIMEOUT = 4.0
 GAP_TIMEOUT = 1.5  # seconds between events; ten times the usual 150 ms
-SILENT, MIGRATED, OUTDATED = "silent", "moved", "old version"
+SILENT, LATE, MIGRATED, OUTDATED = "silent", "late", "moved", "old version"
 # Log texts by ``Job.abort_reason``, which is set when this process cancels an attempt.
 ABORT_REASONS = {
     SILENT: "no events from the replica",
+    LATE: "no first event within the timeout",
     MIGRATED: "migrated from a slow replica",
     OUTDATED: "weights older than the step's minimum version",
 }
@@ -93,10 +94,12 @@
     """Runs the open items of owned shards and puts their records into the outboxes.
 
     ``prompt_of(item)`` returns the ``Prompt`` of an item, or None; without it and the
-    instance's ``settings`` items are placed by load alone.
+    instance's ``settings`` items are placed by load alone. ``pauses`` are the ``Pauses``
+    of this process; without them it counts as never paused.
     """
 
     __slots__ = (
+        "_activity",
         "_candidates",
         "_client",
         "_crashes",
@@ -104,6 +107,7 @@
         "_lengths",
         "_outboxes",
         "_owned_shards",
+        "_pauses",
         "_prompts",
         "_queue",
         "_replicas",
@@ -126,7 +130,10 @@
         settings=None,
         trainers=None,
         prompt_of=None,
+        pauses=None,
     ):
+        self._pauses = pauses
+        self._activity = {}
         self._trainers = trainers
         self._client = client
         self._settings = settings
@@ -486,6 +493,7 @@
         return lengths.events_left(job.item.expected, len(job.texts))
 
     def _start_attempt(self, job, replica):
+        self._service_activity(replica)
         job.attempts += 1
         job.started_at = job.started_at or now()
         job.avoid = ""
@@ -501,18 +509,57 @@
         for job in self._jobs.values():
             if job.task is None or job.abort_reason or job.sent_at is None:
                 continue
-            if self._is_silent(job):
-                job.abort_reason = SILENT
+            reason = self._silence_reason(job)
+            if reason:
+                job.abort_reason = reason
                 job.task.cancel()
 
-    def _is_silent(self, job):
+    def _silence_reason(self, job):
+        """Return why an attempt is given up because of silence, or an empty string."""
+        replica, moment = job.replica, now()
         if job.last_event_at is not None:
-            return passed(job.last_event_at + GAP_TIMEOUT)
-        replica = job.replica
-        return placement.is_unresponsive(
-            job.sent_at, replica.last_received_at, replica.is_loading, now()
+            silences = [(SILENT, job.last_event_at, GAP_TIMEOUT)]
+        else:
+            silences = [(LATE, job.sent_at, FIRST_EVENT_TIMEOUT)]
+            if placement.is_unresponsive(
+                job.sent_at, replica.last_received_at, replica.is_loading, moment
+            ):
+                since = max(job.sent_at, replica.last_received_at)
+                silences.append((SILENT, since, placement.UNRESPONSIVE_AFTER))
+        for reason, since, limit in silences:
+            if moment - since >= limit and self._is_given_up(job, since, limit):
+                return reason
+        return ""
+
+    def _is_given_up(self, job, since, limit):
+        """Return whether an attempt that is silent since then is repeated."""
+        listened = now() - since
+        if self._pauses is not None:
+            listened = self._pauses.running_seconds(since, now())
+        return self._service_activity(job.replica).is_given_up(
+            since, now(), limit, listened, self._has_idle_replica(job)
+        )
+
+    def _service_activity(self, replica):
+        service = replica.listing.service
+        if service not in self._activity:
+            self._activity[service] = silence.ServiceActivity(now())
+        return self._activity[service]
+
+    def _has_idle_replica(self, job):
+        """Return whether a replica without attempts could serve an item."""
+        spec, busy = job.step.spec, self._busy_replicas
+        required = placement.Requirement(spec.model, spec.min_version)
+        return any(
+            replica not in busy and placement.is_eligible(replica.candidate(), required)
+            for replica in self._replicas.of_service(job.replica.listing.service)
         )
 
+    @property
+    def _busy_replicas(self):
+        """The replicas with attempts in progress."""
+        return {job.replica for job in self._jobs.values() if job.task is not None}
+
     async def _run_attempt(self, job, replica):
         replica.state.started()
         prompt_use = job.prompt_use
@@ -528,14 +575,9 @@
         )
         job.abort_reason = ""
         try:
-            async with asyncio.timeout(FIRST_EVENT_TIMEOUT) as timeout:
-                result = await self._client.generate(
-                    replica,
-                    order,
-                    lambda event: self._handle_event(job, event, timeout),
-                )
-        except TimeoutError:
-            result = Broken("no first event within the timeout", began=True)
+            result = await self._client.generate(
+                replica, order, lambda event: self._handle_event(job, event)
+            )
         except asyncio.CancelledError:
             # Cancelled by this process: its item is listed, its step ended, its shard
             # lost, or the attempt aborted. Only an aborted attempt is repeated.
@@ -551,22 +593,33 @@
         job.task = None
         self._handle_result(job, replica, route, result)
 
-    def _handle_event(self, job, event, timeout):
+    def _handle_event(self, job, event):
         """Handle one event; return whether to continue the stream."""
         if event.version and event.version < job.step.spec.min_version:
             job.abort_reason = OUTDATED
             job.replica.record_version(job.step.spec.model, event.version)
             job.task.cancel()
             return False
-        timeout.reschedule(None)
-        if job.last_event_at is not None:
-            job.replica.record_event_interval(now() - job.last_event_at)
-        else:
+        if job.last_event_at is None:
             self._prompts.record_first_event(job)
+        elif not self._spans_shared_silence(job):
+            job.replica.record_event_interval(now() - job.last_event_at)
         job.append_event(event)
         job.replica.last_received_at = job.last_event_at
+        self._service_activity(job.replica).record(job.last_event_at)
         return True
 
+    def _spans_shared_silence(self, job):
+        """Return whether all busy replicas were silent since an attempt's last event.
+
+        The interval then says nothing of the replica's speed, unless it is the only one.
+        """
+        activity = self._service_activity(job.replica)
+        return (
+            activity.spans_silence(job.last_event_at, now())
+            and len(self._busy_replicas) > 1
+        )
+
     def _handle_result(self, job, replica, route, result):
         """Handle the result of an attempt."""
         ATTEMPTS.inc({"result": type(result).__name__})
@@ -583,7 +636,7 @@
         else:
             if job.abort_reason != MIGRATED:
                 replica.state.failed(SUSPECT_DURATION)
-            if job.abort_reason not in ABORT_REASONS:
+            if job.abort_reason == LATE or job.abort_reason not in ABORT_REASONS:
                 job.disconnected_at = now()
                 self._crashes.record_result(_ItemRequest(job), replica, result)
             self._requeue(job, replica, result.reason)
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -9,7 +9,7 @@
 from sassafrasdoor.backends.replicas import SampleFailed, WrongReplica
 from sassafrasdoor.clock import deadline_in, now, passed
 from sassafrasdoor.outcomes import NotRun
-from sassafrasdoor.routing import placement
+from sassafrasdoor.routing import placement, silence
 from sassafrasdoor.steps.durable import records, runner as module
 from sassafrasdoor.steps.durable.records import COMPLETED, ERRORED
 from sassafrasdoor.steps.durable.runner import Runner
@@ -230,6 +230,20 @@
         (sample,) = await self.samples(1)
         self.assertEqual(sample.text, "a\nb")
 
+    async def test_items_stay_while_all_replicas_are_silent(self):
+        """Guards against items that run twice since everybody was silent at once."""
+        for target, name, value in (
+            (module, "GAP_TIMEOUT", 0.2),
+            (silence, "MIN_SHARED_SILENCE", 0.05),
+        ):
+            self.addCleanup(setattr, target, name, getattr(target, name))
+            setattr(target, name, value)
+        silent = ([(0, "a", 1)], ScriptedClient.HANG)
+        await self.start(ScriptedClient(silent, silent), replicas(2), items=2)
+        await asyncio.sleep(1.6)
+        self.assertEqual({name for name, _, _ in self.client.sent}, {"e0", "e1"})
+        self.assertEqual(len(self.client.sent), 2)
+
     async def test_item_leaves_an_unresponsive_replica(self):
         placement.UNRESPONSIVE_AFTER = 0.2
         hanging = ([], ScriptedClient.HANG)
--- a/sassafrasdoor/tests/test_pauses.py
+++ b/sassafrasdoor/tests/test_pauses.py
@@ -24,13 +24,13 @@
             self.run_until(begin, begin + 1.0)
         self.run_until(9.0, 10.0)
         running = self.pauses.running_seconds(0.0, 10.0)
-        self.assertAlmostEqual(running, 4.0 + 3 * TICK_INTERVAL)
+        self.assertAlmostEqual(running, 4.0)
 
     def test_pause_counts_before_its_tick(self):
         """Guards against a timer that runs first after a pause, before the next tick."""
         self.run_until(0.0, 1.0)
         running = self.pauses.running_seconds(0.5, 3.0)
-        self.assertAlmostEqual(running, 0.5 + TICK_INTERVAL)
+        self.assertAlmostEqual(running, 0.5)
 
     def test_only_the_part_of_a_pause_after_the_begin_is_left_out(self):
         self.run_until(0.0, 1.0)
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -17,6 +17,7 @@
     "routing/overload.py": "which calls are sent, wait or are refused under overload",
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
     "routing/load_exchange.py": "which load reports entry points send each other, when",
+    "routing/silence.py": "whether a silent attempt at an item is given up",
     "routing/subsets.py": "which replica gets a call, so that few connections open",
     "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
@@ -33,6 +34,7 @@
 ALLOWED = PURE_LIBRARIES | {
     "sassafrasdoor.duties.usage",
     "sassafrasdoor.duties.watermarks",
+    "sassafrasdoor.gaps",
     "sassafrasdoor.outcomes",
     "sassafrasdoor.routing.engine_speed",
     "sassafrasdoor.rendezvous",
