A claim lapses only by a read after the time to renew it

Callers saw: a step's items begun anew at another instance although its runner lived and was reached (8 runs for 4 items, shard.lost).

--- a/sassafrasdoor/steps/durable/shards.py
+++ b/sassafrasdoor/steps/durable/shards.py
@@ -160,10 +160,11 @@
         An unreachable log shows nothing: if it is down for all, the holder cannot renew
         either. Claims sent meanwhile would be appended on its return, one of them would
         count, and steps and loads would stall until all processes agree on it. So the
-        shard must have been read to its end after the lapse.
+        shard must have been read to its end after the lapse; a second outage may have
+        begun, unnoticed so far, before the holder could renew after the first.
         """
         tail = self._tails[shard]
-        if tail.confirmed_at >= claim.seen_at + LEASE_TIMEOUT:
+        if tail.confirmed_at >= self._lapses_at(shard, claim):
             return True
         if shard not in self._confirming:
             self._confirming.add(shard)
@@ -185,9 +186,13 @@
             return claim.seen_at
         if claim.released or self._has_ended(claim):
             return claim.seen_at + rank_delay
+        return self._lapses_at(shard, claim) + rank_delay
+
+    def _lapses_at(self, shard, claim):
+        """Return when a claim lapses that is not renewed until then."""
         # While the log was down, renewals could be neither sent nor seen.
         restored_at = self._tails[shard].restored_at or LONG_AGO
-        return max(claim.seen_at, restored_at) + LEASE_TIMEOUT + rank_delay
+        return max(claim.seen_at, restored_at) + LEASE_TIMEOUT
 
     def _has_ended(self, claim):
         """Say whether the process of a claim is known to have ended."""
--- a/sassafrasdoor/steps/durable/tests/test_shards.py
+++ b/sassafrasdoor/steps/durable/tests/test_shards.py
@@ -217,6 +217,29 @@
         await self.until(lambda: second.steps.claims[0].offset > renewed)
         self.assertEqual((first.events, second.events), (["gained"], []))
 
+    async def test_no_claim_in_the_second_of_two_silences(self):
+        """Guards against a claim that lapses in a silence shortly after another one.
+
+        Between the two the holder could not renew: the time for it ends in the second.
+        """
+        log = SilentLog()
+        first, second = Instance(log, "one/1", 0), Instance(log, "two/1", 1)
+        timeout, module.LEASE_TIMEOUT = module.LEASE_TIMEOUT, 1.0
+        self.addCleanup(setattr, module, "LEASE_TIMEOUT", timeout)
+        for instance in (first, second):
+            instance.start()
+            self.addCleanup(instance.stop)
+        await log.append(TOPIC, 0, encode_step(spec(), 10_000), deadline_in(1))
+        await self.until(lambda: first.holds and 0 in second.steps.claims)
+        first.stop()
+        log.silent = True
+        await self.until(lambda: second.tail.failing_since is not None)
+        log.silent = False
+        await self.until(lambda: second.tail.failing_since is None)
+        log.silent = True
+        await asyncio.sleep(2 * module.LEASE_TIMEOUT)
+        self.assertEqual(log.held, [])
+
     async def until(self, condition):
         limit = deadline_in(20)
         while not condition():
