A reply that arrived before a timeout ends counts, also after a pause

Callers saw: 504, outcome unknown, for a step that the store had refused.

Cause: after a pause of the process the timer of a deadline runs in the same turn of the event loop in which the reply is read from its socket, and cancels the task before it sees it.

Change: SettlingTimeout turns the event loop a few times more before it expires. It is used for all exchanges of Connections (store, relays, replicas, peers, duties), and where the same fault was found: the deadline of a call, that of a stream, and the silence after which a resumable stream moves. A request whose deadline has passed is not sent in these turns.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -21,6 +21,7 @@
 from sassafrasdoor.backends.interface import Broken, Refused
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.metrics import counter
+from sassafrasdoor.timeouts import SettlingTimeout
 
 CONNECT_TIMEOUT = 0.4  # seconds
 KEEPALIVE_IDLE = 1  # whole seconds
@@ -166,7 +167,7 @@
         """
         is_sending = False
         try:
-            async with asyncio.timeout_at(request.deadline):
+            async with SettlingTimeout(request.deadline):
                 stream = (
                     None if request.fresh else self._take_idle(address, oldest_first)
                 )
@@ -174,6 +175,9 @@
                     stream = await self._open(address)
                 if not stream:
                     return stream
+                if request.deadline is not None and passed(request.deadline):
+                    stream.close()
+                    return Broken("timeout", began=False)
                 is_sending = True
                 return await self._exchange(address, stream, request, accept, on_data)
         except TimeoutError:
@@ -193,7 +197,7 @@
         host, _, port = address.rpartition(":")
         stream = IOStream(_create_socket(), max_buffer_size=2 * MAX_BODY_BYTES)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
+            async with SettlingTimeout(deadline_in(CONNECT_TIMEOUT)):
                 await stream.connect((host, int(port)))
         except TimeoutError:
             stream.close()
--- a/sassafrasdoor/backends/tests/test_connections.py
+++ b/sassafrasdoor/backends/tests/test_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 import unittest
 
 from sassafrasdoor.backends.connections import Connections, OutgoingRequest, Reply
@@ -19,10 +20,15 @@
 
 
 class ScriptedServer:
-    """Replies to requests by a script of ``(bytes, ending)``."""
+    """Replies to requests by a script of ``(bytes, ending)``.
+
+    After each reply the whole process, which is also the client's, does not run for
+    ``pause`` seconds.
+    """
 
     def __init__(self, *script):
         self.script = list(script)
+        self.pause = 0.0
         self.connections = 0
         self.requests = 0
         self.client_closed = asyncio.Event()
@@ -45,6 +51,7 @@
                 name = head.partition(b"\r\nId: ")[2].partition(b"\r\n")[0]
                 writer.write(data.replace(b"{id}", name))
                 await writer.drain()
+                time.sleep(self.pause)  # noqa: ASYNC251
                 if ending != OPEN:
                     self._end(writer, ending)
                     return
@@ -182,6 +189,12 @@
         reply = await self.send(seconds=-1.0)
         self.assertEqual((reply.reason, reply.began), ("timeout", False))
 
+    async def test_reply_that_arrived_during_a_pause_is_returned(self):
+        """Guards against a refusal reported as unknown after a pause of the process."""
+        await self.start((COMPLETE_REPLY, OPEN))
+        self.server.pause = 0.4
+        self.assertIsInstance(await self.send(seconds=0.2), Reply)
+
     async def test_refused_connection_differs_from_a_listening_server(self):
         await self.start()
         self.assertIs(await self.connections.try_connect(self.address), True)
--- a/sassafrasdoor/requests/direct.py
+++ b/sassafrasdoor/requests/direct.py
@@ -13,6 +13,7 @@
 )
 from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.table.routes import Repeat
+from sassafrasdoor.timeouts import SettlingTimeout
 
 # Fraction of the target latency after which a repeatable request is sent once more. A
 # second send of typical duration (a fifth of the target) still ends within the target.
@@ -57,7 +58,7 @@
         """Send until there is a final outcome; return it as ``answer`` does."""
         open_usage(self._usage, attempts)
         try:
-            async with asyncio.timeout_at(attempts.request.deadline):
+            async with SettlingTimeout(attempts.request.deadline):
                 result = await self._run(attempts)
         except TimeoutError:
             result = attempts.timeout_outcome()
--- a/sassafrasdoor/requests/streaming.py
+++ b/sassafrasdoor/requests/streaming.py
@@ -9,6 +9,7 @@
 from abc import ABC, abstractmethod
 
 from sassafrasdoor.backends.interface import Answer, Broken
+from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Unknown
 from sassafrasdoor.requests.access import Unauthorized
@@ -21,6 +22,7 @@
 )
 from sassafrasdoor.requests.crash_watch import CrashWatch, Quarantined
 from sassafrasdoor.table.routes import Repeat
+from sassafrasdoor.timeouts import SettlingTimeout
 
 # Seconds without an event before a resumable stream moves to another replica: ten times
 # the typical interval of 150 ms, and below the 2 s after which callers give up.
@@ -82,8 +84,7 @@
     def restart_timeout(self):
         """Restart the silence timeout."""
         if self.timeout is not None:
-            at = asyncio.get_running_loop().time() + SILENCE_TIMEOUT
-            self.timeout.reschedule(at)
+            self.timeout.reschedule(deadline_in(SILENCE_TIMEOUT))
 
 
 class StreamService:
@@ -108,7 +109,7 @@
         relay = _StreamRelay(caller)
         open_usage(self._usage, attempts)
         try:
-            async with asyncio.timeout_at(request.deadline):
+            async with SettlingTimeout(request.deadline):
                 result = await self._run(attempts, relay)
         except TimeoutError:
             result = attempts.timeout_outcome()
@@ -156,11 +157,11 @@
         call = attempts.begin_send(replica, "resumed" if relay.begun else "first")
         call.after = relay.last_event
         resumable = attempts.request.route.repeat is Repeat.RESUME
-        silence = SILENCE_TIMEOUT if resumable else None
+        silence_deadline = deadline_in(SILENCE_TIMEOUT) if resumable else None
         attempts.running[asyncio.current_task()] = replica
         replica.state.started()
         try:
-            async with asyncio.timeout(silence) as timeout:
+            async with SettlingTimeout(silence_deadline) as timeout:
                 relay.timeout = timeout if resumable else None
                 result = await self._client.stream(replica, call, relay)
                 if result is True:
