After a pause no append is begun without time for its reply

Callers saw: 504, outcome unknown, for a step that the store had refused.

Cause: a submission that was refused waits 0.2 s before its next attempt; a pause in that wait left 0.03 s of its 3 s, the append had no time for its reply, and a certain refusal became an unknown outcome.

Change: the time left is looked at again after the wait.

--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -145,6 +145,9 @@
             if remaining(submit_deadline) < RETRY_DELAY + MIN_APPEND_TIMEOUT:
                 break
             await asyncio.sleep(RETRY_DELAY)
+            # The process may have been paused.
+            if remaining(submit_deadline) < MIN_APPEND_TIMEOUT:
+                break
         if is_unknown:
             return Unknown(f"append without reply: {result.reason}")
         return NotRun(f"log away: {result.reason}", RETRY_AFTER)
--- a/sassafrasdoor/steps/durable/tests/test_service.py
+++ b/sassafrasdoor/steps/durable/tests/test_service.py
@@ -1,6 +1,7 @@
 """Tests of the answers to trainers, with each fault of the log."""
 
 import asyncio
+import time
 import unittest
 
 from sassafrasdoor.clock import deadline_in, now, remaining
@@ -130,6 +131,20 @@
         self.assertGreater(len(timeouts), 2)
         self.assertGreater(min(timeouts), module.MIN_APPEND_TIMEOUT / 2)
 
+    async def test_last_append_after_a_pause_has_the_minimum_timeout(self):
+        """Guards against an unknown outcome of an append that had no time left."""
+        timeouts = []
+
+        async def refuse(topic, part, data, deadline):
+            timeouts.append(remaining(deadline))
+            # The process is paused before the next attempt.
+            asyncio.get_running_loop().call_later(0.05, time.sleep, 1.1)
+            return Unavailable("down")
+
+        self.log.append = refuse
+        self.assertIsInstance(await self.submit(), NotRun)
+        self.assertGreaterEqual(min(timeouts), module.MIN_APPEND_TIMEOUT - 0.05)
+
     async def test_step_is_forwarded_when_the_log_is_unreachable(self):
         """Guards against a submission held at an instance that cannot reach the log."""
         self.log.down = True
