After a pause an instance does not take all others for gone

Callers would see: an instance that after a pause of some seconds names only itself in the directory, knows no relay, and counts itself first in every ranking until its next read.

Cause: records lapse by the time at which the list's end was read, which was taken when the answer was handled. An answer that had lain in the socket during the pause counted from the pause's end, with no renewal since.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -74,7 +74,8 @@
     - ``confirmed_at``: when the last read that reached the end was sent; None if there
       was none since the partition is followed.
     - ``confirmed_boot_at``: the same by ``boot_now``, which counts suspension.
-    - ``end_reached_at``: when that read was answered, ``LONG_AGO`` before the first.
+    - ``end_reached_at``: when that read was answered, ``LONG_AGO`` before the first; not
+      later than it can have been answered.
     - ``failing_since``: when reads began to fail, None while they succeed.
     - ``restored_at``: when reads last began to succeed again, None before.
     - ``last_outage``: the last ``Outage`` that has ended, None before.
@@ -226,7 +227,9 @@
         ``suspended`` is by how much the clocks differed at or before the time at which
         the read was sent; taken later it would include a suspension during the read.
         """
-        self.confirmed_at, self.end_reached_at = sent_at, now()
+        self.confirmed_at = sent_at
+        # After a pause of this process an answer may have waited for it for long.
+        self.end_reached_at = min(now(), sent_at + LONG_POLL_TIMEOUT + READ_SLACK)
         self.confirmed_boot_at = sent_at + suspended
 
     @property
--- a/sassafrasdoor/routing/tests/test_instances.py
+++ b/sassafrasdoor/routing/tests/test_instances.py
@@ -7,6 +7,7 @@
 
 from sassafrasdoor import settings
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now
+from sassafrasdoor.log import tail
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.partitioned import keyed_record, split_keyed
 from sassafrasdoor.log.tail import Outage
@@ -134,6 +135,23 @@
         self.instances[0]._view = None
         self.assertLessEqual(peers, set(self.instances[0].addresses("c")))
 
+    async def test_answer_that_waited_during_a_pause_lapses_no_record(self):
+        """Guards against an instance that after a pause takes all others for gone."""
+        first, pause = self.instances[0], 10.0
+        read, offset = first._log.read, [0.0]
+
+        async def read_before_a_pause(*arguments):
+            result = await read(*arguments)
+            offset[0] = pause
+            return result
+
+        with (
+            mock.patch.object(first._log, "read", read_before_a_pause),
+            mock.patch.object(tail, "now", lambda: now() + offset[0]),
+        ):
+            await first.tail.poll(0)
+        self.assertEqual(first.alive_count, 5)
+
     async def test_end_of_an_outage_does_not_restore_lapsed_records(self):
         """Guards against callers sent to an instance that ended a minute ago.
 
