Streams stay where they are while all replicas are silent

Change: the silences of a service belong to Replicas, so that data of samples and of streams show alike that its replicas live; the timeout of a stream asks before it expires. Silences replaces ServiceActivity.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -41,6 +41,7 @@
 from sassafrasdoor.routing.instances import STEP_READERS_KEY, Instances
 from sassafrasdoor.routing.load_datagrams import LoadDatagrams
 from sassafrasdoor.routing.replicas import Replicas, Subset
+from sassafrasdoor.routing.silence import Silences
 from sassafrasdoor.steps.durable.outbox import Outbox
 from sassafrasdoor.steps.durable.runner import Runner
 from sassafrasdoor.steps.durable.service import SHARD_COUNT, TOPIC, StepService
@@ -134,6 +135,7 @@
             settings.instance.availability_zone,
             settings.heartbeat,
             settings.has_load_control,
+            Silences(self._loop_monitor.pauses),
         )
         self._replicas.on_restart(self._client.forget)
         if uses_subsets:
@@ -201,7 +203,6 @@
             settings,
             self._trainers,
             prompt_of,
-            self._loop_monitor.pauses,
         )
         self._shards = Shards(
             self._log,
--- a/sassafrasdoor/requests/streaming.py
+++ b/sassafrasdoor/requests/streaming.py
@@ -9,7 +9,7 @@
 from abc import ABC, abstractmethod
 
 from sassafrasdoor.backends.interface import Answer, Broken
-from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.clock import deadline_in, now
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Unknown
 from sassafrasdoor.requests.access import Unauthorized
@@ -44,12 +44,26 @@
 
 
 class _StreamRelay:
-    """Relays one stream; ``last_event`` is the number of the last event sent."""
-
-    __slots__ = ("_caller", "_headers", "begun", "last_event", "timeout")
-
-    def __init__(self, caller):
+    """Relays one stream; ``last_event`` is the number of the last event sent.
+
+    ``record_data()`` is called with each event that arrives. ``silent_since`` is the
+    monotonic time since which no event has arrived.
+    """
+
+    __slots__ = (
+        "_caller",
+        "_headers",
+        "_record_data",
+        "begun",
+        "last_event",
+        "silent_since",
+        "timeout",
+    )
+
+    def __init__(self, caller, record_data):
         self._caller = caller
+        self._record_data = record_data
+        self.silent_since = now()
         self._headers = None
         self.begun = False
         self.last_event = None
@@ -62,6 +76,7 @@
 
     async def event(self, number, block):
         """Send an event, preceded by the headers if they are not sent yet."""
+        self._record_data()
         # The time that a slow caller needs does not count as silence of the replica.
         self.stop_timeout()
         await self.begin()
@@ -83,6 +98,7 @@
 
     def restart_timeout(self):
         """Restart the silence timeout."""
+        self.silent_since = now()
         if self.timeout is not None:
             self.timeout.reschedule(deadline_in(SILENCE_TIMEOUT))
 
@@ -106,7 +122,7 @@
         which may also follow after a part was sent to the ``StreamCaller``.
         """
         attempts = Attempts(request)
-        relay = _StreamRelay(caller)
+        relay = _StreamRelay(caller, lambda: self._record_data(attempts.service))
         open_usage(self._usage, attempts)
         try:
             async with SettlingTimeout(request.deadline):
@@ -153,15 +169,37 @@
             return attempts.give_up(last)
         return attempts.final_outcome(last)
 
+    def _record_data(self, service):
+        self._replicas.silences.record_data(service, now())
+
+    def _is_given_up(self, attempts, relay):
+        """Return whether a stream that is silent goes on at another replica."""
+        has_idle_replica = any(
+            replica.state.in_flight == 0 and not replica.state.is_suspect
+            for replica in self._replicas.of_service(attempts.service)
+            if replica.identity not in attempts.tried
+        )
+        return self._replicas.silences.is_given_up(
+            attempts.service,
+            relay.silent_since,
+            now(),
+            SILENCE_TIMEOUT,
+            has_idle_replica,
+        )
+
     async def _attempt(self, attempts, relay, replica):
         call = attempts.begin_send(replica, "resumed" if relay.begun else "first")
         call.after = relay.last_event
         resumable = attempts.request.route.repeat is Repeat.RESUME
         silence_deadline = deadline_in(SILENCE_TIMEOUT) if resumable else None
+        self._replicas.silences.record_start(attempts.service, now())
+        relay.silent_since = now()
         attempts.running[asyncio.current_task()] = replica
         replica.state.started()
         try:
-            async with SettlingTimeout(silence_deadline) as timeout:
+            async with SettlingTimeout(
+                silence_deadline, lambda: self._is_given_up(attempts, relay)
+            ) as timeout:
                 relay.timeout = timeout if resumable else None
                 result = await self._client.stream(replica, call, relay)
                 if result is True:
--- a/sassafrasdoor/requests/tests/test_streaming.py
+++ b/sassafrasdoor/requests/tests/test_streaming.py
@@ -18,6 +18,7 @@
     NOT_SENT,
     direct_request,
 )
+from sassafrasdoor.routing import silence
 from sassafrasdoor.steps.durable.tests.fixtures import replicas, route
 from sassafrasdoor.table.routes import Repeat
 
@@ -113,6 +114,25 @@
         self.assertIsInstance(result, Unknown)
         self.assertEqual(len(self.client.calls), 2)
 
+    async def test_resumable_stream_stays_while_all_replicas_are_silent(self):
+        """Guards against streams that run twice since everybody was silent at once."""
+        service = StreamService(Client([]), replicas(2))
+        client = service._client
+        client.script = [(1, HANG), (1, HANG), (1, True)]
+        request = direct_request(route(repeat=Repeat.RESUME, streams=True), 20.0)
+        with (
+            mock.patch.object(streaming, "SILENCE_TIMEOUT", 0.2),
+            mock.patch.object(silence, "MIN_SHARED_SILENCE", 0.05),
+        ):
+            for _ in range(2):
+                streaming_task = asyncio.ensure_future(
+                    service.answer(request, Caller())
+                )
+                self.addCleanup(streaming_task.cancel)
+            await asyncio.sleep(0.6)
+        self.assertEqual({name for name, _ in client.calls}, {"e0", "e1"})
+        self.assertEqual(len(client.calls), 2)
+
     async def test_resumable_stream_leaves_a_silent_replica(self):
         """Guards against a stalled text that only the deadline ends.
 
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -14,6 +14,7 @@
 from sassafrasdoor.routing.overload import LoadReport
 from sassafrasdoor.routing.placement import Candidate
 from sassafrasdoor.routing.prompt_cache import PromptCache
+from sassafrasdoor.routing.silence import Silences
 
 # Seconds without work after a failure, doubled with each further one in a row: a
 # restarted replica is soon tried again, a dead one costs one call in eight seconds.
@@ -343,7 +344,8 @@
     ``heartbeat`` is the seconds between two heartbeats of a replica; ``list_tail`` is
     the reader of the platform's list, or None. ``has_load_control`` says that the parts for
     heavy load apply to all services. ``subset`` is the ``Subset`` of this
-    instance, None if calls are not concentrated on few replicas.
+    instance, None if calls are not concentrated on few replicas. ``silences`` are the
+    ``Silences`` of the services' replicas.
     """
 
     __slots__ = (
@@ -355,12 +357,18 @@
         "_restart_callbacks",
         "_zone",
         "list_tail",
+        "silences",
         "subset",
     )
 
     def __init__(
-        self, zone, heartbeat=DEFAULT_HEARTBEAT_INTERVAL, has_load_control=False
+        self,
+        zone,
+        heartbeat=DEFAULT_HEARTBEAT_INTERVAL,
+        has_load_control=False,
+        silences=None,
     ):
+        self.silences = silences or Silences()
         self._zone = zone
         self._has_load_control = has_load_control
         self._heartbeat = heartbeat
--- a/sassafrasdoor/routing/silence.py
+++ b/sassafrasdoor/routing/silence.py
@@ -1,4 +1,4 @@
-"""Decides whether a silent attempt at an item is given up, or waits where it is.
+"""Decides whether a silent attempt at an item or stream is given up, or waits.
 
 Load pattern: all replicas of a service, or the path to them, are silent at once for a
 second or two, several times in a row: machines without processor time, a cut link. An
@@ -20,30 +20,44 @@
 MAX_SHARED_SILENCE = 10.0
 
 
-class ServiceActivity:
-    """When data arrived from any replica of a service; ``moment``s are monotonic."""
+class Silences:
+    """When data arrived from any replica, by service; times are monotonic.
 
-    __slots__ = ("_gaps",)
+    ``pauses`` are the ``Pauses`` of this process; without them it counts as never paused.
+    """
 
-    def __init__(self, moment):
-        self._gaps = Gaps(moment, MIN_SHARED_SILENCE)
+    __slots__ = ("_gaps", "_pauses")
 
-    def record(self, moment):
-        """Record that data has arrived."""
-        self._gaps.tick(moment)
+    def __init__(self, pauses=None):
+        self._pauses = pauses
+        self._gaps = {}
 
-    def spans_silence(self, since, moment):
+    def record_start(self, service, moment):
+        """Record that an attempt was started: from now on silence can be observed."""
+        if service not in self._gaps:
+            self._gaps[service] = Gaps(moment, MIN_SHARED_SILENCE)
+
+    def record_data(self, service, moment):
+        """Record that data has arrived from a replica of a service."""
+        self.record_start(service, moment)
+        self._gaps[service].tick(moment)
+
+    def spans_shared(self, service, since, moment):
         """Return whether a period that ends now contains a shared silence."""
-        return self._gaps.seconds_outside(since, moment) < moment - since
+        return self._gaps[service].seconds_outside(since, moment) < moment - since
 
-    def is_given_up(self, since, moment, limit, listened, has_idle_replica):
+    def is_given_up(self, service, since, moment, limit, has_idle_replica):
         """Return whether an attempt that has been silent since ``since`` is repeated.
 
-        ``limit`` is the silence in seconds after which it is, ``listened`` the seconds
-        of it in which this process ran. ``has_idle_replica`` says whether an eligible
-        replica has no attempt in progress: that it is silent too means nothing.
+        ``limit`` is the silence in seconds after which it is. ``has_idle_replica`` says
+        whether an eligible replica has nothing in progress: that it is silent too means
+        nothing.
         """
+        listened = moment - since
+        if self._pauses is not None:
+            listened = self._pauses.running_seconds(since, moment)
         if listened < limit:
             return False
-        silent = self._gaps.seconds_outside(since, moment, has_idle_replica)
+        gaps = self._gaps[service]
+        silent = gaps.seconds_outside(since, moment, has_idle_replica)
         return silent >= limit or listened >= MAX_SHARED_SILENCE
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -18,7 +18,7 @@
 from sassafrasdoor.requests.attempts import fingerprint
 from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.requests.direct import DirectService
-from sassafrasdoor.routing import pace, placement, prompt_placement, silence
+from sassafrasdoor.routing import pace, placement, prompt_placement
 from sassafrasdoor.routing.replicas import SUSPECT_DURATION
 from sassafrasdoor.steps.durable.jobs import Job
 from sassafrasdoor.steps.durable.order import (
@@ -94,12 +94,10 @@
     """Runs the open items of owned shards and puts their records into the outboxes.
 
     ``prompt_of(item)`` returns the ``Prompt`` of an item, or None; without it and the
-    instance's ``settings`` items are placed by load alone. ``pauses`` are the ``Pauses``
-    of this process; without them it counts as never paused.
+    instance's ``settings`` items are placed by load alone.
     """
 
     __slots__ = (
-        "_activity",
         "_candidates",
         "_client",
         "_crashes",
@@ -107,7 +105,6 @@
         "_lengths",
         "_outboxes",
         "_owned_shards",
-        "_pauses",
         "_prompts",
         "_queue",
         "_replicas",
@@ -130,10 +127,7 @@
         settings=None,
         trainers=None,
         prompt_of=None,
-        pauses=None,
     ):
-        self._pauses = pauses
-        self._activity = {}
         self._trainers = trainers
         self._client = client
         self._settings = settings
@@ -493,7 +487,7 @@
         return lengths.events_left(job.item.expected, len(job.texts))
 
     def _start_attempt(self, job, replica):
-        self._service_activity(replica)
+        self._replicas.silences.record_start(replica.listing.service, now())
         job.attempts += 1
         job.started_at = job.started_at or now()
         job.avoid = ""
@@ -533,19 +527,14 @@
 
     def _is_given_up(self, job, since, limit):
         """Return whether an attempt that is silent since then is repeated."""
-        listened = now() - since
-        if self._pauses is not None:
-            listened = self._pauses.running_seconds(since, now())
-        return self._service_activity(job.replica).is_given_up(
-            since, now(), limit, listened, self._has_idle_replica(job)
+        return self._replicas.silences.is_given_up(
+            job.replica.listing.service,
+            since,
+            now(),
+            limit,
+            self._has_idle_replica(job),
         )
 
-    def _service_activity(self, replica):
-        service = replica.listing.service
-        if service not in self._activity:
-            self._activity[service] = silence.ServiceActivity(now())
-        return self._activity[service]
-
     def _has_idle_replica(self, job):
         """Return whether a replica without attempts could serve an item."""
         spec, busy = job.step.spec, self._busy_replicas
@@ -606,7 +595,9 @@
             job.replica.record_event_interval(now() - job.last_event_at)
         job.append_event(event)
         job.replica.last_received_at = job.last_event_at
-        self._service_activity(job.replica).record(job.last_event_at)
+        self._replicas.silences.record_data(
+            job.replica.listing.service, job.last_event_at
+        )
         return True
 
     def _spans_shared_silence(self, job):
@@ -614,9 +605,9 @@
 
         The interval then says nothing of the replica's speed, unless it is the only one.
         """
-        activity = self._service_activity(job.replica)
+        service = job.replica.listing.service
         return (
-            activity.spans_silence(job.last_event_at, now())
+            self._replicas.silences.spans_shared(service, job.last_event_at, now())
             and len(self._busy_replicas) > 1
         )
 
--- a/sassafrasdoor/timeouts.py
+++ b/sassafrasdoor/timeouts.py
@@ -5,6 +5,7 @@
 # Turns of the event loop that a reply takes from its socket to the task that waits for
 # it: the read, the wake-up of the task, and those of the tasks in between.
 SETTLE_TURNS = 10
+RETRY_INTERVAL = 0.1  # seconds until a timeout that may not expire is looked at again
 
 
 class SettlingTimeout:
@@ -13,12 +14,15 @@
     After a pause of the process its timers run before the tasks whose replies lie in
     their sockets. A reply would be lost and, if it was a refusal, reported as an unknown
     outcome. The event loop is turned a few times more; that takes no time otherwise.
+
+    ``may_expire()`` is asked then, and again until it returns True.
     """
 
-    __slots__ = ("_deadline", "_handle", "_loop", "_timeout")
+    __slots__ = ("_deadline", "_handle", "_loop", "_may_expire", "_timeout")
 
-    def __init__(self, deadline):
+    def __init__(self, deadline, may_expire=None):
         self._deadline = deadline
+        self._may_expire = may_expire
         self._handle = None
         self._loop = asyncio.get_running_loop()
         self._timeout = asyncio.timeout(None)
@@ -41,6 +45,8 @@
     def _settle(self, turns):
         if turns:
             self._handle = self._loop.call_soon(self._settle, turns - 1)
+        elif self._may_expire is not None and not self._may_expire():
+            self.reschedule(self._loop.time() + RETRY_INTERVAL)
         else:
             self._handle = None
             self._timeout.reschedule(self._loop.time())
