An instance that is paused gets no body that it could handle later

Cause: the whole call lay in the socket of the paused peer, which would handle it when it resumes.

Evidence: test_paused_server_cannot_handle_a_body_that_it_did_not_ask_for; test_body_is_sent_once_the_server_asks_for_it with real servers, up to 500 kB.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -30,6 +30,7 @@
 USER_TIMEOUT_MS = 2500  # in which sent bytes must be acknowledged
 DEFAULT_IDLE_TIMEOUT = 0.5  # seconds, for servers that name none
 IDLE_TIMEOUT_MARGIN = 0.6  # seconds before the server's own idle timeout
+CONTINUE = 100  # status by which a server asks for a request's body
 MAX_IDLE_CONNECTIONS = 64  # connections to one address
 MAX_HEADER_BYTES = 65536
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -40,13 +41,36 @@
 
 
 class OutgoingRequest:
-    """A request; ``deadline`` is monotonic, ``fresh`` forbids a reused connection."""
-
-    __slots__ = ("body", "deadline", "fresh", "headers", "method", "path")
+    """A request; ``deadline`` is monotonic, ``fresh`` forbids a reused connection.
+
+    If it ``awaits_continue`` its body is sent once the server has asked for it (status
+    100, RFC 9110): a server that is paused cannot handle it later. ``is_sent`` says
+    whether a server may handle the request.
+    """
+
+    __slots__ = (
+        "awaits_continue",
+        "body",
+        "deadline",
+        "fresh",
+        "headers",
+        "is_sent",
+        "method",
+        "path",
+    )
 
     def __init__(
-        self, method, path, headers=None, body=b"", deadline=None, fresh=False
+        self,
+        method,
+        path,
+        headers=None,
+        body=b"",
+        deadline=None,
+        fresh=False,
+        awaits_continue=False,
     ):
+        self.awaits_continue = awaits_continue and bool(body)
+        self.is_sent = False
         self.method = method
         self.path = path
         self.headers = headers or {}
@@ -67,13 +91,17 @@
 
 
 class _ReplyReceiver(HTTPMessageDelegate):
-    """Receives one reply; ``accept(status, headers)`` returns a reason to refuse it."""
+    """Receives one reply; ``accept(status, headers)`` returns a reason to refuse it.
+
+    ``on_continue()`` is called when the server asks for the request's body.
+    """
 
     def __init__(self, accept, on_data):
         self._accept = accept
         self._on_data = on_data
         self._body_chunks = []
         self.close = lambda: None
+        self.on_continue = lambda: None
         self.status = 0
         self.headers = None
         self.refusal_reason = ""
@@ -86,6 +114,8 @@
     def headers_received(self, start_line, headers):
         self.status = start_line.code
         self.headers = headers
+        if start_line.code == CONTINUE:
+            self.on_continue()
         if start_line.code >= 200 and self._accept is not None:
             self.refusal_reason = self._accept(start_line.code, headers) or ""
         if self.refusal_reason:
@@ -165,7 +195,6 @@
         connection that has been idle longest instead of the last one used: in turn all
         are used within their idle timeout, so that calls that overlap find one each.
         """
-        is_sending = False
         try:
             async with SettlingTimeout(request.deadline):
                 stream = (
@@ -178,10 +207,9 @@
                 if request.deadline is not None and passed(request.deadline):
                     stream.close()
                     return Broken("timeout", began=False)
-                is_sending = True
                 return await self._exchange(address, stream, request, accept, on_data)
         except TimeoutError:
-            return Broken("timeout", began=is_sending)
+            return Broken("timeout", began=request.is_sent)
 
     def _take_idle(self, address, oldest_first):
         pool = self._idle.get(address)
@@ -222,34 +250,31 @@
         connection = HTTP1Connection(stream, True, self._parameters)
         pooled = False
         try:
-            headers = HTTPHeaders(request.headers)
-            headers["Content-Length"] = str(len(request.body))
-            start_line = RequestStartLine(request.method, request.path, "HTTP/1.1")
-            connection.write_headers(start_line, headers, request.body or None)
-            connection.finish()
+            _send(connection, request, receiver)
             await connection.read_response(receiver)
-            failure = self._reply_error(stream, receiver)
+            failure = self._reply_error(stream, request, receiver)
             if failure is not None:
                 return failure
-            pooled = self._keep_idle(address, stream, receiver.headers)
+            pooled = request.is_sent and self._keep_idle(
+                address, stream, receiver.headers
+            )
             return Reply(receiver.status, receiver.headers, receiver.body)
         except (StreamClosedError, HTTPInputError, OSError) as error:
-            return Broken(
-                receiver.refusal_reason or f"connection lost: {error}", began=True
-            )
+            reason = receiver.refusal_reason or f"connection lost: {error}"
+            return Broken(reason, began=request.is_sent)
         finally:
             if not pooled:
                 stream.close()
 
-    def _reply_error(self, stream, receiver):
+    def _reply_error(self, stream, request, receiver):
         if receiver.refusal_reason:
-            return Broken(receiver.refusal_reason, began=True)
+            return Broken(receiver.refusal_reason, began=request.is_sent)
         if not receiver.is_complete:
-            return Broken("reply cut or not understood", began=True)
+            return Broken("reply cut or not understood", began=request.is_sent)
         # A reply without length ends with its connection, and the protocol reader
         # can't distinguish a reset from that end.
         if stream.closed() and stream.error is not None:
-            return Broken(f"connection reset: {stream.error}", began=True)
+            return Broken(f"connection reset: {stream.error}", began=request.is_sent)
         return None
 
     def _keep_idle(self, address, stream, headers):
@@ -266,6 +291,28 @@
         return True
 
 
+def _send(connection, request, receiver):
+    """Send a request, or its head if its body awaits the server's answer to that."""
+    headers = HTTPHeaders(request.headers)
+    headers["Content-Length"] = str(len(request.body))
+    start_line = RequestStartLine(request.method, request.path, "HTTP/1.1")
+
+    def send_body():
+        if not request.is_sent:
+            request.is_sent = True
+            connection.write(request.body)
+            connection.finish()
+
+    if request.awaits_continue:
+        headers["Expect"] = "100-continue"
+        receiver.on_continue = send_body
+        connection.write_headers(start_line, headers)
+        return
+    request.is_sent = True
+    connection.write_headers(start_line, headers, request.body or None)
+    connection.finish()
+
+
 def _system_error(error):
     """Return the operating system's error that caused a stream error."""
     return getattr(error, "real_error", None) or error
--- a/sassafrasdoor/backends/tests/test_connections.py
+++ b/sassafrasdoor/backends/tests/test_connections.py
@@ -6,6 +6,10 @@
 import time
 import unittest
 
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
 from sassafrasdoor.backends.connections import Connections, OutgoingRequest, Reply
 from sassafrasdoor.backends.interface import Broken, Refused
 from sassafrasdoor.clock import deadline_in
@@ -29,6 +33,7 @@
     def __init__(self, *script):
         self.script = list(script)
         self.pause = 0.0
+        self.received = b""
         self.connections = 0
         self.requests = 0
         self.client_closed = asyncio.Event()
@@ -46,6 +51,7 @@
         try:
             while self.script:
                 head = await reader.readuntil(b"\r\n\r\n")
+                self.received += head
                 self.requests += 1
                 data, ending = self.script.pop(0)
                 name = head.partition(b"\r\nId: ")[2].partition(b"\r\n")[0]
@@ -55,7 +61,7 @@
                 if ending != OPEN:
                     self._end(writer, ending)
                     return
-            await reader.read()
+            self.received += await reader.read()
             self.client_closed.set()
             writer.close()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
@@ -195,6 +201,35 @@
         self.server.pause = 0.4
         self.assertIsInstance(await self.send(seconds=0.2), Reply)
 
+    async def test_body_is_sent_once_the_server_asks_for_it(self):
+        class Echo(RequestHandler):
+            def post(self):
+                self.finish(self.request.body)
+
+        server = HTTPServer(Application([("/", Echo)]))
+        sockets = bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        self.addCleanup(server.stop)
+        connections = Connections()
+        self.addCleanup(connections.close)
+        address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        for body in (b"body", b"b" * 500_000, b""):
+            request = OutgoingRequest(
+                "POST", "/", {"Host": address}, body, deadline_in(20), False, True
+            )
+            reply = await connections.send(address, request)
+            self.assertEqual((reply.status, reply.body), (200, body))
+
+    async def test_paused_server_cannot_handle_a_body_that_it_did_not_ask_for(self):
+        """Guards against an unknown outcome of a call to an instance that is paused."""
+        await self.start((b"", OPEN))
+        request = OutgoingRequest(
+            "POST", "/", body=b"body", deadline=deadline_in(0.2), awaits_continue=True
+        )
+        reply = await self.connections.send(self.address, request)
+        self.assertEqual((reply.reason, reply.began), ("timeout", False))
+        self.assertNotIn(b"body", self.server.received)
+
     async def test_refused_connection_differs_from_a_listening_server(self):
         await self.start()
         self.assertIs(await self.connections.try_connect(self.address), True)
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -312,6 +312,8 @@
             headers,
             self.request.body,
             deadline,
+            # A peer that is paused would handle a complete call when it resumes.
+            awaits_continue=True,
         )
         reply = await self._parts.connections.send(peer, call)
         outcome = "broken" if isinstance(reply, Broken) else str(reply.status)
--- a/sassafrasdoor/platform/peers.py
+++ b/sassafrasdoor/platform/peers.py
@@ -57,7 +57,12 @@
             addresses = random.sample(sorted(candidates), len(candidates))
         for address in addresses:
             if address not in self._relay_clients:
-                client = Store(address, newest_query={FROM_STORE_PARAMETER: 1})
+                # A relay that is paused would append complete records when it resumes.
+                client = Store(
+                    address,
+                    newest_query={FROM_STORE_PARAMETER: 1},
+                    awaits_continue=True,
+                )
                 self._relay_clients[address] = client
         return [self._relay_clients[address] for address in addresses]
 
--- a/sassafrasdoor/platform/store.py
+++ b/sassafrasdoor/platform/store.py
@@ -34,13 +34,21 @@
     """Client of the store at one address.
 
     ``demand`` counts the calls by purpose. ``newest_query`` has additional query
-    parameters for loads of the newest values.
+    parameters for loads of the newest values. With ``awaits_continue`` records are sent
+    once the server has asked for them: see ``OutgoingRequest``.
     """
 
-    __slots__ = ("_address", "_connections", "_call_counter", "_newest_query")
+    __slots__ = (
+        "_address",
+        "_awaits_continue",
+        "_call_counter",
+        "_connections",
+        "_newest_query",
+    )
 
-    def __init__(self, address, demand=None, newest_query=()):
+    def __init__(self, address, demand=None, newest_query=(), awaits_continue=False):
         self._address = address
+        self._awaits_continue = awaits_continue
         self._newest_query = dict(newest_query)
         self._call_counter = demand or CallCounter()
         self._connections = Connections()
@@ -118,7 +126,14 @@
         if query:
             path += "?" + urllib.parse.urlencode(query)
         headers = {"Host": self._address, **(JSON_HEADERS if body else {})}
-        request = OutgoingRequest(method, path, headers, body, deadline)
+        request = OutgoingRequest(
+            method,
+            path,
+            headers,
+            body,
+            deadline,
+            awaits_continue=self._awaits_continue,
+        )
         purpose = self._call_counter.begin(name)
         reply, size = None, 0
         try:
