Soak: silences of the store and of all engines

Change: a fourth series of faults, so that the former ones of a seed stay: the store answers nothing for up to 2.5 s and handles what waits afterwards, and no engine sends anything; both overlap with all others and follow one another.

--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -10,6 +10,7 @@
 import random
 import signal
 import tempfile
+from collections import Counter
 
 import typer
 from tornado.httpclient import AsyncHTTPClient
@@ -115,6 +116,7 @@
         self._newest_seen = {}
         self._tasks = set()
         self._disruptions, self._update_gaps, self._departures = [], [], []
+        self._silences = Counter()
         self.violations = Violations()
         self.faults = schedule(seed, seconds, instances, REPLICA_COUNT)
 
@@ -259,6 +261,9 @@
         for proxy in self._proxies:
             proxy.set({"clear": True, "cut": True})
         self._store.log.down, self._store.log.lose_replies = False, 0
+        self._store.answering.set()
+        for engine in self._engines:
+            engine.sending.set()
         for replica in self._engines + self._plain:
             replica.full = False
         await asyncio.sleep(1.0)
--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -228,7 +228,8 @@
     after it has started. ``away`` seconds later the replica serves again under a new
     identity, and ``on_recovered(former identity)`` is awaited.
     ``paths_running_at_crash`` has a list of the running requests' paths for each crash.
-    Other requests that are not streams end only while ``may_answer`` is set. ``pace``,
+    Other requests that are not streams end only while ``may_answer`` is set, and nothing
+    is sent while ``sending`` is cleared. ``pace``,
     if set, is the multiple of the usual work time; it is reported with the load.
     """
 
@@ -254,6 +255,8 @@
         self.paths_running_at_crash = []
         self.may_answer = asyncio.Event()
         self.may_answer.set()
+        self.sending = asyncio.Event()
+        self.sending.set()
         routes = [
             (r"/-/order", _Order, {"replica": self}),
             (r"/.*", _Work, {"replica": self}),
@@ -274,6 +277,7 @@
     async def work(self):
         """Take the time of one event or answer."""
         await asyncio.sleep(self.pause * (self.pace or 1.0))
+        await self.sending.wait()
 
     def entry(self, service, models, state="ready"):
         """Return the replica's entry in the list of replicas."""
--- a/sassafrasdoor/soak/faults.py
+++ b/sassafrasdoor/soak/faults.py
@@ -120,6 +120,24 @@
     async def _log_late(self, fault):
         self._store.log.lose_replies, self._store.log.land_late = 3, fault.duration
 
+    async def _log_silent(self, fault):
+        """Let calls to the store wait; they are handled when it answers again."""
+        await self._silence(fault, [self._store.answering])
+
+    async def _engines_silent(self, fault):
+        await self._silence(fault, [engine.sending for engine in self._engines])
+
+    async def _silence(self, fault, events):
+        """Clear events for the fault's time; silences of one kind may overlap."""
+        self._silences[fault.kind] += 1
+        for event in events:
+            event.clear()
+        await asyncio.sleep(fault.duration)
+        self._silences[fault.kind] -= 1
+        if not self._silences[fault.kind]:
+            for event in events:
+                event.set()
+
     async def _full(self, fault):
         replica = self._replica(fault)
         replica.full = True
@@ -203,4 +221,6 @@
     Kind.REBORN: FaultInjector._reborn,
     Kind.FOREIGN: FaultInjector._foreign,
     Kind.GONE: FaultInjector._gone,
+    Kind.LOG_SILENT: FaultInjector._log_silent,
+    Kind.ENGINES_SILENT: FaultInjector._engines_silent,
 }
--- a/sassafrasdoor/soak/schedule.py
+++ b/sassafrasdoor/soak/schedule.py
@@ -33,6 +33,8 @@
     REBORN = "replica starts again"
     FOREIGN = "entry of another writer"
     GONE = "replica ends without a word"
+    LOG_SILENT = "log silent"
+    ENGINES_SILENT = "engines silent"
 
 
 # Drawn as a series of their own, so that the first series of a seed does not change.
@@ -40,7 +42,11 @@
 # Seconds from the end of a path fault, when the instance catches up on missed updates,
 # to the unannounced end of a replica. A third series, for the same reason.
 GONE_DELAY_RANGE = -1.0, 2.5
-ADDED_KINDS = {*SECOND_SERIES_KINDS, Kind.GONE}
+# Drawn as a fourth series: a pause of the store, or of all engines at once.
+SILENT_KINDS = (Kind.LOG_SILENT, Kind.ENGINES_SILENT)
+MAX_SILENCE = 2.5  # seconds
+SILENCE_INTERVAL = 3.0  # seconds between two starts, on average
+ADDED_KINDS = {*SECOND_SERIES_KINDS, Kind.GONE, *SILENT_KINDS}
 FIRST_SERIES_KINDS = [kind for kind in Kind if kind not in ADDED_KINDS]
 SECOND_SERIES_INTERVAL = 3.0  # seconds between two starts, on average
 ON_INSTANCES = {Kind.KILL, Kind.STOP, Kind.PAUSE}
@@ -52,7 +58,13 @@
     Kind.LEAVE,
     *ADDED_KINDS,
 }
-ON_ALL = {Kind.KILL_ALL, Kind.LOG_DOWN, Kind.LOG_LOSES, Kind.LOG_LATE}
+ON_ALL = {
+    Kind.KILL_ALL,
+    Kind.LOG_DOWN,
+    Kind.LOG_LOSES,
+    Kind.LOG_LATE,
+    Kind.LOG_SILENT,
+}
 WEIGHTS = {Kind.KILL_ALL: 1, Kind.LEAVE: 1}
 DEFAULT_WEIGHT = 3
 
@@ -97,6 +109,7 @@
     faults += _second_series(random.Random(f"{seed} later"), seconds, replicas)
     cuts = [fault for fault in faults if fault.kind in ON_PATHS]
     faults += _third_series(random.Random(f"{seed} gone"), cuts, seconds, replicas)
+    faults += _silences(random.Random(f"{seed} silent"), seconds)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -121,3 +134,13 @@
         if at < FAULT_PERIOD_SHARE * seconds:
             faults.append(Fault(at, Kind.GONE, target, duration))
     return faults
+
+
+def _silences(rng, seconds):
+    """Return silences of the store and of all engines; some follow at once."""
+    faults, at = [], FIRST_FAULT_DELAY + rng.uniform(0, SILENCE_INTERVAL)
+    while at < FAULT_PERIOD_SHARE * seconds:
+        duration = rng.uniform(MIN_FAULT_DURATION, MAX_SILENCE)
+        faults.append(Fault(at, rng.choice(SILENT_KINDS), 0, duration))
+        at += rng.uniform(0, 2 * SILENCE_INTERVAL)
+    return faults
