What failed tests keep is timed by the clock of the log lines

Change: the monotonic clock, which the lines show as steady: their times can now be compared as they are.

--- a/sassafrasdoor/failures.py
+++ b/sassafrasdoor/failures.py
@@ -7,7 +7,6 @@
 import asyncio
 import itertools
 import os
-import time
 
 from sassafrasdoor.clock import now
 from sassafrasdoor.support import ROOT
@@ -18,9 +17,9 @@
 
 
 class TestClock:
-    """Records when the test's own process did not run, in time of the log lines.
+    """Records when the test's own process did not run.
 
-    ``pauses`` has ``(end, seconds)`` of each, ``end`` in seconds since the epoch.
+    ``pauses`` has ``(end, seconds)`` of each, ``end`` as ``steady`` of the log lines.
     """
 
     __test__ = False
@@ -37,7 +36,7 @@
             await asyncio.sleep(TICK_INTERVAL)
             gap, self._last_tick = now() - self._last_tick, now()
             if gap >= MIN_PAUSE:
-                self.pauses.append((round(time.time(), 3), round(gap, 3)))
+                self.pauses.append((round(self._last_tick, 3), round(gap, 3)))
 
     def stop(self):
         """Stop recording."""
@@ -71,7 +70,7 @@
 def keep_failure(name, texts):
     """Write texts by file name into a new folder for a failed test; return its path."""
     for number in itertools.count():
-        folder = FAILED_FOLDER / f"{name}-{int(time.time())}-{os.getpid()}-{number}"
+        folder = FAILED_FOLDER / f"{name}-{int(now())}-{os.getpid()}-{number}"
         try:
             folder.mkdir(parents=True)
             break
--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -8,7 +8,6 @@
 import json
 import socket
 import struct
-import time
 from collections import deque
 
 from tornado.httpserver import HTTPServer
@@ -16,7 +15,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.clock import deadline_in, now
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.partitioned import keyed_record
 from sassafrasdoor.outcomes import Expired, Outcome, ReplyLost
@@ -45,7 +44,7 @@
 
     ``record_read_seconds`` maps topics to the seconds that reading one record takes; a
     read of such a topic returns a single record. ``answered_calls`` has for each call
-    the time of its answer in seconds since the epoch, the seconds it took, its status,
+    the time of its answer as ``steady`` of the log lines, the seconds it took, its status,
     path and query.
     """
 
@@ -94,7 +93,7 @@
     def on_finish(self):
         self._store.answered_calls.append(
             (
-                round(time.time(), 3),
+                round(now(), 3),
                 round(self.request.request_time(), 3),
                 self.get_status(),
                 self.request.path,
