Review case 3: a popular request is refused for good after a crash

Cause: the same request of many callers has one fingerprint. If all replicas of its service crash at once while they run it, it has three unexplained crashes and is quarantined. Only an answer would clear it, but it is never sent again.

Adds a script.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/bin/bash
+# Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps exec python3 review/3/case.py
--- a/review/harness.py
+++ b/review/harness.py
@@ -32,6 +32,10 @@
 READ_OFFSETS, RECORD_LENGTH = struct.Struct(">QQ"), struct.Struct(">I")
 RETENTION = 300.0  # seconds, as ``RetentionS`` in the settings
 NEWEST_PAGE = 500
+ENTRY_LAPSES_AFTER = 3  # heartbeat intervals
+# Value of SO_LINGER with a time of 0: closing a socket resets its connection.
+LINGER_RESET = struct.pack("ii", 1, 0)
+NO_ANSWER = 599  # status of a call without a complete answer
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 PLAY_TIMEOUT = 110.0  # seconds
 MAX_SHOWN_BREAKS = 10
@@ -445,17 +449,38 @@
         self.state = "ready"
         self.events, self.pause = 6, 0.05
         self.runs = []
+        self.is_down = False
+        self.connections = set()
         arguments = {"replica": self}
-        self._server, self.address = serve(
-            Application(
-                [
-                    (r"/-/order", _Order, arguments),
-                    (r"/health", _Health, arguments),
-                    (r"/.*", _Work, arguments),
-                ],
-                log_function=_quiet,
-            )
+        self._application = Application(
+            [
+                (r"/-/order", _Order, arguments),
+                (r"/health", _Health, arguments),
+                (r"/.*", _Work, arguments),
+            ],
+            log_function=_quiet,
         )
+        self._server, self.address = serve(self._application)
+
+    def crash(self):
+        """Reset all connections and listen no more, as a killed process."""
+        self.is_down = True
+        self._server.stop()
+        for stream in self.connections:
+            if not stream.closed():
+                stream.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
+                )
+                stream.close()
+        self.connections.clear()
+
+    def start_again(self, identity):
+        """Listen again at the same address as a new incarnation."""
+        self.identity = identity
+        self.is_down = False
+        self.sequence = 0
+        port = int(self.address.rpartition(":")[2])
+        self._server, _ = serve(self._application, port=port)
 
     def entry(self):
         """Return the replica's entry in the list."""
@@ -479,9 +504,17 @@
 
     async def beat(self, store, interval=1.2):
         """Write the entry at each heartbeat until cancelled."""
+        listed, silent = None, 0
         while True:
-            self.sequence += 1
-            store.put("keyed.servers", self.identity, self.entry())
+            if self.is_down:
+                silent += 1
+            else:
+                self.sequence += 1
+                silent, listed = 0, self.identity
+                store.put("keyed.servers", self.identity, self.entry())
+            if silent == ENTRY_LAPSES_AFTER and listed is not None:
+                store.put("keyed.servers", listed, None)
+                listed = None
             await asyncio.sleep(interval)
 
     def take(self, document):
@@ -504,6 +537,7 @@
     def initialize(self, replica):
         self._replica = replica
         self._left = False
+        replica.connections.add(self.request.connection.stream)
 
     def on_connection_close(self):
         self._left = True
@@ -713,7 +747,7 @@
     async def fetch(
         self, address, path, method="GET", body=None, timeout=10, **headers
     ):
-        """Return ``(status, body, headers)``; status 599 without an answer."""
+        """Return ``(status, body, headers)``; status ``NO_ANSWER`` without one."""
         request = HTTPRequest(
             f"http://{address}{path}",
             method=method,
@@ -726,7 +760,7 @@
         try:
             reply = await self.client.fetch(request, raise_error=False)
         except (HTTPClientError, OSError):
-            return 599, b"", {}
+            return NO_ANSWER, b"", {}
         return reply.code, reply.body or b"", reply.headers
 
     async def wait_ready(self, seconds=20.0, instances=None):
