--- a/review/3/case.py
+++ b/review/3/case.py
@@ -105,6 +105,8 @@
             asyncio.ensure_future(call(case, stopping, request_id, stopped_at))
         )
     answers = await asyncio.gather(*calls)
+    # The replicas notice the end of the connections.
+    await asyncio.sleep(2 * PAUSE)
     runs = {run["id"]: run for replica in case.replicas for run in replica.runs}
     return [
         f"request {request_id}, sent {sent:.2f} s after the SIGTERM, ran at "
--- a/review/harness.py
+++ b/review/harness.py
@@ -617,9 +617,10 @@
         try:
             await self.answer(run, model)
         except StreamClosedError:
-            # The caller has left.
-            self._auto_finish = False
+            self._left = True
         finally:
+            # Nothing can be sent to a caller that has left.
+            self._auto_finish = not self._left
             run["ended"] = replica.recorder.seconds
             replica.running -= 1
 
