Review case 2: the freeze and the versions keep to the named doses

Cause: the versions came 0.05 s apart, the site file's config_storm has 0.33 s. The runner is now stopped for 0.8 s, just after it has begun to wait for a configuration, and is read from the last claim right before.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,8 +17,11 @@
 OLD_ROUTE = harness.rollout_route("r-i9n73hh", OLD_PREFIX, ENGINES)
 NEW_ROUTE = harness.rollout_route("r-k2m81aa", NEW_PREFIX, ENGINES)
 ITEMS = 8
-FREEZE_SECONDS = 1.2
-APPLY_SECONDS = 0.35  # after the acknowledgement of the configuration
+FREEZE_SECONDS = 0.8
+FROZEN_AFTER = 0.01  # seconds after the runner has begun to wait for a configuration
+CHANGED_AFTER = 0.03  # seconds after the freeze
+VERSIONS_GAP = 0.33  # seconds between two configurations, as in a ``config_storm``
+APPLY_SECONDS = 0.1  # after the acknowledgement of the configuration
 RETENTION = 40.0  # seconds, RetentionS of the routes
 
 
@@ -82,6 +85,18 @@
     return None
 
 
+async def next_read_of_configuration(case, instance):
+    """Wait until an instance has begun its next read of the operator's topic."""
+    begun = asyncio.Event()
+
+    def observe(handler, call, topic, part):
+        if (handler.caller, call, topic) == (instance.name, "read", "keyed.op"):
+            begun.set()
+
+    case.store.fault = observe
+    await asyncio.wait_for(begun.wait(), 10)
+
+
 async def play(case):
     """Freeze the runner while the route is added and its first step is submitted."""
     for instance in case.instances:
@@ -90,17 +105,20 @@
     first = await submit(case, case.instances[0], 0, OLD_PREFIX, harness.new_ids(4))
     if len(await read(case, case.instances[0], first, 4, 20)) < 4:
         raise harness.CannotRun("the first batch job was not done")
+    # By then the last claim is a renewal of the holder.
+    await asyncio.sleep(4.0)
     holder = runner(case)
     other = next(row for row in case.instances if row is not holder)
-    await asyncio.sleep(4.0)
+    await next_read_of_configuration(case, holder)
+    await asyncio.sleep(FROZEN_AFTER)
     frozen_at = harness.time.monotonic()
     if case.trouble:
         case.record.write("process.freeze", instance=holder.name)
         holder.signal(signal.SIGSTOP)
-    await asyncio.sleep(0.1)
+    await asyncio.sleep(CHANGED_AFTER)
     changed = {**OLD_ROUTE, "TimeoutMs": 9000}
     case.store.configure(harness.configuration(5, [changed], ENGINES, [MODEL]))
-    await asyncio.sleep(0.05)
+    await asyncio.sleep(VERSIONS_GAP)
     both = [changed, NEW_ROUTE]
     case.store.configure(harness.configuration(6, both, ENGINES, [MODEL]))
     await asyncio.sleep(APPLY_SECONDS)
