--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,7 +18,8 @@
 NEW_ROUTE = harness.rollout_route("r-k2m81aa", NEW_PREFIX, ENGINES)
 ITEMS = 8
 FREEZE_SECONDS = 0.8
-FROZEN_AFTER = 0.01  # seconds after the runner has begun to wait for a configuration
+# Seconds for which the runner's reads have waited at the store when it is frozen.
+MIN_AGE, MAX_AGES = 0.03, {"steps": 0.2, "configuration": 0.5}
 CHANGED_AFTER = 0.03  # seconds after the freeze
 VERSIONS_GAP = 0.33  # seconds between two configurations, as in a ``config_storm``
 APPLY_SECONDS = 0.1  # after the acknowledgement of the configuration
@@ -69,32 +70,45 @@
 
 
 def runner(case):
-    """Return the instance that holds the partition in which the steps lie.
+    """Return the instance that runs the steps, and the partition in which they lie.
 
     The last claim in the store names it; as the disruption ``leader`` finds the machine
     that wrote last under a condition.
     """
-    for (topic, _), partition in case.store.partitions.items():
+    for (topic, part), partition in case.store.partitions.items():
         if topic != "steps" or not any(row[:1] == b"S" for row in partition.records):
             continue
         claims = [json.loads(row[1:]) for row in partition.records if row[:1] == b"C"]
-        if not claims:
-            continue
-        address = claims[-1]["runner"].partition("/")[0]
-        return next(row for row in case.instances if row.front == address)
-    return None
+        if claims:
+            address = claims[-1]["runner"].partition("/")[0]
+            named = [row for row in case.instances if row.front == address]
+            return named[0], part
+    raise harness.CannotRun("nobody runs the steps")
+
 
+async def both_reads_wait(case, instance, part):
+    """Wait until an instance waits at the store for configurations and for steps.
 
-async def next_read_of_configuration(case, instance):
-    """Wait until an instance has begun its next read of the operator's topic."""
-    begun = asyncio.Event()
+    Neither read is old, so that none ends before the instance runs again, and no claim of
+    the instance is on its way, which would end its read of the steps.
+    """
+    begun = {}
+    names = {("keyed.op", 0): "configuration", ("steps", part): "steps"}
 
-    def observe(handler, call, topic, part):
-        if (handler.caller, call, topic) == (instance.name, "read", "keyed.op"):
-            begun.set()
+    def observe(handler, call, topic, number):
+        if (handler.caller, call) == (instance.name, "read"):
+            begun[names.get((topic, number))] = harness.time.monotonic()
 
     case.store.fault = observe
-    await asyncio.wait_for(begun.wait(), 10)
+    until = harness.time.monotonic() + 20
+    while harness.time.monotonic() < until:
+        await asyncio.sleep(0.005)
+        ages = {name: harness.time.monotonic() - at for name, at in begun.items()}
+        if all(
+            MIN_AGE <= ages.get(name, 0) <= limit for name, limit in MAX_AGES.items()
+        ):
+            return
+    raise harness.CannotRun("the reads never waited together")
 
 
 async def play(case):
@@ -107,10 +121,9 @@
         raise harness.CannotRun("the first batch job was not done")
     # By then the last claim is a renewal of the holder.
     await asyncio.sleep(4.0)
-    holder = runner(case)
+    holder, part = runner(case)
     other = next(row for row in case.instances if row is not holder)
-    await next_read_of_configuration(case, holder)
-    await asyncio.sleep(FROZEN_AFTER)
+    await both_reads_wait(case, holder, part)
     frozen_at = harness.time.monotonic()
     if case.trouble:
         case.record.write("process.freeze", instance=holder.name)
