--- a/review/harness.py
+++ b/review/harness.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from tornado.httpserver import HTTPServer
@@ -836,7 +837,10 @@
 
     ``build()`` returns the ``Case``; ``await play(case)`` returns the list of breaks.
     """
-    if not (ROOT / "target" / "deps").is_dir():
-        print("could not run: target/deps is missing, build first")
-        sys.exit(COULD_NOT_RUN)
-    sys.exit(asyncio.run(_play(build, play)))
+    status = COULD_NOT_RUN
+    try:
+        status = asyncio.run(_play(build, play))
+    except Exception:
+        # An error of the case itself says nothing about the rule.
+        traceback.print_exc()
+    sys.exit(status)
