--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,8 +14,8 @@
 
 MODEL, ENGINES = "daka510000", "huvo11a"
 OLD_PREFIX, NEW_PREFIX = "/pufi791/", "/qexo127/"
-OLD_ROUTE = harness.rollout_route("r-i9n73hh", OLD_PREFIX, ENGINES)
-NEW_ROUTE = harness.rollout_route("r-k2m81aa", NEW_PREFIX, ENGINES)
+OLD_ROUTE = harness.route("rollout_route", "r-i9n73hh", OLD_PREFIX, ENGINES)
+NEW_ROUTE = harness.route("rollout_route", "r-k2m81aa", NEW_PREFIX, ENGINES)
 ITEMS = 8
 FREEZE_SECONDS = 0.8
 # Seconds for which the runner's reads have waited at the store when it is frozen.
@@ -23,7 +23,7 @@
 CHANGED_AFTER = 0.03  # seconds after the freeze
 VERSIONS_GAP = 0.33  # seconds between two configurations, as in a ``config_storm``
 APPLY_SECONDS = 0.1  # after the acknowledgement of the configuration
-RETENTION = 40.0  # seconds, RetentionS of the routes
+RETENTION = 40.0  # seconds, the retention of the routes
 
 
 def build():
@@ -56,8 +56,8 @@
     until = harness.time.monotonic() + seconds
     results = []
     while len(results) < count and harness.time.monotonic() < until:
-        path = f"/-/lots/{job}?After={len(results)}"
-        wait = {"Sassafrasdoor-Wait-Ms": "1000"}
+        path = f"{harness.PATHS['batch_jobs']}{job}?After={len(results)}"
+        wait = {harness.HEADERS["wait"]: "1000"}
         status, body, _ = await case.fetch(instance.front, path, **wait)
         page = json.loads(body) if status == 200 else {"Results": []}
         for result in page["Results"]:
@@ -93,7 +93,7 @@
     the instance is on its way, which would end its read of the steps.
     """
     begun = {}
-    names = {("keyed.op", 0): "configuration", ("steps", part): "steps"}
+    names = {(harness.TOPICS["operator"], 0): "configuration", ("steps", part): "steps"}
 
     def observe(handler, call, topic, number):
         if (handler.caller, call) == (instance.name, "read"):
@@ -129,7 +129,7 @@
         case.record.write("process.freeze", instance=holder.name)
         holder.signal(signal.SIGSTOP)
     await asyncio.sleep(CHANGED_AFTER)
-    changed = {**OLD_ROUTE, "TimeoutMs": 9000}
+    changed = {**OLD_ROUTE, harness.FIELDS["timeout"]: 9000}
     case.store.configure(harness.configuration(5, [changed], ENGINES, [MODEL]))
     await asyncio.sleep(VERSIONS_GAP)
     both = [changed, NEW_ROUTE]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,18 +19,7 @@
 SENT_AFTER = (3.5, 4.0, 4.5, 5.0, 5.5)  # seconds after the SIGTERM
 EVENTS, PAUSE = 40, 0.11  # a stream takes 4.4 s, below the sheet's pauses of 120 ms
 DEADLINE_MS = 10000
-ROUTE = {
-    "Name": "r-x73d3zj",
-    "Host": harness.HOST,
-    "PathPrefix": PREFIX,
-    "Kind": "streaming",
-    "TimeoutMs": 10000,
-    "TargetLatencyMs": 400,
-    "Priority": 2,
-    "Service": ENGINES,
-    "MaxAttempts": 2,
-    "Sticky": True,
-}
+ROUTE = harness.route("stream_route", "r-x73d3zj", PREFIX, ENGINES)
 
 
 def build():
@@ -45,7 +34,7 @@
 
 async def resolve(case, instance):
     """Return the addresses and the TTL that a directory states."""
-    path = f"/-/resolve?Name={harness.HOST}&Region=r-a&Zone=z-a"
+    path = f"{harness.PATHS['resolve']}?Name={harness.HOST}&Region=r-a&Zone=z-a"
     status, body, _ = await case.fetch(instance.addresses["Directory"], path)
     if status != 200:
         raise harness.CannotRun(f"the directory answered {status}")
@@ -60,9 +49,7 @@
     headers = {
         harness.ID: request_id,
         harness.DEADLINE: str(DEADLINE_MS),
-        "Sassafrasdoor-Model": MODEL,
-        "Sassafrasdoor-Token-Count": "271,60",
-        "Sassafrasdoor-Prompt-Prefix": f"1:255,{request_id}:16",
+        **harness.token_headers(MODEL, f"1:255,{request_id}:16"),
     }
     status, body, _ = await case.fetch(
         instance.front, PREFIX + "2f", "POST", request_id, timeout=11, **headers
--- a/review/harness.py
+++ b/review/harness.py
@@ -32,7 +32,7 @@
 METRICS_PORT = 9464
 STORE_DELAY = 0.004  # seconds for an answer
 READ_OFFSETS, RECORD_LENGTH = struct.Struct(">QQ"), struct.Struct(">I")
-RETENTION = 300.0  # seconds, as ``RetentionS`` in the settings
+RETENTION = 300.0  # seconds, as in the settings
 NEWEST_PAGE = 500
 ENTRY_LAPSES_AFTER = 3  # heartbeat intervals
 # Value of SO_LINGER with a time of 0: closing a socket resets its connection.
@@ -41,88 +41,20 @@
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 PLAY_TIMEOUT = 110.0  # seconds
 MAX_SHOWN_BREAKS = 10
-ID, STAMP = "Sassafrasdoor-Request-Id", "Sassafrasdoor-Server-Stamp"
-EXPECT, NOT_RUN = "Sassafrasdoor-Expect-Instance", "Sassafrasdoor-Not-Run"
-WEIGHTS, DEADLINE = "Sassafrasdoor-Weight-Versions", "Sassafrasdoor-Deadline-Ms"
-
-SETTINGS = """
-Role=entry
-MachineClass=front
-Serves=front,control,directory
-Zone=z-a
-Region=r-a
-Zones.z-a=r-a
-Bootstrap=true
-LossCounts=false
-Limits.CpuShare=0.717
-Limits.Cores=3
-Limits.MemoryMb=350
-Limits.MaxFds=8200
-Limits.LinkMbps=1000.0
-Limits.DiskMb=0
-Discovery=platform
-Entry=directory
-HeartbeatMs=1200
-Contracts=base,drain,config,cost,recover,samples,stream,engine,batch,platform
-FaultTolerance.Machines=1
-FaultTolerance.Zones=0
-FaultTolerance.Regions=0
-Bounds.SeedLagS=3
-Bounds.ReuseAfterS=2
-Bounds.StableWindowMs=3000
-Bounds.AckMs=4000
-Bounds.CatchUpS=5.1
-Bounds.DrainMs=2000
-Bounds.GraceS=8
-Bounds.LostSlackMs=200
-Bounds.ConfigApplyMs=2000
-Bounds.RollbackSlackMs=250
-Bounds.MaxSkewMs=5000
-Bounds.RecoveryS=12
-Bounds.PassMs=120
-Bounds.RetryAfterS=0
-Bounds.FinishS=10
-Bounds.StatusS=120
-Bounds.CancelMs=3000
-Bounds.SettleMs=1000
-Bounds.QuotaOverage=0.1
-Bounds.LeaseMs=3000
-Bounds.ThawMs=300
-Bounds.ttl_max_s=5
-Platform.form=log
-Platform.WritesPerS=800
-Platform.ReadsPerS=2000
-Platform.parts=12
-Platform.AppendMs=2.0
-Platform.PartMbS=20.0
-Platform.ReadMbS=80.0
-Platform.RecordBytes=262144
-Platform.CallBytes=2097152
-Platform.RetentionS=300
-Platform.PartMb=200
-Platform.TtlMinMs=1000
-"""
+FOLDER = pathlib.Path(__file__).resolve().parent
+SETTINGS = (FOLDER / "settings.conf").read_text("utf-8")
+WIRE = tomllib.loads((FOLDER / "wire.toml").read_text("utf-8"))
+HEADERS, PATHS, TOPICS = WIRE["headers"], WIRE["paths"], WIRE["topics"]
+FIELDS = WIRE["fields"]
+ID, STAMP = HEADERS["id"], HEADERS["stamp"]
+EXPECT, NOT_RUN = HEADERS["expect"], HEADERS["not_run"]
+WEIGHTS, DEADLINE = HEADERS["weights"], HEADERS["deadline"]
 
 
-def rollout_route(name, prefix, service, **fields):
-    """Return a route for batch jobs, as the operator writes it."""
-    return {
-        "Name": name,
-        "Host": HOST,
-        "PathPrefix": prefix,
-        "Kind": "rollout",
-        "TimeoutMs": 10000,
-        "TargetLatencyMs": 400,
-        "Priority": 0,
-        "Service": service,
-        "MaxAttempts": 3,
-        "RetentionS": 40.0,
-        "RunDeadlineMs": 7500,
-        "SingleVersion": False,
-        "Sticky": True,
-        "Resumable": True,
-        **fields,
-    }
+def route(kind, name, prefix, service, **fields):
+    """Return a route as the operator writes it; ``kind`` names a table of wire.toml."""
+    where = {"Name": name, "Host": HOST, FIELDS["prefix"]: prefix, "Service": service}
+    return {**where, **WIRE[kind], **fields}
 
 
 def configuration(version, routes, engines, models):
@@ -144,12 +76,16 @@
                 },
             }
         ],
-        "Limits": {
-            "MaxHeaderBytes": 16384,
-            "MaxBodyBytes": 33554432,
-            "HeaderTimeoutMs": 3000,
-            "IdleTimeoutMs": 15000,
-        },
+        "Limits": WIRE["limits"],
+    }
+
+
+def token_headers(model, prompt):
+    """Return the headers of a request for tokens."""
+    return {
+        HEADERS["model"]: model,
+        HEADERS["tokens"]: "271,60",
+        HEADERS["prefix"]: prompt,
     }
 
 
@@ -159,11 +95,7 @@
         {
             "Id": item_id,
             "Path": f"{prefix}{number}/{item_id[:4]}",
-            "Headers": {
-                "Sassafrasdoor-Model": model,
-                "Sassafrasdoor-Token-Count": "271,60",
-                "Sassafrasdoor-Prompt-Prefix": f"{number // 2 + 1:x}:255,{item_id}:16",
-            },
+            "Headers": token_headers(model, f"{number // 2 + 1:x}:255,{item_id}:16"),
             "Body": base64.b64encode(item_id.encode()).decode(),
             "Tokens": 331,
             "Group": f"{step}-{number // 2}",
@@ -290,9 +222,9 @@
         arguments = {"store": self, "caller": caller}
         application = Application(
             [
-                (r"/-/log-append", _Append, arguments),
-                (r"/-/log-read", _Read, arguments),
-                (r"/-/log-newest", _Newest, arguments),
+                (PATHS["append"], _Append, arguments),
+                (PATHS["read"], _Read, arguments),
+                (PATHS["newest"], _Newest, arguments),
             ],
             log_function=_quiet,
         )
@@ -332,12 +264,14 @@
 
     def configure(self, document):
         """Write the operator's configuration."""
-        self.put("keyed.op", "config", document)
+        self.put(TOPICS["operator"], "config", document)
         self.recorder.write("operator.config", version=document["Version"])
 
     def name_version(self, model, version):
         """Write the trainer's new version of a model."""
-        self.put("keyed.op", f"version/{model}", {"Model": model, "Version": version})
+        self.put(
+            TOPICS["operator"], f"version/{model}", {"Model": model, "Version": version}
+        )
         self.recorder.write("trainer.version", model=model, version=version)
 
     def age(self, seconds):
@@ -461,7 +395,7 @@
         arguments = {"replica": self}
         self._application = Application(
             [
-                (r"/-/order", _Order, arguments),
+                (PATHS["order"], _Order, arguments),
                 (r"/health", _Health, arguments),
                 (r"/.*", _Work, arguments),
             ],
@@ -518,16 +452,16 @@
             else:
                 self.sequence += 1
                 silent, listed = 0, self.identity
-                store.put("keyed.servers", self.identity, self.entry())
+                store.put(TOPICS["servers"], self.identity, self.entry())
             if silent == ENTRY_LAPSES_AFTER and listed is not None:
-                store.put("keyed.servers", listed, None)
+                store.put(TOPICS["servers"], listed, None)
                 listed = None
             await asyncio.sleep(interval)
 
     def take(self, document):
         """Return the status for an order."""
         model, version = document["Model"], document["Version"]
-        token = document["FencingToken"]
+        token = document[FIELDS["fence"]]
         if self.fenced and token < self.fence:
             return 412
         self.fence = max(self.fence, token)
@@ -564,7 +498,7 @@
 
 class _Health(_ReplicaHandler):
     def get(self):
-        self.set_header("Sassafrasdoor-Instance-Id", self._replica.identity)
+        self.set_header(HEADERS["instance"], self._replica.identity)
 
 
 class _Order(_ReplicaHandler):
@@ -576,7 +510,7 @@
         order = (
             replica.recorder.seconds,
             document["Holder"],
-            document["FencingToken"],
+            document[FIELDS["fence"]],
             document["Version"],
             status,
         )
@@ -598,7 +532,7 @@
         if self._misdirected():
             return
         replica = self._replica
-        model = self.request.headers.get("Sassafrasdoor-Model")
+        model = self.request.headers.get(HEADERS["model"])
         loading = model and time.monotonic() < replica.loading_until
         if replica.running >= replica.slots or loading:
             self.set_status(503)
@@ -680,7 +614,7 @@
         if command[0] == "python3":
             command[0] = sys.executable
         environment = {
-            "SASSAFRASDOOR_BOOT": str(self.settings),
+            WIRE["settings_variable"]: str(self.settings),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
             "PATH": os.environ.get("PATH", ""),
@@ -782,7 +716,7 @@
         """Wait until the instances are ready."""
         until = time.monotonic() + seconds
         for instance in instances or self.instances:
-            while (await self.fetch(instance.ready, "/-/ready"))[0] != 200:
+            while (await self.fetch(instance.ready, PATHS["ready"]))[0] != 200:
                 if time.monotonic() > until or instance.process.poll() is not None:
                     raise CannotRun(f"{instance.name} is not ready")
                 await asyncio.sleep(0.05)
