--- a/review/harness.py
+++ b/review/harness.py
@@ -5,6 +5,7 @@
 each on a loopback address of its own, since all use the same metrics port.
 """
 
+import argparse
 import asyncio
 import base64
 import json
@@ -639,13 +640,23 @@
             self.process.wait()
 
 
+def _options():
+    """Return the options that ``run.sh`` passes on."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--trouble", required=True, help="0 leaves the disruption out")
+    parser.add_argument("--record", required=True, type=pathlib.Path)
+    return parser.parse_args()
+
+
 class Case:
     """A small deployment: a store, replicas and instances, and a record of events."""
 
     def __init__(self, folder, more=(), instances=3):
+        options = _options()
         self.folder = pathlib.Path(folder)
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record = Recorder(self.folder / "record.txt")
+        self.trouble = options.trouble != "0"
+        self.record = Recorder(options.record)
+        self.record.write("case", name=self.folder.name, trouble=int(self.trouble))
         self.temporary = tempfile.TemporaryDirectory()
         self.store = Store(self.record)
         self.replicas = []
