Stop: the line of a cut request says when it came

Cause: request.cut_by_stop named the request only. Whether a cut request had come before the stop or was accepted during it, and whether its caller had got a part of the answer, could not be told. Change: the line says so, front_cut_by_stop_total counts both.

--- a/sassafrasdoor/platform/handlers.py
+++ b/sassafrasdoor/platform/handlers.py
@@ -27,6 +27,9 @@
 
 HELD_BYTES = gauge("buffers_held_bytes", "Bytes held for requests and unread answers.")
 ANSWERS = counter("front_answers_total", "Answers to callers, by kind and status.")
+CUT_REQUESTS = counter(
+    "front_cut_by_stop_total", "Requests cut off by a planned stop, by when they came."
+)
 ANSWER_SECONDS = histogram(
     "front_seconds",
     "Seconds from a request's head to its answer.",
@@ -133,11 +136,25 @@
             return await self._task
         except asyncio.CancelledError:
             if not self._caller_left:
-                note("request.cut_by_stop", request=self._request_id)
+                self._record_cut()
                 raise
             note("request.caller_left", request=self._request_id)
             return None
 
+    def _record_cut(self):
+        """Count and log that the end of the process cuts this request off."""
+        stopping_since = self._parts.process.stopping_since
+        came = "before" if self._started_at < stopping_since else "during"
+        CUT_REQUESTS.inc({"came": came})
+        note(
+            "request.cut_by_stop",
+            request=self._request_id,
+            came=came,
+            seconds_after_signal=round(self._started_at - stopping_since, 3),
+            seconds=round(now() - self._started_at, 3),
+            answer_begun=self._headers_written,
+        )
+
     @property
     def _request_id(self):
         return self.request.headers.get(wire.REQUEST_ID, "")
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -1,6 +1,7 @@
 """The process of one instance: constructs its components, runs and stops them."""
 
 import asyncio
+import math
 import signal
 import uuid
 
@@ -97,7 +98,8 @@
 
     ``ready`` says whether callers should be sent here, ``closing`` whether connections
     are being closed. ``in_flight`` is the set of handlers of requests that have been
-    read and whose answers have not been sent completely.
+    read and whose answers have not been sent completely. ``stopping_since`` is the
+    monotonic time at which a planned stop began, infinite before.
     """
 
     def __init__(self, settings, path, metrics_port=0):
@@ -111,6 +113,7 @@
         self._servers = []
         self._tasks = []
         self.closing = False
+        self.stopping_since = math.inf
         self.in_flight = set()
         self._build()
 
@@ -591,6 +594,7 @@
         Every wait ends by a deadline of the stop, also while the store answers nothing.
         """
         started_at, duration = now(), self._settings.stop_within
+        self.stopping_since = started_at
         drain_deadline = started_at + duration * DRAIN_SHARE
         finish_deadline = started_at + duration * FINISH_IN_FLIGHT_SHARE
         flush_deadline = started_at + duration * LAST_FLUSH_SHARE
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -133,6 +133,7 @@
 
     def __init__(self):
         self.in_flight = set()
+        self.stopping_since = now()
 
 
 class FrontTest(unittest.IsolatedAsyncioTestCase):
