A stopping instance refuses what it would cut off

Callers saw: a stream begun at an instance 3.5 to 5.5 s after its SIGTERM (8 s for a stop) was passed on and cut off in the middle 7.53 s after the SIGTERM, without an end or a status; it must not be repeated, so it was lost. What is no stream got a late 504. Cause: until 0.86 of the stop requests were accepted as before, and what still ran at 0.94 was cancelled; nobody compared the two. Change: requests/stop_policy accepts what has its deadline within the stop, else what by the durations of recent requests of its route and size ends in time: the longest for streams and for what must not run twice, the usual one for calls that may be repeated, their target latency while there are fewer than eight. What was never measured is accepted in the first 2.4 s of 8 only. The rest is refused at once as not run, with Retry-After 0 if another instance is known, and its connection is closed. Deadlines of what is accepted, and of calls on steps, are bounded by the end of the stop. Why it works: an accepted request either has its deadline within the stop or is expected to end in it; the decision is asked before anything is sent.

--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -28,7 +28,9 @@
     PeerHandler,
     RelayHandler,
 )
-from sassafrasdoor.requests.attempts import DirectRequest
+from sassafrasdoor.platform.prompts import output_limit
+from sassafrasdoor.requests.attempts import SERVER_ERROR, DirectRequest
+from sassafrasdoor.requests.stop_policy import RequestKind
 from sassafrasdoor.requests.streaming import StreamCaller
 from sassafrasdoor.routing.reader_search import ReaderSearch
 from sassafrasdoor.steps.durable.hedging import first_answer
@@ -49,6 +51,7 @@
 # Seconds without an answer, after the caller's wait, before the next peer is asked too.
 HEDGE_DELAY = 0.5
 MAX_PEERS_ASKED = 3  # for one read; peers that were not reached do not count
+STEP_CALL = RequestKind("steps")  # their deadlines are bounded by a planned stop
 STEP_PATH = re.compile(r"^/-/lots/([^/?]+)$")
 ITEM_PATH = re.compile(r"^/-/items/([^/?]+)$")
 
@@ -73,6 +76,8 @@
 
     async def _step_call(self, handler, step_id):
         """Handle a call on a step for the account of the caller's key."""
+        if self._is_refused_by_stop(STEP_CALL, self._bounded(self._deadline())):
+            return
         configuration = self._parts.routes.current
         if configuration is None and self._parts.access.fails_closed:
             refused = NotRun("no configuration yet", NO_CONFIGURATION_RETRY_AFTER)
@@ -146,6 +151,11 @@
             if configuration.accounts is None
             else wire.DROPPED_WITH_KEYS
         )
+        deadline = min(self._deadline(), self._started_at + route.timeout)
+        kind = _request_kind(route, self.request.headers)
+        if self._is_refused_by_stop(kind, deadline):
+            return
+        self._run = self._parts.stop_admission.begin(kind)
         request = DirectRequest(
             route=route,
             method=self.request.method,
@@ -153,7 +163,7 @@
             headers=wire.header_pairs(self.request.headers, dropped),
             body=self.request.body,
             request_id=self._request_id,
-            deadline=min(self._deadline(), self._started_at + route.timeout),
+            deadline=self._bounded(deadline),
             version=configuration.version,
             grant=grant,
         )
@@ -164,8 +174,20 @@
         if answer is not None:
             self._answer(answer)
 
+    def _is_refused_by_stop(self, kind, deadline):
+        """Refuse a request that can't be answered in a planned stop; return whether."""
+        refused = self._parts.stop_admission.refusal(kind, deadline, self._request_id)
+        if refused is not None:
+            self._reply_failure(refused)
+        return refused is not None
+
+    def _bounded(self, deadline):
+        """Return a deadline that lets the answer be complete within a planned stop."""
+        return self._parts.stop_admission.bounded(deadline)
+
     def _answer(self, answer):
         if isinstance(answer, Answer):
+            self._run.is_whole = answer.status < SERVER_ERROR
             self._reply(answer.status, answer.headers, answer.body)
         else:
             self._reply_failure(answer)
@@ -175,6 +197,7 @@
         stream = self._parts.streams.answer(request, caller)
         result = await self._while_connected(stream)
         if result is True:
+            self._run.is_whole = True
             self.finish()
         elif result is not None and self._headers_written:
             self._abort_connection()
@@ -182,6 +205,9 @@
             self._answer(result)
 
     async def _submit(self, grant, host, path):
+        deadline = self._bounded(self._deadline())
+        if self._is_refused_by_stop(STEP_CALL, deadline):
+            return
         spec = documents.parse_step_spec(
             self._request_id, host, path, self.request.body, grant.account
         )
@@ -195,7 +221,7 @@
                 400, {"findings": [finding.as_dict() for finding in spec.findings]}
             )
             return
-        submission = self._parts.steps.submit(spec, self._deadline(), self._forwarder)
+        submission = self._parts.steps.submit(spec, deadline, self._forwarder)
         result = await self._while_connected(submission)
         if result is True:
             self._reply(202)
@@ -206,7 +232,7 @@
         query = parse_qs_bytes(self.request.query.encode())
         first_position = max(0, _parse_int(query.get("After", [b"0"])[0], 0))
         wait = _parse_int(self.request.headers.get(wire.WAIT), 0) / 1000
-        wait_deadline = deadline_in(min(wait, MAX_POLL_WAIT))
+        wait_deadline = self._bounded(deadline_in(min(wait, MAX_POLL_WAIT)))
         page = await self._while_connected(
             self._parts.steps.read(step_id, first_position, wait_deadline, account)
         )
@@ -226,7 +252,9 @@
             await self._reply_from_peer_or_fail(body)
 
     async def _end_step(self, step_id, account):
-        deadline = min(self._deadline(), deadline_in(DEFAULT_CALL_TIMEOUT))
+        deadline = self._bounded(
+            min(self._deadline(), deadline_in(DEFAULT_CALL_TIMEOUT))
+        )
         ending = self._parts.steps.end(step_id, deadline, self._forwarder, account)
         result = await self._while_connected(ending)
         if result is True:
@@ -281,7 +309,7 @@
             ask,
             lambda reply: isinstance(reply, Reply) and reply.status == 200,
             wait + HEDGE_DELAY,
-            self._started_at + wait + PEER_READ_TIMEOUT,
+            self._bounded(self._started_at + wait + PEER_READ_TIMEOUT),
         )
         if reply is None:
             note(
@@ -298,7 +326,9 @@
         """Forward this call to a peer; return None if no peer is known."""
         peers = self._parts.instances.peers()
         return (
-            await self._forward_to(peers[0], deadline_in(FORWARD_TIMEOUT))
+            await self._forward_to(
+                peers[0], self._bounded(deadline_in(FORWARD_TIMEOUT))
+            )
             if peers
             else None
         )
@@ -365,6 +395,14 @@
 )
 
 
+def _request_kind(route, headers):
+    """Return the ``RequestKind`` of a caller's request."""
+    # A stream that is cut off ends without an answer that its caller could go by.
+    is_repeatable = route.repeat is Repeat.SAFE and not route.streams
+    limit = output_limit(headers)
+    return RequestKind(route.name, limit, is_repeatable, route.target)
+
+
 def front_application(parts):
     """Return the application of the callers' address."""
     return _application([(r".*", FrontHandler, {"parts": parts})])
--- a/sassafrasdoor/platform/handlers.py
+++ b/sassafrasdoor/platform/handlers.py
@@ -17,6 +17,7 @@
 from sassafrasdoor.requests.access import Unauthorized
 from sassafrasdoor.requests.buffers import BufferBudget
 from sassafrasdoor.requests.crash_watch import Quarantined
+from sassafrasdoor.requests.stop_admission import InstanceStopping, StopAdmission
 from sassafrasdoor.steps.durable.service import NotFound
 
 # Seconds. Some callers cache an answer of the directory for three times as long; a
@@ -42,7 +43,8 @@
 
     ``process`` has the state of this process. ``store`` is the platform's store, called
     directly and never through another instance. ``lists`` maps each keyed topic to the
-    tail that follows it. ``budget`` bounds what is held for callers.
+    tail that follows it. ``budget`` bounds what is held for callers. ``stop_admission``
+    decides what is still served during a planned stop.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "process",
         "routes",
         "steps",
+        "stop_admission",
         "store",
         "streams",
     )
@@ -70,9 +73,11 @@
         store,
         access,
         budget=None,
+        stop_admission=None,
     ):
         self.access = access
         self.budget = budget or BufferBudget()
+        self.stop_admission = stop_admission or StopAdmission(lambda: True)
         self.connections = Connections()
         self.direct = direct
         self.streams = streams
@@ -94,6 +99,7 @@
         self._task = None
         self._caller_left = False
         self._body_bytes = 0
+        self._run = None
         self._is_sending = False
         self._started_at = now()
 
@@ -106,8 +112,7 @@
         # Called before a slow reader has read the answer; until then a planned stop
         # must not end the process, and Tornado keeps the body.
         if not self._is_sending:
-            self._parts.process.in_flight.discard(self)
-            self._release_body()
+            self._end()
 
     def set_default_headers(self):
         self.clear_header("Server")
@@ -119,8 +124,9 @@
 
     def on_connection_close(self):
         self._caller_left = True
-        self._parts.process.in_flight.discard(self)
-        self._release_body()
+        if self._run is not None:
+            self._run.is_whole = False
+        self._end()
         if self._task is not None:
             self._task.cancel()
 
@@ -159,9 +165,13 @@
     def _request_id(self):
         return self.request.headers.get(wire.REQUEST_ID, "")
 
-    def _release_body(self):
+    def _end(self):
+        """Release what a request holds once its answer is sent or its caller has left."""
+        self._parts.process.in_flight.discard(self)
         self._parts.budget.add_body(-self._body_bytes)
         self._body_bytes = 0
+        if self._run is not None:
+            self._parts.stop_admission.end(self._run)
 
     def _reply(self, status, headers=(), body=b""):
         self._write_head(status, headers)
@@ -175,8 +185,7 @@
 
     def _handle_sent_answer(self, sent, size):
         self._parts.budget.add_answer(-size)
-        self._parts.process.in_flight.discard(self)
-        self._release_body()
+        self._end()
         # Marks the error of a connection that ended as handled: nobody awaits it.
         if not sent.cancelled():
             sent.exception()
@@ -272,6 +281,12 @@
     return 503, [("Retry-After", f"{outcome.retry_after:g}")]
 
 
+@failure.register
+def _(outcome: InstanceStopping):
+    # The next request on this connection would be refused too.
+    return 503, [("Retry-After", f"{outcome.retry_after:g}"), ("Connection", "close")]
+
+
 @failure.register
 def _(outcome: Unknown):
     return 504, []
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -38,6 +38,8 @@
 from sassafrasdoor.requests.buffers import BufferBudget
 from sassafrasdoor.requests.crash_watch import TOPIC as CRASHES_TOPIC, CrashWatch
 from sassafrasdoor.requests.direct import DirectService
+from sassafrasdoor.requests.stop_admission import StopAdmission
+from sassafrasdoor.requests.stop_policy import StopTimes
 from sassafrasdoor.requests.streaming import StreamService
 from sassafrasdoor.routing.instances import STEP_READERS_KEY, Instances
 from sassafrasdoor.routing.load_datagrams import LoadDatagrams
@@ -66,6 +68,10 @@
 LAST_FLUSH_SHARE, CLEANUP_SHARE = 0.95, 0.96
 # Share of that duration after which the process exits whatever it still does.
 FORCED_EXIT_SHARE = 0.97
+# How long a stop accepts requests of unknown duration that may outlive it: the shorter of
+# a share of the stop and the seconds in which callers renew the directory's answer.
+UNMEASURED_SHARE = 0.3
+UNMEASURED_TIME = handlers.DIRECTORY_TTL + 0.5
 CLOSING_TIME = 1.0  # seconds before the end of the drain; connections are then closed
 IN_FLIGHT_CHECK_INTERVAL = 0.02  # seconds
 # Up to this number of replicas one process runs all shards; with more it would lack CPU
@@ -218,6 +224,7 @@
             self._runner.stop_shard,
             self._instances,
         )
+        self._stop_admission = StopAdmission(lambda: bool(self._instances.peers()))
         self._load_datagrams = self._build_load_datagrams()
         self._build_weights()
         self._build_duties(member)
@@ -385,6 +392,7 @@
             self._store,
             self._access,
             self._budget,
+            self._stop_admission,
         )
         tails = (
             self._operator_tail,
@@ -599,6 +607,10 @@
         finish_deadline = started_at + duration * FINISH_IN_FLIGHT_SHARE
         flush_deadline = started_at + duration * LAST_FLUSH_SHARE
         cleanup_deadline = started_at + duration * CLEANUP_SHARE
+        unmeasured_time = min(duration * UNMEASURED_SHARE, UNMEASURED_TIME)
+        self._stop_admission.begin_stop(
+            StopTimes(started_at + unmeasured_time, finish_deadline, finish_deadline)
+        )
         force_exit_at(started_at + duration * FORCED_EXIT_SHARE)
         note("process.stopping", seconds=round(remaining(drain_deadline), 2))
         leaving = start_critical_tasks(
--- a/sassafrasdoor/platform/prompts.py
+++ b/sassafrasdoor/platform/prompts.py
@@ -1,4 +1,4 @@
-"""Reads the prompt of an item from the headers that its trainer sent."""
+"""Reads what callers' headers say of prompts and of the tokens to generate."""
 
 from sassafrasdoor.platform import wire
 from sassafrasdoor.routing.prompt_cache import Prompt
@@ -27,6 +27,14 @@
     return Prompt(parts, tokens, min(output, max_output) if max_output else output)
 
 
+def output_limit(headers):
+    """Return the most tokens that a request may generate, 0 if it states none."""
+    try:
+        return _parse_counts(headers.get(wire.TOKEN_COUNT))[1]
+    except ValueError:
+        return 0
+
+
 def _parse_counts(text):
     if text is None:
         return 0, 0
--- a/sassafrasdoor/platform/tests/test_stop_processes.py
+++ b/sassafrasdoor/platform/tests/test_stop_processes.py
@@ -5,7 +5,7 @@
 import signal
 import unittest
 
-from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.platform import wire
 from sassafrasdoor.platform.tests.cases import ProcessCase
 from sassafrasdoor.platform.tests.test_duties_processes import DutiesCase
@@ -15,6 +15,12 @@
 LANDS_AFTER = 1.0  # seconds after the deletion
 OUTCOME_UNKNOWN = 504
 HELD_BEFORE, HELD_AT = 0.5, 4.0  # seconds before and after SIGTERM
+REFUSED = 503
+STREAM_EVENTS = 40
+# Shares of the time for a stop: what a long stream takes, and when requests are sent.
+STREAM_SHARE = 0.55
+SENT_EARLY, SENT_LATE = 0.05, (0.44, 0.56, 0.69)
+MEASURED_STREAMS = 10
 
 
 class StopTest(DutiesCase):
@@ -65,6 +71,86 @@
         self.assertEqual([line.fields["unfinished"] for line in stopped], [[]] * 3)
 
 
+class StopAdmissionTest(ProcessCase):
+    grace = GRACE_SECONDS
+
+    @property
+    def more_settings(self):
+        return f"Bounds.GraceS={self.grace}\n"
+
+    def stream(self, path):
+        """Begin a stream at the first instance, whose caller waits beyond the stop."""
+        self.sent += 1
+        headers = {wire.REQUEST_ID: f"stream-{self.sent}", wire.DEADLINE: "9500"}
+        call = self.fetch(self.instances[0].front, path, "POST", "", **headers)
+        return asyncio.ensure_future(call)
+
+    async def asyncSetUp(self):
+        self.sent = 0
+        await super().asyncSetUp()
+        for engine in self.engines:
+            engine.events = STREAM_EVENTS
+            engine.pause = STREAM_SHARE * self.grace / STREAM_EVENTS
+
+    def stop_first(self):
+        """Begin the planned stop of the first instance; return the time."""
+        self.instances[0].signal(signal.SIGTERM)
+        return now()
+
+    async def until_share(self, stopped_at, share):
+        """Wait until a share of the time for the stop has passed."""
+        await asyncio.sleep(remaining(stopped_at + share * self.grace))
+
+    def check_whole(self, reply):
+        self.assertEqual(reply.code, 200)
+        self.assertEqual(reply.body.count(b"\n\n"), self.engines[0].events)
+
+    async def test_stop_refuses_streams_that_would_be_cut_off(self):
+        """Guards against streams that are accepted in a stop and cut off at its end."""
+        stopped_at = self.stop_first()
+        await self.until_share(stopped_at, SENT_EARLY)
+        early = [self.stream(path) for path in ("/o/x", "/r/x")]
+        for share in SENT_LATE:
+            await self.until_share(stopped_at, share)
+            for path in ("/o/x", "/r/x"):
+                reply = await self.stream(path)
+                self.assertEqual(reply.code, REFUSED)
+                self.assertEqual(reply.headers["Retry-After"], "0")
+                self.assertEqual(reply.headers["Connection"], "close")
+        for stream in early:
+            self.check_whole(await stream)
+        runs = [run.request_id for run in self.all_runs()]
+        self.assertEqual(sorted(runs), ["stream-1", "stream-2"])
+        await self.wait_until(lambda: not self.instances[0].running)
+        self.assertEqual(self.lines("", "request.cut_by_stop"), [])
+
+    async def test_stop_serves_what_can_be_answered(self):
+        """Guards against a stop that refuses all requests with late deadlines."""
+        for engine in self.engines:
+            engine.events = 4
+        for path in ("/o/x", "/r/x") * MEASURED_STREAMS:
+            self.check_whole(await self.stream(path))
+        stopped_at = self.stop_first()
+        for share in SENT_LATE:
+            await self.until_share(stopped_at, share)
+            is_answered, submission, *streams = await asyncio.gather(
+                self.plain_call_returns(self.instances[0], 200),
+                self.submit(f"step-{share}"),
+                self.stream("/o/x"),
+                self.stream("/r/x"),
+            )
+            self.assertTrue(is_answered)
+            self.assertEqual(submission.code, 202)
+            for reply in streams:
+                self.check_whole(reply)
+        await self.wait_until(lambda: not self.instances[0].running)
+        self.assertEqual(self.lines("", "request.cut_by_stop"), [])
+
+
+class ShortStopAdmissionTest(StopAdmissionTest):
+    grace = 4.0
+
+
 class LateRenewalTest(ProcessCase):
     async def test_renewal_that_lands_late_does_not_bring_an_ended_instance_back(self):
         """Guards against callers sent to an instance that has ended as planned.
--- /dev/null
+++ b/sassafrasdoor/requests/tests/test_stop_policy.py
@@ -0,0 +1,149 @@
+"""Replays of planned stops in virtual time, and the rules of the decision."""
+
+import unittest
+
+from sassafrasdoor.requests.stop_policy import (
+    ANSWER_MARGIN,
+    MAX_KINDS,
+    MIN_DURATIONS,
+    RequestKind,
+    StopPolicy,
+    StopTimes,
+    retry_after,
+)
+
+GRACES = (3.0, 8.0, 30.0)  # seconds for a stop
+CALL, STREAM = 0.05, 4.4  # seconds that a request takes
+ROUTE_TIMEOUT = 60.0
+ARRIVAL_INTERVAL = 0.1
+# Seconds before the end in which a short call may be refused.
+CALL_END = ANSWER_MARGIN + 2 * CALL + ARRIVAL_INTERVAL
+CALLS = RequestKind("calls", is_repeatable=True, target=0.2)
+STREAMS = RequestKind("streams", output_limit=60)
+
+
+def stop_times(grace):
+    return StopTimes(min(3.0, grace * 3 / 8), grace, grace)
+
+
+class Replay:
+    """A stop that begins at 0; requests of each kind arrive at a steady rate."""
+
+    def __init__(self, grace, policy=None):
+        self.times = stop_times(grace)
+        self.policy = policy or StopPolicy()
+        self.served, self.refused, self.cut = [], [], []
+
+    def measure(self, kind, seconds, count=MIN_DURATIONS):
+        for _ in range(count):
+            self.end(self.policy.begin(kind, -seconds), 0.0)
+        return self
+
+    def end(self, run, at, is_whole=True):
+        run.is_whole = is_whole
+        self.policy.end(run, at)
+
+    def offer(self, kind, seconds, deadline_in=ROUTE_TIMEOUT):
+        at = 0.0
+        while at < self.times.finish_deadline:
+            if not self.policy.can_finish(self.times, kind, at + deadline_in, at):
+                self.refused.append(at)
+            elif at + min(seconds, deadline_in) > self.times.finish_deadline:
+                self.cut.append(at)
+            else:
+                self.served.append(at)
+            at += ARRIVAL_INTERVAL
+        return self
+
+
+class StopReplayTest(unittest.TestCase):
+    def test_streams_beyond_the_end_among_short_calls(self):
+        """Guards against streams cut off by a stop, and stops that refuse all."""
+        for grace in GRACES:
+            with self.subTest(grace=grace):
+                replay = Replay(grace).measure(CALLS, CALL).measure(STREAMS, STREAM)
+                replay.offer(CALLS, CALL)
+                self.assertEqual(replay.cut, [])
+                self.assertGreater(max(replay.served), grace - CALL_END)
+                streams = Replay(grace, replay.policy).offer(STREAMS, STREAM)
+                self.assertEqual(streams.cut, [])
+                self.assertEqual(bool(streams.served), grace > STREAM)
+
+    def test_unknown_streams_late_in_a_stop(self):
+        """Guards against cut streams of an instance that has not served any before."""
+        for grace in GRACES:
+            with self.subTest(grace=grace):
+                replay = Replay(grace).offer(STREAMS, STREAM)
+                late = [
+                    at for at in replay.cut if at >= replay.times.unmeasured_deadline
+                ]
+                self.assertEqual(late, [])
+                self.assertIn(0.0, replay.served + replay.cut)
+
+    def test_stuck_calls_do_not_have_all_calls_refused(self):
+        """Guards against one silent replica that ends all service during a stop."""
+        replay = Replay(8.0).measure(CALLS, CALL, count=30)
+        replay.policy.begin(CALLS, -7.0)
+        self.end_failed(replay, CALLS, 8.0)
+        replay.offer(CALLS, CALL)
+        self.assertEqual(replay.cut, [])
+        self.assertGreater(min(replay.refused), 8.0 - CALL_END)
+
+    def end_failed(self, replay, kind, seconds):
+        run = replay.policy.begin(kind, -seconds)
+        replay.end(run, 0.0, is_whole=False)
+
+    def test_stream_in_progress_shows_how_long_others_take(self):
+        """Guards against judging streams by the short ones that have ended first."""
+        replay = Replay(8.0).measure(STREAMS, 0.5)
+        self.assertTrue(self.accepts(replay, STREAMS, 4.0))
+        replay.policy.begin(STREAMS, -3.5)
+        self.assertFalse(self.accepts(replay, STREAMS, 4.0))
+
+    def accepts(self, replay, kind, at, deadline_in=ROUTE_TIMEOUT):
+        return replay.policy.can_finish(replay.times, kind, at + deadline_in, at)
+
+
+class StopPolicyTest(unittest.TestCase):
+    def accepts(self, policy, kind, at, deadline_in=ROUTE_TIMEOUT):
+        return policy.can_finish(stop_times(8.0), kind, at + deadline_in, at)
+
+    def test_deadline_within_the_stop_is_always_accepted(self):
+        policy = Replay(8.0).measure(STREAMS, 20.0).policy
+        self.assertTrue(self.accepts(policy, STREAMS, 4.0, deadline_in=3.9))
+        self.assertFalse(self.accepts(policy, STREAMS, 4.0, deadline_in=4.0))
+
+    def test_nothing_is_accepted_without_time_for_the_answer(self):
+        at = 8.0 - ANSWER_MARGIN
+        self.assertFalse(self.accepts(StopPolicy(), CALLS, at, deadline_in=0.0))
+
+    def test_kinds_of_other_sizes_are_judged_apart(self):
+        policy = Replay(8.0).measure(STREAMS, 0.5).policy
+        longer = RequestKind("streams", output_limit=4 * 60)
+        self.assertTrue(self.accepts(policy, STREAMS, 5.0))
+        self.assertFalse(self.accepts(policy, longer, 5.0))
+
+    def test_unmeasured_calls_are_judged_by_their_target(self):
+        self.assertTrue(self.accepts(StopPolicy(), CALLS, 7.5))
+        self.assertFalse(self.accepts(StopPolicy(), CALLS, 7.8))
+        without = RequestKind("calls", is_repeatable=True)
+        self.assertFalse(self.accepts(StopPolicy(), without, 7.5))
+
+    def test_number_of_kinds_is_bounded(self):
+        """Guards against memory that grows with each route that ever was."""
+        policy = StopPolicy()
+        first = policy.begin(RequestKind("first"), 0.0)
+        for number in range(MAX_KINDS):
+            policy.end(policy.begin(RequestKind(f"r{number}"), 0.0), 1.0)
+        policy.end(first, 1.0)
+        self.assertEqual(len(policy._durations), MAX_KINDS)
+
+    def test_retry_after_suits_the_caller(self):
+        times = stop_times(8.0)
+        self.assertEqual(retry_after(times, True, 10.0, 2.0), 0.0)
+        self.assertEqual(retry_after(times, False, 100.0, 2.0), 6.0)
+        self.assertEqual(retry_after(times, False, 5.0, 2.0), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -12,6 +12,7 @@
     "duties/watermarks.py": "for which processes the counts of a window wait",
     "log/turns.py": "who reads first after all instances started together",
     "requests/buffers.py": "whether a request's body fits into the memory",
+    "requests/stop_policy.py": "which requests are still served during a planned stop",
     "routing/engine_speed.py": "which speed of an engine lasts, when it is slow",
     "routing/pace.py": "which samples leave an engine of another speed",
     "routing/overload.py": "which calls are sent, wait or are refused under overload",
--- a/sassafrasdoor/timeline/lines.py
+++ b/sassafrasdoor/timeline/lines.py
@@ -47,6 +47,7 @@
     "request.caller_left",
     "request.cut_by_stop",
     "request.no_route",
+    "request.refused_by_stop",
 }
 OMITTED_FIELDS = {
     "timestamp",
