A draining entry refuses what it would cut off

A stream that was begun while a draining entry still served, and that lasted beyond drain.deadline, was closed in the middle. Cause: until the discovery answers had lapsed every request was accepted, whatever time it needed; afterwards the drain waits for drain.deadline only. Change: RequestsService asks the same StopAdmission, from the begin of the drain on. What only this instance can run (its own keys, also through a peer) is accepted by the time left alone; its refusal tells the caller to return after the end of the stop.

--- a/sassafrasdoor/entry/process.py
+++ b/sassafrasdoor/entry/process.py
@@ -12,6 +12,7 @@
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.peers.server import PeerServer
 from sassafrasdoor.requests.peer import capability
+from sassafrasdoor.requests.stop_policy import StopTimes
 from sassafrasdoor.stopping import install_stop_handler, print_ready_line
 
 DRAIN_POLL_INTERVAL = 0.05  # seconds
@@ -55,7 +56,8 @@
     Callers cache a discovery answer for ``discovery_valid`` seconds. An instance
     that refused at once would fail calls which another one could serve, so it first
     announces that it is leaving, serves until the last answer that lists it has
-    expired, then refuses new calls and finishes those in progress. Other instances
+    expired, then refuses new calls and finishes those in progress. From the begin it
+    refuses what it could not finish within ``drain.deadline`` after that. Other instances
     list it until the announcement reaches them, which ``drain.spread`` allows for:
     without it, calls are interrupted just before the stop.
     """
@@ -63,8 +65,14 @@
     logs.changed("entry:leaving")
     EVENTS.add("drain-started")
     await components.link.leave()
-    discovery_expiry = deadline_in(
-        settings.routing.discovery_valid + settings.drain.spread
+    unmeasured_deadline = deadline_in(settings.routing.discovery_valid)
+    discovery_expiry = unmeasured_deadline + settings.drain.spread
+    components.requests.stop_admission.begin_stop(
+        StopTimes(
+            unmeasured_deadline,
+            discovery_expiry,
+            discovery_expiry + settings.drain.deadline,
+        )
     )
     await asyncio.sleep(remaining(discovery_expiry))
     components.requests.refuse_new()
--- a/sassafrasdoor/requests/handlers.py
+++ b/sassafrasdoor/requests/handlers.py
@@ -191,7 +191,7 @@
             await self.reply(await self._requests.run(self._row, request))
 
     async def _stream(self, request, body):
-        refusal = self._requests.refusal(request)
+        refusal = self._requests.refusal(self._row, request, is_streamed=True)
         if refusal is not None:
             await self.reply(refusal)
             return
--- a/sassafrasdoor/requests/service.py
+++ b/sassafrasdoor/requests/service.py
@@ -8,10 +8,13 @@
 from sassafrasdoor.clock import passed
 from sassafrasdoor.outcomes import NotRun, Unknown
 from sassafrasdoor.requests import messages, peer
+from sassafrasdoor.requests.attempts import SERVER_ERROR
 from sassafrasdoor.requests.calls import CallRunner
 from sassafrasdoor.requests.claims import Claims
 from sassafrasdoor.requests.executions import Executions
 from sassafrasdoor.requests.issued import Issuer, parse
+from sassafrasdoor.requests.stop_admission import StopAdmission
+from sassafrasdoor.requests.stop_policy import RequestKind
 from sassafrasdoor.requests.streams import GenerateRequest, Restart, StreamRunner
 from sassafrasdoor.view import State
 
@@ -29,10 +32,10 @@
         "_executions",
         "_in_progress",
         "_issuer",
-        "_refusing",
         "_streams",
         "_view_getter",
         "settings",
+        "stop_admission",
     )
 
     def __init__(
@@ -48,8 +51,8 @@
         self._issuer = Issuer(settings)
         self._claims = Claims(settings, log, self._issuer.incarnation) if log else None
         self._executions = Executions(settings)
-        self._refusing = False
         self._in_progress = 0
+        self.stop_admission = StopAdmission(self._knows_others)
 
     @property
     def view(self):
@@ -63,7 +66,8 @@
         that could reach another instance after this one has ended, which would answer
         unknown although the key never ran.
         """
-        return "" if self._refusing or self._is_leaving() else self._issuer.prefix()
+        is_leaving = self.stop_admission.is_stopping or self._is_leaving()
+        return "" if is_leaving else self._issuer.prefix()
 
     def _is_leaving(self):
         name = self.settings.instance.name
@@ -72,9 +76,12 @@
             for member in self.view.members
         )
 
-    def refuse_new(self):
-        """Refuse new requests; those in progress continue."""
-        self._refusing = True
+    def _knows_others(self):
+        name = self.settings.instance.name
+        return any(
+            member.name != name and member.state is State.ALIVE
+            for member in self.view.members
+        )
 
     def in_progress(self):
         """Return the number of requests in progress."""
@@ -84,7 +91,7 @@
         """Return the status of requests as a JSON-ready mapping."""
         return {
             "in_progress": self._in_progress,
-            "refusing": self._refusing,
+            "refusing": self.stop_admission.is_refusing,
             "keys": len(self._executions),
             "slots": self._admission.allowed(),
         }
@@ -98,25 +105,38 @@
         finally:
             self._in_progress -= 1
 
-    def refusal(self, request):
-        """Return ``NotRun`` if the request cannot be accepted, else None."""
-        if self._refusing:
-            return NotRun("this instance is leaving", REFUSING_RETRY_AFTER)
+    def refuse_new(self):
+        """Refuse new requests; those in progress continue."""
+        self.stop_admission.end_intake()
+
+    def refusal(self, row, request, is_streamed=False, is_movable=True):
+        """Return ``NotRun`` if the request cannot be accepted, else None.
+
+        ``is_movable`` says whether another instance may run it.
+        """
         if passed(request.deadline):
             return NotRun("deadline passed", REFUSING_RETRY_AFTER)
-        return None
+        if not self.stop_admission.is_stopping:
+            return None
+        return self.stop_admission.refusal(
+            _kind(row, request, is_streamed),
+            request.deadline,
+            request.request_id,
+            is_movable,
+        )
 
     async def run(self, row, request):
         """Run a request that is not streamed and return its outcome."""
-        refusal = self.refusal(request)
+        issued = parse(request.key) if request.is_deduplicated else None
+        is_own_key = issued is not None and self._issuer.owns(issued)
+        refusal = self.refusal(row, request, is_movable=not is_own_key)
         if refusal is not None:
             return refusal
         if not request.is_deduplicated:
             return await self._run_here(row, request)
-        issued = parse(request.key)
         if issued is None:
             return await self._run_claimed(row, request)
-        if self._issuer.owns(issued):
+        if is_own_key:
             return await self._run_issued(row, request, issued)
         return await self._forward(issued, row, request)
 
@@ -126,20 +146,26 @@
         if incarnation != self._issuer.incarnation or row is None:
             return Unknown("the key's owner is gone")
         issued = parse(request.key)
+        is_claimed = self._claims and self._claims.owns_key(row_name, request.key)
+        if issued is None and not is_claimed:
+            return Unknown("the key was not claimed here")
+        refusal = self.refusal(row, request, is_movable=False)
+        if refusal is not None:
+            return refusal
         with self.track_progress():
             if issued is not None:
                 return await self._run_issued(row, request, issued)
-            if self._claims and self._claims.owns_key(row_name, request.key):
-                return await self._run_once(row, request)
-            return Unknown("the key was not claimed here")
+            return await self._run_once(row, request)
 
     async def generate(self, row, request, deadline):
         """Yield the items of ``Streams.run`` for a streamed answer."""
-        async with contextlib.aclosing(
-            self._streams.run(row, request, deadline)
-        ) as items:
-            async for item in items:
-                yield item
+        kind = RequestKind(row.name, request.max_tokens)
+        items = self._streams.run(row, request, deadline)
+        with self.stop_admission.track(kind) as run:
+            async with contextlib.aclosing(items):
+                async for item in items:
+                    run.is_whole = isinstance(item, Finished)
+                    yield item
 
     async def _run_issued(self, row, request, issued):
         if self._issuer.has_lapsed(issued):
@@ -184,7 +210,10 @@
         return await self._RUNNERS[request.kind](self, row, request)
 
     async def _run_call(self, row, request):
-        return await self._calls.run(row, request)
+        with self.stop_admission.track(RequestKind(row.name)) as run:
+            outcome = await self._calls.run(row, request)
+            run.is_whole = isinstance(outcome, Answer) and outcome.status < SERVER_ERROR
+        return outcome
 
     async def _run_generate(self, row, request):
         document = json.loads(request.body)
@@ -211,6 +240,15 @@
     _RUNNERS = {messages.CALL: _run_call, messages.GENERATE: _run_generate}
 
 
+def _kind(row, request, is_streamed):
+    """Return the ``RequestKind`` of a request."""
+    # A stream that is cut off has no outcome that its caller could go by.
+    is_repeatable = request.repeatable and not is_streamed
+    is_generate = request.kind == messages.GENERATE
+    limit = json.loads(request.body)["max_tokens"] if is_generate else 0
+    return RequestKind(row.name, limit, is_repeatable)
+
+
 def chunk_document(chunk):
     """Return a chunk as a JSON-ready line of a streamed answer."""
     return {
--- a/sassafrasdoor/requests/tests/test_issued.py
+++ b/sassafrasdoor/requests/tests/test_issued.py
@@ -16,6 +16,7 @@
 from sassafrasdoor.requests.messages import Conflict, Request, keyed_request_id
 from sassafrasdoor.requests.peer import capability
 from sassafrasdoor.requests.service import RequestsService
+from sassafrasdoor.requests.stop_policy import StopTimes
 from sassafrasdoor.requests.tests.fakes import (
     FakeEngine,
     FakeService,
@@ -221,6 +222,31 @@
         instance.current_view.members[0].state = State.LEAVING
         self.assertEqual(instance.requests.key_prefix(), "")
 
+    def begin_stop(self, instance, seconds):
+        """Begin a planned stop that cuts requests off after ``seconds``."""
+        times = StopTimes(deadline_in(0), deadline_in(0), deadline_in(seconds))
+        instance.requests.stop_admission.begin_stop(times)
+
+    async def test_stopping_owner_serves_its_keys(self):
+        """Guards against a stop that refuses what no other instance can run.
+
+        A new key runs if it can end in time, and is refused as not run otherwise.
+        """
+        async with capnp.kj_loop():
+            service, (first, second) = await self.cluster()
+            prefix = first.requests.key_prefix()
+            self.begin_stop(first, 5.0)
+            for instance in (first, second):
+                name = f"{prefix}{instance.settings.instance.name}"
+                answer = await instance.send_request(name, within=3.0)
+                self.assertIsInstance(answer, Answer)
+                refusal = await instance.send_request(f"{name}-late", within=10.0)
+                self.assertIsInstance(refusal, NotRun)
+                self.assertGreater(refusal.retry_after, 3.0)
+            self.assertEqual(sum(service.ran.values()), 2)
+            for instance in (first, second):
+                await instance.peers.close()
+
     async def test_lapsed_key_is_not_run(self):
         """Guards against an old key that runs again after its record has expired.
 
--- a/sassafrasdoor/requests/tests/test_operation_processes.py
+++ b/sassafrasdoor/requests/tests/test_operation_processes.py
@@ -4,7 +4,12 @@
 import json
 import unittest
 
-from sassafrasdoor.requests.tests.cases import ProcessCase
+from sassafrasdoor.cluster import KEYS
+from sassafrasdoor.requests.tests.cases import (
+    GENERATE_BODY,
+    SHORT_TIMEOUTS,
+    ProcessCase,
+)
 from sassafrasdoor.standin.proxy import Proxy
 from sassafrasdoor.support import until
 
@@ -118,6 +123,33 @@
         self.assertEqual({status for status, _ in replies[10:]}, {200})
         await until(lambda: leaving.entry.returncode == 0)
 
+    async def test_planned_stop_refuses_streams_that_it_would_cut_off(self):
+        """Guards against streams that are accepted in a stop and cut off at its end."""
+        cluster = await self.cluster(
+            {**SHORT_TIMEOUTS, "drain": {"spread": 3.0, "deadline": 1.0}},
+            instances=2,
+            engines=1,
+            services=1,
+            engine_options=("--token-rate", "30"),
+        )
+        leaving = cluster.instances[0]
+        for _ in range(10):
+            reply = await self.send_request(leaving, "idempotent")
+            self.assertEqual(reply.code, 200)
+        leaving.entry.signal(15)
+        # Callers that renew their addresses have left by then.
+        await asyncio.sleep(1.5)
+        path, fields = "/v1/generate/chat", {"max_tokens": 150, "stream": True}
+        reply = await cluster.raw(
+            "POST", leaving.address, path, KEYS["chat"], {**GENERATE_BODY, **fields}
+        )
+        self.assertEqual(reply.code, 503)
+        self.assertEqual(reply.headers["Retry-After"], "0")
+        self.assertEqual(reply.headers["X-Outcome"], "not-run")
+        reply = await self.send_request(leaving, "idempotent")
+        self.assertEqual(reply.code, 200)
+        await until(lambda: leaving.entry.returncode == 0)
+
     async def has_in_progress(self, instance, count):
         """Return whether an instance has at least ``count`` requests in progress."""
         _, status = await self.cluster.get(instance.address, "/v1/status")
