A draining entry answers keys that have run

Callers saw: a keyed request that had run, repeated at a draining entry, was answered 503 not-run, although its answer was kept there. Who believes that takes a new key, and the request runs twice. Cause: the refusal of new requests came before the look-up of the key. Change: a key that runs or has run here is answered by its run, a lapsed one as unknown. Measured: a script that repeats a key after refuse_new(): NotRun with one run at the backend on, the kept answer with one run now. Both new tests of test_issued fail without the change to service.py.

--- a/sassafrasdoor/requests/service.py
+++ b/sassafrasdoor/requests/service.py
@@ -116,7 +116,7 @@
         """
         if passed(request.deadline):
             return NotRun("deadline passed", REFUSING_RETRY_AFTER)
-        if not self.stop_admission.is_stopping:
+        if not self.stop_admission.is_stopping or self._is_settled(row, request):
             return None
         return self.stop_admission.refusal(
             _kind(row, request, is_streamed),
@@ -125,6 +125,15 @@
             is_movable,
         )
 
+    def _is_settled(self, row, request):
+        """Return whether a keyed request is answered without a new run here."""
+        if not request.is_deduplicated:
+            return False
+        issued = parse(request.key)
+        is_own = issued is not None and self._issuer.owns(issued)
+        is_lapsed = is_own and self._issuer.has_lapsed(issued)
+        return is_lapsed or (row.name, request.key) in self._executions
+
     async def run(self, row, request):
         """Run a request that is not streamed and return its outcome."""
         issued = parse(request.key) if request.is_deduplicated else None
--- a/sassafrasdoor/requests/tests/test_issued.py
+++ b/sassafrasdoor/requests/tests/test_issued.py
@@ -230,23 +230,37 @@
     async def test_stopping_owner_serves_its_keys(self):
         """Guards against a stop that refuses what no other instance can run.
 
-        A new key runs if it can end in time, and is refused as not run otherwise.
+        A key that has run is answered as before, through a peer too. A new one runs if
+        it can end in time, and is refused as not run otherwise.
         """
         async with capnp.kj_loop():
             service, (first, second) = await self.cluster()
             prefix = first.requests.key_prefix()
+            done = await first.send_request(prefix + "done")
             self.begin_stop(first, 5.0)
             for instance in (first, second):
+                repeated = await instance.send_request(prefix + "done")
+                self.assertEqual(repeated.body, done.body)
                 name = f"{prefix}{instance.settings.instance.name}"
                 answer = await instance.send_request(name, within=3.0)
                 self.assertIsInstance(answer, Answer)
                 refusal = await instance.send_request(f"{name}-late", within=10.0)
                 self.assertIsInstance(refusal, NotRun)
                 self.assertGreater(refusal.retry_after, 3.0)
-            self.assertEqual(sum(service.ran.values()), 2)
+            self.assertEqual(sum(service.ran.values()), 3)
             for instance in (first, second):
                 await instance.peers.close()
 
+    async def test_stopping_owner_does_not_deny_a_lapsed_key(self):
+        """Guards against "not run" for a key whose outcome is no longer kept."""
+        instance = Instance(
+            "entry-1", FakeService(), view(row_document("once", repeatable=False))
+        )
+        key = instance.requests.key_prefix() + "1"
+        instance.requests._issuer._started -= 601
+        self.begin_stop(instance, 5.0)
+        self.assertIsInstance(await instance.send_request(key), Unknown)
+
     async def test_lapsed_key_is_not_run(self):
         """Guards against an old key that runs again after its record has expired.
 
