A repeatable call is judged by one answer during a stop

Cause: a call that may be repeated counted as unmeasured until eight of its route were answered here, and was judged by its route's target latency. Change: one answer is enough for calls that may be repeated, as one that is cut off is answered 504 and sent again. Without any the target decides as before. The soak's routes state a target in proportion to the stop (0.05 of it); its bound, 0.8 of the stop, stays. Measured: test_one_answer_shows_what_a_repeatable_call_takes failed before.

--- a/sassafrasdoor/platform/stop_soak.py
+++ b/sassafrasdoor/platform/stop_soak.py
@@ -61,6 +61,9 @@
 }
 
 
+TARGET_SHARE = 0.05  # of the grace time, for the target latency of all routes
+
+
 class RequestType:
     """A kind of request: its path prefix, service and the kind of its route."""
 
@@ -77,8 +80,8 @@
         """Whether a request may run once at most."""
         return self.kind != "safe" and not self.resumable
 
-    def route(self):
-        """Return the route as the operator writes it."""
+    def route(self, grace):
+        """Return the route as the operator writes it; ``grace`` is that of a stop."""
         return {
             "Name": self.prefix,
             "Host": HOST,
@@ -87,7 +90,7 @@
             "Resumable": self.resumable,
             "Service": str(self.service),
             "TimeoutMs": int(ROUTE_TIMEOUT * 1000),
-            "TargetLatencyMs": 500,
+            "TargetLatencyMs": int(TARGET_SHARE * grace * 1000),
             "MaxAttempts": 3,
             "RetentionS": 60,
         }
@@ -256,7 +259,7 @@
         await self._store.configure(
             {
                 "Version": self._version,
-                "Routes": [each.route() for each in REQUEST_TYPES],
+                "Routes": [each.route(self._grace) for each in REQUEST_TYPES],
                 "Services": [{"Name": str(service)} for service in Service],
             }
         )
--- a/sassafrasdoor/requests/stop_policy.py
+++ b/sassafrasdoor/requests/stop_policy.py
@@ -15,7 +15,7 @@
 # still be sent.
 ANSWER_MARGIN = 0.05
 MAX_KINDS, MAX_DURATIONS = 512, 128  # kept, the latter per kind
-MIN_DURATIONS = 8  # fewer do not show how long requests of a kind take
+MIN_DURATIONS = 8  # fewer do not show how long a kind takes that must not run twice
 # Multiple of the recent durations that a request is expected not to exceed.
 DURATION_MARGIN = 1.25
 # Share of the repeatable requests of a kind that are expected to end in time.
@@ -148,11 +148,12 @@
 
 def _expected_duration(kind, durations, current):
     """Return the seconds that a request takes at most, None if that is unknown."""
-    if len(durations.whole) < MIN_DURATIONS:
-        return kind.target if kind.is_repeatable else None
     if kind.is_repeatable:
         # One slow request must not have all others refused.
-        return durations.usual() * DURATION_MARGIN
+        is_measured = bool(durations.whole)
+        return durations.usual() * DURATION_MARGIN if is_measured else kind.target
+    if len(durations.whole) < MIN_DURATIONS:
+        return None
     return durations.longest(current) * DURATION_MARGIN
 
 
--- a/sassafrasdoor/requests/tests/test_stop_policy.py
+++ b/sassafrasdoor/requests/tests/test_stop_policy.py
@@ -123,6 +123,12 @@
         self.assertTrue(self.accepts(policy, STREAMS, 5.0))
         self.assertFalse(self.accepts(policy, longer, 5.0))
 
+    def test_one_answer_shows_what_a_repeatable_call_takes(self):
+        policy = Replay(8.0).measure(CALLS, CALL, count=1).policy
+        self.assertTrue(self.accepts(policy, CALLS, 7.8))
+        policy = Replay(8.0).measure(STREAMS, CALL, count=1).policy
+        self.assertFalse(self.accepts(policy, STREAMS, 7.8))
+
     def test_unmeasured_calls_are_judged_by_their_target(self):
         self.assertTrue(self.accepts(StopPolicy(), CALLS, 7.5))
         self.assertFalse(self.accepts(StopPolicy(), CALLS, 7.8))
