A closing listener resets no request

Cause: the kernel completes connections before they are accepted, and resets those in the queue when the listener is closed. Change: stop_listening accepts what waits, closes, and leaves 0.1 s for the requests of these connections; both processes that serve callers use it. Measured: the new test gives ConnectionResetError with the accepting turns left out, as the code did before, and passes three of three times with them.

--- a/sassafrasdoor/entry/server.py
+++ b/sassafrasdoor/entry/server.py
@@ -10,6 +10,7 @@
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.outcomes import Finding
 from sassafrasdoor.security import key_matches, server_context
+from sassafrasdoor.stopping import stop_listening
 
 BEARER = "Bearer "
 MAX_HEADER_BYTES = 16_384
@@ -52,7 +53,7 @@
 
     async def close(self):
         """Close the listener and the idle connections."""
-        self._http.stop()
+        await stop_listening([self._http])
         await self._http.close_all_connections()
 
     def application(self):
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -51,7 +51,12 @@
 from sassafrasdoor.steps.durable.shards import ShardLease, Shards
 from sassafrasdoor.steps.durable.state import Steps
 from sassafrasdoor.steps.durable.trainers import Trainers
-from sassafrasdoor.stopping import cancel_all_tasks, force_exit_at, start_critical_tasks
+from sassafrasdoor.stopping import (
+    cancel_all_tasks,
+    force_exit_at,
+    start_critical_tasks,
+    stop_listening,
+)
 from sassafrasdoor.table.routes import RoutesInForce
 from sassafrasdoor.weights.controller import WeightsController
 
@@ -621,10 +626,9 @@
         await asyncio.sleep(remaining(drain_deadline))
         for task in leaving:
             task.cancel()
-        for server in self._servers:
-            server.stop()
         # Leaves the store time to answer while requests in progress finish.
         flushing = start_critical_tasks([self._duties.flush_once(flush_deadline)])
+        await stop_listening(self._servers)
         while self.in_flight and not passed(finish_deadline):  # noqa: ASYNC110
             await asyncio.sleep(IN_FLIGHT_CHECK_INTERVAL)
         await self._duties.end(flush_deadline)
--- a/sassafrasdoor/stopping.py
+++ b/sassafrasdoor/stopping.py
@@ -13,6 +13,11 @@
 FORCED_EXIT_CODE = 1
 TASK_FAILURE_EXIT_CODE = 3
 MIN_TIMER_DELAY = 0.001  # seconds
+# Turns of the event loop in which all connections that wait at a listener are accepted.
+ACCEPT_TURNS = 2
+FIRST_REQUEST_TIME = (
+    0.1  # seconds for the request of a connection that was accepted last
+)
 
 
 def print_ready_line(name, **addresses):
@@ -48,6 +53,19 @@
     return tasks
 
 
+async def stop_listening(servers):
+    """Close the listeners of HTTP servers; return once the last requests were read.
+
+    The kernel completes connections before they are accepted, and resets them when the
+    listener is closed. A caller that has sent its request would not know whether it ran.
+    """
+    for _ in range(ACCEPT_TURNS):
+        await asyncio.sleep(0)
+    for server in servers:
+        server.stop()
+    await asyncio.sleep(FIRST_REQUEST_TIME)
+
+
 async def cancel_all_tasks(deadline):
     """Cancel all tasks but the current one; return those that have not ended in time.
 
--- a/sassafrasdoor/tests/test_stopping.py
+++ b/sassafrasdoor/tests/test_stopping.py
@@ -2,12 +2,21 @@
 
 import asyncio
 import contextlib
+import socket
 import subprocess
 import sys
 import unittest
 
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
 from sassafrasdoor.clock import deadline_in
-from sassafrasdoor.stopping import TASK_FAILURE_EXIT_CODE, cancel_all_tasks
+from sassafrasdoor.stopping import (
+    TASK_FAILURE_EXIT_CODE,
+    cancel_all_tasks,
+    stop_listening,
+)
 from sassafrasdoor.support import ROOT
 
 DAEMON = """
@@ -111,3 +120,28 @@
             may_end.set()
 
         asyncio.run(stop())
+
+
+class Answering(RequestHandler):
+    def get(self):
+        self.finish(b"answered")
+
+
+class StopListeningTest(unittest.IsolatedAsyncioTestCase):
+    async def test_connections_that_wait_to_be_accepted_are_served(self):
+        """Guards against requests reset by the end of a listener, as if they had run."""
+        sock, port = bind_unused_port()
+        server = HTTPServer(Application([(r"/", Answering)]))
+        server.add_sockets([sock])
+        callers = []
+        for _ in range(5):
+            caller = socket.create_connection(("127.0.0.1", port))
+            self.addCleanup(caller.close)
+            caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            callers.append(caller)
+        await stop_listening([server])
+        for caller in callers:
+            caller.settimeout(5)
+            self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 200"))
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection(("127.0.0.1", port))
