Stop: comments and names as a newcomer reads them

Cause: a comment wrapped by the formatter, one that repeated the design note, a constant of another check used for the callers' patience. Change: comments, one constant of the stop soak; the decisions stay.

--- a/sassafrasdoor/entry/process.py
+++ b/sassafrasdoor/entry/process.py
@@ -56,7 +56,7 @@
     Callers cache a discovery answer for ``discovery_valid`` seconds. An instance
     that refused at once would fail calls which another one could serve, so it first
     announces that it is leaving, serves until the last answer that lists it has
-    expired, then refuses new calls and finishes those in progress. From the begin it
+    expired, then refuses new calls and finishes those in progress. From the start it
     refuses what it could not finish within ``drain.deadline`` after that. Other instances
     list it until the announcement reaches them, which ``drain.spread`` allows for:
     without it, calls are interrupted just before the stop.
--- a/sassafrasdoor/platform/stop_soak.py
+++ b/sassafrasdoor/platform/stop_soak.py
@@ -36,6 +36,7 @@
 AWAY_TIMES = (0.0, 1.0)  # seconds from the end of a process to its next start
 START_TIMEOUT = 30.0  # seconds until all instances serve
 GRACE_SLACK = 0.5  # seconds beyond the grace time for the end of a process to be seen
+ANSWER_TIME = 2.0  # seconds that callers wait beyond the time that they state
 MAX_SHOWN_VIOLATIONS = 20
 VIOLATION_EXIT_CODE = 1
 
@@ -54,8 +55,6 @@
     Service.SHORT: (4, 0.01),
     Service.LONG: (40, 0.014),
 }
-
-
 TARGET_SHARE = 0.05  # of the grace time, for the target latency of all routes
 
 
@@ -298,7 +297,7 @@
             path,
             headers,
             b"b",
-            deadline_in(seconds + checks.LEAVE_GRACE_PERIOD),
+            deadline_in(seconds + ANSWER_TIME),
         )
         seen = Observation(request_id, request_type, process, deadline)
         seen.result = await self._connections.send(process.instance.front, request)
--- a/sassafrasdoor/requests/stop_policy.py
+++ b/sassafrasdoor/requests/stop_policy.py
@@ -18,8 +18,8 @@
 MIN_DURATIONS = 8  # fewer do not show how long a kind takes that must not run twice
 # Multiple of the recent durations that a request is expected not to exceed.
 DURATION_MARGIN = 1.25
-# Seconds by which a request that must not be cut off may take longer besides: a replica or
-# this process may be busy just then, however short its requests are.
+# Seconds added for requests that must not be cut off: what a busy replica adds does not
+# shrink with the request.
 DURATION_SLACK = 0.5
 # Share of the repeatable requests of a kind that are expected to end in time.
 REPEATABLE_QUANTILE = 0.95
--- a/sassafrasdoor/stopping.py
+++ b/sassafrasdoor/stopping.py
@@ -16,9 +16,8 @@
 FORCED_EXIT_CODE = 1
 TASK_FAILURE_EXIT_CODE = 3
 MIN_TIMER_DELAY = 0.001  # seconds
-FIRST_REQUEST_TIME = (
-    0.1  # seconds for the request of a connection that was accepted last
-)
+# Seconds for the first request of a connection that was accepted last.
+FIRST_REQUEST_TIME = 0.1
 
 
 def print_ready_line(name, **addresses):
