--- a/sassafrasdoor/requests/tests/test_operation_processes.py
+++ b/sassafrasdoor/requests/tests/test_operation_processes.py
@@ -139,7 +139,7 @@
         leaving.entry.signal(15)
         # Callers that renew their addresses have left by then.
         await asyncio.sleep(1.5)
-        path, fields = "/v1/generate/chat", {"max_tokens": 150, "stream": True}
+        path, fields = "/v1/generate/chat", {"max_tokens": 2000, "stream": True}
         reply = await cluster.raw(
             "POST", leaving.address, path, KEYS["chat"], {**GENERATE_BODY, **fields}
         )
