Steps: the line of an errored item tells by which routes it was judged

Why: an item's line said "route removed" and not whether the route was gone or not known yet, a difference that only the times of other lines showed. Change: item.made of an errored item has routes_version, routes_age and step_age. Routes that are older than the step were read before this process learned of it.

--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -38,6 +38,7 @@
     encode,
 )
 from sassafrasdoor.steps.durable.rewards import RewardDispatcher
+from sassafrasdoor.table.routes import rounded_age
 
 DISPATCH_INTERVAL = 0.1  # seconds between passes over the queue without a wake-up
 # Seconds; covers a load of weights (0.9 s) and some seconds in a replica's full queue.
@@ -728,4 +729,17 @@
             versions=versions,
             state=state,
             reason=reason,
+            **self._routes_fields(job) if state == ERRORED else {},
         )
+
+    def _routes_fields(self, job):
+        """Return log fields that tell by how old routes an item was judged.
+
+        Routes older than the step were read before this process learned of it.
+        """
+        configuration = self._routes.current
+        return {
+            "routes_version": None if configuration is None else configuration.version,
+            "routes_age": rounded_age(self._routes.age),
+            "step_age": round(now() - job.step.seen_at, 3),
+        }
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -206,7 +206,7 @@
             return
         self._is_stale = is_stale
         if is_stale:
-            note("routes.old", version=self.current.version, age=_rounded(age))
+            note("routes.old", version=self.current.version, age=rounded_age(age))
         else:
             note("routes.current_again", version=self.current.version)
 
@@ -218,7 +218,7 @@
         if not self.are_stale:
             return outcome
         STALE_REFUSALS.inc({})
-        note("request.route_unsure", age=_rounded(self.age))
+        note("request.route_unsure", age=rounded_age(self.age))
         return NotRun("the routes may be old", STALE_RETRY_AFTER)
 
     def on_change(self, callback):
@@ -242,5 +242,6 @@
         return True
 
 
-def _rounded(age):
+def rounded_age(age):
+    """Return an age for a log line, None if it is infinite."""
     return None if math.isinf(age) else round(age, 3)
