Steps: an item ends only by routes that are read after its step

Cause: routes and steps are read from two partitions without a common order. A runner that was frozen for 0.8 s had the answer of its long poll with the first of two versions, and the step, before the second version. It took the route that it did not know for a removed one. Evidence: item.made of all eight items: routes_version 5, routes_age 1.104 s, step_age 0.001 s; routes.in_force of version 6 follows 5 ms later. Ruled out: retention, the step's end, failed attempts (there was none), a route that is gone. Change: an end by a missing route is final only if a read of the configuration that was sent after this process learned of the step has found nothing newer. The item waits until then, without an attempt and without holding others back, and the read is started at once; such reads are paced over all instances. The newest confirmation of a tail is kept where a long poll ends after a read that was sent later.

--- a/sassafrasdoor/log/sharing.py
+++ b/sassafrasdoor/log/sharing.py
@@ -31,6 +31,9 @@
 # Fraction of the log's reads that all followers of partitions may use together. The
 # lists, which every instance reads, and confirming reads use the rest.
 FOLLOWER_READ_SHARE = 0.4
+# Fraction of the log's reads that all instances together use to confirm that nothing newer
+# was written, where callers could cause any number of such reads.
+CONFIRM_READ_SHARE = 0.1
 # Seconds; a shorter pause is left out: with few followers it would only add delay.
 MIN_FOLLOWER_PAUSE = 0.08
 
@@ -67,6 +70,15 @@
     return max(RETRY_PAUSE, share)
 
 
+def confirm_interval(instances, reads_per_second):
+    """Return the least seconds between two confirming reads of one instance.
+
+    One read confirms all that came before it was sent. Without a bound, callers that ask
+    for what does not exist would have every instance read without a pause.
+    """
+    return max(1, instances) / (CONFIRM_READ_SHARE * reads_per_second)
+
+
 class ReadCoordinator:
     """Schedules the reads that the tails of one instance send to the log.
 
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -65,6 +65,8 @@
     busy partition; there is no pause inside ``without_pauses()``. The partition is
     followed while the event ``wanted`` is set. ``read_coordinator`` is shared by the
     tails of an instance; without one this tail schedules its reads alone.
+    ``confirm_interval()`` returns the least seconds between confirming reads, which bounds
+    them where callers can cause any number.
 
     Attributes, with monotonic times:
 
@@ -90,6 +92,7 @@
         pause=lambda: 0.0,
         wanted=None,
         read_coordinator=None,
+        confirm_interval=lambda: 0.0,
     ):
         self.wanted = wanted or _make_set_event()
         self._read_coordinator = read_coordinator or ReadCoordinator()
@@ -104,6 +107,8 @@
         self._running = False
         self._has_backlog = False
         self._confirm_task = None
+        self._confirm_interval = confirm_interval
+        self._next_confirm_at = LONG_AGO
         self._following_since = now()
         self._last_answer_at = LONG_AGO
         self._bytes_read = 0
@@ -227,10 +232,12 @@
         ``suspended`` is by how much the clocks differed at or before the time at which
         the read was sent; taken later it would include a suspension during the read.
         """
-        self.confirmed_at = sent_at
+        # A long poll may end after a read that was sent later.
+        if self.confirmed_at is None or sent_at > self.confirmed_at:
+            self.confirmed_at = sent_at
+            self.confirmed_boot_at = sent_at + suspended
         # After a pause of this process an answer may have waited for it for long.
         self.end_reached_at = min(now(), sent_at + LONG_POLL_TIMEOUT + READ_SLACK)
-        self.confirmed_boot_at = sent_at + suspended
 
     @property
     def _is_behind_or_failing(self):
@@ -302,19 +309,40 @@
                 await asyncio.sleep(CONFIRM_RETRY_INTERVAL)
         return self.confirmed_at is not None and self.confirmed_at >= called_at
 
+    def request_confirmation(self):
+        """Start a confirming read unless one is pending; ``confirmed_at`` shows its end."""
+        if self._may_confirm:
+            self._start_confirming()
+
     async def _confirm_once(self):
-        """Read once for all concurrent callers; return whether the log answered.
+        """Read once for all concurrent callers; return whether the log answered."""
+        if not self._may_confirm:
+            return False
+        return await asyncio.shield(self._start_confirming())
+
+    @property
+    def _may_confirm(self):
+        """Whether confirming reads are sent.
 
-        Sends nothing while ``run`` still reads a backlog, which a second read would
-        transfer again (megabytes, at a rate that all instances share), or already
-        retries a failed read.
+        None are while ``run`` still reads a backlog, which a second read would transfer
+        again (megabytes, at a rate that all instances share), or already retries a failed
+        read.
         """
-        if self.is_starting or (self._running and self._is_behind_or_failing):
-            return False
+        return not (self.is_starting or (self._running and self._is_behind_or_failing))
+
+    def _start_confirming(self):
+        """Return the task of the pending confirming read; start one if there is none."""
         if self._confirm_task is None:
-            self._confirm_task = asyncio.ensure_future(self.poll(0))
+            self._confirm_task = asyncio.ensure_future(self._poll_when_due())
             self._confirm_task.add_done_callback(self._confirm_done)
-        return await asyncio.shield(self._confirm_task)
+        return self._confirm_task
+
+    async def _poll_when_due(self):
+        delay = remaining(self._next_confirm_at)
+        if delay:
+            await asyncio.sleep(delay)
+        self._next_confirm_at = deadline_in(self._confirm_interval())
+        return await self.poll(0)
 
     def _confirm_done(self, task):
         self._confirm_task = None
@@ -413,8 +441,16 @@
         pause=0.0,
         newest_from_peer=None,
         read_coordinator=None,
+        confirm_interval=lambda: 0.0,
     ):
-        super().__init__(log, topic, 0, self._fold_record, lambda: pause)
+        super().__init__(
+            log,
+            topic,
+            0,
+            self._fold_record,
+            lambda: pause,
+            confirm_interval=confirm_interval,
+        )
         self._read_coordinator = read_coordinator or self._read_coordinator
         self._on_value = on_value
         self._newest_from_peer = newest_from_peer
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -16,6 +16,7 @@
 from sassafrasdoor.log.sharing import (
     ReadCoordinator,
     backlog_share,
+    confirm_interval,
     follower_pause,
     list_retry_pause,
 )
@@ -144,6 +145,8 @@
         self._routes = RoutesInForce(
             lambda: self._operator_tail.confirmed_boot_at,
             lambda: settings.config_apply,
+            lambda: self._operator_tail.confirmed_at,
+            lambda: self._operator_tail.request_confirmation(),
         )
         self._access = Access(self._routes, settings)
         self._replicas = Replicas(
@@ -243,6 +246,7 @@
             operator_topic.apply,
             newest_from_peer=self._peers.newest,
             read_coordinator=self._read_coordinator,
+            confirm_interval=self._routes_confirm_interval,
         )
         servers_topic = configuration.ServersTopicReader(self._replicas)
         self._replica_list_tail = KeyedTail(
@@ -559,6 +563,11 @@
             self._instances.alive_count, self._settings.reads_per_second
         )
 
+    def _routes_confirm_interval(self):
+        return confirm_interval(
+            self._instances.alive_count, self._settings.reads_per_second
+        )
+
     def _make_fold(self, shard):
         return lambda offset, data: self._steps.fold(shard, offset, data)
 
--- a/sassafrasdoor/platform/tests/cases.py
+++ b/sassafrasdoor/platform/tests/cases.py
@@ -172,11 +172,11 @@
         )
         return reply
 
-    async def submit(self, step_id, items=4, at=0, rewarded=False):
+    async def submit(self, step_id, items=4, at=0, rewarded=False, prefix="/s/"):
         rows = [
             {
                 "Id": f"{step_id}-{number}",
-                "Path": f"/s/{number}",
+                "Path": f"{prefix}{number}",
                 "Headers": {},
                 "Body": base64.b64encode(b"body").decode(),
                 "Tokens": 10,
@@ -192,7 +192,7 @@
         body = json.dumps({**document, "Items": rows})
         headers = {wire.REQUEST_ID: step_id, **self.caller_headers}
         address = self.instances[at].front
-        return await self.fetch(address, "/s/", "POST", body, **headers)
+        return await self.fetch(address, prefix, "POST", body, **headers)
 
     async def page(self, step_id, at=0, after=0):
         address = self.instances[at].front
--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -22,7 +22,8 @@
     None if it is not placed by prompt; ``prompt_use`` that of the current attempt.
     ``longest`` are the expected tokens of its step's longest item, ``is_spare`` says that
     its trainer does not wait for its group. Before ``overtaking_deadline``, None while
-    unset, shorter items may be placed first.
+    unset, shorter items may be placed first. ``pending_end`` is the ``ItemEnd`` that newer
+    routes must confirm, None if there is none.
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "item",
         "longest",
         "overtaking_deadline",
+        "pending_end",
         "progress_due_at",
         "prompt",
         "prompt_use",
@@ -71,6 +73,7 @@
         self.migrations = 0
         self.avoid = ""
         self.prompt = self.prompt_use = self.overtaking_deadline = None
+        self.pending_end = None
         self.longest = 0
         self.is_spare = False
         self.failures = len(step.failed_attempts.get(item.item_id, ()))
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -20,6 +20,7 @@
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.routing import pace, placement, prompt_placement
 from sassafrasdoor.routing.replicas import SUSPECT_DURATION
+from sassafrasdoor.steps.durable import item_end
 from sassafrasdoor.steps.durable.jobs import Job
 from sassafrasdoor.steps.durable.order import (
     enqueue,
@@ -63,6 +64,10 @@
 
 SAMPLES = counter("steps_samples_total", "Samples made by this process, by result.")
 ATTEMPTS = counter("steps_attempts_total", "Attempts at items, by result.")
+WAITS = counter(
+    "steps_items_awaiting_routes_total",
+    "Items whose end waited for newer routes, by the reason of the end.",
+)
 MIGRATIONS = counter("steps_migrations_total", "Samples that migrated, by reason.")
 SECONDS = histogram(
     "steps_item_seconds",
@@ -157,6 +162,7 @@
         )
         steps.on_change(self._handle_step_change)
         replicas.on_change(self._wake.set)
+        routes.on_change(lambda configuration: self._wake.set())
 
     async def run(self):
         """Dispatch items until cancelled."""
@@ -258,7 +264,7 @@
 
     def _dispatch_reward_calls(self):
         for job in self._rewards.pending:
-            self._fail_if_expired(job)
+            self._fail_if_ended(job)
         self._rewards.dispatch()
 
     def _remove(self, job):
@@ -279,7 +285,7 @@
         self._prompts.begin_pass()
         for (_, service), jobs in groupby(queue, key=self._batch_key):
             jobs = [job for job in jobs if job.key in self._jobs]
-            jobs = [job for job in jobs if not self._fail_if_expired(job)]
+            jobs = [job for job in jobs if not self._fail_if_ended(job)]
             if service is None:
                 left = [job for job in jobs if not self._place(job, unplaceable)]
             else:
@@ -299,7 +305,7 @@
 
         ``unplaceable`` collects the requirements that no replica meets in this pass.
         """
-        if self._is_delayed_after_crash(job):
+        if self._is_waiting(job):
             return False
         requirement = (job.step.spec.model, job.step.spec.min_version, job.avoid)
         candidate = None if requirement in unplaceable else self._select_candidate(job)
@@ -314,7 +320,7 @@
 
     def _place_by_prompt(self, service, queued, job, cached_only):
         """Start an attempt at the replica that suits the prompt, as ``_place`` does."""
-        if self._is_delayed_after_crash(job):
+        if self._is_waiting(job):
             return False
         spec = job.step.spec
         required = placement.Requirement(spec.model, spec.min_version, job.avoid)
@@ -342,6 +348,10 @@
         due = {step_id: self._trainers.due_at(step) for step_id, step in steps.items()}
         return latest_first(queue, lambda job: due[job.step.spec.step_id])
 
+    def _is_waiting(self, job):
+        """Return whether an item gets no attempt now."""
+        return job.pending_end is not None or self._is_delayed_after_crash(job)
+
     def _is_delayed_after_crash(self, job):
         """Say whether an item that crashes replicas must wait for its next attempt."""
         if job.disconnected_at is None or passed(
@@ -350,14 +360,25 @@
             return False
         return self._crashes.is_quarantined(_ItemRequest(job))
 
-    def _fail_if_expired(self, job):
+    def _fail_if_ended(self, job):
+        """Fail an item that its route has ended; return whether that was done.
+
+        If the routes may be too old to tell, the item waits, and they are read.
+        """
+        if self._routes.current is None:
+            return False
         route = self._route(job)
-        configuration = self._routes.current
-        if route is None:
-            if configuration is None:
-                return False
-            self._append_sample(job, ERRORED, "route removed")
-            return True
+        end = item_end.find_end(route, job.step.seen_at)
+        if end is None:
+            job.pending_end = None
+            return self._fail_if_expired(job, route)
+        if not self._routes.require_known_since(end.decided_about):
+            self._wait_for_routes(job, end)
+            return False
+        self._append_sample(job, ERRORED, end.reason)
+        return True
+
+    def _fail_if_expired(self, job, route):
         # Measured from when this process learned of the step: never too early, whatever
         # the clock of the instance that accepted it says.
         if passed(job.step.seen_at + route.keep_for):
@@ -367,6 +388,19 @@
             return True
         return False
 
+    def _wait_for_routes(self, job, end):
+        """Let an item wait until newer routes show whether it has ended."""
+        if job.pending_end is None:
+            WAITS.inc({"reason": end.reason})
+            note(
+                "item.waits_for_routes",
+                step=job.step.spec.step_id,
+                item=job.item.item_id,
+                reason=end.reason,
+                **self._routes_fields(job),
+            )
+        job.pending_end = end
+
     def _route(self, job):
         configuration = self._routes.current
         if configuration is None:
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -199,6 +199,49 @@
         routes.take(routes_in_force().current)
         await self.samples(1)
 
+    async def test_step_on_a_route_that_is_not_read_yet_is_run(self):
+        """Guards against a whole step errored by a runner with older routes."""
+        read_at, reads = now(), []
+        new = route(prefix="/new/")
+        routes = RoutesInForce(
+            read_at=lambda: read_at, request_read=lambda: reads.append(now())
+        )
+        routes.take(routes_in_force(new).current)
+        await self.start(ScriptedClient(), routes=routes)
+        await self.until(lambda: len(reads) >= 4)
+        self.assertEqual((self.outbox.samples, self.client.sent), ([], []))
+        routes.take(routes_in_force(route(), new, version=2).current)
+        samples = await self.samples(2)
+        self.assertEqual({sample.state for sample in samples}, {COMPLETED})
+
+    async def test_items_of_a_removed_route_end_once_the_routes_are_read(self):
+        """Guards against items that wait for a removed route for good."""
+        read_at = now()
+        routes = RoutesInForce(read_at=lambda: read_at)
+        routes.take(routes_in_force(route(prefix="/other/")).current)
+        await self.start(ScriptedClient(), routes=routes)
+        await self.until(lambda: self.runner._jobs["s1", "i0"].pending_end)
+        self.assertEqual(self.outbox.samples, [])
+        read_at = now()
+        samples = await self.samples(2)
+        self.assertEqual({sample.state for sample in samples}, {ERRORED})
+        self.assertEqual(self.client.sent, [])
+
+    async def test_item_that_waits_for_routes_delays_no_other(self):
+        """Guards against a step on an unknown route that stops its model."""
+        read_at = now()
+        routes = RoutesInForce(read_at=lambda: read_at)
+        routes.take(routes_in_force().current)
+        await self.start(ScriptedClient(), routes=routes, items=1)
+        await self.samples(1)
+        unknown = spec("unknown", items=1)
+        unknown.items[0].path = "/new/0"
+        for step in (unknown, spec("known", items=1)):
+            for data in records.encode_step(step, 10_000):
+                self.steps.fold(0, 9, data)
+        await self.samples(2)
+        self.assertEqual([one.step_id for one in self.outbox.samples], ["s1", "known"])
+
     async def test_items_of_a_removed_route_are_errored(self):
         other = route(prefix="/other/")
         await self.start(ScriptedClient(), routes=routes_in_force(other), items=1)
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -167,6 +167,9 @@
     ``confirmed_at()`` returns when the last check that found nothing newer was sent, or
     None; ``max_age()`` the seconds until a new version must be in force. The time is that
     of ``boot_now``, since an instance that was suspended has missed what happened.
+
+    ``read_at()`` returns the same time by the monotonic clock, and ``request_read()``
+    starts another check. Both order the routes against what else this process has learned.
     """
 
     __slots__ = (
@@ -174,13 +177,23 @@
         "_confirmed_at",
         "_is_stale",
         "_max_age",
+        "_read_at",
+        "_request_read",
         "current",
         "taken_at",
     )
 
-    def __init__(self, confirmed_at=boot_now, max_age=lambda: math.inf):
+    def __init__(
+        self,
+        confirmed_at=boot_now,
+        max_age=lambda: math.inf,
+        read_at=now,
+        request_read=lambda: None,
+    ):
         self._confirmed_at = confirmed_at
         self._max_age = max_age
+        self._read_at = read_at
+        self._request_read = request_read
         self._is_stale = False
         self.current = None
         self.taken_at = None
@@ -197,6 +210,23 @@
         """Whether a newer version may have to be in force."""
         return self.age > self._max_age()
 
+    def is_known_since(self, moment):
+        """Whether the routes are as new as all that were acknowledged before a moment.
+
+        ``moment`` is a monotonic time. Whatever this process had learned by then was
+        written before the check that found nothing newer was sent, and so were the routes
+        that its writer knew. No clock of another machine is compared.
+        """
+        read_at = self._read_at()
+        return read_at is not None and read_at >= moment
+
+    def require_known_since(self, moment):
+        """Return ``is_known_since(moment)``; start a check of the routes if it is false."""
+        if self.is_known_since(moment):
+            return True
+        self._request_read()
+        return False
+
     def report_age(self):
         """Update the age metric; log when the routes become stale or current again."""
         age = self.age
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -22,6 +22,7 @@
     "routing/subsets.py": "which replica gets a call, so that few connections open",
     "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
+    "steps/durable/item_end.py": "whether an item is failed because of its route",
     "steps/durable/lateness.py": "how late trainers are, from their submission times",
     "weights/shares.py": "how many engines of a service each trainer's model gets",
     "routing/prompt_cache.py": "which engine has read which prompt, memory in use there",
