Steps: retention and attempts of older routes end no item

An item's retention and attempts were those of the configuration that its runner held, also where the operator had raised them since: a paused runner lists the item as errored for good. Change: these ends, and those of reward calls, are final once the configuration was read after the moment that they are about (the retention's end, the failure). Until then the item waits without an attempt; its last failure is recorded, so that the next runner counts it.

--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -3,6 +3,7 @@
 import uuid
 
 from sassafrasdoor.clock import now
+from sassafrasdoor.steps.durable.item_end import ItemFacts
 from sassafrasdoor.steps.durable.records import Progress
 
 
@@ -23,7 +24,9 @@
     ``longest`` are the expected tokens of its step's longest item, ``is_spare`` says that
     its trainer does not wait for its group. Before ``overtaking_deadline``, None while
     unset, shorter items may be placed first. ``pending_end`` is the ``ItemEnd`` that newer
-    routes must confirm, None if there is none.
+    routes must confirm, None if there is none. ``failed_at`` is when the last of its
+    ``failures`` or ``reward_failures`` was learned of, None unless it is still to be decided
+    whether that one ends the item; ``failure_reason`` is that of the last failed attempt.
     """
 
     __slots__ = (
@@ -31,6 +34,8 @@
         "avoid",
         "started_at",
         "disconnected_at",
+        "failed_at",
+        "failure_reason",
         "failures",
         "is_short",
         "is_spare",
@@ -78,6 +83,8 @@
         self.is_spare = False
         self.failures = len(step.failed_attempts.get(item.item_id, ()))
         self.reward_failures = len(step.failed_reward_calls.get(item.item_id, ()))
+        self.failed_at = None
+        self.failure_reason = ""
         self.unanswered_calls = 0
         self.next_reward_call_at = self.text_logged_at = 0.0
         self.scoring = False
@@ -124,6 +131,26 @@
         self.versions = list(partial.versions)
         self.numbers = list(partial.numbers)
 
+    def record_failure(self, reason):
+        """Count an attempt that its replica failed."""
+        self.failures += 1
+        self.failed_at = now()
+        self.failure_reason = reason
+
+    def continue_after_failure(self):
+        """Record that its route does not end the item."""
+        self.pending_end = None
+        if not self.scoring:
+            self.failed_at = None
+
+    def end_facts(self):
+        """Return the ``ItemFacts`` by which its route may end the item."""
+        if self.scoring:
+            return ItemFacts(self.step.seen_at)
+        return ItemFacts(
+            self.step.seen_at, self.failures, self.failed_at, self.failure_reason
+        )
+
     def begin_scoring(self):
         """Start scoring the complete text; no progress is logged any more."""
         self.scoring = True
--- a/sassafrasdoor/steps/durable/rewards.py
+++ b/sassafrasdoor/steps/durable/rewards.py
@@ -83,6 +83,10 @@
                 job.next_reward_call_at = deadline_in(reward_order.NO_ROUTE_RETRY_DELAY)
                 note("reward.no_route", request=call.call_id, item=job.item.item_id)
                 continue
+            if job.failed_at is not None and self._is_exhausted(job, route):
+                self._fail_when_known(job)
+                continue
+            job.failed_at = None
             request = self._request(job, route, configuration)
             attempts = Attempts(request)
             if self._free_slots(attempts.service):
@@ -154,17 +158,32 @@
             record = RewardFailure(spec.step_id, job.item.item_id)
             self._outboxes[job.step.shard].put(encode(record))
         job.reward_failures += attempts.failures
-        item_route = self._routes.current.match(spec.host, job.item.path)
-        allowed = reward_order.allowed_failures(item_route, attempts.request.route)
+        job.failed_at = now()
         note(
             "reward.failed",
             request=job.item.reward.call_id,
             item=job.item.item_id,
             step=spec.step_id,
             failures=job.reward_failures,
-            allowed=allowed,
+            allowed=self._allowed_failures(job, attempts.request.route),
         )
-        if job.reward_failures >= allowed:
+        if self._is_exhausted(job, attempts.request.route):
+            self._fail_when_known(job)
+        else:
+            job.failed_at = None
+            job.next_reward_call_at = deadline_in(reward_order.FAILED_RETRY_DELAY)
+
+    def _allowed_failures(self, job, reward_route):
+        item_route = self._routes.current.match(job.step.spec.host, job.item.path)
+        return reward_order.allowed_failures(item_route, reward_route)
+
+    def _is_exhausted(self, job, reward_route):
+        """Return whether no further call of a job is allowed by the routes in force."""
+        return job.reward_failures >= self._allowed_failures(job, reward_route)
+
+    def _fail_when_known(self, job):
+        """Fail a job without calls left, unless newer routes may allow more."""
+        if self._routes.require_known_since(job.failed_at):
             self.drop(job)
             self._on_failed(job, f"reward calls failed with status {SERVER_ERROR}")
         else:
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -367,27 +367,16 @@
         """
         if self._routes.current is None:
             return False
-        route = self._route(job)
-        end = item_end.find_end(route, job.step.seen_at)
+        end = item_end.find_end(self._route(job), job.end_facts(), now())
         if end is None:
-            job.pending_end = None
-            return self._fail_if_expired(job, route)
+            job.continue_after_failure()
+            return False
         if not self._routes.require_known_since(end.decided_about):
             self._wait_for_routes(job, end)
             return False
         self._append_sample(job, ERRORED, end.reason)
         return True
 
-    def _fail_if_expired(self, job, route):
-        # Measured from when this process learned of the step: never too early, whatever
-        # the clock of the instance that accepted it says.
-        if passed(job.step.seen_at + route.keep_for):
-            self._append_sample(
-                job, ERRORED, "not completed within the route's retention"
-            )
-            return True
-        return False
-
     def _wait_for_routes(self, job, end):
         """Let an item wait until newer routes show whether it has ended."""
         if job.pending_end is None:
@@ -671,7 +660,7 @@
             self._crashes.record_result(_ItemRequest(job), replica, result)
             self._handle_completion(job, replica, route)
         elif isinstance(result, SampleFailed):
-            self._handle_failure(job, replica, route, result)
+            self._handle_failure(job, replica, result)
         elif isinstance(result, NotRun):
             self._handle_refusal(job, replica, result)
         else:
@@ -700,12 +689,13 @@
         self._outboxes[job.step.shard].put(encode(text))
         job.begin_scoring()
 
-    def _handle_failure(self, job, replica, route, result):
-        job.failures += 1
-        allowed = route.attempts if route is not None else 1
-        if result.final or job.failures >= allowed:
+    def _handle_failure(self, job, replica, result):
+        job.record_failure(result.reason)
+        if result.final:
             self._append_sample(job, ERRORED, result.reason)
             return
+        if self._fail_if_ended(job):
+            return
         record = Failure(job.step.spec.step_id, job.item.item_id)
         self._outboxes[job.step.shard].put(encode(record))
         job.restart()
--- a/sassafrasdoor/steps/durable/tests/test_item_end.py
+++ b/sassafrasdoor/steps/durable/tests/test_item_end.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from sassafrasdoor.steps.durable.item_end import find_end
+from sassafrasdoor.steps.durable.item_end import ItemFacts, find_end
 from sassafrasdoor.steps.durable.tests.fixtures import HOST, route, routes_in_force
 from sassafrasdoor.table.routes import RoutesInForce
 
@@ -112,7 +112,7 @@
     def judge_items(self):
         for prefix, seen_at in list(self.items):
             matched = self.routes.current and self.routes.current.match(HOST, prefix)
-            end = find_end(matched, seen_at)
+            end = find_end(matched, ItemFacts(seen_at), self.current)
             if end and self.routes.require_known_since(end.decided_about):
                 self.items.remove((prefix, seen_at))
                 self.failed.append((self.current, prefix))
--- a/sassafrasdoor/steps/durable/tests/test_rewards.py
+++ b/sassafrasdoor/steps/durable/tests/test_rewards.py
@@ -4,7 +4,7 @@
 import unittest
 
 from sassafrasdoor.backends.interface import Answer, Broken
-from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.clock import deadline_in, now, passed
 from sassafrasdoor.outcomes import NotRun
 from sassafrasdoor.steps.durable import records
 from sassafrasdoor.steps.durable.records import (
@@ -27,6 +27,7 @@
     routes_in_force,
     spec,
 )
+from sassafrasdoor.table.routes import RoutesInForce
 
 FAILED = Answer(500, [], b"", "stamp of a failure")
 
@@ -199,6 +200,22 @@
         self.routes.take(newer.current)
         self.assertEqual((await self.sample()).score, "stamp r0")
 
+    async def test_call_is_repeated_after_attempts_that_were_raised(self):
+        """Guards against items errored by the fewer attempts of older routes."""
+        read_at = now()
+        self.routes = RoutesInForce(read_at=lambda: read_at)
+        old = [route(attempts=1), reward_route(attempts=1)]
+        self.routes.take(routes_in_force(*old).current)
+        self.client.answers = [FAILED]
+        await self.submit()
+        await self.run_shard()
+        await self.until(lambda: RewardFailure in self.record_types())
+        await asyncio.sleep(0.3)
+        self.assertEqual((self.listed, len(self.client.calls)), ([], 1))
+        new = routes_in_force(route(), reward_route(), version=2)
+        self.routes.take(new.current)
+        self.assertEqual((await self.sample()).state, COMPLETED)
+
     async def test_item_is_errored_after_its_retention(self):
         self.routes = routes_in_force(route(keep_for=0.3))
         await self.submit()
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -214,6 +214,61 @@
         samples = await self.samples(2)
         self.assertEqual({sample.state for sample in samples}, {COMPLETED})
 
+    async def start_with_old_routes(self, client, old, *replica_set, **step):
+        """Start with routes that were read before the step; return them."""
+        read_at = now()
+        routes = RoutesInForce(read_at=lambda: read_at)
+        routes.take(routes_in_force(old).current)
+        await self.start(client, *replica_set, routes=routes, items=1, **step)
+        return routes
+
+    async def test_item_is_not_given_up_after_a_retention_that_was_raised(self):
+        """Guards against items errored by the shorter retention of older routes."""
+        routes = await self.start_with_old_routes(
+            ScriptedClient([(0, "x", 2)]), route(keep_for=0.2), min_version=2
+        )
+        await self.until(lambda: self.runner._jobs["s1", "i0"].pending_end)
+        self.assertEqual(self.outbox.samples, [])
+        routes.take(routes_in_force(version=2).current)
+        self.replicas.get("e0").record_version(MODEL, 2)
+        (sample,) = await self.samples(1)
+        self.assertEqual(sample.state, COMPLETED)
+
+    async def test_item_is_not_failed_after_attempts_that_were_raised(self):
+        """Guards against items errored by the fewer attempts of older routes."""
+        client = ScriptedClient(SampleFailed("status 500", final=False))
+        routes = await self.start_with_old_routes(client, route(attempts=1))
+        await self.until(lambda: self.runner._jobs["s1", "i0"].pending_end)
+        await asyncio.sleep(3 * module.DISPATCH_INTERVAL)
+        self.assertEqual([type(one) for one in self.outbox.records], [records.Failure])
+        self.assertEqual(len(client.sent), 1)
+        routes.take(routes_in_force(version=2).current)
+        (sample,) = await self.samples(1)
+        self.assertEqual((sample.state, len(client.sent)), (COMPLETED, 2))
+
+    async def test_item_is_failed_once_its_attempts_are_known_to_be_used_up(self):
+        """Guards against a failing item that waits for newer routes for good."""
+        read_at = now()
+        routes = RoutesInForce(read_at=lambda: read_at)
+        routes.take(routes_in_force(route(attempts=1)).current)
+        client = ScriptedClient(SampleFailed("status 500", final=False))
+        await self.start(client, routes=routes, items=1)
+        await self.until(lambda: self.runner._jobs["s1", "i0"].pending_end)
+        read_at = now()
+        (sample,) = await self.samples(1)
+        self.assertEqual((sample.state, len(client.sent)), (ERRORED, 1))
+
+    async def test_attempts_lowered_later_end_no_item(self):
+        """Guards against items errored for a failure that was allowed when it came."""
+        failed = SampleFailed("status 500", final=False)
+        client = ScriptedClient(failed, NotRun("full"))
+        routes = routes_in_force()
+        await self.start(client, routes=routes, items=1)
+        await self.until(lambda: len(client.sent) == 2)
+        routes.take(routes_in_force(route(attempts=1), version=2).current)
+        (sample,) = await self.samples(1)
+        self.assertEqual(sample.state, COMPLETED)
+
     async def test_items_of_a_removed_route_end_once_the_routes_are_read(self):
         """Guards against items that wait for a removed route for good."""
         read_at = now()
