Steps: mixed versions are listed only by routes that are read after their step

A complete text of several weight versions was listed by the routes of its attempt's begin. A newer configuration may have a longer prefix for the item, or the same route, with a single version: the trainer would get what its route forbids. Change: such a text is listed once the routes are known to be as new as its step, by the route in force then. It waits a pass and a read; texts of one version do not wait.

--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -120,6 +120,7 @@
         "_settings",
         "_steps",
         "_trainers",
+        "_unlisted",
         "_wake",
     )
 
@@ -149,6 +150,7 @@
         self._owned_shards = set()
         self._jobs = {}
         self._queue = []
+        self._unlisted = {}
         self._candidates = {}
         self._wake = asyncio.Event()
         self._rewards = RewardDispatcher(
@@ -178,6 +180,7 @@
             self._replicas.remove_lapsed()
             self._abort_silent_attempts()
             self._append_due_progress()
+            self._handle_unlisted()
             self._dispatch()
             self._dispatch_reward_calls()
             self._migrate_slow_samples()
@@ -672,12 +675,18 @@
             self._requeue(job, replica, result.reason)
 
     def _handle_completion(self, job, replica, route):
-        if route is not None and route.one_version and len(set(job.versions)) > 1:
-            job.restart()
-            self._requeue(
-                job, replica, "several weight versions on a single-version route"
-            )
-            return
+        if len(set(job.versions)) > 1:
+            if not self._routes.require_known_since(job.step.seen_at):
+                # The route, or a longer prefix of it, may forbid several versions.
+                self._unlisted[job.key] = (job, replica)
+                return
+            route = self._route(job) or route
+            if route is not None and route.one_version:
+                job.restart()
+                self._requeue(
+                    job, replica, "several weight versions on a single-version route"
+                )
+                return
         spec = job.step.spec
         lengths = self._lengths.setdefault(spec.model, pace.LengthEstimate())
         lengths.record(job.item.expected, len(job.texts))
@@ -689,6 +698,13 @@
         self._outboxes[job.step.shard].put(encode(text))
         job.begin_scoring()
 
+    def _handle_unlisted(self):
+        """Look again at the complete texts that newer routes may forbid."""
+        unlisted, self._unlisted = self._unlisted, {}
+        for key, (job, replica) in unlisted.items():
+            if self._jobs.get(key) is job and not job.scoring:
+                self._handle_completion(job, replica, self._route(job))
+
     def _handle_failure(self, job, replica, result):
         job.record_failure(result.reason)
         if result.final:
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -16,6 +16,7 @@
 from sassafrasdoor.steps.durable.state import Steps
 from sassafrasdoor.steps.durable.tests.fixtures import (
     MODEL,
+    PREFIX,
     ScriptedClient,
     replicas,
     route,
@@ -246,6 +247,32 @@
         (sample,) = await self.samples(1)
         self.assertEqual((sample.state, len(client.sent)), (COMPLETED, 2))
 
+    async def test_mixed_sample_waits_for_routes_that_may_forbid_it(self):
+        """Guards against mixed versions on a route that is not read yet.
+
+        The item's path has a route already, and a longer one that allows one version.
+        """
+        mixed = [(0, "a", 1), (1, "b", 2)]
+        client = ScriptedClient(mixed, [(0, "c", 2)])
+        routes = await self.start_with_old_routes(client, route())
+        await asyncio.sleep(3 * module.DISPATCH_INTERVAL)
+        self.assertEqual((self.outbox.samples, len(client.sent)), ([], 1))
+        longer = route(prefix=f"{PREFIX}0", one_version=True)
+        routes.take(routes_in_force(route(), longer, version=2).current)
+        routes._read_at = now
+        (sample,) = await self.samples(1)
+        self.assertEqual((sample.text, sample.versions), ("c", [2]))
+
+    async def test_mixed_sample_is_listed_once_the_routes_are_read(self):
+        """Guards against a complete sample that waits for newer routes for good."""
+        mixed = [(0, "a", 1), (1, "b", 2)]
+        routes = await self.start_with_old_routes(ScriptedClient(mixed), route())
+        await asyncio.sleep(3 * module.DISPATCH_INTERVAL)
+        self.assertEqual(self.outbox.samples, [])
+        routes._read_at = now
+        (sample,) = await self.samples(1)
+        self.assertEqual((sample.text, sample.versions), ("a\nb", [1, 2]))
+
     async def test_item_is_failed_once_its_attempts_are_known_to_be_used_up(self):
         """Guards against a failing item that waits for newer routes for good."""
         read_at = now()
