Routes: a newest version that cannot be read is not taken for known

A malformed configuration, or one that this build cannot read, is skipped, and the read that returned it counted as one that found nothing newer: a step on a route that only it has was judged by the version before. Change: until a configuration can be read again the routes are not known as of any moment.

--- a/sassafrasdoor/platform/configuration.py
+++ b/sassafrasdoor/platform/configuration.py
@@ -203,6 +203,8 @@
                 self._on_named_version(model, _typed_field(document, "Version", int))
         except PARSE_ERRORS as error:
             UNREADABLE_RECORDS.inc({"topic": OPERATOR_TOPIC})
+            if key == CONFIGURATION_KEY:
+                self._routes.mark_unreadable()
             note(
                 "operator.record_unreadable",
                 key=key,
--- a/sassafrasdoor/platform/tests/test_translation.py
+++ b/sassafrasdoor/platform/tests/test_translation.py
@@ -5,6 +5,7 @@
 import tempfile
 import unittest
 
+from sassafrasdoor.clock import now
 from sassafrasdoor.outcomes import Rejected
 from sassafrasdoor.platform import configuration, settings, steps
 from sassafrasdoor.routing.replicas import Replicas
@@ -159,6 +160,16 @@
         self.keys.apply("config", b"")
         self.assertEqual((self.routes.current.version, self.named), (7, []))
 
+    def test_routes_are_not_current_while_the_newest_cannot_be_read(self):
+        """Guards against ends by routes that are old since a newer version is unreadable."""
+        self.apply(DOCUMENT)
+        self.assertTrue(self.routes.is_known_since(now()))
+        self.keys.apply("config", b'{"Version": 9}')
+        self.assertFalse(self.routes.is_known_since(now()))
+        self.keys.apply("version/m", b"{")
+        self.apply({**DOCUMENT, "Version": 10})
+        self.assertTrue(self.routes.is_known_since(now()))
+
     def test_named_version_is_reported(self):
         self.apply({"Model": "m", "Version": 4}, "version/m")
         self.assertEqual(self.named, [("m", 4)])
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -176,6 +176,7 @@
         "_callbacks",
         "_confirmed_at",
         "_is_stale",
+        "_is_unreadable",
         "_max_age",
         "_read_at",
         "_request_read",
@@ -195,6 +196,7 @@
         self._read_at = read_at
         self._request_read = request_read
         self._is_stale = False
+        self._is_unreadable = False
         self.current = None
         self.taken_at = None
         self._callbacks = []
@@ -218,7 +220,9 @@
         that its writer knew. No clock of another machine is compared.
         """
         read_at = self._read_at()
-        return read_at is not None and read_at >= moment
+        if read_at is None or self._is_unreadable:
+            return False
+        return read_at >= moment
 
     def require_known_since(self, moment):
         """Return ``is_known_since(moment)``; start a check of the routes if it is false."""
@@ -251,6 +255,13 @@
         note("request.route_unsure", age=rounded_age(self.age))
         return NotRun("the routes may be old", STALE_RETRY_AFTER)
 
+    def mark_unreadable(self):
+        """Record that the newest version cannot be read here, until another one can.
+
+        The version in force stays, but does not tell what is missing in the newest.
+        """
+        self._is_unreadable = True
+
     def on_change(self, callback):
         """Call ``callback(configuration)`` for each new version."""
         self._callbacks.append(callback)
@@ -261,6 +272,7 @@
         A delayed record, or a page that is not a snapshot, may contain an older
         version, with which requests would run that the operator has forbidden since.
         """
+        self._is_unreadable = False
         before = self.current.version if self.current else 0
         if configuration.version <= before:
             return False
