Front: an unknown route or key is refused by a read sent after the request

Cause: both were final while the routes were less than 2 s old, which says nothing of what was written since. Change: the configuration is read once, by a read that is sent after the request came; if that fails the request is refused as not run. Measured: the process test got 404 before, 202 after; two tests of the front failed on and pass. Older tests pass unchanged; their fake of the list's reader has a read time now.

--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -29,6 +29,7 @@
     RelayHandler,
 )
 from sassafrasdoor.platform.prompts import output_limit
+from sassafrasdoor.requests.access import Unauthorized
 from sassafrasdoor.requests.attempts import SERVER_ERROR, DirectRequest
 from sassafrasdoor.requests.stop_policy import RequestKind
 from sassafrasdoor.requests.streaming import StreamCaller
@@ -36,6 +37,7 @@
 from sassafrasdoor.steps.durable.hedging import first_answer
 from sassafrasdoor.steps.durable.service import ANY_ACCOUNT, NotFound, Page
 from sassafrasdoor.table.routes import Repeat
+from sassafrasdoor.timeouts import SettlingTimeout
 
 DEFAULT_CALL_TIMEOUT = 60.0  # seconds; for callers that state no deadline
 MAX_POLL_WAIT = 1.0  # seconds that a reader may wait for another sample
@@ -55,6 +57,9 @@
 STEP_PATH = re.compile(r"^/-/lots/([^/?]+)$")
 ITEM_PATH = re.compile(r"^/-/items/([^/?]+)$")
 
+# Refusals that a newer configuration may not make.
+_OUTDATABLE = (NotFound, Unauthorized)
+
 FORWARDED_CALLS = counter(
     "front_handed_on_total", "Calls handed to another instance, by result."
 )
@@ -83,61 +88,85 @@
             refused = NotRun("no configuration yet", NO_CONFIGURATION_RETRY_AFTER)
             await self._reply_from_peer_or_fail(refused)
             return
-        if configuration is None or configuration.accounts is None:
-            await handler(self, step_id, ANY_ACCOUNT)
+        account = await self._unless_outdated(self._step_account)
+        if self._caller_left:
             return
-        host = self.request.headers.get("Host", "").partition(":")[0]
-        has_key = wire.bearer_key(self.request.headers) is not None
-        grant = self._grant(not has_key and configuration.has_public_steps(host))
-        if isinstance(grant, Outcome):
-            self._reply_failure(grant)
+        if isinstance(account, Outcome):
+            self._reply_failure(account)
         else:
-            await handler(self, step_id, grant.account)
+            await handler(self, step_id, account)
 
-    async def _route(self, path):
+    def _step_account(self):
+        """Return the account for a call on a step, or an ``Outcome``."""
         configuration = self._parts.routes.current
-        if configuration is None:
+        if configuration is None or configuration.accounts is None:
+            return ANY_ACCOUNT
+        has_key = wire.bearer_key(self.request.headers) is not None
+        grant = self._grant(not has_key and configuration.has_public_steps(self._host))
+        return grant if isinstance(grant, Outcome) else grant.account
+
+    @property
+    def _host(self):
+        return self.request.headers.get("Host", "").partition(":")[0]
+
+    async def _route(self, path):
+        if self._parts.routes.current is None:
             refused = NotRun("no configuration yet", NO_CONFIGURATION_RETRY_AFTER)
             self._reply_failure(refused)
             return
-        host = self.request.headers.get("Host", "").partition(":")[0]
-        route = configuration.match(host, path)
-        if route is None and await self._refresh_stale_routes():
-            configuration = self._parts.routes.current
-            route = configuration.match(host, path)
+        target = await self._unless_outdated(lambda: self._target(path))
         if self._caller_left:
             return
+        if isinstance(target, Outcome):
+            self._reply_failure(target)
+        elif target.route.repeat is Repeat.STEP:
+            await self._submit(target.grant, self._host, path)
+        else:
+            await self._direct(target.route, target.configuration, target.grant)
+
+    def _target(self, path):
+        """Return the ``_Target`` of this request, or an ``Outcome``."""
+        configuration = self._parts.routes.current
+        route = configuration.match(self._host, path)
         if route is None:
+            return NotFound("no such route")
+        grant = self._grant(route.public)
+        if isinstance(grant, Outcome):
+            return grant
+        return _Target(configuration, route, grant)
+
+    async def _unless_outdated(self, decide):
+        """Return ``decide()``, made by routes that are not older than this request.
+
+        ``decide`` goes by the configuration in force. Where that has no such route, or no
+        such key, a newer one may have it, and callers do not repeat a 404 or a 401. So it is
+        read once, and the request is refused as not run if that does not succeed.
+        """
+        result = decide()
+        if not isinstance(result, _OUTDATABLE):
+            return result
+        if await self._read_configuration():
+            result = decide()
+        if not isinstance(result, _OUTDATABLE):
+            return result
+        if isinstance(result, NotFound):
             note(
                 "request.no_route",
                 request=self._request_id,
-                host=host,
-                routes_version=configuration.version,
+                host=self._host,
+                routes_version=self._parts.routes.current.version,
             )
-            missing = NotFound("no such route")
-            self._reply_failure(self._parts.routes.resolve_unknown(missing))
-        else:
-            grant = self._grant(route.public)
-            if isinstance(grant, Outcome):
-                self._reply_failure(grant)
-            elif route.repeat is Repeat.STEP:
-                await self._submit(grant, host, path)
-            else:
-                await self._direct(route, configuration, grant)
-
-    async def _refresh_stale_routes(self):
-        """Read the configuration to its end if the routes are stale; return whether.
-
-        A long poll confirms the routes only once it ends, so their age reaches twice its
-        wait. The store is not asked while it is known not to answer.
+        return self._parts.routes.resolve_unknown(result, self._started_at)
+
+    async def _read_configuration(self):
+        """Read the configuration to its end; return whether that succeeded in time.
+
+        The store is not asked while it is known not to answer.
         """
         tail = self._parts.lists.get(OPERATOR_TOPIC)
-        if not self._parts.routes.are_stale:
-            return False
         if tail is None or tail.failing_since is not None:
             return False
-        deadline = deadline_in(ROUTES_READ_TIMEOUT)
-        return bool(await self._while_connected(tail.confirm(deadline)))
+        return bool(await self._while_connected(_confirm(tail)))
 
     def _grant(self, is_public):
         """Return the ``Grant`` of the caller, or an ``Outcome``."""
@@ -364,6 +393,17 @@
         )
 
 
+class _Target:
+    """The route of a request, its configuration and the permission of its caller."""
+
+    __slots__ = ("configuration", "grant", "route")
+
+    def __init__(self, configuration, route, grant):
+        self.configuration = configuration
+        self.route = route
+        self.grant = grant
+
+
 class _WireCaller(StreamCaller):
     """Writes a stream to the caller of a handler."""
 
@@ -395,6 +435,15 @@
 )
 
 
+async def _confirm(tail):
+    """Read a list to its end; return whether that succeeded within the timeout."""
+    deadline = deadline_in(ROUTES_READ_TIMEOUT)
+    with contextlib.suppress(TimeoutError):
+        async with SettlingTimeout(deadline):
+            return await tail.confirm(deadline)
+    return False
+
+
 def _request_kind(route, headers):
     """Return the ``RequestKind`` of a caller's request."""
     # A stream that is cut off ends without an answer that its caller could go by.
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -14,6 +14,7 @@
 from sassafrasdoor.platform import front, handlers, wire
 from sassafrasdoor.platform.configuration import OPERATOR_TOPIC
 from sassafrasdoor.requests.access import Access
+from sassafrasdoor.security import key_hash
 from sassafrasdoor.steps.durable.service import NotFound, Page
 from sassafrasdoor.steps.durable.tests.fixtures import (
     HOST,
@@ -22,6 +23,7 @@
     routes_in_force,
 )
 from sassafrasdoor.support import until
+from sassafrasdoor.table.accounts import Account, Accounts
 from sassafrasdoor.table.routes import Configuration, Limits, Repeat, RoutesInForce
 
 PLAIN, STREAM = "/plain/", "/stream/"
@@ -100,19 +102,30 @@
 
 
 class FakeOperatorTail:
-    """Routes that are stale until they are read; ``newest`` is found then, if any."""
+    """Routes that are old until they are read; ``newest`` is found then, if any.
 
-    def __init__(self, failing_since, newest):
+    They are stale if ``age`` exceeds ``MAX_AGE``; ``held`` are their accounts.
+    """
+
+    MAX_AGE = 2.0
+
+    def __init__(self, failing_since, newest, age=3.0, held=None):
         self.failing_since = failing_since
         self.reads = 0
         self._newest = newest
-        self._confirmed_at = boot_now() - 3.0
-        self.routes = RoutesInForce(lambda: self._confirmed_at, lambda: 2.0)
-        self.routes.take(Configuration(0.5, [], {}, Limits(1, 1, 1.0)))
+        self._confirmed_at = boot_now() - age
+        self._read_at = now() - age
+        self.routes = RoutesInForce(
+            lambda: self._confirmed_at, lambda: self.MAX_AGE, lambda: self._read_at
+        )
+        self.routes.take(Configuration(0.5, [], {}, Limits(1, 1, 1.0), held))
 
     async def confirm(self, deadline):
         self.reads += 1
+        if self._newest is None:
+            await asyncio.Event().wait()
         self._confirmed_at = boot_now()
+        self._read_at = now()
         if self._newest:
             self.routes.take(self._newest)
         return True
@@ -247,6 +260,38 @@
                 self.assertEqual((await self.call(PLAIN)).code, status)
                 self.assertEqual(tail.reads, int(failing_since is None))
 
+    async def test_unknown_route_is_refused_only_by_routes_read_after_it_came(self):
+        """Guards against a 404 for a route that was added within the last seconds."""
+        for newest, status in ((False, 404), (self.routes.current, 200), (None, 503)):
+            with self.subTest(status=status):
+                tail = FakeOperatorTail(None, newest, age=0.5)
+                self.parts.lists = {OPERATOR_TOPIC: tail}
+                self.parts.routes = tail.routes
+                self.service.result = Answer(200, [], b"known")
+                self.assertEqual((await self.call(PLAIN)).code, status)
+                self.assertEqual(tail.reads, 1)
+
+    async def test_unknown_key_is_refused_only_by_accounts_read_after_it_came(self):
+        """Guards against a 401 for a key that was added within the last seconds."""
+        rows = [route(), route(prefix=PLAIN, repeat=Repeat.SAFE)]
+        for held, status in (
+            (Accounts([]), 401),
+            (Accounts([Account("a", [key_hash("k")])]), 200),
+            (None, 200),
+        ):
+            newest = Configuration(1, rows, {}, Limits(1, 1, 1.0), held)
+            for path in (PLAIN, "/-/lots/s"):
+                with self.subTest(status=status, path=path):
+                    tail = FakeOperatorTail(None, newest, 0.5, Accounts([]))
+                    self.parts.lists = {OPERATOR_TOPIC: tail}
+                    self.parts.routes = tail.routes
+                    self.parts.access = Access(tail.routes, AccessSettings())
+                    is_read = path != PLAIN
+                    page = Page(0, [], 1)
+                    self.service.result = page if is_read else Answer(200, [], b"")
+                    key = {wire.AUTHORIZATION: "Bearer k"}
+                    self.assertEqual((await self.call(path, **key)).code, status)
+
     async def test_request_cancelled_by_stop_is_not_answered(self):
         """Guards against lost steps that were reported as accepted, and empty answers.
 
--- a/sassafrasdoor/platform/tests/test_old_routes_processes.py
+++ b/sassafrasdoor/platform/tests/test_old_routes_processes.py
@@ -58,6 +58,21 @@
         self.assertEqual({one["State"] for one in results}, {"completed"})
         self.check_texts(results)
 
+    async def test_request_on_a_route_added_during_a_pause(self):
+        """Guards against a 404 from an instance that has not read the route yet."""
+        paused, other = await self.pause_runner()
+        await self.add_routes(other)
+        self.store.record_read_seconds[OPERATOR_TOPIC] = READ_SECONDS / 2
+        paused.signal(signal.SIGCONT)
+        self.assertEqual(
+            (
+                await self.submit(
+                    "s", prefix=NEW_PREFIX, at=self.instances.index(paused)
+                )
+            ).code,
+            202,
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sassafrasdoor/table/routes.py
+++ b/sassafrasdoor/table/routes.py
@@ -244,12 +244,13 @@
         else:
             note("routes.current_again", version=self.current.version)
 
-    def resolve_unknown(self, outcome):
-        """Return ``outcome`` for an unknown route, ``NotRun`` if the routes are stale.
+    def resolve_unknown(self, outcome, arrived_at=LONG_AGO):
+        """Return ``outcome`` for an unknown route or key, ``NotRun`` if it may be new.
 
-        A stale configuration may lack a new route, so the caller should retry.
+        It may be if the routes are stale, or older than the request that came at the
+        monotonic time ``arrived_at``; its caller should retry then.
         """
-        if not self.are_stale:
+        if not self.are_stale and self.is_known_since(arrived_at):
             return outcome
         STALE_REFUSALS.inc({})
         note("request.route_unsure", age=rounded_age(self.age))
