Stop: calls in progress show how long unanswered ones of their kind take

Cause: a call that may be repeated was judged by its route's target latency alone while none of its kind had been answered, though calls in progress had run longer already. Change: the longest time that one in progress or failed has taken so far counts too. Measured: the replay test_calls_without_an_answer_yet_that_take_long failed before, for stops of 8 and 20 s, and passes; the others of the policy pass unchanged.

--- a/sassafrasdoor/requests/stop_policy.py
+++ b/sassafrasdoor/requests/stop_policy.py
@@ -151,10 +151,12 @@
 
 def _expected_duration(kind, durations, current):
     """Return the seconds that a request takes at most, None if that is unknown."""
-    if kind.is_repeatable:
+    if kind.is_repeatable and durations.whole:
         # One slow request must not have all others refused.
-        is_measured = bool(durations.whole)
-        return durations.usual() * DURATION_MARGIN if is_measured else kind.target
+        return durations.usual() * DURATION_MARGIN
+    if kind.is_repeatable:
+        known = durations.longest(current)
+        return None if kind.target is None else max(kind.target, known)
     if len(durations.whole) < MIN_DURATIONS:
         return None
     return durations.longest(current) * DURATION_MARGIN + DURATION_SLACK
--- a/sassafrasdoor/requests/tests/test_stop_policy.py
+++ b/sassafrasdoor/requests/tests/test_stop_policy.py
@@ -95,6 +95,22 @@
         self.assertEqual(replay.cut, [])
         self.assertGreater(min(replay.refused), 8.0 - CALL_END)
 
+    def test_calls_without_an_answer_yet_that_take_long(self):
+        """Guards against calls judged by their target while slower ones are in progress."""
+        for grace, seconds, first_at in ((8.0, 2.5, 3.0), (20.0, 6.0, 9.0)):
+            with self.subTest(grace=grace):
+                replay, runs, at = Replay(grace), [], first_at
+                while at < first_at + seconds:
+                    oldest = at - runs[0].started_at if runs else 0.0
+                    if self.accepts(replay, CALLS, at):
+                        self.assertLessEqual(at + oldest, replay.times.answer_deadline)
+                        runs.append(replay.policy.begin(CALLS, at))
+                    at += ARRIVAL_INTERVAL
+                self.assertGreater(len(runs), 1)
+                for run in runs:
+                    replay.end(run, run.started_at + seconds)
+                self.assertFalse(self.accepts(replay, CALLS, grace - seconds))
+
     def end_failed(self, replay, kind, seconds):
         run = replay.policy.begin(kind, -seconds)
         replay.end(run, 0.0, is_whole=False)
