Entry: an unknown row or key is refused by a table that is read after the call

A row or a key that operators had added was refused with 401 by whatever table the view of a paused or cut-off entry had; a keyed call on a new row was answered as unknown by the instance that issued its key. Change: before a 401 the entry has its control process read the log to its end (new RPC call confirm, last in control.capnp, on a connection of its own), and refuses as not run if that takes more than 0.5 s. A forwarded call on an unknown row is not run unless its key may have run.

--- a/sassafrasdoor/control/control.capnp
+++ b/sassafrasdoor/control/control.capnp
@@ -130,4 +130,6 @@
   listing @5 (stamp :UInt64) -> (backends :List(Backend), stamp :UInt64);
   # The metrics of the control process, in the exposition format.
   metrics @6 (stamp :UInt64) -> (text :Text, stamp :UInt64);
+  # Reads the log to its end, for at most `waitMs`; the update tells whether that was done.
+  confirm @7 (known :Known, waitMs :UInt32, stamp :UInt64) -> (update :Update, stamp :UInt64);
 }
--- a/sassafrasdoor/control/link.py
+++ b/sassafrasdoor/control/link.py
@@ -36,6 +36,7 @@
     __slots__ = (
         "_addresses",
         "_callbacks",
+        "_confirm_link",
         "_inherited_grants",
         "_known",
         "_link",
@@ -48,6 +49,9 @@
     def __init__(self, settings, address):
         self._settings = settings.steps
         self._link = PeerLink(settings, address, messages.SCHEMA.Control)
+        # Of its own: a failed call closes its connection, and an earlier version of
+        # control does not know this one.
+        self._confirm_link = PeerLink(settings, address, messages.SCHEMA.Control)
         self._addresses = {"entry": "", "peer": ""}
         self._report = Report("")
         self._known = {"session": 0, "number": 0}
@@ -82,6 +86,25 @@
         """Make control announce to all members that this instance is leaving."""
         return await self._link.call("leave", stamp=EVENTS.clock.stamp())
 
+    async def confirm(self, seconds):
+        """Have control read the log to its end, for at most some seconds.
+
+        If that is done the view is as new as this call.
+        """
+        if not self._confirm_link.connected and await self._confirm_link.open():
+            return
+        sent_at = now()
+        answer = await self._confirm_link.call(
+            "confirm",
+            timeout=seconds + CALL_TIMEOUT_MARGIN,
+            known=self._known,
+            waitMs=int(seconds * 1000),
+            stamp=EVENTS.clock.stamp(),
+        )
+        if answer:
+            EVENTS.clock.observe(answer.stamp)
+            self._apply(answer.update, sent_at)
+
     async def metrics(self):
         """Return control's metrics as text, or ``Unavailable``."""
         answer = await self._link.call("metrics", stamp=EVENTS.clock.stamp())
@@ -100,6 +123,7 @@
                 delay = min(RETRY_DELAY_MAX, delay * 2)
         finally:
             self._link.close()
+            self._confirm_link.close()
 
     async def _exchange(self):
         if not self._link.connected and await self._link.open() is not None:
--- a/sassafrasdoor/control/process.py
+++ b/sassafrasdoor/control/process.py
@@ -8,6 +8,7 @@
 from sassafrasdoor import logs
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.control import messages
+from sassafrasdoor.control.confirmation import Confirmation
 from sassafrasdoor.control.instances import InstanceList
 from sassafrasdoor.control.quota import Quota
 from sassafrasdoor.control.service import ControlService
@@ -51,6 +52,7 @@
         self.instances = InstanceList(settings)
         self.membership = None
         self.state_sync = StateSync(settings, self.follower, self.members)
+        self._confirmation = Confirmation(self.follower, self.members)
         self.quota = Quota(settings, self)
         self.weights = WeightsRollout(settings, self)
         self._server = PeerServer(
@@ -88,6 +90,11 @@
             self._members_stale = False
         return self._members
 
+    async def confirm(self, seconds):
+        """Read the log to its end, for at most some seconds; publish that it was."""
+        await self._confirmation.confirm(deadline_in(seconds))
+        self.source.confirmed_at = self.follower.confirmed_at
+
     def possible_grant_holders(self):
         """Return the names of all instances that may use slots, reachable or not."""
         return self.membership.undeparted_names
--- a/sassafrasdoor/control/service.py
+++ b/sassafrasdoor/control/service.py
@@ -7,6 +7,7 @@
 from sassafrasdoor.events import EVENTS
 
 MAX_EXCHANGE_WAIT = 10.0  # seconds
+MAX_CONFIRM_WAIT = 2.0  # seconds
 MAX_EVENTS_PER_CALL = 1000
 
 
@@ -31,6 +32,14 @@
         results.update = process.source.update(number)
         results.stamp = EVENTS.clock.stamp()
 
+    async def confirm_context(self, context):
+        request, results = context.params, context.results
+        EVENTS.clock.observe(request.stamp)
+        await self._process.confirm(min(MAX_CONFIRM_WAIT, request.waitMs / 1000))
+        source = self._process.source
+        results.update = source.update(source.known_number(request.known))
+        results.stamp = EVENTS.clock.stamp()
+
     async def fetch_context(self, context):
         request, results = context.params, context.results
         EVENTS.clock.observe(request.stamp)
--- a/sassafrasdoor/control/tests/test_link.py
+++ b/sassafrasdoor/control/tests/test_link.py
@@ -32,6 +32,10 @@
     def leave(self):
         self.has_left = True
 
+    async def confirm(self, seconds):
+        self.source.set_table(TABLE, 8)
+        self.source.confirmed_at = now()
+
 
 class ControlLinkTests(unittest.IsolatedAsyncioTestCase):
     async def serve(self, port=0, weights=None):
@@ -66,6 +70,18 @@
         await self.stop(server, task)
         self.assertFalse(await link.metrics())
 
+    @on_kj_loop
+    async def test_confirmed_view_is_as_new_as_the_call(self):
+        """Guards against calls refused by a table that is older than they are."""
+        server, link, task = await self.connect()
+        called_at = now()
+        await link.confirm(0.5)
+        self.assertEqual(link.view.revision, 8)
+        self.assertGreaterEqual(link.view.confirmed_at, called_at)
+        await self.stop(server, task)
+        await link.confirm(0.5)
+        self.assertLess(link.view.confirmed_at, now())
+
     @on_kj_loop
     async def test_parts_arrive_and_stay(self):
         server, link, task = await self.connect()
--- a/sassafrasdoor/entry/components.py
+++ b/sassafrasdoor/entry/components.py
@@ -18,6 +18,7 @@
 from sassafrasdoor.view import State
 
 REPORT_INTERVAL = 0.2  # seconds
+TABLE_CONFIRM_TIMEOUT = 0.5  # seconds; a log that answers does so in milliseconds
 
 
 class Components:
@@ -106,6 +107,15 @@
             return ""
         return "alone with a table that nobody has confirmed for long"
 
+    async def confirm_table(self, moment):
+        """Return whether the table is as new as all that were accepted before a moment.
+
+        ``moment`` is a monotonic time. Unless the table is known to be, the log is read.
+        """
+        if self.view().confirmed_at < moment:
+            await self.link.confirm(TABLE_CONFIRM_TIMEOUT)
+        return self.view().confirmed_at >= moment
+
     def status(self):
         """Return the system's status as seen by this instance, JSON-ready."""
         view = self.view()
--- a/sassafrasdoor/entry/server.py
+++ b/sassafrasdoor/entry/server.py
@@ -7,6 +7,7 @@
 import tornado.web
 
 from sassafrasdoor import __version__, metrics
+from sassafrasdoor.clock import now
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.outcomes import Finding
 from sassafrasdoor.security import key_matches, server_context
@@ -105,7 +106,8 @@
     """Checks a caller's key against the row; writes the refusal itself.
 
     A missing row and a wrong key give the same reply, so that callers cannot
-    enumerate rows by trying names.
+    enumerate rows by trying names. Both are refused only by a table that is as new as
+    the call, since callers do not repeat it.
     """
 
     __slots__ = ("_components",)
@@ -113,20 +115,32 @@
     def __init__(self, components):
         self._components = components
 
-    def __call__(self, handler, row_name):
+    async def __call__(self, handler, row_name):
         """Return the row if the caller has sent its key, else None."""
-        view, reason = self._components.view(), self._components.table_unusable_reason()
+        arrived_at = now()
+        reason = self._components.table_unusable_reason()
         if reason:
             refuse(handler, 503, "not-run", reason, retry=1)
             return None
-        header = handler.request.headers.get("Authorization", "")
-        key = header.removeprefix(BEARER)[:MAX_KEY_LENGTH]
-        row = view.row(row_name)
-        if row is None or not key_matches(key, row.key_hashes):
+        row = self._find_row(handler, row_name)
+        if row is not None:
+            return row
+        is_confirmed = await self._components.confirm_table(arrived_at)
+        row = self._find_row(handler, row_name)
+        if row is not None:
+            return row
+        if is_confirmed:
             REFUSED_KEYS.inc({})
             refuse(handler, 401, "rejected", "no such row, or the key is not its own")
-            return None
-        return row
+        else:
+            refuse(handler, 503, "not-run", "the table may be old", retry=1)
+        return None
+
+    def _find_row(self, handler, row_name):
+        header = handler.request.headers.get("Authorization", "")
+        key = header.removeprefix(BEARER)[:MAX_KEY_LENGTH]
+        row = self._components.view().row(row_name)
+        return row if row is not None and key_matches(key, row.key_hashes) else None
 
 
 def refuse(handler, status, outcome, reason, retry=None, findings=()):
--- a/sassafrasdoor/requests/handlers.py
+++ b/sassafrasdoor/requests/handlers.py
@@ -52,11 +52,12 @@
         self._body = bytearray()
         self._task = None
 
-    def prepare(self):
+    async def prepare(self):
         """Authorise the request and check its length."""
         limit = self._requests.settings.requests.body_limit
         self.request.connection.set_max_body_size(limit * DISCARD_LIMIT_FACTOR)
-        self._row = self.application.settings["authorize"](self, self.path_args[0])
+        authorize = self.application.settings["authorize"]
+        self._row = await authorize(self, self.path_args[0])
         if self._row is None:
             return
         length = self.request.headers.get("Content-Length", "0")
--- a/sassafrasdoor/requests/service.py
+++ b/sassafrasdoor/requests/service.py
@@ -151,13 +151,15 @@
 
     async def run_for_peer(self, incarnation, row_name, request):
         """Run a keyed request that another instance forwarded."""
-        row = self.view.row(row_name)
-        if incarnation != self._issuer.incarnation or row is None:
+        if incarnation != self._issuer.incarnation:
             return Unknown("the key's owner is gone")
+        row = self.view.row(row_name)
         issued = parse(request.key)
         is_claimed = self._claims and self._claims.owns_key(row_name, request.key)
         if issued is None and not is_claimed:
             return Unknown("the key was not claimed here")
+        if row is None:
+            return self._unknown_row_outcome(row_name, request.key, issued)
         refusal = self.refusal(row, request, is_movable=False)
         if refusal is not None:
             return refusal
@@ -166,6 +168,21 @@
                 return await self._run_issued(row, request, issued)
             return await self._run_once(row, request)
 
+    def _unknown_row_outcome(self, row_name, key, issued):
+        """Return the outcome of a forwarded request whose row is not known here.
+
+        The forwarding instance may have a newer table, with a row that was just added. A
+        key that was claimed here is older than that.
+        """
+        may_have_run = (
+            issued is None
+            or self._issuer.has_lapsed(issued)
+            or (row_name, key) in self._executions
+        )
+        if may_have_run:
+            return Unknown("the row was removed; whether the key ran is not known")
+        return NotRun("the row is not known here", REFUSING_RETRY_AFTER)
+
     async def generate(self, row, request, deadline):
         """Yield the items of ``Streams.run`` for a streamed answer."""
         kind = RequestKind(row.name, request.max_tokens)
--- a/sassafrasdoor/requests/tests/test_handlers.py
+++ b/sassafrasdoor/requests/tests/test_handlers.py
@@ -29,7 +29,7 @@
 GENERATE_BODY = {"prompt": "a prompt", "max_tokens": 3}
 
 
-def authorize(handler, row_name):
+async def authorize(handler, row_name):
     """Authorise every caller whose row exists."""
     row = handler.application.settings["current_view"].row(row_name)
     if row is None:
--- a/sassafrasdoor/requests/tests/test_issued.py
+++ b/sassafrasdoor/requests/tests/test_issued.py
@@ -145,6 +145,23 @@
                     for instance in (first, second):
                         await instance.peers.close()
 
+    async def test_forwarded_call_on_a_row_not_known_yet_is_not_run(self):
+        """Guards against an unknown outcome of a call that its older table refuses."""
+        async with capnp.kj_loop():
+            service, (first, second) = await self.cluster()
+            key = first.requests.key_prefix() + "1"
+            older = view(row_document("other"), count=2)
+            first.current_view, newer = older, first.current_view
+            outcome = await second.send_request(key)
+            self.assertIsInstance(outcome, NotRun)
+            self.assertEqual(service.calls, [])
+            first.current_view = newer
+            self.assertIsInstance(await second.send_request(key), Answer)
+            first.current_view = older
+            self.assertIsInstance(await second.send_request(key), Unknown)
+            for instance in (first, second):
+                await instance.peers.close()
+
     async def test_outcomes_that_are_kept(self):
         cases = [
             ("cut", {"b0": CUT, "b1": CUT}, Unknown, 1),
--- a/sassafrasdoor/steps/handlers.py
+++ b/sassafrasdoor/steps/handlers.py
@@ -34,9 +34,9 @@
     def initialize(self, steps):
         self._steps = steps
 
-    def authorized_row(self, row_name):
+    async def authorized_row(self, row_name):
         """Return the caller's row, or None after writing a refusal."""
-        return self.application.settings["authorize"](self, row_name)
+        return await self.application.settings["authorize"](self, row_name)
 
     def refuse(self, outcome):
         """Finish with an ``Outcome`` and its findings."""
@@ -60,9 +60,9 @@
 class SubmitHandler(StepsHandler):
     """``POST /v1/steps/{row}``."""
 
-    def post(self, row_name):
+    async def post(self, row_name):
         """Submit the step to this instance, or attach to it."""
-        row = self.authorized_row(row_name)
+        row = await self.authorized_row(row_name)
         if row is None:
             return
         spec = parse_input(StepSpec, self.request.body)
@@ -83,7 +83,7 @@
 
     async def post(self, row_name, step):
         """Reply with samples that the trainer lacks."""
-        row = self.authorized_row(row_name)
+        row = await self.authorized_row(row_name)
         if row is None:
             return
         fetch = parse_input(FetchSpec, self.request.body)
@@ -101,7 +101,7 @@
 
     async def delete(self, row_name, step):
         """Cancel the step."""
-        row = self.authorized_row(row_name)
+        row = await self.authorized_row(row_name)
         if row is None:
             return
         if await self._steps.cancel(row, step):
--- a/sassafrasdoor/steps/tests/test_client.py
+++ b/sassafrasdoor/steps/tests/test_client.py
@@ -45,7 +45,7 @@
         self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
         servers.append(self)
 
-    def _authorize(self, handler, row_name):
+    async def _authorize(self, handler, row_name):
         key = handler.request.headers.get("Authorization", "").removeprefix("Bearer ")
         row = self.bench.table.row(row_name)
         if row is None or not key_matches(key, row.key_hashes):
