Steps: items that wait for routes put off no load of weights

Cause: found in reading. An item on a route that is not known yet counted as queued, and loads of its model's weights wait for queued items; migrations stopped too. Change: only items that a replica could run count. Measured: test_item_that_waits_for_routes_delays_no_other failed with the count (1 != 0) and passes.

--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -186,8 +186,11 @@
             self._migrate_slow_samples()
 
     def queued_items(self, model):
-        """Return the number of queued items of a model."""
-        return sum(job.step.spec.model == model for job in self._queue)
+        """Return the number of queued items of a model that a replica could run."""
+        return sum(
+            job.step.spec.model == model and job.pending_end is None
+            for job in self._queue
+        )
 
     def oldest_allowed(self, model):
         """Return the oldest version that serves a model's open steps, 0 for none."""
@@ -437,7 +440,9 @@
         several times as long. Resuming elsewhere costs reading the text so far, some
         ten milliseconds.
         """
-        queued_models = {job.step.spec.model for job in self._queue}
+        queued_models = {
+            job.step.spec.model for job in self._queue if job.pending_end is None
+        }
         jobs = [
             job
             for job in self._jobs.values()
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -323,6 +323,7 @@
                 self.steps.fold(0, 9, data)
         await self.samples(2)
         self.assertEqual([one.step_id for one in self.outbox.samples], ["s1", "known"])
+        self.assertEqual(self.runner.queued_items(MODEL), 0)
 
     async def test_items_of_a_removed_route_are_errored(self):
         other = route(prefix="/other/")
