Soak: routes come and go while an instance is paused

An item whose route stays must not be errored, and such a route must not be refused with 404; steps on a removed route must end. The operator's writes are no longer delayed or lost by faults of the log's replies: one that lands late would bring an older version back, which the platform's store does not.

--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 import pathlib
 import random
 import signal
@@ -73,13 +74,7 @@
             "Kind": "unsafe",
             "Service": PLAIN,
         },
-        {
-            **ROUTE,
-            "Name": "s",
-            "PathPrefix": "/s/",
-            "Kind": "rollout",
-            "Service": ENGINES,
-        },
+        step_route("/s/"),
         {
             **ROUTE,
             "Name": "n",
@@ -90,6 +85,17 @@
     ]
 
 
+def step_route(prefix):
+    """Return a route for steps under a prefix."""
+    return {
+        **ROUTE,
+        "Name": prefix,
+        "PathPrefix": prefix,
+        "Kind": "rollout",
+        "Service": ENGINES,
+    }
+
+
 def expected_answer(request_id):
     """Return the complete answer of a plain replica."""
     return b"answer to " + request_id.encode()
@@ -113,6 +119,7 @@
         self._connections = Connections()
         self._calls, self._steps = [], []
         self._version = 1
+        self._step_prefixes = []
         self._newest_seen = {}
         self._tasks = set()
         self._disruptions, self._update_gaps, self._departures = [], [], []
@@ -166,7 +173,7 @@
             ReplicaStandin(f"p{index}", slots=PLAIN_SLOTS, pause=CALL_DURATION)
             for index in range(REPLICA_COUNT)
         ]
-        await self._configure()
+        self._configure()
         await self._list_replicas()
         self._proxies, self._instances = [], []
         for index in range(self._instance_count):
@@ -206,14 +213,37 @@
         self._client.close()
         self._connections.close()
 
-    async def _configure(self):
+    def _configure(self):
+        """Write the configuration; the operator's own writes are always acknowledged.
+
+        One that landed late would bring an older version back.
+        """
         services = [
             {"Name": PLAIN},
             {"Name": ENGINES, "Engine": {"Models": [{"Name": MODEL}]}},
         ]
         version = self._version
-        document = {"Version": version, "Routes": routes(version), "Services": services}
-        await self._store.configure(document)
+        rows = routes(version) + [step_route(prefix) for prefix in self._step_prefixes]
+        document = {"Version": version, "Routes": rows, "Services": services}
+        record = keyed_record(
+            configuration.CONFIGURATION_KEY, json.dumps(document).encode()
+        )
+        partition = self._store.log.partition(configuration.OPERATOR_TOPIC, 0)
+        partition.add([record], keyed=True)
+
+    def _add_step_route(self):
+        """Add a route for steps with the next version; return its prefix."""
+        self._version += 1
+        prefix = f"/added-{self._version}/"
+        self._step_prefixes.append(prefix)
+        self._configure()
+        return prefix
+
+    def _remove_step_route(self, prefix):
+        """Remove a route for steps with the next version."""
+        self._version += 1
+        self._step_prefixes.remove(prefix)
+        self._configure()
 
     async def _list_replicas(self):
         for replica in self._engines + self._plain:
@@ -339,6 +369,7 @@
         )
         checks.check_steps(self._steps, runs, item_text, self.violations)
         checks.check_scores(self._steps, runs, self.violations)
+        checks.check_routes(self._steps, self.violations)
 
     def _summary(self):
         answered = sum(call.status == checks.OK for call in self._calls)
--- a/sassafrasdoor/platform/soak_callers.py
+++ b/sassafrasdoor/platform/soak_callers.py
@@ -101,28 +101,31 @@
 
     async def _train_step(self, step_id):
         items = [f"{step_id}-{index}" for index in range(ITEM_COUNT)]
-        step = StepObservation(step_id, items, rewarded=items[1::2])
+        await self._train(StepObservation(step_id, items, rewarded=items[1::2]), "/s/")
+
+    async def _train_on(self, prefix, stays):
+        """Submit a step on a route that was just added; a refusal for good is wrong."""
+        step_id = prefix.strip("/").replace("/", "-")
+        items = [f"{step_id}-{index}" for index in range(ITEM_COUNT)]
+        await self._train(StepObservation(step_id, items, route_stays=stays), prefix)
+
+    async def _train(self, step, prefix):
         self._steps.append(step)
-        body = json.dumps(
-            {
-                "Step": 1,
-                "Model": MODEL,
-                "MinVersion": 1,
-                "Desired": 2,
-                "Items": [
-                    self._item_document(item, index)
-                    for index, item in enumerate(step.items)
-                ],
-            }
-        )
-        headers = {wire.REQUEST_ID: step_id}
+        items = [
+            self._item_document(step, prefix, index) for index in range(ITEM_COUNT)
+        ]
+        document = {"Step": 1, "Model": MODEL, "MinVersion": 1, "Desired": 2}
+        body = json.dumps({**document, "Items": items})
+        headers = {wire.REQUEST_ID: step.step_id}
         for _ in range(3):
             reply = await self._fetch(
-                self._random_instance().front, "/s/", "POST", body, **headers
+                self._random_instance().front, prefix, "POST", body, **headers
             )
             if reply.code == 202:
                 step.accepted = True
                 break
+            if reply.code == checks.NOT_FOUND and step.route_stays:
+                self.violations.add("routes in force are found", step.step_id)
             if reply.code == checks.REFUSED:
                 step.refusals += 1
             else:
@@ -130,16 +133,17 @@
         if step.accepted:
             await self._read_step(step)
 
-    def _item_document(self, item, index):
+    def _item_document(self, step, prefix, index):
+        item = step.items[index]
         document = {
             "Id": item,
-            "Path": f"/s/{index}",
+            "Path": f"{prefix}{index}",
             "Headers": {},
             "Body": base64.b64encode(item.encode()).decode(),
             "Tokens": 10,
             "Group": f"g{index // 2}",
         }
-        if index % 2:
+        if item in step.rewarded:
             path, call_id = f"/plain/{index}", checks.reward_call_id(item)
             document["Scorer"] = {"Id": call_id, "Host": HOST, "Path": path, "Body": ""}
         return document
--- a/sassafrasdoor/platform/tests/test_soak.py
+++ b/sassafrasdoor/platform/tests/test_soak.py
@@ -13,8 +13,9 @@
 SECONDS, INSTANCES = 15, 3
 # 1 and 2 have overlapping stops, kills, cuts and outages. In 36 all submissions of a step
 # end without an answer while every process is down; the check once took these for
-# refusals and reported that a refused step ran.
-SEEDS = (1, 2, 36)
+# refusals and reported that a refused step ran. In 1104 routes are added while the runner of
+# the steps is paused; it once gave up the items of steps on these.
+SEEDS = (1, 2, 36, 1104)
 
 # A single instance has no peer to learn from while it is cut off: after a cut it once
 # used a replica that had left, up to 2.6 s after the replica's end.
--- a/sassafrasdoor/soak/checks.py
+++ b/sassafrasdoor/soak/checks.py
@@ -11,7 +11,7 @@
 # Seconds after a kill or pause that still count as part of it: a planned stop may have
 # run out of time because of a pause.
 DISRUPTION_GRACE_PERIOD = 1.0
-REFUSED, FAILED, OK = 503, 500, 200
+REFUSED, FAILED, NOT_FOUND, OK = 503, 500, 404, 200
 REWARD_SUFFIX = "-reward"
 
 
@@ -99,6 +99,8 @@
 
     ``rewarded`` are the ids of the items whose texts need a score.
 
+    ``route_stays`` says whether its route is in force from before its submission to the end.
+
     ``refusals`` counts submissions answered with "not run", ``unknown`` those without
     a conclusive answer: after one of these the step may run, whatever the answers to
     the others. ``asked_to_end`` is set once an end was requested, ``ended_at`` when one
@@ -113,11 +115,13 @@
         "pages",
         "refusals",
         "rewarded",
+        "route_stays",
         "step_id",
         "unknown",
     )
 
-    def __init__(self, step_id, items, rewarded=()):
+    def __init__(self, step_id, items, rewarded=(), route_stays=True):
+        self.route_stays = route_stays
         self.step_id = step_id
         self.items = items
         self.rewarded = frozenset(rewarded)
@@ -225,6 +229,18 @@
                 violations.add("ended means ended", f"step {step.step_id}")
 
 
+def check_routes(steps, violations):
+    """Check that no item is given up whose route stays and that no replica has failed.
+
+    Reward calls may fail, so items that need a score are left out.
+    """
+    for step in steps:
+        for sample in max(step.pages, key=len, default=[]):
+            is_given_up = sample["State"] != "completed"
+            if is_given_up and step.route_stays and sample["Id"] not in step.rewarded:
+                violations.add("routes in force end no item", sample["Id"])
+
+
 def check_scores(steps, runs, violations):
     """Check that each required score is the stamp of a run of the sample's own call."""
     for step in steps:
--- a/sassafrasdoor/soak/faults.py
+++ b/sassafrasdoor/soak/faults.py
@@ -12,6 +12,7 @@
 )
 from sassafrasdoor.soak.schedule import ON_ALL, ON_INSTANCES, ON_PATHS, Kind
 
+VERSIONS_GAP = 0.33  # seconds between two versions of a configuration
 STOP_CALL_INTERVAL = 0.08  # seconds; below the duration of a call, 0.1 s
 SETTLE_TIMEOUT = 45.0  # seconds for recovery after the last fault
 
@@ -22,7 +23,10 @@
     ``Soak`` implements access to the list of replicas: ``_entry(replica, leaving)``
     returns a replica's entry, ``_put_entry(replica, entry)`` writes it,
     ``_drop_entry(replica)`` deletes it and returns whether that succeeded, and
-    ``_put_foreign_entries(replica)`` writes malformed entries of another writer.
+    ``_put_foreign_entries(replica)`` writes malformed entries of another writer. Routes are
+    changed by ``_add_step_route()``, which returns a new route's prefix,
+    ``_remove_step_route(prefix)``, and ``_train_on(prefix, stays)``, which submits a step on
+    it; ``stays`` says whether the route is kept.
     """
 
     async def _inject(self, fault):
@@ -195,7 +199,26 @@
     async def _reconfigure(self, fault):
         if not self._store.log.down:
             self._version += 1
-            await self._configure()
+            self._configure()
+
+    async def _add_routes(self, fault):
+        """Add two routes during a pause, and submit a step on the second."""
+        await self._change_routes(fault, stays=True)
+
+    async def _remove_route(self, fault):
+        """Add two routes during a pause, submit a step on the second and remove that."""
+        await self._change_routes(fault, stays=False)
+
+    async def _change_routes(self, fault, stays):
+        pause = self._spawn(self._pause(fault))
+        self._add_step_route()
+        await asyncio.sleep(VERSIONS_GAP)
+        prefix = self._add_step_route()
+        training = self._spawn(self._train_on(prefix, stays))
+        await asyncio.wait([training], timeout=fault.duration)
+        if not stays:
+            self._remove_step_route(prefix)
+        await pause
 
     def _replica(self, fault):
         return (self._engines + self._plain)[fault.target]
@@ -223,4 +246,6 @@
     Kind.GONE: FaultInjector._gone,
     Kind.LOG_SILENT: FaultInjector._log_silent,
     Kind.ENGINES_SILENT: FaultInjector._engines_silent,
+    Kind.ROUTES_ADDED: FaultInjector._add_routes,
+    Kind.ROUTES_REMOVED: FaultInjector._remove_route,
 }
--- a/sassafrasdoor/soak/schedule.py
+++ b/sassafrasdoor/soak/schedule.py
@@ -35,6 +35,8 @@
     GONE = "replica ends without a word"
     LOG_SILENT = "log silent"
     ENGINES_SILENT = "engines silent"
+    ROUTES_ADDED = "routes added during a pause"
+    ROUTES_REMOVED = "route removed during a pause"
 
 
 # Drawn as a series of their own, so that the first series of a seed does not change.
@@ -46,10 +48,14 @@
 SILENT_KINDS = (Kind.LOG_SILENT, Kind.ENGINES_SILENT)
 MAX_SILENCE = 2.5  # seconds
 SILENCE_INTERVAL = 3.0  # seconds between two starts, on average
-ADDED_KINDS = {*SECOND_SERIES_KINDS, Kind.GONE, *SILENT_KINDS}
+# Drawn as a fifth series: one instance is paused while routes come and go.
+ROUTE_KINDS = (Kind.ROUTES_ADDED, Kind.ROUTES_REMOVED)
+ROUTES_INTERVAL = 4.0  # seconds between two starts, on average
+MIN_ROUTES_PAUSE, MAX_ROUTES_PAUSE = 0.5, 2.0  # seconds
+ADDED_KINDS = {*SECOND_SERIES_KINDS, Kind.GONE, *SILENT_KINDS, *ROUTE_KINDS}
 FIRST_SERIES_KINDS = [kind for kind in Kind if kind not in ADDED_KINDS]
 SECOND_SERIES_INTERVAL = 3.0  # seconds between two starts, on average
-ON_INSTANCES = {Kind.KILL, Kind.STOP, Kind.PAUSE}
+ON_INSTANCES = {Kind.KILL, Kind.STOP, Kind.PAUSE, *ROUTE_KINDS}
 ON_PATHS = {Kind.CUT_OFF, Kind.DELAY, Kind.RESET, Kind.ONE_WAY}
 ON_REPLICAS = {
     Kind.FULL,
@@ -110,6 +116,7 @@
     cuts = [fault for fault in faults if fault.kind in ON_PATHS]
     faults += _third_series(random.Random(f"{seed} gone"), cuts, seconds, replicas)
     faults += _silences(random.Random(f"{seed} silent"), seconds)
+    faults += _route_changes(random.Random(f"{seed} routes"), seconds, instances)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -144,3 +151,14 @@
         faults.append(Fault(at, rng.choice(SILENT_KINDS), 0, duration))
         at += rng.uniform(0, 2 * SILENCE_INTERVAL)
     return faults
+
+
+def _route_changes(rng, seconds, instances):
+    """Return changes of routes, each during a pause of one instance."""
+    faults, at = [], FIRST_FAULT_DELAY + rng.uniform(0, ROUTES_INTERVAL)
+    while at < FAULT_PERIOD_SHARE * seconds:
+        duration = rng.uniform(MIN_ROUTES_PAUSE, MAX_ROUTES_PAUSE)
+        kind, target = rng.choice(ROUTE_KINDS), rng.randrange(instances)
+        faults.append(Fault(at, kind, target, duration))
+        at += rng.uniform(0, 2 * ROUTES_INTERVAL)
+    return faults
--- a/sassafrasdoor/soak/tests/test_soak.py
+++ b/sassafrasdoor/soak/tests/test_soak.py
@@ -100,6 +100,19 @@
         for observed_call, runs, expected in cases:
             self.assertEqual(self.violated_by_call(observed_call, runs), expected)
 
+    def test_errored_item_needs_a_removed_route_or_a_reward(self):
+        errored = {**sample("i"), "State": "errored"}
+        cases = [
+            (StepObservation("s", ["i"]), ["routes in force end no item: i"]),
+            (StepObservation("s", ["i"], route_stays=False), []),
+            (StepObservation("s", ["i"], rewarded=["i"]), []),
+        ]
+        for step, expected in cases:
+            step.pages = [[errored]]
+            violations = Violations()
+            checks.check_routes([step], violations)
+            self.assertEqual(violations.messages, expected)
+
     def test_cut_call_needs_a_disruption(self):
         # outcome, runs, disruptions -> violated guarantees
         cut, timed_out = Broken("connection lost"), Broken("timeout")
