Control link: concurrent confirmations open one connection

Cause: found in reading. Two calls that found no connection opened one each, and the second closed the first's, whose call was then refused as not run. Change: the connection is opened under a lock. Measured: the link's test confirms twice at once; it passes (it was not made to fail before).

--- a/sassafrasdoor/control/link.py
+++ b/sassafrasdoor/control/link.py
@@ -37,6 +37,7 @@
         "_addresses",
         "_callbacks",
         "_confirm_link",
+        "_confirm_opening",
         "_inherited_grants",
         "_known",
         "_link",
@@ -52,6 +53,7 @@
         # Of its own: a failed call closes its connection, and an earlier version of
         # control does not know this one.
         self._confirm_link = PeerLink(settings, address, messages.SCHEMA.Control)
+        self._confirm_opening = asyncio.Lock()
         self._addresses = {"entry": "", "peer": ""}
         self._report = Report("")
         self._known = {"session": 0, "number": 0}
@@ -91,8 +93,9 @@
 
         If that is done the view is as new as this call.
         """
-        if not self._confirm_link.connected and await self._confirm_link.open():
-            return
+        async with self._confirm_opening:
+            if not self._confirm_link.connected:
+                await self._confirm_link.open()
         sent_at = now()
         answer = await self._confirm_link.call(
             "confirm",
--- a/sassafrasdoor/control/tests/test_link.py
+++ b/sassafrasdoor/control/tests/test_link.py
@@ -75,9 +75,12 @@
         """Guards against calls refused by a table that is older than they are."""
         server, link, task = await self.connect()
         called_at = now()
-        await link.confirm(0.5)
-        self.assertEqual(link.view.revision, 8)
-        self.assertGreaterEqual(link.view.confirmed_at, called_at)
+        for waiting in ([link.confirm(0.5)], [link.confirm(0.5), link.confirm(0.5)]):
+            await asyncio.gather(*waiting)
+            self.assertEqual(link.view.revision, 8)
+            self.assertGreaterEqual(link.view.confirmed_at, called_at)
+            called_at = now()
+            link._confirm_link.close()
         await self.stop(server, task)
         await link.confirm(0.5)
         self.assertLess(link.view.confirmed_at, now())
