--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -58,7 +58,7 @@
 ITEM_PATH = re.compile(r"^/-/items/([^/?]+)$")
 
 # Refusals that a newer configuration may not make.
-_OUTDATABLE = (NotFound, Unauthorized)
+_REFUSALS_BY_CONFIGURATION = (NotFound, Unauthorized)
 
 FORWARDED_CALLS = counter(
     "front_handed_on_total", "Calls handed to another instance, by result."
@@ -88,7 +88,7 @@
             refused = NotRun("no configuration yet", NO_CONFIGURATION_RETRY_AFTER)
             await self._reply_from_peer_or_fail(refused)
             return
-        account = await self._unless_outdated(self._step_account)
+        account = await self._by_current_configuration(self._step_account)
         if self._caller_left:
             return
         if isinstance(account, Outcome):
@@ -114,7 +114,7 @@
             refused = NotRun("no configuration yet", NO_CONFIGURATION_RETRY_AFTER)
             self._reply_failure(refused)
             return
-        target = await self._unless_outdated(lambda: self._target(path))
+        target = await self._by_current_configuration(lambda: self._target(path))
         if self._caller_left:
             return
         if isinstance(target, Outcome):
@@ -135,7 +135,7 @@
             return grant
         return _Target(configuration, route, grant)
 
-    async def _unless_outdated(self, decide):
+    async def _by_current_configuration(self, decide):
         """Return ``decide()``, made by routes that are not older than this request.
 
         ``decide`` goes by the configuration in force. Where that has no such route, or no
@@ -143,11 +143,11 @@
         read once, and the request is refused as not run if that does not succeed.
         """
         result = decide()
-        if not isinstance(result, _OUTDATABLE):
+        if not isinstance(result, _REFUSALS_BY_CONFIGURATION):
             return result
         if await self._read_configuration():
             result = decide()
-        if not isinstance(result, _OUTDATABLE):
+        if not isinstance(result, _REFUSALS_BY_CONFIGURATION):
             return result
         if isinstance(result, NotFound):
             note(
