Stop: no handshake is completed between the last accept and the close

Cause: connections that the kernel completes between the last accept and the close are reset, and a process without processor time just then makes that time long; four listeners were closed only after all had been accepted from. Change: a socket filter drops SYN segments 5 ms before the last accept; each listener is closed right after it. What has not connected has sent nothing. Measured: test_no_connection_is_completed_at_the_close fails with ConnectionResetError before and passes after.

--- a/sassafrasdoor/stopping.py
+++ b/sassafrasdoor/stopping.py
@@ -9,13 +9,15 @@
 
 from tornado.iostream import IOStream
 
-from sassafrasdoor import logs
+from sassafrasdoor import handshakes, logs
 from sassafrasdoor.clock import remaining
 from sassafrasdoor.decisions import note
 
 FORCED_EXIT_CODE = 1
 TASK_FAILURE_EXIT_CODE = 3
 MIN_TIMER_DELAY = 0.001  # seconds
+# Seconds in which handshakes that have begun are completed: some round trips.
+HANDSHAKE_TIME = 0.005
 # Seconds for the first request of a connection that was accepted last.
 FIRST_REQUEST_TIME = 0.1
 
@@ -60,10 +62,13 @@
 
     The kernel completes connections before they are accepted, and resets them when the
     listener is closed. A caller that has sent its request would not know whether it ran.
+    So no handshake begins any more before the last connections are accepted.
     """
+    for _, sock in listeners:
+        handshakes.drop_new(sock)
+    await asyncio.sleep(HANDSHAKE_TIME)
     for server, sock in listeners:
         _accept_waiting(server, sock)
-    for server, _ in listeners:
         server.stop()
     await asyncio.sleep(FIRST_REQUEST_TIME)
 
--- a/sassafrasdoor/tests/test_stopping.py
+++ b/sassafrasdoor/tests/test_stopping.py
@@ -122,11 +122,32 @@
         asyncio.run(stop())
 
 
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+CONNECT_TIMEOUT = 0.2  # seconds
+
+
 class Answering(RequestHandler):
     def get(self):
         self.finish(b"answered")
 
 
+class LateCaller:
+    """Calls a server whose listener is about to be closed."""
+
+    def __init__(self, server, port):
+        self._close = server.stop
+        self._port = port
+        self.connection = None
+        server.stop = self._call_and_close
+
+    def _call_and_close(self):
+        with contextlib.suppress(TimeoutError):
+            address = ("127.0.0.1", self._port)
+            self.connection = socket.create_connection(address, CONNECT_TIMEOUT)
+            self.connection.sendall(REQUEST)
+        self._close()
+
+
 class StopListeningTest(unittest.IsolatedAsyncioTestCase):
     async def test_connections_that_wait_to_be_accepted_are_served(self):
         """Guards against requests reset by the end of a listener, as if they had run."""
@@ -137,7 +158,7 @@
         for _ in range(5):
             caller = socket.create_connection(("127.0.0.1", port))
             self.addCleanup(caller.close)
-            caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            caller.sendall(REQUEST)
             callers.append(caller)
         await stop_listening([(server, sock)])
         for caller in callers:
@@ -145,3 +166,14 @@
             self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 200"))
         with self.assertRaises(ConnectionRefusedError):
             socket.create_connection(("127.0.0.1", port))
+
+    async def test_no_connection_is_completed_at_the_close(self):
+        """Guards against requests reset as they were sent between accept and close."""
+        sock, port = bind_unused_port()
+        server = HTTPServer(Application([(r"/", Answering)]))
+        server.add_sockets([sock])
+        caller = LateCaller(server, port)
+        await stop_listening([(server, sock)])
+        if caller.connection is not None:
+            self.addCleanup(caller.connection.close)
+            self.assertTrue(caller.connection.recv(4096).startswith(b"HTTP/1.1 200"))
