Stop: the test of late streams goes by what their caller measured

Shown by the lines of such runs: a stream of 0.22 s took over 0.3 s on a busy machine, and one more of 1.25 times that and 0.5 s, the rule of docs/design/planned-stop.md, did not fit into the 0.86 to 0.93 s that were left. The check is as strict: a refusal where the measured streams fit fails at once. One that the rule demands leaves the attempt undecided; the instance is started anew, and an attempt in which all are served is still asked for.

--- a/sassafrasdoor/platform/tests/test_stop_processes.py
+++ b/sassafrasdoor/platform/tests/test_stop_processes.py
@@ -17,10 +17,17 @@
 HELD_BEFORE, HELD_AT = 0.5, 4.0  # seconds before and after SIGTERM
 REFUSED = 503
 STREAM_EVENTS = 40
+STREAM_PATHS = "/o/x", "/r/x"
 # Shares of the time for a stop: what a long stream takes, and when requests are sent.
 STREAM_SHARE = 0.55
 SENT_EARLY, SENT_LATE = 0.05, (0.44, 0.56, 0.69)
 MEASURED_STREAMS = 10
+# The rules of docs/design/planned-stop.md: the share of the time for a stop, less seconds,
+# by which answers are complete, and what is added to the longest known duration, as a
+# factor and in seconds.
+ANSWER_SHARE, ANSWER_MARGIN = 0.94, 0.05
+DURATION_MARGIN, DURATION_SLACK = 1.25, 0.5
+MAX_ATTEMPTS = 8  # on a machine whose pauses make the streams too long for the case
 
 
 class StopTest(DutiesCase):
@@ -109,10 +116,10 @@
         """Guards against streams that are accepted in a stop and cut off at its end."""
         stopped_at = self.stop_first()
         await self.until_share(stopped_at, SENT_EARLY)
-        early = [self.stream(path) for path in ("/o/x", "/r/x")]
+        early = [self.stream(path) for path in STREAM_PATHS]
         for share in SENT_LATE:
             await self.until_share(stopped_at, share)
-            for path in ("/o/x", "/r/x"):
+            for path in STREAM_PATHS:
                 reply = await self.stream(path)
                 self.assertEqual(reply.code, REFUSED)
                 self.assertEqual(reply.headers["Retry-After"], "0")
@@ -128,23 +135,55 @@
         """Guards against a stop that refuses all requests with late deadlines."""
         for engine in self.engines:
             engine.events = 4
-        for path in ("/o/x", "/r/x") * MEASURED_STREAMS:
-            self.check_whole(await self.stream(path))
+        for _ in range(MAX_ATTEMPTS):
+            if await self.late_streams_were_short():
+                break
+            self.instances[0].start()
+            await self.wait_until_ready()
+        else:
+            self.fail("streams took too long for the case in all attempts")
+        self.assertEqual(self.lines("", "request.cut_by_stop"), [])
+
+    async def late_streams_were_short(self):
+        """Check what a stop serves; return whether all streams could be served.
+
+        A refusal is allowed only if its path's streams, as their caller measured them,
+        took so long that by the rules one more did not fit into the rest of the stop.
+        """
+        longest = dict.fromkeys(STREAM_PATHS, 0.0)
+        for path in STREAM_PATHS * MEASURED_STREAMS:
+            reply, sent_at, ended_at = await self.timed_stream(path)
+            self.check_whole(reply)
+            longest[path] = max(longest[path], ended_at - sent_at)
         stopped_at = self.stop_first()
+        answered_by = stopped_at + ANSWER_SHARE * self.grace - ANSWER_MARGIN
+        were_short = True
         for share in SENT_LATE:
             await self.until_share(stopped_at, share)
             is_answered, submission, *streams = await asyncio.gather(
                 self.plain_call_returns(self.instances[0], 200),
-                self.submit(f"step-{share}"),
-                self.stream("/o/x"),
-                self.stream("/r/x"),
+                self.submit(f"step-{share}-{self.sent}"),
+                *map(self.timed_stream, STREAM_PATHS),
             )
             self.assertTrue(is_answered)
             self.assertEqual(submission.code, 202)
-            for reply in streams:
+            for path, (reply, sent_at, ended_at) in zip(
+                STREAM_PATHS, streams, strict=True
+            ):
+                expected = longest[path] * DURATION_MARGIN + DURATION_SLACK
+                if reply.code == REFUSED and ended_at + expected > answered_by:
+                    were_short = False
+                    continue
                 self.check_whole(reply)
+                longest[path] = max(longest[path], ended_at - sent_at)
         await self.wait_until(lambda: not self.instances[0].running)
-        self.assertEqual(self.lines("", "request.cut_by_stop"), [])
+        return were_short
+
+    async def timed_stream(self, path):
+        """Return the reply to a stream, and when it was sent and had ended."""
+        sent_at = now()
+        reply = await self.stream(path)
+        return reply, sent_at, now()
 
 
 class ShortStopAdmissionTest(StopAdmissionTest):
