Front: a route that came by another read is found before a 404

Cause: since a refusal was judged again only if the request's own read of the routes had succeeded. Here that had failed after 0.4 s, while a long poll brought the route; the routes were then as new as the request, which made the verdict by the older ones final. Change: the request is judged again in any case. Measured: test_route_that_came_while_the_read_failed_is_found, 404 before, 200 after.

--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -145,8 +145,9 @@
         result = decide()
         if not isinstance(result, _REFUSALS_BY_CONFIGURATION):
             return result
-        if await self._read_configuration():
-            result = decide()
+        await self._read_configuration()
+        # A newer version may have come by another read, also if this one has failed.
+        result = decide()
         if not isinstance(result, _REFUSALS_BY_CONFIGURATION):
             return result
         if isinstance(result, NotFound):
@@ -159,14 +160,13 @@
         return self._parts.routes.resolve_unknown(result, self._started_at)
 
     async def _read_configuration(self):
-        """Read the configuration to its end; return whether that succeeded in time.
+        """Read the configuration to its end, unless that fails or lasts too long.
 
         The store is not asked while it is known not to answer.
         """
         tail = self._parts.lists.get(OPERATOR_TOPIC)
-        if tail is None or tail.failing_since is not None:
-            return False
-        return bool(await self._while_connected(_confirm(tail)))
+        if tail is not None and tail.failing_since is None:
+            await self._while_connected(_confirm(tail))
 
     def _grant(self, is_public):
         """Return the ``Grant`` of the caller, or an ``Outcome``."""
@@ -436,12 +436,11 @@
 
 
 async def _confirm(tail):
-    """Read a list to its end; return whether that succeeded within the timeout."""
+    """Read a list to its end, for at most ``ROUTES_READ_TIMEOUT``."""
     deadline = deadline_in(ROUTES_READ_TIMEOUT)
     with contextlib.suppress(TimeoutError):
         async with SettlingTimeout(deadline):
-            return await tail.confirm(deadline)
-    return False
+            await tail.confirm(deadline)
 
 
 def _request_kind(route, headers):
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -131,6 +131,14 @@
         return True
 
 
+class FailingOperatorTail(FakeOperatorTail):
+    """A read that fails while another one finds ``newest``."""
+
+    async def confirm(self, deadline):
+        await super().confirm(deadline)
+        return False
+
+
 class AccessSettings:
     fail_closed = True
     revoke_within = 5.0
@@ -271,6 +279,14 @@
                 self.assertEqual((await self.call(PLAIN)).code, status)
                 self.assertEqual(tail.reads, 1)
 
+    async def test_route_that_came_while_the_read_failed_is_found(self):
+        """Guards against a 404 for a route that is in force by then."""
+        tail = FailingOperatorTail(None, self.routes.current, age=0.5)
+        self.parts.lists = {OPERATOR_TOPIC: tail}
+        self.parts.routes = tail.routes
+        self.service.result = Answer(200, [], b"known")
+        self.assertEqual((await self.call(PLAIN)).code, 200)
+
     async def test_unknown_key_is_refused_only_by_accounts_read_after_it_came(self):
         """Guards against a 401 for a key that was added within the last seconds."""
         rows = [route(), route(prefix=PLAIN, repeat=Repeat.SAFE)]
