Lines: which send's answer a caller got, and over which connection

`request.answered` names the replicas asked and a status, not whose answer the caller got, of which send, with which signature or over a kept connection, so the lines fit each explanation. Change: `request.answered`, `request.try_failed`, `item.made` and `item.try_failed` tell the replica, the signature and how many exchanges the connection had carried before; the first two also the send, why and how long ago it was sent. An answer other than a stream on a route for streams gets its line too. Answers without their request's id are counted by kind (replica_answers_unmatched_total).

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -45,13 +45,15 @@
 
     If it ``awaits_continue`` its body is sent once the server has asked for it (status
     100, RFC 9110): a server that is paused cannot handle it later. ``is_sent`` says
-    whether a server may handle the request.
+    whether a server may handle the request, ``earlier_exchanges`` how many the connection
+    had carried before it.
     """
 
     __slots__ = (
         "awaits_continue",
         "body",
         "deadline",
+        "earlier_exchanges",
         "fresh",
         "headers",
         "is_sent",
@@ -71,6 +73,7 @@
     ):
         self.awaits_continue = awaits_continue and bool(body)
         self.is_sent = False
+        self.earlier_exchanges = 0
         self.method = method
         self.path = path
         self.headers = headers or {}
@@ -135,13 +138,14 @@
 
 
 class _IdleConnection:
-    """A connection that may be reused until ``deadline``."""
+    """A connection that has carried ``exchanges`` and may be reused until ``deadline``."""
 
-    __slots__ = ("deadline", "stream")
+    __slots__ = ("deadline", "exchanges", "stream")
 
-    def __init__(self, stream, deadline):
+    def __init__(self, stream, deadline, exchanges):
         self.stream = stream
         self.deadline = deadline
+        self.exchanges = exchanges
 
 
 class Connections:
@@ -197,9 +201,7 @@
         """
         try:
             async with SettlingTimeout(request.deadline):
-                stream = (
-                    None if request.fresh else self._take_idle(address, oldest_first)
-                )
+                stream = self._take_idle(address, request, oldest_first)
                 if stream is None:
                     stream = await self._open(address)
                 if not stream:
@@ -212,12 +214,13 @@
         except TimeoutError:
             return Broken("timeout", began=request.is_sent)
 
-    def _take_idle(self, address, oldest_first):
-        pool = self._idle.get(address)
+    def _take_idle(self, address, request, oldest_first):
+        pool = None if request.fresh else self._idle.get(address)
         while pool:
             connection = pool.pop(0 if oldest_first else -1)
             if not passed(connection.deadline) and _is_reusable(connection.stream):
                 REUSED.inc({})
+                request.earlier_exchanges = connection.exchanges
                 return connection.stream
             connection.stream.close()
         return None
@@ -257,7 +260,7 @@
             if failure is not None:
                 return failure
             pooled = request.is_sent and self._keep_idle(
-                address, stream, receiver.headers
+                address, stream, request, receiver.headers
             )
             return Reply(receiver.status, receiver.headers, receiver.body)
         except (StreamClosedError, HTTPInputError, OSError) as error:
@@ -278,7 +281,7 @@
             return Broken(f"connection reset: {stream.error}", began=request.is_sent)
         return None
 
-    def _keep_idle(self, address, stream, headers):
+    def _keep_idle(self, address, stream, request, headers):
         if stream.closed() or stream.writing():
             # The reply arrived before the request was sent completely; the remaining
             # bytes would be read as the next request.
@@ -288,7 +291,9 @@
         pool = self._idle.setdefault(address, [])
         if len(pool) >= MAX_IDLE_CONNECTIONS:
             return False
-        pool.append(_IdleConnection(stream, deadline_in(_idle_timeout(headers))))
+        deadline = deadline_in(_idle_timeout(headers))
+        exchanges = request.earlier_exchanges + 1
+        pool.append(_IdleConnection(stream, deadline, exchanges))
         return True
 
 
--- a/sassafrasdoor/backends/replicas.py
+++ b/sassafrasdoor/backends/replicas.py
@@ -32,7 +32,9 @@
 
     ``after`` is the number of the last event that the caller has received, None for
     none; ``deadline`` is monotonic, ``fresh`` forbids a reused connection. ``account``
-    names the caller's client account, empty for none.
+    names the caller's client account, empty for none. ``earlier_exchanges`` counts those
+    that its connection had carried before; ``signature`` is that of its answer, empty
+    for none.
     """
 
     __slots__ = (
@@ -40,11 +42,13 @@
         "after",
         "body",
         "deadline",
+        "earlier_exchanges",
         "fresh",
         "headers",
         "method",
         "path",
         "request_id",
+        "signature",
     )
 
     def __init__(
@@ -67,6 +71,8 @@
         self.deadline = deadline
         self.fresh = fresh
         self.after = None
+        self.earlier_exchanges = 0
+        self.signature = ""
 
 
 class SampleOrder:
@@ -75,6 +81,7 @@
     ``after`` is the number of the last event already received, None for none;
     ``account`` names the client account of the step, empty for none. ``priority`` is the
     rank at the replica, 0 the first and 9 the last, None to state none.
+    ``earlier_exchanges`` and ``signature`` are as in ``DirectCall``.
     """
 
     __slots__ = (
@@ -82,11 +89,13 @@
         "after",
         "body",
         "deadline",
+        "earlier_exchanges",
         "headers",
         "host",
         "item_id",
         "path",
         "priority",
+        "signature",
     )
 
     def __init__(self, item, host, deadline, after, account="", priority=None):
@@ -99,6 +108,8 @@
         self.host = host
         self.deadline = deadline
         self.after = after
+        self.earlier_exchanges = 0
+        self.signature = ""
 
 
 class Event:
--- a/sassafrasdoor/backends/tests/test_connections.py
+++ b/sassafrasdoor/backends/tests/test_connections.py
@@ -123,6 +123,13 @@
             self.assertIsInstance(await self.send(name), Reply)
         self.assertEqual(self.server.connections, 1)
 
+    async def test_request_learns_how_many_exchanges_its_connection_had_carried(self):
+        await self.start(*[(KEEP_ALIVE_REPLY, OPEN)] * 3)
+        for earlier_exchanges in range(3):
+            request = OutgoingRequest("GET", "/", {"Id": "1"}, b"", deadline_in(5))
+            await self.connections.send(self.address, request)
+            self.assertEqual(request.earlier_exchanges, earlier_exchanges)
+
     async def test_fresh_request_uses_no_pooled_connection(self):
         await self.start((KEEP_ALIVE_REPLY, OPEN), (KEEP_ALIVE_REPLY, OPEN))
         await self.send("1")
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -33,6 +33,10 @@
 BODIES_NOT_SENT = counter(
     "buffers_not_sent_total", "Requests not sent as the replica holds too many bytes."
 )
+UNMATCHED_ANSWERS = counter(
+    "replica_answers_unmatched_total",
+    "Answers without their request's id, by kind of request and id (missing, other).",
+)
 UNANSWERED = (Broken, NotRun)
 MISSING_STAMP = "answer without the replica's stamp"
 
@@ -66,9 +70,8 @@
 
     async def call(self, replica, call):
         """Return an ``Answer``, ``NotRun``, ``WrongReplica`` or ``Broken``."""
-        reply = await self._send(
-            replica, _build_request(replica, call), _response_check(call.request_id)
-        )
+        check = _response_check(call.request_id, "call")
+        reply = await self._send(replica, _build_request(replica, call), check, call)
         return _answer_from(reply)
 
     async def try_connect(self, replica):
@@ -78,7 +81,7 @@
     async def stream(self, replica, call, relay):
         """Forward events; return True at the end of the stream, else as ``call``."""
         splitter = _EventSplitter()
-        check = _response_check(call.request_id)
+        check = _response_check(call.request_id, "stream")
 
         def accept(status, response_headers):
             mismatch = check(status, response_headers)
@@ -95,7 +98,7 @@
                 await relay.event(_event_number(block), block + EVENT_END)
 
         reply = await self._send(
-            replica, _build_request(replica, call), accept, forward_events
+            replica, _build_request(replica, call), accept, call, forward_events
         )
         if isinstance(reply, UNANSWERED) or reply.status != 200:
             return _answer_from(reply)
@@ -125,7 +128,7 @@
             "POST", order.path, headers, order.body, order.deadline
         )
         events = _EventReader(on_event)
-        check = _response_check(order.item_id)
+        check = _response_check(order.item_id, "item")
 
         def accept(status, response_headers):
             mismatch = check(status, response_headers)
@@ -133,7 +136,7 @@
                 events.version = _parse_int(response_headers.get(wire.VERSIONS))
             return mismatch
 
-        reply = await self._send(replica, request, accept, events.feed)
+        reply = await self._send(replica, request, accept, order, events.feed)
         if isinstance(reply, UNANSWERED):
             return reply
         if reply.status == 200:
@@ -171,7 +174,7 @@
             return Stale("lower fencing number", order.fence)
         return OrderRefused(f"status {reply.status}")
 
-    async def _send(self, replica, request, accept, on_data=None):
+    async def _send(self, replica, request, accept, call=None, on_data=None):
         address = replica.listing.address
 
         def accept_head(status, headers):
@@ -179,6 +182,8 @@
             if not refusal_reason:
                 # At the end of a stream the load in its head would be seconds old.
                 _record_load(replica, headers)
+                if call is not None:
+                    call.signature = headers.get(wire.STAMP, "")
                 if wire.NOT_RUN in headers:
                     replica.count_refusal()
             return refusal_reason
@@ -195,6 +200,8 @@
             )
         finally:
             self._budget.add_sent(replica.identity, -size)
+            if call is not None:
+                call.earlier_exchanges = request.earlier_exchanges
         if isinstance(reply, Broken) and reply.reason == "timeout":
             self._connections.close_idle(address)
         return reply
@@ -307,7 +314,7 @@
     return None
 
 
-def _response_check(request_id):
+def _response_check(request_id, kind):
     """Return a function that checks whether an answer belongs to this request.
 
     The function returns a reason to reject the answer, or an empty string. A late
@@ -320,6 +327,8 @@
         echoed_id = headers.get(wire.REQUEST_ID)
         if echoed_id == request_id:
             return ""
+        id_label = "missing" if echoed_id is None else "other"
+        UNMATCHED_ANSWERS.inc({"kind": kind, "id": id_label})
         is_refusal = status == wire.MISDIRECTED or wire.NOT_RUN in headers
         return "" if echoed_id is None and is_refusal else "answer to another request"
 
--- a/sassafrasdoor/platform/tests/test_servers.py
+++ b/sassafrasdoor/platform/tests/test_servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from sassafrasdoor.backends.interface import Answer, Broken, Stale
 from sassafrasdoor.backends.replicas import (
@@ -15,7 +16,7 @@
 )
 from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.outcomes import NotRun
-from sassafrasdoor.platform import wire
+from sassafrasdoor.platform import servers, wire
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.routing.replicas import Listing, Replica
 from sassafrasdoor.steps.durable.records import Item
@@ -109,6 +110,20 @@
                 await self.start(data)
                 self.assertIsInstance(await self.call(), outcome)
 
+    async def test_call_learns_the_signature_of_its_answer(self):
+        await self.start(answer(500, STAMP))
+        headers = [("Host", "h.example")]
+        call = DirectCall("GET", "/p", headers, b"", "r1", deadline_in(5))
+        await self.client.call(self.replica, call)
+        self.assertEqual(f"{wire.STAMP}: {call.signature}", STAMP)
+        self.assertEqual(call.earlier_exchanges, 0)
+
+    async def test_answers_without_their_id_are_counted(self):
+        await self.start(answer(200, STAMP), echo=False)
+        with mock.patch.object(servers, "UNMATCHED_ANSWERS") as unmatched:
+            await self.call()
+        unmatched.inc.assert_called_once_with({"kind": "call", "id": "missing"})
+
     async def test_answer_without_request_id_is_rejected(self):
         """Guards against a caller getting the answer to another caller's request.
 
--- a/sassafrasdoor/requests/attempts.py
+++ b/sassafrasdoor/requests/attempts.py
@@ -100,6 +100,28 @@
     usage.close(attempts)
 
 
+class _Send:
+    """A send of a request: its ``DirectCall``, why and as which it was sent, and when."""
+
+    __slots__ = ("_call", "_number", "_why", "sent_at")
+
+    def __init__(self, call, why, number):
+        self._call = call
+        self._why = why
+        self._number = number
+        self.sent_at = now()
+
+    def log_fields(self):
+        """Return log fields that tell which send had a result, and on what connection."""
+        return {
+            "why": self._why,
+            "send": self._number,
+            "seconds": round(now() - self.sent_at, 4),
+            "earlier_exchanges": self._call.earlier_exchanges,
+            "signature": self._call.signature,
+        }
+
+
 class Attempts:
     """The sends of one request; ``running`` maps tasks to their replicas.
 
@@ -112,7 +134,8 @@
     """
 
     __slots__ = (
-        "_sent_at",
+        "_last_replica",
+        "_sends",
         "at_most_once",
         "began_at",
         "failures",
@@ -136,7 +159,8 @@
         self.failures = 0
         self.at_most_once = False
         self.began_at = None
-        self._sent_at = {}
+        self._last_replica = None
+        self._sends = {}
         self.tried = set()
         self.running = {}
         self.may_have_run = False
@@ -163,11 +187,10 @@
     def begin_send(self, replica, why):
         """Count a send to ``replica``; return the ``DirectCall``."""
         self.tried.add(replica.identity)
-        self._sent_at[replica.identity] = now()
         self.sent += 1
         TRIES.inc({"why": why})
         request = self.request
-        return DirectCall(
+        call = DirectCall(
             request.method,
             request.path,
             request.headers,
@@ -179,15 +202,18 @@
             fresh=not self.repeatable,
             account=request.grant.account,
         )
+        self._sends[replica.identity] = _Send(call, why, len(self.tried))
+        return call
 
     def record_begin(self, replica):
         """Record that a replica has begun to run the request that was sent to it."""
-        sent_at = self._sent_at[replica.identity]
+        sent_at = self._sends[replica.identity].sent_at
         if self.began_at is None or sent_at < self.began_at:
             self.began_at = sent_at
 
     def record_outcome(self, replica, result):
         """Update the replica and the counts with the result of a send; return it."""
+        self._last_replica = replica
         if isinstance(result, Answer):
             self.may_have_run = True
             self.record_begin(replica)
@@ -218,6 +244,7 @@
             routes_version=self.request.version,
             reason=reason,
             fingerprint=self.request.fingerprint,
+            **self._sends[replica.identity].log_fields(),
         )
         return result
 
@@ -245,16 +272,19 @@
             return self.give_up(Unknown("out of time"))
         return self.give_up(NotRun("out of time", RETRY_AFTER))
 
-    def log_answer(self, status):
-        """Log an answer that is sent to the caller."""
+    def log_answer(self, status, replica=None):
+        """Log an answer for the caller, by ``replica`` or the last one with a result."""
+        identity = (replica or self._last_replica).identity
         note_routine(
             "request.answered",
             request=self.request.request_id,
             service=self.service,
             replicas=sorted(self.tried),
+            replica=identity,
             routes_version=self.request.version,
             status=status,
             seconds_left=round(remaining(self.request.deadline), 3),
+            **self._sends[identity].log_fields(),
         )
 
     def give_up(self, result):
--- a/sassafrasdoor/requests/streaming.py
+++ b/sassafrasdoor/requests/streaming.py
@@ -135,6 +135,8 @@
             record_usage(self._usage, attempts)
         outcome = "whole" if result is True else type(result).__name__
         STREAMS.inc({"outcome": outcome})
+        if isinstance(result, Answer):
+            attempts.log_answer(result.status)
         return result
 
     async def _run(self, attempts, relay):
@@ -156,7 +158,7 @@
                 attempts.record_begin(replica)
                 self._crash_watch.record_result(attempts.request, replica, result)
                 replica.state.answered()
-                attempts.log_answer(200)
+                attempts.log_answer(200, replica)
                 return True
             last = attempts.record_outcome(replica, result)
             self._crash_watch.record_result(attempts.request, replica, last)
--- a/sassafrasdoor/requests/tests/test_direct.py
+++ b/sassafrasdoor/requests/tests/test_direct.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from sassafrasdoor.backends.interface import Answer, Refused
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.outcomes import NotRun, Unknown
+from sassafrasdoor.requests import attempts as attempts_module
 from sassafrasdoor.requests.crash_watch import Quarantined
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.requests.tests.fixtures import (
@@ -35,6 +37,8 @@
 
     async def call(self, replica, call):
         self.calls.append((replica.identity, call))
+        call.earlier_exchanges = len(self.calls)
+        call.signature = f"signature {len(self.calls)}"
         outcome = self.script.pop(0)
         if outcome is HANG:
             try:
@@ -81,6 +85,22 @@
                 self.assertIsInstance(result, outcome)
                 self.assertEqual(len(self.client.calls), sends)
 
+    async def test_line_of_an_answer_tells_its_send(self):
+        """Guards against lines that leave open which server's answer a caller got."""
+        with mock.patch.object(attempts_module, "note") as note:
+            with mock.patch.object(attempts_module, "note_routine") as note_routine:
+                await self.answer(LOST, OK)
+        failed, answered = note.call_args.kwargs, note_routine.call_args.kwargs
+        expected = [
+            (identity, why, number, f"signature {number}", number)
+            for (identity, _), why, number in zip(
+                self.client.calls, ("first", "failed"), (1, 2), strict=True
+            )
+        ]
+        names = ("replica", "why", "send", "signature", "earlier_exchanges")
+        for line, values in zip((failed, answered), expected, strict=True):
+            self.assertEqual(tuple(line[name] for name in names), values)
+
     async def test_outcomes_of_requests_that_may_run_once(self):
         """Guards against a payment that runs twice, or runs although it was refused.
 
--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -27,6 +27,7 @@
     routes must confirm, None if there is none. ``failed_at`` is when the last of its
     ``failures`` or ``reward_failures`` was learned of, None unless it is still to be decided
     whether that one ends the item; ``failure_reason`` is that of the last failed attempt.
+    ``last_order`` is the ``SampleOrder`` of the last attempt, None before.
     """
 
     __slots__ = (
@@ -40,6 +41,7 @@
         "is_short",
         "is_spare",
         "item",
+        "last_order",
         "longest",
         "overtaking_deadline",
         "pending_end",
@@ -73,7 +75,7 @@
         self.step = step
         self.item = item
         self.task = None
-        self.replica = None
+        self.replica = self.last_order = None
         self.attempts = 0
         self.migrations = 0
         self.avoid = ""
@@ -166,6 +168,15 @@
         seen_at = self.step.seen_at
         return [None if at is None else round(at - seen_at, 2) for at in times]
 
+    def exchange_fields(self):
+        """Return log fields that tell the exchange of the last attempt."""
+        if self.last_order is None:
+            return {}
+        return {
+            "earlier_exchanges": self.last_order.earlier_exchanges,
+            "signature": self.last_order.signature,
+        }
+
     def progress(self):
         """Return the ``Progress`` of the events not yet logged, or None."""
         if self.scoring or self.appended >= len(self.numbers):
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -601,7 +601,7 @@
         prompt_use = job.prompt_use
         job.sent_at = now()
         route = self._route(job)
-        order = SampleOrder(
+        job.last_order = order = SampleOrder(
             job.item,
             job.step.spec.host,
             None,
@@ -738,6 +738,7 @@
             attempts=job.attempts,
             events=len(job.texts),
             reason=reason,
+            **job.exchange_fields(),
         )
         requeue(self._queue, job)
         self._wake.set()
@@ -774,6 +775,7 @@
             versions=versions,
             state=state,
             reason=reason,
+            **job.exchange_fields(),
             **self._routes_fields(job) if state == ERRORED else {},
         )
 
