Steps: items and reward calls are exempt from the crash quarantine

Cause: the runner fed items and reward calls into the crash history of direct requests. A reward call under which three servers had crashed was refused as the cause of the crashes, and each refusal extended its retention by an hour: it reached no replica until its item was errored. An item waited four seconds between attempts. A caller's request with the same content was refused as well. Change: the runner has no CrashWatch; reward calls run with NoCrashWatch. Items are handed in for later and never crash servers by themselves, so the crashes are no evidence against them. The suspicion of the crashed replica, one second or more, still bounds the rate of attempts.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -217,7 +217,6 @@
             self._routes,
             self._steps,
             self._outboxes,
-            self._crashes,
             settings,
             self._trainers,
             prompt_of,
--- a/sassafrasdoor/requests/crash_watch.py
+++ b/sassafrasdoor/requests/crash_watch.py
@@ -285,3 +285,23 @@
         while len(self._pending_records) > MAX_PENDING_RECORDS:
             del self._pending_records[next(iter(self._pending_records))]
         self._wake.set()
+
+
+class NoCrashWatch:
+    """Replaces ``CrashWatch`` for requests that are owed whatever crashes under them.
+
+    They are never refused or delayed, and the crashes under them are no evidence against
+    callers' requests with the same content.
+    """
+
+    __slots__ = ()
+
+    def refusal(self, request):
+        """Return None: every request may be sent."""
+
+    def is_suspect(self, request):
+        """Return False: no request runs alone."""
+        return False
+
+    def record_result(self, request, replica, result):
+        """Ignore the result of a send."""
--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -12,8 +12,7 @@
 
     ``sent_at`` is when the current attempt was sent, ``started_at`` when the first one
     started, ``completed_at`` when the text was complete; None before.
-    ``disconnected_at`` is when an attempt last ended in a broken connection or a
-    timeout, None if none did. ``avoid`` is the identity of the slow replica that it
+    ``avoid`` is the identity of the slow replica that it
     migrates from, until its next attempt. ``appended`` counts its events in the log,
     under the run id ``run``; the next ones are logged at ``progress_due_at``.
     ``priority`` is its rank in the queue, 0 the first; ``is_short`` says whether it is one
@@ -33,7 +32,6 @@
         "attempts",
         "avoid",
         "started_at",
-        "disconnected_at",
         "failed_at",
         "failure_reason",
         "failures",
@@ -88,7 +86,7 @@
         self.unanswered_calls = 0
         self.next_reward_call_at = self.text_logged_at = 0.0
         self.scoring = False
-        self.sent_at = self.started_at = self.completed_at = self.disconnected_at = None
+        self.sent_at = self.started_at = self.completed_at = None
         self.restart()
         self._resume(step)
 
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -15,8 +15,7 @@
 from sassafrasdoor.decisions import note, note_routine
 from sassafrasdoor.metrics import counter, histogram
 from sassafrasdoor.outcomes import NotRun
-from sassafrasdoor.requests.attempts import fingerprint
-from sassafrasdoor.requests.crash_watch import CrashWatch
+from sassafrasdoor.requests.crash_watch import NoCrashWatch
 from sassafrasdoor.requests.direct import DirectService
 from sassafrasdoor.routing import pace, placement, prompt_placement
 from sassafrasdoor.routing.replicas import SUSPECT_DURATION
@@ -57,9 +56,6 @@
 # sooner and need none. Long ones take 6 s; one that the next runner restarted from its
 # beginning would miss its step's deadline.
 PROGRESS_INTERVAL = 1.2
-# Seconds between attempts at an item that crashes replicas; it must be retried all the
-# same. Below 5 s, after which an unplaced item counts as forgotten.
-CRASH_RETRY_DELAY = 4.0
 REFUSAL_DELAY = 0.15  # seconds without items of a model for a replica that refused one
 
 SAMPLES = counter("steps_samples_total", "Samples made by this process, by result.")
@@ -76,29 +72,12 @@
 )
 
 
-class _ItemRequest:
-    """Presents an item to ``CrashWatch`` as a request, identified by what is sent."""
-
-    __slots__ = ("_job",)
-
-    def __init__(self, job):
-        self._job = job
-
-    @property
-    def request_id(self):
-        return self._job.item.item_id
-
-    @property
-    def fingerprint(self):
-        item = self._job.item
-        spec = self._job.step.spec
-        headers = [("Host", spec.host), *item.headers.items()]
-        return fingerprint(headers, "POST", item.path, item.body, spec.account)
-
-
 class Runner:
     """Runs the open items of owned shards and puts their records into the outboxes.
 
+    Items and reward calls are owed however many replicas crashed while they ran there, so
+    they are exempt from the quarantine of requests.
+
     ``prompt_of(item)`` returns the ``Prompt`` of an item, or None; without it and the
     instance's ``settings`` items are placed by load alone.
     """
@@ -106,7 +85,6 @@
     __slots__ = (
         "_candidates",
         "_client",
-        "_crashes",
         "_idle",
         "_jobs",
         "_lengths",
@@ -131,7 +109,6 @@
         routes,
         steps,
         outboxes,
-        crashes=None,
         settings=None,
         trainers=None,
         prompt_of=None,
@@ -141,7 +118,6 @@
         self._settings = settings
         self._lengths = {}
         self._idle = {}
-        self._crashes = crashes or CrashWatch(client, replicas)
         self._replicas = replicas
         self._routes = routes
         self._steps = steps
@@ -154,7 +130,7 @@
         self._candidates = {}
         self._wake = asyncio.Event()
         self._rewards = RewardDispatcher(
-            DirectService(client, replicas, self._crashes),
+            DirectService(client, replicas, NoCrashWatch()),
             replicas,
             routes,
             outboxes,
@@ -311,7 +287,7 @@
 
         ``unplaceable`` collects the requirements that no replica meets in this pass.
         """
-        if self._is_waiting(job):
+        if job.pending_end is not None:
             return False
         requirement = (job.step.spec.model, job.step.spec.min_version, job.avoid)
         candidate = None if requirement in unplaceable else self._select_candidate(job)
@@ -326,7 +302,7 @@
 
     def _place_by_prompt(self, service, queued, job, cached_only):
         """Start an attempt at the replica that suits the prompt, as ``_place`` does."""
-        if self._is_waiting(job):
+        if job.pending_end is not None:
             return False
         spec = job.step.spec
         required = placement.Requirement(spec.model, spec.min_version, job.avoid)
@@ -354,18 +330,6 @@
         due = {step_id: self._trainers.due_at(step) for step_id, step in steps.items()}
         return latest_first(queue, lambda job: due[job.step.spec.step_id])
 
-    def _is_waiting(self, job):
-        """Return whether an item gets no attempt now."""
-        return job.pending_end is not None or self._is_delayed_after_crash(job)
-
-    def _is_delayed_after_crash(self, job):
-        """Say whether an item that crashes replicas must wait for its next attempt."""
-        if job.disconnected_at is None or passed(
-            job.disconnected_at + CRASH_RETRY_DELAY
-        ):
-            return False
-        return self._crashes.is_quarantined(_ItemRequest(job))
-
     def _fail_if_ended(self, job):
         """Fail an item that its route has ended; return whether that was done.
 
@@ -665,7 +629,6 @@
             self._requeue(job, replica, ABORT_REASONS[OUTDATED])
         elif result is True:
             replica.state.answered()
-            self._crashes.record_result(_ItemRequest(job), replica, result)
             self._handle_completion(job, replica, route)
         elif isinstance(result, SampleFailed):
             self._handle_failure(job, replica, result)
@@ -674,9 +637,6 @@
         else:
             if job.abort_reason != MIGRATED:
                 replica.state.failed(SUSPECT_DURATION)
-            if job.abort_reason == LATE or job.abort_reason not in ABORT_REASONS:
-                job.disconnected_at = now()
-                self._crashes.record_result(_ItemRequest(job), replica, result)
             self._requeue(job, replica, result.reason)
 
     def _handle_completion(self, job, replica, route):
--- a/sassafrasdoor/steps/durable/tests/test_rewards.py
+++ b/sassafrasdoor/steps/durable/tests/test_rewards.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from sassafrasdoor.backends.interface import Answer, Broken
+from sassafrasdoor.backends.interface import Answer, Broken, Refused
 from sassafrasdoor.clock import deadline_in, now, passed
 from sassafrasdoor.outcomes import NotRun
 from sassafrasdoor.steps.durable import records
@@ -32,6 +32,10 @@
 FAILED = Answer(500, [], b"", "stamp of a failure")
 
 
+async def refuse_connection(replica):
+    return Refused("nobody listens")
+
+
 class FoldingOutbox:
     """An outbox whose records are folded as if appended, unless ``held``."""
 
@@ -176,6 +180,18 @@
         self.assertEqual((sample.state, sample.score), (COMPLETED, "stamp r0"))
         self.assertNotIn(RewardFailure, self.record_types())
 
+    async def test_call_is_sent_again_after_crashes_of_its_replicas(self):
+        """Guards against owed reward calls that are refused as causes of crashes."""
+        crashes = 6
+        self.replicas = add_scorers(replicas(), 2 * crashes)
+        self.client.answers = [Broken("cut", began=True)] * crashes
+        self.client.try_connect = refuse_connection
+        await self.submit()
+        await self.run_shard()
+        sample = await self.sample()
+        self.assertEqual((sample.state, sample.score), (COMPLETED, "stamp r0"))
+        self.assertEqual(len(self.client.calls), crashes + 1)
+
     async def test_ending_a_step_cancels_its_calls(self):
         self.client.answers = [ScriptedClient.HANG] * 9
         await self.submit(items=2)
