Reward calls: the doubled timeout is bounded

Could be seen: an instance ends by itself, and the next runner of the shard after it, a minute or two after the replicas of a scoring service began to lose every call (retention of two minutes or more). Cause: the timeout doubles with each lost call, and 2**1024 can't be converted to a float; the runner's task failed, which ends the process. The quarantine of reward calls led there in calm, with one refusal each tenth of a second. Evidence: test_service_that_loses_every_call_for_minutes, OverflowError before. Change: at most 16 doublings; the route's timeout bounds the product anyhow.

--- a/sassafrasdoor/steps/durable/reward_order.py
+++ b/sassafrasdoor/steps/durable/reward_order.py
@@ -8,6 +8,7 @@
 SLOT_SHARE = 0.5  # of a service's slots that reward calls may take
 MIN_CONCURRENCY = 2  # also for a service with fewer slots
 TIMEOUT_FACTOR = 3.0  # first timeout, in target latencies of the route
+MAX_TIMEOUT_DOUBLINGS = 16  # beyond any route's timeout; 1024 would overflow
 LOST_RETRY_DELAY = 0.1  # seconds after a call that was refused or not answered
 FAILED_RETRY_DELAY = 0.05  # seconds after a call that a replica failed
 NO_ROUTE_RETRY_DELAY = 0.5  # seconds after a call that no route matched
@@ -24,7 +25,8 @@
 
 def call_timeout(route, unanswered_calls=0):
     """Return the timeout in seconds of a reward call after some unanswered ones."""
-    return min(route.timeout, TIMEOUT_FACTOR * route.target * 2**unanswered_calls)
+    doublings = min(unanswered_calls, MAX_TIMEOUT_DOUBLINGS)
+    return min(route.timeout, TIMEOUT_FACTOR * route.target * 2**doublings)
 
 
 def ordered(jobs):
--- a/sassafrasdoor/steps/durable/tests/test_reward_order.py
+++ b/sassafrasdoor/steps/durable/tests/test_reward_order.py
@@ -31,6 +31,13 @@
     def test_small_service_gets_two_concurrent_calls(self):
         self.assertEqual(reward_order.free_slots(1, 0), 2)
 
+    def test_service_that_loses_every_call_for_minutes(self):
+        """Guards against a timeout that exceeds the largest number and ends the process."""
+        limited = reward_route(target=0.8, timeout=10.0)
+        for unanswered_calls in range(5000):
+            timeout = reward_order.call_timeout(limited, unanswered_calls)
+            self.assertLessEqual(timeout, limited.timeout)
+
     def test_timeout_follows_the_route(self):
         timeout = reward_order.call_timeout(reward_route(target=0.8, timeout=10.0))
         self.assertAlmostEqual(timeout, 2.4)
