Steps: items wait for slots of their own service only

Could be seen: items of a batch are placed at no replica, though their service has room, while items before them in the queue found no slot at another service (full, or crashed). Cause: a pass remembers which requirements no replica meets, without the service: model, oldest version and the replica to avoid. Batches without a model have all the same. Of a route that is split over two services one that is full stood for both. Evidence: test_full_service_beside_one_with_room, not placed within 20 s before. Change: the service is chosen first and is part of the requirement. Measured: the test passes.

--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -289,8 +289,11 @@
         """
         if job.pending_end is not None:
             return False
-        requirement = (job.step.spec.model, job.step.spec.min_version, job.avoid)
-        candidate = None if requirement in unplaceable else self._select_candidate(job)
+        service, spec = self._pick_service(job), job.step.spec
+        requirement = (service, spec.model, spec.min_version, job.avoid)
+        candidate = None
+        if requirement not in unplaceable:
+            candidate = self._select_candidate(job, service)
         if candidate is None:
             unplaceable.add(requirement)
             # A migrating item has lost its slot to another: any replica will do.
@@ -366,10 +369,14 @@
             return None
         return configuration.match(job.step.spec.host, job.item.path)
 
-    def _select_candidate(self, job):
-        """Return the ``Candidate`` to send an item to, or None."""
+    def _pick_service(self, job):
+        """Return the service to which an item goes now, None without a route."""
         route = self._route(job)
-        if route is None:
+        return None if route is None else route.pick_service()
+
+    def _select_candidate(self, job, service):
+        """Return the ``Candidate`` of a service to send an item to, or None."""
+        if service is None:
             return None
         spec = job.step.spec
         # A sample that migrates determines the end of its step.
@@ -377,7 +384,7 @@
         required = placement.Requirement(
             spec.model, spec.min_version, job.avoid, yields
         )
-        return placement.place(self._candidates_for(route.pick_service()), required)
+        return placement.place(self._candidates_for(service), required)
 
     def _candidates_for(self, service):
         """Return the ``Candidate``s of a service, cached for one pass."""
@@ -444,13 +451,13 @@
         """Return the reason to migrate and the ``Candidate``, or an empty reason."""
         candidates = by_service.get(job.replica.listing.service)
         if candidates is None:
-            better = self._select_candidate(job)
+            better = self._select_candidate(job, self._pick_service(job))
             migrates = placement.should_migrate(job.replica, better)
             return (placement.FASTER_REPLICA if migrates else ""), better
         own, outlook = candidates.get(job.replica), outlooks[job.step]
         if own is None or not pace.may_leave(own, outlook):
             return "", None
-        better = self._select_candidate(job)
+        better = self._select_candidate(job, self._pick_service(job))
         left = self._events_left(job)
         return pace.migration_reason(own, better, left, outlook), better
 
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -10,6 +10,7 @@
 from sassafrasdoor.clock import deadline_in, now, passed
 from sassafrasdoor.outcomes import NotRun
 from sassafrasdoor.routing import placement, silence
+from sassafrasdoor.routing.replicas import Listing
 from sassafrasdoor.steps.durable import records, runner as module
 from sassafrasdoor.steps.durable.records import COMPLETED, ERRORED
 from sassafrasdoor.steps.durable.runner import Runner
@@ -467,6 +468,24 @@
         await asyncio.sleep(3 * module.DISPATCH_INTERVAL)
         self.assertEqual(len(self.client.sent), 3)
 
+    async def test_full_service_beside_one_with_room(self):
+        """Guards against items that wait since those of another service found no slot."""
+        other = "/other/"
+        routes = routes_in_force(route(), route(prefix=other, services=[("others", 1)]))
+        replica_set = replicas(1, slots=1)
+        listing = Listing("others", "10.0.1.0:80", "zone-a", 4, False, {MODEL: 1})
+        replica_set.update_listing("o0", listing)
+        replica_set.get("e0").state.started()
+        client = ScriptedClient()
+        await self.start(client, replica_set, routes, items=2)
+        step = spec("s2", items=2)
+        for item in step.items:
+            item.path = f"{other}{item.item_id}"
+        for data in records.encode_step(step, 10_000):
+            self.steps.fold(0, 3, data)
+        samples = await self.samples(2)
+        self.assertEqual({sample.step_id for sample in samples}, {"s2"})
+
     async def test_item_is_placed_again_at_once_after_crashes(self):
         """Guards against an owed item that waits since replicas crashed under it."""
         crashes = 11
