Routing: an owed item probes a suspect replica

Cause: when a link or a server breaks all its connections at once, each item that ran there counts as a failure in a row. Four or more double the suspicion of one second to its largest value, eight. Items never go to a suspect; calls do if there is no other. With one sound replica left, full, the idle suspects beside it stayed idle as well. Change: suspicion has a module of its own, with moments as arguments. An item that place finds no replica for may go to a suspect, one a second at each; the first event of an attempt sent since the last failure ends the suspicion. Failures in a row, and what calls do, are as before.

--- a/sassafrasdoor/routing/backend_state.py
+++ b/sassafrasdoor/routing/backend_state.py
@@ -2,18 +2,14 @@
 
 from collections import deque
 
-from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.clock import now
+from sassafrasdoor.routing.suspicion import Suspicion
 
 MAX_TRACKED = 4096  # calls since the last report, in case reports stop
 # Changes of the calls in flight that are kept. A report is used for a second, in which
 # one process rarely begins and ends as many calls at one server.
 MAX_IN_FLIGHT_CHANGES = 256
-MAX_FAILURES = 6
-MAX_SUSPICION_FACTOR = 8
 MISSED_REPORT_LIMIT = 3
-# Seconds after the suspicion in which failures still count as load; then one call, which
-# may be repeated elsewhere, tests whether the server has recovered.
-RECENT_FAILURE_PERIOD = 2.0
 
 
 class BackendState:
@@ -27,9 +23,8 @@
         "_missed_reports",
         "_reported",
         "_started",
-        "_suspect_until",
+        "_suspicion",
         "_taken_at",
-        "failures",
         "leaving",
         "versions",
     )
@@ -42,9 +37,8 @@
         self._in_flight_changes = deque(maxlen=MAX_IN_FLIGHT_CHANGES)
         self._missed_reports = 0
         self._reported = None
-        self._suspect_until = 0.0
+        self._suspicion = Suspicion()
         self._taken_at = None
-        self.failures = 0
         self.leaving = False
         self.versions = {}
 
@@ -64,9 +58,21 @@
     @property
     def is_suspect(self):
         """Whether it gets no work due to recent failures or missed reports."""
-        return self._missed_reports >= MISSED_REPORT_LIMIT or not passed(
-            self._suspect_until
-        )
+        return self._misses_reports or self._suspicion.is_active(now())
+
+    @property
+    def may_probe(self):
+        """Whether one item may test it although it is suspect."""
+        return not self._misses_reports and self._suspicion.may_probe(now())
+
+    @property
+    def _misses_reports(self):
+        return self._missed_reports >= MISSED_REPORT_LIMIT
+
+    @property
+    def failures(self):
+        """The failures in a row."""
+        return self._suspicion.failures
 
     @property
     def recent_failures(self):
@@ -75,8 +81,7 @@
         Without this limit a recovered server would get no work while others have
         capacity.
         """
-        is_outdated = passed(self._suspect_until + RECENT_FAILURE_PERIOD)
-        return 0 if is_outdated else self.failures
+        return self._suspicion.recent_failures(now())
 
     @property
     def score(self):
@@ -145,11 +150,16 @@
 
     def failed(self, suspect_for):
         """Count a failure: no work for ``suspect_for`` seconds, doubled with each in a row."""
-        self.failures = min(MAX_FAILURES, self.failures + 1)
-        factor = min(MAX_SUSPICION_FACTOR, 2 ** (self.failures - 1))
-        self._suspect_until = deadline_in(suspect_for * factor)
+        self._suspicion.failed(suspect_for, now())
+
+    def probe_started(self):
+        """Record that an item tests it although it is suspect."""
+        self._suspicion.probe_started(now())
+
+    def data_received(self, sent_at):
+        """Record data of an attempt, which ends a suspicion from before it was sent."""
+        self._suspicion.data_received(sent_at, now())
 
     def answered(self):
         """Record a complete answer, which resets the failures."""
-        self.failures = 0
-        self._suspect_until = 0.0
+        self._suspicion.answered()
--- a/sassafrasdoor/routing/placement.py
+++ b/sassafrasdoor/routing/placement.py
@@ -22,6 +22,7 @@
     ``load`` and ``slots`` count samples; ``event_interval`` is the seconds between two
     events of its samples, None while unknown. ``versions`` maps models to weight
     versions. ``unavailable_models`` are those that it is loading or has recently refused.
+    A suspect that ``may_probe`` may get one item that no other replica can serve.
     If it is judged ``by_speed``, ``event_interval`` is that of a sample alone on it, and
     ``is_slow`` says whether it is slower than its lasting speed explains.
     """
@@ -33,13 +34,14 @@
         "is_slow",
         "load",
         "event_interval",
+        "may_probe",
         "replica",
         "slots",
         "is_suspect",
         "versions",
     )
 
-    def __init__(self, replica, load, is_suspect, unavailable_models):
+    def __init__(self, replica, load, is_suspect, unavailable_models, may_probe=False):
         self.replica = replica
         self.identity = replica.identity
         self.load = load
@@ -47,6 +49,7 @@
         self.event_interval = replica.event_interval
         self.by_speed = self.is_slow = False
         self.is_suspect = is_suspect
+        self.may_probe = may_probe
         self.versions = replica.versions
         self.unavailable_models = unavailable_models
 
@@ -95,6 +98,25 @@
     )
 
 
+def select_probe(candidates, requirement):
+    """Return a suspect ``Candidate`` for an item that ``place`` found none for, or None.
+
+    An item may wait for a few seconds only, less than a suspicion may last.
+    """
+    probes = [
+        candidate
+        for candidate in candidates
+        if candidate.is_suspect
+        and candidate.may_probe
+        and candidate.free_slots > 0
+        and has_weights(candidate, requirement)
+    ]
+    chosen = min(probes, key=lambda row: (row.load, row.identity), default=None)
+    if chosen is not None:
+        chosen.may_probe = False
+    return chosen
+
+
 def should_migrate(slow, better):
     """Return whether a sample should leave ``slow`` for the candidate ``better``."""
     if better is None or slow.event_interval is None or better.event_interval is None:
@@ -118,7 +140,12 @@
 
 def is_eligible(candidate, requirement):
     """Return whether a replica may serve an item once it has a free slot."""
-    if candidate.is_suspect or candidate.identity == requirement.avoid:
+    return not candidate.is_suspect and has_weights(candidate, requirement)
+
+
+def has_weights(candidate, requirement):
+    """Return whether a replica has the weights for an item that does not avoid it."""
+    if candidate.identity == requirement.avoid:
         return False
     if not requirement.model:
         return True
--- a/sassafrasdoor/routing/replicas.py
+++ b/sassafrasdoor/routing/replicas.py
@@ -201,7 +201,10 @@
             for model, deadline in self.refusal_deadlines.items()
             if not passed(deadline)
         }
-        return Candidate(self, self.load, self.state.is_suspect, unavailable_models)
+        state = self.state
+        return Candidate(
+            self, self.load, state.is_suspect, unavailable_models, state.may_probe
+        )
 
     def candidate_by_speed(self):
         """Return a ``Candidate`` with the lasting speed and lasting slowdowns only."""
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -294,6 +294,8 @@
         candidate = None
         if requirement not in unplaceable:
             candidate = self._select_candidate(job, service)
+            if candidate is None and service is not None:
+                candidate = self._select_probe(job, service)
         if candidate is None:
             unplaceable.add(requirement)
             # A migrating item has lost its slot to another: any replica will do.
@@ -317,6 +319,8 @@
             candidate = self._prompts.choose(
                 job, service, required, candidates, queued, cached_only
             )
+        if candidate is None and not cached_only:
+            candidate = self._select_probe(job, service)
         if candidate is None:
             if not cached_only:
                 job.avoid = ""
@@ -386,6 +390,15 @@
         )
         return placement.place(self._candidates_for(service), required)
 
+    def _select_probe(self, job, service):
+        """Return the ``Candidate`` of a suspect replica that an item may probe, or None."""
+        spec = job.step.spec
+        required = placement.Requirement(spec.model, spec.min_version, job.avoid)
+        candidate = placement.select_probe(self._candidates_for(service), required)
+        if candidate is not None:
+            candidate.replica.state.probe_started()
+        return candidate
+
     def _candidates_for(self, service):
         """Return the ``Candidate``s of a service, cached for one pass."""
         if service not in self._candidates:
@@ -608,6 +621,7 @@
             job.task.cancel()
             return False
         if job.last_event_at is None:
+            job.replica.state.data_received(job.sent_at)
             self._prompts.record_first_event(job)
         elif not self._spans_shared_silence(job):
             job.replica.record_event_interval(now() - job.last_event_at)
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -468,6 +468,15 @@
         await asyncio.sleep(3 * module.DISPATCH_INTERVAL)
         self.assertEqual(len(self.client.sent), 3)
 
+    async def test_items_are_placed_after_all_connections_broke(self):
+        """Guards against owed items that find no replica though all is calm."""
+        broken = 8
+        client = ScriptedClient(*[BROKEN] * broken)
+        with mock.patch.object(module, "SUSPECT_DURATION", 60.0):
+            await self.start(client, replicas(2), items=broken)
+            samples = await self.samples(broken)
+        self.assertEqual({sample.state for sample in samples}, {COMPLETED})
+
     async def test_full_service_beside_one_with_room(self):
         """Guards against items that wait since those of another service found no slot."""
         other = "/other/"
