--- a/sassafrasdoor/routing/suspicion.py
+++ b/sassafrasdoor/routing/suspicion.py
@@ -9,7 +9,7 @@
 The first data of an attempt sent since the last failure ends the suspicion.
 """
 
-from sassafrasdoor.clock import LONG_AGO
+import math
 
 MAX_FAILURES = 6
 MAX_SUSPICION_FACTOR = 8
@@ -26,7 +26,7 @@
 
     def __init__(self):
         self.failures = 0
-        self._ends_at = self._failed_at = self._next_probe_at = LONG_AGO
+        self._ends_at = self._failed_at = self._next_probe_at = -math.inf
 
     def is_active(self, moment):
         """Return whether the server gets no work due to recent failures."""
@@ -60,4 +60,4 @@
     def answered(self):
         """Record a complete answer, which resets the failures."""
         self.failures = 0
-        self._ends_at = LONG_AGO
+        self._ends_at = -math.inf
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -19,6 +19,7 @@
     "routing/placement.py": "which replica gets an item, which samples leave a slow one",
     "routing/load_exchange.py": "which load reports entry points send each other, when",
     "routing/silence.py": "whether a silent attempt at an item is given up",
+    "routing/suspicion.py": "how long a failed server gets no work, who probes it",
     "routing/subsets.py": "which replica gets a call, so that few connections open",
     "routing/reader_search.py": "which peers are asked for steps not read here",
     "steps/durable/order.py": "in which order the items of a step begin",
