Connections: an answer belongs to one send, named by connection and id

What callers saw. Beside replicas that answer twice, items were listed as errored after fewer failures than MaxAttempts, resumed texts could get the events of their first run again, callers got 503 for calls that had run, orders counted as refused, and callers lost their own answer to an extra one (504 beside MaxAttempts 2).

A request id names the request, not the send. Where one id was sent again to the same replica over a kept connection (items, resumed streams, reward calls), a late answer to the first send bore the right id and was taken for that to the second. A refusal without id was believed on any connection, and any answer was taken for that to an order. An extra answer of another request ended the connection and with it the current send, also if its bytes already lay in the stream's read buffer, which the check before reuse did not see.

Change. backends/attribution.py keeps the sends of one connection and decides without I/O to which send an answer belongs. An id is sent at most once on a connection; the pool takes a kept one that has not carried it or opens a new one. Requests without id go on new connections. On a kept one only an answer with the id of the current send is believed; on a new one also a refusal without id, after which it is closed. One task reads all answers on a connection, also between exchanges: others' are read and dropped within a bound, and the reader waits for the own one. Servers whose answers bear no ids (peers, store, duties) keep one exchange at a time, and an answer between two exchanges ends the connection. HEAD has a connection of its own.

Why it works. Connection and id together name one send, so there is no late answer that could be taken for another send's, whatever it repeats; an answer that can't be attributed is never believed once anything else was sent on the connection.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -1,13 +1,14 @@
 """A pool of HTTP/1.1 connections to replicas, one exchange at a time on each.
 
-The protocol is Tornado's ``http1connection``. A caller may refuse a reply by its
-status and headers, which closes the connection: on a reused connection the reply may
-belong to an earlier request. The curl client can't abort a transfer this way without
-keeping the connection.
+The protocol is Tornado's ``http1connection``. One task reads all answers on a connection,
+also between exchanges, and ``attribution`` decides which send each belongs to. A caller
+may refuse a reply by its status and headers, which closes the connection. The curl client
+can't abort a transfer this way without keeping the connection.
 """
 
 import asyncio
 import socket
+from enum import Enum
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -18,6 +19,12 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from sassafrasdoor.backends.attribution import (
+    AnswerHead,
+    Ledger,
+    SequentialLedger,
+    Verdict,
+)
 from sassafrasdoor.backends.interface import Broken, Refused
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.metrics import counter
@@ -31,13 +38,27 @@
 DEFAULT_IDLE_TIMEOUT = 0.5  # seconds, for servers that name none
 IDLE_TIMEOUT_MARGIN = 0.6  # seconds before the server's own idle timeout
 CONTINUE = 100  # status by which a server asks for a request's body
+HEAD = "HEAD"
+INTERIM_STATUSES = range(100, 200)
+OWN_VERDICTS = {Verdict.OWN, Verdict.FINAL}
+UNREADABLE = "unreadable"
+UNFRAMED = "unframed"
+BODYLESS_STATUSES = {204, 304}
 MAX_IDLE_CONNECTIONS = 64  # connections to one address
+MAX_DROPPED_ANSWERS = 16  # of other sends, in a row
+MAX_DROPPED_BYTES = 4 * 1024 * 1024  # of their bodies
 MAX_HEADER_BYTES = 65536
 MAX_BODY_BYTES = 64 * 1024 * 1024
 READ_CHUNK_BYTES = 65536
 
 OPENED = counter("connections_opened_total", "Connections opened, by result.")
 REUSED = counter("connections_reused_total", "Exchanges on a kept connection.")
+RETIRED = counter(
+    "connections_retired_total", "Connections closed after many exchanges."
+)
+DROPPED = counter(
+    "answers_dropped_total", "Answers that belong to no current send, by kind."
+)
 
 
 class OutgoingRequest:
@@ -45,7 +66,8 @@
 
     If it ``awaits_continue`` its body is sent once the server has asked for it (status
     100, RFC 9110): a server that is paused cannot handle it later. ``is_sent`` says
-    whether a server may handle the request.
+    whether a server may handle the request. Answers to it bear its ``request_id`` if the
+    server names requests in its answers, unless that is None.
     """
 
     __slots__ = (
@@ -57,6 +79,7 @@
         "is_sent",
         "method",
         "path",
+        "request_id",
     )
 
     def __init__(
@@ -68,6 +91,7 @@
         deadline=None,
         fresh=False,
         awaits_continue=False,
+        request_id=None,
     ):
         self.awaits_continue = awaits_continue and bool(body)
         self.is_sent = False
@@ -77,6 +101,7 @@
         self.body = body
         self.deadline = deadline
         self.fresh = fresh
+        self.request_id = request_id
 
 
 class Reply:
@@ -90,66 +115,347 @@
         self.body = body
 
 
-class _ReplyReceiver(HTTPMessageDelegate):
-    """Receives one reply; ``accept(status, headers)`` returns a reason to refuse it.
+class _Exchange:
+    """One request on a connection and its answer.
 
-    ``on_continue()`` is called when the server asks for the request's body.
+    ``outcome`` is a future of the ``Reply`` or ``Broken``.
     """
 
-    def __init__(self, accept, on_data):
+    __slots__ = (
+        "_accept",
+        "_body_chunks",
+        "_on_data",
+        "headers",
+        "outcome",
+        "request",
+        "send_body",
+        "status",
+    )
+
+    def __init__(self, request, accept, on_data):
         self._accept = accept
         self._on_data = on_data
         self._body_chunks = []
-        self.close = lambda: None
-        self.on_continue = lambda: None
-        self.status = 0
         self.headers = None
-        self.refusal_reason = ""
-        self.is_complete = False
+        self.outcome = asyncio.get_running_loop().create_future()
+        self.request = request
+        self.send_body = None
+        self.status = 0
 
     @property
-    def body(self):
-        return b"".join(self._body_chunks)
+    def reply(self):
+        return Reply(self.status, self.headers, b"".join(self._body_chunks))
 
-    def headers_received(self, start_line, headers):
-        self.status = start_line.code
+    def fail(self, reason):
+        if not self.outcome.done():
+            self.outcome.set_result(Broken(reason, began=self.request.is_sent))
+
+    def receive_head(self, status, headers):
+        """Receive the head of the answer; return a reason to refuse it, or none."""
+        self.status = status
         self.headers = headers
-        if start_line.code == CONTINUE:
-            self.on_continue()
-        if start_line.code >= 200 and self._accept is not None:
-            self.refusal_reason = self._accept(start_line.code, headers) or ""
-        if self.refusal_reason:
-            self.close()
+        return self._accept(status, headers) if self._accept is not None else ""
+
+    def receive_data(self, chunk):
+        if self._on_data is None or self.status != 200:
+            self._body_chunks.append(chunk)
+            return None
+        waiting = self._on_data(chunk)
+        return None if waiting is None else _wait_for_consumer(waiting)
+
+
+async def _wait_for_consumer(waiting):
+    try:
+        await waiting
+    except asyncio.CancelledError as error:
+        # The protocol library would log a cancellation as an error.
+        raise HTTPInputError("exchange cancelled") from error
+
+
+class _AnswerReceiver(HTTPMessageDelegate):
+    """Receives one answer for its connection; ``exchange`` is None if it is dropped."""
+
+    __slots__ = ("_connection", "exchange", "is_begun", "is_complete")
+
+    def __init__(self, connection):
+        self._connection = connection
+        self.exchange = None
+        self.is_begun = False
+        self.is_complete = False
+
+    def headers_received(self, start_line, headers):
+        if start_line.code in INTERIM_STATUSES:
+            self._connection.receive_interim(start_line.code)
+            return
+        self.is_begun = True
+        self.exchange = self._connection.attribute(start_line.code, headers)
 
     def data_received(self, chunk):
+        if self.exchange is None:
+            self._connection.drop_data(chunk)
         # A closed connection still delivers the bytes that it has buffered.
-        if self.refusal_reason:
-            return None
-        if self._on_data is not None and self.status == 200:
-            return self._on_data(chunk)
-        self._body_chunks.append(chunk)
+        elif not self.exchange.outcome.done():
+            return self.exchange.receive_data(chunk)
         return None
 
     def finish(self):
         self.is_complete = True
 
 
-class _IdleConnection:
-    """A connection that may be reused until ``deadline``."""
+class _Stream(IOStream):
+    """A stream that tells whether it holds bytes that have not been read."""
+
+    @property
+    def has_unread_bytes(self):
+        """Whether received bytes are buffered or wait in the socket.
+
+        Raises ``StreamClosedError`` if the server has closed the connection.
+        """
+        if self.closed():
+            raise StreamClosedError
+        if self._read_buffer_size:
+            return True
+        try:
+            if not self.socket.recv(1, socket.MSG_PEEK):
+                raise StreamClosedError
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            raise StreamClosedError(real_error=error) from error
+        return True
+
+
+class _Availability(Enum):
+    """Whether an idle connection can be used; ``BUSY`` while an answer is arriving."""
+
+    FREE = "free"
+    BUSY = "busy"
+    ENDED = "ended"
 
-    __slots__ = ("deadline", "stream")
 
-    def __init__(self, stream, deadline):
+class _Connection:
+    """An open connection; while idle it may be reused until ``deadline``.
+
+    ``identify`` is that of ``Connections``; ``on_close(connection)`` is called once it
+    has ended.
+    """
+
+    __slots__ = (
+        "_dropped_answers",
+        "_dropped_bytes",
+        "_exchange",
+        "_http",
+        "_identify",
+        "_is_final",
+        "_is_receiving",
+        "_ledger",
+        "_on_close",
+        "_parameters",
+        "_reader",
+        "address",
+        "deadline",
+        "stream",
+    )
+
+    def __init__(self, address, stream, parameters, identify, on_close):
+        self._dropped_answers = 0
+        self._dropped_bytes = 0
+        self._exchange = None
+        self._http = HTTP1Connection(stream, True, parameters)
+        self._identify = identify
+        self._is_final = False
+        self._is_receiving = False
+        self._ledger = SequentialLedger() if identify is None else Ledger()
+        self._on_close = on_close
+        self._parameters = parameters
+        self._reader = None
+        self.address = address
+        self.deadline = None
         self.stream = stream
-        self.deadline = deadline
+
+    @property
+    def exchanges(self):
+        """The number of requests sent on it."""
+        return self._ledger.exchanges
+
+    @property
+    def availability(self):
+        """The ``_Availability`` of an idle connection."""
+        if passed(self.deadline):
+            return _Availability.ENDED
+        try:
+            if not (self._is_receiving or self.stream.has_unread_bytes):
+                return _Availability.FREE
+        except StreamClosedError:
+            return _Availability.ENDED
+        # Without ids an answer could not be told from that to the next request.
+        return _Availability.ENDED if self._identify is None else _Availability.BUSY
+
+    def may_carry(self, request_id):
+        """Return whether a request with this id may be sent on it."""
+        return self._ledger.may_carry(request_id)
+
+    def close(self):
+        """Close it; an answer that is being handled is abandoned."""
+        self.stream.close()
+        if self._reader is not None:
+            self._reader.cancel()
+
+    async def exchange(self, request, accept, on_data):
+        """Return the ``Reply`` or ``Broken``; cancelling closes the connection."""
+        exchange = self._exchange = _Exchange(request, accept, on_data)
+        self._ledger.begin(request.request_id)
+        is_answered = False
+        try:
+            self._send(exchange)
+            if self._reader is None:
+                self._http.finish()
+                self._reader = asyncio.create_task(self._read_answers())
+            result = await exchange.outcome
+            is_answered = True
+            return result
+        finally:
+            if not is_answered:
+                self._exchange = None
+                self.close()
+
+    def may_be_kept(self, headers):
+        """Return whether it may be kept after an answer with these headers."""
+        if self._ledger.is_retired:
+            RETIRED.inc({})
+            return False
+        # After an answer to a part of the request, the remaining bytes would be read as
+        # the next request.
+        return not (
+            self._is_final
+            or self.stream.closed()
+            or self.stream.writing()
+            or "close" in headers.get("Connection", "").lower()
+        )
+
+    def receive_interim(self, status):
+        """Handle the head of an interim answer."""
+        if status == CONTINUE and self._exchange is not None:
+            send_body, self._exchange.send_body = self._exchange.send_body, None
+            if send_body is not None:
+                send_body()
+
+    def attribute(self, status, headers):
+        """Return the exchange that an answer belongs to; None if it is dropped."""
+        self._is_receiving = True
+        head = self._answer_head(status, headers)
+        verdict = self._ledger.judge(head)
+        exchange = self._exchange
+        if verdict in OWN_VERDICTS:
+            self._is_final = verdict is Verdict.FINAL
+            refusal_reason = exchange.receive_head(status, headers)
+            if refusal_reason:
+                exchange.fail(refusal_reason)
+                self.stream.close()
+            return exchange
+        kind = self._ledger.mark(head).value if head.is_framed else UNFRAMED
+        DROPPED.inc({"kind": kind})
+        self._dropped_answers += 1
+        if verdict is Verdict.REJECT:
+            exchange.fail("answer to another request")
+        if verdict is not Verdict.DROP or self._dropped_answers > MAX_DROPPED_ANSWERS:
+            self.stream.close()
+        return None
+
+    def drop_data(self, chunk):
+        """Count bytes of an answer that belongs to no current send."""
+        self._dropped_bytes += len(chunk)
+        if self._dropped_bytes > MAX_DROPPED_BYTES:
+            self.stream.close()
+
+    async def _read_answers(self):
+        reason = "connection lost: Stream is closed"
+        try:
+            while not self.stream.closed():
+                receiver = _AnswerReceiver(self)
+                await self._http.read_response(receiver)
+                self._is_receiving = False
+                if not receiver.is_complete:
+                    if not receiver.is_begun:
+                        DROPPED.inc({"kind": UNREADABLE})
+                    reason = "reply cut or not understood"
+                    break
+                if receiver.exchange is not None:
+                    self._complete(receiver.exchange)
+        except (StreamClosedError, HTTPInputError, OSError) as error:
+            reason = f"connection lost: {error}"
+        finally:
+            self.stream.close()
+            if self._exchange is not None:
+                self._exchange.fail(reason)
+                self._exchange = None
+            self._on_close(self)
+
+    def _complete(self, exchange):
+        self._exchange = None
+        self._ledger.end()
+        self._dropped_answers = self._dropped_bytes = 0
+        # An answer without length ends with its connection, and the protocol reader
+        # can't distinguish a reset from that end.
+        if self.stream.closed() and self.stream.error is not None:
+            exchange.fail(f"connection reset: {self.stream.error}")
+        elif not exchange.outcome.done():
+            exchange.outcome.set_result(exchange.reply)
+
+    def _answer_head(self, status, headers):
+        is_framed = (
+            status in BODYLESS_STATUSES
+            or "Content-Length" in headers
+            or "Transfer-Encoding" in headers
+        )
+        if self._identify is None:
+            return AnswerHead(None, False, is_framed)
+        request_id, is_refusal = self._identify(status, headers)
+        return AnswerHead(request_id, is_refusal, is_framed)
+
+    def _send(self, exchange):
+        """Send a request, or its head if its body awaits the server's answer to that."""
+        request = exchange.request
+        headers = HTTPHeaders(request.headers)
+        headers["Content-Length"] = str(len(request.body))
+        start_line = RequestStartLine(request.method, request.path, "HTTP/1.1")
+        # The answer to HEAD is read by the object that has written the request. Others
+        # are written beside the answers that may be read meanwhile.
+        is_head = request.method == HEAD
+        http = (
+            self._http
+            if is_head
+            else HTTP1Connection(self.stream, True, self._parameters)
+        )
+
+        def send_body():
+            request.is_sent = True
+            http.write(request.body)
+            http.finish()
+
+        if request.awaits_continue:
+            headers["Expect"] = "100-continue"
+            exchange.send_body = send_body
+            http.write_headers(start_line, headers)
+            return
+        request.is_sent = True
+        http.write_headers(start_line, headers, request.body or None)
+        if not is_head:
+            http.finish()
 
 
 class Connections:
-    """Sends requests to ``host:port`` addresses over pooled connections."""
+    """Sends requests to ``host:port`` addresses over pooled connections.
 
-    __slots__ = ("_idle", "_parameters")
+    ``identify(status, headers)`` returns the request id that an answer bears, or None, and
+    whether it says that its request was not run. Without it the servers' answers bear no
+    ids.
+    """
+
+    __slots__ = ("_identify", "_idle", "_parameters")
 
-    def __init__(self):
+    def __init__(self, identify=None):
+        self._identify = identify
         self._idle = {}
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES,
@@ -159,28 +465,26 @@
 
     def close(self):
         """Close all idle connections."""
-        for pool in self._idle.values():
-            for connection in pool:
-                connection.stream.close()
-        self._idle.clear()
+        for address in tuple(self._idle):
+            self.close_idle(address)
 
     def close_idle(self, address):
         """Close the idle connections to ``address``."""
         for connection in self._idle.pop(address, ()):
-            connection.stream.close()
+            connection.close()
 
     async def try_connect(self, address):
         """Return True if a connection can be opened, else ``Refused`` or ``Broken``."""
-        stream = await self._open(address)
-        if not stream:
-            return stream
-        stream.close()
+        connection = await self._open(address)
+        if not connection:
+            return connection
+        connection.close()
         return True
 
     def has_idle(self, address):
         """Return whether an idle connection to ``address`` can be reused now."""
         return any(
-            not passed(connection.deadline) and _is_reusable(connection.stream)
+            connection.availability is _Availability.FREE
             for connection in reversed(self._idle.get(address, ()))
         )
 
@@ -197,34 +501,43 @@
         """
         try:
             async with SettlingTimeout(request.deadline):
-                stream = (
-                    None if request.fresh else self._take_idle(address, oldest_first)
-                )
-                if stream is None:
-                    stream = await self._open(address)
-                if not stream:
-                    return stream
+                connection = self._take_idle(address, request, oldest_first)
+                if connection is None:
+                    connection = await self._open(address)
+                if not connection:
+                    return connection
                 # The timeout expires some turns of the event loop after its deadline.
                 if request.deadline is not None and passed(request.deadline):
-                    stream.close()
+                    connection.close()
                     return Broken("timeout", began=False)
-                return await self._exchange(address, stream, request, accept, on_data)
+                reply = await connection.exchange(request, accept, on_data)
+                if not reply or not self._keep_idle(connection, request, reply):
+                    connection.close()
+                return reply
         except TimeoutError:
             return Broken("timeout", began=request.is_sent)
 
-    def _take_idle(self, address, oldest_first):
+    def _take_idle(self, address, request, oldest_first):
         pool = self._idle.get(address)
-        while pool:
-            connection = pool.pop(0 if oldest_first else -1)
-            if not passed(connection.deadline) and _is_reusable(connection.stream):
+        # The answer to HEAD has no body, which later reads could not know.
+        if not pool or request.fresh or request.method == HEAD:
+            return None
+        for connection in tuple(pool if oldest_first else reversed(pool)):
+            availability = connection.availability
+            if availability is _Availability.ENDED:
+                pool.remove(connection)
+                connection.close()
+            elif availability is _Availability.FREE and connection.may_carry(
+                request.request_id
+            ):
+                pool.remove(connection)
                 REUSED.inc({})
-                return connection.stream
-            connection.stream.close()
+                return connection
         return None
 
     async def _open(self, address):
         host, _, port = address.rpartition(":")
-        stream = IOStream(_create_socket(), max_buffer_size=2 * MAX_BODY_BYTES)
+        stream = _Stream(_create_socket(), max_buffer_size=2 * MAX_BODY_BYTES)
         try:
             async with SettlingTimeout(deadline_in(CONNECT_TIMEOUT)):
                 await stream.connect((host, int(port)))
@@ -243,75 +556,27 @@
             stream.close()
             raise
         OPENED.inc({"result": "opened"})
-        return stream
-
-    async def _exchange(self, address, stream, request, accept, on_data):
-        receiver = _ReplyReceiver(accept, on_data)
-        receiver.close = stream.close
-        connection = HTTP1Connection(stream, True, self._parameters)
-        pooled = False
-        try:
-            _send(connection, request, receiver)
-            await connection.read_response(receiver)
-            failure = self._reply_error(stream, request, receiver)
-            if failure is not None:
-                return failure
-            pooled = request.is_sent and self._keep_idle(
-                address, stream, receiver.headers
-            )
-            return Reply(receiver.status, receiver.headers, receiver.body)
-        except (StreamClosedError, HTTPInputError, OSError) as error:
-            reason = receiver.refusal_reason or f"connection lost: {error}"
-            return Broken(reason, began=request.is_sent)
-        finally:
-            if not pooled:
-                stream.close()
-
-    def _reply_error(self, stream, request, receiver):
-        if receiver.refusal_reason:
-            return Broken(receiver.refusal_reason, began=request.is_sent)
-        if not receiver.is_complete:
-            return Broken("reply cut or not understood", began=request.is_sent)
-        # A reply without length ends with its connection, and the protocol reader
-        # can't distinguish a reset from that end.
-        if stream.closed() and stream.error is not None:
-            return Broken(f"connection reset: {stream.error}", began=request.is_sent)
-        return None
+        return _Connection(
+            address, stream, self._parameters, self._identify, self._discard
+        )
 
-    def _keep_idle(self, address, stream, headers):
-        if stream.closed() or stream.writing():
-            # The reply arrived before the request was sent completely; the remaining
-            # bytes would be read as the next request.
+    def _keep_idle(self, connection, request, reply):
+        if not request.is_sent or request.method == HEAD:
             return False
-        if "close" in headers.get("Connection", "").lower():
+        if not connection.may_be_kept(reply.headers):
             return False
-        pool = self._idle.setdefault(address, [])
+        pool = self._idle.setdefault(connection.address, [])
         if len(pool) >= MAX_IDLE_CONNECTIONS:
             return False
-        pool.append(_IdleConnection(stream, deadline_in(_idle_timeout(headers))))
+        connection.deadline = deadline_in(_idle_timeout(reply.headers))
+        pool.append(connection)
         return True
 
-
-def _send(connection, request, receiver):
-    """Send a request, or its head if its body awaits the server's answer to that."""
-    headers = HTTPHeaders(request.headers)
-    headers["Content-Length"] = str(len(request.body))
-    start_line = RequestStartLine(request.method, request.path, "HTTP/1.1")
-
-    def send_body():
-        if not request.is_sent:
-            request.is_sent = True
-            connection.write(request.body)
-            connection.finish()
-
-    if request.awaits_continue:
-        headers["Expect"] = "100-continue"
-        receiver.on_continue = send_body
-        connection.write_headers(start_line, headers)
-        return
-    request.is_sent = True
-    connection.write_headers(start_line, headers, request.body or None)
-    connection.finish()
+    def _discard(self, connection):
+        """Take a connection that has ended out of the pool."""
+        pool = self._idle.get(connection.address, ())
+        if connection in pool:
+            pool.remove(connection)
 
 
 def _system_error(error):
@@ -332,20 +597,6 @@
     return sock
 
 
-def _is_reusable(stream):
-    """Return whether an idle connection is open and has no unread bytes."""
-    if stream.closed():
-        return False
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    # Closed by the server, or has unread bytes of an earlier reply.
-    return False
-
-
 def _idle_timeout(headers):
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
--- a/sassafrasdoor/backends/tests/test_connections.py
+++ b/sassafrasdoor/backends/tests/test_connections.py
@@ -10,7 +10,12 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from sassafrasdoor.backends.connections import Connections, OutgoingRequest, Reply
+from sassafrasdoor.backends.connections import (
+    READ_CHUNK_BYTES,
+    Connections,
+    OutgoingRequest,
+    Reply,
+)
 from sassafrasdoor.backends.interface import Broken, Refused
 from sassafrasdoor.clock import deadline_in
 
@@ -265,3 +270,94 @@
         await self.start((data, OPEN))
         reply = await self.send(on_data=chunks.append)
         self.assertEqual((b"".join(chunks), reply.body), (b"abcd", b""))
+
+    async def test_bytes_after_a_reply_are_not_joined_to_the_next_one(self):
+        """Guards against a request sent behind the beginning of another reply."""
+        half = KEEP_ALIVE_REPLY[:20]
+        await self.start((KEEP_ALIVE_REPLY + half, OPEN), (KEEP_ALIVE_REPLY, OPEN))
+        await self.send("1")
+        reply = await self.send("2")
+        self.assertIsInstance(reply, Reply)
+        self.assertEqual(reply.headers["Id"], "2")
+
+    async def test_reply_between_two_requests_closes_the_connection(self):
+        """Guards against a connection kept though the server is out of step on it."""
+        await self.start((2 * KEEP_ALIVE_REPLY, OPEN), (KEEP_ALIVE_REPLY, OPEN))
+        await self.send("1")
+        async with asyncio.timeout(20):
+            while self.connections.has_idle(self.address):  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+        self.assertIsInstance(await self.send("2"), Reply)
+        self.assertEqual(self.server.connections, 2)
+
+    async def test_connection_that_the_server_closes_leaves_the_pool(self):
+        may_close = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(KEEP_ALIVE_REPLY)
+            await may_close.wait()
+            writer.close()
+
+        await self.start()
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        await self.connections.send(self.address, OutgoingRequest("GET", "/"))
+        self.assertTrue(self.connections.has_idle(self.address))
+        may_close.set()
+        async with asyncio.timeout(20):
+            while self.connections._idle[self.address]:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+
+    async def test_reply_to_head_has_no_body(self):
+        """Guards against a reply read as the body that the one before announced."""
+        headers = KEEP_ALIVE_REPLY[: -len(b"ok")]
+        await self.start((headers, OPEN), (KEEP_ALIVE_REPLY, OPEN))
+        request = OutgoingRequest("HEAD", "/", {"Id": "1"}, deadline=deadline_in(20))
+        reply = await self.connections.send(self.address, request)
+        self.assertEqual((reply.status, reply.body), (200, b""))
+        self.assertEqual((await self.send("2")).body, b"ok")
+
+    async def test_cancelled_consumer_of_data_closes_the_connection(self):
+        """Guards against a replica that works on for a caller that reads no more."""
+        is_waiting, is_cancelled = asyncio.Event(), asyncio.Event()
+
+        async def take_none(chunk):
+            is_waiting.set()
+            try:
+                await asyncio.Event().wait()
+            finally:
+                is_cancelled.set()
+
+        await self.start((CHUNKED_HEAD + b"2\r\nab\r\n", OPEN))
+        with self.assertNoLogs("tornado.application"):
+            task = asyncio.ensure_future(self.send(on_data=take_none))
+            async with asyncio.timeout(20):
+                await is_waiting.wait()
+                task.cancel()
+                await is_cancelled.wait()
+                await self.server.client_closed.wait()
+                with self.assertRaises(asyncio.CancelledError):
+                    await task
+
+    async def test_data_waits_for_its_consumer(self):
+        """Guards against a stream that is read faster than its caller takes it."""
+        chunks, may_take = [], asyncio.Event()
+
+        async def take(chunk):
+            chunks.append(chunk)
+            await may_take.wait()
+
+        body = bytes(3 * READ_CHUNK_BYTES)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        await self.start((head + body, OPEN))
+        task = asyncio.ensure_future(self.send(on_data=take))
+        async with asyncio.timeout(20):
+            while not chunks:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.05)
+            self.assertEqual(len(chunks), 1)
+            may_take.set()
+            self.assertIsInstance(await task, Reply)
+        self.assertEqual(b"".join(chunks), body)
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -49,7 +49,7 @@
 
     def __init__(self, budget=None, rotates_connections=False):
         self._budget = budget or BufferBudget()
-        self._connections = Connections()
+        self._connections = Connections(_identify_answer)
         self._rotates_connections = rotates_connections
 
     def close(self):
@@ -66,10 +66,7 @@
 
     async def call(self, replica, call):
         """Return an ``Answer``, ``NotRun``, ``WrongReplica`` or ``Broken``."""
-        reply = await self._send(
-            replica, _build_request(replica, call), _response_check(call.request_id)
-        )
-        return _answer_from(reply)
+        return _answer_from(await self._send(replica, _build_request(replica, call)))
 
     async def try_connect(self, replica):
         """Return True if a connection opens, else ``Refused`` or ``Broken``."""
@@ -78,17 +75,15 @@
     async def stream(self, replica, call, relay):
         """Forward events; return True at the end of the stream, else as ``call``."""
         splitter = _EventSplitter()
-        check = _response_check(call.request_id)
 
         def accept(status, response_headers):
-            mismatch = check(status, response_headers)
-            if not mismatch and status == 200:
+            if status == 200:
                 if wire.STAMP not in response_headers:
                     return MISSING_STAMP
                 relay.head(
                     wire.header_pairs(response_headers, wire.DROPPED_FROM_ANSWER)
                 )
-            return mismatch
+            return ""
 
         async def forward_events(data):
             for block in splitter.feed(data):
@@ -122,16 +117,19 @@
         if order.priority is not None and not _names(headers, wire.PRIORITY):
             headers[wire.PRIORITY] = str(order.priority)
         request = OutgoingRequest(
-            "POST", order.path, headers, order.body, order.deadline
+            "POST",
+            order.path,
+            headers,
+            order.body,
+            order.deadline,
+            request_id=order.item_id,
         )
         events = _EventReader(on_event)
-        check = _response_check(order.item_id)
 
         def accept(status, response_headers):
-            mismatch = check(status, response_headers)
-            if not mismatch and status == 200:
+            if status == 200:
                 events.version = _parse_int(response_headers.get(wire.VERSIONS))
-            return mismatch
+            return ""
 
         reply = await self._send(replica, request, accept, events.feed)
         if isinstance(reply, UNANSWERED):
@@ -160,7 +158,7 @@
         }
         body = json.dumps(document).encode()
         request = OutgoingRequest("POST", "/-/order", headers, body, order.deadline)
-        reply = await self._send(replica, request, None)
+        reply = await self._send(replica, request)
         if isinstance(reply, NotRun):
             return Unavailable(reply.reason)
         if isinstance(reply, Broken):
@@ -171,7 +169,7 @@
             return Stale("lower fencing number", order.fence)
         return OrderRefused(f"status {reply.status}")
 
-    async def _send(self, replica, request, accept, on_data=None):
+    async def _send(self, replica, request, accept=None, on_data=None):
         address = replica.listing.address
 
         def accept_head(status, headers):
@@ -279,7 +277,13 @@
     if call.after is not None:
         headers[wire.LAST_EVENT] = str(call.after)
     return OutgoingRequest(
-        call.method, call.path, headers, call.body, call.deadline, call.fresh
+        call.method,
+        call.path,
+        headers,
+        call.body,
+        call.deadline,
+        call.fresh,
+        request_id=call.request_id,
     )
 
 
@@ -307,23 +311,10 @@
     return None
 
 
-def _response_check(request_id):
-    """Return a function that checks whether an answer belongs to this request.
-
-    The function returns a reason to reject the answer, or an empty string. A late
-    duplicate answer may have no request id. On a reused connection it would be taken
-    for the answer to the next request, and a caller would get the answer to another
-    caller's request. Only a refusal may lack the id: it contains no caller's data.
-    """
-
-    def check(status, headers):
-        echoed_id = headers.get(wire.REQUEST_ID)
-        if echoed_id == request_id:
-            return ""
-        is_refusal = status == wire.MISDIRECTED or wire.NOT_RUN in headers
-        return "" if echoed_id is None and is_refusal else "answer to another request"
-
-    return check
+def _identify_answer(status, headers):
+    """Return the request id that an answer bears, or None, and whether it refuses."""
+    is_refusal = status == wire.MISDIRECTED or wire.NOT_RUN in headers
+    return headers.get(wire.REQUEST_ID), is_refusal
 
 
 def _refusal(reply):
