Services: an answer on a kept connection has to name its call

What callers saw. Nothing in the field yet; found while looking for the cause of the mixed answers of replicas elsewhere. Beside a service that sends each answer again in front of the next one, every second repeatable call over curl's kept connections got the answer to the call before it.

The adapter took any complete answer for that of its call; curl looks for unread bytes before it reuses a connection, not at what arrives after the request was sent.

Evidence. test_late_answer_on_a_kept_connection_is_not_taken_for_the_next_one before: b'r0' for call r1, with and without an id in the answers.

On a kept connection only an answer with the call's X-Request-Id is believed. Otherwise the call, which is repeatable, is sent again on a new connection; a service whose answer bears no id there is called on new connections from then on. The stand-in returns the id.

Why it works. On a new connection nothing else was sent; on a kept one the id names the call. Open: two sends of one key to the same service share their id.

All 8 calls get their own answer in both cases.

--- a/sassafrasdoor/backends/http.py
+++ b/sassafrasdoor/backends/http.py
@@ -16,16 +16,23 @@
 from sassafrasdoor.backends.transfer import Client, Request
 from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.headers import HOP_BY_HOP_HEADERS
+from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Outcome, ReplyLost, Unavailable
 
 SHORT_CALL_TIMEOUT = 2.0  # seconds
 JSON_HEADERS = {"Content-Type": "application/json"}
+REQUEST_ID = "X-Request-Id"
 OK, STALE_FENCE = 200, 409
 
 NON_FORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {
     "x-http-reason"
 }  # the latter is set by Tornado
 
+UNNAMED_ANSWERS = counter(
+    "service_answers_unnamed_total",
+    "Answers on kept connections that did not bear the id of their call.",
+)
+
 
 class _Adapter:
     """Base of both adapters: the settings and an HTTP client."""
@@ -117,40 +124,76 @@
 
 
 class HttpService(_Adapter, interface.Service):
-    """Calls plain services; forwards any method and path."""
+    """Calls plain services; forwards any method and path.
 
-    __slots__ = ()
+    A kept connection may carry a late answer to an earlier call. There only an answer
+    that bears the request's id is believed, and services whose answers bear none are
+    called on new connections.
+    """
+
+    __slots__ = ("_without_ids",)
+
+    def __init__(self, settings, client=None):
+        super().__init__(settings, client)
+        self._without_ids = set()
 
     async def call(self, backend, call):
         """Return the complete ``Answer``, or ``Broken``."""
-        headers = {
-            name: value
-            for name, value in call.headers.items()
-            if name.lower() not in NON_FORWARDED_HEADERS
-        }
-        headers["X-Request-Id"] = call.request_id
-        request = Request(
-            call.method,
-            f"http://{backend.address}{call.path}",
-            call.body or None,
-            headers,
-            call.deadline,
-            fresh=not call.repeatable,
+        fresh = not call.repeatable or backend.address in self._without_ids
+        response = await self._client.fetch(
+            backend, _service_request(backend, call, fresh)
         )
-        if call.method in ("POST", "PUT", "PATCH"):
-            request.body = call.body
-        response = await self._client.fetch(backend, request)
+        if not fresh and not isinstance(response, Broken):
+            response = await self._checked(backend, call, response)
         if isinstance(response, Broken):
             return response
         return Answer(
             response.code, end_to_end_headers(response.headers), response.body
         )
 
+    async def _checked(self, backend, call, response):
+        """Return the response if it names its call, else that to a second send."""
+        if _names(response, call):
+            return response
+        UNNAMED_ANSWERS.inc({})
+        self._client.bypass_pool(backend)
+        response = await self._client.fetch(
+            backend, _service_request(backend, call, fresh=True)
+        )
+        if not isinstance(response, Broken) and not _names(response, call):
+            self._without_ids.add(backend.address)
+        return response
+
     async def load(self, backend):
         """Return the service's ``Load``, or ``Unavailable``."""
         return await fetch_load(self._client, backend)
 
 
+def _service_request(backend, call, fresh):
+    headers = {
+        name: value
+        for name, value in call.headers.items()
+        if name.lower() not in NON_FORWARDED_HEADERS
+    }
+    headers[REQUEST_ID] = call.request_id
+    request = Request(
+        call.method,
+        f"http://{backend.address}{call.path}",
+        call.body or None,
+        headers,
+        call.deadline,
+        fresh=fresh,
+    )
+    if call.method in ("POST", "PUT", "PATCH"):
+        request.body = call.body
+    return request
+
+
+def _names(response, call):
+    """Return whether an answer bears the id of a call."""
+    return response.headers.get(REQUEST_ID) == call.request_id
+
+
 def end_to_end_headers(headers):
     """Return a reply's headers without the hop-by-hop ones."""
     forwarded = headers.copy()
--- a/sassafrasdoor/backends/tests/test_service.py
+++ b/sassafrasdoor/backends/tests/test_service.py
@@ -1,6 +1,7 @@
 """Contract tests of the adapter to plain services, by fault."""
 
 import asyncio
+import contextlib
 import os
 import unittest
 from unittest import mock
@@ -151,6 +152,39 @@
         other = Backend("other", "127.0.0.1:9", "service", "service")
         self.assertFalse(client._bypasses_pool(other))
 
+    async def test_late_answer_on_a_kept_connection_is_not_taken_for_the_next_one(self):
+        """Guards against a caller that gets another caller's answer."""
+        for echoes in (True, False):
+            with self.subTest(echoes=echoes):
+                backend = await self.start_stuttering_service(echoes)
+                for number in range(8):
+                    name = f"r{number}"
+                    answer = await self.service.call(backend, call(name, True))
+                    self.assertEqual(answer.body, name.encode())
+
+    async def start_stuttering_service(self, echoes):
+        """Start a service that repeats each answer in front of the next one."""
+
+        async def serve(reader, writer):
+            late = b""
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                    length = head.partition("Content-Length: ")[2].split("\r\n")[0]
+                    await reader.readexactly(int(length))
+                    name = head.partition("X-Request-Id: ")[2].split("\r\n")[0]
+                    echo = f"X-Request-Id: {name}\r\n" if echoes else ""
+                    lines = f"HTTP/1.1 200 OK\r\n{echo}Content-Length: {len(name)}"
+                    answer = f"{lines}\r\n\r\n{name}".encode()
+                    writer.write(late + answer)
+                    late = answer
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        return Backend("stuttering", address, "service", "service")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sassafrasdoor/standin/service.py
+++ b/sassafrasdoor/standin/service.py
@@ -165,6 +165,7 @@
 
     async def prepare(self):
         """Execute the request and reply, before a method handler would run."""
+        self.set_header("X-Request-Id", self.request.headers.get("X-Request-Id", ""))
         reply = await self.server.execute(self.request)
         for fault, inject in self.FAULTS.items():
             if self.server.consume_fault(fault):
