Connections: answers that are kept whole are bounded

What callers saw: none of it here; operators of systems like ours saw bytes that are no answer come without end, until the caller closes.

Cause: an answer was bounded by the protocol reader's limit of 64 MiB alone, on each connection, and its chunks were kept as a list and joined at the end. The same limit would have ended sound streams, whose data is passed on and not kept.

Change: `backends/limits.py`. An answer that is kept is at most 16 MiB, all of one process 32 MiB; beyond that the longest is given up, so that sound ones beside it stay. A length beyond the bound is refused by the head. The bytes are held in one buffer. Streams are no longer bounded in total.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -19,6 +19,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from sassafrasdoor.backends.interface import Broken, Refused
+from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody, AnswerTooLong
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.timeouts import SettlingTimeout
@@ -33,8 +34,10 @@
 CONTINUE = 100  # status by which a server asks for a request's body
 MAX_IDLE_CONNECTIONS = 64  # connections to one address
 MAX_HEADER_BYTES = 65536
-MAX_BODY_BYTES = 64 * 1024 * 1024
 READ_CHUNK_BYTES = 65536
+MAX_BUFFER_BYTES = 1024 * 1024  # received and not yet parsed, of one connection
+# The protocol reader's own limit, which would end long streams too.
+NO_BODY_LIMIT = 2**62
 
 OPENED = counter("connections_opened_total", "Connections opened, by result.")
 REUSED = counter("connections_reused_total", "Exchanges on a kept connection.")
@@ -99,7 +102,7 @@
     def __init__(self, accept, on_data):
         self._accept = accept
         self._on_data = on_data
-        self._body_chunks = []
+        self._body = AnswerBody(RECEIVE_BUDGET, self._refuse)
         self.close = lambda: None
         self.on_continue = lambda: None
         self.status = 0
@@ -107,9 +110,13 @@
         self.refusal_reason = ""
         self.is_complete = False
 
-    @property
-    def body(self):
-        return b"".join(self._body_chunks)
+    def take_body(self):
+        """Return the body received, which is no longer kept here."""
+        return self._body.take()
+
+    def release(self):
+        """Free the memory of an answer that is not complete."""
+        self._body.release()
 
     def headers_received(self, start_line, headers):
         self.status = start_line.code
@@ -118,6 +125,9 @@
             self.on_continue()
         if start_line.code >= 200 and self._accept is not None:
             self.refusal_reason = self._accept(start_line.code, headers) or ""
+        length = headers.get("Content-Length", "")
+        if not self._is_passed_on and not self._body.allows_length(length):
+            self.refusal_reason = self.refusal_reason or "answer too long"
         if self.refusal_reason:
             self.close()
 
@@ -125,11 +135,27 @@
         # A closed connection still delivers the bytes that it has buffered.
         if self.refusal_reason:
             return None
-        if self._on_data is not None and self.status == 200:
-            return self._on_data(chunk)
-        self._body_chunks.append(chunk)
+        if self._is_passed_on:
+            return self._pass_on(chunk)
+        self._body.append(chunk)
         return None
 
+    @property
+    def _is_passed_on(self):
+        return self._on_data is not None and self.status == 200
+
+    async def _pass_on(self, chunk):
+        try:
+            passing = self._on_data(chunk)
+            if passing is not None:
+                await passing
+        except AnswerTooLong as error:
+            self._refuse(str(error))
+
+    def _refuse(self, reason):
+        self.refusal_reason = self.refusal_reason or reason
+        self.close()
+
     def finish(self):
         self.is_complete = True
 
@@ -153,7 +179,7 @@
         self._idle = {}
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
+            max_body_size=NO_BODY_LIMIT,
             chunk_size=READ_CHUNK_BYTES,
         )
 
@@ -191,7 +217,8 @@
 
         ``accept(status, headers)`` may refuse a reply by returning a reason;
         ``on_data`` takes the body of a 200 reply chunk by chunk and may return an
-        awaitable, which is awaited before more is read. ``oldest_first`` reuses the
+        awaitable, which is awaited before more is read; either may raise
+        ``AnswerTooLong``. ``oldest_first`` reuses the
         connection that has been idle longest instead of the last one used: in turn all
         are used within their idle timeout, so that calls that overlap find one each.
         """
@@ -224,7 +251,7 @@
 
     async def _open(self, address):
         host, _, port = address.rpartition(":")
-        stream = IOStream(_create_socket(), max_buffer_size=2 * MAX_BODY_BYTES)
+        stream = IOStream(_create_socket(), max_buffer_size=MAX_BUFFER_BYTES)
         try:
             async with SettlingTimeout(deadline_in(CONNECT_TIMEOUT)):
                 await stream.connect((host, int(port)))
@@ -259,11 +286,12 @@
             pooled = request.is_sent and self._keep_idle(
                 address, stream, receiver.headers
             )
-            return Reply(receiver.status, receiver.headers, receiver.body)
+            return Reply(receiver.status, receiver.headers, receiver.take_body())
         except (StreamClosedError, HTTPInputError, OSError) as error:
             reason = receiver.refusal_reason or f"connection lost: {error}"
             return Broken(reason, began=request.is_sent)
         finally:
+            receiver.release()
             if not pooled:
                 stream.close()
 
--- /dev/null
+++ b/sassafrasdoor/backends/limits.py
@@ -0,0 +1,92 @@
+"""Bounds the memory that the answers of servers take while they are received.
+
+Load pattern: faulty servers send bytes without end, on several connections at a time,
+until the caller closes. An answer that is kept until it is complete is therefore bounded,
+and so are all of them together: the longest one is given up, so that those of sound
+servers stay. Data that is passed on piece by piece is not counted here.
+"""
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024  # of one answer
+MAX_RECEIVED_BYTES = 32 * 1024 * 1024  # of all answers of this process
+
+
+class AnswerTooLong(Exception):
+    """Raised by a receiver of data to give up an answer; its text is the reason."""
+
+
+class ReceiveBudget:
+    """Counts the bytes of incomplete answers; limits are in bytes."""
+
+    __slots__ = ("_bodies", "_held_bytes", "answer_limit", "total_limit")
+
+    def __init__(self, answer_limit=MAX_ANSWER_BYTES, total_limit=MAX_RECEIVED_BYTES):
+        self._bodies = set()
+        self._held_bytes = 0
+        self.answer_limit = answer_limit
+        self.total_limit = total_limit
+
+    @property
+    def held_bytes(self):
+        """Bytes of all incomplete answers."""
+        return self._held_bytes
+
+    def add(self, body, size):
+        """Count ``size`` more bytes of a body; give up the one that is too long."""
+        self._bodies.add(body)
+        self._held_bytes += size
+        if len(body) > self.answer_limit:
+            body.give_up(f"answer too long: over {self.answer_limit} bytes")
+        elif self._held_bytes > self.total_limit:
+            longest = max(self._bodies, key=len)
+            longest.give_up(f"answer too long: {len(longest)} bytes beside others")
+
+    def remove(self, body):
+        """Stop counting a body."""
+        if body in self._bodies:
+            self._bodies.remove(body)
+            self._held_bytes -= len(body)
+
+
+class AnswerBody:
+    """The body of one answer; ``on_excess(reason)`` is called if it is given up."""
+
+    __slots__ = ("_budget", "_data", "_on_excess")
+
+    def __init__(self, budget, on_excess):
+        self._budget = budget
+        self._on_excess = on_excess
+        self._data = bytearray()
+
+    def __len__(self):
+        return len(self._data)
+
+    def allows_length(self, length):
+        """Return whether an answer may state this length, in digits."""
+        digits = length.lstrip("0")
+        longest = str(self._budget.answer_limit)
+        return (len(digits), digits) <= (len(longest), longest)
+
+    def append(self, chunk):
+        """Append a chunk."""
+        self._data += chunk
+        self._budget.add(self, len(chunk))
+
+    def take(self):
+        """Return the bytes received, which are no longer counted."""
+        data = bytes(self._data)
+        self.release()
+        return data
+
+    def release(self):
+        """Free the memory."""
+        self._budget.remove(self)
+        self._data = bytearray()
+
+    def give_up(self, reason):
+        """Free the memory and report why."""
+        self.release()
+        self._on_excess(reason)
+
+
+# Shared by all connections, as the memory is that of the process.
+RECEIVE_BUDGET = ReceiveBudget()
