Connections: a call that is cancelled while its data is taken ends

What callers saw: none of it here; found by a test of streams without end, whose deadline was reported as "reply cut or not understood".

Cause: a cancellation that reaches a call while the caller takes a piece of the answer is logged and dropped by the protocol reader. A caller that left during an event therefore left a broken stream behind, to be resumed at another replica, and a deadline that passed there counted as a failure of the replica.

Change: the receiver closes the connection itself, and the exchange raises the cancellation after the protocol reader has returned.

Evidence: both tests of PassedOnDataTest failed before ("CancelledError not raised", and "reply cut or not understood" in place of "timeout") and pass now.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -108,6 +108,7 @@
         self.status = 0
         self.headers = None
         self.refusal_reason = ""
+        self.is_cancelled = False
         self.is_complete = False
 
     def take_body(self):
@@ -151,6 +152,10 @@
                 await passing
         except AnswerTooLong as error:
             self._refuse(str(error))
+        except asyncio.CancelledError:
+            # The protocol reader would log and drop it.
+            self.is_cancelled = True
+            self.close()
 
     def _refuse(self, reason):
         self.refusal_reason = self.refusal_reason or reason
@@ -291,6 +296,9 @@
             reason = receiver.refusal_reason or f"connection lost: {error}"
             return Broken(reason, began=request.is_sent)
         finally:
+            if receiver.is_cancelled:
+                stream.close()
+                raise asyncio.CancelledError
             receiver.release()
             if not pooled:
                 stream.close()
