Streams: one event, and the events of one sample, are bounded

What callers saw: none of it here; a test of raw servers shows it. An event without end in a stream blocks the event loop: test_event_without_end_is_given_up did not end in 45 s before, nor did an event of 1 MiB that comes in single bytes. A sample without end was kept event by event until its deadline. 8192 tiny events in one chunk were passed on in one turn of the loop (24,576 events between two turns of another task).

Cause: the splitter joined the incomplete event with each chunk and searched all of it again, without a bound; nothing counted the events that a runner keeps.

Change: the splitter keeps one buffer and searches only what is new; an event is at most 1 MiB. A run of an item is given up beyond 1 MiB of data (a listed sample fits into a page of results of 1 MB) or 100,000 events. Other tasks take a turn after each 64 events.

Evidence: the six tests of EndlessStreamsTest that concern it failed or hung before, and pass now; blank lines without end are ended by the deadline as before.

--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -1,11 +1,13 @@
 """HTTP client for replicas: calls, streams, samples and orders to load weights."""
 
+import asyncio
 import json
 
 from tornado.httputil import HTTPHeaders
 
 from sassafrasdoor.backends.connections import Connections, OutgoingRequest
 from sassafrasdoor.backends.interface import Answer, Broken, Stale
+from sassafrasdoor.backends.limits import AnswerTooLong
 from sassafrasdoor.backends.replicas import (
     Event,
     OrderRefused,
@@ -25,6 +27,12 @@
 RETRY_AFTER = 0.1
 VERSION_LINE = wire.VERSIONS.lower()
 EVENT_END = b"\n\n"
+MAX_EVENT_BYTES = 1024 * 1024  # of one event of a stream
+# A listed sample fits into a page of results, of 1 MB.
+MAX_SAMPLE_BYTES = 1024 * 1024  # of the data of all events of one run
+MAX_SAMPLE_EVENTS = 100_000  # of one run
+# After as many events other tasks take a turn, as a chunk may hold thousands.
+EVENTS_PER_TURN = 64
 MIN_LOAD_FIGURES, KNOWN_LOAD_FIGURES = 3, 4  # of a load report
 MAX_FIGURE_DIGITS = 6  # of a figure: more than any replica runs, or a pace of 10,000
 UNREADABLE_LOADS = counter(
@@ -91,7 +99,7 @@
             return mismatch
 
         async def forward_events(data):
-            for block in splitter.feed(data):
+            async for block in splitter.events(data):
                 await relay.event(_event_number(block), block + EVENT_END)
 
         reply = await self._send(
@@ -203,10 +211,11 @@
 class _EventSplitter:
     """Splits a stream of bytes into events; buffers an incomplete last event."""
 
-    __slots__ = ("_incomplete_event",)
+    __slots__ = ("_event_count", "_incomplete_event")
 
     def __init__(self):
-        self._incomplete_event = b""
+        self._event_count = 0
+        self._incomplete_event = bytearray()
 
     @property
     def end_result(self):
@@ -217,11 +226,31 @@
             else True
         )
 
+    async def events(self, data):
+        """Append bytes of the stream; yield the events that are now complete.
+
+        Other tasks take turns between them. Raises ``AnswerTooLong`` as ``feed``.
+        """
+        for block in self.feed(data):
+            yield block
+            self._event_count += 1
+            if self._event_count % EVENTS_PER_TURN == 0:
+                await asyncio.sleep(0)
+
     def feed(self, data):
-        """Append bytes of the stream; return the events that are now complete."""
-        *complete, self._incomplete_event = (self._incomplete_event + data).split(
-            EVENT_END
-        )
+        """Append bytes of the stream; return the events that are now complete.
+
+        Raises ``AnswerTooLong`` if an event does not end in time.
+        """
+        # Earlier bytes were searched when they came; an end may span two chunks.
+        searched = max(0, len(self._incomplete_event) - len(EVENT_END) + 1)
+        self._incomplete_event += data
+        if self._incomplete_event.find(EVENT_END, searched) < 0:
+            if len(self._incomplete_event) > MAX_EVENT_BYTES:
+                raise AnswerTooLong(f"event too long: over {MAX_EVENT_BYTES} bytes")
+            return []
+        *complete, rest = bytes(self._incomplete_event).split(EVENT_END)
+        self._incomplete_event = bytearray(rest)
         return [block for block in complete if block.strip()]
 
 
@@ -231,9 +260,17 @@
     Stops passing events on once ``on_event`` has returned a false value.
     """
 
-    __slots__ = ("_blocks", "_on_event", "_stopped", "version")
+    __slots__ = (
+        "_blocks",
+        "_event_count",
+        "_on_event",
+        "_sample_bytes",
+        "_stopped",
+        "version",
+    )
 
     def __init__(self, on_event):
+        self._event_count = self._sample_bytes = 0
         self._on_event = on_event
         self._blocks = _EventSplitter()
         self._stopped = False
@@ -244,9 +281,9 @@
         """True if the stream ended after a complete event, else ``Broken``."""
         return self._blocks.end_result
 
-    def feed(self, data):
-        """Append bytes of the stream."""
-        for block in self._blocks.feed(data):
+    async def feed(self, data):
+        """Append bytes of the stream; raises ``AnswerTooLong``."""
+        async for block in self._blocks.events(data):
             if not self._stopped:
                 self._dispatch_event(block)
 
@@ -263,9 +300,18 @@
                 lines.append(value)
         if number is None and not lines:
             return
+        self._count_event(lines)
         if not self._on_event(Event(number, "\n".join(lines), self.version)):
             self._stopped = True
 
+    def _count_event(self, lines):
+        self._event_count += 1
+        self._sample_bytes += sum(map(len, lines))
+        if self._event_count > MAX_SAMPLE_EVENTS:
+            raise AnswerTooLong(f"sample too long: over {MAX_SAMPLE_EVENTS} events")
+        if self._sample_bytes > MAX_SAMPLE_BYTES:
+            raise AnswerTooLong(f"sample too long: over {MAX_SAMPLE_BYTES} bytes")
+
 
 def _build_request(replica, call):
     headers = HTTPHeaders()
--- a/sassafrasdoor/platform/tests/test_endless_bytes.py
+++ b/sassafrasdoor/platform/tests/test_endless_bytes.py
@@ -13,7 +13,7 @@
 from sassafrasdoor.backends.replicas import DirectCall, SampleOrder, VersionOrder
 from sassafrasdoor.clock import deadline_in, now
 from sassafrasdoor.outcomes import ReplyLost, Unavailable
-from sassafrasdoor.platform import wire
+from sassafrasdoor.platform import servers, wire
 from sassafrasdoor.platform.servers import WireReplicas
 from sassafrasdoor.platform.store import Store
 from sassafrasdoor.routing.replicas import Listing, Replica
@@ -253,5 +253,94 @@
                 self.assertIsInstance(await store.newest("t"), Unavailable)
 
 
+class EndlessStreamsTest(EndlessCase):
+    async def test_event_without_end_is_given_up(self):
+        """Guards against a process over its memory by an event without end."""
+        for name, answer in (ENDLESS_STREAMS | ENDLESS_ANSWERS).items():
+            if "body" in name:
+                continue
+            for kind in ("stream", "item"):
+                with self.subTest(name, kind=kind):
+                    await self.start(*answer)
+                    relay = CollectedStream()
+                    result = await (
+                        self.stream(relay) if kind == "stream" else self.generate()
+                    )
+                    self.assertIsInstance(result, Broken)
+                    self.assertTrue(result.began)
+                    self.assertNotEqual(result.reason, "timeout")
+                    await self.assert_closed()
+                    self.assertLess(self.server.sent_bytes, 10 * MB)
+
+    async def test_long_stream_of_events_is_passed_on(self):
+        """Guards against sound streams cut at the bound of answers that are kept."""
+        size = 1024
+        count = limits.MAX_ANSWER_BYTES // size + 1
+        event = b"id: 1\ndata: " + b"x" * size + b"\n\n"
+        body = event * count
+        head = OK + f"Content-Length: {len(body)}\r\n\r\n".encode()
+        await self.start(head + body, b"", pause=1.0)
+        relay = CollectedStream()
+        self.assertIs(await self.stream(relay), True)
+        self.assertEqual(relay.count, count)
+
+    async def test_other_tasks_run_between_tiny_events(self):
+        """Guards against a loop blocked by thousands of events in one chunk."""
+        turns = Turns()
+        turning = asyncio.ensure_future(turns.run())
+        self.addCleanup(turning.cancel)
+        await self.start(STREAM, b"id: 1\n\n" * 8192)
+        result = await self.stream(turns, seconds=1.0)
+        self.assertEqual(result.reason, "timeout")
+        await self.assert_closed()
+        self.assertGreater(turns.count, 8192)
+        self.assertLessEqual(turns.max_events, servers.EVENTS_PER_TURN)
+
+    async def test_other_tasks_run_between_the_events_of_a_sample(self):
+        turns = Turns()
+        turning = asyncio.ensure_future(turns.run())
+        self.addCleanup(turning.cancel)
+        await self.start(STREAM, b"id: 1\n\n" * 8192)
+        await self.generate(turns.add)
+        self.assertEqual(turns.count, servers.MAX_SAMPLE_EVENTS)
+        self.assertLessEqual(turns.max_events, servers.EVENTS_PER_TURN)
+
+    async def test_blank_lines_without_end_are_ended_by_the_deadline(self):
+        await self.start(STREAM, b"\n" * 65536)
+        relay = CollectedStream()
+        result = await self.stream(relay, seconds=0.5)
+        self.assertEqual((result.reason, relay.count), ("timeout", 0))
+        await self.assert_closed()
+
+    def keep(self, event):
+        self.events.append(event)
+        return True
+
+    async def test_sample_without_end_is_given_up(self):
+        """Guards against a runner over its memory by the events of one item."""
+        for event in (b"id: 1\ndata: " + b"x" * 1000 + b"\n\n", b"id: 1\n\n"):
+            with self.subTest(event[:20]):
+                await self.start(STREAM, event * 64)
+                self.events = []
+                result = await self.generate(self.keep)
+                self.assertIn("sample too long", result.reason)
+                size = sum(len(event.data) for event in self.events)
+                self.assertLessEqual(size, servers.MAX_SAMPLE_BYTES)
+                self.assertLessEqual(len(self.events), servers.MAX_SAMPLE_EVENTS)
+                await self.assert_closed()
+
+    def test_event_in_single_bytes_is_split_in_linear_time(self):
+        """Guards against copying an incomplete event with each of its chunks."""
+        splitter = servers._EventSplitter()
+        data = b"data: " + b"x" * (servers.MAX_EVENT_BYTES - 100) + b"\n\n"
+        began_at = now()
+        events = []
+        for position in range(len(data)):
+            events += splitter.feed(data[position : position + 1])
+        self.assertEqual(events, [data[:-2]])
+        self.assertLess(now() - began_at, 5.0)
+        self.assertIs(splitter.end_result, True)
+
+
 if __name__ == "__main__":
     unittest.main()
