Connections: an address that can't be used is a broken connection

What callers saw: processes that ended again and again after another writer had left an entry with a port out of range in the list of replicas (a report of other operators).

Cause: opening a connection expects errors of the system only. A port out of range raises `OverflowError`, a port that is no number `ValueError`, a host with a null character or a lone surrogate `TypeError`. They pass through the tasks that probe replicas, place items and order loads; a failed critical task ends the process.

Change: every error of the address gives `Broken`, not begun.

Evidence: test_unusable_address_is_a_broken_connection failed before for 13 of the 20 addresses and passes now.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -28,6 +28,8 @@
 KEEPALIVE_IDLE = 1  # whole seconds
 KEEPALIVE_INTERVAL = 1  # whole seconds
 KEEPALIVE_PROBES = 2
+# Raised for an address that can't be parsed, resolved or connected to.
+CONNECT_ERRORS = (StreamClosedError, OSError, ValueError, TypeError, OverflowError)
 USER_TIMEOUT_MS = 2500  # in which sent bytes must be acknowledged
 DEFAULT_IDLE_TIMEOUT = 0.5  # seconds, for servers that name none
 IDLE_TIMEOUT_MARGIN = 0.6  # seconds before the server's own idle timeout
@@ -264,7 +266,7 @@
             stream.close()
             OPENED.inc({"result": "timeout"})
             return Broken("connect timeout", began=False)
-        except (StreamClosedError, OSError) as error:
+        except CONNECT_ERRORS as error:
             stream.close()
             OPENED.inc({"result": "refused"})
             reason = f"not connected: {error}"
