Tail: a record that can't be applied is skipped

What callers saw: processes that ended again and again, or followed the list of replicas no more, after another writer had left one odd entry (a report of other operators).

Cause: a record was passed on without a guard, so that each reader of a topic had to expect every error itself. An unexpected one ended the task that follows the topic, and with it the process, which read the same record again after its start.

Change: the tail itself skips the record, counts it (`log_records_skipped_total`, by topic) and logs it (`log.record_skipped`, with its offset or key), and reading goes on. This holds for the values loaded at a start, for records read later, and for all topics.

Why this is safe: every instance skips the same record, and a reader that fails halfway is no worse off than before, when nobody read on.

Evidence: test_reader_goes_on_after_a_record_that_it_cannot_apply failed before for keyed and other topics (the reader's task had ended) and passes now.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -32,7 +32,12 @@
 INITIAL_READ_SLACKS = (1.5, 1.5, 3.0)
 CONFIRM_RETRY_INTERVAL = 0.05  # seconds
 
+MAX_LOGGED_REASON_LENGTH = 200  # characters
+
 EXPIRED_READS = counter("log_tail_restarts_total", "Reads that met expired records.")
+SKIPPED_RECORDS = counter(
+    "log_records_skipped_total", "Records that could not be applied, by topic."
+)
 
 
 def all_caught_up(tails):
@@ -61,6 +66,9 @@
 class Tail:
     """Follows a partition: passes each record to ``fold(offset, record)``, in order.
 
+    A record that ``fold`` cannot handle is counted, logged and skipped: reading it again
+    would fail again, on every instance that follows the partition.
+
     ``pause()`` returns the seconds to sleep after a read, which limits the reads of a
     busy partition; there is no pause inside ``without_pauses()``. The partition is
     followed while the event ``wanted`` is set. ``read_coordinator`` is shared by the
@@ -367,10 +375,25 @@
         for record in batch.records:
             # A long poll and a confirming read may overlap.
             if offset >= self.offset:
-                self._fold(offset, record)
+                self._try_apply(self._fold, offset, record)
                 self.offset = offset + 1
             offset += 1
 
+    def _try_apply(self, apply, place, data):
+        """Call ``apply(place, data)``; ``place`` is the offset or the key of a record."""
+        try:
+            apply(place, data)
+        except Exception as error:
+            SKIPPED_RECORDS.inc({"topic": self._topic})
+            note(
+                "log.record_skipped",
+                topic=self._topic,
+                part=self._part,
+                place=place,
+                bytes=len(data),
+                reason=repr(error)[:MAX_LOGGED_REASON_LENGTH],
+            )
+
     def _log_caught_up(self):
         if self.confirmed_at is None:
             note(
@@ -531,9 +554,9 @@
 
     def _apply_newest(self, newest):
         for key in set(self._values) - set(newest.values):
-            self._on_value(key, b"")
+            self._try_apply(self._on_value, key, b"")
         for key, value in newest.values.items():
-            self._on_value(key, value)
+            self._try_apply(self._on_value, key, value)
         self._values = dict(newest.values)
         self.offset = max(self.offset, newest.end)
         self.loaded = True
