Records of others: numbers, text, depth and addresses are within bounds

What callers saw: processes that ended again and again after another writer had left an entry with a number too large or a port out of range in the list of replicas (a report of other operators).

Cause: fields were checked for their types only. A slot count of 400 digits failed in the first comparison of loads, a port of 70000 in the first connection, a lone surrogate or a line break in the first header; each far from the reader that had accepted the entry. Depth was left to the interpreter's recursion limit, which depends on who calls.

Reproduced: with real processes, the odd entries of `odd_records.py` ended all three instances: process:failed, "OverflowError: int too large to convert to float", exit code 3.

Change: `documents.py` parses JSON of others within bounds: 32 levels, finite numbers of 64 bits, UTF-8 without lone surrogates; typed fields have bounds (slots, versions, times of birth, lengths of names). A replica's address is an IPv4 address and a port of 1 to 65535 in digits without a sign, its identity at most 200 printable ASCII characters, so that it fits into headers, datagrams and keys. Operators' records and those of instances are parsed the same way.

A duplicate key keeps its last value.

--- a/sassafrasdoor/platform/configuration.py
+++ b/sassafrasdoor/platform/configuration.py
@@ -1,9 +1,16 @@
 """Parses the records that operators, trainers and replicas write to the store."""
 
-import json
+import ipaddress
 import re
 
 from sassafrasdoor.decisions import note
+from sassafrasdoor.documents import (
+    MAX_INTEGER,
+    integer_field,
+    name_field,
+    parse_object,
+    typed_field,
+)
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.routing.replicas import Listing
 from sassafrasdoor.security import key_hash
@@ -30,6 +37,12 @@
     RecursionError,
 )
 MAX_LOGGED_REASON_LENGTH = 200  # characters
+MAX_PORT = 65535
+MAX_SLOTS = 65535  # of one replica
+MAX_MODELS = 1000  # of one replica
+# A replica's identity is sent in a header and is part of a key in the log.
+_IDENTITY = re.compile(r"[!-~]{1,200}")
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
 
 UNREADABLE_RECORDS = counter(
     "platform_records_unreadable_total", "Keyed records that cannot be used, by topic."
@@ -93,8 +106,8 @@
     return Accounts(
         [
             Account(
-                _typed_field(row, "Name", str),
-                map(key_hash, _typed_field(row, "ApiKeys", list)),
+                typed_field(row, "Name", str),
+                map(key_hash, typed_field(row, "ApiKeys", list)),
                 row.get("Priority"),
             )
             for row in rows
@@ -142,42 +155,39 @@
     programs may write entries; one that is only partly understood would direct requests
     to an address at which no replica listens.
     """
-    address = _typed_field(document, "Address", str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"Address {address!r}")
-    slots = _typed_field(document, "Slots", int)
-    if slots < 1:
-        raise ValueError(f"Slots {slots}")
     return Listing(
-        _typed_field(document, "Service", str),
-        address,
-        _typed_field(document, "Zone", str),
-        slots,
-        _IS_DRAINING[_typed_field(document, "State", str)],
-        {
-            _typed_field(model, "Name", str): _typed_field(model, "Version", int)
-            for model in _typed_field(document, "Models", list, [])
-        },
-        _typed_field(document, "born", int, 0),
+        name_field(document, "Service"),
+        _address_field(document, "Address"),
+        name_field(document, "Zone"),
+        integer_field(document, "Slots", 1, MAX_SLOTS),
+        _IS_DRAINING[typed_field(document, "State", str)],
+        _parse_models(typed_field(document, "Models", list, [])),
+        integer_field(document, "born", 0, MAX_INTEGER, 0),
         bool(document.get("Spot")),
     )
 
 
-# By state, whether a replica gets no new work.
-_IS_DRAINING = {"ready": False, "draining": True}
-_REQUIRED = object()
+def _address_field(document, name):
+    """Return the address of a server: an IPv4 address and a port."""
+    address = name_field(document, name)
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not _PORT.fullmatch(port) or int(port) > MAX_PORT:
+        raise ValueError(f"{name} {address!r}")
+    return address
 
 
-def _typed_field(document, name, kind, default=_REQUIRED):
-    """Return a field whose type is exactly ``kind``.
+def _parse_models(models):
+    if len(models) > MAX_MODELS:
+        raise ValueError(f"{len(models)} Models")
+    return {
+        name_field(model, "Name"): integer_field(model, "Version", 0, MAX_INTEGER)
+        for model in models
+    }
 
-    Raises ``KeyError`` if it is missing and has no default, or ``TypeError``.
-    """
-    value = document[name] if default is _REQUIRED else document.get(name, default)
-    if type(value) is not kind:
-        raise TypeError(f"{name} is {type(value).__name__}")
-    return value
+
+# By state, whether a replica gets no new work.
+_IS_DRAINING = {"ready": False, "draining": True}
 
 
 class OperatorTopicReader:
@@ -195,12 +205,13 @@
         if not value:
             return
         try:
-            document = json.loads(value)
+            document = parse_object(value)
             if key == CONFIGURATION_KEY:
                 self._routes.take(parse_configuration(document))
             elif key.startswith(VERSION_KEY_PREFIX):
-                model = _typed_field(document, "Model", str)
-                self._on_named_version(model, _typed_field(document, "Version", int))
+                model = name_field(document, "Model")
+                version = integer_field(document, "Version", 0, MAX_INTEGER)
+                self._on_named_version(model, version)
         except PARSE_ERRORS as error:
             UNREADABLE_RECORDS.inc({"topic": OPERATOR_TOPIC})
             if key == CONFIGURATION_KEY:
@@ -238,11 +249,21 @@
             return
         self._last_entries[identity] = entry_without_sequence
         try:
-            listing = parse_listing(json.loads(value))
+            listing = _parse_entry(identity, value)
         except PARSE_ERRORS as error:
             UNREADABLE_RECORDS.inc({"topic": SERVERS_TOPIC})
             reason = repr(error)[:MAX_LOGGED_REASON_LENGTH]
-            note("replica.entry_unreadable", replica=identity, reason=reason)
+            note(
+                "replica.entry_unreadable",
+                replica=identity[:MAX_LOGGED_REASON_LENGTH],
+                reason=reason,
+            )
             self._replicas.discard(identity)
             return
         self._replicas.update_listing(identity, listing)
+
+
+def _parse_entry(identity, value):
+    if not _IDENTITY.fullmatch(identity):
+        raise ValueError("identity")
+    return parse_listing(parse_object(value))
--- /dev/null
+++ b/sassafrasdoor/platform/tests/test_odd_records.py
@@ -0,0 +1,212 @@
+"""Tests that a record of another writer neither stops a reader nor misleads it."""
+
+import json
+import unittest
+
+from sassafrasdoor import documents, settings
+from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
+from sassafrasdoor.log.partitioned import keyed_record
+from sassafrasdoor.platform import configuration
+from sassafrasdoor.platform.tests import odd_records
+from sassafrasdoor.platform.tests.test_translation import DOCUMENT, ENTRY
+from sassafrasdoor.requests.crash_watch import CrashWatch
+from sassafrasdoor.routing.instances import Instances
+from sassafrasdoor.routing.load_exchange import LoadExchange
+from sassafrasdoor.routing.replicas import Replicas, Subset
+from sassafrasdoor.table.routes import RoutesInForce
+
+INSTANCE = {
+    "address": "h:1",
+    "zone": "a",
+    "region": "r",
+    "cores": 1.0,
+    "control": "h:2",
+    "process": "p",
+}
+SERVICE = ENTRY["Service"]
+
+
+def value_of(metric, topic):
+    """Return the value of a counter by topic, 0 before its first use."""
+    try:
+        return metric.get({"topic": topic})
+    except KeyError:
+        return 0
+
+
+class DocumentsTest(unittest.TestCase):
+    def test_bounds(self):
+        """Guards against values that fail where they are used first."""
+        deepest = b"[" * documents.MAX_DEPTH + b"]" * documents.MAX_DEPTH
+        documents.parse_document(deepest)
+        documents.parse_document(b'{"a": "' + b"[" * 1000 + b'\\"[["}')
+        largest = str(documents.MAX_INTEGER).encode()
+        self.assertEqual(documents.parse_document(largest), documents.MAX_INTEGER)
+        self.assertEqual(documents.parse_document(b'"\\ud83d\\ude00"'), "\U0001f600")
+        bad = [
+            b"[" + deepest + b"]",
+            b'"\\ud800"',
+            b'{"\\uDC00": 1}',
+            b'"\xed\xa0\x80"',
+        ]
+        bad += [odd.encode() for odd in odd_records.LARGE_NUMBERS if odd != "-1"]
+        bad += [str(documents.MAX_INTEGER + 1).encode(), b"\xff", b""]
+        bad += [b"[" * depth + b"]" * depth for depth in odd_records.DEPTHS[1:]]
+        bad += [b'{"a":' * depth for depth in odd_records.DEPTHS]
+        for data in bad:
+            with self.subTest(data[:40]), self.assertRaises(ValueError):
+                documents.parse_document(data)
+
+    def test_brackets_are_counted_in_linear_time(self):
+        for data in (
+            b'"\\' * 500_000,
+            b'"' * 1_000_001,
+            b"[]" * 500_000,
+            b'"' + b"\\" * 10**6,
+        ):
+            with self.subTest(data[:10]), self.assertRaises(ValueError):
+                documents.parse_document(data)
+
+
+class ReplicaListTest(unittest.TestCase):
+    def setUp(self):
+        self.replicas = Replicas("palermo", has_load_control=True)
+        self.replicas.subset = Subset("h:1", lambda: ["h:1"], lambda replica: False)
+        self.topic = configuration.ServersTopicReader(self.replicas)
+
+    def identities(self):
+        usable = self.replicas.of_service(SERVICE)
+        return {replica.identity for replica in usable}
+
+    def use(self):
+        """Use the entries as calls, items and the exchange of loads do."""
+        exchange = LoadExchange(0, 0.0)
+        for _ in range(3):
+            replica = self.replicas.choose(SERVICE)
+            replica.candidate()
+            replica.record_load(3, 1, 1.5)
+            replica.record_event_interval(0.1)
+        exchange.begin_round(0.0)
+        exchange.next_datagram(self.replicas.observed_loads(), 0.0)
+
+    def test_odd_entry_gets_no_requests(self):
+        """Guards against processes that end by an entry, again after each start.
+
+        A slot count too large for a float ended all of them at the next call.
+        """
+        counted = configuration.UNREADABLE_RECORDS, configuration.SERVERS_TOPIC
+        for number, (name, value) in enumerate(odd_records.odd_entries(ENTRY)):
+            with self.subTest(name):
+                before = value_of(*counted)
+                self.topic.apply("before", json.dumps(ENTRY).encode())
+                self.topic.apply(f"odd-{number}", value)
+                self.topic.apply(f"odd-{number}", value)
+                self.topic.apply("after", json.dumps(ENTRY).encode())
+                self.use()
+                self.assertEqual(self.identities(), {"before", "after"})
+                self.assertEqual(value_of(*counted), before + 1)
+
+    def test_entry_with_odd_identity_gets_no_requests(self):
+        """Guards against an identity that cannot be sent in a header or kept in the log."""
+        for identity in odd_records.ODD_IDENTITIES:
+            with self.subTest(identity):
+                self.topic.apply("before", json.dumps(ENTRY).encode())
+                self.topic.apply(identity, json.dumps(ENTRY).encode())
+                self.use()
+                self.assertEqual(self.identities(), {"before"})
+                self.topic.apply(identity, b"")
+
+    def test_entry_after_an_odd_one_of_its_replica_is_used(self):
+        for name, value in odd_records.odd_entries(ENTRY):
+            with self.subTest(name):
+                self.topic.apply("i", json.dumps(ENTRY).encode())
+                self.topic.apply("i", value)
+                self.assertEqual(self.identities(), set())
+                self.topic.apply("i", json.dumps(ENTRY).encode())
+                self.assertEqual(self.identities(), {"i"})
+
+    def test_fields_that_are_not_read_stop_nobody(self):
+        for name, value in odd_records.unread_fields(ENTRY):
+            with self.subTest(name):
+                self.topic.apply("odd", value)
+                self.topic.apply("after", json.dumps(ENTRY).encode())
+                self.use()
+                self.assertIn("after", self.identities())
+
+    def test_record_of_a_crash_fits_into_its_key(self):
+        """Guards against a process that ends as it reports the crash of a replica.
+
+        A long identity, or a time of birth of many digits, made the key too long.
+        """
+        longest = "i" * 200
+        entry = {**ENTRY, "born": documents.MAX_INTEGER}
+        self.topic.apply(longest, json.dumps(entry).encode())
+        crashes = CrashWatch(None, self.replicas, MemoryPartitionedLog())
+        crashes._record_crash(self.replicas.get(longest), {"f" * 32: "r"})
+        (key,) = crashes._pending_records
+        keyed_record(key, b"h")
+
+
+class OperatorTopicTest(unittest.TestCase):
+    def setUp(self):
+        self.routes = RoutesInForce()
+        self.named = []
+        self.topic = configuration.OperatorTopicReader(
+            self.routes, lambda *named: self.named.append(named)
+        )
+
+    def test_odd_configuration_is_not_applied(self):
+        """Guards against routes that fail with the first call that uses them."""
+        self.topic.apply("config", json.dumps(DOCUMENT).encode())
+        for name, value in (
+            *odd_records.odd_documents(DOCUMENT),
+            *odd_records.odd_fields(DOCUMENT),
+        ):
+            with self.subTest(name):
+                self.topic.apply("config", value)
+                self.assertEqual(self.routes.current.version, DOCUMENT["Version"])
+        newer = {**DOCUMENT, "Version": DOCUMENT["Version"] + 1}
+        self.topic.apply("config", json.dumps(newer).encode())
+        self.assertEqual(self.routes.current.version, newer["Version"])
+
+    def test_odd_named_version_is_not_applied(self):
+        named = {"Model": "m", "Version": 2}
+        for name, value in (
+            *odd_records.odd_documents(named),
+            *odd_records.odd_fields(named, ("Version",), ("Model",)),
+        ):
+            with self.subTest(name):
+                self.topic.apply("version/m", value)
+                self.assertEqual(self.named, [])
+        self.topic.apply("version/m", json.dumps(named).encode())
+        self.assertEqual(self.named, [("m", 2)])
+
+
+class InstancesTest(unittest.TestCase):
+    def test_odd_instance_is_not_listed(self):
+        """Guards against rankings that fail, or differ, by the record of an instance."""
+        place = settings.from_document({"instance": {"name": "i"}})
+        instances = Instances(place, MemoryPartitionedLog(), "i:1", "i:1")
+        sound = json.dumps(INSTANCE).encode()
+        numbers = [
+            (f"cores {number}", odd_records.with_field(INSTANCE, "cores", number))
+            for number in (*odd_records.LARGE_NUMBERS, "[]", "null")
+        ]
+        names = [name for name in INSTANCE if name != "cores"]
+        for name, value in (
+            *odd_records.odd_documents(INSTANCE),
+            *odd_records.odd_fields(INSTANCE, (), names),
+            *numbers,
+        ):
+            with self.subTest(name):
+                instances._apply_record("h:1", sound)
+                instances._apply_record("odd", value)
+                self.assertEqual(instances.alive_count, 1)
+                self.assertEqual(instances.addresses("a"), ["h:1"])
+                instances.peers()
+                instances.peer_control_addresses()
+                instances.rank("shards")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sassafrasdoor/routing/instance_view.py
+++ b/sassafrasdoor/routing/instance_view.py
@@ -6,9 +6,8 @@
 and more the longer the shortage lasts.
 """
 
-import json
-
 from sassafrasdoor.clock import deadline_in, now, passed
+from sassafrasdoor.documents import name_field, parse_object
 from sassafrasdoor.rendezvous import ranked
 
 LAPSE_TIMEOUT = 3.2  # seconds without renewal of an entry point: three missed
@@ -24,6 +23,7 @@
 # Seconds for which a view is reused: ranking all instances on each use would take
 # processor time that grows with their number.
 VIEW_LIFETIME = 0.2
+MAX_CORES = 1_000_000.0  # of one instance
 
 
 class InstanceRecord:
@@ -49,15 +49,15 @@
     )
 
     def __init__(self, data, is_renewed):
-        document = json.loads(data)
+        document = parse_object(data)
         self.data = data
-        self.address = _text_field(document, "address")
-        self.zone = _text_field(document, "zone")
-        self.region = _text_field(document, "region")
-        self.cores = float(document["cores"])
+        self.address = name_field(document, "address")
+        self.zone = name_field(document, "zone")
+        self.region = name_field(document, "region")
+        self.cores = _cores(document["cores"])
         # Absent in records of earlier versions.
-        self.control = _text_field({"control": "", **document}, "control")
-        self.process = _text_field({"process": "", **document}, "process")
+        self.control = name_field(document, "control", "")
+        self.process = name_field(document, "process", "")
         self.in_reserve = document.get("reserve") is True
         self.has_read = document["read"] is True if "read" in document else None
         self.is_renewed = is_renewed
@@ -74,10 +74,11 @@
         return RESERVE_LAPSE_TIMEOUT if self.in_reserve else LAPSE_TIMEOUT
 
 
-def _text_field(document, name):
-    if not isinstance(document[name], str):
-        raise TypeError(f"instance record: {name} is not a string")
-    return document[name]
+def _cores(value):
+    cores = float(value)
+    if not 0.0 <= cores <= MAX_CORES:
+        raise ValueError(f"cores {cores}")
+    return cores
 
 
 class ZoneShortages:
