Store: an answer without its fields is a failure

What callers saw: none of it here; found while looking for the cause of the odd entries elsewhere.

Cause: an answer with status 200 or 410 was read without looking at its fields. Nested arrays raised `RecursionError`, a missing or other field `KeyError` or `TypeError`, in tasks whose end ends the process. Pages that repeat were asked for without an end.

Change: answers are parsed as the records of others are. An append without its offsets has an unknown outcome, a read or load without its fields has failed.

--- a/sassafrasdoor/platform/store.py
+++ b/sassafrasdoor/platform/store.py
@@ -1,13 +1,18 @@
 """HTTP client for the platform's store, implementing the partitioned log."""
 
 import base64
-import json
 import struct
 import urllib.parse
 
 from sassafrasdoor.backends.connections import Connections, OutgoingRequest
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.documents import (
+    MAX_INTEGER,
+    integer_field,
+    parse_object,
+    typed_field,
+)
 from sassafrasdoor.log.demand import CallCounter
 from sassafrasdoor.log.partitioned import (
     Appended,
@@ -26,6 +31,8 @@
 OK, GONE, UNAVAILABLE, TOO_MANY, FULL = 200, 410, 503, 429, 507
 NO_EFFECT = {UNAVAILABLE, TOO_MANY, FULL}
 JSON_HEADERS = {"Content-Type": "application/json"}
+# Raised for answers whose fields are missing or of other types.
+PARSE_ERRORS = (KeyError, TypeError, ValueError)
 
 CALLS = counter("store_calls_total", "Calls to the platform's store, by result.")
 
@@ -69,9 +76,9 @@
         if isinstance(reply, Broken):
             outcome_type = ReplyLost if reply.began else Unavailable
             return outcome_type(reply.reason)
-        document = _json_object(reply)
-        if reply.status == OK and document:
-            return Appended(document["Offset"], document["End"])
+        if reply.status == OK:
+            fields = _offsets(reply, "Offset", "End")
+            return Appended(*fields) if fields else ReplyLost("append without offsets")
         if reply.status in NO_EFFECT or 400 <= reply.status < 500:
             return Unavailable(f"store answered {reply.status}")
         return ReplyLost(f"store answered {reply.status}")
@@ -88,10 +95,10 @@
         if isinstance(reply, Broken):
             return Unavailable(reply.reason)
         if reply.status == GONE:
-            document = _json_object(reply)
-            if document is None:
+            fields = _offsets(reply, "First")
+            if fields is None:
                 return Unavailable("expiry without its first offset")
-            return Expired("offset no longer kept", document["First"])
+            return Expired("offset no longer kept", *fields)
         if reply.status != OK:
             return Unavailable(f"store answered {reply.status}")
         return _parse_batch(reply.body, offset)
@@ -109,17 +116,20 @@
             )
             if isinstance(reply, Broken):
                 return Unavailable(reply.reason)
-            document = _json_object(reply)
-            if reply.status != OK or document is None:
+            if reply.status != OK:
                 return Unavailable(f"store answered {reply.status}")
+            page = _parse_page(reply)
+            if page is None:
+                return Unavailable("newest values without their fields")
             # The pages are no snapshot. Reading continues at the end offset of the
             # first page, so that changes made during later pages are seen again.
-            end = document["End"] if end is None else end
-            for item in document["Items"]:
-                after = item["Key"]
-                values[after] = base64.b64decode(item["Value"] or "")
-            if not document.get("HasMore") or not document["Items"]:
+            end = page.end if end is None else end
+            if page.values and values.keys() >= page.values.keys():
+                return Unavailable("newest values repeat")
+            values |= page.values
+            if not (page.has_more and page.values):
                 return NewestKeys(values, end)
+            after = page.last_key
 
     async def _call(self, name, method, call, query, body, deadline):
         path = f"/-/{call}"
@@ -182,12 +192,36 @@
     return {"Items": items, "HasMore": False, "End": newest.end}
 
 
-def _json_object(reply):
+class _Page:
+    """One page of the newest values of a keyed topic."""
+
+    __slots__ = ("end", "has_more", "last_key", "values")
+
+    def __init__(self, document):
+        self.end = integer_field(document, "End", 0, MAX_INTEGER)
+        self.has_more = bool(document.get("HasMore"))
+        self.values = {}
+        self.last_key = ""
+        for item in typed_field(document, "Items", list):
+            self.last_key = typed_field(item, "Key", str)
+            self.values[self.last_key] = base64.b64decode(item["Value"] or "")
+
+
+def _parse_page(reply):
+    """Return the ``_Page`` of an answer, or None if it is malformed."""
+    try:
+        return _Page(parse_object(reply.body))
+    except PARSE_ERRORS:
+        return None
+
+
+def _offsets(reply, *names):
+    """Return the named offsets of an answer, or None if it is malformed."""
     try:
-        document = json.loads(reply.body)
-    except ValueError:
+        document = parse_object(reply.body)
+        return [integer_field(document, name, 0, MAX_INTEGER) for name in names]
+    except PARSE_ERRORS:
         return None
-    return document if isinstance(document, dict) else None
 
 
 def _parse_batch(data, offset):
--- a/sassafrasdoor/platform/tests/test_odd_records.py
+++ b/sassafrasdoor/platform/tests/test_odd_records.py
@@ -1,12 +1,16 @@
 """Tests that a record of another writer neither stops a reader nor misleads it."""
 
+import asyncio
 import json
 import unittest
 
 from sassafrasdoor import documents, settings
+from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.partitioned import keyed_record
+from sassafrasdoor.outcomes import Expired, ReplyLost, Unavailable
 from sassafrasdoor.platform import configuration
+from sassafrasdoor.platform.store import Store
 from sassafrasdoor.platform.tests import odd_records
 from sassafrasdoor.platform.tests.test_translation import DOCUMENT, ENTRY
 from sassafrasdoor.requests.crash_watch import CrashWatch
@@ -208,5 +212,70 @@
                 instances.rank("shards")
 
 
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    async def answer(self, status, body):
+        async def serve(reader, writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0]
+            await reader.readexactly(int(length or 0))
+            head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        store = Store(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        self.addCleanup(store.close)
+        return store
+
+    async def test_odd_answers_are_failures(self):
+        """Guards against a process that ends by an answer without the right fields."""
+        page = {"Items": [{"Key": "k", "Value": "dg=="}], "HasMore": False, "End": 3}
+        answers = [
+            *odd_records.odd_documents(page),
+            *odd_records.odd_fields(page, ("End",)),
+            *odd_records.odd_fields({"Offset": 1, "End": 2}, ("Offset",)),
+            *odd_records.odd_fields({"First": 1}, ("First",)),
+        ]
+        items = [[1], [{}], [{"Key": 1, "Value": ""}], [{"Key": "k", "Value": 7}]]
+        items += [[{"Key": "k", "Value": "\N{SUPERSCRIPT TWO}"}], {}, "x"]
+        answers += [
+            (f"Items {rows}", json.dumps({**page, "Items": rows}).encode())
+            for rows in items
+        ]
+        for name, body in answers:
+            if len(body) > 500_000:
+                continue
+            with self.subTest(name):
+                store = await self.answer(200, body)
+                result = await store.append("t", 0, [b"r"], deadline_in(5))
+                if b"Offset" not in body:
+                    self.assertIsInstance(result, ReplyLost)
+                if name not in ("HasMore nested 10",):
+                    self.assertIsInstance(await store.newest("t"), Unavailable)
+                store = await self.answer(410, body)
+                self.assertIsInstance(await store.read("t", 0, 0, 0), Unavailable)
+
+    async def test_sound_answers(self):
+        page = {"Items": [{"Key": "k", "Value": "dg=="}], "HasMore": False, "End": 3}
+        newest = await (await self.answer(200, json.dumps(page).encode())).newest("t")
+        self.assertEqual((newest.values, newest.end), ({"k": b"v"}, 3))
+        store = await self.answer(200, b'{"Offset": 4, "End": 6}')
+        appended = await store.append("t", 0, [b"r"], deadline_in(5))
+        self.assertEqual((appended.first, appended.end), (4, 6))
+        store = await self.answer(410, b'{"First": 7}')
+        expired = await store.read("t", 0, 0, 0)
+        self.assertIsInstance(expired, Expired)
+        self.assertEqual(expired.first, 7)
+
+    async def test_pages_that_repeat_end(self):
+        """Guards against a reader that asks for the same page for ever."""
+        page = {"Items": [{"Key": "k", "Value": "dg=="}], "HasMore": True, "End": 3}
+        store = await self.answer(200, json.dumps(page).encode())
+        async with asyncio.timeout(20):
+            self.assertIsInstance(await store.newest("t"), Unavailable)
+
+
 if __name__ == "__main__":
     unittest.main()
