--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -26,6 +26,7 @@
     Verdict,
 )
 from sassafrasdoor.backends.interface import Broken, Refused
+from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody, AnswerTooLong
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.timeouts import SettlingTimeout
@@ -34,6 +35,8 @@
 KEEPALIVE_IDLE = 1  # whole seconds
 KEEPALIVE_INTERVAL = 1  # whole seconds
 KEEPALIVE_PROBES = 2
+# Raised for an address that can't be parsed, resolved or connected to.
+CONNECT_ERRORS = (StreamClosedError, OSError, ValueError, TypeError, OverflowError)
 USER_TIMEOUT_MS = 2500  # in which sent bytes must be acknowledged
 DEFAULT_IDLE_TIMEOUT = 0.5  # seconds, for servers that name none
 IDLE_TIMEOUT_MARGIN = 0.6  # seconds before the server's own idle timeout
@@ -48,8 +51,10 @@
 MAX_DROPPED_ANSWERS = 16  # of other sends, in a row
 MAX_DROPPED_BYTES = 4 * 1024 * 1024  # of their bodies
 MAX_HEADER_BYTES = 65536
-MAX_BODY_BYTES = 64 * 1024 * 1024
 READ_CHUNK_BYTES = 65536
+MAX_BUFFER_BYTES = 1024 * 1024  # received and not yet parsed, of one connection
+# The protocol reader's own limit, which would end long streams too.
+NO_BODY_LIMIT = 2**62
 
 OPENED = counter("connections_opened_total", "Connections opened, by result.")
 REUSED = counter("connections_reused_total", "Exchanges on a kept connection.")
@@ -121,12 +126,14 @@
 class _Exchange:
     """One request on a connection and its answer.
 
-    ``outcome`` is a future of the ``Reply`` or ``Broken``.
+    ``outcome`` is a future of the ``Reply`` or ``Broken``; ``close()`` closes the
+    connection, from which no more of a refused answer is read.
     """
 
     __slots__ = (
         "_accept",
-        "_body_chunks",
+        "_body",
+        "_close",
         "_on_data",
         "headers",
         "outcome",
@@ -135,10 +142,11 @@
         "status",
     )
 
-    def __init__(self, request, accept, on_data):
+    def __init__(self, request, accept, on_data, close):
         self._accept = accept
+        self._body = AnswerBody(RECEIVE_BUDGET, self.refuse)
+        self._close = close
         self._on_data = on_data
-        self._body_chunks = []
         self.headers = None
         self.outcome = asyncio.get_running_loop().create_future()
         self.request = request
@@ -146,33 +154,57 @@
         self.status = 0
 
     @property
-    def reply(self):
-        return Reply(self.status, self.headers, b"".join(self._body_chunks))
+    def _is_passed_on(self):
+        return self._on_data is not None and self.status == 200
+
+    def complete(self):
+        """Set the outcome to the answer that has been received."""
+        if not self.outcome.done():
+            reply = Reply(self.status, self.headers, self._body.take())
+            self.outcome.set_result(reply)
 
     def fail(self, reason):
+        """Set the outcome to ``Broken`` unless there is one."""
         if not self.outcome.done():
             self.outcome.set_result(Broken(reason, began=self.request.is_sent))
 
+    def refuse(self, reason):
+        """Fail, and close the connection."""
+        self.fail(reason)
+        self._close()
+
+    def release(self):
+        """Free the memory of an answer that is not complete."""
+        self._body.release()
+
     def receive_head(self, status, headers):
-        """Receive the head of the answer; return a reason to refuse it, or none."""
+        """Receive the head of the answer."""
         self.status = status
         self.headers = headers
-        return self._accept(status, headers) if self._accept is not None else ""
+        reason = self._accept(status, headers) if self._accept is not None else ""
+        length = headers.get("Content-Length", "")
+        if reason:
+            self.refuse(reason)
+        elif not (self._is_passed_on or self._body.allows_length(length)):
+            self.refuse("answer too long")
 
     def receive_data(self, chunk):
-        if self._on_data is None or self.status != 200:
-            self._body_chunks.append(chunk)
-            return None
-        waiting = self._on_data(chunk)
-        return None if waiting is None else _wait_for_consumer(waiting)
-
+        """Receive data of the answer; may return an awaitable, to be awaited first."""
+        if self._is_passed_on:
+            return self._pass_on(chunk)
+        self._body.append(chunk)
+        return None
 
-async def _wait_for_consumer(waiting):
-    try:
-        await waiting
-    except asyncio.CancelledError as error:
-        # The protocol library would log a cancellation as an error.
-        raise HTTPInputError("exchange cancelled") from error
+    async def _pass_on(self, chunk):
+        try:
+            waiting = self._on_data(chunk)
+            if waiting is not None:
+                await waiting
+        except AnswerTooLong as error:
+            self.refuse(str(error))
+        except asyncio.CancelledError as error:
+            # The protocol library would log a cancellation as an error.
+            raise HTTPInputError("exchange cancelled") from error
 
 
 class _AnswerReceiver(HTTPMessageDelegate):
@@ -306,7 +338,9 @@
 
     async def exchange(self, request, accept, on_data):
         """Return the ``Reply`` or ``Broken``; cancelling closes the connection."""
-        exchange = self._exchange = _Exchange(request, accept, on_data)
+        exchange = self._exchange = _Exchange(
+            request, accept, on_data, self.stream.close
+        )
         self._ledger.begin(request.request_id)
         is_answered = False
         try:
@@ -318,6 +352,7 @@
             is_answered = True
             return result
         finally:
+            exchange.release()
             if not is_answered:
                 self._exchange = None
                 self.close()
@@ -351,10 +386,7 @@
         exchange = self._exchange
         if verdict in OWN_VERDICTS:
             self._is_final = verdict is Verdict.FINAL
-            refusal_reason = exchange.receive_head(status, headers)
-            if refusal_reason:
-                exchange.fail(refusal_reason)
-                self.stream.close()
+            exchange.receive_head(status, headers)
             return exchange
         kind = self._ledger.mark(head).value if head.is_framed else UNFRAMED
         DROPPED.inc({"kind": kind})
@@ -402,8 +434,8 @@
         # can't distinguish a reset from that end.
         if self.stream.closed() and self.stream.error is not None:
             exchange.fail(f"connection reset: {self.stream.error}")
-        elif not exchange.outcome.done():
-            exchange.outcome.set_result(exchange.reply)
+        else:
+            exchange.complete()
 
     def _answer_head(self, status, headers):
         is_framed = (
@@ -462,7 +494,7 @@
         self._idle = {}
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
+            max_body_size=NO_BODY_LIMIT,
             chunk_size=READ_CHUNK_BYTES,
         )
 
@@ -498,7 +530,8 @@
 
         ``accept(status, headers)`` may refuse a reply by returning a reason;
         ``on_data`` takes the body of a 200 reply chunk by chunk and may return an
-        awaitable, which is awaited before more is read. ``oldest_first`` reuses the
+        awaitable, which is awaited before more is read; either may raise
+        ``AnswerTooLong``. ``oldest_first`` reuses the
         connection that has been idle longest instead of the last one used: in turn all
         are used within their idle timeout, so that calls that overlap find one each.
         """
@@ -541,7 +574,7 @@
 
     async def _open(self, address):
         host, _, port = address.rpartition(":")
-        stream = _Stream(_create_socket(), max_buffer_size=2 * MAX_BODY_BYTES)
+        stream = _Stream(_create_socket(), max_buffer_size=MAX_BUFFER_BYTES)
         try:
             async with SettlingTimeout(deadline_in(CONNECT_TIMEOUT)):
                 await stream.connect((host, int(port)))
@@ -549,7 +582,7 @@
             stream.close()
             OPENED.inc({"result": "timeout"})
             return Broken("connect timeout", began=False)
-        except (StreamClosedError, OSError) as error:
+        except CONNECT_ERRORS as error:
             stream.close()
             OPENED.inc({"result": "refused"})
             reason = f"not connected: {error}"
