--- a/sassafrasdoor/platform/tests/test_servers.py
+++ b/sassafrasdoor/platform/tests/test_servers.py
@@ -145,6 +145,34 @@
         self.assertIsInstance(await self.generate(), Broken)
         self.assertEqual(self.events, [])
 
+    async def test_cut_answer_lends_no_status_to_the_next(self):
+        """Guards against a success for a request that its server answered with a failure.
+
+        The extra answer to an earlier request is cut inside its head, and the next
+        answer, which has the right id and signature, continues the cut line.
+        """
+        request_id = f"{wire.REQUEST_ID}: r1"
+        for extra_status, status in ((200, 504), (200, 500), (500, 200), (504, 200)):
+            extra = answer(extra_status, "Server: s", "Content-Type: a/b")
+            own = answer(status, request_id, STAMP, body=b"own")
+            wrong = []
+            for cut in range(extra.index(b"Content-Length")):
+                await self.start(extra[:cut] + own, cut=True, echo=False)
+                result = await self.call()
+                if isinstance(result, Answer) and result.status != status:
+                    wrong.append(extra[:cut])
+            with self.subTest(status=status):
+                self.assertEqual(wrong, [])
+
+    async def test_cut_answer_fails_no_item(self):
+        """Guards against an item that counts a failure which no server answered."""
+        item_id = f"{wire.REQUEST_ID}: i1"
+        own = answer(200, item_id, STAMP, body=EVENTS)
+        for extra in (b"HTTP/1.1 500 X", b"HTTP/1.1 422 X\r\nServer: s"):
+            with self.subTest(extra=extra):
+                await self.start(extra + own, cut=True, echo=False)
+                self.assertIsInstance(await self.generate(), Broken)
+
     async def test_call_sends_identity_and_remaining_time(self):
         await self.start(answer(200, STAMP, f"{wire.LOAD}: 3,1,4"))
         await self.call()
