Connections: a head that holds two status lines is no answer

Cause: an extra answer is cut inside its head, and the answer that is due next continues the cut line. "HTTP/1.1 200 O" and "HTTP/1.1 504 Late" read as one status line of 200, and all headers behind it, with id and signature, are those of the 504. A check of the id alone passes it. Change: a head in which another status line stands, in the reason, in a name or in a value, fails the send and closes the connection. A sound answer behind a cut one always brings its own whole status line, so no such join passes; a lone status line in a header field is refused with it, which no protocol sends.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import re
 import socket
 from enum import Enum
 
@@ -44,6 +45,7 @@
 HEAD = "HEAD"
 INTERIM_STATUSES = range(100, 200)
 OWN_VERDICTS = {Verdict.OWN, Verdict.FINAL}
+STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}", re.IGNORECASE)  # its first part
 UNREADABLE = "unreadable"
 UNFRAMED = "unframed"
 BODYLESS_STATUSES = {204, 304}
@@ -219,6 +221,9 @@
         self.is_complete = False
 
     def headers_received(self, start_line, headers):
+        if _holds_status_line(start_line.reason, headers):
+            self._connection.reject_head()
+            return
         if start_line.code in INTERIM_STATUSES:
             self._connection.receive_interim(start_line.code)
             return
@@ -237,6 +242,16 @@
         self.is_complete = True
 
 
+def _holds_status_line(reason, headers):
+    """Return whether a head has another answer's status line behind its own.
+
+    An answer that is cut inside its head would lend its status to the next one, whose
+    status line continues the cut line, and whose headers follow.
+    """
+    fields = [f"{name}: {value}" for name, value in headers.get_all()]
+    return STATUS_LINE.search("\n".join([reason, *fields])) is not None
+
+
 class _Stream(IOStream):
     """A stream that tells whether it holds bytes that have not been read."""
 
@@ -378,6 +393,13 @@
             if send_body is not None:
                 send_body()
 
+    def reject_head(self):
+        """Fail the current send and close, as an answer's head is not its own."""
+        DROPPED.inc({"kind": UNREADABLE})
+        if self._exchange is not None:
+            self._exchange.fail("two answers in one head")
+        self.stream.close()
+
     def attribute(self, status, headers):
         """Return the exchange that an answer belongs to; None if it is dropped."""
         self._is_receiving = True
