Connections: a body that goes on with another answer is not whole

Callers would see: a success with their own id and the server's signature whose body is part of the answer and the head of the one behind it; texts of items and streams with a head in an event. Cause: a server cuts an answer off in its body and sends it, or a late one, again on the same connection. The length of the first one takes the bytes of the second, and what is left over lies behind it. Change: backends/joined looks for the head of an answer that names its request, in the body of an answer together with the bytes that lie behind it, and in each event. An extra answer behind a whole one begins after the body and is none. A body that quotes a whole answer with its request id is refused too.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import re
 import socket
 from enum import Enum
 
@@ -27,7 +26,8 @@
     Verdict,
 )
 from sassafrasdoor.backends.interface import Broken, Refused
-from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody, AnswerTooLong
+from sassafrasdoor.backends.joined import data_holds_answer, head_holds_answer
+from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody, AnswerGivenUp
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.timeouts import SettlingTimeout
@@ -45,7 +45,6 @@
 HEAD = "HEAD"
 INTERIM_STATUSES = range(100, 200)
 OWN_VERDICTS = {Verdict.OWN, Verdict.FINAL}
-STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}", re.IGNORECASE)  # its first part
 UNREADABLE = "unreadable"
 UNFRAMED = "unframed"
 BODYLESS_STATUSES = {204, 304}
@@ -155,6 +154,11 @@
         self.send_body = None
         self.status = 0
 
+    @property
+    def body(self):
+        """The bytes received that are kept."""
+        return self._body.data
+
     @property
     def _is_passed_on(self):
         return self._on_data is not None and self.status == 200
@@ -202,7 +206,7 @@
             waiting = self._on_data(chunk)
             if waiting is not None:
                 await waiting
-        except AnswerTooLong as error:
+        except AnswerGivenUp as error:
             self.refuse(str(error))
         except asyncio.CancelledError as error:
             # The protocol library would log a cancellation as an error.
@@ -221,7 +225,7 @@
         self.is_complete = False
 
     def headers_received(self, start_line, headers):
-        if _holds_status_line(start_line.reason, headers):
+        if head_holds_answer(start_line.reason, headers):
             self._connection.reject_head()
             return
         if start_line.code in INTERIM_STATUSES:
@@ -242,16 +246,6 @@
         self.is_complete = True
 
 
-def _holds_status_line(reason, headers):
-    """Return whether a head has another answer's status line behind its own.
-
-    An answer that is cut inside its head would lend its status to the next one, whose
-    status line continues the cut line, and whose headers follow.
-    """
-    fields = [f"{name}: {value}" for name, value in headers.get_all()]
-    return STATUS_LINE.search("\n".join([reason, *fields])) is not None
-
-
 class _Stream(IOStream):
     """A stream that tells whether it holds bytes that have not been read."""
 
@@ -274,6 +268,10 @@
             raise StreamClosedError(real_error=error) from error
         return True
 
+    def peek(self):
+        """Return received bytes that are buffered and have not been read."""
+        return bytes(self._read_buffer)
+
 
 class _Availability(Enum):
     """Whether an idle connection can be used; ``BUSY`` while an answer is arriving."""
@@ -456,9 +454,18 @@
         # can't distinguish a reset from that end.
         if self.stream.closed() and self.stream.error is not None:
             exchange.fail(f"connection reset: {self.stream.error}")
+        elif self._is_joined(exchange):
+            exchange.refuse("two answers in one body")
         else:
             exchange.complete()
 
+    def _is_joined(self, exchange):
+        """Return whether the body goes on with another answer, which may end behind it."""
+        if self._identify is None:
+            return False
+        body = exchange.body
+        return data_holds_answer(body, self._identify, self.stream.peek())
+
     def _answer_head(self, status, headers):
         is_framed = (
             status in BODYLESS_STATUSES
--- a/sassafrasdoor/backends/limits.py
+++ b/sassafrasdoor/backends/limits.py
@@ -10,10 +10,14 @@
 MAX_RECEIVED_BYTES = 32 * 1024 * 1024  # of all answers of this process
 
 
-class AnswerTooLong(Exception):
+class AnswerGivenUp(Exception):
     """Raised by a receiver of data to give up an answer; its text is the reason."""
 
 
+class AnswerTooLong(AnswerGivenUp):
+    """Raised if an answer, or a part of it, exceeds a bound."""
+
+
 class ReceiveBudget:
     """Counts the bytes of incomplete answers; limits are in bytes."""
 
@@ -57,6 +61,11 @@
         self._on_excess = on_excess
         self._data = bytearray()
 
+    @property
+    def data(self):
+        """The bytes received so far."""
+        return bytes(self._data)
+
     def __len__(self):
         return len(self._data)
 
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -7,7 +7,8 @@
 
 from sassafrasdoor.backends.connections import Connections, OutgoingRequest
 from sassafrasdoor.backends.interface import Answer, Broken, Stale
-from sassafrasdoor.backends.limits import AnswerTooLong
+from sassafrasdoor.backends.joined import data_holds_answer
+from sassafrasdoor.backends.limits import AnswerGivenUp, AnswerTooLong
 from sassafrasdoor.backends.replicas import (
     Event,
     OrderRefused,
@@ -232,7 +233,7 @@
     async def events(self, data):
         """Append bytes of the stream; yield the events that are now complete.
 
-        Other tasks take turns between them. Raises ``AnswerTooLong`` as ``feed``.
+        Other tasks take turns between them. Raises ``AnswerGivenUp`` as ``feed``.
         """
         for block in self.feed(data):
             yield block
@@ -243,7 +244,8 @@
     def feed(self, data):
         """Append bytes of the stream; return the events that are now complete.
 
-        Raises ``AnswerTooLong`` if an event does not end in time.
+        Raises ``AnswerGivenUp`` if an event does not end in time, or goes on with the
+        head of another answer.
         """
         # Earlier bytes were searched when they came; an end may span two chunks.
         searched = max(0, len(self._incomplete_event) - len(EVENT_END) + 1)
@@ -254,6 +256,8 @@
             return []
         *complete, rest = bytes(self._incomplete_event).split(EVENT_END)
         self._incomplete_event = bytearray(rest)
+        if any(data_holds_answer(block, _identify_answer) for block in complete):
+            raise AnswerGivenUp("two answers in one event")
         return [block for block in complete if block.strip()]
 
 
@@ -285,7 +289,7 @@
         return self._blocks.end_result
 
     async def feed(self, data):
-        """Append bytes of the stream; raises ``AnswerTooLong``."""
+        """Append bytes of the stream; raises ``AnswerGivenUp``."""
         async for block in self._blocks.events(data):
             if not self._stopped:
                 self._dispatch_event(block)
--- a/sassafrasdoor/platform/tests/test_servers.py
+++ b/sassafrasdoor/platform/tests/test_servers.py
@@ -174,6 +174,30 @@
                 await self.start(extra + own, cut=True, echo=False)
                 self.assertIsInstance(await self.generate(), Broken)
 
+    async def test_answer_cut_in_its_body_and_sent_whole_is_not_joined(self):
+        """Guards against a body that goes on with the head of the answer behind it."""
+        request_id = f"{wire.REQUEST_ID}: r1"
+        body = b"".join(b"id: %d\ndata: %s\n\n" % (at, b"x" * 40) for at in range(9))
+        whole = answer(200, request_id, STAMP, body=body)
+        begin = whole.index(body)
+        for cut in range(begin, len(whole)):
+            for send in (self.call, self.stream):
+                await self.start(whole[:cut] + whole, cut=True, echo=False)
+                with self.subTest(cut=cut - begin, send=send.__name__):
+                    self.assertIsInstance(await send(), Broken)
+
+    async def test_sample_cut_and_sent_whole_is_not_joined(self):
+        """Guards against a text that goes on with the head of the answer behind it."""
+        head = f"HTTP/1.1 200 X\r\n{wire.REQUEST_ID}: i1\r\n{STAMP}\r\n\r\n"
+        whole = head.encode() + EVENTS
+        for cut in range(len(head), len(whole)):
+            await self.start(whole[:cut] + whole, cut=True, echo=False)
+            result = await self.generate()
+            with self.subTest(cut=cut - len(head)):
+                self.assertIsInstance(result, Broken)
+                texts = [data for _, data, _ in self.events]
+                self.assertTrue(set(texts) <= {"a", "b"}, texts)
+
     async def test_call_sends_identity_and_remaining_time(self):
         await self.start(answer(200, STAMP, f"{wire.LOAD}: 3,1,4"))
         await self.call()
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -7,6 +7,8 @@
 
 SOURCE = ROOT / "sassafrasdoor"
 DECISIONS = {
+    "backends/attribution.py": "which send on a connection an answer belongs to",
+    "backends/limits.py": "which answer is given up when too many bytes arrive",
     "duties/scaling.py": "how many replicas of a service are ordered in a zone",
     "duties/usage.py": "what a usage report says and when its counts are fixed",
     "duties/watermarks.py": "for which processes the counts of a window wait",
@@ -33,7 +35,15 @@
     "steps/durable/reward_order.py": "which reward calls are sent, when, for how long",
 }
 # Modules of the standard library without input, output or clocks.
-PURE_LIBRARIES = {"bisect", "collections", "json", "math", "statistics", "struct"}
+PURE_LIBRARIES = {
+    "bisect",
+    "collections",
+    "enum",
+    "json",
+    "math",
+    "statistics",
+    "struct",
+}
 ALLOWED = PURE_LIBRARIES | {
     "sassafrasdoor.duties.usage",
     "sassafrasdoor.duties.watermarks",
