Stand-in: a replica that answers twice

A seeded share of its answers now has surplus bytes: a second answer (a copy, one with the opposite status, a refusal, 421), with or without the id, with a length or in chunks, up to 0.15 s late or just before the next answer of the connection; bytes that are no answer; an interim answer, or the first part of the answer, before it. This holds for calls, streams, items, reward calls and orders alike. Each run keeps the replica's own answer, and accepted connections and requests are counted.

--- a/sassafrasdoor/platform/standin.py
+++ b/sassafrasdoor/platform/standin.py
@@ -10,6 +10,7 @@
 import struct
 from collections import deque
 
+from tornado.escape import utf8
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
@@ -21,6 +22,7 @@
 from sassafrasdoor.outcomes import Expired, Outcome, ReplyLost
 from sassafrasdoor.platform import configuration, wire
 from sassafrasdoor.platform.store import batch_document, newest_document, unpack_records
+from sassafrasdoor.platform.stutter import SentAnswer, Stutter
 
 LOOPBACK = "127.0.0.1"
 READ_SLACK = 1.0
@@ -30,9 +32,21 @@
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
-def serve(application, port=0):
+class _Server(HTTPServer):
+    """Calls ``on_accept()`` for each connection that it accepts."""
+
+    on_accept = None
+
+    def handle_stream(self, stream, address):
+        if self.on_accept is not None:
+            self.on_accept()
+        super().handle_stream(stream, address)
+
+
+def serve(application, port=0, on_accept=None):
     """Serve on a port, by default a free one; return ``(server, "host:port")``."""
-    server = HTTPServer(application)
+    server = _Server(application)
+    server.on_accept = on_accept
     sockets = bind_sockets(port, LOOPBACK)
     server.add_sockets(sockets)
     return server, f"{LOOPBACK}:{sockets[0].getsockname()[1]}"
@@ -205,9 +219,13 @@
 
 
 class Run:
-    """A request that a replica has started; ``ended`` is None until it has ended."""
+    """A request that a replica has started; ``ended`` is None until it has ended.
+
+    ``answer`` is the replica's own complete ``SentAnswer``, None without one.
+    """
 
     def __init__(self, request_id, path, body, after, headers):
+        self.answer = None
         self.headers = headers
         self.request_id = request_id
         self.path = path
@@ -230,6 +248,8 @@
     Other requests that are not streams end only while ``may_answer`` is set, and nothing
     is sent while ``sending`` is cleared. ``pace``,
     if set, is the multiple of the usual work time; it is reported with the load.
+    ``stutter`` adds surplus bytes to answers. ``connection_count`` and ``request_count``
+    count what was accepted.
     """
 
     def __init__(self, identity, slots=8, events=4, pause=0.02):
@@ -252,6 +272,8 @@
         self.streams = set()
         self.crashes = 0
         self.paths_running_at_crash = []
+        self.stutter = Stutter(identity)
+        self.connection_count = self.request_count = 0
         self.may_answer = asyncio.Event()
         self.may_answer.set()
         self.sending = asyncio.Event()
@@ -261,7 +283,7 @@
             (r"/.*", _Work, {"replica": self}),
         ]
         self._application = Application(routes, log_function=_log_nothing)
-        self._server, self.address = serve(self._application)
+        self._server, self.address = serve(self._application, on_accept=self._count)
 
     @property
     def running(self):
@@ -273,6 +295,9 @@
         """Running and waiting requests, slots and the pace in percent."""
         return f"{len(self.running)},0,{self.slots},{int(self.pace * 100)}"
 
+    def _count(self):
+        self.connection_count += 1
+
     async def work(self):
         """Take the time of one event or answer."""
         await asyncio.sleep(self.pause * (self.pace or 1.0))
@@ -315,7 +340,7 @@
         self.identity = f"{former.partition('.')[0]}.{self.crashes}"
         self.restart()
         port = int(self.address.rpartition(":")[2])
-        self._server, _ = serve(self._application, port)
+        self._server, _ = serve(self._application, port, self._count)
         await self.on_recovered(former)
 
     def stop(self):
@@ -327,13 +352,39 @@
     """Do nothing; default of ``on_recovered``."""
 
 
-class _ReplicaHandler(RequestHandler):
+class _StutteringHandler(RequestHandler):
     def initialize(self, replica):
         self._replica = replica
+        self._stream = self.request.connection.stream
+        self._body = b""
+        replica.request_count += 1
+
+    @property
+    def _answer(self):
+        """The answer as far as it has been written."""
+        pairs = list(self._headers.get_all())
+        return SentAnswer(self.get_status(), pairs, self._body)
+
+    def write(self, chunk):
+        self._body += utf8(chunk)
+        super().write(chunk)
+
+    def flush(self, include_footers=False):
+        if not self._headers_written:
+            self._replica.stutter.before_answer(self._stream, self._answer)
+        return super().flush(include_footers)
+
+    def on_finish(self):
+        self._replica.stutter.after_answer(self._stream, self._answer)
+
+
+class _ReplicaHandler(_StutteringHandler):
+    def initialize(self, replica):
+        super().initialize(replica)
         self._run = None
         self._connection_closed = False
         self._incarnation = replica.born
-        replica.streams.add(self.request.connection.stream)
+        replica.streams.add(self._stream)
 
     def on_connection_close(self):
         self._connection_closed = True
@@ -366,7 +417,10 @@
         return True
 
     def on_finish(self):
+        if self._run is not None and self._run.ended is None:
+            self._run.answer = self._answer
         self._end()
+        super().on_finish()
 
     def _end(self):
         if self._run is not None and self._run.ended is None:
@@ -388,9 +442,9 @@
             await self._replica.may_answer.wait()
             self.finish(b"answer to " + self._run.request_id.encode())
         else:
-            await self._stream()
+            await self._send_events()
 
-    async def _stream(self):
+    async def _send_events(self):
         replica = self._replica
         self.set_header(wire.VERSIONS, str(replica.version))
         first = 0 if self._run.after is None else self._run.after + 1
@@ -409,10 +463,7 @@
             self._end()
 
 
-class _Order(RequestHandler):
-    def initialize(self, replica):
-        self._replica = replica
-
+class _Order(_StutteringHandler):
     def post(self):
         document = json.loads(self.request.body)
         self._replica.orders.append(document)
