Soak: replicas that stutter, and answers held against their own runs

New checks: an answer with a stamp is that run's own answer with its status and, for a success, its body; a success has a stamp; an item is given up only after MaxAttempts runs that themselves ended with 500 (formerly: no item is given up, which holds unchanged where no engine fails); a score is the stamp of an own successful run. The summary has the connections per 100 requests at replicas and the repeatable calls without an answer.

Seen: a body that begins with the first part of a broken-off answer ("answer to rHT"), scores of runs that answered 500, items given up after two failed runs.

--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -30,6 +30,7 @@
     Callers,
 )
 from sassafrasdoor.platform.standin import ReplicaStandin, StoreStandin
+from sassafrasdoor.platform.stutter import Stutter
 from sassafrasdoor.soak import checks
 from sassafrasdoor.soak.checks import Violations
 from sassafrasdoor.soak.faults import SETTLE_TIMEOUT, FaultInjector
@@ -109,7 +110,15 @@
 class Soak(Callers, FaultInjector):
     """One run: a cluster, its callers, the faults and the violations found."""
 
-    def __init__(self, seed, seconds, instances, folder):
+    def __init__(
+        self,
+        seed,
+        seconds,
+        instances,
+        folder,
+        replicas=REPLICA_COUNT,
+        stutters_throughout=False,
+    ):
         self._seed = seed
         self._seconds = seconds
         self._rng = random.Random(seed)
@@ -125,7 +134,9 @@
         self._disruptions, self._update_gaps, self._departures = [], [], []
         self._silences = Counter()
         self.violations = Violations()
-        self.faults = schedule(seed, seconds, instances, REPLICA_COUNT)
+        self._replica_count = replicas
+        self._stutters_throughout = stutters_throughout
+        self.faults = schedule(seed, seconds, instances, replicas)
 
     async def run(self):
         """Inject the scheduled faults, check the guarantees and return a summary."""
@@ -136,6 +147,7 @@
                 self._generate_calls(),
                 self._generate_steps(),
                 self._vary_paces(),
+                self._stutter(),
             )
         ]
         try:
@@ -167,12 +179,14 @@
         self._store = StoreStandin()
         self._engines = [
             ReplicaStandin(f"e{index}", events=EVENT_COUNT, pause=0.05)
-            for index in range(REPLICA_COUNT)
+            for index in range(self._replica_count)
         ]
         self._plain = [
             ReplicaStandin(f"p{index}", slots=PLAIN_SLOTS, pause=CALL_DURATION)
-            for index in range(REPLICA_COUNT)
+            for index in range(self._replica_count)
         ]
+        for replica in self._replicas:
+            replica.stutter = Stutter(f"{self._seed} {replica.identity}")
         self._configure()
         await self._list_replicas()
         self._proxies, self._instances = [], []
@@ -192,10 +206,18 @@
         """
         rng = random.Random(self._seed)
         while self._has_shared_machines:
-            for replica in self._engines + self._plain:
+            for replica in self._replicas:
                 replica.pace = rng.choice(PACES)
             await asyncio.sleep(PACE_INTERVAL)
 
+    async def _stutter(self):
+        """Let all replicas stutter throughout the run if it is asked for."""
+        if self._stutters_throughout:
+            for replica in self._replicas:
+                replica.stutter.change_manner()
+                replica.stutter.share = 1.0
+            await self._fail_for(self._seconds, self._replicas)
+
     @property
     def _has_shared_machines(self):
         return self._seed % 2 == 0
@@ -207,7 +229,7 @@
             instance.close()
         for proxy in self._proxies:
             await proxy.close()
-        for replica in self._engines + self._plain:
+        for replica in self._replicas:
             replica.stop()
         self._store.stop()
         self._client.close()
@@ -246,7 +268,7 @@
         self._configure()
 
     async def _list_replicas(self):
-        for replica in self._engines + self._plain:
+        for replica in self._replicas:
             await self._put_entry(replica, self._entry(replica))
 
     def _entry(self, replica, leaving=False):
@@ -294,7 +316,7 @@
         self._store.answering.set()
         for engine in self._engines:
             engine.sending.set()
-        for replica in self._engines + self._plain:
+        for replica in self._replicas:
             replica.full = False
         await asyncio.sleep(1.0)
         await self._wait_until_ready()
@@ -344,12 +366,18 @@
             if len(replica.runs) > run_count:
                 self.violations.add("leaving gets no work", replica.identity)
 
-    async def _check(self):
+    @property
+    def _runs_by_request(self):
         runs = {}
-        for replica in self._engines + self._plain:
+        for replica in self._replicas:
             for run in replica.runs:
                 runs.setdefault(run.request_id, []).append(run)
+        return runs
+
+    async def _check(self):
+        runs = self._runs_by_request
         checks.check_calls(self._calls, runs, expected_answer, self.violations)
+        checks.check_answers(self._calls, runs, self.violations)
         checks.check_cuts(self._calls, runs, self._disruptions, self.violations)
         checks.check_departures(
             self._departures, self._calls, self._update_gaps, self.violations
@@ -369,16 +397,28 @@
         )
         checks.check_steps(self._steps, runs, item_text, self.violations)
         checks.check_scores(self._steps, runs, self.violations)
-        checks.check_routes(self._steps, self.violations)
+        max_attempts = ROUTE["MaxAttempts"]
+        checks.check_routes(self._steps, runs, max_attempts, self.violations)
+
+    @property
+    def _replicas(self):
+        return self._engines + self._plain
 
     def _summary(self):
         answered = sum(call.status == checks.OK for call in self._calls)
         refused = sum(call.status == checks.REFUSED for call in self._calls)
         accepted = sum(step.accepted for step in self._steps)
+        surplus = sum(replica.stutter.surplus_count for replica in self._replicas)
+        requests = sum(replica.request_count for replica in self._replicas)
+        opened = sum(replica.connection_count for replica in self._replicas)
+        connections = 100 * opened / max(1, requests)
+        unserved, run = checks.unserved_calls(self._calls, self._runs_by_request)
         return (
             f"{len(self.faults)} faults, {len(self._calls)} calls ({answered} answered, "
             f"{refused} refused), {len(self._steps)} steps ({accepted} accepted), "
-            f"{len(self.violations.messages)} violations"
+            f"{len(self.violations.messages)} violations; {surplus} surplus answers, "
+            f"{connections:.1f} connections per 100 requests at replicas, "
+            f"{len(unserved)} repeatable calls without an answer, {len(run)} of them run"
         )
 
 
@@ -387,9 +427,15 @@
     seeds: int = typer.Option(1, help="Number of seeds, run one after the other."),
     seconds: float = typer.Option(20.0, help="Duration of each seed's run in seconds."),
     instances: int = typer.Option(3, help="Number of instances."),
+    replicas: int = typer.Option(
+        REPLICA_COUNT, help="Number of engines, and of plain replicas; not with --own."
+    ),
     keep: str = typer.Option(
         "", help="Folder for the logs of failed seeds; not with --own."
     ),
+    stutter: bool = typer.Option(
+        False, help="Let all replicas answer twice throughout the run; not with --own."
+    ),
     own: bool = typer.Option(
         False, help="Test the product's own interface instead of the platform's."
     ),
@@ -401,12 +447,17 @@
     """
     has_violations = False
     for current_seed in range(seed, seed + seeds):
-        run_one = _run_own_seed if own else _run_seed
-        has_violations |= bool(run_one(current_seed, seconds, instances, keep))
+        if own:
+            messages = _run_own_seed(current_seed, seconds, instances)
+        else:
+            with tempfile.TemporaryDirectory() as folder:
+                soak = Soak(current_seed, seconds, instances, folder, replicas, stutter)
+                messages = _run_seed(soak, current_seed, folder, keep)
+        has_violations |= bool(messages)
     raise typer.Exit(VIOLATION_EXIT_CODE if has_violations else 0)
 
 
-def _run_own_seed(seed, seconds, instances, keep):
+def _run_own_seed(seed, seconds, instances):
     """Run one seed on the product's own interface; return its violations."""
     soak = OwnSoak(seed, seconds, instances)
     _report(seed, soak, asyncio.run(soak.run()))
@@ -419,17 +470,15 @@
         print(f"seed {seed}: BROKEN {message}", flush=True)
 
 
-def _run_seed(seed, seconds, instances, keep):
+def _run_seed(soak, seed, folder, keep):
     """Run one seed and report it; return its violations."""
-    with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds, instances, folder)
-        _report(seed, soak, asyncio.run(soak.run()))
-        if soak.violations.messages and keep:
-            for path in pathlib.Path(folder).glob("*.log"):
-                target = pathlib.Path(keep) / f"{seed}-{path.name}"
-                target.parent.mkdir(parents=True, exist_ok=True)
-                target.write_bytes(path.read_bytes())
-        return soak.violations.messages
+    _report(seed, soak, asyncio.run(soak.run()))
+    if soak.violations.messages and keep:
+        for path in pathlib.Path(folder).glob("*.log"):
+            target = pathlib.Path(keep) / f"{seed}-{path.name}"
+            target.parent.mkdir(parents=True, exist_ok=True)
+            target.write_bytes(path.read_bytes())
+    return soak.violations.messages
 
 
 def run():
--- a/sassafrasdoor/platform/soak_callers.py
+++ b/sassafrasdoor/platform/soak_callers.py
@@ -70,6 +70,8 @@
         reply = await self._connections.send(instance.front, request)
         is_own_failure = isinstance(reply, Reply) and wire.STAMP not in reply.headers
         call.record_outcome(reply, is_own_failure, clock())
+        if isinstance(reply, Reply):
+            call.stamp = reply.headers.get(wire.STAMP)
         self._calls.append(call)
 
     async def _probe(self):
--- a/sassafrasdoor/soak/checks.py
+++ b/sassafrasdoor/soak/checks.py
@@ -11,7 +11,7 @@
 # Seconds after a kill or pause that still count as part of it: a planned stop may have
 # run out of time because of a pause.
 DISRUPTION_GRACE_PERIOD = 1.0
-REFUSED, FAILED, NOT_FOUND, OK = 503, 500, 404, 200
+REFUSED, FAILED, NOT_FOUND, OK, TIMED_OUT = 503, 500, 404, 200, 504
 REWARD_SUFFIX = "-reward"
 
 
@@ -24,7 +24,8 @@
     """A request to ``instance`` as observed by its caller.
 
     ``status`` is None without an answer. ``cut`` is true if the connection ended after
-    the request was sent, or if the instance itself failed with status 500.
+    the request was sent, or if the instance itself failed with status 500. ``stamp`` is
+    that of the run whose answer it is, None in an answer of the instance itself.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         "once",
         "request_id",
         "sent_at",
+        "stamp",
         "status",
     )
 
@@ -43,7 +45,7 @@
         self.once = once
         self.sent_at = sent_at
         self.instance = instance
-        self.ended_at = self.status = None
+        self.ended_at = self.status = self.stamp = None
         self.body = b""
         self.cut = False
 
@@ -165,6 +167,51 @@
             violations.add("not run is true", call.request_id)
 
 
+def check_answers(calls, runs, violations):
+    """Check that each answer is the own answer of the run whose stamp it bears.
+
+    A success needs a stamp; a failure without one is the instance's. ``runs`` are the
+    replicas' runs by request id.
+    """
+    for call in calls:
+        if call.status is None or (call.stamp is None and call.status != OK):
+            continue
+        own = [
+            run.answer
+            for run in runs.get(call.request_id, ())
+            if run.stamp == call.stamp and run.answer is not None
+        ]
+        is_own = any(
+            answer.status == call.status
+            and (answer.body == call.body or not answer.is_success)
+            for answer in own
+        )
+        if not is_own:
+            sent = [(answer.status, answer.body) for answer in own]
+            violations.add(
+                "answers are their runs' own",
+                f"{call.request_id} at {call.instance}: {call.status} {call.body!r} "
+                f"of {call.stamp}, which sent {sent}",
+            )
+
+
+def unserved_calls(calls, runs):
+    """Return the repeatable calls that ended with 503 or 504, and those of them that a
+    replica ran with success."""
+    unserved = [
+        call for call in calls if not call.once and call.status in (REFUSED, TIMED_OUT)
+    ]
+    return unserved, [
+        call
+        for call in unserved
+        if any(_has_succeeded(run) for run in runs.get(call.request_id, ()))
+    ]
+
+
+def _has_succeeded(run):
+    return run.answer is not None and run.answer.is_success
+
+
 def check_cuts(calls, runs, disruptions, violations):
     """Check that no call run by a replica is cut, except by a kill or a pause.
 
@@ -229,27 +276,41 @@
                 violations.add("ended means ended", f"step {step.step_id}")
 
 
-def check_routes(steps, violations):
-    """Check that no item is given up whose route stays and that no replica has failed.
+def check_routes(steps, runs, max_attempts, violations):
+    """Check that no item is given up whose route stays and that replicas have not failed.
 
-    Reward calls may fail, so items that need a score are left out.
+    An item has failed with ``max_attempts`` runs that the replicas themselves answered
+    with 500. Reward calls may fail, so items that need a score are left out.
     """
     for step in steps:
         for sample in max(step.pages, key=len, default=[]):
             is_given_up = sample["State"] != "completed"
-            if is_given_up and step.route_stays and sample["Id"] not in step.rewarded:
-                violations.add("routes in force end no item", sample["Id"])
+            if not is_given_up or not step.route_stays or sample["Id"] in step.rewarded:
+                continue
+            failed = sum(_has_failed(run) for run in runs.get(sample["Id"], ()))
+            if failed < max_attempts:
+                message = f"{sample['Id']} after {failed} failed runs"
+                violations.add("routes in force end no item", message)
+
+
+def _has_failed(run):
+    return run.answer is not None and run.answer.status == FAILED
 
 
 def check_scores(steps, runs, violations):
-    """Check that each required score is the stamp of a run of the sample's own call."""
+    """Check that each required score is the stamp of an own successful run."""
     for step in steps:
         for sample in max(step.pages, key=len, default=[]):
             if sample["State"] != "completed" or sample["Id"] not in step.rewarded:
                 continue
-            stamps = {run.stamp for run in runs.get(reward_call_id(sample["Id"]), [])}
+            call_runs = runs.get(reward_call_id(sample["Id"]), ())
+            stamps = {run.stamp for run in call_runs if _has_succeeded(run)}
             if sample.get("Score") not in stamps:
-                violations.add("own score", f"{step.step_id} {sample['Id']}")
+                sent = [
+                    (run.stamp, run.answer and run.answer.status) for run in call_runs
+                ]
+                message = f"{sample['Id']}: {sample.get('Score')} of runs {sent}"
+                violations.add("own score", message)
 
 
 def _check_pages(step, text, violations):
--- a/sassafrasdoor/soak/faults.py
+++ b/sassafrasdoor/soak/faults.py
@@ -14,6 +14,9 @@
 
 VERSIONS_GAP = 0.33  # seconds between two versions of a configuration
 STOP_CALL_INTERVAL = 0.08  # seconds; below the duration of a call, 0.1 s
+# While a replica stutters: the share of its answers with surplus bytes, and seconds
+# between its own failures.
+STUTTER_SHARE, FAILURE_INTERVAL = 0.5, 0.25
 SETTLE_TIMEOUT = 45.0  # seconds for recovery after the last fault
 
 
@@ -196,6 +199,24 @@
         await asyncio.sleep(fault.duration)
         await self._put_entry(replica, self._entry(replica))
 
+    async def _stutter_for_a_while(self, fault):
+        """Let an engine and a plain replica stutter, and fail from time to time."""
+        replicas = self._engines[fault.target], self._plain[fault.target]
+        for replica in replicas:
+            replica.stutter.change_manner()
+            replica.stutter.share += STUTTER_SHARE
+        await self._fail_for(fault.duration, replicas)
+        for replica in replicas:
+            replica.stutter.share -= STUTTER_SHARE
+
+    async def _fail_for(self, seconds, replicas):
+        """Let replicas fail from time to time."""
+        deadline = deadline_in(seconds)
+        while not passed(deadline):
+            for replica in replicas:
+                replica.failures = replica.failures or [500]
+            await asyncio.sleep(FAILURE_INTERVAL)
+
     async def _reconfigure(self, fault):
         if not self._store.log.down:
             self._version += 1
@@ -248,4 +269,5 @@
     Kind.ENGINES_SILENT: FaultInjector._engines_silent,
     Kind.ROUTES_ADDED: FaultInjector._add_routes,
     Kind.ROUTES_REMOVED: FaultInjector._remove_route,
+    Kind.STUTTER: FaultInjector._stutter_for_a_while,
 }
--- a/sassafrasdoor/soak/schedule.py
+++ b/sassafrasdoor/soak/schedule.py
@@ -37,6 +37,7 @@
     ENGINES_SILENT = "engines silent"
     ROUTES_ADDED = "routes added during a pause"
     ROUTES_REMOVED = "route removed during a pause"
+    STUTTER = "replica stutters"
 
 
 # Drawn as a series of their own, so that the first series of a seed does not change.
@@ -52,7 +53,16 @@
 ROUTE_KINDS = (Kind.ROUTES_ADDED, Kind.ROUTES_REMOVED)
 ROUTES_INTERVAL = 4.0  # seconds between two starts, on average
 MIN_ROUTES_PAUSE, MAX_ROUTES_PAUSE = 0.5, 2.0  # seconds
-ADDED_KINDS = {*SECOND_SERIES_KINDS, Kind.GONE, *SILENT_KINDS, *ROUTE_KINDS}
+# Drawn as a sixth series: an engine and a plain replica send surplus answers.
+STUTTER_INTERVAL = 1.5  # seconds between two starts, on average
+MIN_STUTTER, MAX_STUTTER = 1.0, 5.0  # seconds
+ADDED_KINDS = {
+    *SECOND_SERIES_KINDS,
+    Kind.GONE,
+    *SILENT_KINDS,
+    *ROUTE_KINDS,
+    Kind.STUTTER,
+}
 FIRST_SERIES_KINDS = [kind for kind in Kind if kind not in ADDED_KINDS]
 SECOND_SERIES_INTERVAL = 3.0  # seconds between two starts, on average
 ON_INSTANCES = {Kind.KILL, Kind.STOP, Kind.PAUSE, *ROUTE_KINDS}
@@ -117,6 +127,7 @@
     faults += _third_series(random.Random(f"{seed} gone"), cuts, seconds, replicas)
     faults += _silences(random.Random(f"{seed} silent"), seconds)
     faults += _route_changes(random.Random(f"{seed} routes"), seconds, instances)
+    faults += _stutters(random.Random(f"{seed} stutters"), seconds, replicas)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -162,3 +173,16 @@
         faults.append(Fault(at, kind, target, duration))
         at += rng.uniform(0, 2 * ROUTES_INTERVAL)
     return faults
+
+
+def _stutters(rng, seconds, replicas):
+    """Return the times in which a replica answers twice; they overlap."""
+    faults, at = [], FIRST_FAULT_DELAY + rng.uniform(0, STUTTER_INTERVAL)
+    while at < FAULT_PERIOD_SHARE * seconds:
+        target, duration = (
+            rng.randrange(replicas),
+            rng.uniform(MIN_STUTTER, MAX_STUTTER),
+        )
+        faults.append(Fault(at, Kind.STUTTER, target, duration))
+        at += rng.uniform(0, 2 * STUTTER_INTERVAL)
+    return faults
