Process: bodies are bounded at every address

What callers saw: none of it here; a test with real processes shows it. Twelve callers that send a body without end, or one of 33 MB, to the directory or to the control address took an instance to 674 MB, of 180 MB that the settings state.

Cause: only the callers' address had its bodies bounded by the memory of the instance; the others read up to the operator's limit on each connection. Without a configuration that is the HTTP server's own 100 MB.

Change: addresses that take no bodies (directory, readiness, metrics) accept 64 KiB; the control address, which takes records, is bounded like that of callers. A record that is refused there is answered 503, which states that nothing was appended.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -104,6 +104,7 @@
 # Seconds for which finished steps stay readable beyond the promised retention.
 RESULT_RETENTION_MARGIN = 60.0
 LISTEN_BACKLOG = 512
+MAX_UNUSED_BODY_BYTES = 64 * 1024  # of a request at an address that takes no bodies
 
 
 class Process:
@@ -124,6 +125,7 @@
         self._read_slot = ReadSlot()
         self._following = asyncio.Event()
         self._listeners = []
+        self._body_servers = []
         self._tasks = []
         self.closing = False
         self.stopping_since = math.inf
@@ -411,13 +413,7 @@
             self._crash_list_tail,
         )
         parts.lists = {tail.topic: tail for tail in tails}
-        applications = [
-            (self._settings.front, self._bounded(front.front_application(parts))),
-            (self._settings.ready, front.ready_application(parts)),
-        ]
-        if self._settings.control:
-            application = front.control_application(parts)
-            applications.append((self._settings.control, application))
+        applications = [(self._settings.ready, front.ready_application(parts))]
         if self._settings.directory:
             application = front.directory_application(parts)
             applications.append((self._settings.directory, application))
@@ -426,13 +422,24 @@
             application = front.metrics_application(parts)
             applications.append((f"{host}:{self._metrics_port}", application))
         for address, application in applications:
-            host, _, port = address.rpartition(":")
-            server = HTTPServer(
-                application, idle_connection_timeout=INITIAL_IDLE_TIMEOUT
-            )
-            (sock,) = bind_sockets(int(port), host, backlog=LISTEN_BACKLOG)
-            server.add_socket(sock)
-            self._listeners.append((server, sock))
+            server = self._listen_at(address, application)
+            server.conn_params.max_body_size = MAX_UNUSED_BODY_BYTES
+        applications = [(self._settings.front, front.front_application(parts))]
+        if self._settings.control:
+            application = front.control_application(parts)
+            applications.append((self._settings.control, application))
+        for address, application in applications:
+            server = self._listen_at(address, self._bounded(application))
+            self._body_servers.append(server)
+
+    def _listen_at(self, address, application):
+        """Serve an application at an address; return the server."""
+        host, _, port = address.rpartition(":")
+        server = HTTPServer(application, idle_connection_timeout=INITIAL_IDLE_TIMEOUT)
+        (sock,) = bind_sockets(int(port), host, backlog=LISTEN_BACKLOG)
+        server.add_socket(sock)
+        self._listeners.append((server, sock))
+        return server
 
     def _bounded(self, application):
         """Return the application, with callers' bodies bounded unless switched off."""
@@ -450,6 +457,7 @@
         for server, _ in self._listeners:
             server.conn_params.header_timeout = limits.idle_timeout
             server.conn_params.max_header_size = limits.header_bytes
+        for server in self._body_servers:
             server.conn_params.max_body_size = limits.body_bytes
 
     async def _update_following(self):
