Services: a head that holds two status lines is no answer

Evidence. test_cut_answer_lends_no_status_to_the_next of test_service failed before (an Answer for both cuts) and passes now.

The check of the pooled connections moves to headers.py and is applied to answers of services: the call is broken.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import re
 import socket
 from enum import Enum
 
@@ -29,6 +28,7 @@
 from sassafrasdoor.backends.interface import Broken, Refused
 from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody, AnswerTooLong
 from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.headers import holds_status_line
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.timeouts import SettlingTimeout
 
@@ -45,7 +45,6 @@
 HEAD = "HEAD"
 INTERIM_STATUSES = range(100, 200)
 OWN_VERDICTS = {Verdict.OWN, Verdict.FINAL}
-STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}", re.IGNORECASE)  # its first part
 UNREADABLE = "unreadable"
 UNFRAMED = "unframed"
 BODYLESS_STATUSES = {204, 304}
@@ -221,7 +220,7 @@
         self.is_complete = False
 
     def headers_received(self, start_line, headers):
-        if _holds_status_line(start_line.reason, headers):
+        if holds_status_line(start_line.reason, headers):
             self._connection.reject_head()
             return
         if start_line.code in INTERIM_STATUSES:
@@ -242,16 +241,6 @@
         self.is_complete = True
 
 
-def _holds_status_line(reason, headers):
-    """Return whether a head has another answer's status line behind its own.
-
-    An answer that is cut inside its head would lend its status to the next one, whose
-    status line continues the cut line, and whose headers follow.
-    """
-    fields = [f"{name}: {value}" for name, value in headers.get_all()]
-    return STATUS_LINE.search("\n".join([reason, *fields])) is not None
-
-
 class _Stream(IOStream):
     """A stream that tells whether it holds bytes that have not been read."""
 
--- a/sassafrasdoor/backends/http.py
+++ b/sassafrasdoor/backends/http.py
@@ -15,7 +15,7 @@
 from sassafrasdoor.backends.stream import StreamReader
 from sassafrasdoor.backends.transfer import Client, Request
 from sassafrasdoor.clock import deadline_in
-from sassafrasdoor.headers import HOP_BY_HOP_HEADERS
+from sassafrasdoor.headers import HOP_BY_HOP_HEADERS, holds_status_line
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Outcome, ReplyLost, Unavailable
 
@@ -147,6 +147,8 @@
             response = await self._checked(backend, call, response)
         if isinstance(response, Broken):
             return response
+        if holds_status_line(response.reason, response.headers):
+            return Broken("two answers in one head", began=True)
         return Answer(
             response.code, end_to_end_headers(response.headers), response.body
         )
--- a/sassafrasdoor/backends/tests/test_service.py
+++ b/sassafrasdoor/backends/tests/test_service.py
@@ -162,6 +162,27 @@
                     answer = await self.service.call(backend, call(name, True))
                     self.assertEqual(answer.body, name.encode())
 
+    async def test_cut_answer_lends_no_status_to_the_next(self):
+        """Guards against a success for a call that was answered with a failure."""
+        own = b"HTTP/1.1 504 X\r\nContent-Length: 0\r\n\r\n"
+        for extra in (b"HTTP/1.1 200 OK", b"HTTP/1.1 200 OK\r\nServer: s"):
+            with self.subTest(extra=extra):
+
+                async def serve(reader, writer, answer=extra + own):
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(answer)
+                    writer.close()
+
+                backend = await self.start_server(serve)
+                result = await self.service.call(backend, call(body=b""))
+                self.assertIsInstance(result, Broken)
+
+    async def start_server(self, serve):
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        return Backend("raw", address, "service", "service")
+
     async def start_stuttering_service(self, echoes):
         """Start a service that repeats each answer in front of the next one."""
 
@@ -180,10 +201,7 @@
                     late = answer
             writer.close()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        return Backend("stuttering", address, "service", "service")
+        return await self.start_server(serve)
 
 
 if __name__ == "__main__":
