--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -26,9 +26,10 @@
     Verdict,
 )
 from sassafrasdoor.backends.interface import Broken, Refused
-from sassafrasdoor.backends.joined import data_holds_answer, head_holds_answer
+from sassafrasdoor.backends.joined import data_holds_answer
 from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody, AnswerGivenUp
 from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.headers import holds_status_line
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.timeouts import SettlingTimeout
 
@@ -225,7 +226,7 @@
         self.is_complete = False
 
     def headers_received(self, start_line, headers):
-        if head_holds_answer(start_line.reason, headers):
+        if holds_status_line(start_line.reason, headers):
             self._connection.reject_head()
             return
         if start_line.code in INTERIM_STATUSES:
--- a/sassafrasdoor/backends/joined.py
+++ b/sassafrasdoor/backends/joined.py
@@ -11,17 +11,10 @@
 
 MAX_HEAD_BYTES = 65536
 MAX_STATUS_LINES = 16  # looked at in one piece of data
-STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}", re.IGNORECASE)  # its first part
 _STATUS_LINE_BYTES = re.compile(rb"HTTP/\d\.\d (\d{3})[^\r\n]*\r?\n", re.IGNORECASE)
 _HEAD_END = b"\r\n\r\n"
 
 
-def head_holds_answer(reason, headers):
-    """Return whether a head has another answer's status line behind its own."""
-    fields = [f"{name}: {value}" for name, value in headers.get_all()]
-    return STATUS_LINE.search("\n".join([reason, *fields])) is not None
-
-
 def data_holds_answer(data, identify, following=b""):
     """Return whether the head of an answer that names its request begins in data.
 
