Weights: a load answered 421 is none in progress

Could be seen: items wait for seconds after a burst of crashes, though servers are back and idle, since these get no order to load the weights of the step. Cause: an order to a replica that has crashed is answered 421 by the one that has its address now, and counted as a load in progress for 0.4 s, then sent again. Loads in progress are limited over all models of a service; the dead replicas are idle, older, and came first each time. Change: the client tells 421 from other refusals (OrderMisdirected); such an order counts as no load, is sent again after the same delay as before, and later than the orders to other replicas. Measured: the test passes. Without the order of replicas it did not.

--- a/sassafrasdoor/backends/replicas.py
+++ b/sassafrasdoor/backends/replicas.py
@@ -27,6 +27,12 @@
     __slots__ = ()
 
 
+class OrderMisdirected(OrderRefused):
+    """Another replica has the address: the one that was named has carried out nothing."""
+
+    __slots__ = ()
+
+
 class DirectCall:
     """A caller's request to a replica; ``headers`` is a list of pairs.
 
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -8,6 +8,7 @@
 from sassafrasdoor.backends.interface import Answer, Broken, Stale
 from sassafrasdoor.backends.replicas import (
     Event,
+    OrderMisdirected,
     OrderRefused,
     ReplicaClient,
     SampleFailed,
@@ -169,6 +170,8 @@
             return True
         if reply.status == ORDER_FENCED:
             return Stale("lower fencing number", order.fence)
+        if reply.status == wire.MISDIRECTED:
+            return OrderMisdirected(f"status {reply.status}")
         return OrderRefused(f"status {reply.status}")
 
     async def _send(self, replica, request, accept, on_data=None):
--- a/sassafrasdoor/platform/tests/test_servers.py
+++ b/sassafrasdoor/platform/tests/test_servers.py
@@ -7,6 +7,7 @@
 from sassafrasdoor.backends.interface import Answer, Broken, Stale
 from sassafrasdoor.backends.replicas import (
     DirectCall,
+    OrderMisdirected,
     OrderRefused,
     SampleFailed,
     SampleOrder,
@@ -266,6 +267,7 @@
             (answer(200), True),
             (answer(412), Stale),
             (answer(409), OrderRefused),
+            (answer(421), OrderMisdirected),
             (answer(400), OrderRefused),
         ]
         for data, outcome in cases:
--- a/sassafrasdoor/weights/controller.py
+++ b/sassafrasdoor/weights/controller.py
@@ -11,7 +11,7 @@
 import asyncio
 
 from sassafrasdoor.backends.interface import Stale
-from sassafrasdoor.backends.replicas import OrderRefused, VersionOrder
+from sassafrasdoor.backends.replicas import OrderMisdirected, OrderRefused, VersionOrder
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter, gauge, histogram
@@ -44,15 +44,24 @@
     """The last order to one incarnation of a replica.
 
     It is not repeated before ``retry_deadline``; its load counts as ended after
-    ``load_deadline``.
+    ``load_deadline``. ``is_misdirected`` says that another replica has the address: this
+    one is gone, but may be listed for seconds.
     """
 
-    __slots__ = ("load_deadline", "model", "replica", "retry_deadline", "version")
+    __slots__ = (
+        "is_misdirected",
+        "load_deadline",
+        "model",
+        "replica",
+        "retry_deadline",
+        "version",
+    )
 
     def __init__(self, replica, model, version):
         self.replica = replica
         self.model = model
         self.version = version
+        self.is_misdirected = False
         self.retry_deadline = deadline_in(ORDER_TIMEOUT)
         self.load_deadline = deadline_in(LOAD_TIME)
 
@@ -172,7 +181,7 @@
         max_loads = max(
             MIN_CONCURRENT_LOADS, int(CONCURRENT_LOAD_SHARE * len(replicas))
         )
-        for replica in sorted(replicas, key=lambda replica: replica.state.in_flight):
+        for replica in sorted(replicas, key=self._load_order):
             for model in self._assigned.get(replica.identity, ()):
                 if loading >= max_loads:
                     return
@@ -186,6 +195,16 @@
                     self._start_order(replica, model, version)
                     break
 
+    def _load_order(self, replica):
+        """Return the sort key of a replica for loads: those that are gone come last."""
+        last_order = self._last_orders.get(replica.identity)
+        is_gone = (
+            last_order is not None
+            and last_order.replica is replica
+            and last_order.is_misdirected
+        )
+        return is_gone, replica.state.in_flight
+
     def _is_due(self, replica, model, version):
         if replica.versions.get(model, 0) >= version:
             return False
@@ -258,6 +277,9 @@
         last_order.retry_deadline = deadline_in(RETRY_DELAY)
         if isinstance(result, OrderRefused):
             last_order.load_deadline = last_order.retry_deadline
+        if isinstance(result, OrderMisdirected):
+            last_order.is_misdirected = True
+            last_order.load_deadline = LONG_AGO
         if isinstance(result, Stale):
             # Another process already holds the lease.
             self._stale_fence = max(self._stale_fence, order.fence)
--- a/sassafrasdoor/weights/tests/test_controller.py
+++ b/sassafrasdoor/weights/tests/test_controller.py
@@ -4,7 +4,7 @@
 import unittest
 
 from sassafrasdoor.backends.interface import Stale
-from sassafrasdoor.backends.replicas import OrderRefused
+from sassafrasdoor.backends.replicas import OrderMisdirected, OrderRefused
 from sassafrasdoor.clock import LONG_AGO, deadline_in, passed
 from sassafrasdoor.outcomes import ReplyLost
 from sassafrasdoor.routing.replicas import Listing, Replicas
@@ -39,9 +39,12 @@
     def __init__(self):
         self.orders = []
         self.answers = []
+        self.gone = set()
 
     async def order(self, replica, order):
         self.orders.append((replica.identity, order.model, order.version))
+        if replica.identity in self.gone:
+            return OrderMisdirected("status 421")
         self.fences = [order.fence]
         answer = self.answers.pop(0) if self.answers else True
         if answer is True:
@@ -179,6 +182,15 @@
         self.controller.set_target_version("a", 2)
         await self.until(lambda: len(self.at("a", 2)) >= 2)
 
+    async def test_crashed_replicas_leave_the_loads_to_others(self):
+        """Guards against loads held up by replicas whose addresses others have."""
+        self.client.gone = {"e0", "e1"}
+        self.work.oldest = 2
+        self.run_controller()
+        for model in self.models:
+            self.controller.set_target_version(model, 2)
+        await self.until(lambda: len(self.at("a", 2) + self.at("b", 2)) == 3)
+
     async def test_replica_that_reverted_is_ordered_again(self):
         """Guards against a replica that silently reverted to an older version."""
         self.run_controller()
