--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -11,6 +11,7 @@
 from sassafrasdoor.backends.limits import AnswerGivenUp, AnswerTooLong
 from sassafrasdoor.backends.replicas import (
     Event,
+    OrderMisdirected,
     OrderRefused,
     ReplicaClient,
     SampleFailed,
@@ -177,6 +178,8 @@
             return True
         if reply.status == ORDER_FENCED:
             return Stale("lower fencing number", order.fence)
+        if reply.status == wire.MISDIRECTED:
+            return OrderMisdirected(f"status {reply.status}")
         return OrderRefused(f"status {reply.status}")
 
     async def _send(self, replica, request, accept=None, call=None, on_data=None):
--- a/sassafrasdoor/platform/tests/test_servers.py
+++ b/sassafrasdoor/platform/tests/test_servers.py
@@ -9,6 +9,7 @@
 from sassafrasdoor.backends.interface import Answer, Broken, Stale
 from sassafrasdoor.backends.replicas import (
     DirectCall,
+    OrderMisdirected,
     OrderRefused,
     SampleFailed,
     SampleOrder,
@@ -334,6 +335,7 @@
             (answer(200), True),
             (answer(412), Stale),
             (answer(409), OrderRefused),
+            (answer(421), OrderMisdirected),
             (answer(400), OrderRefused),
         ]
         for data, outcome in cases:
