--- a/sassafrasdoor/steps/durable/jobs.py
+++ b/sassafrasdoor/steps/durable/jobs.py
@@ -12,9 +12,9 @@
 
     ``sent_at`` is when the current attempt was sent, ``started_at`` when the first one
     started, ``completed_at`` when the text was complete; None before.
-    ``avoid`` is the identity of the slow replica that it
-    migrates from, until its next attempt. ``appended`` counts its events in the log,
-    under the run id ``run``; the next ones are logged at ``progress_due_at``.
+    ``avoid`` is the identity of the slow replica that it migrates from, until its next
+    attempt. ``appended`` counts its events in the log, under the run id ``run``; the next
+    ones are logged at ``progress_due_at``.
     ``priority`` is its rank in the queue, 0 the first; ``is_short`` says whether it is one
     of the shorter items of its step. Once ``scoring``, ``task`` is the reward call, not sent before ``next_reward_call_at``;
     ``text_logged_at`` is when the text was found in the log, ``unanswered_calls`` the
