--- a/sassafrasdoor/platform/tests/test_servers.py
+++ b/sassafrasdoor/platform/tests/test_servers.py
@@ -32,6 +32,11 @@
     return "\r\n".join(lines).encode() + body
 
 
+def unframed_answer(id_header, body):
+    """Return an answer that ends with its connection."""
+    return "\r\n".join(["HTTP/1.1 200 X", id_header, STAMP, "", ""]).encode() + body
+
+
 def with_request_id(data, head):
     """Return an answer with the id of the request that ``head`` belongs to."""
     name = f"{wire.REQUEST_ID}: ".encode()
@@ -199,6 +204,23 @@
                 texts = [data for _, data, _ in self.events]
                 self.assertTrue(set(texts) <= {"a", "b"}, texts)
 
+    async def test_answer_without_length_ends_before_an_extra_one(self):
+        """Guards against a body that has an extra answer behind the server's own."""
+        own = unframed_answer(f"{wire.REQUEST_ID}: r1", b"own")
+        for extra in (own, answer(200, f"{wire.REQUEST_ID}: r1", STAMP, body=b"own")):
+            with self.subTest(extra=extra):
+                await self.start(own + extra, cut=True, echo=False)
+                result = await self.call()
+                self.assertEqual(getattr(result, "body", b"own"), b"own")
+
+    async def test_sample_without_length_ends_before_an_extra_one(self):
+        """Guards against events that stand twice in the text of an item."""
+        own = unframed_answer(f"{wire.REQUEST_ID}: i1", EVENTS)
+        await self.start(own + own, cut=True, echo=False)
+        result = await self.generate()
+        numbers = [number for number, *_ in self.events]
+        self.assertEqual(numbers, [0, 1] if result is True else [0, 1][: len(numbers)])
+
     async def test_call_sends_identity_and_remaining_time(self):
         await self.start(answer(200, STAMP, f"{wire.LOAD}: 3,1,4"))
         await self.call()
