--- a/sassafrasdoor/platform/tests/test_endless_bytes_processes.py
+++ b/sassafrasdoor/platform/tests/test_endless_bytes_processes.py
@@ -93,6 +93,11 @@
         for number in range(len(replicas)):
             await self.store.put(configuration.SERVERS_TOPIC, f"n{number}", None)
         self.check_texts(await self.wait_until(lambda: self.all_results("s", 1)))
+        # Each instance reads within half a second that these replicas are gone.
+        for instance in self.instances:
+            await self.wait_until(
+                lambda instance=instance: self.plain_call_returns(instance, 200)
+            )
         await self.check_instances()
 
     async def test_callers_that_send_without_end(self):
