Weights: a replica that is gone gets no order of another model either

Could be seen: a replica assigned to two models that has crashed gets an order at each poll, ten in a second, as long as it is listed; callers see nothing of it. Cause: an order answered 421 counts as no load from then on, and the retry delay was held against orders of the same model and version only: the orders of the two models took turns. Evidence: test_replica_of_two_models_that_is_gone: 20 orders in 2 s before, with a retry delay of 0.4 s. Change: after an order that was answered 421 the replica gets none, of any model, before the retry deadline. Why it works: the answer says that the replica is gone, which holds for all its models.

--- a/sassafrasdoor/weights/controller.py
+++ b/sassafrasdoor/weights/controller.py
@@ -45,7 +45,8 @@
 
     It is not repeated before ``retry_deadline``; its load counts as ended after
     ``load_deadline``. ``is_misdirected`` says that another replica has the address: this
-    one is gone, but may be listed for seconds.
+    one is gone, but may be listed for seconds, and gets no order before
+    ``retry_deadline``.
     """
 
     __slots__ = (
@@ -213,8 +214,11 @@
             return True
         if not passed(last_order.load_deadline):
             return False
-        is_same_order = (last_order.model, last_order.version) == (model, version)
-        return not is_same_order or passed(last_order.retry_deadline)
+        # A replica that is gone refuses the orders of all models.
+        is_repeated = last_order.is_misdirected or (
+            (last_order.model, last_order.version) == (model, version)
+        )
+        return not is_repeated or passed(last_order.retry_deadline)
 
     def _may_load(self, replica, model):
         assigned = sum(model in models for models in self._assigned.values())
--- a/sassafrasdoor/weights/tests/test_controller.py
+++ b/sassafrasdoor/weights/tests/test_controller.py
@@ -191,6 +191,21 @@
             self.controller.set_target_version(model, 2)
         await self.until(lambda: len(self.at("a", 2) + self.at("b", 2)) == 3)
 
+    async def test_replica_of_two_models_that_is_gone(self):
+        """Guards against orders at each poll, which the retry delay should space."""
+        module.RETRY_DELAY = 0.4
+        for number in range(1, 5):
+            self.replicas.discard(f"e{number}")
+        self.client.gone = {"e0"}
+        self.work.oldest = 2
+        self.run_controller()
+        for model in self.models:
+            self.controller.set_target_version(model, 2)
+        await asyncio.sleep(2)
+        # One at once, then one in each delay, as for other refusals.
+        self.assertLessEqual(len(self.client.orders), 1 + 2 / module.RETRY_DELAY)
+        self.assertGreater(len(self.client.orders), 1)
+
     async def test_replica_that_reverted_is_ordered_again(self):
         """Guards against a replica that silently reverted to an older version."""
         self.run_controller()
