Store: an odd key among the newest values is skipped

Could be seen: an instance that starts, or whose reads met expired records, never loads the list of replicas and knows no server, as long as one key among the newest values holds a lone surrogate. Cause: documents of others were refused as a whole where any text in them cannot be encoded; the answer with the newest values is one document with the keys of all writers. Change: that answer is read with such text, and bytes that are no UTF-8, allowed; each row whose key cannot be encoded is skipped, counted in platform_records_unreadable_total and logged once an answer. The next page is asked for after the last key that can be sent; a page that has none and is not the last is a failure, not an end. Why it works: values are base64, and keys that are kept can be encoded, as before.

--- a/sassafrasdoor/documents.py
+++ b/sassafrasdoor/documents.py
@@ -20,22 +20,26 @@
 _SURROGATE_ESCAPE = re.compile(r"\\u[dD][89a-fA-F]")
 
 
-def parse_document(data):
-    """Return the document in JSON bytes; raises ``ValueError`` if it is out of bounds."""
-    text = data.decode()
+def parse_document(data, allows_surrogates=False):
+    """Return the document in JSON bytes; raises ``ValueError`` if it is out of bounds.
+
+    With ``allows_surrogates`` text may hold lone surrogates, which also stand for bytes
+    that are no UTF-8: one such text in a list leaves the others readable.
+    """
+    text = data.decode(errors="surrogateescape" if allows_surrogates else "strict")
     _check_depth(text)
     document = json.loads(
         text, parse_int=_parse_int, parse_float=_parse_float, parse_constant=_refuse
     )
-    if _SURROGATE_ESCAPE.search(text):
+    if not allows_surrogates and _SURROGATE_ESCAPE.search(text):
         # A lone surrogate cannot be encoded; a pair is one character.
         json.dumps(document, ensure_ascii=False).encode()
     return document
 
 
-def parse_object(data):
+def parse_object(data, allows_surrogates=False):
     """Return the object in JSON bytes; raises ``ValueError`` if there is none."""
-    document = parse_document(data)
+    document = parse_document(data, allows_surrogates)
     if not isinstance(document, dict):
         raise ValueError("no JSON object")
     return document
--- a/sassafrasdoor/platform/store.py
+++ b/sassafrasdoor/platform/store.py
@@ -7,6 +7,7 @@
 from sassafrasdoor.backends.connections import Connections, OutgoingRequest
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.decisions import note
 from sassafrasdoor.documents import (
     MAX_INTEGER,
     integer_field,
@@ -22,6 +23,7 @@
 )
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Expired, ReplyLost, Unavailable
+from sassafrasdoor.platform.configuration import UNREADABLE_RECORDS
 
 # Seconds for a call that the store answers at once; covers calls that take 60 times the
 # usual 4 ms.
@@ -31,6 +33,7 @@
 OK, GONE, UNAVAILABLE, TOO_MANY, FULL = 200, 410, 503, 429, 507
 NO_EFFECT = {UNAVAILABLE, TOO_MANY, FULL}
 JSON_HEADERS = {"Content-Type": "application/json"}
+MAX_LOGGED_KEY_LENGTH = 40  # characters
 # Raised for answers whose fields are missing or of other types.
 PARSE_ERRORS = (KeyError, TypeError, ValueError)
 
@@ -121,6 +124,9 @@
             page = _parse_page(reply)
             if page is None:
                 return Unavailable("newest values without their fields")
+            _report_odd_keys(topic, page)
+            if page.has_more and page.odd_keys and not page.values:
+                return Unavailable("newest values without a key to continue after")
             # The pages are no snapshot. Reading continues at the end offset of the
             # first page, so that changes made during later pages are seen again.
             end = page.end if end is None else end
@@ -193,28 +199,54 @@
 
 
 class _Page:
-    """One page of the newest values of a keyed topic."""
+    """One page of the newest values of a keyed topic.
 
-    __slots__ = ("end", "has_more", "last_key", "values")
+    Rows with ``odd_keys``, which cannot be encoded, are skipped. The next page follows
+    ``last_key``, so that it may begin with some of them again.
+    """
+
+    __slots__ = ("end", "has_more", "last_key", "odd_keys", "values")
 
     def __init__(self, document):
         self.end = integer_field(document, "End", 0, MAX_INTEGER)
         self.has_more = bool(document.get("HasMore"))
         self.values = {}
+        self.odd_keys = []
         self.last_key = ""
         for item in typed_field(document, "Items", list):
-            self.last_key = typed_field(item, "Key", str)
-            self.values[self.last_key] = base64.b64decode(item["Value"] or "")
+            key, value = typed_field(item, "Key", str), item["Value"] or ""
+            if _is_encodable(key):
+                self.last_key = key
+                self.values[key] = base64.b64decode(value)
+            else:
+                self.odd_keys.append(key)
 
 
 def _parse_page(reply):
     """Return the ``_Page`` of an answer, or None if it is malformed."""
     try:
-        return _Page(parse_object(reply.body))
+        return _Page(parse_object(reply.body, allows_surrogates=True))
     except PARSE_ERRORS:
         return None
 
 
+def _is_encodable(text):
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _report_odd_keys(topic, page):
+    if not page.odd_keys:
+        return
+    UNREADABLE_RECORDS.add({"topic": topic}, len(page.odd_keys))
+    first = ascii(page.odd_keys[0][:MAX_LOGGED_KEY_LENGTH])
+    reason = f"{len(page.odd_keys)} keys cannot be encoded, the first is {first}"
+    note("log.record_unreadable", topic=topic, offset=page.end, reason=reason)
+
+
 def _offsets(reply, *names):
     """Return the named offsets of an answer, or None if it is malformed."""
     try:
--- a/sassafrasdoor/platform/tests/test_odd_records.py
+++ b/sassafrasdoor/platform/tests/test_odd_records.py
@@ -7,7 +7,7 @@
 from sassafrasdoor import documents, settings
 from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
-from sassafrasdoor.log.partitioned import keyed_record
+from sassafrasdoor.log.partitioned import NewestKeys, keyed_record
 from sassafrasdoor.outcomes import Expired, ReplyLost, Unavailable
 from sassafrasdoor.platform import configuration
 from sassafrasdoor.platform.store import Store
@@ -269,6 +269,55 @@
         self.assertIsInstance(expired, Expired)
         self.assertEqual(expired.first, 7)
 
+    async def test_odd_key_among_the_newest_values(self):
+        """Guards against a list that cannot be read because of one key."""
+        keys = [b"i-1", b"\\udc80", b"\xed\xa0\x80", b"i-\xff", b"i-2"]
+        rows = b",".join(b'{"Key": "%b", "Value": "e30="}' % key for key in keys)
+        body = b'{"Items": [%b], "HasMore": false, "End": 5}' % rows
+        before = value_of(configuration.UNREADABLE_RECORDS, "t")
+        newest = await (await self.answer(200, body)).newest("t")
+        self.assertEqual(newest.values, {"i-1": b"{}", "i-2": b"{}"})
+        self.assertEqual(newest.end, 5)
+        counted = value_of(configuration.UNREADABLE_RECORDS, "t") - before
+        self.assertEqual(counted, 3)
+
+    async def test_page_that_ends_with_an_odd_key(self):
+        """Guards against a page that is asked for after a key that cannot be sent."""
+        odd = {"Key": "\udc80", "Value": "e30="}
+        pages = {
+            "": ["i-1", odd],
+            "i-1": [odd, "i-2"],
+        }
+
+        async def serve(reader, writer):
+            target = (await reader.readuntil(b"\r\n\r\n")).decode().split(" ")[1]
+            after = target.partition("After=")[2]
+            rows = [
+                row if row is odd else {"Key": row, "Value": "e30="}
+                for row in pages[after]
+            ]
+            page = {"Items": rows, "HasMore": not after, "End": 5}
+            body = json.dumps(page).encode()
+            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body))
+            writer.write(body)
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        store = Store(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        self.addCleanup(store.close)
+        newest = await store.newest("t")
+        self.assertEqual(list(newest.values), ["i-1", "i-2"])
+
+    async def test_page_of_odd_keys_alone_is_no_end(self):
+        """Guards against a list cut short where a page has no key to continue after."""
+        row = {"Key": "\udc80", "Value": "e30="}
+        for has_more, outcome in ((True, Unavailable), (False, NewestKeys)):
+            page = {"Items": [row], "HasMore": has_more, "End": 5}
+            store = await self.answer(200, json.dumps(page).encode())
+            self.assertIsInstance(await store.newest("t"), outcome)
+
     async def test_pages_that_repeat_end(self):
         """Guards against a reader that asks for the same page for ever."""
         page = {"Items": [{"Key": "k", "Value": "dg=="}], "HasMore": True, "End": 3}
