Tail: a record is not skipped for a reason of this process

Could be seen: an accepted step is unknown to one instance until it starts again, answered there as if it had never been submitted, after one moment without memory or a fault of the reader. Cause: skips each record whose reader raises. That is right for lists that other programs write, where the record is at fault and a later one of its key replaces it, and wrong where the process is. Change: a MemoryError is raised again by every tail. Who builds a tail says whether other unusable records may be skipped; the tails of steps and claims say no. The task ends, with it the process, and the next start reads the record again, as before. The lists and the topics of usage and scaling skip as now. Why it works: the offset moves past a record only after it was applied or skipped.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -66,8 +66,10 @@
 class Tail:
     """Follows a partition: passes each record to ``fold(offset, record)``, in order.
 
-    A record that ``fold`` cannot handle is counted, logged and skipped: reading it again
-    would fail again, on every instance that follows the partition.
+    With ``skips_unusable``, a record that ``fold`` cannot handle is counted, logged and
+    skipped: reading it again would fail again, on every instance that follows the
+    partition. Without it, or for lack of memory, the error is raised. A process that
+    ends then reads the record again; skipped, it would be missing here only.
 
     ``pause()`` returns the seconds to sleep after a read, which limits the reads of a
     busy partition; there is no pause inside ``without_pauses()``. The partition is
@@ -101,6 +103,7 @@
         wanted=None,
         read_coordinator=None,
         confirm_interval=lambda: 0.0,
+        skips_unusable=True,
     ):
         self.wanted = wanted or _make_set_event()
         self._read_coordinator = read_coordinator or ReadCoordinator()
@@ -116,6 +119,7 @@
         self._has_backlog = False
         self._confirm_task = None
         self._confirm_interval = confirm_interval
+        self._skips_unusable = skips_unusable
         self._next_confirm_at = LONG_AGO
         self._following_since = now()
         self._last_answer_at = LONG_AGO
@@ -384,6 +388,8 @@
         try:
             apply(place, data)
         except Exception as error:
+            if not self._skips_unusable or isinstance(error, MemoryError):
+                raise
             SKIPPED_RECORDS.inc({"topic": self._topic})
             note(
                 "log.record_skipped",
--- a/sassafrasdoor/log/tests/test_skipped_records.py
+++ b/sassafrasdoor/log/tests/test_skipped_records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
@@ -61,6 +62,31 @@
                 running.cancel()
                 self.assertEqual(value_of(SKIPPED_RECORDS, topic), before + 2)
 
+    async def test_record_is_not_skipped_for_a_reason_of_this_process(self):
+        """Guards against an accepted step that one instance never knows of."""
+        cases = [
+            ("lack of memory", MemoryError, True, Tail),
+            ("lack of memory", MemoryError, True, KeyedTail),
+            ("own records", RuntimeError, False, Tail),
+        ]
+        for reason, error_type, skips, kind in cases:
+            with self.subTest(reason, kind=kind):
+                log = MemoryPartitionedLog()
+                apply = mock.Mock(side_effect=error_type)
+                if kind is KeyedTail:
+                    tail = KeyedTail(log, "keyed.u", apply)
+                    records = [keyed_record("k", b"a")]
+                else:
+                    tail = Tail(log, "u", 0, apply, skips_unusable=skips)
+                    records = [b"a"]
+                before = value_of(SKIPPED_RECORDS, tail._topic)
+                await log.append(tail._topic, 0, records, deadline_in(5))
+                with self.assertRaises(error_type):
+                    async with asyncio.timeout(20):
+                        await tail.run()
+                self.assertEqual(tail.offset, 0)
+                self.assertEqual(value_of(SKIPPED_RECORDS, tail._topic), before)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -206,6 +206,8 @@
                 self._make_pause(shard),
                 self._following,
                 self._read_coordinator,
+                # An accepted step must not be unknown to one instance.
+                skips_unusable=False,
             )
             for shard in range(shard_count + 1)
         ]
--- a/sassafrasdoor/platform/tests/test_odd_records.py
+++ b/sassafrasdoor/platform/tests/test_odd_records.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+import zlib
 
 from sassafrasdoor import documents, settings
 from sassafrasdoor.clock import deadline_in
@@ -12,11 +13,15 @@
 from sassafrasdoor.platform import configuration
 from sassafrasdoor.platform.store import Store
 from sassafrasdoor.platform.tests import odd_records
+from sassafrasdoor.platform.tests.test_foreign_records import BODIES
 from sassafrasdoor.platform.tests.test_translation import DOCUMENT, ENTRY
 from sassafrasdoor.requests.crash_watch import CrashWatch
 from sassafrasdoor.routing.instances import Instances
 from sassafrasdoor.routing.load_exchange import LoadExchange
 from sassafrasdoor.routing.replicas import Replicas, Subset
+from sassafrasdoor.steps.durable import records
+from sassafrasdoor.steps.durable.state import Steps
+from sassafrasdoor.steps.durable.tests.fixtures import spec
 from sassafrasdoor.table.routes import RoutesInForce
 
 INSTANCE = {
@@ -212,6 +217,35 @@
                 instances.rank("shards")
 
 
+class StepTopicTest(unittest.TestCase):
+    def test_odd_records_of_steps_are_folded(self):
+        """Guards against processes that end by a record, again after each start."""
+        (step,) = records.encode_step(spec("s1"), 10_000)
+        header, _, packed = step.partition(b"\n")
+        document = json.loads(zlib.decompress(packed))
+        odd = [
+            (header[:1] + b'["odd", 0, 1]\n' + zlib.compress(value), name)
+            for name, value in self.variants(document)
+        ]
+        for kind, body in BODIES.items():
+            odd += [(kind + value, name) for name, value in self.variants(body)]
+        for record, name in odd:
+            with self.subTest(name, kind=record[:1]):
+                steps = Steps()
+                steps.fold(0, 0, step)
+                for offset in (1, 2):
+                    steps.fold(0, offset, record)
+                steps.by_id["s1"].longest_partial_sample("i0")
+
+    def variants(self, document):
+        numbers = [name for name in document if type(document[name]) is int]
+        texts = [name for name in document if type(document[name]) is str]
+        return [
+            *odd_records.odd_documents(document),
+            *odd_records.odd_fields(document, numbers, texts),
+        ]
+
+
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     async def answer(self, status, body):
         async def serve(reader, writer):
--- a/sassafrasdoor/steps/durable/tests/test_state.py
+++ b/sassafrasdoor/steps/durable/tests/test_state.py
@@ -1,9 +1,12 @@
 """Tests of the fold of a shard's records, and of their encoding."""
 
 import unittest
+from types import SimpleNamespace
+from unittest import mock
 
 from hypothesis import given, settings, strategies as st
 
+from sassafrasdoor.log.tail import Tail
 from sassafrasdoor.steps.durable import records
 from sassafrasdoor.steps.durable.records import (
     COMPLETED,
@@ -105,6 +108,16 @@
         steps.discard_done(float("inf"))
         self.assertEqual(list(steps.by_id), ["open"])
 
+    def test_step_is_not_skipped_for_lack_of_memory(self):
+        """Guards against an accepted step that one instance never knows of."""
+        steps = Steps()
+        record = records.encode(records.End("s"))
+        with mock.patch.object(records, "decode", side_effect=MemoryError):
+            with self.assertRaises(MemoryError):
+                tail = Tail(None, "steps", 0, lambda at, data: steps.fold(0, at, data))
+                batch = SimpleNamespace(end=1, first=0, records=[record])
+                tail._fold_batch(batch)
+
 
 class RecordTest(unittest.TestCase):
     def test_step_round_trip(self):
