Tail: the error of a confirming read ends its reader too

Could be seen: an accepted step of several records is unknown to one instance until it starts again. Cause: a confirming read that fails to apply a record raises to its callers only. The reader of the topic reads the record again; applied in part by then, it may count as known, or as out of order, and change nothing, so that the reader goes on behind it. Evidence: read from the code, and shown by test_record_that_a_confirming_read_could_not_apply_ends_the_reader, which timed out before. Change: a tail keeps the error that it raised, and raises it at each later record. Why it works: no record is applied after one that may be applied in part, so the reader ends, and its process. Measured: the test passes, with the other two of test_skipped_records.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -68,8 +68,9 @@
 
     With ``skips_unusable``, a record that ``fold`` cannot handle is counted, logged and
     skipped: reading it again would fail again, on every instance that follows the
-    partition. Without it, or for lack of memory, the error is raised. A process that
-    ends then reads the record again; skipped, it would be missing here only.
+    partition. Without it, or for lack of memory, the error is raised, by each later read
+    as well: the record may be applied in part. A process that ends then reads all
+    records again; skipped, they would be missing here only.
 
     ``pause()`` returns the seconds to sleep after a read, which limits the reads of a
     busy partition; there is no pause inside ``without_pauses()``. The partition is
@@ -120,6 +121,7 @@
         self._confirm_task = None
         self._confirm_interval = confirm_interval
         self._skips_unusable = skips_unusable
+        self._error = None
         self._next_confirm_at = LONG_AGO
         self._following_since = now()
         self._last_answer_at = LONG_AGO
@@ -385,10 +387,13 @@
 
     def _try_apply(self, apply, place, data):
         """Call ``apply(place, data)``; ``place`` is the offset or the key of a record."""
+        if self._error is not None:
+            raise self._error
         try:
             apply(place, data)
         except Exception as error:
             if not self._skips_unusable or isinstance(error, MemoryError):
+                self._error = error
                 raise
             SKIPPED_RECORDS.inc({"topic": self._topic})
             note(
--- a/sassafrasdoor/log/tests/test_skipped_records.py
+++ b/sassafrasdoor/log/tests/test_skipped_records.py
@@ -87,6 +87,27 @@
                 self.assertEqual(tail.offset, 0)
                 self.assertEqual(value_of(SKIPPED_RECORDS, tail._topic), before)
 
+    async def test_record_that_a_confirming_read_could_not_apply_ends_the_reader(self):
+        """Guards against a record applied in part, then taken for a known one.
+
+        The error of a confirming read reaches its callers only.
+        """
+        log, applied = MemoryPartitionedLog(), []
+
+        def apply(offset, data):
+            if offset not in applied:
+                applied.append(offset)
+                raise RuntimeError("applied in part")
+
+        tail = Tail(log, "u", 0, apply, skips_unusable=False)
+        await log.append("u", 0, [b"a"], deadline_in(5))
+        with self.assertRaises(RuntimeError):
+            await tail.confirm(deadline_in(5))
+        with self.assertRaises(RuntimeError):
+            async with asyncio.timeout(5):
+                await tail.run()
+        self.assertEqual(tail.offset, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
