Steps: a record whose decoding overflows is unreadable

Could be seen: nothing known; no bytes were found that make a decoder of steps overflow. Cause: the other readers of records expect OverflowError, that of steps did not. Its error would now end the process, again after each start, as the tail skips no record of a step. Change: OverflowError is among the errors of decoding. Measured: test_number_that_is_too_large_is_unreadable, with decoders that raise it, failed before and passes.

--- a/sassafrasdoor/steps/durable/records.py
+++ b/sassafrasdoor/steps/durable/records.py
@@ -23,6 +23,7 @@
     KeyError,
     TypeError,
     AttributeError,
+    OverflowError,
     RecursionError,
     zlib.error,
 )
--- a/sassafrasdoor/steps/durable/tests/test_state.py
+++ b/sassafrasdoor/steps/durable/tests/test_state.py
@@ -130,6 +130,14 @@
             [item.body for item in decoded.items], [b"body 0", b"body 1", b"body 2"]
         )
 
+    def test_number_that_is_too_large_is_unreadable(self):
+        """Guards against a record that ends its readers again after each start."""
+        decoders = {records.END: mock.Mock(side_effect=OverflowError("too large"))}
+        with mock.patch.dict(records._DECODERS, decoders):
+            self.assertIsInstance(records.decode(encode(End("s1"))), records.Unreadable)
+        with mock.patch.object(records.zlib, "decompress", side_effect=OverflowError):
+            self.assertIsInstance(records.unpack_step([b"a"]), records.Unreadable)
+
     def test_sample_round_trip(self):
         data = encode(Sample("s", "i", COMPLETED, "ä\nb", [3, 4]))
         decoded = records.decode(data)
