Joined answers: the search takes linear time and copies no long body

Callers would see: calls, heartbeats and probes of an instance that stand still for seconds while one answer is looked at; memory above the limits of received bytes. Cause: the rest of a line was scanned again from each status line in it, so that a body of one line with many quoted status lines took quadratic time in one turn of the loop. A long body was copied twice for the search. Change: a reason ends where another status line may begin, and all fields that are well formed are matched, so each byte is looked at in one head only; heads and bytes to be parsed are bounded. The body is searched in place, and only its last 64 KiB are joined with the bytes behind it, if there are any.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -26,7 +26,7 @@
     Verdict,
 )
 from sassafrasdoor.backends.interface import Broken, Refused
-from sassafrasdoor.backends.joined import data_holds_answer
+from sassafrasdoor.backends.joined import MAX_HEAD_BYTES, data_holds_answer
 from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody, AnswerGivenUp
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.headers import holds_status_line
@@ -157,7 +157,7 @@
 
     @property
     def body(self):
-        """The bytes received that are kept."""
+        """The bytes received that are kept, not copied."""
         return self._body.data
 
     @property
@@ -269,9 +269,9 @@
             raise StreamClosedError(real_error=error) from error
         return True
 
-    def peek(self):
-        """Return received bytes that are buffered and have not been read."""
-        return bytes(self._read_buffer)
+    def peek(self, limit):
+        """Return up to ``limit`` received bytes that have not been read."""
+        return bytes(self._read_buffer[:limit])
 
 
 class _Availability(Enum):
@@ -464,8 +464,8 @@
         """Return whether the body goes on with another answer, which may end behind it."""
         if self._identify is None:
             return False
-        body = exchange.body
-        return data_holds_answer(body, self._identify, self.stream.peek())
+        following = self.stream.peek(MAX_HEAD_BYTES)
+        return data_holds_answer(exchange.body, self._identify, following)
 
     def _answer_head(self, status, headers):
         is_framed = (
--- a/sassafrasdoor/backends/joined.py
+++ b/sassafrasdoor/backends/joined.py
@@ -10,9 +10,18 @@
 from tornado.httputil import HTTPHeaders, HTTPInputError
 
 MAX_HEAD_BYTES = 65536
-MAX_STATUS_LINES = 16  # looked at in one piece of data
-_STATUS_LINE_BYTES = re.compile(rb"HTTP/\d\.\d (\d{3})[^\r\n]*\r?\n", re.IGNORECASE)
-_HEAD_END = b"\r\n\r\n"
+# Of heads that are looked at in one piece of data.
+MAX_HEADS = 1024
+MAX_PARSED_BYTES = 4 * MAX_HEAD_BYTES
+_MARK = b"HTTP/"
+_FIELD = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++:[\t\x20-\x7e\x80-\xff]*+\r?\n"
+_REASON = (
+    rb"[^\r\n/]*+(?:/(?!\d)[^\r\n/]*+)*+"  # ends where another status line may begin
+)
+# All that is well formed is matched, so that the search takes linear time.
+_HEAD = re.compile(
+    rb"HTTP/\d\.\d (\d{3})" + _REASON + rb"\r?\n((?:" + _FIELD + rb")++)"
+)
 
 
 def data_holds_answer(data, identify, following=b""):
@@ -21,16 +30,27 @@
     It may end in the bytes that are ``following``. ``identify(status, headers)`` returns
     the request id of an answer first, or None.
     """
-    joined = data + following
-    if b"HTTP/" not in joined:
+    margin = len(_MARK) - 1
+    if _MARK not in data and _MARK not in data[-margin:] + following[:margin]:
         return False
-    matches = _STATUS_LINE_BYTES.finditer(joined)
-    for match, _ in zip(matches, range(MAX_STATUS_LINES), strict=False):
-        if match.start() >= len(data):
+    if _holds_head(data, identify, len(data)):
+        return True
+    if not following:
+        return False
+    tail = data[-MAX_HEAD_BYTES:]
+    return _holds_head(tail + following[:MAX_HEAD_BYTES], identify, len(tail))
+
+
+def _holds_head(data, identify, end):
+    """Return whether a head that names its request begins before ``end``."""
+    unparsed = MAX_PARSED_BYTES
+    for match, _ in zip(_HEAD.finditer(data), range(MAX_HEADS), strict=False):
+        if match.start() >= end or unparsed <= 0:
             return False
-        fields = joined[match.end() : match.end() + MAX_HEAD_BYTES]
-        fields, end, _ = fields.partition(_HEAD_END)
-        if end and _names_request(int(match[1]), fields, identify):
+        start, stop = match.span(2)
+        fields = data[start : min(stop, start + MAX_HEAD_BYTES)]
+        unparsed -= len(fields)
+        if _names_request(int(match[1]), fields, identify):
             return True
     return False
 
--- a/sassafrasdoor/backends/limits.py
+++ b/sassafrasdoor/backends/limits.py
@@ -63,8 +63,8 @@
 
     @property
     def data(self):
-        """The bytes received so far."""
-        return bytes(self._data)
+        """The bytes received so far, not copied."""
+        return self._data
 
     def __len__(self):
         return len(self._data)
