Joined answers: a second head that is not whole shows one too

Callers would see: a success whose body ends with a part of another answer's head, or holds one that lacks its empty line. Cause: a second head was seen only with its empty line and its request id in the bytes looked at. An answer without length ends with its connection, so an extra one behind it may be cut anywhere; a chunk may end with the last field, whose empty line ends the chunk then; a body by length may end inside the second head, whose rest comes in a later segment; an answer may bear the server's stamp and no id. Change: fields count as far as they are well formed; a head that is cut by the end of the data, in a field and with CRLF as the end of its status line, counts without a name. The platform names the headers that only its replicas set: id, stamp and the mark of a refusal. A cut inside the second status line, or right behind it, can't be told from a body and remains.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -285,8 +285,8 @@
 class _Connection:
     """An open connection; while idle it may be reused until ``deadline``.
 
-    ``identify`` is that of ``Connections``; ``on_close(connection)`` is called once it
-    has ended.
+    ``identify`` and ``names_request`` are those of ``Connections``;
+    ``on_close(connection)`` is called once it has ended.
     """
 
     __slots__ = (
@@ -298,6 +298,7 @@
         "_is_final",
         "_is_receiving",
         "_ledger",
+        "_names_request",
         "_on_close",
         "_parameters",
         "_reader",
@@ -306,7 +307,7 @@
         "stream",
     )
 
-    def __init__(self, address, stream, parameters, identify, on_close):
+    def __init__(self, address, stream, parameters, identify, names_request, on_close):
         self._dropped_answers = 0
         self._dropped_bytes = 0
         self._exchange = None
@@ -315,6 +316,7 @@
         self._is_final = False
         self._is_receiving = False
         self._ledger = SequentialLedger() if identify is None else Ledger()
+        self._names_request = names_request
         self._on_close = on_close
         self._parameters = parameters
         self._reader = None
@@ -462,10 +464,10 @@
 
     def _is_joined(self, exchange):
         """Return whether the body goes on with another answer, which may end behind it."""
-        if self._identify is None:
+        if self._names_request is None:
             return False
         following = self.stream.peek(MAX_HEAD_BYTES)
-        return data_holds_answer(exchange.body, self._identify, following)
+        return data_holds_answer(exchange.body, self._names_request, following)
 
     def _answer_head(self, status, headers):
         is_framed = (
@@ -514,14 +516,16 @@
 
     ``identify(status, headers)`` returns the request id that an answer bears, or None, and
     whether it says that its request was not run. Without it the servers' answers bear no
-    ids.
+    ids. ``names_request(headers)`` says whether a head that stands in the body of an
+    answer is that of another one, by headers that only the servers set.
     """
 
-    __slots__ = ("_identify", "_idle", "_parameters")
+    __slots__ = ("_identify", "_idle", "_names_request", "_parameters")
 
-    def __init__(self, identify=None):
+    def __init__(self, identify=None, names_request=None):
         self._identify = identify
         self._idle = {}
+        self._names_request = names_request
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=NO_BODY_LIMIT,
@@ -624,7 +628,12 @@
             raise
         OPENED.inc({"result": "opened"})
         return _Connection(
-            address, stream, self._parameters, self._identify, self._discard
+            address,
+            stream,
+            self._parameters,
+            self._identify,
+            self._names_request,
+            self._discard,
         )
 
     def _keep_idle(self, connection, request, reply):
--- a/sassafrasdoor/backends/joined.py
+++ b/sassafrasdoor/backends/joined.py
@@ -14,50 +14,56 @@
 MAX_HEADS = 1024
 MAX_PARSED_BYTES = 4 * MAX_HEAD_BYTES
 _MARK = b"HTTP/"
-_FIELD = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++:[\t\x20-\x7e\x80-\xff]*+\r?\n"
-_REASON = (
-    rb"[^\r\n/]*+(?:/(?!\d)[^\r\n/]*+)*+"  # ends where another status line may begin
-)
+_MARGIN = len(_MARK) - 1
+# Ends where another status line may begin.
+_REASON = rb"[^\r\n/]*+(?:/(?!\d)[^\r\n/]*+)*+"
+_NAME = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
+_VALUE = rb":[\t\x20-\x7e\x80-\xff]*+"
+_FIELDS = rb"(?:" + _NAME + _VALUE + rb"\r?\n)++"
+_CUT_FIELD = _NAME + rb"(?:" + _VALUE + rb")?\r?\Z"
 # All that is well formed is matched, so that the search takes linear time.
 _HEAD = re.compile(
-    rb"HTTP/\d\.\d (\d{3})" + _REASON + rb"\r?\n((?:" + _FIELD + rb")++)"
+    rb"HTTP/\d\.\d \d{3}%b(\r?)\n(?:(%b)(\r?\Z|%b)?|(%b))"
+    % (_REASON, _FIELDS, _CUT_FIELD, _CUT_FIELD)
 )
 
 
-def data_holds_answer(data, identify, following=b""):
-    """Return whether the head of an answer that names its request begins in data.
+def data_holds_answer(data, names_request, following=b""):
+    """Return whether the head of an answer begins in data.
 
-    It may end in the bytes that are ``following``. ``identify(status, headers)`` returns
-    the request id of an answer first, or None.
+    It may end in the bytes that are ``following``, or be cut by the end of all of them. A
+    head that is not cut counts if ``names_request(headers)`` says that a server wrote it.
     """
-    margin = len(_MARK) - 1
-    if _MARK not in data and _MARK not in data[-margin:] + following[:margin]:
-        return False
-    if _holds_head(data, identify, len(data)):
-        return True
     if not following:
+        return _MARK in data and _holds_head(data, names_request, len(data), True)
+    if _MARK not in data and _MARK not in data[-_MARGIN:] + following[:_MARGIN]:
         return False
     tail = data[-MAX_HEAD_BYTES:]
-    return _holds_head(tail + following[:MAX_HEAD_BYTES], identify, len(tail))
+    return _holds_head(data, names_request, len(data)) or _holds_head(
+        tail + following[:MAX_HEAD_BYTES], names_request, len(tail), True
+    )
 
 
-def _holds_head(data, identify, end):
-    """Return whether a head that names its request begins before ``end``."""
+def _holds_head(data, names_request, end, may_be_cut=False):
+    """Return whether a head begins before ``end``."""
     unparsed = MAX_PARSED_BYTES
     for match, _ in zip(_HEAD.finditer(data), range(MAX_HEADS), strict=False):
         if match.start() >= end or unparsed <= 0:
             return False
+        # Texts that quote the beginning of a head have other ends of lines.
+        is_cut = match[3] is not None or match[4] is not None
+        if is_cut and may_be_cut and match[1]:
+            return True
         start, stop = match.span(2)
         fields = data[start : min(stop, start + MAX_HEAD_BYTES)]
         unparsed -= len(fields)
-        if _names_request(int(match[1]), fields, identify):
+        if _fields_name_request(fields, names_request):
             return True
     return False
 
 
-def _names_request(status, fields, identify):
+def _fields_name_request(fields, names_request):
     try:
-        headers = HTTPHeaders.parse(fields.decode("latin-1"))
+        return names_request(HTTPHeaders.parse(fields.decode("latin-1")))
     except HTTPInputError:
         return False
-    return identify(status, headers)[0] is not None
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -44,6 +44,7 @@
     "buffers_not_sent_total", "Requests not sent as the replica holds too many bytes."
 )
 UNANSWERED = (Broken, NotRun)
+ANSWER_HEADERS = (wire.REQUEST_ID, wire.STAMP, wire.NOT_RUN)
 MISSING_STAMP = "answer without the replica's stamp"
 
 
@@ -59,7 +60,7 @@
 
     def __init__(self, budget=None, rotates_connections=False):
         self._budget = budget or BufferBudget()
-        self._connections = Connections(_identify_answer)
+        self._connections = Connections(_identify_answer, _names_request)
         self._rotates_connections = rotates_connections
 
     def close(self):
@@ -259,7 +260,7 @@
             return []
         *complete, rest = bytes(self._incomplete_event).split(EVENT_END)
         self._incomplete_event = bytearray(rest)
-        if any(data_holds_answer(block, _identify_answer) for block in complete):
+        if any(data_holds_answer(block, _names_request) for block in complete):
             raise AnswerGivenUp("two answers in one event")
         return [block for block in complete if block.strip()]
 
@@ -375,6 +376,11 @@
     return headers.get(wire.REQUEST_ID), is_refusal
 
 
+def _names_request(headers):
+    """Return whether headers hold one that only a replica's answer to a request has."""
+    return any(name in headers for name in ANSWER_HEADERS)
+
+
 def _refusal(reply):
     """Return ``WrongReplica`` or ``NotRun`` if the request was not run, else None."""
     if reply.status == wire.MISDIRECTED:
--- a/sassafrasdoor/platform/tests/test_late_answers.py
+++ b/sassafrasdoor/platform/tests/test_late_answers.py
@@ -20,6 +20,9 @@
 
 CALLS = 20
 LONG = b"x" * 100_000
+BODY = b"abcdefgh" * 40
+STATUS_LINE = len(b"HTTP/1.1 200 X\r\n")  # bytes
+SEGMENT_INTERVAL = 0.02  # seconds
 
 
 def answer(status, request_id, body=b"", stamp="s", framing="length", headers=()):
@@ -272,3 +275,78 @@
             for number in range(3):
                 await self.call(f"r{number}")
         self.assertEqual(inc.mock_calls, [mock.call({"kind": "another id"})] * 3)
+
+
+class JoinedAnswersTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, *scripts, close=False):
+        """Answer request n of a connection with the segments of script n."""
+
+        async def serve(reader, writer):
+            try:
+                for segments in scripts:
+                    await reader.readuntil(b"\r\n\r\n")
+                    for number, segment in enumerate(segments):
+                        await asyncio.sleep(SEGMENT_INTERVAL if number else 0)
+                        writer.write(segment)
+                        await writer.drain()
+                if not close:
+                    await reader.read()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+            finally:
+                writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        listing = Listing("s", f"127.0.0.1:{port}", "z", 4, False, {"m": 1})
+        self.replica = Replica("i-1", listing)
+        self.client = WireReplicas()
+        self.addCleanup(self.client.close)
+
+    async def call(self, request_id="r1"):
+        headers = [("Host", "h")]
+        call = DirectCall("GET", "/p", headers, b"", request_id, deadline_in(20))
+        return await self.client.call(self.replica, call)
+
+    async def assert_not_joined(self):
+        result = await self.call()
+        self.client.close()
+        if isinstance(result, Answer):
+            self.assertEqual(result.body, BODY)
+        else:
+            self.assertIsInstance(result, Broken)
+            self.assertNotEqual(result.reason, "timeout")
+
+    async def test_cut_extra_answer_behind_one_without_length(self):
+        """Guards against a body that ends with a part of another answer's head."""
+        own = answer(200, "r1", BODY, framing="none")
+        for extra in (answer(200, "r0", b"late"), refusal(None)):
+            # A status line alone could be a text of the server.
+            for cut in range(STATUS_LINE + 1, len(extra) + 1):
+                with self.subTest(cut=cut):
+                    await self.start([own + extra[:cut]], close=True)
+                    await self.assert_not_joined()
+
+    async def test_extra_answer_without_id_behind_one_without_length(self):
+        """Guards against a body that holds an answer known only by its stamp."""
+        own = answer(200, "r1", BODY, framing="none")
+        await self.start([own + answer(200, None, b"late")], close=True)
+        self.assertIsInstance(await self.call(), Broken)
+
+    async def test_cut_chunk_that_ends_with_the_head_of_the_next_answer(self):
+        """Guards against a joined body in which the head lacks its empty line."""
+        whole = answer(200, "r1", BODY, framing="chunks")
+        for cut in range(1, len(whole)):
+            with self.subTest(cut=cut):
+                await self.start([whole[:cut] + whole])
+                await self.assert_not_joined()
+
+    async def test_cut_body_that_ends_inside_the_next_head(self):
+        """Guards against a joined body whose second head arrives in two segments."""
+        whole = answer(200, "r1", BODY)
+        for missing in range(STATUS_LINE + 1, 120):
+            with self.subTest(missing=missing):
+                first = whole[:-missing] + whole[:missing]
+                await self.start([first, whole[missing:]])
+                await self.assert_not_joined()
