Connections: an own answer inside a cut extra one fails its call at once

Callers saw: no answer until their deadline, though the server had answered. Cause: an extra answer to an earlier send, dropped by its id, is cut in its body. The own answer's bytes fill the length or chunk of the extra one and are dropped with it; then nothing follows. Change: the body of a dropped answer is searched too, each piece with the last 256 bytes before it, so that the work is linear. If it goes on with another answer, the current send fails as one that may have run, and the connection is closed: which answer it was is not told, as bytes of it may be missing. Result: 120 cases end with that reason; an extra answer that quotes 5,000 status lines costs the next caller nothing.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -26,7 +26,11 @@
     Verdict,
 )
 from sassafrasdoor.backends.interface import Broken, Refused
-from sassafrasdoor.backends.joined import MAX_HEAD_BYTES, data_holds_answer
+from sassafrasdoor.backends.joined import (
+    MAX_HEAD_BYTES,
+    MAX_STATUS_LINE_BYTES,
+    data_holds_answer,
+)
 from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody, AnswerGivenUp
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.headers import holds_status_line
@@ -292,6 +296,7 @@
     __slots__ = (
         "_dropped_answers",
         "_dropped_bytes",
+        "_dropped_tail",
         "_exchange",
         "_http",
         "_identify",
@@ -310,6 +315,7 @@
     def __init__(self, address, stream, parameters, identify, names_request, on_close):
         self._dropped_answers = 0
         self._dropped_bytes = 0
+        self._dropped_tail = b""
         self._exchange = None
         self._http = HTTP1Connection(stream, True, parameters)
         self._identify = identify
@@ -397,9 +403,7 @@
     def reject_head(self):
         """Fail the current send and close, as an answer's head is not its own."""
         DROPPED.inc({"kind": UNREADABLE})
-        if self._exchange is not None:
-            self._exchange.fail("two answers in one head")
-        self.stream.close()
+        self._fail_and_close("two answers in one head")
 
     def attribute(self, status, headers):
         """Return the exchange that an answer belongs to; None if it is dropped."""
@@ -414,6 +418,7 @@
         kind = self._ledger.mark(head).value if head.is_framed else UNFRAMED
         DROPPED.inc({"kind": kind})
         self._dropped_answers += 1
+        self._dropped_tail = b""
         if verdict is Verdict.REJECT:
             exchange.fail("answer to another request")
         if verdict is not Verdict.DROP or self._dropped_answers > MAX_DROPPED_ANSWERS:
@@ -421,10 +426,24 @@
         return None
 
     def drop_data(self, chunk):
-        """Count bytes of an answer that belongs to no current send."""
+        """Count bytes of an answer that belongs to no current send.
+
+        If it goes on with another answer, that may be the answer to the current send.
+        """
         self._dropped_bytes += len(chunk)
         if self._dropped_bytes > MAX_DROPPED_BYTES:
             self.stream.close()
+        if self._names_request is None or self.stream.closed():
+            return
+        data = self._dropped_tail + chunk
+        self._dropped_tail = data[-MAX_STATUS_LINE_BYTES:]
+        if data_holds_answer(data, self._names_request):
+            self._fail_and_close("two answers in one body")
+
+    def _fail_and_close(self, reason):
+        if self._exchange is not None:
+            self._exchange.fail(reason)
+        self.stream.close()
 
     async def _read_answers(self):
         reason = "connection lost: Stream is closed"
--- a/sassafrasdoor/backends/joined.py
+++ b/sassafrasdoor/backends/joined.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPHeaders, HTTPInputError
 
 MAX_HEAD_BYTES = 65536
+MAX_STATUS_LINE_BYTES = 256
 # Of heads that are looked at in one piece of data.
 MAX_HEADS = 1024
 MAX_PARSED_BYTES = 4 * MAX_HEAD_BYTES
--- a/sassafrasdoor/platform/tests/test_late_answers.py
+++ b/sassafrasdoor/platform/tests/test_late_answers.py
@@ -350,3 +350,30 @@
                 first = whole[:-missing] + whole[:missing]
                 await self.start([first, whole[missing:]])
                 await self.assert_not_joined()
+
+    async def test_own_answer_inside_a_cut_extra_one_fails_at_once(self):
+        """Guards against a call that waits for an answer that was read as another's."""
+        own = answer(200, "r2", b"two")
+        for framing in ("length", "chunks"):
+            extra = answer(200, "r1", 10 * BODY, framing=framing)[: -9 * len(BODY)]
+            segments = [[own]]
+            # The last byte of a segment may be that of the status line.
+            segments += [[own[:cut], own[cut:]] for cut in range(1, 60)]
+            for first, *rest in segments:
+                with self.subTest(framing=framing, first=first):
+                    await self.start([answer(200, "r1", b"1")], [extra + first, *rest])
+                    self.assertIsInstance(await self.call("r1"), Answer)
+                    result = await self.call("r2")
+                    self.client.close()
+                    self.assertIsInstance(result, Broken)
+                    self.assertTrue(result.began)
+                    self.assertEqual(result.reason, "two answers in one body")
+
+    async def test_long_extra_answer_costs_no_answer(self):
+        """Guards against an own answer lost for an extra one that quotes status lines."""
+        text = b"HTTP/1.1 200 OK\nServer: s\n" * 5000
+        extra = answer(200, "r0", text, framing="chunks")
+        own = answer(200, "r2", BODY)
+        await self.start([answer(200, "r1")], [extra[:70_001], extra[70_001:] + own])
+        self.assertIsInstance(await self.call("r1"), Answer)
+        self.assertEqual((await self.call("r2")).body, BODY)
