Connections: a length without a body refuses no reply

Callers saw: no answer to HEAD of a resource above 16 MiB, nor a 304 that states the length of one. Cause: the length of a reply was compared with the limit of kept bytes, though no body follows these. Evidence: test_length_of_a_body_that_does_not_follow failed before for both, with "answer too long". Change: the limit applies to replies that have a body; one to GET with status 200 is refused as before.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -164,6 +164,10 @@
         """The bytes received that are kept, not copied."""
         return self._body.data
 
+    @property
+    def _has_body(self):
+        return self.request.method != HEAD and self.status not in BODYLESS_STATUSES
+
     @property
     def _is_passed_on(self):
         return self._on_data is not None and self.status == 200
@@ -194,9 +198,10 @@
         self.headers = headers
         reason = self._accept(status, headers) if self._accept is not None else ""
         length = headers.get("Content-Length", "")
+        is_kept = self._has_body and not self._is_passed_on
         if reason:
             self.refuse(reason)
-        elif not (self._is_passed_on or self._body.allows_length(length)):
+        elif is_kept and not self._body.allows_length(length):
             self.refuse("answer too long")
 
     def receive_data(self, chunk):
--- a/sassafrasdoor/backends/tests/test_connections.py
+++ b/sassafrasdoor/backends/tests/test_connections.py
@@ -17,6 +17,7 @@
     Reply,
 )
 from sassafrasdoor.backends.interface import Broken, Refused
+from sassafrasdoor.backends.limits import MAX_ANSWER_BYTES
 from sassafrasdoor.clock import deadline_in
 
 COMPLETE_REPLY = b"HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 2\r\n\r\nok"
@@ -97,6 +98,18 @@
         request = OutgoingRequest("GET", "/", {"Id": name}, b"", deadline, fresh)
         return await self.connections.send(self.address, request, accept, on_data)
 
+    async def test_length_of_a_body_that_does_not_follow(self):
+        """Guards against a reply without body refused for the length of one."""
+        length = b"Content-Length: %d\r\n\r\n" % (MAX_ANSWER_BYTES + 1)
+        cases = [("HEAD", 200, Reply), ("GET", 304, Reply), ("GET", 200, Broken)]
+        for method, status, kind in cases:
+            with self.subTest(method=method, status=status):
+                await self.start((b"HTTP/1.1 %d X\r\n%b" % (status, length), OPEN))
+                request = OutgoingRequest(method, "/", deadline=deadline_in(20))
+                reply = await self.connections.send(self.address, request)
+                self.assertIsInstance(reply, kind)
+                self.assertEqual(self.server.connections, 1)
+
     async def test_complete_and_truncated_replies(self):
         cases = [
             (COMPLETE_REPLY, OPEN, b"ok"),
