Engines: calls that change or move a stream use fresh connections

Callers would see: a stream that goes on with the KV cache of another one, an import or a removal reported as done though the engine refused it. Answers of engines bear no id, so a late one to an earlier call is taken for the answer to the next. Evidence: test_late_answer_on_a_kept_connection_is_not_that_of_a_stream failed before: the export of s/1 returned the late answer to a list of streams. Change: export, import and removal open a connection of their own, as orders and streams do. Polls (load, streams, cache events) still use kept ones.

--- a/sassafrasdoor/backends/http.py
+++ b/sassafrasdoor/backends/http.py
@@ -50,7 +50,11 @@
 
 
 class HttpEngine(_Adapter, interface.Engine):
-    """Calls engines by the protocol of ``docs/INTERNALS.md``."""
+    """Calls engines by the protocol of ``docs/INTERNALS.md``.
+
+    Answers bear no id, and a kept connection may carry a late one to an earlier call.
+    Calls that change or move a stream are therefore made on fresh connections.
+    """
 
     __slots__ = ()
 
@@ -71,7 +75,7 @@
     async def cancel(self, backend, stream):
         """Cancel and remove a stream; return None, or ``Unavailable``."""
         path = "/streams/" + urllib.parse.quote(stream, safe="")
-        document = await self._call(backend, "DELETE", path)
+        document = await self._call(backend, "DELETE", path, fresh=True)
         return None if isinstance(document, dict) else document
 
     async def load(self, backend):
@@ -111,17 +115,18 @@
 
     async def export_kv(self, backend, stream):
         """Return the KV cache of a stream (a string), or ``Unavailable``."""
-        document = await self._call(backend, "POST", "/kv/export", {"stream": stream})
+        body = {"stream": stream}
+        document = await self._call(backend, "POST", "/kv/export", body, fresh=True)
         return decode_document(lambda reply: reply["kv"], document)
 
     async def import_kv(self, backend, stream, kv):
         """Load the KV cache of a stream into an engine; return None or ``Unavailable``."""
         body = {"stream": stream, "kv": kv}
-        document = await self._call(backend, "POST", "/kv/import", body)
+        document = await self._call(backend, "POST", "/kv/import", body, fresh=True)
         return None if isinstance(document, dict) else document
 
-    async def _call(self, backend, method, path, body=None):
-        return await call_json(self._client, backend, method, path, body)
+    async def _call(self, backend, method, path, body=None, fresh=False):
+        return await call_json(self._client, backend, method, path, body, fresh)
 
 
 class HttpService(_Adapter, interface.Service):
@@ -270,7 +275,7 @@
 ORDER_REPLY_DECODERS = {OK: _decode_versions, STALE_FENCE: _decode_stale}
 
 
-async def call_json(client, backend, method, path, body=None):
+async def call_json(client, backend, method, path, body=None, fresh=False):
     """Make a short idempotent call; return its JSON object or ``Unavailable``."""
     request = Request(
         method,
@@ -278,7 +283,7 @@
         None if body is None else json.dumps(body),
         JSON_HEADERS,
         deadline_in(SHORT_CALL_TIMEOUT),
-        fresh=False,
+        fresh=fresh,
     )
     response = await client.fetch(backend, request)
     if isinstance(response, Broken):
--- a/sassafrasdoor/backends/tests/test_stream.py
+++ b/sassafrasdoor/backends/tests/test_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import unittest
 from unittest import mock
 
@@ -244,6 +245,36 @@
                     self.assertIsInstance(outcome, Unavailable)
                 server.close()
 
+    async def test_late_answer_on_a_kept_connection_is_not_that_of_a_stream(self):
+        """Guards against a stream that goes on with the KV cache of another one."""
+
+        async def serve(reader, writer):
+            late = b""
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    length = head.partition(b"Content-Length: ")[2].split(b"\r\n")[0]
+                    sent = await reader.readexactly(int(length or 0))
+                    name = json.loads(sent)["stream"] if sent else ""
+                    status = 404 if name == "gone" else 200
+                    body = json.dumps({"kv": name, "streams": []})
+                    lines = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}"
+                    answer = f"{lines}\r\n\r\n{body}".encode()
+                    writer.write(late + answer)
+                    late = answer
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        backend = Backend("raw", address, "engine", "engine")
+        for name in ("s/1", "s/2"):
+            self.assertEqual(await self.engine.streams(backend, ""), [])
+            self.assertEqual(await self.engine.export_kv(backend, name), name)
+            imported = await self.engine.import_kv(backend, "gone", "kv")
+            self.assertEqual(imported, Unavailable("status 404"))
+            self.assertIsNone(await self.engine.cancel(backend, name))
+
     async def test_calls_to_a_stopped_engine_are_unavailable(self):
         stand_in, backend = self.start_engine()
         await stand_in.close()
