--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -26,7 +26,11 @@
     Verdict,
 )
 from sassafrasdoor.backends.interface import Broken, Refused
-from sassafrasdoor.backends.joined import data_holds_answer
+from sassafrasdoor.backends.joined import (
+    MAX_HEAD_BYTES,
+    MAX_STATUS_LINE_BYTES,
+    data_holds_answer,
+)
 from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody, AnswerGivenUp
 from sassafrasdoor.clock import deadline_in, passed
 from sassafrasdoor.headers import holds_status_line
@@ -157,9 +161,13 @@
 
     @property
     def body(self):
-        """The bytes received that are kept."""
+        """The bytes received that are kept, not copied."""
         return self._body.data
 
+    @property
+    def _has_body(self):
+        return self.request.method != HEAD and self.status not in BODYLESS_STATUSES
+
     @property
     def _is_passed_on(self):
         return self._on_data is not None and self.status == 200
@@ -190,9 +198,10 @@
         self.headers = headers
         reason = self._accept(status, headers) if self._accept is not None else ""
         length = headers.get("Content-Length", "")
+        is_kept = self._has_body and not self._is_passed_on
         if reason:
             self.refuse(reason)
-        elif not (self._is_passed_on or self._body.allows_length(length)):
+        elif is_kept and not self._body.allows_length(length):
             self.refuse("answer too long")
 
     def receive_data(self, chunk):
@@ -269,9 +278,9 @@
             raise StreamClosedError(real_error=error) from error
         return True
 
-    def peek(self):
-        """Return received bytes that are buffered and have not been read."""
-        return bytes(self._read_buffer)
+    def peek(self, limit):
+        """Return up to ``limit`` received bytes that have not been read."""
+        return bytes(self._read_buffer[:limit])
 
 
 class _Availability(Enum):
@@ -285,19 +294,21 @@
 class _Connection:
     """An open connection; while idle it may be reused until ``deadline``.
 
-    ``identify`` is that of ``Connections``; ``on_close(connection)`` is called once it
-    has ended.
+    ``identify`` and ``names_request`` are those of ``Connections``;
+    ``on_close(connection)`` is called once it has ended.
     """
 
     __slots__ = (
         "_dropped_answers",
         "_dropped_bytes",
+        "_dropped_tail",
         "_exchange",
         "_http",
         "_identify",
         "_is_final",
         "_is_receiving",
         "_ledger",
+        "_names_request",
         "_on_close",
         "_parameters",
         "_reader",
@@ -306,15 +317,17 @@
         "stream",
     )
 
-    def __init__(self, address, stream, parameters, identify, on_close):
+    def __init__(self, address, stream, parameters, identify, names_request, on_close):
         self._dropped_answers = 0
         self._dropped_bytes = 0
+        self._dropped_tail = b""
         self._exchange = None
         self._http = HTTP1Connection(stream, True, parameters)
         self._identify = identify
         self._is_final = False
         self._is_receiving = False
         self._ledger = SequentialLedger() if identify is None else Ledger()
+        self._names_request = names_request
         self._on_close = on_close
         self._parameters = parameters
         self._reader = None
@@ -395,9 +408,7 @@
     def reject_head(self):
         """Fail the current send and close, as an answer's head is not its own."""
         DROPPED.inc({"kind": UNREADABLE})
-        if self._exchange is not None:
-            self._exchange.fail("two answers in one head")
-        self.stream.close()
+        self._fail_and_close("two answers in one head")
 
     def attribute(self, status, headers):
         """Return the exchange that an answer belongs to; None if it is dropped."""
@@ -412,6 +423,7 @@
         kind = self._ledger.mark(head).value if head.is_framed else UNFRAMED
         DROPPED.inc({"kind": kind})
         self._dropped_answers += 1
+        self._dropped_tail = b""
         if verdict is Verdict.REJECT:
             exchange.fail("answer to another request")
         if verdict is not Verdict.DROP or self._dropped_answers > MAX_DROPPED_ANSWERS:
@@ -419,10 +431,24 @@
         return None
 
     def drop_data(self, chunk):
-        """Count bytes of an answer that belongs to no current send."""
+        """Count bytes of an answer that belongs to no current send.
+
+        If it goes on with another answer, that may be the answer to the current send.
+        """
         self._dropped_bytes += len(chunk)
         if self._dropped_bytes > MAX_DROPPED_BYTES:
             self.stream.close()
+        if self._names_request is None or self.stream.closed():
+            return
+        data = self._dropped_tail + chunk
+        self._dropped_tail = data[-MAX_STATUS_LINE_BYTES:]
+        if data_holds_answer(data, self._names_request):
+            self._fail_and_close("two answers in one body")
+
+    def _fail_and_close(self, reason):
+        if self._exchange is not None:
+            self._exchange.fail(reason)
+        self.stream.close()
 
     async def _read_answers(self):
         reason = "connection lost: Stream is closed"
@@ -462,10 +488,10 @@
 
     def _is_joined(self, exchange):
         """Return whether the body goes on with another answer, which may end behind it."""
-        if self._identify is None:
+        if self._names_request is None:
             return False
-        body = exchange.body
-        return data_holds_answer(body, self._identify, self.stream.peek())
+        following = self.stream.peek(MAX_HEAD_BYTES)
+        return data_holds_answer(exchange.body, self._names_request, following)
 
     def _answer_head(self, status, headers):
         is_framed = (
@@ -514,14 +540,16 @@
 
     ``identify(status, headers)`` returns the request id that an answer bears, or None, and
     whether it says that its request was not run. Without it the servers' answers bear no
-    ids.
+    ids. ``names_request(headers)`` says whether a head that stands in the body of an
+    answer is that of another one, by headers that only the servers set.
     """
 
-    __slots__ = ("_identify", "_idle", "_parameters")
+    __slots__ = ("_identify", "_idle", "_names_request", "_parameters")
 
-    def __init__(self, identify=None):
+    def __init__(self, identify=None, names_request=None):
         self._identify = identify
         self._idle = {}
+        self._names_request = names_request
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=NO_BODY_LIMIT,
@@ -624,7 +652,12 @@
             raise
         OPENED.inc({"result": "opened"})
         return _Connection(
-            address, stream, self._parameters, self._identify, self._discard
+            address,
+            stream,
+            self._parameters,
+            self._identify,
+            self._names_request,
+            self._discard,
         )
 
     def _keep_idle(self, connection, request, reply):
