Streams: an event counts as sent before the wait for a slow caller

Callers may see: one event of a text twice. Cause: the number of the last event was kept after the event had been flushed to the caller. If the silence timeout expires in the turn in which the event arrives and the caller is slow, the wait is cancelled: the event is written, but asked for again at another replica. Evidence: the review, read from the code; the test below, which lets the timeout expire in that turn, got the events 0 and 0 before. Change: the number is kept right before the event is written; the interface says that it is written before the first wait, as the only implementation does. Why it works: nothing can be cancelled between the two. Measured: test_event_that_arrives_as_the_silence_ends_is_sent_once passes, and the six others of test_streaming.

--- a/sassafrasdoor/requests/streaming.py
+++ b/sassafrasdoor/requests/streaming.py
@@ -40,7 +40,11 @@
 
     @abstractmethod
     async def send_event(self, block):
-        """Send a complete event; return when there is room for more."""
+        """Send a complete event; return when there is room for more.
+
+        The event is written before the first wait: if that is cancelled, the caller gets
+        the event nevertheless, and the stream is resumed after it.
+        """
 
 
 class _StreamRelay:
@@ -80,9 +84,10 @@
         # The time that a slow caller needs does not count as silence of the replica.
         self.stop_timeout()
         await self.begin()
-        await self._caller.send_event(block)
+        # A timeout may end the wait for a slow caller, who gets the event nevertheless.
         if number is not None:
             self.last_event = number
+        await self._caller.send_event(block)
         self.restart_timeout()
 
     async def begin(self):
--- a/sassafrasdoor/requests/tests/test_streaming.py
+++ b/sassafrasdoor/requests/tests/test_streaming.py
@@ -145,6 +145,29 @@
         self.assertIsInstance(result, Unknown)
         self.assertEqual(len(self.client.calls), 1)
 
+    async def test_event_that_arrives_as_the_silence_ends_is_sent_once(self):
+        """Guards against an event that two replicas send to a slow caller."""
+
+        class SlowCaller(Caller):
+            async def send_event(self, block):
+                await super().send_event(block)
+                await asyncio.sleep(0.05)
+
+        class LateClient(Client):
+            async def stream(self, replica, call, relay):
+                if not self.calls:
+                    # The timeout expires in the turn in which the event arrives.
+                    relay.timeout._settle(0)
+                return await super().stream(replica, call, relay)
+
+        client, caller = LateClient([(2, True), (1, True)]), SlowCaller()
+        service = StreamService(client, replicas(3))
+        request = direct_request(route(repeat=Repeat.RESUME, streams=True), 20.0)
+        with mock.patch.object(streaming, "SILENCE_TIMEOUT", 0.0):
+            self.assertIs(await service.answer(request, caller), True)
+        numbers = caller.text.split()
+        self.assertEqual(numbers, sorted(set(numbers)))
+
     async def test_deadline_during_a_send_is_unknown(self):
         result = await self.stream((None, HANG), repeat=Repeat.ONCE, seconds=0.05)
         self.assertIsInstance(result, Unknown)
