--- a/sassafrasdoor/platform/tests/test_process.py
+++ b/sassafrasdoor/platform/tests/test_process.py
@@ -3,6 +3,7 @@
 import pathlib
 import tempfile
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
 from sassafrasdoor.log.sharing import FOLLOWER_READ_SHARE, LIST_COUNT
@@ -10,6 +11,7 @@
 from sassafrasdoor.platform.local import SETTINGS_TEMPLATE
 from sassafrasdoor.platform.process import Process
 from sassafrasdoor.routing.instances import Instances
+from sassafrasdoor.steps.durable.state import Steps
 
 ALIVE = 4000
 READS = 2000.0
@@ -42,6 +44,15 @@
             reads = sum(ALIVE / tail._read_coordinator.retry_delay for tail in lists)
         self.assertLessEqual(reads, FOLLOWER_READ_SHARE * READS * 1.001)
 
+    async def test_no_record_of_a_step_is_skipped(self):
+        """Guards against an accepted step that one instance never knows of."""
+        batch = SimpleNamespace(end=1, first=0, records=[b"record"])
+        for tail in self.process._tails:
+            with mock.patch.object(Steps, "fold", side_effect=RuntimeError):
+                with self.assertRaises(RuntimeError):
+                    tail._fold_batch(batch)
+            self.assertEqual(tail.offset, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
