--- a/sassafrasdoor/platform/stutter.py
+++ b/sassafrasdoor/platform/stutter.py
@@ -81,13 +81,24 @@
     ``spoilt`` is the share of answers with an interim answer or their own first part
     before them, ``second`` that with a second answer or, for ``_foreign``, other bytes
     after them. Of the latter the share ``held`` is sent just before the connection's next
-    answer, and the share ``without_id`` lacks the request's id.
+    answer, the share ``without_id`` lacks the request's id, and the share ``cut`` ends at
+    any of its bytes.
     """
 
-    __slots__ = ("changes", "held", "second", "spoilt", "without_id")
-
-    def __init__(self, changes, *, second=1.0, spoilt=0.0, held=0.5, without_id=0.5):
+    __slots__ = ("changes", "cut", "held", "second", "spoilt", "without_id")
+
+    def __init__(
+        self,
+        changes,
+        *,
+        second=1.0,
+        spoilt=0.0,
+        held=0.5,
+        without_id=0.5,
+        cut=0.0,
+    ):
         self.changes = changes
+        self.cut = cut
         self.second = second
         self.spoilt = spoilt
         self.held = held
@@ -99,7 +110,8 @@
 REVERSALS = Manner((_with_other_status,), without_id=0.0)
 REFUSALS = Manner((_as_refusal, _as_misdirected), without_id=1.0)
 BROKEN_OFF = Manner((), second=0.0, spoilt=0.6)
-MANNERS = (MIXED, COPIES, REVERSALS, REFUSALS, BROKEN_OFF)
+CUT = Manner((_copy, _with_other_status), without_id=0.0, cut=1.0)
+MANNERS = (MIXED, COPIES, REVERSALS, REFUSALS, BROKEN_OFF, CUT)
 
 
 class Stutter:
@@ -162,10 +174,13 @@
             return FOREIGN_BYTES
         if self._draw(self.manner.without_id):
             second.headers = second.without(wire.REQUEST_ID)
-        return second.encode(self._draw(CHUNKED_SHARE))
+        data = second.encode(self._draw(CHUNKED_SHARE))
+        return self._cut(data) if self._draw(self.manner.cut) else data
 
     def _broken_off(self, answer):
-        data = answer.encode(self._draw(CHUNKED_SHARE))
+        return self._cut(answer.encode(self._draw(CHUNKED_SHARE)))
+
+    def _cut(self, data):
         return data[: self._rng.randrange(1, len(data))]
 
 
--- a/sassafrasdoor/platform/tests/test_stutter.py
+++ b/sassafrasdoor/platform/tests/test_stutter.py
@@ -5,7 +5,7 @@
 
 from sassafrasdoor.platform import wire
 from sassafrasdoor.platform.standin import ReplicaStandin
-from sassafrasdoor.platform.stutter import SECOND_ANSWERS, SentAnswer
+from sassafrasdoor.platform.stutter import CUT, SECOND_ANSWERS, SentAnswer, Stutter
 
 CONNECTION_COUNT, CALL_COUNT = 40, 3
 REQUEST = (
@@ -36,6 +36,14 @@
         chunked = b"Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n"
         self.assertEqual(answer.encode(chunked=True), head + chunked)
 
+    def test_second_answer_that_is_cut_ends_anywhere(self):
+        answer = SentAnswer(200, [(wire.STAMP, "p.1")], b"own")
+        stutter = Stutter(1)
+        stutter.manner = CUT
+        cuts = {stutter._second_answer(answer) for _ in range(500)}
+        self.assertTrue(any(cut.endswith(b"HTTP/1.1 500 Int") for cut in cuts))
+        self.assertTrue(any(cut.endswith(b"\r\n\r\nlate ans") for cut in cuts))
+
 
 class StutterTest(unittest.IsolatedAsyncioTestCase):
     async def received(self, share):
