Callers: all that is held for them counts against one budget, and the stalled yield

Callers and operators saw an instance killed for its memory, or out of descriptors, beside connections that were each inside the limits of a request; and sound bodies of 64 KiB and more refused for as long as stalled ones stayed.

Cause: bodies under 64 KiB, decoded heads, connections and bodies at addresses that take none were not counted, and what was counted belonged to its holder until its connection ended. Ruled out as enough: counting alone.

Bodies over the limit get 413 before they are read, not 400.

Changed tests: those of the former budget and its wrapper are now test_budget and test_server, each with the same crowd and check or a stricter one; test_front asks for the bytes of body and answer by kind, as heads count too. A refusal of a chunked body is checked by its answer, since the application hears of a request only once it is whole.

The settings are in docs/SETTINGS.md, counters in docs/OPERATIONS.md.

--- /dev/null
+++ b/sassafrasdoor/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of callers: what is held for them, accepted, refused and closed."""
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -9,6 +9,7 @@
 
 from sassafrasdoor.backends.connections import OutgoingRequest, Reply
 from sassafrasdoor.backends.interface import Answer, Broken
+from sassafrasdoor.callers.requests import CountedRequests
 from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter
@@ -453,40 +454,45 @@
 
 def front_application(parts):
     """Return the application of the callers' address."""
-    return _application([(r".*", FrontHandler, {"parts": parts})])
+    return _application(parts, [(r".*", FrontHandler)])
 
 
 def ready_application(parts):
     """Return the application of the readiness and metrics address."""
-    return _application([(r".*", ReadyHandler, {"parts": parts})])
+    return _application(parts, [(r".*", ReadyHandler)])
 
 
 def metrics_application(parts):
     """Return the application of the metrics address."""
-    return _application([(r"/metrics", ReadyHandler, {"parts": parts})])
+    return _application(parts, [(r"/metrics", ReadyHandler)])
 
 
 def control_application(parts):
     """Return the application of the control address, which other instances call."""
-    arguments = {"parts": parts}
     return _application(
+        parts,
         [
-            (NEWEST_PATH, PeerHandler, arguments),
-            (READ_PATH, RelayHandler, arguments),
-            (APPEND_PATH, RelayHandler, arguments),
-        ]
+            (NEWEST_PATH, PeerHandler),
+            (READ_PATH, RelayHandler),
+            (APPEND_PATH, RelayHandler),
+        ],
     )
 
 
 def directory_application(parts):
     """Return the application of the directory's address."""
-    return _application([(r".*", DirectoryHandler, {"parts": parts})])
+    return _application(parts, [(r".*", DirectoryHandler)])
 
 
-def _application(handlers):
+def _application(parts, routes):
+    arguments = {"parts": parts}
     # Disables Tornado's log line for each answer of 400 and above: decisions are logged
     # where they are made, at a limited rate.
-    return Application(handlers, log_function=lambda handler: None)
+    application = Application(
+        [(pattern, handler, arguments) for pattern, handler in routes],
+        log_function=lambda handler: None,
+    )
+    return CountedRequests(application, parts.budget)
 
 
 def _parse_int(text, default):
--- a/sassafrasdoor/platform/handlers.py
+++ b/sassafrasdoor/platform/handlers.py
@@ -9,13 +9,13 @@
 from tornado.web import RequestHandler
 
 from sassafrasdoor.backends.connections import Connections
+from sassafrasdoor.callers.budget import CallerBudget
 from sassafrasdoor.clock import now
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter, exposition, gauge, histogram
 from sassafrasdoor.outcomes import NotRun, Rejected, Unknown
 from sassafrasdoor.platform import wire
 from sassafrasdoor.requests.access import Unauthorized
-from sassafrasdoor.requests.buffers import BufferBudget
 from sassafrasdoor.requests.crash_watch import Quarantined
 from sassafrasdoor.requests.stop_admission import InstanceStopping, StopAdmission
 from sassafrasdoor.steps.durable.service import NotFound
@@ -26,7 +26,7 @@
 MAX_LOGGED_FRAMES = 2
 MAX_LOGGED_PATH = 120  # characters
 
-HELD_BYTES = gauge("buffers_held_bytes", "Bytes held for requests and unread answers.")
+HELD_BYTES = gauge("buffers_held_bytes", "Bytes held for callers, by kind.")
 ANSWERS = counter("front_answers_total", "Answers to callers, by kind and status.")
 CUT_REQUESTS = counter(
     "front_cut_by_stop_total", "Requests cut off by a planned stop, by when they came."
@@ -43,7 +43,7 @@
 
     ``process`` has the state of this process. ``store`` is the platform's store, called
     directly and never through another instance. ``lists`` maps each keyed topic to the
-    tail that follows it. ``budget`` bounds what is held for callers. ``stop_admission``
+    tail that follows it. ``budget`` counts what is held for callers. ``stop_admission``
     decides what is still served during a planned stop.
     """
 
@@ -76,7 +76,7 @@
         stop_admission=None,
     ):
         self.access = access
-        self.budget = budget or BufferBudget()
+        self.budget = budget or CallerBudget()
         self.stop_admission = stop_admission or StopAdmission(lambda: True)
         self.connections = Connections()
         self.direct = direct
@@ -98,15 +98,12 @@
         self._parts = parts
         self._task = None
         self._caller_left = False
-        self._body_bytes = 0
         self._run = None
         self._is_sending = False
         self._started_at = now()
 
     def prepare(self):
         self._parts.process.in_flight.add(self)
-        self._body_bytes = len(self.request.body)
-        self._parts.budget.add_body(self._body_bytes)
 
     def on_finish(self):
         # Called before a slow reader has read the answer; until then a planned stop
@@ -168,23 +165,16 @@
     def _end(self):
         """Release what a request holds once its answer is sent or its caller has left."""
         self._parts.process.in_flight.discard(self)
-        self._parts.budget.add_body(-self._body_bytes)
-        self._body_bytes = 0
         if self._run is not None:
             self._parts.stop_admission.end(self._run)
 
     def _reply(self, status, headers=(), body=b""):
         self._write_head(status, headers)
-        size = len(body)
-        self._parts.budget.add_answer(size)
         self._is_sending = True
         # Done once the caller's system has taken the answer or the connection ended.
-        self.finish(body).add_done_callback(
-            lambda sent: self._handle_sent_answer(sent, size)
-        )
+        self.finish(body).add_done_callback(self._handle_sent_answer)
 
-    def _handle_sent_answer(self, sent, size):
-        self._parts.budget.add_answer(-size)
+    def _handle_sent_answer(self, sent):
         self._end()
         # Marks the error of a connection that ended as handled: nobody awaits it.
         if not sent.cancelled():
@@ -248,7 +238,8 @@
 
     def get(self):
         if self.request.path == "/metrics":
-            HELD_BYTES.set({}, self._parts.budget.held_bytes)
+            for kind, size in self._parts.budget.held_by_kind().items():
+                HELD_BYTES.set({"kind": kind.value}, size)
             body, headers = exposition()
             self._reply(200, list(headers.items()), body)
         else:
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -5,9 +5,11 @@
 import signal
 import uuid
 
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from sassafrasdoor.callers.accounting import process_budget
+from sassafrasdoor.callers.budget import CallerLimits
+from sassafrasdoor.callers.server import CallerServer
 from sassafrasdoor.clock import now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.duties.service import Duties
@@ -36,7 +38,6 @@
 from sassafrasdoor.platform.store import Store
 from sassafrasdoor.requests.access import Access
 from sassafrasdoor.requests.admission import CallAdmission
-from sassafrasdoor.requests.bounded_bodies import BoundedBodies
 from sassafrasdoor.requests.buffers import BufferBudget
 from sassafrasdoor.requests.crash_watch import TOPIC as CRASHES_TOPIC, CrashWatch
 from sassafrasdoor.requests.direct import DirectService
@@ -94,8 +95,9 @@
 FOLLOW_CHECK_INTERVAL, READ_SLOT_CHECK_INTERVAL = 0.2, 0.05
 # Minimum seconds between reads of a shard that this process does not run.
 UNOWNED_SHARD_MIN_READ_INTERVAL = 0.4
-# Seconds; used until the operator's limit has been loaded.
+# Used until the operator's limits have been loaded; seconds and bytes.
 INITIAL_IDLE_TIMEOUT = 60.0
+INITIAL_BODY_LIMIT = 100 * 1024 * 1024
 CLEANUP_INTERVAL = 10.0  # seconds
 ROUTES_CHECK_INTERVAL = 0.5  # seconds between checks of the age of the routes
 CALL_REPORT_INTERVAL = 5.0  # seconds between log lines with the calls to the log
@@ -125,7 +127,7 @@
         self._read_slot = ReadSlot()
         self._following = asyncio.Event()
         self._listeners = []
-        self._body_servers = []
+        self._body_applications = []
         self._tasks = []
         self.closing = False
         self.stopping_since = math.inf
@@ -141,9 +143,12 @@
         self._log = RelayedLog(self._store, self._relay_clients)
         self._read_coordinator = ReadCoordinator(self._backlog_share, self._retry_pause)
         is_bounded = "buffers" not in settings.disabled_parts
-        self._budget = BufferBudget(settings.memory_bytes if is_bounded else 0)
+        limits = settings.caller_limits if is_bounded else CallerLimits()
+        self._budget = process_budget(limits)
         uses_subsets = "subsets" not in settings.disabled_parts
-        self._client = WireReplicas(self._budget, rotates_connections=uses_subsets)
+        self._client = WireReplicas(
+            BufferBudget(limits.memory_bytes), rotates_connections=uses_subsets
+        )
         self._routes = RoutesInForce(
             lambda: self._operator_tail.confirmed_boot_at,
             lambda: settings.config_apply,
@@ -423,30 +428,25 @@
             application = front.metrics_application(parts)
             applications.append((f"{host}:{self._metrics_port}", application))
         for address, application in applications:
-            server = self._listen_at(address, application)
-            server.conn_params.max_body_size = MAX_UNUSED_BODY_BYTES
+            application.keeps_bodies = False
+            application.max_body_bytes = MAX_UNUSED_BODY_BYTES
+            self._listen_at(address, application)
         applications = [(self._settings.front, front.front_application(parts))]
         if self._settings.control:
             application = front.control_application(parts)
             applications.append((self._settings.control, application))
         for address, application in applications:
-            server = self._listen_at(address, self._bounded(application))
-            self._body_servers.append(server)
+            application.max_body_bytes = INITIAL_BODY_LIMIT
+            self._body_applications.append(application)
+            self._listen_at(address, application)
 
     def _listen_at(self, address, application):
-        """Serve an application at an address; return the server."""
+        """Serve an application at an address."""
         host, _, port = address.rpartition(":")
-        server = HTTPServer(application, idle_connection_timeout=INITIAL_IDLE_TIMEOUT)
+        server = CallerServer(application, idle_timeout=INITIAL_IDLE_TIMEOUT)
         (sock,) = bind_sockets(int(port), host, backlog=LISTEN_BACKLOG)
-        server.add_socket(sock)
+        server.start(sock)
         self._listeners.append((server, sock))
-        return server
-
-    def _bounded(self, application):
-        """Return the application, with callers' bodies bounded unless switched off."""
-        if not self._budget.total_limit:
-            return application
-        return BoundedBodies(application, self._budget)
 
     def _apply_limits(self, configuration):
         """Apply the operator's limits on request sizes and idle connections.
@@ -456,10 +456,9 @@
         """
         limits = configuration.limits
         for server, _ in self._listeners:
-            server.conn_params.header_timeout = limits.idle_timeout
-            server.conn_params.max_header_size = limits.header_bytes
-        for server in self._body_servers:
-            server.conn_params.max_body_size = limits.body_bytes
+            server.set_limits(limits.header_bytes, limits.idle_timeout)
+        for application in self._body_applications:
+            application.max_body_bytes = limits.body_bytes
 
     async def _update_following(self):
         while True:
--- a/sassafrasdoor/platform/settings.py
+++ b/sassafrasdoor/platform/settings.py
@@ -6,6 +6,7 @@
 
 import os
 
+from sassafrasdoor.callers.budget import DEFAULTS, CallerLimits
 from sassafrasdoor.outcomes import Finding, Rejected
 from sassafrasdoor.routing.instances import InstanceLocation
 
@@ -44,9 +45,29 @@
     "Limits.CpuShare": 1.0,
     "Limits.Cores": 1.0,
     "Limits.MemoryMb": 0.0,
+    "Limits.MaxFds": 0.0,
 }
 
 
+# Settings of what is held for callers: the field of ``CallerLimits`` and its unit.
+CALLER_SETTINGS = {
+    "Callers.ProcessMb": ("process_bytes", 1e6),
+    "Callers.MemoryShare": ("memory_share", 1),
+    "Callers.LeastShare": ("least_share", 1),
+    "Callers.UnfreedShare": ("unfreed_share", 1),
+    "Callers.DescriptorShare": ("descriptor_share", 1),
+    "Callers.ReservedFds": ("reserved_descriptors", 1),
+    "Callers.AnswerShare": ("answer_share", 1),
+    "Callers.HeadShare": ("head_share", 1),
+    "Callers.ReservedShare": ("reserved_share", 1),
+    "Callers.ProgressKb": ("progress_bytes", 1024),
+    "Callers.StallMs": ("stall_time", 1e-3),
+    "Callers.AnswerStallMs": ("answer_stall_time", 1e-3),
+}
+NUMBER_DEFAULTS |= {
+    key: DEFAULTS[name] / unit for key, (name, unit) in CALLER_SETTINGS.items()
+}
+
 # Settings that a running process applies when the file changes: bounds that are read at
 # each use. Addresses, the location and the number of partitions change only at a start.
 RELOADABLE = (
@@ -103,11 +124,12 @@
     instances together.
     ``results_kept``: time after a step's submission for which its samples are readable.
     ``cores``: processor cores of the instance, which may be a fraction.
-    ``memory_bytes``: memory of the instance, 0 if not stated.
+    ``caller_limits``: ``CallerLimits`` by the memory and descriptors of the process.
     ``port_range``: lowest and highest port for traffic between instances, None if none.
     """
 
     __slots__ = (
+        "caller_limits",
         "config_apply",
         "control",
         "cores",
@@ -122,7 +144,6 @@
         "heartbeat",
         "instance",
         "lease",
-        "memory_bytes",
         "name",
         "partitions",
         "peers",
@@ -191,6 +212,11 @@
         for key in POSITIVE
         if numbers.get(key, 1.0) <= 0.0
     ]
+    findings += [
+        Finding(key, "must be between 0 and 1")
+        for key in CALLER_SETTINGS
+        if key.endswith("Share") and not 0.0 <= numbers.get(key, 0.0) <= 1.0
+    ]
     if numbers.get("Platform.parts", MIN_PARTITIONS) < MIN_PARTITIONS:
         findings.append(Finding("Platform.parts", f"below {MIN_PARTITIONS}"))
     for key in ADDRESSES:
@@ -242,7 +268,11 @@
     settings.reads_per_second = max(1.0, numbers["Platform.ReadsPerS"])
     settings.read_bytes_per_second = max(1.0, numbers["Platform.ReadMbS"]) * 1e6
     settings.cores = numbers["Limits.CpuShare"] * numbers["Limits.Cores"]
-    settings.memory_bytes = int(numbers["Limits.MemoryMb"] * 1e6)
+    settings.caller_limits = CallerLimits(
+        memory_bytes=int(numbers["Limits.MemoryMb"] * 1e6),
+        descriptors=int(numbers["Limits.MaxFds"]),
+        **{name: numbers[key] * unit for key, (name, unit) in CALLER_SETTINGS.items()},
+    )
     settings.port_range = _port_range(fields)
     settings.partitions = int(numbers["Platform.parts"])
     settings.instance = InstanceLocation(
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -9,6 +9,7 @@
 from tornado.testing import bind_unused_port
 
 from sassafrasdoor.backends.interface import Answer
+from sassafrasdoor.callers.budget import Kind
 from sassafrasdoor.clock import boot_now, now
 from sassafrasdoor.outcomes import NotRun, Unknown
 from sassafrasdoor.platform import front, handlers, wire
@@ -364,7 +365,8 @@
         writer.write(head.encode() + b"abc")
         await reader.readuntil(b"\r\n\r\n")
         self.assertEqual(len(self.process.in_flight), 1)
-        self.assertEqual(self.parts.budget.held_bytes, size + 3)
+        held = self.parts.budget.held_by_kind()
+        self.assertEqual((held[Kind.BODY], held[Kind.ANSWER]), (3, size))
         await reader.readexactly(size)
         await until(lambda: not self.process.in_flight, what="the end of the answer")
         self.assertEqual(self.parts.budget.held_bytes, 0)
--- a/sassafrasdoor/platform/tests/test_translation.py
+++ b/sassafrasdoor/platform/tests/test_translation.py
@@ -5,6 +5,7 @@
 import tempfile
 import unittest
 
+from sassafrasdoor.callers.budget import CallerLimits
 from sassafrasdoor.clock import now
 from sassafrasdoor.outcomes import Rejected
 from sassafrasdoor.platform import configuration, settings, steps
@@ -83,6 +84,20 @@
         places = {finding.place for finding in rejected.findings}
         self.assertEqual(places, set(broken))
 
+    def test_limits_of_callers_are_translated(self):
+        stated = {"Limits.MemoryMb": "320", "Limits.MaxFds": "8200"}
+        loaded = settings.from_fields(self.fields(**stated))
+        expected = CallerLimits(memory_bytes=320_000_000, descriptors=8200)
+        self.assertEqual(loaded.caller_limits, expected)
+        changed = {"Callers.StallMs": "500", "Callers.ProcessMb": "40"}
+        limits = settings.from_fields(self.fields(**changed)).caller_limits
+        self.assertEqual((limits.memory_bytes, limits.descriptors), (0, 0))
+        self.assertEqual((limits.process_bytes, limits.stall_time), (40_000_000, 0.5))
+        for text in ("-0.1", "1.1", "half"):
+            with self.subTest(text):
+                fields = self.fields(**{"Callers.MemoryShare": text})
+                self.assertIsInstance(settings.from_fields(fields), Rejected)
+
     def test_port_range(self):
         """Guards against a port range that is read as absent although it is wrong."""
         self.assertIsNone(settings.from_fields(self.fields()).port_range)
--- a/sassafrasdoor/stopping.py
+++ b/sassafrasdoor/stopping.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from functools import singledispatch
 
 from tornado.iostream import IOStream
 
@@ -58,7 +59,7 @@
 async def stop_listening(listeners):
     """Close listeners; return once the last requests of their callers were read.
 
-    ``listeners`` are pairs of a Tornado ``HTTPServer`` and its listening socket.
+    ``listeners`` are pairs of a server and its listening socket.
 
     The kernel completes connections before they are accepted, and resets them when the
     listener is closed. A caller that has sent its request would not know whether it ran.
@@ -80,7 +81,13 @@
     with contextlib.suppress(OSError):
         while True:
             connection, address = sock.accept()
-            server.handle_stream(IOStream(connection), address)
+            serve_accepted(server, connection, address)
+
+
+@singledispatch
+def serve_accepted(server, connection, address):
+    """Serve a connection that was accepted at the socket of a Tornado ``HTTPServer``."""
+    server.handle_stream(IOStream(connection), address)
 
 
 async def cancel_all_tasks(deadline):
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -9,11 +9,12 @@
 DECISIONS = {
     "backends/attribution.py": "which send on a connection an answer belongs to",
     "backends/limits.py": "which answer is given up when too many bytes arrive",
+    "callers/budget.py": "what is held for callers, and which connection yields",
     "duties/scaling.py": "how many replicas of a service are ordered in a zone",
     "duties/usage.py": "what a usage report says and when its counts are fixed",
     "duties/watermarks.py": "for which processes the counts of a window wait",
     "log/turns.py": "who reads first after all instances started together",
-    "requests/buffers.py": "whether a request's body fits into the memory",
+    "requests/buffers.py": "whether a replica may get a further large request",
     "requests/stop_policy.py": "which requests are still served during a planned stop",
     "routing/engine_speed.py": "which speed of an engine lasts, when it is slow",
     "routing/pace.py": "which samples leave an engine of another speed",
