Front: forms and queries are passed on without being decoded

Callers saw 400 in calm for legal requests: a form of 2,000 fields, a multipart body of 20,000 parts, one that says multipart and isn't or lacks its boundary, a query of 3,500 arguments.

Cause: the HTTP library decodes each query and each body that says form, before a handler is asked, and bounds the number of fields. Ruled out: its settings, which refuse such bodies too.

Change: the application gets the path, and the query apart; bodies are taken as they are. Arguments that this process reads itself are looked up one by one.

Test: test_forms_and_queries_are_passed_on_as_they_came failed in five of six cases before (400), none now.

--- a/sassafrasdoor/callers/requests.py
+++ b/sassafrasdoor/callers/requests.py
@@ -1,6 +1,7 @@
 """Counts callers' requests and answers, between an HTTP server and an application.
 
-The application gets each request from here, and writes its answer through here.
+The application gets each request from here, and writes its answer through here. A query
+is kept apart: Tornado would decode its arguments, which a gateway only passes on.
 """
 
 import asyncio
@@ -145,6 +146,7 @@
     def _begin(self):
         """Hand the head over to the application."""
         start_line, headers = self._head
+        start_line = start_line._replace(path=self._answer.path)
         self._delegate = self._server.application.start_request(
             self._server_conn, self._answer
         )
@@ -171,7 +173,8 @@
 class CountedConnection(HTTPConnection):
     """Writes the answer to one request.
 
-    ``is_finished`` says whether the answer has been handed over whole.
+    ``target`` is the request's, with its ``path`` and ``query``. ``is_finished`` says
+    whether the answer has been handed over whole.
     """
 
     def __init__(self, connection, budget, caller):
@@ -183,6 +186,7 @@
         self._is_head = False
         self._is_read = False
         self.is_finished = False
+        self.path = self.query = self.target = ""
 
     @property
     def awaits_end(self):
@@ -203,6 +207,8 @@
         """Set what is answered."""
         self._awaits_continue = "Expect" in headers
         self._is_head = start_line.method == "HEAD"
+        self.target = start_line.path
+        self.path, _, self.query = start_line.path.partition("?")
 
     def write_headers(self, start_line, headers, chunk=None):
         self._has_begun = True
--- a/sassafrasdoor/callers/tests/test_server.py
+++ b/sassafrasdoor/callers/tests/test_server.py
@@ -295,6 +295,13 @@
         self.delegate.data_received.assert_called_once_with(b"abc")
         self.delegate.finish.assert_called_once()
 
+    def test_query_is_kept_apart(self):
+        """Guards against the arguments of a query that are decoded to be passed on."""
+        self.request.headers_received(self.start_line, HTTPHeaders())
+        self.request.finish()
+        start_line, _ = self.delegate.headers_received.call_args.args
+        self.assertEqual(start_line.path, "/a")
+
     def test_caller_is_serving_once_its_request_is_whole(self):
         self.request.headers_received(self.start_line, HTTPHeaders())
         self.request.finish()
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -3,7 +3,6 @@
 import contextlib
 import re
 
-from tornado.httputil import parse_qs_bytes
 from tornado.iostream import StreamClosedError
 from tornado.web import Application
 
@@ -189,9 +188,9 @@
         request = DirectRequest(
             route=route,
             method=self.request.method,
-            path=self.request.uri,
+            path=self.request.connection.target,
             headers=wire.header_pairs(self.request.headers, dropped),
-            body=self.request.body,
+            body=self._body,
             request_id=self._request_id,
             deadline=self._bounded(deadline),
             version=configuration.version,
@@ -239,7 +238,7 @@
         if self._is_refused_by_stop(STEP_CALL, deadline):
             return
         spec = documents.parse_step_spec(
-            self._request_id, host, path, self.request.body, grant.account
+            self._request_id, host, path, self._body, grant.account
         )
         if isinstance(spec, Rejected):
             note(
@@ -259,8 +258,7 @@
             self._reply_failure(result)
 
     async def _read_step(self, step_id, account):
-        query = parse_qs_bytes(self.request.query.encode())
-        first_position = max(0, _parse_int(query.get("After", [b"0"])[0], 0))
+        first_position = max(0, _parse_int(self._query_value("After"), 0))
         wait = _parse_int(self.request.headers.get(wire.WAIT), 0) / 1000
         wait_deadline = self._bounded(deadline_in(min(wait, MAX_POLL_WAIT)))
         page = await self._while_connected(
@@ -272,8 +270,7 @@
             await self._reply_from_peer_or_fail(page)
 
     async def _read_item_body(self, step_id, account):
-        query = parse_qs_bytes(self.request.query.encode())
-        item_id = query.get("Id", [b""])[0].decode("utf-8", "replace")
+        item_id = self._query_value("Id")
         reading = self._parts.steps.body(step_id, item_id, account)
         body = await self._while_connected(reading)
         if isinstance(body, bytes):
@@ -368,9 +365,9 @@
         headers = {**dict(pairs), FORWARDED_HEADER: "1"}
         call = OutgoingRequest(
             self.request.method,
-            self.request.uri,
+            self.request.connection.target,
             headers,
-            self.request.body,
+            self._body,
             deadline,
             # A peer that is paused would handle a complete call when it resumes.
             awaits_continue=True,
--- a/sassafrasdoor/platform/handlers.py
+++ b/sassafrasdoor/platform/handlers.py
@@ -6,10 +6,11 @@
 import traceback
 from functools import singledispatch
 
-from tornado.web import RequestHandler
+from tornado.web import RequestHandler, stream_request_body
 
 from sassafrasdoor.backends.connections import Connections
 from sassafrasdoor.callers.budget import CallerBudget
+from sassafrasdoor.callers.queries import query_value
 from sassafrasdoor.clock import now
 from sassafrasdoor.decisions import note
 from sassafrasdoor.metrics import counter, exposition, gauge, histogram
@@ -89,8 +90,13 @@
         self.lists = {}
 
 
+# Tornado would decode forms, which are only passed on.
+@stream_request_body
 class WireHandler(RequestHandler):
-    """Adds no default headers, and cancels a request whose caller disconnects."""
+    """Adds no default headers, and cancels a request whose caller disconnects.
+
+    It handles requests that ``callers.requests`` passes on once they are complete.
+    """
 
     SUPPORTED_METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS")
 
@@ -98,10 +104,14 @@
         self._parts = parts
         self._task = None
         self._caller_left = False
+        self._body = b""
         self._run = None
         self._is_sending = False
         self._started_at = now()
 
+    def data_received(self, chunk):
+        self._body = chunk
+
     def prepare(self):
         self._parts.process.in_flight.add(self)
 
@@ -120,6 +130,7 @@
         return None
 
     def on_connection_close(self):
+        super().on_connection_close()
         self._caller_left = True
         if self._run is not None:
             self._run.is_whole = False
@@ -158,6 +169,10 @@
             answer_begun=self._headers_written,
         )
 
+    def _query_value(self, name, default=""):
+        """Return the value of an argument in the query."""
+        return query_value(self.request.connection.query, name, default)
+
     @property
     def _request_id(self):
         return self.request.headers.get(wire.REQUEST_ID, "")
@@ -251,7 +266,7 @@
     """Returns the addresses that a caller should use."""
 
     def get(self):
-        zone = self.get_query_argument("Zone", "")
+        zone = self._query_value("Zone")
         addresses = self._parts.instances.addresses(
             zone, serves=not self._parts.access.is_expired
         )
--- a/sassafrasdoor/platform/peers.py
+++ b/sassafrasdoor/platform/peers.py
@@ -84,10 +84,10 @@
     """Returns the newest values of a keyed topic to another instance."""
 
     async def get(self):
-        tail = self._parts.lists.get(self.get_query_argument("Topic", ""))
+        tail = self._parts.lists.get(self._query_value("Topic"))
         if tail is None:
             newest = None
-        elif self.get_query_argument(FROM_STORE_PARAMETER, ""):
+        elif self._query_value(FROM_STORE_PARAMETER):
             newest = await self._load_from_store(tail)
         else:
             newest = tail.newest
@@ -119,12 +119,10 @@
             await self._read()
 
     async def _read(self):
-        wait = min(
-            MAX_RELAYED_READ_WAIT, int(self.get_query_argument("WaitMs", "0")) / 1000
-        )
-        offset = int(self.get_query_argument("From"))
+        wait = min(MAX_RELAYED_READ_WAIT, int(self._query_value("WaitMs", "0")) / 1000)
+        offset = int(self._query_value("From"))
         store = self._parts.store
-        max_bytes = int(self.get_query_argument("MaxKb", "0")) * 1024 or None
+        max_bytes = int(self._query_value("MaxKb", "0")) * 1024 or None
         result = await self._while_connected(
             store.read(*self._partition(), offset, wait, RELAY_TIMEOUT, max_bytes)
         )
@@ -137,7 +135,7 @@
 
     async def post(self):
         """Append; ``ReplyLost`` is never reported as an append without effect."""
-        records = unpack_records(self.request.body)
+        records = unpack_records(self._body)
         if not records:
             self._reply(400)
             return
@@ -153,4 +151,4 @@
             self._reply_json(200, {"Offset": result.first, "End": result.end})
 
     def _partition(self):
-        return self.get_query_argument("Topic"), int(self.get_query_argument("part"))
+        return self._query_value("Topic"), int(self._query_value("part"))
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -215,6 +215,29 @@
         response = await self.call(PLAIN)
         self.assertEqual((response.body, response.headers["X"]), (b"body", "y"))
 
+    async def test_forms_and_queries_are_passed_on_as_they_came(self):
+        """Guards against legal requests refused for fields that nobody here reads."""
+        part = b'--b\r\nContent-Disposition: form-data; name="a"\r\n\r\n\r\n'
+        multipart = "multipart/form-data"
+        query = "&".join(f"{number:x}" for number in range(3500))
+        form = "&".join(f"{number:x}=1" for number in range(2000)).encode()
+        cases = [
+            ("", "application/x-www-form-urlencoded", form),
+            ("", f"{multipart}; boundary=b", part * 20_000 + b"--b--\r\n"),
+            ("", f"{multipart}; boundary=b", b"no parts"),
+            ("", multipart, b"no boundary"),
+            (f"?{query}", "text/plain", b"x"),
+            ("?a=%ff&a=%zz", "text/plain", b"x"),
+        ]
+        self.service.result = Answer(200, [], b"")
+        for query, content_type, body in cases:
+            with self.subTest(content_type, query=query[:9], body=body[:9]):
+                headers = {"Content-Type": content_type}
+                answer = await self.call(PLAIN + query, "POST", body, **headers)
+                self.assertEqual(answer.code, 200)
+                (request,) = self.service.requests[-1]
+                self.assertEqual((request.path, request.body), (PLAIN + query, body))
+
     async def test_refusal_has_retry_after(self):
         self.service.result = NotRun("full", 0.25)
         response = await self.call(PLAIN)
