Callers: no request is read from a connection that has ended

Callers saw no answer for more than a minute after a crowd that had sent requests ahead had reset its connections; servers got requests of callers that were gone.

Cause: requests that lie in a connection's read buffer when it ends are all begun at once, since the library waits for no answer on a closed stream. Ruled out: the store, which answered (the requests waited for each other).

Change: the stream of a caller reads no further head once it is closed. The budget already refuses such a head, so the new test passes with either; this says it where it is meant, and holds without limits too.

--- a/sassafrasdoor/callers/server.py
+++ b/sassafrasdoor/callers/server.py
@@ -46,6 +46,9 @@
 
     async def read_until_regex(self, regex, max_bytes=None):
         """Read a request's head, which is decoded only if its fields find room."""
+        # Tornado would serve the requests that were read before the caller has left.
+        if self.closed():
+            raise StreamClosedError(real_error=self.error)
         head = await super().read_until_regex(regex, max_bytes)
         size = FIELD_BYTES * head.count(b"\n")
         if not self.budget.hold(self.caller, Kind.HEAD, size, now()):
--- a/sassafrasdoor/callers/tests/test_server.py
+++ b/sassafrasdoor/callers/tests/test_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import gc
+import socket
+import struct
 import unittest
 from unittest import mock
 
@@ -23,6 +25,7 @@
 
 MB = 1_000_000
 CONNECTION_BYTES = 100_000  # above those of one connection
+LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 @stream_request_body
@@ -209,6 +212,21 @@
         status, _ = await self.post("Content-Length: 3", body=b"abc")
         self.assertEqual((status, await idle_reader.read()), (200, b""))
 
+    async def test_requests_read_ahead_are_not_run_after_their_caller_has_left(self):
+        """Guards against work for callers that are gone, before that for others."""
+        Echo.may_answer.clear()
+        for _ in range(200):
+            self.send("Content-Length: 3", body=b"abc")
+        await until(lambda: Echo.calls == 1, what="the first request")
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        self.writer.transport.abort()
+        Echo.may_answer.set()
+        await until(lambda: not self.budget.connections, what="the reset")
+        self.reader, self.writer = await self.connect()
+        self.assertEqual((await self.post("Content-Length: 0", body=b""))[0], 200)
+        self.assertEqual(Echo.calls, 2)
+
     async def test_head_without_room_is_refused_before_it_is_decoded(self):
         """Guards against the memory of fields that are decoded before they are counted."""
         self.budget.limits = CallerLimits(memory_bytes=2 * MB, process_bytes=0)
@@ -301,6 +319,7 @@
         self.request.finish()
         start_line, _ = self.delegate.headers_received.call_args.args
         self.assertEqual(start_line.path, "/a")
+        self.assertEqual(self.budget.connections, 1)
 
     def test_caller_is_serving_once_its_request_is_whole(self):
         self.request.headers_received(self.start_line, HTTPHeaders())
