Connections: answers on their way are bounded by the memory, complete ones too

Cause: incomplete answers were bounded by a constant of 32 MiB, complete ones not at all until they are written. 36 answers of 1 MB lay between (objects of a running process at 77 MB).

Incomplete ones are given up as before, and never for complete ones. They count in the callers' budget, up to their own limit. Tried and reverted: giving up the longest while the callers' budget is full, which cost the process its own reads from the store.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -32,7 +32,7 @@
     data_holds_answer,
 )
 from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody, AnswerGivenUp
-from sassafrasdoor.clock import deadline_in, passed
+from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.headers import holds_status_line
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.timeouts import SettlingTimeout
@@ -46,7 +46,10 @@
 USER_TIMEOUT_MS = 2500  # in which sent bytes must be acknowledged
 DEFAULT_IDLE_TIMEOUT = 0.5  # seconds, for servers that name none
 IDLE_TIMEOUT_MARGIN = 0.6  # seconds before the server's own idle timeout
-LARGE_BODY_BYTES = 64 * 1024  # from which on a request's body is not copied
+LARGE_BODY_BYTES = 64 * 1024  # of a request, from which on it is not copied
+# Seconds in which a complete answer is written to its caller, and between looks whether
+# answers that were handed over have been.
+HANDOVER_TIME, HANDOVER_CHECK_INTERVAL = 0.25, 0.01
 CONTINUE = 100  # status by which a server asks for a request's body
 HEAD = "HEAD"
 INTERIM_STATUSES = range(100, 200)
@@ -173,11 +176,16 @@
     def _is_passed_on(self):
         return self._on_data is not None and self.status == 200
 
+    @property
+    def _must_wait(self):
+        return not self.outcome.done() and RECEIVE_BUDGET.must_wait(now())
+
     def complete(self):
         """Set the outcome to the answer that has been received."""
         if not self.outcome.done():
             reply = Reply(self.status, self.headers, self._body.take())
             self.outcome.set_result(reply)
+            _hand_over(len(reply.body))
 
     def fail(self, reason):
         """Set the outcome to ``Broken`` unless there is one."""
@@ -210,7 +218,14 @@
         if self._is_passed_on:
             return self._pass_on(chunk)
         self._body.append(chunk)
-        return None
+        return self._wait_for_room() if self._must_wait else None
+
+    async def _wait_for_room(self):
+        try:
+            while self._must_wait:  # noqa: ASYNC110
+                await asyncio.sleep(HANDOVER_CHECK_INTERVAL)
+        except asyncio.CancelledError as error:
+            raise HTTPInputError("exchange cancelled") from error
 
     async def _pass_on(self, chunk):
         try:
@@ -685,6 +700,15 @@
             pool.remove(connection)
 
 
+def _hand_over(size):
+    """Count a large complete answer until it is being sent to its caller."""
+    if size > LARGE_BODY_BYTES:
+        deadline = deadline_in(HANDOVER_TIME)
+        RECEIVE_BUDGET.hand_over(size, deadline)
+        loop = asyncio.get_running_loop()
+        loop.call_later(remaining(deadline), lambda: RECEIVE_BUDGET.must_wait(now()))
+
+
 def _system_error(error):
     """Return the operating system's error that caused a stream error."""
     return getattr(error, "real_error", None) or error
--- a/sassafrasdoor/backends/limits.py
+++ b/sassafrasdoor/backends/limits.py
@@ -6,6 +6,8 @@
 servers stay. Data that is passed on piece by piece is not counted here.
 """
 
+from collections import deque
+
 MAX_ANSWER_BYTES = 16 * 1024 * 1024  # of one answer
 MAX_RECEIVED_BYTES = 32 * 1024 * 1024  # of all answers of this process
 
@@ -19,14 +21,30 @@
 
 
 class ReceiveBudget:
-    """Counts the bytes of incomplete answers; limits are in bytes."""
-
-    __slots__ = ("_bodies", "_held_bytes", "answer_limit", "total_limit")
+    """Counts the bytes of incomplete answers; limits are in bytes.
+
+    Complete answers are counted too until a deadline, by which they are being sent to
+    their callers. ``on_change(size)`` is called when ``size`` more or fewer bytes of
+    either are held.
+    """
+
+    __slots__ = (
+        "_bodies",
+        "_handed_bytes",
+        "_handovers",
+        "_held_bytes",
+        "answer_limit",
+        "on_change",
+        "total_limit",
+    )
 
     def __init__(self, answer_limit=MAX_ANSWER_BYTES, total_limit=MAX_RECEIVED_BYTES):
         self._bodies = set()
+        self._handed_bytes = 0
+        self._handovers = deque()
         self._held_bytes = 0
         self.answer_limit = answer_limit
+        self.on_change = lambda size: None
         self.total_limit = total_limit
 
     @property
@@ -34,13 +52,29 @@
         """Bytes of all incomplete answers."""
         return self._held_bytes
 
+    def hand_over(self, size, deadline):
+        """Count ``size`` bytes of a complete answer until ``deadline``, in order."""
+        self._handovers.append((deadline, size))
+        self._handed_bytes += size
+        self.on_change(size)
+
+    def must_wait(self, current):
+        """Return whether no more is to be read until complete answers are being sent."""
+        while self._handovers and self._handovers[0][0] <= current:
+            _, size = self._handovers.popleft()
+            self._handed_bytes -= size
+            self.on_change(-size)
+        held = self._held_bytes + self._handed_bytes
+        return self._handed_bytes > 0 and held > self.total_limit
+
     def add(self, body, size):
         """Count ``size`` more bytes of a body; give up the one that is too long."""
         self._bodies.add(body)
         self._held_bytes += size
+        self.on_change(size)
         if len(body) > self.answer_limit:
             body.give_up(f"answer too long: over {self.answer_limit} bytes")
-        elif self._held_bytes > self.total_limit:
+        elif self._held_bytes > self.total_limit and len(self._bodies) > 1:
             longest = max(self._bodies, key=len)
             longest.give_up(f"answer too long: {len(longest)} bytes beside others")
 
@@ -49,6 +83,7 @@
         if body in self._bodies:
             self._bodies.remove(body)
             self._held_bytes -= len(body)
+            self.on_change(-len(body))
 
 
 class AnswerBody:
--- a/sassafrasdoor/callers/accounting.py
+++ b/sassafrasdoor/callers/accounting.py
@@ -9,7 +9,9 @@
 import gc
 
 from sassafrasdoor import allocator
+from sassafrasdoor.backends.limits import MAX_RECEIVED_BYTES, RECEIVE_BUDGET
 from sassafrasdoor.callers.budget import CallerBudget
+from sassafrasdoor.clock import now
 from sassafrasdoor.metrics import counter
 
 TURNS = 3  # of the event loop, in which the coroutines of a closed connection end
@@ -49,4 +51,9 @@
     allocator.map_large_blocks()
     collector = GarbageCollector()
     collector.budget = CallerBudget(limits, collector)
+    RECEIVE_BUDGET.on_change = lambda size: collector.budget.change_received(
+        size, now()
+    )
+    if limits.answer_bytes:
+        RECEIVE_BUDGET.total_limit = min(MAX_RECEIVED_BYTES, limits.answer_bytes)
     return collector.budget
