Steps: fields of a submission are counted before they are decoded

Operators would see an instance over its memory beside some submissions of legal size: 120 MB of 96 on, 148 MB with the larger budget of callers.

Cause: JSON of short fields takes up to thirty times its bytes once decoded, and a submission is decoded, checked and encoded again; nothing of that was counted.

Change: callers/decoding (pure) estimates what a body takes from the marks in it. That is counted before decoding and refused as not run without room, 503 since another instance may have more memory. Weighed: 413 where it can never fit here; a trainer would not try elsewhere.

--- a/sassafrasdoor/callers/budget.py
+++ b/sassafrasdoor/callers/budget.py
@@ -235,10 +235,6 @@
             caller.progressed_at = current
             self._callers[caller.phase].move_to_end(caller)
 
-    def may_ever_hold(self, size):
-        """Return whether ``size`` bytes fit if nothing else is held."""
-        return not self.total_limit or size < self._body_limit(size)
-
     def may_announce(self, caller, size, current):
         """Return whether a body of ``size`` bytes can be expected to find room.
 
--- a/sassafrasdoor/callers/requests.py
+++ b/sassafrasdoor/callers/requests.py
@@ -211,6 +211,13 @@
         self.target = start_line.path
         self.path, _, self.query = start_line.path.partition("?")
 
+    def hold_decoded(self, size):
+        """Count ``size`` bytes that decoding takes until the request has ended.
+
+        Returns whether they fit.
+        """
+        return self._budget.hold(self._caller, Kind.DECODED, size, now())
+
     def write_headers(self, start_line, headers, chunk=None):
         self._has_begun = True
         if chunk and len(chunk) > LARGE_ANSWER_BYTES:
--- a/sassafrasdoor/platform/front.py
+++ b/sassafrasdoor/platform/front.py
@@ -8,6 +8,8 @@
 
 from sassafrasdoor.backends.connections import OutgoingRequest, Reply
 from sassafrasdoor.backends.interface import Answer, Broken
+from sassafrasdoor.callers.decoding import decoded_bytes
+from sassafrasdoor.callers.refusals import RETRY_AFTER
 from sassafrasdoor.callers.requests import CountedRequests
 from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.decisions import note
@@ -42,6 +44,7 @@
 DEFAULT_CALL_TIMEOUT = 60.0  # seconds; for callers that state no deadline
 MAX_POLL_WAIT = 1.0  # seconds that a reader may wait for another sample
 NO_CONFIGURATION_RETRY_AFTER = 0.5  # seconds
+SUBMISSION_COPIES = 2  # of a decoded submission, which is also encoded as records
 ROUTES_READ_TIMEOUT = 0.4  # seconds; a slow store answers within 0.25 s
 FORWARDED_HEADER = "X-Handed-On"  # marks a call forwarded by another instance
 # Seconds for a peer to handle a forwarded call: an append takes up to 0.8 s, a read
@@ -60,6 +63,9 @@
 # Refusals that a newer configuration may not make.
 _REFUSALS_BY_CONFIGURATION = (NotFound, Unauthorized)
 
+FIELDS_REFUSED = counter(
+    "front_fields_refused_total", "Submissions with fields that do not fit the memory."
+)
 FORWARDED_CALLS = counter(
     "front_handed_on_total", "Calls handed to another instance, by result."
 )
@@ -237,6 +243,9 @@
         deadline = self._bounded(self._deadline())
         if self._is_refused_by_stop(STEP_CALL, deadline):
             return
+        size = SUBMISSION_COPIES * decoded_bytes(self._body)
+        if self._is_refused_by_size(size):
+            return
         spec = documents.parse_step_spec(
             self._request_id, host, path, self._body, grant.account
         )
@@ -257,6 +266,18 @@
         elif result is not None:
             self._reply_failure(result)
 
+    def _is_refused_by_size(self, size):
+        """Refuse a submission that takes ``size`` bytes if they do not fit; return whether.
+
+        Another instance may have more memory, so it is worth another attempt.
+        """
+        if self.request.connection.hold_decoded(size):
+            return False
+        FIELDS_REFUSED.inc({})
+        reason = "the fields do not fit into the memory for requests"
+        self._reply_failure(NotRun(reason, RETRY_AFTER))
+        return True
+
     async def _read_step(self, step_id, account):
         first_position = max(0, _parse_int(self._query_value("After"), 0))
         wait = _parse_int(self.request.headers.get(wire.WAIT), 0) / 1000
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -9,7 +9,7 @@
 from tornado.testing import bind_unused_port
 
 from sassafrasdoor.backends.interface import Answer
-from sassafrasdoor.callers.budget import Kind
+from sassafrasdoor.callers.budget import Caller, CallerLimits, Kind, Phase
 from sassafrasdoor.clock import boot_now, now
 from sassafrasdoor.outcomes import NotRun, Unknown
 from sassafrasdoor.platform import front, handlers, wire
@@ -238,6 +238,32 @@
                 (request,) = self.service.requests[-1]
                 self.assertEqual((request.path, request.body), (PLAIN + query, body))
 
+    async def test_submission_of_very_many_fields_is_refused_undecoded(self):
+        """Guards against decoded fields that take many times a legal body's memory."""
+        self.service.result = True
+        item = {
+            **SUBMISSION["Items"][0],
+            "Headers": {f"{at:x}": "" for at in range(1000)},
+        }
+        body = json.dumps({**SUBMISSION, "Items": [item] * 10})
+        other = Caller(lambda phase: None)
+        self.parts.budget.connect(other, 0, now())
+        self.parts.budget.enter(other, Phase.SERVING, now())
+        for memory_bytes, held_by_other, status in (
+            (0, 0, 202),
+            (40_000_000, 0, 202),
+            (4_000_000, 0, 503),
+            (40_000_000, 10_000_000, 503),
+        ):
+            with self.subTest(memory_bytes=memory_bytes, held_by_other=held_by_other):
+                self.parts.budget.limits = CallerLimits(
+                    memory_bytes=memory_bytes, process_bytes=0
+                )
+                self.parts.budget.hold(other, Kind.BODY, held_by_other, now())
+                answer = await self.call(PREFIX, "POST", body)
+                self.assertEqual(answer.code, status)
+                self.assertEqual("Retry-After" in answer.headers, status == 503)
+
     async def test_refusal_has_retry_after(self):
         self.service.result = NotRun("full", 0.25)
         response = await self.call(PLAIN)
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -10,6 +10,7 @@
     "backends/attribution.py": "which send on a connection an answer belongs to",
     "backends/limits.py": "which answer is given up when too many bytes arrive",
     "callers/budget.py": "what is held for callers, and which connection yields",
+    "callers/decoding.py": "how much a JSON document takes once it is decoded",
     "duties/scaling.py": "how many replicas of a service are ordered in a zone",
     "duties/usage.py": "what a usage report says and when its counts are fixed",
     "duties/watermarks.py": "for which processes the counts of a window wait",
@@ -42,6 +43,7 @@
     "enum",
     "json",
     "math",
+    "re",
     "statistics",
     "struct",
 }
