Peers: records of a relayed append are counted before they are unpacked

Operators would see an instance over its memory by calls to its control address: 391 MB of 96 on beside 24 bodies of 8 MB of empty records.

Cause: a relayed append is unpacked into one object a record before anything is counted. Ruled out: a limit on the number of records, as reads from the store are unpacked by the same code.

Change: nine times the bytes of a body are counted before it is unpacked, what records of one byte take; without room the append is refused as the store would, and nothing is done.

--- a/sassafrasdoor/platform/peers.py
+++ b/sassafrasdoor/platform/peers.py
@@ -31,6 +31,7 @@
 MAX_RELAYED_READ_WAIT = 1.0  # seconds; an instance's own reads wait as long
 # Seconds for the store's answer after that wait; as for the instance's own appends.
 RELAY_TIMEOUT = 0.8
+UNPACKED_FACTOR = 9  # by which records of a single byte grow when they are unpacked
 # Reports an append that may have landed; ``Store`` treats any such status that way.
 UNKNOWN_OUTCOME_STATUS = 504
 
@@ -135,6 +136,10 @@
 
     async def post(self):
         """Append; ``ReplyLost`` is never reported as an append without effect."""
+        size = UNPACKED_FACTOR * len(self._body)
+        if not self.request.connection.hold_decoded(size):
+            self._reply(UNAVAILABLE)
+            return
         records = unpack_records(self._body)
         if not records:
             self._reply(400)
--- a/sassafrasdoor/platform/tests/test_front.py
+++ b/sassafrasdoor/platform/tests/test_front.py
@@ -264,6 +264,22 @@
                 self.assertEqual(answer.code, status)
                 self.assertEqual("Retry-After" in answer.headers, status == 503)
 
+    async def test_relayed_append_of_very_many_records_is_refused(self):
+        """Guards against records that take many times their bytes once unpacked."""
+        self.parts.store = ScriptedService()
+        self.parts.store.append = self.parts.store.answer
+        self.parts.store.result = NotRun("full", 0.1)
+        self.parts.budget.limits = CallerLimits(memory_bytes=8_000_000, process_bytes=0)
+        self.address = self.serve(front.control_application(self.parts))
+        path = "/-/log-append?Topic=t&part=0"
+        # Records of four bytes that hold nothing.
+        for size, appends in ((400, 1), (800_000, 0)):
+            with self.subTest(size=size):
+                self.parts.store.requests.clear()
+                answer = await self.call(path, "POST", bytes(size))
+                self.assertEqual(answer.code, 503)
+                self.assertEqual(len(self.parts.store.requests), appends)
+
     async def test_refusal_has_retry_after(self):
         self.service.result = NotRun("full", 0.25)
         response = await self.call(PLAIN)
