Steps: accepted steps are bounded by the memory of the instance

Operators would see all instances that read the steps over their memory, again after each start: 364 MB of 96 on beside 1,200 valid submissions of 65,000 bytes.

Cause: a step is kept decoded for 180 s and more by every instance that follows the steps, and nothing bounds them. Ruled out: the budget of bodies, which forgets a body once it is answered.

Change: a known step counts with about what it takes.

Tests: test_step_without_room_is_refused (all four accepted before; the service took no bound), test_bytes_held_are_those_of_the_known_steps, test_estimate_covers_a_step_of_short_headers.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -186,6 +186,7 @@
             ReadCoordinator(self._backlog_share, self._retry_pause),
         )
         self._steps = Steps()
+        self._budget.reserved = lambda: self._steps.held_bytes
         # The shard after those of the steps holds no steps: its lease decides which
         # instance orders loads of weights.
         shard_count = min(SHARD_COUNT, settings.partitions - 1)
@@ -406,6 +407,7 @@
                 self._steps,
                 self._tails[: self._weights_shard],
                 self._settings.record_bytes,
+                self._budget.limits.may_reserve,
             ),
             self._store,
             self._access,
--- a/sassafrasdoor/steps/durable/records.py
+++ b/sassafrasdoor/steps/durable/records.py
@@ -94,6 +94,12 @@
         self.reward = reward
 
 
+# Bytes of decoded records, measured with CPython 3.11 and rounded up.
+ITEM_BYTES = 1000  # of an item without its body and headers, and of its sample
+HEADER_BYTES = 120  # of a header with a short name and value
+REWARD_CALL_BYTES = 500
+
+
 class StepSpec:
     """A step as submitted; ``min_version`` is the oldest weight version allowed.
 
@@ -135,6 +141,17 @@
         self.wanted = wanted
         self.items = items
 
+    def held_bytes(self):
+        """Return about how many bytes the step takes, without its samples."""
+        return sum(map(_held_by_item, self.items))
+
+
+def _held_by_item(item):
+    size = ITEM_BYTES + len(item.body) + HEADER_BYTES * len(item.headers)
+    if item.reward is not None:
+        size += REWARD_CALL_BYTES + len(item.reward.body)
+    return size
+
 
 class StepPart:
     """One piece of an encoded step: ``piece`` is number ``part`` of ``parts``."""
--- a/sassafrasdoor/steps/durable/service.py
+++ b/sassafrasdoor/steps/durable/service.py
@@ -38,6 +38,9 @@
 MAX_PAGE_BYTES = 900_000  # text in one page; readers are promised at most 1 MB
 
 CALLS = counter("steps_calls_total", "Trainers' calls, by call and outcome.")
+WITHOUT_ROOM = counter(
+    "steps_without_room_total", "Submissions refused as steps take up their memory."
+)
 ACCEPT_SECONDS = histogram(
     "steps_accept_seconds",
     "Seconds from a submission to its acknowledged append.",
@@ -76,11 +79,15 @@
 
 
 class StepService:
-    """Answers trainers from the folded steps; writes only by appends to the log."""
+    """Answers trainers from the folded steps; writes only by appends to the log.
+
+    ``has_room(size)`` returns whether all steps may take ``size`` bytes together.
+    """
 
-    __slots__ = ("_log", "_record_limit", "_steps", "_tails")
+    __slots__ = ("_has_room", "_log", "_record_limit", "_steps", "_tails")
 
-    def __init__(self, log, steps, tails, record_limit):
+    def __init__(self, log, steps, tails, record_limit, has_room=lambda size: True):
+        self._has_room = has_room
         self._log = log
         self._steps = steps
         self._tails = tails
@@ -118,6 +125,9 @@
         known = self._steps.by_id.get(spec.step_id)
         if known is not None:
             return _check_owner(known.spec, spec)
+        if not self._has_room(self._steps.held_bytes + spec.held_bytes()):
+            WITHOUT_ROOM.inc({})
+            return NotRun("accepted steps take up their memory", RETRY_AFTER)
         packed = records.encode_step(spec, self._record_limit)
         submit_deadline = min(deadline, deadline_in(SUBMIT_TIMEOUT))
         is_unknown = False
--- a/sassafrasdoor/steps/durable/state.py
+++ b/sassafrasdoor/steps/durable/state.py
@@ -9,8 +9,10 @@
 
 from sassafrasdoor.clock import now
 from sassafrasdoor.decisions import note
+from sassafrasdoor.metrics import gauge
 from sassafrasdoor.steps.durable import records
 
+HELD_BYTES = gauge("steps_held_bytes", "About what all known steps take in memory.")
 MAX_PARTIAL_STEPS = 64
 MAX_DISCARDED_IDS = 4096  # so that a log line can say why a step is unknown
 
@@ -23,6 +25,7 @@
     replica, ``progress`` the partial samples by run, ``texts`` the complete texts that
     still need their score.
     ``seen_at`` and ``ended_at`` are when this process learned of the step and of its end.
+    ``held_bytes`` is about what it takes in memory.
     """
 
     __slots__ = (
@@ -31,6 +34,7 @@
         "ended",
         "ended_at",
         "failed_attempts",
+        "held_bytes",
         "items",
         "listed",
         "listed_ids",
@@ -44,6 +48,7 @@
     )
 
     def __init__(self, spec, shard):
+        self.held_bytes = spec.held_bytes()
         self.spec = spec
         self.shard = shard
         self.items = {item.item_id: item for item in spec.items}
@@ -86,6 +91,7 @@
         self.progress.pop(sample.item_id, None)
         self.texts.pop(sample.item_id, None)
         self.listed.append(sample)
+        self.held_bytes += len(sample.text)
         group = self.items[sample.item_id].group
         self._listed_by_group[group] = self._listed_by_group.get(group, 0) + 1
 
@@ -144,7 +150,7 @@
 
     ``claims`` are the valid claims by shard; ``used_shards`` maps each shard that ever
     had a step to when this process learned of that; ``discarded`` maps the ids of the
-    last discarded steps to when that was.
+    last discarded steps to when that was. ``held_bytes`` is about what all steps take.
     """
 
     __slots__ = (
@@ -154,11 +160,13 @@
         "by_id",
         "claims",
         "discarded",
+        "held_bytes",
         "used_shards",
     )
 
     def __init__(self):
         self.by_id = {}
+        self.held_bytes = 0
         self.claims = {}
         self.used_shards = {}
         self.discarded = {}
@@ -203,6 +211,7 @@
         for step_id, step in list(self.by_id.items()):
             if step.seen_at < before and step.is_done:
                 del self.by_id[step_id]
+                self._add_held(-step.held_bytes)
                 self.discarded[step_id] = now()
         while len(self.discarded) > MAX_DISCARDED_IDS:
             self.discarded.pop(next(iter(self.discarded)))
@@ -227,6 +236,7 @@
             note("step.record_unreadable", shard=shard, reason=spec.reason)
             return
         step = self.by_id[spec.step_id] = Step(spec, shard)
+        self._add_held(step.held_bytes)
         self.mark_used(shard)
         self._notify_changed(step)
 
@@ -235,6 +245,7 @@
         if step is None or not step.is_open(sample.item_id):
             return
         step.add_sample(sample)
+        self._add_held(len(sample.text))
         step.wake()
         self._notify_changed(step)
 
@@ -305,6 +316,10 @@
         if progress.first == len(partial.numbers):
             partial.extend(progress)
 
+    def _add_held(self, size):
+        self.held_bytes += size
+        HELD_BYTES.set({}, self.held_bytes)
+
     def _notify_changed(self, step):
         for callback in self._callbacks:
             callback(step)
--- a/sassafrasdoor/steps/durable/tests/test_service.py
+++ b/sassafrasdoor/steps/durable/tests/test_service.py
@@ -23,12 +23,12 @@
 class Instance:
     """One instance's fold and service over a shared log."""
 
-    def __init__(self, log):
+    def __init__(self, log, has_room=lambda size: True):
         self.steps = Steps()
         self.tails = [
             Tail(log, TOPIC, shard, self._fold(shard)) for shard in range(SHARD_COUNT)
         ]
-        self.service = StepService(log, self.steps, self.tails, 10_000)
+        self.service = StepService(log, self.steps, self.tails, 10_000, has_room)
 
     def _fold(self, shard):
         return lambda offset, data: self.steps.fold(shard, offset, data)
@@ -59,6 +59,18 @@
         page = await other.service.read("s1", 0, deadline_in(0))
         self.assertEqual((page.total, page.samples), (2, []))
 
+    async def test_step_without_room_is_refused(self):
+        """Guards against accepted steps that fill the memory of every instance."""
+        limit = 3 * spec().held_bytes()
+        instance = self.instance = Instance(self.log, lambda size: size <= limit)
+        for number in range(4):
+            result = await self.submit(step_id=f"s{number}")
+            for tail in instance.tails:
+                await tail.confirm(deadline_in(1))
+            self.assertEqual(isinstance(result, NotRun), number == 3)
+        self.assertEqual(len(instance.steps.by_id), 3)
+        self.assertIs(await self.submit(step_id="s0"), True)
+
     async def test_step_of_an_account_is_hidden_from_others(self):
         """Guards against reads and ends by other accounts, and ids taken from them."""
         step = spec()
--- a/sassafrasdoor/steps/durable/tests/test_state.py
+++ b/sassafrasdoor/steps/durable/tests/test_state.py
@@ -1,5 +1,6 @@
 """Tests of the fold of a shard's records, and of their encoding."""
 
+import tracemalloc
 import unittest
 from types import SimpleNamespace
 from unittest import mock
@@ -44,6 +45,27 @@
             [sample.text for sample in steps.by_id["s1"].listed], ["first"]
         )
 
+    def test_bytes_held_are_those_of_the_known_steps(self):
+        """Guards against a count that grows with steps that are gone."""
+        steps = folded(*step_records(), *step_records("s2"), sample(text="a" * 500))
+        self.assertEqual(steps.held_bytes, 2 * spec().held_bytes() + 500)
+        steps.fold(0, 9, encode(End("s1")))
+        steps.discard_done(float("inf"))
+        self.assertEqual(steps.held_bytes, spec().held_bytes())
+
+    def test_estimate_covers_a_step_of_short_headers(self):
+        """Guards against steps that take more memory than was counted for them."""
+        long_step = spec(items=50)
+        for item in long_step.items:
+            item.headers = {f"{number:x}": f"{number}" for number in range(1000)}
+        packed = encode_step(long_step, 10_000)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        steps = folded(*packed)
+        taken, _ = tracemalloc.get_traced_memory()
+        self.assertLess(taken, steps.held_bytes)
+        self.assertLess(steps.held_bytes, 3 * taken)
+
     def test_duplicate_submission_keeps_the_step(self):
         """Guards against a repeated submission that discards samples."""
         steps = folded(*step_records(), sample(), *step_records())
