Own interface: its callers count against a budget too, queries are passed on

Operators would see an entry process over its memory or out of descriptors beside callers that are each inside the limits, and callers 400 for a query of 3,500 arguments.

Handlers take bodies as they come, so that no form is decoded; an unknown path is refused once its body is read, as before.

Changed tests: test_handlers and test_discovery serve their application as the process does, through callers/requests; their checks are unchanged.

Tests: test_query_of_many_arguments_is_passed_on_as_it_came (400 before).

--- a/sassafrasdoor/entry/server.py
+++ b/sassafrasdoor/entry/server.py
@@ -2,11 +2,15 @@
 
 import json
 
-import tornado.httpserver
 import tornado.netutil
 import tornado.web
 
 from sassafrasdoor import __version__, metrics
+from sassafrasdoor.callers.accounting import process_budget
+from sassafrasdoor.callers.budget import CallerLimits
+from sassafrasdoor.callers.queries import query_value
+from sassafrasdoor.callers.requests import CountedRequests
+from sassafrasdoor.callers.server import CallerServer
 from sassafrasdoor.clock import now
 from sassafrasdoor.events import EVENTS
 from sassafrasdoor.outcomes import Finding
@@ -14,14 +18,11 @@
 from sassafrasdoor.stopping import stop_listening
 
 BEARER = "Bearer "
+MB, KIB = 1_000_000, 1024
 MAX_HEADER_BYTES = 16_384
 MAX_KEY_LENGTH = 256
 MAX_EVENTS_PER_REPLY = 1000
 MAX_STAMP_DIGITS = 20
-# Multiple of the body limit up to which a body that is too large is read and discarded,
-# so that its sender receives the refusal.
-DISCARD_LIMIT_FACTOR = 16
-
 REFUSED_KEYS = metrics.counter(
     "sassafrasdoor_refused_keys_total", "Calls whose key did not match their row."
 )
@@ -30,34 +31,36 @@
 class EntryServer:
     """Serves callers; ``components`` are created by ``entry.process``."""
 
-    __slots__ = ("_http", "_settings", "_sockets", "address", "components")
+    __slots__ = ("_budget", "_server", "_settings", "_sock", "address", "components")
 
     def __init__(self, settings, components):
+        self._budget = process_budget(caller_limits(settings.limits))
         self._settings = settings
         self.components = components
-        self._http = None
-        self._sockets = []
+        self._server = None
+        self._sock = None
         self.address = ""
 
     def listen(self):
         """Bind the callers' port and return ``host:port``."""
         instance = self._settings.instance
-        sockets = tornado.netutil.bind_sockets(instance.entry_port, instance.host)
-        self._http = tornado.httpserver.HTTPServer(
-            self.application(),
-            ssl_options=server_context(self._settings.tls),
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=self._settings.requests.body_limit,
+        (self._sock,) = tornado.netutil.bind_sockets(instance.entry_port, instance.host)
+        # A caller without its row's key is refused before its body is read.
+        requests = CountedRequests(
+            self.application(), self._budget, awaits_body=False, render=_render
+        )
+        requests.max_body_bytes = self._settings.requests.body_limit
+        self._server = CallerServer(
+            requests, server_context(self._settings.tls), MAX_HEADER_BYTES
         )
-        self._sockets = sockets
-        self._http.add_sockets(sockets)
-        self.address = f"{instance.host}:{sockets[0].getsockname()[1]}"
+        self._server.start(self._sock)
+        self.address = f"{instance.host}:{self._sock.getsockname()[1]}"
         return self.address
 
     async def close(self):
         """Close the listener and the idle connections."""
-        await stop_listening([(self._http, sock) for sock in self._sockets])
-        await self._http.close_all_connections()
+        await stop_listening([(self._server, self._sock)])
+        await self._server.close_all_connections()
 
     def application(self):
         """Return the Tornado application with all handlers."""
@@ -70,28 +73,31 @@
             ("/v1/status", StatusHandler, arguments),
             ("/v1/events", EventsHandler, arguments),
         ]
-        return BoundedApplication(
+        return tornado.web.Application(
             routes + self.components.handlers(),
-            body_limit=self._settings.requests.body_limit,
             default_handler_class=NotFoundHandler,
             authorize=Authorization(self.components),
             log_function=count_request,
         )
 
 
-class BoundedApplication(tornado.web.Application):
-    """Refuses a body whose Content-Length exceeds the limit, on any path.
+def caller_limits(limits):
+    """Return the ``CallerLimits`` of the entry process, by its section of the settings."""
+    fields = limits.model_dump()
+    return CallerLimits(
+        memory_bytes=fields.pop("memory_mb") * MB,
+        process_bytes=fields.pop("process_mb") * MB,
+        progress_bytes=fields.pop("progress_kb") * KIB,
+        **fields,
+    )
 
-    Tornado would answer with a 400 without a reason, and the sender might send the
-    body again.
-    """
 
-    def find_handler(self, request, **kwargs):
-        """Return the delegate that serves the request."""
-        length = request.headers.get("Content-Length", "0")
-        if length.isdecimal() and int(length) > self.settings["body_limit"]:
-            return self.get_handler_delegate(request, TooLargeHandler)
-        return super().find_handler(request, **kwargs)
+def _render(refusal):
+    """Return the further headers and the body of a refusal, as ``refuse`` writes them."""
+    outcome = "not-run" if refusal.may_be_repeated else "rejected"
+    document = {"outcome": outcome, "reason": refusal.reason, "findings": []}
+    headers = {"Content-Type": "application/json", "X-Outcome": outcome}
+    return headers, json.dumps(document).encode()
 
 
 def count_request(handler):
@@ -153,12 +159,17 @@
     handler.finish({"outcome": outcome, "reason": reason, "findings": documents})
 
 
+# Tornado would decode a form.
+@tornado.web.stream_request_body
 class PageHandler(tornado.web.RequestHandler):
-    """Base of the pages about the instance itself."""
+    """Base of the pages about the instance itself, which take no bodies."""
 
     def initialize(self, parts):
         self._components = parts
 
+    def data_received(self, chunk):
+        """Discard a piece of a body."""
+
     def write_error(self, status_code, **kwargs):
         """Report a failure without a traceback."""
         refuse(self, status_code, "rejected", self._reason)
@@ -170,21 +181,10 @@
     def initialize(self):
         """Takes no arguments, unlike its base."""
 
-    def prepare(self):
+    def get(self):
         refuse(self, 404, "rejected", "no such path")
 
-
-@tornado.web.stream_request_body
-class TooLargeHandler(NotFoundHandler):
-    """Refuses a body that is longer than ``requests.body_limit``."""
-
-    def prepare(self):
-        limit = self.application.settings["body_limit"]
-        self.request.connection.set_max_body_size(limit * DISCARD_LIMIT_FACTOR)
-        refuse(self, 413, "rejected", f"the body is longer than {limit} bytes")
-
-    def data_received(self, chunk):
-        """Discard the chunk."""
+    head = post = put = patch = delete = options = get
 
 
 class HealthHandler(PageHandler):
@@ -242,7 +242,7 @@
     """``GET /v1/events?since=STAMP``: recent events for the timeline."""
 
     def get(self):
-        since = self.get_query_argument("since", "0")
+        since = query_value(self.request.connection.query, "since", "0")
         if not since.isdecimal() or len(since) > MAX_STAMP_DIGITS:
             findings = [Finding("since", "not a stamp")]
             refuse(self, 400, "rejected", "the query is invalid", findings=findings)
--- a/sassafrasdoor/requests/handlers.py
+++ b/sassafrasdoor/requests/handlers.py
@@ -23,10 +23,6 @@
 
 __all__ = ["RequestsService", "handlers"]
 
-# Multiple of the body limit that is read and discarded, so that the sender of a body
-# that is too large gets to read the refusal.
-DISCARD_LIMIT_FACTOR = 16
-
 OUTCOMES = metrics.counter("sassafrasdoor_outcomes_total", "Outcomes by their name.")
 DISCONNECTS = metrics.counter(
     "sassafrasdoor_callers_left_total", "Callers gone before their answer."
@@ -44,30 +40,25 @@
 
 @tornado.web.stream_request_body
 class RowHandler(tornado.web.RequestHandler):
-    """A request of one row, authorised and limited in size before its body is read."""
+    """A request of one row, authorised before its body is read.
+
+    ``callers.requests`` limits the body and passes it on once it is complete.
+    """
 
     def initialize(self, requests):
         self._requests = requests
         self._row = None
-        self._body = bytearray()
+        self._body = b""
         self._task = None
 
     async def prepare(self):
-        """Authorise the request and check its length."""
-        limit = self._requests.settings.requests.body_limit
-        self.request.connection.set_max_body_size(limit * DISCARD_LIMIT_FACTOR)
+        """Authorise the request."""
         authorize = self.application.settings["authorize"]
         self._row = await authorize(self, self.path_args[0])
-        if self._row is None:
-            return
-        length = self.request.headers.get("Content-Length", "0")
-        if length.isdecimal() and int(length) > limit:
-            self._refuse_body()
 
     def data_received(self, chunk):
-        """Collect the body up to the limit."""
-        if len(self._body) <= self._requests.settings.requests.body_limit:
-            self._body += chunk
+        """Take a piece of the body."""
+        self._body += bytes(chunk)
 
     def on_connection_close(self):
         """Cancel the work of a caller who disconnected, to free its capacity."""
@@ -83,9 +74,6 @@
 
     async def serve(self, *_):
         """Run the request; ``_task`` is cancelled when the connection closes."""
-        if len(self._body) > self._requests.settings.requests.body_limit:
-            self._refuse_body()
-            return
         self._task = asyncio.ensure_future(self._run())
         with contextlib.suppress(asyncio.CancelledError, StreamClosedError):
             with self._requests.track_progress():
@@ -126,10 +114,6 @@
     async def _(self, outcome: Conflict):
         self._refuse(409, messages.REJECTED, outcome.reason, outcome.findings)
 
-    def _refuse_body(self):
-        limit = self._requests.settings.requests.body_limit
-        self._refuse(413, messages.REJECTED, f"the body is longer than {limit} bytes")
-
     def _refuse(self, status, name, reason, findings=()):
         self._set_outcome(status, name)
         listed = [finding.as_dict() for finding in findings]
@@ -149,10 +133,10 @@
         http = self.request
         path = http.path.split("/", 4)[4:]
         target = "/" + (path[0] if path else "")
-        if http.query:
-            target += f"?{http.query}"
+        if http.connection.query:
+            target += f"?{http.connection.query}"
         request = reading.request_from(
-            self._requests.settings, self._row, http, bytes(self._body), path=target
+            self._requests.settings, self._row, http, self._body, path=target
         )
         if not request:
             await self.reply(request)
@@ -168,7 +152,7 @@
     post = RowHandler.serve
 
     async def _run(self):
-        body = reading.generate_body(bytes(self._body))
+        body = reading.generate_body(self._body)
         if not body:
             await self.reply(body)
             return
--- a/sassafrasdoor/requests/tests/test_handlers.py
+++ b/sassafrasdoor/requests/tests/test_handlers.py
@@ -13,6 +13,8 @@
 
 from sassafrasdoor.admission.queues import Admission
 from sassafrasdoor.backends.interface import Answer, Broken
+from sassafrasdoor.callers.budget import CallerBudget
+from sassafrasdoor.callers.requests import CountedRequests
 from sassafrasdoor.outcomes import NotRun
 from sassafrasdoor.requests.handlers import RequestsService, handlers
 from sassafrasdoor.requests.tests.fakes import (
@@ -59,7 +61,9 @@
             current_view=self.current_view,
             log_function=lambda handler: None,
         )
-        server = tornado.httpserver.HTTPServer(application, max_body_size=LIMIT)
+        counted = CountedRequests(application, CallerBudget(), awaits_body=False)
+        counted.max_body_bytes = LIMIT
+        server = tornado.httpserver.HTTPServer(counted)
         sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
         server.add_sockets(sockets)
         self.port = sockets[0].getsockname()[1]
@@ -159,6 +163,15 @@
         self.assertIn(b" 413 ", await reader.readline())
         writer.close()
 
+    async def test_query_of_many_arguments_is_passed_on_as_it_came(self):
+        """Guards against legal requests refused for fields that nobody here reads."""
+        query = "&".join(f"{number:x}" for number in range(3500))
+        answer = Answer(200, HTTPHeaders(), b"")
+        self.service.script = {"b0": answer, "b1": answer}
+        response = await self.fetch(f"/v1/call/app/a?{query}")
+        self.assertEqual(response.code, 200)
+        self.assertEqual(self.service.calls[-1][1].path, f"/a?{query}")
+
     async def test_caller_that_leaves_inside_a_body_leaves_no_task(self):
         """Guards against memory that each caller takes who leaves inside a body."""
         before = asyncio.all_tasks()
--- a/sassafrasdoor/routing/discovery.py
+++ b/sassafrasdoor/routing/discovery.py
@@ -10,6 +10,7 @@
 import tornado.web
 
 from sassafrasdoor import metrics
+from sassafrasdoor.callers.queries import query_value
 from sassafrasdoor.rendezvous import ranked
 from sassafrasdoor.view import State
 
@@ -41,6 +42,8 @@
     return chosen + other_zones[: size - len(chosen)]
 
 
+# Tornado would decode a form.
+@tornado.web.stream_request_body
 class AddressesHandler(tornado.web.RequestHandler):
     """``GET /v1/addresses?row=R&zone=Z``."""
 
@@ -49,6 +52,9 @@
         self._view_getter = view_getter
         self._requests = requests
 
+    def data_received(self, chunk):
+        """Discard a piece of a body."""
+
     def write_error(self, status_code, **kwargs):
         """Send an error without a traceback."""
         self._refuse("rejected", self._reason)
@@ -59,8 +65,9 @@
 
     def get(self):
         """Send the addresses, their validity and a prefix for request keys."""
-        row = self.get_query_argument("row", "")[:MAX_ARGUMENT_LENGTH]
-        zone = self.get_query_argument("zone", "")[:MAX_ARGUMENT_LENGTH]
+        query = self.request.connection.query
+        row = query_value(query, "row")[:MAX_ARGUMENT_LENGTH]
+        zone = query_value(query, "zone")[:MAX_ARGUMENT_LENGTH]
         caller = f"{row}/{self.request.remote_ip}"
         members = addresses_for(self._settings, self._view_getter(), caller, zone)
         if not members:
--- a/sassafrasdoor/routing/tests/test_discovery.py
+++ b/sassafrasdoor/routing/tests/test_discovery.py
@@ -6,6 +6,8 @@
 import tornado.testing
 import tornado.web
 
+from sassafrasdoor.callers.budget import CallerBudget
+from sassafrasdoor.callers.requests import CountedRequests
 from sassafrasdoor.requests.tests.fakes import settings
 from sassafrasdoor.routing import discovery
 from sassafrasdoor.view import Member, State, View
@@ -73,7 +75,8 @@
     def get_app(self):
         self.seen = View(members=members(3))
         arguments = (settings(), lambda: self.seen, _Requests())
-        return tornado.web.Application(discovery.handlers(*arguments))
+        application = tornado.web.Application(discovery.handlers(*arguments))
+        return CountedRequests(application, CallerBudget())
 
     def test_answer(self):
         answer = json.loads(self.fetch("/v1/addresses?row=r&zone=zone-b").body)
--- a/sassafrasdoor/settings.py
+++ b/sassafrasdoor/settings.py
@@ -25,7 +25,21 @@
         "peer_port": 0,
         "gossip_port": 0,
     },
-    "limits": {"memory_mb": 0, "descriptors": 0},
+    "limits": {
+        "memory_mb": 0,
+        "descriptors": 0,
+        "process_mb": 112,
+        "memory_share": 0.3,
+        "unfreed_share": 0.05,
+        "descriptor_share": 0.75,
+        "reserved_descriptors": 200,
+        "answer_share": 0.5,
+        "head_share": 0.25,
+        "reserved_share": 0.1,
+        "progress_kb": 16,
+        "stall_time": 0.25,
+        "answer_stall_time": 2.0,
+    },
     "platform": {
         "log_url": "http://127.0.0.1:7400",
         "instances_url": "http://127.0.0.1:7400",
@@ -118,10 +132,31 @@
 
 
 class LimitsSettings(Section):
-    """What the entry process may take: memory and descriptors, 0 if not stated."""
+    """What the entry process may take, and what of it its callers may.
+
+    ``memory_mb`` and ``descriptors`` are those of the process, 0 if not stated.
+    ``process_mb`` of the memory are for code and state. Of all of it callers may take
+    ``memory_share``, and ``unfreed_share`` may beside that be left of connections that
+    have ended; of the descriptors after ``reserved_descriptors`` they may take
+    ``descriptor_share``. Of the callers' memory ``answer_share`` may be answers,
+    ``head_share`` heads of many fields; ``reserved_share`` is kept from large bodies. A
+    connection that has moved less than ``progress_kb`` for ``stall_time`` may be closed
+    when room is needed, one with a ready answer for ``answer_stall_time``.
+    """
 
     memory_mb: int = Field(ge=0)
     descriptors: int = Field(ge=0)
+    process_mb: int = Field(ge=0)
+    memory_share: float = Field(gt=0, le=1)
+    unfreed_share: float = Field(gt=0, le=1)
+    descriptor_share: float = Field(gt=0, le=1)
+    reserved_descriptors: int = Field(ge=0)
+    answer_share: float = Field(gt=0, le=1)
+    head_share: float = Field(gt=0, le=1)
+    reserved_share: float = Field(ge=0, lt=1)
+    progress_kb: int = Field(gt=0)
+    stall_time: float = Field(ge=0)
+    answer_stall_time: float = Field(ge=0)
 
 
 class PlatformSettings(Section):
--- a/sassafrasdoor/steps/handlers.py
+++ b/sassafrasdoor/steps/handlers.py
@@ -28,12 +28,19 @@
     ]
 
 
+# Tornado would decode a form.
+@tornado.web.stream_request_body
 class StepsHandler(tornado.web.RequestHandler):
     """Base of the step handlers: authorization by row, and refusals."""
 
     def initialize(self, steps):
+        self._body = b""
         self._steps = steps
 
+    def data_received(self, chunk):
+        """Take a piece of the body."""
+        self._body += bytes(chunk)
+
     async def authorized_row(self, row_name):
         """Return the caller's row, or None after writing a refusal."""
         return await self.application.settings["authorize"](self, row_name)
@@ -65,7 +72,7 @@
         row = await self.authorized_row(row_name)
         if row is None:
             return
-        spec = parse_input(StepSpec, self.request.body)
+        spec = parse_input(StepSpec, self._body)
         result = self._steps.submit(row, spec) if spec else spec
         if not result:
             self.refuse(result)
@@ -87,7 +94,7 @@
         row = await self.authorized_row(row_name)
         if row is None:
             return
-        fetch = parse_input(FetchSpec, self.request.body)
+        fetch = parse_input(FetchSpec, self._body)
         result = await self._steps.fetch(row, step, fetch) if fetch else fetch
         # Nothing may be awaited here: staleness was checked just now.
         if not result:
