Connections: an answer is freed once it has been passed on

Cause: the body of an answer refers to its exchange, to report that it is given up, and the exchange to its body and its outcome. So an answer stayed until the garbage collector came by: 28 of 1 MB in a running process, referred to by nothing else. Ruled out by counts in that process: answers between their servers and their callers, unread ones, incomplete ones, free memory of the allocator.

Change: a body forgets its owner once it is released.

--- a/sassafrasdoor/backends/limits.py
+++ b/sassafrasdoor/backends/limits.py
@@ -122,14 +122,17 @@
         return data
 
     def release(self):
-        """Free the memory."""
+        """Free the memory; nothing is appended or reported any more."""
         self._budget.remove(self)
         self._data = bytearray()
+        # Refers to the owner, whose answer would stay until garbage is collected.
+        self._on_excess = None
 
     def give_up(self, reason):
         """Free the memory and report why."""
+        on_excess = self._on_excess
         self.release()
-        self._on_excess(reason)
+        on_excess(reason)
 
 
 # Shared by all connections, as the memory is that of the process.
--- a/sassafrasdoor/backends/tests/test_limits.py
+++ b/sassafrasdoor/backends/tests/test_limits.py
@@ -1,12 +1,23 @@
 """Tests of the bounds on answers of servers that arrive."""
 
+import gc
 import unittest
+import weakref
 
 from sassafrasdoor.backends.limits import AnswerBody, ReceiveBudget
 
 MB = 1_000_000
 
 
+class _Owner:
+    def __init__(self, budget):
+        self.body = AnswerBody(budget, self.refuse)
+        self.reason = None
+
+    def refuse(self, reason):
+        self.reason = reason
+
+
 class ReceiveBudgetTest(unittest.TestCase):
     def setUp(self):
         self.counted = 0
@@ -48,6 +59,22 @@
         self.body(2 * MB)
         self.assertEqual(self.given_up, [15 * MB])
 
+    def test_owner_is_freed_at_once(self):
+        """Guards against answers that stay in memory until garbage is collected."""
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for size, reason in (
+            (MB, None),
+            (17 * MB, "answer too long: over 16000000 bytes"),
+        ):
+            owner = _Owner(self.budget)
+            owner.body.append(bytes(size))
+            owner.body.take()
+            self.assertEqual(owner.reason, reason)
+            freed = weakref.ref(owner)
+            del owner
+            self.assertIsNone(freed(), f"{size} bytes")
+
 
 if __name__ == "__main__":
     unittest.main()
