Streams: incomplete events count, and unread ones as often as they are held

Cause (objects of a running process): an event that waits for its caller was held three times, as split, with its end, and as the chunk that is written, and counted once; an event that has not arrived whole counted nowhere (15 of 300 kB).

Change: held twice and counted twice; incomplete events count among the answers that are received and may be given up for others.

--- a/sassafrasdoor/backends/limits.py
+++ b/sassafrasdoor/backends/limits.py
@@ -3,7 +3,7 @@
 Load pattern: faulty servers send bytes without end, on several connections at a time,
 until the caller closes. An answer that is kept until it is complete is therefore bounded,
 and so are all of them together: the longest one is given up, so that those of sound
-servers stay. Data that is passed on piece by piece is not counted here.
+servers stay. Of data that is passed on piece by piece, only the incomplete pieces count.
 """
 
 from collections import deque
@@ -78,6 +78,12 @@
             longest = max(self._bodies, key=len)
             longest.give_up(f"answer too long: {len(longest)} bytes beside others")
 
+    def subtract(self, body, size):
+        """Count ``size`` fewer bytes of a body."""
+        if body in self._bodies:
+            self._held_bytes -= size
+            self.on_change(-size)
+
     def remove(self, body):
         """Stop counting a body."""
         if body in self._bodies:
@@ -115,6 +121,11 @@
         self._data += chunk
         self._budget.add(self, len(chunk))
 
+    def discard(self, size):
+        """Drop the first ``size`` bytes, which have been passed on."""
+        self._budget.subtract(self, size)
+        del self._data[:size]
+
     def take(self):
         """Return the bytes received, which are no longer counted."""
         data = bytes(self._data)
--- a/sassafrasdoor/callers/requests.py
+++ b/sassafrasdoor/callers/requests.py
@@ -184,6 +184,7 @@
         self._caller = caller
         self._connection = connection
         self._has_begun = False
+        self._has_length = False
         self._is_head = False
         self._is_read = False
         self.is_finished = False
@@ -220,6 +221,7 @@
 
     def write_headers(self, start_line, headers, chunk=None):
         self._has_begun = True
+        self._has_length = "Content-Length" in headers
         if chunk and len(chunk) > LARGE_ANSWER_BYTES:
             # Written with its head, it is copied.
             self._connection.write_headers(start_line, headers)
@@ -231,12 +233,14 @@
         )
 
     def write(self, chunk):
-        self._count(len(chunk))
+        # A chunk is copied with its length, and the application awaits that it is taken.
+        copies = 1 if self._has_length else 2
+        self._count(copies * len(chunk))
         written = self._connection.write(chunk)
         if not self.stream.closed():
             # Done once all that was written before has been sent, unlike ``written``.
             written = self.stream.write(b"")
-        return self._counted(written, len(chunk))
+        return self._counted(written, copies * len(chunk))
 
     def finish(self):
         self.is_finished = True
--- a/sassafrasdoor/callers/tests/test_server.py
+++ b/sassafrasdoor/callers/tests/test_server.py
@@ -57,6 +57,15 @@
         self.write(bytes(self.size))
 
 
+class Chunks(RequestHandler):
+    """Answers with one chunk of that size, kept until it is taken."""
+
+    async def post(self):
+        chunk = bytes(Large.size)
+        self.write(chunk)
+        await self.flush()
+
+
 @stream_request_body
 class Early(RequestHandler):
     """Answers before it has got a body."""
@@ -86,7 +95,8 @@
         Echo.may_answer.set()
         collector = GarbageCollector()
         collector.budget = self.budget = CallerBudget(self.limits, collector)
-        application = Application([("/", Echo), ("/large", Large), ("/early", Early)])
+        handlers = [("/", Echo), ("/large", Large), ("/chunks", Chunks)]
+        application = Application([*handlers, ("/early", Early)])
         requests = CountedRequests(application, self.budget, self.awaits_body)
         requests.max_body_bytes = 8 * MB
         self.server = CallerServer(requests, header_bytes=16_384)
@@ -246,6 +256,18 @@
         await self.reader.readexactly(Large.size)
         await until(lambda: not self.held("answer"), what="the end of the answer")
 
+    async def test_chunk_counts_as_often_as_it_is_held(self):
+        """Guards against streams whose unread events take more than is counted."""
+        self.budget.limits = CallerLimits()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        self.send("Content-Length: 0", path="/chunks")
+        await self.reader.readuntil(b"\r\n\r\n")
+        size, _ = tracemalloc.get_traced_memory()
+        self.assertLess(size, 1.25 * self.held("answer"))
+        self.writer.close()
+        await until(lambda: not self.held("answer"), what="the end of the answer")
+
     async def test_large_answer_is_held_once(self):
         """Guards against twice the memory of an answer that is read slowly."""
         self.budget.limits = CallerLimits()
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import json
+from collections import deque
 
 from tornado.httputil import HTTPHeaders
 
 from sassafrasdoor.backends.connections import Connections, OutgoingRequest
 from sassafrasdoor.backends.interface import Answer, Broken, Stale
 from sassafrasdoor.backends.joined import data_holds_answer
-from sassafrasdoor.backends.limits import AnswerGivenUp, AnswerTooLong
+from sassafrasdoor.backends.limits import (
+    RECEIVE_BUDGET,
+    AnswerBody,
+    AnswerGivenUp,
+    AnswerTooLong,
+)
 from sassafrasdoor.backends.replicas import (
     Event,
     OrderMisdirected,
@@ -99,11 +105,16 @@
 
         async def forward_events(data):
             async for block in splitter.events(data):
-                await relay.event(_event_number(block), block + EVENT_END)
+                number = _event_number(block)
+                block += EVENT_END
+                await relay.event(number, block)
 
-        reply = await self._send(
-            replica, _build_request(replica, call), accept, call, forward_events
-        )
+        try:
+            reply = await self._send(
+                replica, _build_request(replica, call), accept, call, forward_events
+            )
+        finally:
+            splitter.release()
         if isinstance(reply, UNANSWERED) or reply.status != 200:
             return _answer_from(reply)
         return splitter.end_result
@@ -143,7 +154,10 @@
                 events.version = _parse_int(response_headers.get(wire.VERSIONS))
             return ""
 
-        reply = await self._send(replica, request, accept, order, events.feed)
+        try:
+            reply = await self._send(replica, request, accept, order, events.feed)
+        finally:
+            events.release()
         if isinstance(reply, UNANSWERED):
             return reply
         if reply.status == 200:
@@ -217,30 +231,33 @@
 
 
 class _EventSplitter:
-    """Splits a stream of bytes into events; buffers an incomplete last event."""
+    """Splits a stream of bytes into events; buffers an incomplete last event.
+
+    That counts in the budget of answers that are received, and may be given up for it.
+    """
 
-    __slots__ = ("_event_count", "_incomplete_event")
+    __slots__ = ("_event_count", "_excess", "_incomplete_event", "_is_incomplete")
 
     def __init__(self):
         self._event_count = 0
-        self._incomplete_event = bytearray()
+        self._excess = ""
+        self._incomplete_event = AnswerBody(RECEIVE_BUDGET, self._give_up)
+        self._is_incomplete = False
 
     @property
     def end_result(self):
         """True if the stream ended after a complete event, else ``Broken``."""
-        return (
-            Broken("stream ended inside an event")
-            if self._incomplete_event.strip()
-            else True
-        )
+        is_incomplete = self._is_incomplete or self._incomplete_event.data.strip()
+        return Broken("stream ended inside an event") if is_incomplete else True
 
     async def events(self, data):
         """Append bytes of the stream; yield the events that are now complete.
 
         Other tasks take turns between them. Raises ``AnswerGivenUp`` as ``feed``.
         """
-        for block in self.feed(data):
-            yield block
+        blocks = deque(self.feed(data))
+        while blocks:
+            yield blocks.popleft()
             self._event_count += 1
             if self._event_count % EVENTS_PER_TURN == 0:
                 await asyncio.sleep(0)
@@ -248,21 +265,54 @@
     def feed(self, data):
         """Append bytes of the stream; return the events that are now complete.
 
-        Raises ``AnswerGivenUp`` if an event does not end in time, or goes on with the
-        head of another answer.
+        Raises ``AnswerGivenUp`` if an event does not end in time, goes on with the head
+        of another answer, or is too long beside others.
         """
-        # Earlier bytes were searched when they came; an end may span two chunks.
-        searched = max(0, len(self._incomplete_event) - len(EVENT_END) + 1)
-        self._incomplete_event += data
-        if self._incomplete_event.find(EVENT_END, searched) < 0:
-            if len(self._incomplete_event) > MAX_EVENT_BYTES:
-                raise AnswerTooLong(f"event too long: over {MAX_EVENT_BYTES} bytes")
-            return []
-        *complete, rest = bytes(self._incomplete_event).split(EVENT_END)
-        self._incomplete_event = bytearray(rest)
-        if any(data_holds_answer(block, _names_request) for block in complete):
+        self._raise_if_given_up()
+        incomplete = self._incomplete_event
+        if not len(incomplete):
+            blocks, size = _split_events(data)
+            if size < len(data):
+                self._append(data[size:])
+        else:
+            # Earlier bytes were searched when they came; an end may span two chunks.
+            searched = max(0, len(incomplete) - len(EVENT_END) + 1)
+            self._append(data)
+            if incomplete.data.find(EVENT_END, searched) < 0:
+                if len(incomplete) > MAX_EVENT_BYTES:
+                    raise AnswerTooLong(f"event too long: over {MAX_EVENT_BYTES} bytes")
+                return []
+            blocks, size = _split_events(incomplete.data)
+            incomplete.discard(size)
+        if any(data_holds_answer(block, _names_request) for block in blocks):
             raise AnswerGivenUp("two answers in one event")
-        return [block for block in complete if block.strip()]
+        return [block for block in blocks if block.strip()]
+
+    def release(self):
+        """Free the memory of an event that has not ended."""
+        self._is_incomplete |= bool(self._incomplete_event.data.strip())
+        self._incomplete_event.release()
+
+    def _append(self, data):
+        self._incomplete_event.append(data)
+        self._raise_if_given_up()
+
+    def _raise_if_given_up(self):
+        if self._excess:
+            raise AnswerGivenUp(self._excess)
+
+    def _give_up(self, reason):
+        self._excess, self._is_incomplete = reason, True
+
+
+def _split_events(data):
+    """Return the complete events in data, without their ends, and their size with them."""
+    blocks, begin = [], 0
+    with memoryview(data) as view:
+        while (end := data.find(EVENT_END, begin)) >= 0:
+            blocks.append(bytes(view[begin:end]))
+            begin = end + len(EVENT_END)
+    return blocks, begin
 
 
 class _EventReader:
@@ -292,6 +342,10 @@
         """True if the stream ended after a complete event, else ``Broken``."""
         return self._blocks.end_result
 
+    def release(self):
+        """Free the memory of an event that has not ended."""
+        self._blocks.release()
+
     async def feed(self, data):
         """Append bytes of the stream; raises ``AnswerGivenUp``."""
         async for block in self._blocks.events(data):
--- a/sassafrasdoor/platform/tests/test_endless_bytes.py
+++ b/sassafrasdoor/platform/tests/test_endless_bytes.py
@@ -7,6 +7,7 @@
 import time
 import tracemalloc
 import unittest
+from unittest import mock
 
 from sassafrasdoor.backends import limits
 from sassafrasdoor.backends.connections import Connections, OutgoingRequest, Reply
@@ -324,6 +325,24 @@
         self.assertLess(time.process_time() - began_at, 20.0)
         self.assertIs(splitter.end_result, True)
 
+    def test_event_that_was_given_up_is_not_completed(self):
+        """Guards against incomplete events that fill the memory, and their tails."""
+        budget = limits.RECEIVE_BUDGET
+        patcher = mock.patch.object(budget, "total_limit", 900_000)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        long, short = servers._EventSplitter(), servers._EventSplitter()
+        long.feed(b"data: " + b"x" * 600_000)
+        self.assertEqual(budget.held_bytes, 600_006)
+        short.feed(b"data: " + b"x" * 500_000)
+        self.assertEqual(budget.held_bytes, 500_006)
+        with self.assertRaisesRegex(limits.AnswerGivenUp, "beside others"):
+            long.feed(b"tail\n\n")
+        self.assertIsNot(long.end_result, True)
+        short.release()
+        self.assertIsNot(short.end_result, True)
+        self.assertEqual(budget.held_bytes, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
