Own interface: elements of JSON input are counted before it is parsed

Operators would see the own interface take hundreds of megabytes for input that is rejected anyway: 575 MB and 1.9 s for a step of a million empty groups (4 MB), 410 MB of 144 in a trial of OwnFrontTest.test_fields_in_bodies.

Cause: the parser makes a finding of each unknown or missing field before it counts the groups.

Change: objects, lists and elements are counted in the bytes first, up to 64 for a body to generate and 24,640 for a step (4,096 groups with rewards); beyond that 400 at once. The count took texts for elements where there are very many, and would have refused that largest step: corrected.

Tests: test_bad_steps_are_findings_with_their_places fails before (findings for each group); test_largest_step_is_accepted fails with the count as it was.

--- a/sassafrasdoor/callers/decoding.py
+++ b/sassafrasdoor/callers/decoding.py
@@ -24,9 +24,10 @@
     count = _count_elements(body)
     if count <= enough:
         return count
-    # Texts may hold the same marks. There are at least half as many as this.
+    # Texts may hold the same marks. An element has two texts at most.
     texts = (body.count(b'"') - body.count(b'\\"')) // 2
-    return texts if texts > enough else _count_elements(TEXT.sub(b"", body))
+    least = texts // 2
+    return least if least > enough else _count_elements(TEXT.sub(b"", body))
 
 
 def decoded_bytes(body):
--- a/sassafrasdoor/requests/reading.py
+++ b/sassafrasdoor/requests/reading.py
@@ -4,6 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from sassafrasdoor.callers.decoding import element_count
 from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.headers import HOP_BY_HOP_HEADERS
 from sassafrasdoor.outcomes import Finding, Rejected, findings_of
@@ -13,6 +14,7 @@
 MAX_KEY_LENGTH = 256
 MAX_DEADLINE_DIGITS = 12
 MAX_TOKENS = 1_000_000
+MAX_ELEMENTS = 64  # objects, lists and elements of a body to generate
 REPEATABLE = {"": True, "yes": True, "no": False}
 
 # Headers of one connection or addressed to this service, not sent to backend servers.
@@ -33,6 +35,9 @@
 
 def generate_body(body):
     """Return the ``GenerateBody`` in JSON bytes, or ``Rejected``."""
+    # The parser would list each unknown field, and take memory for it.
+    if element_count(body, MAX_ELEMENTS) > MAX_ELEMENTS:
+        return Rejected("the body is invalid", [Finding("body", "too many elements")])
     try:
         return GenerateBody.model_validate_json(body)
     except ValidationError as error:
--- a/sassafrasdoor/steps/spec.py
+++ b/sassafrasdoor/steps/spec.py
@@ -4,10 +4,13 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
-from sassafrasdoor.outcomes import Rejected, findings_of
+from sassafrasdoor.callers.decoding import element_count
+from sassafrasdoor.outcomes import Finding, Rejected, findings_of
 from sassafrasdoor.steps.token import MAX_SAMPLES
 
 MAX_GROUPS = 4096
+# Objects, lists and elements of a document: six for each group with a reward, and the rest.
+MAX_ELEMENTS = 6 * MAX_GROUPS + 64
 MAX_PROMPT_LENGTH = 65_536
 MAX_TOKENS = 1_000_000
 MAX_DEADLINE_MS = 24 * 3600 * 1000
@@ -90,7 +93,10 @@
 
 
 def parse_input(model, body):
-    """Return an instance of ``model`` parsed from JSON ``body``, or ``Rejected``."""
+    """Return an instance of ``model`` parsed from JSON bytes, or ``Rejected``."""
+    # The parser would list each unknown field, and take memory for it.
+    if element_count(body, MAX_ELEMENTS) > MAX_ELEMENTS:
+        return Rejected("input invalid", [Finding("body", "too many elements")])
     try:
         return model.model_validate_json(body)
     except ValidationError as error:
--- a/sassafrasdoor/steps/tests/test_spec.py
+++ b/sassafrasdoor/steps/tests/test_spec.py
@@ -2,7 +2,14 @@
 import unittest
 
 from sassafrasdoor.outcomes import Rejected
-from sassafrasdoor.steps.spec import FetchSpec, Identity, StepSpec, parse_input
+from sassafrasdoor.steps.spec import (
+    MAX_ELEMENTS,
+    MAX_GROUPS,
+    FetchSpec,
+    Identity,
+    StepSpec,
+    parse_input,
+)
 
 GOOD = {
     "step": "s1",
@@ -35,6 +42,7 @@
             ({"deadline_ms": 10**9}, ["deadline_ms"]),
             ({"more": 1}, ["more"]),
             ({"seed": -1, "max_tokens": 0}, ["max_tokens", "seed"]),
+            ({"groups": [{}] * MAX_ELEMENTS}, ["body"]),
         ]
         for changes, places in table:
             with self.subTest(places=places):
@@ -44,6 +52,12 @@
                     sorted(finding.place for finding in result.findings), places
                 )
 
+    def test_largest_step_is_accepted(self):
+        """Guards against a limit of elements that a legal step meets."""
+        reward = {"service": "a,b", "path": "/{[", "body": '{"a": [1, 2, 3]}' * 100}
+        groups = [{"prompt": "[[{{,,", "reward": reward}] * MAX_GROUPS
+        self.assertIsInstance(step(groups=groups), StepSpec)
+
     def test_bad_fetches_are_findings(self):
         for body in (b"", b"[]", b"{", b'{"attach": 1, "wait_ms": 60001}', b"\xff"):
             with self.subTest(body):
--- a/sassafrasdoor/tools/trainer.py
+++ b/sassafrasdoor/tools/trainer.py
@@ -86,7 +86,7 @@
 
 
 def _check(document):
-    spec = parse_input(StepSpec, json.dumps({**document, "attach": 1}))
+    spec = parse_input(StepSpec, json.dumps({**document, "attach": 1}).encode())
     if not spec:
         for finding in spec.findings:
             typer.echo(str(finding), err=True)
