Own interface: answers of plain services are counted while they arrive

Operators would see the own interface over its memory while services send long answers side by side: each might take 100 MB, and none was counted.

Cause: libcurl collects them by itself; only answers on kept connections were counted.

Change: they count among the answers that are received, with the same limits. A handle of libcurl that is kept no longer keeps its last answer.

Test: test_answer_that_takes_too_much_memory_is_given_up; before, answers of 1.2 MB were taken with a limit of 1 MB, two at a time.

--- a/sassafrasdoor/backends/tests/test_service.py
+++ b/sassafrasdoor/backends/tests/test_service.py
@@ -9,6 +9,7 @@
 from sassafrasdoor.backends import transfer
 from sassafrasdoor.backends.http import HttpService
 from sassafrasdoor.backends.interface import Answer, Broken, Call
+from sassafrasdoor.backends.limits import RECEIVE_BUDGET
 from sassafrasdoor.backends.tests.fixtures import BackendsTestCase
 from sassafrasdoor.backends.transfer import Client
 from sassafrasdoor.clock import deadline_in
@@ -98,6 +99,22 @@
         for name, answer in zip(names, await asyncio.gather(*calls), strict=True):
             self.assertIn(f'"body": "{name}"'.encode(), answer.body)
 
+    async def test_answer_that_takes_too_much_memory_is_given_up(self):
+        """Guards against answers that are collected beyond any bound."""
+        for name in ("answer_limit", "total_limit"):
+            _, backend = self.start_service(f"service-{name}")
+            body = b"b" * 600_000
+            with mock.patch.object(RECEIVE_BUDGET, name, 1_000_000):
+                whole = await self.service.call(backend, call(body=body))
+                calls = [call(f"{at}", body=2 * body) for at in range(2)]
+                results = await asyncio.gather(
+                    *(self.service.call(backend, one) for one in calls)
+                )
+            self.assertEqual(whole.status, 200)
+            reasons = [one.reason for one in results if isinstance(one, Broken)]
+            self.assertRegex("".join(reasons), "answer too long: ")
+            self.assertEqual(RECEIVE_BUDGET.held_bytes, 0)
+
     async def test_cancelling_ends_the_transfer(self):
         """Guards against a silent transfer that outlives its cancelled call."""
         patcher = mock.patch.object(transfer, "CONNECT_TIMEOUT", 600.0)
--- a/sassafrasdoor/backends/transfer.py
+++ b/sassafrasdoor/backends/transfer.py
@@ -8,6 +8,7 @@
 from tornado.httpclient import HTTPRequest
 
 from sassafrasdoor.backends.interface import Broken
+from sassafrasdoor.backends.limits import RECEIVE_BUDGET
 from sassafrasdoor.clock import deadline_in, passed, remaining
 
 MAX_TRANSFERS = 2048  # above it the client queues calls
@@ -42,14 +43,50 @@
         self.fresh = fresh
 
 
+class _ReceivedBody:
+    """Counts the body that a handle collects in ``buffer``; ``excess`` is why it is given up."""
+
+    __slots__ = ("_size", "buffer", "excess")
+
+    def __init__(self):
+        self._size = 0
+        self.buffer = None
+        self.excess = ""
+
+    def __len__(self):
+        return self._size
+
+    def write(self, chunk):
+        """Keep a chunk; the transfer fails if its size is not returned."""
+        if not self.excess:
+            self._size += len(chunk)
+            RECEIVE_BUDGET.add(self, len(chunk))
+        return 0 if self.excess else self.buffer.write(chunk)
+
+    def give_up(self, reason):
+        """Free the memory, and let the transfer fail."""
+        self.excess = reason
+        self.release()
+        self.buffer.truncate(0)
+
+    def release(self):
+        """Stop counting it."""
+        RECEIVE_BUDGET.remove(self)
+        self._size = 0
+
+
 class Transfer:
-    """One transfer; ``began`` says whether bytes of the request may have been sent."""
+    """One transfer; ``began`` says whether bytes of the request may have been sent.
 
-    __slots__ = ("_aborted", "_curl", "_fresh", "_future", "began")
+    If it ``keeps_body``, that is collected until it is complete.
+    """
+
+    __slots__ = ("_aborted", "_body", "_curl", "_fresh", "_future", "began")
 
-    def __init__(self, fresh):
+    def __init__(self, fresh, keeps_body=True):
         self._fresh = fresh
         self._aborted = False
+        self._body = _ReceivedBody() if keeps_body else None
         self._curl = None
         self._future = None
         self.began = False
@@ -62,8 +99,7 @@
     def start(self, client, request):
         """Pass the request to the client."""
         self._future = client.fetch(request, raise_error=False)
-        # Retrieves the error of an aborted transfer, which nobody awaits.
-        self._future.add_done_callback(lambda future: future.exception())
+        self._future.add_done_callback(self._end)
 
     def prepare(self, curl):
         """Set the options of the curl handle; called before the request is sent."""
@@ -81,6 +117,9 @@
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._on_progress)
         curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
+        if self._body is not None:
+            self._body.buffer = curl.info["buffer"]
+            curl.setopt(pycurl.WRITEFUNCTION, self._body.write)
 
     def abort(self):
         """Abort the transfer; no effect once it has finished.
@@ -99,10 +138,11 @@
     async def response(self):
         """Return the response or ``Broken`` once it has ended; abort if cancelled."""
         try:
-            return await asyncio.shield(self._future)
+            response = await asyncio.shield(self._future)
+            return Broken(self._excess, self.began) if self._excess else response
         except CurlError as error:
             reason = REASONS.get(error.errno, f"curl error {error.errno}")
-            return Broken(reason, self.began)
+            return Broken(self._excess or reason, self.began)
         except ValueError as error:
             return Broken(f"not sent: {error}", self.began)
         except asyncio.CancelledError:
@@ -113,6 +153,18 @@
         """Call ``callback()`` once the transfer has ended."""
         self._future.add_done_callback(lambda _: callback())
 
+    @property
+    def _excess(self):
+        return "" if self._body is None else self._body.excess
+
+    def _end(self, future):
+        # Retrieves the error of an aborted transfer, which nobody awaits.
+        future.exception()
+        if self._body is not None:
+            self._body.release()
+            # The handle keeps the function that writes to it.
+            self._body.buffer = None
+
     def _on_progress(self, *counts):
         return int(self._aborted)
 
@@ -142,7 +194,8 @@
 
     def start(self, backend, request, on_header=None, on_data=None):
         """Start a ``Transfer``; ``on_data`` takes the body chunk by chunk."""
-        transfer = Transfer(request.fresh or self._bypasses_pool(backend))
+        is_fresh = request.fresh or self._bypasses_pool(backend)
+        transfer = Transfer(is_fresh, keeps_body=on_data is None)
         timeout = 0 if request.deadline is None else remaining(request.deadline)
         if timeout == 0 and request.deadline is not None:
             timeout = MIN_TIMEOUT
