--- a/sassafrasdoor/callers/tests/test_server.py
+++ b/sassafrasdoor/callers/tests/test_server.py
@@ -1,6 +1,8 @@
 """Tests of callers' connections over HTTP: refusals, early answers, what is released."""
 
 import asyncio
+import contextlib
+import errno
 import gc
 import socket
 import struct
@@ -9,6 +11,7 @@
 from unittest import mock
 
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
+from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
@@ -63,7 +66,8 @@
     async def post(self):
         chunk = bytes(Large.size)
         self.write(chunk)
-        await self.flush()
+        with contextlib.suppress(StreamClosedError):
+            await self.flush()
 
 
 @stream_request_body
@@ -78,6 +82,12 @@
         pass
 
 
+def _fail_or_accept(failures, sock):
+    if failures:
+        raise failures.pop()
+    return sock.accept()
+
+
 class CallerServerTest(unittest.IsolatedAsyncioTestCase):
     awaits_body = True
     # Callers may take 1.4 MB.
@@ -213,6 +223,16 @@
         self.assertIn(b"HTTP/1.1 503 ", await second[0].read())
         first[1].close()
 
+    async def test_connections_are_accepted_once_there_are_descriptors_again(self):
+        """Guards against a listener that fails without end, or for good."""
+        failures = [OSError(errno.EMFILE, "too many open files")] * 3
+        sock = self.server._sock
+        self.server._sock = mock.Mock(wraps=sock)
+        self.server._sock.accept.side_effect = lambda: _fail_or_accept(failures, sock)
+        self.reader, self.writer = await self.connect()
+        self.assertEqual(await self.post("Content-Length: 1", body=b"b"), (200, b"1"))
+        self.assertEqual(failures, [])
+
     async def test_idle_connection_yields_to_a_new_one(self):
         """Guards against new callers refused for connections that are only kept."""
         await self.post("Content-Length: 3", body=b"abc")
