--- a/sassafrasdoor/requests/reading.py
+++ b/sassafrasdoor/requests/reading.py
@@ -37,7 +37,7 @@
     """Return the ``GenerateBody`` in JSON bytes, or ``Rejected``."""
     # The parser would list each unknown field, and take memory for it.
     if element_count(body, MAX_ELEMENTS) > MAX_ELEMENTS:
-        return Rejected("the body is invalid", [Finding("body", "too many elements")])
+        return Rejected("the body is invalid", [Finding("(root)", "too many elements")])
     try:
         return GenerateBody.model_validate_json(body)
     except ValidationError as error:
--- a/sassafrasdoor/steps/spec.py
+++ b/sassafrasdoor/steps/spec.py
@@ -96,7 +96,7 @@
     """Return an instance of ``model`` parsed from JSON bytes, or ``Rejected``."""
     # The parser would list each unknown field, and take memory for it.
     if element_count(body, MAX_ELEMENTS) > MAX_ELEMENTS:
-        return Rejected("input invalid", [Finding("body", "too many elements")])
+        return Rejected("input invalid", [Finding("(root)", "too many elements")])
     try:
         return model.model_validate_json(body)
     except ValidationError as error:
