--- a/sassafrasdoor/callers/decoding.py
+++ b/sassafrasdoor/callers/decoding.py
@@ -7,7 +7,7 @@
 import re
 
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
-# Bytes of the objects that ``json`` makes, measured with CPython 3.11 and rounded up.
+# Bytes of the objects that ``json`` makes in CPython 3.11, rounded up.
 DOCUMENT_BYTES = 128
 OBJECT_BYTES = 150  # a dictionary with up to five entries
 LIST_BYTES = 72
--- a/sassafrasdoor/callers/server.py
+++ b/sassafrasdoor/callers/server.py
@@ -16,7 +16,7 @@
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.stopping import serve_accepted
 
-# Objects of a connection, measured, in bytes; with TLS also the buffers of its records.
+# Bytes of the objects of a connection; with TLS also of the buffers of its records.
 CONNECTION_BYTES, TLS_CONNECTION_BYTES = 12 * 1024, 64 * 1024
 READ_CHUNK_BYTES = 8 * 1024
 FIELD_BYTES = 512  # of a decoded header, which is also copied to a server's request
--- a/sassafrasdoor/steps/durable/records.py
+++ b/sassafrasdoor/steps/durable/records.py
@@ -94,7 +94,7 @@
         self.reward = reward
 
 
-# Bytes of decoded records, measured with CPython 3.11 and rounded up.
+# Bytes of decoded records in CPython 3.11, rounded up.
 ITEM_BYTES = 1000  # of an item without its body and headers, and of its sample
 HEADER_BYTES = 120  # of a header with a short name and value
 REWARD_CALL_BYTES = 500
