Stop: requests are refused once the last one in progress has ended

Cause: connections that callers keep stay open until the process ends. Once no request was in progress the stop went on to its last counts, cancellation and exit, but a request that came then was still judged by the time for requests in progress, accepted, and cancelled with the rest.

Change: after its last wait the stop ends the intake; further requests get 503, not run, at once.

--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -652,6 +652,8 @@
         await stop_listening(self._listeners)
         while self.in_flight and not passed(finish_deadline):  # noqa: ASYNC110
             await asyncio.sleep(IN_FLIGHT_CHECK_INTERVAL)
+        # Nothing waits any more for a request that comes on a kept connection.
+        self._stop_admission.end_intake()
         await self._duties.end(flush_deadline)
         await asyncio.wait(flushing, timeout=remaining(flush_deadline))
         cut = len(self.in_flight)
--- a/sassafrasdoor/platform/tests/test_stop_processes.py
+++ b/sassafrasdoor/platform/tests/test_stop_processes.py
@@ -1,13 +1,14 @@
 """Tests of the planned stop of real processes while the store answers nothing."""
 
 import asyncio
+import contextlib
 import json
 import signal
 import unittest
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
 from sassafrasdoor.platform import wire
-from sassafrasdoor.platform.tests.cases import ProcessCase
+from sassafrasdoor.platform.tests.cases import HOST, ProcessCase
 from sassafrasdoor.platform.tests.test_duties_processes import DutiesCase
 
 GRACE_SECONDS = 8.0  # the platform kills processes that have not ended by then
@@ -15,6 +16,12 @@
 LANDS_AFTER = 1.0  # seconds after the deletion
 OUTCOME_UNKNOWN = 504
 HELD_BEFORE, HELD_AT = 0.5, 4.0  # seconds before and after SIGTERM
+SILENT_AT = 5.0  # seconds after SIGTERM, before the listeners are closed
+# Seconds from the close of the listeners until nothing is in progress any more, and from
+# a request then until the store answers, on which the process ends.
+SETTLED_AFTER, ANSWERS_AFTER = 0.15, 0.1
+CONNECT_TIMEOUT = 0.05  # seconds; a listener that drops handshakes is being closed
+HEAD_BYTES = 64 * 1024
 REFUSED = 503
 STREAM_EVENTS = 40
 STREAM_PATHS = "/o/x", "/r/x"
@@ -77,6 +84,53 @@
         stopped = self.lines("", "process.stopped")
         self.assertEqual([line.fields["unfinished"] for line in stopped], [[]] * 3)
 
+    async def test_request_on_a_kept_connection_is_not_cut_off_at_the_end(self):
+        """Guards against requests that are accepted once a stop waits for no other one."""
+        await self.make_calls((0,))
+        instance = self.instances[0]
+        kept = await self.connect(instance.front)
+        self.assertEqual(await self.status_on(kept, "kept-1"), 200)
+        stopped_at = now()
+        instance.signal(signal.SIGTERM)
+        await asyncio.sleep(remaining(stopped_at + SILENT_AT))
+        self.store.answering.clear()
+        self.assertTrue(await self.call(0))
+        await self.wait_until(lambda: self.refuses_connections(instance.front))
+        await asyncio.sleep(SETTLED_AFTER)
+        for replica in self.plain:
+            replica.may_answer.clear()
+        answer = asyncio.ensure_future(self.status_on(kept, "kept-2"))
+        await asyncio.sleep(ANSWERS_AFTER)
+        self.store.answering.set()
+        self.assertEqual(await answer, REFUSED)
+        await self.wait_until(lambda: not instance.running)
+        self.assertEqual(self.lines("", "request.cut_by_stop"), [])
+
+    async def connect(self, address):
+        """Open a connection that is kept; return its reader and writer."""
+        reader, writer = await asyncio.open_connection(*address.split(":"))
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def status_on(self, connection, request_id):
+        """Call on a kept connection; return the status, or None if it ends without one."""
+        reader, writer = connection
+        writer.write(
+            f"POST /plain/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 1\r\n"
+            f"{wire.REQUEST_ID}: {request_id}\r\n"
+            f"{wire.AUTHORIZATION}: Bearer key-a\r\n\r\nb".encode()
+        )
+        head = await reader.read(HEAD_BYTES)
+        return int(head.split()[1]) if head else None
+
+    async def refuses_connections(self, address):
+        with contextlib.suppress(OSError, TimeoutError):
+            connecting = asyncio.open_connection(*address.split(":"))
+            _, writer = await asyncio.wait_for(connecting, CONNECT_TIMEOUT)
+            writer.close()
+            return False
+        return True
+
 
 class StopAdmissionTest(ProcessCase):
     grace = GRACE_SECONDS
