Tests: two checks of the former bound on bodies, by the callers' budget

Cause: replaced the tests of the former bound. Line by line beside them, two checks had no equal: how many of 60 slow bodies of 4 MB are admitted (10 of a quarter of 160 MB), and that unread answers leave less for bodies.

Change: both are replays of the budget now. 12 bodies of 4 MB fit into 0.27 of 180 MB.

Without answers in the sum for announced bodies (a trial) test_unread_answers_leave_less_for_bodies fails.

--- a/sassafrasdoor/callers/tests/test_budget.py
+++ b/sassafrasdoor/callers/tests/test_budget.py
@@ -149,6 +149,24 @@
         self.assertFalse(replay.budget.may_announce(newcomer, 10 * MB, replay.time))
         self.assertEqual(replay.yielded, [])
 
+    def test_bodies_of_slow_callers(self):
+        """Guards against a process killed for memory held by slow callers."""
+        replay = Replay(self)
+        admitted = sum(replay.send_body(replay.connect(), 4 * MB) for _ in range(60))
+        self.assertEqual(admitted, 12)
+        self.assertTrue(replay.is_served(body=600))
+
+    def test_unread_answers_leave_less_for_bodies(self):
+        """Guards against bodies that fill the memory beside unread answers."""
+        replay = Replay(self)
+        reader, sender = replay.connect(), replay.connect()
+        replay.serve(reader, 26 * MB)
+        self.assertFalse(replay.budget.may_announce(sender, 30 * MB, replay.time))
+        self.assertFalse(replay.send_body(sender, 30 * MB))
+        replay.budget.end_request(sender, replay.time)
+        replay.budget.free(reader, Kind.ANSWER, 26 * MB, replay.time)
+        self.assertTrue(replay.is_served(body=30 * MB))
+
     def test_sender_of_single_bytes_counts_as_stalled(self):
         """Guards against callers that keep their room by a byte now and then."""
         replay = Replay(self)
