Own interface: a long text in JSON input is passed over without going back

Operators would see an entry process over its memory, or one that stands still for minutes, for a single body of legal size on the own interface.

Cause: takes texts out of a body by a regular expression that remembers each character of a text, to go back, and that searches a text without an end again from each of its marks. Found in reading. Ruled out: the users' wire, whose estimate counts marks only, and documents.py, whose expression does not go back.

Change: the expression is possessive throughout, and a text without an end is one to the end.

Tests: test_long_text_is_not_held_many_times fails before (10.5 MB at the peak for 80 kB), test_text_without_end too (1,001 elements; its second row does not end in reasonable time before).

--- a/sassafrasdoor/callers/decoding.py
+++ b/sassafrasdoor/callers/decoding.py
@@ -6,7 +6,9 @@
 
 import re
 
-TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
+# Never goes back within a text, for which it would remember each character. One without an
+# end is one to the end, as the search would begin again at each of its marks.
+TEXT = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"?', re.DOTALL)
 # Bytes of the objects that ``json`` makes in CPython 3.11, rounded up.
 DOCUMENT_BYTES = 128
 OBJECT_BYTES = 150  # a dictionary with up to five entries
--- a/sassafrasdoor/callers/tests/test_decoding.py
+++ b/sassafrasdoor/callers/tests/test_decoding.py
@@ -39,6 +39,21 @@
         prose = json.dumps({"prompt": 'a, b, [c], {d}, "e", \\ ' * 1000}).encode()
         self.assertLess(element_count(prose, ENOUGH), ENOUGH)
 
+    def test_long_text_is_not_held_many_times(self):
+        """Guards against a legal text that takes a hundred times its bytes."""
+        prose = json.dumps({"prompt": "a, b" * COUNT}).encode()
+        tracemalloc.start()
+        self.assertLess(element_count(prose, ENOUGH), ENOUGH)
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        self.assertLess(peak, 2 * len(prose))
+
+    def test_text_without_end(self):
+        """Guards against an event loop that stands still over a small body."""
+        for marks in (b"," * 1000, b'\\",' * 1_000_000):
+            with self.subTest(size=len(marks)):
+                self.assertLess(element_count(b'["' + marks, ENOUGH), ENOUGH)
+
     def test_many_elements_are_noticed(self):
         """Guards against very many short fields that are decoded to be refused."""
         for name, document in DOCUMENTS.items():
