Own interface: a host name with several addresses is served at each

Operators would see an entry that does not start where instance.host is a name of several addresses, such as localhost with IPv6.

Change: a CallerServer for each socket, with one budget for all.

--- a/sassafrasdoor/entry/server.py
+++ b/sassafrasdoor/entry/server.py
@@ -31,36 +31,38 @@
 class EntryServer:
     """Serves callers; ``components`` are created by ``entry.process``."""
 
-    __slots__ = ("_budget", "_server", "_settings", "_sock", "address", "components")
+    __slots__ = ("_budget", "_listeners", "_settings", "address", "components")
 
     def __init__(self, settings, components):
         self._budget = process_budget(caller_limits(settings.limits))
         self._settings = settings
         self.components = components
-        self._server = None
-        self._sock = None
+        self._listeners = []
         self.address = ""
 
     def listen(self):
         """Bind the callers' port and return ``host:port``."""
         instance = self._settings.instance
-        (self._sock,) = tornado.netutil.bind_sockets(instance.entry_port, instance.host)
+        # A host name may stand for several addresses.
+        sockets = tornado.netutil.bind_sockets(instance.entry_port, instance.host)
         # A caller without its row's key is refused before its body is read.
         requests = CountedRequests(
             self.application(), self._budget, awaits_body=False, render=_render
         )
         requests.max_body_bytes = self._settings.requests.body_limit
-        self._server = CallerServer(
-            requests, server_context(self._settings.tls), MAX_HEADER_BYTES
-        )
-        self._server.start(self._sock)
-        self.address = f"{instance.host}:{self._sock.getsockname()[1]}"
+        ssl_options = server_context(self._settings.tls)
+        for sock in sockets:
+            server = CallerServer(requests, ssl_options, MAX_HEADER_BYTES)
+            server.start(sock)
+            self._listeners.append((server, sock))
+        self.address = f"{instance.host}:{sockets[0].getsockname()[1]}"
         return self.address
 
     async def close(self):
-        """Close the listener and the idle connections."""
-        await stop_listening([(self._server, self._sock)])
-        await self._server.close_all_connections()
+        """Close the listeners and the idle connections."""
+        await stop_listening(self._listeners)
+        for server, _ in self._listeners:
+            await server.close_all_connections()
 
     def application(self):
         """Return the Tornado application with all handlers."""
