Callers: a length of very many digits is refused, a repeated one is read

Callers would see a connection that ends without a word after a Content-Length of more than 4,300 digits, and operators a traceback for each; a length that is stated twice was taken for none, so that its body was refused only once too much of it had come.

Cause: the length is converted before the HTTP library checks it, and Python refuses to convert so many digits.

Change: the first of a repeated length counts; more than 18 digits are longer than any limit.

Test: test_lengths_that_are_hard_to_read fails before (end of the connection; no answer for 5 s before the body) and passes after, with test_server, test_front and test_bad_input (49 tests).

--- a/sassafrasdoor/callers/requests.py
+++ b/sassafrasdoor/callers/requests.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import sys
 
 from tornado.httputil import (
     HTTPConnection,
@@ -22,6 +23,7 @@
 from sassafrasdoor.metrics import counter
 
 LARGE_ANSWER_BYTES = 64 * 1024  # from which on an answer is not copied
+MAX_LENGTH_DIGITS = 18  # of a body's length; converting very many raises ``ValueError``
 # Seconds for which the rest of a refused request is read, so that its sender gets to
 # read the refusal: a connection that is closed with unread bytes is reset.
 LINGER_TIME = 1.0
@@ -87,8 +89,7 @@
     def headers_received(self, start_line, headers):
         self._head = (start_line, headers)
         self._answer.set_request(start_line, headers)
-        text = headers.get("Content-Length", "")
-        length = int(text) if text.isdecimal() else 0
+        length = _stated_length(headers)
         limit = self._server.max_body_bytes
         if limit is not None and length > limit:
             return self._refuse(refusals.BODY_TOO_LONG)
@@ -293,3 +294,14 @@
 
     def _free_answer(self, size):
         self._budget.free(self._caller, Kind.ANSWER, size, now())
+
+
+def _stated_length(headers):
+    """Return the length that a request states for its body, 0 if none or an invalid one.
+
+    It may be stated more than once; the HTTP library refuses different ones.
+    """
+    digits = headers.get("Content-Length", "").partition(",")[0]
+    if not digits.isascii() or not digits.isdecimal():
+        return 0
+    return int(digits) if len(digits) <= MAX_LENGTH_DIGITS else sys.maxsize
--- a/sassafrasdoor/callers/tests/test_server.py
+++ b/sassafrasdoor/callers/tests/test_server.py
@@ -28,6 +28,7 @@
 from sassafrasdoor.support import until
 
 MB = 1_000_000
+ANSWER_TIMEOUT = 5.0  # seconds; a refusal comes at once
 CONNECTION_BYTES = 100_000  # above those of one connection
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -180,6 +181,19 @@
                 self.send(f"Content-Length: {size}")
                 self.assertEqual((await self.answer())[0], status)
 
+    async def test_lengths_that_are_hard_to_read(self):
+        """Guards against requests that get no answer, or a late one, for their length."""
+        repeated = f"{2 * MB},{2 * MB}"
+        for length, status in (("9" * 5000, 413), ("9" * 30, 413), (repeated, 503)):
+            with self.subTest(length=length[:40]):
+                self.reader, self.writer = await self.connect()
+                self.send(f"Content-Length: {length}")
+                answer = await asyncio.wait_for(self.answer(), ANSWER_TIMEOUT)
+                self.assertEqual(answer[0], status)
+        self.reader, self.writer = await self.connect()
+        answer = await self.post("Content-Length: 3, 3", body=b"abc")
+        self.assertEqual(answer, (200, b"3"))
+
     async def test_refused_caller_that_awaits_the_word_is_not_asked_for_the_body(self):
         """Guards against a next request that is read as the body of a refused one."""
         self.send(f"Content-Length: {2 * MB}", "Expect: 100-continue")
