--- a/review/lab.py
+++ b/review/lab.py
@@ -257,7 +257,8 @@
     """One replica: whole answers on ``/plain/``, else streams of ``events`` events.
 
     ``make_event(request_id, number)`` returns the data of an event, ``pause`` are the
-    seconds between two. ``checks_fences`` is ``RequireFencing``.
+    seconds between two. ``lengths`` maps request ids to the number of events of streams
+    that are longer or shorter than ``events``. ``checks_fences`` is ``RequireFencing``.
     """
 
     def __init__(self, record, identity, service, models=(), slots=12, zone="zone-a"):
@@ -275,6 +276,7 @@
         self.running = 0
         self.runs = []
         self.events = 6
+        self.lengths = {}
         self.pause = 0.05
         self.make_event = lambda request_id, number: f"{request_id}.{number}"
         self.state = "ready"
@@ -408,7 +410,8 @@
         self.set_header("Sassafrasdoor-Weight-Versions", str(version))
         last = headers.get("Last-Event-Id")
         first = 1 if last is None else int(last) + 1
-        for number in range(first, replica.events + 1):
+        events = replica.lengths.get(request_id, replica.events)
+        for number in range(first, events + 1):
             await asyncio.sleep(replica.pause)
             if self._left:
                 return
@@ -420,6 +423,63 @@
             await self.flush()
 
 
+class Stream:
+    """What a caller got of a stream: its status, its bytes, whether it ended as complete."""
+
+    def __init__(self):
+        self.status = 0
+        self.body = b""
+        self.is_complete = False
+        self.seconds = 0.0
+
+
+async def read_stream(address, path, request_id, deadline_ms, record):
+    """Send a request on a new connection, read its answer to the end; return it."""
+    host, _, port = address.rpartition(":")
+    result, began_at = Stream(), time.monotonic()
+    record.line(f"POST {address}{path} {request_id}")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+    except OSError as error:
+        record.line(f"{request_id}: not connected: {error}")
+        return result
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 1\r\n"
+        f"Sassafrasdoor-Request-Id: {request_id}\r\n"
+        f"Sassafrasdoor-Deadline-Ms: {deadline_ms}\r\n"
+        "Sassafrasdoor-Token-Count: 20,400\r\n\r\n"
+    )
+    try:
+        writer.write(head.encode() + b"q")
+        async with asyncio.timeout(deadline_ms / 1000):
+            await _read_answer(reader, result)
+    except (asyncio.IncompleteReadError, OSError, ValueError, TimeoutError) as error:
+        record.line(f"{request_id}: ended by {type(error).__name__}")
+    writer.close()
+    result.seconds = round(time.monotonic() - began_at, 3)
+    record.line(
+        f"{request_id}: status {result.status} after {result.seconds} s,"
+        f" {len(result.body)} bytes, complete: {result.is_complete}"
+    )
+    return result
+
+
+async def _read_answer(reader, result):
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    result.status = int(lines[0].split()[1])
+    pairs = (line.partition(":") for line in lines[1:] if line)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    if "content-length" in headers:
+        result.body = await reader.readexactly(int(headers["content-length"]))
+        result.is_complete = True
+        return
+    while not result.is_complete:
+        size = int((await reader.readline()).strip(), 16)
+        result.body += await reader.readexactly(size)
+        await reader.readexactly(2)
+        result.is_complete = not size
+
+
 class Client:
     """Sends requests and records them with their answers."""
 
