Review case 7: a result that is longer than a record of the store blocks all results behind it

The queue of a shard's records repeats a refused append for ever, so a result of more than RecordBytes keeps every later record of the shard out of the log.

--- a/review/lab.py
+++ b/review/lab.py
@@ -21,12 +21,15 @@
 from tornado.web import Application, RequestHandler
 
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog, Partition
+from sassafrasdoor.platform import standin
 from sassafrasdoor.platform.standin import StoreStandin
+from sassafrasdoor.platform.store import unpack_records
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
 HOST = "callers.example"
 HEARTBEAT_S = 1.2
+RECORD_BYTES, CALL_BYTES = 262144, 2097152  # of the store, as in the settings
 LOAD_S = 0.9  # a change of version, from the sheets
 SETTINGS = """NodeName={name}
 Role=entry
@@ -157,10 +160,29 @@
             await asyncio.sleep(0.25)
 
 
+class BoundedAppend(standin._Append):
+    """Refuses records and calls that are longer than the settings say."""
+
+    async def post(self):
+        records = unpack_records(self.request.body) or []
+        longest = max(map(len, records), default=0)
+        if longest > RECORD_BYTES or sum(map(len, records)) > CALL_BYTES:
+            self._store.refused_appends += 1
+            self.set_status(400)
+            self.finish({})
+            return
+        await super().post()
+
+
+standin._Append = BoundedAppend
+
+
 def new_store(retention):
     """Return a ``StoreStandin`` whose records expire, and the task that does it."""
     log = AgingLog(retention)
-    return StoreStandin(log), asyncio.ensure_future(log.expire())
+    store = StoreStandin(log)
+    store.refused_appends = 0
+    return store, asyncio.ensure_future(log.expire())
 
 
 def free_port():
@@ -258,7 +280,9 @@
 
     ``make_event(request_id, number)`` returns the data of an event, ``pause`` are the
     seconds between two. ``lengths`` maps request ids to the number of events of streams
-    that are longer or shorter than ``events``. ``checks_fences`` is ``RequireFencing``.
+    that are longer or shorter than ``events``, ``statuses`` maps others to the status of
+    each answer, sent after ``status_after`` seconds; ``failed`` has their times and ids.
+    ``checks_fences`` is ``RequireFencing``.
     """
 
     def __init__(self, record, identity, service, models=(), slots=12, zone="zone-a"):
@@ -277,6 +301,9 @@
         self.runs = []
         self.events = 6
         self.lengths = {}
+        self.statuses = {}
+        self.status_after = 0.05
+        self.failed = []
         self.pause = 0.05
         self.make_event = lambda request_id, number: f"{request_id}.{number}"
         self.state = "ready"
@@ -392,7 +419,14 @@
         stamp = f"{replica.identity}.{len(replica.runs)}"
         self.set_header("Sassafrasdoor-Server-Stamp", stamp)
         try:
-            if self.request.path.startswith("/plain/"):
+            if request_id in replica.statuses:
+                await asyncio.sleep(replica.status_after)
+                status = replica.statuses[request_id]
+                if not self._left:
+                    replica.failed.append((replica.record.seconds(), request_id))
+                    replica.record.line(f"{request_id} is answered {status}")
+                self.set_status(status)
+            elif self.request.path.startswith("/plain/"):
                 await asyncio.sleep(replica.pause)
                 self.finish(f"answer to {request_id}".encode())
             else:
