--- a/review/lab.py
+++ b/review/lab.py
@@ -21,6 +21,7 @@
 from tornado.web import Application, RequestHandler
 
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog, Partition
+from sassafrasdoor.outcomes import Unavailable
 from sassafrasdoor.platform import standin
 from sassafrasdoor.platform.standin import StoreStandin
 from sassafrasdoor.platform.store import unpack_records
@@ -142,11 +143,25 @@
 
 
 class AgingLog(MemoryPartitionedLog):
-    """The platform's log; records expire after ``retention`` seconds."""
+    """The platform's log; records expire after ``retention`` seconds.
+
+    ``refused`` are the partitions, as pairs of topic and number, whose calls get 503.
+    """
 
     def __init__(self, retention):
         super().__init__()
         self._retention = retention
+        self.refused = set()
+
+    async def append(self, topic, part, records, deadline):
+        if (topic, part) in self.refused:
+            return Unavailable("down")
+        return await super().append(topic, part, records, deadline)
+
+    async def read(self, topic, part, offset, wait, slack, max_bytes=None):
+        if (topic, part) in self.refused:
+            return Unavailable("down")
+        return await super().read(topic, part, offset, wait, slack, max_bytes)
 
     def partition(self, topic, part):
         return self._partitions.setdefault((topic, part), AgingPartition())
@@ -281,8 +296,9 @@
     ``make_event(request_id, number)`` returns the data of an event, ``pause`` are the
     seconds between two. ``lengths`` maps request ids to the number of events of streams
     that are longer or shorter than ``events``, ``statuses`` maps others to the status of
-    each answer, sent after ``status_after`` seconds; ``failed`` has their times and ids.
-    ``checks_fences`` is ``RequireFencing``.
+    each answer, sent after ``status_after`` seconds; ``failed`` has their times and ids,
+    ``finished`` those of the streams that were complete. ``spoils(request_id)`` says
+    whether one byte of a refusal is wrong. ``checks_fences`` is ``RequireFencing``.
     """
 
     def __init__(self, record, identity, service, models=(), slots=12, zone="zone-a"):
@@ -304,6 +320,9 @@
         self.statuses = {}
         self.status_after = 0.05
         self.failed = []
+        self.finished = []
+        self.answers = 0
+        self.spoils = lambda request_id: False
         self.pause = 0.05
         self.make_event = lambda request_id, number: f"{request_id}.{number}"
         self.state = "ready"
@@ -407,11 +426,17 @@
         replica, headers = self.replica, self.request.headers
         request_id = headers.get("Sassafrasdoor-Request-Id", "")
         self.set_header("Sassafrasdoor-Request-Id", request_id)
+        self.set_header("Keep-Alive", "timeout=55")
+        replica.answers += 1
         if self.is_misdirected():
             return
         if replica.running >= replica.slots:
+            replica.record.line(f"refused by {replica.identity}: {request_id}")
             self.set_status(503)
             self.set_header("Sassafrasdoor-Not-Run", "1")
+            if replica.spoils(request_id):
+                replica.record.line(f"that answer to {request_id} has a wrong byte")
+                self.set_header("Keep-Alive", b"timeout=5\xb2".decode("latin-1"))
             return
         replica.running += 1
         replica.runs.append((replica.record.seconds(), request_id))
@@ -455,6 +480,7 @@
                 lines.insert(0, f"sassafrasdoor-weight-versions: {version}")
             self.write("\n".join(lines) + "\n\n")
             await self.flush()
+        replica.finished.append((replica.record.seconds(), request_id))
 
 
 class Stream:
