--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,10 @@
 """Case 5: see claim.txt. Exits with 1 if the rule was broken, 0 if not, 2 if not run."""
 
 import asyncio
+import base64
+import json
 import os
 import pathlib
-import signal
 import sys
 import tempfile
 
@@ -12,57 +13,126 @@
 
 import lab  # noqa: E402
 
+from sassafrasdoor.steps.durable.service import TOPIC, shard_of  # noqa: E402
+
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SHORT_STREAMS = 16
-SHORT_EVENTS, LONG_EVENTS, PAUSE_S = 8, 40, 0.1
-# Seconds after the SIGTERM at which the long streams are sent, by callers that keep the
-# directory's answer (TtlS 2) for up to three times as long.
-SENT_AFTER_S = (3.6, 4.0, 4.4)
-DEADLINE_MS = 12000
+MODEL = "model-a"
+ITEMS = 300
+SLOTS, EVENTS, PAUSE_S = 6, 5, 0.1  # two replicas run 24 items a second
+OUTAGES = 8
+DOWN_S = 5.5
+STABLE_WINDOW_S, CANCEL_S = 3.0, 3.0
+WATCHED_S = 4.6  # after the end of a job
 CONFIGURATION = {
     "Version": 7,
     "Routes": [
         {
-            "Name": "r-o",
+            "Name": "r-a",
             "Host": lab.HOST,
-            "PathPrefix": "/dialogue/",
-            "Kind": "streaming",
-            "TimeoutMs": 12000,
+            "PathPrefix": f"/{MODEL}/",
+            "Kind": "rollout",
+            "TimeoutMs": 10000,
             "TargetLatencyMs": 400,
             "Priority": 1,
             "Service": "engines",
             "MaxAttempts": 3,
+            "RetentionS": 40.0,
+            "RunDeadlineMs": 7500,
+            "Resumable": True,
+            "Sticky": True,
         }
     ],
-    "Services": [{"Name": "engines", "Engine": {"Models": []}}],
-    "Limits": {
-        "MaxHeaderBytes": 16384,
-        "MaxBodyBytes": 33554432,
-        "HeaderTimeoutMs": 3000,
-        "IdleTimeoutMs": 15000,
-    },
+    "Services": [{"Name": "engines", "Engine": {"Models": [{"Name": MODEL}]}}],
 }
 
 
-async def send_later(seconds, node, request_id, record):
-    await asyncio.sleep(seconds)
-    return await lab.read_stream(
-        node.front, "/dialogue/1", request_id, DEADLINE_MS, record
+def job_document(job):
+    items = [
+        {
+            "Id": f"{job}.{number}",
+            "Path": f"/{MODEL}/3/{number}",
+            "Headers": {
+                "Sassafrasdoor-Model": MODEL,
+                "Sassafrasdoor-Token-Count": "271,400",
+            },
+            "Body": base64.b64encode(b"prompt").decode(),
+            "Tokens": 671,
+            "Group": f"g{number // 4}",
+        }
+        for number in range(ITEMS)
+    ]
+    return json.dumps(
+        {"Step": 1, "Model": MODEL, "MinVersion": 1, "Desired": 75, "Items": items}
+    )
+
+
+async def end_job(client, nodes, job, record):
+    """End a job as a trainer does, at one node after the other; return when that was
+    acknowledged."""
+    for attempt in range(200):
+        node = nodes[attempt % len(nodes)]
+        status, _ = await client.call(node.front, f"/-/lots/{job}", "DELETE", timeout=2)
+        if status == 200:
+            return record.seconds()
+        await asyncio.sleep(0.1)
+    return None
+
+
+async def play_outage(number, client, nodes, store, replicas, record):
+    """Return the number of items that reached a replica too late, None if not run."""
+    job = f"job-{number}"
+    status, _ = await client.call(
+        nodes[number % len(nodes)].front,
+        f"/{MODEL}/{job}",
+        "POST",
+        job_document(job),
+        **{"Sassafrasdoor-Request-Id": job},
     )
+    if status != 202:
+        return None
+    await asyncio.sleep(1.0)
+    partition = (TOPIC, shard_of(MODEL))
+    if TROUBLE:
+        store.log.refused.add(partition)
+        record.line(f"the store answers 503 for partition {partition}")
+    await asyncio.sleep(DOWN_S)
+    store.log.refused.clear()
+    back_at = record.seconds()
+    record.line("the store answers again")
+    ended_at = await end_job(client, nodes, job, record)
+    if ended_at is None:
+        return None
+    record.line(f"the end of {job} is acknowledged")
+    await asyncio.sleep(WATCHED_S)
+    allowed_until = max(ended_at + CANCEL_S, back_at + STABLE_WINDOW_S)
+    late = [
+        (at, item)
+        for row in replicas
+        for at, item in row.runs
+        if item.startswith(f"{job}.") and at > allowed_until
+    ]
+    if late:
+        last_at, item = max(late)
+        record.line(
+            f"UNASKED broken: {len(late)} items of {job} reached a replica later than"
+            f" {CANCEL_S:g} s after its end, the last ({item}) at {last_at}, ended at"
+            f" {ended_at}, the store was back at {back_at}"
+        )
+    return len(late)
 
 
 async def main(folder):
-    record = lab.Record(HERE / "record.txt")
+    record = lab.Record(os.environ.get("RECORD", HERE / "record.txt"))
     store, expiry = lab.new_store(300)
     client = lab.Client(record)
-    replicas = [lab.Replica(record, f"i-{at}", "engines") for at in range(3)]
-    nodes = [
-        lab.Node(folder, name, f"zone-{name}", store.address, True) for name in "ab"
+    replicas = [
+        lab.Replica(record, f"i-{at}", "engines", [MODEL], SLOTS) for at in range(2)
     ]
-    long_ids = [f"long-{number}" for number in range(len(SENT_AFTER_S))]
     for replica in replicas:
-        replica.events, replica.pause = SHORT_EVENTS, PAUSE_S
-        replica.lengths = dict.fromkeys(long_ids, LONG_EVENTS)
+        replica.events, replica.pause = EVENTS, PAUSE_S
+    nodes = [
+        lab.Node(folder, name, f"zone-{name}", store.address, True) for name in "abc"
+    ]
     tasks = [expiry, *(asyncio.ensure_future(row.beat(store)) for row in replicas)]
     try:
         await store.configure(CONFIGURATION)
@@ -73,34 +143,18 @@
             if not await lab.wait_until(lambda node=node: client.is_ready(node), 30):
                 return 2
         record.line("all nodes are ready")
-        await asyncio.sleep(3.0)
-        node = nodes[0]
-        shorts = [
-            await lab.read_stream(
-                node.front, "/dialogue/1", f"short-{number}", DEADLINE_MS, record
-            )
-            for number in range(SHORT_STREAMS)
-        ]
-        if not all(stream.is_complete for stream in shorts):
-            return 2
-        if TROUBLE:
-            node.signal(signal.SIGTERM)
-            record.line("SIGTERM of a")
-        results = await asyncio.gather(
-            *(
-                send_later(seconds, node, request_id, record)
-                for seconds, request_id in zip(SENT_AFTER_S, long_ids, strict=True)
-            )
-        )
-        run_ids = {request_id for row in replicas for _, request_id in row.runs}
-        lost = [
-            request_id
-            for request_id, result in zip(long_ids, results, strict=True)
-            if request_id in run_ids and not result.is_complete
-        ]
-        for request_id in lost:
-            record.line(f"LOST broken: {request_id} was passed on and cut")
-        return 1 if lost else 0
+        await asyncio.sleep(3.5)
+        broken = 0
+        for number in range(OUTAGES):
+            late = await play_outage(number, client, nodes, store, replicas, record)
+            if late is None:
+                return 2
+            broken += late > 0
+            if broken:
+                break
+            await asyncio.sleep(1.0)
+        record.line(f"{broken} of {number + 1} jobs with items that came too late")
+        return 1 if broken else 0
     finally:
         for node in nodes:
             node.kill()
