--- a/review/4/case.py
+++ b/review/4/case.py
@@ -25,13 +25,13 @@
         {
             "Name": "r-o",
             "Host": lab.HOST,
-            "PathPrefix": "/dialogue/",
+            lab.WIRE.PREFIX: "/dialogue/",
             "Kind": "streaming",
-            "TimeoutMs": 12000,
-            "TargetLatencyMs": 400,
+            lab.WIRE.TIMEOUT: 12000,
+            lab.WIRE.TARGET: 400,
             "Priority": 1,
             "Service": "engines",
-            "MaxAttempts": 3,
+            lab.WIRE.ATTEMPTS: 3,
         }
     ],
     "Services": [{"Name": "engines", "Engine": {"Models": []}}],
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -29,15 +29,15 @@
         {
             "Name": "r-a",
             "Host": lab.HOST,
-            "PathPrefix": f"/{MODEL}/",
+            lab.WIRE.PREFIX: f"/{MODEL}/",
             "Kind": "rollout",
-            "TimeoutMs": 10000,
-            "TargetLatencyMs": 400,
+            lab.WIRE.TIMEOUT: 10000,
+            lab.WIRE.TARGET: 400,
             "Priority": 1,
             "Service": "engines",
-            "MaxAttempts": 3,
-            "RetentionS": 40.0,
-            "RunDeadlineMs": 7500,
+            lab.WIRE.ATTEMPTS: 3,
+            lab.WIRE.RETENTION: 40.0,
+            lab.WIRE.DUE: 7500,
             "Resumable": True,
             "Sticky": True,
         }
@@ -52,8 +52,8 @@
             "Id": f"{job}.{number}",
             "Path": f"/{MODEL}/3/{number}",
             "Headers": {
-                "Sassafrasdoor-Model": MODEL,
-                "Sassafrasdoor-Token-Count": "271,400",
+                lab.WIRE.MODEL: MODEL,
+                lab.WIRE.TOKENS: "271,400",
             },
             "Body": base64.b64encode(b"prompt").decode(),
             "Tokens": 671,
@@ -71,7 +71,9 @@
     acknowledged."""
     for attempt in range(200):
         node = nodes[attempt % len(nodes)]
-        status, _ = await client.call(node.front, f"/-/lots/{job}", "DELETE", timeout=2)
+        status, _ = await client.call(
+            node.front, f"{lab.WIRE.JOBS}{job}", "DELETE", timeout=2
+        )
         if status == 200:
             return record.seconds()
         await asyncio.sleep(0.1)
@@ -86,7 +88,7 @@
         f"/{MODEL}/{job}",
         "POST",
         job_document(job),
-        **{"Sassafrasdoor-Request-Id": job},
+        **{lab.WIRE.REQUEST_ID: job},
     )
     if status != 202:
         return None
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,6 +13,6 @@
 for name in sys.argv[1:]:
     compile(pathlib.Path(name).read_text("utf-8"), name, "exec")
 sys.path.insert(0, "review")
-for name in ("lab", "sassafrasdoor.platform.standin", "sassafrasdoor.platform.process"):
+for name in ("lab", "sassafrasdoor.platform.process"):
     importlib.import_module(name)
 CHECK
--- a/review/lab.py
+++ b/review/lab.py
@@ -1,19 +1,23 @@
 """Parts of the scripts in ``review/4`` to ``review/8``: stand-ins and processes.
 
-The store is the project's own stand-in, on a log whose records have an age and expire
-(``RetentionS`` of PROTOCOL.md). The replica follows PROTOCOL.md: requests, streams of
+The store is the project's log in memory behind the protocol of PROTOCOL.md, with records
+that have an age and expire. The replica follows PROTOCOL.md: requests, streams of
 items, orders of versions. All listen on loopback addresses and on free ports.
 """
 
 import asyncio
+import base64
 import json
 import os
 import pathlib
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import time
+import tomllib
+import types
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from tornado.httpserver import HTTPServer
@@ -21,10 +25,8 @@
 from tornado.web import Application, RequestHandler
 
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog, Partition
-from sassafrasdoor.outcomes import Unavailable
-from sassafrasdoor.platform import standin
-from sassafrasdoor.platform.standin import StoreStandin
-from sassafrasdoor.platform.store import unpack_records
+from sassafrasdoor.log.partitioned import keyed_record
+from sassafrasdoor.outcomes import Expired, Outcome, Unavailable
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
@@ -32,73 +34,10 @@
 HEARTBEAT_S = 1.2
 RECORD_BYTES, CALL_BYTES = 262144, 2097152  # of the store, as in the settings
 LOAD_S = 0.9  # a change of version, from the sheets
-SETTINGS = """NodeName={name}
-Role=entry
-MachineClass=front
-Serves=front,directory,control
-Ip={ip}
-Zone={zone}
-Region=region-a
-Zones.zone-a=region-a
-Zones.zone-b=region-a
-Zones.zone-c=region-a
-Listen.Front={front}
-Listen.Ready={ready}
-Listen.Control={control}
-Listen.Directory={directory}
-Seeds={seeds}
-Bootstrap={bootstrap}
-LossCounts=false
-Limits.CpuShare=0.717
-Limits.Cores=3
-Limits.MemoryMb=350
-Limits.MaxFds=8200
-Limits.LinkMbps=1000.0
-Limits.DiskMb=0
-Discovery=platform
-Entry=directory
-HeartbeatMs=1200
-Contracts=base,drain,config,cost,recover,samples,stream,engine,batch,platform
-FaultTolerance.Machines=1
-FaultTolerance.Zones=0
-FaultTolerance.Regions=0
-Bounds.SeedLagS=3
-Bounds.ReuseAfterS=2
-Bounds.StableWindowMs=3000
-Bounds.AckMs=4000
-Bounds.CatchUpS=5.1
-Bounds.DrainMs=2000
-Bounds.GraceS=8
-Bounds.LostSlackMs=200
-Bounds.ConfigApplyMs=2000
-Bounds.RollbackSlackMs=250
-Bounds.MaxSkewMs=5000
-Bounds.RecoveryS=12
-Bounds.PassMs=120
-Bounds.RetryAfterS=0
-Bounds.FinishS=10
-Bounds.StatusS=120
-Bounds.CancelMs=3000
-Bounds.SettleMs=1000
-Bounds.QuotaOverage=0.1
-Bounds.RequireFencing={fencing}
-Bounds.LeaseMs=3000
-Bounds.ThawMs=300
-Bounds.ttl_max_s=5
-Platform.Address={store}
-Platform.form=log
-Platform.WritesPerS=800
-Platform.ReadsPerS=2000
-Platform.parts=12
-Platform.AppendMs=2.0
-Platform.PartMbS=20.0
-Platform.ReadMbS=80.0
-Platform.RecordBytes=262144
-Platform.CallBytes=2097152
-Platform.RetentionS={retention}
-Platform.PartMb=200
-Platform.TtlMinMs=1000
-"""
+FOLDER = pathlib.Path(__file__).resolve().parent
+SETTINGS = (FOLDER / "lab.conf").read_text("utf-8")
+WIRE = types.SimpleNamespace(**tomllib.loads((FOLDER / "lab.toml").read_text("utf-8")))
+READ_OFFSETS, RECORD_LENGTH = struct.Struct(">QQ"), struct.Struct(">I")
 
 
 class Record:
@@ -175,29 +114,110 @@
             await asyncio.sleep(0.25)
 
 
-class BoundedAppend(standin._Append):
-    """Refuses records and calls that are longer than the settings say."""
+def pack(records):
+    return b"".join(RECORD_LENGTH.pack(len(record)) + record for record in records)
+
+
+def unpack(data):
+    records, at = [], 0
+    while at + RECORD_LENGTH.size <= len(data):
+        (length,) = RECORD_LENGTH.unpack_from(data, at)
+        at += RECORD_LENGTH.size
+        records.append(data[at : at + length])
+        at += length
+    return records
+
 
+class Store:
+    """The platform's store on a log; ``refused_appends`` counts those that are too long."""
+
+    def __init__(self, log):
+        self.log = log
+        self.refused_appends = 0
+        arguments = {"store": self}
+        self._server = HTTPServer(
+            Application(
+                [
+                    (WIRE.APPEND, _Append, arguments),
+                    (WIRE.READ, _Read, arguments),
+                    (WIRE.NEWEST, _Newest, arguments),
+                ],
+                log_function=lambda handler: None,
+            )
+        )
+        port = free_port()
+        self._server.listen(port, LOOPBACK)
+        self.address = f"{LOOPBACK}:{port}"
+
+    async def put(self, topic, key, document):
+        """Write one key of a keyed topic, as operators, trainers and replicas do."""
+        record = keyed_record(key, json.dumps(document).encode())
+        await self.log.append(topic, 0, [record], None)
+
+    async def configure(self, document):
+        """Write the operator's configuration."""
+        await self.put(WIRE.OPERATOR, "config", document)
+
+    def stop(self):
+        self._server.stop()
+
+
+class _StoreHandler(RequestHandler):
+    def initialize(self, store):
+        self.store = store
+
+    def partition(self):
+        return self.get_query_argument("Topic"), int(self.get_query_argument("part"))
+
+    def fail(self, outcome):
+        self.set_status(410 if isinstance(outcome, Expired) else 503)
+        self.finish({"First": outcome.first} if isinstance(outcome, Expired) else {})
+
+
+class _Append(_StoreHandler):
     async def post(self):
-        records = unpack_records(self.request.body) or []
+        records = unpack(self.request.body)
         longest = max(map(len, records), default=0)
         if longest > RECORD_BYTES or sum(map(len, records)) > CALL_BYTES:
-            self._store.refused_appends += 1
+            self.store.refused_appends += 1
             self.set_status(400)
             self.finish({})
             return
-        await super().post()
+        result = await self.store.log.append(*self.partition(), records, None)
+        if isinstance(result, Outcome):
+            self.fail(result)
+        else:
+            self.finish({"Offset": result.first, "End": result.end})
+
+
+class _Read(_StoreHandler):
+    async def get(self):
+        offset = int(self.get_query_argument("From"))
+        wait = int(self.get_query_argument("WaitMs", "0")) / 1000
+        limit = int(self.get_query_argument("MaxKb", "1024")) * 1024
+        partition = self.partition()
+        result = await self.store.log.read(*partition, offset, wait, 0, limit)
+        if isinstance(result, Outcome):
+            self.fail(result)
+            return
+        first = self.store.log.partition(*partition).first
+        self.finish(READ_OFFSETS.pack(result.end, first) + pack(result.records))
 
 
-standin._Append = BoundedAppend
+class _Newest(_StoreHandler):
+    async def get(self):
+        newest = await self.store.log.newest(self.get_query_argument("Topic"))
+        items = [
+            {"Key": key, "Value": base64.b64encode(value).decode(), "Offset": 0}
+            for key, value in newest.values.items()
+        ]
+        self.finish({"Items": items, "HasMore": False, "End": newest.end})
 
 
 def new_store(retention):
-    """Return a ``StoreStandin`` whose records expire, and the task that does it."""
+    """Return a ``Store`` whose records expire, and the task that does it."""
     log = AgingLog(retention)
-    store = StoreStandin(log)
-    store.refused_appends = 0
-    return store, asyncio.ensure_future(log.expire())
+    return Store(log), asyncio.ensure_future(log.expire())
 
 
 def free_port():
@@ -245,7 +265,7 @@
     def start(self):
         command = f"-m sassafrasdoor.platform --metrics-port {self._metrics_port}"
         environment = {
-            "SASSAFRASDOOR_BOOT": str(self._path),
+            WIRE.BOOT: str(self._path),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
             "PATH": os.environ.get("PATH", ""),
@@ -284,7 +304,7 @@
     def __init__(self, at, document, status):
         self.at = at
         self.holder = document.get("Holder", "")
-        self.token = document.get("FencingToken", 0)
+        self.token = document.get(WIRE.FENCE, 0)
         self.model = document.get("Model", "")
         self.version = document.get("Version", 0)
         self.status = status
@@ -330,7 +350,7 @@
         self._server = HTTPServer(
             Application(
                 [
-                    (r"/-/order", _OrderHandler, {"replica": self}),
+                    (WIRE.ORDER, _OrderHandler, {"replica": self}),
                     (r"/.*", _WorkHandler, {"replica": self}),
                 ],
                 log_function=lambda handler: None,
@@ -360,7 +380,7 @@
     async def beat(self, store):
         """Write the replica's entry as often as HeartbeatMs says, until cancelled."""
         while True:
-            await store.put("keyed.servers", self.identity, self.entry())
+            await store.put(WIRE.SERVERS, self.identity, self.entry())
             await asyncio.sleep(HEARTBEAT_S)
 
     def stop(self):
@@ -372,11 +392,11 @@
         self.replica = replica
 
     def is_misdirected(self):
-        expected = self.request.headers.get("Sassafrasdoor-Expect-Instance")
+        expected = self.request.headers.get(WIRE.EXPECT)
         if expected is None or expected == self.replica.identity:
             return False
         self.set_status(421)
-        self.set_header("Sassafrasdoor-Instance-Id", self.replica.identity)
+        self.set_header(WIRE.INSTANCE, self.replica.identity)
         return True
 
 
@@ -397,7 +417,7 @@
 
     def judge(self, document):
         replica = self.replica
-        token, model = document.get("FencingToken"), document.get("Model")
+        token, model = document.get(WIRE.FENCE), document.get("Model")
         if token is None or "Holder" not in document:
             return 400
         if replica.checks_fences and token < replica.highest_token:
@@ -424,8 +444,8 @@
 
     async def post(self):
         replica, headers = self.replica, self.request.headers
-        request_id = headers.get("Sassafrasdoor-Request-Id", "")
-        self.set_header("Sassafrasdoor-Request-Id", request_id)
+        request_id = headers.get(WIRE.REQUEST_ID, "")
+        self.set_header(WIRE.REQUEST_ID, request_id)
         self.set_header("Keep-Alive", "timeout=55")
         replica.answers += 1
         if self.is_misdirected():
@@ -433,7 +453,7 @@
         if replica.running >= replica.slots:
             replica.record.line(f"refused by {replica.identity}: {request_id}")
             self.set_status(503)
-            self.set_header("Sassafrasdoor-Not-Run", "1")
+            self.set_header(WIRE.NOT_RUN, "1")
             if replica.spoils(request_id):
                 replica.record.line(f"that answer to {request_id} has a wrong byte")
                 self.set_header("Keep-Alive", b"timeout=5\xb2".decode("latin-1"))
@@ -442,7 +462,7 @@
         replica.runs.append((replica.record.seconds(), request_id))
         replica.record.line(f"run at {replica.identity}: {request_id}")
         stamp = f"{replica.identity}.{len(replica.runs)}"
-        self.set_header("Sassafrasdoor-Server-Stamp", stamp)
+        self.set_header(WIRE.STAMP, stamp)
         try:
             if request_id in replica.statuses:
                 await asyncio.sleep(replica.status_after)
@@ -463,10 +483,10 @@
 
     async def stream(self, request_id):
         replica, headers = self.replica, self.request.headers
-        model = headers.get("Sassafrasdoor-Model", "")
+        model = headers.get(WIRE.MODEL, "")
         version = replica.versions.get(model, 1)
         self.set_header("Content-Type", "text/event-stream")
-        self.set_header("Sassafrasdoor-Weight-Versions", str(version))
+        self.set_header(WIRE.VERSIONS, str(version))
         last = headers.get("Last-Event-Id")
         first = 1 if last is None else int(last) + 1
         events = replica.lengths.get(request_id, replica.events)
@@ -505,9 +525,9 @@
         return result
     head = (
         f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 1\r\n"
-        f"Sassafrasdoor-Request-Id: {request_id}\r\n"
-        f"Sassafrasdoor-Deadline-Ms: {deadline_ms}\r\n"
-        "Sassafrasdoor-Token-Count: 20,400\r\n\r\n"
+        f"{WIRE.REQUEST_ID}: {request_id}\r\n"
+        f"{WIRE.DEADLINE}: {deadline_ms}\r\n"
+        f"{WIRE.TOKENS}: 20,400\r\n\r\n"
     )
     try:
         writer.write(head.encode() + b"q")
@@ -569,7 +589,7 @@
         return status, data
 
     async def is_ready(self, node):
-        request = HTTPRequest(f"http://{node.ready}/-/ready", request_timeout=1.0)
+        request = HTTPRequest(f"http://{node.ready}{WIRE.READY}", request_timeout=1.0)
         try:
             return (await self._client.fetch(request, raise_error=False)).code == 200
         except OSError:
