--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Builds and checks every stand-in that the scripts in review/4 to review/8 start. They are
-# Python and need no compilation: the project's own (store, log) come with the program, the
-# others lie in review/lab.py. What can't be imported fails here.
+# Python and need no compilation: the project's own log comes with the program, the rest lies
+# in review/lab.py. What can't be imported fails here.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH=target/deps:. PYTHONDONTWRITEBYTECODE=1
