Answers: a head that is none is refused, by one rule for all three digits

Cause: Tornado's parser takes any three digits for a status, and the connections to replicas looked at interim statuses and at a second status line only.

Change: answer_heads decides, without I/O, whether bytes are the head of an answer, from RFC 9112 and RFC 9110, section 15. The stream under the protocol reader asks it for each head, also between exchanges; a refused one fails its send, closes the connection and is counted by reason (answers_refused_total). The check for a second status line moves there.

Why it works: nothing of a head is used before all of it follows the grammar, so no status, field or framing of a refused one is left over. A send that fails so is handled as before: another replica for what may be repeated, 504 at once for what may not, no failure of an item, an order that may have been accepted.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -17,8 +17,10 @@
     HTTPMessageDelegate,
     RequestStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
+from sassafrasdoor.answer_heads import INTERIM_STATUSES, MAX_HEAD_BYTES, Flaw
+from sassafrasdoor.answers import checked_head, count_refused
 from sassafrasdoor.backends.attribution import (
     AnswerHead,
     Ledger,
@@ -26,14 +28,9 @@
     Verdict,
 )
 from sassafrasdoor.backends.interface import Broken, Refused
-from sassafrasdoor.backends.joined import (
-    MAX_HEAD_BYTES,
-    MAX_STATUS_LINE_BYTES,
-    data_holds_answer,
-)
+from sassafrasdoor.backends.joined import MAX_STATUS_LINE_BYTES, data_holds_answer
 from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody, AnswerGivenUp
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
-from sassafrasdoor.headers import holds_status_line
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.timeouts import SettlingTimeout
 
@@ -52,7 +49,6 @@
 HANDOVER_TIME, HANDOVER_CHECK_INTERVAL = 0.25, 0.01
 CONTINUE = 100  # status by which a server asks for a request's body
 HEAD = "HEAD"
-INTERIM_STATUSES = range(100, 200)
 OWN_VERDICTS = {Verdict.OWN, Verdict.FINAL}
 UNREADABLE = "unreadable"
 UNFRAMED = "unframed"
@@ -60,7 +56,6 @@
 MAX_IDLE_CONNECTIONS = 64  # connections to one address
 MAX_DROPPED_ANSWERS = 16  # of other sends, in a row
 MAX_DROPPED_BYTES = 4 * 1024 * 1024  # of their bodies
-MAX_HEADER_BYTES = 65536
 READ_CHUNK_BYTES = 65536
 MAX_BUFFER_BYTES = 1024 * 1024  # received and not yet parsed, of one connection
 # The protocol reader's own limit, which would end long streams too.
@@ -251,9 +246,6 @@
         self.is_complete = False
 
     def headers_received(self, start_line, headers):
-        if holds_status_line(start_line.reason, headers):
-            self._connection.reject_head()
-            return
         if start_line.code in INTERIM_STATUSES:
             self._connection.receive_interim(start_line.code)
             return
@@ -273,7 +265,32 @@
 
 
 class _Stream(IOStream):
-    """A stream that tells whether it holds bytes that have not been read."""
+    """A stream of answers, of which only sound heads are read.
+
+    ``on_refused_head(reason)`` is called if bytes are none. It also tells whether it holds
+    bytes that have not been read.
+    """
+
+    on_refused_head = None
+
+    async def read_until_regex(self, regex, max_bytes=None):
+        """Return the bytes of a head; raises ``HTTPInputError`` if they are none."""
+        try:
+            data = await super().read_until_regex(regex, max_bytes)
+        except StreamClosedError as error:
+            self._count_unfinished_head(error)
+            raise
+        head = checked_head(data)
+        if not head:
+            self.on_refused_head(head.reason)
+            raise HTTPInputError(head.reason)
+        return data
+
+    def _count_unfinished_head(self, error):
+        if isinstance(error.real_error, UnsatisfiableReadError):
+            count_refused(Flaw.TOO_LONG)
+        elif self._read_buffer_size:
+            count_refused(Flaw.CUT)
 
     @property
     def has_unread_bytes(self):
@@ -339,6 +356,7 @@
         self._dropped_tail = b""
         self._exchange = None
         self._http = HTTP1Connection(stream, True, parameters)
+        stream.on_refused_head = self._fail_and_close
         self._identify = identify
         self._is_final = False
         self._is_receiving = False
@@ -421,11 +439,6 @@
             if send_body is not None:
                 send_body()
 
-    def reject_head(self):
-        """Fail the current send and close, as an answer's head is not its own."""
-        DROPPED.inc({"kind": UNREADABLE})
-        self._fail_and_close("two answers in one head")
-
     def attribute(self, status, headers):
         """Return the exchange that an answer belongs to; None if it is dropped."""
         self._is_receiving = True
@@ -572,7 +585,7 @@
         self._idle = {}
         self._names_request = names_request
         self._parameters = HTTP1ConnectionParameters(
-            max_header_size=MAX_HEADER_BYTES,
+            max_header_size=MAX_HEAD_BYTES,
             max_body_size=NO_BODY_LIMIT,
             chunk_size=READ_CHUNK_BYTES,
         )
--- a/sassafrasdoor/backends/joined.py
+++ b/sassafrasdoor/backends/joined.py
@@ -9,7 +9,8 @@
 
 from tornado.httputil import HTTPHeaders, HTTPInputError
 
-MAX_HEAD_BYTES = 65536
+from sassafrasdoor.answer_heads import MAX_HEAD_BYTES
+
 MAX_STATUS_LINE_BYTES = 256
 # Of heads that are looked at in one piece of data.
 MAX_HEADS = 1024
--- /dev/null
+++ b/sassafrasdoor/platform/tests/test_broken_answers.py
@@ -0,0 +1,150 @@
+"""Broken answers of replicas, the store and other instances, at each of their readers."""
+
+import unittest
+
+from sassafrasdoor.answer_heads import Flaw
+from sassafrasdoor.answers import REFUSED
+from sassafrasdoor.backends.connections import Connections, OutgoingRequest
+from sassafrasdoor.backends.interface import Broken
+from sassafrasdoor.backends.replicas import DirectCall, SampleOrder, VersionOrder
+from sassafrasdoor.clock import deadline_in
+from sassafrasdoor.outcomes import ReplyLost, Unavailable
+from sassafrasdoor.platform import wire
+from sassafrasdoor.platform.duties import WireDuties
+from sassafrasdoor.platform.servers import WireReplicas
+from sassafrasdoor.platform.store import Store
+from sassafrasdoor.routing.replicas import Listing, Replica
+from sassafrasdoor.steps.durable.records import Item
+from sassafrasdoor.tests.broken_answers import (
+    BROKEN_ANSWERS,
+    BROKEN_HEADS,
+    CUT_HEADS,
+    EVENT,
+    BrokenServer,
+)
+
+TIMEOUT = 20.0  # seconds; each answer ends much earlier
+REQUEST_ID = "r1"
+FIELDS = f"{wire.REQUEST_ID}: {REQUEST_ID}\r\n{wire.STAMP}: s\r\n".encode()
+# What all calls to the store would understand.
+DOCUMENT = b'{"Offset": 1, "End": 2, "First": 1, "Items": [], "HasMore": false}'
+
+
+class _Events:
+    """Collects the events of a stream."""
+
+    def __init__(self):
+        self.blocks = []
+
+    def head(self, headers):
+        """Ignored."""
+
+    async def event(self, number, block):
+        self.blocks.append(block)
+
+
+class BrokenCase(unittest.IsolatedAsyncioTestCase):
+    async def start(self, data, body=EVENT, closes=True):
+        self.server = BrokenServer(data, lambda head: FIELDS, body, closes)
+        self.address = await self.server.start()
+        self.addCleanup(self.server.stop)
+        listing = Listing("s", self.address, "z", 4, False, {"m": 1})
+        self.replica = Replica("i-1", listing)
+        self.client = self.closed(WireReplicas())
+
+    def closed(self, client):
+        self.addCleanup(client.close)
+        return client
+
+    def call(self, method="POST"):
+        deadline = deadline_in(TIMEOUT)
+        return DirectCall(method, "/p", [("Host", "h")], b"", REQUEST_ID, deadline)
+
+    def check_broken(self, result):
+        self.assertIsInstance(result, Broken)
+        self.assertTrue(result.began)
+        self.assertNotEqual(result.reason, "timeout")
+        self.assertEqual(self.server.requests, 1)
+
+
+class BrokenReplicaTest(BrokenCase):
+    async def test_call_and_stream_are_broken(self):
+        """Guards against broken answers that reach a caller."""
+        for name, data in BROKEN_ANSWERS.items():
+            with self.subTest(name):
+                await self.start(data)
+                self.check_broken(await self.client.call(self.replica, self.call()))
+                await self.start(data)
+                events = _Events()
+                result = await self.client.stream(self.replica, self.call(), events)
+                self.check_broken(result)
+
+    async def test_broken_answer_to_head_is_broken(self):
+        for name, data in (BROKEN_HEADS | CUT_HEADS).items():
+            with self.subTest(name):
+                await self.start(data)
+                call = self.call("HEAD")
+                self.check_broken(await self.client.call(self.replica, call))
+
+    async def test_broken_answer_is_no_failure_of_an_item(self):
+        """Guards against items that are given up by failures that no replica stated."""
+        for name, data in BROKEN_ANSWERS.items():
+            with self.subTest(name):
+                await self.start(data)
+                item = Item(REQUEST_ID, "/p", {}, b"b", 1, 0, "g", "m")
+                order = SampleOrder(item, "h", deadline_in(TIMEOUT), None)
+                result = await self.client.generate(
+                    self.replica, order, lambda event: True
+                )
+                self.check_broken(result)
+
+    async def test_order_may_have_been_accepted(self):
+        for name, data in BROKEN_ANSWERS.items():
+            with self.subTest(name):
+                await self.start(data)
+                order = VersionOrder("m", 2, "me", 1, True, deadline_in(TIMEOUT))
+                result = await self.client.order(self.replica, order)
+                self.assertIsInstance(result, ReplyLost)
+
+    async def test_refused_heads_are_counted_by_reason(self):
+        await self.start(BROKEN_HEADS["status 000"])
+        labels = {"reason": Flaw.STATUS.value}
+        REFUSED.add(labels, 0)
+        before = REFUSED.get(labels)
+        await self.client.call(self.replica, self.call())
+        self.assertEqual(REFUSED.get(labels), before + 1)
+
+
+class BrokenStoreTest(BrokenCase):
+    async def test_calls_to_the_store_fail(self):
+        """Guards against records and offsets that were read from a broken answer."""
+        for name, data in BROKEN_ANSWERS.items():
+            with self.subTest(name):
+                await self.start(data, DOCUMENT)
+                store = self.closed(Store(self.address))
+                appended = await store.append("t", 0, [b"r"], deadline_in(TIMEOUT))
+                self.assertIsInstance(appended, ReplyLost)
+                self.assertIsInstance(await store.newest("t"), Unavailable)
+                self.assertIsInstance(await store.read("t", 0, 0, 0), Unavailable)
+
+    async def test_calls_for_a_duty_fail(self):
+        for name, data in BROKEN_ANSWERS.items():
+            with self.subTest(name):
+                await self.start(data, DOCUMENT)
+                duties = self.closed(WireDuties(self.address))
+                result = await duties.report_usage("h", 1, 1, {}, deadline_in(TIMEOUT))
+                self.assertIsInstance(result, Unavailable)
+
+    async def test_calls_to_other_instances_fail(self):
+        for name, data in BROKEN_ANSWERS.items():
+            with self.subTest(name):
+                await self.start(data, DOCUMENT)
+                connections = self.closed(Connections())
+                request = OutgoingRequest(
+                    "GET", "/", {"Host": "h"}, b"", deadline_in(TIMEOUT)
+                )
+                self.check_broken(await connections.send(self.address, request))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -7,6 +7,7 @@
 
 SOURCE = ROOT / "sassafrasdoor"
 DECISIONS = {
+    "answer_heads.py": "which bytes are the head of an answer",
     "backends/attribution.py": "which send on a connection an answer belongs to",
     "backends/limits.py": "which answer is given up when too many bytes arrive",
     "callers/budget.py": "what is held for callers, and which connection yields",
