Clients by libcurl: an answer whose head was cut, or is none, is refused

A cut 429 of an engine counted as "not run", one of the log as "nothing appended", and a cut 200 as a registration that had been made.

Cause: libcurl ends a transfer without an error if the connection closes behind a whole line of a head. A length or a coding in the part that came made the answer look framed. It also passes on statuses of 600 and more or of four digits, other versions and bare LFs.

Change: curl.CurlClient collects the lines of each head, asks answer_heads at the empty line, and fails an answer whose last head had none. All clients by libcurl use it: plain services, engines, orders, loads, the log, the instance list, the client of steps, tools; the time line's client too.

Why it works: the empty line is the one sign of a whole head, and libcurl reports it.

--- a/sassafrasdoor/backends/http.py
+++ b/sassafrasdoor/backends/http.py
@@ -16,7 +16,7 @@
 from sassafrasdoor.backends.stream import StreamReader
 from sassafrasdoor.backends.transfer import Client, Request
 from sassafrasdoor.clock import deadline_in
-from sassafrasdoor.headers import HOP_BY_HOP_HEADERS, holds_status_line
+from sassafrasdoor.headers import HOP_BY_HOP_HEADERS
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Outcome, ReplyLost, Unavailable
 
@@ -25,10 +25,6 @@
 REQUEST_ID = "X-Request-Id"
 OK, STALE_FENCE = 200, 409
 
-NON_FORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {
-    "x-http-reason"
-}  # the latter is set by Tornado
-
 UNNAMED_ANSWERS = counter(
     "service_answers_unnamed_total",
     "Answers on kept connections that did not bear the id of their call.",
@@ -153,8 +149,6 @@
             response = await self._checked(backend, call, response)
         if isinstance(response, Broken):
             return response
-        if holds_status_line(response.reason, response.headers):
-            return Broken("two answers in one head", began=True)
         if data_holds_answer(response.body, _bear_request_id):
             return Broken("two answers in one body", began=True)
         return Answer(
@@ -183,7 +177,7 @@
     headers = {
         name: value
         for name, value in call.headers.items()
-        if name.lower() not in NON_FORWARDED_HEADERS
+        if name.lower() not in HOP_BY_HOP_HEADERS
     }
     headers[REQUEST_ID] = call.request_id
     request = Request(
@@ -212,7 +206,7 @@
     """Return a reply's headers without the hop-by-hop ones."""
     forwarded = headers.copy()
     for name in headers:
-        if name.lower() in NON_FORWARDED_HEADERS:
+        if name.lower() in HOP_BY_HOP_HEADERS:
             del forwarded[name]
     return forwarded
 
--- a/sassafrasdoor/backends/transfer.py
+++ b/sassafrasdoor/backends/transfer.py
@@ -4,12 +4,13 @@
 import contextlib
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
 from sassafrasdoor.backends.interface import Broken
 from sassafrasdoor.backends.limits import RECEIVE_BUDGET
 from sassafrasdoor.clock import deadline_in, passed, remaining
+from sassafrasdoor.curl import AnswerRefused, CurlClient
 
 MAX_TRANSFERS = 2048  # above it the client queues calls
 CONNECT_TIMEOUT = 1.0  # seconds
@@ -140,6 +141,8 @@
         try:
             response = await asyncio.shield(self._future)
             return Broken(self._excess, self.began) if self._excess else response
+        except AnswerRefused as error:
+            return Broken(error.reason, self.began)
         except CurlError as error:
             reason = REASONS.get(error.errno, f"curl error {error.errno}")
             return Broken(self._excess or reason, self.began)
@@ -183,7 +186,7 @@
     __slots__ = ("_client", "_pool_bypass_deadlines")
 
     def __init__(self, max_transfers=MAX_TRANSFERS, max_body=100_000_000):
-        self._client = CurlAsyncHTTPClient(
+        self._client = CurlClient(
             force_instance=True, max_clients=max_transfers, max_body_size=max_body
         )
         self._pool_bypass_deadlines = {}
@@ -192,7 +195,7 @@
         """Close the client and all its connections."""
         self._client.close()
 
-    def start(self, backend, request, on_header=None, on_data=None):
+    def start(self, backend, request, on_data=None):
         """Start a ``Transfer``; ``on_data`` takes the body chunk by chunk."""
         is_fresh = request.fresh or self._bypasses_pool(backend)
         transfer = Transfer(is_fresh, keeps_body=on_data is None)
@@ -211,7 +214,6 @@
                 decompress_response=False,
                 connect_timeout=CONNECT_TIMEOUT,
                 request_timeout=timeout,
-                header_callback=on_header,
                 streaming_callback=on_data,
                 prepare_curl_callback=transfer.prepare,
             ),
--- a/sassafrasdoor/control/instances.py
+++ b/sassafrasdoor/control/instances.py
@@ -2,10 +2,10 @@
 
 import json
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError
 
 from sassafrasdoor import metrics
+from sassafrasdoor.curl import CurlClient
 from sassafrasdoor.outcomes import Unavailable
 from sassafrasdoor.view import Backend, Member, State
 
@@ -41,7 +41,7 @@
 
     def __init__(self, settings):
         self._settings = settings
-        self._client = CurlAsyncHTTPClient(force_instance=True)
+        self._client = CurlClient(force_instance=True)
         self._etag = None
         self._listing = None
         self.changed_bytes = 0
--- a/sassafrasdoor/demo.py
+++ b/sassafrasdoor/demo.py
@@ -10,10 +10,9 @@
 import json
 from collections import Counter
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-
 from sassafrasdoor.clock import now
 from sassafrasdoor.cluster import KEYS, MODEL, Cluster
+from sassafrasdoor.curl import CurlClient
 from sassafrasdoor.load.callers import CallerLoad
 from sassafrasdoor.load.profile import CallerProfile
 from sassafrasdoor.steps.client import Trainer
@@ -60,7 +59,7 @@
         return [instance.address for instance in self._cluster.instances]
 
     async def _call_services(self):
-        http = CurlAsyncHTTPClient(force_instance=True, max_clients=200)
+        http = CurlClient(force_instance=True, max_clients=200)
         loads = []
         for number, row in enumerate(("idempotent", "once")):
             profile = CallerProfile(
--- a/sassafrasdoor/load/run.py
+++ b/sassafrasdoor/load/run.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-
+from sassafrasdoor.curl import CurlClient
 from sassafrasdoor.load import report
 from sassafrasdoor.load.callers import CallerLoad
 from sassafrasdoor.load.trainers import TrainerLoad
@@ -13,7 +12,7 @@
 
 async def run(profile, addresses, ca_file=""):
     """Run a ``Profile``, over TLS with a CA file; return ``(caller results, summary)``."""
-    http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+    http = CurlClient(force_instance=True, max_clients=MAX_CLIENTS)
     callers = [
         CallerLoad(http, caller, addresses, profile.seed + number, ca_file)
         for number, caller in enumerate(profile.callers)
--- a/sassafrasdoor/log/http.py
+++ b/sassafrasdoor/log/http.py
@@ -3,9 +3,9 @@
 import json
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest
 
+from sassafrasdoor.curl import CurlClient
 from sassafrasdoor.log.interface import Batch, PlatformLog, Record
 from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import Expired, ReplyLost, Unavailable
@@ -23,7 +23,7 @@
 NOT_SENT_ERRNOS = {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
 
 
-class Client(CurlAsyncHTTPClient):
+class Client(CurlClient):
     """The curl client; ``close()`` may be called twice or during a long poll."""
 
     def close(self):
--- a/sassafrasdoor/steps/client.py
+++ b/sassafrasdoor/steps/client.py
@@ -17,10 +17,10 @@
 from collections import deque
 from urllib.parse import urlencode
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError
 
 from sassafrasdoor.clock import deadline_in, now, passed, remaining
+from sassafrasdoor.curl import CurlClient
 from sassafrasdoor.fetch import entry_request
 from sassafrasdoor.outcomes import Finding, Rejected, Unavailable
 from sassafrasdoor.steps.report import Report
@@ -77,7 +77,7 @@
         self.wait = wait
         self.reply_timeout = reply_timeout
         self.valid_until = math.inf
-        self._http = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._http = CurlClient(force_instance=True, max_clients=MAX_CLIENTS)
 
     def close(self):
         """Close the connections."""
--- a/sassafrasdoor/timeline/sources.py
+++ b/sassafrasdoor/timeline/sources.py
@@ -3,9 +3,9 @@
 import json
 
 from tornado.httpclient import HTTPError
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from sassafrasdoor.control import messages
+from sassafrasdoor.curl import CurlClient
 from sassafrasdoor.events import EVENTS, Event
 from sassafrasdoor.fetch import entry_request
 from sassafrasdoor.outcomes import Unavailable
@@ -24,7 +24,7 @@
     def __init__(self, address, client=None, ca_file=""):
         self._address = address
         self._ca_file = ca_file
-        self._client = client or SimpleAsyncHTTPClient(force_instance=True)
+        self._client = client or CurlClient(force_instance=True)
 
     @property
     def name(self):
--- a/sassafrasdoor/tools/in_force.py
+++ b/sassafrasdoor/tools/in_force.py
@@ -4,10 +4,10 @@
 import json
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest
 
 from sassafrasdoor.clock import passed, remaining
+from sassafrasdoor.curl import CurlClient
 from sassafrasdoor.outcomes import Unavailable
 
 MAX_CLIENTS = 50
@@ -54,7 +54,7 @@
 
     def __init__(self, settings):
         self._settings = settings
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._client = CurlClient(force_instance=True, max_clients=MAX_CLIENTS)
 
     def close(self):
         """Close the client and its connections."""
