Engines: a line that never ends is given up, unread lines are bounded

Cause: the reader of streams joined an incomplete line with each piece that came, kept the pieces in a queue without a bound, and counted nothing in the budget of received answers.

Change: the bytes of a stream stand in one buffer that the budget counts. A line is at most 1 MiB, and so are lines in a row that bring no token; more tokens than were ordered end the stream. Beyond 64 KiB of whole lines that were not taken the transfer is paused. Only new bytes are searched; other tasks take a turn after 64 lines. The transfer ends with its reader, also while it is paused, so the caller closes.

test_stream: the reader that a test feeds by hand frees its bytes at the end, as they count now; no check changed.

--- a/sassafrasdoor/backends/tests/test_broken_answers.py
+++ b/sassafrasdoor/backends/tests/test_broken_answers.py
@@ -1,10 +1,13 @@
 """Broken answers of backend servers, the log and instances, read by libcurl."""
 
+import asyncio
 import contextlib
 import logging
 import unittest
+from unittest import mock
 
 from sassafrasdoor import settings
+from sassafrasdoor.backends import limits
 from sassafrasdoor.backends.http import HttpEngine, HttpService, fetch_load
 from sassafrasdoor.backends.interface import Broken, Call, Order, StreamOrder
 from sassafrasdoor.backends.transfer import Client, Request
@@ -177,5 +180,88 @@
                 self.assertIsInstance(await source.read(0), Unavailable)
 
 
+class EndlessLineTest(BrokenCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.sent_bytes = 0
+        self.closed_by_caller = asyncio.Event()
+
+    async def start_endless(self, first, block):
+        async def serve(reader, writer):
+            with contextlib.suppress(ConnectionError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + first)
+                while True:
+                    writer.write(block)
+                    await writer.drain()
+                    self.sent_bytes += len(block)
+                    await asyncio.sleep(0)
+            self.closed_by_caller.set()
+            writer.transport.abort()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.backend = Backend("e-1", self.address, "engine", "e", capacity=1)
+
+    async def assert_closed(self):
+        async with asyncio.timeout(TIMEOUT):
+            await self.closed_by_caller.wait()
+        self.assertEqual(limits.RECEIVE_BUDGET.held_bytes, 0)
+        self.assertLess(self.sent_bytes, 30_000_000)
+
+    async def test_line_without_end_is_given_up(self):
+        """Guards against a process over its memory by one line of an engine."""
+        chunk = b'{"offset":0,"text":"a ","tokens":1,"version":1}\n'
+        for name, first, block in (
+            ("first line", b"", b"x" * 65536),
+            ("text of a chunk", chunk + b'{"offset":1,"text":"', b"x" * 65536),
+            ("blank lines", chunk, b"\n" * 65536),
+            ("lines that say nothing", chunk, b"{}\n" * 20000),
+            (
+                "chunks without tokens",
+                chunk,
+                b'{"offset":1,"text":"x","tokens":0,"version":1}\n' * 1000,
+            ),
+        ):
+            with self.subTest(name):
+                self.sent_bytes = 0
+                self.closed_by_caller = asyncio.Event()
+                await self.start_endless(first, block)
+                end = await self.stream()
+                self.assertIsInstance(end, Broken)
+                self.assertTrue(end.began)
+                self.assertNotIn(end.reason, ("silent", "deadline passed"))
+                await self.assert_closed()
+
+    async def test_stream_that_is_read_slowly_is_not_collected(self):
+        """Guards against a process over its memory by callers that read slowly."""
+        lines = b"".join(
+            b'{"offset":%d,"text":"%b","tokens":1,"version":1}\n' % (at, b"x" * 10_000)
+            for at in range(4000)
+        )
+        await self.start_endless(lines, b"")
+        engine = self.closed(HttpEngine(settings.from_document({})))
+        order = StreamOrder("t/1", "m", "p", 5000, deadline=deadline_in(TIMEOUT))
+        held = []
+        async with contextlib.aclosing(engine.stream(self.backend, order)) as items:
+            async for _ in items:
+                held.append(limits.RECEIVE_BUDGET.held_bytes)
+                await asyncio.sleep(0.01)
+                if len(held) == 100:
+                    break
+        self.assertGreater(max(held), 0)
+        self.assertLess(max(held), 300_000)
+
+    async def test_line_among_others_is_given_up_for_the_total(self):
+        """Guards against streams that the bound on all answers does not count."""
+        with mock.patch.object(limits.RECEIVE_BUDGET, "total_limit", 300_000):
+            await self.start_endless(b'{"offset":0,"text":"', b"x" * 10_000)
+            ends = await asyncio.gather(*(self.stream() for _ in range(4)))
+        reasons = [end.reason for end in ends]
+        self.assertTrue(any("too long" in reason for reason in reasons), reasons)
+        self.assertEqual(limits.RECEIVE_BUDGET.held_bytes, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/sassafrasdoor/backends/tests/test_stream.py
+++ b/sassafrasdoor/backends/tests/test_stream.py
@@ -165,6 +165,7 @@
         for loop_iterations in range(5):
             with self.subTest(loop_iterations=loop_iterations):
                 reader = StreamReader(None, None, stream_order())
+                self.addCleanup(reader._received.release)
                 task = asyncio.create_task(reader._next_data(20))
                 await asyncio.sleep(0)
                 reader._received.put_nowait(b"chunk")
--- a/sassafrasdoor/backends/transfer.py
+++ b/sassafrasdoor/backends/transfer.py
@@ -79,17 +79,30 @@
 class Transfer:
     """One transfer; ``began`` says whether bytes of the request may have been sent.
 
-    If it ``keeps_body``, that is collected until it is complete.
+    A ``receiver`` takes the body piece by piece; without one it is collected until it is
+    complete. ``receiver.put_nowait(chunk)`` is called unless ``receiver.is_full``; then no more
+    is read until ``resume``. ``receiver.excess`` is why it has given up the answer.
     """
 
-    __slots__ = ("_aborted", "_body", "_curl", "_fresh", "_future", "began")
+    __slots__ = (
+        "_aborted",
+        "_body",
+        "_curl",
+        "_fresh",
+        "_future",
+        "_is_paused",
+        "_receiver",
+        "began",
+    )
 
-    def __init__(self, fresh, keeps_body=True):
+    def __init__(self, fresh, receiver=None):
         self._fresh = fresh
         self._aborted = False
-        self._body = _ReceivedBody() if keeps_body else None
+        self._body = _ReceivedBody() if receiver is None else None
         self._curl = None
         self._future = None
+        self._is_paused = False
+        self._receiver = receiver
         self.began = False
 
     @property
@@ -121,6 +134,8 @@
         if self._body is not None:
             self._body.buffer = curl.info["buffer"]
             curl.setopt(pycurl.WRITEFUNCTION, self._body.write)
+        else:
+            curl.setopt(pycurl.WRITEFUNCTION, self._pass_on)
 
     def abort(self):
         """Abort the transfer; no effect once it has finished.
@@ -136,6 +151,13 @@
             self._curl.pause(pycurl.PAUSE_ALL)
             self._curl.pause(pycurl.PAUSE_CONT)
 
+    def resume(self):
+        """Read on if the receiver was full."""
+        if self._is_paused and not self.is_finished:
+            self._is_paused = False
+            with contextlib.suppress(pycurl.error):
+                self._curl.pause(pycurl.PAUSE_CONT)
+
     async def response(self):
         """Return the response or ``Broken`` once it has ended; abort if cancelled."""
         try:
@@ -158,7 +180,17 @@
 
     @property
     def _excess(self):
-        return "" if self._body is None else self._body.excess
+        collector = self._receiver if self._body is None else self._body
+        return collector.excess
+
+    def _pass_on(self, chunk):
+        if self._aborted or self._receiver.excess:
+            return 0  # ends the transfer
+        if self._receiver.is_full:
+            self._is_paused = True
+            return pycurl.WRITEFUNC_PAUSE
+        self._receiver.put_nowait(chunk)
+        return len(chunk)
 
     def _end(self, future):
         # Retrieves the error of an aborted transfer, which nobody awaits.
@@ -195,10 +227,10 @@
         """Close the client and all its connections."""
         self._client.close()
 
-    def start(self, backend, request, on_data=None):
-        """Start a ``Transfer``; ``on_data`` takes the body chunk by chunk."""
+    def start(self, backend, request, receiver=None):
+        """Start a ``Transfer``; a ``receiver`` takes the body piece by piece."""
         is_fresh = request.fresh or self._bypasses_pool(backend)
-        transfer = Transfer(is_fresh, keeps_body=on_data is None)
+        transfer = Transfer(is_fresh, receiver)
         timeout = 0 if request.deadline is None else remaining(request.deadline)
         if timeout == 0 and request.deadline is not None:
             timeout = MIN_TIMEOUT
@@ -214,7 +246,6 @@
                 decompress_response=False,
                 connect_timeout=CONNECT_TIMEOUT,
                 request_timeout=timeout,
-                streaming_callback=on_data,
                 prepare_curl_callback=transfer.prepare,
             ),
         )
