Answers: one way to read the numbers of a head, which never raises

Cause: the byte B2 passes isdigit() and fails in int(); the exception ended the attempt's task. Lengths of hundreds of digits overflowed in the same place. Versions of weights such as -1 or 1_0 were taken for versions.

Change: read_number of answer_heads reads idle timeouts, load reports, versions of weights, numbers of events and the size of the instance list: decimal digits, 18 at most, else None, which each reader treats as not stated.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -19,7 +19,12 @@
 )
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
-from sassafrasdoor.answer_heads import INTERIM_STATUSES, MAX_HEAD_BYTES, Flaw
+from sassafrasdoor.answer_heads import (
+    INTERIM_STATUSES,
+    MAX_HEAD_BYTES,
+    Flaw,
+    read_number,
+)
 from sassafrasdoor.answers import checked_head, count_refused
 from sassafrasdoor.backends.attribution import (
     AnswerHead,
@@ -743,6 +748,7 @@
 def _idle_timeout(headers):
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return max(0.0, int(value) - IDLE_TIMEOUT_MARGIN)
+        seconds = read_number(value)
+        if name.lower() == "timeout" and seconds is not None:
+            return max(0.0, seconds - IDLE_TIMEOUT_MARGIN)
     return DEFAULT_IDLE_TIMEOUT
--- a/sassafrasdoor/control/instances.py
+++ b/sassafrasdoor/control/instances.py
@@ -5,6 +5,7 @@
 from tornado.httpclient import HTTPError
 
 from sassafrasdoor import metrics
+from sassafrasdoor.answer_heads import read_number
 from sassafrasdoor.curl import CurlClient
 from sassafrasdoor.outcomes import Unavailable
 from sassafrasdoor.view import Backend, Member, State
@@ -58,8 +59,8 @@
         self.changed_bytes = 0
         if response.code == 304:
             return self._listing
-        size = response.headers.get("Content-Length", len(response.body))
-        self.changed_bytes = int(size)
+        length = read_number(response.headers.get("Content-Length", ""))
+        self.changed_bytes = len(response.body) if length is None else length
         try:
             document = json.loads(response.body)
             listing = listing_from(document["instances"])
--- a/sassafrasdoor/platform/servers.py
+++ b/sassafrasdoor/platform/servers.py
@@ -6,6 +6,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from sassafrasdoor.answer_heads import read_number
 from sassafrasdoor.backends.connections import Connections, OutgoingRequest
 from sassafrasdoor.backends.interface import Answer, Broken, Stale
 from sassafrasdoor.backends.joined import data_holds_answer
@@ -42,7 +43,7 @@
 # After as many events other tasks take a turn, as a chunk may hold thousands.
 EVENTS_PER_TURN = 64
 MIN_LOAD_FIGURES, KNOWN_LOAD_FIGURES = 3, 4  # of a load report
-MAX_FIGURE_DIGITS = 6  # of a figure: more than any replica runs, or a pace of 10,000
+MAX_LOAD_FIGURE = 999_999  # more than any replica runs, or a pace of 10,000
 UNREADABLE_LOADS = counter(
     "replica_loads_unreadable_total", "Load reports that cannot be read, by service."
 )
@@ -151,7 +152,9 @@
 
         def accept(status, response_headers):
             if status == 200:
-                events.version = _parse_int(response_headers.get(wire.VERSIONS))
+                events.version = (
+                    read_number(response_headers.get(wire.VERSIONS, "")) or 0
+                )
             return ""
 
         try:
@@ -358,9 +361,9 @@
             name, _, value = line.partition(":")
             value = value.removeprefix(" ")
             if name == VERSION_LINE:
-                self.version = _parse_int(value) or self.version
+                self.version = read_number(value) or self.version
             elif name == "id":
-                number = _parse_int(value, None)
+                number = read_number(value)
             elif name == "data":
                 lines.append(value)
         if number is None and not lines:
@@ -420,7 +423,7 @@
     for line in block.decode("utf-8", "replace").split("\n"):
         name, _, value = line.partition(":")
         if name == "id":
-            return _parse_int(value, None)
+            return read_number(value)
     return None
 
 
@@ -454,27 +457,16 @@
     report = headers.get(wire.LOAD)
     if report is None:
         return
-    figures = [figure.strip() for figure in report.split(",")][:KNOWN_LOAD_FIGURES]
-    is_valid = len(figures) >= MIN_LOAD_FIGURES and all(map(_is_load_figure, figures))
-    if not is_valid:
+    texts = report.split(",")[:KNOWN_LOAD_FIGURES]
+    figures = [read_number(text, MAX_LOAD_FIGURE) for text in texts]
+    if len(figures) < MIN_LOAD_FIGURES or None in figures:
         UNREADABLE_LOADS.inc({"service": replica.listing.service})
         return
-    running, waiting, _, *percentages = map(int, figures)
+    running, waiting, _, *percentages = figures
     pace = percentages[0] / 100 if percentages else None
     replica.record_load(running, waiting, pace)
 
 
-def _is_load_figure(text):
-    return text.isascii() and text.isdecimal() and len(text) <= MAX_FIGURE_DIGITS
-
-
 def _names(headers, wanted):
     """Return whether a mapping of headers names one, in any case."""
     return any(name.lower() == wanted.lower() for name in headers)
-
-
-def _parse_int(text, default=0):
-    try:
-        return int(text)
-    except (TypeError, ValueError):
-        return default
--- a/sassafrasdoor/platform/tests/test_broken_answers.py
+++ b/sassafrasdoor/platform/tests/test_broken_answers.py
@@ -115,6 +115,45 @@
         self.assertEqual(REFUSED.get(labels), before + 1)
 
 
+class BrokenValuesTest(BrokenCase):
+    """Answers whose heads are sound, with values that cannot be read."""
+
+    VALUES = (
+        "", " ", "-1", "+5", "5.5", "1_0", "0x5", "5\xb2", "\xb9", "9" * 400, "9" * 5000,
+    )  # fmt: skip
+
+    async def answer_with(self, field):
+        head = b"HTTP/1.1 200 OK\r\n" + field.encode("latin-1") + b"\r\n"
+        data = head + FIELDS + b"Content-Length: 20\r\n\r\n" + EVENT
+        await self.start(data, closes=False)
+        return await self.client.call(self.replica, self.call())
+
+    async def test_idle_timeout_that_cannot_be_read(self):
+        """Guards against an item that is lost by an exception in its attempt."""
+        for value in self.VALUES:
+            with self.subTest(value[:20]):
+                answer = await self.answer_with(f"Keep-Alive: max=5, timeout={value}")
+                self.assertEqual((answer.status, answer.body), (200, EVENT))
+
+    async def test_load_and_weights_that_cannot_be_read(self):
+        for value in self.VALUES:
+            with self.subTest(value[:20]):
+                answer = await self.answer_with(f"{wire.LOAD}: 1,{value},2")
+                self.assertEqual((answer.status, answer.body), (200, EVENT))
+                field = f"{wire.VERSIONS}: {value}"
+                self.assertEqual((await self.answer_with(field)).status, 200)
+                item = Item(REQUEST_ID, "/p", {}, b"b", 1, 0, "g", "m")
+                order = SampleOrder(item, "h", deadline_in(TIMEOUT), None)
+                versions = set()
+
+                def take(event, versions=versions):
+                    versions.add(event.version)
+                    return True
+
+                result = await self.client.generate(self.replica, order, take)
+                self.assertEqual((result, versions), (True, {0}))
+
+
 class BrokenStoreTest(BrokenCase):
     async def test_calls_to_the_store_fail(self):
         """Guards against records and offsets that were read from a broken answer."""
