Planned stop: late streams, and what may run once, are accepted by their deadlines

Cause: the durations of the last requests of a kind were taken for a bound on the next one. After a dozen streams of 0.8 s, one of 4 s was expected to take 1.5 s.

Change: after the first 30 % of a stop (2.5 s at most) a request that must not be cut off is accepted if its deadline lies within the stop; else it is refused at once as not run. What may be repeated is judged as before, as it gets a complete answer in any case.

Why it works: the deadline is the one bound that is known; replicas and callers keep to it. Nothing whose deadline fits is refused.

--- a/sassafrasdoor/entry/process.py
+++ b/sassafrasdoor/entry/process.py
@@ -65,11 +65,11 @@
     logs.changed("entry:leaving")
     EVENTS.add("drain-started")
     await components.link.leave()
-    unmeasured_deadline = deadline_in(settings.routing.discovery_valid)
-    discovery_expiry = unmeasured_deadline + settings.drain.spread
+    estimate_deadline = deadline_in(settings.routing.discovery_valid)
+    discovery_expiry = estimate_deadline + settings.drain.spread
     components.requests.stop_admission.begin_stop(
         StopTimes(
-            unmeasured_deadline,
+            estimate_deadline,
             discovery_expiry,
             discovery_expiry + settings.drain.deadline,
         )
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -76,10 +76,10 @@
 LAST_FLUSH_SHARE, CLEANUP_SHARE = 0.95, 0.96
 # Share of that duration after which the process exits whatever it still does.
 FORCED_EXIT_SHARE = 0.97
-# How long a stop accepts requests of unknown duration that may outlive it: the shorter of
+# How long a stop accepts requests that may outlive it, by an estimate: the shorter of
 # a share of the stop and the seconds in which callers renew the directory's answer.
-UNMEASURED_SHARE = 0.3
-UNMEASURED_TIME = handlers.DIRECTORY_TTL + 0.5
+ESTIMATE_SHARE = 0.3
+ESTIMATE_TIME = handlers.DIRECTORY_TTL + 0.5
 CLOSING_TIME = 1.0  # seconds before the end of the drain; connections are then closed
 IN_FLIGHT_CHECK_INTERVAL = 0.02  # seconds
 # Up to this number of replicas one process runs all shards; with more it would lack CPU
@@ -633,9 +633,9 @@
         finish_deadline = started_at + duration * FINISH_IN_FLIGHT_SHARE
         flush_deadline = started_at + duration * LAST_FLUSH_SHARE
         cleanup_deadline = started_at + duration * CLEANUP_SHARE
-        unmeasured_time = min(duration * UNMEASURED_SHARE, UNMEASURED_TIME)
+        estimate_time = min(duration * ESTIMATE_SHARE, ESTIMATE_TIME)
         self._stop_admission.begin_stop(
-            StopTimes(started_at + unmeasured_time, finish_deadline, finish_deadline)
+            StopTimes(started_at + estimate_time, finish_deadline, finish_deadline)
         )
         force_exit_at(started_at + duration * FORCED_EXIT_SHARE)
         note("process.stopping", seconds=round(remaining(drain_deadline), 2))
--- a/sassafrasdoor/requests/stop_policy.py
+++ b/sassafrasdoor/requests/stop_policy.py
@@ -5,8 +5,12 @@
 request that is accepted and does not end in time is cut off, and one that must not run
 twice is then lost to its caller, who could have gone to another instance.
 
-A deadline bounds how long a request lasts, but mostly lies far beyond its end. So a
-request that may outlive the stop is judged by the durations of recent ones of its kind.
+Its deadline is the only bound on how long a request lasts: however short the recent ones
+of its kind were, the next one may take many times as long. So a request that must not be
+cut off is accepted if its deadline lies within the stop. One that may be repeated gets a
+complete answer in any case, and is judged by the durations of recent ones, so that calls
+with generous deadlines are served. Early in the stop, while callers cannot know of it,
+all requests are judged so.
 """
 
 from collections import deque
@@ -31,15 +35,16 @@
 class StopTimes:
     """The deadlines of a planned stop, all monotonic times in seconds.
 
-    From ``unmeasured_deadline`` on no request of unknown duration is accepted that may
-    outlive the stop, from ``intake_deadline`` on none that another instance can serve.
-    Requests in progress are cut off at ``finish_deadline``.
+    From ``estimate_deadline`` on no request is accepted that may outlive the stop, unless
+    it may be repeated and recent ones show that it is not expected to, from
+    ``intake_deadline`` on none that another instance can serve. Requests in progress are
+    cut off at ``finish_deadline``.
     """
 
-    __slots__ = ("finish_deadline", "intake_deadline", "unmeasured_deadline")
+    __slots__ = ("estimate_deadline", "finish_deadline", "intake_deadline")
 
-    def __init__(self, unmeasured_deadline, intake_deadline, finish_deadline):
-        self.unmeasured_deadline = unmeasured_deadline
+    def __init__(self, estimate_deadline, intake_deadline, finish_deadline):
+        self.estimate_deadline = estimate_deadline
         self.intake_deadline = intake_deadline
         self.finish_deadline = finish_deadline
 
@@ -132,7 +137,7 @@
         kept.append(current - run.started_at)
 
     def can_finish(self, times, kind, deadline, current):
-        """Return whether a request is expected to be answered before the stop's end.
+        """Return whether a request is accepted, as it will end before the stop does.
 
         ``deadline`` is the request's own; at it the request is answered in any case.
         """
@@ -140,9 +145,12 @@
             return False
         if deadline <= times.answer_deadline:
             return True
+        is_late = current >= times.estimate_deadline
+        if is_late and not kind.is_repeatable:
+            return False
         durations = self._durations.get(kind.key) or _Durations()
         expected = _expected_duration(kind, durations, current)
-        if expected is None and current >= times.unmeasured_deadline:
+        if expected is None and is_late:
             return False
         if expected is None:
             expected = durations.longest(current)
