--- a/sassafrasdoor/platform/tests/test_broken_answers.py
+++ b/sassafrasdoor/platform/tests/test_broken_answers.py
@@ -1,5 +1,8 @@
 """Broken answers of replicas, the store and other instances, at each of their readers."""
 
+import asyncio
+import contextlib
+import re
 import unittest
 
 from sassafrasdoor.answer_heads import Flaw
@@ -21,8 +24,10 @@
     CUT_HEADS,
     EVENT,
     BrokenServer,
+    filled,
 )
 
+SOUND = b"HTTP/1.1 200 OK\r\n{fields}Keep-Alive: timeout=9\r\nContent-Length: 5\r\n\r\nsound"
 TIMEOUT = 20.0  # seconds; each answer ends much earlier
 REQUEST_ID = "r1"
 FIELDS = f"{wire.REQUEST_ID}: {REQUEST_ID}\r\n{wire.STAMP}: s\r\n".encode()
@@ -115,6 +120,60 @@
         self.assertEqual(REFUSED.get(labels), before + 1)
 
 
+class KeptConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A replica whose first answer on a connection is sound, and what follows broken."""
+
+    async def start(self, data, is_surplus):
+        """Serve; ``data`` follows an answer at once if it ``is_surplus``."""
+        self.connections = 0
+
+        async def serve(reader, writer):
+            self.connections += 1
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                fields = self.fields(await reader.readuntil(b"\r\n\r\n"))
+                writer.write(filled(SOUND, fields))
+                if is_surplus:
+                    writer.write(filled(data, fields))
+                fields = self.fields(await reader.readuntil(b"\r\n\r\n"))
+                writer.write(filled(data, fields))
+                writer.write_eof()
+                await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.replica = Replica("i-1", Listing("s", address, "z", 4, False, {"m": 1}))
+        self.client = WireReplicas()
+        self.addCleanup(self.client.close)
+
+    def fields(self, head):
+        """Return the fields of an answer to a request; its stamp names the request."""
+        name = re.search(rb"Request-Id: (\w+)", head, re.IGNORECASE)[1].decode()
+        fields = f"{wire.STAMP}: {name}\r\n{wire.REQUEST_ID}: {name}\r\n"
+        return fields.encode()
+
+    async def call(self, request_id):
+        deadline = deadline_in(TIMEOUT)
+        call = DirectCall("POST", "/p", [("Host", "h")], b"", request_id, deadline)
+        return await self.client.call(self.replica, call)
+
+    async def test_broken_answer_behind_a_sound_one(self):
+        """Guards against a broken answer that spoils the next call of its connection."""
+        for name, data in BROKEN_ANSWERS.items():
+            for is_surplus in (False, True):
+                with self.subTest(name, is_surplus=is_surplus):
+                    await self.start(data, is_surplus)
+                    outcomes = [await self.call(f"own{at}") for at in range(4)]
+                    for at, outcome in enumerate(outcomes):
+                        if not isinstance(outcome, Broken):
+                            self.assertEqual(outcome.status, 200)
+                            self.assertEqual(outcome.signature, f"own{at}")
+                            self.assertEqual(outcome.body, b"sound")
+                    self.assertTrue(outcomes[0])
+                    self.assertGreater(self.connections, 1)
+
+
 class BrokenValuesTest(BrokenCase):
     """Answers whose heads are sound, with values that cannot be read."""
 
