--- a/sassafrasdoor/tests/broken_answers.py
+++ b/sassafrasdoor/tests/broken_answers.py
@@ -148,10 +148,10 @@
     """
 
     def __init__(self, data, name_request=lambda head: b"", body=EVENT, closes=True):
+        self.data = data
         self.requests = 0
         self._closes = closes
         self._body = body
-        self._data = data
         self._name_request = name_request
 
     async def start(self):
@@ -164,12 +164,15 @@
         """Stop serving."""
         self._server.close()
 
+    def respond(self, head):
+        """Return the bytes that answer a request with this head, and count it."""
+        self.requests += 1
+        return filled(self.data, self._name_request(head), self._body)
+
     async def _serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             head = await reader.readuntil(b"\r\n\r\n")
-            self.requests += 1
-            fields = self._name_request(head)
-            writer.write(filled(self._data, fields, self._body))
+            writer.write(self.respond(head))
             if self._closes:
                 writer.write_eof()
             # Closing with unread bytes would reset the connection.
