Connections: a closed connection is not held by the check of its heads

The callback that fails the current send referred to the connection until garbage was collected. No failure was seen; read in the code. test_connections, test_broken_answers, test_endless_bytes and test_late_answers pass.

--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -502,6 +502,8 @@
             reason = f"connection lost: {error}"
         finally:
             self.stream.close()
+            # Refers to this connection, which would stay until garbage is collected.
+            self.stream.on_refused_head = None
             if self._exchange is not None:
                 self._exchange.fail(reason)
                 self._exchange = None
