Clients by libcurl: usual terms; batches and samples keep their former bound

16 MiB, the new default bound on a body, is too low for a batch of 500 tables of many rows or for all ready samples of a step; sound ones would never be read. Both keep 100 MiB. Read in the code, no failure was seen. Comments and reasons speak of invalid heads.

--- a/sassafrasdoor/answer_heads.py
+++ b/sassafrasdoor/answer_heads.py
@@ -1,10 +1,9 @@
-"""Decides whether received bytes are the head of an answer (RFC 9110, RFC 9112).
+"""Decides whether received bytes are a valid head of an answer (RFC 9110, RFC 9112).
 
-Load pattern: servers in trouble send bytes that are no answer, leave their answers in the
-middle of a head, or send one answer behind the cut head of another, among sound ones and
-on kept connections. A parser that passes over such bytes gets the status of one answer and
-the fields or the body of another, or a body that ends elsewhere. So a head is refused as
-a whole unless all of it follows the grammar:
+Load pattern: faulty servers send bytes that are no answer, close in the middle of a head, or
+send one answer behind the cut head of another, among sound answers and on kept connections.
+A lenient parser combines the status of one answer with the fields or the body of another, or
+ends a body at the wrong byte. So a head is refused as a whole unless all of it is valid:
 
 - The status line has the name and first major version of the protocol, and a status of
   100 to 599 (RFC 9110, section 15: others are invalid, and a client treats them as a
@@ -23,7 +22,6 @@
 
 MAX_HEAD_BYTES = 65536
 MAX_LENGTH_DIGITS = 18
-HEAD_END = b"\r\n\r\n"
 INTERIM_STATUSES = range(100, 200)
 NO_CONTENT = 204
 SWITCHING_PROTOCOLS = 101
@@ -45,7 +43,7 @@
 
 
 class Flaw(Enum):
-    """Why bytes are no head of an answer."""
+    """Why bytes are not a valid head of an answer."""
 
     CUT = "cut"
     FIELD = "field line"
@@ -56,18 +54,18 @@
     STATUS = "status"
     STATUS_LINE = "status line"
     TOO_LONG = "too long"
-    UNREADABLE = "unreadable"
     TWO_ANSWERS = "two answers in one head"
+    UNREADABLE = "unreadable"
     VALUE = "field value"
 
 
 class RefusedHead(Outcome):
-    """The bytes are no head of an answer, because of a ``Flaw``."""
+    """The bytes are not a valid head of an answer, because of a ``Flaw``."""
 
     __slots__ = ("flaw",)
 
     def __init__(self, flaw):
-        super().__init__(f"no answer: {flaw.value}")
+        super().__init__(f"invalid answer: {flaw.value}")
         self.flaw = flaw
 
 
--- a/sassafrasdoor/answers.py
+++ b/sassafrasdoor/answers.py
@@ -3,7 +3,9 @@
 from sassafrasdoor.answer_heads import read_head
 from sassafrasdoor.metrics import counter
 
-REFUSED = counter("answers_refused_total", "Answers whose head is none, by reason.")
+REFUSED = counter(
+    "answers_refused_total", "Answers refused for an invalid head, by reason."
+)
 
 
 def checked_head(data):
--- a/sassafrasdoor/backends/connections.py
+++ b/sassafrasdoor/backends/connections.py
@@ -270,16 +270,16 @@
 
 
 class _Stream(IOStream):
-    """A stream of answers, of which only sound heads are read.
+    """A stream of answers whose heads are checked as they are read.
 
-    ``on_refused_head(reason)`` is called if bytes are none. It also tells whether it holds
-    bytes that have not been read.
+    ``on_refused_head(reason)`` is called for an invalid one. It also tells whether it
+    holds bytes that have not been read.
     """
 
     on_refused_head = None
 
     async def read_until_regex(self, regex, max_bytes=None):
-        """Return the bytes of a head; raises ``HTTPInputError`` if they are none."""
+        """Return the bytes of a head; raises ``HTTPInputError`` for an invalid one."""
         try:
             data = await super().read_until_regex(regex, max_bytes)
         except StreamClosedError as error:
--- a/sassafrasdoor/curl.py
+++ b/sassafrasdoor/curl.py
@@ -1,8 +1,8 @@
-"""Tornado's curl client, which takes an answer only if its head is one.
+"""Tornado's curl client, which accepts only answers with a complete and valid head.
 
-libcurl takes an answer for complete if the server closes the connection behind any whole
-line of its head, and it passes on statuses, names and values that are none. It hands over
-each line as received, so that ``answer_heads`` decides here as for all other clients.
+libcurl reports success if the server closes the connection behind any line of the head, and
+it accepts invalid statuses and fields. It passes on each line as received, so that
+``answer_heads`` decides here as it does for all other clients.
 """
 
 import pycurl
@@ -28,7 +28,7 @@
 
 
 class AnswerRefused(CurlError):
-    """The answer's head is none; ``reason`` says why."""
+    """The head of the answer is incomplete or invalid; ``reason`` says why."""
 
     def __init__(self, reason):
         super().__init__(WEIRD_SERVER_REPLY, reason)
@@ -36,7 +36,7 @@
 
 
 class CurlClient(CurlAsyncHTTPClient):
-    """The client; ``fetch`` fails with ``AnswerRefused`` for an answer that is none.
+    """The client; ``fetch`` fails with ``AnswerRefused`` for an invalid answer.
 
     ``max_clients`` transfers run at a time. Bodies of more than ``max_body_size`` bytes
     fail too. Answers over other versions of the protocol than 1.x are not requested, and
--- a/sassafrasdoor/log/http.py
+++ b/sassafrasdoor/log/http.py
@@ -11,6 +11,8 @@
 from sassafrasdoor.outcomes import Expired, ReplyLost, Unavailable
 
 MAX_CLIENTS = 20
+# A batch of tables of many rows may have tens of MB; a smaller bound would stop its reader.
+MAX_BATCH_BYTES = 100 * 1024 * 1024
 MAX_TIMEOUT_FACTOR = 16
 END_OFFSET = -1  # requests the end of the stream
 SERVICE_UNAVAILABLE = 503
@@ -46,7 +48,11 @@
     def __init__(self, settings):
         self._settings = settings.platform
         self._timeout_factor = 1
-        self._client = Client(force_instance=True, max_clients=MAX_CLIENTS)
+        self._client = Client(
+            force_instance=True,
+            max_clients=MAX_CLIENTS,
+            max_body_size=MAX_BATCH_BYTES,
+        )
 
     async def append(self, stream, body):
         """Append once; return the offset, ``Unavailable`` or ``ReplyLost``."""
--- a/sassafrasdoor/steps/client.py
+++ b/sassafrasdoor/steps/client.py
@@ -34,6 +34,7 @@
 MAX_RETRY_DELAY = 1.0  # seconds
 NO_REPLY = 599  # status of calls without a usable reply
 MAX_CLIENTS = 64
+MAX_REPLY_BYTES = 100 * 1024 * 1024  # of all samples that are ready at a time
 
 
 class Trainer:
@@ -77,7 +78,11 @@
         self.wait = wait
         self.reply_timeout = reply_timeout
         self.valid_until = math.inf
-        self._http = CurlClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._http = CurlClient(
+            force_instance=True,
+            max_clients=MAX_CLIENTS,
+            max_body_size=MAX_REPLY_BYTES,
+        )
 
     def close(self):
         """Close the connections."""
