--- a/sassafrasdoor/backends/stream.py
+++ b/sassafrasdoor/backends/stream.py
@@ -7,6 +7,7 @@
 from sassafrasdoor.backends.limits import RECEIVE_BUDGET, AnswerBody
 from sassafrasdoor.backends.transfer import Request
 from sassafrasdoor.clock import deadline_in, passed, remaining
+from sassafrasdoor.metrics import counter
 from sassafrasdoor.outcomes import NotRun
 
 TOO_MANY_REQUESTS = 429
@@ -20,6 +21,10 @@
 LINES_PER_TURN = 64
 HEADERS = {"Content-Type": "application/json"}
 
+GIVEN_UP = counter(
+    "engine_streams_given_up_total", "Streams that exceeded a bound, by bound."
+)
+
 
 class _ReceivedLines:
     """The bytes of a stream that its reader has not taken, whole lines at a time.
@@ -67,6 +72,7 @@
             if lines or self._has_ended or self.excess:
                 return lines
             if self.is_full:
+                GIVEN_UP.inc({"bound": "line"})
                 self.excess = f"line too long: over {MAX_LINE_BYTES} bytes"
                 return END_OF_DATA
             self._arrival.clear()
@@ -90,6 +96,7 @@
         return lines
 
     def _give_up(self, reason):
+        GIVEN_UP.inc({"bound": "memory"})
         self.excess = reason
         self._arrival.set()
 
@@ -179,6 +186,7 @@
         """Return a line's ``Chunk``, ``Finished`` or ``Broken``; None for other lines."""
         self._tokenless_bytes += len(line) + 1
         if self._tokenless_bytes > MAX_LINE_BYTES:
+            GIVEN_UP.inc({"bound": "bytes without a token"})
             return Broken(f"no token in {MAX_LINE_BYTES} bytes")
         if not line:
             return None
@@ -203,6 +211,7 @@
         if chunk.offset != self._offset:
             return Broken("gap in the stream")
         if not 0 <= chunk.tokens <= self._order.max_tokens - self._offset:
+            GIVEN_UP.inc({"bound": "tokens"})
             return Broken("more tokens than ordered")
         self._offset += chunk.tokens
         if chunk.tokens:
