Clients by libcurl: a request that could not be sent is no broken answer

The check of heads took an error that is not libcurl's, such as a header that can't be encoded, for an answer that was cut, and so a request that never left for one that may have been sent ("invalid answer: cut" in place of "not sent"). Found while reading the diff.

A head that is cut behind a status of 599 joins the tables.

--- a/sassafrasdoor/backends/tests/test_broken_answers.py
+++ b/sassafrasdoor/backends/tests/test_broken_answers.py
@@ -143,6 +143,19 @@
                 self.assertTrue(result.began)
 
 
+class NotSentTest(BrokenCase):
+    async def test_request_that_cannot_be_sent_is_no_broken_answer(self):
+        """Guards against a request that never left and counts as one that may have run."""
+        await self.start(BROKEN_HEADS["status 000"])
+        request = Request(
+            "GET", f"http://{self.address}/", headers={"X-Remarks": "a\u0100"}
+        )
+        result = await self.closed(Client()).fetch(self.backend, request)
+        self.assertFalse(result.began)
+        self.assertTrue(result.reason.startswith("not sent"), result.reason)
+        self.assertEqual(self.server.requests, 0)
+
+
 class BrokenLogTest(BrokenCase):
     def settings(self):
         url = f"http://{self.address}"
--- a/sassafrasdoor/curl.py
+++ b/sassafrasdoor/curl.py
@@ -18,11 +18,12 @@
 PROTOCOL = b"HTTP/"
 EMPTY_LINE = b"\r\n"
 WEIRD_SERVER_REPLY = pycurl.E_FTP_WEIRD_SERVER_REPLY  # its former name
-# Errors by which libcurl itself refuses an answer.
-REFUSED_BY_LIBCURL = {
-    pycurl.E_UNSUPPORTED_PROTOCOL,
-    pycurl.E_BAD_CONTENT_ENCODING,
-    WEIRD_SERVER_REPLY,
+# What the errors of libcurl say about the head of an answer.
+FLAWS_BY_ERROR = {
+    pycurl.E_UNSUPPORTED_PROTOCOL: Flaw.UNREADABLE,
+    pycurl.E_BAD_CONTENT_ENCODING: Flaw.UNREADABLE,
+    WEIRD_SERVER_REPLY: Flaw.UNREADABLE,
+    pycurl.E_PARTIAL_FILE: Flaw.CUT,
 }
 ABORT = -1  # returned to libcurl by the function that receives the head
 
@@ -114,12 +115,13 @@
 
     def _flaw_at_end(self, response):
         """Return the ``Flaw`` of an answer that ended, None if there is none."""
-        error_number = getattr(response.error, "errno", None)
-        if error_number in REFUSED_BY_LIBCURL:
-            return Flaw.UNREADABLE
-        # libcurl knows only the ends of lines.
-        is_cut = error_number is None or error_number == pycurl.E_PARTIAL_FILE
-        return Flaw.CUT if is_cut and not self._is_complete else None
+        if isinstance(response.error, CurlError):
+            flaw = FLAWS_BY_ERROR.get(response.error.errno)
+        else:
+            # Nothing is received if the request could not be sent.
+            flaw = Flaw.CUT if self._size else None
+        # A complete head was not cut; its body may have been, which is an error.
+        return None if flaw is Flaw.CUT and self._is_complete else flaw
 
     def _end_head(self):
         data = b"".join(self._lines)
--- a/sassafrasdoor/tests/broken_answers.py
+++ b/sassafrasdoor/tests/broken_answers.py
@@ -111,6 +111,7 @@
     "cut behind an interim answer": b"HTTP/1.1 102 Processing\r\n\r\n"
     + STATUS
     + FIELDS,
+    "cut behind the last status": b"HTTP/1.1 599 Strange\r\n" + FIELDS,
     "nothing": b"",
 }
 CUT_BODIES = {
