Tails: log lines and a metric for what delays the reading of acknowledged records

Change: `log.regained` has the failed reads, the seconds of each wait before the answered read, and the seconds since an append of this process was acknowledged in the partition. A histogram has the latter until the record is read. `step.end_read` tells when the runner drops the items of an ended step. RelayedLog reports acknowledged appends to its owner.

--- a/sassafrasdoor/log/relay.py
+++ b/sassafrasdoor/log/relay.py
@@ -41,22 +41,28 @@
 
 
 class RelayedLog(PartitionedLog):
-    """Calls ``direct``, or the logs of other instances, which ``relays()`` returns."""
+    """Calls ``direct``, or the logs of other instances, which ``relays()`` returns.
+
+    Calls ``on_append(topic, part, end)`` for each acknowledged append; ``end`` is the end
+    that the partition had then.
+    """
 
     __slots__ = (
         "_cut_off",
         "_direct_restored",
         "_budget",
         "_direct",
+        "_on_append",
         "_probe",
         "_probe_at",
         "_relays",
         "_relays_missing",
     )
 
-    def __init__(self, direct, relays):
+    def __init__(self, direct, relays, on_append=lambda topic, part, end: None):
         self._direct = direct
         self._relays = relays
+        self._on_append = on_append
         self._cut_off = asyncio.Event()
         self._direct_restored = asyncio.Event()
         self._budget = Budget(RELAY_SHARE, RELAY_BURST)
@@ -71,6 +77,12 @@
 
     async def append(self, topic, part, records, deadline):
         """Append all records or none: ``Appended``, ``Unavailable``, ``ReplyLost``."""
+        result = await self._append(topic, part, records, deadline)
+        if not isinstance(result, Outcome):
+            self._on_append(topic, part, result.end)
+        return result
+
+    async def _append(self, topic, part, records, deadline):
         if self.is_cut_off:
             result = await self._append_relayed(topic, part, records, deadline)
             if _was_answered(result):
--- a/sassafrasdoor/log/sharing.py
+++ b/sassafrasdoor/log/sharing.py
@@ -28,6 +28,9 @@
 MAX_ANSWER_BYTES = 1024 * 1024  # so that records are folded while more are read
 RECORD_MARGIN_BYTES = 4096  # in addition to the size of the largest record
 LIST_COUNT = 4  # lists that every instance follows
+# What a backlog read waits for: the pause after failed reads of its partition, the
+# answers of the lists, and its turn among the reads of the instance.
+PAUSE, LISTS, TURN = "pause", "lists", "turn"
 # Fraction of the log's reads that all followers of partitions may use together. The
 # lists, which every instance reads, and confirming reads use the rest.
 FOLLOWER_READ_SHARE = 0.4
@@ -107,6 +110,7 @@
         "_backoff",
         "_next_return_at",
         "_partition_backoffs",
+        "_waits",
         "max_bytes",
     )
 
@@ -120,6 +124,7 @@
         self._backoff = _Backoff()
         self._next_return_at = LONG_AGO
         self._partition_backoffs = {}
+        self._waits = {}
 
     @property
     def retry_delay(self):
@@ -146,6 +151,10 @@
             for backoff in (self._backoff, *self._partition_backoffs.values()):
                 backoff.end_by(retry_at)
 
+    def waits_before_read(self, part):
+        """Return the ``ReadWaits`` of the last backlog read of a partition, or None."""
+        return self._waits.get(part)
+
     async def read_backlog(self, part, read):
         """Schedule a backlog read; return the time at which it was sent and its result.
 
@@ -153,13 +162,17 @@
         backlog reads of the partition ``part``.
         """
         partition_backoff = self._partition_backoffs.setdefault(part, _Backoff())
-        await partition_backoff.wait()
-        with contextlib.suppress(TimeoutError):
+        waits = self._waits[part] = ReadWaits()
+        with waits.measure(PAUSE):
+            await partition_backoff.wait()
+        with waits.measure(LISTS), contextlib.suppress(TimeoutError):
             async with asyncio.timeout(MAX_READ_SLACK):
                 await self._lists_answered.wait()
+        waiting_since = now()
         async with self._lock:
             await self._backoff.wait()
             sent_at = now()
+            waits.add(TURN, sent_at - waiting_since)
             reading = asyncio.ensure_future(
                 read(self.max_bytes(), partition_backoff.failure_count)
             )
@@ -177,6 +190,32 @@
             reading.cancel()
 
 
+class ReadWaits:
+    """Seconds that a read waited before it was sent, by reason."""
+
+    __slots__ = ("_seconds",)
+
+    def __init__(self):
+        self._seconds = {}
+
+    def add(self, reason, seconds):
+        """Add a wait."""
+        self._seconds[reason] = self._seconds.get(reason, 0.0) + seconds
+
+    @contextlib.contextmanager
+    def measure(self, reason):
+        """Add the time spent in a block."""
+        began_at = now()
+        try:
+            yield
+        finally:
+            self.add(reason, now() - began_at)
+
+    def fields(self):
+        """Return the rounded seconds by reason, for a log line."""
+        return {reason: round(value, 3) for reason, value in self._seconds.items()}
+
+
 class _Backoff:
     """Exponential backoff with jitter after ``failure_count`` consecutive failures."""
 
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -14,7 +14,7 @@
 from sassafrasdoor.log.demand import CONFIRM, FOLLOW, LOAD, RETRY, START, call_purpose
 from sassafrasdoor.log.partitioned import NewestKeys, split_keyed
 from sassafrasdoor.log.sharing import MAX_READ_SLACK, ReadCoordinator
-from sassafrasdoor.metrics import counter
+from sassafrasdoor.metrics import counter, histogram
 from sassafrasdoor.outcomes import Expired, Unavailable
 
 # Seconds that a read waits for new records. With READ_SLACK, a read that is never
@@ -38,6 +38,11 @@
 SKIPPED_RECORDS = counter(
     "log_records_skipped_total", "Records that could not be applied, by topic."
 )
+UNREAD_SECONDS = histogram(
+    "log_acknowledged_unread_seconds",
+    "Seconds from an own append acknowledged in a failing partition to its reading.",
+    buckets=[0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 10],
+)
 
 
 def all_caught_up(tails):
@@ -127,6 +132,9 @@
         self._last_answer_at = LONG_AGO
         self._bytes_read = 0
         self._reads = Counter()
+        self._failed_reads = 0
+        self._acknowledged_end = 0
+        self._acknowledged_at = None
         self.offset = 0
         self.end = None
         self.skipped = 0
@@ -195,6 +203,18 @@
             "reads_given_up": self._reads["given up"],
         }
 
+    def record_append(self, end):
+        """Record that an append of this process was acknowledged.
+
+        ``end`` is the end that the partition had then. A partition whose reads fail
+        serves again, as far as this process knows, and has unread records.
+        """
+        if self.failing_since is None or end <= self.offset:
+            return
+        self._acknowledged_end = max(end, self._acknowledged_end)
+        if self._acknowledged_at is None:
+            self._acknowledged_at = now()
+
     async def poll(self, wait):
         """Read once; return whether the log answered."""
         sent_at, suspended = now(), boot_now() - now()
@@ -384,6 +404,9 @@
                 self._try_apply(self._fold, offset, record)
                 self.offset = offset + 1
             offset += 1
+        if self._acknowledged_at is not None and self.offset >= self._acknowledged_end:
+            UNREAD_SECONDS.observe({}, now() - self._acknowledged_at)
+            self._acknowledged_at = None
 
     def _try_apply(self, apply, place, data):
         """Call ``apply(place, data)``; ``place`` is the offset or the key of a record."""
@@ -420,6 +443,7 @@
 
     def _record_failure(self, result):
         self._report_failure_to_coordinator()
+        self._failed_reads += 1
         if self.failing_since is None:
             self.failing_since = now()
             note("log.lost", topic=self._topic, part=self._part, reason=result.reason)
@@ -437,8 +461,17 @@
         self._report_answer_to_coordinator()
         if self.failing_since is None:
             return
-        seconds = round(now() - self.failing_since, 3)
-        note("log.regained", topic=self._topic, part=self._part, away_seconds=seconds)
+        waits = self._read_coordinator.waits_before_read(self._part)
+        note(
+            "log.regained",
+            topic=self._topic,
+            part=self._part,
+            away_seconds=_age(self.failing_since),
+            failed_reads=self._failed_reads,
+            waited=waits.fields() if waits is not None else {},
+            acknowledged_seconds=_age(self._acknowledged_at),
+        )
+        self._failed_reads = 0
         self.failing_since = None
         self.restored_at = now()
         self.last_outage = Outage(previous_answer_at, self.restored_at)
--- a/sassafrasdoor/log/tests/test_relay.py
+++ b/sassafrasdoor/log/tests/test_relay.py
@@ -251,6 +251,20 @@
         self.peer.append = append
         self.assertIsInstance(await self.append(), ReplyLost)
 
+    async def test_acknowledged_appends_are_reported(self):
+        ends = []
+        self.relayed = RelayedLog(
+            self.direct,
+            lambda: [self.peer],
+            lambda *acknowledged: ends.append(acknowledged),
+        )
+        await self.append()
+        self.direct.cut = True
+        await self.append()
+        self.peer.answer = Unavailable("refused")
+        await self.append(seconds=0.2)
+        self.assertEqual(ends, [("t", 0, 1), ("t", 0, 2)])
+
     async def test_unreachable_log_is_unavailable(self):
         self.direct.answer = self.peer.answer = Unavailable("down")
         result = await self.relayed.read("t", 0, 0, 0, 1.0)
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now
-from sassafrasdoor.log import tail as module
+from sassafrasdoor.log import sharing, tail as module
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.partitioned import NewestKeys, keyed_record
 from sassafrasdoor.log.sharing import RETRY_PAUSE
@@ -134,6 +135,21 @@
         self.assertIsNone(self.tail.failing_since)
         self.assertLessEqual(self.tail.restored_at, now())
 
+    async def test_late_reading_of_acknowledged_records_is_logged(self):
+        self.log.down = True
+        await self.tail.poll(0)
+        self.log.down = False
+        await self.append(b"a")
+        self.tail.record_append(1)
+        with mock.patch.object(module, "note") as line:
+            await self.tail.poll(0)
+        fields = line.call_args_list[0].kwargs
+        self.assertEqual(line.call_args_list[0].args, ("log.regained",))
+        self.assertEqual(fields["failed_reads"], 1)
+        self.assertIn(sharing.PAUSE, fields["waited"])
+        self.assertGreaterEqual(fields["acknowledged_seconds"], 0.0)
+        self.assertIsNone(self.tail._acknowledged_at)
+
     async def test_outage_starts_at_the_last_answer_before_it(self):
         """A long poll times out long after the start of an outage."""
         self.assertIsNone(self.tail.last_outage)
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -140,7 +140,7 @@
         self._loop_monitor = LoopMonitor()
         self._store = Store(settings.store, self._call_counter)
         self._peers = Peers(settings.peers)
-        self._log = RelayedLog(self._store, self._relay_clients)
+        self._log = RelayedLog(self._store, self._relay_clients, self._record_append)
         self._read_coordinator = ReadCoordinator(self._backlog_share, self._retry_pause)
         is_bounded = "buffers" not in settings.disabled_parts
         limits = settings.caller_limits if is_bounded else CallerLimits()
@@ -280,6 +280,10 @@
             lambda: self._instances.other_entry_points,
         )
 
+    def _record_append(self, topic, part, end):
+        if topic == TOPIC:
+            self._tails[part].record_append(end)
+
     def _on_shard_gained(self, shard):
         self._runner.start_shard(shard)
         if shard == self._weights_shard:
--- a/sassafrasdoor/steps/durable/runner.py
+++ b/sassafrasdoor/steps/durable/runner.py
@@ -208,7 +208,16 @@
             return
         if step.is_new:
             self._add_items(step)
-        for job in [job for job in self._jobs.values() if job.step is step]:
+        jobs = [job for job in self._jobs.values() if job.step is step]
+        if step.ended and jobs:
+            note(
+                "step.end_read",
+                step=step.spec.step_id,
+                shard=step.shard,
+                items=len(jobs),
+                running=sum(job.task is not None for job in jobs),
+            )
+        for job in jobs:
             if not step.is_open(job.item.item_id):
                 self._remove(job)
             elif job.item.item_id in step.texts and not job.text_logged_at:
