--- a/sassafrasdoor/log/tests/test_sharing.py
+++ b/sassafrasdoor/log/tests/test_sharing.py
@@ -147,7 +147,7 @@
         ]:
             backoff._deadline = LONG_AGO
 
-    async def fail(self, keyed_tail):
+    async def fail_all(self, keyed_tail):
         """Let the list and all partitions fail until the backoffs are at their maximum."""
         self.log.silent = True
         self.assertFalse(await keyed_tail.poll(0))
@@ -175,7 +175,7 @@
         await asyncio.gather(*(tail.poll(0) for tail in self.tails))
         for tail in self.tails:
             tail.failing_since = now()
-        await self.fail(keyed_tail)
+        await self.fail_all(keyed_tail)
         polls = [asyncio.ensure_future(tail.poll(0)) for tail in self.tails]
         await asyncio.sleep(0.05)
         self.log.silent = False
@@ -183,7 +183,7 @@
         async with asyncio.timeout(module.RETURN_SPREAD + 0.5):
             self.assertEqual(await asyncio.gather(*polls), [True] * 5)
         # A list that comes and goes again within seconds ends no backoff.
-        await self.fail(keyed_tail)
+        await self.fail_all(keyed_tail)
         self.log.silent = False
         await keyed_tail.poll(0)
         deadline = self.read_coordinator._backoff._deadline
