Test: replays of an overloaded log judge their delays in virtual time

Cause: test_standstill imported `now` by name, which run() of virtual.py cannot replace. The configuration's delay was the difference of two real times, some microseconds, so that assertLess(delay, 2.0) held whatever the readers did.

Change: the clock is read through its module, which is patched; no bound or check changed.

--- a/sassafrasdoor/log/tests/test_standstill.py
+++ b/sassafrasdoor/log/tests/test_standstill.py
@@ -4,7 +4,7 @@
 import math
 import unittest
 
-from sassafrasdoor.clock import now
+from sassafrasdoor import clock
 from sassafrasdoor.log.partitioned import keyed_record
 from sassafrasdoor.log.sharing import ReadCoordinator, backlog_share, list_retry_pause
 from sassafrasdoor.log.tail import KeyedTail, Tail
@@ -56,7 +56,7 @@
         version, written_at = value.split(b" ")[:2]
         if int(version) > self.version:
             self.version = int(version)
-            self.table_delay = now() - float(written_at)
+            self.table_delay = clock.now() - float(written_at)
 
     def follow_lists(self):
         """Start to follow the lists; return the tasks."""
@@ -140,7 +140,7 @@
             await asyncio.sleep(interval)
 
     async def _put(self, topic, part, records):
-        await self.log.storage.append(topic, part, records, now() + 1)
+        await self.log.storage.append(topic, part, records, clock.now() + 1)
 
     async def _write_steps(self):
         for shard in range(SHARDS):
@@ -148,15 +148,15 @@
 
     async def _send_heartbeats(self):
         for server in range(SERVERS):
-            if int(now() / HEARTBEAT_INTERVAL) % 6 == server % 6:
+            if int(clock.now() / HEARTBEAT_INTERVAL) % 6 == server % 6:
                 record = keyed_record(
-                    f"i-{server}", b"%f" % now() + bytes(SERVER_BYTES)
+                    f"i-{server}", b"%f" % clock.now() + bytes(SERVER_BYTES)
                 )
                 await self._put("keyed.list", 0, [record])
 
     async def _write_table(self):
         self._version += 1
-        value = b"%d %f " % (self._version, now()) + bytes(40_000)
+        value = b"%d %f " % (self._version, clock.now()) + bytes(40_000)
         await self._put("keyed.table", 0, [keyed_record("config", value)])
 
 
