Tails: a list that is silent and then refused is read at intervals

What callers saw: nothing was reported; the log would see hundreds of reads a second from each list of each instance for up to 2 s, at the moment at which it is overloaded already.

Cause: Tail._hedge sent a further call whenever it woke up: after HEDGE_INTERVAL, but also when one of several pending calls had failed. With one call that is never answered and others that are refused after 4 ms it sent the next one each 4 ms until the first had timed out.

Evidence: test_list_that_is_silent_and_then_refused_is_read_at_intervals (virtual time) failed before: 375 reads in 2 s, at most 13 by the pause between retries.

Why this works: the time of the next call is stored and only its passing starts one.

--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -313,15 +313,18 @@
         changes take effect late, and backend servers that left still get work.
         """
         deadline = deadline_in(MAX_READ_SLACK)
-        sent_at, pending = {}, set()
+        sent_at, pending, next_call_at = {}, set(), LONG_AGO
         try:
             while True:
-                if not passed(deadline):
+                if passed(next_call_at) and not passed(deadline):
                     task = asyncio.ensure_future(call(remaining(deadline)))
                     sent_at[task] = now()
                     pending.add(task)
+                    next_call_at = deadline_in(HEDGE_INTERVAL)
                 done, pending = await asyncio.wait(
-                    pending, timeout=HEDGE_INTERVAL, return_when=asyncio.FIRST_COMPLETED
+                    pending,
+                    timeout=remaining(next_call_at) or HEDGE_INTERVAL,
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
                 completed = sorted(done, key=lambda task: not _was_answered(task))
                 if completed and (_was_answered(completed[0]) or not pending):
--- a/sassafrasdoor/log/tests/test_tail.py
+++ b/sassafrasdoor/log/tests/test_tail.py
@@ -10,6 +10,7 @@
 from sassafrasdoor.log.partitioned import NewestKeys, keyed_record
 from sassafrasdoor.log.sharing import RETRY_PAUSE
 from sassafrasdoor.log.tail import KeyedTail, Tail
+from sassafrasdoor.log.tests.virtual import MEGABYTE, BoundedLog, run
 
 CALL_TIMEOUT = 2.0  # seconds, of calls that have no timeout of their own
 
@@ -332,6 +333,27 @@
         await self.check_return()
 
 
+class KeyedTailPaceTest(unittest.TestCase):
+    def test_list_that_is_silent_and_then_refused_is_read_at_intervals(self):
+        """Guards against a read that is repeated at the speed of the network."""
+
+        async def main(loop):
+            log = BoundedLog(MEGABYTE)
+            tail = KeyedTail(log.reader(), "keyed.t", lambda key, value: None)
+            task = asyncio.ensure_future(tail.run())
+            await asyncio.sleep(2.0)
+            log.silent = True
+            while tail.failing_since is None:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.3)
+            reads, log.silent, log.refuses_calls = log.sent_reads, False, True
+            await asyncio.sleep(2.0)
+            task.cancel()
+            return log.sent_reads - reads
+
+        self.assertLessEqual(run(main), 2.0 / RETRY_PAUSE)
+
+
 class KeyedTailTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.log = MemoryPartitionedLog()
--- a/sassafrasdoor/log/tests/virtual.py
+++ b/sassafrasdoor/log/tests/virtual.py
@@ -60,7 +60,7 @@
 
     Answers are sent even if the reader has timed out. Calls made while it is ``silent``
     are never answered. Above ``calls_per_second`` it refuses calls, and the refused ones
-    count towards that limit.
+    count towards that limit. ``sent_reads`` counts all reads that were sent to it.
     """
 
     def __init__(self, rate, calls_per_second=math.inf):
@@ -71,6 +71,7 @@
         self._bucket_level = 0.0
         self._leaked_at = 0.0
         self.silent = False
+        self.sent_reads = 0
         self.sent = 0
         self._free_at = 0.0
 
@@ -111,6 +112,7 @@
         return await self._log.storage.append(topic, part, records, deadline)
 
     async def read(self, topic, part, offset, wait, slack, max_bytes=None):
+        self._log.sent_reads += 1
         return await self._with_timeout(
             wait + slack, self._read(topic, part, offset, wait, slack, max_bytes)
         )
