Tails: a partition that fails is read again within a bound of its return

The store was back throughout.

Cause: each failed read of a partition doubled its pause and one common to all partitions, up to 5 s, and only a list that failed and came back ended them. With partitions of the steps down no list fails, so the runner waited out both, although its own claim had been acknowledged behind the end.

Change: log/partition_retry decides, without I/O, when a failing partition is read again. An acknowledged append causes a read at once. While the lists are answered the pause is bounded by 0.5 s or the share of the log's calls, after an unanswered read by the share of its bytes. A silent read is not waited for. Backlog reads have bounded backoffs while no list fails.

--- a/sassafrasdoor/log/memory_partitioned.py
+++ b/sassafrasdoor/log/memory_partitioned.py
@@ -58,6 +58,8 @@
 
     ``lose_replies`` is the number of next appends that take effect but lose their reply;
     ``land_late`` (seconds, or None) delays the effect of such an append.
+    ``refused_parts`` and ``silent_parts`` are partitions, as pairs of topic and number,
+    whose calls are refused or never answered.
     """
 
     def __init__(self, parts=12):
@@ -65,6 +67,8 @@
         self._partitions = {}
         self._late_appends = set()
         self.down = False
+        self.refused_parts = set()
+        self.silent_parts = set()
         self.lose_replies = 0
         self.land_late = None
         self.calls = []
@@ -76,6 +80,13 @@
             for (topic, _), partition in self._partitions.items()
         ]
 
+    def _refuses(self, topic, part):
+        return self.down or (topic, part) in self.refused_parts
+
+    async def _block_if_silent(self, topic, part):
+        if (topic, part) in self.silent_parts:
+            await asyncio.get_running_loop().create_future()
+
     def partition(self, topic, part):
         """Return a partition, created on first use."""
         return self._partitions.setdefault((topic, part), Partition())
@@ -83,7 +94,8 @@
     async def append(self, topic, part, records, deadline):
         """Append all records."""
         self.calls.append(("append", topic, part))
-        if self.down:
+        await self._block_if_silent(topic, part)
+        if self._refuses(topic, part):
             return Unavailable("down")
         partition = self.partition(topic, part)
         if self.lose_replies > 0:
@@ -109,14 +121,20 @@
     async def read(self, topic, part, offset, wait, slack, max_bytes=None):
         """Return a ``RawBatch``, ``Expired`` or ``Unavailable``."""
         self.calls.append(("read", topic, part))
+        await self._block_if_silent(topic, part)
         deadline = deadline_in(wait)
         partition = self.partition(topic, part)
-        while not self.down and partition.end <= offset and not passed(deadline):
+        while (
+            not self._refuses(topic, part)
+            and partition.end <= offset
+            and not passed(deadline)
+        ):
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(deadline):
                     await partition.changed.wait()
         await asyncio.sleep(0)
-        if self.down:
+        await self._block_if_silent(topic, part)
+        if self._refuses(topic, part):
             return Unavailable("down")
         if offset < partition.first:
             return Expired("offset no longer kept", partition.first)
@@ -127,7 +145,8 @@
         """Return the ``NewestKeys`` of a keyed topic."""
         self.calls.append(("newest", topic, 0))
         await asyncio.sleep(0)
-        if self.down:
+        await self._block_if_silent(topic, 0)
+        if self._refuses(topic, 0):
             return Unavailable("down")
         partition = self.partition(topic, 0)
         return NewestKeys(dict(partition.newest), partition.end)
--- a/sassafrasdoor/log/sharing.py
+++ b/sassafrasdoor/log/sharing.py
@@ -13,24 +13,27 @@
 import random
 
 from sassafrasdoor.clock import LONG_AGO, deadline_in, now, passed, remaining
+from sassafrasdoor.log.partition_retry import (
+    MAX_LIST_WAIT,
+    MAX_RETRY_PAUSE,
+    RETRY_PAUSE,
+    RETURN_SPREAD,
+    Intervals,
+    Lists,
+)
+from sassafrasdoor.log.schedules import RetrySchedule
 from sassafrasdoor.outcomes import Unavailable
 
-# Seconds allowed for a read of a failing log; also the longest time that backlog reads
-# wait for the lists.
-MAX_READ_SLACK = 2.0
-RETRY_PAUSE = 0.15  # seconds; a recovery must be detected well within 1 s
-MAX_RETRY_PAUSE = 5.0  # seconds; upper bound of the backoff of backlog reads
-# Seconds within which the instances retry their backlog reads, spread at random, once
-# the lists are answered again.
-RETURN_SPREAD = 0.4
+MAX_READ_SLACK = 2.0  # seconds allowed for a read of a failing log
 # Seconds in which the log can send one backlog share to every reader.
 BACKLOG_INTERVAL = 1.0
 MAX_ANSWER_BYTES = 1024 * 1024  # so that records are folded while more are read
 RECORD_MARGIN_BYTES = 4096  # in addition to the size of the largest record
 LIST_COUNT = 4  # lists that every instance follows
-# What a backlog read waits for: the pause after failed reads of its partition, the
-# answers of the lists, and its turn among the reads of the instance.
-PAUSE, LISTS, TURN = "pause", "lists", "turn"
+# What a read waits for: the pause after failed reads of its partition, the answers to
+# former reads that are still pending, the answers of the lists, and its turn among the
+# reads of the instance.
+PAUSE, PENDING, LISTS, TURN = "pause", "pending", "lists", "turn"
 # Fraction of the log's reads that all followers of partitions may use together. The
 # lists, which every instance reads, and confirming reads use the rest.
 FOLLOWER_READ_SHARE = 0.4
@@ -63,6 +66,18 @@
     return max(min(share, MAX_ANSWER_BYTES), record_bytes + RECORD_MARGIN_BYTES)
 
 
+def answer_pause(followers, partitions, bytes_per_second, record_bytes):
+    """Return the seconds that a follower pauses after an unanswered read of a partition.
+
+    The log sends a whole record even to a small read. In this time it can send the
+    largest one from each partition, and one part of a backlog, to all followers.
+    """
+    record = record_bytes + RECORD_MARGIN_BYTES
+    share = backlog_share(followers, bytes_per_second, record_bytes)
+    size = followers * (partitions * record + share)
+    return size / (FOLLOWER_READ_SHARE * bytes_per_second)
+
+
 def list_retry_pause(instances, reads_per_second):
     """Return the seconds before an instance retries a refused read of a list.
 
@@ -94,37 +109,52 @@
     Failures increase a backoff common to all partitions, until a read is answered, and
     one of the partition, so that a single failing partition does not delay the others.
     Lists have priority: after a failed read, backlog reads wait for the lists to be
-    answered, ``MAX_READ_SLACK`` at most. Lists are retried after ``retry_delay``.
+    answered, ``MAX_LIST_WAIT`` at most. Lists are retried after ``retry_delay``. While no
+    list has failed for ``MAX_RETRY_PAUSE`` the log is not overloaded, and the backoffs are
+    bounded as the pauses of ``PartitionRetry`` are.
 
     Load pattern: the log is down for seconds, so the backoff has grown to its maximum when
     it returns. Whoever runs the steps would read none of them for seconds more, and its
     claims lapse. So once all lists are answered again each instance makes one read without
     waiting out its backoff; a failure of that read increases the backoff further.
+
+    ``retry_intervals()`` returns the ``Intervals`` between reads of one failing partition.
     """
 
     __slots__ = (
         "_failing_lists",
+        "_list_failed_at",
+        "_lists",
         "_lists_answered",
         "_lock",
         "_list_pause",
         "_backoff",
         "_next_return_at",
         "_partition_backoffs",
-        "_waits",
+        "_retry_intervals",
+        "_retry_schedules",
         "max_bytes",
     )
 
-    def __init__(self, max_bytes=lambda: None, list_pause=lambda: RETRY_PAUSE):
+    def __init__(
+        self,
+        max_bytes=lambda: None,
+        list_pause=lambda: RETRY_PAUSE,
+        retry_intervals=Intervals,
+    ):
         self.max_bytes = max_bytes
         self._list_pause = list_pause
+        self._retry_intervals = retry_intervals
+        self._retry_schedules = []
         self._lock = asyncio.Lock()
         self._failing_lists = set()
+        self._list_failed_at = LONG_AGO
+        self._lists = Lists()
         self._lists_answered = asyncio.Event()
         self._lists_answered.set()
         self._backoff = _Backoff()
         self._next_return_at = LONG_AGO
         self._partition_backoffs = {}
-        self._waits = {}
 
     @property
     def retry_delay(self):
@@ -134,8 +164,10 @@
     def record_read_failure(self, list_topic=None):
         """Record that a read was not answered; ``list_topic`` names a list that failed."""
         self._lists_answered.clear()
+        self._lists.are_answered = False
         if list_topic:
             self._failing_lists.add(list_topic)
+            self._list_failed_at = now()
 
     def record_list_answer(self, topic):
         """Record that the read of a list was answered."""
@@ -143,7 +175,7 @@
         self._failing_lists.discard(topic)
         if self._failing_lists:
             return
-        self._lists_answered.set()
+        self._record_lists_answered(had_failed)
         # Lists that come and go under an overload must not keep up the backlog reads.
         if had_failed and passed(self._next_return_at):
             self._next_return_at = deadline_in(MAX_RETRY_PAUSE)
@@ -151,26 +183,52 @@
             for backoff in (self._backoff, *self._partition_backoffs.values()):
                 backoff.end_by(retry_at)
 
-    def waits_before_read(self, part):
-        """Return the ``ReadWaits`` of the last backlog read of a partition, or None."""
-        return self._waits.get(part)
+    def _record_lists_answered(self, had_failed):
+        if self._lists.are_answered:
+            return
+        self._lists.are_answered = True
+        if had_failed:
+            self._lists.returned_at = now()
+        self._lists_answered.set()
+        for schedule in self._retry_schedules:
+            schedule.changed.set()
+
+    def retry_schedule(self):
+        """Return the ``RetrySchedule`` of a further partition."""
+        schedule = RetrySchedule(self._lists, self._retry_intervals)
+        self._retry_schedules.append(schedule)
+        return schedule
+
+    def record_caught_up(self, part):
+        """Record that a failing partition was read to its end by a retry."""
+        for backoff in (self._backoff, self._partition_backoffs.get(part)):
+            if backoff is not None:
+                backoff.record(True)
 
-    async def read_backlog(self, part, read):
+    @property
+    def _max_backoff(self):
+        """Seconds that a backlog read waits at most after one that has failed."""
+        if not passed(self._list_failed_at + MAX_RETRY_PAUSE):
+            return MAX_RETRY_PAUSE
+        return self._retry_intervals().longest
+
+    async def read_backlog(self, part, read, is_urgent=False, waits=None):
         """Schedule a backlog read; return the time at which it was sent and its result.
 
         Awaits ``read(max_bytes, failures)``; ``failures`` counts the consecutive failed
-        backlog reads of the partition ``part``.
+        backlog reads of the partition ``part``. The seconds that it waits before are added
+        to ``waits``. An urgent read waits neither for the lists nor for the common backoff:
+        only the few instances that append to the partition send such reads.
         """
         partition_backoff = self._partition_backoffs.setdefault(part, _Backoff())
-        waits = self._waits[part] = ReadWaits()
+        waits = waits or ReadWaits()
         with waits.measure(PAUSE):
-            await partition_backoff.wait()
-        with waits.measure(LISTS), contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(MAX_READ_SLACK):
-                await self._lists_answered.wait()
+            await partition_backoff.wait(self._max_backoff)
+        if not is_urgent:
+            with waits.measure(LISTS):
+                await self._wait_for_lists()
         waiting_since = now()
-        async with self._lock:
-            await self._backoff.wait()
+        async with self._turn(is_urgent):
             sent_at = now()
             waits.add(TURN, sent_at - waiting_since)
             reading = asyncio.ensure_future(
@@ -189,6 +247,26 @@
         finally:
             reading.cancel()
 
+    async def _wait_for_lists(self):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_LIST_WAIT):
+                await self._lists_answered.wait()
+
+    @contextlib.asynccontextmanager
+    async def _turn(self, is_urgent):
+        """Return a context for one backlog read at a time, after the common backoff.
+
+        The backoff is waited out before the turn, as an urgent read takes its turn
+        meanwhile; it has begun again if a read in between has failed.
+        """
+        while True:
+            if not is_urgent:
+                await self._backoff.wait(self._max_backoff)
+            async with self._lock:
+                if is_urgent or self._backoff.is_over:
+                    yield
+                    return
+
 
 class ReadWaits:
     """Seconds that a read waited before it was sent, by reason."""
@@ -219,16 +297,22 @@
 class _Backoff:
     """Exponential backoff with jitter after ``failure_count`` consecutive failures."""
 
-    __slots__ = ("_deadline", "_shortened", "failure_count")
+    __slots__ = ("_deadline", "_failed_at", "_shortened", "failure_count")
 
     def __init__(self):
-        self._deadline = LONG_AGO
+        self._deadline = self._failed_at = LONG_AGO
         self._shortened = asyncio.Event()
         self.failure_count = 0
 
-    async def wait(self):
-        """Wait until the next read may start."""
-        while not passed(self._deadline):
+    @property
+    def is_over(self):
+        """Whether the next read may start."""
+        return passed(self._deadline)
+
+    async def wait(self, max_pause):
+        """Wait until the next read may start, at most ``max_pause`` after the last one."""
+        self.end_by(self._failed_at + max_pause)
+        while not self.is_over:
             self._shortened.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(remaining(self._deadline)):
@@ -248,6 +332,7 @@
             return
         pause = min(MAX_RETRY_PAUSE, RETRY_PAUSE * 2**self.failure_count)
         self.failure_count += 1
+        self._failed_at = now()
         self._deadline = deadline_in(pause * random.uniform(0.5, 1.0))
 
 
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -7,13 +7,21 @@
 
 import asyncio
 import contextlib
+import math
 from collections import Counter
 
 from sassafrasdoor.clock import LONG_AGO, boot_now, deadline_in, now, passed, remaining
 from sassafrasdoor.decisions import note
 from sassafrasdoor.log.demand import CONFIRM, FOLLOW, LOAD, RETRY, START, call_purpose
 from sassafrasdoor.log.partitioned import NewestKeys, split_keyed
-from sassafrasdoor.log.sharing import MAX_READ_SLACK, ReadCoordinator
+from sassafrasdoor.log.schedules import HedgeSchedule
+from sassafrasdoor.log.sharing import (
+    MAX_READ_SLACK,
+    PAUSE,
+    PENDING,
+    ReadCoordinator,
+    ReadWaits,
+)
 from sassafrasdoor.metrics import counter, histogram
 from sassafrasdoor.outcomes import Expired, Unavailable
 
@@ -23,12 +31,11 @@
 LONG_POLL_TIMEOUT = 1.0
 # Seconds allowed beyond that wait: the log answers in 4 ms, in 240 ms where it is slow.
 READ_SLACK = 0.5
-# Seconds without an answer before another read is sent beside the pending ones.
-HEDGE_INTERVAL = 0.5
 # Size of a read that tests whether the log answers; the rest is read afterwards.
 PROBE_BYTES = 1024
-# Seconds allowed for successive attempts of an initial read. A second attempt of 3 s
-# would delay a start by that long after an outage; the third allows for a slow log.
+# Seconds allowed for successive attempts of an initial read, and for the retries after a
+# failed read. A second attempt of 3 s would delay a start by that long after an outage;
+# the third allows for a slow log.
 INITIAL_READ_SLACKS = (1.5, 1.5, 3.0)
 CONFIRM_RETRY_INTERVAL = 0.05  # seconds
 
@@ -40,7 +47,7 @@
 )
 UNREAD_SECONDS = histogram(
     "log_acknowledged_unread_seconds",
-    "Seconds from an own append acknowledged in a failing partition to its reading.",
+    "Seconds from the acknowledgement of an own append to the steps to its reading.",
     buckets=[0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 10],
 )
 
@@ -133,8 +140,14 @@
         self._bytes_read = 0
         self._reads = Counter()
         self._failed_reads = 0
+        self._waits = ReadWaits()
         self._acknowledged_end = 0
         self._acknowledged_at = None
+        self._retry_schedule = (
+            HedgeSchedule()
+            if read_coordinator is None
+            else read_coordinator.retry_schedule()
+        )
         self.offset = 0
         self.end = None
         self.skipped = 0
@@ -150,11 +163,11 @@
         self._running = True
         while True:
             if not self.wanted.is_set():
-                self.confirmed_at = None
+                self.confirmed_at = self._acknowledged_at = None
                 await self.wanted.wait()
                 self._following_since = now()
             elif not await self.poll(LONG_POLL_TIMEOUT):
-                await asyncio.sleep(self._read_coordinator.retry_delay)
+                await asyncio.sleep(self._retry_delay)
             elif not (self._waiting_readers or self._has_backlog) and (
                 pause := self._pause()
             ):
@@ -206,36 +219,37 @@
     def record_append(self, end):
         """Record that an append of this process was acknowledged.
 
-        ``end`` is the end that the partition had then. A partition whose reads fail
-        serves again, as far as this process knows, and has unread records.
+        ``end`` is the end that the partition had then. If reads fail, another one is
+        sent at once: the partition serves again.
         """
-        if self.failing_since is None or end <= self.offset:
+        if end <= self.offset or not self.wanted.is_set():
             return
         self._acknowledged_end = max(end, self._acknowledged_end)
-        if self._acknowledged_at is None:
-            self._acknowledged_at = now()
+        self._acknowledged_at = self._acknowledged_at or now()
+        self._retry_schedule.record_append()
 
     async def poll(self, wait):
         """Read once; return whether the log answered."""
         sent_at, suspended = now(), boot_now() - now()
-        if self._needs_initial_read or (
+        is_retry = self.failing_since is not None
+        self._waits = ReadWaits()
+        if is_retry:
+            with call_purpose(RETRY):
+                sent_at, result = await self._hedge(
+                    self._probe, self._retry_slack, self._retry_schedule
+                )
+        elif self._needs_initial_read or (
             self._has_backlog and self._has_shared_coordinator
         ):
+            is_urgent = self._misses_acknowledged and not self._needs_initial_read
             sent_at, result = await self._read_coordinator.read_backlog(
-                self._part, self._read_initial
+                self._part, self._read_backlog, is_urgent, self._waits
             )
-        elif self.failing_since is None:
+        else:
             with call_purpose(FOLLOW if wait else CONFIRM):
                 result = await self._read(
                     wait, READ_SLACK, self._read_coordinator.max_bytes()
                 )
-        elif self._has_shared_coordinator:
-            sent_at, result = await self._read_coordinator.read_backlog(
-                self._part, self._retry_read
-            )
-        else:
-            with call_purpose(RETRY):
-                sent_at, result = await self._hedge(self._probe)
         if isinstance(result, Unavailable):
             self._reads["given up"] += 1
             self._record_failure(result)
@@ -258,6 +272,8 @@
         if not self._has_backlog:
             self._log_caught_up()
             self._record_confirmation(sent_at, suspended)
+            if is_retry and self._has_shared_coordinator:
+                self._read_coordinator.record_caught_up(self._part)
         return True
 
     def _record_confirmation(self, sent_at, suspended):
@@ -278,6 +294,23 @@
         """Whether records are known to be unread, or the last read failed."""
         return self._has_backlog or self.failing_since is not None
 
+    @property
+    def _misses_acknowledged(self):
+        """Whether an acknowledged append of this process has not been read."""
+        return self._acknowledged_at is not None
+
+    @property
+    def _retry_delay(self):
+        """Seconds from a failed read to the next ``poll()``, which may wait further."""
+        if self._has_shared_coordinator:
+            return 0.0
+        return self._read_coordinator.retry_delay
+
+    @property
+    def _retry_slack(self):
+        """Seconds allowed for the retries of a failed read."""
+        return INITIAL_READ_SLACKS[(self._failed_reads - 1) % len(INITIAL_READ_SLACKS)]
+
     @property
     def _needs_initial_read(self):
         """Whether the end was not reached yet since the partition is followed."""
@@ -288,45 +321,45 @@
             self._topic, self._part, self.offset, wait, slack, max_bytes
         )
 
-    async def _read_initial(self, max_bytes, failures):
+    async def _read_backlog(self, max_bytes, failures):
         # Not hedged: the answer may be megabytes, and two would take twice as long.
         slack = INITIAL_READ_SLACKS[failures % len(INITIAL_READ_SLACKS)]
         with call_purpose(START):
             return await self._read(0, slack, max_bytes)
 
-    async def _retry_read(self, max_bytes, failures):
-        # Not hedged either: megabytes may have been appended during the outage.
-        slack = INITIAL_READ_SLACKS[failures % len(INITIAL_READ_SLACKS)]
-        with call_purpose(RETRY):
-            return await self._read(0, slack, max_bytes)
+    async def _probe(self, timeout):
+        # Megabytes may have been appended during an outage: they are read afterwards.
+        return await self._read(0, timeout, PROBE_BYTES)
 
-    async def _probe(self, slack):
-        return await self._read(0, slack, PROBE_BYTES)
-
-    async def _hedge(self, call):
+    async def _hedge(self, call, seconds, schedule):
         """Return the time at which the first answered call was sent, and its result.
 
-        Starts ``call(timeout)``, and another after each ``HEDGE_INTERVAL`` without an
-        answer, until one is answered or all pending ones have failed. No call lasts
-        beyond ``MAX_READ_SLACK`` seconds from the first. A single call that was sent
-        just before the log recovers would block its reader for seconds: claims lapse,
-        changes take effect late, and backend servers that left still get work.
+        Starts ``call(timeout)`` whenever the ``schedule`` says so, until one is answered
+        or all pending ones have failed. No call lasts beyond ``seconds`` from the first.
+        A single call that was sent just before the log recovers would block its reader
+        for seconds: claims lapse, changes take effect late, and backend servers that
+        left still get work.
         """
-        deadline = deadline_in(MAX_READ_SLACK)
-        sent_at, pending, next_call_at = {}, set(), LONG_AGO
+        sent_at, pending, deadline = {}, set(), math.inf
         try:
             while True:
-                if passed(next_call_at) and not passed(deadline):
+                due_at = (
+                    math.inf if passed(deadline) else schedule.due_at(bool(pending))
+                )
+                if passed(due_at):
+                    deadline = min(deadline, deadline_in(seconds))
                     task = asyncio.ensure_future(call(remaining(deadline)))
+                    schedule.record_read()
                     sent_at[task] = now()
                     pending.add(task)
-                    next_call_at = deadline_in(HEDGE_INTERVAL)
-                done, pending = await asyncio.wait(
-                    pending,
-                    timeout=remaining(next_call_at) or HEDGE_INTERVAL,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
+                    continue
+                with self._waits.measure(PENDING if pending else PAUSE):
+                    done, pending = await _first_completed(
+                        pending, schedule.changed, due_at
+                    )
                 completed = sorted(done, key=lambda task: not _was_answered(task))
+                if completed and not passed(deadline):
+                    schedule.record_refusal()
                 if completed and (_was_answered(completed[0]) or not pending):
                     return sent_at[completed[0]], completed[0].result()
         finally:
@@ -407,7 +440,7 @@
                 self._try_apply(self._fold, offset, record)
                 self.offset = offset + 1
             offset += 1
-        if self._acknowledged_at is not None and self.offset >= self._acknowledged_end:
+        if self._misses_acknowledged and self.offset >= self._acknowledged_end:
             UNREAD_SECONDS.observe({}, now() - self._acknowledged_at)
             self._acknowledged_at = None
 
@@ -449,6 +482,7 @@
         self._failed_reads += 1
         if self.failing_since is None:
             self.failing_since = now()
+            self._retry_schedule.record_failure()
             note("log.lost", topic=self._topic, part=self._part, reason=result.reason)
 
     def _report_failure_to_coordinator(self):
@@ -462,16 +496,16 @@
     def _record_answer(self):
         previous_answer_at, self._last_answer_at = self._last_answer_at, now()
         self._report_answer_to_coordinator()
+        self._retry_schedule.record_answer()
         if self.failing_since is None:
             return
-        waits = self._read_coordinator.waits_before_read(self._part)
         note(
             "log.regained",
             topic=self._topic,
             part=self._part,
             away_seconds=_age(self.failing_since),
             failed_reads=self._failed_reads,
-            waited=waits.fields() if waits is not None else {},
+            waited=self._waits.fields(),
             acknowledged_seconds=_age(self._acknowledged_at),
         )
         self._failed_reads = 0
@@ -490,6 +524,21 @@
     return wanted
 
 
+async def _first_completed(tasks, changed, deadline):
+    """Wait until a task is done, ``changed`` is set or the deadline; return done, pending."""
+    changed.clear()
+    change = asyncio.ensure_future(changed.wait())
+    try:
+        done, pending = await asyncio.wait(
+            {*tasks, change},
+            timeout=None if math.isinf(deadline) else remaining(deadline),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    finally:
+        change.cancel()
+    return done - {change}, pending - {change}
+
+
 def _was_answered(task):
     """Return whether a finished call was answered by the log."""
     return not isinstance(task.result(), Unavailable)
@@ -554,6 +603,10 @@
         # which keys were dropped.
         self.loaded = False
 
+    @property
+    def _retry_slack(self):
+        return MAX_READ_SLACK
+
     @property
     def _needs_initial_read(self):
         # Only a few records follow what was loaded, from the log or from a peer.
@@ -565,7 +618,11 @@
             if self.failing_since is None:
                 newest = await self._log.newest(self._topic)
             else:
-                sent_at, newest = await self._hedge(self._load_newest)
+                sent_at, newest = await self._hedge(
+                    self._load_newest,
+                    MAX_READ_SLACK,
+                    self._retry_schedule,
+                )
         if not isinstance(newest, Unavailable) and newest.end < self.offset:
             newest = Unavailable(
                 "newest values are older than the records already read"
--- a/sassafrasdoor/log/tests/test_sharing.py
+++ b/sassafrasdoor/log/tests/test_sharing.py
@@ -222,6 +222,25 @@
         await self.tails[0].poll(0)
         self.assertEqual(self.read_coordinator._backoff.failure_count, 0)
 
+    async def test_read_of_known_records_is_not_held_back_by_other_partitions(self):
+        """Guards against an end that is read after the backoff of another partition."""
+        coordinator = self.read_coordinator
+        coordinator.record_read_failure("keyed.t")
+        for _ in range(8):
+            coordinator._backoff.record(False)
+
+        async def read(max_bytes, failures):
+            return module.Unavailable("timeout")
+
+        coordinator._lists_answered.set()
+        other = asyncio.ensure_future(coordinator.read_backlog(1, read))
+        await asyncio.sleep(0.05)
+        coordinator.record_read_failure("keyed.t")
+        async with asyncio.timeout(module.BACKLOG_INTERVAL / 2):
+            await coordinator.read_backlog(0, read, is_urgent=True)
+        self.assertFalse(other.done())
+        other.cancel()
+
     def test_retries_of_refused_lists_stay_within_their_read_share(self):
         """Guards against retries of all instances that exceed the log's limit."""
         for instances, limit in ((78, 6000), (300, 2000), (400, 6000)):
--- a/sassafrasdoor/log/tests/test_standstill.py
+++ b/sassafrasdoor/log/tests/test_standstill.py
@@ -3,10 +3,18 @@
 import asyncio
 import math
 import unittest
+from unittest import mock
 
 from sassafrasdoor import clock
+from sassafrasdoor.log.partition_retry import Intervals
 from sassafrasdoor.log.partitioned import keyed_record
-from sassafrasdoor.log.sharing import ReadCoordinator, backlog_share, list_retry_pause
+from sassafrasdoor.log.sharing import (
+    ReadCoordinator,
+    answer_pause,
+    backlog_share,
+    follower_pause,
+    list_retry_pause,
+)
 from sassafrasdoor.log.tail import KeyedTail, Tail
 from sassafrasdoor.log.tests.virtual import MEGABYTE, BoundedLog, run
 
@@ -23,11 +31,17 @@
 class Instance:
     """The tails of one instance."""
 
-    def __init__(self, log, readers):
+    def __init__(self, log, readers, instances):
         reader = log.reader()
-        share = backlog_share(readers, 2 * BYTES_PER_SECOND, 4 * RECORD_BYTES)
-        pause = list_retry_pause(readers, log.calls_per_second)
-        read_coordinator = ReadCoordinator(lambda: share, lambda: pause)
+        share = backlog_share(instances, 2 * BYTES_PER_SECOND, 4 * RECORD_BYTES)
+        pause = list_retry_pause(instances, log.calls_per_second)
+        intervals = Intervals(
+            follower_pause(readers, SHARDS, log.calls_per_second),
+            answer_pause(readers, SHARDS, 2 * BYTES_PER_SECOND, 4 * RECORD_BYTES),
+        )
+        read_coordinator = ReadCoordinator(
+            lambda: share, lambda: pause, lambda: intervals
+        )
         self.table = KeyedTail(
             reader, "keyed.table", self._apply_table, read_coordinator=read_coordinator
         )
@@ -79,15 +93,19 @@
 
 
 class Fleet:
-    """Instances that share one log, and the writers of its records."""
+    """Instances that share one log, and the writers of its records.
+
+    ``others`` is the number of instances that only follow the lists.
+    """
 
-    def __init__(self, followers, newcomers, calls_per_second):
+    def __init__(self, followers, newcomers, calls_per_second, others=0):
         self.log = BoundedLog(BYTES_PER_SECOND, calls_per_second)
+        readers = followers + newcomers
         self.all = [
-            Instance(self.log, followers + newcomers)
-            for _ in range(followers + newcomers)
+            Instance(self.log, readers, readers + others)
+            for _ in range(readers + others)
         ]
-        self.newcomers = self.all[followers:]
+        self.newcomers = self.all[followers:readers]
         self.step_followers = self.all[:followers]
         self._tasks = []
         self._version = 0
@@ -106,14 +124,14 @@
             await self._put("steps", shard, [bytes(RECORD_BYTES)] * RECORDS_PER_SHARD)
         for instance in self.all:
             self._tasks += instance.follow_lists()
-        for instance in self.all[: len(self.all) - len(self.newcomers)]:
+        for instance in self.step_followers:
             self._tasks += instance.follow_steps()
             await asyncio.sleep(0.5)
         await asyncio.sleep(2.0)
 
     async def newcomers_read(self):
         """Let all newcomers start to read the steps at the same time."""
-        self.step_followers = self.all
+        self.step_followers = self.step_followers + self.newcomers
         for instance in self.newcomers:
             self._tasks += instance.follow_steps()
 
@@ -209,5 +227,122 @@
         self.run_fleet(0, lambda fleet: fleet.silence(6.0), 10.0)
 
 
+class PartitionOutageTest(unittest.TestCase):
+    """Partitions of the steps fail for seconds while the lists are answered."""
+
+    INSTANCES = 40
+    READS_PER_SECOND = 1000
+    OUTAGE = 6.0  # seconds
+    RETURN_BOUND = 3.0  # seconds until all have read what was written since
+
+    def replay(self, partitions, fail, serve):
+        """Check the log's load during an outage, and the readers after it.
+
+        ``fail(log, partitions)`` and ``serve(log)`` begin and end it, in turn each half
+        second if the latter is None.
+        """
+
+        async def main(loop):
+            fleet = Fleet(self.INSTANCES, 0, self.READS_PER_SECOND)
+            await fleet.begin()
+            calls = fleet.log.sent_reads
+            ends_at = clock.now() + self.OUTAGE
+            while clock.now() < ends_at:
+                fail(fleet.log, partitions)
+                await asyncio.sleep(0.5)
+                if serve is None:
+                    _serve_all(fleet.log)
+                    await asyncio.sleep(0.5)
+            rate = (fleet.log.sent_reads - calls) / self.OUTAGE
+            _serve_all(fleet.log)
+            for shard in range(SHARDS):
+                await fleet._put("steps", shard, [b"end"])
+            ends = [
+                fleet.log.storage.partition("steps", shard).end
+                for shard in range(SHARDS)
+            ]
+            delay = max(instance.table_delay for instance in fleet.all)
+            await asyncio.sleep(self.RETURN_BOUND)
+            fleet.end()
+            late = sum(
+                tail.offset < end
+                for instance in fleet.all
+                for tail, end in zip(instance.steps, ends, strict=True)
+            )
+            self.assertLess(rate, self.READS_PER_SECOND)
+            self.assertLess(delay, 2.0)
+            self.assertEqual(late, 0)
+
+        run(main)
+
+    def test_refused_partitions_are_read_within_the_limit(self):
+        """Guards against retries that take the reads of the lists, or come too late."""
+        for count in (1, SHARDS):
+            with self.subTest(partitions=count):
+                self.replay(_partitions(count), _refuse, _serve_all)
+
+    def test_silent_partitions_are_read_within_the_limit(self):
+        """Guards against hedged reads of all instances that exceed the log's limit."""
+        for count in (1, SHARDS):
+            with self.subTest(partitions=count):
+                self.replay(_partitions(count), _silence, _serve_all)
+
+    def test_partitions_that_come_and_go_are_read_within_the_limit(self):
+        """Guards against a pause that starts at its shortest with each answer."""
+        self.replay(_partitions(SHARDS), _refuse, None)
+
+
+class LargeAnswersTest(unittest.TestCase):
+    """The log answers the lists promptly while it sends large answers too late."""
+
+    FOLLOWERS, NEWCOMERS, OTHERS = 4, 76, 320
+    SLOWNESS = 8
+    SLOW, DRAIN, SETTLE = 6.0, 10.0, 60.0  # seconds
+
+    def test_retries_of_large_reads_do_not_sustain_the_overload(self):
+        """Guards against retries whose answers nobody waits for any more."""
+
+        async def main(loop):
+            fleet = Fleet(self.FOLLOWERS, self.NEWCOMERS, 6000, self.OTHERS)
+            log = fleet.log
+            log.prompt_bytes = RECORD_BYTES - 1
+            await fleet.begin()
+            log.rate /= self.SLOWNESS
+            await fleet.newcomers_read()
+            await asyncio.sleep(self.SLOW)
+            log.rate *= self.SLOWNESS
+            backlog = log.backlog
+            await asyncio.sleep(self.DRAIN)
+            # At most half of what the log can send is asked for again.
+            self.assertLess(log.backlog, backlog - self.DRAIN / 2)
+            await asyncio.sleep(self.SETTLE)
+            fleet.end()
+            self.assertLess(log.backlog, 0.5)
+            self.assertEqual(
+                sum(not instance.is_caught_up for instance in fleet.step_followers), 0
+            )
+            self.assertLess(max(instance.table_delay for instance in fleet.all), 2.0)
+
+        with mock.patch(f"{__name__}.RECORDS_PER_SHARD", 8):
+            run(main)
+
+
+def _partitions(count):
+    return {("steps", shard) for shard in range(count)}
+
+
+def _refuse(log, partitions):
+    log.refused_parts |= partitions
+
+
+def _silence(log, partitions):
+    log.silent_parts |= partitions
+
+
+def _serve_all(log):
+    log.refused_parts.clear()
+    log.silent_parts.clear()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/sassafrasdoor/log/tests/virtual.py
+++ b/sassafrasdoor/log/tests/virtual.py
@@ -6,10 +6,10 @@
 from unittest import mock
 
 from sassafrasdoor import clock
-from sassafrasdoor.log import sharing, tail
+from sassafrasdoor.log import schedules, sharing, tail
 from sassafrasdoor.log.memory_partitioned import MemoryPartitionedLog
 from sassafrasdoor.log.partitioned import PartitionedLog
-from sassafrasdoor.outcomes import Unavailable
+from sassafrasdoor.outcomes import ReplyLost, Unavailable
 
 LOAD_TIMEOUT = (
     2.0  # seconds for a load of the newest values, as in the platform's store
@@ -27,7 +27,10 @@
         self.time = 0.0
 
     def select(self, timeout=None):
-        self.time += timeout or 0.0
+        # A wait that is shorter than the resolution of the time must end, too.
+        self.time = max(
+            self.time + (timeout or 0.0), math.nextafter(self.time, math.inf)
+        )
         return super().select(0)
 
 
@@ -49,6 +52,7 @@
     with (
         mock.patch.object(clock, "now", loop.time),
         mock.patch.object(sharing, "now", loop.time),
+        mock.patch.object(schedules, "now", loop.time),
         mock.patch.object(tail, "now", loop.time),
         asyncio.Runner(loop_factory=lambda: loop) as runner,
     ):
@@ -61,6 +65,13 @@
     Answers are sent even if the reader has timed out. Calls made while it is ``silent``
     are never answered. Above ``calls_per_second`` it refuses calls, and the refused ones
     count towards that limit. ``sent_reads`` counts all reads that were sent to it.
+
+    ``refused_parts`` and ``silent_parts`` are partitions, as pairs of topic and number,
+    that refuse their calls or never answer those made meanwhile, of all readers or only
+    of the ``failing_reader``. ``on_call(reader, call, partition)`` is called when a
+    partition has refused a call, and when a call that will not be answered was sent.
+
+    Answers of up to ``prompt_bytes`` are not queued behind larger ones.
     """
 
     def __init__(self, rate, calls_per_second=math.inf):
@@ -71,6 +82,11 @@
         self._bucket_level = 0.0
         self._leaked_at = 0.0
         self.silent = False
+        self.refused_parts = set()
+        self.silent_parts = set()
+        self.failing_reader = None
+        self.on_call = lambda reader, call, partition: None
+        self.prompt_bytes = 0
         self.sent_reads = 0
         self.sent = 0
         self._free_at = 0.0
@@ -94,6 +110,9 @@
     async def answer(self, size):
         """Wait until ``size`` bytes are sent after all earlier answers."""
         self.sent += size
+        if size <= self.prompt_bytes:
+            await asyncio.sleep(ANSWER_DELAY)
+            return
         self._free_at = max(self._free_at, clock.now()) + size / self.rate
         await asyncio.sleep(self._free_at + ANSWER_DELAY - clock.now())
 
@@ -109,18 +128,39 @@
         return False
 
     async def append(self, topic, part, records, deadline):
+        if not await self._is_served("append", (topic, part)):
+            return Unavailable("store answered 503")
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self._block_if_part_silent("append", (topic, part))
+        except TimeoutError:
+            return ReplyLost("timeout")
         return await self._log.storage.append(topic, part, records, deadline)
 
     async def read(self, topic, part, offset, wait, slack, max_bytes=None):
         self._log.sent_reads += 1
-        return await self._with_timeout(
-            wait + slack, self._read(topic, part, offset, wait, slack, max_bytes)
-        )
+        call = self._read(topic, part, offset, wait, slack, max_bytes)
+        return await self._answer_within(wait + slack, call, "read", (topic, part))
 
     async def newest(self, topic):
-        return await self._with_timeout(LOAD_TIMEOUT, self._newest(topic))
+        call = self._newest(topic)
+        return await self._answer_within(LOAD_TIMEOUT, call, "newest", (topic, 0))
+
+    def _is_among(self, partition, failing):
+        return partition in failing and self._log.failing_reader in (None, self)
+
+    async def _is_served(self, name, partition):
+        """Return whether a partition serves; report a refused call."""
+        if not self._is_among(partition, self._log.refused_parts):
+            return True
+        await asyncio.sleep(ANSWER_DELAY)
+        self._log.on_call(self, name, partition)
+        return False
 
-    async def _with_timeout(self, seconds, call):
+    async def _answer_within(self, seconds, call, name, partition):
+        if not await self._is_served(name, partition):
+            call.close()
+            return Unavailable("store answered 503")
         if not self._log.accepts_call():
             call.close()
             await asyncio.sleep(ANSWER_DELAY)
@@ -133,15 +173,18 @@
 
     async def _read(self, topic, part, offset, wait, slack, max_bytes):
         await self._block_if_silent()
+        await self._block_if_part_silent("read", (topic, part))
         max_bytes = MEGABYTE if max_bytes is None else min(max_bytes, MEGABYTE)
         batch = await self._log.storage.read(
             topic, part, offset, wait, slack, max_bytes
         )
+        await self._block_if_part_silent("read", (topic, part))
         await self._log.answer(HEADER_BYTES + sum(map(len, batch.records)))
         return batch
 
     async def _newest(self, topic):
         await self._block_if_silent()
+        await self._block_if_part_silent("newest", (topic, 0))
         newest = await self._log.storage.newest(topic)
         size = HEADER_BYTES + sum(map(len, newest.values.values()))
         await self._log.answer(size)
@@ -150,3 +193,8 @@
     async def _block_if_silent(self):
         if self._log.silent:
             await asyncio.get_running_loop().create_future()
+
+    async def _block_if_part_silent(self, name, partition):
+        if self._is_among(partition, self._log.silent_parts):
+            self._log.on_call(self, name, partition)
+            await asyncio.get_running_loop().create_future()
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -14,9 +14,11 @@
 from sassafrasdoor.decisions import note
 from sassafrasdoor.duties.service import Duties
 from sassafrasdoor.log.demand import CallCounter
+from sassafrasdoor.log.partition_retry import Intervals
 from sassafrasdoor.log.relay import RelayedLog
 from sassafrasdoor.log.sharing import (
     ReadCoordinator,
+    answer_pause,
     backlog_share,
     confirm_interval,
     follower_pause,
@@ -141,7 +143,9 @@
         self._store = Store(settings.store, self._call_counter)
         self._peers = Peers(settings.peers)
         self._log = RelayedLog(self._store, self._relay_clients, self._record_append)
-        self._read_coordinator = ReadCoordinator(self._backlog_share, self._retry_pause)
+        self._read_coordinator = ReadCoordinator(
+            self._backlog_share, self._retry_pause, self._retry_intervals
+        )
         is_bounded = "buffers" not in settings.disabled_parts
         limits = settings.caller_limits if is_bounded else CallerLimits()
         self._budget = process_budget(limits)
@@ -577,6 +581,15 @@
             self._instances.alive_count, self._settings.reads_per_second
         )
 
+    def _retry_intervals(self):
+        # All partitions may fail, which are then not followed.
+        fleet = self._instances.entry_point_count, len(self._tails)
+        settings = self._settings
+        return Intervals(
+            follower_pause(*fleet, settings.reads_per_second),
+            answer_pause(*fleet, settings.read_bytes_per_second, settings.record_bytes),
+        )
+
     def _routes_confirm_interval(self):
         return confirm_interval(
             self._instances.alive_count, self._settings.reads_per_second
--- a/sassafrasdoor/platform/tests/cases.py
+++ b/sassafrasdoor/platform/tests/cases.py
@@ -84,14 +84,17 @@
         # The first instance reaches the store through a proxy that can inject faults.
         self.proxy = await Proxy(self.store.address).open()
         self.addAsyncCleanup(self.proxy.close)
-        stores = [self.proxy.address, self.store.address, self.store.address]
-        for name, store in zip("abc", stores, strict=True):
+        for name, store in zip("abc", self.store_addresses(), strict=True):
             instance = LocalInstance(folder.name, name, store, more=self.more_settings)
             self.addCleanup(instance.close)
             self.instances.append(instance)
         self.addCleanup(self.keep_if_failed)
         await self.wait_until_ready()
 
+    def store_addresses(self):
+        """Return the address at which each instance reaches the store."""
+        return [self.proxy.address, self.store.address, self.store.address]
+
     async def configure(self, version, routes=ROUTES):
         document = {"Version": version, "Routes": routes, "Services": SERVICES}
         await self.store.configure(document)
--- a/sassafrasdoor/steps/durable/tests/test_runner.py
+++ b/sassafrasdoor/steps/durable/tests/test_runner.py
@@ -341,6 +341,42 @@
         await self.until(lambda: self.client.cancelled == 2)
         self.assertEqual(self.outbox.records, [])
 
+    async def test_ended_step_sends_nothing_whatever_its_items_wait_for(self):
+        """Guards against items of an ended step that are sent once more."""
+        hang, mixed = ScriptedClient.HANG, ([(0, "a", 1), (1, "b", 2)], True)
+        unread = routes_in_force(route(one_version=True))
+        unread._read_at, unread._request_read = (lambda: None), (lambda: None)
+        # state, script, slots, routes, sends until the item waits
+        cases = [
+            ("queued", [([], hang)], 1, None, 1),
+            ("on its way", [([], hang), ([], hang)], 2, None, 2),
+            ("failed once", [BROKEN, ([], hang), ([], hang)], 2, None, 3),
+            ("refused", [NotRun("full", 0.1)] * 40, 2, None, 4),
+            ("awaits newer routes", [mixed, mixed], 2, unread, 2),
+        ]
+        for state, script, slots, routes, sends in cases:
+            with self.subTest(state):
+                await self.start(ScriptedClient(*script), replicas(slots=slots), routes)
+                await self.until(lambda sends=sends: len(self.client.sent) >= sends)
+                await asyncio.sleep(0.05)
+                self.steps.fold(0, 9, records.encode(records.End("s1")))
+                sent = len(self.client.sent)
+                await asyncio.sleep(4 * module.REFUSAL_DELAY)
+                self.assertEqual(len(self.client.sent), sent)
+                self.assertEqual(self.runner._jobs, {})
+                self.assertEqual(self.outbox.samples, [])
+
+    async def test_items_of_an_ended_step_run_in_the_step_that_repeats_them(self):
+        """Guards against an end that also stops the same items of a later step."""
+        hang = ScriptedClient.HANG
+        await self.start(ScriptedClient(([], hang), ([], hang)))
+        await self.until(lambda: len(self.client.sent) == 2)
+        for data in records.encode_step(spec("s2"), 10_000):
+            self.steps.fold(0, 8, data)
+        self.steps.fold(0, 9, records.encode(records.End("s1")))
+        await self.samples(2)
+        self.assertEqual({one.step_id for one in self.outbox.samples}, {"s2"})
+
     async def test_losing_a_shard_cancels_its_streams(self):
         hang = ScriptedClient.HANG
         await self.start(ScriptedClient(([], hang)), items=1)
--- a/sassafrasdoor/tests/test_pure_decisions.py
+++ b/sassafrasdoor/tests/test_pure_decisions.py
@@ -15,6 +15,7 @@
     "duties/scaling.py": "how many replicas of a service are ordered in a zone",
     "duties/usage.py": "what a usage report says and when its counts are fixed",
     "duties/watermarks.py": "for which processes the counts of a window wait",
+    "log/partition_retry.py": "when a partition whose reads fail is read again",
     "log/turns.py": "who reads first after all instances started together",
     "requests/buffers.py": "whether a replica may get a further large request",
     "requests/stop_policy.py": "which requests are still served during a planned stop",
