--- a/sassafrasdoor/log/partition_retry.py
+++ b/sassafrasdoor/log/partition_retry.py
@@ -34,6 +34,9 @@
 # are answered again.
 RETURN_SPREAD = 0.4
 MAX_DOUBLINGS = 8  # of a pause; reaches the longest one
+# Largest fraction by which a bounded pause is lengthened, and a growing one shortened, so
+# that readers which failed together do not read together again.
+MAX_LENGTHENING, MAX_SHORTENING = 0.3, 0.5
 
 
 class Evidence(Enum):
@@ -48,7 +51,7 @@
     """The least seconds between two reads of a partition by one of its followers.
 
     ``by_calls`` keeps the reads of all followers within their share of the log's calls,
-    ``by_bytes`` the answers within their share of its bytes.
+    ``by_bytes`` the answers within their share of its bytes. Zero means no such limit.
     """
 
     __slots__ = ("by_bytes", "by_calls")
@@ -88,6 +91,10 @@
     def __init__(self):
         self.record_answer()
 
+    @property
+    def _growing_pause(self):
+        return RETRY_PAUSE * 2 ** min(MAX_DOUBLINGS, max(0, self._reads - 1))
+
     def record_read(self, at, draw):
         """Record that a retry was sent at a point in time.
 
@@ -146,19 +153,15 @@
         pause = max(intervals.by_calls, min(longest, self._growing_pause))
         spread = self._draw * max(intervals.by_calls, RETURN_SPREAD)
         return max(
-            self._last_read_at + pause * (1.0 + 0.3 * self._draw),
+            self._last_read_at + pause * (1.0 + MAX_LENGTHENING * self._draw),
             lists.returned_at + spread,
         )
 
     def _due_without_lists(self, lists, intervals):
         pause = min(MAX_RETRY_PAUSE, self._growing_pause)
-        varied = pause * (0.5 + 0.5 * self._draw)
+        varied = pause * (1.0 - MAX_SHORTENING * (1.0 - self._draw))
         return self._last_read_at + max(MAX_LIST_WAIT, intervals.by_calls, varied)
 
-    @property
-    def _growing_pause(self):
-        return RETRY_PAUSE * 2 ** min(MAX_DOUBLINGS, max(0, self._reads - 1))
-
 
 _DUE = {
     Evidence.APPENDED: PartitionRetry._due_after_append,
--- a/sassafrasdoor/log/tests/test_return.py
+++ b/sassafrasdoor/log/tests/test_return.py
@@ -11,6 +11,7 @@
 from sassafrasdoor.clock import deadline_in
 from sassafrasdoor.log.partition_retry import (
     MAX_BOUNDED_PAUSE,
+    MAX_LENGTHENING,
     RETURN_SPREAD,
     Intervals,
 )
@@ -261,9 +262,10 @@
                         draw,
                         intervals=lambda intervals=intervals: intervals,
                     )
-                    pause = 1.3 * max(
+                    pause = max(
                         MAX_BOUNDED_PAUSE, by_calls, by_bytes * (fault == "silent")
                     )
+                    pause *= 1.0 + MAX_LENGTHENING
                     spread = max(by_calls, RETURN_SPREAD)
                     self.assertLessEqual(runner, RETURN_BOUND)
                     self.assertLessEqual(other, max(pause, LIST_ANSWER + spread) + 0.1)
