Soak: partitions of the store refuse their calls or leave them unanswered

A seventh series of faults lets the partitions from a drawn one on fail for 0.3 to 6 s; its own random numbers leave the others of a seed as they were.

--- a/sassafrasdoor/platform/soak.py
+++ b/sassafrasdoor/platform/soak.py
@@ -132,7 +132,7 @@
         self._newest_seen = {}
         self._tasks = set()
         self._disruptions, self._update_gaps, self._departures = [], [], []
-        self._silences = Counter()
+        self._silences, self._partition_outages = Counter(), Counter()
         self.violations = Violations()
         self._replica_count = replicas
         self._stutters_throughout = stutters_throughout
@@ -313,6 +313,8 @@
         for proxy in self._proxies:
             proxy.set({"clear": True, "cut": True})
         self._store.log.down, self._store.log.lose_replies = False, 0
+        self._store.log.refused_parts.clear()
+        self._store.log.silent_parts.clear()
         self._store.answering.set()
         for engine in self._engines:
             engine.sending.set()
--- a/sassafrasdoor/soak/faults.py
+++ b/sassafrasdoor/soak/faults.py
@@ -10,7 +10,14 @@
     Departure,
     Disruption,
 )
-from sassafrasdoor.soak.schedule import ON_ALL, ON_INSTANCES, ON_PATHS, Kind
+from sassafrasdoor.soak.schedule import (
+    ON_ALL,
+    ON_INSTANCES,
+    ON_PATHS,
+    PARTITION_COUNT,
+    Kind,
+)
+from sassafrasdoor.steps.durable.service import TOPIC
 
 VERSIONS_GAP = 0.33  # seconds between two versions of a configuration
 STOP_CALL_INTERVAL = 0.08  # seconds; below the duration of a call, 0.1 s
@@ -131,6 +138,24 @@
         """Let calls to the store wait; they are handled when it answers again."""
         await self._silence(fault, [self._store.answering])
 
+    async def _partitions_refuse(self, fault):
+        await self._fail_partitions(fault, self._store.log.refused_parts)
+
+    async def _partitions_silent(self, fault):
+        await self._fail_partitions(fault, self._store.log.silent_parts)
+
+    async def _fail_partitions(self, fault, failing):
+        """Let partitions fail for the fault's time; outages of one kind may overlap."""
+        partitions = [(TOPIC, part) for part in range(fault.target, PARTITION_COUNT)]
+        outages = self._partition_outages
+        outages.update((fault.kind, one) for one in partitions)
+        failing.update(partitions)
+        await asyncio.sleep(fault.duration)
+        outages.subtract((fault.kind, one) for one in partitions)
+        failing.difference_update(
+            one for one in partitions if not outages[fault.kind, one]
+        )
+
     async def _engines_silent(self, fault):
         await self._silence(fault, [engine.sending for engine in self._engines])
 
@@ -270,4 +295,6 @@
     Kind.ROUTES_ADDED: FaultInjector._add_routes,
     Kind.ROUTES_REMOVED: FaultInjector._remove_route,
     Kind.STUTTER: FaultInjector._stutter_for_a_while,
+    Kind.PARTITIONS_REFUSE: FaultInjector._partitions_refuse,
+    Kind.PARTITIONS_SILENT: FaultInjector._partitions_silent,
 }
--- a/sassafrasdoor/soak/schedule.py
+++ b/sassafrasdoor/soak/schedule.py
@@ -3,6 +3,8 @@
 import random
 from enum import StrEnum
 
+from sassafrasdoor.steps.durable.service import SHARD_COUNT
+
 FIRST_FAULT_DELAY = 2.0  # seconds, so that there is work to disturb
 # Share of the run in which faults begin; the rest leaves time to recover.
 FAULT_PERIOD_SHARE = 0.75
@@ -38,6 +40,8 @@
     ROUTES_ADDED = "routes added during a pause"
     ROUTES_REMOVED = "route removed during a pause"
     STUTTER = "replica stutters"
+    PARTITIONS_REFUSE = "partitions refuse"
+    PARTITIONS_SILENT = "partitions silent"
 
 
 # Drawn as a series of their own, so that the first series of a seed does not change.
@@ -56,12 +60,18 @@
 # Drawn as a sixth series: an engine and a plain replica send surplus answers.
 STUTTER_INTERVAL = 1.5  # seconds between two starts, on average
 MIN_STUTTER, MAX_STUTTER = 1.0, 5.0  # seconds
+# Drawn as a seventh series: those partitions of the steps fail that follow a drawn one.
+PARTITION_COUNT = SHARD_COUNT + 1  # the last one has the lease of the weights
+PARTITION_KINDS = (Kind.PARTITIONS_REFUSE, Kind.PARTITIONS_SILENT)
+PARTITIONS_INTERVAL = 4.0  # seconds between two starts, on average
+MIN_PARTITION_OUTAGE, MAX_PARTITION_OUTAGE = 0.3, 6.0  # seconds
 ADDED_KINDS = {
     *SECOND_SERIES_KINDS,
     Kind.GONE,
     *SILENT_KINDS,
     *ROUTE_KINDS,
     Kind.STUTTER,
+    *PARTITION_KINDS,
 }
 FIRST_SERIES_KINDS = [kind for kind in Kind if kind not in ADDED_KINDS]
 SECOND_SERIES_INTERVAL = 3.0  # seconds between two starts, on average
@@ -80,6 +90,7 @@
     Kind.LOG_LOSES,
     Kind.LOG_LATE,
     Kind.LOG_SILENT,
+    *PARTITION_KINDS,
 }
 WEIGHTS = {Kind.KILL_ALL: 1, Kind.LEAVE: 1}
 DEFAULT_WEIGHT = 3
@@ -128,6 +139,7 @@
     faults += _silences(random.Random(f"{seed} silent"), seconds)
     faults += _route_changes(random.Random(f"{seed} routes"), seconds, instances)
     faults += _stutters(random.Random(f"{seed} stutters"), seconds, replicas)
+    faults += _partition_outages(random.Random(f"{seed} partitions"), seconds)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -186,3 +198,14 @@
         faults.append(Fault(at, Kind.STUTTER, target, duration))
         at += rng.uniform(0, 2 * STUTTER_INTERVAL)
     return faults
+
+
+def _partition_outages(rng, seconds):
+    """Return outages of partitions; ``target`` counts those that are spared."""
+    faults, at = [], FIRST_FAULT_DELAY + rng.uniform(0, PARTITIONS_INTERVAL)
+    while at < FAULT_PERIOD_SHARE * seconds:
+        duration = rng.uniform(MIN_PARTITION_OUTAGE, MAX_PARTITION_OUTAGE)
+        kind, spared = rng.choice(PARTITION_KINDS), rng.randrange(PARTITION_COUNT)
+        faults.append(Fault(at, kind, spared, duration))
+        at += rng.uniform(0, 2 * PARTITIONS_INTERVAL)
+    return faults
