--- a/sassafrasdoor/log/tests/partition_outages.py
+++ b/sassafrasdoor/log/tests/partition_outages.py
@@ -59,7 +59,8 @@
 
 def without_a_share():
     """The pauses do not grow with the number of followers."""
-    return mock.patch(f"{__name__}.Intervals", lambda *arguments: Intervals())
+    unlimited = Intervals()
+    return mock.patch(f"{__name__}.Intervals", lambda *arguments: unlimited)
 
 
 WAYS = {
