Tails: silent partitions of an instance take turns, an answer releases the next

Seen: after silence an instance that appends nothing read up to 2.4 s (20 followers) or 6.5 s (80) after the return. Cause: the pause that keeps answers within the share of bytes was multiplied by all partitions and waited out by each.

Change: Silence takes turns among an instance's partitions that leave reads unanswered: one read each byte interval, that of the partition read longest ago; an answer lets the next be sent at once. Refused partitions wait for no turn. A read that hangs and fails late no longer discards that lists were answered since it was sent.

Measured: test_return for 20, 40 and 80 followers, five scopes, refused and silent, and outages that come and go: the runner within 2 s, others within 1.3 x max(0.5 s, C, B) or the lists' answer, now at most 2.3 s. Before this change test_large_fleets and its sibling cannot hold (6.5 s).

--- a/sassafrasdoor/log/partition_retry.py
+++ b/sassafrasdoor/log/partition_retry.py
@@ -13,9 +13,9 @@
 
 The lists, which every instance reads, tell the first two apart: an overloaded log does not
 answer them in time. While they are answered, a failing partition is read at bounded
-intervals. Those after a refused read, which costs a call, keep all followers together
-within their share of the log's calls; those after an unanswered one keep the answers
-within their share of its bytes. While lists fail, the intervals grow with each retry.
+intervals, which keep all followers together within their share of the log's calls. The
+partitions of an instance that leave reads unanswered take turns, so that the answers stay
+within the share of its bytes. While lists fail, the intervals grow with each retry.
 
 An acknowledged append proves that a partition serves. It allows one read at once, which
 costs one read for each append at most.
@@ -43,15 +43,17 @@
     """What a reader knows about the log since a partition's last read was sent."""
 
     APPENDED = "an append to the partition was acknowledged"
+    OTHERS_ANSWERED = "another partition answers that had left reads unanswered"
     LISTS_ANSWERED = "no list fails, and one was answered"
     NONE = "neither"
 
 
 class Intervals:
-    """The least seconds between two reads of a partition by one of its followers.
+    """The least seconds between reads of failing partitions by one follower.
 
-    ``by_calls`` keeps the reads of all followers within their share of the log's calls,
-    ``by_bytes`` the answers within their share of its bytes. Zero means no such limit.
+    ``by_calls``, between two reads of one partition, keeps the reads of all followers
+    within their share of the log's calls. ``by_bytes``, between two reads that may cost an
+    answer, keeps these within the share of its bytes. Zero means no such limit.
     """
 
     __slots__ = ("by_bytes", "by_calls")
@@ -69,27 +71,94 @@
 class Lists:
     """Whether the log answers the lists: ``are_answered``.
 
-    That is whether one has been answered since the last failed read, and none fails.
-    ``returned_at`` is the monotonic time at which the last failing one was answered again.
+    That is whether one has been answered since the last failed read was sent, and none
+    fails. ``returned_at`` is the monotonic time at which the last failing one was answered
+    again.
     """
 
-    __slots__ = ("are_answered", "returned_at")
+    __slots__ = ("_answered_at", "are_answered", "returned_at")
 
     def __init__(self):
         self.are_answered = True
-        self.returned_at = float("-inf")
+        self._answered_at = self.returned_at = float("-inf")
+
+    def record_failure(self, sent_at):
+        """Record that a read has failed that was sent at a point in time."""
+        self.are_answered = self.are_answered and self._answered_at > sent_at
+
+    def record_list_failure(self):
+        """Record that the read of a list has failed."""
+        self.are_answered = False
+
+    def record_answer(self, at, had_failed):
+        """Record that a list was answered and none fails; ``had_failed``: it had."""
+        self.are_answered = True
+        self._answered_at = at
+        if had_failed:
+            self.returned_at = at
+
+
+class Silence:
+    """Takes turns among an instance's partitions that leave their reads unanswered.
+
+    An answer shows that the log may serve them again, so the next read needs no pause.
+    ``answered_at`` is the monotonic time of the last one.
+    """
+
+    __slots__ = ("_last_read_at", "_read_at", "answered_at")
+
+    def __init__(self):
+        self._last_read_at = self.answered_at = float("-inf")
+        self._read_at = {}
+
+    def add(self, partition, at):
+        """Add a partition that has left a read unanswered until ``at``."""
+        self._read_at[partition] = at
+
+    def record_read(self, partition, at):
+        """Record that a partition was read in its turn."""
+        self._read_at[partition] = self._last_read_at = at
+
+    def record_answer(self, partition, at):
+        """Record that a partition has answered; return whether it was among these."""
+        was_silent = self._read_at.pop(partition, None) is not None
+        if was_silent:
+            self._last_read_at, self.answered_at = float("-inf"), at
+        return was_silent
+
+    def remove(self, partition):
+        """Remove a partition that refuses its reads."""
+        self._read_at.pop(partition, None)
+
+    def due_at(self, partition, interval):
+        """Return the turn of a partition: the one read longest ago is first."""
+        own = self._read_at.get(partition, float("inf"))
+        earlier = sum(read_at < own for read_at in self._read_at.values())
+        return self._last_read_at + interval * (1 + earlier)
 
 
 class PartitionRetry:
     """Schedules the reads of one partition by one reader while they fail.
 
-    Times are monotonic seconds.
+    Times are monotonic seconds. ``silence`` is the ``Silence`` of the instance.
     """
 
-    __slots__ = ("_draw", "_has_append", "_is_refused", "_last_read_at", "_reads")
+    __slots__ = (
+        "_draw",
+        "_has_append",
+        "_is_refused",
+        "_last_read_at",
+        "_reads",
+        "_silence",
+    )
 
-    def __init__(self):
-        self.record_answer()
+    def __init__(self, silence):
+        self._silence = silence
+        self._reset()
+
+    @property
+    def _lengthening(self):
+        return 1.0 + MAX_LENGTHENING * self._draw
 
     @property
     def _growing_pause(self):
@@ -102,6 +171,7 @@
         """
         self.record_failure(at, draw)
         self._has_append = False
+        self._silence.record_read(self, at)
 
     def record_failure(self, at, draw):
         """Record that a read other than a retry was not answered; ``draw`` as above.
@@ -112,17 +182,23 @@
         self._draw = draw
         self._reads += 1
         self._is_refused = False
+        self._silence.add(self, at)
 
     def record_refusal(self):
         """Record that the last read was refused: no answer to it is sent any more."""
         self._is_refused = True
+        self._silence.remove(self)
 
     def record_append(self):
         """Record that an append to the partition was acknowledged."""
         self._has_append = True
 
-    def record_answer(self):
-        """Record that a read was answered."""
+    def record_answer(self, at):
+        """Record that a read was answered; return whether other reads may be due now."""
+        self._reset()
+        return self._silence.record_answer(self, at)
+
+    def _reset(self):
         self._last_read_at = float("-inf")
         self._draw = 0.0
         self._reads = 0
@@ -134,37 +210,50 @@
 
         ``is_pending`` says whether a former read has neither been answered nor failed.
         """
-        evidence = self._evidence(lists)
-        due_at = _DUE[evidence](self, lists, intervals)
-        if is_pending and evidence is not Evidence.APPENDED:
-            return max(due_at, self._last_read_at + HEDGE_INTERVAL)
-        return due_at
+        return _DUE[self._evidence(lists)](self, lists, intervals, is_pending)
 
     def _evidence(self, lists):
         if self._has_append:
             return Evidence.APPENDED
-        return Evidence.LISTS_ANSWERED if lists.are_answered else Evidence.NONE
+        if not lists.are_answered:
+            return Evidence.NONE
+        if not self._is_refused and self._silence.answered_at > self._last_read_at:
+            return Evidence.OTHERS_ANSWERED
+        return Evidence.LISTS_ANSWERED
 
-    def _due_after_append(self, lists, intervals):
+    def _due_after_append(self, lists, intervals, is_pending):
         return self._last_read_at + RETRY_PAUSE
 
-    def _due_with_lists(self, lists, intervals):
-        longest = MAX_BOUNDED_PAUSE if self._is_refused else intervals.longest
-        pause = max(intervals.by_calls, min(longest, self._growing_pause))
+    def _due_after_others(self, lists, intervals, is_pending):
+        pause = max(RETRY_PAUSE, intervals.by_calls)
+        return max(self._last_read_at + pause, self._turn(intervals))
+
+    def _due_with_lists(self, lists, intervals, is_pending):
+        pause = max(intervals.by_calls, min(MAX_BOUNDED_PAUSE, self._growing_pause))
+        if is_pending:
+            pause = max(pause, HEDGE_INTERVAL)
         spread = self._draw * max(intervals.by_calls, RETURN_SPREAD)
         return max(
-            self._last_read_at + pause * (1.0 + MAX_LENGTHENING * self._draw),
+            self._last_read_at + pause * self._lengthening,
             lists.returned_at + spread,
+            self._turn(intervals),
         )
 
-    def _due_without_lists(self, lists, intervals):
+    def _due_without_lists(self, lists, intervals, is_pending):
         pause = min(MAX_RETRY_PAUSE, self._growing_pause)
         varied = pause * (1.0 - MAX_SHORTENING * (1.0 - self._draw))
-        return self._last_read_at + max(MAX_LIST_WAIT, intervals.by_calls, varied)
+        pause = max(MAX_LIST_WAIT, intervals.by_calls, varied)
+        return max(self._last_read_at + pause, self._turn(intervals))
+
+    def _turn(self, intervals):
+        if self._is_refused:
+            return float("-inf")
+        return self._silence.due_at(self, intervals.by_bytes * self._lengthening)
 
 
 _DUE = {
     Evidence.APPENDED: PartitionRetry._due_after_append,
+    Evidence.OTHERS_ANSWERED: PartitionRetry._due_after_others,
     Evidence.LISTS_ANSWERED: PartitionRetry._due_with_lists,
     Evidence.NONE: PartitionRetry._due_without_lists,
 }
--- a/sassafrasdoor/log/schedules.py
+++ b/sassafrasdoor/log/schedules.py
@@ -27,8 +27,11 @@
         """Record that a read is sent now."""
         self._last_read_at = now()
 
-    def record_failure(self):
-        """Record that a read which was not scheduled here has failed now."""
+    def record_failure(self, is_refused):
+        """Record that a read which was not scheduled here has failed now.
+
+        ``is_refused`` says that it failed before its time was over.
+        """
 
     def record_refusal(self):
         """Record that the last read was refused before its time was over."""
@@ -43,16 +46,19 @@
 class RetrySchedule(HedgeSchedule):
     """Sends the reads of one failing partition as ``PartitionRetry`` decides.
 
-    ``lists`` are the ``Lists`` of the instance; ``intervals()`` returns the ``Intervals``.
+    ``lists`` and ``silence`` are the ``Lists`` and the ``Silence`` of the instance;
+    ``intervals()`` returns the ``Intervals``. ``on_change()`` is called when other
+    schedules may have a read due earlier.
     """
 
-    __slots__ = ("_intervals", "_lists", "_retry")
+    __slots__ = ("_intervals", "_lists", "_on_change", "_retry")
 
-    def __init__(self, lists, intervals):
+    def __init__(self, lists, silence, intervals, on_change):
         super().__init__()
         self._lists = lists
         self._intervals = intervals
-        self._retry = PartitionRetry()
+        self._on_change = on_change
+        self._retry = PartitionRetry(silence)
 
     def due_at(self, is_pending):
         return self._retry.due_at(self._lists, self._intervals(), is_pending)
@@ -60,14 +66,17 @@
     def record_read(self):
         self._retry.record_read(now(), random.uniform(0.0, 1.0))
 
-    def record_failure(self):
+    def record_failure(self, is_refused):
         self._retry.record_failure(now(), random.uniform(0.0, 1.0))
+        if is_refused:
+            self._retry.record_refusal()
 
     def record_refusal(self):
         self._retry.record_refusal()
 
     def record_answer(self):
-        self._retry.record_answer()
+        if self._retry.record_answer(now()):
+            self._on_change()
 
     def record_append(self):
         self._retry.record_append()
--- a/sassafrasdoor/log/sharing.py
+++ b/sassafrasdoor/log/sharing.py
@@ -20,6 +20,7 @@
     RETURN_SPREAD,
     Intervals,
     Lists,
+    Silence,
 )
 from sassafrasdoor.log.schedules import RetrySchedule
 from sassafrasdoor.outcomes import Unavailable
@@ -66,16 +67,15 @@
     return max(min(share, MAX_ANSWER_BYTES), record_bytes + RECORD_MARGIN_BYTES)
 
 
-def answer_pause(followers, partitions, bytes_per_second, record_bytes):
-    """Return the seconds that a follower pauses after an unanswered read of a partition.
+def answer_pause(followers, bytes_per_second, record_bytes):
+    """Return the seconds that a follower pauses after a read that was not answered.
 
     The log sends a whole record even to a small read. In this time it can send the
-    largest one from each partition, and one part of a backlog, to all followers.
+    largest one, and one part of a backlog, to all followers.
     """
     record = record_bytes + RECORD_MARGIN_BYTES
     share = backlog_share(followers, bytes_per_second, record_bytes)
-    size = followers * (partitions * record + share)
-    return size / (FOLLOWER_READ_SHARE * bytes_per_second)
+    return followers * (record + share) / (FOLLOWER_READ_SHARE * bytes_per_second)
 
 
 def list_retry_pause(instances, reads_per_second):
@@ -133,6 +133,7 @@
         "_partition_backoffs",
         "_retry_intervals",
         "_retry_schedules",
+        "_silence",
         "max_bytes",
     )
 
@@ -150,6 +151,7 @@
         self._failing_lists = set()
         self._list_failed_at = LONG_AGO
         self._lists = Lists()
+        self._silence = Silence()
         self._lists_answered = asyncio.Event()
         self._lists_answered.set()
         self._backoff = _Backoff()
@@ -161,11 +163,15 @@
         """Seconds before the retry of a failed read, with jitter."""
         return self._list_pause() * random.uniform(1.0, 1.3)
 
-    def record_read_failure(self, list_topic=None):
-        """Record that a read was not answered; ``list_topic`` names a list that failed."""
+    def record_read_failure(self, list_topic=None, sent_at=None):
+        """Record that a read was not answered.
+
+        ``list_topic`` names a list that failed, ``sent_at`` is when another read was sent.
+        """
         self._lists_answered.clear()
-        self._lists.are_answered = False
+        self._lists.record_failure(now() if sent_at is None else sent_at)
         if list_topic:
+            self._lists.record_list_failure()
             self._failing_lists.add(list_topic)
             self._list_failed_at = now()
 
@@ -184,18 +190,21 @@
                 backoff.end_by(retry_at)
 
     def _record_lists_answered(self, had_failed):
-        if self._lists.are_answered:
-            return
-        self._lists.are_answered = True
-        if had_failed:
-            self._lists.returned_at = now()
+        were_answered = self._lists.are_answered
+        self._lists.record_answer(now(), had_failed)
         self._lists_answered.set()
+        if not were_answered:
+            self._wake_schedules()
+
+    def _wake_schedules(self):
         for schedule in self._retry_schedules:
             schedule.changed.set()
 
     def retry_schedule(self):
         """Return the ``RetrySchedule`` of a further partition."""
-        schedule = RetrySchedule(self._lists, self._retry_intervals)
+        schedule = RetrySchedule(
+            self._lists, self._silence, self._retry_intervals, self._wake_schedules
+        )
         self._retry_schedules.append(schedule)
         return schedule
 
@@ -269,12 +278,12 @@
 
 
 class ReadWaits:
-    """Seconds that a read waited before it was sent, by reason."""
+    """Seconds that a read waited before it was sent, by reason; the pause is always one."""
 
     __slots__ = ("_seconds",)
 
     def __init__(self):
-        self._seconds = {}
+        self._seconds = {PAUSE: 0.0}
 
     def add(self, reason, seconds):
         """Add a wait."""
--- a/sassafrasdoor/log/tail.py
+++ b/sassafrasdoor/log/tail.py
@@ -231,6 +231,7 @@
     async def poll(self, wait):
         """Read once; return whether the log answered."""
         sent_at, suspended = now(), boot_now() - now()
+        timeout = INITIAL_READ_SLACKS[0]
         is_retry = self.failing_since is not None
         self._waits = ReadWaits()
         if is_retry:
@@ -246,13 +247,14 @@
                 self._part, self._read_backlog, is_urgent, self._waits
             )
         else:
+            timeout = wait + READ_SLACK
             with call_purpose(FOLLOW if wait else CONFIRM):
                 result = await self._read(
                     wait, READ_SLACK, self._read_coordinator.max_bytes()
                 )
         if isinstance(result, Unavailable):
             self._reads["given up"] += 1
-            self._record_failure(result)
+            self._record_failure(result, sent_at, not passed(sent_at + timeout))
             return False
         self._reads["answered"] += 1
         self._record_answer()
@@ -358,9 +360,12 @@
                         pending, schedule.changed, due_at
                     )
                 completed = sorted(done, key=lambda task: not _was_answered(task))
-                if completed and not passed(deadline):
+                if not completed:
+                    continue
+                was_answered = _was_answered(completed[0])
+                if not (was_answered or passed(deadline)):
                     schedule.record_refusal()
-                if completed and (_was_answered(completed[0]) or not pending):
+                if was_answered or not pending:
                     return sent_at[completed[0]], completed[0].result()
         finally:
             for task in sent_at:
@@ -477,18 +482,18 @@
                 reads_given_up=self._reads["given up"],
             )
 
-    def _record_failure(self, result):
-        self._report_failure_to_coordinator()
+    def _record_failure(self, result, sent_at, is_refused=False):
+        self._report_failure_to_coordinator(sent_at)
         self._failed_reads += 1
         if self.failing_since is None:
             self.failing_since = now()
-            self._retry_schedule.record_failure()
+            self._retry_schedule.record_failure(is_refused)
             note("log.lost", topic=self._topic, part=self._part, reason=result.reason)
 
-    def _report_failure_to_coordinator(self):
+    def _report_failure_to_coordinator(self, sent_at):
         # A coordinator of its own has no lists that could end the wait for them.
         if self._has_shared_coordinator:
-            self._read_coordinator.record_read_failure()
+            self._read_coordinator.record_read_failure(sent_at=sent_at)
 
     def _report_answer_to_coordinator(self):
         """Report an answer to the coordinator, which only needs those of lists."""
@@ -592,7 +597,7 @@
             return await super().poll(wait)
         return await self._load()
 
-    def _report_failure_to_coordinator(self):
+    def _report_failure_to_coordinator(self, sent_at):
         self._read_coordinator.record_read_failure(self._topic)
 
     def _report_answer_to_coordinator(self):
@@ -628,7 +633,7 @@
                 "newest values are older than the records already read"
             )
         if isinstance(newest, Unavailable):
-            self._record_failure(newest)
+            self._record_failure(newest, sent_at)
             await self._load_from_peer()
             return False
         self._record_answer()
--- a/sassafrasdoor/platform/process.py
+++ b/sassafrasdoor/platform/process.py
@@ -583,11 +583,12 @@
 
     def _retry_intervals(self):
         # All partitions may fail, which are then not followed.
-        fleet = self._instances.entry_point_count, len(self._tails)
-        settings = self._settings
+        followers, settings = self._instances.entry_point_count, self._settings
         return Intervals(
-            follower_pause(*fleet, settings.reads_per_second),
-            answer_pause(*fleet, settings.read_bytes_per_second, settings.record_bytes),
+            follower_pause(followers, len(self._tails), settings.reads_per_second),
+            answer_pause(
+                followers, settings.read_bytes_per_second, settings.record_bytes
+            ),
         )
 
     def _routes_confirm_interval(self):
